Random runs of the whole system in virtual time; resume and take-over mended

Cause: the promises stood unproved. The member test now asks that the death is reported. Ruled out: the second copy itself was there each time.

--- a/internal/experiment/embedded.go
+++ b/internal/experiment/embedded.go
@@ -35,6 +35,7 @@
 
 	mu      sync.Mutex
 	entries map[int]*embeddedEntry // guarded by mu
+	wait    sync.WaitGroup         // for killed instances
 }
 
 type embeddedEntry struct {
@@ -122,6 +123,21 @@
 	return ee.left
 }
 
+// KillEntry ends the i-th entry instance without notice: cut takes its network
+// away first. What is left of the process is stopped in the background.
+func (e *Embedded) KillEntry(i int, cut func(site string)) {
+	e.mu.Lock()
+	ee := e.entries[i]
+	delete(e.entries, i)
+	e.mu.Unlock()
+	if ee == nil {
+		return
+	}
+	cut(e.Spec.Entry(e.base, i).Name)
+	ee.stop()
+	e.wait.Go(func() { <-ee.done })
+}
+
 // Stop ends everything.
 func (e *Embedded) Stop() {
 	var wait sync.WaitGroup
@@ -129,6 +145,7 @@
 		wait.Go(func() { e.StopEntry(i) })
 	}
 	wait.Wait()
+	e.wait.Wait()
 	e.World.Stop()
 }
 
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -54,13 +54,14 @@
 	}}, nil
 }
 
-type requestInput struct {
+// RequestInput names a request of the caller's account.
+type RequestInput struct {
 	Auth
 	ID string `path:"id" maxLength:"64"`
 }
 
 type streamInput struct {
-	requestInput
+	RequestInput
 	From int `query:"from" minimum:"0"`
 }
 
@@ -84,7 +85,7 @@
 }
 
 // getRequest looks at the first chunk that comes and does not wait for more.
-func (g *Gateway) getRequest(ctx context.Context, in *requestInput) (*requestOutput, error) {
+func (g *Gateway) getRequest(ctx context.Context, in *RequestInput) (*requestOutput, error) {
 	_, acc, err := g.account(in.Auth)
 	if err != nil {
 		return nil, problemOf(err)
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -140,8 +140,7 @@
 		if incarnation(o.ID) > incarnation(m.ID) {
 			return true
 		}
-		l.members[i].State = Dead
-		l.members[i].Leaving = true
+		l.members[i].Leaving = true // the next Tick reports it dead
 		l.retired = append(l.retired, o.ID)
 		if len(l.retired) > maxRetired {
 			l.retired = l.retired[1:]
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -33,8 +33,10 @@
 	l.Heard(Member{ID: "b#2", Name: "b", Beat: 1}, t0)
 	m, _ = l.Find("b#2")
 	is.True(m.Usable()) // a new incarnation is another member
-	m, _ = l.Find("b#1")
-	is.Equal(m.State, Dead)
+	changes := l.Tick(t0)
+	is.Equal(len(changes), 1) // the death of the replaced one is told, so that its records are taken over
+	is.Equal(changes[0].Member.ID, "b#1")
+	is.Equal(changes[0].Member.State, Dead)
 	_, changed := l.Heard(Member{ID: "b#1", Name: "b", Beat: 99}, t0)
 	is.True(!changed) // the replaced one never comes back
 }
--- a/internal/netx/mem.go
+++ b/internal/netx/mem.go
@@ -19,7 +19,8 @@
 	listeners map[netip.AddrPort]*memListener // guarded by mu
 	conns     map[*memConn]struct{}           // guarded by mu
 	delay     func(from, to string) time.Duration
-	cut       map[link]bool // guarded by mu
+	cut       map[link]bool         // guarded by mu
+	sites     map[string][]*memSite // guarded by mu
 }
 
 type link struct{ from, to string }
@@ -31,11 +32,19 @@
 		conns:     make(map[*memConn]struct{}),
 		delay:     delay,
 		cut:       make(map[link]bool),
+		sites:     make(map[string][]*memSite),
 	}
 }
 
-// Site returns the network as seen from a site.
-func (m *Mem) Site(name string) Network { return &memSite{m, name} }
+// Site returns the network as seen from a site. After the site is killed it
+// carries nothing; a process that starts there again asks for a new one.
+func (m *Mem) Site(name string) Network {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := &memSite{m: m, name: name}
+	m.sites[name] = append(m.sites[name], s)
+	return s
+}
 
 // Cut parts two sites, both ways, or joins them again. Open connections stay
 // and carry nothing while the sites are parted.
@@ -46,9 +55,13 @@
 	m.cut[link{b, a}] = cut
 }
 
-// Kill closes the listeners and connections of a site.
+// Kill closes the listeners and connections of a site, at once and for good.
 func (m *Mem) Kill(site string) {
 	m.mu.Lock()
+	for _, s := range m.sites[site] {
+		s.dead = true
+	}
+	delete(m.sites, site)
 	var conns []*memConn
 	for c := range m.conns {
 		if c.site == site || c.peerSite == site {
@@ -76,11 +89,15 @@
 type memSite struct {
 	m    *Mem
 	name string
+	dead bool // guarded by m.mu
 }
 
 func (s *memSite) Listen(addr netip.AddrPort) (net.Listener, error) {
 	s.m.mu.Lock()
 	defer s.m.mu.Unlock()
+	if s.dead {
+		return nil, errDead
+	}
 	if _, used := s.m.listeners[addr]; used {
 		return nil, fmt.Errorf("listen %s: address in use", addr)
 	}
@@ -89,14 +106,20 @@
 	return l, nil
 }
 
-var errRefused = errors.New("connection refused")
+var (
+	errRefused = errors.New("connection refused")
+	errDead    = errors.New("this site was killed")
+)
 
 func (s *memSite) Dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	s.m.mu.Lock()
-	l := s.m.listeners[addr]
+	l, dead := s.m.listeners[addr], s.dead
 	s.m.mu.Unlock()
+	if dead {
+		return nil, errDead
+	}
 	if l == nil {
 		return nil, fmt.Errorf("dial %s: %w", addr, errRefused)
 	}
--- a/internal/relay/hold.go
+++ b/internal/relay/hold.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"strconv"
 	"sync"
@@ -71,7 +72,7 @@
 	if alone(s) {
 		return nil
 	}
-	var last error
+	last := errors.New("none is usable")
 	for _, m := range r.seconds(s, rec.ID) {
 		ctx, cancel := context.WithTimeout(ctx, holdTimeout)
 		pos := rec.Position()
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -52,7 +52,7 @@
 func newEngine(w *World, p Place, _ uint64) *engine {
 	e := &engine{
 		w: w, place: p, wake: make(chan struct{}, 1),
-		http:  &http.Client{Transport: netx.Transport(w.siteN(p.ID))},
+		http:  &http.Client{Transport: netx.Transport(w.siteN(p.ID))}, // closed by loop
 		cache: make(map[uint64]int), imported: make(map[string]int), kept: make(map[string]*sequence),
 	}
 	e.ctx, e.kill = context.WithCancel(w.ctx)
@@ -205,6 +205,7 @@
 // loop is the continuous batch: each step computes a chunk of the waiting
 // prompts, most urgent first, and one token of each running sequence.
 func (e *engine) loop() {
+	defer e.http.CloseIdleConnections()
 	var publishAt time.Time
 	for {
 		busy := e.step()
