Bench in separate processes; in-memory connections end at once when closed

A connection closed from this side under a cut link still waited for its unread bytes; yamux waits for its reader when it closes. Ruled out: the product, whose TCP reads end at a close.

--- /dev/null
+++ b/internal/experiment/bench.go
@@ -0,0 +1,330 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/shelfcrank/shelfcrank/internal/deployment"
+	"github.com/shelfcrank/shelfcrank/internal/netx"
+	"github.com/shelfcrank/shelfcrank/internal/standin"
+	"github.com/shelfcrank/shelfcrank/internal/table"
+	"github.com/shelfcrank/shelfcrank/internal/traffic"
+)
+
+// Quantiles of a measure, in milliseconds.
+type Quantiles struct {
+	P50 float64 `json:"p50"`
+	P95 float64 `json:"p95"`
+	P99 float64 `json:"p99"`
+	Max float64 `json:"max"`
+}
+
+func quantiles(h *hdrhistogram.Histogram) Quantiles {
+	const perMs = 1000.0
+	return Quantiles{
+		P50: float64(h.ValueAtQuantile(50)) / perMs, P95: float64(h.ValueAtQuantile(95)) / perMs,
+		P99: float64(h.ValueAtQuantile(99)) / perMs, Max: float64(h.Max()) / perMs,
+	}
+}
+
+// StoreRate is the rate of calls to the key-value service.
+type StoreRate struct {
+	Read  float64 `json:"read"`
+	Write float64 `json:"write"`
+}
+
+// Report is what an experiment measured. Counts come from the callers and the
+// stand-ins, never from the system's own counters.
+type Report struct {
+	Deployment        string                         `json:"deployment"`
+	Scenario          string                         `json:"scenario"`
+	Policy            string                         `json:"policy"`
+	Set               string                         `json:"set,omitempty"` // cells of the default row set for the run
+	Seed              uint64                         `json:"seed"`
+	Seconds           int                            `json:"seconds"`
+	Entries           int                            `json:"entries"`
+	Processes         string                         `json:"processes"`
+	Sent              int                            `json:"sent"`
+	Answered          int                            `json:"answered"`
+	Late              int                            `json:"late"`
+	Failed            int                            `json:"failed"`
+	RefusedNotRun     int                            `json:"refused_not_run"`
+	Unknown           int                            `json:"may_have_run"`
+	Lost              int                            `json:"lost"`
+	Doubled           int                            `json:"doubled"`
+	WrongAnswer       int                            `json:"wrong_answer"`
+	CutByPlannedStop  int                            `json:"cut_by_planned_stop"`
+	SentToLeaving     int                            `json:"sent_to_leaving_after_5s"`
+	TTFT              Quantiles                      `json:"ttft_ms"`
+	Overhead          Quantiles                      `json:"overhead_ms"`
+	Service           Quantiles                      `json:"service_ms"`
+	TokensPrompt      int                            `json:"tokens_prompt"`
+	TokensRecomputed  int                            `json:"tokens_recomputed"`
+	TokensOutput      int                            `json:"tokens_output"`
+	KVMoves           int                            `json:"kv_moves"`
+	Resumes           int                            `json:"resumes"`
+	Cost              float64                        `json:"cost"`
+	CostPer1000OnTime float64                        `json:"cost_per_1000_on_time"`
+	TableInForce      Quantiles                      `json:"table_in_force_ms"`
+	TableReverts      int                            `json:"table_reverts"`
+	StoreCalls        StoreRate                      `json:"store_calls_per_s"`
+	ControlBytes      float64                        `json:"control_bytes_per_s"` // by entry instance, before traffic
+	ControlCPU        float64                        `json:"control_cpu_share"`   // of one core, by entry instance, before traffic
+	CPU               float64                        `json:"cpu_share"`           // of one core, by entry instance, under traffic
+	MemoryMB          float64                        `json:"memory_mb"`           // largest entry instance, at the end
+	ByClass           map[string]*traffic.ClassTally `json:"by_class"`
+	Edits             *EditTally                     `json:"edits,omitempty"`
+	Errors            []string                       `json:"errors,omitempty"`
+}
+
+// BenchOptions choose an experiment.
+type BenchOptions struct {
+	Deployment string
+	Scenario   string
+	Policy     string
+	Seed       uint64
+	Seconds    int
+	Scale      float64      // of the traffic
+	Set        []table.Cell // cells of the default row
+	Base       int          // first port
+	KeepLogs   string       // folder for the processes' logs; empty for a temporary one
+}
+
+// PolicyOnDemand is the fleet baseline that buys no reclaimable instance.
+const PolicyOnDemand = "on-demand-only"
+
+const (
+	idleWindow  = 2 * time.Second
+	settleWait  = 2500 * time.Millisecond
+	overheadGap = 50 * time.Millisecond
+)
+
+// bench is a running experiment.
+type bench struct {
+	o        BenchOptions
+	spec     *deployment.Spec
+	procs    *Processes
+	balancer *traffic.Balancer
+	client   *traffic.Client
+	report   *Report
+
+	mu     sync.Mutex
+	errors []string                // guarded by mu
+	direct *hdrhistogram.Histogram // guarded by mu
+	via    *hdrhistogram.Histogram // guarded by mu
+	table  *hdrhistogram.Histogram // guarded by mu
+	last   map[int]revisionSeen    // guarded by mu
+}
+
+type revisionSeen struct {
+	instance string
+	revision uint64
+}
+
+// Bench runs an experiment in separate processes.
+func Bench(ctx context.Context, o BenchOptions) (*Report, error) {
+	spec, err := deployment.Load(o.Deployment)
+	if err != nil {
+		return nil, err
+	}
+	scenario, err := findScenario(o.Scenario)
+	if err != nil {
+		return nil, err
+	}
+	dir := o.KeepLogs
+	if dir == "" {
+		if dir, err = os.MkdirTemp("", "shelfcrank-bench-"); err != nil {
+			return nil, fmt.Errorf("bench: %w", err)
+		}
+		defer os.RemoveAll(dir)
+	}
+	cells := slices.Clone(o.Set)
+	if o.Policy != PolicyOnDemand {
+		cells = append(cells, table.Cell{Column: table.ColPolicy, Value: o.Policy})
+	}
+	procs, err := StartProcesses(spec, o.Base, o.Seed, dir, o.Policy == PolicyOnDemand, cells...)
+	if err != nil {
+		return nil, err
+	}
+	defer procs.Stop()
+	transport := netx.Transport(netx.TCP{})
+	b := &bench{
+		o: o, spec: spec, procs: procs, balancer: traffic.NewBalancer(transport, procs.Callers(), o.Seed),
+		direct: newHist(), via: newHist(), table: newHist(), last: make(map[int]revisionSeen),
+	}
+	b.client = traffic.NewClient(transport, b.balancer)
+	b.report = &Report{Deployment: o.Deployment, Scenario: o.Scenario, Policy: o.Policy, Set: fmt.Sprint(o.Set), Seed: o.Seed, Seconds: o.Seconds, Entries: spec.Entries, Processes: "separate"}
+	if err := b.run(ctx, scenario); err != nil {
+		return nil, err
+	}
+	return b.report, nil
+}
+
+func newHist() *hdrhistogram.Histogram { return hdrhistogram.New(1, 300_000_000, 3) }
+
+func (b *bench) run(ctx context.Context, s scenario) error {
+	if err := WaitReady(ctx, b.balancer, b.spec.Entries); err != nil {
+		return err
+	}
+	time.Sleep(settleWait) // the view takes in all instances
+	before := b.usages()
+	bytesBefore := b.peerBytes(ctx)
+	time.Sleep(idleWindow)
+	b.report.ControlCPU = cpuShare(before, b.usages(), idleWindow)
+	b.report.ControlBytes = (b.peerBytes(ctx) - bytesBefore) / idleWindow.Seconds() / float64(b.spec.Entries)
+	truth0, err := b.procs.Truth(ctx)
+	if err != nil {
+		return err
+	}
+	side, stopSide := context.WithCancel(ctx)
+	var wait sync.WaitGroup
+	wait.Go(func() { b.balancer.Run(side) })
+	wait.Go(func() { b.probeOverhead(side) })
+	wait.Go(func() { b.probeTable(side, s.edits) })
+	start := time.Now()
+	length := time.Duration(b.o.Seconds) * time.Second
+	wait.Go(func() { s.faults(side, b, length) })
+	load := traffic.NewLoad(b.spec, b.client, b.o.Seed, func(class string) float64 { return b.o.Scale * s.scale(b.spec.Class(class)) })
+	before = b.usages()
+	tally := load.Run(ctx, start.Add(length))
+	took := time.Since(start)
+	b.report.CPU = cpuShare(before, b.usages(), took)
+	stopSide()
+	wait.Wait()
+	truth, err := b.procs.Truth(ctx)
+	if err != nil {
+		return err
+	}
+	b.fill(tally, truth0, truth, took)
+	return nil
+}
+
+func (b *bench) fill(t *traffic.Tally, t0, t1 standin.Truth, took time.Duration) {
+	r := b.report
+	r.Sent, r.Answered, r.Late, r.Failed, r.RefusedNotRun, r.Unknown = t.Sent, t.Answered, t.Late, t.Failed, t.RefusedNotRun, t.Unknown
+	r.Lost, r.WrongAnswer, r.Resumes, r.ByClass = t.Lost, t.WrongAnswer, t.Resumes, t.ByClass
+	r.Doubled, r.SentToLeaving = t1.Doubled, t1.SentToLeavingAfter5
+	r.TokensPrompt, r.TokensRecomputed = t1.TokensPrompt-t0.TokensPrompt, t1.TokensRecomputed-t0.TokensRecomputed
+	r.TokensOutput, r.KVMoves = t1.TokensOutput-t0.TokensOutput, t1.KVMoves-t0.KVMoves
+	r.Cost = t1.Cost - t0.Cost
+	if r.Answered > 0 {
+		r.CostPer1000OnTime = r.Cost / float64(r.Answered) * 1000
+	}
+	r.StoreCalls = StoreRate{float64(t1.StoreReads-t0.StoreReads) / took.Seconds(), float64(t1.StoreWrites-t0.StoreWrites) / took.Seconds()}
+	r.TTFT, r.Service = quantiles(t.First), quantiles(t.Service)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	d, v := quantiles(b.direct), quantiles(b.via)
+	r.Overhead = Quantiles{P50: v.P50 - d.P50, P95: v.P95 - d.P95, P99: v.P99 - d.P99, Max: v.Max - d.Max}
+	r.TableInForce = quantiles(b.table)
+	r.Errors = append(t.Errors, b.errors...)
+	for i := range b.spec.Entries {
+		if u, ok := b.procs.usageOf(i); ok {
+			r.MemoryMB = max(r.MemoryMB, float64(u.memory)/(1<<20))
+		}
+	}
+}
+
+func (b *bench) fail(format string, args ...any) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.errors = append(b.errors, fmt.Sprintf(format, args...))
+}
+
+func (b *bench) usages() map[int]usage {
+	out := make(map[int]usage)
+	for i := range b.spec.Entries {
+		if u, ok := b.procs.usageOf(i); ok {
+			out[i] = u
+		}
+	}
+	return out
+}
+
+// cpuShare returns the mean share of a core of the instances that ran all the
+// time.
+func cpuShare(before, after map[int]usage, took time.Duration) float64 {
+	sum, n := 0.0, 0
+	for i, u := range after {
+		if v, ok := before[i]; ok && u.cpu >= v.cpu {
+			sum += (u.cpu - v.cpu).Seconds() / took.Seconds()
+			n++
+		}
+	}
+	return sum / float64(max(1, n))
+}
+
+func (b *bench) peerBytes(ctx context.Context) float64 {
+	sum := 0.0
+	for i := range b.spec.Entries {
+		if s, err := b.procs.Status(ctx, i); err == nil {
+			sum += float64(s.SentBytes + s.GotBytes)
+		}
+	}
+	return sum
+}
+
+// probeOverhead times short model calls to the same engine model directly and
+// through an entry instance, in turn.
+func (b *bench) probeOverhead(ctx context.Context) {
+	set, err := b.spec.StandIns(b.o.Base, b.o.Seed)
+	if err != nil {
+		return
+	}
+	key := ""
+	for _, a := range b.spec.Accounts {
+		if !a.Operator {
+			key = a.Key
+		}
+	}
+	class := ""
+	for _, c := range b.spec.Classes {
+		if c.Model != "" && (class == "" || c.Priority > b.spec.Class(class).Priority) {
+			class = c.Name
+		}
+	}
+	priority := b.spec.Class(class).Priority
+	for n := 0; ctx.Err() == nil; n++ {
+		prompt := fmt.Sprintf("probe %d %d", b.o.Seed, n)
+		place := set.Engine[n%len(set.Engine)]
+		if took, ok := directCall(ctx, place.Addr, prompt, priority); ok {
+			b.record(b.direct, took)
+		}
+		start := time.Now()
+		o := b.client.Do(ctx, traffic.Call{Class: class, Key: key, Model: class, Prompt: prompt + " via", User: prompt, Max: 1, Deadline: start.Add(10 * time.Second)})
+		if o.Whole {
+			b.record(b.via, o.First.Sub(start))
+		}
+		select {
+		case <-time.After(overheadGap):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (b *bench) record(h *hdrhistogram.Histogram, took time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_ = h.RecordValue(max(1, took.Microseconds()))
+}
+
+func directCall(ctx context.Context, addr netip.AddrPort, prompt string, priority int) (time.Duration, bool) {
+	c := directClient()
+	start := time.Now()
+	s, err := c.Generate(ctx, addr, generate(prompt, priority))
+	if err != nil {
+		return 0, false
+	}
+	defer s.Close()
+	if _, err := s.Next(); err != nil {
+		return 0, false
+	}
+	return time.Since(start), true
+}
--- a/internal/netx/mem.go
+++ b/internal/netx/mem.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -213,6 +214,7 @@
 	in, out        *pipe
 	other          *memConn
 	remote         netip.AddrPort
+	closed         atomic.Bool // closed from this side: its reads end at once
 
 	mu            sync.Mutex
 	writeDeadline time.Time // guarded by mu
@@ -221,6 +223,9 @@
 func (c *memConn) Read(b []byte) (int, error) {
 	p := c.in
 	for {
+		if c.closed.Load() {
+			return 0, net.ErrClosed
+		}
 		p.mu.Lock()
 		wait := time.Duration(-1)
 		if len(p.chunks) > 0 {
@@ -313,16 +318,15 @@
 }
 
 func (c *memConn) Close() error {
+	c.closed.Store(true)
 	c.m.mu.Lock()
 	delete(c.m.conns, c)
 	delete(c.m.conns, c.other)
 	c.m.mu.Unlock()
 	for _, p := range []*pipe{c.in, c.out} {
 		p.mu.Lock()
-		if !p.closed {
-			p.closed = true
-			p.signal()
-		}
+		p.closed = true
+		p.signal()
 		p.mu.Unlock()
 	}
 	return nil
