--- a/internal/cmd/bench.go
+++ b/internal/cmd/bench.go
@@ -22,6 +22,8 @@
 	fs.Uint64Var(&o.Seed, "seed", 1, "seed of traffic and faults")
 	fs.IntVar(&o.Seconds, "seconds", 20, "length of the traffic")
 	fs.Float64Var(&o.Scale, "scale", 1, "factor on the traffic")
+	fs.IntVar(&o.Entries, "entries", 0, "entry instances, instead of the deployment's")
+	fs.IntVar(&o.Engines, "engines", 0, "engines of the first model, instead of the deployment's")
 	fs.IntVar(&o.Base, "base", benchBase, "first port")
 	fs.StringVar(&o.KeepLogs, "logs", "", "folder for the processes' logs")
 	set := fs.String("set", "", "cells of the default row, as COLUMN=VALUE,…")
--- a/internal/cmd/operator.go
+++ b/internal/cmd/operator.go
@@ -3,12 +3,15 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"flag"
 	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
+	"os"
 	"time"
 
 	"github.com/shelfcrank/shelfcrank/internal/gateway"
@@ -16,19 +19,37 @@
 
 // operatorFlags are the flags of commands that talk to an entry instance.
 type operatorFlags struct {
-	addr *string
-	key  *string
-	json *bool
+	addr      *string
+	key       *string
+	authority *string
+	json      *bool
 }
 
 func addOperatorFlags(fs *flag.FlagSet) operatorFlags {
 	return operatorFlags{
-		addr: fs.String("addr", "127.0.0.1:8080", "address of an entry instance"),
-		key:  fs.String("key", "", "operator's key; better given as "+envPrefix+"_KEY"),
-		json: fs.Bool("json", false, "print JSON"),
+		addr:      fs.String("addr", "127.0.0.1:8080", "address of an entry instance"),
+		key:       fs.String("key", "", "operator's key; better given as "+envPrefix+"_KEY"),
+		authority: fs.String("authority", "", "certificate of the authority; given, TLS is used"),
+		json:      fs.Bool("json", false, "print JSON"),
 	}
 }
 
+// client returns the HTTP client and the scheme that it speaks.
+func (f operatorFlags) client() (*http.Client, string, error) {
+	if *f.authority == "" {
+		return http.DefaultClient, "http", nil
+	}
+	pem, err := os.ReadFile(*f.authority)
+	if err != nil {
+		return nil, "", usageError{err}
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, "", usagef("-authority: no certificate in %s", *f.authority)
+	}
+	return &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool}}}, "https", nil
+}
+
 const operatorTimeout = 15 * time.Second
 
 // call makes an operator's call and decodes its answer into out.
@@ -40,6 +61,10 @@
 	if *f.key == "" {
 		return usagef("-key is missing; set %s_KEY", envPrefix)
 	}
+	client, scheme, err := f.client()
+	if err != nil {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
 	var body io.Reader
@@ -50,13 +75,13 @@
 		}
 		body = bytes.NewReader(b)
 	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr.String()+path, body)
+	req, err := http.NewRequestWithContext(ctx, method, scheme+"://"+addr.String()+path, body)
 	if err != nil {
 		return err
 	}
 	req.Header.Set("Authorization", "Bearer "+*f.key)
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return err
 	}
--- a/internal/cmd/serve.go
+++ b/internal/cmd/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 
@@ -11,6 +10,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/shelfcrank/shelfcrank/internal/entry"
+	"github.com/shelfcrank/shelfcrank/internal/keys"
 	"github.com/shelfcrank/shelfcrank/internal/netx"
 	"github.com/shelfcrank/shelfcrank/internal/settings"
 )
@@ -52,10 +52,15 @@
 
 func serve(ctx context.Context, set settings.Serve, log *zap.Logger) error {
 	defer func() { _ = log.Sync() }()
+	o := entry.Options{Settings: set, Net: netx.TCP{}, Log: log, Seed: rand.Uint64()}
 	if !set.Plain {
-		return errors.New("TLS is not built yet; plain_text = true is needed")
+		loader, err := keys.NewLoader(keys.Files{Authority: set.TLS.Authority, Cert: set.TLS.Cert, Key: set.TLS.Key})
+		if err != nil {
+			return usageError{err}
+		}
+		o.CallerTLS, o.PeerTLS = loader.Callers(), loader.Peers()
 	}
-	inst, err := entry.New(entry.Options{Settings: set, Net: netx.TCP{}, Log: log, Seed: rand.Uint64()})
+	inst, err := entry.New(o)
 	if err != nil {
 		return err
 	}
--- a/internal/experiment/bench.go
+++ b/internal/experiment/bench.go
@@ -92,6 +92,8 @@
 	Seed       uint64
 	Seconds    int
 	Scale      float64      // of the traffic
+	Entries    int          // instead of the deployment's, if not 0
+	Engines    int          // instead of the first model's, if not 0
 	Set        []table.Cell // cells of the default row
 	Base       int          // first port
 	KeepLogs   string       // folder for the processes' logs; empty for a temporary one
@@ -134,6 +136,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if o.Entries > 0 {
+		spec.Entries = o.Entries
+	}
+	if o.Engines > 0 {
+		spec.Models[0].Engines = o.Engines
+	}
 	scenario, err := findScenario(o.Scenario)
 	if err != nil {
 		return nil, err
@@ -196,6 +204,9 @@
 	load := traffic.NewLoad(b.spec, b.client, b.o.Seed, func(class string) float64 { return b.o.Scale * s.scale(b.spec.Class(class)) })
 	before = b.usages()
 	tally := load.Run(ctx, start.Add(length))
+	if b.o.Scale == 0 {
+		pauseFor(ctx, length)
+	}
 	took := time.Since(start)
 	b.report.CPU = cpuShare(before, b.usages(), took)
 	stopSide()
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -74,8 +74,8 @@
 	killPause   = 9 * time.Second // longer than it takes to notice a death and make new second copies
 )
 
-// wait sleeps and reports whether the experiment still goes on.
-func wait(ctx context.Context, d time.Duration) bool {
+// pauseFor sleeps and reports whether the experiment still goes on.
+func pauseFor(ctx context.Context, d time.Duration) bool {
 	select {
 	case <-time.After(d):
 		return true
@@ -103,14 +103,14 @@
 }
 
 func hallReclaim(ctx context.Context, b *bench, length time.Duration) {
-	if wait(ctx, length/3) {
+	if pauseFor(ctx, length/3) {
 		b.reclaimHall(ctx, b.spec.Halls[0], hallNotice)
 	}
 }
 
 // reclaimStorm takes single engines of all halls, then a whole hall.
 func reclaimStorm(ctx context.Context, b *bench, length time.Duration) {
-	if !wait(ctx, length/5) {
+	if !pauseFor(ctx, length/5) {
 		return
 	}
 	for i := range b.spec.Models[0].Engines / 4 {
@@ -118,11 +118,11 @@
 		if err := b.procs.Reclaim(ctx, "", id, stormNotice, false); err != nil {
 			b.fail("reclaim: %v", err)
 		}
-		if !wait(ctx, length/20) {
+		if !pauseFor(ctx, length/20) {
 			return
 		}
 	}
-	if wait(ctx, length/10) {
+	if pauseFor(ctx, length/10) {
 		b.reclaimHall(ctx, b.spec.Halls[2], stormNotice)
 	}
 }
@@ -132,11 +132,11 @@
 func entryKill(ctx context.Context, b *bench, length time.Duration) {
 	begin := time.Now()
 	for i := 0; time.Since(begin) < length/2; i++ {
-		if !wait(ctx, restartWait) {
+		if !pauseFor(ctx, restartWait) {
 			return
 		}
 		b.procs.KillEntry(i % b.spec.Entries)
-		if !wait(ctx, killPause) {
+		if !pauseFor(ctx, killPause) {
 			return
 		}
 		if err := b.procs.StartEntry(i % b.spec.Entries); err != nil {
@@ -145,7 +145,7 @@
 	}
 	var reclaim sync.WaitGroup
 	reclaim.Go(func() { b.reclaimHall(ctx, b.spec.Halls[1], hallNotice) })
-	if wait(ctx, hallNotice/4) {
+	if pauseFor(ctx, hallNotice/4) {
 		b.procs.KillEntry(2) // in another hall
 	}
 	reclaim.Wait()
@@ -153,7 +153,7 @@
 
 func rollingRestart(ctx context.Context, b *bench, _ time.Duration) {
 	for i := range b.spec.Entries {
-		if !wait(ctx, restartWait/2) {
+		if !pauseFor(ctx, restartWait/2) {
 			return
 		}
 		if err := b.procs.StopEntry(i); err != nil {
@@ -164,20 +164,20 @@
 			b.fail("restart: %v", err)
 		}
 		for ctx.Err() == nil && b.balancer.Probe(ctx) < b.spec.Entries {
-			wait(ctx, restartWait/20)
+			pauseFor(ctx, restartWait/20)
 		}
 	}
 }
 
 func storeOutage(ctx context.Context, b *bench, length time.Duration) {
 	for _, f := range []standin.Faults{{StoreDown: true, ListFrozen: true}, {StoreSlowMs: 700}, {StoreLoseAnswer: 0.5}, {StoreOld: true}} {
-		if !wait(ctx, length/10) {
+		if !pauseFor(ctx, length/10) {
 			return
 		}
 		if err := b.procs.SetFaults(ctx, f); err != nil {
 			b.fail("faults: %v", err)
 		}
-		wait(ctx, length/8)
+		pauseFor(ctx, length/8)
 		if err := b.procs.SetFaults(context.WithoutCancel(ctx), standin.Faults{}); err != nil {
 			b.fail("faults: %v", err)
 		}
--- a/internal/experiment/tablerace.go
+++ b/internal/experiment/tablerace.go
@@ -62,7 +62,7 @@
 // has the revision in force; it also watches that none goes back.
 func (b *bench) probeTable(ctx context.Context, edits bool) {
 	for n := 0; ctx.Err() == nil; n++ {
-		if !wait(ctx, editEvery) {
+		if !pauseFor(ctx, editEvery) {
 			return
 		}
 		b.seeRevisions(ctx)
@@ -90,7 +90,7 @@
 					b.record(b.table, time.Since(accepted))
 					return
 				}
-				wait(ctx, inForcePoll)
+				pauseFor(ctx, inForcePoll)
 			}
 			if ctx.Err() == nil {
 				b.record(b.table, time.Since(accepted))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,6 +89,10 @@
 	if g.Snapshot().Leaving {
 		w.Header().Set("Connection", "close")
 	}
+	if strings.HasPrefix(r.URL.Path, "/v1/") {
+		id, _ := identify("", "") // of an answer to a request that is not accepted
+		w.Header().Set("Request-Id", id)
+	}
 	g.mux.ServeHTTP(w, r)
 }
 
--- /dev/null
+++ b/internal/keys/keys_test.go
@@ -0,0 +1,88 @@
+package keys
+
+import (
+	"crypto/tls"
+	"net"
+	"net/netip"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func makeFiles(t *testing.T, dir, name string) Files {
+	t.Helper()
+	until := time.Now().Add(time.Hour)
+	if err := MakeAuthority(dir, until); err != nil {
+		t.Fatal(err)
+	}
+	if err := MakeEntry(dir, name, []netip.Addr{netip.MustParseAddr("127.0.0.1")}, until); err != nil {
+		t.Fatal(err)
+	}
+	return Files{filepath.Join(dir, AuthorityCert), filepath.Join(dir, name+".pem"), filepath.Join(dir, name+"-key.pem")}
+}
+
+func load(t *testing.T, f Files) *Loader {
+	t.Helper()
+	l, err := NewLoader(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// handshake returns the errors of both sides and the serial that the client saw.
+func handshake(client, server *tls.Config) (clientErr, serverErr error, serial string) {
+	a, b := net.Pipe()
+	defer a.Close()
+	defer b.Close()
+	done := make(chan error, 1)
+	srv := tls.Server(b, server)
+	go func() {
+		err := srv.Handshake()
+		if err == nil {
+			_, err = srv.Write([]byte("x"))
+		}
+		done <- err
+		_ = b.Close()
+	}()
+	c := tls.Client(a, client)
+	clientErr = c.Handshake()
+	if clientErr == nil {
+		serial = c.ConnectionState().PeerCertificates[0].SerialNumber.String()
+		_, clientErr = c.Read(make([]byte, 1))
+	} else {
+		_ = a.Close()
+	}
+	return clientErr, <-done, serial
+}
+
+func TestPeersTrustOnlyTheirAuthority(t *testing.T) {
+	is := is.New(t)
+	ours, theirs := t.TempDir(), t.TempDir()
+	a, b := load(t, makeFiles(t, ours, "a")), load(t, makeFiles(t, ours, "b"))
+	stranger := load(t, makeFiles(t, theirs, "a"))
+	clientErr, serverErr, _ := handshake(a.Peers(), b.Peers())
+	is.NoErr(clientErr)
+	is.NoErr(serverErr)
+	_, serverErr, _ = handshake(stranger.Peers(), b.Peers())
+	is.True(serverErr != nil) // a stranger is refused
+	clientErr, _, _ = handshake(a.Peers(), stranger.Peers())
+	is.True(clientErr != nil) // and not spoken to
+	_, serverErr, _ = handshake(&tls.Config{InsecureSkipVerify: true}, b.Peers())
+	is.True(serverErr != nil) // nor one without a certificate
+}
+
+func TestCertificatesAreReadAgain(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	a, b := load(t, makeFiles(t, dir, "a")), load(t, makeFiles(t, dir, "b"))
+	_, _, before := handshake(a.Peers(), b.Peers())
+	time.Sleep(10 * time.Millisecond) // another modification time
+	makeFiles(t, dir, "b")
+	b.checked = time.Time{} // the next look is due
+	_, _, after := handshake(a.Peers(), b.Peers())
+	is.True(before != after)
+	is.NoErr(b.Failed())
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -83,26 +83,26 @@
 func (homes) Choose(p *Pool, r *Request, now time.Time) (Decision, bool) {
 	var best Decision
 	bestScore := math.Inf(1)
-	consider := func(e *Endpoint) {
+	consider := func(e *Endpoint, atHome bool) {
 		if e == nil || e.Resting(now) || avoided(r, e.ID) {
 			return
 		}
 		d := Estimate(e, r, now)
-		if s := score(d, r); s < bestScore {
+		if s := score(d, r, atHome); s < bestScore {
 			best, bestScore = d, s
 		}
 	}
 	if r.Prefer != "" {
-		consider(p.Find(r.Prefer))
+		consider(p.Find(r.Prefer), true)
 	}
 	var home [homeCount]*Endpoint
 	n := Homes(p, r.Session, home[:])
-	for _, e := range home[:n] {
-		consider(e)
+	for i, e := range home[:n] {
+		consider(e, i == 0)
 	}
 	for i := range sampleCount {
 		if p.Size > 0 {
-			consider(p.at(int(mix(r.Draw, uint64(i)) % uint64(p.Size))))
+			consider(p.at(int(mix(r.Draw, uint64(i))%uint64(p.Size))), false)
 		}
 	}
 	if best.Endpoint == nil {
@@ -111,10 +111,17 @@
 	return best, true
 }
 
-func score(d Decision, r *Request) float64 {
+// score is the price of a decision in milliseconds. What is computed away from
+// the session's first home is paid for twice: the next turn comes in at another
+// entry instance, which looks at the first home and may not have heard of this
+// place yet, so that it will be computed again.
+func score(d Decision, r *Request, atHome bool) float64 {
 	ms := float64(d.FirstToken) / float64(time.Millisecond)
 	late := ms - lateShare*float64(r.Target)/float64(time.Millisecond)
 	s := ms + r.Recompute*float64(d.Uncached)
+	if !atHome {
+		s += r.Recompute * float64(d.Uncached)
+	}
 	if late > 0 {
 		s += latePrice * late
 	}
--- a/internal/traffic/load.go
+++ b/internal/traffic/load.go
@@ -81,8 +81,11 @@
 	accounts := l.callers()
 	at := time.Now()
 	turns := max(1, t.Turns)
+	rate := t.PerSecond * l.scale(t.Class) / float64(turns)
+	if rate <= 0 {
+		return
+	}
 	for n := 0; ; n++ {
-		rate := t.PerSecond * l.scale(t.Class) / float64(turns)
 		at = at.Add(time.Duration(-math.Log(1-rnd.Float64()) / rate * float64(time.Second)))
 		if !at.Before(until) {
 			return
