--- a/internal/relay/leave.go
+++ b/internal/relay/leave.go
@@ -8,15 +8,9 @@
 
 	"go.uber.org/zap"
 
-	"github.com/shelfcrank/shelfcrank/internal/control"
-	"github.com/shelfcrank/shelfcrank/internal/drain"
-	"github.com/shelfcrank/shelfcrank/internal/endpoint"
-	"github.com/shelfcrank/shelfcrank/internal/event"
 	"github.com/shelfcrank/shelfcrank/internal/peer"
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
-	"github.com/shelfcrank/shelfcrank/internal/platform"
 	"github.com/shelfcrank/shelfcrank/internal/record"
-	"github.com/shelfcrank/shelfcrank/internal/route"
 )
 
 const (
@@ -177,101 +171,3 @@
 		a.cancel(cause)
 	}
 }
-
-const (
-	kvRateTotal  = 50_000.0 // tokens of KV cache an engine is taken to export per second
-	moveTimeout  = 20 * time.Second
-	leaveNoticed = 50 * time.Millisecond // for requests that were just being sent
-)
-
-// drainEndpoint carries out the plan for the streams on an engine that leaves.
-func (r *Relay) drainEndpoint(e control.EndpointLeaving) {
-	r.event(event.EndpointLeaving, zap.String("endpoint", e.Endpoint.ID), zap.Time("deadline", e.Deadline))
-	if e.Kind != platform.KindModel {
-		return
-	}
-	select {
-	case <-time.After(leaveNoticed):
-	case <-r.ctx.Done():
-		return
-	}
-	s := r.snap()
-	runs := make(map[string]*run)
-	var streams []drain.Stream
-	for _, a := range r.running(func(a *run) bool { return a.endpoint == e.Endpoint }) {
-		runs[a.rec.ID] = a
-		pos := a.rec.Position()
-		streams = append(streams, drain.Stream{ID: a.rec.ID, Remaining: a.rec.MaxTokens - pos, KVTokens: len(a.rec.Body)/4 + pos})
-	}
-	limits := drain.Limits{
-		Deadline: e.Deadline, Step: e.Endpoint.Load().Step, MoveKV: s.Table.System.MoveKV,
-		KVRate: kvRateTotal / float64(1+len(s.Members)),
-	}
-	moves := make(chan struct{}, 1) // one export at a time: they share the engine's link
-	for _, act := range drain.Plan(streams, limits, time.Now()) {
-		if act.Way == drain.Finish {
-			continue
-		}
-		r.wait.Go(func() { r.leaveEngine(runs[act.ID], e, act, moves) })
-	}
-}
-
-// leaveEngine takes one stream away from an engine.
-func (r *Relay) leaveEngine(a *run, e control.EndpointLeaving, act drain.Action, moves chan struct{}) {
-	select {
-	case <-time.After(time.Until(act.At)):
-	case <-r.ctx.Done():
-		return
-	}
-	if act.Way == drain.Move {
-		moves <- struct{}{}
-		ok := r.moveKV(a, e)
-		<-moves
-		if ok {
-			return
-		}
-	}
-	r.switchRun(a, e.Endpoint, nil, "recompute")
-}
-
-// moveKV has another engine import the stream's cache and switches over. While
-// the cache is on its way the stream goes on where it is.
-func (r *Relay) moveKV(a *run, e control.EndpointLeaving) bool {
-	rec := a.rec
-	class, pool, err := r.modelPool(rec)
-	if err != nil || rec.Done() {
-		return rec.Done()
-	}
-	req := r.routeRequest(rec, class)
-	req.Prefer, req.Recompute, req.Session = "", 0, r.draw() // spread the receivers
-	d, ok := r.routing(route.PolicyDefault).Choose(pool, req, time.Now())
-	if !ok {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(r.ctx, moveTimeout)
-	defer cancel()
-	d.Endpoint.Begin(0) // counts towards its load while the cache is on its way
-	defer d.Endpoint.End()
-	x, err := r.Endpoints.Import(ctx, d.Endpoint.Addr, endpoint.Import{Request: rec.ID, From: e.Endpoint.Addr})
-	if err != nil {
-		r.event(event.KVMoveFailed, zap.String("request", rec.ID), zap.Error(err))
-		return false
-	}
-	d.Endpoint.Blocks.Add(x.Chain...)
-	r.event(event.KVMoved, zap.String("request", rec.ID), zap.String("to", d.Endpoint.ID), zap.Int("tokens", x.Tokens))
-	r.switchRun(a, e.Endpoint, d.Endpoint, "moved")
-	return true
-}
-
-// switchRun makes a stream go on at another engine, chosen by the policy when
-// to is nil.
-func (r *Relay) switchRun(a *run, from, to *route.Endpoint, cause string) {
-	r.runMu.Lock()
-	defer r.runMu.Unlock()
-	if a.endpoint != from || a.rec.Done() {
-		return
-	}
-	a.moveTo = to
-	a.cancel(errMoved)
-	r.Metrics.Resume(cause)
-}
