--- /dev/null
+++ b/internal/record/record_test.go
@@ -0,0 +1,100 @@
+package record
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/shelfcrank/shelfcrank/internal/fault"
+)
+
+var t0 = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// Tokens may arrive twice, late and from two endpoints: a reader gets each
+// position once and in order.
+func TestAppendKeepsPositions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 50).Draw(t, "tokens")
+		whole := make([]string, n)
+		for i := range whole {
+			whole[i] = fmt.Sprint("t", i)
+		}
+		r := New(Request{ID: "a"}, "owner")
+		for r.Position() < n {
+			have := r.Position()
+			from := rapid.IntRange(0, have).Draw(t, "from")
+			to := rapid.IntRange(from, min(n, from+9)).Draw(t, "to")
+			if err := r.Append(from, whole[from:to]...); err != nil {
+				t.Fatal(err)
+			}
+			if r.Position() < have {
+				t.Fatal("the position went back")
+			}
+			if to <= have { // make progress now and then
+				_ = r.Append(have, whole[have])
+			}
+		}
+		p, _ := r.Progress(0)
+		for i, tok := range p.Tokens {
+			if tok != whole[i] {
+				t.Fatalf("token %d is %q", i, tok)
+			}
+		}
+	})
+}
+
+func TestAppendRefusesGapsChangesAndLateTokens(t *testing.T) {
+	is := is.New(t)
+	r := New(Request{ID: "a"}, "owner")
+	is.NoErr(r.Append(0, "x", "y"))
+	is.True(r.Append(3, "z") != nil) // a gap
+	is.True(r.Append(1, "q") != nil) // another token at a position
+	is.True(r.Finish(Result{Status: 200}))
+	is.True(!r.Finish(Result{Failure: fault.New(fault.StepStream, "", fault.KindBroken, fault.Ran, "late")}))
+	is.True(r.Append(2, "z") != nil) // after the end
+	is.NoErr(r.Append(0, "x"))       // an old one again does no harm
+}
+
+func TestTakeOverHasOneWinner(t *testing.T) {
+	is := is.New(t)
+	r := New(Request{ID: "a"}, "dead")
+	is.True(r.TakeOver("dead", "b"))
+	is.True(!r.TakeOver("dead", "c"))
+	is.Equal(r.Owner(), "b")
+}
+
+func TestNewsAreToldUntilAcknowledged(t *testing.T) {
+	is := is.New(t)
+	r := New(Request{ID: "a"}, "owner")
+	r.SetHolder("h", 0)
+	is.NoErr(r.Append(0, "x", "y"))
+	n, any := r.Unreported()
+	is.True(any)
+	is.Equal(n.Tokens, []string{"x", "y"})
+	r.Reported("other", 2, false) // of a holder that was replaced
+	_, any = r.Unreported()
+	is.True(any)
+	r.Reported("h", 2, false)
+	_, any = r.Unreported()
+	is.True(!any)
+	r.Finish(Result{Status: 200})
+	n, any = r.Unreported()
+	is.True(any)
+	is.Equal(n.Result.Status, 200)
+}
+
+func TestExpiryKeepsWhatMayNotBeRepeated(t *testing.T) {
+	is := is.New(t)
+	s := NewStore()
+	model := New(Request{ID: "m", Deadline: t0, Arrived: t0.Add(-time.Minute), Repeatable: true}, "o")
+	pay := New(Request{ID: "p", Deadline: t0, Arrived: t0.Add(-time.Minute)}, "o")
+	s.Add(model)
+	s.Add(pay)
+	pay.MarkFetched()
+	is.Equal(len(s.Expired(t0.Add(time.Minute), 10*time.Minute)), 1)
+	is.Equal(s.Expired(t0.Add(time.Minute), 10*time.Minute)[0], model)
+	is.Equal(len(s.Expired(t0.Add(11*time.Minute), 10*time.Minute)), 2)
+}
