--- a/internal/cmd/bench.go
+++ b/internal/cmd/bench.go
@@ -28,13 +28,17 @@
 	fs.StringVar(&o.KeepLogs, "logs", "", "folder for the processes' logs")
 	set := fs.String("set", "", "cells of the default row, as COLUMN=VALUE,…")
 	asJSON := fs.Bool("json", false, "print JSON")
+	report := fs.String("report", "", "draw the reports named as arguments (JSON files) into this PNG file, and run nothing")
 	return &ffcli.Command{
 		Name:       "bench",
 		ShortUsage: "shelfcrank bench -deployment voltra|bazaarline -scenario NAME [-policy NAME] [-seed N] [-seconds N] [-json]",
 		ShortHelp:  "Run an experiment in separate processes on loopback and print what it measured.",
 		FlagSet:    fs,
 		Options:    fromEnv(),
-		Exec: func(ctx context.Context, _ []string) error {
+		Exec: func(ctx context.Context, args []string) error {
+			if *report != "" {
+				return drawReport(*report, args)
+			}
 			var err error
 			if o.Set, err = parseCells(*set); err != nil {
 				return err
@@ -52,6 +56,17 @@
 	}
 }
 
+func drawReport(file string, args []string) error {
+	if len(args) == 0 {
+		return usagef("-report needs JSON files of earlier runs as arguments")
+	}
+	reports, err := experiment.ReadReports(args)
+	if err != nil {
+		return usageError{err}
+	}
+	return experiment.Plot(file, reports)
+}
+
 func parseCells(s string) ([]table.Cell, error) {
 	var cells []table.Cell
 	for part := range strings.SplitSeq(s, ",") {
