--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,59 @@
+package control
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shelfcrank/shelfcrank/internal/member"
+)
+
+func TestWatchdogNoticesAWedgedLoop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := New(member.Member{ID: "n#1", Name: "n"})
+		ctx, cancel := context.WithCancel(context.Background())
+		wedged := 0
+		go func() { _ = l.Watchdog(ctx, func() { wedged++ }) }()
+		running, stop := context.WithCancel(ctx)
+		go func() { _ = l.Serve(running) }()
+		time.Sleep(20 * time.Second)
+		is.True(l.Alive(time.Now()))
+		is.Equal(wedged, 0)
+		stop() // the goroutine no longer takes events
+		time.Sleep(20 * time.Second)
+		is.True(!l.Alive(time.Now()))
+		is.True(wedged > 0)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func TestEffectsArriveInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := New(member.Member{ID: "n#1", Name: "n"})
+		ctx, cancel := context.WithCancel(context.Background())
+		var got []Effect
+		go func() { _ = l.Serve(ctx) }()
+		go func() {
+			_ = l.Effects(ctx, func(e Effect) {
+				time.Sleep(time.Second) // a slow subscriber does not hold up control
+				got = append(got, e)
+			})
+		}()
+		for i := range 5 {
+			l.Send(ctx, Heard{Members: []member.Member{{ID: string(rune('a'+i)) + "#1", Name: string(rune('a' + i))}}})
+		}
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(len(l.Snapshot().Members), 5)
+		time.Sleep(10 * time.Second)
+		is.True(len(got) >= 5)
+		is.Equal(got[0].(MemberChanged).Change.Member.ID, "a#1")
+		cancel()
+		time.Sleep(time.Minute) // the subscriber ends the batch it has
+	})
+}
--- a/internal/experiment/promises_test.go
+++ b/internal/experiment/promises_test.go
@@ -386,3 +386,56 @@
 	t.Logf("sent %d, failed %d, of them may have run %d; sale-question %+v", tally.Sent, tally.Failed, tally.Unknown, *models)
 	is.Equal(models.Failed, 0) // model calls go on on both sides
 }
+
+// A hall is reclaimed, and while its entry instances hand over, one that takes
+// their records dies without notice.
+func TestDeathInTheMiddleOfAHandover(t *testing.T) {
+	for _, victim := range []int{1, 2, 3} {
+		t.Run(fmt.Sprint("entry ", victim), func(t *testing.T) {
+			is := is.New(t)
+			lost := 0
+			_, _, broken := directed(t, "bazaarline", relay.Switches{}, func(c *chaos, ctx context.Context) {
+				lost = longStreams(c, ctx, func() {
+					const notice = 8 * time.Second // longer than it takes to notice a death
+					c.reclaimHall(c.spec.Halls[0], notice)
+					sleepCtx(ctx, notice/2+20*time.Millisecond) // the handover has begun
+					c.killEntry(ctx, victim)
+				})
+			})
+			is.Equal(lost, 0)
+			is.Equal(broken, nil)
+		})
+	}
+}
+
+// When an instance holds all the records it may, new requests are refused and
+// the old ones stay.
+func TestFullInstancesRefuseAndDropNothing(t *testing.T) {
+	is := is.New(t)
+	refused, whole, lost := 0, 0, 0
+	directed(t, "bazaarline", relay.Switches{}, func(c *chaos, ctx context.Context) {
+		var mu sync.Mutex
+		var all sync.WaitGroup
+		for n := range 120 {
+			prompt := fmt.Sprintf("story %d", n)
+			all.Go(func() {
+				o := c.client.Do(ctx, traffic.Call{Key: c.spec.Accounts[1].Key, Model: "sale-question", Prompt: prompt, Max: 300, User: prompt, Deadline: time.Now().Add(30 * time.Second)})
+				mu.Lock()
+				defer mu.Unlock()
+				switch {
+				case o.Whole && o.Body == standin.Answer(prompt, 300):
+					whole++
+				case !o.Accepted && o.Run == "not_run":
+					refused++
+				default:
+					lost++
+				}
+			})
+		}
+		all.Wait()
+	}, table.Cell{Column: table.ColRecords, Value: "10"})
+	t.Logf("whole %d, refused %d, lost %d", whole, refused, lost)
+	is.True(refused > 0)
+	is.True(whole > 0)
+	is.Equal(lost, 0)
+}
--- a/internal/keys/keys_test.go
+++ b/internal/keys/keys_test.go
@@ -32,8 +32,8 @@
 	return l
 }
 
-// handshake returns the errors of both sides and the serial that the client saw.
-func handshake(client, server *tls.Config) (clientErr, serverErr error, serial string) {
+// handshake returns the serial that the client saw and the errors of both sides.
+func handshake(client, server *tls.Config) (serial string, clientErr, serverErr error) {
 	a, b := net.Pipe()
 	defer a.Close()
 	defer b.Close()
@@ -55,7 +55,7 @@
 	} else {
 		_ = a.Close()
 	}
-	return clientErr, <-done, serial
+	return serial, clientErr, <-done
 }
 
 func TestPeersTrustOnlyTheirAuthority(t *testing.T) {
@@ -63,14 +63,14 @@
 	ours, theirs := t.TempDir(), t.TempDir()
 	a, b := load(t, makeFiles(t, ours, "a")), load(t, makeFiles(t, ours, "b"))
 	stranger := load(t, makeFiles(t, theirs, "a"))
-	clientErr, serverErr, _ := handshake(a.Peers(), b.Peers())
+	_, clientErr, serverErr := handshake(a.Peers(), b.Peers())
 	is.NoErr(clientErr)
 	is.NoErr(serverErr)
-	_, serverErr, _ = handshake(stranger.Peers(), b.Peers())
+	_, _, serverErr = handshake(stranger.Peers(), b.Peers())
 	is.True(serverErr != nil) // a stranger is refused
-	clientErr, _, _ = handshake(a.Peers(), stranger.Peers())
+	_, clientErr, _ = handshake(a.Peers(), stranger.Peers())
 	is.True(clientErr != nil) // and not spoken to
-	_, serverErr, _ = handshake(&tls.Config{InsecureSkipVerify: true}, b.Peers())
+	_, _, serverErr = handshake(&tls.Config{InsecureSkipVerify: true}, b.Peers())
 	is.True(serverErr != nil) // nor one without a certificate
 }
 
@@ -78,11 +78,11 @@
 	is := is.New(t)
 	dir := t.TempDir()
 	a, b := load(t, makeFiles(t, dir, "a")), load(t, makeFiles(t, dir, "b"))
-	_, _, before := handshake(a.Peers(), b.Peers())
+	before, _, _ := handshake(a.Peers(), b.Peers())
 	time.Sleep(10 * time.Millisecond) // another modification time
 	makeFiles(t, dir, "b")
 	b.checked = time.Time{} // the next look is due
-	_, _, after := handshake(a.Peers(), b.Peers())
+	after, _, _ := handshake(a.Peers(), b.Peers())
 	is.True(before != after)
 	is.NoErr(b.Failed())
 }
