An own attempt that was given up is not another's claim

Two keepers gave their vote after the call had timed out; the next attempt of the same call saw the votes of the first one, took it for another's and waited for an answer that nobody was making. Ruled out: the service and the handover. Change: votes of an own attempt that did not run are on their way out and do not count; a follower gives up with may_have_run when the owner stays silent for 12 s.

--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -27,7 +27,8 @@
 
 const (
 	followPause = 100 * time.Millisecond
-	lostAfter   = 5 * time.Second // how long a record may be nowhere before it is given up
+	lostAfter   = 5 * time.Second  // how long a record may be nowhere before it is given up
+	unsureAfter = 12 * time.Second // how long its owner may stay silent
 )
 
 // Follow hands the answer of a request, from a position on, to each, in order
@@ -36,8 +37,10 @@
 func (r *Relay) Follow(ctx context.Context, id string, from int, each func(Chunk) error) error {
 	pos := from
 	var missingSince time.Time
+	movedAt := time.Now() // when the answer last made progress, or its owner was reached
 	deliver := func(c Chunk) error {
 		pos += len(c.Tokens)
+		movedAt = time.Now()
 		return each(c)
 	}
 	for {
@@ -53,6 +56,10 @@
 		case err == errNowhere && time.Since(missingSince) > lostAfter:
 			r.event(event.RecordLost, zap.String("request", id))
 			return fault.New(fault.StepResume, "", fault.KindNotFound, fault.MayHaveRun, "no entry instance holds the request")
+		case err == errUnsure && time.Since(movedAt) > unsureAfter:
+			return fault.New(fault.StepResume, "", fault.KindTimeout, fault.MayHaveRun, "the instance that holds the request does not answer").Retry(time.Now().Add(retryAfter))
+		case err == nil:
+			movedAt, missingSince = time.Now(), time.Time{}
 		case err != errNowhere:
 			missingSince = time.Time{}
 		}
@@ -91,7 +98,10 @@
 	if where.voted && !where.done && (!known || m.State == member.Dead) {
 		return true, fault.New(fault.StepResume, where.owner, fault.KindBroken, fault.MayHaveRun, "the instance that made the call is gone; the call may have run")
 	}
-	if !known || where.owner == r.Self {
+	if where.owner == r.Self {
+		return false, errNowhere // claimed here once, but no longer here
+	}
+	if !known {
 		return false, errUnsure
 	}
 	return r.followRemote(ctx, id, m, pos, deliver)
--- a/internal/relay/hold.go
+++ b/internal/relay/hold.go
@@ -100,6 +100,7 @@
 
 // ballot counts the keepers' answers to one attempt.
 type ballot struct {
+	self     string // entry instance that asks
 	granted  []string
 	taken    map[string]int // by attempt
 	takenBy  string
@@ -184,7 +185,7 @@
 	for _, k := range group {
 		go func() { answers <- r.askKeeper(ctx, k, head, v.Epoch, attempt, lapse) }()
 	}
-	b := ballot{taken: make(map[string]int)}
+	b := ballot{self: r.Self, taken: make(map[string]int)}
 	for range group {
 		a := <-answers
 		b.count(a)
@@ -220,6 +221,11 @@
 	case peerpb.HoldAnswer_HELD:
 		b.granted = append(b.granted, a.from.ID)
 	case peerpb.HoldAnswer_TAKEN:
+		if a.answer.Owner == b.self && !a.answer.Done {
+			// An attempt of this very call that was given up: its vote was
+			// given after the call had timed out, and its release is on its way.
+			return
+		}
 		b.taken[a.answer.Attempt]++
 		b.takenBy = a.answer.Owner
 		b.done = b.done || a.answer.Done
