--- a/internal/experiment/promises_test.go
+++ b/internal/experiment/promises_test.go
@@ -439,3 +439,37 @@
 	is.True(whole > 0)
 	is.Equal(lost, 0)
 }
+
+// The first answer of a call that may not be repeated outlives the instance
+// that made it, whether that was killed or stopped.
+func TestRepeatAfterTheOwnerIsGone(t *testing.T) {
+	is := is.New(t)
+	const calls = 30
+	directed(t, "bazaarline", relay.Switches{}, func(c *chaos, ctx context.Context) {
+		pay := func(n int) traffic.Outcome {
+			body := fmt.Sprintf("charge %d", n)
+			return c.client.Do(ctx, traffic.Call{Key: c.spec.Accounts[1].Key, IdemKey: body, Path: "till/payment", Body: body, Deadline: time.Now().Add(8 * time.Second)})
+		}
+		for n := range calls {
+			if o := pay(n); !o.Whole {
+				t.Errorf("payment %d: %v", n, o.Err)
+			}
+		}
+		sleepCtx(ctx, time.Second) // results reach the keepers
+		c.killEntry(ctx, 0)
+		c.stopEntry(ctx, 1)
+		sleepCtx(ctx, 9*time.Second)
+		c.stopEntry(ctx, 2)
+		sleepCtx(ctx, 2*time.Second)
+		for n := range calls {
+			body := fmt.Sprintf("charge %d", n)
+			if o := pay(n); !o.Whole || o.Body != standin.ServiceAnswer("payment", body) {
+				t.Errorf("payment %d again: %q %v", n, o.Body, o.Err)
+			}
+			if runs := c.e.World.Runs("payment", body); runs != 1 {
+				t.Errorf("payment %d ran %d times", n, runs)
+			}
+		}
+	})
+	is.True(!t.Failed())
+}
