Heartbeats in a large fleet: eight neighbours, whatever its size

Cause: above 16 members an instance spoke with its whole hall and two of each other hall: 47.8 kB/s at 64 instances and growing, 117 kB/s expected at 330. Members that were no neighbours would have been taken for dead there: news of one came 1.6 times a second on average, 0.7% of the waits longer than 3 s. Tried: eight near and eight far, every 300 ms: 68.5 kB/s at 32, 74.0 at 64: bounded, but four times too much. Kept: four and four, every 700 ms; others may be silent eight times as long. Today's sizes are untouched (full mesh). Open: a death is noticed after 24 s by those that are no neighbours.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -28,7 +28,7 @@
 // heartbeats sends this instance's heartbeat to its neighbours, and to the
 // listed instances that it does not know yet.
 func (i *Instance) heartbeats(ctx context.Context) error {
-	t := time.NewTicker(member.HeartbeatEvery)
+	t := time.NewTimer(member.HeartbeatEvery)
 	defer t.Stop()
 	var mu sync.Mutex
 	busy := make(map[netip.AddrPort]bool) // guarded by mu
@@ -40,6 +40,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-t.C:
+			t.Reset(member.Every(len(i.loop.Snapshot().Members)))
 			all = false
 		case <-i.kick:
 			all = true // there is news
@@ -65,8 +66,8 @@
 }
 
 // heartbeatTo returns where heartbeats go. A heartbeat is answered by one, so
-// of two neighbours only the one with the lower ID begins, unless it has news
-// or has not heard of the other for a while.
+// of two that have each other as neighbours only the one with the lower ID
+// begins, unless it has news or has not heard of the other for a while.
 func (i *Instance) heartbeatTo(all bool) []netip.AddrPort {
 	s := i.loop.Snapshot()
 	l := member.NewList(s.Self)
@@ -78,7 +79,8 @@
 	}
 	var out []netip.AddrPort
 	for _, m := range l.Neighbours() {
-		if all || s.Self.ID < m.ID || m.State != member.Alive {
+		mutual := len(s.Members) < member.FullMesh // else it may not have this one as a neighbour
+		if all || !mutual || s.Self.ID < m.ID || m.State != member.Alive {
 			out = append(out, m.Addr)
 		}
 	}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -34,6 +34,7 @@
 // Times until a silent member changes its state.
 const (
 	HeartbeatEvery = 300 * time.Millisecond
+	SparseEvery    = 700 * time.Millisecond // in a fleet larger than a full mesh
 	SuspectAfter   = 1200 * time.Millisecond
 	DeadAfter      = 3 * time.Second
 	ForgetAfter    = 2 * time.Minute
@@ -159,15 +160,23 @@
 // dead for long are forgotten.
 func (l *List) Tick(now time.Time) []Change {
 	var changes []Change
+	near := make(map[string]bool)
+	for _, m := range l.Neighbours() {
+		near[m.ID] = true
+	}
 	for i := range l.members {
 		m := &l.members[i]
 		was := m.State
+		factor := time.Duration(1)
+		if !near[m.ID] {
+			factor = farFactor
+		}
 		switch silent := now.Sub(m.HeardAt); {
 		case slices.Contains(l.retired, m.ID):
 			m.State = Dead
-		case silent >= DeadAfter:
+		case silent >= DeadAfter*factor:
 			m.State = Dead
-		case silent >= SuspectAfter && m.State == Alive:
+		case silent >= SuspectAfter*factor && m.State == Alive:
 			m.State = Suspect
 		}
 		if m.State != was {
@@ -180,32 +189,63 @@
 	return changes
 }
 
-// links is the number of members of each other hall that heartbeats go to.
-const links = 2
-
 // FullMesh is the number of members up to which each speaks with each.
 const FullMesh = 16
 
+// Neighbours of an instance in a fleet larger than a full mesh.
+const (
+	nearMost = 4 // in its own hall
+	farMost  = 4 // in all other halls together
+)
+
+// Every returns how often an instance that knows n others sends heartbeats.
+func Every(n int) time.Duration {
+	if n < FullMesh {
+		return HeartbeatEvery
+	}
+	return SparseEvery
+}
+
+// farFactor is by how much longer a member that is no neighbour may be silent:
+// news of it comes from third ones, and less often.
+const farFactor = 8
+
 // Neighbours returns the members that this instance sends heartbeats to: all
-// of a small fleet; else those of its own hall and a few of each other hall,
-// which follow from the IDs so that links are spread evenly.
+// of a small fleet; else a few of its own hall and a few of other halls, each
+// of another hall as long as there are, which follow from the IDs so that the
+// links are spread evenly. However large the fleet, they are at most eight.
 func (l *List) Neighbours() []Member {
 	if len(l.members) < FullMesh {
 		return l.Members()
 	}
-	byHall := make(map[string][]Member)
+	ranked := make([]Member, 0, len(l.members))
 	for _, m := range l.members {
 		if m.State != Dead {
-			byHall[m.Hall] = append(byHall[m.Hall], m)
+			ranked = append(ranked, m)
 		}
 	}
-	out := byHall[l.self.Hall]
-	delete(byHall, l.self.Hall)
-	for _, hall := range byHall {
-		slices.SortFunc(hall, func(a, b Member) int {
-			return cmp.Compare(xxhash.Sum64String(l.self.ID+a.ID), xxhash.Sum64String(l.self.ID+b.ID))
-		})
-		out = append(out, hall[:min(links, len(hall))]...)
+	slices.SortFunc(ranked, func(a, b Member) int {
+		return cmp.Compare(xxhash.Sum64String(l.self.ID+a.ID), xxhash.Sum64String(l.self.ID+b.ID))
+	})
+	var out []Member
+	near, far := 0, 0
+	linked := make(map[string]bool) // other halls that a neighbour is in
+	for _, m := range ranked {
+		switch {
+		case m.Hall == l.self.Hall && near < nearMost:
+			near++
+			out = append(out, m)
+		case m.Hall != l.self.Hall && !linked[m.Hall] && far < farMost:
+			far++
+			linked[m.Hall] = true
+			out = append(out, m)
+		}
+	}
+	for _, m := range ranked {
+		if far < farMost && m.Hall != l.self.Hall && !slices.ContainsFunc(out, func(o Member) bool { return o.ID == m.ID }) {
+			far++
+			out = append(out, m)
+		}
 	}
 	return out
 }
