Second copies go once the answer was fetched; admit no longer imports control

Cause: a holder was never told that an answer had been fetched and kept its copy until 30 s after the deadline, up to 210 s. Change: the owner's news say so. Test: TestFetchedRecordsGo; without the message copies are left after 70 s. admit is pure and imported control for one type: the type has moved. Two names for fetching the table are one.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -12,10 +12,17 @@
 	"math"
 	"time"
 
-	"github.com/shelfcrank/shelfcrank/internal/control"
 	"github.com/shelfcrank/shelfcrank/internal/table"
 )
 
+// Usage is the use of an account's limits.
+type Usage struct {
+	Account string
+	Rate    float64 // requests per second asked for
+	Tokens  float64 // tokens per second asked for
+	Open    int     // requests open
+}
+
 // Verdict says whether a request is admitted.
 type Verdict struct {
 	OK      bool
@@ -90,7 +97,7 @@
 
 // Admit asks for a request with so many tokens of work. others is what the
 // other instances reported. An admitted request is ended by Done.
-func (l *Limiter) Admit(a *table.Account, work int, others control.Usage, now time.Time) Verdict {
+func (l *Limiter) Admit(a *table.Account, work int, others Usage, now time.Time) Verdict {
 	acc, ok := l.accounts[a.Name]
 	if !ok {
 		acc = &account{}
@@ -117,7 +124,7 @@
 	return Verdict{OK: true}
 }
 
-func (a *account) openFits(limit int, others control.Usage) bool {
+func (a *account) openFits(limit int, others Usage) bool {
 	return a.open+others.Open < limit
 }
 
@@ -136,12 +143,12 @@
 }
 
 // Usage returns the use by account, for the other instances.
-func (l *Limiter) Usage(now time.Time) []control.Usage {
-	out := make([]control.Usage, 0, len(l.accounts))
+func (l *Limiter) Usage(now time.Time) []Usage {
+	out := make([]Usage, 0, len(l.accounts))
 	for name, acc := range l.accounts {
 		acc.askedReq.decay(now)
 		acc.askedTok.decay(now)
-		out = append(out, control.Usage{Account: name, Rate: acc.askedReq.rate, Tokens: acc.askedTok.rate, Open: acc.open})
+		out = append(out, Usage{Account: name, Rate: acc.askedReq.rate, Tokens: acc.askedTok.rate, Open: acc.open})
 	}
 	return out
 }
@@ -152,7 +159,7 @@
 
 // OverShare reports whether an account asks for more work than its fair share:
 // its demand by weight is above the mean of the accounts that ask for any.
-func (l *Limiter) OverShare(name string, weight func(account string) float64, others map[string]control.Usage, now time.Time) bool {
+func (l *Limiter) OverShare(name string, weight func(account string) float64, others map[string]Usage, now time.Time) bool {
 	demand := make(map[string]float64)
 	for account, u := range others {
 		demand[account] += u.Tokens
--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -5,7 +5,6 @@
 	"testing"
 	"time"
 
-	"github.com/shelfcrank/shelfcrank/internal/control"
 	"github.com/shelfcrank/shelfcrank/internal/table"
 )
 
@@ -19,7 +18,7 @@
 	rnd := rand.New(rand.NewPCG(seed, 2))
 	acc := &table.Account{Name: "a", LimitRate: 100}
 	var limiters [instances]*Limiter
-	var last [instances][]control.Usage
+	var last [instances][]Usage
 	for i := range limiters {
 		limiters[i] = New()
 	}
@@ -40,7 +39,7 @@
 		if rnd.IntN(2) == 0 {
 			i = hot
 		}
-		var others control.Usage
+		var others Usage
 		for j := range last {
 			if j == i || !gossip(i, j) {
 				continue
@@ -88,8 +87,8 @@
 	weight := func(a string) float64 { return map[string]float64{"large": 4, "small": 1}[a] }
 	for i := range 400 {
 		now := t0.Add(time.Duration(i) * 10 * time.Millisecond)
-		l.Admit(&table.Account{Name: "large"}, 20, control.Usage{}, now)
-		l.Admit(&table.Account{Name: "small"}, 10, control.Usage{}, now)
+		l.Admit(&table.Account{Name: "large"}, 20, Usage{}, now)
+		l.Admit(&table.Account{Name: "small"}, 10, Usage{}, now)
 	}
 	now := t0.Add(4 * time.Second)
 	if l.OverShare("large", weight, nil, now) {
@@ -98,7 +97,7 @@
 	if !l.OverShare("small", weight, nil, now) {
 		t.Error("small is over its share")
 	}
-	if l.OverShare("small", weight, map[string]control.Usage{"large": {Tokens: 50_000}}, now) {
+	if l.OverShare("small", weight, map[string]Usage{"large": {Tokens: 50_000}}, now) {
 		t.Error("with what large asks elsewhere, small is not over")
 	}
 }
--- a/internal/admit/bench_test.go
+++ b/internal/admit/bench_test.go
@@ -4,7 +4,6 @@
 	"testing"
 	"time"
 
-	"github.com/shelfcrank/shelfcrank/internal/control"
 	"github.com/shelfcrank/shelfcrank/internal/table"
 )
 
@@ -13,7 +12,7 @@
 	a := &table.Account{Name: "a", LimitRate: 1e9, LimitToks: 1e9, LimitOpen: 1e9}
 	b.ReportAllocs()
 	for i := range b.N {
-		l.Admit(a, 100, control.Usage{Rate: 50, Tokens: 5000}, t0.Add(time.Duration(i)*time.Microsecond))
+		l.Admit(a, 100, Usage{Rate: 50, Tokens: 5000}, t0.Add(time.Duration(i)*time.Microsecond))
 		l.Done("a")
 	}
 }
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/shelfcrank/shelfcrank/internal/admit"
 	"github.com/shelfcrank/shelfcrank/internal/claim"
 	"github.com/shelfcrank/shelfcrank/internal/member"
 	"github.com/shelfcrank/shelfcrank/internal/platform"
@@ -33,7 +34,7 @@
 	Members []member.Member
 	Leaving []platform.Notice
 	From    string
-	Usage   []Usage
+	Usage   []admit.Usage
 }
 
 // Refused says that an endpoint refused work because it is leaving.
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/shelfcrank/shelfcrank/internal/admit"
 	"github.com/shelfcrank/shelfcrank/internal/claim"
 	"github.com/shelfcrank/shelfcrank/internal/member"
 	"github.com/shelfcrank/shelfcrank/internal/route"
@@ -27,16 +28,8 @@
 // Pools holds the pool of each model or service by its name.
 type Pools map[string]*route.Pool
 
-// Usage is the use of an account's limits.
-type Usage struct {
-	Account string
-	Rate    float64 // requests per second asked for
-	Tokens  float64 // tokens per second asked for
-	Open    int     // requests open
-}
-
 // Demand sums the usage of the other instances by account.
-type Demand map[string]Usage
+type Demand map[string]admit.Usage
 
 // Member returns the entry instance with this ID, this one included.
 func (s *Snapshot) Member(id string) (member.Member, bool) {
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/shelfcrank/shelfcrank/internal/admit"
 	"github.com/shelfcrank/shelfcrank/internal/member"
 	"github.com/shelfcrank/shelfcrank/internal/platform"
 	"github.com/shelfcrank/shelfcrank/internal/route"
@@ -54,7 +55,7 @@
 	members   *member.List
 	endpoints map[string]*known        // by ID
 	leaving   map[incarnation]*leaving // sticky for the incarnation
-	usage     map[string][]Usage       // by entry instance
+	usage     map[string][]admit.Usage // by entry instance
 	dirty     bool
 	effects   []Effect
 }
@@ -66,7 +67,7 @@
 		members:   member.NewList(self),
 		endpoints: make(map[string]*known),
 		leaving:   make(map[incarnation]*leaving),
-		usage:     make(map[string][]Usage),
+		usage:     make(map[string][]admit.Usage),
 	}
 }
 
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/shelfcrank/shelfcrank/internal/admit"
 	"github.com/shelfcrank/shelfcrank/internal/control"
 	"github.com/shelfcrank/shelfcrank/internal/fault"
 	"github.com/shelfcrank/shelfcrank/internal/gateway"
@@ -132,7 +133,7 @@
 	if h.Self == nil {
 		return
 	}
-	e := control.Heard{From: h.Self.Id, Members: []member.Member{fromWire(h.Self)}, Usage: []control.Usage{}}
+	e := control.Heard{From: h.Self.Id, Members: []member.Member{fromWire(h.Self)}, Usage: []admit.Usage{}}
 	for _, m := range h.Members {
 		e.Members = append(e.Members, fromWire(m))
 	}
@@ -140,7 +141,7 @@
 		e.Leaving = append(e.Leaving, platform.Notice{ID: l.Endpoint, Incarnation: l.Incarnation, Deadline: peer.Time(l.Deadline)})
 	}
 	for _, u := range h.Usage {
-		e.Usage = append(e.Usage, control.Usage{Account: u.Account, Rate: u.Rate, Tokens: u.Tokens, Open: int(u.Open)})
+		e.Usage = append(e.Usage, admit.Usage{Account: u.Account, Rate: u.Rate, Tokens: u.Tokens, Open: int(u.Open)})
 	}
 	i.loop.Send(ctx, e)
 	s := i.loop.Snapshot()
--- a/internal/experiment/promises_test.go
+++ b/internal/experiment/promises_test.go
@@ -16,6 +16,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/kv"
 	"github.com/shelfcrank/shelfcrank/internal/netx"
 	"github.com/shelfcrank/shelfcrank/internal/platform"
+	"github.com/shelfcrank/shelfcrank/internal/record"
 	"github.com/shelfcrank/shelfcrank/internal/relay"
 	"github.com/shelfcrank/shelfcrank/internal/standin"
 	"github.com/shelfcrank/shelfcrank/internal/table"
@@ -473,3 +474,24 @@
 	})
 	is.True(!t.Failed())
 }
+
+// Records go once their answers were fetched, the second copies too, long
+// before their deadline.
+func TestFetchedRecordsGo(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		c := newChaos(t, "bazaarline", 4, relay.Switches{})
+		tally := c.run(4, func(ctx context.Context, _ time.Time) { <-ctx.Done() })
+		left := func() (n int) {
+			for i := range c.spec.Entries {
+				n += len(c.e.Entry(i).Relay().Store().All(func(r *record.Record) bool { return r.Repeatable }))
+			}
+			return n
+		}
+		before := left()
+		time.Sleep(70 * time.Second)
+		if after := left(); before == 0 || after > 0 || tally.Failed > 0 {
+			t.Errorf("%d records after %d requests, %d of them 70 s later; failed %d", before, tally.Sent, after, tally.Failed)
+		}
+		c.e.Stop()
+	})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -103,7 +103,7 @@
 }
 
 // Usage returns the use of limits for the heartbeat.
-func (g *Gateway) Usage(now time.Time) []control.Usage {
+func (g *Gateway) Usage(now time.Time) []admit.Usage {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.limits.Usage(now)
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -75,6 +75,7 @@
 	sent     bool          // bytes of it may have left for an endpoint; guarded by mu
 	reported int           // tokens that the holder was told of; guarded by mu
 	resultOK bool          // the holder was told of the result; guarded by mu
+	dropOK   bool          // the holder was told that the answer was fetched; guarded by mu
 	attempt  string        // claim of a request that may not be repeated; guarded by mu
 	changed  chan struct{} // closed and replaced at each change; guarded by mu
 }
@@ -176,7 +177,7 @@
 		return false
 	}
 	r.owner, r.holder = self, ""
-	r.reported, r.resultOK = 0, false
+	r.reported, r.resultOK, r.dropOK = 0, false, false
 	r.signal()
 	return true
 }
@@ -192,7 +193,7 @@
 func (r *Record) SetHolder(id string, n int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.holder, r.reported, r.resultOK = id, n, false
+	r.holder, r.reported, r.resultOK, r.dropOK = id, n, false, false
 }
 
 // Endpoint returns the endpoint that the request runs on.
@@ -257,7 +258,7 @@
 	Tokens   []string
 	Endpoint string
 	Result   *Result
-	Attempt  string
+	Fetched  bool // the holder has the result, and a caller the whole answer
 }
 
 // Unreported returns what the holder does not know yet. The second result is
@@ -265,24 +266,26 @@
 func (r *Record) Unreported() (News, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	n := News{From: r.reported, Endpoint: r.endpoint, Attempt: r.attempt}
+	n := News{From: r.reported, Endpoint: r.endpoint, Fetched: r.fetched && r.resultOK && !r.dropOK}
 	if r.reported < len(r.tokens) {
 		n.Tokens = slices.Clone(r.tokens[r.reported:])
 	}
 	if r.result != nil && !r.resultOK {
 		n.Result = r.result
 	}
-	return n, len(n.Tokens) > 0 || n.Result != nil
+	return n, len(n.Tokens) > 0 || n.Result != nil || n.Fetched
 }
 
-// Reported notes that the holder knows the first n tokens and, if result is
-// true, the result.
-func (r *Record) Reported(holder string, n int, result bool) {
+// Reported notes that the holder knows the news, and reports whether there is
+// more to tell it.
+func (r *Record) Reported(holder string, n News) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.holder != holder {
-		return
+		return false
 	}
-	r.reported = max(r.reported, n)
-	r.resultOK = r.resultOK || result
+	r.reported = max(r.reported, n.From+len(n.Tokens))
+	r.resultOK = r.resultOK || n.Result != nil
+	r.dropOK = r.dropOK || n.Fetched
+	return r.reported < len(r.tokens) || (r.result != nil && !r.resultOK) || (r.fetched && !r.dropOK)
 }
--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -74,16 +74,22 @@
 	n, any := r.Unreported()
 	is.True(any)
 	is.Equal(n.Tokens, []string{"x", "y"})
-	r.Reported("other", 2, false) // of a holder that was replaced
+	r.Reported("other", n) // of a holder that was replaced
 	_, any = r.Unreported()
 	is.True(any)
-	r.Reported("h", 2, false)
+	r.Reported("h", n)
 	_, any = r.Unreported()
 	is.True(!any)
 	r.Finish(Result{Status: 200})
 	n, any = r.Unreported()
 	is.True(any)
 	is.Equal(n.Result.Status, 200)
+	is.True(!n.Fetched)
+	r.MarkFetched()
+	is.True(r.Reported("h", n)) // there is more to tell
+	n, any = r.Unreported()
+	is.True(any && n.Fetched)
+	is.True(!r.Reported("h", n))
 }
 
 func TestExpiryKeepsWhatMayNotBeRepeated(t *testing.T) {
--- a/internal/relay/handle.go
+++ b/internal/relay/handle.go
@@ -103,7 +103,6 @@
 	}
 	if u.Drop {
 		rec.MarkFetched()
-		return
 	}
 	rec.SetEndpoint(u.Endpoint)
 	r.merge(rec, int(u.From), u.Tokens, peer.FromResult(u.Result, from))
--- a/internal/relay/hold.go
+++ b/internal/relay/hold.go
@@ -156,7 +156,7 @@
 // key, and its answer is to be followed.
 func (r *Relay) lostBallot(rec *record.Record, group []claim.Member, b ballot) (done bool, err error) {
 	if b.newer > 0 {
-		r.fetchFrom(b.newerAt)
+		r.FetchFrom(b.newerAt)
 	}
 	if b.conflict {
 		return true, fault.New(fault.StepClaim, "", fault.KindConflict, fault.NotRun, "the Idempotency-Key is in use for another request")
--- a/internal/relay/upkeep.go
+++ b/internal/relay/upkeep.go
@@ -45,9 +45,8 @@
 }
 
 type sentNews struct {
-	rec    *record.Record
-	upTo   int
-	result bool
+	rec  *record.Record
+	news record.News
 }
 
 func (r *Relay) pushOnce(ctx context.Context) {
@@ -63,8 +62,8 @@
 		if !any || holder == "" || rec.Owner() != r.Self {
 			continue
 		}
-		updates[holder] = append(updates[holder], &peerpb.Update{Id: rec.ID, From: int32(n.From), Tokens: n.Tokens, Endpoint: n.Endpoint, Result: peer.ToResult(n.Result)})
-		sent[holder] = append(sent[holder], sentNews{rec, n.From + len(n.Tokens), n.Result != nil})
+		updates[holder] = append(updates[holder], &peerpb.Update{Id: rec.ID, From: int32(n.From), Tokens: n.Tokens, Endpoint: n.Endpoint, Result: peer.ToResult(n.Result), Drop: n.Fetched})
+		sent[holder] = append(sent[holder], sentNews{rec, n})
 	}
 	for holder, list := range updates {
 		r.wait.Go(func() { r.pushTo(ctx, holder, list, sent[holder]) })
@@ -80,9 +79,7 @@
 	defer cancel()
 	_, err := r.Peers.Call(ctx, m.Addr, &peerpb.Call{Body: &peerpb.Call_Progress{Progress: &peerpb.Progress{Updates: updates}}})
 	for _, s := range sent {
-		if err == nil {
-			s.rec.Reported(holder, s.upTo, s.result)
-		} else {
+		if err != nil || s.rec.Reported(holder, s.news) {
 			r.noteNews(s.rec)
 		}
 	}
@@ -154,8 +151,8 @@
 	}
 }
 
-// fetchFrom takes the table and the view from a peer that is ahead.
-func (r *Relay) fetchFrom(addr netip.AddrPort) {
+// FetchFrom takes the table and the view from a peer that is ahead.
+func (r *Relay) FetchFrom(addr netip.AddrPort) {
 	ctx, cancel := context.WithTimeout(r.ctx, holdTimeout)
 	defer cancel()
 	a, err := r.Peers.Call(ctx, addr, &peerpb.Call{Body: &peerpb.Call_FetchTable{FetchTable: &peerpb.FetchTable{}}})
@@ -171,6 +168,3 @@
 		r.Control.Send(ctx, control.TableRead{Stored: table.Stored{Doc: doc, Revision: t.StoreRevision}, From: addr.String()})
 	}
 }
-
-// FetchFrom is fetchFrom for the heartbeat, which learns who is ahead.
-func (r *Relay) FetchFrom(addr netip.AddrPort) { r.fetchFrom(addr) }
--- a/internal/standin/timing.go
+++ b/internal/standin/timing.go
@@ -13,23 +13,22 @@
 
 // Timing is the model of a stand-in's speed. The same for all policies.
 type Timing struct {
-	StepBaseUs     int     `toml:"step_base_us"`       // time of one step of the batch, without load
-	StepPerSeqUs   int     `toml:"step_per_seq_us"`    // added by each sequence in the batch
-	PerTokenUs     int     `toml:"per_token_us"`       // time to compute one prompt token
-	ChunkTokens    int     `toml:"chunk_tokens"`       // most prompt tokens computed in one step
-	MaxBatch       int     `toml:"max_batch"`          // most sequences in progress
-	CacheTokens    int     `toml:"cache_tokens"`       // prompt tokens the cache holds
-	KVTokensPerS   float64 `toml:"kv_tokens_per_s"`    // speed of a KV cache export, shared by all exports of an engine
-	ServiceUs      int     `toml:"service_us"`         // time of a service call
-	ServiceWorkers int     `toml:"service_workers"`    // calls a service runs at once
-	ReportLagMs    int     `toml:"report_lag_ms"`      // age of a load report
-	EventLagMs     int     `toml:"event_lag_ms"`       // age of a cache event
-	EventGap       float64 `toml:"event_gap"`          // share of cache events that are lost
-	ListLagMs      int     `toml:"list_lag_ms"`        // age of the instance list
-	PriceSpot      float64 `toml:"price_reclaimable"`  // per instance and hour
-	PriceOnDemand  float64 `toml:"price_on_demand"`    // per instance and hour
-	PriceService   float64 `toml:"price_service"`      // per service instance and hour
-	LatePenalty    float64 `toml:"late_penalty_price"` // unused by engines; price of a late or failed request in reports
+	StepBaseUs     int     `toml:"step_base_us"`      // time of one step of the batch, without load
+	StepPerSeqUs   int     `toml:"step_per_seq_us"`   // added by each sequence in the batch
+	PerTokenUs     int     `toml:"per_token_us"`      // time to compute one prompt token
+	ChunkTokens    int     `toml:"chunk_tokens"`      // most prompt tokens computed in one step
+	MaxBatch       int     `toml:"max_batch"`         // most sequences in progress
+	CacheTokens    int     `toml:"cache_tokens"`      // prompt tokens the cache holds
+	KVTokensPerS   float64 `toml:"kv_tokens_per_s"`   // speed of a KV cache export, shared by all exports of an engine
+	ServiceUs      int     `toml:"service_us"`        // time of a service call
+	ServiceWorkers int     `toml:"service_workers"`   // calls a service runs at once
+	ReportLagMs    int     `toml:"report_lag_ms"`     // age of a load report
+	EventLagMs     int     `toml:"event_lag_ms"`      // age of a cache event
+	EventGap       float64 `toml:"event_gap"`         // share of cache events that are lost
+	ListLagMs      int     `toml:"list_lag_ms"`       // age of the instance list
+	PriceSpot      float64 `toml:"price_reclaimable"` // per instance and hour
+	PriceOnDemand  float64 `toml:"price_on_demand"`   // per instance and hour
+	PriceService   float64 `toml:"price_service"`     // per service instance and hour
 }
 
 // DefaultTiming is used where no file says otherwise.
@@ -43,13 +42,12 @@
 // Place is one instance that the stand-in runs or, for an entry instance,
 // only lists.
 type Place struct {
-	ID        string         `toml:"id"`
-	Addr      netip.AddrPort `toml:"address"`
-	Peer      netip.AddrPort `toml:"peer_address"` // entry instances only
-	Hall      string         `toml:"hall"`
-	Serves    string         `toml:"serves"` // model or service
-	OnDemand  bool           `toml:"on_demand"`
-	CallerTLS bool           `toml:"-"`
+	ID       string         `toml:"id"`
+	Addr     netip.AddrPort `toml:"address"`
+	Peer     netip.AddrPort `toml:"peer_address"` // entry instances only
+	Hall     string         `toml:"hall"`
+	Serves   string         `toml:"serves"` // model or service
+	OnDemand bool           `toml:"on_demand"`
 }
 
 // Settings places a stand-in process.
