--- a/internal/experiment/process.go
+++ b/internal/experiment/process.go
@@ -135,6 +135,15 @@
 	return cmd
 }
 
+// Signal sends a signal to the i-th entry instance.
+func (p *Processes) Signal(i int, s os.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if cmd := p.entries[i]; cmd != nil {
+		_ = cmd.Process.Signal(s)
+	}
+}
+
 // KillEntry ends the i-th entry instance without notice.
 func (p *Processes) KillEntry(i int) {
 	if cmd := p.take(i); cmd != nil {
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/shelfcrank/shelfcrank/internal/deployment"
@@ -44,6 +45,7 @@
 	{"hall-reclaim", even, hallReclaim, false},
 	{"reclaim-storm", even, reclaimStorm, false},
 	{"entry-kill", even, entryKill, false},
+	{"entry-freeze", even, entryFreeze, false},
 	{"rolling-restart", even, rollingRestart, false},
 	{"store-outage", even, storeOutage, true},
 	{"table-race", even, tableRace, false},
@@ -71,6 +73,7 @@
 	hallNotice  = 8 * time.Second
 	stormNotice = 5 * time.Second
 	restartWait = 2 * time.Second
+	frozenFor   = 5 * time.Second
 	killPause   = 9 * time.Second // longer than it takes to notice a death and make new second copies
 )
 
@@ -151,6 +154,21 @@
 	reclaim.Wait()
 }
 
+// entryFreeze stops entry instances one at a time for longer than it takes to
+// declare them dead, and lets them go on: each still believes that it owns what
+// others have taken over.
+func entryFreeze(ctx context.Context, b *bench, _ time.Duration) {
+	for i := 0; pauseFor(ctx, restartWait); i++ {
+		n := i % b.spec.Entries
+		b.procs.Signal(n, syscall.SIGSTOP)
+		pauseFor(ctx, frozenFor)
+		b.procs.Signal(n, syscall.SIGCONT)
+		if !pauseFor(ctx, restartWait) {
+			return
+		}
+	}
+}
+
 func rollingRestart(ctx context.Context, b *bench, _ time.Duration) {
 	for i := range b.spec.Entries {
 		if !pauseFor(ctx, restartWait/2) {
