Control tests hand results over channels

Cause: under the race detector TestEffectsArriveInOrder read a slice that the subscriber wrote; the checks are the same, one more event is compared.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,17 +17,17 @@
 		is := is.New(t)
 		l := New(member.Member{ID: "n#1", Name: "n"})
 		ctx, cancel := context.WithCancel(context.Background())
-		wedged := 0
-		go func() { _ = l.Watchdog(ctx, func() { wedged++ }) }()
+		var wedged atomic.Int64
+		go func() { _ = l.Watchdog(ctx, func() { wedged.Add(1) }) }()
 		running, stop := context.WithCancel(ctx)
 		go func() { _ = l.Serve(running) }()
 		time.Sleep(20 * time.Second)
 		is.True(l.Alive(time.Now()))
-		is.Equal(wedged, 0)
+		is.Equal(wedged.Load(), int64(0))
 		stop() // the goroutine no longer takes events
 		time.Sleep(20 * time.Second)
 		is.True(!l.Alive(time.Now()))
-		is.True(wedged > 0)
+		is.True(wedged.Load() > 0)
 		cancel()
 		synctest.Wait()
 	})
@@ -37,12 +38,12 @@
 		is := is.New(t)
 		l := New(member.Member{ID: "n#1", Name: "n"})
 		ctx, cancel := context.WithCancel(context.Background())
-		var got []Effect
+		got := make(chan Effect, 100)
 		go func() { _ = l.Serve(ctx) }()
 		go func() {
 			_ = l.Effects(ctx, func(e Effect) {
 				time.Sleep(time.Second) // a slow subscriber does not hold up control
-				got = append(got, e)
+				got <- e
 			})
 		}()
 		for i := range 5 {
@@ -52,7 +53,8 @@
 		is.Equal(len(l.Snapshot().Members), 5)
 		time.Sleep(10 * time.Second)
 		is.True(len(got) >= 5)
-		is.Equal(got[0].(MemberChanged).Change.Member.ID, "a#1")
+		is.Equal((<-got).(MemberChanged).Change.Member.ID, "a#1")
+		is.Equal((<-got).(MemberChanged).Change.Member.ID, "b#1")
 		cancel()
 		time.Sleep(time.Minute) // the subscriber ends the batch it has
 	})
