--- a/internal/experiment/chaos_test.go
+++ b/internal/experiment/chaos_test.go
@@ -43,7 +43,6 @@
 // faults drawn from a seed.
 type chaos struct {
 	t      *testing.T
-	rnd    *rand.Rand
 	spec   *deployment.Spec
 	mem    *netx.Mem
 	e      *Embedded
@@ -52,6 +51,7 @@
 	scale  float64 // of the traffic
 
 	mu     sync.Mutex
+	rnd    *rand.Rand   // guarded by mu
 	down   map[int]bool // entry instances that are not running; guarded by mu
 	faults []string     // guarded by mu
 	wait   sync.WaitGroup
@@ -121,8 +121,8 @@
 	var side sync.WaitGroup
 	side.Go(func() { b.Run(ctx) })
 	start := time.Now()
-	side.Go(func() { inject(ctx, start) })
 	c.client = traffic.NewClient(transport, b)
+	side.Go(func() { inject(ctx, start) })
 	load := traffic.NewLoad(c.spec, c.client, seed, func(string) float64 { return c.scale })
 	tally := load.Run(ctx, start.Add(chaosTraffic))
 	cancel()
@@ -159,7 +159,14 @@
 }
 
 func (c *chaos) between(lo, hi time.Duration) time.Duration {
-	return lo + time.Duration(c.rnd.Int64N(int64(hi-lo)))
+	return lo + time.Duration(c.draw(int(hi-lo)))
+}
+
+// draw returns a random number below n.
+func (c *chaos) draw(n int) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.rnd.IntN(n)
 }
 
 // killEntry ends an entry instance without notice and starts it again.
@@ -237,7 +244,7 @@
 // store makes a fault of the key-value service and ends it after a while.
 func (c *chaos) store(ctx context.Context, d time.Duration) {
 	f := c.e.World.Faults()
-	switch c.rnd.IntN(4) {
+	switch c.draw(4) {
 	case 0:
 		f.StoreDown = true
 	case 1:
@@ -247,7 +254,7 @@
 	default:
 		f.StoreOld = true
 	}
-	f.ListFrozen = c.rnd.IntN(3) == 0
+	f.ListFrozen = c.draw(3) == 0
 	f.RefuseKVImport = 0.3
 	c.note("%s store %+v for %s", stamp(), f, d)
 	c.e.World.SetFaults(f)
@@ -272,10 +279,10 @@
 	for ctx.Err() == nil && time.Since(start) < chaosTraffic {
 		sleepCtx(ctx, c.between(300*time.Millisecond, 3*time.Second))
 		up := c.running()
-		pick := up[c.rnd.IntN(len(up))]
+		pick := up[c.draw(len(up))]
 		halls := c.spec.Halls
-		a := c.rnd.IntN(len(halls))
-		switch c.rnd.IntN(7) {
+		a := c.draw(len(halls))
+		switch c.draw(7) {
 		case 0, 1:
 			if time.Since(lastKill) >= killGap && len(up) >= 5 {
 				lastKill = time.Now()
@@ -295,7 +302,7 @@
 		case 5:
 			c.store(ctx, c.between(time.Second, 6*time.Second))
 		case 6:
-			id := fmt.Sprintf("%s-%02d", c.spec.Models[0].Name, c.rnd.IntN(3)+3)
+			id := fmt.Sprintf("%s-%02d", c.spec.Models[0].Name, c.draw(3)+3)
 			c.note("%s kill engine %s", stamp(), id)
 			c.e.World.Kill(id)
 		}
