Log the three events that the catalogue named and nothing logged

Cause: 205, 206 and 402 stood in docs/events.md, and no code logged them: an operator who looked for an edit or a resumed stream in the logs found nothing. Tests: each accepted edit is logged once, a moved stream is logged; both fail without the change.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -6,8 +6,11 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/shelfcrank/shelfcrank/internal/admit"
 	"github.com/shelfcrank/shelfcrank/internal/control"
+	"github.com/shelfcrank/shelfcrank/internal/event"
 	"github.com/shelfcrank/shelfcrank/internal/fault"
 	"github.com/shelfcrank/shelfcrank/internal/gateway"
 	"github.com/shelfcrank/shelfcrank/internal/member"
@@ -193,9 +196,12 @@
 	ctx, cancel := context.WithTimeout(ctx, editTimeout)
 	defer cancel()
 	acc, stored, err := i.editor.Apply(ctx, e, i.loop.Snapshot().Self.TableRevision)
+	fields := []zap.Field{zap.String("edit", e.ID), zap.String("by", e.By), zap.String("row", e.Row), zap.String("column", e.Column)}
 	if err != nil {
+		i.event(event.EditRefused, append(fields, zap.Error(err))...)
 		return acc, err
 	}
+	i.event(event.EditAccepted, append(fields, zap.Uint64("revision", acc.Revision))...)
 	i.loop.Send(ctx, control.TableRead{Stored: stored, From: "edit"})
 	return acc, nil
 }
--- a/internal/experiment/promises_test.go
+++ b/internal/experiment/promises_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/shelfcrank/shelfcrank/internal/event"
 	"github.com/shelfcrank/shelfcrank/internal/gateway"
 	"github.com/shelfcrank/shelfcrank/internal/kv"
 	"github.com/shelfcrank/shelfcrank/internal/netx"
@@ -163,6 +164,7 @@
 				c.e.World.ReclaimHall(c.spec.Halls[1], time.Now().Add(1500*time.Millisecond), false)
 			})
 			is.Equal(lost, 0)
+			is.True(c.logs.FilterMessage(eventMessage(event.RequestResumed)).Len() > 0)
 		}, table.Cell{Column: table.ColMoveKV, Value: move})
 		is.Equal(broken, nil)
 		is.Equal(truth.KVMoves > 0, move == "true")
@@ -215,6 +217,14 @@
 				t.Errorf("edit %s was answered %d and took effect %d times", id, status, took[id])
 			}
 		}
+		logged := make(map[string]int)
+		for _, l := range c.logs.FilterMessage(eventMessage(event.EditAccepted)).All() {
+			id, _ := l.ContextMap()["edit"].(string)
+			logged[id]++
+		}
+		for id, status := range accepted {
+			is.Equal(logged[id] == 1, status == http.StatusOK) // each accepted edit is logged once
+		}
 		c.e.World.SetFaults(standin.Faults{StoreDown: true})
 		status, err := operatorCall(c, h, 1, http.MethodPost, "/operator/edits", gateway.EditRequest{ID: "while-down-1", Op: "set", Row: "unlock", Column: table.ColPriority, Value: "9"}, nil)
 		is.NoErr(err)
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -224,6 +224,9 @@
 		return errMoved // it began to leave since it was chosen
 	}
 	from := rec.Position()
+	if from > 0 && rec.Endpoint() != e.ID {
+		r.event(event.RequestResumed, zap.String("request", rec.ID), zap.String("endpoint", e.ID), zap.Int("position", from))
+	}
 	rec.SetEndpoint(e.ID)
 	rec.MarkSent()
 	e.Begin(d.Uncached)
