--- /dev/null
+++ b/internal/balance/balance.go
@@ -0,0 +1,159 @@
+// Package balance chooses the server that a request is sent to.
+//
+// The choice is a pure function of what is believed about the servers: prompt
+// tokens and requests on the way from this node and from the others, how fast
+// and how reliable a server was of late, and which parts of the prompt it
+// probably keeps. All nodes come to the same home for a shared prompt without
+// talking, by rendezvous hashing.
+//
+// Tracker keeps those beliefs and is safe for concurrent use.
+package balance
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/shelfcrank/shelfcrank/internal/registry"
+)
+
+// Part is a piece of a prompt, shared with other requests unless it is the
+// last one.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Request is what the choice needs to know of a request.
+type Request struct {
+	Service  string
+	ID       string
+	Engine   bool // it goes to a model server
+	Tokens   int  // prompt tokens
+	Parts    []Part
+	Priority int
+	Avoid    []string // servers that already had the request
+	Slots    int      // requests that a server of the service works on at once
+	Once     bool     // it must not be repeated, so that a failure is final
+}
+
+// shared returns the tokens of the parts that other requests have as well, and
+// the hash of them.
+func (r *Request) shared() (tokens int, hash uint64) {
+	if len(r.Parts) < 2 {
+		return 0, 0
+	}
+	d := xxhash.New()
+	for _, p := range r.Parts[:len(r.Parts)-1] {
+		tokens += p.Tokens
+		_, _ = d.WriteString(p.ID)
+		_, _ = d.Write([]byte{0})
+	}
+	return tokens, d.Sum64()
+}
+
+// View is what is believed of one server at the moment of a choice.
+type View struct {
+	Server  registry.Server
+	Open    int           // requests on the way, from all nodes
+	Prompt  int           // prompt tokens not read yet, from all nodes
+	Slow    float64       // how its times compare with those of its like; 1 is usual
+	Failing float64       // share of failures of late, 0 to 1
+	Resting bool          // failed in a row: gets no work unless all others rest too
+	Keeps   bool          // this node sent the shared parts there of late
+	Work    time.Duration // usual time of a request at the service
+	Token   time.Duration // time to read one prompt token
+}
+
+// Weights of the choice, as times. Each is argued in docs/design/platform.md.
+const (
+	failurePenalty = 600 * time.Millisecond // for a server that always fails
+	onceFactor     = 3                      // a request that can't be repeated fears failure more
+	homeShare      = 0.9                    // of the shared tokens that a home probably keeps
+	crowdPenalty   = 4 * time.Millisecond   // for each request on the way at an engine
+	fullPenalty    = 2 * time.Second        // for a server whose slots are all taken
+)
+
+// Choose returns the index of the best server, or -1 when there is none.
+func Choose(views []View, r *Request) int {
+	shared, hash := r.shared()
+	home := -1
+	if shared > 0 {
+		home = homeOf(views, r, hash)
+	}
+	best, bestCost := -1, math.Inf(1)
+	for i := range views {
+		v := &views[i]
+		if avoided(r, v.Server.ID) {
+			continue
+		}
+		uncached := r.Tokens
+		if i == home || v.Keeps {
+			uncached -= int(homeShare * float64(shared))
+		}
+		cost := v.cost(r, uncached)
+		if v.Resting {
+			cost += float64(time.Hour)
+		}
+		if cost < bestCost || cost == bestCost && tie(r, v) > tie(r, &views[best]) {
+			best, bestCost = i, cost
+		}
+	}
+	return best
+}
+
+// cost estimates how long a request would wait at a server, with a penalty for
+// the risk that it fails there.
+func (v *View) cost(r *Request, uncached int) float64 {
+	var t time.Duration
+	if r.Engine {
+		t = time.Duration(v.Prompt+uncached)*v.Token + time.Duration(v.Open)*crowdPenalty
+	} else {
+		t = time.Duration(float64(v.Work) * (1 + float64(v.Open)/float64(max(1, r.Slots))))
+	}
+	cost := float64(t) * v.Slow
+	if r.Slots > 0 && v.Open >= r.Slots {
+		cost += float64(fullPenalty) * float64(1+v.Open-r.Slots) / float64(r.Slots)
+	}
+	fear := float64(failurePenalty) * v.Failing
+	if r.Once {
+		fear *= onceFactor
+	}
+	return cost + fear
+}
+
+func avoided(r *Request, id string) bool {
+	for _, a := range r.Avoid {
+		if a == id {
+			return true
+		}
+	}
+	return false
+}
+
+// homeOf returns the server that a shared prompt lives at.
+func homeOf(views []View, r *Request, hash uint64) int {
+	best, most := -1, uint64(0)
+	for i := range views {
+		if views[i].Resting {
+			continue
+		}
+		if s := mix(hash, views[i].Server.ID); best < 0 || s > most {
+			best, most = i, s
+		}
+	}
+	return best
+}
+
+// tie spreads requests over servers that are equally good.
+func tie(r *Request, v *View) uint64 { return mix(xxhash.Sum64String(r.ID), v.Server.ID) }
+
+func mix(hash uint64, id string) uint64 {
+	x := hash ^ xxhash.Sum64String(id)
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
--- /dev/null
+++ b/internal/balance/tracker.go
@@ -0,0 +1,283 @@
+package balance
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/shelfcrank/shelfcrank/internal/registry"
+)
+
+// Result is how a request went at a server.
+type Result int
+
+// The results.
+const (
+	Answered  Result = iota
+	Failed           // broken, timed out, or answered with a failure of the server's own
+	Refused          // the server was full or gone; nothing ran
+	Cancelled        // given up from this side; says nothing of the server
+)
+
+// Tuning of the beliefs.
+const (
+	failureHalfLife = 4 * time.Second
+	failureWeight   = 0.3 // of the newest result
+	restAfter       = 3   // failures in a row
+	restFirst       = 500 * time.Millisecond
+	restMost        = 4 * time.Second
+	slowWeight      = 0.2
+	slowLeast       = 0.7
+	slowMost        = 10
+	keepFor         = 20 * time.Second // how long a shared prompt is believed to be kept
+	keepMost        = 4096             // shared prompts remembered for one server
+	firstToken      = 16 * time.Microsecond
+	firstWork       = 50 * time.Millisecond
+	engineBase      = 15 * time.Millisecond // to a first event, beside the reading of prompts
+	serviceWeight   = 0.05
+	remoteFor       = 2 * time.Second // how long another node's word is believed
+)
+
+// Use is how much of a server one node has on the way.
+type Use struct {
+	Open   int
+	Prompt int
+}
+
+type serverState struct {
+	use       Use // from this node
+	slow      float64
+	failing   float64
+	failedAt  time.Time
+	inRow     int
+	restUntil time.Time
+	keeps     map[uint64]time.Time // hash of shared parts to when they were sent there last
+}
+
+type serviceState struct {
+	work  float64 // nanoseconds
+	token float64 // nanoseconds
+}
+
+type remote struct {
+	uses map[string]Use
+	at   time.Time
+}
+
+// Tracker holds the beliefs about all servers.
+type Tracker struct {
+	mu       sync.Mutex
+	servers  map[string]*serverState  // by server id; guarded by mu
+	services map[string]*serviceState // by name; guarded by mu
+	remotes  map[string]remote        // by node; guarded by mu
+	sums     map[string]Use           // of the remotes, by server id; guarded by mu
+}
+
+// NewTracker returns a tracker that believes nothing yet.
+func NewTracker() *Tracker {
+	return &Tracker{
+		servers: make(map[string]*serverState), services: make(map[string]*serviceState),
+		remotes: make(map[string]remote), sums: make(map[string]Use),
+	}
+}
+
+// Ticket is a request that was sent to a server. Read and Done are called on it.
+type Ticket struct {
+	Server  registry.Server
+	tracker *Tracker
+	request *Request
+	state   *serverState
+	service *serviceState
+	prompt  int
+	at      time.Time
+	expect  float64 // nanoseconds
+	read    bool
+	done    bool
+}
+
+// Pick chooses a server and counts the request there. The second result is
+// false when there is none.
+func (t *Tracker) Pick(servers []registry.Server, r *Request, now time.Time) (*Ticket, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	service := t.service(r.Service)
+	shared, hash := r.shared()
+	views := make([]View, 0, len(servers))
+	for _, s := range servers {
+		views = append(views, t.view(s, service, hash, now))
+	}
+	i := Choose(views, r)
+	if i < 0 {
+		return nil, false
+	}
+	v := &views[i]
+	st := t.server(v.Server.ID)
+	k := &Ticket{Server: v.Server, tracker: t, request: r, state: st, service: service, at: now, prompt: r.Tokens}
+	if v.Keeps || i == homeOf(views, r, hash) && shared > 0 {
+		k.prompt -= int(homeShare * float64(shared))
+	}
+	k.expect = float64(engineBase) + float64(v.Prompt+k.prompt)*service.token
+	if !r.Engine {
+		k.expect = service.work
+	}
+	st.use.Open++
+	st.use.Prompt += k.prompt
+	if shared > 0 {
+		st.remember(hash, now)
+	}
+	return k, true
+}
+
+func (t *Tracker) view(s registry.Server, service *serviceState, hash uint64, now time.Time) View {
+	st := t.server(s.ID)
+	far := t.sums[s.ID]
+	seen, keeps := st.keeps[hash]
+	return View{
+		Server: s, Open: st.use.Open + far.Open, Prompt: st.use.Prompt + far.Prompt,
+		Slow: st.slow, Failing: st.failingAt(now), Resting: now.Before(st.restUntil),
+		Keeps: keeps && now.Sub(seen) < keepFor,
+		Work:  time.Duration(service.work), Token: time.Duration(service.token),
+	}
+}
+
+func (t *Tracker) server(id string) *serverState {
+	s := t.servers[id]
+	if s == nil {
+		s = &serverState{slow: 1, keeps: make(map[uint64]time.Time)}
+		t.servers[id] = s
+	}
+	return s
+}
+
+func (t *Tracker) service(name string) *serviceState {
+	s := t.services[name]
+	if s == nil {
+		s = &serviceState{work: float64(firstWork), token: float64(firstToken)}
+		t.services[name] = s
+	}
+	return s
+}
+
+func (s *serverState) failingAt(now time.Time) float64 {
+	if s.failing == 0 {
+		return 0
+	}
+	return s.failing * math.Exp2(-float64(now.Sub(s.failedAt))/float64(failureHalfLife))
+}
+
+func (s *serverState) remember(hash uint64, now time.Time) {
+	if len(s.keeps) >= keepMost {
+		for h, at := range s.keeps {
+			if now.Sub(at) > keepFor/2 {
+				delete(s.keeps, h)
+			}
+		}
+	}
+	if len(s.keeps) < keepMost {
+		s.keeps[hash] = now
+	}
+}
+
+// Read says that the server has read the prompt: its first event is there.
+func (k *Ticket) Read(now time.Time) {
+	k.tracker.mu.Lock()
+	defer k.tracker.mu.Unlock()
+	k.markRead(now, true)
+}
+
+func (k *Ticket) markRead(now time.Time, learn bool) {
+	if k.read {
+		return
+	}
+	k.read = true
+	k.state.use.Prompt -= k.prompt
+	if !learn {
+		return
+	}
+	took := float64(now.Sub(k.at))
+	if k.expect > 0 {
+		ratio := min(max(took/k.expect, slowLeast), slowMost)
+		k.state.slow += slowWeight * (ratio - k.state.slow)
+		k.state.slow = min(max(k.state.slow, slowLeast), slowMost)
+	}
+	if !k.request.Engine {
+		k.service.work += serviceWeight * (took - k.service.work)
+	}
+}
+
+// Done ends the request at the server.
+func (k *Ticket) Done(result Result, now time.Time) {
+	k.tracker.mu.Lock()
+	defer k.tracker.mu.Unlock()
+	if k.done {
+		return
+	}
+	k.done = true
+	k.markRead(now, result == Answered && !k.request.Engine)
+	k.state.use.Open--
+	if result == Cancelled {
+		return
+	}
+	k.state.note(result, now)
+}
+
+func (s *serverState) note(result Result, now time.Time) {
+	failing := s.failingAt(now)
+	s.failedAt = now
+	if result == Answered {
+		s.failing = failing * (1 - failureWeight)
+		s.inRow = 0
+		s.restUntil = time.Time{}
+		return
+	}
+	s.failing = failing + failureWeight*(1-failing)
+	s.inRow++
+	if s.inRow >= restAfter {
+		rest := min(restMost, restFirst<<min(s.inRow-restAfter, 8))
+		s.restUntil = now.Add(rest)
+	}
+}
+
+// Heard takes another node's use of the servers.
+func (t *Tracker) Heard(node string, uses map[string]Use, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.remotes[node] = remote{uses, now}
+	clear(t.sums)
+	for name, r := range t.remotes {
+		if now.Sub(r.at) > remoteFor {
+			delete(t.remotes, name)
+			continue
+		}
+		for id, u := range r.uses {
+			sum := t.sums[id]
+			sum.Open += u.Open
+			sum.Prompt += u.Prompt
+			t.sums[id] = sum
+		}
+	}
+}
+
+// Uses returns this node's use of the servers.
+func (t *Tracker) Uses() map[string]Use {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make(map[string]Use)
+	for id, s := range t.servers {
+		if s.use != (Use{}) {
+			out[id] = s.use
+		}
+	}
+	return out
+}
+
+// Forget drops what is believed of servers that are gone.
+func (t *Tracker) Forget(wanted func(server string) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, s := range t.servers {
+		if s.use == (Use{}) && !wanted(id) {
+			delete(t.servers, id)
+		}
+	}
+}
--- a/internal/cmd/serve.go
+++ b/internal/cmd/serve.go
@@ -22,18 +22,21 @@
 	return &ffcli.Command{
 		Name:       "serve",
 		ShortUsage: "shelfcrank serve -settings FILE",
-		ShortHelp:  "Run one entry instance until SIGTERM, which is a planned stop.",
+		ShortHelp:  "Run one node until SIGTERM, which is a planned stop.",
 		FlagSet:    fs,
 		Options:    fromEnv(),
 		Exec: func(ctx context.Context, _ []string) error {
-			set, err := loadSettings(*file)
-			if err != nil {
-				return err
-			}
 			lvl, err := zapcore.ParseLevel(*level)
 			if err != nil {
 				return usageError{err}
 			}
+			if settings.IsFront(*file) {
+				return serveFront(ctx, e.out, *file, lvl)
+			}
+			set, err := loadSettings(*file)
+			if err != nil {
+				return err
+			}
 			return serve(ctx, set, newLogger(e.err, lvl))
 		},
 	}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -39,6 +39,29 @@
 	RecordHandedOver Code = 404
 	RecordLost       Code = 405
 	OutcomeUnknown   Code = 406
+	ForwardAnswered  Code = 411
+	ForwardRefused   Code = 412
+	StreamBroken     Code = 413
+	ClientLeft       Code = 414
+	DutyTaken        Code = 601
+	DutyLost         Code = 602
+	UsageReported    Code = 603
+	UsageMissed      Code = 604
+	FleetOrdered     Code = 605
+	FleetRefused     Code = 606
+	Reloaded         Code = 106
+	ConfigInForce    Code = 211
+	ConfigRejected   Code = 212
+	ConfigStale      Code = 213
+	ConfigProved     Code = 214
+	ServerJoined     Code = 511
+	ServerLeaving    Code = 512
+	ServerGone       Code = 513
+	ServerAbsent     Code = 514
+	ServerOdd        Code = 515
+	NodeJoined       Code = 311
+	NodeGone         Code = 312
+	ClockCorrected   Code = 313
 	EndpointJoined   Code = 501
 	EndpointLeaving  Code = 502
 	EndpointGone     Code = 503
@@ -81,6 +104,29 @@
 	{RecordHandedOver, zap.InfoLevel, "record handed over", "A leaving owner gave a request to this instance."},
 	{RecordLost, zap.ErrorLevel, "record lost", "Both holders of an accepted request are gone. The caller gets an error."},
 	{OutcomeUnknown, zap.ErrorLevel, "outcome unknown", "A call that may not be repeated may have run; it is not run again. Check with the service."},
+	{ForwardAnswered, zap.InfoLevel, "request answered", "A server's answer was passed on whole. servers lists those that the request was sent to, config the version it was decided by and config_age how long before its arrival that version was proved to be the newest."},
+	{ForwardRefused, zap.InfoLevel, "request refused", "This node gave the final answer; why says the reason. may_have_run tells whether a server may have run it."},
+	{StreamBroken, zap.WarnLevel, "answer broken off", "A server broke off in the middle of its answer and no other could go on; the client's connection was closed so that the answer does not look whole."},
+	{ClientLeft, zap.InfoLevel, "client left", "The client closed its connection; the work at the server was cancelled."},
+	{DutyTaken, zap.InfoLevel, "duty taken", "This node now acts for all: it reports usage and orders servers. until is when it falls silent unless it renews its lease."},
+	{DutyLost, zap.InfoLevel, "duty lost", "This node no longer acts for all; why says the reason. Another takes over when the lease has ended."},
+	{UsageReported, zap.InfoLevel, "usage reported", "The platform took the counts of a window."},
+	{UsageMissed, zap.WarnLevel, "usage not reported", "The counts of a window could not be reported in time."},
+	{FleetOrdered, zap.InfoLevel, "servers ordered", "The platform took an order for a zone; the inputs that led to it are in the event."},
+	{FleetRefused, zap.WarnLevel, "order of servers refused", "The platform refused an order; the planner looks elsewhere."},
+	{Reloaded, zap.InfoLevel, "settings read again", "The settings file was read again after a signal or a change."},
+	{ConfigInForce, zap.InfoLevel, "configuration in force", "This node now decides by the version."},
+	{ConfigRejected, zap.ErrorLevel, "configuration rejected", "The store holds a configuration that cannot be used; the version before stays in force, and keys are refused once it may be old."},
+	{ConfigStale, zap.WarnLevel, "configuration not proved", "For a while no read showed that the configuration in force is the newest: requests that need a key are refused."},
+	{ConfigProved, zap.InfoLevel, "configuration proved again", "A read showed which configuration is the newest."},
+	{ServerJoined, zap.InfoLevel, "server joined", "The server takes work."},
+	{ServerLeaving, zap.InfoLevel, "server leaving", "The server gets no new work."},
+	{ServerGone, zap.InfoLevel, "server gone", "The server's entry is no more; it gets no new work."},
+	{ServerAbsent, zap.WarnLevel, "server's entry lapsed", "The entry went while the store was in trouble; the server is used on for a moment, until that is believed."},
+	{ServerOdd, zap.WarnLevel, "server's entry not understood", "The entry could not be read; what was known of the server stays."},
+	{NodeJoined, zap.InfoLevel, "node joined", "Another node registered itself."},
+	{NodeGone, zap.InfoLevel, "node gone", "Another node's registration ended and it is not heard of."},
+	{ClockCorrected, zap.WarnLevel, "time of day corrected", "This node's time of day is far from that of most others; theirs is used."},
 	{EndpointJoined, zap.InfoLevel, "endpoint joined", "The endpoint takes work."},
 	{EndpointLeaving, zap.InfoLevel, "endpoint leaving", "The endpoint gets no new work."},
 	{EndpointGone, zap.InfoLevel, "endpoint gone", "The endpoint left the list or its deadline passed."},
--- /dev/null
+++ b/internal/forward/attempt.go
@@ -0,0 +1,210 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/shelfcrank/shelfcrank/internal/backend"
+	"github.com/shelfcrank/shelfcrank/internal/balance"
+	"github.com/shelfcrank/shelfcrank/internal/event"
+	"github.com/shelfcrank/shelfcrank/internal/fault"
+	"github.com/shelfcrank/shelfcrank/internal/policy"
+)
+
+// Tuning of attempts.
+const (
+	leastLeft       = 20 * time.Millisecond // with less time left no server is asked
+	onceIdle        = 3 * time.Second       // connections idle for longer are not used for what runs once
+	spareConns      = 4                     // connections to a server that a node may always have
+	maxResumes      = 4                     // servers that go on with one stream
+	connectFailures = 3                     // servers that may be found dead before a request is given up on
+)
+
+// run sends a request to servers until one answers or it is given up on.
+func (h *Handler) run(ctx context.Context, w http.ResponseWriter, q *request) {
+	var last *denial
+	unreached := 0
+	for {
+		if d := h.mayTry(ctx, q, last, unreached); d != nil {
+			h.giveUp(w, q, d)
+			return
+		}
+		out := h.attempt(ctx, w, q)
+		if out.done {
+			return
+		}
+		last = out.denial
+		if out.unreached {
+			unreached++
+		}
+		if !out.again {
+			h.giveUp(w, q, last)
+			return
+		}
+	}
+}
+
+// giveUp refuses a request; what did not run is given back to its tenant.
+func (h *Handler) giveUp(w http.ResponseWriter, q *request, d *denial) {
+	if q.tenant != nil && !q.mayRun {
+		h.Admission.Return(q.tenant, q.units)
+	}
+	if q.answered {
+		// Part of an answer went out: only a cut shows that it is not whole.
+		h.logEnd(q, event.StreamBroken, 0, d.why, d.err)
+		panic(http.ErrAbortHandler)
+	}
+	if d.answer != nil {
+		h.pass(w, q, d.answer.head, d.answer.body)
+		return
+	}
+	h.refuse(w, q, d)
+}
+
+// mayTry says why no further server may be asked, or nil. last is what the one
+// before came to.
+func (h *Handler) mayTry(ctx context.Context, q *request, last *denial, unreached int) *denial {
+	if ctx.Err() != nil {
+		return h.ended(ctx, q)
+	}
+	if last == nil {
+		h.Admission.FirstTry(q.service, q.arrived)
+		return nil
+	}
+	limit := q.route.MaxAttempts
+	if q.answered {
+		limit = max(limit, 1) + maxResumes
+	}
+	switch {
+	case len(q.tried) >= limit, unreached >= connectFailures:
+		return last
+	case time.Until(q.deadline) < leastLeft:
+		return last
+	case len(q.tried) > 0 && !h.Admission.SecondTry(q.service, time.Now()):
+		return last
+	}
+	return nil
+}
+
+// ended is the denial for a request whose client left or whose time is over.
+func (h *Handler) ended(ctx context.Context, q *request) *denial {
+	if !errors.Is(context.Cause(ctx), errDeadline) {
+		return &denial{gone: true, why: "the client left", err: context.Cause(ctx)}
+	}
+	if q.mayRun {
+		return &denial{status: http.StatusGatewayTimeout, why: "no answer in time"}
+	}
+	return &denial{status: http.StatusServiceUnavailable, why: "no server in time", wait: waitFull}
+}
+
+// outcome is what an attempt came to.
+type outcome struct {
+	done      bool    // the client has its answer
+	again     bool    // another server may be asked
+	unreached bool    // nothing was sent
+	denial    *denial // the answer if no other server is asked
+}
+
+// attempt sends the request to one server.
+func (h *Handler) attempt(ctx context.Context, w http.ResponseWriter, q *request) outcome {
+	view := h.View()
+	now := time.Now()
+	b := h.choice(q, view.Config.Service(q.service))
+	ticket, ok := h.Tracker.Pick(view.Servers[q.service], b, now)
+	if !ok {
+		return outcome{denial: h.noServer(q)}
+	}
+	q.avoid = append(q.avoid, ticket.Server.ID)
+	call := h.call(q, view, ticket, now)
+	resp, err := h.Backends.Send(ctx, call)
+	if err != nil {
+		return h.failed(ctx, q, ticket, fault.As(err))
+	}
+	q.tried = append(q.tried, ticket.Server.ID)
+	defer resp.Close()
+	if resp.Answer.NotRun && resp.Status != http.StatusBadRequest {
+		ticket.Done(balance.Refused, time.Now())
+		return outcome{again: true, denial: &denial{
+			status: h.unless(q, http.StatusServiceUnavailable), why: "the server refused", wait: waitFull,
+		}}
+	}
+	return h.take(ctx, w, q, ticket, resp)
+}
+
+// unless returns a promising status, or 502 if the request may have run.
+func (h *Handler) unless(q *request, status int) int {
+	if q.mayRun {
+		return http.StatusBadGateway
+	}
+	return status
+}
+
+func (h *Handler) noServer(q *request) *denial {
+	return &denial{status: h.unless(q, http.StatusServiceUnavailable), why: "no server", wait: waitNone}
+}
+
+// choice is what choosing a server has to know of the request.
+func (h *Handler) choice(q *request, s *policy.Service) *balance.Request {
+	b := &balance.Request{
+		Service: q.service, ID: q.meta.ID, Tokens: q.meta.PromptTokens, Parts: q.meta.Parts,
+		Priority: q.priority, Avoid: q.avoid, Once: !q.route.Idempotent(),
+	}
+	if s != nil && s.Engine != nil {
+		b.Engine, b.Slots = true, s.Engine.Slots
+	}
+	return b
+}
+
+func (h *Handler) call(q *request, view *View, ticket *balance.Ticket, now time.Time) *backend.Call {
+	c := &backend.Call{
+		Server: ticket.Server.ID, Addr: ticket.Server.Addr, Method: q.method, URI: q.uri, Host: q.host,
+		Header: q.header.Clone(), Body: q.body, ID: q.meta.ID,
+	}
+	if !q.route.Idempotent() {
+		c.MaxIdle = onceIdle
+	}
+	if s := view.Config.Service(q.service); s != nil && s.MaxConnections > 0 {
+		c.MaxConns = max(spareConns, s.MaxConnections/max(1, view.Nodes))
+	}
+	h.Protocol.Outgoing(c.Header, Outgoing{
+		Server: ticket.Server.ID, Tenant: q.tenantName(), Left: q.deadline.Sub(now), Priority: q.priority, LastEventID: q.event,
+	})
+	return c
+}
+
+// failed tells what follows from an attempt that brought no answer.
+func (h *Handler) failed(ctx context.Context, q *request, ticket *balance.Ticket, f *fault.Error) outcome {
+	now := time.Now()
+	if f.Run == fault.NotRun {
+		ticket.Done(h.blame(ctx, f), now)
+		if ctx.Err() != nil {
+			return outcome{denial: h.ended(ctx, q)}
+		}
+		return outcome{again: true, unreached: true, denial: &denial{
+			status: h.unless(q, http.StatusServiceUnavailable), why: "no server reached", wait: waitFull, err: f,
+		}}
+	}
+	q.tried = append(q.tried, ticket.Server.ID)
+	q.mayRun = true
+	ticket.Done(h.blame(ctx, f), now)
+	if q.route.Kind != policy.Streaming {
+		h.Admission.Began(q.tenantName(), 1)
+	}
+	if ctx.Err() != nil {
+		return outcome{denial: h.ended(ctx, q)}
+	}
+	return outcome{again: q.route.Idempotent(), denial: &denial{status: http.StatusBadGateway, why: "the server broke off", err: f}}
+}
+
+// blame is the result that a failed attempt counts for at the server.
+func (h *Handler) blame(ctx context.Context, f *fault.Error) balance.Result {
+	switch {
+	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline):
+		return balance.Cancelled
+	case f.Kind == fault.KindLimit:
+		return balance.Cancelled
+	}
+	return balance.Failed
+}
--- /dev/null
+++ b/internal/forward/door.go
@@ -0,0 +1,147 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+)
+
+// bodyGrace is added to a request's own time for reading a body, so that a
+// slow one ends with an answer that says so.
+const bodyGrace = 0
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	q := &request{arrived: time.Now(), view: h.View(), meta: h.Protocol.Request(r.Header)}
+	if q.view.Leaving {
+		w.Header().Set("Connection", "close")
+	}
+	if d := h.identify(q, r); d != nil {
+		h.refuse(w, q, d)
+		return
+	}
+	ctx, cancel := context.WithDeadlineCause(r.Context(), q.deadline, errDeadline)
+	defer cancel()
+	if d := h.read(w, q, r); d != nil {
+		h.refuse(w, q, d)
+		return
+	}
+	if d := h.admit(q); d != nil {
+		h.refuse(w, q, d)
+		return
+	}
+	h.run(ctx, w, q)
+}
+
+// errDeadline ends a request whose time is over.
+var errDeadline = errors.New("the time for the request is over")
+
+// identify finds the route and the tenant of a request.
+func (h *Handler) identify(q *request, r *http.Request) *denial {
+	c := q.view.Config
+	if c == nil {
+		return notReady("no configuration yet")
+	}
+	age := q.arrived.Sub(q.view.ProvedAt)
+	host := r.Host
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	q.route = c.Match(host, r.URL.Path)
+	if q.route == nil {
+		if age > h.CertainFor {
+			return notReady("no route in a configuration that may be old")
+		}
+		return &denial{status: http.StatusNotFound, why: "no route"}
+	}
+	if c.HasTenants() && !q.route.Public {
+		if age > h.KeysFor {
+			return notReady("the configuration may be old, and a key taken away")
+		}
+		if q.tenant = c.Tenant(q.meta.Key); q.tenant == nil {
+			if age > h.CertainFor {
+				return notReady("key unknown to a configuration that may be old")
+			}
+			return &denial{status: http.StatusUnauthorized, why: "unknown key"}
+		}
+	}
+	q.priority = c.Priority(q.tenant, q.route)
+	q.service = q.route.Pick(q.meta.ID)
+	q.method, q.uri, q.host = r.Method, r.RequestURI, r.Host
+	allowed := q.route.Timeout
+	if q.meta.HasDeadline {
+		allowed = min(allowed, q.meta.Allowed)
+	}
+	q.deadline = q.arrived.Add(allowed)
+	return nil
+}
+
+// read takes in the whole body, so that nothing is sent for a client that
+// leaves halfway, and so that it can be sent again.
+func (h *Handler) read(w http.ResponseWriter, q *request, r *http.Request) *denial {
+	q.header = r.Header.Clone()
+	h.Protocol.Clean(q.header)
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil
+	}
+	limit := q.view.Config.Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBody
+	}
+	if r.ContentLength > limit {
+		return tooLarge()
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(q.deadline.Add(bodyGrace)) // not supported by a recorder in a test
+	body, err := readBody(r, limit)
+	if err != nil {
+		var large *http.MaxBytesError
+		var timeout net.Error
+		switch {
+		case errors.As(err, &large):
+			return tooLarge()
+		case errors.As(err, &timeout) && timeout.Timeout():
+			return &denial{status: http.StatusRequestTimeout, why: "the body did not come in time", close: true}
+		}
+		return &denial{gone: true, why: "the client left before its body was whole"}
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	q.body = body
+	return nil
+}
+
+// defaultBody bounds a body where the configuration does not.
+const defaultBody = 4 << 20
+
+func readBody(r *http.Request, limit int64) ([]byte, error) {
+	body := http.MaxBytesReader(nil, r.Body, limit)
+	if r.ContentLength > 0 {
+		b := make([]byte, r.ContentLength)
+		_, err := io.ReadFull(body, b)
+		return b, err
+	}
+	return io.ReadAll(body)
+}
+
+// admit counts the request against its tenant's limit.
+func (h *Handler) admit(q *request) *denial {
+	q.units = 1
+	if q.tenant == nil {
+		return nil
+	}
+	if q.tenant.CountTokens {
+		q.units = q.tenant.PlainTokens
+		if q.meta.HasTokens {
+			q.units = float64(q.meta.PromptTokens + q.meta.OutputTokens)
+		}
+	}
+	now := time.Now()
+	v := h.Admission.Admit(q.tenant, q.units, now)
+	if v.OK {
+		return nil
+	}
+	return &denial{status: http.StatusTooManyRequests, why: "limit of the tenant", wait: v.RetryAt.Sub(now), quota: true}
+}
--- /dev/null
+++ b/internal/forward/forward.go
@@ -0,0 +1,141 @@
+// Package forward takes a client's request through to a server's answer.
+//
+// A request passes five steps: the door (door.go) reads and identifies it,
+// admission checks its tenant's limit, a server is chosen, an attempt is made
+// (attempt.go), and the answer is passed on (answer.go, stream.go). A refusal
+// says "not run" only when that is certain (refuse.go). Nothing is kept of a
+// request once it is answered.
+//
+// Handler is safe for concurrent use.
+package forward
+
+import (
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/shelfcrank/shelfcrank/internal/backend"
+	"github.com/shelfcrank/shelfcrank/internal/balance"
+	"github.com/shelfcrank/shelfcrank/internal/event"
+	"github.com/shelfcrank/shelfcrank/internal/metrics"
+	"github.com/shelfcrank/shelfcrank/internal/policy"
+	"github.com/shelfcrank/shelfcrank/internal/quota"
+	"github.com/shelfcrank/shelfcrank/internal/registry"
+)
+
+// Part is a piece of a prompt.
+type Part = balance.Part
+
+// Meta is what a client says of its request.
+type Meta struct {
+	ID           string
+	Key          string // names the tenant
+	Allowed      time.Duration
+	HasDeadline  bool // Allowed was told
+	HasTokens    bool // the two below were told
+	PromptTokens int
+	OutputTokens int // at the most
+	Hint         int // the client's guess of the tokens out; 0 when not told
+	Parts        []Part
+	LastEventID  string
+}
+
+// Outgoing is what a server is told of a request.
+type Outgoing struct {
+	Server      string
+	Tenant      string
+	Left        time.Duration // until the answer is of no use
+	Priority    int           // 0 is the most urgent
+	LastEventID string        // the event after which a stream goes on
+	BackupTo    string        // server that the KV cache is copied to as it grows
+	Continue    string        // copy of the KV cache to go on from
+}
+
+// Protocol reads and writes the headers of requests and answers.
+type Protocol interface {
+	backend.Protocol
+	Request(h http.Header) Meta
+	Clean(h http.Header)       // removes what is not for a server
+	CleanAnswer(h http.Header) // removes what is not for a client
+	Outgoing(h http.Header, o Outgoing)
+	RetryAfter(h http.Header, wait time.Duration)
+}
+
+// View is the immutable state that requests are decided by.
+type View struct {
+	Config   *policy.Config               // nil until one is known
+	ProvedAt time.Time                    // sending of the read that last showed Config to be the newest
+	Servers  map[string][]registry.Server // that take new work, by service
+	Nodes    int                          // that run, this one included
+	Leaving  bool                         // this node is stopping
+}
+
+// Admission counts requests against the limits of tenants and the budgets of
+// second tries, over all nodes.
+type Admission interface {
+	Admit(t *policy.Tenant, units float64, now time.Time) quota.Verdict
+	Return(t *policy.Tenant, units float64)
+	FirstTry(service string, now time.Time)
+	SecondTry(service string, now time.Time) bool
+	Began(tenant string, n int64)
+}
+
+// Options are what a handler is made of.
+type Options struct {
+	Protocol  Protocol
+	View      func() *View
+	Backends  *backend.Client
+	Tracker   *balance.Tracker
+	Admission Admission
+	Log       *zap.Logger
+	Metrics   *metrics.Metrics
+	// KeysFor is how long after the proof of a configuration a key is honoured.
+	KeysFor time.Duration
+	// CertainFor is how long after the proof of a configuration it is certain
+	// enough to deny a route or a key by it.
+	CertainFor time.Duration
+}
+
+// Handler forwards requests.
+type Handler struct {
+	Options
+}
+
+// New returns a handler.
+func New(o Options) *Handler { return &Handler{o} }
+
+func (h *Handler) event(c event.Code, fields ...zap.Field) {
+	event.Log(h.Log, c, fields...)
+	h.Metrics.Event(int(c))
+}
+
+// request is one request on its way.
+type request struct {
+	meta     Meta
+	arrived  time.Time
+	deadline time.Time
+	view     *View
+	route    *policy.Route
+	tenant   *policy.Tenant // nil on a public route
+	service  string
+	units    float64
+	priority int
+	method   string
+	uri      string
+	host     string
+	header   http.Header // as the servers get it, but for what each is told
+	body     []byte
+	tried    []string // servers that it was sent to
+	avoid    []string // servers that were chosen for it, reached or not
+	mayRun   bool     // a server may have run it
+	event    string   // id of the last event passed on
+	answered bool     // the head of an answer was passed on
+}
+
+func (q *request) tenantName() string {
+	if q.tenant == nil {
+		return ""
+	}
+	return q.tenant.Name
+}
--- /dev/null
+++ b/internal/front/admission.go
@@ -0,0 +1,102 @@
+package front
+
+import (
+	"sync"
+	"time"
+
+	"github.com/shelfcrank/shelfcrank/internal/policy"
+	"github.com/shelfcrank/shelfcrank/internal/quota"
+	"github.com/shelfcrank/shelfcrank/internal/retry"
+	"github.com/shelfcrank/shelfcrank/internal/usage"
+)
+
+// admission counts requests for all goroutines that serve clients. It
+// implements forward.Admission.
+type admission struct {
+	node  *Node
+	terms retry.Terms
+
+	mu      sync.Mutex
+	quota   *quota.Limiter           // guarded by mu
+	budgets map[string]*retry.Budget // by service; guarded by mu
+	usage   *usage.Counter           // guarded by mu
+}
+
+func newAdmission(n *Node) *admission {
+	b := n.Settings.Bounds
+	return &admission{
+		node: n, quota: quota.New(), budgets: make(map[string]*retry.Budget), usage: usage.New(),
+		terms: retry.Terms{Ratio: b.RetryRatio, Slack: float64(b.RetrySlack), Window: b.RetryWindow()},
+	}
+}
+
+// Admit implements forward.Admission.
+func (a *admission) Admit(t *policy.Tenant, units float64, now time.Time) quota.Verdict {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.quota.Admit(t.Name, quota.Limit{Rate: t.Rate, Burst: t.Burst}, units, now)
+}
+
+// Return implements forward.Admission.
+func (a *admission) Return(t *policy.Tenant, units float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.quota.Return(t.Name, units)
+}
+
+func (a *admission) budget(service string) *retry.Budget {
+	b := a.budgets[service]
+	if b == nil {
+		b = &retry.Budget{}
+		a.budgets[service] = b
+	}
+	return b
+}
+
+// FirstTry implements forward.Admission.
+func (a *admission) FirstTry(service string, now time.Time) {
+	nodes := a.node.view.Load().Nodes
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.budget(service).Sent(a.terms, nodes, now)
+}
+
+// SecondTry implements forward.Admission.
+func (a *admission) SecondTry(service string, now time.Time) bool {
+	nodes := a.node.view.Load().Nodes
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.budget(service).Take(a.terms, nodes, now)
+}
+
+// Began implements forward.Admission.
+func (a *admission) Began(tenant string, count int64) {
+	if tenant == "" {
+		return
+	}
+	w := usage.WindowOf(a.node.clock.At(time.Now()), a.node.Settings.Bounds.UsageWindow())
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.usage.Add(w, tenant, count)
+}
+
+func (a *admission) tick(now time.Time) {
+	w := usage.WindowOf(a.node.clock.At(now), a.node.Settings.Bounds.UsageWindow())
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.quota.Tick(now)
+	a.usage.Expire(w)
+}
+
+func (a *admission) forget(node string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.quota.Forget(node)
+}
+
+// sum returns the counts of a window over all nodes.
+func (a *admission) sum(window int64, tenants []string) usage.Counts {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.usage.Sum(window, tenants)
+}
--- /dev/null
+++ b/internal/front/duties.go
@@ -0,0 +1,133 @@
+package front
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/shelfcrank/shelfcrank/internal/duty"
+	"github.com/shelfcrank/shelfcrank/internal/event"
+	"github.com/shelfcrank/shelfcrank/internal/store"
+	"github.com/shelfcrank/shelfcrank/internal/usage"
+)
+
+// Times of usage reports.
+const (
+	usageSettles = 900 * time.Millisecond // after the end of a window, until all counts are here
+	usageLook    = 300 * time.Millisecond
+	orderTimeout = time.Second
+	leastForCall = 150 * time.Millisecond // with less time left as holder no call is made
+	usageBehind  = 3                      // windows that a new holder catches up with
+)
+
+// reportUsage tells the platform, while this node acts for all, how many
+// requests began to run in each window. What is told is written to the store
+// first, so that whoever acts next tells exactly the same.
+func (n *Node) reportUsage(ctx context.Context) error {
+	window := n.Settings.Bounds.UsageWindow()
+	next := usage.WindowOf(n.clock.At(time.Now()), window)
+	var holder duty.Token
+	for sleep(ctx, usageLook) {
+		now := time.Now()
+		token, _, ok := n.elector.Token(now)
+		current := usage.WindowOf(n.clock.At(now), window)
+		if !ok || n.view.Load().Config == nil {
+			continue
+		}
+		if token != holder {
+			holder, next = token, current-usageBehind
+		}
+		if next < current-usageBehind {
+			n.event(event.UsageMissed, zap.Int64("window", next))
+			next = current - usageBehind
+		}
+		due := usage.End(next, window).Add(usageSettles)
+		if n.clock.At(now).Before(due) {
+			continue
+		}
+		if n.reportWindow(ctx, next) {
+			next++
+		}
+	}
+	return ctx.Err()
+}
+
+// acting returns a context that ends before this node has to be silent.
+func (n *Node) acting(ctx context.Context) (context.Context, context.CancelFunc, duty.Token, bool) {
+	token, until, ok := n.elector.Token(time.Now())
+	if !ok || time.Until(until) < leastForCall {
+		return nil, nil, token, false
+	}
+	end := min(time.Until(until), orderTimeout)
+	call, cancel := context.WithTimeout(ctx, end)
+	return call, cancel, token, true
+}
+
+// reportWindow reports one window, and says whether it is done with.
+func (n *Node) reportWindow(ctx context.Context, window int64) bool {
+	call, cancel, token, ok := n.acting(ctx)
+	if !ok {
+		return false
+	}
+	defer cancel()
+	counts, err := n.settleCounts(call, token, window)
+	if err != nil {
+		return false
+	}
+	if len(counts) == 0 {
+		return true
+	}
+	if err := n.Cloud.ReportUsage(call, token, window, counts); err != nil {
+		n.event(event.UsageMissed, zap.Int64("window", window), zap.Int64("fence", token.Fence), zap.Error(err))
+		return false
+	}
+	n.event(event.UsageReported, zap.Int64("window", window), zap.Int64("fence", token.Fence), zap.Any("counts", counts))
+	return true
+}
+
+// settleCounts writes the counts of a window to the store, or reads those that
+// an earlier holder wrote.
+func (n *Node) settleCounts(ctx context.Context, token duty.Token, window int64) (usage.Counts, error) {
+	var tenants []string
+	for _, t := range n.view.Load().Config.Tenants {
+		tenants = append(tenants, t.Name)
+	}
+	counts := n.admission.sum(window, tenants)
+	value, err := json.Marshal(counts)
+	if err != nil {
+		return nil, fmt.Errorf("encode counts: %w", err)
+	}
+	key := n.usageKey(window)
+	_, err = n.Store.Do(ctx, store.Txn{
+		Expect: []store.Expect{{Key: key}, {Key: n.elector.Key, Revision: token.Fence}},
+		Put:    []store.Put{{Key: key, Value: value}},
+		Drop:   []string{n.usageKey(window - 2*usageBehind)},
+	})
+	if err == nil {
+		return counts, nil
+	}
+	var conflict *store.Conflict
+	if !errors.As(err, &conflict) {
+		return nil, err // it may have been written: the next look finds it
+	}
+	for _, item := range conflict.Items {
+		if item.Key != key || item.Revision == 0 {
+			continue
+		}
+		var written usage.Counts
+		if err := json.Unmarshal(item.Value, &written); err != nil {
+			return nil, fmt.Errorf("decode counts: %w", err)
+		}
+		return written, nil
+	}
+	return nil, err
+}
+
+func (n *Node) usageKey(window int64) string {
+	return n.Decoder.OwnPrefix() + keyUsage + strconv.FormatInt(window, 10)
+}
--- /dev/null
+++ b/internal/front/follow.go
@@ -0,0 +1,127 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/shelfcrank/shelfcrank/internal/store"
+)
+
+// Times of following the store.
+const (
+	proveEvery   = 1100 * time.Millisecond
+	proveTimeout = 900 * time.Millisecond
+	listTimeout  = 1500 * time.Millisecond
+	retryPause   = 150 * time.Millisecond
+	registerTTL  = 6 * time.Second
+	registerKeep = 2 * time.Second
+	// WatchWait is how long the store may hold a watch that has nothing to tell.
+	WatchWait  = 8 * time.Second
+	watchSlack = 1500 * time.Millisecond
+)
+
+// called tells the state how a call of the store went, and returns its error.
+// A refusal by the rules of the store is an answer.
+func (n *Node) called(sent time.Time, err error) error {
+	answered := err == nil || errors.Is(err, store.ErrNotFound) || errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrCompacted)
+	n.state.send(storeCalled{ok: answered, at: sent})
+	return err
+}
+
+// proveConfig reads the configuration again and again: a watch may be silent.
+func (n *Node) proveConfig(ctx context.Context) error {
+	for {
+		sent := time.Now()
+		call, cancel := context.WithTimeout(ctx, proveTimeout)
+		item, _, err := n.Store.Get(call, n.Decoder.ConfigKey())
+		cancel()
+		pause := proveEvery - time.Since(sent)
+		if n.called(sent, err) != nil {
+			pause = retryPause
+		} else {
+			n.state.send(configRead{value: item.Value, revision: item.Revision, provedAt: sent})
+		}
+		if !sleep(ctx, pause) {
+			return ctx.Err()
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// watchStore lists the store and follows its changes, and lists anew whenever
+// it may have missed one.
+func (n *Node) watchStore(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sent := time.Now()
+		call, cancel := context.WithTimeout(ctx, listTimeout)
+		items, at, err := n.Store.Range(call, watchPrefix)
+		cancel()
+		if n.called(sent, err) != nil {
+			sleep(ctx, retryPause)
+			continue
+		}
+		n.state.send(listed{items, sent})
+		n.follow(ctx, at)
+	}
+	return ctx.Err()
+}
+
+// watchPrefix begins all keys: one watch waits for the operators', the
+// servers' and the product's own.
+const watchPrefix = ""
+
+// follow passes changes on until a watch fails.
+func (n *Node) follow(ctx context.Context, at int64) {
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, WatchWait+watchSlack)
+		events, next, err := n.Store.Watch(call, watchPrefix, at)
+		cancel()
+		if err != nil {
+			return
+		}
+		if len(events) > 0 {
+			n.state.send(watched{events})
+		}
+		at = max(at, next)
+	}
+}
+
+// register keeps this node's address in the store for the others.
+func (n *Node) register(ctx context.Context) error {
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, listTimeout)
+		lease, err := n.Store.Grant(call, registerTTL.Milliseconds())
+		if err == nil {
+			_, err = n.Store.Do(call, store.Txn{Put: []store.Put{{
+				Key: n.Decoder.OwnPrefix() + keyNodes + n.Settings.Name, Value: []byte(n.Settings.Peer.String()), Lease: lease,
+			}}})
+		}
+		cancel()
+		if err != nil {
+			sleep(ctx, retryPause*2)
+			continue
+		}
+		n.keepRegistered(ctx, lease)
+	}
+	return ctx.Err()
+}
+
+func (n *Node) keepRegistered(ctx context.Context, lease int64) {
+	for sleep(ctx, registerKeep) {
+		call, cancel := context.WithTimeout(ctx, registerKeep/2)
+		err := n.Store.Keep(call, lease)
+		cancel()
+		if errors.Is(err, store.ErrNotFound) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,299 @@
+// Package front runs a node that stands between clients and servers.
+//
+// One goroutine (state.go) owns what the node believes and publishes immutable
+// views for traffic. Others follow the store (follow.go), exchange soft state
+// with the other nodes (share.go), do the duties of the one node that acts for
+// all (duties.go), and serve clients. All run under a supervisor.
+package front
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/samber/do/v2"
+	"github.com/thejerf/suture/v4"
+	"go.uber.org/zap"
+
+	"github.com/shelfcrank/shelfcrank/internal/backend"
+	"github.com/shelfcrank/shelfcrank/internal/balance"
+	"github.com/shelfcrank/shelfcrank/internal/duty"
+	"github.com/shelfcrank/shelfcrank/internal/event"
+	"github.com/shelfcrank/shelfcrank/internal/forward"
+	"github.com/shelfcrank/shelfcrank/internal/metrics"
+	"github.com/shelfcrank/shelfcrank/internal/netx"
+	"github.com/shelfcrank/shelfcrank/internal/peer"
+	"github.com/shelfcrank/shelfcrank/internal/policy"
+	"github.com/shelfcrank/shelfcrank/internal/registry"
+	"github.com/shelfcrank/shelfcrank/internal/settings"
+	"github.com/shelfcrank/shelfcrank/internal/store"
+	"github.com/shelfcrank/shelfcrank/internal/walltime"
+)
+
+// Store is the platform's metadata store.
+type Store interface {
+	store.Reader
+	store.Writer
+}
+
+// Decoder reads what the operators and the servers write to the store.
+type Decoder interface {
+	ConfigKey() string // of the configuration
+	OwnPrefix() string // of the keys that the product writes
+	Config(value []byte) (*policy.Config, error)
+	ServerID(key string) (string, bool)
+	Server(id string, value []byte, now time.Time) (registry.Server, error)
+}
+
+// Cloud takes the orders of the node that acts for all.
+type Cloud interface {
+	ReportUsage(ctx context.Context, d duty.Token, window int64, counts map[string]int64) error
+	Order(ctx context.Context, d duty.Token, service, zone string, desired int, spot bool) error
+}
+
+// Options are what a node is made of.
+type Options struct {
+	Settings settings.Front
+	Net      netx.Network
+	Store    Store
+	Cloud    Cloud
+	Decoder  Decoder
+	Protocol forward.Protocol
+	Log      *zap.Logger
+	Seed     uint64                         // of the random numbers
+	Reload   <-chan os.Signal               // asks for the settings to be read again; may be nil
+	Reread   func() (settings.Front, error) // reads the settings again; nil where they can't change
+}
+
+// Node is a running node.
+type Node struct {
+	Options
+	start     time.Time
+	injector  do.Injector
+	metrics   *metrics.Metrics
+	state     *state
+	view      atomic.Pointer[forward.View]
+	clock     *walltime.Clock
+	peers     *peer.Node
+	backends  *backend.Client
+	tracker   *balance.Tracker
+	admission *admission
+	elector   *duty.Elector
+	handler   *forward.Handler
+	leaving   atomic.Bool
+	configAt  chan struct{} // closed when the first configuration is known
+}
+
+// incarnation tells this start of the node from earlier ones.
+func (n *Node) incarnation() int64 { return n.start.UnixNano() }
+
+// Parts of the bounds that the node keeps to.
+const (
+	keysShare = 0.88 // of the time after which a key taken away must not work
+	certain   = 1300 * time.Millisecond
+	readyFor  = 2500 * time.Millisecond // after the last proof of the configuration
+)
+
+// New wires a node; Run starts it.
+func New(o Options) (*Node, error) {
+	n := &Node{Options: o, start: time.Now(), injector: do.New(), configAt: make(chan struct{})}
+	n.clock = walltime.New(n.start)
+	n.view.Store(&forward.View{Nodes: 1})
+	n.provide()
+	var err error
+	if n.metrics, err = do.Invoke[*metrics.Metrics](n.injector); err != nil {
+		return nil, fmt.Errorf("wire node: %w", err)
+	}
+	n.peers = do.MustInvoke[*peer.Node](n.injector)
+	n.backends = do.MustInvoke[*backend.Client](n.injector)
+	n.tracker = do.MustInvoke[*balance.Tracker](n.injector)
+	n.admission = do.MustInvoke[*admission](n.injector)
+	n.elector = do.MustInvoke[*duty.Elector](n.injector)
+	n.handler = do.MustInvoke[*forward.Handler](n.injector)
+	n.state = newState(n)
+	n.peers.SetHandler(n)
+	return n, nil
+}
+
+func (n *Node) provide() {
+	o, s := n.Options, n.Options.Settings
+	do.Provide(n.injector, func(do.Injector) (*metrics.Metrics, error) {
+		return metrics.New(metrics.Gauges{
+			Records: func() int64 { return 0 },
+			Claims:  func() int64 { return 0 },
+			Table:   func() int64 { return n.version() },
+			Members: func() int64 { return int64(n.view.Load().Nodes - 1) },
+		})
+	})
+	do.Provide(n.injector, func(do.Injector) (*peer.Node, error) { return peer.New(o.Net, s.Name, nil), nil })
+	do.Provide(n.injector, func(do.Injector) (*backend.Client, error) { return backend.New(o.Net, o.Protocol), nil })
+	do.Provide(n.injector, func(do.Injector) (*balance.Tracker, error) { return balance.NewTracker(), nil })
+	do.Provide(n.injector, func(do.Injector) (*admission, error) { return newAdmission(n), nil })
+	do.Provide(n.injector, func(do.Injector) (*duty.Elector, error) {
+		return duty.New(duty.Options{
+			Node: s.Name, Value: fmt.Appendf(nil, "%s %d", s.Name, n.incarnation()),
+			Key: o.Decoder.OwnPrefix() + keyLeader, TTL: s.Bounds.Lease(), Store: o.Store, Log: o.Log,
+			Rand: rand.New(rand.NewPCG(o.Seed, seedElector)),
+		}), nil
+	})
+	do.Provide(n.injector, func(do.Injector) (*forward.Handler, error) {
+		return forward.New(forward.Options{
+			Protocol: o.Protocol, View: n.view.Load, Backends: n.backends, Tracker: n.tracker, Admission: n.admission,
+			Log: o.Log, Metrics: n.metrics, CertainFor: certain,
+			KeysFor: time.Duration(keysShare * float64(s.Bounds.Revoke())),
+		}), nil
+	})
+}
+
+// Keys of the store below the product's own prefix.
+const (
+	keyLeader = "leader"
+	keyNodes  = "nodes/"
+	keyUsage  = "usage/"
+)
+
+const seedElector = 0x9e3779b9
+
+func (n *Node) version() int64 {
+	if c := n.view.Load().Config; c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+func (n *Node) event(c event.Code, fields ...zap.Field) {
+	event.Log(n.Log, c, fields...)
+	n.metrics.Event(int(c))
+}
+
+const (
+	stopTimeout       = 2 * time.Second
+	failureBackoff    = 500 * time.Millisecond
+	failuresToBackoff = 5
+)
+
+// part is a part of the node that the supervisor runs.
+type part struct {
+	name  string
+	serve func(context.Context) error
+}
+
+// Serve implements suture.Service.
+func (p part) Serve(ctx context.Context) error { return p.serve(ctx) }
+
+// String names the part in events.
+func (p part) String() string { return p.name }
+
+// Run serves until ctx ends, then finishes what it has taken and stops.
+func (n *Node) Run(ctx context.Context) error {
+	s := n.Settings
+	listeners := make([]net.Listener, 0, 4)
+	for _, addr := range []netip.AddrPort{s.Front, s.Ready, s.Peer, s.Metrics} {
+		l, err := n.Net.Listen(addr)
+		if err != nil {
+			for _, open := range listeners {
+				_ = open.Close()
+			}
+			return fmt.Errorf("listen at %s: %w", addr, err)
+		}
+		listeners = append(listeners, l)
+	}
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	ended := n.tree(listeners[2]).ServeBackground(work)
+	ready := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout}
+	go func() { _ = ready.Serve(listeners[1]) }()
+	figures := &http.Server{Handler: n.serveMetrics(), ReadHeaderTimeout: headerTimeout}
+	go func() { _ = figures.Serve(listeners[3]) }()
+	n.event(event.Started, zap.String("node", s.Name), zap.Stringer("front", s.Front), zap.Int64("incarnation", n.incarnation()))
+	clients := n.serveClients(ctx, listeners[0])
+	<-ctx.Done()
+	n.drain(clients)
+	_ = ready.Close()
+	_ = figures.Close()
+	stop()
+	n.peers.Close()
+	<-ended
+	n.backends.CloseIdle()
+	_ = n.injector.Shutdown()
+	n.event(event.Stopped)
+	return nil
+}
+
+func (n *Node) tree(peers net.Listener) *suture.Supervisor {
+	spec := suture.Spec{
+		EventHook: n.supervised, Timeout: stopTimeout,
+		FailureBackoff: failureBackoff, FailureThreshold: failuresToBackoff,
+	}
+	root := suture.New("front", spec)
+	for _, p := range []part{
+		{"state", n.state.Serve},
+		{"proof", n.proveConfig},
+		{"watch", n.watchStore},
+		{"register", n.register},
+		{"peers", func(ctx context.Context) error { return n.peers.Serve(ctx, peers) }},
+		{"share", n.shareState},
+		{"elector", n.elector.Run},
+		{"usage", n.reportUsage},
+		{"upkeep", n.upkeep},
+		{"reload", n.reload},
+	} {
+		root.Add(p)
+	}
+	return root
+}
+
+func (n *Node) supervised(e suture.Event) {
+	switch e.Type() {
+	case suture.EventTypeServiceTerminate, suture.EventTypeServicePanic:
+		n.event(event.ChildRestarted, zap.String("what", e.String()))
+	}
+}
+
+const upkeepEvery = time.Second
+
+// upkeep closes connections that are not wanted any more.
+func (n *Node) upkeep(ctx context.Context) error {
+	t := time.NewTicker(upkeepEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-t.C:
+			wanted := make(map[string]bool)
+			for _, servers := range n.view.Load().Servers {
+				for _, s := range servers {
+					wanted[s.ID] = true
+				}
+			}
+			is := func(id string) bool { return wanted[id] }
+			n.backends.Tidy(now, is)
+			n.tracker.Forget(is)
+			n.peers.Tidy(now)
+		}
+	}
+}
+
+// reload reads the settings again when asked to. Addresses and the like cannot
+// change while a process runs; a change is told in the log.
+func (n *Node) reload(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-n.Reload:
+			if n.Reread == nil {
+				continue
+			}
+			s, err := n.Reread()
+			n.event(event.Reloaded, zap.Bool("changed", err == nil && s != n.Settings), zap.Error(err))
+		}
+	}
+}
--- /dev/null
+++ b/internal/front/members.go
@@ -0,0 +1,156 @@
+package front
+
+import (
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/shelfcrank/shelfcrank/internal/event"
+	"github.com/shelfcrank/shelfcrank/internal/store"
+)
+
+// member is another node.
+type member struct {
+	name       string
+	addr       netip.AddrPort
+	registered bool
+	heardAt    time.Time
+}
+
+// heardFor is how long a node that is heard of counts although its
+// registration ended: the store may have been down.
+const heardFor = 2500 * time.Millisecond
+
+// members knows the other nodes. It belongs to the state's goroutine; list and
+// heard are safe for concurrent use.
+type members struct {
+	node  *Node
+	all   map[string]*member
+	shown atomic.Pointer[[]member]
+	news  chan heard
+}
+
+// heard says that another node was heard of.
+type heard struct {
+	name string
+	at   time.Time
+}
+
+func newMembers(n *Node) *members {
+	m := &members{node: n, all: make(map[string]*member), news: make(chan heard, changeQueue)}
+	m.shown.Store(&[]member{})
+	return m
+}
+
+// list returns the members.
+func (m *members) list() []member { return *m.shown.Load() }
+
+// count returns the number of nodes, this one included.
+func (m *members) count() int { return 1 + len(m.all) }
+
+// heard notes that a node was heard of. It never blocks.
+func (m *members) heard(name string, at time.Time) {
+	select {
+	case m.news <- heard{name, at}:
+	default:
+	}
+}
+
+func (m *members) prefix() string { return m.node.Decoder.OwnPrefix() + keyNodes }
+
+func (m *members) replace(items []store.Item, now time.Time) {
+	listed := make(map[string]bool)
+	for _, item := range items {
+		if name, ok := strings.CutPrefix(item.Key, m.prefix()); ok {
+			listed[name] = true
+		}
+		m.take(store.Event{Item: item}, now)
+	}
+	for name, other := range m.all {
+		if !listed[name] {
+			other.registered = false
+		}
+	}
+	m.node.elector.Saw(hasKey(items, m.node.elector.Key))
+	m.expire(now)
+}
+
+func hasKey(items []store.Item, key string) bool {
+	for _, i := range items {
+		if i.Key == key {
+			return true
+		}
+	}
+	return false
+}
+
+// take notes a change of one of the product's own keys.
+func (m *members) take(e store.Event, now time.Time) {
+	if e.Key == m.node.elector.Key {
+		m.node.elector.Saw(!e.Gone)
+		return
+	}
+	name, ok := strings.CutPrefix(e.Key, m.prefix())
+	if !ok || name == m.node.Settings.Name {
+		return
+	}
+	if e.Gone {
+		if other := m.all[name]; other != nil {
+			other.registered = false
+		}
+		m.expire(now)
+		return
+	}
+	addr, err := netip.ParseAddrPort(string(e.Value))
+	if err != nil {
+		return
+	}
+	other := m.all[name]
+	if other == nil {
+		other = &member{name: name}
+		m.all[name] = other
+		m.node.event(event.NodeJoined, zap.String("peer", name), zap.Stringer("address", addr))
+	}
+	other.addr, other.registered = addr, true
+	m.show()
+}
+
+// expire drops nodes that are neither registered nor heard of, and reports
+// whether there were any.
+func (m *members) expire(now time.Time) bool {
+	for more := true; more; {
+		select {
+		case h := <-m.news:
+			if other := m.all[h.name]; other != nil {
+				other.heardAt = h.at
+			}
+		default:
+			more = false
+		}
+	}
+	dropped := false
+	for name, other := range m.all {
+		if other.registered || now.Sub(other.heardAt) < heardFor {
+			continue
+		}
+		delete(m.all, name)
+		dropped = true
+		m.node.event(event.NodeGone, zap.String("peer", name))
+		m.node.admission.forget(name)
+	}
+	if dropped {
+		m.show()
+	}
+	return dropped
+}
+
+func (m *members) show() {
+	out := make([]member, 0, len(m.all))
+	for _, other := range m.all {
+		out = append(out, *other)
+	}
+	m.shown.Store(&out)
+}
--- /dev/null
+++ b/internal/front/serve.go
@@ -0,0 +1,86 @@
+package front
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/shelfcrank/shelfcrank/internal/event"
+)
+
+// Times of the doors.
+const (
+	headerTimeout  = 3 * time.Second
+	idleTimeout    = 15 * time.Second
+	headerBytes    = 16 << 10
+	firstConfig    = 1500 * time.Millisecond // clients wait in the queue for the first configuration
+	quietAfter     = 2500 * time.Millisecond // no new connections come so long after a node is not ready
+	drainShare     = 0.9                     // of the grace that requests may take to end
+	lookWhileDrain = 50 * time.Millisecond
+)
+
+// serveClients begins to serve clients, by the limits of the configuration.
+func (n *Node) serveClients(ctx context.Context, l net.Listener) *http.Server {
+	select {
+	case <-n.configAt:
+	case <-ctx.Done():
+	case <-time.After(firstConfig):
+	}
+	s := &http.Server{
+		Handler: n.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+		ErrorLog: zap.NewStdLog(zap.NewNop()),
+	}
+	if c := n.view.Load().Config; c != nil {
+		if c.Limits.HeaderTimeout > 0 {
+			s.ReadHeaderTimeout = c.Limits.HeaderTimeout
+		}
+		if c.Limits.IdleTimeout > 0 {
+			s.IdleTimeout = c.Limits.IdleTimeout
+		}
+		if c.Limits.HeaderBytes > 0 {
+			s.MaxHeaderBytes = c.Limits.HeaderBytes
+		}
+	}
+	go func() { _ = s.Serve(l) }()
+	return s
+}
+
+// drain finishes what clients have sent. The node is not ready from now on, and
+// answers close their connections; only when no new connections come is the
+// door closed.
+func (n *Node) drain(clients *http.Server) {
+	begun := time.Now()
+	end := begun.Add(time.Duration(drainShare * float64(n.Settings.Bounds.Grace())))
+	n.leaving.Store(true)
+	n.state.send(leave{})
+	n.event(event.Stopping, zap.Time("by", end))
+	time.Sleep(quietAfter)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	if err := clients.Shutdown(ctx); err != nil {
+		_ = clients.Close()
+	}
+}
+
+// serveReady tells the platform's entry whether this node takes connections.
+func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !n.ready(time.Now()) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// ready reports whether this node can serve as well as any: it knows a
+// configuration that was proved of late, and is not stopping.
+func (n *Node) ready(now time.Time) bool {
+	v := n.view.Load()
+	return !n.leaving.Load() && v.Config != nil && now.Sub(v.ProvedAt) < readyFor
+}
+
+func (n *Node) serveMetrics() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", n.metrics.Handler())
+	return mux
+}
--- /dev/null
+++ b/internal/front/share.go
@@ -0,0 +1,150 @@
+package front
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/shelfcrank/shelfcrank/internal/balance"
+	"github.com/shelfcrank/shelfcrank/internal/event"
+	"github.com/shelfcrank/shelfcrank/internal/fault"
+	"github.com/shelfcrank/shelfcrank/internal/peerpb"
+	"github.com/shelfcrank/shelfcrank/internal/usage"
+)
+
+// Times of the exchange of soft state.
+const (
+	shareLeast   = 200 * time.Millisecond
+	shareForNode = 25 * time.Millisecond // added for each node, so that a node's load stays the same as the fleet grows
+	shareTimeout = 600 * time.Millisecond
+)
+
+// shareState exchanges soft state with the other nodes. Of two nodes the one
+// with the lower name asks, and is answered in kind.
+func (n *Node) shareState(ctx context.Context) error {
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	var mu sync.Mutex
+	busy := make(map[string]bool) // guarded by mu
+	begin := func(name string) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		if busy[name] {
+			return false
+		}
+		busy[name] = true
+		return true
+	}
+	for {
+		others := n.state.members.list()
+		if !sleep(ctx, max(shareLeast, time.Duration(len(others))*shareForNode)) {
+			return ctx.Err()
+		}
+		if len(others) == 0 {
+			continue
+		}
+		mine := n.share()
+		for _, other := range others {
+			if n.Settings.Name > other.name || !begin(other.name) {
+				continue
+			}
+			wait.Go(func() {
+				n.exchange(ctx, other, mine)
+				mu.Lock()
+				delete(busy, other.name)
+				mu.Unlock()
+			})
+		}
+	}
+}
+
+func (n *Node) exchange(ctx context.Context, other member, mine *peerpb.Share) {
+	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
+	defer cancel()
+	a, err := n.peers.Call(ctx, other.addr, &peerpb.Call{Body: &peerpb.Call_Share{Share: mine}})
+	if err != nil {
+		return // the member's age says so
+	}
+	if s := a.GetShare(); s != nil {
+		n.heard(s)
+	}
+}
+
+// Handle implements peer.Handler.
+func (n *Node) Handle(_ context.Context, call *peerpb.Call, answer func(*peerpb.Answer) error) error {
+	s := call.GetShare()
+	if s == nil {
+		return fault.New(fault.StepPeer, call.From, fault.KindInput, fault.NotRun, "%T is not served here", call.Body)
+	}
+	n.heard(s)
+	return answer(&peerpb.Answer{Body: &peerpb.Answer_Share{Share: n.share()}})
+}
+
+// share is what this node tells the others.
+func (n *Node) share() *peerpb.Share {
+	s := &peerpb.Share{
+		Node: n.Settings.Name, Incarnation: n.incarnation(), ConfigVersion: n.version(),
+		Wall: n.clock.Own(time.Now()).UnixNano(), Leaving: n.leaving.Load(),
+	}
+	a := n.admission
+	a.mu.Lock()
+	tenants := make(map[string]*peerpb.TenantShare)
+	of := func(name string) *peerpb.TenantShare {
+		t := tenants[name]
+		if t == nil {
+			t = &peerpb.TenantShare{Name: name}
+			tenants[name] = t
+			s.Tenants = append(s.Tenants, t)
+		}
+		return t
+	}
+	for name, units := range a.quota.Admitted() {
+		of(name).Admitted = units
+	}
+	for w, counts := range a.usage.Own() {
+		for name, count := range counts {
+			t := of(name)
+			t.Windows = append(t.Windows, &peerpb.WindowCount{Window: w, Count: count})
+		}
+	}
+	a.mu.Unlock()
+	for id, use := range n.tracker.Uses() {
+		s.Servers = append(s.Servers, &peerpb.ServerShare{Id: id, Open: int64(use.Open), Prompt: int64(use.Prompt)})
+	}
+	return s
+}
+
+// heard takes what another node tells.
+func (n *Node) heard(s *peerpb.Share) {
+	now := time.Now()
+	n.state.members.heard(s.Node, now)
+	if c := n.clock.Heard(s.Node, time.Unix(0, s.Wall), now); c != 0 {
+		n.event(event.ClockCorrected, zap.Duration("by", c), zap.String("peer", s.Node))
+	}
+	admitted := make(map[string]float64, len(s.Tenants))
+	windows := make(map[int64]usage.Counts)
+	for _, t := range s.Tenants {
+		admitted[t.Name] = t.Admitted
+		for _, w := range t.Windows {
+			if windows[w.Window] == nil {
+				windows[w.Window] = make(usage.Counts)
+			}
+			windows[w.Window][t.Name] = w.Count
+		}
+	}
+	n.admission.mu.Lock()
+	n.admission.quota.Heard(s.Node, s.Incarnation, admitted, now)
+	n.admission.usage.Heard(s.Node, s.Incarnation, windows)
+	n.admission.mu.Unlock()
+	uses := make(map[string]balance.Use, len(s.Servers))
+	for _, server := range s.Servers {
+		uses[server.Id] = balance.Use{Open: int(server.Open), Prompt: int(server.Prompt)}
+	}
+	n.tracker.Heard(s.Node, uses, now)
+}
+
+// String names the node in logs.
+func (n *Node) String() string { return fmt.Sprintf("%s@%d", n.Settings.Name, n.incarnation()) }
--- /dev/null
+++ b/internal/front/state.go
@@ -0,0 +1,258 @@
+package front
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/shelfcrank/shelfcrank/internal/event"
+	"github.com/shelfcrank/shelfcrank/internal/forward"
+	"github.com/shelfcrank/shelfcrank/internal/policy"
+	"github.com/shelfcrank/shelfcrank/internal/registry"
+	"github.com/shelfcrank/shelfcrank/internal/store"
+)
+
+// change is something that the state's goroutine takes note of.
+type change interface{ change() }
+
+// configRead brings a configuration from a read or a watch. provedAt is when
+// the read was sent, zero for a watch.
+type configRead struct {
+	value    []byte
+	revision int64
+	provedAt time.Time
+}
+
+// listed brings all items of the store, watched the changes since.
+type (
+	listed struct {
+		items []store.Item
+		at    time.Time // when the listing was asked for
+	}
+	watched struct{ events []store.Event }
+)
+
+// storeCalled tells how a call of the store went.
+type storeCalled struct {
+	ok bool
+	at time.Time
+}
+
+// leave makes the node take leave.
+type leave struct{}
+
+func (configRead) change()  {}
+func (listed) change()      {}
+func (watched) change()     {}
+func (storeCalled) change() {}
+func (leave) change()       {}
+
+const (
+	changeQueue = 256
+	stateTick   = 100 * time.Millisecond
+	// troubleFor is how long after a failed call the store counts as troubled:
+	// entries that lapsed meanwhile take so long to be written again.
+	troubleFor = 3 * time.Second
+)
+
+// state is what a node believes. It belongs to the goroutine that runs Serve.
+type state struct {
+	node     *Node
+	changes  chan change
+	registry *registry.Registry
+	members  *members
+
+	config     *policy.Config
+	revision   int64 // of the configuration's item
+	provedAt   time.Time
+	stale      bool // a stale configuration was told of
+	troubleAt  time.Time
+	storeDown  bool
+	leaving    bool
+	publishDue bool
+}
+
+func newState(n *Node) *state {
+	return &state{node: n, changes: make(chan change, changeQueue), registry: registry.New(), members: newMembers(n)}
+}
+
+func (s *state) send(c change) { s.changes <- c }
+
+// Serve runs the goroutine until ctx ends. It is a suture service.
+func (s *state) Serve(ctx context.Context) error {
+	t := time.NewTicker(stateTick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case c := <-s.changes:
+			s.apply(c, time.Now())
+		case <-t.C:
+			s.tick(time.Now())
+		}
+		if s.publishDue {
+			s.publish()
+		}
+	}
+}
+
+func (s *state) apply(c change, now time.Time) {
+	switch c := c.(type) {
+	case configRead:
+		s.takeConfig(c)
+	case listed:
+		s.takeListing(c, now)
+	case watched:
+		for _, e := range c.events {
+			s.takeEvent(e, now)
+		}
+	case storeCalled:
+		s.takeCall(c)
+	case leave:
+		s.leaving, s.publishDue = true, true
+	}
+}
+
+// takeConfig puts a newer configuration in force, and notes the proof of the
+// one in force. It never goes back.
+func (s *state) takeConfig(c configRead) {
+	if c.revision > s.revision {
+		next, err := s.node.Decoder.Config(c.value)
+		if err != nil {
+			s.node.event(event.ConfigRejected, zap.Int64("revision", c.revision), zap.Error(err))
+			return // what it takes away is not known: the one in force is not proved
+		}
+		s.revision = c.revision
+		if s.config == nil || next.Version > s.config.Version {
+			first := s.config == nil
+			s.config, s.publishDue = next, true
+			s.node.event(event.ConfigInForce, zap.Int64("version", next.Version), zap.Int64("revision", c.revision), zap.Bool("by_watch", c.provedAt.IsZero()))
+			if first {
+				close(s.node.configAt)
+			}
+		}
+	}
+	if c.revision == s.revision && c.provedAt.After(s.provedAt) {
+		s.provedAt, s.publishDue = c.provedAt, true
+		if s.stale {
+			s.stale = false
+			s.node.event(event.ConfigProved, zap.Int64("version", s.config.Version))
+		}
+	}
+}
+
+// troubled reports whether the store is or just was not to be relied on.
+func (s *state) troubled(now time.Time) bool {
+	return s.storeDown || !s.troubleAt.IsZero() && now.Sub(s.troubleAt) < troubleFor
+}
+
+func (s *state) takeCall(c storeCalled) {
+	if c.ok == !s.storeDown {
+		if !c.ok {
+			s.troubleAt = c.at
+		}
+		return
+	}
+	s.storeDown = !c.ok
+	if c.ok {
+		s.node.event(event.StoreBack)
+		return
+	}
+	s.troubleAt = c.at
+	s.node.event(event.StoreDown)
+}
+
+func (s *state) takeListing(l listed, now time.Time) {
+	var servers []registry.Server
+	for _, item := range l.items {
+		id, ok := s.node.Decoder.ServerID(item.Key)
+		if !ok {
+			continue
+		}
+		if server, ok := s.decode(id, item, now); ok {
+			servers = append(servers, server)
+		}
+	}
+	s.tell(s.registry.Replace(servers, s.troubled(now), now))
+	s.members.replace(l.items, now)
+	s.publishDue = true
+}
+
+// decode reads a server's entry. One that can't be read leaves what is known.
+func (s *state) decode(id string, item store.Item, now time.Time) (registry.Server, bool) {
+	server, err := s.node.Decoder.Server(id, item.Value, now)
+	if err == nil {
+		return server, true
+	}
+	s.node.event(event.ServerOdd, zap.String("server", id), zap.Error(err))
+	return s.registry.Find(id)
+}
+
+func (s *state) takeEvent(e store.Event, now time.Time) {
+	if e.Key == s.node.Decoder.ConfigKey() {
+		if !e.Gone {
+			s.takeConfig(configRead{value: e.Value, revision: e.Revision})
+		}
+		return
+	}
+	if id, ok := s.node.Decoder.ServerID(e.Key); ok {
+		s.takeServer(id, e, now)
+		return
+	}
+	s.members.take(e, now)
+	s.publishDue = true
+}
+
+func (s *state) takeServer(id string, e store.Event, now time.Time) {
+	s.publishDue = true
+	if e.Gone {
+		server, _ := s.registry.Find(id)
+		s.tell([]registry.Event{{Change: s.registry.Remove(id, s.troubled(now), now), Server: server}})
+		return
+	}
+	if server, ok := s.decode(id, e.Item, now); ok {
+		s.tell([]registry.Event{{Change: s.registry.Put(server, now), Server: server}})
+	}
+}
+
+var serverEvents = map[registry.Change]event.Code{
+	registry.Joined: event.ServerJoined, registry.Left: event.ServerLeaving,
+	registry.Gone: event.ServerGone, registry.Absent: event.ServerAbsent,
+}
+
+func (s *state) tell(changed []registry.Event) {
+	for _, c := range changed {
+		if code, ok := serverEvents[c.Change]; ok {
+			s.node.event(code, zap.String("server", c.Server.ID), zap.String("service", c.Server.Service), zap.String("zone", c.Server.Zone), zap.Bool("spot", c.Server.Spot))
+			s.publishDue = true
+		}
+	}
+}
+
+func (s *state) tick(now time.Time) {
+	s.tell(s.registry.Expire(s.storeDown, now))
+	if s.config != nil && !s.stale && now.Sub(s.provedAt) > s.node.handler.KeysFor {
+		s.stale = true
+		s.node.event(event.ConfigStale, zap.Int64("version", s.config.Version), zap.Duration("age", now.Sub(s.provedAt)))
+	}
+	if s.members.expire(now) {
+		s.publishDue = true
+	}
+	s.node.admission.tick(now)
+}
+
+func (s *state) publish() {
+	s.publishDue = false
+	v := &forward.View{
+		Config: s.config, ProvedAt: s.provedAt, Nodes: s.members.count(), Leaving: s.leaving,
+		Servers: make(map[string][]registry.Server),
+	}
+	for _, server := range s.registry.List() {
+		if !server.Leaving {
+			v.Servers[server.Service] = append(v.Servers[server.Service], server)
+		}
+	}
+	s.node.view.Store(v)
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -23,6 +23,7 @@
 	service    metric.Float64Histogram
 	events     metric.Int64Counter
 	resumes    metric.Int64Counter
+	forwarded  metric.Float64Histogram
 }
 
 // Gauges are read when the metrics are exported.
@@ -44,12 +45,13 @@
 	}
 	meter := sdk.NewMeterProvider(sdk.WithReader(exp)).Meter("shelfcrank")
 	m := &Metrics{handler: promhttp.HandlerFor(reg, promhttp.HandlerOpts{})}
-	var errs [5]error
+	var errs [6]error
 	m.requests, errs[0] = meter.Int64Counter("shelfcrank_requests", metric.WithDescription("Requests ended, by class and outcome."))
 	m.firstToken, errs[1] = meter.Float64Histogram("shelfcrank_first_token", metric.WithUnit("ms"), metric.WithExplicitBucketBoundaries(bucketsMs...))
 	m.service, errs[2] = meter.Float64Histogram("shelfcrank_service", metric.WithUnit("ms"), metric.WithExplicitBucketBoundaries(bucketsMs...))
 	m.events, errs[3] = meter.Int64Counter("shelfcrank_events", metric.WithDescription("Numbered events, by number."))
 	m.resumes, errs[4] = meter.Int64Counter("shelfcrank_resumes", metric.WithDescription("Streams that went on at another endpoint, by cause."))
+	m.forwarded, errs[5] = meter.Float64Histogram("shelfcrank_forwarded", metric.WithUnit("ms"), metric.WithDescription("Time to the end of forwarded requests, by route and status."), metric.WithExplicitBucketBoundaries(bucketsMs...))
 	for _, err := range errs {
 		if err != nil {
 			return nil, err
@@ -99,6 +101,11 @@
 	m.events.Add(context.Background(), 1, metric.WithAttributes(attribute.Int("event", code)))
 }
 
+// Forwarded notes the end of a forwarded request; status is 0 when none was sent.
+func (m *Metrics) Forwarded(route string, status int, took time.Duration) {
+	m.forwarded.Record(context.Background(), inMs(took), metric.WithAttributes(attribute.String("route", route), attribute.Int("status", status)))
+}
+
 // Resume counts a stream that went on at another endpoint.
 func (m *Metrics) Resume(cause string) {
 	m.resumes.Add(context.Background(), 1, metric.WithAttributes(attribute.String("cause", cause)))
--- a/internal/netx/netx.go
+++ b/internal/netx/netx.go
@@ -6,9 +6,11 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/netip"
+	"syscall"
 	"time"
 )
 
@@ -23,9 +25,16 @@
 
 const (
 	dialTimeout = 1500 * time.Millisecond
-	keepAlive   = 5 * time.Second
+	// unackedTimeout is how long sent bytes may stay without an acknowledgement:
+	// a peer behind a cut or without power says nothing.
+	unackedTimeout = 2 * time.Second
+	probeEvery     = time.Second
+	probes         = 2
 )
 
+// keepAlive finds a silent peer on a connection that only reads.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: probeEvery, Interval: probeEvery, Count: probes}
+
 // Listen implements Network.
 func (TCP) Listen(addr netip.AddrPort) (net.Listener, error) {
 	return net.Listen("tcp", addr.String())
@@ -33,10 +42,20 @@
 
 // Dial implements Network.
 func (TCP) Dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
+	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: limitUnacked}
 	return d.DialContext(ctx, "tcp", addr.String())
 }
 
+// limitUnacked bounds how long a connection waits for acknowledgements.
+func limitUnacked(_, _ string, raw syscall.RawConn) error {
+	const tcpUserTimeout = 0x12 // not named by package syscall
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTimeout.Milliseconds()))
+	})
+	return errors.Join(err, failed)
+}
+
 const (
 	idlePerHost = 256
 	idleTimeout = 30 * time.Second
--- /dev/null
+++ b/internal/settings/front.go
@@ -0,0 +1,78 @@
+package settings
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Front places one node that stands between clients and servers.
+type Front struct {
+	Name     string         `toml:"name" help:"Name of the node, unique among the nodes."`
+	Zone     string         `toml:"zone" help:"Zone the node runs in."`
+	Region   string         `toml:"region" help:"Region of the zone."`
+	Front    netip.AddrPort `toml:"front_address" help:"Address clients reach the node at."`
+	Ready    netip.AddrPort `toml:"ready_address" help:"Address at which the node says whether it takes connections."`
+	Peer     netip.AddrPort `toml:"peer_address" help:"Address the other nodes reach it at."`
+	Metrics  netip.AddrPort `toml:"metrics_address" help:"Address that serves /metrics."`
+	Store    netip.AddrPort `toml:"store_address" help:"Address of the platform's metadata store."`
+	Cloud    netip.AddrPort `toml:"cloud_address" help:"Address of the platform's calls for the one node that acts for all; empty where there are none."`
+	MemoryMB int            `toml:"memory_mb" help:"Memory that the process may take, in MB; 0 is no limit."`
+	Bounds   Bounds         `toml:"bounds" help:"What the deployment asks to be kept to."`
+}
+
+// Bounds are what the deployment asks to be kept to. Times become deadlines as
+// soon as what they bound begins.
+type Bounds struct {
+	RevokeMs     int     `toml:"revoke_ms" help:"Time after which a key that was taken away must not work any more."`
+	GraceS       float64 `toml:"grace_s" help:"Time from the signal to stop to the end of the process."`
+	RetryRatio   float64 `toml:"retry_ratio" help:"Second tries allowed for each request."`
+	RetrySlack   int     `toml:"retry_slack" help:"Second tries allowed beside, in each window."`
+	RetryWindowS float64 `toml:"retry_window_s" help:"Window of the slack."`
+	LeaseMs      int     `toml:"lease_ms" help:"Lease of the node that acts for all."`
+	UsageWindowS float64 `toml:"usage_window_s" help:"Window that usage is reported for."`
+	UsageLateS   float64 `toml:"usage_late_s" help:"Time after the end of a window at which its report is due."`
+}
+
+// Revoke returns the time after which a key taken away must not work.
+func (b Bounds) Revoke() time.Duration { return time.Duration(b.RevokeMs) * time.Millisecond }
+
+// Grace returns the time that a stopping process has.
+func (b Bounds) Grace() time.Duration { return inSeconds(b.GraceS) }
+
+// RetryWindow returns the window of second tries.
+func (b Bounds) RetryWindow() time.Duration { return inSeconds(b.RetryWindowS) }
+
+// Lease returns the lease of the node that acts for all.
+func (b Bounds) Lease() time.Duration { return time.Duration(b.LeaseMs) * time.Millisecond }
+
+// UsageWindow returns the window that usage is reported for.
+func (b Bounds) UsageWindow() time.Duration { return inSeconds(b.UsageWindowS) }
+
+func inSeconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// LoadFront reads and checks the settings of a node.
+func LoadFront(file string) (Front, error) {
+	var s Front
+	err := read(file, &s, func(lines map[string]int) []Fault { return s.check(lines) })
+	return s, err
+}
+
+func (s *Front) check(lines map[string]int) []Fault {
+	c := checker{lines: lines}
+	c.need("name", s.Name != "")
+	c.need("zone", s.Zone != "")
+	c.need("front_address", s.Front.IsValid())
+	c.need("ready_address", s.Ready.IsValid())
+	c.need("peer_address", s.Peer.IsValid())
+	c.need("metrics_address", s.Metrics.IsValid())
+	c.need("store_address", s.Store.IsValid())
+	c.positive("bounds.revoke_ms", float64(s.Bounds.RevokeMs))
+	c.positive("bounds.grace_s", s.Bounds.GraceS)
+	c.positive("bounds.lease_ms", float64(s.Bounds.LeaseMs))
+	c.positive("bounds.usage_window_s", s.Bounds.UsageWindowS)
+	c.positive("bounds.retry_window_s", s.Bounds.RetryWindowS)
+	c.apart(map[string]netip.AddrPort{
+		"front_address": s.Front, "ready_address": s.Ready, "peer_address": s.Peer, "metrics_address": s.Metrics,
+	})
+	return c.faults
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,13 +8,16 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"net/netip"
 	"os"
 	"reflect"
+	"slices"
 	"strings"
 
 	"github.com/pelletier/go-toml/v2"
 	"github.com/pelletier/go-toml/v2/unstable"
+	"github.com/samber/lo"
 )
 
 // Serve places one entry instance.
@@ -67,20 +70,37 @@
 // LoadServe reads and checks the settings of an entry instance.
 func LoadServe(file string) (Serve, error) {
 	var s Serve
+	err := read(file, &s, func(lines map[string]int) []Fault { return s.check(lines) })
+	return s, err
+}
+
+// read reads a file into the struct that s points to.
+func read(file string, s any, check func(lines map[string]int) []Fault) error {
 	b, err := os.ReadFile(file)
 	if err != nil {
-		return s, &FaultsError{File: file, Faults: []Fault{{0, "file", err.Error()}}}
+		return &FaultsError{File: file, Faults: []Fault{{0, "file", err.Error()}}}
 	}
-	faults := parse(b, &s)
-	faults = append(faults, s.check(keyLines(b))...)
+	faults := append(parse(b, s), check(keyLines(b))...)
+	faults = lo.UniqBy(faults, func(f Fault) string { return f.Key }) // the first says why
 	if len(faults) > 0 {
-		return s, &FaultsError{File: file, Faults: faults}
+		return &FaultsError{File: file, Faults: faults}
+	}
+	return nil
+}
+
+// IsFront reports whether a file holds the settings of a node that stands
+// between clients and servers, by the keys that only these have.
+func IsFront(file string) bool {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return false
 	}
-	return s, nil
+	_, ok := keyLines(b)["front_address"]
+	return ok
 }
 
 // parse decodes key by key, so that one wrong value does not hide the next.
-func parse(b []byte, s *Serve) []Fault {
+func parse(b []byte, s any) []Fault {
 	lines := keyLines(b)
 	var tree map[string]any
 	if err := toml.Unmarshal(b, &tree); err != nil {
@@ -131,11 +151,29 @@
 			return wrong("true or false")
 		}
 		field.SetBool(b)
+	case int:
+		i, ok := value.(int64)
+		if !ok {
+			return wrong("a whole number")
+		}
+		field.SetInt(i)
+	case float64:
+		switch f := value.(type) {
+		case float64:
+			field.SetFloat(f)
+		case int64:
+			field.SetFloat(float64(f))
+		default:
+			return wrong("a number")
+		}
 	case netip.AddrPort:
 		s, ok := value.(string)
 		if !ok {
 			return wrong(`an address as "IP:PORT"`)
 		}
+		if s == "" {
+			return nil // not given
+		}
 		a, err := netip.ParseAddrPort(s)
 		if err != nil {
 			return wrong(`an address as "IP:PORT"`)
@@ -152,22 +190,58 @@
 }
 
 func (s *Serve) check(lines map[string]int) []Fault {
-	var faults []Fault
-	need := func(key string, ok bool) {
-		if _, given := lines[key]; !ok && !given {
-			faults = append(faults, Fault{0, key, "missing"})
-		}
+	c := checker{lines: lines}
+	c.need("name", s.Name != "")
+	c.need("hall", s.Hall != "")
+	c.need("caller_address", s.Caller.IsValid())
+	c.need("peer_address", s.Peer.IsValid())
+	c.need("store_address", s.Store.IsValid())
+	c.need("list_address", s.List.IsValid())
+	c.apart(map[string]netip.AddrPort{"caller_address": s.Caller, "peer_address": s.Peer})
+	return append(c.faults, s.checkTLS(lines)...)
+}
+
+// checker collects what is wrong with settings.
+type checker struct {
+	lines  map[string]int // of the keys that are given
+	faults []Fault
+}
+
+// need reports a key that is missing, or given but empty. A value that could
+// not be read was reported before.
+func (c *checker) need(key string, ok bool) {
+	if ok {
+		return
 	}
-	need("name", s.Name != "")
-	need("hall", s.Hall != "")
-	need("caller_address", s.Caller.IsValid())
-	need("peer_address", s.Peer.IsValid())
-	need("store_address", s.Store.IsValid())
-	need("list_address", s.List.IsValid())
-	if s.Caller.IsValid() && s.Caller == s.Peer {
-		faults = append(faults, Fault{lines["peer_address"], "peer_address", "clashes with caller_address " + s.Caller.String()})
+	line, given := c.lines[key]
+	reason := "missing"
+	if given {
+		reason = "empty or not readable"
+	}
+	c.faults = append(c.faults, Fault{line, key, reason})
+}
+
+// positive reports a number that is not above 0.
+func (c *checker) positive(key string, value float64) {
+	if value > 0 {
+		return
+	}
+	c.faults = append(c.faults, Fault{c.lines[key], key, "missing, or not above 0"})
+}
+
+// apart reports addresses that are used twice.
+func (c *checker) apart(addrs map[string]netip.AddrPort) {
+	seen := make(map[netip.AddrPort]string)
+	for _, key := range slices.Sorted(maps.Keys(addrs)) {
+		addr := addrs[key]
+		if !addr.IsValid() {
+			continue
+		}
+		if other, twice := seen[addr]; twice {
+			c.faults = append(c.faults, Fault{c.lines[key], key, "clashes with " + other + " " + addr.String()})
+		}
+		seen[addr] = key
 	}
-	return append(faults, s.checkTLS(lines)...)
 }
 
 func (s *Serve) checkTLS(lines map[string]int) []Fault {
--- /dev/null
+++ b/internal/usage/usage.go
@@ -0,0 +1,104 @@
+// Package usage counts, by tenant and window of the wall clock, the requests
+// that servers began to run, over all nodes.
+//
+// The package is pure; a Counter belongs to one goroutine at a time.
+package usage
+
+import (
+	"maps"
+	"time"
+)
+
+// Counts holds a number of requests by tenant.
+type Counts map[string]int64
+
+// keepWindows is how many windows are remembered.
+const keepWindows = 8
+
+// WindowOf returns the number of the window that a time is in.
+func WindowOf(at time.Time, window time.Duration) int64 {
+	n := at.UnixNano()
+	w := int64(window)
+	if n < 0 {
+		n -= w - 1
+	}
+	return n / w
+}
+
+// End returns when a window ends.
+func End(number int64, window time.Duration) time.Time {
+	return time.Unix(0, (number+1)*int64(window))
+}
+
+type source struct {
+	node        string
+	incarnation int64
+}
+
+// Counter holds the counts of this node and what it heard of the others'.
+type Counter struct {
+	own   map[int64]Counts
+	heard map[int64]map[source]Counts
+}
+
+// New returns an empty counter.
+func New() *Counter {
+	return &Counter{own: make(map[int64]Counts), heard: make(map[int64]map[source]Counts)}
+}
+
+// Add counts requests of a tenant in a window; n is negative for one that
+// turned out not to have run.
+func (c *Counter) Add(window int64, tenant string, n int64) {
+	w := c.own[window]
+	if w == nil {
+		w = make(Counts)
+		c.own[window] = w
+	}
+	w[tenant] += n
+}
+
+// Own returns this node's counts by window.
+func (c *Counter) Own() map[int64]Counts {
+	out := make(map[int64]Counts, len(c.own))
+	for w, counts := range c.own {
+		out[w] = maps.Clone(counts)
+	}
+	return out
+}
+
+// Heard replaces what one incarnation of another node counted. What an earlier
+// incarnation counted stays.
+func (c *Counter) Heard(node string, incarnation int64, counts map[int64]Counts) {
+	for w, of := range counts {
+		all := c.heard[w]
+		if all == nil {
+			all = make(map[source]Counts)
+			c.heard[w] = all
+		}
+		all[source{node, incarnation}] = of
+	}
+}
+
+// Sum returns the counts of a window over all nodes. Each of the tenants named
+// stands in it, with 0 if nothing was counted.
+func (c *Counter) Sum(window int64, tenants []string) Counts {
+	out := make(Counts)
+	for _, t := range tenants {
+		out[t] = 0
+	}
+	for tenant, n := range c.own[window] {
+		out[tenant] += n
+	}
+	for _, counts := range c.heard[window] {
+		for tenant, n := range counts {
+			out[tenant] += n
+		}
+	}
+	return out
+}
+
+// Expire forgets the windows long before current.
+func (c *Counter) Expire(current int64) {
+	maps.DeleteFunc(c.own, func(w int64, _ Counts) bool { return w < current-keepWindows })
+	maps.DeleteFunc(c.heard, func(w int64, _ map[source]Counts) bool { return w < current-keepWindows })
+}
