Quota: a restarted node's buckets begin empty and are taken over from its peers

Change: buckets begin empty; a node that has not heard of all registered nodes fills only its part; levels are taken over from nodes that run for some seconds; what a silent node was assumed to use is settled when it is back. Test: three kills of all nodes within one window failed before (TestAllNodesKilledAgainAndAgain).

--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -80,10 +80,12 @@
 	a.usage.Add(w, tenant, count)
 }
 
-func (a *admission) tick(now time.Time) {
+// tick lets time pass; nodes is how many run.
+func (a *admission) tick(nodes int, now time.Time) {
 	w := usage.WindowOf(a.node.clock.At(now), a.node.Settings.Bounds.UsageWindow())
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.quota.SetNodes(nodes)
 	a.quota.Tick(now)
 	a.usage.Expire(w)
 }
--- a/internal/front/share.go
+++ b/internal/front/share.go
@@ -12,6 +12,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/event"
 	"github.com/shelfcrank/shelfcrank/internal/fault"
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
+	"github.com/shelfcrank/shelfcrank/internal/quota"
 	"github.com/shelfcrank/shelfcrank/internal/usage"
 )
 
@@ -104,6 +105,9 @@
 	for name, units := range a.quota.Admitted() {
 		of(name).Admitted = units
 	}
+	for name, level := range a.quota.Levels() {
+		of(name).Level = level
+	}
 	for w, counts := range a.usage.Own() {
 		for name, count := range counts {
 			t := of(name)
@@ -124,10 +128,13 @@
 	if c := n.clock.Heard(s.Node, time.Unix(0, s.Wall), now); c != 0 {
 		n.event(event.ClockCorrected, zap.Duration("by", c), zap.String("peer", s.Node))
 	}
-	admitted := make(map[string]float64, len(s.Tenants))
+	news := quota.News{
+		Node: s.Node, Incarnation: s.Incarnation, Seasoned: time.Duration(s.Wall-s.Incarnation) > quota.Season,
+		Admitted: make(map[string]float64, len(s.Tenants)), Levels: make(map[string]float64, len(s.Tenants)),
+	}
 	windows := make(map[int64]usage.Counts)
 	for _, t := range s.Tenants {
-		admitted[t.Name] = t.Admitted
+		news.Admitted[t.Name], news.Levels[t.Name] = t.Admitted, t.Level
 		for _, w := range t.Windows {
 			if windows[w.Window] == nil {
 				windows[w.Window] = make(usage.Counts)
@@ -136,7 +143,7 @@
 		}
 	}
 	n.admission.mu.Lock()
-	n.admission.quota.Heard(s.Node, s.Incarnation, admitted, now)
+	n.admission.quota.Heard(news, now)
 	n.admission.usage.Heard(s.Node, s.Incarnation, windows)
 	n.admission.mu.Unlock()
 	uses := make(map[string]balance.Use, len(s.Servers))
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -240,7 +240,7 @@
 	if s.members.expire(now) {
 		s.publishDue = true
 	}
-	s.node.admission.tick(now)
+	s.node.admission.tick(s.members.count(), now)
 }
 
 func (s *state) publish() {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -26,27 +26,36 @@
 }
 
 const (
-	newsDue     = 600 * time.Millisecond // a node is heard of more often than this
-	assumeMost  = 10 * time.Second       // how long a silent node is assumed to go on
-	rateWeight  = 0.3
-	leastRetry  = 50 * time.Millisecond
-	firstFilled = 0.6 // of the burst, at the start of a node
+	newsDue    = 600 * time.Millisecond // a node is heard of more often than this
+	assumeMost = 10 * time.Second       // how long a silent node is assumed to go on
+	rateWeight = 0.3
+	leastRetry = 50 * time.Millisecond
 )
 
+// Season is how long after its start a node knows the levels well.
+const Season = 3 * time.Second
+
+// News is what a node tells of itself.
+type News struct {
+	Node        string
+	Incarnation int64              // a restarted node has a higher one
+	Admitted    map[string]float64 // units by tenant since it started
+	Levels      map[string]float64 // of its buckets
+	Seasoned    bool               // it has run for a Season
+}
+
 type bucket struct {
-	level float64
-	at    time.Time
-	limit Limit
+	level   float64
+	at      time.Time
+	adopted bool // the level was taken over from a node that knows it well
 }
 
 // fill brings the level up to now.
 func (b *bucket) fill(limit Limit, now time.Time) {
-	if b.at.IsZero() {
-		b.level = limit.Burst * firstFilled
-	} else {
+	if !b.at.IsZero() {
 		b.level = min(limit.Burst, b.level+limit.Rate*now.Sub(b.at).Seconds())
 	}
-	b.at, b.limit = now, limit
+	b.at = now
 }
 
 type account struct {
@@ -71,7 +80,9 @@
 type Limiter struct {
 	tenants map[string]*account
 	nodes   map[string]*node
+	count   int // of nodes that run, as far as is known
 	ticked  time.Time
+	since   time.Time // first news of a node that knows the levels well
 }
 
 // New returns an empty limiter.
@@ -95,7 +106,7 @@
 		a.admitted += units
 		return Verdict{OK: true}
 	}
-	a.bucket.fill(limit, now)
+	a.bucket.fill(limit.part(l.known()), now)
 	need := min(units, limit.Burst)
 	if a.bucket.level < need {
 		wait := time.Duration((need - a.bucket.level) / limit.Rate * float64(time.Second))
@@ -106,6 +117,19 @@
 	return Verdict{OK: true, Level: a.bucket.level}
 }
 
+// part returns the part of a limit that may be used by nodes that know of each
+// other.
+func (l Limit) part(share float64) Limit { return Limit{l.Rate * share, l.Burst} }
+
+// SetNodes tells how many nodes run, this one included.
+func (l *Limiter) SetNodes(count int) { l.count = count }
+
+// known is the share of the nodes that this one is or has heard of. The others
+// admit their part unseen: after all were started anew, each knows only itself.
+func (l *Limiter) known() float64 {
+	return min(1, float64(1+len(l.nodes))/float64(max(1, l.count)))
+}
+
 // Return gives back the units of a request that did not run.
 func (l *Limiter) Return(tenant string, units float64) {
 	a := l.tenant(tenant)
@@ -122,20 +146,31 @@
 	return out
 }
 
-// Heard takes what another node admitted since it started.
-func (l *Limiter) Heard(name string, incarnation int64, admitted map[string]float64, now time.Time) {
-	n := l.nodes[name]
-	first := n == nil
-	if first || n.incarnation != incarnation {
-		n = &node{incarnation: incarnation, tenants: make(map[string]*far)}
-		l.nodes[name] = n
+// Levels returns the levels of the buckets, for a node that has just started.
+func (l *Limiter) Levels() map[string]float64 {
+	out := make(map[string]float64, len(l.tenants))
+	for name, a := range l.tenants {
+		out[name] = a.bucket.level
+	}
+	return out
+}
+
+// Heard takes the news of another node.
+func (l *Limiter) Heard(news News, now time.Time) {
+	n, known := l.nodes[news.Node]
+	if known && n.incarnation != news.Incarnation {
+		l.Forget(news.Node) // settles what it was assumed to admit while it was down
+	}
+	if !known || n.incarnation != news.Incarnation {
+		n = &node{incarnation: news.Incarnation, tenants: make(map[string]*far)}
+		l.nodes[news.Node] = n
 	}
 	since := now.Sub(n.heardAt).Seconds()
-	for tenant, total := range admitted {
+	for tenant, total := range news.Admitted {
 		f := n.tenants[tenant]
 		if f == nil {
 			f = &far{}
-			if first {
+			if !known {
 				f.admitted = total // from before this node listened
 			}
 			n.tenants[tenant] = f
@@ -148,9 +183,33 @@
 		l.tenant(tenant).bucket.level -= delta - f.assumed
 		f.assumed = 0
 	}
+	if news.Seasoned {
+		l.adopt(news.Levels, now)
+	}
 	n.heardAt = now
 }
 
+// adopt takes over levels that this node cannot know yet.
+func (l *Limiter) adopt(levels map[string]float64, now time.Time) {
+	if l.since.IsZero() {
+		l.since = now
+	}
+	if now.Sub(l.since) > Season {
+		return
+	}
+	for tenant, level := range levels {
+		b := &l.tenant(tenant).bucket
+		if b.adopted {
+			continue
+		}
+		b.adopted = true
+		if b.at.IsZero() {
+			b.at = now
+		}
+		b.level = level
+	}
+}
+
 // Tick takes off what silent nodes are assumed to admit. It is called some
 // times a second.
 func (l *Limiter) Tick(now time.Time) {
--- /dev/null
+++ b/internal/quota/quota_test.go
@@ -0,0 +1,175 @@
+package quota
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// The terms of the deployments that the users run: what is allowed in a window.
+const (
+	testWindow = 8 * time.Second
+	testOver   = 0.1
+	testSlack  = 140_000
+	testStep   = 20 * time.Millisecond
+	testNews   = 200 * time.Millisecond
+)
+
+// fleet plays nodes that admit one tenant's requests.
+type fleet struct {
+	limit    Limit
+	nodes    []*Limiter
+	started  []time.Time
+	back     []time.Time // when a killed node is back
+	now      time.Time
+	rnd      *rand.Rand
+	admitted []float64 // by step
+}
+
+func newFleet(n int, limit Limit, seed uint64) *fleet {
+	f := &fleet{limit: limit, now: time.Unix(1000, 0), rnd: rand.New(rand.NewPCG(seed, 1))}
+	for range n {
+		f.nodes = append(f.nodes, New())
+		f.started = append(f.started, f.now)
+		f.back = append(f.back, f.now)
+	}
+	return f
+}
+
+func (f *fleet) kill(i int, down time.Duration) {
+	f.nodes[i] = nil
+	f.back[i] = f.now.Add(down)
+}
+
+// step plays a moment in which so many units a second are asked for.
+func (f *fleet) step(demand float64) {
+	f.now = f.now.Add(testStep)
+	sum := 0.0
+	for asked := demand * testStep.Seconds(); asked > 0; {
+		units := 500 + f.rnd.Float64()*11_500
+		asked -= units
+		if asked < 0 && f.rnd.Float64() > (asked+units)/units {
+			break
+		}
+		l := f.nodes[f.rnd.IntN(len(f.nodes))]
+		if l != nil && l.Admit("t", f.limit, units, f.now).OK {
+			sum += units
+		}
+	}
+	f.admitted = append(f.admitted, sum)
+	for i := range f.nodes {
+		if f.nodes[i] == nil && !f.now.Before(f.back[i]) {
+			f.nodes[i], f.started[i] = New(), f.now
+			f.nodes[i].SetNodes(len(f.nodes))
+		}
+	}
+	if f.now.Sub(time.Unix(1000, 0))%testNews == 0 {
+		f.exchange()
+	}
+}
+
+func (f *fleet) exchange() {
+	for i, from := range f.nodes {
+		for j, to := range f.nodes {
+			if i == j || from == nil || to == nil {
+				continue
+			}
+			to.Heard(News{
+				Node: string(rune('a' + i)), Incarnation: f.started[i].UnixNano(), Admitted: from.Admitted(),
+				Levels: from.Levels(), Seasoned: f.now.Sub(f.started[i]) > Season,
+			}, f.now)
+		}
+	}
+	for _, l := range f.nodes {
+		if l != nil {
+			l.SetNodes(len(f.nodes))
+			l.Tick(f.now)
+		}
+	}
+}
+
+// worst returns the most that was admitted in a window.
+func (f *fleet) worst() float64 {
+	n := int(testWindow / testStep)
+	sum, most := 0.0, 0.0
+	for i, units := range f.admitted {
+		sum += units
+		if i >= n {
+			sum -= f.admitted[i-n]
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+func (f *fleet) allowed() float64 {
+	return (f.limit.Rate*testWindow.Seconds()+f.limit.Burst)*(1+testOver) + testSlack
+}
+
+// Three kills of all nodes within one window, while a tenant asks for many times
+// its limit: what was admitted before is forgotten, and yet counts.
+func TestAllNodesKilledAgainAndAgain(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(20) {
+		f := newFleet(8, Limit{Rate: 80_000, Burst: 90_000}, seed)
+		for at := range 1000 {
+			if at == 450 || at == 600 || at == 750 {
+				for i := range f.nodes {
+					f.kill(i, time.Second)
+				}
+			}
+			f.step(12 * f.limit.Rate)
+		}
+		is.True(f.worst() <= f.allowed()) // no window above the limit
+	}
+}
+
+func TestRandomKillsKeepTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 12).Draw(t, "nodes")
+		rate := rapid.Float64Range(50_000, 400_000).Draw(t, "rate")
+		f := newFleet(n, Limit{Rate: rate, Burst: 1.15 * rate}, rapid.Uint64().Draw(t, "seed"))
+		kills := rapid.SliceOfN(rapid.IntRange(200, 900), 0, 12).Draw(t, "kills")
+		share := rapid.Float64Range(0.1, 1).Draw(t, "share")
+		for at := range 1000 {
+			for _, k := range kills {
+				if k != at {
+					continue
+				}
+				for i := range f.nodes {
+					if f.rnd.Float64() < share {
+						f.kill(i, time.Second)
+					}
+				}
+			}
+			f.step(4 * rate)
+		}
+		if got := f.worst(); got > f.allowed() {
+			t.Fatalf("%.0f units in a window, allowed %.0f", got, f.allowed())
+		}
+	})
+}
+
+// What is below the limit is admitted, also after a node was started anew.
+func TestNothingRefusedBelowTheLimit(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(8, Limit{Rate: 100_000, Burst: 120_000}, 7)
+	for range 150 {
+		f.step(0)
+	}
+	begin := len(f.admitted)
+	for at := range 1000 {
+		if at%200 == 100 {
+			f.kill(at/200, 200*time.Millisecond)
+		}
+		f.step(0.6 * f.limit.Rate)
+	}
+	sum := 0.0
+	for _, units := range f.admitted[begin:] {
+		sum += units
+	}
+	is.True(sum > 0.94*0.6*f.limit.Rate*1000*testStep.Seconds()) // but for the seconds that a node is down
+}
