--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -57,11 +57,30 @@
 type serviceState struct {
 	work  float64 // nanoseconds
 	token float64 // nanoseconds
+	asked float64 // nanoseconds of work asked for in a second, of late
+	at    time.Time
+}
+
+// demandOver is the time over which the work asked for is averaged.
+const demandOver = 3 * time.Second
+
+// ask adds work to what is asked for.
+func (s *serviceState) ask(work float64, now time.Time) {
+	s.decay(now)
+	s.asked += work / demandOver.Seconds()
+}
+
+func (s *serviceState) decay(now time.Time) {
+	if !s.at.IsZero() {
+		s.asked *= math.Exp(-now.Sub(s.at).Seconds() / demandOver.Seconds())
+	}
+	s.at = now
 }
 
 type remote struct {
-	uses map[string]Use
-	at   time.Time
+	uses   map[string]Use
+	demand map[string]float64 // by service
+	at     time.Time
 }
 
 // Tracker holds the beliefs about all servers.
@@ -122,12 +141,47 @@
 	}
 	st.use.Open++
 	st.use.Prompt += k.prompt
+	service.ask(k.work(), now)
 	if shared > 0 {
 		st.remember(hash, now)
 	}
 	return k, true
 }
 
+// work is how long the request keeps a server busy, in nanoseconds.
+func (k *Ticket) work() float64 {
+	if k.request.Engine {
+		return float64(k.prompt)*k.service.token + float64(engineBase)
+	}
+	return k.service.work
+}
+
+// Demand returns, by service, how many servers' worth of work this node was
+// asked for of late.
+func (t *Tracker) Demand(now time.Time) map[string]float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make(map[string]float64, len(t.services))
+	for name, s := range t.services {
+		s.decay(now)
+		out[name] = s.asked / float64(time.Second)
+	}
+	return out
+}
+
+// FleetDemand returns the sum of all nodes' demand for a service.
+func (t *Tracker) FleetDemand(service string, now time.Time) float64 {
+	sum := t.Demand(now)[service]
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.remotes {
+		if now.Sub(r.at) < remoteFor {
+			sum += r.demand[service]
+		}
+	}
+	return sum
+}
+
 func (t *Tracker) view(s registry.Server, service *serviceState, hash uint64, now time.Time) View {
 	st := t.server(s.ID)
 	far := t.sums[s.ID]
@@ -238,11 +292,11 @@
 	}
 }
 
-// Heard takes another node's use of the servers.
-func (t *Tracker) Heard(node string, uses map[string]Use, now time.Time) {
+// Heard takes another node's use of the servers and its demand by service.
+func (t *Tracker) Heard(node string, uses map[string]Use, demand map[string]float64, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.remotes[node] = remote{uses, now}
+	t.remotes[node] = remote{uses, demand, now}
 	clear(t.sums)
 	for name, r := range t.remotes {
 		if now.Sub(r.at) > remoteFor {
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,207 @@
+// Package fleet plans how many servers of a service each zone is to have, and
+// how many of them may be reclaimable.
+//
+// Reclaimable servers cost a fraction of the others, but all those of a zone
+// may go at once with a notice of seconds, and none may be had for a while
+// after. So the plan spreads them over the zones, has enough left when any one
+// zone is lost, and falls back to others only for what is needed until
+// reclaimable ones are to be had again.
+//
+// The package is pure; a Planner belongs to one goroutine at a time.
+package fleet
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// Zone is what is known of a service's servers in a zone.
+type Zone struct {
+	Name    string
+	Price   float64 // of a server's second
+	Spot    int     // reclaimable servers that take work
+	Regular int     // other servers that take work
+}
+
+// Input is what a plan follows from.
+type Input struct {
+	Min, Max  int // servers in a zone
+	Boot      time.Duration
+	SpotPrice float64 // as a share of the price; 0 if there are none
+	Zones     []Zone
+	Busy      float64 // servers' worth of work that is asked for, of late
+	Known     bool    // Busy was measured: there is traffic
+}
+
+// Want is the plan for a zone.
+type Want struct {
+	Zone    string
+	Spot    int
+	Regular int
+}
+
+// Tuning of the plan; docs/design/platform.md argues each.
+const (
+	spotLoad    = 0.22             // load of a server for which reclaimable ones are planned
+	regularLoad = 0.45             // load of a server for which others are ordered in their place
+	leastLeft   = 2                // servers after the loss of a zone
+	holdPeak    = 25 * time.Second // how long a peak of the work is planned for
+	settle      = 12 * time.Second // after the first traffic nothing is given back
+	dryFor      = 4 * time.Second  // after a refusal no reclaimable ones are asked for
+)
+
+type sample struct {
+	at   time.Time
+	busy float64
+}
+
+// Planner remembers what a plan needs of the past.
+type Planner struct {
+	peak     []sample // falling maxima of the work
+	firstAt  time.Time
+	initial  int                  // servers that the operators began with
+	dryUntil map[string]time.Time // by zone
+}
+
+// New returns a planner for one service.
+func New() *Planner { return &Planner{dryUntil: make(map[string]time.Time)} }
+
+// Refused notes that a zone has no reclaimable servers to give now.
+func (p *Planner) Refused(zone string, now time.Time) { p.dryUntil[zone] = now.Add(dryFor) }
+
+// Dry reports whether a zone refused reclaimable servers of late.
+func (p *Planner) Dry(zone string, now time.Time) bool { return now.Before(p.dryUntil[zone]) }
+
+// busiest returns the most work of late.
+func (p *Planner) busiest(in Input, now time.Time) float64 {
+	p.peak = slices.DeleteFunc(p.peak, func(s sample) bool { return now.Sub(s.at) > holdPeak || s.busy <= in.Busy })
+	p.peak = append(p.peak, sample{now, in.Busy})
+	return p.peak[0].busy
+}
+
+// Plan returns what each zone is to have.
+func (p *Planner) Plan(in Input, now time.Time) []Want {
+	total, spot := 0, 0
+	for _, z := range in.Zones {
+		total += z.Spot + z.Regular
+		spot += z.Spot
+	}
+	p.initial = max(p.initial, total)
+	if in.Known && p.firstAt.IsZero() {
+		p.firstAt = now
+	}
+	busy := p.busiest(in, now)
+	if in.SpotPrice <= 0 || in.SpotPrice >= 1 {
+		return spread(in, p.enough(busy, regularLoad, now), func(w *Want) *int { return &w.Regular })
+	}
+	wants := spread(in, p.enough(busy, spotLoad, now), func(w *Want) *int { return &w.Spot })
+	p.keepDry(in, wants, now)
+	p.fill(in, wants, busy, spot)
+	return wants
+}
+
+// enough returns how many servers are to be left when a zone is lost.
+func (p *Planner) enough(busy, load float64, now time.Time) int {
+	n := max(leastLeft, int(math.Ceil(busy/load)))
+	if p.firstAt.IsZero() || now.Sub(p.firstAt) < settle {
+		n = max(n, p.initial*2/3)
+	}
+	return n
+}
+
+// spread lays servers over all zones so that enough are left without the zone
+// that has most of them. What does not come out even goes to the cheapest.
+func spread(in Input, enough int, field func(*Want) *int) []Want {
+	zones := slices.Clone(in.Zones)
+	slices.SortStableFunc(zones, func(a, b Zone) int { return cmp.Or(cmp.Compare(a.Price, b.Price), cmp.Compare(a.Name, b.Name)) })
+	wants := make([]Want, len(zones))
+	for i, z := range zones {
+		wants[i].Zone = z.Name
+		*field(&wants[i]) = max(in.Min, 0)
+	}
+	if len(zones) == 0 {
+		return wants
+	}
+	for left(wants, field) < enough {
+		least := -1
+		for i := range wants {
+			n := *field(&wants[i])
+			if n < in.Max && (least < 0 || n < *field(&wants[least])) {
+				least = i
+			}
+		}
+		if least < 0 {
+			break
+		}
+		*field(&wants[least])++
+	}
+	return wants
+}
+
+// left returns how many servers remain without the zone that has most.
+func left(wants []Want, field func(*Want) *int) int {
+	sum, most := 0, 0
+	for i := range wants {
+		n := *field(&wants[i])
+		sum += n
+		most = max(most, n)
+	}
+	if len(wants) == 1 {
+		return sum
+	}
+	return sum - most
+}
+
+// keepDry asks for no more than is there in zones that have none to give.
+func (p *Planner) keepDry(in Input, wants []Want, now time.Time) {
+	for i := range wants {
+		w := &wants[i]
+		if p.Dry(w.Zone, now) {
+			w.Spot = min(w.Spot, zoneNamed(in, w.Zone).Spot)
+		}
+	}
+}
+
+func zoneNamed(in Input, name string) Zone {
+	for _, z := range in.Zones {
+		if z.Name == name {
+			return z
+		}
+	}
+	return Zone{}
+}
+
+// fill plans servers that are not reclaimable: those that are there stay until
+// enough reclaimable ones take work, and new ones make up for what is missing.
+func (p *Planner) fill(in Input, wants []Want, busy float64, spot int) {
+	planned := 0
+	for _, w := range wants {
+		planned += w.Spot
+	}
+	need := max(leastLeft, int(math.Ceil(busy/regularLoad)))
+	missing := need - planned
+	waiting := spot < min(planned, need)
+	for i := range wants {
+		w := &wants[i]
+		here := zoneNamed(in, w.Zone)
+		if waiting {
+			w.Regular = here.Regular
+			missing -= here.Regular
+		}
+	}
+	for missing > 0 {
+		best := -1
+		for i := range wants {
+			if wants[i].Spot+wants[i].Regular < in.Max && (best < 0 || wants[i].Regular < wants[best].Regular) {
+				best = i
+			}
+		}
+		if best < 0 {
+			return
+		}
+		wants[best].Regular++
+		missing--
+	}
+}
--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -13,8 +13,9 @@
 // admission counts requests for all goroutines that serve clients. It
 // implements forward.Admission.
 type admission struct {
-	node  *Node
-	terms retry.Terms
+	node   *Node
+	terms  retry.Terms
+	limits quota.Terms
 
 	mu      sync.Mutex
 	quota   *quota.Limiter           // guarded by mu
@@ -25,8 +26,9 @@
 func newAdmission(n *Node) *admission {
 	b := n.Settings.Bounds
 	return &admission{
-		node: n, quota: quota.New(), budgets: make(map[string]*retry.Budget), usage: usage.New(),
-		terms: retry.Terms{Ratio: b.RetryRatio, Slack: float64(b.RetrySlack), Window: b.RetryWindow()},
+		node: n, quota: quota.New(n.start), budgets: make(map[string]*retry.Budget), usage: usage.New(),
+		limits: quota.Terms{Over: b.QuotaOver, Slack: float64(b.QuotaSlack)},
+		terms:  retry.Terms{Ratio: b.RetryRatio, Slack: float64(b.RetrySlack), Window: b.RetryWindow()},
 	}
 }
 
@@ -34,7 +36,11 @@
 func (a *admission) Admit(t *policy.Tenant, units float64, now time.Time) quota.Verdict {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.quota.Admit(t.Name, quota.Limit{Rate: t.Rate, Burst: t.Burst}, units, now)
+	limit := quota.Limit{Rate: t.Rate, Burst: t.Burst}
+	if t.Rate > 0 {
+		limit = a.limits.Stretch(limit)
+	}
+	return a.quota.Admit(t.Name, limit, units, now)
 }
 
 // Return implements forward.Admission.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -241,6 +241,7 @@
 		{"share", n.shareState},
 		{"elector", n.elector.Run},
 		{"usage", n.reportUsage},
+		{"fleet", n.orderServers},
 		{"upkeep", n.upkeep},
 		{"reload", n.reload},
 	} {
--- /dev/null
+++ b/internal/front/orders.go
@@ -0,0 +1,171 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/shelfcrank/shelfcrank/internal/duty"
+	"github.com/shelfcrank/shelfcrank/internal/event"
+	"github.com/shelfcrank/shelfcrank/internal/fleet"
+	"github.com/shelfcrank/shelfcrank/internal/policy"
+)
+
+// Times of orders.
+const (
+	planEvery    = 400 * time.Millisecond
+	orderAgain   = 3 * time.Second // beside the time to boot, until an order that shows no effect is sent again
+	trafficFloor = 0.02            // servers' worth of work from which there is traffic
+)
+
+// ordered is what a zone was last told.
+type ordered struct {
+	count int
+	at    time.Time
+}
+
+// orderKey names what an order is about.
+type orderKey struct {
+	service, zone string
+	spot          bool
+}
+
+// orders carries plans out while this node acts for all.
+type orders struct {
+	node     *Node
+	planners map[string]*fleet.Planner // by service
+	last     map[orderKey]ordered
+	holder   duty.Token
+}
+
+// orderServers orders and gives back servers.
+func (n *Node) orderServers(ctx context.Context) error {
+	o := &orders{node: n}
+	for sleep(ctx, planEvery) {
+		token, _, ok := n.elector.Token(time.Now())
+		if !ok || n.Settings.Cloud.Port() == 0 {
+			continue
+		}
+		if token != o.holder {
+			// What was ordered before is not known: all is told again.
+			o.holder, o.planners, o.last = token, make(map[string]*fleet.Planner), make(map[orderKey]ordered)
+		}
+		o.round(ctx)
+	}
+	return ctx.Err()
+}
+
+func (o *orders) round(ctx context.Context) {
+	view := o.node.view.Load()
+	if view.Config == nil {
+		return
+	}
+	for i := range view.Config.Services {
+		s := &view.Config.Services[i]
+		if s.Scaling == nil || len(view.Servers[s.Name]) == 0 {
+			continue
+		}
+		o.service(ctx, s)
+	}
+}
+
+// service plans for one service and sends what differs from the last orders.
+func (o *orders) service(ctx context.Context, s *policy.Service) {
+	p := o.planners[s.Name]
+	if p == nil {
+		p = fleet.New()
+		o.planners[s.Name] = p
+	}
+	now := time.Now()
+	in := o.input(s, now)
+	wants := p.Plan(in, now)
+	// More is ordered before less is.
+	for _, more := range []bool{true, false} {
+		for _, w := range wants {
+			o.order(ctx, s, p, in, orderKey{s.Name, w.Zone, true}, w.Spot, more)
+			o.order(ctx, s, p, in, orderKey{s.Name, w.Zone, false}, w.Regular, more)
+		}
+	}
+}
+
+func (o *orders) input(s *policy.Service, now time.Time) fleet.Input {
+	x := s.Scaling
+	in := fleet.Input{Min: x.Min, Max: x.Max, Boot: x.Boot, SpotPrice: x.SpotPrice}
+	in.Busy = o.node.tracker.FleetDemand(s.Name, now)
+	in.Known = in.Busy > trafficFloor
+	zones := make(map[string]*fleet.Zone)
+	for name, price := range x.ZonePrices {
+		zones[name] = &fleet.Zone{Name: name, Price: price}
+	}
+	for _, server := range o.node.view.Load().Servers[s.Name] {
+		z := zones[server.Zone]
+		if z == nil {
+			z = &fleet.Zone{Name: server.Zone, Price: 1}
+			zones[server.Zone] = z
+		}
+		if server.Spot {
+			z.Spot++
+		} else {
+			z.Regular++
+		}
+	}
+	for _, z := range zones {
+		in.Zones = append(in.Zones, *z)
+	}
+	slices.SortFunc(in.Zones, func(a, b fleet.Zone) int { return strings.Compare(a.Name, b.Name) })
+	return in
+}
+
+// order sends one order if it changes something, or if the last one seems to
+// have come to nothing.
+func (o *orders) order(ctx context.Context, s *policy.Service, p *fleet.Planner, in fleet.Input, k orderKey, count int, more bool) {
+	now := time.Now()
+	there := there(in, k)
+	last, told := o.last[k]
+	if !told {
+		last.count = there
+	}
+	again := told && there < count && now.Sub(last.at) > s.Scaling.Boot+orderAgain
+	if count == last.count && !again || (count > last.count || again) != more {
+		return
+	}
+	if k.spot && count > there && p.Dry(k.zone, now) {
+		return
+	}
+	call, cancel, token, ok := o.node.acting(ctx)
+	if !ok {
+		return
+	}
+	defer cancel()
+	err := o.node.Cloud.Order(call, token, k.service, k.zone, count, k.spot)
+	fields := []zap.Field{
+		zap.String("service", k.service), zap.String("zone", k.zone), zap.Bool("spot", k.spot), zap.Int("count", count),
+		zap.Int("there", there), zap.Float64("busy", in.Busy), zap.Int64("fence", token.Fence),
+	}
+	if err != nil {
+		if errors.Is(err, duty.ErrSoldOut) {
+			p.Refused(k.zone, now)
+			delete(o.last, k)
+		}
+		o.node.event(event.FleetRefused, append(fields, zap.Error(err))...)
+		return
+	}
+	o.last[k] = ordered{count, now}
+	o.node.event(event.FleetOrdered, fields...)
+}
+
+func there(in fleet.Input, k orderKey) int {
+	for _, z := range in.Zones {
+		if z.Name == k.zone && k.spot {
+			return z.Spot
+		}
+		if z.Name == k.zone {
+			return z.Regular
+		}
+	}
+	return 0
+}
--- a/internal/front/share.go
+++ b/internal/front/share.go
@@ -118,6 +118,9 @@
 	for id, use := range n.tracker.Uses() {
 		s.Servers = append(s.Servers, &peerpb.ServerShare{Id: id, Open: int64(use.Open), Prompt: int64(use.Prompt)})
 	}
+	for name, busy := range n.tracker.Demand(time.Now()) {
+		s.Services = append(s.Services, &peerpb.ServiceShare{Name: name, Busy: busy})
+	}
 	return s
 }
 
@@ -150,7 +153,11 @@
 	for _, server := range s.Servers {
 		uses[server.Id] = balance.Use{Open: int(server.Open), Prompt: int(server.Prompt)}
 	}
-	n.tracker.Heard(s.Node, uses, now)
+	demand := make(map[string]float64, len(s.Services))
+	for _, service := range s.Services {
+		demand[service.Name] = service.Busy
+	}
+	n.tracker.Heard(s.Node, uses, demand, now)
 }
 
 // String names the node in logs.
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -18,6 +18,25 @@
 	Burst float64 // units above the rate
 }
 
+// Terms are by how much a window may go over a limit.
+type Terms struct {
+	Over  float64 // share of the limit
+	Slack float64 // units
+}
+
+// Parts of the terms that are used to refuse nothing below a limit; the rest
+// covers what is admitted on old news.
+const (
+	overUsed  = 0.5
+	slackUsed = 0.35
+)
+
+// Stretch returns the limit that is kept to.
+func (t Terms) Stretch(l Limit) Limit {
+	x := 1 + overUsed*t.Over
+	return Limit{Rate: x * l.Rate, Burst: x*l.Burst + slackUsed*t.Slack}
+}
+
 // Verdict says whether a request is admitted.
 type Verdict struct {
 	OK      bool
@@ -52,9 +71,7 @@
 
 // fill brings the level up to now.
 func (b *bucket) fill(limit Limit, now time.Time) {
-	if !b.at.IsZero() {
-		b.level = min(limit.Burst, b.level+limit.Rate*now.Sub(b.at).Seconds())
-	}
+	b.level = min(limit.Burst, b.level+limit.Rate*now.Sub(b.at).Seconds())
 	b.at = now
 }
 
@@ -78,6 +95,7 @@
 
 // Limiter counts the use of limits by tenant.
 type Limiter struct {
+	start   time.Time // from which empty buckets fill
 	tenants map[string]*account
 	nodes   map[string]*node
 	count   int // of nodes that run, as far as is known
@@ -85,15 +103,15 @@
 	since   time.Time // first news of a node that knows the levels well
 }
 
-// New returns an empty limiter.
-func New() *Limiter {
-	return &Limiter{tenants: make(map[string]*account), nodes: make(map[string]*node)}
+// New returns the limiter of a node that starts now.
+func New(now time.Time) *Limiter {
+	return &Limiter{start: now, tenants: make(map[string]*account), nodes: make(map[string]*node)}
 }
 
 func (l *Limiter) tenant(name string) *account {
 	a := l.tenants[name]
 	if a == nil {
-		a = &account{}
+		a = &account{bucket: bucket{at: l.start}}
 		l.tenants[name] = a
 	}
 	return a
@@ -203,10 +221,7 @@
 			continue
 		}
 		b.adopted = true
-		if b.at.IsZero() {
-			b.at = now
-		}
-		b.level = level
+		b.at, b.level = now, level
 	}
 }
 
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -28,6 +28,8 @@
 	RetryRatio   float64 `toml:"retry_ratio" help:"Second tries allowed for each request."`
 	RetrySlack   int     `toml:"retry_slack" help:"Second tries allowed beside, in each window."`
 	RetryWindowS float64 `toml:"retry_window_s" help:"Window of the slack."`
+	QuotaOver    float64 `toml:"quota_over" help:"Share by which a window may go over a tenant's limit."`
+	QuotaSlack   int     `toml:"quota_slack" help:"Units by which a window may go over a tenant's limit beside."`
 	LeaseMs      int     `toml:"lease_ms" help:"Lease of the node that acts for all."`
 	UsageWindowS float64 `toml:"usage_window_s" help:"Window that usage is reported for."`
 	UsageLateS   float64 `toml:"usage_late_s" help:"Time after the end of a window at which its report is due."`
