Servers whose entry went after trouble are out of use within the bound

Ruled out: late watch (the event came 4 ms after the change). Change: the time follows from the deployment's bound (three quarters of it). Test: TestAnEntryThatWentAfterTroubleIsBelievedInTime.

--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -74,7 +74,7 @@
 }
 
 func newState(n *Node) *state {
-	return &state{node: n, changes: make(chan change, changeQueue), registry: registry.New(), members: newMembers(n)}
+	return &state{node: n, changes: make(chan change, changeQueue), registry: registry.New(n.Settings.Bounds.Drain()), members: newMembers(n)}
 }
 
 func (s *state) send(c change) { s.changes <- c }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -39,10 +39,10 @@
 
 // Times that the registry keeps to.
 const (
-	// absentFor is how long a server whose entry went while the store was in
-	// trouble is used on. Servers write every second or so: one that lives is
-	// back by then.
-	absentFor = 2500 * time.Millisecond
+	// absentShare is the part of the bound for servers that leave during which
+	// one is used on whose entry went while the store was in trouble. Servers
+	// write every second or so: one that lives is back by then.
+	absentShare = 0.75
 	// leftFor is how long the id of a server that left is remembered.
 	leftFor = 2 * time.Minute
 )
@@ -56,11 +56,13 @@
 type Registry struct {
 	servers map[string]*entry
 	left    map[string]time.Time // ids that get no new work, until when remembered
+	bound   time.Duration        // within which a server that left is out of use
 }
 
-// New returns an empty registry.
-func New() *Registry {
-	return &Registry{servers: make(map[string]*entry), left: make(map[string]time.Time)}
+// New returns an empty registry. bound is the time within which a server that
+// left has to be out of use.
+func New(bound time.Duration) *Registry {
+	return &Registry{bound: bound, servers: make(map[string]*entry), left: make(map[string]time.Time)}
 }
 
 // Put takes a server's entry as written.
@@ -92,7 +94,7 @@
 	}
 	if trouble && !e.server.Leaving {
 		if e.absent.IsZero() {
-			e.absent = now.Add(absentFor)
+			e.absent = r.absentUntil(now)
 			return Absent
 		}
 		return None
@@ -101,6 +103,10 @@
 	return Gone
 }
 
+func (r *Registry) absentUntil(now time.Time) time.Time {
+	return now.Add(time.Duration(absentShare * float64(r.bound)))
+}
+
 // drop forgets a server. One that never said that it leaves may come back: its
 // entry lapsed while the store was down.
 func (r *Registry) drop(id string, now time.Time) {
@@ -144,7 +150,7 @@
 		switch {
 		case e.absent.IsZero():
 		case storeDown:
-			e.absent = now.Add(absentFor)
+			e.absent = r.absentUntil(now)
 		case now.After(e.absent):
 			changed = append(changed, Event{Gone, e.server})
 			r.drop(id, now)
--- /dev/null
+++ b/internal/registry/registry_test.go
@@ -0,0 +1,80 @@
+package registry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const testDrain = 2 * time.Second
+
+func listed(r *Registry, id string) bool {
+	s, ok := r.Find(id)
+	return ok && !s.Leaving
+}
+
+// The store was in trouble for this node alone. A server that goes just after
+// without having said so must be out of use within the bound, although its
+// entry may only have lapsed.
+func TestAnEntryThatWentAfterTroubleIsBelievedInTime(t *testing.T) {
+	is := is.New(t)
+	r := New(testDrain)
+	now := time.Unix(1000, 0)
+	r.Put(Server{ID: "a"}, now)
+	is.Equal(r.Remove("a", true, now), Absent)
+	is.True(listed(r, "a")) // it may live
+	r.Expire(false, now.Add(testDrain*9/10))
+	is.True(!listed(r, "a"))
+}
+
+func TestALapsedEntryThatComesBackIsUsedOn(t *testing.T) {
+	is := is.New(t)
+	r := New(testDrain)
+	now := time.Unix(1000, 0)
+	r.Put(Server{ID: "a"}, now)
+	r.Remove("a", true, now)
+	r.Put(Server{ID: "a"}, now.Add(time.Second))
+	r.Expire(false, now.Add(time.Minute))
+	is.True(listed(r, "a"))
+}
+
+// While the store is down nothing is learnt from entries that went before.
+func TestNothingLapsesWhileTheStoreIsDown(t *testing.T) {
+	is := is.New(t)
+	r := New(testDrain)
+	now := time.Unix(1000, 0)
+	r.Put(Server{ID: "a"}, now)
+	r.Remove("a", true, now)
+	for range 50 {
+		now = now.Add(100 * time.Millisecond)
+		r.Expire(true, now)
+	}
+	is.True(listed(r, "a"))
+	r.Expire(false, now.Add(testDrain))
+	is.True(!listed(r, "a"))
+}
+
+func TestLeavingIsSticky(t *testing.T) {
+	is := is.New(t)
+	r := New(testDrain)
+	now := time.Unix(1000, 0)
+	r.Put(Server{ID: "a"}, now)
+	is.Equal(r.Put(Server{ID: "a", Leaving: true}, now), Left)
+	r.Put(Server{ID: "a"}, now) // an old entry
+	is.True(!listed(r, "a"))
+	is.Equal(r.Remove("a", true, now), Gone) // it said that it leaves
+	r.Put(Server{ID: "a"}, now.Add(time.Second))
+	is.True(!listed(r, "a"))
+}
+
+func TestAListingWithoutAServerTakesItOut(t *testing.T) {
+	is := is.New(t)
+	r := New(testDrain)
+	now := time.Unix(1000, 0)
+	r.Replace([]Server{{ID: "a"}, {ID: "b"}}, false, now)
+	changed := r.Replace([]Server{{ID: "b"}}, false, now)
+	is.Equal(len(changed), 1)
+	is.Equal(changed[0].Change, Gone)
+	is.Equal(len(r.List()), 1)
+}
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -24,6 +24,7 @@
 // soon as what they bound begins.
 type Bounds struct {
 	RevokeMs     int     `toml:"revoke_ms" help:"Time after which a key that was taken away must not work any more."`
+	DrainMs      int     `toml:"drain_ms" help:"Time after which a server that leaves must get no new work."`
 	GraceS       float64 `toml:"grace_s" help:"Time from the signal to stop to the end of the process."`
 	RetryRatio   float64 `toml:"retry_ratio" help:"Second tries allowed for each request."`
 	RetrySlack   int     `toml:"retry_slack" help:"Second tries allowed beside, in each window."`
@@ -38,6 +39,9 @@
 // Revoke returns the time after which a key taken away must not work.
 func (b Bounds) Revoke() time.Duration { return time.Duration(b.RevokeMs) * time.Millisecond }
 
+// Drain returns the time after which a leaving server must get no new work.
+func (b Bounds) Drain() time.Duration { return time.Duration(b.DrainMs) * time.Millisecond }
+
 // Grace returns the time that a stopping process has.
 func (b Bounds) Grace() time.Duration { return inSeconds(b.GraceS) }
 
@@ -69,6 +73,7 @@
 	c.need("metrics_address", s.Metrics.IsValid())
 	c.need("store_address", s.Store.IsValid())
 	c.positive("bounds.revoke_ms", float64(s.Bounds.RevokeMs))
+	c.positive("bounds.drain_ms", float64(s.Bounds.DrainMs))
 	c.positive("bounds.grace_s", s.Bounds.GraceS)
 	c.positive("bounds.lease_ms", float64(s.Bounds.LeaseMs))
 	c.positive("bounds.usage_window_s", s.Bounds.UsageWindowS)
