Fleet planner: does not waver while no reclaimable servers are to be had

Change: what was ordered and starts counts by itself, the others stay until they have been needless for a while, and the zone that has most is not counted while none are to be had. Test: TestThePlanDoesNotWaverWhileNoneAreToBeHad.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -19,16 +19,17 @@
 
 // Zone is what is known of a service's servers in a zone.
 type Zone struct {
-	Name    string
-	Price   float64 // of a server's second
-	Spot    int     // reclaimable servers that take work
-	Regular int     // other servers that take work
+	Name          string
+	Price         float64 // of a server's second
+	Spot          int     // reclaimable servers that take work
+	Regular       int     // other servers that take work
+	SpotComing    int     // reclaimable servers that were ordered and start now
+	RegularComing int     // other servers that were ordered and start now
 }
 
 // Input is what a plan follows from.
 type Input struct {
-	Min, Max  int // servers in a zone
-	Boot      time.Duration
+	Min, Max  int     // servers in a zone
 	SpotPrice float64 // as a share of the price; 0 if there are none
 	Zones     []Zone
 	Busy      float64 // servers' worth of work that is asked for, of late
@@ -45,11 +46,12 @@
 // Tuning of the plan; docs/design/platform.md argues each.
 const (
 	spotLoad    = 0.22             // load of a server for which reclaimable ones are planned
-	regularLoad = 0.45             // load of a server for which others are ordered in their place
+	regularLoad = 0.5              // load of a server for which others are ordered in their place
 	leastLeft   = 2                // servers after the loss of a zone
 	holdPeak    = 25 * time.Second // how long a peak of the work is planned for
 	settle      = 12 * time.Second // after the first traffic nothing is given back
-	dryFor      = 4 * time.Second  // after a refusal no reclaimable ones are asked for
+	tryAgain    = 3 * time.Second  // after a refusal no reclaimable ones are asked for
+	giveBack    = 3 * time.Second  // how long others have to be needless before they go
 )
 
 type sample struct {
@@ -59,20 +61,24 @@
 
 // Planner remembers what a plan needs of the past.
 type Planner struct {
-	peak     []sample // falling maxima of the work
-	firstAt  time.Time
-	initial  int                  // servers that the operators began with
-	dryUntil map[string]time.Time // by zone
+	peak       []sample // falling maxima of the work
+	firstAt    time.Time
+	initial    int                  // servers that the operators began with
+	dry        map[string]time.Time // zones that have no reclaimable servers to give, and when to ask again
+	needlessAt time.Time            // since when the servers that are not reclaimable are not needed; zero if they are
 }
 
 // New returns a planner for one service.
-func New() *Planner { return &Planner{dryUntil: make(map[string]time.Time)} }
+func New() *Planner { return &Planner{dry: make(map[string]time.Time)} }
 
 // Refused notes that a zone has no reclaimable servers to give now.
-func (p *Planner) Refused(zone string, now time.Time) { p.dryUntil[zone] = now.Add(dryFor) }
+func (p *Planner) Refused(zone string, now time.Time) { p.dry[zone] = now.Add(tryAgain) }
 
-// Dry reports whether a zone refused reclaimable servers of late.
-func (p *Planner) Dry(zone string, now time.Time) bool { return now.Before(p.dryUntil[zone]) }
+// Accepted notes that a zone gives reclaimable servers again.
+func (p *Planner) Accepted(zone string) { delete(p.dry, zone) }
+
+// MayAsk reports whether a zone may be asked for reclaimable servers.
+func (p *Planner) MayAsk(zone string, now time.Time) bool { return !now.Before(p.dry[zone]) }
 
 // busiest returns the most work of late.
 func (p *Planner) busiest(in Input, now time.Time) float64 {
@@ -83,10 +89,9 @@
 
 // Plan returns what each zone is to have.
 func (p *Planner) Plan(in Input, now time.Time) []Want {
-	total, spot := 0, 0
+	total := 0
 	for _, z := range in.Zones {
 		total += z.Spot + z.Regular
-		spot += z.Spot
 	}
 	p.initial = max(p.initial, total)
 	if in.Known && p.firstAt.IsZero() {
@@ -97,8 +102,7 @@
 		return spread(in, p.enough(busy, regularLoad, now), func(w *Want) *int { return &w.Regular })
 	}
 	wants := spread(in, p.enough(busy, spotLoad, now), func(w *Want) *int { return &w.Spot })
-	p.keepDry(in, wants, now)
-	p.fill(in, wants, busy, spot)
+	p.fill(in, wants, busy, now)
 	return wants
 }
 
@@ -154,13 +158,36 @@
 	return sum - most
 }
 
-// keepDry asks for no more than is there in zones that have none to give.
-func (p *Planner) keepDry(in Input, wants []Want, now time.Time) {
-	for i := range wants {
-		w := &wants[i]
-		if p.Dry(w.Zone, now) {
-			w.Spot = min(w.Spot, zoneNamed(in, w.Zone).Spot)
-		}
+// fill plans the servers that are not reclaimable: as many as make up for what
+// is missing. While reclaimable ones are not to be had anywhere, the zone that
+// has most of them may go next. Once ordered they stay until they have been
+// needless for a while: a plan that wavers would start them again and again.
+func (p *Planner) fill(in Input, wants []Want, busy float64, now time.Time) {
+	need := max(leastLeft, int(math.Ceil(busy/regularLoad)))
+	spot, coming, most, committed := 0, 0, 0, 0
+	for i, w := range wants {
+		z := zoneNamed(in, w.Zone)
+		spot += z.Spot
+		coming += z.SpotComing
+		most = max(most, z.Spot)
+		wants[i].Regular = z.Regular + z.RegularComing
+		committed += wants[i].Regular
+	}
+	sure := spot + coming
+	if len(p.dry) > 0 && len(wants) > 1 {
+		sure = spot - most
+	}
+	missing := need - sure - committed
+	switch {
+	case missing > 0:
+		p.needlessAt = time.Time{}
+		addRegular(in, wants, missing)
+	case spot < need || missing == 0:
+		p.needlessAt = time.Time{}
+	case p.needlessAt.IsZero():
+		p.needlessAt = now
+	case now.Sub(p.needlessAt) > giveBack:
+		takeRegular(wants, -missing)
 	}
 }
 
@@ -173,28 +200,15 @@
 	return Zone{}
 }
 
-// fill plans servers that are not reclaimable: those that are there stay until
-// enough reclaimable ones take work, and new ones make up for what is missing.
-func (p *Planner) fill(in Input, wants []Want, busy float64, spot int) {
-	planned := 0
-	for _, w := range wants {
-		planned += w.Spot
-	}
-	need := max(leastLeft, int(math.Ceil(busy/regularLoad)))
-	missing := need - planned
-	waiting := spot < min(planned, need)
-	for i := range wants {
-		w := &wants[i]
-		here := zoneNamed(in, w.Zone)
-		if waiting {
-			w.Regular = here.Regular
-			missing -= here.Regular
-		}
-	}
-	for missing > 0 {
+// addRegular adds servers where fewest are, in the order of the wants.
+func addRegular(in Input, wants []Want, n int) {
+	for range n {
 		best := -1
-		for i := range wants {
-			if wants[i].Spot+wants[i].Regular < in.Max && (best < 0 || wants[i].Regular < wants[best].Regular) {
+		for i, w := range wants {
+			if z := zoneNamed(in, w.Zone); z.Spot+z.SpotComing+w.Regular >= in.Max {
+				continue
+			}
+			if best < 0 || w.Regular < wants[best].Regular {
 				best = i
 			}
 		}
@@ -202,6 +216,14 @@
 			return
 		}
 		wants[best].Regular++
-		missing--
+	}
+}
+
+// takeRegular takes servers away, the dearest first.
+func takeRegular(wants []Want, n int) {
+	for i := len(wants) - 1; i >= 0 && n > 0; i-- {
+		k := min(n, wants[i].Regular)
+		wants[i].Regular -= k
+		n -= k
 	}
 }
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,101 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func zones(spot, regular int) []Zone {
+	var out []Zone
+	for i, name := range []string{"a", "b", "c", "d"} {
+		out = append(out, Zone{Name: name, Price: 1 + float64(i)/10, Spot: spot, Regular: regular})
+	}
+	return out
+}
+
+func sums(wants []Want) (spot, regular, most int) {
+	for _, w := range wants {
+		spot += w.Spot
+		regular += w.Regular
+		most = max(most, w.Spot)
+	}
+	return spot, regular, most
+}
+
+func TestEnoughIsLeftWhenAnyZoneIsLost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		busy := rapid.Float64Range(0, 6).Draw(t, "busy")
+		in := Input{Min: 1, Max: 30, SpotPrice: 0.2, Zones: zones(3, 0), Busy: busy, Known: true}
+		spot, _, most := sums(New().Plan(in, time.Unix(1000, 0)))
+		if float64(spot-most)*spotLoad < busy {
+			t.Fatalf("%d servers, %d in one zone, for %.1f", spot, most, busy)
+		}
+	})
+}
+
+func TestOthersStayUntilReclaimableOnesTakeWork(t *testing.T) {
+	is := is.New(t)
+	p := New()
+	now := time.Unix(1000, 0)
+	in := Input{Min: 1, Max: 6, SpotPrice: 0.2, Zones: zones(0, 3)}
+	_, regular, _ := sums(p.Plan(in, now))
+	is.Equal(regular, 12)
+	for i := range in.Zones {
+		in.Zones[i].SpotComing = 3
+	}
+	_, regular, _ = sums(p.Plan(in, now.Add(time.Second)))
+	is.Equal(regular, 12) // those to come take no work yet
+	in.Zones = zones(3, 3)
+	p.Plan(in, now.Add(5*time.Second))
+	_, regular, _ = sums(p.Plan(in, now.Add(9*time.Second)))
+	is.Equal(regular, 0)
+}
+
+// A zone after the other goes and none are to be had: the plan must not give
+// back what it has just ordered whenever it is time to ask again.
+func TestThePlanDoesNotWaverWhileNoneAreToBeHad(t *testing.T) {
+	is := is.New(t)
+	p := New()
+	now := time.Unix(1000, 0)
+	in := Input{Min: 1, Max: 10, SpotPrice: 0.2, Zones: zones(8, 0), Busy: 8, Known: true}
+	p.Plan(in, now)
+	in.Zones = zones(0, 0)
+	last := 0
+	for range 100 {
+		now = now.Add(200 * time.Millisecond)
+		for _, z := range in.Zones {
+			if p.MayAsk(z.Name, now) {
+				p.Refused(z.Name, now)
+			}
+		}
+		wants := p.Plan(in, now)
+		_, regular, _ := sums(wants)
+		is.True(regular >= last) // never given back while it is needed
+		last = regular
+		for i := range in.Zones {
+			for _, w := range wants {
+				if w.Zone == in.Zones[i].Name {
+					in.Zones[i].RegularComing = w.Regular
+				}
+			}
+		}
+	}
+	is.Equal(last, 16)
+}
+
+func TestOthersAreOrderedBeforeTheNextZoneGoes(t *testing.T) {
+	is := is.New(t)
+	p := New()
+	now := time.Unix(1000, 0)
+	in := Input{Min: 1, Max: 10, SpotPrice: 0.2, Zones: zones(4, 0), Busy: 4, Known: true}
+	in.Zones[0].Spot = 0
+	p.Refused("a", now)
+	_, regular, _ := sums(p.Plan(in, now))
+	is.Equal(regular, 0) // eight of twelve would be left, as many as are needed
+	in.Zones[1].Spot = 0
+	_, regular, _ = sums(p.Plan(in, now))
+	is.Equal(regular, 4)
+}
--- a/internal/front/orders.go
+++ b/internal/front/orders.go
@@ -19,6 +19,7 @@
 const (
 	planEvery    = 400 * time.Millisecond
 	orderAgain   = 3 * time.Second // beside the time to boot, until an order that shows no effect is sent again
+	listedBy     = 6 * time.Second // after its start a node knows which servers there are
 	trafficFloor = 0.02            // servers' worth of work from which there is traffic
 )
 
@@ -66,7 +67,7 @@
 	}
 	for i := range view.Config.Services {
 		s := &view.Config.Services[i]
-		if s.Scaling == nil || len(view.Servers[s.Name]) == 0 {
+		if s.Scaling == nil || len(view.Servers[s.Name]) == 0 && time.Since(o.node.start) < listedBy {
 			continue
 		}
 		o.service(ctx, s)
@@ -94,7 +95,7 @@
 
 func (o *orders) input(s *policy.Service, now time.Time) fleet.Input {
 	x := s.Scaling
-	in := fleet.Input{Min: x.Min, Max: x.Max, Boot: x.Boot, SpotPrice: x.SpotPrice}
+	in := fleet.Input{Min: x.Min, Max: x.Max, SpotPrice: x.SpotPrice}
 	in.Busy = o.node.tracker.FleetDemand(s.Name, now)
 	in.Known = in.Busy > trafficFloor
 	zones := make(map[string]*fleet.Zone)
@@ -114,12 +115,23 @@
 		}
 	}
 	for _, z := range zones {
+		z.SpotComing = o.coming(s, orderKey{s.Name, z.Name, true}, z.Spot, now)
+		z.RegularComing = o.coming(s, orderKey{s.Name, z.Name, false}, z.Regular, now)
 		in.Zones = append(in.Zones, *z)
 	}
 	slices.SortFunc(in.Zones, func(a, b fleet.Zone) int { return strings.Compare(a.Name, b.Name) })
 	return in
 }
 
+// coming returns how many of the servers last ordered are still to come.
+func (o *orders) coming(s *policy.Service, k orderKey, there int, now time.Time) int {
+	last, told := o.last[k]
+	if !told || now.Sub(last.at) > s.Scaling.Boot+orderAgain {
+		return 0
+	}
+	return max(0, last.count-there)
+}
+
 // order sends one order if it changes something, or if the last one seems to
 // have come to nothing.
 func (o *orders) order(ctx context.Context, s *policy.Service, p *fleet.Planner, in fleet.Input, k orderKey, count int, more bool) {
@@ -133,7 +145,7 @@
 	if count == last.count && !again || (count > last.count || again) != more {
 		return
 	}
-	if k.spot && count > there && p.Dry(k.zone, now) {
+	if k.spot && count > there && !p.MayAsk(k.zone, now) {
 		return
 	}
 	call, cancel, token, ok := o.node.acting(ctx)
@@ -155,6 +167,9 @@
 		return
 	}
 	o.last[k] = ordered{count, now}
+	if k.spot && count > there {
+		p.Accepted(k.zone)
+	}
 	o.node.event(event.FleetOrdered, fields...)
 }
 
