Servers are chosen with long prompts and streams apart; news of long prompts at once

Slowness once believed was never forgotten. Change: a long prompt avoids servers with streams and the other way round; a long prompt is told to the other nodes at once; choices are spread by request; beliefs about slowness fade. Square-root staffing in place of a fixed load. Quota: nodes do not all use the same units before they hear of each other (TestManyTimesTheLimitForLong failed before), large requests are refused no more often than small ones, part of the slack goes into the rate. The watch gathers changes for 0.3 s, the configuration is proved each 1.7 s.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -58,6 +58,7 @@
 	Server  registry.Server
 	Open    int           // requests on the way, from all nodes
 	Prompt  int           // prompt tokens not read yet, from all nodes
+	Holdup  float64       // how much the prompts not read yet hold up streams, from all nodes
 	Slow    float64       // how its times compare with those of its like; 1 is usual
 	Failing float64       // share of failures of late, 0 to 1
 	Resting bool          // failed in a row: gets no work unless all others rest too
@@ -73,8 +74,21 @@
 	homeShare      = 0.9                    // of the shared tokens that a home probably keeps
 	crowdPenalty   = 4 * time.Millisecond   // for each request on the way at an engine
 	fullPenalty    = 2 * time.Second        // for a server whose slots are all taken
+	longPrompt     = 10_000                 // tokens from which reading a prompt holds up streams beside it
+	mostHoldup     = 4.0
+	holdsUp        = 60 * time.Millisecond  // for each stream that a long prompt would hold up
+	heldUp         = 250 * time.Millisecond // for a stream beside a long prompt
+	spread         = 25 * time.Millisecond  // at the most, drawn by request: nodes that decide at once see the same
 )
 
+// holdup is how much reading a prompt holds up the streams at its server, about
+// 1 for a long one. A step takes longer with each token that is read against
+// all those before it, so it grows with the square of the length.
+func holdup(tokens int) float64 {
+	x := float64(tokens) / longPrompt
+	return min(mostHoldup, x*x)
+}
+
 // Choose returns the index of the best server, or -1 when there is none.
 func Choose(views []View, r *Request) int {
 	shared, hash := r.shared()
@@ -93,6 +107,9 @@
 			uncached -= int(homeShare * float64(shared))
 		}
 		cost := v.cost(r, uncached)
+		if r.Engine {
+			cost += float64(spread) * float64(tie(r, v)>>11) / (1 << 53)
+		}
 		if v.Resting {
 			cost += float64(time.Hour)
 		}
@@ -109,6 +126,7 @@
 	var t time.Duration
 	if r.Engine {
 		t = time.Duration(v.Prompt+uncached)*v.Token + time.Duration(v.Open)*crowdPenalty
+		t += time.Duration(holdup(r.Tokens)*float64(v.Open)*float64(holdsUp) + v.Holdup*float64(heldUp))
 	} else {
 		t = time.Duration(float64(v.Work) * (1 + float64(v.Open)/float64(max(1, r.Slots))))
 	}
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -26,9 +26,10 @@
 	restAfter       = 3   // failures in a row
 	restFirst       = 500 * time.Millisecond
 	restMost        = 4 * time.Second
-	slowWeight      = 0.2
+	slowWeight      = 0.15
 	slowLeast       = 0.7
-	slowMost        = 10
+	slowMost        = 8
+	slowHalfLife    = 6 * time.Second  // until half of what is believed of a server's speed is forgotten: one that gets no work would never prove itself
 	keepFor         = 20 * time.Second // how long a shared prompt is believed to be kept
 	keepMost        = 4096             // shared prompts remembered for one server
 	firstToken      = 16 * time.Microsecond
@@ -42,11 +43,13 @@
 type Use struct {
 	Open   int
 	Prompt int
+	Holdup float64
 }
 
 type serverState struct {
 	use       Use // from this node
 	slow      float64
+	slowAt    time.Time
 	failing   float64
 	failedAt  time.Time
 	inRow     int
@@ -89,6 +92,7 @@
 	servers  map[string]*serverState  // by server id; guarded by mu
 	services map[string]*serviceState // by name; guarded by mu
 	remotes  map[string]remote        // by node; guarded by mu
+	told     chan struct{}            // has room for one
 	sums     map[string]Use           // of the remotes, by server id; guarded by mu
 }
 
@@ -96,7 +100,7 @@
 func NewTracker() *Tracker {
 	return &Tracker{
 		servers: make(map[string]*serverState), services: make(map[string]*serviceState),
-		remotes: make(map[string]remote), sums: make(map[string]Use),
+		remotes: make(map[string]remote), sums: make(map[string]Use), told: make(chan struct{}, 1),
 	}
 }
 
@@ -108,6 +112,7 @@
 	state   *serverState
 	service *serviceState
 	prompt  int
+	holdup  float64
 	at      time.Time
 	expect  float64 // nanoseconds
 	read    bool
@@ -132,6 +137,9 @@
 	v := &views[i]
 	st := t.server(v.Server.ID)
 	k := &Ticket{Server: v.Server, tracker: t, request: r, state: st, service: service, at: now, prompt: r.Tokens}
+	if r.Engine {
+		k.holdup = holdup(r.Tokens)
+	}
 	if v.Keeps || i == homeOf(views, r, hash) && shared > 0 {
 		k.prompt -= int(homeShare * float64(shared))
 	}
@@ -141,7 +149,14 @@
 	}
 	st.use.Open++
 	st.use.Prompt += k.prompt
+	st.use.Holdup += k.holdup
 	service.ask(k.work(), now)
+	if k.prompt >= tellFrom {
+		select {
+		case t.told <- struct{}{}:
+		default:
+		}
+	}
 	if shared > 0 {
 		st.remember(hash, now)
 	}
@@ -156,6 +171,13 @@
 	return k.service.work
 }
 
+// tellFrom is the number of prompt tokens from which the other nodes hear of a
+// request at once.
+const tellFrom = 3000
+
+// Told is sent on when the other nodes should hear of the uses at once.
+func (t *Tracker) Told() <-chan struct{} { return t.told }
+
 // Demand returns, by service, how many servers' worth of work this node was
 // asked for of late.
 func (t *Tracker) Demand(now time.Time) map[string]float64 {
@@ -187,8 +209,8 @@
 	far := t.sums[s.ID]
 	seen, keeps := st.keeps[hash]
 	return View{
-		Server: s, Open: st.use.Open + far.Open, Prompt: st.use.Prompt + far.Prompt,
-		Slow: st.slow, Failing: st.failingAt(now), Resting: now.Before(st.restUntil),
+		Server: s, Open: st.use.Open + far.Open, Prompt: st.use.Prompt + far.Prompt, Holdup: st.use.Holdup + far.Holdup,
+		Slow: st.slowNow(now), Failing: st.failingAt(now), Resting: now.Before(st.restUntil),
 		Keeps: keeps && now.Sub(seen) < keepFor,
 		Work:  time.Duration(service.work), Token: time.Duration(service.token),
 	}
@@ -212,6 +234,11 @@
 	return s
 }
 
+// slowNow is how slow the server is believed to be; 1 is usual.
+func (s *serverState) slowNow(now time.Time) float64 {
+	return 1 + (s.slow-1)*math.Exp2(-float64(now.Sub(s.slowAt))/float64(slowHalfLife))
+}
+
 func (s *serverState) failingAt(now time.Time) float64 {
 	if s.failing == 0 {
 		return 0
@@ -245,14 +272,15 @@
 	}
 	k.read = true
 	k.state.use.Prompt -= k.prompt
+	k.state.use.Holdup = max(0, k.state.use.Holdup-k.holdup)
 	if !learn {
 		return
 	}
 	took := float64(now.Sub(k.at))
 	if k.expect > 0 {
 		ratio := min(max(took/k.expect, slowLeast), slowMost)
-		k.state.slow += slowWeight * (ratio - k.state.slow)
-		k.state.slow = min(max(k.state.slow, slowLeast), slowMost)
+		slow := k.state.slowNow(now)
+		k.state.slow, k.state.slowAt = slow+slowWeight*(ratio-slow), now
 	}
 	if !k.request.Engine {
 		k.service.work += serviceWeight * (took - k.service.work)
@@ -293,9 +321,13 @@
 }
 
 // Heard takes another node's use of the servers and its demand by service.
-func (t *Tracker) Heard(node string, uses map[string]Use, demand map[string]float64, now time.Time) {
+// Brief news leave the demand as it was.
+func (t *Tracker) Heard(node string, uses map[string]Use, demand map[string]float64, brief bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if brief {
+		demand = t.remotes[node].demand
+	}
 	t.remotes[node] = remote{uses, demand, now}
 	clear(t.sums)
 	for name, r := range t.remotes {
@@ -307,6 +339,7 @@
 			sum := t.sums[id]
 			sum.Open += u.Open
 			sum.Prompt += u.Prompt
+			sum.Holdup += u.Holdup
 			t.sums[id] = sum
 		}
 	}
@@ -318,7 +351,7 @@
 	defer t.mu.Unlock()
 	out := make(map[string]Use)
 	for id, s := range t.servers {
-		if s.use != (Use{}) {
+		if s.use.Open != 0 {
 			out[id] = s.use
 		}
 	}
@@ -330,7 +363,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, s := range t.servers {
-		if s.use == (Use{}) && !wanted(id) {
+		if s.use.Open == 0 && !wanted(id) {
 			delete(t.servers, id)
 		}
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -15,6 +15,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/samber/lo"
 )
 
 // Zone is what is known of a service's servers in a zone.
@@ -45,8 +47,9 @@
 
 // Tuning of the plan; docs/design/platform.md argues each.
 const (
-	spotLoad    = 0.22             // load of a server for which reclaimable ones are planned
-	regularLoad = 0.5              // load of a server for which others are ordered in their place
+	spotFactor  = 2.0              // reclaimable servers for each server's worth of work,
+	spotSpare   = 3.0              // and for its root: chance weighs more in a small fleet
+	regularLoad = 0.7              // load of a server for which others are ordered in their place
 	leastLeft   = 2                // servers after the loss of a zone
 	holdPeak    = 25 * time.Second // how long a peak of the work is planned for
 	settle      = 12 * time.Second // after the first traffic nothing is given back
@@ -89,26 +92,24 @@
 
 // Plan returns what each zone is to have.
 func (p *Planner) Plan(in Input, now time.Time) []Want {
-	total := 0
-	for _, z := range in.Zones {
-		total += z.Spot + z.Regular
-	}
-	p.initial = max(p.initial, total)
 	if in.Known && p.firstAt.IsZero() {
 		p.firstAt = now
 	}
+	if p.firstAt.IsZero() {
+		p.initial = max(p.initial, lo.SumBy(in.Zones, func(z Zone) int { return z.Regular }))
+	}
 	busy := p.busiest(in, now)
 	if in.SpotPrice <= 0 || in.SpotPrice >= 1 {
-		return spread(in, p.enough(busy, regularLoad, now), func(w *Want) *int { return &w.Regular })
+		return spread(in, p.enough(busy/regularLoad, now), func(w *Want) *int { return &w.Regular })
 	}
-	wants := spread(in, p.enough(busy, spotLoad, now), func(w *Want) *int { return &w.Spot })
+	wants := spread(in, p.enough(spotFactor*busy+spotSpare*math.Sqrt(busy), now), func(w *Want) *int { return &w.Spot })
 	p.fill(in, wants, busy, now)
 	return wants
 }
 
 // enough returns how many servers are to be left when a zone is lost.
-func (p *Planner) enough(busy, load float64, now time.Time) int {
-	n := max(leastLeft, int(math.Ceil(busy/load)))
+func (p *Planner) enough(servers float64, now time.Time) int {
+	n := max(leastLeft, int(math.Ceil(servers)))
 	if p.firstAt.IsZero() || now.Sub(p.firstAt) < settle {
 		n = max(n, p.initial*2/3)
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -126,11 +126,24 @@
 	host     string
 	header   http.Header // as the servers get it, but for what each is told
 	body     []byte
-	tried    []string // servers that it was sent to
-	avoid    []string // servers that were chosen for it, reached or not
-	mayRun   bool     // a server may have run it
-	event    string   // id of the last event passed on
-	answered bool     // the head of an answer was passed on
+	tried    []string      // servers that it was sent to
+	avoid    []string      // servers that were chosen for it, reached or not
+	mayRun   bool          // a server may have run it
+	event    string        // id of the last event passed on
+	answered bool          // the head of an answer was passed on
+	first    time.Time     // when the first event was passed on
+	lastAt   time.Time     // when the last event was passed on
+	pause    time.Duration // the longest between two events
+}
+
+// passed notes that an event was passed on.
+func (q *request) passed(now time.Time) {
+	if q.first.IsZero() {
+		q.first = now
+	} else {
+		q.pause = max(q.pause, now.Sub(q.lastAt))
+	}
+	q.lastAt = now
 }
 
 func (q *request) tenantName() string {
--- a/internal/forward/refuse.go
+++ b/internal/forward/refuse.go
@@ -82,6 +82,12 @@
 	if q.view.Config != nil {
 		fields = append(fields, zap.Int64("config", q.view.Config.Version), zap.Duration("config_age", q.arrived.Sub(q.view.ProvedAt)))
 	}
+	if !q.first.IsZero() {
+		fields = append(fields, zap.Duration("first", q.first.Sub(q.arrived)), zap.Duration("pause", q.pause))
+	}
+	if q.meta.HasTokens {
+		fields = append(fields, zap.Int("prompt", q.meta.PromptTokens), zap.Int("output", q.meta.OutputTokens))
+	}
 	if why != "" {
 		fields = append(fields, zap.String("why", why))
 	}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -115,6 +115,7 @@
 		if r.Buffered() == 0 {
 			_ = http.NewResponseController(w).Flush()
 		}
+		q.passed(time.Now())
 		if id != "" {
 			q.event = id
 		}
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -10,7 +10,7 @@
 
 // Times of following the store.
 const (
-	proveEvery   = 1100 * time.Millisecond
+	proveEvery   = 1700 * time.Millisecond
 	proveTimeout = 900 * time.Millisecond
 	listTimeout  = 1500 * time.Millisecond
 	retryPause   = 150 * time.Millisecond
@@ -19,6 +19,7 @@
 	// WatchWait is how long the store may hold a watch that has nothing to tell.
 	WatchWait  = 8 * time.Second
 	watchSlack = 1500 * time.Millisecond
+	gather     = 300 * time.Millisecond
 )
 
 // called tells the state how a call of the store went, and returns its error.
@@ -79,8 +80,13 @@
 // servers' and the product's own.
 const watchPrefix = ""
 
-// follow passes changes on until a watch fails.
+// follow passes changes on until a watch fails, or until the store is back
+// after it could not be reached: a watch from before may never answer.
 func (n *Node) follow(ctx context.Context, at int64) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	n.rewatch.Store(&cancel)
+	defer n.rewatch.Store(nil)
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, WatchWait+watchSlack)
 		events, next, err := n.Store.Watch(call, watchPrefix, at)
@@ -88,10 +94,11 @@
 		if err != nil {
 			return
 		}
+		at = max(at, next)
 		if len(events) > 0 {
 			n.state.send(watched{events})
+			sleep(ctx, gather) // changes come in series; each call is paid for
 		}
-		at = max(at, next)
 	}
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -87,7 +87,8 @@
 	elector   *duty.Elector
 	handler   *forward.Handler
 	leaving   atomic.Bool
-	configAt  chan struct{} // closed when the first configuration is known
+	rewatch   atomic.Pointer[context.CancelFunc] // ends the watch of the store; nil when there is none
+	configAt  chan struct{}                      // closed when the first configuration is known
 }
 
 // incarnation tells this start of the node from earlier ones.
@@ -96,8 +97,8 @@
 // Parts of the bounds that the node keeps to.
 const (
 	keysShare = 0.88 // of the time after which a key taken away must not work
-	certain   = 1300 * time.Millisecond
-	readyFor  = 2500 * time.Millisecond // after the last proof of the configuration
+	certain   = 2200 * time.Millisecond
+	readyFor  = 3000 * time.Millisecond // after the last proof of the configuration
 )
 
 // New wires a node; Run starts it.
@@ -239,6 +240,7 @@
 		{"register", n.register},
 		{"peers", func(ctx context.Context) error { return n.peers.Serve(ctx, peers) }},
 		{"share", n.shareState},
+		{"tell", n.tellUses},
 		{"elector", n.elector.Run},
 		{"usage", n.reportUsage},
 		{"fleet", n.orderServers},
--- a/internal/front/share.go
+++ b/internal/front/share.go
@@ -21,6 +21,8 @@
 	shareLeast   = 200 * time.Millisecond
 	shareForNode = 25 * time.Millisecond // added for each node, so that a node's load stays the same as the fleet grows
 	shareTimeout = 600 * time.Millisecond
+	briefEvery   = 15 * time.Millisecond // at the most, news of a long prompt
+	briefMembers = 24                    // with more nodes, news wait for the next exchange
 )
 
 // shareState exchanges soft state with the other nodes. Of two nodes the one
@@ -62,6 +64,39 @@
 	}
 }
 
+// tellUses tells the other nodes at once when a long prompt was sent to a
+// server: requests come in clumps, and nodes that decide at the same moment
+// would all choose the same server.
+func (n *Node) tellUses(ctx context.Context) error {
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-n.tracker.Told():
+		}
+		others := n.state.members.list()
+		if len(others) <= briefMembers {
+			mine := &peerpb.Share{Node: n.Settings.Name, Incarnation: n.incarnation(), Brief: true, Servers: n.serverShares()}
+			for _, other := range others {
+				wait.Go(func() { n.exchange(ctx, other, mine) })
+			}
+		}
+		if !sleep(ctx, briefEvery) {
+			return ctx.Err()
+		}
+	}
+}
+
+func (n *Node) serverShares() []*peerpb.ServerShare {
+	var out []*peerpb.ServerShare
+	for id, use := range n.tracker.Uses() {
+		out = append(out, &peerpb.ServerShare{Id: id, Open: int64(use.Open), Prompt: int64(use.Prompt), Holdup: use.Holdup})
+	}
+	return out
+}
+
 func (n *Node) exchange(ctx context.Context, other member, mine *peerpb.Share) {
 	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
 	defer cancel()
@@ -81,6 +116,9 @@
 		return fault.New(fault.StepPeer, call.From, fault.KindInput, fault.NotRun, "%T is not served here", call.Body)
 	}
 	n.heard(s)
+	if s.Brief {
+		return answer(&peerpb.Answer{Body: &peerpb.Answer_Done{Done: &peerpb.Done{}}})
+	}
 	return answer(&peerpb.Answer{Body: &peerpb.Answer_Share{Share: n.share()}})
 }
 
@@ -115,9 +153,7 @@
 		}
 	}
 	a.mu.Unlock()
-	for id, use := range n.tracker.Uses() {
-		s.Servers = append(s.Servers, &peerpb.ServerShare{Id: id, Open: int64(use.Open), Prompt: int64(use.Prompt)})
-	}
+	s.Servers = n.serverShares()
 	for name, busy := range n.tracker.Demand(time.Now()) {
 		s.Services = append(s.Services, &peerpb.ServiceShare{Name: name, Busy: busy})
 	}
@@ -128,6 +164,10 @@
 func (n *Node) heard(s *peerpb.Share) {
 	now := time.Now()
 	n.state.members.heard(s.Node, now)
+	n.heardUses(s, now)
+	if s.Brief {
+		return
+	}
 	if c := n.clock.Heard(s.Node, time.Unix(0, s.Wall), now); c != 0 {
 		n.event(event.ClockCorrected, zap.Duration("by", c), zap.String("peer", s.Node))
 	}
@@ -149,15 +189,18 @@
 	n.admission.quota.Heard(news, now)
 	n.admission.usage.Heard(s.Node, s.Incarnation, windows)
 	n.admission.mu.Unlock()
+}
+
+func (n *Node) heardUses(s *peerpb.Share, now time.Time) {
 	uses := make(map[string]balance.Use, len(s.Servers))
 	for _, server := range s.Servers {
-		uses[server.Id] = balance.Use{Open: int(server.Open), Prompt: int(server.Prompt)}
+		uses[server.Id] = balance.Use{Open: int(server.Open), Prompt: int(server.Prompt), Holdup: server.Holdup}
 	}
 	demand := make(map[string]float64, len(s.Services))
 	for _, service := range s.Services {
 		demand[service.Name] = service.Busy
 	}
-	n.tracker.Heard(s.Node, uses, demand, now)
+	n.tracker.Heard(s.Node, uses, demand, s.Brief, now)
 }
 
 // String names the node in logs.
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -158,6 +158,9 @@
 	s.storeDown = !c.ok
 	if c.ok {
 		s.node.event(event.StoreBack)
+		if end := s.node.rewatch.Load(); end != nil {
+			(*end)()
+		}
 		return
 	}
 	s.troubleAt = c.at
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -20,21 +20,26 @@
 
 // Terms are by how much a window may go over a limit.
 type Terms struct {
-	Over  float64 // share of the limit
-	Slack float64 // units
+	Over   float64       // share of the limit
+	Slack  float64       // units
+	Window time.Duration // over which use is judged
 }
 
 // Parts of the terms that are used to refuse nothing below a limit; the rest
 // covers what is admitted on old news.
 const (
-	overUsed  = 0.5
-	slackUsed = 0.35
+	overUsed      = 0.5
+	slackForRate  = 0.3
+	slackForBurst = 0.2
 )
 
 // Stretch returns the limit that is kept to.
 func (t Terms) Stretch(l Limit) Limit {
 	x := 1 + overUsed*t.Over
-	return Limit{Rate: x * l.Rate, Burst: x*l.Burst + slackUsed*t.Slack}
+	return Limit{
+		Rate:  x*l.Rate + slackForRate*t.Slack/max(t.Window, time.Second).Seconds(),
+		Burst: x*l.Burst + slackForBurst*t.Slack,
+	}
 }
 
 // Verdict says whether a request is admitted.
@@ -49,6 +54,7 @@
 	assumeMost = 10 * time.Second       // how long a silent node is assumed to go on
 	rateWeight = 0.3
 	leastRetry = 50 * time.Millisecond
+	payShare   = 0.2 // of a request that the level has to cover: a tenant over its limit is refused large and small requests alike
 )
 
 // Season is how long after its start a node knows the levels well.
@@ -78,6 +84,23 @@
 type account struct {
 	bucket   bucket
 	admitted float64 // by this node since it started
+	fresh    float64 // admitted so shortly ago that the others don't know it
+	freshAt  time.Time
+}
+
+// Use of units that the others may use at the same time.
+const (
+	newsTakes  = 250 * time.Millisecond // until all nodes know what one admitted
+	freshShare = 2.0                    // times its even part of the level that a node may use before
+)
+
+// mayUse reports whether a node may use so many units before the others hear
+// of it. One request always may: else the largest would never be admitted.
+func (a *account) mayUse(units float64, nodes int, now time.Time) bool {
+	if now.Sub(a.freshAt) > newsTakes {
+		a.fresh, a.freshAt = 0, now
+	}
+	return a.fresh == 0 || a.fresh+units <= freshShare/float64(max(1, nodes))*(a.bucket.level+a.fresh)
 }
 
 // far is what another node said of one tenant.
@@ -125,13 +148,17 @@
 		return Verdict{OK: true}
 	}
 	a.bucket.fill(limit.part(l.known()), now)
-	need := min(units, limit.Burst)
+	need := payShare * min(units, limit.Burst)
 	if a.bucket.level < need {
 		wait := time.Duration((need - a.bucket.level) / limit.Rate * float64(time.Second))
 		return Verdict{Level: a.bucket.level, RetryAt: now.Add(max(wait, leastRetry))}
 	}
+	if !a.mayUse(units, l.count, now) {
+		return Verdict{Level: a.bucket.level, RetryAt: now.Add(newsTakes)}
+	}
 	a.bucket.level -= units
 	a.admitted += units
+	a.fresh += units
 	return Verdict{OK: true, Level: a.bucket.level}
 }
 
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -31,6 +31,7 @@
 	RetryWindowS float64 `toml:"retry_window_s" help:"Window of the slack."`
 	QuotaOver    float64 `toml:"quota_over" help:"Share by which a window may go over a tenant's limit."`
 	QuotaSlack   int     `toml:"quota_slack" help:"Units by which a window may go over a tenant's limit beside."`
+	QuotaWindowS float64 `toml:"quota_window_s" help:"Window over which the use of a limit is judged."`
 	LeaseMs      int     `toml:"lease_ms" help:"Lease of the node that acts for all."`
 	UsageWindowS float64 `toml:"usage_window_s" help:"Window that usage is reported for."`
 	UsageLateS   float64 `toml:"usage_late_s" help:"Time after the end of a window at which its report is due."`
@@ -48,6 +49,9 @@
 // RetryWindow returns the window of second tries.
 func (b Bounds) RetryWindow() time.Duration { return inSeconds(b.RetryWindowS) }
 
+// QuotaWindow returns the window over which the use of a limit is judged.
+func (b Bounds) QuotaWindow() time.Duration { return inSeconds(b.QuotaWindowS) }
+
 // Lease returns the lease of the node that acts for all.
 func (b Bounds) Lease() time.Duration { return time.Duration(b.LeaseMs) * time.Millisecond }
 
