--- /dev/null
+++ b/internal/backend/backend_test.go
@@ -0,0 +1,238 @@
+package backend
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shelfcrank/shelfcrank/internal/fault"
+	"github.com/shelfcrank/shelfcrank/internal/netx"
+)
+
+var serverAddr = netip.MustParseAddrPort("10.0.0.1:80")
+
+type testProtocol struct{}
+
+func (testProtocol) Answer(_ int, h http.Header) Answer {
+	return Answer{RequestID: h.Get("Id"), Sealed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != ""}
+}
+
+// answerTo is a whole answer to a request.
+func answerTo(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+// play serves each connection by a script: what to write after each request.
+// An empty answer closes the connection. It returns a client, and how many
+// connections were made.
+func play(t *testing.T, scripts ...[]string) (*Client, *int) {
+	t.Helper()
+	mem := netx.NewMem(func(string, string) time.Duration { return time.Millisecond })
+	l, err := mem.Site("server").Listen(serverAddr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	conns := 0
+	go func() {
+		for _, script := range scripts {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conns++
+			go serve(c, script)
+		}
+	}()
+	return New(mem.Site("node"), testProtocol{}), &conns
+}
+
+func serve(c net.Conn, script []string) {
+	r := bufio.NewReader(c)
+	for _, answer := range script {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			break
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		if answer == "" {
+			break
+		}
+		_, _ = io.WriteString(c, answer)
+	}
+	_ = c.Close()
+}
+
+func call(id string) *Call {
+	return &Call{Server: "s", Addr: serverAddr, Method: http.MethodPost, URI: "/a/b?c=%20d", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte("body"), ID: id}
+}
+
+func send(t *testing.T, c *Client, id string) (string, error) {
+	t.Helper()
+	resp, err := c.Send(context.Background(), call(id))
+	if err != nil {
+		return "", err
+	}
+	defer resp.Close()
+	b, err := io.ReadAll(resp)
+	return string(b), err
+}
+
+func bubble(t *testing.T, f func(t *testing.T, is *is.I)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) { f(t, is.New(t)) })
+}
+
+func TestAConnectionIsKept(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I) {
+		c, conns := play(t, []string{answerTo("1", "one"), answerTo("2", "two")})
+		b, err := send(t, c, "1")
+		is.NoErr(err)
+		is.Equal(b, "one")
+		b, err = send(t, c, "2")
+		is.NoErr(err)
+		is.Equal(b, "two")
+		is.Equal(*conns, 1)
+		c.CloseIdle()
+	})
+}
+
+func TestNothingSentIsNotRun(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I) {
+		mem := netx.NewMem(func(string, string) time.Duration { return time.Millisecond })
+		_, err := New(mem.Site("node"), testProtocol{}).Send(context.Background(), call("1"))
+		is.Equal(fault.As(err).Run, fault.NotRun)
+	})
+}
+
+func TestARequestThatWasSentMayHaveRun(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I) {
+		for _, answer := range []string{"", "nonsense\r\n\r\n", "HTTP/1.1 200 OK\r\n"} {
+			c, conns := play(t, []string{answer})
+			_, err := send(t, c, "1")
+			is.Equal(fault.As(err).Run, fault.MayHaveRun)
+			is.Equal(*conns, 1) // never sent again by itself
+		}
+	})
+}
+
+func TestAnAnswerToAnotherRequestIsSkipped(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I) {
+		late := answerTo("0", "late")
+		c, conns := play(t, []string{late + answerTo("1", "one")}, []string{answerTo("2", "two")})
+		b, err := send(t, c, "1")
+		is.NoErr(err)
+		is.Equal(b, "one")
+		b, err = send(t, c, "2")
+		is.NoErr(err)
+		is.Equal(b, "two")
+		is.Equal(*conns, 2) // the first connection is not trusted any more
+		c.CloseIdle()
+	})
+}
+
+func TestBytesAfterAnAnswerEndTheConnection(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I) {
+		c, conns := play(t, []string{answerTo("1", "one") + answerTo("1", "one")}, []string{answerTo("2", "two")})
+		_, err := send(t, c, "1")
+		is.NoErr(err)
+		b, err := send(t, c, "2")
+		is.NoErr(err)
+		is.Equal(b, "two")
+		is.Equal(*conns, 2)
+		c.CloseIdle()
+	})
+}
+
+func TestABodyThatEndsEarlyIsAnError(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I) {
+		short := "HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s\r\nContent-Length: 9\r\n\r\nshort"
+		chunked := "HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n"
+		for _, answer := range []string{short, chunked} {
+			c, _ := play(t, []string{answer})
+			_, err := send(t, c, "1")
+			is.True(err != nil)
+			is.True(!errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF))
+		}
+	})
+}
+
+func TestTheRequestIsSentAsItIs(t *testing.T) {
+	is := is.New(t)
+	head := string(call("1").head())
+	is.True(strings.HasPrefix(head, "POST /a/b?c=%20d HTTP/1.1\r\nHost: h\r\n"))
+	is.True(strings.HasSuffix(head, "Content-Length: 4\r\n\r\n"))
+	get := call("2")
+	get.Method, get.Body = http.MethodGet, nil
+	is.True(!strings.Contains(string(get.head()), "Content-Length"))
+}
+
+func TestAnIdleConnectionIsNotUsedLate(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I) {
+		told := strings.Replace(answerTo("1", "one"), "\r\n\r\n", "\r\nKeep-Alive: timeout=2\r\n\r\n", 1)
+		c, conns := play(t, []string{told, answerTo("2", "two")}, []string{answerTo("2", "two")})
+		_, err := send(t, c, "1")
+		is.NoErr(err)
+		time.Sleep(1500 * time.Millisecond) // the server closes it after 2 s
+		_, err = send(t, c, "2")
+		is.NoErr(err)
+		is.Equal(*conns, 2)
+		c.CloseIdle()
+	})
+}
+
+func TestConnectionsToAServerAreBounded(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I) {
+		c, _ := play(t, []string{answerTo("1", "one")}, []string{answerTo("2", "two")})
+		first := call("1")
+		first.MaxConns = 1
+		resp, err := c.Send(context.Background(), first)
+		is.NoErr(err)
+		second := call("2")
+		second.MaxConns = 1
+		_, err = c.Send(context.Background(), second)
+		is.Equal(fault.As(err).Run, fault.NotRun)
+		is.Equal(fault.As(err).Kind, fault.KindLimit)
+		_, err = io.ReadAll(resp)
+		is.NoErr(err)
+		resp.Close()
+		c.CloseIdle()
+	})
+}
+
+func TestACancelledRequestClosesItsConnection(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I) {
+		mem := netx.NewMem(func(string, string) time.Duration { return time.Millisecond })
+		l, err := mem.Site("server").Listen(serverAddr)
+		is.NoErr(err)
+		closedAt := make(chan time.Time, 1)
+		go func() {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, conn) // until the node closes it
+			closedAt <- time.Now()
+			_ = conn.Close()
+		}()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		begun := time.Now()
+		_, err = New(mem.Site("node"), testProtocol{}).Send(ctx, call("1"))
+		is.Equal(fault.As(err).Kind, fault.KindTimeout)
+		is.Equal(fault.As(err).Run, fault.MayHaveRun)
+		is.True((<-closedAt).Sub(begun) < 1100*time.Millisecond)
+		_ = l.Close()
+	})
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -47,12 +47,14 @@
 
 // Tuning of the plan; docs/design/platform.md argues each.
 const (
-	spotFactor  = 2.0              // reclaimable servers for each server's worth of work,
-	spotSpare   = 3.0              // and for its root: chance weighs more in a small fleet
+	spotFactor  = 1.5              // reclaimable servers for each server's worth of work,
+	spotSpare   = 2.5              // and for its root: chance weighs more in a small fleet
 	regularLoad = 0.7              // load of a server for which others are ordered in their place
 	leastLeft   = 2                // servers after the loss of a zone
-	holdPeak    = 25 * time.Second // how long a peak of the work is planned for
-	settle      = 12 * time.Second // after the first traffic nothing is given back
+	holdPeak    = 25 * time.Second // how long a peak of the work is planned for by reclaimable servers,
+	holdShort   = 8 * time.Second  // and by others
+	lossLoad    = 0.95             // load of a server that is borne if the next zone goes as well
+	settle      = 8 * time.Second  // after the first traffic nothing is given back
 	tryAgain    = 3 * time.Second  // after a refusal no reclaimable ones are asked for
 	giveBack    = 3 * time.Second  // how long others have to be needless before they go
 )
@@ -66,7 +68,7 @@
 type Planner struct {
 	peak       []sample // falling maxima of the work
 	firstAt    time.Time
-	initial    int                  // servers that the operators began with
+	initial    int                  // servers to begin with
 	dry        map[string]time.Time // zones that have no reclaimable servers to give, and when to ask again
 	needlessAt time.Time            // since when the servers that are not reclaimable are not needed; zero if they are
 }
@@ -83,11 +85,20 @@
 // MayAsk reports whether a zone may be asked for reclaimable servers.
 func (p *Planner) MayAsk(zone string, now time.Time) bool { return !now.Before(p.dry[zone]) }
 
-// busiest returns the most work of late.
-func (p *Planner) busiest(in Input, now time.Time) float64 {
-	p.peak = slices.DeleteFunc(p.peak, func(s sample) bool { return now.Sub(s.at) > holdPeak || s.busy <= in.Busy })
-	p.peak = append(p.peak, sample{now, in.Busy})
-	return p.peak[0].busy
+// note takes a sample of the work.
+func (p *Planner) note(busy float64, now time.Time) {
+	p.peak = slices.DeleteFunc(p.peak, func(s sample) bool { return now.Sub(s.at) > holdPeak || s.busy <= busy })
+	p.peak = append(p.peak, sample{now, busy})
+}
+
+// busiest returns the most work over a time up to now.
+func (p *Planner) busiest(over time.Duration, now time.Time) float64 {
+	for _, s := range p.peak { // they fall
+		if now.Sub(s.at) <= over {
+			return s.busy
+		}
+	}
+	return 0
 }
 
 // Plan returns what each zone is to have.
@@ -96,14 +107,16 @@
 		p.firstAt = now
 	}
 	if p.firstAt.IsZero() {
-		p.initial = max(p.initial, lo.SumBy(in.Zones, func(z Zone) int { return z.Regular }))
+		// The work is not known yet: the middle of the operators' bounds.
+		p.initial = max(lo.SumBy(in.Zones, func(z Zone) int { return z.Regular }), len(in.Zones)*(in.Min+in.Max)/2)
 	}
-	busy := p.busiest(in, now)
+	p.note(in.Busy, now)
+	busy := p.busiest(holdPeak, now)
 	if in.SpotPrice <= 0 || in.SpotPrice >= 1 {
 		return spread(in, p.enough(busy/regularLoad, now), func(w *Want) *int { return &w.Regular })
 	}
 	wants := spread(in, p.enough(spotFactor*busy+spotSpare*math.Sqrt(busy), now), func(w *Want) *int { return &w.Spot })
-	p.fill(in, wants, busy, now)
+	p.fill(in, wants, p.busiest(holdShort, now), now)
 	return wants
 }
 
@@ -165,6 +178,7 @@
 // needless for a while: a plan that wavers would start them again and again.
 func (p *Planner) fill(in Input, wants []Want, busy float64, now time.Time) {
 	need := max(leastLeft, int(math.Ceil(busy/regularLoad)))
+	planned := lo.SumBy(wants, func(w Want) int { return w.Spot })
 	spot, coming, most, committed := 0, 0, 0, 0
 	for i, w := range wants {
 		z := zoneNamed(in, w.Zone)
@@ -174,21 +188,22 @@
 		wants[i].Regular = z.Regular + z.RegularComing
 		committed += wants[i].Regular
 	}
-	sure := spot + coming
+	missing := need - spot - coming - committed
 	if len(p.dry) > 0 && len(wants) > 1 {
-		sure = spot - most
+		missing = max(need-spot, int(math.Ceil(busy/lossLoad))-(spot-most)) - committed
 	}
-	missing := need - sure - committed
 	switch {
 	case missing > 0:
 		p.needlessAt = time.Time{}
 		addRegular(in, wants, missing)
-	case spot < need || missing == 0:
+	case p.firstAt.IsZero() && spot >= planned:
+		takeRegular(wants, -missing) // nothing runs on them yet
+	case spot+committed <= need || missing == 0:
 		p.needlessAt = time.Time{}
 	case p.needlessAt.IsZero():
 		p.needlessAt = now
 	case now.Sub(p.needlessAt) > giveBack:
-		takeRegular(wants, -missing)
+		takeRegular(wants, min(-missing, spot+committed-need)) // those to come take no work yet
 	}
 }
 
--- /dev/null
+++ b/internal/forward/forward_test.go
@@ -0,0 +1,412 @@
+package forward
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/shelfcrank/shelfcrank/internal/backend"
+	"github.com/shelfcrank/shelfcrank/internal/balance"
+	"github.com/shelfcrank/shelfcrank/internal/metrics"
+	"github.com/shelfcrank/shelfcrank/internal/netx"
+	"github.com/shelfcrank/shelfcrank/internal/policy"
+	"github.com/shelfcrank/shelfcrank/internal/quota"
+	"github.com/shelfcrank/shelfcrank/internal/registry"
+)
+
+// plainProtocol names the headers in the plainest way.
+type plainProtocol struct{}
+
+func (plainProtocol) Answer(_ int, h http.Header) backend.Answer {
+	return backend.Answer{RequestID: h.Get("Id"), Sealed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != ""}
+}
+
+func (plainProtocol) Request(h http.Header) Meta {
+	m := Meta{ID: h.Get("Id"), Key: h.Get("Key"), LastEventID: h.Get("Last")}
+	if ms, err := strconv.Atoi(h.Get("Deadline")); err == nil {
+		m.Allowed, m.HasDeadline = time.Duration(ms)*time.Millisecond, true
+	}
+	return m
+}
+
+func (plainProtocol) Clean(h http.Header)       { h.Del("Key") }
+func (plainProtocol) CleanAnswer(h http.Header) { h.Del("Content-Length"); h.Del("Transfer-Encoding") }
+func (plainProtocol) Outgoing(h http.Header, o Outgoing) {
+	h.Set("Server", o.Server)
+	h.Set("Tenant", o.Tenant)
+	h.Set("Deadline", strconv.FormatInt(o.Left.Milliseconds(), 10))
+	if o.LastEventID != "" {
+		h.Set("Last", o.LastEventID)
+	}
+}
+func (plainProtocol) RetryAfter(h http.Header, wait time.Duration) {
+	h.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
+}
+
+// freely admits all; budget is how many second tries there may be.
+type freely struct {
+	mu       sync.Mutex
+	budget   int
+	began    int64
+	returned float64
+	refuse   bool
+}
+
+func (a *freely) Admit(*policy.Tenant, float64, time.Time) quota.Verdict {
+	return quota.Verdict{OK: !a.refuse, RetryAt: time.Now().Add(time.Second)}
+}
+func (a *freely) Return(_ *policy.Tenant, units float64) { a.returned += units }
+func (a *freely) FirstTry(string, time.Time)             {}
+func (a *freely) SecondTry(string, time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.budget--
+	return a.budget >= 0
+}
+func (a *freely) Began(_ string, n int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.began += n
+}
+
+// world is a handler with scripted servers.
+type world struct {
+	handler *Handler
+	admit   *freely
+	mu      sync.Mutex
+	got     []http.Header // what servers were sent; guarded by mu
+}
+
+const testHost = "shop.example"
+
+func testConfig(t *testing.T) *policy.Config {
+	t.Helper()
+	route := func(name string, kind policy.Kind, attempts int, resumable bool) policy.Route {
+		return policy.Route{
+			Name: name, Host: testHost, Prefix: "/" + name + "/", Kind: kind, Timeout: 2 * time.Second,
+			Split: []policy.Share{{Service: "svc", Weight: 1}}, MaxAttempts: attempts, Resumable: resumable,
+		}
+	}
+	c, err := policy.New(policy.Config{
+		Version: 1,
+		Routes: []policy.Route{
+			route("once", policy.Unsafe, 2, false), route("safe", policy.Safe, 2, false),
+			route("stream", policy.Streaming, 1, false), route("resume", policy.Streaming, 2, true),
+		},
+		Services: []policy.Service{{Name: "svc"}},
+		Tenants:  []policy.Tenant{{Name: "north", Keys: []string{"k"}}},
+		Limits:   policy.Limits{BodyBytes: 1000},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// newWorld starts one server for each script; an answer "" closes the
+// connection, "hang" keeps silent. An address without a script is dead.
+func newWorld(t *testing.T, dead int, scripts ...string) *world {
+	t.Helper()
+	mem := netx.NewMem(func(string, string) time.Duration { return time.Millisecond })
+	w := &world{admit: &freely{budget: 5}}
+	var servers []registry.Server
+	turn := 0
+	for i := range dead + len(scripts) {
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 80)
+		servers = append(servers, registry.Server{ID: fmt.Sprint("s", i), Service: "svc", Addr: addr})
+		if i < dead {
+			continue
+		}
+		l, err := mem.Site(fmt.Sprint("server", i)).Listen(addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = l.Close() })
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go w.serve(c, func() string {
+					w.mu.Lock()
+					defer w.mu.Unlock()
+					turn++
+					return scripts[min(turn, len(scripts))-1]
+				})
+			}
+		}()
+	}
+	m, err := metrics.New(metrics.Gauges{Records: zero, Claims: zero, Table: zero, Members: zero})
+	if err != nil {
+		t.Fatal(err)
+	}
+	view := &View{Config: testConfig(t), ProvedAt: time.Now(), Servers: map[string][]registry.Server{"svc": servers}, Nodes: 1}
+	w.handler = New(Options{
+		Protocol: plainProtocol{}, View: func() *View { return view }, Backends: backend.New(mem.Site("node"), plainProtocol{}),
+		Tracker: balance.NewTracker(), Admission: w.admit, Log: zap.NewNop(), Metrics: m,
+		KeysFor: 4 * time.Second, CertainFor: 2 * time.Second,
+	})
+	return w
+}
+
+func zero() int64 { return 0 }
+
+func (w *world) serve(c net.Conn, next func() string) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, req.Body)
+	w.mu.Lock()
+	w.got = append(w.got, req.Header)
+	w.mu.Unlock()
+	switch answer := next(); answer {
+	case "":
+	case "hang":
+		_, _ = io.Copy(io.Discard, r)
+	default:
+		text, closes := strings.CutSuffix(answer, thenClose)
+		_, _ = io.WriteString(c, text)
+		if !closes {
+			_, _ = io.Copy(io.Discard, r)
+		}
+	}
+}
+
+// ask sends a request and returns the answer; cut says that the connection was
+// closed in its middle.
+func (w *world) ask(path, key string) (rec *httptest.ResponseRecorder, cut bool) {
+	r := httptest.NewRequest(http.MethodPost, "http://"+testHost+path, strings.NewReader("body"))
+	r.Header.Set("Id", "7")
+	r.Header.Set("Key", key)
+	r.Header.Set("Deadline", "1500")
+	rec = httptest.NewRecorder()
+	defer func() {
+		if e := recover(); e == http.ErrAbortHandler {
+			cut = true
+		} else if e != nil {
+			panic(e)
+		}
+	}()
+	w.handler.ServeHTTP(rec, r)
+	return rec, false
+}
+
+func sealed(status int, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %d X\r\nId: 7\r\nSeal: s%d\r\nContent-Length: %d\r\n\r\n%s", status, status, len(body), body)
+}
+
+// events is a stream of the events from first to last; whole says whether its
+// end is sent.
+func events(first, last int, whole bool) string {
+	var b strings.Builder
+	b.WriteString("HTTP/1.1 200 OK\r\nId: 7\r\nSeal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+	for i := first; i <= last; i++ {
+		e := fmt.Sprintf("id: %d\ndata: x\n\n", i)
+		fmt.Fprintf(&b, "%x\r\n%s\r\n", len(e), e)
+	}
+	if whole {
+		b.WriteString("0\r\n\r\n")
+	} else {
+		b.WriteString("8\r\nid: 99\nd\r\n" + thenClose) // torn inside an event
+	}
+	return b.String()
+}
+
+// thenClose ends an answer after which the server closes the connection.
+const thenClose = "<close>"
+
+const (
+	refused  = "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	unsealed = "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 2\r\n\r\nhi"
+	garbage  = "\x00\x01 nonsense\r\n\r\n"
+)
+
+func TestAnswers(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		path    string
+		dead    int
+		scripts []string
+		budget  int
+		status  int
+		sent    int // requests that reached a server
+		retry   bool
+	}{
+		{name: "an answer is passed on", path: "/once/a", scripts: []string{sealed(200, "hi")}, budget: 5, status: 200, sent: 1},
+		{name: "a failure is the server's", path: "/once/a", scripts: []string{sealed(500, "no")}, budget: 5, status: 500, sent: 1},
+		{name: "what may have run is not repeated", path: "/once/a", scripts: []string{"", sealed(200, "hi")}, budget: 5, status: 502, sent: 1},
+		{name: "garbage may have run", path: "/once/a", scripts: []string{garbage, sealed(200, "hi")}, budget: 5, status: 502, sent: 1},
+		{name: "a refusal is not a run", path: "/once/a", scripts: []string{refused, sealed(200, "hi")}, budget: 5, status: 200, sent: 2},
+		{name: "a refusal without a budget", path: "/once/a", scripts: []string{refused, sealed(200, "hi")}, status: 503, sent: 1, retry: true},
+		{name: "a refusal by all servers", path: "/once/a", scripts: []string{refused, refused}, budget: 5, status: 503, sent: 2, retry: true},
+		{name: "a refusal, then a break", path: "/once/a", scripts: []string{refused, ""}, budget: 5, status: 502, sent: 2},
+		{name: "dead servers are passed over", path: "/once/a", dead: 1, scripts: []string{sealed(200, "hi")}, budget: 5, status: 200, sent: 1},
+		{name: "dead servers only", path: "/once/a", dead: 2, budget: 5, status: 503, retry: true},
+		{name: "no server", path: "/once/a", budget: 5, status: 503, retry: true},
+		{name: "a safe request is repeated", path: "/safe/a", scripts: []string{"", sealed(200, "hi")}, budget: 5, status: 200, sent: 2},
+		{name: "after a failure too", path: "/safe/a", scripts: []string{sealed(500, "no"), sealed(200, "hi")}, budget: 5, status: 200, sent: 2},
+		{name: "within the budget", path: "/safe/a", scripts: []string{sealed(500, "no"), sealed(200, "hi")}, status: 500, sent: 1},
+		{name: "a success needs a seal", path: "/once/a", scripts: []string{unsealed, sealed(200, "hi")}, budget: 5, status: 502, sent: 1},
+		{name: "a promise that was not made", path: "/once/a", scripts: []string{sealed(503, "")}, budget: 5, status: 502, sent: 1},
+		{name: "no answer in time", path: "/once/a", scripts: []string{"hang"}, budget: 5, status: 504, sent: 1},
+		{name: "an answer that breaks off", path: "/once/a", scripts: []string{strings.TrimSuffix(sealed(200, "hi"), "i") + thenClose}, budget: 5, status: 502, sent: 1},
+		{name: "an answer that stays short", path: "/once/a", scripts: []string{strings.TrimSuffix(sealed(200, "hi"), "i")}, budget: 5, status: 504, sent: 1},
+		{name: "no route", path: "/none/a", budget: 5, status: 404},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t, test.dead, test.scripts...)
+				w.admit.budget = test.budget
+				begun := time.Now()
+				rec, cut := w.ask(test.path, "k")
+				is.True(!cut)
+				is.Equal(rec.Code, test.status)
+				is.Equal(len(w.got), test.sent)
+				is.Equal(rec.Header().Get("Retry-After") != "", test.retry)
+				is.True(time.Since(begun) < 1600*time.Millisecond) // the final answer comes at once
+				if test.status == 503 {
+					is.Equal(w.admit.returned, 1.0)
+				}
+				w.handler.Backends.CloseIdle()
+			})
+		})
+	}
+}
+
+func TestADeadlineIsPassedOnAsWhatIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 0, sealed(500, "no"), sealed(200, "hi"))
+		w.ask("/safe/a", "k")
+		first, err := strconv.Atoi(w.got[0].Get("Deadline"))
+		is.NoErr(err)
+		second, err := strconv.Atoi(w.got[1].Get("Deadline"))
+		is.NoErr(err)
+		is.True(first <= 1500 && second < first && second > 1400)
+		is.Equal(w.got[0].Get("Tenant"), "north")
+		is.Equal(w.got[0].Get("Key"), "") // the key is not shown
+		is.True(w.got[0].Get("Server") != w.got[1].Get("Server"))
+		w.handler.Backends.CloseIdle()
+	})
+}
+
+func TestStreams(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		path    string
+		scripts []string
+		last    int
+		cut     bool
+		sent    int
+	}{
+		{"a stream is passed on", "/stream/a", []string{events(1, 9, true)}, 9, false, 1},
+		{"a broken one looks broken", "/stream/a", []string{events(1, 4, false), events(1, 9, true)}, 4, true, 1},
+		{"another server goes on", "/resume/a", []string{events(1, 4, false), events(5, 9, true)}, 9, false, 2},
+		{"events that come twice are dropped", "/resume/a", []string{events(1, 4, false), events(3, 9, true)}, 9, false, 2},
+		{"nobody goes on", "/resume/a", []string{events(1, 4, false), refused, refused, refused, refused, refused, refused}, 4, true, 6},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t, 0, test.scripts...)
+				w.admit.budget = 9
+				rec, cut := w.ask(test.path, "k")
+				is.Equal(cut, test.cut)
+				var want strings.Builder
+				for i := 1; i <= test.last; i++ {
+					fmt.Fprintf(&want, "id: %d\ndata: x\n\n", i)
+				}
+				is.Equal(rec.Body.String(), want.String()) // each event once, whole, in order
+				is.Equal(len(w.got), test.sent)
+				if test.sent == 2 {
+					is.Equal(w.got[1].Get("Last"), "4")
+				}
+				w.handler.Backends.CloseIdle()
+			})
+		})
+	}
+}
+
+func TestKeysAreHonouredOnlyWhileTheConfigurationIsProved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 0, sealed(200, "hi"), sealed(200, "hi"))
+		rec, _ := w.ask("/once/a", "unknown")
+		is.Equal(rec.Code, 401)
+		time.Sleep(3 * time.Second) // certain no more
+		rec, _ = w.ask("/once/a", "unknown")
+		is.Equal(rec.Code, 503)
+		rec, _ = w.ask("/none/a", "k")
+		is.Equal(rec.Code, 503)
+		rec, _ = w.ask("/once/a", "k")
+		is.Equal(rec.Code, 200)
+		time.Sleep(2 * time.Second) // the key may have been taken away
+		rec, _ = w.ask("/once/a", "k")
+		is.Equal(rec.Code, 503)
+		is.True(rec.Header().Get("Retry-After") != "")
+		w.handler.Backends.CloseIdle()
+	})
+}
+
+func TestALimitIsAnsweredWithATimeToComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 0, sealed(200, "hi"))
+		w.admit.refuse = true
+		rec, _ := w.ask("/once/a", "k")
+		is.Equal(rec.Code, 429)
+		is.Equal(rec.Header().Get("Retry-After"), "1.000")
+		is.Equal(len(w.got), 0)
+	})
+}
+
+func TestABodyOverTheLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 0, sealed(200, "hi"))
+		r := httptest.NewRequest(http.MethodPost, "http://"+testHost+"/once/a", strings.NewReader(strings.Repeat("x", 1001)))
+		r.Header.Set("Key", "k")
+		rec := httptest.NewRecorder()
+		w.handler.ServeHTTP(rec, r)
+		is.Equal(rec.Code, 413)
+		is.Equal(len(w.got), 0)
+	})
+}
+
+// Events may hold anything and break anywhere: what is passed on is whole.
+func FuzzNextEvent(f *testing.F) {
+	f.Add("id: 1\ndata: a\n\nid: 2\n\n")
+	f.Add("\r\n\r\ndata: x\r\n\r\n")
+	f.Add("data: no end")
+	f.Fuzz(func(t *testing.T, text string) {
+		r := bufio.NewReaderSize(strings.NewReader(text), 16)
+		for range len(text) + 1 {
+			e, err := nextEvent(r, nil)
+			if err != nil {
+				return
+			}
+			if !strings.HasSuffix(string(e), "\n") || len(strings.TrimSpace(string(e))) == 0 {
+				t.Fatalf("event %q is not whole", e)
+			}
+		}
+		t.Fatal("more events than bytes")
+	})
+}
--- /dev/null
+++ b/internal/storetest/storetest.go
@@ -0,0 +1,357 @@
+// Package storetest is a stand-in of the platform's metadata store: items with
+// revisions, transactions, watches and leases, in memory, with the faults that
+// the real one has. It is meant for tests and the embedded demo.
+//
+// Store is safe for concurrent use.
+package storetest
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/shelfcrank/shelfcrank/internal/store"
+)
+
+// Faults are what a caller meets. The zero value is none.
+type Faults struct {
+	Down     bool          // calls hang until they are given up on
+	Busy     bool          // calls are refused
+	LoseNext int           // so many writes are done and not answered
+	Late     time.Duration // a write that is not answered is done so much later
+	Silent   bool          // watches hear nothing
+	Slow     time.Duration // added to each call
+}
+
+// ErrLost says that an answer was lost.
+var ErrLost = errors.New("no answer")
+
+type lease struct {
+	ttl   time.Duration
+	until time.Time
+}
+
+// Store is the stand-in.
+type Store struct {
+	ttl  time.Duration // the shortest lease
+	wait time.Duration // how long a watch is held
+
+	mu      sync.Mutex
+	rev     int64                 // guarded by mu
+	items   map[string]store.Item // guarded by mu
+	log     []store.Event         // guarded by mu
+	oldest  int64                 // revision that the log begins after; guarded by mu
+	leases  map[int64]lease       // guarded by mu
+	lastID  int64                 // guarded by mu
+	changed chan struct{}         // closed and made anew with each change; guarded by mu
+	faults  map[string]Faults     // by caller; guarded by mu
+	calls   int                   // guarded by mu
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{
+		ttl: time.Second, wait: 2 * time.Second, items: make(map[string]store.Item), leases: make(map[int64]lease),
+		changed: make(chan struct{}), faults: make(map[string]Faults),
+	}
+}
+
+// SetFaults sets what a caller meets; "" is every caller without faults of its own.
+func (s *Store) SetFaults(caller string, f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults[caller] = f
+	s.signal()
+}
+
+// Compact forgets the history: watches have to list anew.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.log, s.oldest = nil, s.rev
+	s.signal()
+}
+
+// Calls returns how many calls were made.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Put writes a key as the operators and the servers do. A nil value drops it.
+func (s *Store) Put(key string, value []byte) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(time.Now())
+	s.rev++
+	if value == nil {
+		s.drop(key)
+	} else {
+		s.put(store.Put{Key: key, Value: value})
+	}
+	s.signal()
+	return s.rev
+}
+
+// Client returns the store as one caller sees it.
+func (s *Store) Client(caller string) *Client { return &Client{s, caller} }
+
+func (s *Store) signal() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) put(p store.Put) {
+	item := store.Item{Key: p.Key, Value: p.Value, Revision: s.rev, Lease: p.Lease}
+	s.items[p.Key] = item
+	s.log = append(s.log, store.Event{Item: item})
+}
+
+func (s *Store) drop(key string) {
+	delete(s.items, key)
+	s.log = append(s.log, store.Event{Item: store.Item{Key: key, Revision: s.rev}, Gone: true})
+}
+
+// expire drops the keys of leases that ran out.
+func (s *Store) expire(now time.Time) {
+	for id, l := range s.leases {
+		if now.Before(l.until) {
+			continue
+		}
+		delete(s.leases, id)
+		s.dropLease(id)
+	}
+}
+
+func (s *Store) dropLease(id int64) {
+	for key, item := range s.items {
+		if item.Lease == id {
+			s.rev++
+			s.drop(key)
+		}
+	}
+	s.signal()
+}
+
+// Client is the store as one caller sees it.
+type Client struct {
+	store  *Store
+	caller string
+}
+
+// enter begins a call: it meets the caller's faults.
+func (c *Client) enter(ctx context.Context) error {
+	s := c.store
+	s.mu.Lock()
+	f, ok := s.faults[c.caller]
+	if !ok {
+		f = s.faults[""]
+	}
+	s.calls++
+	s.mu.Unlock()
+	switch {
+	case f.Busy:
+		return store.ErrRefused
+	case f.Down:
+		<-ctx.Done()
+		return ctx.Err()
+	case f.Slow > 0:
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(f.Slow):
+		}
+	}
+	return nil
+}
+
+// Get implements store.Reader.
+func (c *Client) Get(ctx context.Context, key string) (store.Item, int64, error) {
+	if err := c.enter(ctx); err != nil {
+		return store.Item{}, 0, err
+	}
+	s := c.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(time.Now())
+	item, ok := s.items[key]
+	if !ok {
+		return store.Item{}, s.rev, store.ErrNotFound
+	}
+	return item, s.rev, nil
+}
+
+// Range implements store.Reader.
+func (c *Client) Range(ctx context.Context, prefix string) ([]store.Item, int64, error) {
+	if err := c.enter(ctx); err != nil {
+		return nil, 0, err
+	}
+	s := c.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(time.Now())
+	var out []store.Item
+	for key, item := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			out = append(out, item)
+		}
+	}
+	slices.SortFunc(out, func(a, b store.Item) int { return strings.Compare(a.Key, b.Key) })
+	return out, s.rev, nil
+}
+
+// Watch implements store.Reader.
+func (c *Client) Watch(ctx context.Context, prefix string, after int64) ([]store.Event, int64, error) {
+	if err := c.enter(ctx); err != nil {
+		return nil, 0, err
+	}
+	end := time.NewTimer(c.store.wait)
+	defer end.Stop()
+	look := time.NewTicker(50 * time.Millisecond) // leases run out without a call
+	defer look.Stop()
+	for {
+		events, at, changed, err := c.since(prefix, after)
+		if err != nil || len(events) > 0 {
+			return events, at, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		case <-end.C:
+			return nil, at, nil
+		case <-look.C:
+		case <-changed:
+		}
+	}
+}
+
+func (c *Client) since(prefix string, after int64) ([]store.Event, int64, <-chan struct{}, error) {
+	s := c.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(time.Now())
+	if after < s.oldest {
+		return nil, 0, nil, store.ErrCompacted
+	}
+	if s.faults[c.caller].Silent {
+		return nil, after, s.changed, nil
+	}
+	var out []store.Event
+	for _, e := range s.log {
+		if e.Revision > after && strings.HasPrefix(e.Key, prefix) {
+			out = append(out, e)
+		}
+	}
+	return out, s.rev, s.changed, nil
+}
+
+// Do implements store.Writer.
+func (c *Client) Do(ctx context.Context, t store.Txn) (int64, error) {
+	if err := c.enter(ctx); err != nil {
+		return 0, err
+	}
+	s := c.store
+	s.mu.Lock()
+	f := s.faults[c.caller]
+	if f.LoseNext > 0 {
+		f.LoseNext--
+		s.faults[c.caller] = f
+		if f.Late > 0 {
+			time.AfterFunc(f.Late, func() {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				_, _ = s.do(t)
+			})
+		} else {
+			_, _ = s.do(t)
+		}
+		s.mu.Unlock()
+		<-ctx.Done()
+		return 0, ErrLost
+	}
+	defer s.mu.Unlock()
+	return s.do(t)
+}
+
+func (s *Store) do(t store.Txn) (int64, error) {
+	s.expire(time.Now())
+	conflict := &store.Conflict{}
+	for _, e := range t.Expect {
+		item := s.items[e.Key]
+		item.Key = e.Key
+		conflict.Items = append(conflict.Items, item)
+	}
+	for i, e := range t.Expect {
+		if conflict.Items[i].Revision != e.Revision {
+			return 0, conflict
+		}
+	}
+	for _, p := range t.Put {
+		if _, ok := s.leases[p.Lease]; p.Lease != 0 && !ok {
+			return 0, store.ErrNotFound
+		}
+	}
+	s.rev++
+	for _, p := range t.Put {
+		s.put(p)
+	}
+	for _, key := range t.Drop {
+		if _, ok := s.items[key]; ok {
+			s.drop(key)
+		}
+	}
+	s.signal()
+	return s.rev, nil
+}
+
+// Grant implements store.Writer.
+func (c *Client) Grant(ctx context.Context, ttlMs int64) (int64, error) {
+	if err := c.enter(ctx); err != nil {
+		return 0, err
+	}
+	s := c.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastID++
+	ttl := max(s.ttl, time.Duration(ttlMs)*time.Millisecond)
+	s.leases[s.lastID] = lease{ttl, time.Now().Add(ttl)}
+	return s.lastID, nil
+}
+
+// Keep implements store.Writer.
+func (c *Client) Keep(ctx context.Context, id int64) error {
+	if err := c.enter(ctx); err != nil {
+		return err
+	}
+	s := c.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(time.Now())
+	l, ok := s.leases[id]
+	if !ok {
+		return store.ErrNotFound
+	}
+	l.until = time.Now().Add(l.ttl)
+	s.leases[id] = l
+	return nil
+}
+
+// End implements store.Writer.
+func (c *Client) End(ctx context.Context, id int64) error {
+	if err := c.enter(ctx); err != nil {
+		return err
+	}
+	s := c.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.leases[id]; !ok {
+		return store.ErrNotFound
+	}
+	delete(s.leases, id)
+	s.dropLease(id)
+	return nil
+}
