--- /dev/null
+++ b/internal/balance/balance_test.go
@@ -0,0 +1,135 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/shelfcrank/shelfcrank/internal/registry"
+)
+
+func servers(n int) []registry.Server {
+	var out []registry.Server
+	for i := range n {
+		out = append(out, registry.Server{ID: fmt.Sprint("s", i), Service: "llm"})
+	}
+	return out
+}
+
+func prompt(id string, tokens int, subject string) *Request {
+	r := &Request{Service: "llm", ID: id, Engine: true, Slots: 64, Tokens: tokens}
+	if subject != "" {
+		r.Parts = []Part{{ID: subject, Tokens: tokens / 2}, {ID: id, Tokens: tokens - tokens/2}}
+	}
+	return r
+}
+
+func TestASubjectHasOneHomeAtAllNodes(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	homes := make(map[string]int)
+	for i := range 60 {
+		subject := fmt.Sprint("subject", i)
+		a, ok := NewTracker().Pick(servers(6), prompt("a", 8000, subject), now)
+		is.True(ok)
+		b, ok := NewTracker().Pick(servers(6), prompt("b", 8000, subject), now)
+		is.True(ok)
+		is.Equal(a.Server.ID, b.Server.ID)
+		homes[a.Server.ID]++
+	}
+	is.Equal(len(homes), 6)
+}
+
+func TestAFullHomeIsLeft(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	tr := NewTracker()
+	used := make(map[string]bool)
+	for i := range 12 {
+		k, _ := tr.Pick(servers(4), prompt(fmt.Sprint(i), 9000, "same"), now)
+		used[k.Server.ID] = true
+	}
+	is.Equal(len(used), 4)
+}
+
+func TestAStreamKeepsAwayFromALongPrompt(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	tr := NewTracker()
+	long, _ := tr.Pick(servers(3), prompt("long", 40_000, ""), now)
+	for i := range 20 {
+		k, _ := tr.Pick(servers(3), prompt(fmt.Sprint(i), 500, ""), now)
+		is.True(k.Server.ID != long.Server.ID)
+	}
+	next, _ := tr.Pick(servers(3), prompt("next", 30_000, ""), now)
+	is.Equal(next.Server.ID, long.Server.ID) // rather than hold up the streams at the others
+}
+
+func TestOthersUseCounts(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	tr := NewTracker()
+	tr.Heard("n2", map[string]Use{"s0": {Open: 9, Prompt: 90_000}, "s1": {Open: 9, Prompt: 90_000}}, nil, false, now)
+	k, _ := tr.Pick(servers(3), prompt("a", 1000, ""), now)
+	is.Equal(k.Server.ID, "s2")
+}
+
+func TestAFailingServerRestsAndIsTriedAgain(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	tr := NewTracker()
+	for range restAfter {
+		k, _ := tr.Pick(servers(1), prompt("a", 100, ""), now)
+		k.Done(Failed, now)
+	}
+	k, _ := tr.Pick(servers(2), prompt("b", 100, ""), now)
+	is.Equal(k.Server.ID, "s1")
+	k, _ = tr.Pick(servers(1), prompt("c", 100, ""), now) // better than none
+	is.Equal(k.Server.ID, "s0")
+	k.Done(Answered, now)
+	is.True(now.After(tr.servers["s0"].restUntil))
+}
+
+// What is counted as on the way ends with the requests, whatever becomes of them.
+func TestNothingStaysOnTheWay(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tr := NewTracker()
+		now := time.Unix(1000, 0)
+		var open []*Ticket
+		for i, n := range rapid.SliceOfN(rapid.IntRange(0, 60_000), 0, 40).Draw(t, "prompts") {
+			k, ok := tr.Pick(servers(3), prompt(fmt.Sprint(i), n, "x"), now)
+			if !ok {
+				t.Fatal("no server")
+			}
+			open = append(open, k)
+			now = now.Add(time.Millisecond)
+		}
+		for _, k := range open {
+			if rapid.Bool().Draw(t, "read") {
+				k.Read(now)
+			}
+			result := Result(rapid.IntRange(0, 3).Draw(t, "result"))
+			k.Done(result, now)
+			k.Done(result, now) // ends once
+		}
+		for id, s := range tr.servers {
+			if s.use.Open != 0 || s.use.Prompt != 0 || s.use.Holdup > 1e-9 {
+				t.Fatalf("%s: %+v", id, s.use)
+			}
+		}
+	})
+}
+
+func BenchmarkPick(b *testing.B) {
+	tr := NewTracker()
+	all := servers(90)
+	now := time.Unix(1000, 0)
+	r := prompt("a", 9000, "x")
+	for b.Loop() {
+		k, _ := tr.Pick(all, r, now)
+		k.Done(Answered, now)
+	}
+}
--- /dev/null
+++ b/internal/front/front_test.go
@@ -0,0 +1,299 @@
+package front
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shelfcrank/shelfcrank/internal/storetest"
+)
+
+func play(t *testing.T, nodes int, f func(is *is.I, w *world)) {
+	t.Helper()
+	bubble(t, func(t *testing.T) {
+		w := newWorld(t, nodes)
+		f(is.New(t), w)
+		w.close()
+	})
+}
+
+// bubble runs f in virtual time. yamux keeps timers in a pool that outlives a
+// bubble and must not be used in the next; two collections empty it.
+func bubble(t *testing.T, f func(t *testing.T)) {
+	t.Helper()
+	runtime.GC()
+	runtime.GC()
+	synctest.Test(t, f)
+}
+
+func TestAConfigurationIsInForceEverywhereSoon(t *testing.T) {
+	play(t, 3, func(is *is.I, w *world) {
+		for name := range w.nodes {
+			is.True(w.ready(name))
+			is.Equal(w.ask(name, "/safe/a", "k1", "a"+name), 200)
+			is.Equal(w.ask(name, "/new/a", "k1", "b"+name), 404)
+			is.Equal(w.ask(name, "/safe/a", "k3", "c"+name), 401)
+		}
+		w.configure(4, "k2", "k3")
+		time.Sleep(1500 * time.Millisecond)
+		for name := range w.nodes {
+			is.Equal(w.ask(name, "/new/a", "k3", "d"+name), 200)
+			is.Equal(w.ask(name, "/safe/a", "k1", "e"+name), 401)
+		}
+		w.configure(3, "k1") // an older version never comes back
+		time.Sleep(3 * time.Second)
+		for name := range w.nodes {
+			is.Equal(w.ask(name, "/new/a", "k3", "f"+name), 200)
+		}
+	})
+}
+
+// A watch that says nothing does not keep a version from being in force.
+func TestASilentWatchIsMadeGoodByTheRead(t *testing.T) {
+	play(t, 2, func(is *is.I, w *world) {
+		w.store.SetFaults("n0", storetest.Faults{Silent: true})
+		w.configure(2, "k1")
+		time.Sleep(1900 * time.Millisecond)
+		is.Equal(w.ask("n0", "/new/a", "k1", "a"), 200)
+	})
+}
+
+// The store turns one node away: it refuses what needs a key before a key that
+// was taken away could still work, says so at its ready address, and is back
+// soon after.
+func TestANodeAloneWithoutTheStore(t *testing.T) {
+	play(t, 3, func(is *is.I, w *world) {
+		w.store.SetFaults("n0", storetest.Faults{Busy: true})
+		time.Sleep(200 * time.Millisecond)
+		w.configure(2, "k2")
+		taken := time.Now()
+		time.Sleep(3500 * time.Millisecond)
+		is.True(!w.ready("n0"))
+		is.True(w.ready("n1"))
+		for time.Since(taken) < 5*time.Second {
+			time.Sleep(50 * time.Millisecond)
+		}
+		is.Equal(w.ask("n0", "/safe/a", "k1", "a"), 503)
+		is.Equal(w.runsOf("a"), 0)
+		is.Equal(w.ask("n1", "/safe/a", "k2", "b"), 200)
+		w.store.SetFaults("n0", storetest.Faults{})
+		time.Sleep(500 * time.Millisecond)
+		is.True(w.ready("n0"))
+		is.Equal(w.ask("n0", "/safe/a", "k1", "c"), 401)
+		is.Equal(w.ask("n0", "/safe/a", "k2", "d"), 200)
+	})
+}
+
+// A server says that it leaves, or its entry goes, while a node has just been
+// without the store: nothing is sent there after the bound.
+func TestALeavingServerGetsNoNewWork(t *testing.T) {
+	for _, gone := range []bool{false, true} {
+		play(t, 2, func(is *is.I, w *world) {
+			w.store.SetFaults("n0", storetest.Faults{Busy: true})
+			time.Sleep(2 * time.Second)
+			w.store.SetFaults("n0", storetest.Faults{})
+			time.Sleep(500 * time.Millisecond)
+			if gone {
+				w.store.Put("server/"+serverID(0), nil)
+			} else {
+				w.putServer(0, true)
+			}
+			left := time.Now()
+			for i := range 60 {
+				time.Sleep(50 * time.Millisecond)
+				w.ask(fmt.Sprint("n", i%2), "/once/a", "k1", fmt.Sprint("r", i))
+			}
+			is.True(w.lastAt(serverID(0)).Sub(left) < 2*time.Second)
+			is.True(w.lastAt(serverID(1)).Sub(left) > 2*time.Second) // the others do the work
+		})
+	}
+}
+
+func TestAllNodesKilledAtOnce(t *testing.T) {
+	play(t, 3, func(is *is.I, w *world) {
+		for _, name := range []string{"n0", "n1", "n2"} {
+			w.kill(name)
+		}
+		w.configure(2, "k1")
+		for _, name := range []string{"n0", "n1", "n2"} {
+			w.start(name)
+		}
+		time.Sleep(time.Second)
+		for name := range w.nodes {
+			is.True(w.ready(name))
+			is.Equal(w.ask(name, "/new/a", "k1", "a"+name), 200)
+		}
+	})
+}
+
+// The store is down when a node starts: it answers at once that it is not
+// ready, and serves as soon as the store is back.
+func TestTheStoreIsDownAtTheStart(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 0)
+		w.store.SetFaults("", storetest.Faults{Down: true})
+		w.start("n0")
+		time.Sleep(3 * time.Second)
+		is.True(!w.ready("n0"))
+		is.Equal(w.ask("n0", "/safe/a", "k1", "a"), 503)
+		w.store.SetFaults("", storetest.Faults{})
+		time.Sleep(2 * time.Second)
+		is.Equal(w.ask("n0", "/safe/a", "k1", "b"), 200)
+		w.close()
+	})
+}
+
+// A planned stop: the node is not ready at once, goes on serving what comes
+// meanwhile, and finishes what it has taken.
+func TestAPlannedStopCutsNothing(t *testing.T) {
+	play(t, 2, func(is *is.I, w *world) {
+		w.work(1800 * time.Millisecond)
+		r := w.nodes["n0"]
+		var wait sync.WaitGroup
+		results := make([]int, 20)
+		begun := time.Now()
+		for i := range results {
+			wait.Go(func() {
+				time.Sleep(time.Duration(i) * 150 * time.Millisecond)
+				results[i] = w.ask("n0", "/once/a", "k1", fmt.Sprint("r", i))
+			})
+		}
+		time.Sleep(100 * time.Millisecond)
+		r.stop()
+		time.Sleep(50 * time.Millisecond)
+		is.True(!w.ready("n0"))
+		wait.Wait()
+		<-r.done
+		is.True(time.Since(begun) < 8*time.Second)
+		delete(w.nodes, "n0")
+		for i, status := range results {
+			// After the door is closed nothing is read, so that nothing has run.
+			if status != 200 && w.runsOf(fmt.Sprint("r", i)) > 0 {
+				t.Errorf("request %d was cut: %d", i, status)
+			}
+			if i < 15 && status != 200 {
+				t.Errorf("request %d, sent in the first seconds of the stop, got %d", i, status)
+			}
+		}
+	})
+}
+
+func TestUsageIsReportedOnceAndWhole(t *testing.T) {
+	play(t, 3, func(is *is.I, w *world) {
+		sent := 0
+		for i := range 600 {
+			time.Sleep(100 * time.Millisecond)
+			if i == 200 || i == 400 {
+				for name, r := range w.nodes {
+					if _, _, ok := r.node.elector.Token(time.Now()); ok {
+						w.kill(name)
+						w.start(name)
+						break
+					}
+				}
+				continue
+			}
+			if i < 500 && w.ask(fmt.Sprint("n", i%3), "/safe/a", "k1", fmt.Sprint("r", i)) == 200 {
+				sent++
+			}
+		}
+		w.cloud.mu.Lock()
+		defer w.cloud.mu.Unlock()
+		is.Equal(w.cloud.faults, nil)
+		var told int64
+		for _, counts := range w.cloud.windows {
+			told += counts["north"]
+		}
+		// What a killed node had not told the others yet is lost: a moment's worth.
+		is.True(told > int64(sent)-10 && told <= int64(w.started()))
+	})
+}
+
+// Random kills, planned stops, outages of the store and changes: what holds at
+// all times is checked from what clients, servers and the platform see.
+func TestRandomDays(t *testing.T) {
+	for seed := range uint64(6) {
+		play(t, 4, func(is *is.I, w *world) { randomDay(t, w, seed) })
+	}
+}
+
+func randomDay(t *testing.T, w *world, seed uint64) {
+	rnd := rand.New(rand.NewPCG(seed, 11))
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	statuses := make(map[string]int)
+	served := 0
+	version := int64(1)
+	for i := range 900 {
+		time.Sleep(time.Duration(10+rnd.IntN(50)) * time.Millisecond)
+		id, path := fmt.Sprint("r", i), []string{"/once/a", "/safe/a"}[rnd.IntN(2)]
+		name := fmt.Sprint("n", rnd.IntN(4))
+		wait.Go(func() {
+			status := w.ask(name, path, "k1", id+path)
+			mu.Lock()
+			defer mu.Unlock()
+			statuses[id+path] = status
+			if status == 200 {
+				served++
+			}
+		})
+		switch x := rnd.Float64(); {
+		case x < 0.008 && w.nodes[name] != nil:
+			w.kill(name)
+		case x < 0.012 && w.nodes[name] != nil:
+			r := w.nodes[name]
+			delete(w.nodes, name)
+			r.stop()
+			wait.Go(func() { <-r.done })
+			time.Sleep(8 * time.Second) // until its addresses are free again
+		case x < 0.02:
+			w.store.SetFaults(name, storetest.Faults{Busy: true})
+		case x < 0.025:
+			w.store.SetFaults(name, storetest.Faults{Down: true})
+		case x < 0.03:
+			w.store.SetFaults(name, storetest.Faults{LoseNext: 1})
+		case x < 0.04:
+			w.store.Compact()
+		case x < 0.05:
+			version++
+			w.configure(version, "k1")
+		case x < 0.06:
+			w.putServer(testServers-1, false)
+		case x < 0.1:
+			w.store.SetFaults(name, storetest.Faults{})
+		}
+		for _, name := range []string{"n0", "n1", "n2", "n3"} {
+			if w.nodes[name] == nil && rnd.Float64() < 0.05 {
+				w.start(name)
+			}
+		}
+	}
+	wait.Wait()
+	for id, status := range statuses {
+		runs := w.runsOf(id)
+		if id[len(id)-7:] == "/once/a" && runs > 1 {
+			t.Errorf("seed %d: %s ran %d times", seed, id, runs)
+		}
+		if (status == 503 || status == 429) && runs > 0 {
+			t.Errorf("seed %d: %s was said not to have run, and ran", seed, id)
+		}
+		if status == 401 || status == 404 {
+			t.Errorf("seed %d: %s was denied with %d", seed, id, status)
+		}
+	}
+	w.cloud.mu.Lock()
+	defer w.cloud.mu.Unlock()
+	if len(w.cloud.faults) > 0 {
+		t.Errorf("seed %d: %v", seed, w.cloud.faults)
+	}
+	if served < 300 {
+		t.Errorf("seed %d: %d of %d served", seed, served, len(statuses))
+	}
+}
--- /dev/null
+++ b/internal/front/world_test.go
@@ -0,0 +1,335 @@
+package front
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/shelfcrank/shelfcrank/internal/backend"
+	"github.com/shelfcrank/shelfcrank/internal/duty"
+	"github.com/shelfcrank/shelfcrank/internal/forward"
+	"github.com/shelfcrank/shelfcrank/internal/netx"
+	"github.com/shelfcrank/shelfcrank/internal/policy"
+	"github.com/shelfcrank/shelfcrank/internal/registry"
+	"github.com/shelfcrank/shelfcrank/internal/settings"
+	"github.com/shelfcrank/shelfcrank/internal/storetest"
+)
+
+// plain names headers and keys in the plainest way; values are JSON of the
+// product's own types.
+type plain struct{}
+
+func (plain) Answer(_ int, h http.Header) backend.Answer {
+	return backend.Answer{RequestID: h.Get("Id"), Sealed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != ""}
+}
+
+func (plain) Request(h http.Header) forward.Meta {
+	m := forward.Meta{ID: h.Get("Id"), Key: h.Get("Key")}
+	if ms, err := strconv.Atoi(h.Get("Deadline")); err == nil {
+		m.Allowed, m.HasDeadline = time.Duration(ms)*time.Millisecond, true
+	}
+	return m
+}
+
+func (plain) Clean(h http.Header) { h.Del("Key"); h.Del("Connection"); h.Del("Content-Length") }
+func (plain) CleanAnswer(h http.Header) {
+	h.Del("Connection")
+	h.Del("Content-Length")
+	h.Del("Transfer-Encoding")
+}
+func (plain) Outgoing(h http.Header, o forward.Outgoing) {
+	h.Set("Server", o.Server)
+	h.Set("Tenant", o.Tenant)
+}
+func (plain) RetryAfter(h http.Header, wait time.Duration) {
+	h.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
+}
+
+func (plain) ConfigKey() string { return "config" }
+func (plain) OwnPrefix() string { return "own/" }
+func (plain) Config(value []byte) (*policy.Config, error) {
+	var c policy.Config
+	if err := json.Unmarshal(value, &c); err != nil {
+		return nil, err
+	}
+	return policy.New(c)
+}
+func (plain) ServerID(key string) (string, bool) { return strings.CutPrefix(key, "server/") }
+func (plain) Server(id string, value []byte, _ time.Time) (registry.Server, error) {
+	var s registry.Server
+	err := json.Unmarshal(value, &s)
+	s.ID = id
+	return s, err
+}
+
+// cloud notes what the one node that acts for all tells.
+type cloud struct {
+	mu      sync.Mutex
+	windows map[int64]map[string]int64
+	fences  []int64
+	faults  []string
+	down    bool
+}
+
+func (c *cloud) ReportUsage(ctx context.Context, d duty.Token, window int64, counts map[string]int64) error {
+	time.Sleep(2 * time.Millisecond)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.down {
+		return duty.ErrRefused
+	}
+	if n := len(c.fences); n > 0 && d.Fence < c.fences[n-1] {
+		c.faults = append(c.faults, fmt.Sprintf("fence %d after %d", d.Fence, c.fences[n-1]))
+	}
+	c.fences = append(c.fences, d.Fence)
+	if old, ok := c.windows[window]; ok && !maps.Equal(old, counts) {
+		c.faults = append(c.faults, fmt.Sprintf("window %d told as %v and as %v", window, old, counts))
+	}
+	c.windows[window] = counts
+	return ctx.Err()
+}
+
+func (c *cloud) Order(context.Context, duty.Token, string, string, int, bool) error { return nil }
+
+// world is a small deployment in virtual time.
+type world struct {
+	t      *testing.T
+	mem    *netx.Mem
+	store  *storetest.Store
+	cloud  *cloud
+	nodes  map[string]*running
+	client *http.Client
+	starts int
+
+	mu   sync.Mutex
+	runs map[string]int       // by request id; guarded by mu
+	hold time.Duration        // how long servers work; guarded by mu
+	last map[string]time.Time // last request at each server; guarded by mu
+}
+
+type running struct {
+	node *Node
+	site string
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+const (
+	testHost    = "shop.example"
+	frontPort   = 8000
+	readyPort   = 8001
+	testServers = 3
+)
+
+func newWorld(t *testing.T, nodes int) *world {
+	t.Helper()
+	w := &world{
+		t: t, mem: netx.NewMem(func(string, string) time.Duration { return time.Millisecond }), store: storetest.New(),
+		cloud: &cloud{windows: make(map[int64]map[string]int64)}, nodes: make(map[string]*running),
+		runs: make(map[string]int), hold: 20 * time.Millisecond, last: make(map[string]time.Time),
+	}
+	w.client = &http.Client{Transport: netx.Transport(w.mem.Site("client"))}
+	w.configure(1, "k1", "k2")
+	for i := range testServers {
+		w.startServer(i)
+	}
+	for i := range nodes {
+		w.start(fmt.Sprint("n", i))
+	}
+	time.Sleep(time.Second)
+	return w
+}
+
+// configure puts a version of the configuration in the store.
+func (w *world) configure(version int64, keys ...string) {
+	route := func(name string, kind policy.Kind) policy.Route {
+		return policy.Route{Name: name, Host: testHost, Prefix: "/" + name + "/", Kind: kind, Timeout: 3 * time.Second, MaxAttempts: 2, Split: []policy.Share{{Service: "svc", Weight: 1}}}
+	}
+	c := policy.Config{
+		Version: version, Routes: []policy.Route{route("once", policy.Unsafe), route("safe", policy.Safe)},
+		Services: []policy.Service{{Name: "svc"}}, Tenants: []policy.Tenant{{Name: "north", Keys: keys}},
+	}
+	if version > 1 {
+		c.Routes = append(c.Routes, route("new", policy.Safe))
+	}
+	value, err := json.Marshal(c)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.store.Put("config", value)
+}
+
+func serverID(i int) string { return fmt.Sprint("s", i) }
+
+func (w *world) putServer(i int, leaving bool) {
+	value, err := json.Marshal(registry.Server{Service: "svc", Addr: addrOf(100+i, 80), Zone: "z", Leaving: leaving})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.store.Put("server/"+serverID(i), value)
+}
+
+func addrOf(host, port int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(host >> 8), byte(host)}), uint16(port))
+}
+
+func (w *world) startServer(i int) {
+	l, err := w.mem.Site(serverID(i)).Listen(addrOf(100+i, 80))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	s := &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) { w.serve(serverID(i), rw, r) })}
+	go func() { _ = s.Serve(l) }()
+	w.t.Cleanup(func() { _ = s.Close() })
+	w.putServer(i, false)
+}
+
+func (w *world) serve(server string, rw http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	id := r.Header.Get("Id")
+	if r.Header.Get("Server") != server {
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	w.mu.Lock()
+	w.runs[id]++
+	w.last[server] = time.Now()
+	hold := w.hold
+	w.mu.Unlock()
+	time.Sleep(hold)
+	rw.Header().Set("Id", id)
+	rw.Header().Set("Seal", "of "+server)
+	_, _ = io.WriteString(rw, "answer to "+id)
+}
+
+func (w *world) settings(name string, host int) settings.Front {
+	return settings.Front{
+		Name: name, Zone: "z", Front: addrOf(host, frontPort), Ready: addrOf(host, readyPort), Peer: addrOf(host, 8002), Metrics: addrOf(host, 8003),
+		Bounds: settings.Bounds{RevokeMs: 5000, DrainMs: 2000, GraceS: 8, RetryRatio: 0.2, RetrySlack: 50, RetryWindowS: 10, LeaseMs: 3000, UsageWindowS: 5, UsageLateS: 10, QuotaWindowS: 8},
+	}
+}
+
+func hostOf(name string) int {
+	n, _ := strconv.Atoi(strings.TrimPrefix(name, "n"))
+	return 1 + n
+}
+
+func (w *world) start(name string) {
+	w.starts++
+	site := fmt.Sprint(name, "-", w.starts)
+	n, err := New(Options{
+		Settings: w.settings(name, hostOf(name)), Net: w.mem.Site(site), Store: w.store.Client(name), Cloud: w.cloud,
+		Decoder: plain{}, Protocol: plain{}, Log: zap.NewNop(), Seed: uint64(w.starts),
+	})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	r := &running{n, site, stop, make(chan struct{})}
+	w.nodes[name] = r
+	go func() {
+		defer close(r.done)
+		if err := n.Run(ctx); err != nil {
+			w.t.Error(err)
+		}
+	}()
+}
+
+// kill ends a node's network at once; the rest of it ends unheard.
+func (w *world) kill(name string) {
+	r := w.nodes[name]
+	delete(w.nodes, name)
+	w.mem.Kill(r.site)
+	w.store.SetFaults(name, storetest.Faults{Busy: true})
+	r.stop()
+	<-r.done
+	w.store.SetFaults(name, storetest.Faults{})
+}
+
+func (w *world) close() {
+	for _, r := range w.nodes {
+		r.stop()
+	}
+	for _, r := range w.nodes {
+		<-r.done
+	}
+	w.client.CloseIdleConnections()
+	time.Sleep(10 * time.Second)
+}
+
+// ask sends a request to a node and returns the status, 0 if there was none.
+func (w *world) ask(node, path, key, id string) int {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addrOf(hostOf(node), frontPort).String()+path, io.MultiReader(strings.NewReader("body")))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	r.Host = testHost
+	r.Header.Set("Id", id)
+	r.Header.Set("Key", key)
+	r.Header.Set("Deadline", "2500")
+	resp, err := w.client.Do(r)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if resp.StatusCode == http.StatusOK && (err != nil || string(body) != "answer to "+id) {
+		w.t.Errorf("request %s got %q, %v", id, body, err)
+	}
+	return resp.StatusCode
+}
+
+func (w *world) ready(node string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addrOf(hostOf(node), readyPort).String()+"/", nil)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	resp, err := w.client.Do(r)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (w *world) runsOf(id string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.runs[id]
+}
+
+// started returns how many requests ran.
+func (w *world) started() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.runs)
+}
+
+// work sets how long servers work on a request.
+func (w *world) work(hold time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.hold = hold
+}
+
+// lastAt returns when a server got its last request.
+func (w *world) lastAt(server string) time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.last[server]
+}
--- /dev/null
+++ b/internal/usage/usage_test.go
@@ -0,0 +1,30 @@
+package usage
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestWindows(t *testing.T) {
+	is := is.New(t)
+	const w = 5 * time.Second
+	is.Equal(WindowOf(time.Unix(10, 0), w), int64(2))
+	is.Equal(WindowOf(time.Unix(14, 999), w), int64(2))
+	is.Equal(WindowOf(time.Unix(-1, 0), w), int64(-1))
+	is.Equal(End(2, w), time.Unix(15, 0))
+}
+
+func TestTheSumIsOverNodesAndIncarnations(t *testing.T) {
+	is := is.New(t)
+	c := New()
+	c.Add(7, "a", 2)
+	c.Add(7, "a", -1) // turned out not to have run
+	c.Heard("n1", 1, map[int64]Counts{7: {"a": 3}})
+	c.Heard("n1", 1, map[int64]Counts{7: {"a": 5}}) // replaces
+	c.Heard("n1", 2, map[int64]Counts{7: {"b": 1}}) // started anew
+	is.Equal(c.Sum(7, []string{"a", "b", "c"}), Counts{"a": 6, "b": 1, "c": 0})
+	c.Expire(7 + keepWindows + 1)
+	is.Equal(c.Sum(7, nil), Counts{})
+}
