--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -9,9 +9,9 @@
 package admit
 
 import (
-	"math"
 	"time"
 
+	"github.com/shelfcrank/shelfcrank/internal/decay"
 	"github.com/shelfcrank/shelfcrank/internal/table"
 )
 
@@ -61,29 +61,11 @@
 	return now.Add(time.Duration((n - b.level) / rate * float64(time.Second))), false
 }
 
-// demand is a decaying average of what was asked for, admitted or not.
-type demand struct {
-	rate float64
-	at   time.Time
-}
-
-func (d *demand) add(n float64, now time.Time) {
-	d.decay(now)
-	d.rate += n / demandWindow.Seconds()
-}
-
-func (d *demand) decay(now time.Time) {
-	if !d.at.IsZero() {
-		d.rate *= math.Exp(-now.Sub(d.at).Seconds() / demandWindow.Seconds())
-	}
-	d.at = now
-}
-
 type account struct {
 	requests bucket
 	tokens   bucket
-	askedReq demand
-	askedTok demand
+	askedReq decay.Rate // asked for, admitted or not
+	askedTok decay.Rate
 	open     int
 }
 
@@ -103,19 +85,19 @@
 		acc = &account{}
 		l.accounts[a.Name] = acc
 	}
-	acc.askedReq.add(1, now)
-	acc.askedTok.add(float64(work), now)
+	acc.askedReq.Add(1, demandWindow, now)
+	acc.askedTok.Add(float64(work), demandWindow, now)
 	if a.LimitOpen > 0 && !acc.openFits(a.LimitOpen, others) {
 		return Verdict{Limit: table.ColLimitOpen, RetryAt: now.Add(demandWindow)}
 	}
 	if a.LimitRate > 0 {
-		rate := a.LimitRate * share(acc.askedReq.rate, others.Rate)
+		rate := a.LimitRate * share(acc.askedReq.At(demandWindow, now), others.Rate)
 		if at, ok := acc.requests.take(1, rate, now); !ok {
 			return Verdict{Limit: table.ColLimitRate, RetryAt: at}
 		}
 	}
 	if a.LimitToks > 0 {
-		rate := a.LimitToks * share(acc.askedTok.rate, others.Tokens)
+		rate := a.LimitToks * share(acc.askedTok.At(demandWindow, now), others.Tokens)
 		if at, ok := acc.tokens.take(float64(work), rate, now); !ok {
 			return Verdict{Limit: table.ColLimitToks, RetryAt: at}
 		}
@@ -146,9 +128,9 @@
 func (l *Limiter) Usage(now time.Time) []Usage {
 	out := make([]Usage, 0, len(l.accounts))
 	for name, acc := range l.accounts {
-		acc.askedReq.decay(now)
-		acc.askedTok.decay(now)
-		out = append(out, Usage{Account: name, Rate: acc.askedReq.rate, Tokens: acc.askedTok.rate, Open: acc.open})
+		out = append(out, Usage{
+			Account: name, Rate: acc.askedReq.At(demandWindow, now), Tokens: acc.askedTok.At(demandWindow, now), Open: acc.open,
+		})
 	}
 	return out
 }
@@ -165,8 +147,7 @@
 		demand[account] += u.Tokens
 	}
 	for account, acc := range l.accounts {
-		acc.askedTok.decay(now)
-		demand[account] += acc.askedTok.rate
+		demand[account] += acc.askedTok.At(demandWindow, now)
 	}
 	work, shares := 0.0, 0.0
 	for account, d := range demand {
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -27,15 +27,14 @@
 
 // Request is what the choice needs to know of a request.
 type Request struct {
-	Service  string
-	ID       string
-	Engine   bool // it goes to a model server
-	Tokens   int  // prompt tokens
-	Parts    []Part
-	Priority int
-	Avoid    []string // servers that already had the request
-	Slots    int      // requests that a server of the service works on at once
-	Once     bool     // it must not be repeated, so that a failure is final
+	Service string
+	ID      string
+	Engine  bool // it goes to a model server
+	Tokens  int  // prompt tokens
+	Parts   []Part
+	Avoid   []string // servers that already had the request
+	Slots   int      // requests that a server of the service works on at once
+	Once    bool     // it must not be repeated, so that a failure is final
 }
 
 // shared returns the tokens of the parts that other requests have as well, and
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/shelfcrank/shelfcrank/internal/decay"
 	"github.com/shelfcrank/shelfcrank/internal/registry"
 )
 
@@ -58,28 +59,14 @@
 }
 
 type serviceState struct {
-	work  float64 // nanoseconds
-	token float64 // nanoseconds
-	asked float64 // nanoseconds of work asked for in a second, of late
-	at    time.Time
+	work  float64    // nanoseconds
+	token float64    // nanoseconds
+	asked decay.Rate // nanoseconds of work asked for in a second
 }
 
 // demandOver is the time over which the work asked for is averaged.
 const demandOver = 3 * time.Second
 
-// ask adds work to what is asked for.
-func (s *serviceState) ask(work float64, now time.Time) {
-	s.decay(now)
-	s.asked += work / demandOver.Seconds()
-}
-
-func (s *serviceState) decay(now time.Time) {
-	if !s.at.IsZero() {
-		s.asked *= math.Exp(-now.Sub(s.at).Seconds() / demandOver.Seconds())
-	}
-	s.at = now
-}
-
 type remote struct {
 	uses   map[string]Use
 	demand map[string]float64 // by service
@@ -150,7 +137,7 @@
 	st.use.Open++
 	st.use.Prompt += k.prompt
 	st.use.Holdup += k.holdup
-	service.ask(k.work(), now)
+	service.asked.Add(k.work(), demandOver, now)
 	if k.prompt >= tellFrom {
 		select {
 		case t.told <- struct{}{}:
@@ -185,8 +172,7 @@
 	defer t.mu.Unlock()
 	out := make(map[string]float64, len(t.services))
 	for name, s := range t.services {
-		s.decay(now)
-		out[name] = s.asked / float64(time.Second)
+		out[name] = s.asked.At(demandOver, now) / float64(time.Second)
 	}
 	return out
 }
--- a/internal/cmd/check.go
+++ b/internal/cmd/check.go
@@ -22,7 +22,7 @@
 			if len(args) != 1 {
 				return usagef("check takes one settings file")
 			}
-			_, err := settings.LoadServe(args[0])
+			err := checkFile(args[0])
 			var faults *settings.FaultsError
 			if *asJSON {
 				list := []settings.Fault{}
@@ -43,3 +43,13 @@
 		},
 	}
 }
+
+// checkFile checks the settings of either kind of node.
+func checkFile(file string) error {
+	if settings.IsFront(file) {
+		_, err := settings.LoadFront(file)
+		return err
+	}
+	_, err := settings.LoadServe(file)
+	return err
+}
--- a/internal/cmd/generate.go
+++ b/internal/cmd/generate.go
@@ -54,6 +54,8 @@
 	b.WriteString("# Settings of an entry instance\n" + generatedNote)
 	b.WriteString("\nSettings place a process; policy is in the table. `shelfcrank check FILE` names every fault.\n\n| key | type | meaning |\n| --- | --- | --- |\n")
 	settingsRows(&b, reflect.TypeFor[settings.Serve](), "")
+	b.WriteString("\n# Settings of a node on the users' platform\n\n| key | type | meaning |\n| --- | --- | --- |\n")
+	settingsRows(&b, reflect.TypeFor[settings.Front](), "")
 	return b.String()
 }
 
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -51,7 +51,7 @@
 	if q.tenant != nil && !q.mayRun {
 		h.Admission.Return(q.tenant, q.units)
 	}
-	if q.answered {
+	if q.answered && !d.gone {
 		// Part of an answer went out: only a cut shows that it is not whole.
 		h.logEnd(q, event.StreamBroken, 0, d.why, d.err)
 		panic(http.ErrAbortHandler)
@@ -149,7 +149,7 @@
 func (h *Handler) choice(q *request, s *policy.Service) *balance.Request {
 	b := &balance.Request{
 		Service: q.service, ID: q.meta.ID, Tokens: q.meta.PromptTokens, Parts: q.meta.Parts,
-		Priority: q.priority, Avoid: q.avoid, Once: !q.route.Idempotent(),
+		Avoid: q.avoid, Once: !q.route.Idempotent(),
 	}
 	if s != nil && s.Engine != nil {
 		b.Engine, b.Slots = true, s.Engine.Slots
--- a/internal/forward/door.go
+++ b/internal/forward/door.go
@@ -9,10 +9,6 @@
 	"time"
 )
 
-// bodyGrace is added to a request's own time for reading a body, so that a
-// slow one ends with an answer that says so.
-const bodyGrace = 0
-
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := &request{arrived: time.Now(), view: h.View(), meta: h.Protocol.Request(r.Header)}
@@ -95,7 +91,7 @@
 		return tooLarge()
 	}
 	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(q.deadline.Add(bodyGrace)) // not supported by a recorder in a test
+	_ = control.SetReadDeadline(q.deadline) // not supported by a recorder in a test
 	body, err := readBody(r, limit)
 	if err != nil {
 		var large *http.MaxBytesError
--- a/internal/front/duties.go
+++ b/internal/front/duties.go
@@ -22,7 +22,6 @@
 	usageLook    = 300 * time.Millisecond
 	orderTimeout = time.Second
 	leastForCall = 150 * time.Millisecond // with less time left as holder no call is made
-	usageBehind  = 3                      // windows that a new holder catches up with
 )
 
 // reportUsage tells the platform, while this node acts for all, how many
@@ -30,6 +29,7 @@
 // first, so that whoever acts next tells exactly the same.
 func (n *Node) reportUsage(ctx context.Context) error {
 	window := n.Settings.Bounds.UsageWindow()
+	behind := n.usageBehind()
 	next := usage.WindowOf(n.clock.At(time.Now()), window)
 	var holder duty.Token
 	for sleep(ctx, usageLook) {
@@ -40,11 +40,11 @@
 			continue
 		}
 		if token != holder {
-			holder, next = token, current-usageBehind
+			holder, next = token, current-behind
 		}
-		if next < current-usageBehind {
+		if next < current-behind {
 			n.event(event.UsageMissed, zap.Int64("window", next))
-			next = current - usageBehind
+			next = current - behind
 		}
 		due := usage.End(next, window).Add(usageSettles)
 		if n.clock.At(now).Before(due) {
@@ -57,6 +57,13 @@
 	return ctx.Err()
 }
 
+// usageBehind is how many windows a new holder catches up with: those whose
+// reports are not late yet.
+func (n *Node) usageBehind() int64 {
+	b := n.Settings.Bounds
+	return int64(b.UsageLate()/b.UsageWindow()) + 1
+}
+
 // acting returns a context that ends before this node has to be silent.
 func (n *Node) acting(ctx context.Context) (context.Context, context.CancelFunc, duty.Token, bool) {
 	token, until, ok := n.elector.Token(time.Now())
@@ -106,7 +113,7 @@
 	_, err = n.Store.Do(ctx, store.Txn{
 		Expect: []store.Expect{{Key: key}, {Key: n.elector.Key, Revision: token.Fence}},
 		Put:    []store.Put{{Key: key, Value: value}},
-		Drop:   []string{n.usageKey(window - 2*usageBehind)},
+		Drop:   []string{n.usageKey(window - 2*n.usageBehind())},
 	})
 	if err == nil {
 		return counts, nil
--- a/internal/front/share.go
+++ b/internal/front/share.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"time"
 
@@ -202,6 +201,3 @@
 	}
 	n.tracker.Heard(s.Node, uses, demand, s.Brief, now)
 }
-
-// String names the node in logs.
-func (n *Node) String() string { return fmt.Sprintf("%s@%d", n.Settings.Name, n.incarnation()) }
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -58,6 +58,9 @@
 // UsageWindow returns the window that usage is reported for.
 func (b Bounds) UsageWindow() time.Duration { return inSeconds(b.UsageWindowS) }
 
+// UsageLate returns the time after a window's end at which its report is due.
+func (b Bounds) UsageLate() time.Duration { return inSeconds(b.UsageLateS) }
+
 func inSeconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // LoadFront reads and checks the settings of a node.
--- /dev/null
+++ b/internal/settings/front_test.go
@@ -0,0 +1,77 @@
+package settings
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const goodFront = `name = "n1"
+zone = "z"
+front_address = "127.0.0.1:8000"
+ready_address = "127.0.0.1:8001"
+peer_address = "127.0.0.1:8002"
+metrics_address = "127.0.0.1:8003"
+store_address = "127.0.0.1:9000"
+cloud_address = ""
+memory_mb = 284
+
+[bounds]
+revoke_ms = 5000
+drain_ms = 2000
+grace_s = 8
+retry_ratio = 0.2
+retry_window_s = 10.0
+lease_ms = 3000
+usage_window_s = 5
+`
+
+func loadFront(t *testing.T, text string) (Front, map[string]int) {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "s.toml")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s, err := LoadFront(file)
+	lines := make(map[string]int)
+	var f *FaultsError
+	if errors.As(err, &f) {
+		for _, fault := range f.Faults {
+			lines[fault.Key] = fault.Line
+		}
+	}
+	return s, lines
+}
+
+func TestFrontSettings(t *testing.T) {
+	is := is.New(t)
+	s, faults := loadFront(t, goodFront)
+	is.Equal(len(faults), 0)
+	is.Equal(s.Bounds.Grace().Seconds(), 8.0) // whole numbers and fractions
+	is.True(!s.Cloud.IsValid())               // where there are no duties
+}
+
+func TestFrontFaultsHaveLineAndKey(t *testing.T) {
+	is := is.New(t)
+	_, lines := loadFront(t, `name = ""
+zone = "z"
+front_address = "127.0.0.1:8000"
+ready_address = "127.0.0.1:8000"
+peer_address = "nowhere"
+memory_mb = "much"
+[bounds]
+revoke_ms = -1
+grace_s = "x"
+`)
+	is.Equal(lines["name"], 1)
+	is.Equal(lines["ready_address"], 4)
+	is.Equal(lines["peer_address"], 5)
+	is.Equal(lines["memory_mb"], 6)
+	is.Equal(lines["bounds.revoke_ms"], 8)
+	is.Equal(lines["bounds.grace_s"], 9)
+	_, missing := lines["store_address"]
+	is.True(missing)
+}
