Counts of open windows are kept in the store; each part of the store has a watch of its own

Change: the holder writes them each second below its own prefix, which nobody watches; the next holder takes them over. One watch for all keys would have woken every node with each write, so there are three now.

--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -108,3 +108,17 @@
 	defer a.mu.Unlock()
 	return a.usage.Sum(window, tenants)
 }
+
+// records returns the counts from a window on.
+func (a *admission) records(from int64) []usage.Record {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.usage.Records(a.node.Settings.Name, a.node.incarnation(), from)
+}
+
+// recall takes counts that were kept in the store.
+func (a *admission) recall(records []usage.Record) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.usage.Recall(records, a.node.Settings.Name, a.node.incarnation())
+}
--- a/internal/front/duties.go
+++ b/internal/front/duties.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -40,6 +41,9 @@
 			continue
 		}
 		if token != holder {
+			if !n.recallUsage(ctx) {
+				continue
+			}
 			holder, next = token, current-behind
 		}
 		if next < current-behind {
@@ -138,3 +142,50 @@
 func (n *Node) usageKey(window int64) string {
 	return n.Decoder.OwnPrefix() + keyUsage + strconv.FormatInt(window, 10)
 }
+
+// openEvery is how often the counts of open windows are kept in the store.
+const openEvery = time.Second
+
+// keepOpenUsage keeps, while this node acts for all, the counts of the windows
+// that are not reported yet in the store: all nodes may die at once.
+func (n *Node) keepOpenUsage(ctx context.Context) error {
+	var last []byte
+	for sleep(ctx, openEvery) {
+		call, cancel, token, ok := n.acting(ctx)
+		if !ok {
+			continue
+		}
+		current := usage.WindowOf(n.clock.At(time.Now()), n.Settings.Bounds.UsageWindow())
+		value, err := json.Marshal(n.admission.records(current - 1))
+		if err == nil && !bytes.Equal(value, last) {
+			_, err = n.Store.Do(call, store.Txn{
+				Expect: []store.Expect{{Key: n.elector.Key, Revision: token.Fence}},
+				Put:    []store.Put{{Key: n.Decoder.OwnPrefix() + keyOpen, Value: value}},
+			})
+			if err == nil {
+				last = value
+			}
+		}
+		cancel()
+	}
+	return ctx.Err()
+}
+
+// recallUsage takes what an earlier holder kept, and says whether it knows.
+func (n *Node) recallUsage(ctx context.Context) bool {
+	call, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	item, _, err := n.Store.Get(call, n.Decoder.OwnPrefix()+keyOpen)
+	if errors.Is(err, store.ErrNotFound) {
+		return true
+	}
+	if err != nil {
+		return false
+	}
+	var records []usage.Record
+	if err := json.Unmarshal(item.Value, &records); err != nil {
+		return true // nothing to be had from it
+	}
+	n.admission.recall(records)
+	return true
+}
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -17,7 +17,7 @@
 	registerTTL  = 6 * time.Second
 	registerKeep = 2 * time.Second
 	// WatchWait is how long the store may hold a watch that has nothing to tell.
-	WatchWait  = 8 * time.Second
+	WatchWait  = 20 * time.Second
 	watchSlack = 1500 * time.Millisecond
 	gather     = 300 * time.Millisecond
 )
@@ -58,38 +58,60 @@
 	}
 }
 
-// watchStore lists the store and follows its changes, and lists anew whenever
-// it may have missed one.
-func (n *Node) watchStore(ctx context.Context) error {
+// outage is a context that ends when the store is back after it could not be
+// reached: a watch from before may never answer.
+type outage struct {
+	ctx context.Context
+	end context.CancelFunc
+}
+
+func newOutage() *outage {
+	ctx, end := context.WithCancel(context.Background())
+	return &outage{ctx, end}
+}
+
+// rewatch ends all watches, so that they begin anew.
+func (n *Node) rewatch() { n.outage.Swap(newOutage()).end() }
+
+func (n *Node) watchConfig(ctx context.Context) error {
+	return n.watch(ctx, n.Decoder.ConfigKey(), func([]store.Item) {}) // the read proves it
+}
+
+func (n *Node) watchServers(ctx context.Context) error {
+	return n.watch(ctx, n.Decoder.ServerPrefix(), func(items []store.Item) { n.state.send(listedServers{items}) })
+}
+
+func (n *Node) watchNodes(ctx context.Context) error {
+	return n.watch(ctx, n.Decoder.OwnPrefix()+keyLive, func(items []store.Item) { n.state.send(listedNodes{items}) })
+}
+
+// watch lists a part of the store and follows its changes, and lists anew
+// whenever it may have missed one.
+func (n *Node) watch(ctx context.Context, prefix string, list func([]store.Item)) error {
 	for ctx.Err() == nil {
 		sent := time.Now()
 		call, cancel := context.WithTimeout(ctx, listTimeout)
-		items, at, err := n.Store.Range(call, watchPrefix)
+		items, at, err := n.Store.Range(call, prefix)
 		cancel()
 		if n.called(sent, err) != nil {
 			sleep(ctx, retryPause)
 			continue
 		}
-		n.state.send(listed{items, sent})
-		n.follow(ctx, at)
+		list(items)
+		n.follow(ctx, prefix, at)
 	}
 	return ctx.Err()
 }
 
-// watchPrefix begins all keys: one watch waits for the operators', the
-// servers' and the product's own.
-const watchPrefix = ""
-
-// follow passes changes on until a watch fails, or until the store is back
-// after it could not be reached: a watch from before may never answer.
-func (n *Node) follow(ctx context.Context, at int64) {
+// follow passes changes on until a watch fails.
+func (n *Node) follow(ctx context.Context, prefix string, at int64) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	n.rewatch.Store(&cancel)
-	defer n.rewatch.Store(nil)
+	stop := context.AfterFunc(n.outage.Load().ctx, cancel)
+	defer stop()
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, WatchWait+watchSlack)
-		events, next, err := n.Store.Watch(call, watchPrefix, at)
+		events, next, err := n.Store.Watch(call, prefix, at)
 		cancel()
 		if err != nil {
 			return
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -44,8 +44,9 @@
 
 // Decoder reads what the operators and the servers write to the store.
 type Decoder interface {
-	ConfigKey() string // of the configuration
-	OwnPrefix() string // of the keys that the product writes
+	ConfigKey() string    // of the configuration
+	ServerPrefix() string // of the servers' entries
+	OwnPrefix() string    // of the keys that the product writes
 	Config(value []byte) (*policy.Config, error)
 	ServerID(key string) (string, bool)
 	Server(id string, value []byte, now time.Time) (registry.Server, error)
@@ -87,8 +88,8 @@
 	elector   *duty.Elector
 	handler   *forward.Handler
 	leaving   atomic.Bool
-	rewatch   atomic.Pointer[context.CancelFunc] // ends the watch of the store; nil when there is none
-	configAt  chan struct{}                      // closed when the first configuration is known
+	outage    atomic.Pointer[outage] // ends with the next outage of the store
+	configAt  chan struct{}          // closed when the first configuration is known
 }
 
 // incarnation tells this start of the node from earlier ones.
@@ -106,6 +107,7 @@
 	n := &Node{Options: o, start: time.Now(), injector: do.New(), configAt: make(chan struct{})}
 	n.clock = walltime.New(n.start)
 	n.view.Store(&forward.View{Nodes: 1})
+	n.outage.Store(newOutage())
 	n.provide()
 	var err error
 	if n.metrics, err = do.Invoke[*metrics.Metrics](n.injector); err != nil {
@@ -152,11 +154,14 @@
 	})
 }
 
-// Keys of the store below the product's own prefix.
+// Keys of the store below the product's own prefix. Those below live/ are
+// watched by all nodes; the others change too often for that.
 const (
-	keyLeader = "leader"
-	keyNodes  = "nodes/"
+	keyLive   = "live/"
+	keyLeader = keyLive + "leader"
+	keyNodes  = keyLive + "nodes/"
 	keyUsage  = "usage/"
+	keyOpen   = "open-usage"
 )
 
 const seedElector = 0x9e3779b9
@@ -236,13 +241,16 @@
 	for _, p := range []part{
 		{"state", n.state.Serve},
 		{"proof", n.proveConfig},
-		{"watch", n.watchStore},
+		{"watch config", n.watchConfig},
+		{"watch servers", n.watchServers},
+		{"watch nodes", n.watchNodes},
 		{"register", n.register},
 		{"peers", func(ctx context.Context) error { return n.peers.Serve(ctx, peers) }},
 		{"share", n.shareState},
 		{"tell", n.tellUses},
 		{"elector", n.elector.Run},
 		{"usage", n.reportUsage},
+		{"open usage", n.keepOpenUsage},
 		{"fleet", n.orderServers},
 		{"upkeep", n.upkeep},
 		{"reload", n.reload},
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -117,9 +117,7 @@
 
 func TestAllNodesKilledAtOnce(t *testing.T) {
 	play(t, 3, func(is *is.I, w *world) {
-		for _, name := range []string{"n0", "n1", "n2"} {
-			w.kill(name)
-		}
+		w.kill("n0", "n1", "n2")
 		w.configure(2, "k1")
 		for _, name := range []string{"n0", "n1", "n2"} {
 			w.start(name)
@@ -297,3 +295,30 @@
 		t.Errorf("seed %d: %d of %d served", seed, served, len(statuses))
 	}
 }
+
+// All nodes die at once, late in a window: what they had counted is told all
+// the same, but for the last moment.
+func TestUsageSurvivesTheKillOfAllNodes(t *testing.T) {
+	play(t, 3, func(is *is.I, w *world) {
+		window := w.nodes["n0"].node.Settings.Bounds.UsageWindow()
+		for time.Since(time.Now().Truncate(window)) > 100*time.Millisecond {
+			time.Sleep(50 * time.Millisecond)
+		}
+		begun := time.Now()
+		for i := 0; time.Since(begun) < window-500*time.Millisecond; i++ {
+			is.Equal(w.ask(fmt.Sprint("n", i%3), "/safe/a", "k1", fmt.Sprint("r", i)), 200)
+		}
+		w.kill("n0", "n1", "n2")
+		for _, name := range []string{"n0", "n1", "n2"} {
+			w.start(name)
+		}
+		time.Sleep(4 * window)
+		w.cloud.mu.Lock()
+		defer w.cloud.mu.Unlock()
+		is.Equal(w.cloud.faults, nil)
+		told := w.cloud.windows[begun.UnixNano()/int64(window)]["north"]
+		t.Logf("%d ran, %d told", w.started(), told)
+		is.True(told > int64(w.started())*2/3) // a second and a fifth of one may be lost
+		is.True(told <= int64(w.started()))
+	})
+}
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -24,13 +24,12 @@
 	provedAt time.Time
 }
 
-// listed brings all items of the store, watched the changes since.
+// listedServers and listedNodes bring all entries of a kind, watched the changes
+// since.
 type (
-	listed struct {
-		items []store.Item
-		at    time.Time // when the listing was asked for
-	}
-	watched struct{ events []store.Event }
+	listedServers struct{ items []store.Item }
+	listedNodes   struct{ items []store.Item }
+	watched       struct{ events []store.Event }
 )
 
 // storeCalled tells how a call of the store went.
@@ -42,11 +41,12 @@
 // leave makes the node take leave.
 type leave struct{}
 
-func (configRead) change()  {}
-func (listed) change()      {}
-func (watched) change()     {}
-func (storeCalled) change() {}
-func (leave) change()       {}
+func (configRead) change()    {}
+func (listedServers) change() {}
+func (listedNodes) change()   {}
+func (watched) change()       {}
+func (storeCalled) change()   {}
+func (leave) change()         {}
 
 const (
 	changeQueue = 256
@@ -102,8 +102,11 @@
 	switch c := c.(type) {
 	case configRead:
 		s.takeConfig(c)
-	case listed:
-		s.takeListing(c, now)
+	case listedServers:
+		s.takeServers(c.items, now)
+	case listedNodes:
+		s.members.replace(c.items, now)
+		s.publishDue = true
 	case watched:
 		for _, e := range c.events {
 			s.takeEvent(e, now)
@@ -158,18 +161,16 @@
 	s.storeDown = !c.ok
 	if c.ok {
 		s.node.event(event.StoreBack)
-		if end := s.node.rewatch.Load(); end != nil {
-			(*end)()
-		}
+		s.node.rewatch()
 		return
 	}
 	s.troubleAt = c.at
 	s.node.event(event.StoreDown)
 }
 
-func (s *state) takeListing(l listed, now time.Time) {
+func (s *state) takeServers(items []store.Item, now time.Time) {
 	var servers []registry.Server
-	for _, item := range l.items {
+	for _, item := range items {
 		id, ok := s.node.Decoder.ServerID(item.Key)
 		if !ok {
 			continue
@@ -179,7 +180,6 @@
 		}
 	}
 	s.tell(s.registry.Replace(servers, s.troubled(now), now))
-	s.members.replace(l.items, now)
 	s.publishDue = true
 }
 
--- a/internal/front/world_test.go
+++ b/internal/front/world_test.go
@@ -56,8 +56,9 @@
 	h.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
 }
 
-func (plain) ConfigKey() string { return "config" }
-func (plain) OwnPrefix() string { return "own/" }
+func (plain) ConfigKey() string    { return "config" }
+func (plain) ServerPrefix() string { return "server/" }
+func (plain) OwnPrefix() string    { return "own/" }
 func (plain) Config(value []byte) (*policy.Config, error) {
 	var c policy.Config
 	if err := json.Unmarshal(value, &c); err != nil {
@@ -246,15 +247,26 @@
 	}()
 }
 
-// kill ends a node's network at once; the rest of it ends unheard.
-func (w *world) kill(name string) {
-	r := w.nodes[name]
-	delete(w.nodes, name)
-	w.mem.Kill(r.site)
-	w.store.SetFaults(name, storetest.Faults{Busy: true})
-	r.stop()
-	<-r.done
-	w.store.SetFaults(name, storetest.Faults{})
+// kill ends the network of nodes at the same moment; the rest of them ends
+// unheard.
+func (w *world) kill(names ...string) {
+	var killed []*running
+	for _, name := range names {
+		r := w.nodes[name]
+		delete(w.nodes, name)
+		w.mem.Kill(r.site)
+		w.store.SetFaults(name, storetest.Faults{Busy: true})
+		killed = append(killed, r)
+	}
+	for _, r := range killed {
+		r.stop()
+	}
+	for _, r := range killed {
+		<-r.done
+	}
+	for _, name := range names {
+		w.store.SetFaults(name, storetest.Faults{})
+	}
 }
 
 func (w *world) close() {
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -5,7 +5,9 @@
 package usage
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -97,6 +99,57 @@
 	return out
 }
 
+// Record is what one incarnation of a node counted in a window.
+type Record struct {
+	Node        string `json:"node"`
+	Incarnation int64  `json:"incarnation"`
+	Window      int64  `json:"window"`
+	Counts      Counts `json:"counts"`
+}
+
+// Records returns all counts from a window on, in a fixed order. node and
+// incarnation are this node's own.
+func (c *Counter) Records(node string, incarnation, from int64) []Record {
+	var out []Record
+	for w, counts := range c.own {
+		if w >= from {
+			out = append(out, Record{node, incarnation, w, maps.Clone(counts)})
+		}
+	}
+	for w, sources := range c.heard {
+		for s, counts := range sources {
+			if w >= from {
+				out = append(out, Record{s.node, s.incarnation, w, counts})
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b Record) int {
+		return cmp.Or(cmp.Compare(a.Window, b.Window), cmp.Compare(a.Node, b.Node), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	return out
+}
+
+// Recall takes records that were kept for when all nodes die at once. What was
+// heard since from the same incarnation counts more where it is more; this
+// incarnation knows better itself.
+func (c *Counter) Recall(records []Record, node string, incarnation int64) {
+	for _, r := range records {
+		if r.Node == node && r.Incarnation == incarnation {
+			continue
+		}
+		all := c.heard[r.Window]
+		if all == nil {
+			all = make(map[source]Counts)
+			c.heard[r.Window] = all
+		}
+		merged := maps.Clone(r.Counts)
+		for tenant, n := range all[source{r.Node, r.Incarnation}] {
+			merged[tenant] = max(merged[tenant], n)
+		}
+		all[source{r.Node, r.Incarnation}] = merged
+	}
+}
+
 // Expire forgets the windows long before current.
 func (c *Counter) Expire(current int64) {
 	maps.DeleteFunc(c.own, func(w int64, _ Counts) bool { return w < current-keepWindows })
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -28,3 +28,25 @@
 	c.Expire(7 + keepWindows + 1)
 	is.Equal(c.Sum(7, nil), Counts{})
 }
+
+func TestRecordsAreRecalled(t *testing.T) {
+	is := is.New(t)
+	c := New()
+	c.Add(6, "a", 1)
+	c.Add(7, "a", 2)
+	c.Heard("n1", 5, map[int64]Counts{7: {"a": 3}})
+	records := c.Records("n0", 4, 7)
+	is.Equal(len(records), 2)
+
+	fresh := New()
+	fresh.Add(7, "a", 10)
+	fresh.Heard("n1", 5, map[int64]Counts{7: {"a": 4}}) // heard since
+	fresh.Recall(records, "n0", 9)                      // started anew
+	fresh.Recall(records, "n0", 9)                      // once more changes nothing
+	is.Equal(fresh.Sum(7, nil), Counts{"a": 10 + 2 + 4})
+
+	same := New()
+	same.Add(7, "a", 5)
+	same.Recall(records, "n0", 4) // its own counts
+	is.Equal(same.Sum(7, nil), Counts{"a": 5 + 3})
+}
