A store that is down is asked seldom; news count as long as a fleet's exchange takes

Change: pauses grow (0.15 s up to 0.8 s for the read that finds out, 3 s for others, which it wakes). Test: TestAStoreThatIsDownIsAskedSeldom (842 calls before, under 180 in ten seconds now).

--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -37,7 +37,6 @@
 	firstWork       = 50 * time.Millisecond
 	engineBase      = 15 * time.Millisecond // to a first event, beside the reading of prompts
 	serviceWeight   = 0.05
-	remoteFor       = 2 * time.Second // how long another node's word is believed
 )
 
 // Use is how much of a server one node has on the way.
@@ -70,7 +69,7 @@
 type remote struct {
 	uses   map[string]Use
 	demand map[string]float64 // by service
-	at     time.Time
+	until  time.Time          // when it counts no more
 }
 
 // Tracker holds the beliefs about all servers.
@@ -183,7 +182,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, r := range t.remotes {
-		if now.Sub(r.at) < remoteFor {
+		if now.Before(r.until) {
 			sum += r.demand[service]
 		}
 	}
@@ -306,18 +305,19 @@
 	}
 }
 
-// Heard takes another node's use of the servers and its demand by service.
+// Heard takes another node's use of the servers and its demand by service, which
+// count until the node is heard of again or until a deadline.
 // Brief news leave the demand as it was.
-func (t *Tracker) Heard(node string, uses map[string]Use, demand map[string]float64, brief bool, now time.Time) {
+func (t *Tracker) Heard(node string, uses map[string]Use, demand map[string]float64, brief bool, until, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if brief {
 		demand = t.remotes[node].demand
 	}
-	t.remotes[node] = remote{uses, demand, now}
+	t.remotes[node] = remote{uses, demand, until}
 	clear(t.sums)
 	for name, r := range t.remotes {
-		if now.Sub(r.at) > remoteFor {
+		if now.After(r.until) {
 			delete(t.remotes, name)
 			continue
 		}
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -39,6 +39,7 @@
 	renewShare  = 0.3  // of the lease after which it is renewed
 	campaignMin = 20 * time.Millisecond
 	campaignMax = 250 * time.Millisecond
+	restMin     = time.Second
 	lookEvery   = 1500 * time.Millisecond // a node that is no holder looks at the key
 )
 
@@ -121,6 +122,7 @@
 		}
 		lease, fence, sent, ok := e.campaign(ctx)
 		if !ok {
+			e.rest(ctx)
 			continue
 		}
 		e.hold(fence, e.deadline(sent))
@@ -129,6 +131,15 @@
 	return ctx.Err()
 }
 
+// rest waits after a campaign that came to nothing: the store may be down, and
+// each call is paid for.
+func (e *Elector) rest(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(restMin + time.Duration(e.Rand.Int64N(int64(restMin)))):
+	}
+}
+
 // awaitFree waits until the key seems to be free, or looks when there is no
 // news for long.
 func (e *Elector) awaitFree(ctx context.Context) bool {
@@ -207,7 +218,7 @@
 			return
 		case <-time.After(pause):
 		}
-		pause = e.TTL / 10
+		pause = e.TTL / 6
 		sent := time.Now()
 		call, cancel := context.WithTimeout(ctx, e.TTL/4)
 		err := e.Store.Keep(call, lease)
--- a/internal/front/duties.go
+++ b/internal/front/duties.go
@@ -19,7 +19,7 @@
 
 // Times of usage reports.
 const (
-	usageSettles = 900 * time.Millisecond // after the end of a window, until all counts are here
+	usageSettles = 700 * time.Millisecond // after the end of a window and an exchange, until all counts are here
 	usageLook    = 300 * time.Millisecond
 	orderTimeout = time.Second
 	leastForCall = 150 * time.Millisecond // with less time left as holder no call is made
@@ -50,7 +50,7 @@
 			n.event(event.UsageMissed, zap.Int64("window", next))
 			next = current - behind
 		}
-		due := usage.End(next, window).Add(usageSettles)
+		due := usage.End(next, window).Add(usageSettles + n.shareEvery())
 		if n.clock.At(now).Before(due) {
 			continue
 		}
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
+
 	"github.com/shelfcrank/shelfcrank/internal/store"
 )
 
@@ -14,6 +16,8 @@
 	proveTimeout = 900 * time.Millisecond
 	listTimeout  = 1500 * time.Millisecond
 	retryPause   = 150 * time.Millisecond
+	retryProof   = 800 * time.Millisecond // at the most, between reads while the store is down
+	retryMost    = 3 * time.Second        // at the most, for others: the read tells them when it is back
 	registerTTL  = 6 * time.Second
 	registerKeep = 2 * time.Second
 	// WatchWait is how long the store may hold a watch that has nothing to tell.
@@ -32,6 +36,7 @@
 
 // proveConfig reads the configuration again and again: a watch may be silent.
 func (n *Node) proveConfig(ctx context.Context) error {
+	retry := newBackoff(retryProof)
 	for {
 		sent := time.Now()
 		call, cancel := context.WithTimeout(ctx, proveTimeout)
@@ -39,8 +44,9 @@
 		cancel()
 		pause := proveEvery - time.Since(sent)
 		if n.called(sent, err) != nil {
-			pause = retryPause
+			pause = retry.NextBackOff()
 		} else {
+			retry.Reset()
 			n.state.send(configRead{value: item.Value, revision: item.Revision, provedAt: sent})
 		}
 		if !sleep(ctx, pause) {
@@ -49,6 +55,25 @@
 	}
 }
 
+// newBackoff returns pauses that grow: each call of the store is paid for,
+// refused ones too.
+func newBackoff(most time.Duration) *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval, b.MaxInterval = retryPause, most
+	b.Reset()
+	return b
+}
+
+// pauseForStore waits for a pause, or until the store is back.
+func (n *Node) pauseForStore(ctx context.Context, d time.Duration) {
+	back := n.outage.Load().ctx
+	select {
+	case <-ctx.Done():
+	case <-back.Done():
+	case <-time.After(d):
+	}
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	select {
 	case <-ctx.Done():
@@ -88,23 +113,28 @@
 // watch lists a part of the store and follows its changes, and lists anew
 // whenever it may have missed one.
 func (n *Node) watch(ctx context.Context, prefix string, list func([]store.Item)) error {
+	retry := newBackoff(retryMost)
 	for ctx.Err() == nil {
 		sent := time.Now()
 		call, cancel := context.WithTimeout(ctx, listTimeout)
 		items, at, err := n.Store.Range(call, prefix)
 		cancel()
 		if n.called(sent, err) != nil {
-			sleep(ctx, retryPause)
+			n.pauseForStore(ctx, retry.NextBackOff())
 			continue
 		}
 		list(items)
-		n.follow(ctx, prefix, at)
+		if n.follow(ctx, prefix, at) {
+			retry.Reset()
+		} else {
+			n.pauseForStore(ctx, retry.NextBackOff())
+		}
 	}
 	return ctx.Err()
 }
 
-// follow passes changes on until a watch fails.
-func (n *Node) follow(ctx context.Context, prefix string, at int64) {
+// follow passes changes on until a watch fails, and says whether any did not.
+func (n *Node) follow(ctx context.Context, prefix string, at int64) (followed bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stop := context.AfterFunc(n.outage.Load().ctx, cancel)
@@ -114,18 +144,21 @@
 		events, next, err := n.Store.Watch(call, prefix, at)
 		cancel()
 		if err != nil {
-			return
+			return followed
 		}
+		followed = true
 		at = max(at, next)
 		if len(events) > 0 {
 			n.state.send(watched{events})
 			sleep(ctx, gather) // changes come in series; each call is paid for
 		}
 	}
+	return followed
 }
 
 // register keeps this node's address in the store for the others.
 func (n *Node) register(ctx context.Context) error {
+	retry := newBackoff(retryMost)
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, listTimeout)
 		lease, err := n.Store.Grant(call, registerTTL.Milliseconds())
@@ -136,9 +169,10 @@
 		}
 		cancel()
 		if err != nil {
-			sleep(ctx, retryPause*2)
+			n.pauseForStore(ctx, retry.NextBackOff())
 			continue
 		}
+		retry.Reset()
 		n.keepRegistered(ctx, lease)
 	}
 	return ctx.Err()
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -322,3 +322,24 @@
 		is.True(told <= int64(w.started()))
 	})
 }
+
+// While the store is down it is asked seldom: each call is paid for, refused
+// ones too.
+func TestAStoreThatIsDownIsAskedSeldom(t *testing.T) {
+	play(t, 3, func(is *is.I, w *world) {
+		time.Sleep(5 * time.Second)
+		w.store.SetFaults("", storetest.Faults{Busy: true})
+		before := w.store.Calls()
+		time.Sleep(10 * time.Second)
+		calls := w.store.Calls() - before
+		is.True(calls < 3*10*6) // a few a second and node; 842 before pauses grew
+		w.store.SetFaults("", storetest.Faults{})
+		time.Sleep(1500 * time.Millisecond)
+		for name := range w.nodes {
+			is.True(w.ready(name))
+		}
+		w.configure(2, "k1")
+		time.Sleep(time.Second) // the watches are back as well
+		is.Equal(w.ask("n0", "/new/a", "k1", "a"), 200)
+	})
+}
--- a/internal/front/share.go
+++ b/internal/front/share.go
@@ -21,6 +21,8 @@
 	shareForNode = 25 * time.Millisecond // added for each node, so that a node's load stays the same as the fleet grows
 	shareTimeout = 600 * time.Millisecond
 	briefEvery   = 15 * time.Millisecond // at the most, news of a long prompt
+	believeLeast = 2 * time.Second       // a node's word counts for so long, or for
+	believeTimes = 3                     // so many exchanges
 	briefMembers = 24                    // with more nodes, news wait for the next exchange
 )
 
@@ -42,7 +44,7 @@
 	}
 	for {
 		others := n.state.members.list()
-		if !sleep(ctx, max(shareLeast, time.Duration(len(others))*shareForNode)) {
+		if !sleep(ctx, n.shareEvery()) {
 			return ctx.Err()
 		}
 		if len(others) == 0 {
@@ -63,6 +65,11 @@
 	}
 }
 
+// shareEvery is the time between two exchanges with each other node.
+func (n *Node) shareEvery() time.Duration {
+	return max(shareLeast, time.Duration(len(n.state.members.list()))*shareForNode)
+}
+
 // tellUses tells the other nodes at once when a long prompt was sent to a
 // server: requests come in clumps, and nodes that decide at the same moment
 // would all choose the same server.
@@ -199,5 +206,5 @@
 	for _, service := range s.Services {
 		demand[service.Name] = service.Busy
 	}
-	n.tracker.Heard(s.Node, uses, demand, s.Brief, now)
+	n.tracker.Heard(s.Node, uses, demand, s.Brief, now.Add(max(believeLeast, believeTimes*n.shareEvery())), now)
 }
