A late or unlucky call does not keep a leaving server in use

Three watches and the read tell of failures; one that was sent before the store was back, or a single slow one, set it down again until the next read, 1.7 s later. Change: a failure that was sent before the last good answer is ignored; only an outage of over a second prolongs. Test: TestALateFailureDoesNotKeepAServerInUse.

--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -30,7 +30,7 @@
 // A refusal by the rules of the store is an answer.
 func (n *Node) called(sent time.Time, err error) error {
 	answered := err == nil || errors.Is(err, store.ErrNotFound) || errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrCompacted)
-	n.state.send(storeCalled{ok: answered, at: sent})
+	n.state.send(storeCalled{ok: answered, sent: sent})
 	return err
 }
 
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/shelfcrank/shelfcrank/internal/registry"
 	"github.com/shelfcrank/shelfcrank/internal/storetest"
 )
 
@@ -343,3 +344,25 @@
 		is.Equal(w.ask("n0", "/new/a", "k1", "a"), 200)
 	})
 }
+
+// The store is back; a server's entry goes; then a call fails that was sent
+// before: the server must be out of use within the bound all the same.
+func TestALateFailureDoesNotKeepAServerInUse(t *testing.T) {
+	play(t, 1, func(is *is.I, w *world) {
+		s := newState(w.nodes["n0"].node)
+		now := time.Now()
+		at := func(ms int) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
+		s.registry.Put(registry.Server{ID: "a"}, at(0))
+		s.apply(storeCalled{ok: false, sent: at(0)}, at(900))
+		s.apply(storeCalled{ok: true, sent: at(950)}, at(1000))
+		is.Equal(s.registry.Remove("a", s.troubled(at(2000)), at(2000)), registry.Absent)
+		s.apply(storeCalled{ok: false, sent: at(800)}, at(2300)) // sent before the store was back
+		is.True(!s.storeDown)
+		s.apply(storeCalled{ok: false, sent: at(2500)}, at(2900)) // one unlucky call
+		for ms := 2900; ms < 3900; ms += 100 {
+			s.tick(at(ms))
+		}
+		_, used := s.registry.Find("a")
+		is.True(!used)
+	})
+}
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -32,10 +32,10 @@
 	watched       struct{ events []store.Event }
 )
 
-// storeCalled tells how a call of the store went.
+// storeCalled tells how a call of the store went that was sent at a time.
 type storeCalled struct {
-	ok bool
-	at time.Time
+	ok   bool
+	sent time.Time
 }
 
 // leave makes the node take leave.
@@ -54,6 +54,9 @@
 	// troubleFor is how long after a failed call the store counts as troubled:
 	// entries that lapsed meanwhile take so long to be written again.
 	troubleFor = 3 * time.Second
+	// leastOutage is how long the store has to be down until entries that went
+	// before are kept on: one late or unlucky call must not prolong them.
+	leastOutage = time.Second
 )
 
 // state is what a node believes. It belongs to the goroutine that runs Serve.
@@ -66,9 +69,11 @@
 	config     *policy.Config
 	revision   int64 // of the configuration's item
 	provedAt   time.Time
-	stale      bool // a stale configuration was told of
-	troubleAt  time.Time
+	stale      bool      // a stale configuration was told of
+	troubleAt  time.Time // of the last call that failed
+	answeredAt time.Time // of the last call that did not
 	storeDown  bool
+	downAt     time.Time // since when the store is down
 	leaving    bool
 	publishDue bool
 }
@@ -112,7 +117,7 @@
 			s.takeEvent(e, now)
 		}
 	case storeCalled:
-		s.takeCall(c)
+		s.takeCall(c, now)
 	case leave:
 		s.leaving, s.publishDue = true, true
 	}
@@ -151,21 +156,32 @@
 	return s.storeDown || !s.troubleAt.IsZero() && now.Sub(s.troubleAt) < troubleFor
 }
 
-func (s *state) takeCall(c storeCalled) {
-	if c.ok == !s.storeDown {
-		if !c.ok {
-			s.troubleAt = c.at
+// takeCall notes whether the store can be reached. A failure of a call that was
+// sent before the last good answer says nothing new: it may come late.
+func (s *state) takeCall(c storeCalled, now time.Time) {
+	if c.ok {
+		s.answeredAt = now
+		if s.storeDown {
+			s.storeDown = false
+			s.node.event(event.StoreBack)
+			s.node.rewatch()
 		}
 		return
 	}
-	s.storeDown = !c.ok
-	if c.ok {
-		s.node.event(event.StoreBack)
-		s.node.rewatch()
+	if c.sent.Before(s.answeredAt) {
 		return
 	}
-	s.troubleAt = c.at
-	s.node.event(event.StoreDown)
+	s.troubleAt = now
+	if !s.storeDown {
+		s.storeDown, s.downAt = true, now
+		s.node.event(event.StoreDown)
+	}
+}
+
+// outage reports whether the store has been down for longer than one call that
+// failed by chance.
+func (s *state) outage(now time.Time) bool {
+	return s.storeDown && now.Sub(s.downAt) > leastOutage
 }
 
 func (s *state) takeServers(items []store.Item, now time.Time) {
@@ -235,7 +251,7 @@
 }
 
 func (s *state) tick(now time.Time) {
-	s.tell(s.registry.Expire(s.storeDown, now))
+	s.tell(s.registry.Expire(s.outage(now), now))
 	if s.config != nil && !s.stale && now.Sub(s.provedAt) > s.node.handler.KeysFor {
 		s.stale = true
 		s.node.event(event.ConfigStale, zap.Int64("version", s.config.Version), zap.Duration("age", now.Sub(s.provedAt)))
