A watch that is cut after an outage is begun anew at once

Change: pauses for an outage and for cut watches are apart, the latter at most 0.7 s; they no longer vary at random.

--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -16,8 +16,10 @@
 	proveTimeout = 900 * time.Millisecond
 	listTimeout  = 1500 * time.Millisecond
 	retryPause   = 150 * time.Millisecond
-	retryProof   = 800 * time.Millisecond // at the most, between reads while the store is down
+	retryProof   = 400 * time.Millisecond // at the most, between reads while the store is down
+	retryWatch   = 700 * time.Millisecond // at the most, for watches: what they miss has to be known in time
 	retryMost    = 3 * time.Second        // at the most, for others: the read tells them when it is back
+	steadyWatch  = time.Second            // a watch that held for longer is begun anew at once
 	registerTTL  = 6 * time.Second
 	registerKeep = 2 * time.Second
 	// WatchWait is how long the store may hold a watch that has nothing to tell.
@@ -59,7 +61,7 @@
 // refused ones too.
 func newBackoff(most time.Duration) *backoff.ExponentialBackOff {
 	b := backoff.NewExponentialBackOff()
-	b.InitialInterval, b.MaxInterval = retryPause, most
+	b.InitialInterval, b.MaxInterval, b.RandomizationFactor = retryPause, most, 0
 	b.Reset()
 	return b
 }
@@ -113,28 +115,30 @@
 // watch lists a part of the store and follows its changes, and lists anew
 // whenever it may have missed one.
 func (n *Node) watch(ctx context.Context, prefix string, list func([]store.Item)) error {
-	retry := newBackoff(retryMost)
+	down, cut := newBackoff(retryMost), newBackoff(retryWatch)
 	for ctx.Err() == nil {
 		sent := time.Now()
 		call, cancel := context.WithTimeout(ctx, listTimeout)
 		items, at, err := n.Store.Range(call, prefix)
 		cancel()
 		if n.called(sent, err) != nil {
-			n.pauseForStore(ctx, retry.NextBackOff())
+			n.pauseForStore(ctx, down.NextBackOff())
 			continue
 		}
+		down.Reset()
 		list(items)
-		if n.follow(ctx, prefix, at) {
-			retry.Reset()
-		} else {
-			n.pauseForStore(ctx, retry.NextBackOff())
+		begun := time.Now()
+		n.follow(ctx, prefix, at)
+		if time.Since(begun) > steadyWatch {
+			cut.Reset()
 		}
+		n.pauseForStore(ctx, cut.NextBackOff())
 	}
 	return ctx.Err()
 }
 
-// follow passes changes on until a watch fails, and says whether any did not.
-func (n *Node) follow(ctx context.Context, prefix string, at int64) (followed bool) {
+// follow passes changes on until a watch fails.
+func (n *Node) follow(ctx context.Context, prefix string, at int64) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stop := context.AfterFunc(n.outage.Load().ctx, cancel)
@@ -144,16 +148,14 @@
 		events, next, err := n.Store.Watch(call, prefix, at)
 		cancel()
 		if err != nil {
-			return followed
+			return
 		}
-		followed = true
 		at = max(at, next)
 		if len(events) > 0 {
 			n.state.send(watched{events})
 			sleep(ctx, gather) // changes come in series; each call is paid for
 		}
 	}
-	return followed
 }
 
 // register keeps this node's address in the store for the others.
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -366,3 +366,29 @@
 		is.True(!used)
 	})
 }
+
+// After an outage the watch is silent, then cut: how long the outage was must
+// not make the node slow to list anew.
+func TestACutWatchAfterAnOutageIsMadeGoodAtOnce(t *testing.T) {
+	play(t, 1, func(is *is.I, w *world) {
+		w.putServer(1, true)
+		w.putServer(2, true)
+		w.store.SetFaults("n0", storetest.Faults{Busy: true})
+		time.Sleep(8 * time.Second)
+		w.store.SetFaults("n0", storetest.Faults{})
+		time.Sleep(900 * time.Millisecond)
+		w.store.SetFaults("n0", storetest.Faults{Silent: true})
+		w.putServer(0, true)
+		left := time.Now()
+		for i := range 80 {
+			time.Sleep(50 * time.Millisecond)
+			if i == 16 {
+				w.store.Compact()
+			}
+			w.ask("n0", "/once/a", "k1", fmt.Sprint("r", i))
+		}
+		late := w.lastAt(serverID(0)).Sub(left)
+		is.True(late > 500*time.Millisecond) // nothing was heard
+		is.True(late < 1900*time.Millisecond)
+	})
+}
