--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -39,7 +39,7 @@
 	renewShare  = 0.3  // of the lease after which it is renewed
 	campaignMin = 20 * time.Millisecond
 	campaignMax = 250 * time.Millisecond
-	restMin     = time.Second
+	restMin     = 1500 * time.Millisecond
 	lookEvery   = 1500 * time.Millisecond // a node that is no holder looks at the key
 )
 
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -16,9 +16,11 @@
 	proveTimeout = 900 * time.Millisecond
 	listTimeout  = 1500 * time.Millisecond
 	retryPause   = 150 * time.Millisecond
+	retryGrowth  = 2.5
 	retryProof   = 400 * time.Millisecond // at the most, between reads while the store is down
 	retryWatch   = 700 * time.Millisecond // at the most, for watches: what they miss has to be known in time
-	retryMost    = 3 * time.Second        // at the most, for others: the read tells them when it is back
+	retryFirst   = 600 * time.Millisecond // at first, and
+	retryMost    = 6 * time.Second        // at the most, for others: the read tells them when it is back
 	steadyWatch  = time.Second            // a watch that held for longer is begun anew at once
 	registerTTL  = 6 * time.Second
 	registerKeep = 2 * time.Second
@@ -38,7 +40,7 @@
 
 // proveConfig reads the configuration again and again: a watch may be silent.
 func (n *Node) proveConfig(ctx context.Context) error {
-	retry := newBackoff(retryProof)
+	retry := newBackoff(retryPause, retryProof)
 	for {
 		sent := time.Now()
 		call, cancel := context.WithTimeout(ctx, proveTimeout)
@@ -59,9 +61,10 @@
 
 // newBackoff returns pauses that grow: each call of the store is paid for,
 // refused ones too.
-func newBackoff(most time.Duration) *backoff.ExponentialBackOff {
+func newBackoff(first, most time.Duration) *backoff.ExponentialBackOff {
 	b := backoff.NewExponentialBackOff()
-	b.InitialInterval, b.MaxInterval, b.RandomizationFactor = retryPause, most, 0
+	b.InitialInterval, b.MaxInterval = first, most
+	b.Multiplier, b.RandomizationFactor = retryGrowth, 0
 	b.Reset()
 	return b
 }
@@ -115,7 +118,7 @@
 // watch lists a part of the store and follows its changes, and lists anew
 // whenever it may have missed one.
 func (n *Node) watch(ctx context.Context, prefix string, list func([]store.Item)) error {
-	down, cut := newBackoff(retryMost), newBackoff(retryWatch)
+	down, cut := newBackoff(retryFirst, retryMost), newBackoff(retryPause, retryWatch)
 	for ctx.Err() == nil {
 		sent := time.Now()
 		call, cancel := context.WithTimeout(ctx, listTimeout)
@@ -160,7 +163,7 @@
 
 // register keeps this node's address in the store for the others.
 func (n *Node) register(ctx context.Context) error {
-	retry := newBackoff(retryMost)
+	retry := newBackoff(retryFirst, retryMost)
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, listTimeout)
 		lease, err := n.Store.Grant(call, registerTTL.Milliseconds())
