Bounds of the settings may be fractions

Ruled out: the template. It writes what the platform gives.

Change: every bound is a number. TestBoundsMayBeFractions failed first with five faults.

--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -27,8 +27,8 @@
 	b := n.Settings.Bounds
 	return &admission{
 		node: n, quota: quota.New(n.start), budgets: make(map[string]*retry.Budget), usage: usage.New(),
-		limits: quota.Terms{Over: b.QuotaOver, Slack: float64(b.QuotaSlack), Window: b.QuotaWindow()},
-		terms:  retry.Terms{Ratio: b.RetryRatio, Slack: float64(b.RetrySlack), Window: b.RetryWindow()},
+		limits: quota.Terms{Over: b.QuotaOver, Slack: b.QuotaSlack, Window: b.QuotaWindow()},
+		terms:  retry.Terms{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow()},
 	}
 }
 
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -23,25 +23,25 @@
 // Bounds are what the deployment asks to be kept to. Times become deadlines as
 // soon as what they bound begins.
 type Bounds struct {
-	RevokeMs     int     `toml:"revoke_ms" help:"Time after which a key that was taken away must not work any more."`
-	DrainMs      int     `toml:"drain_ms" help:"Time after which a server that leaves must get no new work."`
+	RevokeMs     float64 `toml:"revoke_ms" help:"Time after which a key that was taken away must not work any more."`
+	DrainMs      float64 `toml:"drain_ms" help:"Time after which a server that leaves must get no new work."`
 	GraceS       float64 `toml:"grace_s" help:"Time from the signal to stop to the end of the process."`
 	RetryRatio   float64 `toml:"retry_ratio" help:"Second tries allowed for each request."`
-	RetrySlack   int     `toml:"retry_slack" help:"Second tries allowed beside, in each window."`
+	RetrySlack   float64 `toml:"retry_slack" help:"Second tries allowed beside, in each window."`
 	RetryWindowS float64 `toml:"retry_window_s" help:"Window of the slack."`
 	QuotaOver    float64 `toml:"quota_over" help:"Share by which a window may go over a tenant's limit."`
-	QuotaSlack   int     `toml:"quota_slack" help:"Units by which a window may go over a tenant's limit beside."`
+	QuotaSlack   float64 `toml:"quota_slack" help:"Units by which a window may go over a tenant's limit beside."`
 	QuotaWindowS float64 `toml:"quota_window_s" help:"Window over which the use of a limit is judged."`
-	LeaseMs      int     `toml:"lease_ms" help:"Lease of the node that acts for all."`
+	LeaseMs      float64 `toml:"lease_ms" help:"Lease of the node that acts for all."`
 	UsageWindowS float64 `toml:"usage_window_s" help:"Window that usage is reported for."`
 	UsageLateS   float64 `toml:"usage_late_s" help:"Time after the end of a window at which its report is due."`
 }
 
 // Revoke returns the time after which a key taken away must not work.
-func (b Bounds) Revoke() time.Duration { return time.Duration(b.RevokeMs) * time.Millisecond }
+func (b Bounds) Revoke() time.Duration { return inMilliseconds(b.RevokeMs) }
 
 // Drain returns the time after which a leaving server must get no new work.
-func (b Bounds) Drain() time.Duration { return time.Duration(b.DrainMs) * time.Millisecond }
+func (b Bounds) Drain() time.Duration { return inMilliseconds(b.DrainMs) }
 
 // Grace returns the time that a stopping process has.
 func (b Bounds) Grace() time.Duration { return inSeconds(b.GraceS) }
@@ -53,7 +53,7 @@
 func (b Bounds) QuotaWindow() time.Duration { return inSeconds(b.QuotaWindowS) }
 
 // Lease returns the lease of the node that acts for all.
-func (b Bounds) Lease() time.Duration { return time.Duration(b.LeaseMs) * time.Millisecond }
+func (b Bounds) Lease() time.Duration { return inMilliseconds(b.LeaseMs) }
 
 // UsageWindow returns the window that usage is reported for.
 func (b Bounds) UsageWindow() time.Duration { return inSeconds(b.UsageWindowS) }
@@ -63,6 +63,10 @@
 
 func inSeconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
+func inMilliseconds(ms float64) time.Duration {
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
 // LoadFront reads and checks the settings of a node.
 func LoadFront(file string) (Front, error) {
 	var s Front
@@ -79,10 +83,10 @@
 	c.need("peer_address", s.Peer.IsValid())
 	c.need("metrics_address", s.Metrics.IsValid())
 	c.need("store_address", s.Store.IsValid())
-	c.positive("bounds.revoke_ms", float64(s.Bounds.RevokeMs))
-	c.positive("bounds.drain_ms", float64(s.Bounds.DrainMs))
+	c.positive("bounds.revoke_ms", s.Bounds.RevokeMs)
+	c.positive("bounds.drain_ms", s.Bounds.DrainMs)
 	c.positive("bounds.grace_s", s.Bounds.GraceS)
-	c.positive("bounds.lease_ms", float64(s.Bounds.LeaseMs))
+	c.positive("bounds.lease_ms", s.Bounds.LeaseMs)
 	c.positive("bounds.usage_window_s", s.Bounds.UsageWindowS)
 	c.positive("bounds.retry_window_s", s.Bounds.RetryWindowS)
 	c.apart(map[string]netip.AddrPort{
--- a/internal/settings/front_test.go
+++ b/internal/settings/front_test.go
@@ -4,7 +4,9 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -54,6 +56,17 @@
 	is.True(!s.Cloud.IsValid())               // where there are no duties
 }
 
+// Any bound may be a fraction: a deployment divides what it allows by its size.
+func TestBoundsMayBeFractions(t *testing.T) {
+	is := is.New(t)
+	s, faults := loadFront(t, strings.NewReplacer("5000", "5000.5", "2000", "2000.25", "3000", "3000.0").Replace(goodFront)+
+		"retry_slack = 37.45454545454545\nquota_slack = 140000.5\n")
+	is.Equal(len(faults), 0)
+	is.Equal(s.Bounds.RetrySlack, 37.45454545454545)
+	is.Equal(s.Bounds.QuotaSlack, 140000.5)
+	is.Equal(s.Bounds.Drain(), 2000250*time.Microsecond)
+}
+
 func TestFrontFaultsHaveLineAndKey(t *testing.T) {
 	is := is.New(t)
 	_, lines := loadFront(t, `name = ""
