In a large fleet a few hubs read the store for all

Cause: every node followed the store by three watches and a read each 1.7 s.

Ruled out: polling with reads that may be seconds old (a configuration has to be in force in 2 to 3 s); longer pauses between two answers of a watch (the bound of a leaving server).

Change: from 17 nodes on, the two nodes of each zone with the most processor time are hubs. They read the store as before, prove the configuration each second and keep a copy with the latest changes (package mirror); the others ask them, are held for up to 0.4 s, and count the hub's proof with its age from the sending of the question. A hub without the store says so at once; a node that no hub helps but that reaches the store reads it itself. Only nodes that read the store compete for the duty. Up to 16 nodes nothing changes.

--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -55,6 +55,9 @@
 	}
 	Log  *zap.Logger
 	Rand *rand.Rand // used by Run only
+	// Eligible says whether this node may compete now; nil if it always may. In
+	// a large fleet few compete: each campaign costs calls of the store.
+	Eligible func() bool
 }
 
 // Elector competes for a duty. Token and Saw are safe for concurrent use.
@@ -157,6 +160,9 @@
 		return false // wait a random moment first
 	case <-time.After(wait):
 	}
+	if e.Eligible != nil && !e.Eligible() {
+		return false
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return !e.taken
--- /dev/null
+++ b/internal/front/calls.go
@@ -0,0 +1,19 @@
+package front
+
+import (
+	"context"
+
+	"github.com/shelfcrank/shelfcrank/internal/fault"
+	"github.com/shelfcrank/shelfcrank/internal/peerpb"
+)
+
+// Handle implements peer.Handler.
+func (n *Node) Handle(ctx context.Context, call *peerpb.Call, answer func(*peerpb.Answer) error) error {
+	switch body := call.Body.(type) {
+	case *peerpb.Call_Share:
+		return n.serveShare(body.Share, answer)
+	case *peerpb.Call_Mirror:
+		return n.serveMirror(ctx, call, answer)
+	}
+	return fault.New(fault.StepPeer, call.From, fault.KindInput, fault.NotRun, "%T is not served here", call.Body)
+}
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -2,26 +2,31 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
 
+	"github.com/shelfcrank/shelfcrank/internal/mirror"
 	"github.com/shelfcrank/shelfcrank/internal/store"
 )
 
 // Times of following the store.
 const (
 	proveEvery   = 1700 * time.Millisecond
+	proveAsHub   = time.Second // other nodes count on it
 	proveTimeout = 900 * time.Millisecond
 	listTimeout  = 1500 * time.Millisecond
 	retryPause   = 150 * time.Millisecond
 	retryGrowth  = 2.5
-	retryProof   = 400 * time.Millisecond // at the most, between reads while the store is down
-	retryWatch   = 700 * time.Millisecond // at the most, for watches: what they miss has to be known in time
-	retryFirst   = 600 * time.Millisecond // at first, and
-	retryMost    = 6 * time.Second        // at the most, for others: the read tells them when it is back
-	steadyWatch  = time.Second            // a watch that held for longer is begun anew at once
+	retryProof   = 400 * time.Millisecond  // at the most, between reads while the store is down
+	retryAlone   = 1200 * time.Millisecond // at the most, for a node that no hub helps
+	retryWatch   = 700 * time.Millisecond  // at the most, for watches: what they miss has to be known in time
+	retryFirst   = 600 * time.Millisecond  // at first, and
+	retryMost    = 6 * time.Second         // at the most, for others: the read tells them when it is back
+	steadyWatch  = time.Second             // a watch that held for longer is begun anew at once
 	registerTTL  = 6 * time.Second
 	registerKeep = 2 * time.Second
 	// WatchWait is how long the store may hold a watch that has nothing to tell.
@@ -46,11 +51,12 @@
 		call, cancel := context.WithTimeout(ctx, proveTimeout)
 		item, _, err := n.Store.Get(call, n.Decoder.ConfigKey())
 		cancel()
-		pause := proveEvery - time.Since(sent)
+		pause := n.provePause() - time.Since(sent)
 		if n.called(sent, err) != nil {
 			pause = retry.NextBackOff()
 		} else {
 			retry.Reset()
+			n.hub.proved(item, sent)
 			n.state.send(configRead{value: item.Value, revision: item.Revision, provedAt: sent})
 		}
 		if !sleep(ctx, pause) {
@@ -59,6 +65,13 @@
 	}
 }
 
+func (n *Node) provePause() time.Duration {
+	if n.state.members.topology().self {
+		return proveAsHub
+	}
+	return proveEvery
+}
+
 // newBackoff returns pauses that grow: each call of the store is paid for,
 // refused ones too.
 func newBackoff(first, most time.Duration) *backoff.ExponentialBackOff {
@@ -104,20 +117,20 @@
 func (n *Node) rewatch() { n.outage.Swap(newOutage()).end() }
 
 func (n *Node) watchConfig(ctx context.Context) error {
-	return n.watch(ctx, n.Decoder.ConfigKey(), func([]store.Item) {}) // the read proves it
+	return n.watch(ctx, n.Decoder.ConfigKey(), n.hub.config, func([]store.Item) {}) // the read proves it
 }
 
 func (n *Node) watchServers(ctx context.Context) error {
-	return n.watch(ctx, n.Decoder.ServerPrefix(), func(items []store.Item) { n.state.send(listedServers{items}) })
+	return n.watch(ctx, n.Decoder.ServerPrefix(), n.hub.servers, func(items []store.Item) { n.state.send(listedServers{items}) })
 }
 
 func (n *Node) watchNodes(ctx context.Context) error {
-	return n.watch(ctx, n.Decoder.OwnPrefix()+keyLive, func(items []store.Item) { n.state.send(listedNodes{items}) })
+	return n.watch(ctx, n.Decoder.OwnPrefix()+keyLive, n.hub.nodes, func(items []store.Item) { n.state.send(listedNodes{items}) })
 }
 
 // watch lists a part of the store and follows its changes, and lists anew
-// whenever it may have missed one.
-func (n *Node) watch(ctx context.Context, prefix string, list func([]store.Item)) error {
+// whenever it may have missed one. It keeps a copy for other nodes.
+func (n *Node) watch(ctx context.Context, prefix string, kept *mirror.Copy, list func([]store.Item)) error {
 	down, cut := newBackoff(retryFirst, retryMost), newBackoff(retryPause, retryWatch)
 	for ctx.Err() == nil {
 		sent := time.Now()
@@ -129,9 +142,10 @@
 			continue
 		}
 		down.Reset()
+		kept.Replace(items, at)
 		list(items)
 		begun := time.Now()
-		n.follow(ctx, prefix, at)
+		n.follow(ctx, prefix, kept, at)
 		if time.Since(begun) > steadyWatch {
 			cut.Reset()
 		}
@@ -141,7 +155,7 @@
 }
 
 // follow passes changes on until a watch fails.
-func (n *Node) follow(ctx context.Context, prefix string, at int64) {
+func (n *Node) follow(ctx context.Context, prefix string, kept *mirror.Copy, at int64) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stop := context.AfterFunc(n.outage.Load().ctx, cancel)
@@ -154,6 +168,7 @@
 			return
 		}
 		at = max(at, next)
+		kept.Apply(events, at)
 		if len(events) > 0 {
 			n.state.send(watched{events})
 			sleep(ctx, gather) // changes come in series; each call is paid for
@@ -164,12 +179,16 @@
 // register keeps this node's address in the store for the others.
 func (n *Node) register(ctx context.Context) error {
 	retry := newBackoff(retryFirst, retryMost)
+	value, err := json.Marshal(n.registration())
+	if err != nil {
+		return fmt.Errorf("encode registration: %w", err)
+	}
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, listTimeout)
 		lease, err := n.Store.Grant(call, registerTTL.Milliseconds())
 		if err == nil {
 			_, err = n.Store.Do(call, store.Txn{Put: []store.Put{{
-				Key: n.Decoder.OwnPrefix() + keyNodes + n.Settings.Name, Value: []byte(n.Settings.Peer.String()), Lease: lease,
+				Key: n.Decoder.OwnPrefix() + keyNodes + n.Settings.Name, Value: value, Lease: lease,
 			}}})
 		}
 		cancel()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -87,6 +87,8 @@
 	admission *admission
 	elector   *duty.Elector
 	handler   *forward.Handler
+	hub       *hub
+	reading   atomic.Bool // this node reads the store itself
 	leaving   atomic.Bool
 	outage    atomic.Pointer[outage] // ends with the next outage of the store
 	configAt  chan struct{}          // closed when the first configuration is known
@@ -104,7 +106,7 @@
 
 // New wires a node; Run starts it.
 func New(o Options) (*Node, error) {
-	n := &Node{Options: o, start: time.Now(), injector: do.New(), configAt: make(chan struct{})}
+	n := &Node{Options: o, start: time.Now(), injector: do.New(), configAt: make(chan struct{}), hub: newHub()}
 	n.clock = walltime.New(n.start)
 	n.view.Store(&forward.View{Nodes: 1})
 	n.outage.Store(newOutage())
@@ -142,7 +144,7 @@
 		return duty.New(duty.Options{
 			Node: s.Name, Value: fmt.Appendf(nil, "%s %d", s.Name, n.incarnation()),
 			Key: o.Decoder.OwnPrefix() + keyLeader, TTL: s.Bounds.Lease(), Store: o.Store, Log: o.Log,
-			Rand: rand.New(rand.NewPCG(o.Seed, seedElector)),
+			Rand: rand.New(rand.NewPCG(o.Seed, seedElector)), Eligible: n.reading.Load,
 		}), nil
 	})
 	do.Provide(n.injector, func(do.Injector) (*forward.Handler, error) {
@@ -240,10 +242,7 @@
 	root := suture.New("front", spec)
 	for _, p := range []part{
 		{"state", n.state.Serve},
-		{"proof", n.proveConfig},
-		{"watch config", n.watchConfig},
-		{"watch servers", n.watchServers},
-		{"watch nodes", n.watchNodes},
+		{"follow store", n.followStore},
 		{"register", n.register},
 		{"peers", func(ctx context.Context) error { return n.peers.Serve(ctx, peers) }},
 		{"share", n.shareState},
--- /dev/null
+++ b/internal/front/hub.go
@@ -0,0 +1,134 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/shelfcrank/shelfcrank/internal/fault"
+	"github.com/shelfcrank/shelfcrank/internal/mirror"
+	"github.com/shelfcrank/shelfcrank/internal/peerpb"
+	"github.com/shelfcrank/shelfcrank/internal/store"
+)
+
+// Times of a hub's answers.
+const (
+	mirrorWait  = 400 * time.Millisecond  // that a question is held if there is no news
+	mirrorStale = 1800 * time.Millisecond // after its last proof a hub is not to be relied on
+)
+
+// hub is what a node that reads the store keeps for those that ask it.
+type hub struct {
+	config, servers, nodes *mirror.Copy
+
+	mu       sync.Mutex
+	item     store.Item // the configuration as last read; guarded by mu
+	provedAt time.Time  // when that read was sent; guarded by mu
+}
+
+// notProved is the age of a proof where there is none: a watch told of the
+// configuration.
+const notProved = -1
+
+func newHub() *hub {
+	return &hub{config: mirror.New(), servers: mirror.New(), nodes: mirror.New()}
+}
+
+// proved notes a read of the configuration.
+func (h *hub) proved(item store.Item, sent time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if item.Revision < h.item.Revision {
+		return
+	}
+	h.item, h.provedAt = item, sent
+}
+
+// newest returns the configuration and when it was proved to be the newest.
+func (h *hub) newest() (store.Item, time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.item, h.provedAt
+}
+
+// errNoHub says that a node does not read the store, or cannot reach it.
+var errNoHub = errors.New("this node does not know what is in the store")
+
+// answer tells a node what it does not know yet, at once if there is anything.
+func (h *hub) answer(ctx context.Context, q *peerpb.Mirror) (*peerpb.MirrorAnswer, error) {
+	late := time.NewTimer(mirrorWait)
+	defer late.Stop()
+	for waited := false; ; {
+		changes := []<-chan struct{}{h.config.Changed(), h.servers.Changed(), h.nodes.Changed()}
+		a, news, err := h.look(q, time.Now())
+		if err != nil || news || waited {
+			return a, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-late.C:
+			waited = true
+		case <-changes[0]:
+		case <-changes[1]:
+		case <-changes[2]:
+		}
+	}
+}
+
+// look makes an answer, and says whether there is anything new in it.
+func (h *hub) look(q *peerpb.Mirror, now time.Time) (*peerpb.MirrorAnswer, bool, error) {
+	servers, known := h.servers.Since(q.Servers)
+	nodes, alsoKnown := h.nodes.Since(q.Nodes)
+	item, provedAt := h.newest()
+	if !known || !alsoKnown || now.Sub(provedAt) > mirrorStale {
+		return nil, false, errNoHub
+	}
+	a := &peerpb.MirrorAnswer{
+		ProofAge: int64(now.Sub(provedAt)), ConfigRevision: item.Revision,
+		Servers: mirrorPart(servers), Nodes: mirrorPart(nodes),
+	}
+	if watched, ok := h.config.Since(0); ok {
+		for _, e := range watched.Events { // a watch may know before the next read
+			if e.Revision > item.Revision && !e.Gone {
+				item, a.ConfigRevision, a.ProofAge = e.Item, e.Revision, notProved
+			}
+		}
+	}
+	if item.Revision > q.Config {
+		a.Config = item.Value
+	}
+	news := len(a.Config) > 0 || len(servers.Events)+len(nodes.Events) > 0 || servers.Whole || nodes.Whole
+	return a, news, nil
+}
+
+func mirrorPart(c mirror.Change) *peerpb.MirrorPart {
+	return &peerpb.MirrorPart{Whole: c.Whole, At: c.At, Items: lo.Map(c.Events, func(e store.Event, _ int) *peerpb.MirrorItem {
+		return &peerpb.MirrorItem{Key: e.Key, Value: e.Value, Revision: e.Revision, Gone: e.Gone}
+	})}
+}
+
+func mirrorEvents(p *peerpb.MirrorPart) []store.Event {
+	return lo.Map(p.GetItems(), func(i *peerpb.MirrorItem, _ int) store.Event {
+		return store.Event{Item: store.Item{Key: i.Key, Value: i.Value, Revision: i.Revision}, Gone: i.Gone}
+	})
+}
+
+func itemsOf(events []store.Event) []store.Item {
+	return lo.Map(events, func(e store.Event, _ int) store.Item { return e.Item })
+}
+
+// serveMirror answers a node that reads through this one.
+func (n *Node) serveMirror(ctx context.Context, call *peerpb.Call, answer func(*peerpb.Answer) error) error {
+	if !n.reading.Load() {
+		return fault.New(fault.StepPeer, call.From, fault.KindRefused, fault.NotRun, "%w", errNoHub)
+	}
+	a, err := n.hub.answer(ctx, call.GetMirror())
+	if err != nil {
+		return fault.New(fault.StepPeer, call.From, fault.KindRefused, fault.NotRun, "%w", err)
+	}
+	return answer(&peerpb.Answer{Body: &peerpb.Answer_Mirror{Mirror: a}})
+}
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"encoding/json"
 	"net/netip"
 	"strings"
 	"sync/atomic"
@@ -12,14 +13,28 @@
 	"github.com/shelfcrank/shelfcrank/internal/store"
 )
 
-// member is another node.
+// member is a node.
 type member struct {
 	name       string
 	addr       netip.AddrPort
+	zone       string
+	cores      float64 // processor time that it may use
 	registered bool
 	heardAt    time.Time
 }
 
+// registration is what a node tells the others of itself through the store.
+type registration struct {
+	Addr  netip.AddrPort
+	Zone  string
+	Cores float64
+}
+
+// registration returns this node's own.
+func (n *Node) registration() registration {
+	return registration{Addr: n.Settings.Peer, Zone: n.Settings.Zone, Cores: n.Settings.Cores}
+}
+
 // heardFor is how long a node that is heard of counts although its
 // registration ended: the store may have been down.
 const heardFor = 2500 * time.Millisecond
@@ -30,6 +45,7 @@
 	node  *Node
 	all   map[string]*member
 	shown atomic.Pointer[[]member]
+	hubs  atomic.Pointer[topology]
 	news  chan heard
 }
 
@@ -42,12 +58,16 @@
 func newMembers(n *Node) *members {
 	m := &members{node: n, all: make(map[string]*member), news: make(chan heard, changeQueue)}
 	m.shown.Store(&[]member{})
+	m.hubs.Store(&topology{})
 	return m
 }
 
 // list returns the members.
 func (m *members) list() []member { return *m.shown.Load() }
 
+// topology returns who reads the store and places requests for all.
+func (m *members) topology() *topology { return m.hubs.Load() }
+
 // count returns the number of nodes, this one included.
 func (m *members) count() int { return 1 + len(m.all) }
 
@@ -104,17 +124,17 @@
 		m.expire(now)
 		return
 	}
-	addr, err := netip.ParseAddrPort(string(e.Value))
-	if err != nil {
+	var r registration
+	if err := json.Unmarshal(e.Value, &r); err != nil || !r.Addr.IsValid() {
 		return
 	}
 	other := m.all[name]
 	if other == nil {
 		other = &member{name: name}
 		m.all[name] = other
-		m.node.event(event.NodeJoined, zap.String("peer", name), zap.Stringer("address", addr))
+		m.node.event(event.NodeJoined, zap.String("peer", name), zap.Stringer("address", r.Addr))
 	}
-	other.addr, other.registered = addr, true
+	other.addr, other.zone, other.cores, other.registered = r.Addr, r.Zone, r.Cores, true
 	m.show()
 }
 
@@ -153,4 +173,6 @@
 		out = append(out, *other)
 	}
 	m.shown.Store(&out)
+	self := m.node.registration()
+	m.hubs.Store(newTopology(member{name: m.node.Settings.Name, addr: self.Addr, zone: self.Zone, cores: self.Cores}, out))
 }
--- a/internal/front/share.go
+++ b/internal/front/share.go
@@ -9,7 +9,6 @@
 
 	"github.com/shelfcrank/shelfcrank/internal/balance"
 	"github.com/shelfcrank/shelfcrank/internal/event"
-	"github.com/shelfcrank/shelfcrank/internal/fault"
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
 	"github.com/shelfcrank/shelfcrank/internal/quota"
 	"github.com/shelfcrank/shelfcrank/internal/usage"
@@ -115,12 +114,8 @@
 	}
 }
 
-// Handle implements peer.Handler.
-func (n *Node) Handle(_ context.Context, call *peerpb.Call, answer func(*peerpb.Answer) error) error {
-	s := call.GetShare()
-	if s == nil {
-		return fault.New(fault.StepPeer, call.From, fault.KindInput, fault.NotRun, "%T is not served here", call.Body)
-	}
+// serveShare takes another node's soft state and answers in kind.
+func (n *Node) serveShare(s *peerpb.Share, answer func(*peerpb.Answer) error) error {
 	n.heard(s)
 	if s.Brief {
 		return answer(&peerpb.Answer{Body: &peerpb.Answer_Done{Done: &peerpb.Done{}}})
--- /dev/null
+++ b/internal/front/spoke.go
@@ -0,0 +1,185 @@
+package front
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/shelfcrank/shelfcrank/internal/event"
+	"github.com/shelfcrank/shelfcrank/internal/fault"
+	"github.com/shelfcrank/shelfcrank/internal/peerpb"
+)
+
+// Times of reading the store through hubs.
+const (
+	mirrorTimeout = mirrorWait + 350*time.Millisecond
+	hubless       = 500 * time.Millisecond // without any hub a node reads the store itself
+	hubPause      = 150 * time.Millisecond // between two rounds of hubs that do not know
+	aloneFor      = 700 * time.Millisecond // a node that reaches the store gives the hubs so long to reach it too
+	directAtLeast = 4 * time.Second        // a node that found no hub stays with the store
+	roleLook      = 300 * time.Millisecond
+	roleSettles   = 900 * time.Millisecond // a node gives up reading the store not at once: who is a hub may just change
+)
+
+// followStore keeps up with what the store has: directly where this node is a
+// hub or the fleet is small, else through the hubs. Each call of the store is
+// paid for, so that not all nodes of a large fleet may make them.
+func (n *Node) followStore(ctx context.Context) error {
+	for ctx.Err() == nil {
+		n.readDirectly(ctx)
+		n.readThroughHubs(ctx)
+	}
+	return ctx.Err()
+}
+
+// readDirectly follows the store until this node need not any more.
+func (n *Node) readDirectly(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	n.reading.Store(true)
+	defer n.reading.Store(false)
+	n.event(event.StoreFollowed, zap.Bool("directly", true))
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	for _, serve := range []func(context.Context) error{n.proveConfig, n.watchConfig, n.watchServers, n.watchNodes} {
+		wait.Go(func() { _ = serve(ctx) }) // ends with ctx only
+	}
+	stay := time.Now().Add(directAtLeast)
+	if n.view.Load().Config == nil {
+		stay = time.Now() // at the start nothing was tried yet
+	}
+	needed := time.Now()
+	for sleep(ctx, roleLook) {
+		now := time.Now()
+		if n.state.members.topology().direct() || n.view.Load().Config == nil || n.storeTroubled() {
+			needed = now
+		}
+		if now.After(stay) && now.Sub(needed) > roleSettles {
+			cancel()
+			return
+		}
+	}
+}
+
+// storeTroubled reports whether the last proof is old.
+func (n *Node) storeTroubled() bool { return time.Since(n.view.Load().ProvedAt) > mirrorStale }
+
+// readThroughHubs follows the store through hubs, until this node becomes one
+// or no hub knows what is in the store although this node can find out.
+func (n *Node) readThroughHubs(ctx context.Context) {
+	n.event(event.StoreFollowed, zap.Bool("directly", false))
+	s := &spoke{node: n, lastGood: time.Now()}
+	for ctx.Err() == nil {
+		hubs := n.state.members.topology()
+		if hubs.direct() {
+			return
+		}
+		for _, hub := range hubs.hubs {
+			s.follow(ctx, hub)
+		}
+		if time.Since(s.lastGood) < hubless {
+			sleep(ctx, hubPause)
+			continue
+		}
+		if s.proveAlone(ctx) && time.Since(s.aloneSince) > aloneFor {
+			return
+		}
+	}
+}
+
+// spoke is a node that reads the store through hubs.
+type spoke struct {
+	node           *Node
+	servers, nodes int64 // revisions up to which the entries are known
+	revision       int64 // of the configuration in hand
+	lastGood       time.Time
+	retry          time.Duration
+	aloneSince     time.Time // when the store answered although no hub knew
+}
+
+// follow reads through one hub until it fails.
+func (s *spoke) follow(ctx context.Context, hub member) {
+	for ctx.Err() == nil && !s.node.state.members.topology().direct() {
+		sent := time.Now()
+		a, err := s.ask(ctx, hub)
+		if err != nil {
+			return
+		}
+		s.lastGood, s.retry, s.aloneSince = sent, 0, time.Time{}
+		s.take(a, sent)
+	}
+}
+
+func (s *spoke) ask(ctx context.Context, hub member) (*peerpb.MirrorAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, mirrorTimeout)
+	defer cancel()
+	a, err := s.node.peers.Call(ctx, hub.addr, &peerpb.Call{Body: &peerpb.Call_Mirror{Mirror: &peerpb.Mirror{
+		Config: s.revision, Servers: s.servers, Nodes: s.nodes,
+	}}})
+	if err != nil {
+		return nil, fmt.Errorf("read through hub %s: %w", hub.name, err)
+	}
+	if m := a.GetMirror(); m != nil {
+		return m, nil
+	}
+	return nil, fault.New(fault.StepPeer, hub.name, fault.KindBroken, fault.NotRun, "answered with %T", a.Body)
+}
+
+// take hands an answer to the state. The hub's proof is at least as young as
+// its age says, counted from the sending of the question.
+func (s *spoke) take(a *peerpb.MirrorAnswer, sent time.Time) {
+	n := s.node
+	n.state.send(storeCalled{ok: true, sent: sent})
+	read := configRead{value: a.Config, revision: a.ConfigRevision}
+	if a.ProofAge != notProved {
+		read.provedAt = sent.Add(-time.Duration(a.ProofAge))
+	}
+	if a.ConfigRevision >= s.revision {
+		s.revision = a.ConfigRevision
+		n.state.send(read)
+	}
+	for _, part := range []struct {
+		news *peerpb.MirrorPart
+		at   *int64
+		all  func(*peerpb.MirrorPart) change
+	}{
+		{a.Servers, &s.servers, func(p *peerpb.MirrorPart) change { return listedServers{itemsOf(mirrorEvents(p))} }},
+		{a.Nodes, &s.nodes, func(p *peerpb.MirrorPart) change { return listedNodes{itemsOf(mirrorEvents(p))} }},
+	} {
+		if part.news == nil {
+			continue
+		}
+		*part.at = part.news.At
+		switch {
+		case part.news.Whole:
+			n.state.send(part.all(part.news))
+		case len(part.news.Items) > 0:
+			n.state.send(watched{mirrorEvents(part.news)})
+		}
+	}
+}
+
+// proveAlone reads the configuration from the store when no hub knows it, and
+// says whether the store answered. It asks ever more seldom.
+func (s *spoke) proveAlone(ctx context.Context) bool {
+	n := s.node
+	sent := time.Now()
+	call, cancel := context.WithTimeout(ctx, proveTimeout)
+	item, _, err := n.Store.Get(call, n.Decoder.ConfigKey())
+	cancel()
+	if n.called(sent, err) == nil {
+		n.state.send(configRead{value: item.Value, revision: item.Revision, provedAt: sent})
+		if s.aloneSince.IsZero() {
+			s.aloneSince = sent
+		}
+		sleep(ctx, 2*hubPause)
+		return true
+	}
+	s.aloneSince = time.Time{}
+	s.retry = min(max(retryPause, time.Duration(retryGrowth*float64(s.retry))), retryAlone)
+	sleep(ctx, s.retry)
+	return false
+}
--- /dev/null
+++ b/internal/front/spoke_test.go
@@ -0,0 +1,129 @@
+package front
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shelfcrank/shelfcrank/internal/storetest"
+)
+
+// large is a fleet that has hubs.
+const large = directNodes + 6
+
+func hubsOf(w *world) (hubs, spokes []string) {
+	for i := range large {
+		name := fmt.Sprint("n", i)
+		if r := w.nodes[name]; r != nil && r.node.reading.Load() {
+			hubs = append(hubs, name)
+		} else {
+			spokes = append(spokes, name)
+		}
+	}
+	return hubs, spokes
+}
+
+// Each call of the store is paid for: in a large fleet they do not grow with
+// the nodes times the changes.
+func TestALargeFleetReadsTheStoreThroughHubs(t *testing.T) {
+	play(t, large, func(is *is.I, w *world) {
+		time.Sleep(5 * time.Second)
+		hubs, _ := hubsOf(w)
+		is.Equal(len(hubs), hubsInZone)
+		before := w.store.Calls()
+		for i := range 20 {
+			w.putServer(10+i, true)
+			time.Sleep(500 * time.Millisecond)
+		}
+		calls := w.store.Calls() - before
+		// Ten seconds: each node keeps its lease five times; the holder of the
+		// duty renews its own and keeps counts, with room to spare; the hubs prove and watch.
+		const allowed = large*5 + 100 + hubsInZone*(10+20+3*5)
+		t.Logf("%d calls, %d allowed", calls, allowed)
+		is.True(calls <= allowed)
+	})
+}
+
+func TestAConfigurationReachesSpokesSoon(t *testing.T) {
+	play(t, large, func(is *is.I, w *world) {
+		time.Sleep(4 * time.Second)
+		w.configure(4, "k2", "k3")
+		time.Sleep(1200 * time.Millisecond)
+		for name := range w.nodes {
+			is.Equal(w.ask(name, "/new/a", "k3", "d"+name), 200)
+			is.Equal(w.ask(name, "/safe/a", "k1", "e"+name), 401)
+		}
+	})
+}
+
+// A hub that the store turns away, or that dies, is left; what the others know
+// is in force within the bounds.
+func TestAHubWithoutTheStoreIsLeft(t *testing.T) {
+	for _, killed := range []bool{false, true} {
+		play(t, large, func(is *is.I, w *world) {
+			time.Sleep(4 * time.Second)
+			hubs, spokes := hubsOf(w)
+			if killed {
+				w.kill(hubs[0])
+			} else {
+				w.store.SetFaults(hubs[0], storetest.Faults{Busy: true})
+			}
+			w.configure(4, "k2")
+			w.putServer(0, true)
+			time.Sleep(2900 * time.Millisecond)
+			for _, name := range spokes {
+				is.True(w.ready(name))
+				is.Equal(w.ask(name, "/new/a", "k2", "d"+name), 200)
+				is.Equal(w.ask(name, "/safe/a", "k1", "e"+name), 401)
+			}
+			is.True(time.Since(w.lastAt(serverID(0))) > 2900*time.Millisecond)
+		})
+	}
+}
+
+// The store turns all hubs away and serves the others: they read it themselves.
+func TestAllHubsWithoutTheStore(t *testing.T) {
+	play(t, large, func(is *is.I, w *world) {
+		time.Sleep(4 * time.Second)
+		hubs, spokes := hubsOf(w)
+		for _, name := range hubs {
+			w.store.SetFaults(name, storetest.Faults{Busy: true})
+		}
+		w.configure(4, "k2")
+		time.Sleep(5 * time.Second)
+		for _, name := range spokes {
+			is.True(w.ready(name))
+			is.Equal(w.ask(name, "/new/a", "k2", "d"+name), 200)
+			is.Equal(w.ask(name, "/safe/a", "k1", "e"+name), 401)
+		}
+		for _, name := range hubs {
+			is.Equal(w.ask(name, "/safe/a", "k1", "f"+name), 503) // a key may be gone
+		}
+	})
+}
+
+// After an outage of the store all are back within seconds, and no storm of
+// calls comes with it.
+func TestALargeFleetAfterAnOutage(t *testing.T) {
+	play(t, large, func(is *is.I, w *world) {
+		time.Sleep(4 * time.Second)
+		w.store.SetFaults("", storetest.Faults{Busy: true})
+		before := w.store.Calls()
+		time.Sleep(5 * time.Second)
+		down := w.store.Calls() - before
+		w.store.SetFaults("", storetest.Faults{})
+		w.configure(4, "k2")
+		before = w.store.Calls()
+		time.Sleep(1800 * time.Millisecond)
+		back := w.store.Calls() - before
+		t.Logf("%d calls while it was down, %d after", down, back)
+		is.True(down < large*12)
+		is.True(back < large*5)
+		for name := range w.nodes {
+			is.True(w.ready(name))
+			is.Equal(w.ask(name, "/new/a", "k2", "d"+name), 200)
+		}
+	})
+}
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -17,6 +17,7 @@
 	Store    netip.AddrPort `toml:"store_address" help:"Address of the platform's metadata store."`
 	Cloud    netip.AddrPort `toml:"cloud_address" help:"Address of the platform's calls for the one node that acts for all; empty where there are none."`
 	MemoryMB int            `toml:"memory_mb" help:"Memory that the process may take, in MB; 0 is no limit."`
+	Cores    float64        `toml:"cores" help:"Processor time that the process may take, in cores; 0 where it is not known."`
 	Bounds   Bounds         `toml:"bounds" help:"What the deployment asks to be kept to."`
 }
 
