Hubs place the requests of a large fleet

Cause: 83 nodes each chose among 90 servers by what they had heard of each other two seconds ago.

Change: the servers are divided among the hubs by rendezvous hashing (package place). A hub knows all requests at its servers, since it placed them and hears when each was read and done. A node asks the two hubs that a request's subject belongs to, takes the better offer and declines the other; a hub that does not answer within 70 ms rests for 0.8 s, and without an offer a node chooses by itself. What a dead node had placed ends with its next incarnation, its membership or the request's deadline. balance.Choose returns what it found, so that Pick does not look for the home twice.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -88,14 +88,30 @@
 	return min(mostHoldup, x*x)
 }
 
-// Choose returns the index of the best server, or -1 when there is none.
-func Choose(views []View, r *Request) int {
+// Choice is the outcome of a choice among servers.
+type Choice struct {
+	Index    int     // of the best server, -1 when there is none
+	Uncached int     // prompt tokens that it probably has to read
+	Cost     float64 // estimated wait there with penalties, in nanoseconds
+}
+
+// Subject returns a hash of what the request shares with others, or of its id
+// if that is nothing: requests of one subject are best served together.
+func (r *Request) Subject() uint64 {
+	if shared, hash := r.shared(); shared > 0 {
+		return hash
+	}
+	return xxhash.Sum64String(r.ID)
+}
+
+// Choose returns the best server.
+func Choose(views []View, r *Request) Choice {
 	shared, hash := r.shared()
 	home := -1
 	if shared > 0 {
 		home = homeOf(views, r, hash)
 	}
-	best, bestCost := -1, math.Inf(1)
+	best := Choice{Index: -1, Cost: math.Inf(1)}
 	for i := range views {
 		v := &views[i]
 		if avoided(r, v.Server.ID) {
@@ -112,8 +128,8 @@
 		if v.Resting {
 			cost += float64(time.Hour)
 		}
-		if cost < bestCost || cost == bestCost && tie(r, v) > tie(r, &views[best]) {
-			best, bestCost = i, cost
+		if cost < best.Cost || cost == best.Cost && best.Index >= 0 && tie(r, v) > tie(r, &views[best.Index]) {
+			best = Choice{i, uncached, cost}
 		}
 	}
 	return best
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"context"
 	"math"
 	"sync"
 	"time"
@@ -93,6 +94,7 @@
 // Ticket is a request that was sent to a server. Read and Done are called on it.
 type Ticket struct {
 	Server  registry.Server
+	Cost    float64 // of the choice, see Choice
 	tracker *Tracker
 	request *Request
 	state   *serverState
@@ -103,8 +105,18 @@
 	expect  float64 // nanoseconds
 	read    bool
 	done    bool
+	watcher Observer
 }
 
+// Observer is told how a request goes on at its server.
+type Observer interface {
+	Read() // its first event is there
+	Done(result Result)
+}
+
+// Observe sets who is told of the ticket from now on.
+func (k *Ticket) Observe(o Observer) { k.watcher = o }
+
 // Pick chooses a server and counts the request there. The second result is
 // false when there is none.
 func (t *Tracker) Pick(servers []registry.Server, r *Request, now time.Time) (*Ticket, bool) {
@@ -116,19 +128,16 @@
 	for _, s := range servers {
 		views = append(views, t.view(s, service, hash, now))
 	}
-	i := Choose(views, r)
-	if i < 0 {
+	best := Choose(views, r)
+	if best.Index < 0 {
 		return nil, false
 	}
-	v := &views[i]
+	v := &views[best.Index]
 	st := t.server(v.Server.ID)
-	k := &Ticket{Server: v.Server, tracker: t, request: r, state: st, service: service, at: now, prompt: r.Tokens}
+	k := &Ticket{Server: v.Server, Cost: best.Cost, tracker: t, request: r, state: st, service: service, at: now, prompt: best.Uncached}
 	if r.Engine {
 		k.holdup = holdup(r.Tokens)
 	}
-	if v.Keeps || i == homeOf(views, r, hash) && shared > 0 {
-		k.prompt -= int(homeShare * float64(shared))
-	}
 	k.expect = float64(engineBase) + float64(v.Prompt+k.prompt)*service.token
 	if !r.Engine {
 		k.expect = service.work
@@ -247,8 +256,12 @@
 // Read says that the server has read the prompt: its first event is there.
 func (k *Ticket) Read(now time.Time) {
 	k.tracker.mu.Lock()
-	defer k.tracker.mu.Unlock()
+	news := !k.read
 	k.markRead(now, true)
+	k.tracker.mu.Unlock()
+	if news && k.watcher != nil {
+		k.watcher.Read()
+	}
 }
 
 func (k *Ticket) markRead(now time.Time, learn bool) {
@@ -274,18 +287,30 @@
 
 // Done ends the request at the server.
 func (k *Ticket) Done(result Result, now time.Time) {
+	if k.end(result, now) && k.watcher != nil {
+		k.watcher.Done(result)
+	}
+}
+
+// end ends the request, and says whether it had not ended before.
+func (k *Ticket) end(result Result, now time.Time) bool {
 	k.tracker.mu.Lock()
 	defer k.tracker.mu.Unlock()
 	if k.done {
-		return
+		return false
 	}
 	k.done = true
 	k.markRead(now, result == Answered && !k.request.Engine)
 	k.state.use.Open--
-	if result == Cancelled {
-		return
+	if result != Cancelled {
+		k.state.note(result, now)
 	}
-	k.state.note(result, now)
+	return true
+}
+
+// Place is Pick for callers that may also place through others.
+func (t *Tracker) Place(_ context.Context, servers []registry.Server, r *Request, _, now time.Time) (*Ticket, bool) {
+	return t.Pick(servers, r, now)
 }
 
 func (s *serverState) note(result Result, now time.Time) {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -112,7 +112,7 @@
 	view := h.View()
 	now := time.Now()
 	b := h.choice(q, view.Config.Service(q.service))
-	ticket, ok := h.Tracker.Pick(view.Servers[q.service], b, now)
+	ticket, ok := h.Placer.Place(ctx, view.Servers[q.service], b, q.deadline, now)
 	if !ok {
 		return outcome{denial: h.noServer(q)}
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -10,6 +10,7 @@
 package forward
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -81,12 +82,18 @@
 	Began(tenant string, n int64)
 }
 
+// Placer chooses a server for a request and counts the request there until the
+// ticket is done or a deadline.
+type Placer interface {
+	Place(ctx context.Context, servers []registry.Server, r *balance.Request, until, now time.Time) (*balance.Ticket, bool)
+}
+
 // Options are what a handler is made of.
 type Options struct {
 	Protocol  Protocol
 	View      func() *View
 	Backends  *backend.Client
-	Tracker   *balance.Tracker
+	Placer    Placer
 	Admission Admission
 	Log       *zap.Logger
 	Metrics   *metrics.Metrics
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -157,7 +157,7 @@
 	view := &View{Config: testConfig(t), ProvedAt: time.Now(), Servers: map[string][]registry.Server{"svc": servers}, Nodes: 1}
 	w.handler = New(Options{
 		Protocol: plainProtocol{}, View: func() *View { return view }, Backends: backend.New(mem.Site("node"), plainProtocol{}),
-		Tracker: balance.NewTracker(), Admission: w.admit, Log: zap.NewNop(), Metrics: m,
+		Placer: balance.NewTracker(), Admission: w.admit, Log: zap.NewNop(), Metrics: m,
 		KeysFor: 4 * time.Second, CertainFor: 2 * time.Second,
 	})
 	return w
--- a/internal/front/calls.go
+++ b/internal/front/calls.go
@@ -14,6 +14,10 @@
 		return n.serveShare(body.Share, answer)
 	case *peerpb.Call_Mirror:
 		return n.serveMirror(ctx, call, answer)
+	case *peerpb.Call_Place:
+		return n.placer.serve(call, answer)
+	case *peerpb.Call_Notes:
+		return n.placer.serveNotes(body.Notes.GetNotes(), answer)
 	}
 	return fault.New(fault.StepPeer, call.From, fault.KindInput, fault.NotRun, "%T is not served here", call.Body)
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -87,6 +87,7 @@
 	admission *admission
 	elector   *duty.Elector
 	handler   *forward.Handler
+	placer    *placer
 	hub       *hub
 	reading   atomic.Bool // this node reads the store itself
 	leaving   atomic.Bool
@@ -110,6 +111,7 @@
 	n.clock = walltime.New(n.start)
 	n.view.Store(&forward.View{Nodes: 1})
 	n.outage.Store(newOutage())
+	n.placer = newPlacer(n)
 	n.provide()
 	var err error
 	if n.metrics, err = do.Invoke[*metrics.Metrics](n.injector); err != nil {
@@ -149,7 +151,7 @@
 	})
 	do.Provide(n.injector, func(do.Injector) (*forward.Handler, error) {
 		return forward.New(forward.Options{
-			Protocol: o.Protocol, View: n.view.Load, Backends: n.backends, Tracker: n.tracker, Admission: n.admission,
+			Protocol: o.Protocol, View: n.view.Load, Backends: n.backends, Placer: n.placer, Admission: n.admission,
 			Log: o.Log, Metrics: n.metrics, CertainFor: certain,
 			KeysFor: time.Duration(keysShare * float64(s.Bounds.Revoke())),
 		}), nil
@@ -247,6 +249,7 @@
 		{"peers", func(ctx context.Context) error { return n.peers.Serve(ctx, peers) }},
 		{"share", n.shareState},
 		{"tell", n.tellUses},
+		{"notes", n.placer.tellNotes},
 		{"elector", n.elector.Run},
 		{"usage", n.reportUsage},
 		{"open usage", n.keepOpenUsage},
@@ -286,6 +289,7 @@
 			is := func(id string) bool { return wanted[id] }
 			n.backends.Tidy(now, is)
 			n.tracker.Forget(is)
+			n.placer.tidy(is, now)
 			n.peers.Tidy(now)
 		}
 	}
--- a/internal/front/hubs.go
+++ b/internal/front/hubs.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
 )
 
 // Size from which a fleet has hubs, and how many.
@@ -22,6 +23,17 @@
 // direct reports whether this node has to read the store itself.
 func (t *topology) direct() bool { return t.self || len(t.hubs) == 0 }
 
+// named returns a hub by its name, the zero member if there is none.
+func (t *topology) named(name string) member {
+	hub, _ := lo.Find(t.hubs, func(m member) bool { return m.name == name })
+	return hub
+}
+
+// names returns the names of the hubs.
+func (t *topology) names() []string {
+	return lo.Map(t.hubs, func(m member, _ int) string { return m.name })
+}
+
 // newTopology chooses the hubs of a fleet: in each zone the nodes with the most
 // processor time. All nodes that know the same members choose the same.
 func newTopology(self member, others []member) *topology {
--- /dev/null
+++ b/internal/front/placing.go
@@ -0,0 +1,296 @@
+package front
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/shelfcrank/shelfcrank/internal/balance"
+	"github.com/shelfcrank/shelfcrank/internal/fault"
+	"github.com/shelfcrank/shelfcrank/internal/forward"
+	"github.com/shelfcrank/shelfcrank/internal/peerpb"
+	"github.com/shelfcrank/shelfcrank/internal/place"
+	"github.com/shelfcrank/shelfcrank/internal/registry"
+)
+
+// Tuning of placing through hubs.
+const (
+	offersAsked  = 2                      // hubs that are asked for an offer
+	offerTimeout = 70 * time.Millisecond  // a hub that takes longer is done without
+	hubRests     = 800 * time.Millisecond // a hub that did not answer is not asked
+	noteGather   = 8 * time.Millisecond   // notes to a hub travel together
+	noteTimeout  = 600 * time.Millisecond
+)
+
+// placer chooses servers: by itself in a small fleet and for plain services,
+// else by the offers of hubs. It implements forward.Placer.
+type placer struct {
+	node *Node
+	desk *place.Desk // what this node placed as a hub
+
+	mu    sync.Mutex
+	rests map[string]time.Time      // hubs that did not answer, until when; guarded by mu
+	notes map[string][]*peerpb.Note // to be sent, by hub; guarded by mu
+	kick  chan struct{}             // notes are there; has room for one
+
+	owned ownedServers
+}
+
+func newPlacer(n *Node) *placer {
+	return &placer{
+		node: n, desk: place.New(n.start), rests: make(map[string]time.Time),
+		notes: make(map[string][]*peerpb.Note), kick: make(chan struct{}, 1),
+	}
+}
+
+// offered is an offer and the hub that made it.
+type offered struct {
+	place.Offer
+	hub member
+}
+
+// Place implements forward.Placer.
+func (p *placer) Place(ctx context.Context, servers []registry.Server, r *balance.Request, until, now time.Time) (*balance.Ticket, bool) {
+	tracker, hubs := p.node.tracker, p.node.state.members.topology()
+	if !r.Engine || len(hubs.hubs) == 0 {
+		return tracker.Pick(servers, r, now)
+	}
+	best, ok := p.bestOffer(ctx, hubs, servers, r, until)
+	if !ok {
+		return tracker.Pick(servers, r, now)
+	}
+	chosen, _ := lo.Find(servers, func(s registry.Server) bool { return s.ID == best.Server })
+	ticket, ok := tracker.Pick([]registry.Server{chosen}, r, now)
+	if !ok {
+		p.note(best, &peerpb.Note{Done: true, Result: int32(balance.Cancelled)})
+		return nil, false
+	}
+	ticket.Observe(&noter{p, best})
+	return ticket, true
+}
+
+// bestOffer asks hubs, takes the best offer of a server that this node knows to
+// take work, and declines the others.
+func (p *placer) bestOffer(ctx context.Context, hubs *topology, servers []registry.Server, r *balance.Request, until time.Time) (best offered, found bool) {
+	for _, o := range p.offers(ctx, hubs, r, until) {
+		known := lo.ContainsBy(servers, func(s registry.Server) bool { return s.ID == o.Server })
+		switch {
+		case known && (!found || o.Cost < best.Cost):
+			if found {
+				p.note(best, &peerpb.Note{Done: true, Result: int32(balance.Cancelled)})
+			}
+			best, found = o, true
+		default:
+			p.note(o, &peerpb.Note{Done: true, Result: int32(balance.Cancelled)})
+		}
+	}
+	return best, found
+}
+
+// offers asks the hubs that a request belongs to, all at once.
+func (p *placer) offers(ctx context.Context, hubs *topology, r *balance.Request, until time.Time) []offered {
+	ctx, cancel := context.WithTimeout(ctx, offerTimeout)
+	defer cancel()
+	owners := place.Owners(p.awake(hubs, time.Now()), r.Subject())
+	answers := make([]*offered, min(offersAsked, len(owners)))
+	var wait sync.WaitGroup
+	for i := range answers {
+		hub := hubs.named(owners[i])
+		wait.Go(func() {
+			if o, err := p.ask(ctx, hub, r, until); err == nil {
+				answers[i] = o
+			} else if ctx.Err() != nil {
+				p.rest(hub)
+			}
+		})
+	}
+	wait.Wait()
+	return lo.FilterMap(answers, func(o *offered, _ int) (offered, bool) {
+		if o == nil {
+			return offered{}, false
+		}
+		return *o, true
+	})
+}
+
+// awake returns the names of the hubs that are not resting.
+func (p *placer) awake(hubs *topology, now time.Time) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return lo.FilterMap(hubs.hubs, func(h member, _ int) (string, bool) { return h.name, !now.Before(p.rests[h.name]) })
+}
+
+func (p *placer) rest(hub member) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rests[hub.name] = time.Now().Add(hubRests)
+}
+
+func (p *placer) ask(ctx context.Context, hub member, r *balance.Request, until time.Time) (*offered, error) {
+	now := time.Now()
+	if hub.name == p.node.Settings.Name {
+		o, ok := p.desk.Offer(p.self(), p.mine(r.Service), r, until, now)
+		if !ok {
+			return nil, errNoServer
+		}
+		return &offered{o, hub}, nil
+	}
+	q := &peerpb.Place{
+		Service: r.Service, Id: r.ID, Tokens: int64(r.Tokens), Avoid: r.Avoid, Slots: int64(r.Slots), Once: r.Once,
+		Left: int64(until.Sub(now)), Incarnation: p.node.incarnation(),
+		Parts: lo.Map(r.Parts, func(part balance.Part, _ int) *peerpb.PromptPart {
+			return &peerpb.PromptPart{Id: part.ID, Tokens: int64(part.Tokens)}
+		}),
+	}
+	a, err := p.node.peers.Call(ctx, hub.addr, &peerpb.Call{Body: &peerpb.Call_Place{Place: q}})
+	if err != nil {
+		return nil, fmt.Errorf("ask hub %s for an offer: %w", hub.name, err)
+	}
+	o := a.GetPlace()
+	if o.GetServer() == "" {
+		return nil, errNoServer
+	}
+	return &offered{place.Offer{Server: o.Server, Cost: o.Cost, Ticket: o.Ticket}, hub}, nil
+}
+
+var errNoServer = fault.New(fault.StepPeer, "", fault.KindLimit, fault.NotRun, "the hub has no server to offer")
+
+func (p *placer) self() place.Asker {
+	return place.Asker{Node: p.node.Settings.Name, Incarnation: p.node.incarnation()}
+}
+
+// mine returns the servers of a service that this node places requests on.
+func (p *placer) mine(service string) []registry.Server {
+	return p.owned.get(p.node.view.Load(), p.node.state.members.topology(), p.node.Settings.Name, service)
+}
+
+// serve answers a node that asks for an offer.
+func (p *placer) serve(call *peerpb.Call, answer func(*peerpb.Answer) error) error {
+	q, now := call.GetPlace(), time.Now()
+	r := &balance.Request{
+		Service: q.Service, ID: q.Id, Engine: true, Tokens: int(q.Tokens), Avoid: q.Avoid, Slots: int(q.Slots), Once: q.Once,
+		Parts: lo.Map(q.Parts, func(part *peerpb.PromptPart, _ int) balance.Part {
+			return balance.Part{ID: part.Id, Tokens: int(part.Tokens)}
+		}),
+	}
+	asker := place.Asker{Node: call.From, Incarnation: q.Incarnation}
+	o, _ := p.desk.Offer(asker, p.mine(q.Service), r, now.Add(time.Duration(q.Left)), now)
+	return answer(&peerpb.Answer{Body: &peerpb.Answer_Place{Place: &peerpb.PlaceAnswer{Server: o.Server, Cost: o.Cost, Ticket: o.Ticket}}})
+}
+
+// serveNotes takes notes.
+func (p *placer) serveNotes(notes []*peerpb.Note, answer func(*peerpb.Answer) error) error {
+	for _, note := range notes {
+		p.take(note)
+	}
+	return answer(&peerpb.Answer{Body: &peerpb.Answer_Done{Done: &peerpb.Done{}}})
+}
+
+func (p *placer) take(note *peerpb.Note) {
+	p.desk.Note(place.Note{Ticket: note.Ticket, Read: note.Read, Done: note.Done, Result: balance.Result(note.Result)}, time.Now())
+}
+
+// noter tells a hub how a request goes on. It implements balance.Observer.
+type noter struct {
+	placer *placer
+	offer  offered
+}
+
+// Read implements balance.Observer.
+func (n *noter) Read() { n.placer.note(n.offer, &peerpb.Note{Read: true}) }
+
+// Done implements balance.Observer.
+func (n *noter) Done(result balance.Result) {
+	n.placer.note(n.offer, &peerpb.Note{Done: true, Result: int32(result)})
+}
+
+// note tells a hub of a request that it placed. It does not block.
+func (p *placer) note(o offered, note *peerpb.Note) {
+	note.Ticket = o.Ticket
+	if o.hub.name == p.node.Settings.Name {
+		p.take(note)
+		return
+	}
+	p.mu.Lock()
+	if queue := p.notes[o.hub.name]; len(queue) < mostNotes {
+		p.notes[o.hub.name] = append(queue, note)
+	}
+	p.mu.Unlock()
+	select {
+	case p.kick <- struct{}{}:
+	default:
+	}
+}
+
+// mostNotes bounds what waits for one hub. What is dropped ends at its deadline.
+const mostNotes = 4096
+
+// tellNotes sends notes to the hubs.
+func (p *placer) tellNotes(ctx context.Context) error {
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-p.kick:
+		}
+		if !sleep(ctx, noteGather) {
+			return ctx.Err()
+		}
+		p.mu.Lock()
+		all := p.notes
+		p.notes = make(map[string][]*peerpb.Note, len(all))
+		p.mu.Unlock()
+		hubs := p.node.state.members.topology()
+		for name, notes := range all {
+			hub := hubs.named(name)
+			if !hub.addr.IsValid() {
+				continue // no hub any more
+			}
+			wait.Go(func() {
+				call, cancel := context.WithTimeout(ctx, noteTimeout)
+				defer cancel()
+				// A lost note is made good by the deadline of its request.
+				_, _ = p.node.peers.Call(call, hub.addr, &peerpb.Call{Body: &peerpb.Call_Notes{Notes: &peerpb.Notes{Notes: notes}}})
+			})
+		}
+	}
+}
+
+// tidy ends what must be over.
+func (p *placer) tidy(wanted func(server string) bool, now time.Time) {
+	members := map[string]bool{p.node.Settings.Name: true}
+	for _, m := range p.node.state.members.list() {
+		members[m.name] = true
+	}
+	p.desk.Expire(func(node string) bool { return members[node] }, wanted, now)
+}
+
+var _ forward.Placer = (*placer)(nil)
+
+// ownedServers remembers which servers belong to this node while neither the
+// servers nor the hubs change.
+type ownedServers struct {
+	mu   sync.Mutex
+	view *forward.View
+	hubs *topology
+	by   map[string][]registry.Server // by service
+}
+
+func (o *ownedServers) get(view *forward.View, hubs *topology, self, service string) []registry.Server {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.view != view || o.hubs != hubs {
+		o.view, o.hubs, o.by = view, hubs, make(map[string][]registry.Server)
+	}
+	servers, known := o.by[service]
+	if !known {
+		servers = place.Owned(self, hubs.names(), view.Servers[service])
+		o.by[service] = servers
+	}
+	return servers
+}
--- /dev/null
+++ b/internal/front/placing_test.go
@@ -0,0 +1,89 @@
+package front
+
+import (
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shelfcrank/shelfcrank/internal/policy"
+)
+
+// engines makes the world's service one of model servers.
+func (w *world) engines(version int64) {
+	c := policy.Config{
+		Version: version, Tenants: []policy.Tenant{{Name: "north", Keys: []string{"k1"}}},
+		Routes: []policy.Route{{
+			Name: "safe", Host: testHost, Prefix: "/safe/", Kind: policy.Safe, Timeout: 3 * time.Second, MaxAttempts: 2,
+			Split: []policy.Share{{Service: "svc", Weight: 1}},
+		}},
+		Services: []policy.Service{{Name: "svc", Engine: &policy.Engine{Slots: 4}}},
+	}
+	value, err := json.Marshal(c)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.store.Put("config", value)
+}
+
+// askAll sends a request to each node at the same moment and returns how many
+// were answered.
+func (w *world) askAll(what string) int {
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	answered := 0
+	for name := range w.nodes {
+		wait.Go(func() {
+			if w.ask(name, "/safe/a", "k1", what+name) == 200 {
+				mu.Lock()
+				answered++
+				mu.Unlock()
+			}
+		})
+	}
+	wait.Wait()
+	return answered
+}
+
+func (w *world) placed() (open int) {
+	for _, r := range w.nodes {
+		open += r.node.placer.desk.Open()
+	}
+	return open
+}
+
+// Hubs place the requests of all nodes, and hear of the end of each.
+func TestHubsPlaceRequests(t *testing.T) {
+	play(t, large, func(is *is.I, w *world) {
+		w.engines(5)
+		w.work(time.Second)
+		time.Sleep(4 * time.Second)
+		done := make(chan int)
+		go func() { done <- w.askAll("a") }()
+		time.Sleep(500 * time.Millisecond)
+		is.Equal(w.placed(), large)
+		is.Equal(<-done, large)
+		time.Sleep(200 * time.Millisecond)
+		is.Equal(w.placed(), 0)
+	})
+}
+
+// When hubs die, the others choose by themselves until there are new ones.
+func TestRequestsAreServedWhileHubsDie(t *testing.T) {
+	play(t, large, func(is *is.I, w *world) {
+		w.engines(5)
+		time.Sleep(4 * time.Second)
+		hubs, _ := hubsOf(w)
+		w.kill(hubs...)
+		for i := range 12 {
+			is.Equal(w.askAll(fmt.Sprint("b", i, "-")), large-len(hubs))
+			time.Sleep(time.Second)
+		}
+		after, _ := hubsOf(w)
+		is.Equal(len(after), hubsInZone)
+		is.Equal(w.placed(), 0)
+	})
+}
--- /dev/null
+++ b/internal/place/place_test.go
@@ -0,0 +1,94 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shelfcrank/shelfcrank/internal/balance"
+	"github.com/shelfcrank/shelfcrank/internal/registry"
+)
+
+var start = time.Unix(1000, 0)
+
+func servers(n int) []registry.Server {
+	var out []registry.Server
+	for i := range n {
+		out = append(out, registry.Server{ID: fmt.Sprint("s", i), Service: "llm"})
+	}
+	return out
+}
+
+func prompt(id string) *balance.Request {
+	return &balance.Request{Service: "llm", ID: id, Engine: true, Slots: 4, Tokens: 1000}
+}
+
+// Requests of many nodes that know nothing of each other fill the servers
+// evenly.
+func TestADeskKnowsAllThatItPlaced(t *testing.T) {
+	is := is.New(t)
+	d := New(start)
+	got := make(map[string]int)
+	for i := range 24 {
+		o, ok := d.Offer(Asker{fmt.Sprint("n", i), 1}, servers(6), prompt(fmt.Sprint(i)), start.Add(time.Minute), start)
+		is.True(ok)
+		got[o.Server]++
+	}
+	for id, n := range got {
+		t.Log(id, n)
+		is.True(n <= 4) // no server is over its slots while another has room
+	}
+}
+
+func TestWhatIsOverCountsNoMore(t *testing.T) {
+	is := is.New(t)
+	d := New(start)
+	all := func(string) bool { return true }
+	offer := func(node string, incarnation int64) Offer {
+		o, ok := d.Offer(Asker{node, incarnation}, servers(1), prompt("x"), start.Add(time.Minute), start)
+		is.True(ok)
+		return o
+	}
+	a := offer("a", 1)
+	d.Note(Note{Ticket: a.Ticket, Read: true}, start)
+	is.Equal(d.Open(), 1)
+	d.Note(Note{Ticket: a.Ticket, Done: true}, start)
+	d.Note(Note{Ticket: a.Ticket, Done: true}, start) // told twice
+	is.Equal(d.Open(), 0)
+	offer("a", 1)
+	offer("a", 2) // restarted: the first died with it
+	is.Equal(d.Open(), 1)
+	offer("b", 1)
+	d.Expire(func(node string) bool { return node != "a" }, all, start)
+	is.Equal(d.Open(), 1)
+	d.Expire(all, all, start.Add(2*time.Minute))
+	is.Equal(d.Open(), 0)
+}
+
+func TestEachServerHasOneOwner(t *testing.T) {
+	is := is.New(t)
+	hubs := []string{"h1", "h2", "h3", "h4"}
+	owners := make(map[string]int)
+	for _, h := range hubs {
+		for _, s := range Owned(h, []string{"h4", "h2", "h3", "h1"}, servers(80)) {
+			owners[s.ID]++
+		}
+	}
+	is.Equal(len(owners), 80)
+	for _, n := range owners {
+		is.Equal(n, 1)
+	}
+	first := Owners(hubs, 77)
+	is.Equal(first, Owners([]string{"h3", "h1", "h2", "h4"}, 77))
+	for _, gone := range hubs { // only what belonged to a hub that is gone moves
+		var rest []string
+		for _, h := range first {
+			if h != gone {
+				rest = append(rest, h)
+			}
+		}
+		is.Equal(Owners(rest, 77), rest)
+	}
+}
