Planner counts the places that streams hold, and two zones that go at once

Cause: the planner measured prompts to be read only.

Change: each node also measures the time that requests hold places after their first event, as so many servers' worth. That, less the share of time that servers read prompts beside it, and the prompts are what fills servers. So many reclaimable ones are planned that those left after the loss of two zones (never more than half of them) are 0.85 full; others are ordered by the same measure.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -82,10 +82,23 @@
 	now := time.Unix(1000, 0)
 	tr := NewTracker()
 	for i := range 80 {
-		tr.Heard(fmt.Sprint("n", i), nil, map[string]float64{"llm": 0.5}, false, now.Add(6*time.Second), now)
+		tr.Heard(fmt.Sprint("n", i), nil, map[string]Demand{"llm": {Busy: 0.5, Held: 0.25}}, false, now.Add(6*time.Second), now)
 	}
-	is.Equal(tr.FleetDemand("llm", now.Add(5*time.Second)), 40.0) // a large fleet exchanges seldom
-	is.Equal(tr.FleetDemand("llm", now.Add(7*time.Second)), 0.0)
+	is.Equal(tr.FleetDemand("llm", now.Add(5*time.Second)), Demand{40, 20}) // a large fleet exchanges seldom
+	is.Equal(tr.FleetDemand("llm", now.Add(7*time.Second)), Demand{})
+}
+
+func TestStreamsHoldPlaces(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	tr := NewTracker()
+	r := prompt("a", 100, "")
+	r.Slots = 4
+	k, _ := tr.Pick(servers(1), r, now)
+	k.Read(now.Add(time.Second))
+	k.Done(Answered, now.Add(7*time.Second))
+	// Six seconds at one of four places, averaged over three.
+	is.Equal(tr.Demand(now.Add(7 * time.Second))["llm"].Held, 0.5)
 }
 
 func TestAFailingServerRestsAndIsTriedAgain(t *testing.T) {
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -62,6 +62,14 @@
 	work  float64    // nanoseconds
 	token float64    // nanoseconds
 	asked decay.Rate // nanoseconds of work asked for in a second
+	held  decay.Rate // nanoseconds that requests held a place at a model server in a second, by its places
+}
+
+// Demand is the work that a service was asked for of late, as so many servers'
+// worth.
+type Demand struct {
+	Busy float64 // prompts to be read, or requests of a plain service
+	Held float64 // places at model servers held after the prompt was read
 }
 
 // demandOver is the time over which the work asked for is averaged.
@@ -69,8 +77,8 @@
 
 type remote struct {
 	uses   map[string]Use
-	demand map[string]float64 // by service
-	until  time.Time          // when it counts no more
+	demand map[string]Demand // by service
+	until  time.Time         // when it counts no more
 }
 
 // Tracker holds the beliefs about all servers.
@@ -102,6 +110,7 @@
 	prompt  int
 	holdup  float64
 	at      time.Time
+	readAt  time.Time
 	expect  float64 // nanoseconds
 	read    bool
 	done    bool
@@ -173,26 +182,26 @@
 // Told is sent on when the other nodes should hear of the uses at once.
 func (t *Tracker) Told() <-chan struct{} { return t.told }
 
-// Demand returns, by service, how many servers' worth of work this node was
-// asked for of late.
-func (t *Tracker) Demand(now time.Time) map[string]float64 {
+// Demand returns, by service, what this node was asked for.
+func (t *Tracker) Demand(now time.Time) map[string]Demand {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := make(map[string]float64, len(t.services))
+	out := make(map[string]Demand, len(t.services))
 	for name, s := range t.services {
-		out[name] = s.asked.At(demandOver, now) / float64(time.Second)
+		out[name] = Demand{s.asked.At(demandOver, now) / float64(time.Second), s.held.At(demandOver, now) / float64(time.Second)}
 	}
 	return out
 }
 
 // FleetDemand returns the sum of all nodes' demand for a service.
-func (t *Tracker) FleetDemand(service string, now time.Time) float64 {
+func (t *Tracker) FleetDemand(service string, now time.Time) Demand {
 	sum := t.Demand(now)[service]
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, r := range t.remotes {
 		if now.Before(r.until) {
-			sum += r.demand[service]
+			sum.Busy += r.demand[service].Busy
+			sum.Held += r.demand[service].Held
 		}
 	}
 	return sum
@@ -268,7 +277,7 @@
 	if k.read {
 		return
 	}
-	k.read = true
+	k.read, k.readAt = true, now
 	k.state.use.Prompt -= k.prompt
 	k.state.use.Holdup = max(0, k.state.use.Holdup-k.holdup)
 	if !learn {
@@ -302,6 +311,9 @@
 	k.done = true
 	k.markRead(now, result == Answered && !k.request.Engine)
 	k.state.use.Open--
+	if k.request.Engine && k.request.Slots > 0 {
+		k.service.held.Add(float64(now.Sub(k.readAt))/float64(k.request.Slots), demandOver, now)
+	}
 	if result != Cancelled {
 		k.state.note(result, now)
 	}
@@ -333,7 +345,7 @@
 // Heard takes another node's use of the servers and its demand by service, which
 // count until the node is heard of again or until a deadline.
 // Brief news leave the demand as it was.
-func (t *Tracker) Heard(node string, uses map[string]Use, demand map[string]float64, brief bool, until, now time.Time) {
+func (t *Tracker) Heard(node string, uses map[string]Use, demand map[string]Demand, brief bool, until, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if brief {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -34,10 +34,22 @@
 	Min, Max  int     // servers in a zone
 	SpotPrice float64 // as a share of the price; 0 if there are none
 	Zones     []Zone
-	Busy      float64 // servers' worth of work that is asked for, of late
+	Busy      float64 // servers' worth of prompts to be read, of late
+	Held      float64 // servers' worth of places that requests hold after that, of late
 	Known     bool    // Busy was measured: there is traffic
 }
 
+// full returns how many servers the work would fill. What requests hold is
+// measured while prompts are read beside them, which slows them down.
+func (in *Input) full() float64 {
+	there := lo.SumBy(in.Zones, func(z Zone) int { return z.Spot + z.Regular })
+	reading := mostReading
+	if there > 0 {
+		reading = min(reading, in.Busy/float64(there))
+	}
+	return in.Busy + in.Held*(1-reading)
+}
+
 // Want is the plan for a zone.
 type Want struct {
 	Zone    string
@@ -54,6 +66,9 @@
 	holdPeak    = 25 * time.Second // how long a peak of the work is planned for by reclaimable servers,
 	holdShort   = 8 * time.Second  // and by others
 	lossLoad    = 0.95             // load of a server that is borne if the next zone goes as well
+	fullLoad    = 0.85             // how full the servers may be that are left after the loss of two zones,
+	mostReading = 0.8              // at the most the share of a server's time that is believed to go into prompts
+	zonesLost   = 2                // zones that may go at once
 	settle      = 8 * time.Second  // after the first traffic nothing is given back
 	tryAgain    = 3 * time.Second  // after a refusal no reclaimable ones are asked for
 	giveBack    = 3 * time.Second  // how long others have to be needless before they go
@@ -64,9 +79,29 @@
 	busy float64
 }
 
+// peaks are falling maxima of a measure.
+type peaks []sample
+
+// note takes a sample.
+func (p *peaks) note(busy float64, now time.Time) {
+	*p = slices.DeleteFunc(*p, func(s sample) bool { return now.Sub(s.at) > holdPeak || s.busy <= busy })
+	*p = append(*p, sample{now, busy})
+}
+
+// over returns the most in a time up to now.
+func (p peaks) over(d time.Duration, now time.Time) float64 {
+	for _, s := range p { // they fall
+		if now.Sub(s.at) <= d {
+			return s.busy
+		}
+	}
+	return 0
+}
+
 // Planner remembers what a plan needs of the past.
 type Planner struct {
-	peak       []sample // falling maxima of the work
+	peak       peaks // of the prompts to be read
+	full       peaks // of the servers that the work would fill
 	firstAt    time.Time
 	initial    int                  // servers to begin with
 	dry        map[string]time.Time // zones that have no reclaimable servers to give, and when to ask again
@@ -85,22 +120,6 @@
 // MayAsk reports whether a zone may be asked for reclaimable servers.
 func (p *Planner) MayAsk(zone string, now time.Time) bool { return !now.Before(p.dry[zone]) }
 
-// note takes a sample of the work.
-func (p *Planner) note(busy float64, now time.Time) {
-	p.peak = slices.DeleteFunc(p.peak, func(s sample) bool { return now.Sub(s.at) > holdPeak || s.busy <= busy })
-	p.peak = append(p.peak, sample{now, busy})
-}
-
-// busiest returns the most work over a time up to now.
-func (p *Planner) busiest(over time.Duration, now time.Time) float64 {
-	for _, s := range p.peak { // they fall
-		if now.Sub(s.at) <= over {
-			return s.busy
-		}
-	}
-	return 0
-}
-
 // Plan returns what each zone is to have.
 func (p *Planner) Plan(in Input, now time.Time) []Want {
 	if in.Known && p.firstAt.IsZero() {
@@ -110,13 +129,14 @@
 		// The work is not known yet: the middle of the operators' bounds.
 		p.initial = max(lo.SumBy(in.Zones, func(z Zone) int { return z.Regular }), len(in.Zones)*(in.Min+in.Max)/2)
 	}
-	p.note(in.Busy, now)
-	busy := p.busiest(holdPeak, now)
+	p.peak.note(in.Busy, now)
+	p.full.note(in.full(), now)
+	busy, full := p.peak.over(holdPeak, now), p.full.over(holdPeak, now)
 	if in.SpotPrice <= 0 || in.SpotPrice >= 1 {
-		return spread(in, p.enough(busy/regularLoad, now), func(w *Want) *int { return &w.Regular })
+		return spread(in, p.enough(max(busy/regularLoad, full/fullLoad), now), 0, func(w *Want) *int { return &w.Regular })
 	}
-	wants := spread(in, p.enough(spotFactor*busy+spotSpare*math.Sqrt(busy), now), func(w *Want) *int { return &w.Spot })
-	p.fill(in, wants, p.busiest(holdShort, now), now)
+	wants := spread(in, p.enough(spotFactor*busy+spotSpare*math.Sqrt(busy), now), int(math.Ceil(full/fullLoad)), func(w *Want) *int { return &w.Spot })
+	p.fill(in, wants, now)
 	return wants
 }
 
@@ -130,8 +150,9 @@
 }
 
 // spread lays servers over all zones so that enough are left without the zone
-// that has most of them. What does not come out even goes to the cheapest.
-func spread(in Input, enough int, field func(*Want) *int) []Want {
+// that has most of them, and so many without several. What does not come out
+// even goes to the cheapest.
+func spread(in Input, enough, without int, field func(*Want) *int) []Want {
 	zones := slices.Clone(in.Zones)
 	slices.SortStableFunc(zones, func(a, b Zone) int { return cmp.Or(cmp.Compare(a.Price, b.Price), cmp.Compare(a.Name, b.Name)) })
 	wants := make([]Want, len(zones))
@@ -142,7 +163,7 @@
 	if len(zones) == 0 {
 		return wants
 	}
-	for left(wants, field) < enough {
+	for left(wants, 1, field) < enough || left(wants, zonesLost, field) < without {
 		least := -1
 		for i := range wants {
 			n := *field(&wants[i])
@@ -158,26 +179,24 @@
 	return wants
 }
 
-// left returns how many servers remain without the zone that has most.
-func left(wants []Want, field func(*Want) *int) int {
-	sum, most := 0, 0
+// left returns how many servers remain without the zones that have most. More
+// than half of the zones are never lost at once.
+func left(wants []Want, lost int, field func(*Want) *int) int {
+	counts := make([]int, 0, len(wants))
 	for i := range wants {
-		n := *field(&wants[i])
-		sum += n
-		most = max(most, n)
-	}
-	if len(wants) == 1 {
-		return sum
+		counts = append(counts, *field(&wants[i]))
 	}
-	return sum - most
+	slices.Sort(counts)
+	return lo.Sum(counts[:len(counts)-min(lost, len(counts)/2)])
 }
 
 // fill plans the servers that are not reclaimable: as many as make up for what
 // is missing. While reclaimable ones are not to be had anywhere, the zone that
 // has most of them may go next. Once ordered they stay until they have been
 // needless for a while: a plan that wavers would start them again and again.
-func (p *Planner) fill(in Input, wants []Want, busy float64, now time.Time) {
-	need := max(leastLeft, int(math.Ceil(busy/regularLoad)))
+func (p *Planner) fill(in Input, wants []Want, now time.Time) {
+	busy, full := p.peak.over(holdShort, now), p.full.over(holdShort, now)
+	need := max(leastLeft, int(math.Ceil(max(busy/regularLoad, full/fullLoad))))
 	planned := lo.SumBy(wants, func(w Want) int { return w.Spot })
 	spot, coming, most, committed := 0, 0, 0, 0
 	for i, w := range wants {
@@ -190,7 +209,7 @@
 	}
 	missing := need - spot - coming - committed
 	if len(p.dry) > 0 && len(wants) > 1 {
-		missing = max(need-spot, int(math.Ceil(busy/lossLoad))-(spot-most)) - committed
+		missing = max(need-spot, int(math.Ceil(max(busy, full)/lossLoad))-(spot-most)) - committed
 	}
 	switch {
 	case missing > 0:
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -127,3 +127,19 @@
 	_, regular, _ = sums(p.Plan(in, now.Add(giveBack+time.Second)))
 	is.Equal(regular, needed(in.Busy)-8)
 }
+
+// Servers have few places and streams hold them long: the prompts alone do not
+// tell how many servers are needed, and two zones may go within a second.
+func TestPlacesThatStreamsHoldCount(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		busy := rapid.Float64Range(1, 30).Draw(t, "busy")
+		held := rapid.Float64Range(0, 40).Draw(t, "held")
+		in := Input{Min: 1, Max: 60, SpotPrice: 0.2, Zones: zones(40, 0), Busy: busy, Held: held, Known: true}
+		wants := New().Plan(in, time.Unix(1000, 0))
+		spot, _, most := sums(wants)
+		slowed := held * (1 - busy/160)
+		if float64(spot-2*most) < busy+slowed {
+			t.Fatalf("%d servers, %d in one zone, for prompts of %.1f and places of %.1f", spot, most, busy, held)
+		}
+	})
+}
--- a/internal/front/orders.go
+++ b/internal/front/orders.go
@@ -96,7 +96,8 @@
 func (o *orders) input(s *policy.Service, now time.Time) fleet.Input {
 	x := s.Scaling
 	in := fleet.Input{Min: x.Min, Max: x.Max, SpotPrice: x.SpotPrice}
-	in.Busy = o.node.tracker.FleetDemand(s.Name, now)
+	demand := o.node.tracker.FleetDemand(s.Name, now)
+	in.Busy, in.Held = demand.Busy, demand.Held
 	in.Known = in.Busy > trafficFloor
 	zones := make(map[string]*fleet.Zone)
 	for name, price := range x.ZonePrices {
@@ -156,7 +157,7 @@
 	err := o.node.Cloud.Order(call, token, k.service, k.zone, count, k.spot)
 	fields := []zap.Field{
 		zap.String("service", k.service), zap.String("zone", k.zone), zap.Bool("spot", k.spot), zap.Int("count", count),
-		zap.Int("there", there), zap.Float64("busy", in.Busy), zap.Int64("fence", token.Fence),
+		zap.Int("there", there), zap.Float64("busy", in.Busy), zap.Float64("held", in.Held), zap.Int64("fence", token.Fence),
 	}
 	if err != nil {
 		if errors.Is(err, duty.ErrSoldOut) {
--- a/internal/front/share.go
+++ b/internal/front/share.go
@@ -155,8 +155,8 @@
 	}
 	a.mu.Unlock()
 	s.Servers = n.serverShares()
-	for name, busy := range n.tracker.Demand(time.Now()) {
-		s.Services = append(s.Services, &peerpb.ServiceShare{Name: name, Busy: busy})
+	for name, demand := range n.tracker.Demand(time.Now()) {
+		s.Services = append(s.Services, &peerpb.ServiceShare{Name: name, Busy: demand.Busy, Held: demand.Held})
 	}
 	return s
 }
@@ -197,9 +197,9 @@
 	for _, server := range s.Servers {
 		uses[server.Id] = balance.Use{Open: int(server.Open), Prompt: int(server.Prompt), Holdup: server.Holdup}
 	}
-	demand := make(map[string]float64, len(s.Services))
+	demand := make(map[string]balance.Demand, len(s.Services))
 	for _, service := range s.Services {
-		demand[service.Name] = service.Busy
+		demand[service.Name] = balance.Demand{Busy: service.Busy, Held: service.Held}
 	}
 	n.tracker.Heard(s.Node, uses, demand, s.Brief, now.Add(max(believeLeast, believeTimes*n.shareEvery())), now)
 }
