Servers that are lost are ordered again at once

Cause: an order that showed no effect was sent again only after the time to boot and three seconds more.

Ruled out: the plan, which had the right number all the while (log of the holder).

Change: an order remembers how many servers it has seen; when fewer are there it is sent again at once.

--- a/internal/front/orders.go
+++ b/internal/front/orders.go
@@ -27,6 +27,16 @@
 type ordered struct {
 	count int
 	at    time.Time
+	most  int // servers that were there at once since then
+}
+
+// again reports whether the order has to be sent once more: servers that were
+// there are lost, or it shows no effect although there was time to boot.
+func (l ordered) again(there int, boot time.Duration, now time.Time) bool {
+	if there >= l.count {
+		return false
+	}
+	return there < l.most || now.Sub(l.at) > boot+orderAgain
 }
 
 // orderKey names what an order is about.
@@ -142,7 +152,12 @@
 	if !told {
 		last.count = there
 	}
-	again := told && there < count && now.Sub(last.at) > s.Scaling.Boot+orderAgain
+	again := false
+	if told {
+		last.most = max(last.most, there)
+		o.last[k] = last
+		again = count == last.count && last.again(there, s.Scaling.Boot, now)
+	}
 	if count == last.count && !again || (count > last.count || again) != more {
 		return
 	}
@@ -167,7 +182,7 @@
 		o.node.event(event.FleetRefused, append(fields, zap.Error(err))...)
 		return
 	}
-	o.last[k] = ordered{count, now}
+	o.last[k] = ordered{count: count, at: now, most: there}
 	if k.spot && count > there {
 		p.Accepted(k.zone)
 	}
