--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -124,6 +124,10 @@
 func (p *Planner) Plan(in Input, now time.Time) []Want {
 	if in.Known && p.firstAt.IsZero() {
 		p.firstAt = now
+		if p.initial == 0 {
+			// There is traffic already, but what it needs was not seen yet.
+			p.initial = lo.SumBy(in.Zones, func(z Zone) int { return z.Spot + z.Regular })
+		}
 	}
 	if p.firstAt.IsZero() {
 		// The work is not known yet: the middle of the operators' bounds.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -143,3 +143,19 @@
 		}
 	})
 }
+
+// The node that acts for all is replaced, all nodes perhaps: the next one does
+// not know the work yet and must not give back what carries it.
+func TestANewPlannerGivesLittleBackAtOnce(t *testing.T) {
+	is := is.New(t)
+	p := New()
+	now := time.Unix(1000, 0)
+	in := Input{Min: 1, Max: 60, SpotPrice: 0.2, Zones: zones(20, 0), Busy: 0.1, Known: true}
+	spot, _, most := sums(p.Plan(in, now))
+	is.True(spot-most >= 80*2/3)
+	in.Busy = 2
+	spot, _, _ = sums(p.Plan(in, now.Add(settle-time.Second)))
+	is.True(spot >= 70)
+	spot, _, _ = sums(p.Plan(in, now.Add(settle+time.Second)))
+	is.True(spot < 20)
+}
