Tokens read again are paid for in the choice of a server

Ruled out: memory of the engines (a hundredth of it holds all subjects); homes that differ between nodes (TestASubjectHasOneHomeAtAllNodes).

Change: each token that has to be read costs its time three times over. TestASubjectStaysAtItsHomeBesideSomeStreams failed first.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -77,6 +77,7 @@
 	mostHoldup     = 4.0
 	holdsUp        = 60 * time.Millisecond  // for each stream that a long prompt would hold up
 	heldUp         = 250 * time.Millisecond // for a stream beside a long prompt
+	readAgain      = 2.0                    // for a prompt token that is kept elsewhere, times its reading: it is paid for beside the time
 	spread         = 25 * time.Millisecond  // at the most, drawn by request: nodes that decide at once see the same
 )
 
@@ -123,6 +124,7 @@
 		}
 		cost := v.cost(r, uncached)
 		if r.Engine {
+			cost += readAgain * float64(uncached) * float64(v.Token)
 			cost += float64(spread) * float64(tie(r, v)>>11) / (1 << 53)
 		}
 		if v.Resting {
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -55,6 +55,22 @@
 	is.Equal(len(used), 4)
 }
 
+// Tokens that are read again cost more than the time that this takes.
+func TestASubjectStaysAtItsHomeBesideSomeStreams(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	tr := NewTracker()
+	first, _ := tr.Pick(servers(4), prompt("first", 9000, "subject"), now)
+	first.Read(now)
+	first.Done(Answered, now)
+	for i := range 3 { // streams that were read
+		k, _ := tr.Pick([]registry.Server{first.Server}, prompt(fmt.Sprint(i), 500, ""), now)
+		k.Read(now)
+	}
+	next, _ := tr.Pick(servers(4), prompt("next", 9000, "subject"), now)
+	is.Equal(next.Server.ID, first.Server.ID)
+}
+
 func TestAStreamKeepsAwayFromALongPrompt(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
