A node that the store turns away stays a member of a large fleet

Cause: a node that is not registered counts for 2.5 s after it was heard of, but in a fleet of more than 100 nodes two nodes speak to each other more seldom than that (25 ms for each node): it dropped out and came back by turns, and with it its part of limits and, if it was one, a hub.

Change: it counts for three exchanges.

TestANodeWithoutTheStoreStaysAMember; a fleet of 112 nodes in virtual time lost the node with the code before.

--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -32,7 +32,8 @@
 	// WatchWait is how long the store may hold a watch that has nothing to tell.
 	WatchWait  = 20 * time.Second
 	watchSlack = 1500 * time.Millisecond
-	gather     = 300 * time.Millisecond
+	gather     = 300 * time.Millisecond // changes come in series; each call is paid for
+	gatherHub  = 500 * time.Millisecond // in a large fleet there are more of them
 )
 
 // called tells the state how a call of the store went, and returns its error.
@@ -65,6 +66,13 @@
 	}
 }
 
+func (n *Node) gather() time.Duration {
+	if n.state.members.topology().self {
+		return gatherHub
+	}
+	return gather
+}
+
 func (n *Node) provePause() time.Duration {
 	if n.state.members.topology().self {
 		return proveAsHub
@@ -171,7 +179,7 @@
 		kept.Apply(events, at)
 		if len(events) > 0 {
 			n.state.send(watched{events})
-			sleep(ctx, gather) // changes come in series; each call is paid for
+			sleep(ctx, n.gather())
 		}
 	}
 }
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -35,9 +35,16 @@
 	return registration{Addr: n.Settings.Peer, Zone: n.Settings.Zone, Cores: n.Settings.Cores}
 }
 
-// heardFor is how long a node that is heard of counts although its
-// registration ended: the store may have been down.
-const heardFor = 2500 * time.Millisecond
+// A node that is heard of counts although its registration ended, for the store
+// may have been down, or turn that node away: for so long, or for so many
+// exchanges.
+const (
+	heardLeast = 2500 * time.Millisecond
+	heardTimes = 3
+)
+
+// heardFor returns how long a node counts after it was heard of.
+func (n *Node) heardFor() time.Duration { return max(heardLeast, heardTimes*n.shareEvery()) }
 
 // members knows the other nodes. It belongs to the state's goroutine; list and
 // heard are safe for concurrent use.
@@ -151,7 +158,7 @@
 			more = false
 		}
 	}
-	dropped := false
+	dropped, heardFor := false, m.node.heardFor()
 	for name, other := range m.all {
 		if other.registered || now.Sub(other.heardAt) < heardFor {
 			continue
--- a/internal/front/spoke_test.go
+++ b/internal/front/spoke_test.go
@@ -1,12 +1,16 @@
 package front
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
 
+	"github.com/shelfcrank/shelfcrank/internal/settings"
+	"github.com/shelfcrank/shelfcrank/internal/store"
 	"github.com/shelfcrank/shelfcrank/internal/storetest"
 )
 
@@ -127,3 +131,24 @@
 		}
 	})
 }
+
+// The store turns a node away for long, so that its registration ends; the
+// others hear of it all the while, however seldom the nodes of a large fleet
+// speak to each other.
+func TestANodeWithoutTheStoreStaysAMember(t *testing.T) {
+	is := is.New(t)
+	n, err := New(Options{Settings: settings.Front{Name: "self"}, Decoder: plain{}, Protocol: plain{}, Log: zap.NewNop()})
+	is.NoErr(err)
+	m, now := n.state.members, time.Unix(1000, 0)
+	for i := range 111 {
+		value, err := json.Marshal(registration{Addr: addrOf(i, 8002)})
+		is.NoErr(err)
+		m.take(store.Event{Item: store.Item{Key: fmt.Sprint(m.prefix(), "n", i), Value: value}}, now)
+	}
+	m.heard("n7", now)
+	m.take(store.Event{Item: store.Item{Key: m.prefix() + "n7"}, Gone: true}, now)
+	m.expire(now.Add(n.shareEvery() + time.Second))
+	is.Equal(len(m.list()), 111)
+	m.expire(now.Add(heardTimes*n.shareEvery() + time.Second))
+	is.Equal(len(m.list()), 110)
+}
