One package for rendezvous hashing; fields and calls that nothing uses go

balance and place each had the hash. Gone: the headers of moves and backups that a forwarded request never sets (they are still stripped from what clients send), the client's guess of the tokens out, the count of dials. Behaviour is unchanged.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -87,7 +87,6 @@
 
 	mu      sync.Mutex
 	servers map[string]*connections // by server id; guarded by mu
-	dials   int64                   // connections made; guarded by mu
 }
 
 type connections struct {
@@ -100,13 +99,6 @@
 	return &Client{net: n, protocol: p, servers: make(map[string]*connections)}
 }
 
-// Dials returns how many connections were made.
-func (c *Client) Dials() int64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.dials
-}
-
 // errCap says that no more connections to a server may be made.
 var errCap = errors.New("too many connections to the server")
 
@@ -135,7 +127,6 @@
 		return nil, errCap
 	}
 	s.open++
-	c.dials++
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -16,6 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/shelfcrank/shelfcrank/internal/registry"
+	"github.com/shelfcrank/shelfcrank/internal/rendezvous"
 )
 
 // Part is a piece of a prompt, shared with other requests unless it is the
@@ -174,7 +175,7 @@
 		if views[i].Resting {
 			continue
 		}
-		if s := mix(hash, views[i].Server.ID); best < 0 || s > most {
+		if s := rendezvous.Score(hash, views[i].Server.ID); best < 0 || s > most {
 			best, most = i, s
 		}
 	}
@@ -182,13 +183,4 @@
 }
 
 // tie spreads requests over servers that are equally good.
-func tie(r *Request, v *View) uint64 { return mix(xxhash.Sum64String(r.ID), v.Server.ID) }
-
-func mix(hash uint64, id string) uint64 {
-	x := hash ^ xxhash.Sum64String(id)
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
+func tie(r *Request, v *View) uint64 { return rendezvous.Score(xxhash.Sum64String(r.ID), v.Server.ID) }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -37,7 +37,6 @@
 	HasTokens    bool // the two below were told
 	PromptTokens int
 	OutputTokens int // at the most
-	Hint         int // the client's guess of the tokens out; 0 when not told
 	Parts        []Part
 	LastEventID  string
 }
@@ -49,8 +48,6 @@
 	Left        time.Duration // until the answer is of no use
 	Priority    int           // 0 is the most urgent
 	LastEventID string        // the event after which a stream goes on
-	BackupTo    string        // server that the KV cache is copied to as it grows
-	Continue    string        // copy of the KV cache to go on from
 }
 
 // Protocol reads and writes the headers of requests and answers.
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -19,6 +19,7 @@
 
 	"github.com/shelfcrank/shelfcrank/internal/balance"
 	"github.com/shelfcrank/shelfcrank/internal/registry"
+	"github.com/shelfcrank/shelfcrank/internal/rendezvous"
 )
 
 // Offer is the best of a hub's servers for a request.
@@ -146,7 +147,7 @@
 func Owners(hubs []string, hash uint64) []string {
 	ordered := slices.Clone(hubs)
 	slices.SortFunc(ordered, func(a, b string) int {
-		return cmp.Or(cmp.Compare(score(hash, b), score(hash, a)), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(rendezvous.Score(hash, b), rendezvous.Score(hash, a)), cmp.Compare(a, b))
 	})
 	return ordered
 }
@@ -165,19 +166,10 @@
 func owner(hubs []string, hash uint64) string {
 	best := ""
 	for _, h := range hubs {
-		if best == "" || score(hash, h) > score(hash, best) || score(hash, h) == score(hash, best) && h < best {
+		a, b := rendezvous.Score(hash, h), rendezvous.Score(hash, best)
+		if best == "" || a > b || a == b && h < best {
 			best = h
 		}
 	}
 	return best
 }
-
-// score is that of rendezvous hashing.
-func score(hash uint64, hub string) uint64 {
-	x := hash ^ xxhash.Sum64String(hub)
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
