A node that has just started speaks to the others soon

Cause: in a fleet of 83 nodes the first exchange came two seconds after the start, and it went by the members known before that pause.

Change: the first pauses are short and grow to the usual one; who is spoken to is looked up after the pause. Small fleets are not affected. TestANewNodeSpeaksToTheOthersSoon failed first (one round instead of four).

--- a/internal/front/share.go
+++ b/internal/front/share.go
@@ -42,10 +42,10 @@
 		return true
 	}
 	for {
-		others := n.state.members.list()
-		if !sleep(ctx, n.shareEvery()) {
+		if !sleep(ctx, n.sharePause(time.Now())) {
 			return ctx.Err()
 		}
+		others := n.state.members.list()
 		if len(others) == 0 {
 			continue
 		}
@@ -69,6 +69,12 @@
 	return max(shareLeast, time.Duration(len(n.state.members.list()))*shareForNode)
 }
 
+// sharePause is the time until the next round of exchanges. A node that has just
+// started knows nothing of the others and begins with short ones.
+func (n *Node) sharePause(now time.Time) time.Duration {
+	return min(n.shareEvery(), shareLeast+now.Sub(n.start))
+}
+
 // tellUses tells the other nodes at once when a long prompt was sent to a
 // server: requests come in clumps, and nodes that decide at the same moment
 // would all choose the same server.
--- a/internal/front/spoke_test.go
+++ b/internal/front/spoke_test.go
@@ -132,19 +132,27 @@
 	})
 }
 
-// The store turns a node away for long, so that its registration ends; the
-// others hear of it all the while, however seldom the nodes of a large fleet
-// speak to each other.
-func TestANodeWithoutTheStoreStaysAMember(t *testing.T) {
-	is := is.New(t)
+// ofLarge returns a node that is not running, and knows 111 others.
+func ofLarge(is *is.I, now time.Time) *Node {
 	n, err := New(Options{Settings: settings.Front{Name: "self"}, Decoder: plain{}, Protocol: plain{}, Log: zap.NewNop()})
 	is.NoErr(err)
-	m, now := n.state.members, time.Unix(1000, 0)
+	m := n.state.members
 	for i := range 111 {
 		value, err := json.Marshal(registration{Addr: addrOf(i, 8002)})
 		is.NoErr(err)
 		m.take(store.Event{Item: store.Item{Key: fmt.Sprint(m.prefix(), "n", i), Value: value}}, now)
 	}
+	return n
+}
+
+// The store turns a node away for long, so that its registration ends; the
+// others hear of it all the while, however seldom the nodes of a large fleet
+// speak to each other.
+func TestANodeWithoutTheStoreStaysAMember(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	n := ofLarge(is, now)
+	m := n.state.members
 	m.heard("n7", now)
 	m.take(store.Event{Item: store.Item{Key: m.prefix() + "n7"}, Gone: true}, now)
 	m.expire(now.Add(n.shareEvery() + time.Second))
@@ -152,3 +160,18 @@
 	m.expire(now.Add(heardTimes*n.shareEvery() + time.Second))
 	is.Equal(len(m.list()), 110)
 }
+
+// After all nodes were killed, limits are refused by until nodes know of each
+// other: the first exchanges of a large fleet must not take long.
+func TestANewNodeSpeaksToTheOthersSoon(t *testing.T) {
+	is := is.New(t)
+	n := ofLarge(is, time.Now())
+	now := n.start
+	rounds := 0
+	for now.Sub(n.start) < 2*time.Second {
+		now = now.Add(n.sharePause(now))
+		rounds++
+	}
+	is.Equal(rounds, 4)
+	is.Equal(n.sharePause(now.Add(time.Minute)), n.shareEvery())
+}
