Servers are planned to be 0.65 full after the loss of two zones, not 0.85

A place that is taken is not a place that is in time: long prompts hold up those beside them.

Ruled out: late orders (since lost servers are ordered again at once, the first order left 0.4 s after the loss).

Change: fullLoad 0.85 to 0.65; while none are to be had others are ordered so that 0.8 are full if one more zone goes.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -66,7 +66,8 @@
 	holdPeak    = 25 * time.Second // how long a peak of the work is planned for by reclaimable servers,
 	holdShort   = 8 * time.Second  // and by others
 	lossLoad    = 0.95             // load of a server that is borne if the next zone goes as well
-	fullLoad    = 0.85             // how full the servers may be that are left after the loss of two zones,
+	fullLoad    = 0.65             // how full the servers may be that are left after the loss of two zones,
+	fullLoss    = 0.8              // how full they may be if the next zone goes as well
 	mostReading = 0.8              // at the most the share of a server's time that is believed to go into prompts
 	zonesLost   = 2                // zones that may go at once
 	settle      = 8 * time.Second  // after the first traffic nothing is given back
@@ -213,7 +214,7 @@
 	}
 	missing := need - spot - coming - committed
 	if len(p.dry) > 0 && len(wants) > 1 {
-		missing = max(need-spot, int(math.Ceil(max(busy, full)/lossLoad))-(spot-most)) - committed
+		missing = max(need-spot, int(math.Ceil(max(busy/lossLoad, full/fullLoss)))-(spot-most)) - committed
 	}
 	switch {
 	case missing > 0:
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -27,7 +27,10 @@
 }
 
 // needed is how many servers carry the work without much room.
-func needed(busy float64) int { return int(math.Ceil(busy / regularLoad)) }
+// Where streams hold no places, the work fills servers as far as prompts do.
+func needed(busy float64) int {
+	return int(math.Ceil(max(busy/regularLoad, busy/fullLoad)))
+}
 
 func TestEnoughIsLeftWhenAnyZoneIsLost(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
