--- a/internal/front/spoke.go
+++ b/internal/front/spoke.go
@@ -11,6 +11,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/event"
 	"github.com/shelfcrank/shelfcrank/internal/fault"
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
+	"github.com/shelfcrank/shelfcrank/internal/store"
 )
 
 // Times of reading the store through hubs.
@@ -141,24 +142,23 @@
 		s.revision = a.ConfigRevision
 		n.state.send(read)
 	}
-	for _, part := range []struct {
-		news *peerpb.MirrorPart
-		at   *int64
-		all  func(*peerpb.MirrorPart) change
-	}{
-		{a.Servers, &s.servers, func(p *peerpb.MirrorPart) change { return listedServers{itemsOf(mirrorEvents(p))} }},
-		{a.Nodes, &s.nodes, func(p *peerpb.MirrorPart) change { return listedNodes{itemsOf(mirrorEvents(p))} }},
-	} {
-		if part.news == nil {
-			continue
-		}
-		*part.at = part.news.At
-		switch {
-		case part.news.Whole:
-			n.state.send(part.all(part.news))
-		case len(part.news.Items) > 0:
-			n.state.send(watched{mirrorEvents(part.news)})
-		}
+	if p := a.Servers; p != nil {
+		s.servers = p.At
+		s.pass(mirrorEvents(p), p.Whole, listedServers{itemsOf(mirrorEvents(p))})
+	}
+	if p := a.Nodes; p != nil {
+		s.nodes = p.At
+		s.pass(mirrorEvents(p), p.Whole, listedNodes{itemsOf(mirrorEvents(p))})
+	}
+}
+
+// pass hands changes to the state, or the listing if they are all there is.
+func (s *spoke) pass(events []store.Event, whole bool, listing change) {
+	switch {
+	case whole:
+		s.node.state.send(listing)
+	case len(events) > 0:
+		s.node.state.send(watched{events})
 	}
 }
 
