A watch of servers that has gone silent is noticed by what other nodes know

The store had forgotten its history at 7 s and cut the watches; front-thu-duc-2 heard nothing from its watches from 2.8 s to 21.49 s (a watch is held for 20 s), while all others had the news at 14.61 s. Its regular read proves the configuration, not the list of servers.

Change: with its soft state each node tells the revision of the newest change of a server's entry that it knows. A node that is behind another for 0.6 s begins its watches anew (event 216). No call of the store is added. TestASilentWatchOfServersIsNoticed failed first: the server was still used after 1.5 s.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -55,6 +55,7 @@
 	ConfigStale      Code = 213
 	ConfigProved     Code = 214
 	StoreFollowed    Code = 215
+	WatchSilent      Code = 216
 	ServerJoined     Code = 511
 	ServerLeaving    Code = 512
 	ServerGone       Code = 513
@@ -121,6 +122,7 @@
 	{ConfigStale, zap.WarnLevel, "configuration not proved", "For a while no read showed that the configuration in force is the newest: requests that need a key are refused."},
 	{ConfigProved, zap.InfoLevel, "configuration proved again", "A read showed which configuration is the newest."},
 	{StoreFollowed, zap.InfoLevel, "store followed", "From now on this node reads the store itself (directly) or through the hubs of its fleet. Only a large fleet has hubs; a node that no hub helps reads the store itself for a while."},
+	{WatchSilent, zap.WarnLevel, "watch of the store is silent", "Another node knows a change of a server that this one has not heard of: its watches are begun anew."},
 	{ServerJoined, zap.InfoLevel, "server joined", "The server takes work."},
 	{ServerLeaving, zap.InfoLevel, "server leaving", "The server gets no new work."},
 	{ServerGone, zap.InfoLevel, "server gone", "The server's entry is no more; it gets no new work."},
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -125,20 +125,20 @@
 func (n *Node) rewatch() { n.outage.Swap(newOutage()).end() }
 
 func (n *Node) watchConfig(ctx context.Context) error {
-	return n.watch(ctx, n.Decoder.ConfigKey(), n.hub.config, func([]store.Item) {}) // the read proves it
+	return n.watch(ctx, n.Decoder.ConfigKey(), n.hub.config, func([]store.Item, int64) {}) // the read proves it
 }
 
 func (n *Node) watchServers(ctx context.Context) error {
-	return n.watch(ctx, n.Decoder.ServerPrefix(), n.hub.servers, func(items []store.Item) { n.state.send(listedServers{items}) })
+	return n.watch(ctx, n.Decoder.ServerPrefix(), n.hub.servers, func(items []store.Item, at int64) { n.state.send(listedServers{items, at}) })
 }
 
 func (n *Node) watchNodes(ctx context.Context) error {
-	return n.watch(ctx, n.Decoder.OwnPrefix()+keyLive, n.hub.nodes, func(items []store.Item) { n.state.send(listedNodes{items}) })
+	return n.watch(ctx, n.Decoder.OwnPrefix()+keyLive, n.hub.nodes, func(items []store.Item, _ int64) { n.state.send(listedNodes{items}) })
 }
 
 // watch lists a part of the store and follows its changes, and lists anew
 // whenever it may have missed one. It keeps a copy for other nodes.
-func (n *Node) watch(ctx context.Context, prefix string, kept *mirror.Copy, list func([]store.Item)) error {
+func (n *Node) watch(ctx context.Context, prefix string, kept *mirror.Copy, list func(items []store.Item, at int64)) error {
 	down, cut := newBackoff(retryFirst, retryMost), newBackoff(retryPause, retryWatch)
 	for ctx.Err() == nil {
 		sent := time.Now()
@@ -151,7 +151,7 @@
 		}
 		down.Reset()
 		kept.Replace(items, at)
-		list(items)
+		list(items, at)
 		begun := time.Now()
 		n.follow(ctx, prefix, kept, at)
 		if time.Since(begun) > steadyWatch {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -89,6 +89,7 @@
 	handler   *forward.Handler
 	placer    *placer
 	hub       *hub
+	news      serverNews
 	reading   atomic.Bool // this node reads the store itself
 	leaving   atomic.Bool
 	outage    atomic.Pointer[outage] // ends with the next outage of the store
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"runtime"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -392,3 +393,19 @@
 		is.True(late < 1900*time.Millisecond)
 	})
 }
+
+// The watches of one node go silent and no read of the configuration shows it:
+// it hears from the others that there is news of a server.
+func TestASilentWatchOfServersIsNoticed(t *testing.T) {
+	play(t, 3, func(is *is.I, w *world) {
+		w.store.SetFaults("n0", storetest.Faults{Silent: true})
+		time.Sleep(300 * time.Millisecond)
+		used := func() bool {
+			return slices.ContainsFunc(w.nodes["n0"].node.view.Load().Servers["svc"], func(s registry.Server) bool { return s.ID == serverID(0) })
+		}
+		is.True(used())
+		w.putServer(0, true)
+		time.Sleep(1500 * time.Millisecond)
+		is.True(!used())
+	})
+}
--- a/internal/front/share.go
+++ b/internal/front/share.go
@@ -134,6 +134,7 @@
 	s := &peerpb.Share{
 		Node: n.Settings.Name, Incarnation: n.incarnation(), ConfigVersion: n.version(),
 		Wall: n.clock.Own(time.Now()).UnixNano(), Leaving: n.leaving.Load(),
+		ServersAt: n.news.newest(),
 	}
 	a := n.admission
 	a.mu.Lock()
@@ -175,6 +176,10 @@
 	if s.Brief {
 		return
 	}
+	if n.news.behind(s.ServersAt, now) {
+		n.event(event.WatchSilent, zap.String("peer", s.Node), zap.Int64("revision", s.ServersAt))
+		n.rewatch()
+	}
 	if c := n.clock.Heard(s.Node, time.Unix(0, s.Wall), now); c != 0 {
 		n.event(event.ClockCorrected, zap.Duration("by", c), zap.String("peer", s.Node))
 	}
--- a/internal/front/spoke.go
+++ b/internal/front/spoke.go
@@ -144,7 +144,7 @@
 	}
 	if p := a.Servers; p != nil {
 		s.servers = p.At
-		s.pass(mirrorEvents(p), p.Whole, listedServers{itemsOf(mirrorEvents(p))})
+		s.pass(mirrorEvents(p), p.Whole, listedServers{itemsOf(mirrorEvents(p)), p.At})
 	}
 	if p := a.Nodes; p != nil {
 		s.nodes = p.At
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -27,9 +27,12 @@
 // listedServers and listedNodes bring all entries of a kind, watched the changes
 // since.
 type (
-	listedServers struct{ items []store.Item }
-	listedNodes   struct{ items []store.Item }
-	watched       struct{ events []store.Event }
+	listedServers struct {
+		items []store.Item
+		at    int64 // revision at which they were listed
+	}
+	listedNodes struct{ items []store.Item }
+	watched     struct{ events []store.Event }
 )
 
 // storeCalled tells how a call of the store went that was sent at a time.
@@ -109,12 +112,16 @@
 		s.takeConfig(c)
 	case listedServers:
 		s.takeServers(c.items, now)
+		s.node.news.listed(c.items, c.at)
 	case listedNodes:
 		s.members.replace(c.items, now)
 		s.publishDue = true
 	case watched:
 		for _, e := range c.events {
 			s.takeEvent(e, now)
+			if _, ok := s.node.Decoder.ServerID(e.Key); ok {
+				s.node.news.saw(e.Revision)
+			}
 		}
 	case storeCalled:
 		s.takeCall(c, now)
