Spokes use the pauses that the rest of following the store uses

The growing pause of a node that no hub helps was written out beside newBackoff, with the same first pause, growth and bound: newBackoff serves both now. What a hub tells is converted once instead of twice, and a listing is built only when there is one. Whether an event is of a server is looked up once.

--- a/internal/front/spoke.go
+++ b/internal/front/spoke.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"go.uber.org/zap"
 
 	"github.com/shelfcrank/shelfcrank/internal/event"
@@ -72,7 +73,7 @@
 // or no hub knows what is in the store although this node can find out.
 func (n *Node) readThroughHubs(ctx context.Context) {
 	n.event(event.StoreFollowed, zap.Bool("directly", false))
-	s := &spoke{node: n, lastGood: time.Now()}
+	s := &spoke{node: n, lastGood: time.Now(), retry: newBackoff(retryPause, retryAlone)}
 	for ctx.Err() == nil {
 		hubs := n.state.members.topology()
 		if hubs.direct() {
@@ -97,8 +98,8 @@
 	servers, nodes int64 // revisions up to which the entries are known
 	revision       int64 // of the configuration in hand
 	lastGood       time.Time
-	retry          time.Duration
-	aloneSince     time.Time // when the store answered although no hub knew
+	retry          *backoff.ExponentialBackOff // of reads of the store while no hub helps
+	aloneSince     time.Time                   // when the store answered although no hub knew
 }
 
 // follow reads through one hub until it fails.
@@ -109,7 +110,8 @@
 		if err != nil {
 			return
 		}
-		s.lastGood, s.retry, s.aloneSince = sent, 0, time.Time{}
+		s.lastGood, s.aloneSince = sent, time.Time{}
+		s.retry.Reset()
 		s.take(a, sent)
 	}
 }
@@ -144,20 +146,25 @@
 	}
 	if p := a.Servers; p != nil {
 		s.servers = p.At
-		s.pass(mirrorEvents(p), p.Whole, listedServers{itemsOf(mirrorEvents(p)), p.At})
+		if events := mirrorEvents(p); p.Whole {
+			n.state.send(listedServers{itemsOf(events), p.At})
+		} else {
+			s.changed(events)
+		}
 	}
 	if p := a.Nodes; p != nil {
 		s.nodes = p.At
-		s.pass(mirrorEvents(p), p.Whole, listedNodes{itemsOf(mirrorEvents(p))})
+		if events := mirrorEvents(p); p.Whole {
+			n.state.send(listedNodes{itemsOf(events)})
+		} else {
+			s.changed(events)
+		}
 	}
 }
 
-// pass hands changes to the state, or the listing if they are all there is.
-func (s *spoke) pass(events []store.Event, whole bool, listing change) {
-	switch {
-	case whole:
-		s.node.state.send(listing)
-	case len(events) > 0:
+// changed hands changes to the state, if there are any.
+func (s *spoke) changed(events []store.Event) {
+	if len(events) > 0 {
 		s.node.state.send(watched{events})
 	}
 }
@@ -179,7 +186,6 @@
 		return true
 	}
 	s.aloneSince = time.Time{}
-	s.retry = min(max(retryPause, time.Duration(retryGrowth*float64(s.retry))), retryAlone)
-	sleep(ctx, s.retry)
+	sleep(ctx, s.retry.NextBackOff())
 	return false
 }
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -119,9 +119,6 @@
 	case watched:
 		for _, e := range c.events {
 			s.takeEvent(e, now)
-			if _, ok := s.node.Decoder.ServerID(e.Key); ok {
-				s.node.news.saw(e.Revision)
-			}
 		}
 	case storeCalled:
 		s.takeCall(c, now)
@@ -233,6 +230,7 @@
 
 func (s *state) takeServer(id string, e store.Event, now time.Time) {
 	s.publishDue = true
+	s.node.news.saw(e.Revision)
 	if e.Gone {
 		server, _ := s.registry.Find(id)
 		s.tell([]registry.Event{{Change: s.registry.Remove(id, s.troubled(now), now), Server: server}})
