A listing of nodes works out the hubs once; offers are looked up once

A listing of N nodes sorted the members and chose the hubs N times, on a node that has just started. Taking an offer searched the list of servers twice and wrote the declining note out three times.

--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -94,8 +94,9 @@
 		if name, ok := strings.CutPrefix(item.Key, m.prefix()); ok {
 			listed[name] = true
 		}
-		m.take(store.Event{Item: item}, now)
+		m.note(store.Event{Item: item}, now)
 	}
+	m.show() // once: who is a hub is worked out anew each time
 	for name, other := range m.all {
 		if !listed[name] {
 			other.registered = false
@@ -114,26 +115,33 @@
 	return false
 }
 
-// take notes a change of one of the product's own keys.
+// take takes a change of one of the product's own keys.
 func (m *members) take(e store.Event, now time.Time) {
+	if m.note(e, now) {
+		m.show()
+	}
+}
+
+// note notes a change, and reports whether it is of a node that is registered.
+func (m *members) note(e store.Event, now time.Time) bool {
 	if e.Key == m.node.elector.Key {
 		m.node.elector.Saw(!e.Gone)
-		return
+		return false
 	}
 	name, ok := strings.CutPrefix(e.Key, m.prefix())
 	if !ok || name == m.node.Settings.Name {
-		return
+		return false
 	}
 	if e.Gone {
 		if other := m.all[name]; other != nil {
 			other.registered = false
 		}
 		m.expire(now)
-		return
+		return false
 	}
 	var r registration
 	if err := json.Unmarshal(e.Value, &r); err != nil || !r.Addr.IsValid() {
-		return
+		return false
 	}
 	other := m.all[name]
 	if other == nil {
@@ -142,7 +150,7 @@
 		m.node.event(event.NodeJoined, zap.String("peer", name), zap.Stringer("address", r.Addr))
 	}
 	other.addr, other.zone, other.cores, other.registered = r.Addr, r.Zone, r.Cores, true
-	m.show()
+	return true
 }
 
 // expire drops nodes that are neither registered nor heard of, and reports
--- a/internal/front/placing.go
+++ b/internal/front/placing.go
@@ -49,7 +49,8 @@
 // offered is an offer and the hub that made it.
 type offered struct {
 	place.Offer
-	hub member
+	hub    member
+	server registry.Server // as this node knows it; set where the offer is taken
 }
 
 // Place implements forward.Placer.
@@ -62,10 +63,9 @@
 	if !ok {
 		return tracker.Pick(servers, r, now)
 	}
-	chosen, _ := lo.Find(servers, func(s registry.Server) bool { return s.ID == best.Server })
-	ticket, ok := tracker.Pick([]registry.Server{chosen}, r, now)
+	ticket, ok := tracker.Pick([]registry.Server{best.server}, r, now)
 	if !ok {
-		p.note(best, &peerpb.Note{Done: true, Result: int32(balance.Cancelled)})
+		p.decline(best)
 		return nil, false
 	}
 	ticket.Observe(&noter{p, best})
@@ -76,20 +76,25 @@
 // take work, and declines the others.
 func (p *placer) bestOffer(ctx context.Context, hubs *topology, servers []registry.Server, r *balance.Request, until time.Time) (best offered, found bool) {
 	for _, o := range p.offers(ctx, hubs, r, until) {
-		known := lo.ContainsBy(servers, func(s registry.Server) bool { return s.ID == o.Server })
-		switch {
-		case known && (!found || o.Cost < best.Cost):
-			if found {
-				p.note(best, &peerpb.Note{Done: true, Result: int32(balance.Cancelled)})
-			}
-			best, found = o, true
-		default:
-			p.note(o, &peerpb.Note{Done: true, Result: int32(balance.Cancelled)})
+		var known bool
+		o.server, known = lo.Find(servers, func(s registry.Server) bool { return s.ID == o.Server })
+		if !known || found && o.Cost >= best.Cost {
+			p.decline(o)
+			continue
+		}
+		if found {
+			p.decline(best)
 		}
+		best, found = o, true
 	}
 	return best, found
 }
 
+// decline frees the place that an offer holds.
+func (p *placer) decline(o offered) {
+	p.note(o, &peerpb.Note{Done: true, Result: int32(balance.Cancelled)})
+}
+
 // offers asks the hubs that a request belongs to, all at once.
 func (p *placer) offers(ctx context.Context, hubs *topology, r *balance.Request, until time.Time) []offered {
 	ctx, cancel := context.WithTimeout(ctx, offerTimeout)
@@ -136,7 +141,7 @@
 		if !ok {
 			return nil, errNoServer
 		}
-		return &offered{o, hub}, nil
+		return &offered{Offer: o, hub: hub}, nil
 	}
 	q := &peerpb.Place{
 		Service: r.Service, Id: r.ID, Tokens: int64(r.Tokens), Avoid: r.Avoid, Slots: int64(r.Slots), Once: r.Once,
@@ -153,7 +158,7 @@
 	if o.GetServer() == "" {
 		return nil, errNoServer
 	}
-	return &offered{place.Offer{Server: o.Server, Cost: o.Cost, Ticket: o.Ticket}, hub}, nil
+	return &offered{Offer: place.Offer{Server: o.Server, Cost: o.Cost, Ticket: o.Ticket}, hub: hub}, nil
 }
 
 var errNoServer = fault.New(fault.StepPeer, "", fault.KindLimit, fault.NotRun, "the hub has no server to offer")
