One choice of the highest score; what only tests used moves to them

Rendezvous hashing: the loop for the best name stood in place, in the order of hubs and in a test; rendezvous.Best and Order serve all. Tracker.Place was there for the tests of forward only and is now an adapter in them. Also one formula for the servers that carry the work, where two stood, values in place of pointers for offers, and the two steps in which an order learnt whether to be sent again.

--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"context"
 	"math"
 	"sync"
 	"time"
@@ -320,11 +319,6 @@
 	return true
 }
 
-// Place is Pick for callers that may also place through others.
-func (t *Tracker) Place(_ context.Context, servers []registry.Server, r *Request, _, now time.Time) (*Ticket, bool) {
-	return t.Pick(servers, r, now)
-}
-
 func (s *serverState) note(result Result, now time.Time) {
 	failing := s.failingAt(now)
 	s.failedAt = now
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -138,13 +138,16 @@
 	p.full.note(in.full(), now)
 	busy, full := p.peak.over(holdPeak, now), p.full.over(holdPeak, now)
 	if in.SpotPrice <= 0 || in.SpotPrice >= 1 {
-		return spread(in, p.enough(max(busy/regularLoad, full/fullLoad), now), 0, func(w *Want) *int { return &w.Regular })
+		return spread(in, p.enough(carried(busy, full), now), 0, func(w *Want) *int { return &w.Regular })
 	}
 	wants := spread(in, p.enough(spotFactor*busy+spotSpare*math.Sqrt(busy), now), int(math.Ceil(full/fullLoad)), func(w *Want) *int { return &w.Spot })
 	p.fill(in, wants, now)
 	return wants
 }
 
+// carried returns how many servers carry the work without much room.
+func carried(busy, full float64) float64 { return max(busy/regularLoad, full/fullLoad) }
+
 // enough returns how many servers are to be left when a zone is lost.
 func (p *Planner) enough(servers float64, now time.Time) int {
 	n := max(leastLeft, int(math.Ceil(servers)))
@@ -201,7 +204,7 @@
 // needless for a while: a plan that wavers would start them again and again.
 func (p *Planner) fill(in Input, wants []Want, now time.Time) {
 	busy, full := p.peak.over(holdShort, now), p.full.over(holdShort, now)
-	need := max(leastLeft, int(math.Ceil(max(busy/regularLoad, full/fullLoad))))
+	need := max(leastLeft, int(math.Ceil(carried(busy, full))))
 	planned := lo.SumBy(wants, func(w Want) int { return w.Spot })
 	spot, coming, most, committed := 0, 0, 0, 0
 	for i, w := range wants {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -157,7 +158,7 @@
 	view := &View{Config: testConfig(t), ProvedAt: time.Now(), Servers: map[string][]registry.Server{"svc": servers}, Nodes: 1}
 	w.handler = New(Options{
 		Protocol: plainProtocol{}, View: func() *View { return view }, Backends: backend.New(mem.Site("node"), plainProtocol{}),
-		Placer: balance.NewTracker(), Admission: w.admit, Log: zap.NewNop(), Metrics: m,
+		Placer: alone{balance.NewTracker()}, Admission: w.admit, Log: zap.NewNop(), Metrics: m,
 		KeysFor: 4 * time.Second, CertainFor: 2 * time.Second,
 	})
 	return w
@@ -238,6 +239,13 @@
 	garbage  = "\x00\x01 nonsense\r\n\r\n"
 )
 
+// alone places requests by what one node knows.
+type alone struct{ *balance.Tracker }
+
+func (a alone) Place(_ context.Context, servers []registry.Server, r *balance.Request, _, now time.Time) (*balance.Ticket, bool) {
+	return a.Pick(servers, r, now)
+}
+
 func TestAnswers(t *testing.T) {
 	for _, test := range []struct {
 		name    string
--- a/internal/front/orders.go
+++ b/internal/front/orders.go
@@ -149,15 +149,13 @@
 	now := time.Now()
 	there := there(in, k)
 	last, told := o.last[k]
-	if !told {
-		last.count = there
-	}
-	again := false
 	if told {
 		last.most = max(last.most, there)
 		o.last[k] = last
-		again = count == last.count && last.again(there, s.Scaling.Boot, now)
+	} else {
+		last.count = there
 	}
+	again := told && count == last.count && last.again(there, s.Scaling.Boot, now)
 	if count == last.count && !again || (count > last.count || again) != more {
 		return
 	}
--- a/internal/front/placing.go
+++ b/internal/front/placing.go
@@ -14,6 +14,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
 	"github.com/shelfcrank/shelfcrank/internal/place"
 	"github.com/shelfcrank/shelfcrank/internal/registry"
+	"github.com/shelfcrank/shelfcrank/internal/rendezvous"
 )
 
 // Tuning of placing through hubs.
@@ -99,8 +100,8 @@
 func (p *placer) offers(ctx context.Context, hubs *topology, r *balance.Request, until time.Time) []offered {
 	ctx, cancel := context.WithTimeout(ctx, offerTimeout)
 	defer cancel()
-	owners := place.Owners(p.awake(hubs, time.Now()), r.Subject())
-	answers := make([]*offered, min(offersAsked, len(owners)))
+	owners := rendezvous.Order(r.Subject(), p.awake(hubs, time.Now()))
+	answers := make([]offered, min(offersAsked, len(owners)))
 	var wait sync.WaitGroup
 	for i := range answers {
 		hub := hubs.named(owners[i])
@@ -113,12 +114,7 @@
 		})
 	}
 	wait.Wait()
-	return lo.FilterMap(answers, func(o *offered, _ int) (offered, bool) {
-		if o == nil {
-			return offered{}, false
-		}
-		return *o, true
-	})
+	return lo.Filter(answers, func(o offered, _ int) bool { return o.Server != "" })
 }
 
 // awake returns the names of the hubs that are not resting.
@@ -134,14 +130,14 @@
 	p.rests[hub.name] = time.Now().Add(hubRests)
 }
 
-func (p *placer) ask(ctx context.Context, hub member, r *balance.Request, until time.Time) (*offered, error) {
+func (p *placer) ask(ctx context.Context, hub member, r *balance.Request, until time.Time) (offered, error) {
 	now := time.Now()
 	if hub.name == p.node.Settings.Name {
 		o, ok := p.desk.Offer(p.self(), p.mine(r.Service), r, until, now)
 		if !ok {
-			return nil, errNoServer
+			return offered{}, errNoServer
 		}
-		return &offered{Offer: o, hub: hub}, nil
+		return offered{Offer: o, hub: hub}, nil
 	}
 	q := &peerpb.Place{
 		Service: r.Service, Id: r.ID, Tokens: int64(r.Tokens), Avoid: r.Avoid, Slots: int64(r.Slots), Once: r.Once,
@@ -152,13 +148,13 @@
 	}
 	a, err := p.node.peers.Call(ctx, hub.addr, &peerpb.Call{Body: &peerpb.Call_Place{Place: q}})
 	if err != nil {
-		return nil, fmt.Errorf("ask hub %s for an offer: %w", hub.name, err)
+		return offered{}, fmt.Errorf("ask hub %s for an offer: %w", hub.name, err)
 	}
 	o := a.GetPlace()
 	if o.GetServer() == "" {
-		return nil, errNoServer
+		return offered{}, errNoServer
 	}
-	return &offered{Offer: place.Offer{Server: o.Server, Cost: o.Cost, Ticket: o.Ticket}, hub: hub}, nil
+	return offered{Offer: place.Offer{Server: o.Server, Cost: o.Cost, Ticket: o.Ticket}, hub: hub}, nil
 }
 
 var errNoServer = fault.New(fault.StepPeer, "", fault.KindLimit, fault.NotRun, "the hub has no server to offer")
--- a/internal/front/share.go
+++ b/internal/front/share.go
@@ -132,9 +132,8 @@
 // share is what this node tells the others.
 func (n *Node) share() *peerpb.Share {
 	s := &peerpb.Share{
-		Node: n.Settings.Name, Incarnation: n.incarnation(), ConfigVersion: n.version(),
-		Wall: n.clock.Own(time.Now()).UnixNano(), Leaving: n.leaving.Load(),
-		ServersAt: n.news.newest(),
+		Node: n.Settings.Name, Incarnation: n.incarnation(),
+		Wall: n.clock.Own(time.Now()).UnixNano(), ServersAt: n.news.newest(),
 	}
 	a := n.admission
 	a.mu.Lock()
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -10,8 +10,6 @@
 package place
 
 import (
-	"cmp"
-	"slices"
 	"sync"
 	"time"
 
@@ -143,33 +141,13 @@
 	d.tracker.Forget(wanted)
 }
 
-// Owners returns the hubs in the order in which something belongs to them.
-func Owners(hubs []string, hash uint64) []string {
-	ordered := slices.Clone(hubs)
-	slices.SortFunc(ordered, func(a, b string) int {
-		return cmp.Or(cmp.Compare(rendezvous.Score(hash, b), rendezvous.Score(hash, a)), cmp.Compare(a, b))
-	})
-	return ordered
-}
-
 // Owned returns those of the servers that belong to a hub.
 func Owned(hub string, hubs []string, servers []registry.Server) []registry.Server {
 	var owned []registry.Server
 	for _, s := range servers {
-		if owner(hubs, xxhash.Sum64String(s.ID)) == hub {
+		if rendezvous.Best(xxhash.Sum64String(s.ID), hubs) == hub {
 			owned = append(owned, s)
 		}
 	}
 	return owned
 }
-
-func owner(hubs []string, hash uint64) string {
-	best := ""
-	for _, h := range hubs {
-		a, b := rendezvous.Score(hash, h), rendezvous.Score(hash, best)
-		if best == "" || a > b || a == b && h < best {
-			best = h
-		}
-	}
-	return best
-}
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -80,15 +80,4 @@
 	for _, n := range owners {
 		is.Equal(n, 1)
 	}
-	first := Owners(hubs, 77)
-	is.Equal(first, Owners([]string{"h3", "h1", "h2", "h4"}, 77))
-	for _, gone := range hubs { // only what belonged to a hub that is gone moves
-		var rest []string
-		for _, h := range first {
-			if h != gone {
-				rest = append(rest, h)
-			}
-		}
-		is.Equal(Owners(rest, 77), rest)
-	}
 }
