Keys are honoured through an outage of the store where that is allowed

Cause: strict_revoke was never read.

Change: bounds strict_revoke, config_ms and outer_ms are read. Where it is not strict, a node without the store asks the others for the configuration: one that is turned away alone has the newest one from them and leaves new clients to them; if none can read the store, keys go on being honoured. A node that hears of nobody refuses at 0.88 of config_ms + outer_ms. Strict sites do as before.

Ruled out: honouring without any bound (the store may turn one node away, which stays bound by config_ms + outer_ms).

Tests: three new ones that failed with the old behaviour (503 for 200 or 401).

--- a/internal/forward/door.go
+++ b/internal/forward/door.go
@@ -54,7 +54,7 @@
 		return &denial{status: http.StatusNotFound, why: "no route"}
 	}
 	if c.HasTenants() && !q.route.Public {
-		if age > h.KeysFor {
+		if q.arrived.After(q.view.KeysUntil) {
 			return notReady("the configuration may be old, and a key taken away")
 		}
 		if q.tenant = c.Tenant(q.meta.Key); q.tenant == nil {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -62,11 +62,14 @@
 
 // View is the immutable state that requests are decided by.
 type View struct {
-	Config   *policy.Config               // nil until one is known
-	ProvedAt time.Time                    // sending of the read that last showed Config to be the newest
-	Servers  map[string][]registry.Server // that take new work, by service
-	Nodes    int                          // that run, this one included
-	Leaving  bool                         // this node is stopping
+	Config      *policy.Config               // nil until one is known
+	ProvedAt    time.Time                    // sending of the read, of this node or another, that last showed Config to be the newest
+	ReadAt      time.Time                    // the same for this node's own way to the store
+	KeysUntil   time.Time                    // until when keys are honoured unless Config is proved again
+	OutageUntil time.Time                    // until when the store counts as down for all nodes
+	Servers     map[string][]registry.Server // that take new work, by service
+	Nodes       int                          // that run, this one included
+	Leaving     bool                         // this node is stopping
 }
 
 // Admission counts requests against the limits of tenants and the budgets of
@@ -94,8 +97,6 @@
 	Admission Admission
 	Log       *zap.Logger
 	Metrics   *metrics.Metrics
-	// KeysFor is how long after the proof of a configuration a key is honoured.
-	KeysFor time.Duration
 	// CertainFor is how long after the proof of a configuration it is certain
 	// enough to deny a route or a key by it.
 	CertainFor time.Duration
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -155,11 +155,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	view := &View{Config: testConfig(t), ProvedAt: time.Now(), Servers: map[string][]registry.Server{"svc": servers}, Nodes: 1}
+	view := &View{Config: testConfig(t), ProvedAt: time.Now(), KeysUntil: time.Now().Add(4 * time.Second), Servers: map[string][]registry.Server{"svc": servers}, Nodes: 1}
 	w.handler = New(Options{
 		Protocol: plainProtocol{}, View: func() *View { return view }, Backends: backend.New(mem.Site("node"), plainProtocol{}),
 		Placer: alone{balance.NewTracker()}, Admission: w.admit, Log: zap.NewNop(), Metrics: m,
-		KeysFor: 4 * time.Second, CertainFor: 2 * time.Second,
+		CertainFor: 2 * time.Second,
 	})
 	return w
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -90,7 +90,8 @@
 	placer    *placer
 	hub       *hub
 	news      serverNews
-	reading   atomic.Bool // this node reads the store itself
+	reading   atomic.Bool  // this node reads the store itself
+	revision  atomic.Int64 // of the configuration's item in hand
 	leaving   atomic.Bool
 	outage    atomic.Pointer[outage] // ends with the next outage of the store
 	configAt  chan struct{}          // closed when the first configuration is known
@@ -101,7 +102,7 @@
 
 // Parts of the bounds that the node keeps to.
 const (
-	keysShare = 0.88 // of the time after which a key taken away must not work
+	keysShare = 0.88 // of the time after which what was taken away must not work
 	certain   = 2200 * time.Millisecond
 	readyFor  = 3000 * time.Millisecond // after the last proof of the configuration
 )
@@ -154,7 +155,6 @@
 		return forward.New(forward.Options{
 			Protocol: o.Protocol, View: n.view.Load, Backends: n.backends, Placer: n.placer, Admission: n.admission,
 			Log: o.Log, Metrics: n.metrics, CertainFor: certain,
-			KeysFor: time.Duration(keysShare * float64(s.Bounds.Revoke())),
 		}), nil
 	})
 }
@@ -246,6 +246,7 @@
 	for _, p := range []part{
 		{"state", n.state.Serve},
 		{"follow store", n.followStore},
+		{"ask peers", n.proveThroughPeers},
 		{"register", n.register},
 		{"peers", func(ctx context.Context) error { return n.peers.Serve(ctx, peers) }},
 		{"share", n.shareState},
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -16,10 +16,10 @@
 	"github.com/shelfcrank/shelfcrank/internal/storetest"
 )
 
-func play(t *testing.T, nodes int, f func(is *is.I, w *world)) {
+func play(t *testing.T, nodes int, f func(is *is.I, w *world), options ...func(*world)) {
 	t.Helper()
 	bubble(t, func(t *testing.T) {
-		w := newWorld(t, nodes)
+		w := newWorld(t, nodes, options...)
 		f(is.New(t), w)
 		w.close()
 	})
--- a/internal/front/hub.go
+++ b/internal/front/hub.go
@@ -124,11 +124,11 @@
 // serveMirror answers a node that reads through this one.
 func (n *Node) serveMirror(ctx context.Context, call *peerpb.Call, answer func(*peerpb.Answer) error) error {
 	if !n.reading.Load() {
-		return fault.New(fault.StepPeer, call.From, fault.KindRefused, fault.NotRun, "%w", errNoHub)
+		return fault.New(fault.StepPeer, call.From, fault.KindNotFound, fault.NotRun, "%w", errNoHub)
 	}
 	a, err := n.hub.answer(ctx, call.GetMirror())
 	if err != nil {
-		return fault.New(fault.StepPeer, call.From, fault.KindRefused, fault.NotRun, "%w", err)
+		return fault.New(fault.StepPeer, call.From, fault.KindNotFound, fault.NotRun, "%w", err)
 	}
 	return answer(&peerpb.Answer{Body: &peerpb.Answer_Mirror{Mirror: a}})
 }
--- /dev/null
+++ b/internal/front/peerproof.go
@@ -0,0 +1,111 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/shelfcrank/shelfcrank/internal/fault"
+	"github.com/shelfcrank/shelfcrank/internal/peerpb"
+)
+
+// Times of asking the other nodes for the configuration.
+const (
+	peerProofEvery = 400 * time.Millisecond // between two rounds; the bounds are seconds
+	outageFor      = 3 * time.Second        // that the store counts as down for all after the last round that showed it
+)
+
+// proveThroughPeers asks the other nodes for the configuration while this node
+// cannot read it from the store. The store may turn one node away and serve the
+// others; or it is down for all, and then nothing new can be in force anywhere.
+//
+// Where a key that is taken away must end at every node within a bound, that
+// bound holds whatever the others say, and nothing is asked.
+func (n *Node) proveThroughPeers(ctx context.Context) error {
+	if n.Settings.Bounds.StrictRevoke {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	for sleep(ctx, peerProofEvery) {
+		if n.view.Load().Config == nil || !n.storeTroubled() {
+			continue
+		}
+		asked := time.Now()
+		if n.askForProof(ctx, n.readers()).shared() {
+			n.state.send(sharedOutage{at: asked})
+		}
+	}
+	return ctx.Err()
+}
+
+// readers returns the other nodes that read the store.
+func (n *Node) readers() []member {
+	hubs := n.state.members.topology()
+	if len(hubs.hubs) == 0 {
+		return n.state.members.list()
+	}
+	var others []member
+	for _, hub := range hubs.hubs {
+		if hub.name != n.Settings.Name {
+			others = append(others, hub)
+		}
+	}
+	return others
+}
+
+// proofs counts the answers of nodes that were asked for a proof.
+type proofs struct {
+	asked   int
+	proved  int
+	without int // said that they cannot read the store
+}
+
+// shared reports whether the store is down for all, as far as can be known: no
+// node can read it, and most of them said so.
+func (p proofs) shared() bool { return p.proved == 0 && p.without > 0 && 2*p.without >= p.asked }
+
+// askForProof asks nodes for the configuration, all at once, and hands what
+// they know to the state.
+func (n *Node) askForProof(ctx context.Context, nodes []member) proofs {
+	counts := proofs{asked: len(nodes)}
+	var mu sync.Mutex // guards counts
+	var wait sync.WaitGroup
+	for _, m := range nodes {
+		wait.Go(func() {
+			err := n.askNodeForProof(ctx, m)
+			var f *fault.Error
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case err == nil:
+				counts.proved++
+			case errors.As(err, &f) && f.Step == fault.StepPeer && f.Kind == fault.KindNotFound:
+				counts.without++
+			}
+		})
+	}
+	wait.Wait()
+	return counts
+}
+
+// askNodeForProof asks one node. Its proof is at least as young as it says,
+// counted from the sending of the question.
+func (n *Node) askNodeForProof(ctx context.Context, m member) error {
+	ctx, cancel := context.WithTimeout(ctx, mirrorTimeout)
+	defer cancel()
+	sent := time.Now()
+	// Only the configuration is asked for: no entry is newer than these.
+	q := &peerpb.Mirror{Config: n.revision.Load(), Servers: math.MaxInt64, Nodes: math.MaxInt64}
+	a, err := n.peers.Call(ctx, m.addr, &peerpb.Call{Body: &peerpb.Call_Mirror{Mirror: q}})
+	if err != nil {
+		return err
+	}
+	read := configRead{value: a.GetMirror().GetConfig(), revision: a.GetMirror().GetConfigRevision(), byPeer: true}
+	if age := a.GetMirror().GetProofAge(); age != notProved {
+		read.provedAt = sent.Add(-time.Duration(age))
+	}
+	n.state.send(read)
+	return nil
+}
--- /dev/null
+++ b/internal/front/peerproof_test.go
@@ -0,0 +1,68 @@
+package front
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shelfcrank/shelfcrank/internal/storetest"
+)
+
+func lenient(w *world) { w.lenient = true }
+
+// Where only nodes that can know of it are bound by a key that is taken away,
+// an outage of the store for all nodes is no reason to refuse anybody.
+func TestAnOutageForAllRefusesNoKeyWhereThatIsAllowed(t *testing.T) {
+	for _, nodes := range []int{3, large} {
+		play(t, nodes, func(is *is.I, w *world) {
+			time.Sleep(4 * time.Second)
+			w.store.SetFaults("", storetest.Faults{Down: true})
+			for i := range 24 {
+				time.Sleep(500 * time.Millisecond)
+				name := fmt.Sprint("n", i%nodes)
+				is.Equal(w.ask(name, "/safe/a", "k1", fmt.Sprint("r", i)), 200)
+			}
+			is.True(w.ready("n0"))
+			w.configure(2, "k2") // once the store is back, it is in force in time
+			w.store.SetFaults("", storetest.Faults{})
+			time.Sleep(2 * time.Second)
+			for name := range w.nodes {
+				is.Equal(w.ask(name, "/safe/a", "k1", "x"+name), 401)
+				is.Equal(w.ask(name, "/safe/a", "k2", "y"+name), 200)
+			}
+		}, lenient)
+	}
+}
+
+// The store turns one node away and serves the others: it learns of a
+// configuration from them, and leaves the clients to them.
+func TestANodeThatIsTurnedAwayLearnsFromTheOthers(t *testing.T) {
+	for _, faults := range []storetest.Faults{{Busy: true}, {Down: true}} {
+		play(t, 3, func(is *is.I, w *world) {
+			w.store.SetFaults("n0", faults)
+			time.Sleep(4 * time.Second)
+			is.True(!w.ready("n0"))
+			is.True(w.ready("n1"))
+			w.configure(2, "k2")
+			time.Sleep(2500 * time.Millisecond)
+			is.Equal(w.ask("n0", "/safe/a", "k1", "a"), 401)
+			is.Equal(w.ask("n0", "/safe/a", "k2", "b"), 200)
+			is.Equal(w.ask("n0", "/new/a", "k2", "c"), 200)
+		}, lenient)
+	}
+}
+
+// A node that hears of nobody cannot tell an outage from its being turned away.
+func TestANodeThatHearsNobodyRefusesKeysInTime(t *testing.T) {
+	play(t, 1, func(is *is.I, w *world) {
+		w.store.SetFaults("n0", storetest.Faults{Busy: true, Silent: true})
+		w.configure(2, "k2")
+		time.Sleep(4 * time.Second)
+		is.Equal(w.ask("n0", "/safe/a", "k1", "a"), 200)
+		time.Sleep(2900 * time.Millisecond)
+		is.Equal(w.ask("n0", "/safe/a", "k1", "b"), 503)
+		is.True(!w.ready("n0"))
+	}, lenient)
+}
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -72,11 +72,14 @@
 	}
 }
 
-// ready reports whether this node can serve as well as any: it knows a
-// configuration that was proved of late, and is not stopping.
+// ready reports whether this node can serve as well as any: it is not stopping
+// and reads the store, or no other node does either.
 func (n *Node) ready(now time.Time) bool {
 	v := n.view.Load()
-	return !n.leaving.Load() && v.Config != nil && now.Sub(v.ProvedAt) < readyFor
+	if n.leaving.Load() || v.Config == nil {
+		return false
+	}
+	return now.Sub(v.ReadAt) < readyFor || now.Before(v.OutageUntil)
 }
 
 func (n *Node) serveMetrics() http.Handler {
--- a/internal/front/spoke.go
+++ b/internal/front/spoke.go
@@ -66,8 +66,8 @@
 	}
 }
 
-// storeTroubled reports whether the last proof is old.
-func (n *Node) storeTroubled() bool { return time.Since(n.view.Load().ProvedAt) > mirrorStale }
+// storeTroubled reports whether this node's last own proof is old.
+func (n *Node) storeTroubled() bool { return time.Since(n.view.Load().ReadAt) > mirrorStale }
 
 // readThroughHubs follows the store through hubs, until this node becomes one
 // or no hub knows what is in the store although this node can find out.
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -22,8 +22,12 @@
 	value    []byte
 	revision int64
 	provedAt time.Time
+	byPeer   bool // another node read it, while this one could not
 }
 
+// sharedOutage tells that the other nodes cannot read the store either.
+type sharedOutage struct{ at time.Time }
+
 // listedServers and listedNodes bring all entries of a kind, watched the changes
 // since.
 type (
@@ -45,6 +49,7 @@
 type leave struct{}
 
 func (configRead) change()    {}
+func (sharedOutage) change()  {}
 func (listedServers) change() {}
 func (listedNodes) change()   {}
 func (watched) change()       {}
@@ -72,6 +77,8 @@
 	config     *policy.Config
 	revision   int64 // of the configuration's item
 	provedAt   time.Time
+	readAt     time.Time // the same for this node's own way to the store
+	outageAt   time.Time // when the others last said that they cannot read the store either
 	stale      bool      // a stale configuration was told of
 	troubleAt  time.Time // of the last call that failed
 	answeredAt time.Time // of the last call that did not
@@ -110,6 +117,8 @@
 	switch c := c.(type) {
 	case configRead:
 		s.takeConfig(c)
+	case sharedOutage:
+		s.outageAt, s.publishDue = c.at, true
 	case listedServers:
 		s.takeServers(c.items, now)
 		s.node.news.listed(c.items, c.at)
@@ -137,6 +146,7 @@
 			return // what it takes away is not known: the one in force is not proved
 		}
 		s.revision = c.revision
+		s.node.revision.Store(c.revision)
 		if s.config == nil || next.Version > s.config.Version {
 			first := s.config == nil
 			s.config, s.publishDue = next, true
@@ -146,15 +156,45 @@
 			}
 		}
 	}
-	if c.revision == s.revision && c.provedAt.After(s.provedAt) {
+	if c.revision != s.revision {
+		return
+	}
+	if !c.byPeer && c.provedAt.After(s.readAt) {
+		s.readAt, s.publishDue = c.provedAt, true
+	}
+	if c.provedAt.After(s.provedAt) {
 		s.provedAt, s.publishDue = c.provedAt, true
 		if s.stale {
 			s.stale = false
-			s.node.event(event.ConfigProved, zap.Int64("version", s.config.Version))
+			s.node.event(event.ConfigProved, zap.Int64("version", s.config.Version), zap.Bool("by_peer", c.byPeer))
 		}
 	}
 }
 
+// keysUntil is how long a key may be honoured. What no node can read binds
+// none, unless the deployment says that a key taken away must end all the same.
+func (s *state) keysUntil() time.Time {
+	b := s.node.Settings.Bounds
+	if b.StrictRevoke {
+		return s.provedAt.Add(shareOf(keysShare, b.Revoke()))
+	}
+	known := s.provedAt
+	if s.outageAt.After(known) {
+		known = s.outageAt
+	}
+	return known.Add(shareOf(keysShare, b.Config()+b.Outer()))
+}
+
+// outageUntil is how long the store counts as down for all nodes.
+func (s *state) outageUntil() time.Time {
+	if s.outageAt.IsZero() {
+		return time.Time{}
+	}
+	return s.outageAt.Add(outageFor)
+}
+
+func shareOf(x float64, d time.Duration) time.Duration { return time.Duration(x * float64(d)) }
+
 // troubled reports whether the store is or just was not to be relied on.
 func (s *state) troubled(now time.Time) bool {
 	return s.storeDown || !s.troubleAt.IsZero() && now.Sub(s.troubleAt) < troubleFor
@@ -257,7 +297,7 @@
 
 func (s *state) tick(now time.Time) {
 	s.tell(s.registry.Expire(s.outage(now), now))
-	if s.config != nil && !s.stale && now.Sub(s.provedAt) > s.node.handler.KeysFor {
+	if s.config != nil && !s.stale && now.After(s.keysUntil()) {
 		s.stale = true
 		s.node.event(event.ConfigStale, zap.Int64("version", s.config.Version), zap.Duration("age", now.Sub(s.provedAt)))
 	}
@@ -270,7 +310,7 @@
 func (s *state) publish() {
 	s.publishDue = false
 	v := &forward.View{
-		Config: s.config, ProvedAt: s.provedAt, Nodes: s.members.count(), Leaving: s.leaving,
+		Config: s.config, ProvedAt: s.provedAt, ReadAt: s.readAt, KeysUntil: s.keysUntil(), OutageUntil: s.outageUntil(), Nodes: s.members.count(), Leaving: s.leaving,
 		Servers: make(map[string][]registry.Server),
 	}
 	for _, server := range s.registry.List() {
--- a/internal/front/world_test.go
+++ b/internal/front/world_test.go
@@ -112,6 +112,8 @@
 	nodes  map[string]*running
 	client *http.Client
 	starts int
+	// lenient is set where a key taken away binds only nodes that can know of it.
+	lenient bool
 
 	mu   sync.Mutex
 	runs map[string]int       // by request id; guarded by mu
@@ -133,13 +135,16 @@
 	testServers = 3
 )
 
-func newWorld(t *testing.T, nodes int) *world {
+func newWorld(t *testing.T, nodes int, options ...func(*world)) *world {
 	t.Helper()
 	w := &world{
 		t: t, mem: netx.NewMem(func(string, string) time.Duration { return time.Millisecond }), store: storetest.New(),
 		cloud: &cloud{windows: make(map[int64]map[string]int64)}, nodes: make(map[string]*running),
 		runs: make(map[string]int), hold: 20 * time.Millisecond, last: make(map[string]time.Time),
 	}
+	for _, set := range options {
+		set(w)
+	}
 	w.client = &http.Client{Transport: netx.Transport(w.mem.Site("client"))}
 	w.configure(1, "k1", "k2")
 	for i := range testServers {
@@ -217,7 +222,7 @@
 func (w *world) settings(name string, host int) settings.Front {
 	return settings.Front{
 		Name: name, Zone: "z", Front: addrOf(host, frontPort), Ready: addrOf(host, readyPort), Peer: addrOf(host, 8002), Metrics: addrOf(host, 8003),
-		Bounds: settings.Bounds{RevokeMs: 5000, DrainMs: 2000, GraceS: 8, RetryRatio: 0.2, RetrySlack: 50, RetryWindowS: 10, LeaseMs: 3000, UsageWindowS: 5, UsageLateS: 10, QuotaWindowS: 8},
+		Bounds: settings.Bounds{RevokeMs: 5000, StrictRevoke: !w.lenient, ConfigMs: 2000, OuterMs: 5000, DrainMs: 2000, GraceS: 8, RetryRatio: 0.2, RetrySlack: 50, RetryWindowS: 10, LeaseMs: 3000, UsageWindowS: 5, UsageLateS: 10, QuotaWindowS: 8},
 	}
 }
 
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -25,6 +25,9 @@
 // soon as what they bound begins.
 type Bounds struct {
 	RevokeMs     float64 `toml:"revoke_ms" help:"Time after which a key that was taken away must not work any more."`
+	StrictRevoke bool    `toml:"strict_revoke" help:"Whether the time above binds a node that is without the store, too. Without it, such a node goes on with the keys that it knows."`
+	ConfigMs     float64 `toml:"config_ms" help:"Time after which a configuration that the store has taken must be in force."`
+	OuterMs      float64 `toml:"outer_ms" help:"Time added to that for a node that the store turns away while it serves others."`
 	DrainMs      float64 `toml:"drain_ms" help:"Time after which a server that leaves must get no new work."`
 	GraceS       float64 `toml:"grace_s" help:"Time from the signal to stop to the end of the process."`
 	RetryRatio   float64 `toml:"retry_ratio" help:"Second tries allowed for each request."`
@@ -41,6 +44,13 @@
 // Revoke returns the time after which a key taken away must not work.
 func (b Bounds) Revoke() time.Duration { return inMilliseconds(b.RevokeMs) }
 
+// Config returns the time after which a configuration must be in force at a
+// node that the store serves.
+func (b Bounds) Config() time.Duration { return inMilliseconds(b.ConfigMs) }
+
+// Outer returns the time added to Config for a node that the store turns away.
+func (b Bounds) Outer() time.Duration { return inMilliseconds(b.OuterMs) }
+
 // Drain returns the time after which a leaving server must get no new work.
 func (b Bounds) Drain() time.Duration { return inMilliseconds(b.DrainMs) }
 
@@ -85,6 +95,7 @@
 	c.need("metrics_address", s.Metrics.IsValid())
 	c.need("store_address", s.Store.IsValid())
 	c.positive("bounds.revoke_ms", s.Bounds.RevokeMs)
+	c.positive("bounds.config_ms", s.Bounds.ConfigMs)
 	c.positive("bounds.drain_ms", s.Bounds.DrainMs)
 	c.positive("bounds.grace_s", s.Bounds.GraceS)
 	c.positive("bounds.lease_ms", s.Bounds.LeaseMs)
--- a/internal/settings/front_test.go
+++ b/internal/settings/front_test.go
@@ -23,6 +23,9 @@
 
 [bounds]
 revoke_ms = 5000
+strict_revoke = true
+config_ms = 2000
+outer_ms = 5000
 drain_ms = 2000
 grace_s = 8
 retry_ratio = 0.2
