The pace of model servers is learned, and nothing of it is a constant

Change: package pace keeps, by ranges of prompt length, what first events took at servers with next to nothing else queued, and fits base, time a token and time a pair of tokens; nodes tell each other what they learned. The base is waiting, not work: the planner does not count it any more.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -15,6 +15,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/shelfcrank/shelfcrank/internal/pace"
 	"github.com/shelfcrank/shelfcrank/internal/registry"
 	"github.com/shelfcrank/shelfcrank/internal/rendezvous"
 )
@@ -64,7 +65,7 @@
 	Resting bool          // failed in a row: gets no work unless all others rest too
 	Keeps   bool          // this node sent the shared parts there of late
 	Work    time.Duration // usual time of a request at the service
-	Token   time.Duration // time to read one prompt token
+	Pace    pace.Model    // of the service's model servers
 }
 
 // Weights of the choice, as times. Each is argued in docs/design/platform.md.
@@ -125,7 +126,7 @@
 		}
 		cost := v.cost(r, uncached)
 		if r.Engine {
-			cost += readAgain * float64(uncached) * float64(v.Token)
+			cost += readAgain * float64(uncached) * v.Pace.Token
 			cost += float64(spread) * float64(tie(r, v)>>11) / (1 << 53)
 		}
 		if v.Resting {
@@ -143,7 +144,7 @@
 func (v *View) cost(r *Request, uncached int) float64 {
 	var t time.Duration
 	if r.Engine {
-		t = time.Duration(v.Prompt+uncached)*v.Token + time.Duration(v.Open)*crowdPenalty
+		t = time.Duration(float64(v.Prompt+uncached)*v.Pace.Token) + time.Duration(v.Open)*crowdPenalty
 		t += time.Duration(holdup(r.Tokens)*float64(v.Open)*float64(holdsUp) + v.Holdup*float64(heldUp))
 	} else {
 		t = time.Duration(float64(v.Work) * (1 + float64(v.Open)/float64(max(1, r.Slots))))
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -88,7 +88,7 @@
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	tr := NewTracker()
-	tr.Heard("n2", map[string]Use{"s0": {Open: 9, Prompt: 90_000}, "s1": {Open: 9, Prompt: 90_000}}, nil, false, now.Add(time.Second), now)
+	tr.Heard("n2", News{Uses: map[string]Use{"s0": {Open: 9, Prompt: 90_000}, "s1": {Open: 9, Prompt: 90_000}}}, now.Add(time.Second), now)
 	k, _ := tr.Pick(servers(3), prompt("a", 1000, ""), now)
 	is.Equal(k.Server.ID, "s2")
 }
@@ -98,7 +98,7 @@
 	now := time.Unix(1000, 0)
 	tr := NewTracker()
 	for i := range 80 {
-		tr.Heard(fmt.Sprint("n", i), nil, map[string]Demand{"llm": {Busy: 0.5, Held: 0.25}}, false, now.Add(6*time.Second), now)
+		tr.Heard(fmt.Sprint("n", i), News{Demand: map[string]Demand{"llm": {Busy: 0.5, Held: 0.25}}}, now.Add(6*time.Second), now)
 	}
 	is.Equal(tr.FleetDemand("llm", now.Add(5*time.Second)), Demand{40, 20}) // a large fleet exchanges seldom
 	is.Equal(tr.FleetDemand("llm", now.Add(7*time.Second)), Demand{})
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/shelfcrank/shelfcrank/internal/decay"
+	"github.com/shelfcrank/shelfcrank/internal/pace"
 	"github.com/shelfcrank/shelfcrank/internal/registry"
 )
 
@@ -33,10 +34,9 @@
 	slowHalfLife    = 6 * time.Second  // until half of what is believed of a server's speed is forgotten: one that gets no work would never prove itself
 	keepFor         = 20 * time.Second // how long a shared prompt is believed to be kept
 	keepMost        = 4096             // shared prompts remembered for one server
-	firstToken      = 16 * time.Microsecond
 	firstWork       = 50 * time.Millisecond
-	engineBase      = 15 * time.Millisecond // to a first event, beside the reading of prompts
 	serviceWeight   = 0.05
+	aloneShare      = 0.25 // of its own tokens that a request may find queued, to tell how fast a server reads
 )
 
 // Use is how much of a server one node has on the way.
@@ -58,10 +58,11 @@
 }
 
 type serviceState struct {
-	work  float64    // nanoseconds
-	token float64    // nanoseconds
-	asked decay.Rate // nanoseconds of work asked for in a second
-	held  decay.Rate // nanoseconds that requests held a place at a model server in a second, by its places
+	work   float64 // nanoseconds
+	pace   pace.Learner
+	agreed pace.Model // of all nodes
+	asked  decay.Rate // nanoseconds of work asked for in a second
+	held   decay.Rate // nanoseconds that requests held a place at a model server in a second, by its places
 }
 
 // Demand is the work that a service was asked for of late, as so many servers'
@@ -74,10 +75,14 @@
 // demandOver is the time over which the work asked for is averaged.
 const demandOver = 3 * time.Second
 
+// Paces are opinions on how fast the model servers are, by service.
+type Paces map[string]pace.Opinion
+
 type remote struct {
 	uses   map[string]Use
 	demand map[string]Demand // by service
-	until  time.Time         // when it counts no more
+	paces  Paces
+	until  time.Time // when it counts no more
 }
 
 // Tracker holds the beliefs about all servers.
@@ -107,6 +112,7 @@
 	state   *serverState
 	service *serviceState
 	prompt  int
+	queued  int // prompt tokens that were to be read before
 	holdup  float64
 	at      time.Time
 	readAt  time.Time
@@ -142,11 +148,11 @@
 	}
 	v := &views[best.Index]
 	st := t.server(v.Server.ID)
-	k := &Ticket{Server: v.Server, Cost: best.Cost, tracker: t, request: r, state: st, service: service, at: now, prompt: best.Uncached}
+	k := &Ticket{Server: v.Server, Cost: best.Cost, tracker: t, request: r, state: st, service: service, at: now, prompt: best.Uncached, queued: v.Prompt}
 	if r.Engine {
 		k.holdup = holdup(r.Tokens)
 	}
-	k.expect = float64(engineBase) + float64(v.Prompt+k.prompt)*service.token
+	k.expect = float64(service.agreed.First(k.prompt)) + float64(v.Prompt)*service.agreed.Token
 	if !r.Engine {
 		k.expect = service.work
 	}
@@ -169,7 +175,7 @@
 // work is how long the request keeps a server busy, in nanoseconds.
 func (k *Ticket) work() float64 {
 	if k.request.Engine {
-		return float64(k.prompt)*k.service.token + float64(engineBase)
+		return float64(k.service.agreed.Reading(k.prompt))
 	}
 	return k.service.work
 }
@@ -214,7 +220,7 @@
 		Server: s, Open: st.use.Open + far.Open, Prompt: st.use.Prompt + far.Prompt, Holdup: st.use.Holdup + far.Holdup,
 		Slow: st.slowNow(now), Failing: st.failingAt(now), Resting: now.Before(st.restUntil),
 		Keeps: keeps && now.Sub(seen) < keepFor,
-		Work:  time.Duration(service.work), Token: time.Duration(service.token),
+		Work:  time.Duration(service.work), Pace: service.agreed,
 	}
 }
 
@@ -230,8 +236,9 @@
 func (t *Tracker) service(name string) *serviceState {
 	s := t.services[name]
 	if s == nil {
-		s = &serviceState{work: float64(firstWork), token: float64(firstToken)}
+		s = &serviceState{work: float64(firstWork)}
 		t.services[name] = s
+		t.agree(name)
 	}
 	return s
 }
@@ -290,7 +297,34 @@
 	}
 	if !k.request.Engine {
 		k.service.work += serviceWeight * (took - k.service.work)
+	} else if float64(k.queued) <= aloneShare*float64(k.prompt) {
+		k.service.pace.Observe(k.queued+k.prompt, now.Sub(k.at))
+		k.tracker.agree(k.request.Service)
+	}
+}
+
+// agree works out the pace of a service that follows from what this node and the
+// others observed.
+func (t *Tracker) agree(service string) {
+	s := t.services[service]
+	opinions := []pace.Opinion{{Model: s.pace.Model(), Weight: 1 + s.pace.Weight()}}
+	for _, r := range t.remotes {
+		opinions = append(opinions, r.paces[service])
 	}
+	s.agreed = pace.Agreed(opinions)
+}
+
+// Paces returns what this node learned itself.
+func (t *Tracker) Paces() Paces {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make(Paces)
+	for name, s := range t.services {
+		if s.pace.Weight() > 0 {
+			out[name] = pace.Opinion{Model: s.pace.Model(), Weight: s.pace.Weight()}
+		}
+	}
+	return out
 }
 
 // Done ends the request at the server.
@@ -336,16 +370,23 @@
 	}
 }
 
-// Heard takes another node's use of the servers and its demand by service, which
-// count until the node is heard of again or until a deadline.
-// Brief news leave the demand as it was.
-func (t *Tracker) Heard(node string, uses map[string]Use, demand map[string]Demand, brief bool, until, now time.Time) {
+// News is what another node tells. Brief news leave all but the uses as it was.
+type News struct {
+	Uses   map[string]Use
+	Demand map[string]Demand // by service
+	Paces  Paces
+	Brief  bool
+}
+
+// Heard takes another node's news, which count until the node is heard of again
+// or until a deadline.
+func (t *Tracker) Heard(node string, news News, until, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if brief {
-		demand = t.remotes[node].demand
+	if news.Brief {
+		news.Demand, news.Paces = t.remotes[node].demand, t.remotes[node].paces
 	}
-	t.remotes[node] = remote{uses, demand, until}
+	t.remotes[node] = remote{news.Uses, news.Demand, news.Paces, until}
 	clear(t.sums)
 	for name, r := range t.remotes {
 		if now.After(r.until) {
--- a/internal/front/share.go
+++ b/internal/front/share.go
@@ -9,6 +9,7 @@
 
 	"github.com/shelfcrank/shelfcrank/internal/balance"
 	"github.com/shelfcrank/shelfcrank/internal/event"
+	"github.com/shelfcrank/shelfcrank/internal/pace"
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
 	"github.com/shelfcrank/shelfcrank/internal/quota"
 	"github.com/shelfcrank/shelfcrank/internal/usage"
@@ -161,8 +162,13 @@
 	}
 	a.mu.Unlock()
 	s.Servers = n.serverShares()
+	paces := n.tracker.Paces()
 	for name, demand := range n.tracker.Demand(time.Now()) {
-		s.Services = append(s.Services, &peerpb.ServiceShare{Name: name, Busy: demand.Busy, Held: demand.Held})
+		p := paces[name]
+		s.Services = append(s.Services, &peerpb.ServiceShare{
+			Name: name, Busy: demand.Busy, Held: demand.Held,
+			PaceBase: p.Model.Base, PaceToken: p.Model.Token, PacePair: p.Model.Pair, PaceWeight: p.Weight,
+		})
 	}
 	return s
 }
@@ -208,8 +214,16 @@
 		uses[server.Id] = balance.Use{Open: int(server.Open), Prompt: int(server.Prompt), Holdup: server.Holdup}
 	}
 	demand := make(map[string]balance.Demand, len(s.Services))
+	paces := make(balance.Paces, len(s.Services))
 	for _, service := range s.Services {
 		demand[service.Name] = balance.Demand{Busy: service.Busy, Held: service.Held}
+		if service.PaceWeight > 0 {
+			paces[service.Name] = pace.Opinion{
+				Model:  pace.Model{Base: service.PaceBase, Token: service.PaceToken, Pair: service.PacePair},
+				Weight: service.PaceWeight,
+			}
+		}
 	}
-	n.tracker.Heard(s.Node, uses, demand, s.Brief, now.Add(max(believeLeast, believeTimes*n.shareEvery())), now)
+	news := balance.News{Uses: uses, Demand: demand, Paces: paces, Brief: s.Brief}
+	n.tracker.Heard(s.Node, news, now.Add(max(believeLeast, believeTimes*n.shareEvery())), now)
 }
