Servers are planned fuller, and others are ordered in the cheapest zones

Change: full 0.85 instead of 0.65, 0.95 with the next zone lost instead of 0.8, busy 0.8 instead of 0.7; others go to the cheapest zones, no more than half in one.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -61,13 +61,13 @@
 const (
 	spotFactor  = 1.5              // reclaimable servers for each server's worth of work,
 	spotSpare   = 2.5              // and for its root: chance weighs more in a small fleet
-	regularLoad = 0.7              // load of a server for which others are ordered in their place
+	regularLoad = 0.8              // load of a server for which others are ordered in their place
 	leastLeft   = 2                // servers after the loss of a zone
 	holdPeak    = 25 * time.Second // how long a peak of the work is planned for by reclaimable servers,
 	holdShort   = 8 * time.Second  // and by others
 	lossLoad    = 0.95             // load of a server that is borne if the next zone goes as well
-	fullLoad    = 0.65             // how full the servers may be that are left after the loss of two zones,
-	fullLoss    = 0.8              // how full they may be if the next zone goes as well
+	fullLoad    = 0.85             // how full the servers may be that are left after the loss of two zones,
+	fullLoss    = 0.95             // how full they may be if the next zone goes as well
 	mostReading = 0.8              // at the most the share of a server's time that is believed to go into prompts
 	zonesLost   = 2                // zones that may go at once
 	settle      = 8 * time.Second  // after the first traffic nothing is given back
@@ -243,15 +243,18 @@
 	return Zone{}
 }
 
-// addRegular adds servers where fewest are, in the order of the wants.
+// addRegular adds servers where they are cheapest, but no more than half of them
+// in one zone: a zone may fail.
 func addRegular(in Input, wants []Want, n int) {
+	total := lo.SumBy(wants, func(w Want) int { return w.Regular })
 	for range n {
+		total++
 		best := -1
-		for i, w := range wants {
+		for i, w := range wants { // the cheapest first
 			if z := zoneNamed(in, w.Zone); z.Spot+z.SpotComing+w.Regular >= in.Max {
 				continue
 			}
-			if best < 0 || w.Regular < wants[best].Regular {
+			if best < 0 || wants[best].Regular >= (total+1)/2 && w.Regular < wants[best].Regular {
 				best = i
 			}
 		}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -162,3 +162,17 @@
 	spot, _, _ = sums(p.Plan(in, now.Add(settle+time.Second)))
 	is.True(spot < 20)
 }
+
+// Servers that are not reclaimable are paid for by their zone; but one zone may
+// fail.
+func TestOthersAreOrderedWhereTheyAreCheapest(t *testing.T) {
+	is := is.New(t)
+	in := Input{Min: 0, Max: 10, SpotPrice: 0.2, Zones: zones(0, 0)}
+	wants := []Want{{Zone: "a"}, {Zone: "b"}, {Zone: "c"}, {Zone: "d"}} // the cheapest first
+	addRegular(in, wants, 7)
+	is.Equal(wants, []Want{{Zone: "a", Regular: 4}, {Zone: "b", Regular: 3}, {Zone: "c"}, {Zone: "d"}})
+	in.Max = 4
+	addRegular(in, wants, 4)
+	is.Equal(wants[0].Regular+wants[1].Regular, 8) // as many as the operators allow
+	is.Equal(wants[2].Regular, 3)
+}
