Long prompts are kept apart from streams as far as streams beside them are late

Change: the penalties count by a risk, learned for each service and told to the other nodes: the share of streams late beside long prompts less that of others, full at one in ten. Desks of hubs go by the node's lessons.

TestAStreamKeepsAwayFromALongPrompt now first shows streams held up, as the rule holds only there; a new test holds the opposite where they are not.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -66,6 +66,7 @@
 	Keeps   bool          // this node sent the shared parts there of late
 	Work    time.Duration // usual time of a request at the service
 	Pace    pace.Model    // of the service's model servers
+	Risk    float64       // that streams there pause for too long beside a long prompt, 0 to 1
 }
 
 // Weights of the choice, as times. Each is argued in docs/design/platform.md.
@@ -77,8 +78,9 @@
 	fullPenalty    = 2 * time.Second        // for a server whose slots are all taken
 	longPrompt     = 10_000                 // tokens from which reading a prompt holds up streams beside it
 	mostHoldup     = 4.0
-	holdsUp        = 60 * time.Millisecond  // for each stream that a long prompt would hold up
-	heldUp         = 250 * time.Millisecond // for a stream beside a long prompt
+	longHoldup     = 0.5                    // from which a prompt counts as long
+	holdsUp        = 60 * time.Millisecond  // for each stream that a long prompt would hold up, at full risk
+	heldUp         = 250 * time.Millisecond // for a stream beside a long prompt, at full risk
 	readAgain      = 2.0                    // for a prompt token that is kept elsewhere, times its reading: it is paid for beside the time
 	spread         = 25 * time.Millisecond  // at the most, drawn by request: nodes that decide at once see the same
 )
@@ -145,7 +147,7 @@
 	var t time.Duration
 	if r.Engine {
 		t = time.Duration(float64(v.Prompt+uncached)*v.Pace.Token) + time.Duration(v.Open)*crowdPenalty
-		t += time.Duration(holdup(r.Tokens)*float64(v.Open)*float64(holdsUp) + v.Holdup*float64(heldUp))
+		t += time.Duration(v.Risk * (holdup(r.Tokens)*float64(v.Open)*float64(holdsUp) + v.Holdup*float64(heldUp)))
 	} else {
 		t = time.Duration(float64(v.Work) * (1 + float64(v.Open)/float64(max(1, r.Slots))))
 	}
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -71,10 +71,13 @@
 	is.Equal(next.Server.ID, first.Server.ID)
 }
 
+// Where streams pause for too long beside long prompts, they are kept apart.
 func TestAStreamKeepsAwayFromALongPrompt(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	tr := NewTracker()
+	seeStreams(tr, 100, true, now)
+	now = now.Add(time.Hour)
 	long, _ := tr.Pick(servers(3), prompt("long", 40_000, ""), now)
 	for i := range 20 {
 		k, _ := tr.Pick(servers(3), prompt(fmt.Sprint(i), 500, ""), now)
@@ -84,6 +87,69 @@
 	is.Equal(next.Server.ID, long.Server.ID) // rather than hold up the streams at the others
 }
 
+// seeStreams shows a tracker streams of which those that run beside a long prompt
+// pause for too long, or do not.
+func seeStreams(tr *Tracker, n int, late bool, now time.Time) {
+	for i := range n {
+		k, _ := tr.Pick(servers(1), prompt(fmt.Sprint("seen", i), 100, ""), now)
+		k.Read(now.Add(20 * time.Millisecond))
+		long, _ := tr.Pick(servers(1), prompt(fmt.Sprint("long", i), 30_000, ""), now.Add(time.Millisecond))
+		long.Read(now.Add(400 * time.Millisecond))
+		long.Done(Cancelled, now.Add(400*time.Millisecond))
+		k.Streamed(late)
+		k.Done(Answered, now.Add(time.Second))
+		now = now.Add(10 * time.Second)
+	}
+}
+
+// Where servers read long prompts without holding up streams, a subject stays at
+// its home, though streams run there.
+func TestALongPromptStaysAtItsHomeWhereItHoldsUpNothing(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		is := is.New(t)
+		now := time.Unix(1000, 0)
+		tr := NewTracker()
+		seeStreams(tr, 300, late, now)
+		now = now.Add(time.Hour)
+		first, _ := tr.Pick(servers(4), prompt("first", 16_000, "subject"), now)
+		first.Read(now)
+		first.Done(Answered, now)
+		for i := range 6 { // streams that were read
+			k, _ := tr.Pick([]registry.Server{first.Server}, prompt(fmt.Sprint(i), 300, ""), now)
+			k.Read(now)
+		}
+		next, _ := tr.Pick(servers(4), prompt("next", 16_000, "subject"), now)
+		is.Equal(next.Server.ID == first.Server.ID, !late)
+	}
+}
+
+// Streams that are late with and without a long prompt are no reason to keep
+// them apart.
+func TestOnlyWhatLongPromptsDoIsARisk(t *testing.T) {
+	is := is.New(t)
+	risk := func(besideOneIn, apartOneIn int) float64 {
+		r := newHoldRisk()
+		for i := range 3000 {
+			r.note(i%besideOneIn == 0, true)
+			r.note(i%apartOneIn == 0, false)
+		}
+		return r.risk()
+	}
+	is.True(risk(5, 1000) > 0.9)
+	is.True(risk(1000, 1000) < 0.1)
+	is.True(risk(5, 5) < 0.1)
+}
+
+func TestADeskGoesByWhatTheNodeLearned(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	a, b := NewTracker(), NewTracker()
+	seeStreams(a, 20, true, now)
+	b.Adopt(a.Agreed())
+	seeStreams(b, 20, false, now)
+	is.Equal(b.Agreed(), a.Agreed())
+}
+
 func TestOthersUseCounts(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
--- /dev/null
+++ b/internal/balance/lesson.go
@@ -0,0 +1,119 @@
+package balance
+
+import "github.com/shelfcrank/shelfcrank/internal/pace"
+
+// Lesson is what a node learned of a service's model servers.
+type Lesson struct {
+	Pace pace.Opinion
+	Risk float64 // that streams pause for too long beside a long prompt, 0 to 1
+}
+
+// Lessons are those of all services, by name.
+type Lessons map[string]Lesson
+
+// lesson is what is learned of a service here, and what all nodes make of it.
+type lesson struct {
+	reading pace.Learner
+	pauses  holdRisk
+	pace    pace.Model // of all nodes
+	risk    float64    // of all nodes
+	adopted bool       // pace and risk come from another tracker of this node
+}
+
+func newLesson() lesson { return lesson{pauses: newHoldRisk()} }
+
+// holdRisk learns how far long prompts have to be kept apart from streams. There
+// are servers that read a prompt in pieces so small that no stream is held up,
+// and others at which it stands still: only what streams show tells which. What
+// makes streams late with and without a long prompt beside them is no reason.
+type holdRisk struct {
+	beside share // of streams that were late, of those with a long prompt beside them
+	apart  share // and of the others
+}
+
+// Tuning of the risk. It is believed in full if one in ten streams more is late
+// beside long prompts, which is what keeping them apart costs about.
+const (
+	fullRisk  = 0.1
+	firstRisk = 0.3 // before anything was seen
+	riskSeen  = 100 // streams that count; older ones fade
+)
+
+func newHoldRisk() holdRisk { return holdRisk{beside: firstRisk * fullRisk} }
+
+// share is a fading share of events.
+type share float64
+
+func (s *share) note(yes bool) {
+	x := 0.0
+	if yes {
+		x = 1
+	}
+	*s += share((x - float64(*s)) / riskSeen)
+}
+
+func (r *holdRisk) note(late, beside bool) {
+	if beside {
+		r.beside.note(late)
+	} else {
+		r.apart.note(late)
+	}
+}
+
+// risk returns the risk, 0 to 1.
+func (r *holdRisk) risk() float64 {
+	return min(1, max(0, float64(r.beside-r.apart)/fullRisk))
+}
+
+// agree works out what follows for a service from what this node and the others
+// learned.
+func (t *Tracker) agree(service string) {
+	s := t.services[service]
+	if s.adopted {
+		return
+	}
+	opinions := []pace.Opinion{{Model: s.reading.Model(), Weight: 1 + s.reading.Weight()}}
+	risk, nodes := s.pauses.risk(), 1.0
+	for _, r := range t.remotes {
+		if l, told := r.lessons[service]; told {
+			opinions = append(opinions, l.Pace)
+			risk += l.Risk
+			nodes++
+		}
+	}
+	s.pace, s.risk = pace.Agreed(opinions), risk/nodes
+}
+
+// Lessons returns what this node learned itself.
+func (t *Tracker) Lessons() Lessons {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make(Lessons)
+	for name, s := range t.services {
+		if s.reading.Weight() > 0 {
+			out[name] = Lesson{pace.Opinion{Model: s.reading.Model(), Weight: s.reading.Weight()}, s.pauses.risk()}
+		}
+	}
+	return out
+}
+
+// Agreed returns what follows from the lessons of all nodes.
+func (t *Tracker) Agreed() Lessons {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make(Lessons)
+	for name, s := range t.services {
+		out[name] = Lesson{pace.Opinion{Model: s.pace, Weight: 1}, s.risk}
+	}
+	return out
+}
+
+// Adopt makes this tracker go by what another tracker of the same node learned.
+func (t *Tracker) Adopt(lessons Lessons) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for name, l := range lessons {
+		s := t.service(name)
+		s.adopted, s.pace, s.risk = true, l.Pace.Model, l.Risk
+	}
+}
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/shelfcrank/shelfcrank/internal/decay"
-	"github.com/shelfcrank/shelfcrank/internal/pace"
 	"github.com/shelfcrank/shelfcrank/internal/registry"
 )
 
@@ -54,15 +53,15 @@
 	failedAt  time.Time
 	inRow     int
 	restUntil time.Time
+	longAt    time.Time            // when a long prompt was last known to be read there
 	keeps     map[uint64]time.Time // hash of shared parts to when they were sent there last
 }
 
 type serviceState struct {
-	work   float64 // nanoseconds
-	pace   pace.Learner
-	agreed pace.Model // of all nodes
-	asked  decay.Rate // nanoseconds of work asked for in a second
-	held   decay.Rate // nanoseconds that requests held a place at a model server in a second, by its places
+	lesson
+	work  float64    // nanoseconds
+	asked decay.Rate // nanoseconds of work asked for in a second
+	held  decay.Rate // nanoseconds that requests held a place at a model server in a second, by its places
 }
 
 // Demand is the work that a service was asked for of late, as so many servers'
@@ -75,14 +74,11 @@
 // demandOver is the time over which the work asked for is averaged.
 const demandOver = 3 * time.Second
 
-// Paces are opinions on how fast the model servers are, by service.
-type Paces map[string]pace.Opinion
-
 type remote struct {
-	uses   map[string]Use
-	demand map[string]Demand // by service
-	paces  Paces
-	until  time.Time // when it counts no more
+	uses    map[string]Use
+	demand  map[string]Demand // by service
+	lessons Lessons
+	until   time.Time // when it counts no more
 }
 
 // Tracker holds the beliefs about all servers.
@@ -152,13 +148,16 @@
 	if r.Engine {
 		k.holdup = holdup(r.Tokens)
 	}
-	k.expect = float64(service.agreed.First(k.prompt)) + float64(v.Prompt)*service.agreed.Token
+	k.expect = float64(service.pace.First(k.prompt)) + float64(v.Prompt)*service.pace.Token
 	if !r.Engine {
 		k.expect = service.work
 	}
 	st.use.Open++
 	st.use.Prompt += k.prompt
 	st.use.Holdup += k.holdup
+	if k.holdup >= longHoldup {
+		st.longAt = now.Add(service.pace.Reading(k.prompt))
+	}
 	service.asked.Add(k.work(), demandOver, now)
 	if k.prompt >= tellFrom {
 		select {
@@ -175,7 +174,7 @@
 // work is how long the request keeps a server busy, in nanoseconds.
 func (k *Ticket) work() float64 {
 	if k.request.Engine {
-		return float64(k.service.agreed.Reading(k.prompt))
+		return float64(k.service.pace.Reading(k.prompt))
 	}
 	return k.service.work
 }
@@ -220,7 +219,7 @@
 		Server: s, Open: st.use.Open + far.Open, Prompt: st.use.Prompt + far.Prompt, Holdup: st.use.Holdup + far.Holdup,
 		Slow: st.slowNow(now), Failing: st.failingAt(now), Resting: now.Before(st.restUntil),
 		Keeps: keeps && now.Sub(seen) < keepFor,
-		Work:  time.Duration(service.work), Pace: service.agreed,
+		Work:  time.Duration(service.work), Pace: service.pace, Risk: service.risk,
 	}
 }
 
@@ -236,7 +235,7 @@
 func (t *Tracker) service(name string) *serviceState {
 	s := t.services[name]
 	if s == nil {
-		s = &serviceState{work: float64(firstWork)}
+		s = &serviceState{work: float64(firstWork), lesson: newLesson()}
 		t.services[name] = s
 		t.agree(name)
 	}
@@ -298,33 +297,17 @@
 	if !k.request.Engine {
 		k.service.work += serviceWeight * (took - k.service.work)
 	} else if float64(k.queued) <= aloneShare*float64(k.prompt) {
-		k.service.pace.Observe(k.queued+k.prompt, now.Sub(k.at))
+		k.service.reading.Observe(k.queued+k.prompt, now.Sub(k.at))
 		k.tracker.agree(k.request.Service)
 	}
 }
 
-// agree works out the pace of a service that follows from what this node and the
-// others observed.
-func (t *Tracker) agree(service string) {
-	s := t.services[service]
-	opinions := []pace.Opinion{{Model: s.pace.Model(), Weight: 1 + s.pace.Weight()}}
-	for _, r := range t.remotes {
-		opinions = append(opinions, r.paces[service])
-	}
-	s.agreed = pace.Agreed(opinions)
-}
-
-// Paces returns what this node learned itself.
-func (t *Tracker) Paces() Paces {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	out := make(Paces)
-	for name, s := range t.services {
-		if s.pace.Weight() > 0 {
-			out[name] = pace.Opinion{Model: s.pace.Model(), Weight: s.pace.Weight()}
-		}
-	}
-	return out
+// Streamed says whether a whole stream paused for longer than it should.
+func (k *Ticket) Streamed(late bool) {
+	k.tracker.mu.Lock()
+	defer k.tracker.mu.Unlock()
+	k.service.pauses.note(late, k.state.longAt.After(k.at))
+	k.tracker.agree(k.request.Service)
 }
 
 // Done ends the request at the server.
@@ -372,10 +355,10 @@
 
 // News is what another node tells. Brief news leave all but the uses as it was.
 type News struct {
-	Uses   map[string]Use
-	Demand map[string]Demand // by service
-	Paces  Paces
-	Brief  bool
+	Uses    map[string]Use
+	Demand  map[string]Demand // by service
+	Lessons Lessons
+	Brief   bool
 }
 
 // Heard takes another node's news, which count until the node is heard of again
@@ -384,9 +367,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if news.Brief {
-		news.Demand, news.Paces = t.remotes[node].demand, t.remotes[node].paces
+		news.Demand, news.Lessons = t.remotes[node].demand, t.remotes[node].lessons
 	}
-	t.remotes[node] = remote{news.Uses, news.Demand, news.Paces, until}
+	t.remotes[node] = remote{news.Uses, news.Demand, news.Lessons, until}
 	clear(t.sums)
 	for name, r := range t.remotes {
 		if now.After(r.until) {
@@ -399,6 +382,9 @@
 			sum.Prompt += u.Prompt
 			sum.Holdup += u.Holdup
 			t.sums[id] = sum
+			if u.Holdup >= longHoldup {
+				t.server(id).longAt = now
+			}
 		}
 	}
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -18,8 +18,10 @@
 	"github.com/shelfcrank/shelfcrank/internal/fault"
 )
 
-// maxEvent bounds one event of a stream.
-const maxEvent = 1 << 20
+const (
+	maxEvent   = 1 << 20 // bytes of one event of a stream
+	pauseShare = 0.8     // of the longest pause that operators want, from which a stream counts as held up
+)
 
 var (
 	errLongEvent = errors.New("an event is too long")
@@ -87,6 +89,9 @@
 	for {
 		e, err := nextEvent(r, buf)
 		if err == io.EOF {
+			if q.pause > 0 && q.route.MaxPause > 0 {
+				ticket.Streamed(q.pause > time.Duration(pauseShare*float64(q.route.MaxPause)))
+			}
 			ticket.Done(balance.Answered, time.Now())
 			h.openStream(w, q, resp)
 			h.logEnd(q, event.ForwardAnswered, resp.Status, "", nil)
--- a/internal/front/placing.go
+++ b/internal/front/placing.go
@@ -264,6 +264,7 @@
 
 // tidy ends what must be over.
 func (p *placer) tidy(wanted func(server string) bool, now time.Time) {
+	p.desk.Adopt(p.node.tracker.Agreed())
 	members := map[string]bool{p.node.Settings.Name: true}
 	for _, m := range p.node.state.members.list() {
 		members[m.name] = true
--- a/internal/front/share.go
+++ b/internal/front/share.go
@@ -162,12 +162,13 @@
 	}
 	a.mu.Unlock()
 	s.Servers = n.serverShares()
-	paces := n.tracker.Paces()
+	lessons := n.tracker.Lessons()
 	for name, demand := range n.tracker.Demand(time.Now()) {
-		p := paces[name]
+		l := lessons[name]
 		s.Services = append(s.Services, &peerpb.ServiceShare{
 			Name: name, Busy: demand.Busy, Held: demand.Held,
-			PaceBase: p.Model.Base, PaceToken: p.Model.Token, PacePair: p.Model.Pair, PaceWeight: p.Weight,
+			PaceBase: l.Pace.Model.Base, PaceToken: l.Pace.Model.Token, PacePair: l.Pace.Model.Pair, PaceWeight: l.Pace.Weight,
+			HoldRisk: l.Risk,
 		})
 	}
 	return s
@@ -214,16 +215,19 @@
 		uses[server.Id] = balance.Use{Open: int(server.Open), Prompt: int(server.Prompt), Holdup: server.Holdup}
 	}
 	demand := make(map[string]balance.Demand, len(s.Services))
-	paces := make(balance.Paces, len(s.Services))
+	lessons := make(balance.Lessons, len(s.Services))
 	for _, service := range s.Services {
 		demand[service.Name] = balance.Demand{Busy: service.Busy, Held: service.Held}
 		if service.PaceWeight > 0 {
-			paces[service.Name] = pace.Opinion{
-				Model:  pace.Model{Base: service.PaceBase, Token: service.PaceToken, Pair: service.PacePair},
-				Weight: service.PaceWeight,
+			lessons[service.Name] = balance.Lesson{
+				Pace: pace.Opinion{
+					Model:  pace.Model{Base: service.PaceBase, Token: service.PaceToken, Pair: service.PacePair},
+					Weight: service.PaceWeight,
+				},
+				Risk: service.HoldRisk,
 			}
 		}
 	}
-	news := balance.News{Uses: uses, Demand: demand, Paces: paces, Brief: s.Brief}
+	news := balance.News{Uses: uses, Demand: demand, Lessons: lessons, Brief: s.Brief}
 	n.tracker.Heard(s.Node, news, now.Add(max(believeLeast, believeTimes*n.shareEvery())), now)
 }
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -127,6 +127,9 @@
 	}
 }
 
+// Adopt makes the desk go by what the node learned of the servers.
+func (d *Desk) Adopt(lessons balance.Lessons) { d.tracker.Adopt(lessons) }
+
 // Open returns how many requests are placed and not done.
 func (d *Desk) Open() int {
 	d.mu.Lock()
