A starting node waits for the servers before it serves

Change: the door opens when both are known, after 1.5 s at the latest as before.

The test fails without it (503).

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -94,7 +94,7 @@
 	revision  atomic.Int64 // of the configuration's item in hand
 	leaving   atomic.Bool
 	outage    atomic.Pointer[outage] // ends with the next outage of the store
-	configAt  chan struct{}          // closed when the first configuration is known
+	knows     chan struct{}          // closed when a configuration and the servers are known
 }
 
 // incarnation tells this start of the node from earlier ones.
@@ -109,7 +109,7 @@
 
 // New wires a node; Run starts it.
 func New(o Options) (*Node, error) {
-	n := &Node{Options: o, start: time.Now(), injector: do.New(), configAt: make(chan struct{}), hub: newHub()}
+	n := &Node{Options: o, start: time.Now(), injector: do.New(), knows: make(chan struct{}), hub: newHub()}
 	n.clock = walltime.New(n.start)
 	n.view.Store(&forward.View{Nodes: 1})
 	n.outage.Store(newOutage())
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -117,6 +117,18 @@
 	}
 }
 
+// A node that knows the configuration and no server yet lets clients wait: there
+// is nothing that it could offer their requests to.
+func TestAStartingNodeRefusesNobodyForWantOfServers(t *testing.T) {
+	play(t, 2, func(is *is.I, w *world) {
+		w.kill("n0")
+		w.listing = 300 * time.Millisecond
+		w.start("n0")
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(w.ask("n0", "/safe/a", "k1", "a"), 200)
+	})
+}
+
 func TestAllNodesKilledAtOnce(t *testing.T) {
 	play(t, 3, func(is *is.I, w *world) {
 		w.kill("n0", "n1", "n2")
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -16,7 +16,7 @@
 	headerTimeout  = 3 * time.Second
 	idleTimeout    = 15 * time.Second
 	headerBytes    = 16 << 10
-	firstConfig    = 1500 * time.Millisecond // clients wait in the queue for the first configuration
+	firstKnown     = 1500 * time.Millisecond // clients wait in the queue until the configuration and the servers are known
 	quietAfter     = 2500 * time.Millisecond // no new connections come so long after a node is not ready
 	drainShare     = 0.9                     // of the grace that requests may take to end
 	lookWhileDrain = 50 * time.Millisecond
@@ -25,9 +25,9 @@
 // serveClients begins to serve clients, by the limits of the configuration.
 func (n *Node) serveClients(ctx context.Context, l net.Listener) *http.Server {
 	select {
-	case <-n.configAt:
+	case <-n.knows:
 	case <-ctx.Done():
-	case <-time.After(firstConfig):
+	case <-time.After(firstKnown):
 	}
 	s := &http.Server{
 		Handler: n.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -85,6 +85,8 @@
 	storeDown  bool
 	downAt     time.Time // since when the store is down
 	leaving    bool
+	listed     bool // the servers are known
+	knows      bool // as Node.knows
 	publishDue bool
 }
 
@@ -148,12 +150,8 @@
 		s.revision = c.revision
 		s.node.revision.Store(c.revision)
 		if s.config == nil || next.Version > s.config.Version {
-			first := s.config == nil
 			s.config, s.publishDue = next, true
 			s.node.event(event.ConfigInForce, zap.Int64("version", next.Version), zap.Int64("revision", c.revision), zap.Bool("by_watch", c.provedAt.IsZero()))
-			if first {
-				close(s.node.configAt)
-			}
 		}
 	}
 	if c.revision != s.revision {
@@ -240,7 +238,7 @@
 		}
 	}
 	s.tell(s.registry.Replace(servers, s.troubled(now), now))
-	s.publishDue = true
+	s.listed, s.publishDue = true, true
 }
 
 // decode reads a server's entry. One that can't be read leaves what is known.
@@ -319,4 +317,8 @@
 		}
 	}
 	s.node.view.Store(v)
+	if !s.knows && s.config != nil && s.listed {
+		s.knows = true
+		close(s.node.knows)
+	}
 }
--- a/internal/front/world_test.go
+++ b/internal/front/world_test.go
@@ -23,6 +23,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/policy"
 	"github.com/shelfcrank/shelfcrank/internal/registry"
 	"github.com/shelfcrank/shelfcrank/internal/settings"
+	"github.com/shelfcrank/shelfcrank/internal/store"
 	"github.com/shelfcrank/shelfcrank/internal/storetest"
 )
 
@@ -114,6 +115,7 @@
 	starts int
 	// lenient is set where a key taken away binds only nodes that can know of it.
 	lenient bool
+	listing time.Duration // added to a listing of the servers
 
 	mu   sync.Mutex
 	runs map[string]int       // by request id; guarded by mu
@@ -231,11 +233,24 @@
 	return 1 + n
 }
 
+// slowListing is a store that lists the servers late.
+type slowListing struct {
+	Store
+	late time.Duration
+}
+
+func (s slowListing) Range(ctx context.Context, prefix string) ([]store.Item, int64, error) {
+	if prefix == (plain{}).ServerPrefix() {
+		time.Sleep(s.late)
+	}
+	return s.Store.Range(ctx, prefix)
+}
+
 func (w *world) start(name string) {
 	w.starts++
 	site := fmt.Sprint(name, "-", w.starts)
 	n, err := New(Options{
-		Settings: w.settings(name, hostOf(name)), Net: w.mem.Site(site), Store: w.store.Client(name), Cloud: w.cloud,
+		Settings: w.settings(name, hostOf(name)), Net: w.mem.Site(site), Store: slowListing{w.store.Client(name), w.listing}, Cloud: w.cloud,
 		Decoder: plain{}, Protocol: plain{}, Log: zap.NewNop(), Seed: uint64(w.starts),
 	})
 	if err != nil {
