Old news send nobody to the same plain server; hubs teach the pace

Besides, an instance took the first events of requests that a hub had placed for the pace of a server whose queue it did not know, and counted a prompt as kept wherever a hub had placed it.

Change: of the requests of a plain service that others told of, those are left out that are over by the age of the news; servers that are about equal are drawn by request; the slots that servers tell count. What hubs placed is counted with the hub's estimate and is learned from by the hub alone, which tells the others.

Tests: one failed before (all to one server).

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -10,6 +10,7 @@
 package balance
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -35,7 +36,7 @@
 	Tokens  int  // prompt tokens
 	Parts   []Part
 	Avoid   []string // servers that already had the request
-	Slots   int      // requests that a server of the service works on at once
+	Slots   int      // requests that a server of the service works on at once; 0 if the servers tell it
 	Once    bool     // it must not be repeated, so that a failure is final
 }
 
@@ -57,7 +58,7 @@
 // View is what is believed of one server at the moment of a choice.
 type View struct {
 	Server  registry.Server
-	Open    int           // requests on the way, from all nodes
+	Open    float64       // requests on the way, from all nodes, as far as news of them still say anything
 	Prompt  int           // prompt tokens not read yet, from all nodes
 	Holdup  float64       // how much the prompts not read yet hold up streams, from all nodes
 	Slow    float64       // how its times compare with those of its like; 1 is usual
@@ -82,6 +83,7 @@
 	holdsUp        = 60 * time.Millisecond  // for each stream that a long prompt would hold up, at full risk
 	heldUp         = 250 * time.Millisecond // for a stream beside a long prompt, at full risk
 	readAgain      = 2.0                    // for a prompt token that is kept elsewhere, times its reading: it is paid for beside the time
+	spreadShare    = 0.5                    // the same for plain services, of the time of a request
 	spread         = 25 * time.Millisecond  // at the most, drawn by request: nodes that decide at once see the same
 )
 
@@ -129,7 +131,9 @@
 		cost := v.cost(r, uncached)
 		if r.Engine {
 			cost += readAgain * float64(uncached) * v.Pace.Token
-			cost += float64(spread) * float64(tie(r, v)>>11) / (1 << 53)
+			cost += float64(spread) * draw(r, v)
+		} else {
+			cost += spreadShare * float64(v.Work) * draw(r, v)
 		}
 		if v.Resting {
 			cost += float64(time.Hour)
@@ -144,16 +148,17 @@
 // cost estimates how long a request would wait at a server, with a penalty for
 // the risk that it fails there.
 func (v *View) cost(r *Request, uncached int) float64 {
+	slots := float64(cmp.Or(r.Slots, v.Server.Slots))
 	var t time.Duration
 	if r.Engine {
-		t = time.Duration(float64(v.Prompt+uncached)*v.Pace.Token) + time.Duration(v.Open)*crowdPenalty
-		t += time.Duration(v.Risk * (holdup(r.Tokens)*float64(v.Open)*float64(holdsUp) + v.Holdup*float64(heldUp)))
+		t = time.Duration(float64(v.Prompt+uncached)*v.Pace.Token + v.Open*float64(crowdPenalty))
+		t += time.Duration(v.Risk * (holdup(r.Tokens)*v.Open*float64(holdsUp) + v.Holdup*float64(heldUp)))
 	} else {
-		t = time.Duration(float64(v.Work) * (1 + float64(v.Open)/float64(max(1, r.Slots))))
+		t = time.Duration(float64(v.Work) * (1 + v.Open/max(1, slots)))
 	}
 	cost := float64(t) * v.Slow
-	if r.Slots > 0 && v.Open >= r.Slots {
-		cost += float64(fullPenalty) * float64(1+v.Open-r.Slots) / float64(r.Slots)
+	if slots > 0 && v.Open >= slots {
+		cost += float64(fullPenalty) * (1 + v.Open - slots) / slots
 	}
 	fear := float64(failurePenalty) * v.Failing
 	if r.Once {
@@ -185,5 +190,8 @@
 	return best
 }
 
+// draw returns a number from 0 to 1 that differs by request and server.
+func draw(r *Request, v *View) float64 { return float64(tie(r, v)>>11) / (1 << 53) }
+
 // tie spreads requests over servers that are equally good.
 func tie(r *Request, v *View) uint64 { return rendezvous.Score(xxhash.Sum64String(r.ID), v.Server.ID) }
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -239,3 +239,42 @@
 		k.Done(Answered, now)
 	}
 }
+
+// Many nodes that heard the same seconds ago do not all send to the server that
+// had least to do then.
+func TestOldNewsSendNobodyToTheSamePlainServer(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	all := servers(5)
+	for i := range all {
+		all[i].Slots = 6
+	}
+	got := make(map[string]int)
+	for i := range 100 {
+		tr := NewTracker()
+		for round := range 200 {
+			uses := map[string]Use{"s1": {Open: 3}, "s2": {Open: 4}, "s3": {Open: 3}, "s4": {Open: 5}}
+			at := now.Add(time.Duration(round) * 2 * time.Second)
+			tr.Heard("n", News{Uses: uses}, at.Add(6*time.Second), at)
+		}
+		k, _ := tr.Pick(all, &Request{Service: "plain", ID: fmt.Sprint("r", i)}, now.Add(401*time.Second))
+		got[k.Server.ID]++
+	}
+	for _, s := range all {
+		is.True(got[s.ID] >= 8)
+	}
+}
+
+func TestAFullPlainServerIsLeft(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	all := servers(2)
+	all[0].Slots, all[1].Slots = 3, 3
+	tr := NewTracker()
+	got := make(map[string]int)
+	for i := range 6 {
+		k, _ := tr.Pick(all, &Request{Service: "plain", ID: fmt.Sprint("r", i)}, now)
+		got[k.Server.ID]++
+	}
+	is.Equal(got, map[string]int{"s0": 3, "s1": 3})
+}
--- a/internal/balance/lesson.go
+++ b/internal/balance/lesson.go
@@ -2,7 +2,7 @@
 
 import "github.com/shelfcrank/shelfcrank/internal/pace"
 
-// Lesson is what a node learned of a service's model servers.
+// Lesson is what an instance learned of a service's model endpoints.
 type Lesson struct {
 	Pace pace.Opinion
 	Risk float64 // that streams pause for too long beside a long prompt, 0 to 1
@@ -11,19 +11,19 @@
 // Lessons are those of all services, by name.
 type Lessons map[string]Lesson
 
-// lesson is what is learned of a service here, and what all nodes make of it.
+// lesson is what is learned of a service here, and what all instances make of it.
 type lesson struct {
 	reading pace.Learner
 	pauses  holdRisk
-	pace    pace.Model // of all nodes
-	risk    float64    // of all nodes
-	adopted bool       // pace and risk come from another tracker of this node
+	pace    pace.Model // of all instances
+	risk    float64    // of all instances
+	adopted bool       // pace and risk come from another tracker of this instance
 }
 
 func newLesson() lesson { return lesson{pauses: newHoldRisk()} }
 
 // holdRisk learns how far long prompts have to be kept apart from streams. There
-// are servers that read a prompt in pieces so small that no stream is held up,
+// are endpoints that read a prompt in pieces so small that no stream is held up,
 // and others at which it stands still: only what streams show tells which. What
 // makes streams late with and without a long prompt beside them is no reason.
 type holdRisk struct {
@@ -65,7 +65,7 @@
 	return min(1, max(0, float64(r.beside-r.apart)/fullRisk))
 }
 
-// agree works out what follows for a service from what this node and the others
+// agree works out what follows for a service from what this instance and the others
 // learned.
 func (t *Tracker) agree(service string) {
 	s := t.services[service]
@@ -73,6 +73,9 @@
 		return
 	}
 	opinions := []pace.Opinion{{Model: s.reading.Model(), Weight: 1 + s.reading.Weight()}}
+	if d, told := t.desk[service]; told {
+		opinions = append(opinions, d.Pace)
+	}
 	risk, nodes := s.pauses.risk(), 1.0
 	for _, r := range t.remotes {
 		if l, told := r.lessons[service]; told {
@@ -84,20 +87,32 @@
 	s.pace, s.risk = pace.Agreed(opinions), risk/nodes
 }
 
-// Lessons returns what this node learned itself.
+// Lessons returns what this instance learned itself, as a hub too.
 func (t *Tracker) Lessons() Lessons {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	out := make(Lessons)
 	for name, s := range t.services {
-		if s.reading.Weight() > 0 {
-			out[name] = Lesson{pace.Opinion{Model: s.reading.Model(), Weight: s.reading.Weight()}, s.pauses.risk()}
+		if s.engine {
+			own := pace.Opinion{Model: s.reading.Model(), Weight: s.reading.Weight()}
+			out[name] = Lesson{pace.Joined(own, t.desk[name].Pace), s.pauses.risk()}
 		}
 	}
 	return out
 }
 
-// Agreed returns what follows from the lessons of all nodes.
+// FromDesk takes what this instance learned as a hub, from all that it placed.
+func (t *Tracker) FromDesk(lessons Lessons) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.desk = lessons
+	for name := range lessons {
+		t.service(name)
+		t.agree(name)
+	}
+}
+
+// Agreed returns what follows from the lessons of all instances.
 func (t *Tracker) Agreed() Lessons {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -108,7 +123,7 @@
 	return out
 }
 
-// Adopt makes this tracker go by what another tracker of the same node learned.
+// Adopt makes this tracker go by what another tracker of the same instance learned.
 func (t *Tracker) Adopt(lessons Lessons) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -35,6 +35,7 @@
 	keepMost        = 4096             // shared prompts remembered for one server
 	firstWork       = 50 * time.Millisecond
 	serviceWeight   = 0.05
+	newsWeight      = 0.02 // of the newest time between two news
 	aloneShare      = 0.25 // of its own tokens that a request may find queued, to tell how fast a server reads
 )
 
@@ -59,9 +60,10 @@
 
 type serviceState struct {
 	lesson
-	work  float64    // nanoseconds
-	asked decay.Rate // nanoseconds of work asked for in a second
-	held  decay.Rate // nanoseconds that requests held a place at a model server in a second, by its places
+	engine bool       // it has model servers
+	work   float64    // nanoseconds
+	asked  decay.Rate // nanoseconds of work asked for in a second
+	held   decay.Rate // nanoseconds that requests held a place at a model server in a second, by its places
 }
 
 // Demand is the work that a service was asked for of late, as so many servers'
@@ -78,17 +80,20 @@
 	uses    map[string]Use
 	demand  map[string]Demand // by service
 	lessons Lessons
+	at      time.Time // when it was told
 	until   time.Time // when it counts no more
 }
 
 // Tracker holds the beliefs about all servers.
 type Tracker struct {
-	mu       sync.Mutex
-	servers  map[string]*serverState  // by server id; guarded by mu
-	services map[string]*serviceState // by name; guarded by mu
-	remotes  map[string]remote        // by node; guarded by mu
-	told     chan struct{}            // has room for one
-	sums     map[string]Use           // of the remotes, by server id; guarded by mu
+	mu        sync.Mutex
+	servers   map[string]*serverState  // by server id; guarded by mu
+	services  map[string]*serviceState // by name; guarded by mu
+	remotes   map[string]remote        // by node; guarded by mu
+	told      chan struct{}            // has room for one
+	desk      Lessons                  // of the tracker that this node places requests by as a hub; guarded by mu
+	sums      map[string]Use           // of the remotes, by server id; guarded by mu
+	newsEvery float64                  // nanoseconds between two news of a node, on the mean; guarded by mu
 }
 
 // NewTracker returns a tracker that believes nothing yet.
@@ -101,21 +106,22 @@
 
 // Ticket is a request that was sent to a server. Read and Done are called on it.
 type Ticket struct {
-	Server  registry.Server
-	Cost    float64 // of the choice, see Choice
-	tracker *Tracker
-	request *Request
-	state   *serverState
-	service *serviceState
-	prompt  int
-	queued  int // prompt tokens that were to be read before
-	holdup  float64
-	at      time.Time
-	readAt  time.Time
-	expect  float64 // nanoseconds
-	read    bool
-	done    bool
-	watcher Observer
+	Server   registry.Server
+	Cost     float64 // of the choice, see Choice
+	Uncached int     // prompt tokens that the server probably has to read
+	tracker  *Tracker
+	request  *Request
+	state    *serverState
+	service  *serviceState
+	queued   int  // prompt tokens that were to be read before
+	learns   bool // how it goes tells how fast the server is
+	holdup   float64
+	at       time.Time
+	readAt   time.Time
+	expect   float64 // nanoseconds
+	read     bool
+	done     bool
+	watcher  Observer
 }
 
 // Observer is told how a request goes on at its server.
@@ -133,6 +139,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	service := t.service(r.Service)
+	service.engine = r.Engine
 	shared, hash := r.shared()
 	views := make([]View, 0, len(servers))
 	for _, s := range servers {
@@ -143,38 +150,54 @@
 		return nil, false
 	}
 	v := &views[best.Index]
-	st := t.server(v.Server.ID)
-	k := &Ticket{Server: v.Server, Cost: best.Cost, tracker: t, request: r, state: st, service: service, at: now, prompt: best.Uncached, queued: v.Prompt}
+	k := t.count(v.Server, r, best.Uncached, now)
+	k.Cost, k.queued, k.learns = best.Cost, v.Prompt, true
+	k.expect = service.work
 	if r.Engine {
-		k.holdup = holdup(r.Tokens)
+		k.expect = float64(service.pace.First(k.Uncached)) + float64(v.Prompt)*service.pace.Token
+	}
+	if shared > 0 {
+		k.state.remember(hash, now)
 	}
-	k.expect = float64(service.pace.First(k.prompt)) + float64(v.Prompt)*service.pace.Token
-	if !r.Engine {
-		k.expect = service.work
+	return k, true
+}
+
+// Take counts a request at a server that a hub has chosen for it, and of whose
+// queue this node knows too little to learn from how it goes.
+func (t *Tracker) Take(s registry.Server, r *Request, uncached int, now time.Time) *Ticket {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.service(r.Service).engine = r.Engine
+	return t.count(s, r, uncached, now)
+}
+
+// count counts a request at a server.
+func (t *Tracker) count(s registry.Server, r *Request, uncached int, now time.Time) *Ticket {
+	st, service := t.server(s.ID), t.service(r.Service)
+	k := &Ticket{Server: s, Uncached: uncached, tracker: t, request: r, state: st, service: service, at: now}
+	if r.Engine {
+		k.holdup = holdup(r.Tokens)
 	}
 	st.use.Open++
-	st.use.Prompt += k.prompt
+	st.use.Prompt += uncached
 	st.use.Holdup += k.holdup
 	if k.holdup >= longHoldup {
-		st.longAt = now.Add(service.pace.Reading(k.prompt))
+		st.longAt = now.Add(service.pace.Reading(uncached))
 	}
 	service.asked.Add(k.work(), demandOver, now)
-	if k.prompt >= tellFrom {
+	if uncached >= tellFrom {
 		select {
 		case t.told <- struct{}{}:
 		default:
 		}
 	}
-	if shared > 0 {
-		st.remember(hash, now)
-	}
-	return k, true
+	return k
 }
 
 // work is how long the request keeps a server busy, in nanoseconds.
 func (k *Ticket) work() float64 {
 	if k.request.Engine {
-		return float64(k.service.pace.Reading(k.prompt))
+		return float64(k.service.pace.Reading(k.Uncached))
 	}
 	return k.service.work
 }
@@ -213,16 +236,35 @@
 
 func (t *Tracker) view(s registry.Server, service *serviceState, hash uint64, now time.Time) View {
 	st := t.server(s.ID)
-	far := t.sums[s.ID]
+	far := t.farUse(s.ID, service)
 	seen, keeps := st.keeps[hash]
 	return View{
-		Server: s, Open: st.use.Open + far.Open, Prompt: st.use.Prompt + far.Prompt, Holdup: st.use.Holdup + far.Holdup,
+		Server: s, Open: float64(st.use.Open) + far.open, Prompt: st.use.Prompt + far.Prompt, Holdup: st.use.Holdup + far.Holdup,
 		Slow: st.slowNow(now), Failing: st.failingAt(now), Resting: now.Before(st.restUntil),
 		Keeps: keeps && now.Sub(seen) < keepFor,
 		Work:  time.Duration(service.work), Pace: service.pace, Risk: service.risk,
 	}
 }
 
+// far is what the other nodes have on the way to a server.
+type far struct {
+	Use
+	open float64 // requests that are believed to be there still
+}
+
+// farUse returns what the others have on the way to a server. Of the requests
+// of a plain service that they told of, those are gone by now that take less
+// time than the news do; to go by their number would send all nodes' requests to
+// the server that had fewest then.
+func (t *Tracker) farUse(id string, service *serviceState) far {
+	f := far{Use: t.sums[id]}
+	f.open = float64(f.Open)
+	if !service.engine {
+		f.open *= service.work / (service.work + t.newsEvery/2)
+	}
+	return f
+}
+
 func (t *Tracker) server(id string) *serverState {
 	s := t.servers[id]
 	if s == nil {
@@ -283,9 +325,9 @@
 		return
 	}
 	k.read, k.readAt = true, now
-	k.state.use.Prompt -= k.prompt
+	k.state.use.Prompt -= k.Uncached
 	k.state.use.Holdup = max(0, k.state.use.Holdup-k.holdup)
-	if !learn {
+	if !learn || !k.learns {
 		return
 	}
 	took := float64(now.Sub(k.at))
@@ -296,8 +338,8 @@
 	}
 	if !k.request.Engine {
 		k.service.work += serviceWeight * (took - k.service.work)
-	} else if float64(k.queued) <= aloneShare*float64(k.prompt) {
-		k.service.reading.Observe(k.queued+k.prompt, now.Sub(k.at))
+	} else if float64(k.queued) <= aloneShare*float64(k.Uncached) {
+		k.service.reading.Observe(k.queued+k.Uncached, now.Sub(k.at))
 		k.tracker.agree(k.request.Service)
 	}
 }
@@ -369,7 +411,10 @@
 	if news.Brief {
 		news.Demand, news.Lessons = t.remotes[node].demand, t.remotes[node].lessons
 	}
-	t.remotes[node] = remote{news.Uses, news.Demand, news.Lessons, until}
+	if last, known := t.remotes[node]; known {
+		t.newsEvery += newsWeight * (float64(now.Sub(last.at)) - t.newsEvery)
+	}
+	t.remotes[node] = remote{news.Uses, news.Demand, news.Lessons, now, until}
 	clear(t.sums)
 	for name, r := range t.remotes {
 		if now.After(r.until) {
--- a/internal/front/peerproof.go
+++ b/internal/front/peerproof.go
@@ -11,17 +11,17 @@
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
 )
 
-// Times of asking the other nodes for the configuration.
+// Times of asking the other instances for the configuration.
 const (
 	peerProofEvery = 400 * time.Millisecond // between two rounds; the bounds are seconds
 	outageFor      = 3 * time.Second        // that the store counts as down for all after the last round that showed it
 )
 
-// proveThroughPeers asks the other nodes for the configuration while this node
-// cannot read it from the store. The store may turn one node away and serve the
+// proveThroughPeers asks the other instances for the configuration while this instance
+// cannot read it from the store. The store may turn one instance away and serve the
 // others; or it is down for all, and then nothing new can be in force anywhere.
 //
-// Where a key that is taken away must end at every node within a bound, that
+// Where a key that is taken away must end at every instance within a bound, that
 // bound holds whatever the others say, and nothing is asked.
 func (n *Node) proveThroughPeers(ctx context.Context) error {
 	if n.Settings.Bounds.StrictRevoke {
@@ -40,7 +40,7 @@
 	return ctx.Err()
 }
 
-// readers returns the other nodes that read the store.
+// readers returns the other instances that read the store.
 func (n *Node) readers() []member {
 	hubs := n.state.members.topology()
 	if len(hubs.hubs) == 0 {
@@ -55,7 +55,7 @@
 	return others
 }
 
-// proofs counts the answers of nodes that were asked for a proof.
+// proofs counts the answers of instances that were asked for a proof.
 type proofs struct {
 	asked   int
 	proved  int
@@ -63,10 +63,10 @@
 }
 
 // shared reports whether the store is down for all, as far as can be known: no
-// node can read it, and most of them said so.
+// instance can read it, and most of them said so.
 func (p proofs) shared() bool { return p.proved == 0 && p.without > 0 && 2*p.without >= p.asked }
 
-// askForProof asks nodes for the configuration, all at once, and hands what
+// askForProof asks instances for the configuration, all at once, and hands what
 // they know to the state.
 func (n *Node) askForProof(ctx context.Context, nodes []member) proofs {
 	counts := proofs{asked: len(nodes)}
@@ -90,7 +90,7 @@
 	return counts
 }
 
-// askNodeForProof asks one node. Its proof is at least as young as it says,
+// askNodeForProof asks one instance. Its proof is at least as young as it says,
 // counted from the sending of the question.
 func (n *Node) askNodeForProof(ctx context.Context, m member) error {
 	ctx, cancel := context.WithTimeout(ctx, mirrorTimeout)
--- a/internal/front/placing.go
+++ b/internal/front/placing.go
@@ -64,11 +64,7 @@
 	if !ok {
 		return tracker.Pick(servers, r, now)
 	}
-	ticket, ok := tracker.Pick([]registry.Server{best.server}, r, now)
-	if !ok {
-		p.decline(best)
-		return nil, false
-	}
+	ticket := tracker.Take(best.server, r, best.Uncached, now)
 	ticket.Observe(&noter{p, best})
 	return ticket, true
 }
@@ -154,7 +150,7 @@
 	if o.GetServer() == "" {
 		return offered{}, errNoServer
 	}
-	return offered{Offer: place.Offer{Server: o.Server, Cost: o.Cost, Ticket: o.Ticket}, hub: hub}, nil
+	return offered{Offer: place.Offer{Server: o.Server, Cost: o.Cost, Uncached: int(o.Uncached), Ticket: o.Ticket}, hub: hub}, nil
 }
 
 var errNoServer = fault.New(fault.StepPeer, "", fault.KindLimit, fault.NotRun, "the hub has no server to offer")
@@ -179,7 +175,7 @@
 	}
 	asker := place.Asker{Node: call.From, Incarnation: q.Incarnation}
 	o, _ := p.desk.Offer(asker, p.mine(q.Service), r, now.Add(time.Duration(q.Left)), now)
-	return answer(&peerpb.Answer{Body: &peerpb.Answer_Place{Place: &peerpb.PlaceAnswer{Server: o.Server, Cost: o.Cost, Ticket: o.Ticket}}})
+	return answer(&peerpb.Answer{Body: &peerpb.Answer_Place{Place: &peerpb.PlaceAnswer{Server: o.Server, Cost: o.Cost, Ticket: o.Ticket, Uncached: int64(o.Uncached)}}})
 }
 
 // serveNotes takes notes.
@@ -264,6 +260,7 @@
 
 // tidy ends what must be over.
 func (p *placer) tidy(wanted func(server string) bool, now time.Time) {
+	p.node.tracker.FromDesk(p.desk.Lessons())
 	p.desk.Adopt(p.node.tracker.Agreed())
 	members := map[string]bool{p.node.Settings.Name: true}
 	for _, m := range p.node.state.members.list() {
--- a/internal/front/share.go
+++ b/internal/front/share.go
@@ -218,7 +218,7 @@
 	lessons := make(balance.Lessons, len(s.Services))
 	for _, service := range s.Services {
 		demand[service.Name] = balance.Demand{Busy: service.Busy, Held: service.Held}
-		if service.PaceWeight > 0 {
+		if service.PaceWeight > 0 || service.HoldRisk > 0 {
 			lessons[service.Name] = balance.Lesson{
 				Pace: pace.Opinion{
 					Model:  pace.Model{Base: service.PaceBase, Token: service.PaceToken, Pair: service.PacePair},
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -1,7 +1,7 @@
-// Package pace learns how long the model servers of a service take until the
+// Package pace learns how long the model endpoints of a service take until the
 // first event of an answer, from what was observed.
 //
-// A server needs a moment for any request, a time for each token of the prompt
+// An endpoint needs a moment for any request, a time for each token of the prompt
 // that it has to read, and, as each token is weighed against all before it, a
 // time that grows with the square of the length. A Learner keeps, for ranges of
 // prompt lengths, what requests took there of late, and fits these three times
@@ -16,25 +16,25 @@
 	"time"
 )
 
-// Model is what is believed of a service's servers. Times are in nanoseconds.
+// Model is what is believed of a service's endpoints. Times are in nanoseconds.
 type Model struct {
 	Base  float64 // of any request
 	Token float64 // of each token to be read
 	Pair  float64 // of each pair of tokens of one prompt
 }
 
-// Reading returns the time that a server is busy reading so many tokens.
+// Reading returns the time that an endpoint is busy reading so many tokens.
 func (m Model) Reading(tokens int) time.Duration {
 	x := float64(tokens)
 	return time.Duration(m.Token*x + m.Pair*x*x)
 }
 
-// First returns the time to the first event of a request alone at a server.
+// First returns the time to the first event of a request alone at an endpoint.
 func (m Model) First(tokens int) time.Duration {
 	return time.Duration(m.Base) + m.Reading(tokens)
 }
 
-// Prior is believed before anything was observed. Servers differ by more than
+// Prior is believed before anything was observed. Endpoints differ by more than
 // ten: 5 to 50 microseconds a token; this is the middle of that on a scale of
 // factors.
 var Prior = Model{Base: 15 * float64(time.Millisecond), Token: 16 * float64(time.Microsecond)}
@@ -71,7 +71,7 @@
 }
 
 // Observe takes note of a request that found next to nothing else to be read at
-// its server: how many tokens had to be read, and what its first event took.
+// its endpoint: how many tokens had to be read, and what its first event took.
 func (l *Learner) Observe(tokens int, took time.Duration) {
 	if tokens < 0 || took <= 0 {
 		return
@@ -196,3 +196,12 @@
 	}
 	return Model{Base: sum.Base / total, Token: sum.Token / total, Pair: sum.Pair / total}
 }
+
+// Joined returns one opinion in place of several.
+func Joined(opinions ...Opinion) Opinion {
+	joined := Opinion{Model: Agreed(opinions)}
+	for _, o := range opinions {
+		joined.Weight += o.Weight
+	}
+	return joined
+}
--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -15,7 +15,7 @@
 	return math.Abs(float64(a-b)) <= share*float64(b)
 }
 
-// observe shows a learner n requests of servers of a true pace, with noise: some
+// observe shows a learner n requests of endpoints of a true pace, with noise: some
 // wait behind others, a few much longer.
 func observe(l *Learner, truth Model, n int, r *rand.Rand) {
 	for range n {
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -22,9 +22,10 @@
 
 // Offer is the best of a hub's servers for a request.
 type Offer struct {
-	Server string
-	Cost   float64 // see balance.Choice
-	Ticket uint64  // names the request in notes; it counts until it is done
+	Server   string
+	Cost     float64 // see balance.Choice
+	Uncached int     // prompt tokens that it probably has to read
+	Ticket   uint64  // names the request in notes; it counts until it is done
 }
 
 // Note tells how a request that was placed went on.
@@ -78,7 +79,7 @@
 	defer d.mu.Unlock()
 	d.last++
 	d.open[d.last] = held{ticket, asker, until}
-	return Offer{Server: ticket.Server.ID, Cost: ticket.Cost, Ticket: d.last}, true
+	return Offer{Server: ticket.Server.ID, Cost: ticket.Cost, Uncached: ticket.Uncached, Ticket: d.last}, true
 }
 
 // met ends what ran for an earlier incarnation of a node.
@@ -130,6 +131,9 @@
 // Adopt makes the desk go by what the node learned of the servers.
 func (d *Desk) Adopt(lessons balance.Lessons) { d.tracker.Adopt(lessons) }
 
+// Lessons returns what the desk learned from all that it placed.
+func (d *Desk) Lessons() balance.Lessons { return d.tracker.Lessons() }
+
 // Open returns how many requests are placed and not done.
 func (d *Desk) Open() int {
 	d.mu.Lock()
