--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"math"
 	"sync"
 	"time"
 
@@ -9,34 +8,12 @@
 	"github.com/shelfcrank/shelfcrank/internal/registry"
 )
 
-// Result is how a request went at a server.
-type Result int
-
-// The results.
-const (
-	Answered  Result = iota
-	Failed           // broken, timed out, or answered with a failure of the server's own
-	Refused          // the server was full or gone; nothing ran
-	Cancelled        // given up from this side; says nothing of the server
-)
-
-// Tuning of the beliefs.
+// Tuning of what is believed of a service.
 const (
-	failureHalfLife = 4 * time.Second
-	failureWeight   = 0.3 // of the newest result
-	restAfter       = 3   // failures in a row
-	restFirst       = 500 * time.Millisecond
-	restMost        = 4 * time.Second
-	slowWeight      = 0.15
-	slowLeast       = 0.7
-	slowMost        = 8
-	slowHalfLife    = 6 * time.Second  // until half of what is believed of a server's speed is forgotten: one that gets no work would never prove itself
-	keepFor         = 20 * time.Second // how long a shared prompt is believed to be kept
-	keepMost        = 4096             // shared prompts remembered for one server
-	firstWork       = 50 * time.Millisecond
-	serviceWeight   = 0.05
-	newsWeight      = 0.02 // of the newest time between two news
-	aloneShare      = 0.25 // of its own tokens that a request may find queued, to tell how fast a server reads
+	firstWork     = 50 * time.Millisecond // of a request of a plain service, until some were seen
+	serviceWeight = 0.05                  // of the newest such time
+	newsWeight    = 0.02                  // of the newest time between two news
+	aloneShare    = 0.25                  // of its own tokens that a request may find queued, to tell how fast a server reads
 )
 
 // Use is how much of a server one node has on the way.
@@ -46,18 +23,6 @@
 	Holdup float64
 }
 
-type serverState struct {
-	use       Use // from this node
-	slow      float64
-	slowAt    time.Time
-	failing   float64
-	failedAt  time.Time
-	inRow     int
-	restUntil time.Time
-	longAt    time.Time            // when a long prompt was last known to be read there
-	keeps     map[uint64]time.Time // hash of shared parts to when they were sent there last
-}
-
 type serviceState struct {
 	lesson
 	engine bool       // it has model servers
@@ -104,35 +69,6 @@
 	}
 }
 
-// Ticket is a request that was sent to a server. Read and Done are called on it.
-type Ticket struct {
-	Server   registry.Server
-	Cost     float64 // of the choice, see Choice
-	Uncached int     // prompt tokens that the server probably has to read
-	tracker  *Tracker
-	request  *Request
-	state    *serverState
-	service  *serviceState
-	queued   int  // prompt tokens that were to be read before
-	learns   bool // how it goes tells how fast the server is
-	holdup   float64
-	at       time.Time
-	readAt   time.Time
-	expect   float64 // nanoseconds
-	read     bool
-	done     bool
-	watcher  Observer
-}
-
-// Observer is told how a request goes on at its server.
-type Observer interface {
-	Read() // its first event is there
-	Done(result Result)
-}
-
-// Observe sets who is told of the ticket from now on.
-func (k *Ticket) Observe(o Observer) { k.watcher = o }
-
 // Pick chooses a server and counts the request there. The second result is
 // false when there is none.
 func (t *Tracker) Pick(servers []registry.Server, r *Request, now time.Time) (*Ticket, bool) {
@@ -194,14 +130,6 @@
 	return k
 }
 
-// work is how long the request keeps a server busy, in nanoseconds.
-func (k *Ticket) work() float64 {
-	if k.request.Engine {
-		return float64(k.service.pace.Reading(k.Uncached))
-	}
-	return k.service.work
-}
-
 // tellFrom is the number of prompt tokens from which the other nodes hear of a
 // request at once.
 const tellFrom = 3000
@@ -284,117 +212,6 @@
 	return s
 }
 
-// slowNow is how slow the server is believed to be; 1 is usual.
-func (s *serverState) slowNow(now time.Time) float64 {
-	return 1 + (s.slow-1)*math.Exp2(-float64(now.Sub(s.slowAt))/float64(slowHalfLife))
-}
-
-func (s *serverState) failingAt(now time.Time) float64 {
-	if s.failing == 0 {
-		return 0
-	}
-	return s.failing * math.Exp2(-float64(now.Sub(s.failedAt))/float64(failureHalfLife))
-}
-
-func (s *serverState) remember(hash uint64, now time.Time) {
-	if len(s.keeps) >= keepMost {
-		for h, at := range s.keeps {
-			if now.Sub(at) > keepFor/2 {
-				delete(s.keeps, h)
-			}
-		}
-	}
-	if len(s.keeps) < keepMost {
-		s.keeps[hash] = now
-	}
-}
-
-// Read says that the server has read the prompt: its first event is there.
-func (k *Ticket) Read(now time.Time) {
-	k.tracker.mu.Lock()
-	news := !k.read
-	k.markRead(now, true)
-	k.tracker.mu.Unlock()
-	if news && k.watcher != nil {
-		k.watcher.Read()
-	}
-}
-
-func (k *Ticket) markRead(now time.Time, learn bool) {
-	if k.read {
-		return
-	}
-	k.read, k.readAt = true, now
-	k.state.use.Prompt -= k.Uncached
-	k.state.use.Holdup = max(0, k.state.use.Holdup-k.holdup)
-	if !learn || !k.learns {
-		return
-	}
-	took := float64(now.Sub(k.at))
-	if k.expect > 0 {
-		ratio := min(max(took/k.expect, slowLeast), slowMost)
-		slow := k.state.slowNow(now)
-		k.state.slow, k.state.slowAt = slow+slowWeight*(ratio-slow), now
-	}
-	if !k.request.Engine {
-		k.service.work += serviceWeight * (took - k.service.work)
-	} else if float64(k.queued) <= aloneShare*float64(k.Uncached) {
-		k.service.reading.Observe(k.queued+k.Uncached, now.Sub(k.at))
-		k.tracker.agree(k.request.Service)
-	}
-}
-
-// Streamed says whether a whole stream paused for longer than it should.
-func (k *Ticket) Streamed(late bool) {
-	k.tracker.mu.Lock()
-	defer k.tracker.mu.Unlock()
-	k.service.pauses.note(late, k.state.longAt.After(k.at))
-	k.tracker.agree(k.request.Service)
-}
-
-// Done ends the request at the server.
-func (k *Ticket) Done(result Result, now time.Time) {
-	if k.end(result, now) && k.watcher != nil {
-		k.watcher.Done(result)
-	}
-}
-
-// end ends the request, and says whether it had not ended before.
-func (k *Ticket) end(result Result, now time.Time) bool {
-	k.tracker.mu.Lock()
-	defer k.tracker.mu.Unlock()
-	if k.done {
-		return false
-	}
-	k.done = true
-	k.markRead(now, result == Answered && !k.request.Engine)
-	k.state.use.Open--
-	if k.request.Engine && k.request.Slots > 0 {
-		k.service.held.Add(float64(now.Sub(k.readAt))/float64(k.request.Slots), demandOver, now)
-	}
-	if result != Cancelled {
-		k.state.note(result, now)
-	}
-	return true
-}
-
-func (s *serverState) note(result Result, now time.Time) {
-	failing := s.failingAt(now)
-	s.failedAt = now
-	if result == Answered {
-		s.failing = failing * (1 - failureWeight)
-		s.inRow = 0
-		s.restUntil = time.Time{}
-		return
-	}
-	s.failing = failing + failureWeight*(1-failing)
-	s.inRow++
-	if s.inRow >= restAfter {
-		rest := min(restMost, restFirst<<min(s.inRow-restAfter, 8))
-		s.restUntil = now.Add(rest)
-	}
-}
-
 // News is what another node tells. Brief news leave all but the uses as it was.
 type News struct {
 	Uses    map[string]Use
