--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -65,9 +65,9 @@
 	leastLeft   = 2                // servers after the loss of a zone
 	holdPeak    = 25 * time.Second // how long a peak of the work is planned for by reclaimable servers,
 	holdShort   = 8 * time.Second  // and by others
-	lossLoad    = 0.95             // load of a server that is borne if the next zone goes as well
-	fullLoad    = 0.85             // how full the servers may be that are left after the loss of two zones,
-	fullLoss    = 0.95             // how full they may be if the next zone goes as well
+	lossLoad    = 0.8              // load of a server that is borne if the next zone goes as well
+	fullLoad    = 0.75             // how full the servers may be that are left after the loss of two zones,
+	fullLoss    = 0.8              // how full they may be if the next zone goes as well
 	mostReading = 0.8              // at the most the share of a server's time that is believed to go into prompts
 	zonesLost   = 2                // zones that may go at once
 	settle      = 8 * time.Second  // after the first traffic nothing is given back
