One call of the mirror for hubs and proofs; smaller pieces in place of twins

- peerproof.go asked another instance's mirror and read the age of its proof by code of its own: spoke.go has both, as askMirror and mirroredConfig now.
- tellUses and tellNotes waited for their kicks alike: kicked.
- shareOf is used where the time to drain was worked out by hand; lo.Filter in place of a loop; a zero time needs no case in outageUntil.
- The type far had both Open and open: farOpen returns the number that differs.

--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -164,33 +164,25 @@
 
 func (t *Tracker) view(s registry.Server, service *serviceState, hash uint64, now time.Time) View {
 	st := t.server(s.ID)
-	far := t.farUse(s.ID, service)
+	far := t.sums[s.ID]
 	seen, keeps := st.keeps[hash]
 	return View{
-		Server: s, Open: float64(st.use.Open) + far.open, Prompt: st.use.Prompt + far.Prompt, Holdup: st.use.Holdup + far.Holdup,
+		Server: s, Open: float64(st.use.Open) + t.farOpen(far.Open, service), Prompt: st.use.Prompt + far.Prompt, Holdup: st.use.Holdup + far.Holdup,
 		Slow: st.slowNow(now), Failing: st.failingAt(now), Resting: now.Before(st.restUntil),
 		Keeps: keeps && now.Sub(seen) < keepFor,
 		Work:  time.Duration(service.work), Pace: service.pace, Risk: service.risk,
 	}
 }
 
-// far is what the other nodes have on the way to a server.
-type far struct {
-	Use
-	open float64 // requests that are believed to be there still
-}
-
-// farUse returns what the others have on the way to a server. Of the requests
-// of a plain service that they told of, those are gone by now that take less
-// time than the news do; to go by their number would send all nodes' requests to
-// the server that had fewest then.
-func (t *Tracker) farUse(id string, service *serviceState) far {
-	f := far{Use: t.sums[id]}
-	f.open = float64(f.Open)
-	if !service.engine {
-		f.open *= service.work / (service.work + t.newsEvery/2)
+// farOpen returns how many requests of the others are believed to be at a server
+// still. Of those of a plain service that they told of, those are gone by now
+// that take less time than the news do; to go by their number would send all
+// instances' requests to the server that had fewest then.
+func (t *Tracker) farOpen(told int, service *serviceState) float64 {
+	if service.engine {
+		return float64(told)
 	}
-	return f
+	return float64(told) * service.work / (service.work + t.newsEvery/2)
 }
 
 func (t *Tracker) server(id string) *serverState {
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -109,6 +109,16 @@
 	}
 }
 
+// kicked waits for a kick, and reports false when ctx ended before.
+func kicked(ctx context.Context, kick <-chan struct{}) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-kick:
+		return true
+	}
+}
+
 // outage is a context that ends when the store is back after it could not be
 // reached: a watch from before may never answer.
 type outage struct {
--- a/internal/front/peerproof.go
+++ b/internal/front/peerproof.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/shelfcrank/shelfcrank/internal/fault"
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
 )
@@ -46,13 +48,7 @@
 	if len(hubs.hubs) == 0 {
 		return n.state.members.list()
 	}
-	var others []member
-	for _, hub := range hubs.hubs {
-		if hub.name != n.Settings.Name {
-			others = append(others, hub)
-		}
-	}
-	return others
+	return lo.Filter(hubs.hubs, func(m member, _ int) bool { return m.name != n.Settings.Name })
 }
 
 // proofs counts the answers of instances that were asked for a proof.
@@ -90,22 +86,16 @@
 	return counts
 }
 
-// askNodeForProof asks one instance. Its proof is at least as young as it says,
-// counted from the sending of the question.
+// askNodeForProof asks one instance.
 func (n *Node) askNodeForProof(ctx context.Context, m member) error {
-	ctx, cancel := context.WithTimeout(ctx, mirrorTimeout)
-	defer cancel()
 	sent := time.Now()
 	// Only the configuration is asked for: no entry is newer than these.
-	q := &peerpb.Mirror{Config: n.revision.Load(), Servers: math.MaxInt64, Nodes: math.MaxInt64}
-	a, err := n.peers.Call(ctx, m.addr, &peerpb.Call{Body: &peerpb.Call_Mirror{Mirror: q}})
+	a, err := n.askMirror(ctx, m, &peerpb.Mirror{Config: n.revision.Load(), Servers: math.MaxInt64, Nodes: math.MaxInt64})
 	if err != nil {
 		return err
 	}
-	read := configRead{value: a.GetMirror().GetConfig(), revision: a.GetMirror().GetConfigRevision(), byPeer: true}
-	if age := a.GetMirror().GetProofAge(); age != notProved {
-		read.provedAt = sent.Add(-time.Duration(age))
-	}
+	read := mirroredConfig(a, sent)
+	read.byPeer = true
 	n.state.send(read)
 	return nil
 }
--- a/internal/front/placing.go
+++ b/internal/front/placing.go
@@ -229,15 +229,7 @@
 func (p *placer) tellNotes(ctx context.Context) error {
 	var wait sync.WaitGroup
 	defer wait.Wait()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-p.kick:
-		}
-		if !sleep(ctx, noteGather) {
-			return ctx.Err()
-		}
+	for kicked(ctx, p.kick) && sleep(ctx, noteGather) {
 		p.mu.Lock()
 		all := p.notes
 		p.notes = make(map[string][]*peerpb.Note, len(all))
@@ -256,6 +248,7 @@
 			})
 		}
 	}
+	return ctx.Err()
 }
 
 // tidy ends what must be over.
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -53,7 +53,7 @@
 // door closed.
 func (n *Node) drain(clients *http.Server) {
 	begun := time.Now()
-	end := begun.Add(time.Duration(drainShare * float64(n.Settings.Bounds.Grace())))
+	end := begun.Add(shareOf(drainShare, n.Settings.Bounds.Grace()))
 	n.leaving.Store(true)
 	n.state.send(leave{})
 	n.event(event.Stopping, zap.Time("by", end))
--- a/internal/front/share.go
+++ b/internal/front/share.go
@@ -82,12 +82,7 @@
 func (n *Node) tellUses(ctx context.Context) error {
 	var wait sync.WaitGroup
 	defer wait.Wait()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-n.tracker.Told():
-		}
+	for kicked(ctx, n.tracker.Told()) {
 		others := n.state.members.list()
 		if len(others) <= briefMembers {
 			mine := &peerpb.Share{Node: n.Settings.Name, Incarnation: n.incarnation(), Brief: true, Servers: n.serverShares()}
@@ -95,10 +90,9 @@
 				wait.Go(func() { n.exchange(ctx, other, mine) })
 			}
 		}
-		if !sleep(ctx, briefEvery) {
-			return ctx.Err()
-		}
+		sleep(ctx, briefEvery)
 	}
+	return ctx.Err()
 }
 
 func (n *Node) serverShares() []*peerpb.ServerShare {
--- a/internal/front/spoke.go
+++ b/internal/front/spoke.go
@@ -117,32 +117,40 @@
 }
 
 func (s *spoke) ask(ctx context.Context, hub member) (*peerpb.MirrorAnswer, error) {
+	return s.node.askMirror(ctx, hub, &peerpb.Mirror{Config: s.revision, Servers: s.servers, Nodes: s.nodes})
+}
+
+// askMirror asks an instance that reads the store for what changed there.
+func (n *Node) askMirror(ctx context.Context, m member, q *peerpb.Mirror) (*peerpb.MirrorAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, mirrorTimeout)
 	defer cancel()
-	a, err := s.node.peers.Call(ctx, hub.addr, &peerpb.Call{Body: &peerpb.Call_Mirror{Mirror: &peerpb.Mirror{
-		Config: s.revision, Servers: s.servers, Nodes: s.nodes,
-	}}})
+	a, err := n.peers.Call(ctx, m.addr, &peerpb.Call{Body: &peerpb.Call_Mirror{Mirror: q}})
 	if err != nil {
-		return nil, fmt.Errorf("read through hub %s: %w", hub.name, err)
+		return nil, fmt.Errorf("read through %s: %w", m.name, err)
 	}
-	if m := a.GetMirror(); m != nil {
-		return m, nil
+	if mirror := a.GetMirror(); mirror != nil {
+		return mirror, nil
 	}
-	return nil, fault.New(fault.StepPeer, hub.name, fault.KindBroken, fault.NotRun, "answered with %T", a.Body)
+	return nil, fault.New(fault.StepPeer, m.name, fault.KindBroken, fault.NotRun, "answered with %T", a.Body)
 }
 
-// take hands an answer to the state. The hub's proof is at least as young as
-// its age says, counted from the sending of the question.
-func (s *spoke) take(a *peerpb.MirrorAnswer, sent time.Time) {
-	n := s.node
-	n.state.send(storeCalled{ok: true, sent: sent})
+// mirroredConfig reads the configuration of an answer to a question sent at a
+// time. Its proof is at least as young as its age says, counted from then.
+func mirroredConfig(a *peerpb.MirrorAnswer, sent time.Time) configRead {
 	read := configRead{value: a.Config, revision: a.ConfigRevision}
 	if a.ProofAge != notProved {
 		read.provedAt = sent.Add(-time.Duration(a.ProofAge))
 	}
+	return read
+}
+
+// take hands an answer to the state.
+func (s *spoke) take(a *peerpb.MirrorAnswer, sent time.Time) {
+	n := s.node
+	n.state.send(storeCalled{ok: true, sent: sent})
 	if a.ConfigRevision >= s.revision {
 		s.revision = a.ConfigRevision
-		n.state.send(read)
+		n.state.send(mirroredConfig(a, sent))
 	}
 	if p := a.Servers; p != nil {
 		s.servers = p.At
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -184,12 +184,7 @@
 }
 
 // outageUntil is how long the store counts as down for all nodes.
-func (s *state) outageUntil() time.Time {
-	if s.outageAt.IsZero() {
-		return time.Time{}
-	}
-	return s.outageAt.Add(outageFor)
-}
+func (s *state) outageUntil() time.Time { return s.outageAt.Add(outageFor) }
 
 func shareOf(x float64, d time.Duration) time.Duration { return time.Duration(x * float64(d)) }
 
