The race detector's own crashes are traced: one processor for bubbles

All timers of a bubble of testing/synctest run in one context of the detector (bubble.timers.raceCtx); maybeRunChan runs a due timer on whichever thread reads its channel, with no lock on that context, while others or the bubble's root do the same. Two at a time corrupt it.

Ruled out: the project's code. Memory limits (no mmap failed).

Change: virtual.Test stands before synctest.Test everywhere and gives a race build one processor for the bubble's length; tests outside bubbles keep all. The detector compares the order of events, so it still finds unordered accesses there. A test forbids other bubbles; internal/virtual joins the race run.

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -11,13 +11,13 @@
 	"net/netip"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/shelfcrank/shelfcrank/internal/fault"
 	"github.com/shelfcrank/shelfcrank/internal/netx"
+	"github.com/shelfcrank/shelfcrank/internal/virtual"
 )
 
 var serverAddr = netip.MustParseAddrPort("10.0.0.1:80")
@@ -91,7 +91,7 @@
 
 func bubble(t *testing.T, f func(t *testing.T, is *is.I)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) { f(t, is.New(t)) })
+	virtual.Test(t, func(t *testing.T) { f(t, is.New(t)) })
 }
 
 func TestAConnectionIsKept(t *testing.T) {
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -10,10 +10,11 @@
 	"github.com/matryer/is"
 
 	"github.com/shelfcrank/shelfcrank/internal/member"
+	"github.com/shelfcrank/shelfcrank/internal/virtual"
 )
 
 func TestWatchdogNoticesAWedgedLoop(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		l := New(member.Member{ID: "n#1", Name: "n"})
 		ctx, cancel := context.WithCancel(context.Background())
@@ -34,7 +35,7 @@
 }
 
 func TestEffectsArriveInOrder(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		l := New(member.Member{ID: "n#1", Name: "n"})
 		ctx, cancel := context.WithCancel(context.Background())
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -13,6 +12,7 @@
 
 	"github.com/shelfcrank/shelfcrank/internal/store"
 	"github.com/shelfcrank/shelfcrank/internal/storetest"
+	"github.com/shelfcrank/shelfcrank/internal/virtual"
 )
 
 const (
@@ -63,7 +63,7 @@
 }
 
 func TestOneTakesTheDutyAndAnotherFollows(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := storetest.New()
 		a := start(s, "a", 1)
@@ -89,7 +89,7 @@
 // sooner than a part of the lease later.
 func TestNeverTwoHolders(t *testing.T) {
 	for seed := range uint64(30) {
-		synctest.Test(t, func(t *testing.T) { playHolders(t, seed) })
+		virtual.Test(t, func(t *testing.T) { playHolders(t, seed) })
 	}
 }
 
--- a/internal/experiment/chaos_test.go
+++ b/internal/experiment/chaos_test.go
@@ -10,7 +10,6 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
@@ -23,6 +22,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/relay"
 	"github.com/shelfcrank/shelfcrank/internal/table"
 	"github.com/shelfcrank/shelfcrank/internal/traffic"
+	"github.com/shelfcrank/shelfcrank/internal/virtual"
 )
 
 var (
@@ -383,7 +383,7 @@
 	t.Helper()
 	runtime.GC()
 	runtime.GC()
-	synctest.Test(t, f)
+	virtual.Test(t, f)
 }
 
 func TestRandomFaults(t *testing.T) {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -13,7 +13,6 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -26,6 +25,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/policy"
 	"github.com/shelfcrank/shelfcrank/internal/quota"
 	"github.com/shelfcrank/shelfcrank/internal/registry"
+	"github.com/shelfcrank/shelfcrank/internal/virtual"
 )
 
 // plainProtocol names the headers in the plainest way.
@@ -279,7 +279,7 @@
 		{name: "no route", path: "/none/a", budget: 5, status: 404},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtual.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				w := newWorld(t, test.dead, test.scripts...)
 				w.admit.budget = test.budget
@@ -300,7 +300,7 @@
 }
 
 func TestADeadlineIsPassedOnAsWhatIsLeft(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := newWorld(t, 0, sealed(500, "no"), sealed(200, "hi"))
 		w.ask("/safe/a", "k")
@@ -332,7 +332,7 @@
 		{"nobody goes on", "/resume/a", []string{events(1, 4, false), refused, refused, refused, refused, refused, refused}, 4, true, 6},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtual.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				w := newWorld(t, 0, test.scripts...)
 				w.admit.budget = 9
@@ -354,7 +354,7 @@
 }
 
 func TestKeysAreHonouredOnlyWhileTheConfigurationIsProved(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := newWorld(t, 0, sealed(200, "hi"), sealed(200, "hi"))
 		rec, _ := w.ask("/once/a", "unknown")
@@ -375,7 +375,7 @@
 }
 
 func TestALimitIsAnsweredWithATimeToComeBack(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := newWorld(t, 0, sealed(200, "hi"))
 		w.admit.refuse = true
@@ -387,7 +387,7 @@
 }
 
 func TestABodyOverTheLimit(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := newWorld(t, 0, sealed(200, "hi"))
 		r := httptest.NewRequest(http.MethodPost, "http://"+testHost+"/once/a", strings.NewReader(strings.Repeat("x", 1001)))
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -7,13 +7,13 @@
 	"slices"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/shelfcrank/shelfcrank/internal/registry"
 	"github.com/shelfcrank/shelfcrank/internal/storetest"
+	"github.com/shelfcrank/shelfcrank/internal/virtual"
 )
 
 func play(t *testing.T, nodes int, f func(is *is.I, w *world), options ...func(*world)) {
@@ -31,7 +31,7 @@
 	t.Helper()
 	runtime.GC()
 	runtime.GC()
-	synctest.Test(t, f)
+	virtual.Test(t, f)
 }
 
 func TestAConfigurationIsInForceEverywhereSoon(t *testing.T) {
--- a/internal/logsink/logsink_test.go
+++ b/internal/logsink/logsink_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 
 	"github.com/matryer/is"
+	"github.com/shelfcrank/shelfcrank/internal/virtual"
 )
 
 // stuck is a reader that has stopped reading until it is let go.
@@ -22,7 +23,7 @@
 }
 
 func TestAReaderThatStopsReadingHoldsNobodyUp(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		out := &stuck{resume: make(chan struct{})}
 		s := New(out)
--- /dev/null
+++ b/internal/virtual/race.go
@@ -0,0 +1,6 @@
+//go:build race
+
+package virtual
+
+// raceEnabled says that the program was built with the race detector.
+const raceEnabled = true
