Levels of limits are filled before they are told

Cause: Levels told buckets as they were at the last request of the account at that instance. News of the others come off at once, but what time adds was put in by Admit only. With 77 instances an account of 25 requests a second comes to one every three seconds, so the level told lacked up to three seconds of its rate, and each younger instance adopted it as of now. It strikes each instance that starts at any time, too.

Change: Levels takes the limits and fills each bucket up to now.

Tests: TestLevelsOfTenantsThatCameToOthers and TestAllStartedAnewBelowTheLimit (60 nodes) fail without the fill and pass with it; those that keep the limit under kills still pass.

--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -36,11 +36,28 @@
 func (a *admission) Admit(t *policy.Tenant, units float64, now time.Time) quota.Verdict {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	return a.quota.Admit(t.Name, a.limit(t), units, now)
+}
+
+// limit returns what a client account is kept to.
+func (a *admission) limit(t *policy.Tenant) quota.Limit {
 	limit := quota.Limit{Rate: t.Rate, Burst: t.Burst}
 	if t.Rate > 0 {
 		limit = a.limits.Stretch(limit)
 	}
-	return a.quota.Admit(t.Name, limit, units, now)
+	return limit
+}
+
+// levels returns how much of their limits the client accounts have left. The
+// caller holds mu.
+func (a *admission) levels(now time.Time) map[string]float64 {
+	limits := make(map[string]quota.Limit)
+	if config := a.node.view.Load().Config; config != nil {
+		for i := range config.Tenants {
+			limits[config.Tenants[i].Name] = a.limit(&config.Tenants[i])
+		}
+	}
+	return a.quota.Levels(limits, now)
 }
 
 // Return implements forward.Admission.
--- a/internal/front/share.go
+++ b/internal/front/share.go
@@ -145,7 +145,7 @@
 	for name, units := range a.quota.Admitted() {
 		of(name).Admitted = units
 	}
-	for name, level := range a.quota.Levels() {
+	for name, level := range a.levels(time.Now()) {
 		of(name).Level = level
 	}
 	for w, counts := range a.usage.Own() {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -191,10 +191,18 @@
 	return out
 }
 
-// Levels returns the levels of the buckets, for a node that has just started.
-func (l *Limiter) Levels() map[string]float64 {
+// Levels returns the levels of the buckets now, for a node that has just started.
+// Tenants without a limit have none.
+func (l *Limiter) Levels(limits map[string]Limit, now time.Time) map[string]float64 {
 	out := make(map[string]float64, len(l.tenants))
+	share := l.known()
 	for name, a := range l.tenants {
+		limit := limits[name]
+		if limit.Rate <= 0 {
+			continue
+		}
+		// News of the others come off at once; what time adds has to be added as well.
+		a.bucket.fill(limit.part(share), now)
 		out[name] = a.bucket.level
 	}
 	return out
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -27,6 +27,7 @@
 	now      time.Time
 	rnd      *rand.Rand
 	admitted []float64 // by step
+	refused  float64   // in all
 }
 
 func newFleet(n int, limit Limit, seed uint64) *fleet {
@@ -58,8 +59,13 @@
 			break
 		}
 		l := f.nodes[f.rnd.IntN(len(f.nodes))]
-		if l != nil && l.Admit("t", Terms{testOver, testSlack, testWindow}.Stretch(f.limit), units, f.now).OK {
+		if l == nil {
+			continue
+		}
+		if l.Admit("t", f.limits()["t"], units, f.now).OK {
 			sum += units
+		} else {
+			f.refused += units
 		}
 	}
 	f.admitted = append(f.admitted, sum)
@@ -82,7 +88,7 @@
 			}
 			to.Heard(News{
 				Node: string(rune('a' + i)), Incarnation: f.started[i].UnixNano(), Admitted: from.Admitted(),
-				Levels: from.Levels(), Seasoned: f.now.Sub(f.started[i]) > Season,
+				Levels: from.Levels(f.limits(), f.now), Seasoned: f.now.Sub(f.started[i]) > Season,
 			}, f.now)
 		}
 	}
@@ -94,6 +100,11 @@
 	}
 }
 
+// limits returns the limit that is kept to, by tenant.
+func (f *fleet) limits() map[string]Limit {
+	return map[string]Limit{"t": Terms{testOver, testSlack, testWindow}.Stretch(f.limit)}
+}
+
 // worst returns the most that was admitted in a window.
 func (f *fleet) worst() float64 {
 	n := int(testWindow / testStep)
@@ -223,3 +234,42 @@
 	}
 	is.True(large >= 13)
 }
+
+// A node tells levels of tenants that came to other nodes only: time has filled
+// them as it has filled its own.
+func TestLevelsOfTenantsThatCameToOthers(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	l := New(start)
+	limit := Limit{Rate: 1000, Burst: 1500}
+	now, admitted := start, 0.0
+	for range 30 {
+		now = now.Add(100 * time.Millisecond)
+		admitted += 50
+		l.SetNodes(2)
+		l.Heard(News{Node: "b", Incarnation: 1, Admitted: map[string]float64{"t": admitted}}, now)
+		l.Tick(now)
+	}
+	level := l.Levels(map[string]Limit{"t": limit}, now)["t"]
+	is.True(level > 1000) // three seconds at half of the limit
+}
+
+// After a kill of all nodes of a large fleet, tenants that come to a node seldom
+// are not refused once the nodes know each other.
+func TestAllStartedAnewBelowTheLimit(t *testing.T) {
+	is := is.New(t)
+	const nodes = 60
+	f := newFleet(nodes, Limit{Rate: 100_000, Burst: 115_000}, 5)
+	for at := range 900 {
+		if at == 400 {
+			for i := range f.nodes {
+				f.kill(i, time.Second)
+			}
+		}
+		if at == 550 { // two seconds after the start
+			f.refused = 0
+		}
+		f.step(0.5 * f.limit.Rate)
+	}
+	is.Equal(f.refused, 0.0)
+}
