Client accounts are called so outside the adapter

Names only: types, fields, variables, log keys, reasons, pages and messages say account or client account where they said tenant; the messages' field numbers stay. Tests of the packages touched pass.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -46,10 +46,10 @@
 	}
 }
 
-// giveUp refuses a request; what did not run is given back to its tenant.
+// giveUp refuses a request; what did not run is given back to its client account.
 func (h *Handler) giveUp(w http.ResponseWriter, q *request, d *denial) {
-	if q.tenant != nil && !q.mayRun {
-		h.Admission.Return(q.tenant, q.units)
+	if q.account != nil && !q.mayRun {
+		h.Admission.Return(q.account, q.units)
 	}
 	if q.answered && !d.gone {
 		// Part of an answer went out: only a cut shows that it is not whole.
@@ -169,7 +169,7 @@
 		c.MaxConns = max(spareConns, s.MaxConnections/max(1, view.Nodes))
 	}
 	h.Protocol.Outgoing(c.Header, Outgoing{
-		Server: ticket.Server.ID, Tenant: q.tenantName(), Left: q.deadline.Sub(now), Priority: q.priority, LastEventID: q.event,
+		Server: ticket.Server.ID, Account: q.accountName(), Left: q.deadline.Sub(now), Priority: q.priority, LastEventID: q.event,
 	})
 	return c
 }
@@ -190,7 +190,7 @@
 	q.mayRun = true
 	ticket.Done(h.blame(ctx, f), now)
 	if q.route.Kind != policy.Streaming {
-		h.Admission.Began(q.tenantName(), 1)
+		h.Admission.Began(q.accountName(), 1)
 	}
 	if ctx.Err() != nil {
 		return outcome{denial: h.ended(ctx, q)}
--- a/internal/forward/door.go
+++ b/internal/forward/door.go
@@ -35,7 +35,7 @@
 // errDeadline ends a request whose time is over.
 var errDeadline = errors.New("the time for the request is over")
 
-// identify finds the route and the tenant of a request.
+// identify finds the route and the client account of a request.
 func (h *Handler) identify(q *request, r *http.Request) *denial {
 	c := q.view.Config
 	if c == nil {
@@ -53,18 +53,18 @@
 		}
 		return &denial{status: http.StatusNotFound, why: "no route"}
 	}
-	if c.HasTenants() && !q.route.Public {
+	if c.HasAccounts() && !q.route.Public {
 		if q.arrived.After(q.view.KeysUntil) {
 			return notReady("the configuration may be old, and a key taken away")
 		}
-		if q.tenant = c.Tenant(q.meta.Key); q.tenant == nil {
+		if q.account = c.Account(q.meta.Key); q.account == nil {
 			if age > h.CertainFor {
 				return notReady("key unknown to a configuration that may be old")
 			}
 			return &denial{status: http.StatusUnauthorized, why: "unknown key"}
 		}
 	}
-	q.priority = c.Priority(q.tenant, q.route)
+	q.priority = c.Priority(q.account, q.route)
 	q.service = q.route.Pick(q.meta.ID)
 	q.method, q.uri, q.host = r.Method, r.RequestURI, r.Host
 	allowed := q.route.Timeout
@@ -122,22 +122,22 @@
 	return io.ReadAll(body)
 }
 
-// admit counts the request against its tenant's limit.
+// admit counts the request against its client account's limit.
 func (h *Handler) admit(q *request) *denial {
 	q.units = 1
-	if q.tenant == nil {
+	if q.account == nil {
 		return nil
 	}
-	if q.tenant.CountTokens {
-		q.units = q.tenant.PlainTokens
+	if q.account.CountTokens {
+		q.units = q.account.PlainTokens
 		if q.meta.HasTokens {
 			q.units = float64(q.meta.PromptTokens + q.meta.OutputTokens)
 		}
 	}
 	now := time.Now()
-	v := h.Admission.Admit(q.tenant, q.units, now)
+	v := h.Admission.Admit(q.account, q.units, now)
 	if v.OK {
 		return nil
 	}
-	return &denial{status: http.StatusTooManyRequests, why: "limit of the tenant", wait: v.RetryAt.Sub(now), quota: true}
+	return &denial{status: http.StatusTooManyRequests, why: "limit of the client account", wait: v.RetryAt.Sub(now), quota: true}
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -1,7 +1,7 @@
 // Package forward takes a client's request through to a server's answer.
 //
 // A request passes five steps: the door (door.go) reads and identifies it,
-// admission checks its tenant's limit, a server is chosen, an attempt is made
+// admission checks its client account's limit, a server is chosen, an attempt is made
 // (attempt.go), and the answer is passed on (answer.go, stream.go). A refusal
 // says "not run" only when that is certain (refuse.go). Nothing is kept of a
 // request once it is answered.
@@ -31,7 +31,7 @@
 // Meta is what a client says of its request.
 type Meta struct {
 	ID           string
-	Key          string // names the tenant
+	Key          string // names the client account
 	Allowed      time.Duration
 	HasDeadline  bool // Allowed was told
 	HasTokens    bool // the two below were told
@@ -44,7 +44,7 @@
 // Outgoing is what a server is told of a request.
 type Outgoing struct {
 	Server      string
-	Tenant      string
+	Account     string
 	Left        time.Duration // until the answer is of no use
 	Priority    int           // 0 is the most urgent
 	LastEventID string        // the event after which a stream goes on
@@ -72,14 +72,14 @@
 	Leaving     bool                         // this node is stopping
 }
 
-// Admission counts requests against the limits of tenants and the budgets of
+// Admission counts requests against the limits of client accounts and the budgets of
 // second tries, over all nodes.
 type Admission interface {
-	Admit(t *policy.Tenant, units float64, now time.Time) quota.Verdict
-	Return(t *policy.Tenant, units float64)
+	Admit(a *policy.Account, units float64, now time.Time) quota.Verdict
+	Return(a *policy.Account, units float64)
 	FirstTry(service string, now time.Time)
 	SecondTry(service string, now time.Time) bool
-	Began(tenant string, n int64)
+	Began(account string, n int64)
 }
 
 // Placer chooses a server for a request and counts the request there until the
@@ -122,7 +122,7 @@
 	deadline time.Time
 	view     *View
 	route    *policy.Route
-	tenant   *policy.Tenant // nil on a public route
+	account  *policy.Account // nil on a public route
 	service  string
 	units    float64
 	priority int
@@ -151,9 +151,9 @@
 	q.lastAt = now
 }
 
-func (q *request) tenantName() string {
-	if q.tenant == nil {
+func (q *request) accountName() string {
+	if q.account == nil {
 		return ""
 	}
-	return q.tenant.Name
+	return q.account.Name
 }
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -47,7 +47,7 @@
 func (plainProtocol) CleanAnswer(h http.Header) { h.Del("Content-Length"); h.Del("Transfer-Encoding") }
 func (plainProtocol) Outgoing(h http.Header, o Outgoing) {
 	h.Set("Server", o.Server)
-	h.Set("Tenant", o.Tenant)
+	h.Set("Account", o.Account)
 	h.Set("Deadline", strconv.FormatInt(o.Left.Milliseconds(), 10))
 	if o.LastEventID != "" {
 		h.Set("Last", o.LastEventID)
@@ -66,11 +66,11 @@
 	refuse   bool
 }
 
-func (a *freely) Admit(*policy.Tenant, float64, time.Time) quota.Verdict {
+func (a *freely) Admit(*policy.Account, float64, time.Time) quota.Verdict {
 	return quota.Verdict{OK: !a.refuse, RetryAt: time.Now().Add(time.Second)}
 }
-func (a *freely) Return(_ *policy.Tenant, units float64) { a.returned += units }
-func (a *freely) FirstTry(string, time.Time)             {}
+func (a *freely) Return(_ *policy.Account, units float64) { a.returned += units }
+func (a *freely) FirstTry(string, time.Time)              {}
 func (a *freely) SecondTry(string, time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -108,7 +108,7 @@
 			route("stream", policy.Streaming, 1, false), route("resume", policy.Streaming, 2, true),
 		},
 		Services: []policy.Service{{Name: "svc"}},
-		Tenants:  []policy.Tenant{{Name: "north", Keys: []string{"k"}}},
+		Accounts: []policy.Account{{Name: "north", Keys: []string{"k"}}},
 		Limits:   policy.Limits{BodyBytes: 1000},
 	})
 	if err != nil {
@@ -309,7 +309,7 @@
 		second, err := strconv.Atoi(w.got[1].Get("Deadline"))
 		is.NoErr(err)
 		is.True(first <= 1500 && second < first && second > 1400)
-		is.Equal(w.got[0].Get("Tenant"), "north")
+		is.Equal(w.got[0].Get("Account"), "north")
 		is.Equal(w.got[0].Get("Key"), "") // the key is not shown
 		is.True(w.got[0].Get("Server") != w.got[1].Get("Server"))
 		w.handler.Backends.CloseIdle()
--- a/internal/forward/refuse.go
+++ b/internal/forward/refuse.go
@@ -15,7 +15,7 @@
 	why    string
 	wait   time.Duration // when to come back; 0 when that is no use
 	close  bool          // the connection cannot be used again
-	quota  bool          // the tenant is over its limit
+	quota  bool          // the client account is over its limit
 	gone   bool          // the client is no longer there: no answer
 	err    error         // the cause, if any
 	answer *answer       // a server's failure that is passed on instead; nil for an answer of this node's own
@@ -77,7 +77,7 @@
 	name := ""
 	if q.route != nil {
 		name = q.route.Name
-		fields = append(fields, zap.String("route", name), zap.String("tenant", q.tenantName()), zap.Time("deadline", q.deadline))
+		fields = append(fields, zap.String("route", name), zap.String("account", q.accountName()), zap.Time("deadline", q.deadline))
 	}
 	if q.view.Config != nil {
 		fields = append(fields, zap.Int64("config", q.view.Config.Version), zap.Duration("config_age", q.arrived.Sub(q.view.ProvedAt)))
--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -33,16 +33,16 @@
 }
 
 // Admit implements forward.Admission.
-func (a *admission) Admit(t *policy.Tenant, units float64, now time.Time) quota.Verdict {
+func (a *admission) Admit(c *policy.Account, units float64, now time.Time) quota.Verdict {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.quota.Admit(t.Name, a.limit(t), units, now)
+	return a.quota.Admit(c.Name, a.limit(c), units, now)
 }
 
 // limit returns what a client account is kept to.
-func (a *admission) limit(t *policy.Tenant) quota.Limit {
-	limit := quota.Limit{Rate: t.Rate, Burst: t.Burst}
-	if t.Rate > 0 {
+func (a *admission) limit(c *policy.Account) quota.Limit {
+	limit := quota.Limit{Rate: c.Rate, Burst: c.Burst}
+	if c.Rate > 0 {
 		limit = a.limits.Stretch(limit)
 	}
 	return limit
@@ -53,18 +53,18 @@
 func (a *admission) levels(now time.Time) map[string]float64 {
 	limits := make(map[string]quota.Limit)
 	if config := a.node.view.Load().Config; config != nil {
-		for i := range config.Tenants {
-			limits[config.Tenants[i].Name] = a.limit(&config.Tenants[i])
+		for i := range config.Accounts {
+			limits[config.Accounts[i].Name] = a.limit(&config.Accounts[i])
 		}
 	}
 	return a.quota.Levels(limits, now)
 }
 
 // Return implements forward.Admission.
-func (a *admission) Return(t *policy.Tenant, units float64) {
+func (a *admission) Return(c *policy.Account, units float64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.quota.Return(t.Name, units)
+	a.quota.Return(c.Name, units)
 }
 
 func (a *admission) budget(service string) *retry.Budget {
@@ -93,14 +93,14 @@
 }
 
 // Began implements forward.Admission.
-func (a *admission) Began(tenant string, count int64) {
-	if tenant == "" {
+func (a *admission) Began(account string, count int64) {
+	if account == "" {
 		return
 	}
 	w := usage.WindowOf(a.node.clock.At(time.Now()), a.node.Settings.Bounds.UsageWindow())
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.usage.Add(w, tenant, count)
+	a.usage.Add(w, account, count)
 }
 
 // tick lets time pass; nodes is how many run.
@@ -120,10 +120,10 @@
 }
 
 // sum returns the counts of a window over all nodes.
-func (a *admission) sum(window int64, tenants []string) usage.Counts {
+func (a *admission) sum(window int64, accounts []string) usage.Counts {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.usage.Sum(window, tenants)
+	return a.usage.Sum(window, accounts)
 }
 
 // records returns the counts from a window on.
--- a/internal/front/duties.go
+++ b/internal/front/duties.go
@@ -104,11 +104,11 @@
 // settleCounts writes the counts of a window to the store, or reads those that
 // an earlier holder wrote.
 func (n *Node) settleCounts(ctx context.Context, token duty.Token, window int64) (usage.Counts, error) {
-	var tenants []string
-	for _, t := range n.view.Load().Config.Tenants {
-		tenants = append(tenants, t.Name)
+	var accounts []string
+	for _, c := range n.view.Load().Config.Accounts {
+		accounts = append(accounts, c.Name)
 	}
-	counts := n.admission.sum(window, tenants)
+	counts := n.admission.sum(window, accounts)
 	value, err := json.Marshal(counts)
 	if err != nil {
 		return nil, fmt.Errorf("encode counts: %w", err)
--- a/internal/front/placing_test.go
+++ b/internal/front/placing_test.go
@@ -15,7 +15,7 @@
 // engines makes the world's service one of model servers.
 func (w *world) engines(version int64) {
 	c := policy.Config{
-		Version: version, Tenants: []policy.Tenant{{Name: "north", Keys: []string{"k1"}}},
+		Version: version, Accounts: []policy.Account{{Name: "north", Keys: []string{"k1"}}},
 		Routes: []policy.Route{{
 			Name: "safe", Host: testHost, Prefix: "/safe/", Kind: policy.Safe, Timeout: 3 * time.Second, MaxAttempts: 2,
 			Split: []policy.Share{{Service: "svc", Weight: 1}},
--- a/internal/front/share.go
+++ b/internal/front/share.go
@@ -132,15 +132,15 @@
 	}
 	a := n.admission
 	a.mu.Lock()
-	tenants := make(map[string]*peerpb.TenantShare)
-	of := func(name string) *peerpb.TenantShare {
-		t := tenants[name]
-		if t == nil {
-			t = &peerpb.TenantShare{Name: name}
-			tenants[name] = t
-			s.Tenants = append(s.Tenants, t)
+	accounts := make(map[string]*peerpb.AccountShare)
+	of := func(name string) *peerpb.AccountShare {
+		c := accounts[name]
+		if c == nil {
+			c = &peerpb.AccountShare{Name: name}
+			accounts[name] = c
+			s.Accounts = append(s.Accounts, c)
 		}
-		return t
+		return c
 	}
 	for name, units := range a.quota.Admitted() {
 		of(name).Admitted = units
@@ -150,8 +150,8 @@
 	}
 	for w, counts := range a.usage.Own() {
 		for name, count := range counts {
-			t := of(name)
-			t.Windows = append(t.Windows, &peerpb.WindowCount{Window: w, Count: count})
+			c := of(name)
+			c.Windows = append(c.Windows, &peerpb.WindowCount{Window: w, Count: count})
 		}
 	}
 	a.mu.Unlock()
@@ -185,16 +185,16 @@
 	}
 	news := quota.News{
 		Node: s.Node, Incarnation: s.Incarnation, Seasoned: time.Duration(s.Wall-s.Incarnation) > quota.Season,
-		Admitted: make(map[string]float64, len(s.Tenants)), Levels: make(map[string]float64, len(s.Tenants)),
+		Admitted: make(map[string]float64, len(s.Accounts)), Levels: make(map[string]float64, len(s.Accounts)),
 	}
 	windows := make(map[int64]usage.Counts)
-	for _, t := range s.Tenants {
-		news.Admitted[t.Name], news.Levels[t.Name] = t.Admitted, t.Level
-		for _, w := range t.Windows {
+	for _, c := range s.Accounts {
+		news.Admitted[c.Name], news.Levels[c.Name] = c.Admitted, c.Level
+		for _, w := range c.Windows {
 			if windows[w.Window] == nil {
 				windows[w.Window] = make(usage.Counts)
 			}
-			windows[w.Window][t.Name] = w.Count
+			windows[w.Window][c.Name] = w.Count
 		}
 	}
 	n.admission.mu.Lock()
--- a/internal/front/world_test.go
+++ b/internal/front/world_test.go
@@ -51,7 +51,7 @@
 }
 func (plain) Outgoing(h http.Header, o forward.Outgoing) {
 	h.Set("Server", o.Server)
-	h.Set("Tenant", o.Tenant)
+	h.Set("Account", o.Account)
 }
 func (plain) RetryAfter(h http.Header, wait time.Duration) {
 	h.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
@@ -166,7 +166,7 @@
 	}
 	c := policy.Config{
 		Version: version, Routes: []policy.Route{route("once", policy.Unsafe), route("safe", policy.Safe)},
-		Services: []policy.Service{{Name: "svc"}}, Tenants: []policy.Tenant{{Name: "north", Keys: keys}},
+		Services: []policy.Service{{Name: "svc"}}, Accounts: []policy.Account{{Name: "north", Keys: keys}},
 	}
 	if version > 1 {
 		c.Routes = append(c.Routes, route("new", policy.Safe))
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -1,5 +1,5 @@
 // Package policy is the operators' configuration as requests are decided by:
-// routes, services, tenants and limits.
+// routes, services, client accounts and limits.
 //
 // A Config is immutable once New has made it. The package is pure.
 package policy
@@ -77,8 +77,8 @@
 	ZonePrices map[string]float64
 }
 
-// Tenant is a customer.
-type Tenant struct {
+// Account is a client account: a customer with keys, a limit and a priority.
+type Account struct {
 	Name        string
 	Keys        []string
 	Priority    int     // 0 is the most urgent; it comes before that of the route
@@ -101,16 +101,16 @@
 	Version  int64
 	Routes   []Route
 	Services []Service
-	Tenants  []Tenant
+	Accounts []Account
 	Limits   Limits
 
 	byHost    map[string][]*Route // longest prefix first
-	byKey     map[string]*Tenant
+	byKey     map[string]*Account
 	byService map[string]*Service
 	ranks     map[rank]int
 }
 
-type rank struct{ tenant, route int }
+type rank struct{ account, route int }
 
 // ErrInvalid says that a configuration cannot be used.
 var ErrInvalid = errors.New("invalid configuration")
@@ -121,7 +121,7 @@
 		return nil, fmt.Errorf("%w: version %d", ErrInvalid, c.Version)
 	}
 	c.byHost = make(map[string][]*Route)
-	c.byKey = make(map[string]*Tenant)
+	c.byKey = make(map[string]*Account)
 	c.byService = make(map[string]*Service)
 	for i := range c.Services {
 		c.byService[c.Services[i].Name] = &c.Services[i]
@@ -138,25 +138,25 @@
 	for _, routes := range c.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
-	for i := range c.Tenants {
-		for _, key := range c.Tenants[i].Keys {
-			c.byKey[key] = &c.Tenants[i]
+	for i := range c.Accounts {
+		for _, key := range c.Accounts[i].Keys {
+			c.byKey[key] = &c.Accounts[i]
 		}
 	}
 	c.rank()
 	return &c, nil
 }
 
-// rank orders the pairs of a tenant's and a route's priority.
+// rank orders the pairs of a client account's and a route's priority.
 func (c *Config) rank() {
 	var all []rank
 	for _, r := range c.Routes {
-		for _, t := range c.Tenants {
-			all = append(all, rank{t.Priority, r.Priority})
+		for _, a := range c.Accounts {
+			all = append(all, rank{a.Priority, r.Priority})
 		}
 		all = append(all, rank{0, r.Priority})
 	}
-	slices.SortFunc(all, func(a, b rank) int { return cmp.Or(cmp.Compare(a.tenant, b.tenant), cmp.Compare(a.route, b.route)) })
+	slices.SortFunc(all, func(a, b rank) int { return cmp.Or(cmp.Compare(a.account, b.account), cmp.Compare(a.route, b.route)) })
 	all = slices.Compact(all)
 	c.ranks = make(map[rank]int, len(all))
 	for i, r := range all {
@@ -167,12 +167,12 @@
 // Priorities is the number of levels that servers tell apart; 0 goes first.
 const Priorities = 10
 
-// Priority returns the level at which a request is sent to a server. tenant may
+// Priority returns the level at which a request is sent to a server. a may
 // be nil.
-func (c *Config) Priority(t *Tenant, r *Route) int {
+func (c *Config) Priority(a *Account, r *Route) int {
 	of := rank{0, r.Priority}
-	if t != nil {
-		of.tenant = t.Priority
+	if a != nil {
+		of.account = a.Priority
 	}
 	if len(c.ranks) <= Priorities {
 		return c.ranks[of]
@@ -191,11 +191,11 @@
 	return nil
 }
 
-// HasTenants reports whether requests need a key.
-func (c *Config) HasTenants() bool { return len(c.Tenants) > 0 }
+// HasAccounts reports whether requests need a key.
+func (c *Config) HasAccounts() bool { return len(c.Accounts) > 0 }
 
-// Tenant returns the tenant that holds a key, or nil.
-func (c *Config) Tenant(key string) *Tenant { return c.byKey[key] }
+// Account returns the client account that holds a key, or nil.
+func (c *Config) Account(key string) *Account { return c.byKey[key] }
 
 // Service returns the service with this name, or nil.
 func (c *Config) Service(name string) *Service { return c.byService[name] }
--- a/internal/policy/policy_test.go
+++ b/internal/policy/policy_test.go
@@ -22,7 +22,7 @@
 	is.Equal(r.Pick("same"), r.Pick("same"))
 }
 
-func TestATenantsPriorityComesBeforeTheRoutes(t *testing.T) {
+func TestAAccountsPriorityComesBeforeTheRoutes(t *testing.T) {
 	is := is.New(t)
 	c, err := New(Config{
 		Version: 1,
@@ -30,12 +30,12 @@
 			{Name: "r0", Host: "h", Prefix: "/0/", Timeout: time.Second, Priority: 0, Split: []Share{{"s", 1}}},
 			{Name: "r2", Host: "h", Prefix: "/2/", Timeout: time.Second, Priority: 2, Split: []Share{{"s", 1}}},
 		},
-		Tenants: []Tenant{{Name: "t1", Priority: 1}, {Name: "t2", Priority: 2}},
+		Accounts: []Account{{Name: "t1", Priority: 1}, {Name: "t2", Priority: 2}},
 	})
 	is.NoErr(err)
-	is.True(c.Priority(&c.Tenants[0], &c.Routes[1]) < c.Priority(&c.Tenants[1], &c.Routes[0]))
-	is.True(c.Priority(&c.Tenants[0], &c.Routes[0]) < c.Priority(&c.Tenants[0], &c.Routes[1]))
-	is.True(c.Priority(&c.Tenants[1], &c.Routes[1]) < Priorities)
+	is.True(c.Priority(&c.Accounts[0], &c.Routes[1]) < c.Priority(&c.Accounts[1], &c.Routes[0]))
+	is.True(c.Priority(&c.Accounts[0], &c.Routes[0]) < c.Priority(&c.Accounts[0], &c.Routes[1]))
+	is.True(c.Priority(&c.Accounts[1], &c.Routes[1]) < Priorities)
 }
 
 func TestARouteWithoutAServiceIsInvalid(t *testing.T) {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -1,4 +1,4 @@
-// Package quota holds the tenants' limits over all nodes together.
+// Package quota holds the client accounts' limits over all nodes together.
 //
 // Each node runs the token bucket of the whole system: it takes off what it
 // admits at once, and what the others admitted when it hears of it. A level
@@ -12,7 +12,7 @@
 	"time"
 )
 
-// Limit is a tenant's limit in units; a Rate of 0 is no limit.
+// Limit is a client account's limit in units; a Rate of 0 is no limit.
 type Limit struct {
 	Rate  float64 // units a second
 	Burst float64 // units above the rate
@@ -57,7 +57,7 @@
 	assumeMost = 10 * time.Second       // how long a silent node is assumed to go on
 	rateWeight = 0.3
 	leastRetry = 50 * time.Millisecond
-	payShare   = 0.2 // of a request that the level has to cover: a tenant over its limit is refused large and small requests alike
+	payShare   = 0.2 // of a request that the level has to cover: an account over its limit is refused large and small requests alike
 )
 
 // Season is how long after its start a node knows the levels well.
@@ -67,7 +67,7 @@
 type News struct {
 	Node        string
 	Incarnation int64              // a restarted node has a higher one
-	Admitted    map[string]float64 // units by tenant since it started
+	Admitted    map[string]float64 // units by client account since it started
 	Levels      map[string]float64 // of its buckets
 	Seasoned    bool               // it has run for a Season
 }
@@ -95,13 +95,13 @@
 const (
 	newsTakes  = 250 * time.Millisecond // until all nodes know what one admitted
 	freshShare = 2.0                    // times its even part of the level that a node may use before
-	calmLevel  = 0.5                    // of the burst: above it a tenant is well within its limit
+	calmLevel  = 0.5                    // of the burst: above it an account is well within its limit
 )
 
 // mayUse reports whether a node may use so many units before the others hear
 // of it. One request always may: else the largest would never be admitted. In a
-// large fleet the even part of a small tenant is less than two requests, and they
-// come in clumps; while the tenant is well within its limit more is borne.
+// large fleet the even part of a small account is less than two requests, and they
+// come in clumps; while the account is well within its limit more is borne.
 func (a *account) mayUse(units float64, limit Limit, nodes int, now time.Time) bool {
 	if now.Sub(a.freshAt) > newsTakes {
 		a.fresh, a.freshAt = 0, now
@@ -112,7 +112,7 @@
 	return a.fresh == 0 || a.fresh+units <= max(even, alone)
 }
 
-// far is what another node said of one tenant.
+// far is what another node said of one client account.
 type far struct {
 	admitted float64
 	rate     float64 // units a second, of late
@@ -122,36 +122,36 @@
 type node struct {
 	incarnation int64
 	heardAt     time.Time
-	tenants     map[string]*far
+	accounts    map[string]*far
 }
 
-// Limiter counts the use of limits by tenant.
+// Limiter counts the use of limits by client account.
 type Limiter struct {
-	start   time.Time // from which empty buckets fill
-	tenants map[string]*account
-	nodes   map[string]*node
-	count   int // of nodes that run, as far as is known
-	ticked  time.Time
-	since   time.Time // first news of a node that knows the levels well
+	start    time.Time // from which empty buckets fill
+	accounts map[string]*account
+	nodes    map[string]*node
+	count    int // of nodes that run, as far as is known
+	ticked   time.Time
+	since    time.Time // first news of a node that knows the levels well
 }
 
 // New returns the limiter of a node that starts now.
 func New(now time.Time) *Limiter {
-	return &Limiter{start: now, tenants: make(map[string]*account), nodes: make(map[string]*node)}
+	return &Limiter{start: now, accounts: make(map[string]*account), nodes: make(map[string]*node)}
 }
 
-func (l *Limiter) tenant(name string) *account {
-	a := l.tenants[name]
+func (l *Limiter) account(name string) *account {
+	a := l.accounts[name]
 	if a == nil {
 		a = &account{bucket: bucket{at: l.start}}
-		l.tenants[name] = a
+		l.accounts[name] = a
 	}
 	return a
 }
 
 // Admit asks for a request of so many units.
-func (l *Limiter) Admit(tenant string, limit Limit, units float64, now time.Time) Verdict {
-	a := l.tenant(tenant)
+func (l *Limiter) Admit(name string, limit Limit, units float64, now time.Time) Verdict {
+	a := l.account(name)
 	if limit.Rate <= 0 {
 		a.admitted += units
 		return Verdict{OK: true}
@@ -185,27 +185,27 @@
 }
 
 // Return gives back the units of a request that did not run.
-func (l *Limiter) Return(tenant string, units float64) {
-	a := l.tenant(tenant)
+func (l *Limiter) Return(name string, units float64) {
+	a := l.account(name)
 	a.bucket.level += units
 	a.admitted -= units
 }
 
 // Admitted returns the units that this node admitted since it started.
 func (l *Limiter) Admitted() map[string]float64 {
-	out := make(map[string]float64, len(l.tenants))
-	for name, a := range l.tenants {
+	out := make(map[string]float64, len(l.accounts))
+	for name, a := range l.accounts {
 		out[name] = a.admitted
 	}
 	return out
 }
 
 // Levels returns the levels of the buckets now, for a node that has just started.
-// Tenants without a limit have none.
+// Accounts without a limit have none.
 func (l *Limiter) Levels(limits map[string]Limit, now time.Time) map[string]float64 {
-	out := make(map[string]float64, len(l.tenants))
+	out := make(map[string]float64, len(l.accounts))
 	share := l.known()
-	for name, a := range l.tenants {
+	for name, a := range l.accounts {
 		limit := limits[name]
 		if limit.Rate <= 0 {
 			continue
@@ -224,25 +224,25 @@
 		l.Forget(news.Node) // settles what it was assumed to admit while it was down
 	}
 	if !known || n.incarnation != news.Incarnation {
-		n = &node{incarnation: news.Incarnation, tenants: make(map[string]*far)}
+		n = &node{incarnation: news.Incarnation, accounts: make(map[string]*far)}
 		l.nodes[news.Node] = n
 	}
 	since := now.Sub(n.heardAt).Seconds()
-	for tenant, total := range news.Admitted {
-		f := n.tenants[tenant]
+	for name, total := range news.Admitted {
+		f := n.accounts[name]
 		if f == nil {
 			f = &far{}
 			if !known {
 				f.admitted = total // from before this node listened
 			}
-			n.tenants[tenant] = f
+			n.accounts[name] = f
 		}
 		delta := total - f.admitted
 		f.admitted = total
 		if !n.heardAt.IsZero() && since > 0 {
 			f.rate += rateWeight * (delta/since - f.rate)
 		}
-		l.tenant(tenant).bucket.level -= delta - f.assumed
+		l.account(name).bucket.level -= delta - f.assumed
 		f.assumed = 0
 	}
 	if news.Seasoned {
@@ -259,8 +259,8 @@
 	if now.Sub(l.since) > Season {
 		return
 	}
-	for tenant, level := range levels {
-		b := &l.tenant(tenant).bucket
+	for name, level := range levels {
+		b := &l.account(name).bucket
 		if b.adopted {
 			continue
 		}
@@ -279,10 +279,10 @@
 		if silent < newsDue || silent > assumeMost {
 			continue
 		}
-		for tenant, f := range n.tenants {
+		for name, f := range n.accounts {
 			units := f.rate * min(since, silent).Seconds()
 			f.assumed += units
-			l.tenant(tenant).bucket.level -= units
+			l.account(name).bucket.level -= units
 		}
 	}
 }
@@ -294,8 +294,8 @@
 	if n == nil {
 		return
 	}
-	for tenant, f := range n.tenants {
-		l.tenant(tenant).bucket.level += f.assumed
+	for name, f := range n.accounts {
+		l.account(name).bucket.level += f.assumed
 	}
 	delete(l.nodes, name)
 }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -18,7 +18,7 @@
 	testNews   = 200 * time.Millisecond
 )
 
-// fleet plays nodes that admit one tenant's requests.
+// fleet plays nodes that admit one client account's requests.
 type fleet struct {
 	limit    Limit
 	nodes    []*Limiter
@@ -111,7 +111,7 @@
 	}
 }
 
-// limits returns the limit that is kept to, by tenant.
+// limits returns the limit that is kept to, by client account.
 func (f *fleet) limits() map[string]Limit {
 	return map[string]Limit{"t": Terms{testOver, testSlack, testWindow}.Stretch(f.limit)}
 }
@@ -134,7 +134,7 @@
 	return (f.limit.Rate*testWindow.Seconds()+f.limit.Burst)*(1+testOver) + testSlack
 }
 
-// Three kills of all nodes within one window, while a tenant asks for many times
+// Three kills of all nodes within one window, while a client account asks for many times
 // its limit: what was admitted before is forgotten, and yet counts.
 func TestAllNodesKilledAgainAndAgain(t *testing.T) {
 	is := is.New(t)
@@ -199,7 +199,7 @@
 	is.True(sum > 0.94*0.6*f.limit.Rate*1000*testStep.Seconds()) // but for the seconds that a node is down
 }
 
-// A node that a tenant comes to for the first time after others served it for
+// A node that a client account comes to for the first time after others served it for
 // long has not run up a debt meanwhile.
 func TestFirstRequestAtANodeAfterLongUseElsewhere(t *testing.T) {
 	is := is.New(t)
@@ -217,7 +217,7 @@
 	is.True(l.Admit("t", limit, 800, now).OK) // half of the limit is in use
 }
 
-// A tenant sends many times its limit for long: nodes that admit on old news
+// A client account sends many times its limit for long: nodes that admit on old news
 // must not all use the same units.
 func TestManyTimesTheLimitForLong(t *testing.T) {
 	is := is.New(t)
@@ -231,7 +231,7 @@
 }
 
 // The largest requests are admitted as well, although one takes half of what a
-// tenant may have at once.
+// client account may have at once.
 func TestTheLargestRequestsAreAdmitted(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(8, Limit{Rate: 80_000, Burst: 90_000}, 3)
@@ -246,9 +246,9 @@
 	is.True(large >= 13)
 }
 
-// A node tells levels of tenants that came to other nodes only: time has filled
+// A node tells levels of client accounts that came to other nodes only: time has filled
 // them as it has filled its own.
-func TestLevelsOfTenantsThatCameToOthers(t *testing.T) {
+func TestLevelsOfAccountsThatCameToOthers(t *testing.T) {
 	is := is.New(t)
 	start := time.Unix(1000, 0)
 	l := New(start)
@@ -265,7 +265,7 @@
 	is.True(level > 1000) // three seconds at half of the limit
 }
 
-// After a kill of all nodes of a large fleet, tenants that come to a node seldom
+// After a kill of all nodes of a large fleet, client accounts that come to a node seldom
 // are not refused once the nodes know each other.
 func TestAllStartedAnewBelowTheLimit(t *testing.T) {
 	is := is.New(t)
@@ -285,7 +285,7 @@
 	is.Equal(f.refused, 0.0)
 }
 
-// Requests of a small tenant come in clumps to single nodes of a large fleet. It
+// Requests of a small client account come in clumps to single nodes of a large fleet. It
 // keeps to its limit, and nothing is refused.
 func TestClumpsAtSingleNodesOfALargeFleet(t *testing.T) {
 	is := is.New(t)
@@ -307,9 +307,9 @@
 	is.Equal(f.refused, 0.0)
 }
 
-// A tenant of a large fleet that used half of its limit sends 7.5 times as much
+// A client account of a large fleet that used half of its limit sends 7.5 times as much
 // for 6.5 s, while news take seconds.
-func TestATenantOfALargeFleetTurnsHot(t *testing.T) {
+func TestAAccountOfALargeFleetTurnsHot(t *testing.T) {
 	for seed := range uint64(10) {
 		for _, rate := range []float64{40_000, 100_000, 300_000, 700_000} {
 			f := newFleet(77, Limit{Rate: rate, Burst: 1.15 * rate}, seed)
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -33,8 +33,8 @@
 	RetryRatio   float64 `toml:"retry_ratio" help:"Second tries allowed for each request."`
 	RetrySlack   float64 `toml:"retry_slack" help:"Second tries allowed beside, in each window."`
 	RetryWindowS float64 `toml:"retry_window_s" help:"Window of the slack."`
-	QuotaOver    float64 `toml:"quota_over" help:"Share by which a window may go over a tenant's limit."`
-	QuotaSlack   float64 `toml:"quota_slack" help:"Units by which a window may go over a tenant's limit beside."`
+	QuotaOver    float64 `toml:"quota_over" help:"Share by which a window may go over a client account's limit."`
+	QuotaSlack   float64 `toml:"quota_slack" help:"Units by which a window may go over a client account's limit beside."`
 	QuotaWindowS float64 `toml:"quota_window_s" help:"Window over which the use of a limit is judged."`
 	LeaseMs      float64 `toml:"lease_ms" help:"Lease of the node that acts for all."`
 	UsageWindowS float64 `toml:"usage_window_s" help:"Window that usage is reported for."`
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -1,4 +1,4 @@
-// Package usage counts, by tenant and window of the wall clock, the requests
+// Package usage counts, by client account and window of the wall clock, the requests
 // that servers began to run, over all nodes.
 //
 // The package is pure; a Counter belongs to one goroutine at a time.
@@ -11,7 +11,7 @@
 	"time"
 )
 
-// Counts holds a number of requests by tenant.
+// Counts holds a number of requests by client account.
 type Counts map[string]int64
 
 // keepWindows is how many windows are remembered.
@@ -48,15 +48,15 @@
 	return &Counter{own: make(map[int64]Counts), heard: make(map[int64]map[source]Counts)}
 }
 
-// Add counts requests of a tenant in a window; n is negative for one that
+// Add counts requests of a client account in a window; n is negative for one that
 // turned out not to have run.
-func (c *Counter) Add(window int64, tenant string, n int64) {
+func (c *Counter) Add(window int64, account string, n int64) {
 	w := c.own[window]
 	if w == nil {
 		w = make(Counts)
 		c.own[window] = w
 	}
-	w[tenant] += n
+	w[account] += n
 }
 
 // Own returns this node's counts by window.
@@ -81,19 +81,19 @@
 	}
 }
 
-// Sum returns the counts of a window over all nodes. Each of the tenants named
+// Sum returns the counts of a window over all nodes. Each of the client accounts named
 // stands in it, with 0 if nothing was counted.
-func (c *Counter) Sum(window int64, tenants []string) Counts {
+func (c *Counter) Sum(window int64, accounts []string) Counts {
 	out := make(Counts)
-	for _, t := range tenants {
+	for _, t := range accounts {
 		out[t] = 0
 	}
-	for tenant, n := range c.own[window] {
-		out[tenant] += n
+	for account, n := range c.own[window] {
+		out[account] += n
 	}
 	for _, counts := range c.heard[window] {
-		for tenant, n := range counts {
-			out[tenant] += n
+		for account, n := range counts {
+			out[account] += n
 		}
 	}
 	return out
@@ -143,8 +143,8 @@
 			c.heard[r.Window] = all
 		}
 		merged := maps.Clone(r.Counts)
-		for tenant, n := range all[source{r.Node, r.Incarnation}] {
-			merged[tenant] = max(merged[tenant], n)
+		for account, n := range all[source{r.Node, r.Incarnation}] {
+			merged[account] = max(merged[account], n)
 		}
 		all[source{r.Node, r.Incarnation}] = merged
 	}
