--- /dev/null
+++ b/internal/cmd/compare.go
@@ -0,0 +1,84 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/shelfcrank/shelfcrank/internal/compare"
+)
+
+func newCompare(e *env) *ffcli.Command {
+	fs := newFlags("shelfcrank compare", e)
+	o := compare.Options{}
+	fs.StringVar(&o.Bench, "bench", "", "path of the users' bench")
+	fs.IntVar(&o.Parallel, "parallel", 4, "days played at the same time")
+	fs.StringVar(&o.Why, "why", "two versions compared", "noted with each run")
+	sites := fs.String("sites", "", "sheets of sites, with commas between")
+	days := fs.String("days", "trouble-1,trouble-2,scale-1", "standard days or paths of own days, with commas between")
+	seeds := fs.String("seeds", "1,2,3", "seeds, with commas between")
+	return &ffcli.Command{
+		Name:       "compare",
+		ShortUsage: "shelfcrank compare -bench PROGRAM -sites FILE,… [-days NAME,…] [-seeds N,…] [-parallel N] BEFORE AFTER",
+		ShortHelp:  "Play the same days with the versions in two folders and print the difference and its spread.",
+		FlagSet:    fs,
+		Options:    fromEnv(),
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) != 2 || o.Bench == "" || *sites == "" {
+				return usagef("-bench, -sites and the folders of two versions are needed")
+			}
+			var err error
+			if o.Plays, err = parsePlays(*sites, *days, *seeds); err != nil {
+				return err
+			}
+			o.Before, o.After = args[0], args[1]
+			if o.Bench, err = filepath.Abs(o.Bench); err != nil { // the runs start in other folders
+				return usagef("-bench: %w", err)
+			}
+			return compareVersions(ctx, e, o)
+		},
+	}
+}
+
+// parsePlays returns each day with each seed at each site.
+func parsePlays(sites, days, seeds string) ([]compare.Play, error) {
+	var plays []compare.Play
+	for site := range strings.SplitSeq(sites, ",") {
+		sheet, err := filepath.Abs(site)
+		if err != nil {
+			return nil, usagef("-sites: %w", err)
+		}
+		for day := range strings.SplitSeq(days, ",") {
+			if strings.HasSuffix(day, ".toml") {
+				if day, err = filepath.Abs(day); err != nil {
+					return nil, usagef("-days: %w", err)
+				}
+			}
+			for seed := range strings.SplitSeq(seeds, ",") {
+				n, err := strconv.ParseInt(seed, 10, 64)
+				if err != nil {
+					return nil, usagef("-seeds: %w", err)
+				}
+				plays = append(plays, compare.Play{Site: sheet, Day: day, Seed: n})
+			}
+		}
+	}
+	return plays, nil
+}
+
+// compareVersions prints each play as it ends and the summary of all.
+func compareVersions(ctx context.Context, e *env, o compare.Options) error {
+	var results []compare.Result
+	err := compare.Run(ctx, o, func(r compare.Result) {
+		results = append(results, r)
+		fmt.Fprintf(e.out, "%-40s %6.3f %6.3f %+6.3f\n", r.Play, r.Before, r.After, r.After-r.Before)
+	})
+	s := compare.Summarize(results)
+	fmt.Fprintf(e.out, "%-40s %6.3f %6.3f %+6.3f, spread %.3f, standard error %.3f\n",
+		fmt.Sprintf("mean of %d", s.Plays), s.Before, s.After, s.After-s.Before, s.Spread, s.Error)
+	return err
+}
