More than the even part of a limit only for small accounts that were calm

What one instance may use before the others hear had become the fifth of the slack while the even part falls with the level, so both waves of the account were larger (1,591,000 to 1,807,000 units in second 7, 1,556,000 to 1,937,000 in second 11).

Ruled out: levels that starting instances take over (none started before 12 s); the start's order (the same until 5 s).

Change: the extra part is what the even part of a full bucket lacks of the fifth of the slack, nothing for an account as large as this one; it is given only when the level was above half of the burst for 6 s, so not in a second wave.

Test: the one of a hot account goes on for 11 s now and has larger limits too.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -89,27 +89,37 @@
 	admitted float64 // by this node since it started
 	fresh    float64 // admitted so shortly ago that the others don't know it
 	freshAt  time.Time
+	tightAt  time.Time // when the level was last too low for more than the even part
 }
 
 // Use of units that the others may use at the same time.
 const (
 	newsTakes  = 250 * time.Millisecond // until all nodes know what one admitted
 	freshShare = 2.0                    // times its even part of the level that a node may use before
-	calmLevel  = 0.5                    // of the burst: above it an account is well within its limit
+	calmLevel  = 0.5                    // of the burst: above it an account is well within its limit,
+	calmAfter  = 6 * time.Second        // if it has been for so long: three times what news of 77 nodes take
 )
 
 // mayUse reports whether a node may use so many units before the others hear
 // of it. One request always may: else the largest would never be admitted. In a
 // large fleet the even part of a small account is less than two requests, and they
-// come in clumps; while the account is well within its limit more is borne.
+// come in clumps: while the account is well within its limit, its part is as large
+// as limit.Alone at least.
 func (a *account) mayUse(units float64, limit Limit, nodes int, now time.Time) bool {
 	if now.Sub(a.freshAt) > newsTakes {
 		a.fresh, a.freshAt = 0, now
 	}
 	level := a.bucket.level + a.fresh
-	even := freshShare / float64(max(1, nodes)) * level
-	alone := min(limit.Alone, level-calmLevel*limit.Burst)
-	return a.fresh == 0 || a.fresh+units <= max(even, alone)
+	spare := level - calmLevel*limit.Burst
+	if spare < 0 {
+		a.tightAt = now
+	}
+	even := freshShare / float64(max(1, nodes))
+	may := even * level
+	if now.Sub(a.tightAt) > calmAfter {
+		may += min(spare, max(0, limit.Alone-even*limit.Burst))
+	}
+	return a.fresh == 0 || a.fresh+units <= may
 }
 
 // far is what another node said of one client account.
@@ -159,6 +169,7 @@
 	a.bucket.fill(limit.part(l.known()), now)
 	need := payShare * min(units, limit.Burst)
 	if a.bucket.level < need {
+		a.tightAt = now
 		wait := time.Duration((need - a.bucket.level) / limit.Rate * float64(time.Second))
 		return Verdict{Level: a.bucket.level, RetryAt: now.Add(max(wait, leastRetry))}
 	}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -307,17 +307,25 @@
 	is.Equal(f.refused, 0.0)
 }
 
-// A client account of a large fleet that used half of its limit sends 7.5 times as much
-// for 6.5 s, while news take seconds.
-func TestAAccountOfALargeFleetTurnsHot(t *testing.T) {
-	for seed := range uint64(10) {
-		for _, rate := range []float64{40_000, 100_000, 300_000, 700_000} {
-			f := newFleet(77, Limit{Rate: rate, Burst: 1.15 * rate}, seed)
+// A client account of a large fleet that used 0.4 of its limit sends seven times as
+// much for 11 s, while news take seconds.
+func TestAnAccountOfALargeFleetTurnsHot(t *testing.T) {
+	const (
+		nodes   = 77
+		before  = 500 // steps
+		hot     = 550
+		after   = 400
+		usual   = 0.4
+		hotness = 7
+	)
+	for seed := range uint64(4) {
+		for _, rate := range []float64{40_000, 100_000, 300_000, 700_000, 900_000} {
+			f := newFleet(nodes, Limit{Rate: rate, Burst: 1.15 * rate}, seed)
 			f.news = 1900 * time.Millisecond / testStep * testStep
-			for at := range 1300 {
-				demand := 0.5 * rate
-				if at >= 500 && at < 825 {
-					demand *= 7.5
+			for at := range before + hot + after {
+				demand := usual * rate
+				if at >= before && at < before+hot {
+					demand *= hotness
 				}
 				f.step(demand)
 			}
