The comparison of versions belongs to the experiments

It starts processes (the users' bench), which only the experiments may do: the package compare is now part of internal/experiment, beside the processes of shelfcrank bench. Its exported names say what they compare; the column's name keeps to instances and endpoints. Behaviour and tests as they were.

--- a/internal/cmd/compare.go
+++ b/internal/cmd/compare.go
@@ -9,12 +9,12 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
-	"github.com/shelfcrank/shelfcrank/internal/compare"
+	"github.com/shelfcrank/shelfcrank/internal/experiment"
 )
 
 func newCompare(e *env) *ffcli.Command {
 	fs := newFlags("shelfcrank compare", e)
-	o := compare.Options{}
+	o := experiment.CompareOptions{}
 	fs.StringVar(&o.Bench, "bench", "", "path of the users' bench")
 	fs.IntVar(&o.Parallel, "parallel", 4, "days played at the same time")
 	fs.StringVar(&o.Why, "why", "two versions compared", "noted with each run")
@@ -45,8 +45,8 @@
 }
 
 // parsePlays returns each day with each seed at each site.
-func parsePlays(sites, days, seeds string) ([]compare.Play, error) {
-	var plays []compare.Play
+func parsePlays(sites, days, seeds string) ([]experiment.Play, error) {
+	var plays []experiment.Play
 	for site := range strings.SplitSeq(sites, ",") {
 		sheet, err := filepath.Abs(site)
 		if err != nil {
@@ -63,7 +63,7 @@
 				if err != nil {
 					return nil, usagef("-seeds: %w", err)
 				}
-				plays = append(plays, compare.Play{Site: sheet, Day: day, Seed: n})
+				plays = append(plays, experiment.Play{Site: sheet, Day: day, Seed: n})
 			}
 		}
 	}
@@ -71,13 +71,13 @@
 }
 
 // compareVersions prints each play as it ends and the summary of all.
-func compareVersions(ctx context.Context, e *env, o compare.Options) error {
-	var results []compare.Result
-	err := compare.Run(ctx, o, func(r compare.Result) {
+func compareVersions(ctx context.Context, e *env, o experiment.CompareOptions) error {
+	var results []experiment.PlayResult
+	err := experiment.Compare(ctx, o, func(r experiment.PlayResult) {
 		results = append(results, r)
 		fmt.Fprintf(e.out, "%-40s %6.3f %6.3f %+6.3f\n", r.Play, r.Before, r.After, r.After-r.Before)
 	})
-	s := compare.Summarize(results)
+	s := experiment.Summarize(results)
 	fmt.Fprintf(e.out, "%-40s %6.3f %6.3f %+6.3f, spread %.3f, standard error %.3f\n",
 		fmt.Sprintf("mean of %d", s.Plays), s.Before, s.After, s.After-s.Before, s.Spread, s.Error)
 	return err
--- a/internal/compare/compare.go
+++ b/internal/experiment/compare.go
@@ -1,10 +1,4 @@
-// Package compare plays the same days and seeds with two versions of the product
-// and tells how much the second differs from the first. A single day says little:
-// its figure moves by some hundredths from run to run.
-//
-// The days are played by an outside bench, which builds the version in whose folder
-// it is started and prints a table with a line for each day.
-package compare
+package experiment
 
 import (
 	"bufio"
@@ -34,8 +28,9 @@
 	return fmt.Sprintf("%s %s seed %d", sheetName(p.Site), sheetName(p.Day), p.Seed)
 }
 
-// Result is what both versions earned in a play: shares of the credit, after prices.
-type Result struct {
+// PlayResult is what both versions earned in a play: shares of the credit, after
+// prices.
+type PlayResult struct {
 	Play
 	Before, After float64
 }
@@ -48,8 +43,10 @@
 	Error         float64 // standard error of their mean
 }
 
-// Options say what is played.
-type Options struct {
+// CompareOptions say what is played. The days are played by an outside bench, which
+// builds the version in whose folder it is started and prints a table with a line
+// for each day.
+type CompareOptions struct {
 	Bench         string // path of the bench
 	Before, After string // folders of the two versions
 	Plays         []Play
@@ -60,10 +57,12 @@
 // ErrNoLine says that a run printed no figure for its day.
 var ErrNoLine = errors.New("the bench printed no line for the day")
 
-// Run plays all and calls told with each result, one at a time. Both versions of a
-// play run one after the other, so that they meet about the same load. It goes on
-// after failed plays and returns their errors together.
-func Run(ctx context.Context, o Options, told func(Result)) error {
+// Compare plays the same days and seeds with two versions of the product and calls
+// told with each result, one at a time. A single day says little: its figure moves
+// by some hundredths from run to run. Both versions of a play run one after the
+// other, so that they meet about the same load. It goes on after failed plays and
+// returns their errors together.
+func Compare(ctx context.Context, o CompareOptions, told func(PlayResult)) error {
 	var (
 		mu   sync.Mutex // guards errs and told
 		errs []error
@@ -88,8 +87,8 @@
 	return errors.Join(errs...)
 }
 
-func playBoth(ctx context.Context, o Options, p Play) (Result, error) {
-	r := Result{Play: p}
+func playBoth(ctx context.Context, o CompareOptions, p Play) (PlayResult, error) {
+	r := PlayResult{Play: p}
 	var err error
 	if r.Before, err = playOne(ctx, o, o.Before, p); err != nil {
 		return r, err
@@ -99,7 +98,7 @@
 }
 
 // playOne plays a day with the version in a folder.
-func playOne(ctx context.Context, o Options, folder string, p Play) (float64, error) {
+func playOne(ctx context.Context, o CompareOptions, folder string, p Play) (float64, error) {
 	args := []string{"run", p.Site, p.Day, "--seed", strconv.FormatInt(p.Seed, 10), "--jobs", "1", "--why", o.Why}
 	run := exec.CommandContext(ctx, o.Bench, args...)
 	run.Dir = folder
@@ -113,8 +112,8 @@
 
 // Columns of a line of the bench's table.
 const (
-	columnMachines = 1 // own machines and servers, as 7/22
-	columnWorth    = 3
+	columnSizes = 1 // instances and endpoints, as 7/22
+	columnWorth = 3
 )
 
 // Worth finds what a day earned in the bench's output.
@@ -122,7 +121,7 @@
 	lines := bufio.NewScanner(bytes.NewReader(out))
 	for lines.Scan() {
 		columns := strings.Fields(lines.Text())
-		if len(columns) <= columnWorth || columns[0] != day || !strings.Contains(columns[columnMachines], "/") {
+		if len(columns) <= columnWorth || columns[0] != day || !strings.Contains(columns[columnSizes], "/") {
 			continue
 		}
 		worth, err := strconv.ParseFloat(columns[columnWorth], 64)
@@ -138,21 +137,21 @@
 }
 
 // Summarize returns the summary of results; the zero one without any.
-func Summarize(results []Result) Summary {
+func Summarize(results []PlayResult) Summary {
 	n := float64(len(results))
 	if n == 0 {
 		return Summary{}
 	}
 	s := Summary{
 		Plays:  len(results),
-		Before: lo.SumBy(results, func(r Result) float64 { return r.Before }) / n,
-		After:  lo.SumBy(results, func(r Result) float64 { return r.After }) / n,
+		Before: lo.SumBy(results, func(r PlayResult) float64 { return r.Before }) / n,
+		After:  lo.SumBy(results, func(r PlayResult) float64 { return r.After }) / n,
 	}
 	if len(results) == 1 {
 		return s
 	}
 	mean := s.After - s.Before
-	squares := lo.SumBy(results, func(r Result) float64 { return math.Pow(r.After-r.Before-mean, 2) })
+	squares := lo.SumBy(results, func(r PlayResult) float64 { return math.Pow(r.After-r.Before-mean, 2) })
 	s.Spread = math.Sqrt(squares / (n - 1))
 	s.Error = s.Spread / math.Sqrt(n)
 	return s
--- a/internal/compare/compare_test.go
+++ b/internal/experiment/compare_test.go
@@ -1,4 +1,4 @@
-package compare
+package experiment
 
 import (
 	"context"
@@ -12,7 +12,7 @@
 	"github.com/matryer/is"
 )
 
-const table = `built in 5.5 s
+const benchTable = `built in 5.5 s
 day                  own/srv  score  worth served refused failed  weakest part
 trouble-1              77/65   0.81  0.474  0.911   0.004  0.016  worst windows 0.46
 worth 0.474 = whole day 0.911
@@ -20,10 +20,10 @@
 
 func TestWorth(t *testing.T) {
 	is := is.New(t)
-	worth, err := Worth([]byte(table), "trouble-1")
+	worth, err := Worth([]byte(benchTable), "trouble-1")
 	is.NoErr(err)
 	is.Equal(worth, 0.474)
-	_, err = Worth([]byte(table), "trouble-2")
+	_, err = Worth([]byte(benchTable), "trouble-2")
 	is.True(errors.Is(err, ErrNoLine))
 	_, err = Worth([]byte("trouble-1 7/22 1.0 none"), "trouble-1")
 	is.True(err != nil)
@@ -32,17 +32,17 @@
 func TestSummarize(t *testing.T) {
 	is := is.New(t)
 	is.Equal(Summarize(nil), Summary{})
-	s := Summarize([]Result{{Before: 0.5, After: 0.52}, {Before: 0.4, After: 0.44}})
+	s := Summarize([]PlayResult{{Before: 0.5, After: 0.52}, {Before: 0.4, After: 0.44}})
 	is.Equal(s.Plays, 2)
 	is.True(math.Abs(s.Before-0.45) < 1e-9)
 	is.True(math.Abs(s.After-0.48) < 1e-9)
 	is.True(math.Abs(s.Spread-0.01414) < 1e-4)
 	is.True(math.Abs(s.Error-0.01) < 1e-4)
-	is.Equal(Summarize([]Result{{Before: 0.5, After: 0.6}}).Spread, 0.0) // one play has no spread
+	is.Equal(Summarize([]PlayResult{{Before: 0.5, After: 0.6}}).Spread, 0.0) // one play has no spread
 }
 
 // A bench that earns what a file in the version's folder says.
-func TestRunPlaysBothVersions(t *testing.T) {
+func TestComparePlaysBothVersions(t *testing.T) {
 	is := is.New(t)
 	bench := filepath.Join(t.TempDir(), "bench")
 	script := "#!/bin/sh\n[ -f worth ] || exit 3\necho \"quiet-1 7/22 1.00 $(cat worth) 0.9\"\n"
@@ -54,17 +54,17 @@
 		}
 		return dir
 	}
-	o := Options{Bench: bench, Before: folder("0.5"), After: folder("0.6"), Parallel: 2}
+	o := CompareOptions{Bench: bench, Before: folder("0.5"), After: folder("0.6"), Parallel: 2}
 	for seed := range int64(5) {
 		o.Plays = append(o.Plays, Play{"a/site.toml", "quiet-1", seed})
 	}
-	var got []Result
-	is.NoErr(Run(context.Background(), o, func(r Result) { got = append(got, r) }))
+	var got []PlayResult
+	is.NoErr(Compare(context.Background(), o, func(r PlayResult) { got = append(got, r) }))
 	is.Equal(len(got), 5)
 	is.Equal(fmt.Sprintf("%.1f %.1f", got[0].Before, got[0].After), "0.5 0.6")
 	is.Equal(got[0].Play.String()[:13], "site quiet-1 ")
 
 	o.After = folder("") // its run prints nothing
-	err := Run(context.Background(), o, func(Result) { t.Error("a result without a figure") })
+	err := Compare(context.Background(), o, func(PlayResult) { t.Error("a result without a figure") })
 	is.True(errors.Is(err, ErrNoLine))
 }
