Twins in tests of limits and homes share one set-up; smaller names

usedElsewhere and homeBesideStreams stand for what two tests each built by hand; all assertions are as they were. Limit.part changes a copy, so that a new field of a limit can't be left out of it.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -55,18 +55,25 @@
 	is.Equal(len(used), 4)
 }
 
+// homeBesideStreams has a request answered by one of four servers, starts streams of
+// short prompts there, which are read, and returns the request's ticket.
+func homeBesideStreams(tr *Tracker, r *Request, streams, tokens int, now time.Time) *Ticket {
+	first, _ := tr.Pick(servers(4), r, now)
+	first.Read(now)
+	first.Done(Answered, now)
+	for i := range streams {
+		k, _ := tr.Pick([]registry.Server{first.Server}, prompt(fmt.Sprint(i), tokens, ""), now)
+		k.Read(now)
+	}
+	return first
+}
+
 // Tokens that are read again cost more than the time that this takes.
 func TestASubjectStaysAtItsHomeBesideSomeStreams(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	tr := NewTracker()
-	first, _ := tr.Pick(servers(4), prompt("first", 9000, "subject"), now)
-	first.Read(now)
-	first.Done(Answered, now)
-	for i := range 3 { // streams that were read
-		k, _ := tr.Pick([]registry.Server{first.Server}, prompt(fmt.Sprint(i), 500, ""), now)
-		k.Read(now)
-	}
+	first := homeBesideStreams(tr, prompt("first", 9000, "subject"), 3, 500, now)
 	next, _ := tr.Pick(servers(4), prompt("next", 9000, "subject"), now)
 	is.Equal(next.Server.ID, first.Server.ID)
 }
@@ -111,13 +118,7 @@
 		tr := NewTracker()
 		seeStreams(tr, 300, late, now)
 		now = now.Add(time.Hour)
-		first, _ := tr.Pick(servers(4), prompt("first", 16_000, "subject"), now)
-		first.Read(now)
-		first.Done(Answered, now)
-		for i := range 6 { // streams that were read
-			k, _ := tr.Pick([]registry.Server{first.Server}, prompt(fmt.Sprint(i), 300, ""), now)
-			k.Read(now)
-		}
+		first := homeBesideStreams(tr, prompt("first", 16_000, "subject"), 6, 300, now)
 		next, _ := tr.Pick(servers(4), prompt("next", 16_000, "subject"), now)
 		is.Equal(next.Server.ID == first.Server.ID, !late)
 	}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -184,7 +184,10 @@
 
 // part returns the part of a limit that may be used by nodes that know of each
 // other.
-func (l Limit) part(share float64) Limit { return Limit{l.Rate * share, l.Burst, l.Alone} }
+func (l Limit) part(share float64) Limit {
+	l.Rate *= share
+	return l
+}
 
 // SetNodes tells how many nodes run, this one included.
 func (l *Limiter) SetNodes(count int) { l.count = count }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -199,21 +199,27 @@
 	is.True(sum > 0.94*0.6*f.limit.Rate*1000*testStep.Seconds()) // but for the seconds that a node is down
 }
 
-// A node that a client account comes to for the first time after others served it for
-// long has not run up a debt meanwhile.
-func TestFirstRequestAtANodeAfterLongUseElsewhere(t *testing.T) {
-	is := is.New(t)
-	start := time.Unix(1000, 0)
-	l := New(start)
-	limit := Limit{Rate: 1000, Burst: 1500}
-	now, admitted := start, 0.0
-	for range 300 {
+// usedElsewhere returns a node whose only peer admits 500 units a second of an
+// account, after so many news of it, and when the last one came.
+func usedElsewhere(news int) (*Limiter, time.Time) {
+	now, admitted := time.Unix(1000, 0), 0.0
+	l := New(now)
+	for range news {
 		now = now.Add(100 * time.Millisecond)
 		admitted += 50
 		l.SetNodes(2)
 		l.Heard(News{Node: "b", Incarnation: 1, Admitted: map[string]float64{"t": admitted}}, now)
 		l.Tick(now)
 	}
+	return l, now
+}
+
+// A node that a client account comes to for the first time after others served it for
+// long has not run up a debt meanwhile.
+func TestFirstRequestAtANodeAfterLongUseElsewhere(t *testing.T) {
+	is := is.New(t)
+	limit := Limit{Rate: 1000, Burst: 1500}
+	l, now := usedElsewhere(300)
 	is.True(l.Admit("t", limit, 800, now).OK) // half of the limit is in use
 }
 
@@ -250,17 +256,8 @@
 // them as it has filled its own.
 func TestLevelsOfAccountsThatCameToOthers(t *testing.T) {
 	is := is.New(t)
-	start := time.Unix(1000, 0)
-	l := New(start)
 	limit := Limit{Rate: 1000, Burst: 1500}
-	now, admitted := start, 0.0
-	for range 30 {
-		now = now.Add(100 * time.Millisecond)
-		admitted += 50
-		l.SetNodes(2)
-		l.Heard(News{Node: "b", Incarnation: 1, Admitted: map[string]float64{"t": admitted}}, now)
-		l.Tick(now)
-	}
+	l, now := usedElsewhere(30)
 	level := l.Levels(map[string]Limit{"t": limit}, now)["t"]
 	is.True(level > 1000) // three seconds at half of the limit
 }
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -85,8 +85,8 @@
 // stands in it, with 0 if nothing was counted.
 func (c *Counter) Sum(window int64, accounts []string) Counts {
 	out := make(Counts)
-	for _, t := range accounts {
-		out[t] = 0
+	for _, name := range accounts {
+		out[name] = 0
 	}
 	for account, n := range c.own[window] {
 		out[account] += n
