The fleet's plan speaks of halls

Package fleet and the keys of orders say hall where they said zone; the log key and what comes from the registry keep their names until those are touched. Names only; tests pass unchanged but for the names.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -1,10 +1,10 @@
-// Package fleet plans how many servers of a service each zone is to have, and
+// Package fleet plans how many servers of a service each hall is to have, and
 // how many of them may be reclaimable.
 //
-// Reclaimable servers cost a fraction of the others, but all those of a zone
+// Reclaimable servers cost a fraction of the others, but all those of a hall
 // may go at once with a notice of seconds, and none may be had for a while
-// after. So the plan spreads them over the zones, has enough left when any one
-// zone is lost, and falls back to others only for what is needed until
+// after. So the plan spreads them over the halls, has enough left when any one
+// hall is lost, and falls back to others only for what is needed until
 // reclaimable ones are to be had again.
 //
 // The package is pure; a Planner belongs to one goroutine at a time.
@@ -19,8 +19,8 @@
 	"github.com/samber/lo"
 )
 
-// Zone is what is known of a service's servers in a zone.
-type Zone struct {
+// Hall is what is known of a service's servers in a hall.
+type Hall struct {
 	Name          string
 	Price         float64 // of a server's second
 	Spot          int     // reclaimable servers that take work
@@ -31,9 +31,9 @@
 
 // Input is what a plan follows from.
 type Input struct {
-	Min, Max  int     // servers in a zone
+	Min, Max  int     // servers in a hall
 	SpotPrice float64 // as a share of the price; 0 if there are none
-	Zones     []Zone
+	Halls     []Hall
 	Busy      float64 // servers' worth of prompts to be read, of late
 	Held      float64 // servers' worth of places that requests hold after that, of late
 	Known     bool    // Busy was measured: there is traffic
@@ -42,7 +42,7 @@
 // full returns how many servers the work would fill. What requests hold is
 // measured while prompts are read beside them, which slows them down.
 func (in *Input) full() float64 {
-	there := lo.SumBy(in.Zones, func(z Zone) int { return z.Spot + z.Regular })
+	there := lo.SumBy(in.Halls, func(h Hall) int { return h.Spot + h.Regular })
 	reading := mostReading
 	if there > 0 {
 		reading = min(reading, in.Busy/float64(there))
@@ -50,9 +50,9 @@
 	return in.Busy + in.Held*(1-reading)
 }
 
-// Want is the plan for a zone.
+// Want is the plan for a hall.
 type Want struct {
-	Zone    string
+	Hall    string
 	Spot    int
 	Regular int
 }
@@ -62,14 +62,14 @@
 	spotFactor  = 1.5              // reclaimable servers for each server's worth of work,
 	spotSpare   = 2.5              // and for its root: chance weighs more in a small fleet
 	regularLoad = 0.8              // load of a server for which others are ordered in their place
-	leastLeft   = 2                // servers after the loss of a zone
+	leastLeft   = 2                // servers after the loss of a hall
 	holdPeak    = 25 * time.Second // how long a peak of the work is planned for by reclaimable servers,
 	holdShort   = 8 * time.Second  // and by others
-	lossLoad    = 0.8              // load of a server that is borne if the next zone goes as well
-	fullLoad    = 0.75             // how full the servers may be that are left after the loss of two zones,
-	fullLoss    = 0.8              // how full they may be if the next zone goes as well
+	lossLoad    = 0.8              // load of a server that is borne if the next hall goes as well
+	fullLoad    = 0.75             // how full the servers may be that are left after the loss of two halls,
+	fullLoss    = 0.8              // how full they may be if the next hall goes as well
 	mostReading = 0.8              // at the most the share of a server's time that is believed to go into prompts
-	zonesLost   = 2                // zones that may go at once
+	hallsLost   = 2                // halls that may go at once
 	settle      = 8 * time.Second  // after the first traffic nothing is given back
 	tryAgain    = 3 * time.Second  // after a refusal no reclaimable ones are asked for
 	giveBack    = 3 * time.Second  // how long others have to be needless before they go
@@ -105,34 +105,34 @@
 	full       peaks // of the servers that the work would fill
 	firstAt    time.Time
 	initial    int                  // servers to begin with
-	dry        map[string]time.Time // zones that have no reclaimable servers to give, and when to ask again
+	dry        map[string]time.Time // halls that have no reclaimable servers to give, and when to ask again
 	needlessAt time.Time            // since when the servers that are not reclaimable are not needed; zero if they are
 }
 
 // New returns a planner for one service.
 func New() *Planner { return &Planner{dry: make(map[string]time.Time)} }
 
-// Refused notes that a zone has no reclaimable servers to give now.
-func (p *Planner) Refused(zone string, now time.Time) { p.dry[zone] = now.Add(tryAgain) }
+// Refused notes that a hall has no reclaimable servers to give now.
+func (p *Planner) Refused(hall string, now time.Time) { p.dry[hall] = now.Add(tryAgain) }
 
-// Accepted notes that a zone gives reclaimable servers again.
-func (p *Planner) Accepted(zone string) { delete(p.dry, zone) }
+// Accepted notes that a hall gives reclaimable servers again.
+func (p *Planner) Accepted(hall string) { delete(p.dry, hall) }
 
-// MayAsk reports whether a zone may be asked for reclaimable servers.
-func (p *Planner) MayAsk(zone string, now time.Time) bool { return !now.Before(p.dry[zone]) }
+// MayAsk reports whether a hall may be asked for reclaimable servers.
+func (p *Planner) MayAsk(hall string, now time.Time) bool { return !now.Before(p.dry[hall]) }
 
-// Plan returns what each zone is to have.
+// Plan returns what each hall is to have.
 func (p *Planner) Plan(in Input, now time.Time) []Want {
 	if in.Known && p.firstAt.IsZero() {
 		p.firstAt = now
 		if p.initial == 0 {
 			// There is traffic already, but what it needs was not seen yet.
-			p.initial = lo.SumBy(in.Zones, func(z Zone) int { return z.Spot + z.Regular })
+			p.initial = lo.SumBy(in.Halls, func(h Hall) int { return h.Spot + h.Regular })
 		}
 	}
 	if p.firstAt.IsZero() {
 		// The work is not known yet: the middle of the operators' bounds.
-		p.initial = max(lo.SumBy(in.Zones, func(z Zone) int { return z.Regular }), len(in.Zones)*(in.Min+in.Max)/2)
+		p.initial = max(lo.SumBy(in.Halls, func(h Hall) int { return h.Regular }), len(in.Halls)*(in.Min+in.Max)/2)
 	}
 	p.peak.note(in.Busy, now)
 	p.full.note(in.full(), now)
@@ -148,7 +148,7 @@
 // carried returns how many servers carry the work without much room.
 func carried(busy, full float64) float64 { return max(busy/regularLoad, full/fullLoad) }
 
-// enough returns how many servers are to be left when a zone is lost.
+// enough returns how many servers are to be left when a hall is lost.
 func (p *Planner) enough(servers float64, now time.Time) int {
 	n := max(leastLeft, int(math.Ceil(servers)))
 	if p.firstAt.IsZero() || now.Sub(p.firstAt) < settle {
@@ -157,21 +157,21 @@
 	return n
 }
 
-// spread lays servers over all zones so that enough are left without the zone
+// spread lays servers over all halls so that enough are left without the hall
 // that has most of them, and so many without several. What does not come out
 // even goes to the cheapest.
 func spread(in Input, enough, without int, field func(*Want) *int) []Want {
-	zones := slices.Clone(in.Zones)
-	slices.SortStableFunc(zones, func(a, b Zone) int { return cmp.Or(cmp.Compare(a.Price, b.Price), cmp.Compare(a.Name, b.Name)) })
-	wants := make([]Want, len(zones))
-	for i, z := range zones {
-		wants[i].Zone = z.Name
+	halls := slices.Clone(in.Halls)
+	slices.SortStableFunc(halls, func(a, b Hall) int { return cmp.Or(cmp.Compare(a.Price, b.Price), cmp.Compare(a.Name, b.Name)) })
+	wants := make([]Want, len(halls))
+	for i, h := range halls {
+		wants[i].Hall = h.Name
 		*field(&wants[i]) = max(in.Min, 0)
 	}
-	if len(zones) == 0 {
+	if len(halls) == 0 {
 		return wants
 	}
-	for left(wants, 1, field) < enough || left(wants, zonesLost, field) < without {
+	for left(wants, 1, field) < enough || left(wants, hallsLost, field) < without {
 		least := -1
 		for i := range wants {
 			n := *field(&wants[i])
@@ -187,8 +187,8 @@
 	return wants
 }
 
-// left returns how many servers remain without the zones that have most. More
-// than half of the zones are never lost at once.
+// left returns how many servers remain without the halls that have most. More
+// than half of the halls are never lost at once.
 func left(wants []Want, lost int, field func(*Want) *int) int {
 	counts := make([]int, 0, len(wants))
 	for i := range wants {
@@ -199,7 +199,7 @@
 }
 
 // fill plans the servers that are not reclaimable: as many as make up for what
-// is missing. While reclaimable ones are not to be had anywhere, the zone that
+// is missing. While reclaimable ones are not to be had anywhere, the hall that
 // has most of them may go next. Once ordered they stay until they have been
 // needless for a while: a plan that wavers would start them again and again.
 func (p *Planner) fill(in Input, wants []Want, now time.Time) {
@@ -208,11 +208,11 @@
 	planned := lo.SumBy(wants, func(w Want) int { return w.Spot })
 	spot, coming, most, committed := 0, 0, 0, 0
 	for i, w := range wants {
-		z := zoneNamed(in, w.Zone)
-		spot += z.Spot
-		coming += z.SpotComing
-		most = max(most, z.Spot)
-		wants[i].Regular = z.Regular + z.RegularComing
+		h := hallNamed(in, w.Hall)
+		spot += h.Spot
+		coming += h.SpotComing
+		most = max(most, h.Spot)
+		wants[i].Regular = h.Regular + h.RegularComing
 		committed += wants[i].Regular
 	}
 	missing := need - spot - coming - committed
@@ -234,24 +234,24 @@
 	}
 }
 
-func zoneNamed(in Input, name string) Zone {
-	for _, z := range in.Zones {
-		if z.Name == name {
-			return z
+func hallNamed(in Input, name string) Hall {
+	for _, h := range in.Halls {
+		if h.Name == name {
+			return h
 		}
 	}
-	return Zone{}
+	return Hall{}
 }
 
 // addRegular adds servers where they are cheapest, but no more than half of them
-// in one zone: a zone may fail.
+// in one hall: a hall may fail.
 func addRegular(in Input, wants []Want, n int) {
 	total := lo.SumBy(wants, func(w Want) int { return w.Regular })
 	for range n {
 		total++
 		best := -1
 		for i, w := range wants { // the cheapest first
-			if z := zoneNamed(in, w.Zone); z.Spot+z.SpotComing+w.Regular >= in.Max {
+			if h := hallNamed(in, w.Hall); h.Spot+h.SpotComing+w.Regular >= in.Max {
 				continue
 			}
 			if best < 0 || wants[best].Regular >= (total+1)/2 && w.Regular < wants[best].Regular {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -9,10 +9,10 @@
 	"pgregory.net/rapid"
 )
 
-func zones(spot, regular int) []Zone {
-	var out []Zone
+func halls(spot, regular int) []Hall {
+	var out []Hall
 	for i, name := range []string{"a", "b", "c", "d"} {
-		out = append(out, Zone{Name: name, Price: 1 + float64(i)/10, Spot: spot, Regular: regular})
+		out = append(out, Hall{Name: name, Price: 1 + float64(i)/10, Spot: spot, Regular: regular})
 	}
 	return out
 }
@@ -32,13 +32,13 @@
 	return int(math.Ceil(max(busy/regularLoad, busy/fullLoad)))
 }
 
-func TestEnoughIsLeftWhenAnyZoneIsLost(t *testing.T) {
+func TestEnoughIsLeftWhenAnyHallIsLost(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		busy := rapid.Float64Range(0, 6).Draw(t, "busy")
-		in := Input{Min: 1, Max: 30, SpotPrice: 0.2, Zones: zones(3, 0), Busy: busy, Known: true}
+		in := Input{Min: 1, Max: 30, SpotPrice: 0.2, Halls: halls(3, 0), Busy: busy, Known: true}
 		spot, _, most := sums(New().Plan(in, time.Unix(1000, 0)))
 		if float64(spot-most) < spotFactor*busy {
-			t.Fatalf("%d servers, %d in one zone, for %.1f", spot, most, busy)
+			t.Fatalf("%d servers, %d in one hall, for %.1f", spot, most, busy)
 		}
 	})
 }
@@ -47,15 +47,15 @@
 	is := is.New(t)
 	p := New()
 	now := time.Unix(1000, 0)
-	in := Input{Min: 1, Max: 6, SpotPrice: 0.2, Zones: zones(0, 3)}
+	in := Input{Min: 1, Max: 6, SpotPrice: 0.2, Halls: halls(0, 3)}
 	_, regular, _ := sums(p.Plan(in, now))
 	is.Equal(regular, 12)
-	for i := range in.Zones {
-		in.Zones[i].SpotComing = 3
+	for i := range in.Halls {
+		in.Halls[i].SpotComing = 3
 	}
 	_, regular, _ = sums(p.Plan(in, now.Add(time.Second)))
 	is.Equal(regular, 12) // those to come take no work yet
-	in.Zones = zones(6, 3)
+	in.Halls = halls(6, 3)
 	_, regular, _ = sums(p.Plan(in, now.Add(5*time.Second)))
 	is.Equal(regular, 0)
 }
@@ -64,26 +64,26 @@
 	is := is.New(t)
 	p := New()
 	now := time.Unix(1000, 0)
-	in := Input{Min: 1, Max: 10, SpotPrice: 0.2, Zones: zones(4, 2), Busy: 3, Known: true}
+	in := Input{Min: 1, Max: 10, SpotPrice: 0.2, Halls: halls(4, 2), Busy: 3, Known: true}
 	_, regular, _ := sums(p.Plan(in, now))
 	is.Equal(regular, 8)
 	_, regular, _ = sums(p.Plan(in, now.Add(giveBack+time.Second)))
 	is.Equal(regular, 0)
 }
 
-// A zone after the other goes and none are to be had: the plan must not give
+// A hall after the other goes and none are to be had: the plan must not give
 // back what it has just ordered whenever it is time to ask again.
 func TestThePlanDoesNotWaverWhileNoneAreToBeHad(t *testing.T) {
 	is := is.New(t)
 	p := New()
 	now := time.Unix(1000, 0)
-	in := Input{Min: 1, Max: 10, SpotPrice: 0.2, Zones: zones(8, 0), Busy: 8, Known: true}
+	in := Input{Min: 1, Max: 10, SpotPrice: 0.2, Halls: halls(8, 0), Busy: 8, Known: true}
 	p.Plan(in, now)
-	in.Zones = zones(0, 0)
+	in.Halls = halls(0, 0)
 	last := 0
 	for range 100 {
 		now = now.Add(200 * time.Millisecond)
-		for _, z := range in.Zones {
+		for _, z := range in.Halls {
 			if p.MayAsk(z.Name, now) {
 				p.Refused(z.Name, now)
 			}
@@ -92,10 +92,10 @@
 		_, regular, _ := sums(wants)
 		is.True(regular >= last) // never given back while it is needed
 		last = regular
-		for i := range in.Zones {
+		for i := range in.Halls {
 			for _, w := range wants {
-				if w.Zone == in.Zones[i].Name {
-					in.Zones[i].RegularComing = w.Regular
+				if w.Hall == in.Halls[i].Name {
+					in.Halls[i].RegularComing = w.Regular
 				}
 			}
 		}
@@ -103,19 +103,19 @@
 	is.Equal(last, needed(in.Busy))
 }
 
-func TestOthersAreOrderedBeforeTheNextZoneGoes(t *testing.T) {
+func TestOthersAreOrderedBeforeTheNextHallGoes(t *testing.T) {
 	is := is.New(t)
 	p := New()
 	now := time.Unix(1000, 0)
-	in := Input{Min: 1, Max: 10, SpotPrice: 0.2, Zones: zones(4, 0), Busy: 4, Known: true}
-	in.Zones[0].Spot = 0
+	in := Input{Min: 1, Max: 10, SpotPrice: 0.2, Halls: halls(4, 0), Busy: 4, Known: true}
+	in.Halls[0].Spot = 0
 	p.Refused("a", now)
 	_, regular, _ := sums(p.Plan(in, now))
 	is.True(needed(in.Busy) <= 8)
 	is.Equal(regular, 0) // eight of twelve would be left
-	in.Zones[1].Spot = 0
+	in.Halls[1].Spot = 0
 	_, regular, _ = sums(p.Plan(in, now))
-	is.Equal(regular, int(math.Ceil(in.Busy/lossLoad))-4) // the zone that has most may go next
+	is.Equal(regular, int(math.Ceil(in.Busy/lossLoad))-4) // the hall that has most may go next
 }
 
 // Some reclaimable servers are back, though fewer than the peak of the work
@@ -124,7 +124,7 @@
 	is := is.New(t)
 	p := New()
 	now := time.Unix(1000, 0)
-	in := Input{Min: 1, Max: 10, SpotPrice: 0.2, Zones: zones(2, 4), Busy: 10, Known: true}
+	in := Input{Min: 1, Max: 10, SpotPrice: 0.2, Halls: halls(2, 4), Busy: 10, Known: true}
 	_, regular, _ := sums(p.Plan(in, now))
 	is.Equal(regular, 16)
 	_, regular, _ = sums(p.Plan(in, now.Add(giveBack+time.Second)))
@@ -132,17 +132,17 @@
 }
 
 // Servers have few places and streams hold them long: the prompts alone do not
-// tell how many servers are needed, and two zones may go within a second.
+// tell how many servers are needed, and two halls may go within a second.
 func TestPlacesThatStreamsHoldCount(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		busy := rapid.Float64Range(1, 30).Draw(t, "busy")
 		held := rapid.Float64Range(0, 40).Draw(t, "held")
-		in := Input{Min: 1, Max: 60, SpotPrice: 0.2, Zones: zones(40, 0), Busy: busy, Held: held, Known: true}
+		in := Input{Min: 1, Max: 60, SpotPrice: 0.2, Halls: halls(40, 0), Busy: busy, Held: held, Known: true}
 		wants := New().Plan(in, time.Unix(1000, 0))
 		spot, _, most := sums(wants)
 		slowed := held * (1 - busy/160)
 		if float64(spot-2*most) < busy+slowed {
-			t.Fatalf("%d servers, %d in one zone, for prompts of %.1f and places of %.1f", spot, most, busy, held)
+			t.Fatalf("%d servers, %d in one hall, for prompts of %.1f and places of %.1f", spot, most, busy, held)
 		}
 	})
 }
@@ -153,7 +153,7 @@
 	is := is.New(t)
 	p := New()
 	now := time.Unix(1000, 0)
-	in := Input{Min: 1, Max: 60, SpotPrice: 0.2, Zones: zones(20, 0), Busy: 0.1, Known: true}
+	in := Input{Min: 1, Max: 60, SpotPrice: 0.2, Halls: halls(20, 0), Busy: 0.1, Known: true}
 	spot, _, most := sums(p.Plan(in, now))
 	is.True(spot-most >= 80*2/3)
 	in.Busy = 2
@@ -163,14 +163,14 @@
 	is.True(spot < 20)
 }
 
-// Servers that are not reclaimable are paid for by their zone; but one zone may
+// Servers that are not reclaimable are paid for by their hall; but one hall may
 // fail.
 func TestOthersAreOrderedWhereTheyAreCheapest(t *testing.T) {
 	is := is.New(t)
-	in := Input{Min: 0, Max: 10, SpotPrice: 0.2, Zones: zones(0, 0)}
-	wants := []Want{{Zone: "a"}, {Zone: "b"}, {Zone: "c"}, {Zone: "d"}} // the cheapest first
+	in := Input{Min: 0, Max: 10, SpotPrice: 0.2, Halls: halls(0, 0)}
+	wants := []Want{{Hall: "a"}, {Hall: "b"}, {Hall: "c"}, {Hall: "d"}} // the cheapest first
 	addRegular(in, wants, 7)
-	is.Equal(wants, []Want{{Zone: "a", Regular: 4}, {Zone: "b", Regular: 3}, {Zone: "c"}, {Zone: "d"}})
+	is.Equal(wants, []Want{{Hall: "a", Regular: 4}, {Hall: "b", Regular: 3}, {Hall: "c"}, {Hall: "d"}})
 	in.Max = 4
 	addRegular(in, wants, 4)
 	is.Equal(wants[0].Regular+wants[1].Regular, 8) // as many as the operators allow
--- a/internal/front/orders.go
+++ b/internal/front/orders.go
@@ -23,7 +23,7 @@
 	trafficFloor = 0.02            // servers' worth of work from which there is traffic
 )
 
-// ordered is what a zone was last told.
+// ordered is what a hall was last told.
 type ordered struct {
 	count int
 	at    time.Time
@@ -41,7 +41,7 @@
 
 // orderKey names what an order is about.
 type orderKey struct {
-	service, zone string
+	service, hall string
 	spot          bool
 }
 
@@ -97,8 +97,8 @@
 	// More is ordered before less is.
 	for _, more := range []bool{true, false} {
 		for _, w := range wants {
-			o.order(ctx, s, p, in, orderKey{s.Name, w.Zone, true}, w.Spot, more)
-			o.order(ctx, s, p, in, orderKey{s.Name, w.Zone, false}, w.Regular, more)
+			o.order(ctx, s, p, in, orderKey{s.Name, w.Hall, true}, w.Spot, more)
+			o.order(ctx, s, p, in, orderKey{s.Name, w.Hall, false}, w.Regular, more)
 		}
 	}
 }
@@ -109,28 +109,28 @@
 	demand := o.node.tracker.FleetDemand(s.Name, now)
 	in.Busy, in.Held = demand.Busy, demand.Held
 	in.Known = in.Busy > trafficFloor
-	zones := make(map[string]*fleet.Zone)
+	halls := make(map[string]*fleet.Hall)
 	for name, price := range x.ZonePrices {
-		zones[name] = &fleet.Zone{Name: name, Price: price}
+		halls[name] = &fleet.Hall{Name: name, Price: price}
 	}
 	for _, server := range o.node.view.Load().Servers[s.Name] {
-		z := zones[server.Zone]
-		if z == nil {
-			z = &fleet.Zone{Name: server.Zone, Price: 1}
-			zones[server.Zone] = z
+		h := halls[server.Zone]
+		if h == nil {
+			h = &fleet.Hall{Name: server.Zone, Price: 1}
+			halls[server.Zone] = h
 		}
 		if server.Spot {
-			z.Spot++
+			h.Spot++
 		} else {
-			z.Regular++
+			h.Regular++
 		}
 	}
-	for _, z := range zones {
-		z.SpotComing = o.coming(s, orderKey{s.Name, z.Name, true}, z.Spot, now)
-		z.RegularComing = o.coming(s, orderKey{s.Name, z.Name, false}, z.Regular, now)
-		in.Zones = append(in.Zones, *z)
+	for _, h := range halls {
+		h.SpotComing = o.coming(s, orderKey{s.Name, h.Name, true}, h.Spot, now)
+		h.RegularComing = o.coming(s, orderKey{s.Name, h.Name, false}, h.Regular, now)
+		in.Halls = append(in.Halls, *h)
 	}
-	slices.SortFunc(in.Zones, func(a, b fleet.Zone) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(in.Halls, func(a, b fleet.Hall) int { return strings.Compare(a.Name, b.Name) })
 	return in
 }
 
@@ -159,7 +159,7 @@
 	if count == last.count && !again || (count > last.count || again) != more {
 		return
 	}
-	if k.spot && count > there && !p.MayAsk(k.zone, now) {
+	if k.spot && count > there && !p.MayAsk(k.hall, now) {
 		return
 	}
 	call, cancel, token, ok := o.node.acting(ctx)
@@ -167,14 +167,14 @@
 		return
 	}
 	defer cancel()
-	err := o.node.Cloud.Order(call, token, k.service, k.zone, count, k.spot)
+	err := o.node.Cloud.Order(call, token, k.service, k.hall, count, k.spot)
 	fields := []zap.Field{
-		zap.String("service", k.service), zap.String("zone", k.zone), zap.Bool("spot", k.spot), zap.Int("count", count),
+		zap.String("service", k.service), zap.String("zone", k.hall), zap.Bool("spot", k.spot), zap.Int("count", count),
 		zap.Int("there", there), zap.Float64("busy", in.Busy), zap.Float64("held", in.Held), zap.Int64("fence", token.Fence),
 	}
 	if err != nil {
 		if errors.Is(err, duty.ErrSoldOut) {
-			p.Refused(k.zone, now)
+			p.Refused(k.hall, now)
 			delete(o.last, k)
 		}
 		o.node.event(event.FleetRefused, append(fields, zap.Error(err))...)
@@ -182,18 +182,18 @@
 	}
 	o.last[k] = ordered{count: count, at: now, most: there}
 	if k.spot && count > there {
-		p.Accepted(k.zone)
+		p.Accepted(k.hall)
 	}
 	o.node.event(event.FleetOrdered, fields...)
 }
 
 func there(in fleet.Input, k orderKey) int {
-	for _, z := range in.Zones {
-		if z.Name == k.zone && k.spot {
-			return z.Spot
+	for _, h := range in.Halls {
+		if h.Name == k.hall && k.spot {
+			return h.Spot
 		}
-		if z.Name == k.zone {
-			return z.Regular
+		if h.Name == k.hall {
+			return h.Regular
 		}
 	}
 	return 0
