A refusal by a limit says which limit it met, and by what level

Cause: a line of a 429 named the client account only, so that nobody could tell an account over its limit from an instance over its part of it. Change: the verdict tells the level, what was needed and the share of the instances that the level counts; the line has them.

--- a/internal/forward/door.go
+++ b/internal/forward/door.go
@@ -7,6 +7,10 @@
 	"net"
 	"net/http"
 	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/shelfcrank/shelfcrank/internal/quota"
 )
 
 // ServeHTTP implements http.Handler.
@@ -139,5 +143,16 @@
 	if v.OK {
 		return nil
 	}
-	return &denial{status: http.StatusTooManyRequests, why: "limit of the client account", wait: v.RetryAt.Sub(now), quota: true}
+	return &denial{
+		status: http.StatusTooManyRequests, why: overLimit(v), wait: v.RetryAt.Sub(now),
+		fields: []zap.Field{zap.Float64("units", q.units), zap.Float64("level", v.Level), zap.Float64("need", v.Need), zap.Float64("known", v.Known)},
+	}
+}
+
+// overLimit says which of two limits a refused request met.
+func overLimit(v quota.Verdict) string {
+	if v.Need > 0 {
+		return "limit of the client account"
+	}
+	return "this instance's part of the client account's limit"
 }
--- a/internal/forward/refuse.go
+++ b/internal/forward/refuse.go
@@ -15,7 +15,7 @@
 	why    string
 	wait   time.Duration // when to come back; 0 when that is no use
 	close  bool          // the connection cannot be used again
-	quota  bool          // the client account is over its limit
+	fields []zap.Field   // inputs of the decision, for the log
 	gone   bool          // the client is no longer there: no answer
 	err    error         // the cause, if any
 	answer *answer       // a server's failure that is passed on instead; nil for an answer of this node's own
@@ -64,11 +64,11 @@
 	}
 	w.Header()["Content-Type"] = nil
 	w.WriteHeader(d.status)
-	h.logEnd(q, event.ForwardRefused, d.status, d.why, d.err)
+	h.logEnd(q, event.ForwardRefused, d.status, d.why, d.err, d.fields...)
 }
 
 // logEnd writes the line that tells how a request ended and by which inputs.
-func (h *Handler) logEnd(q *request, c event.Code, status int, why string, err error) {
+func (h *Handler) logEnd(q *request, c event.Code, status int, why string, err error, more ...zap.Field) {
 	now := time.Now()
 	fields := []zap.Field{
 		zap.String("request", q.meta.ID), zap.Int("status", status), zap.Duration("took", now.Sub(q.arrived)),
@@ -94,6 +94,6 @@
 	if err != nil {
 		fields = append(fields, zap.Error(err))
 	}
-	h.event(c, fields...)
+	h.event(c, append(fields, more...)...)
 	h.Metrics.Forwarded(name, status, now.Sub(q.arrived))
 }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -48,7 +48,9 @@
 // Verdict says whether a request is admitted.
 type Verdict struct {
 	OK      bool
-	Level   float64   // of the bucket, after the request
+	Level   float64   // of the bucket, after the request; units
+	Need    float64   // level that a refused request would have needed; 0 if the level was high enough
+	Known   float64   // share of the nodes that the level counts the use of
 	RetryAt time.Time // when to come back
 }
 
@@ -171,10 +173,10 @@
 	if a.bucket.level < need {
 		a.tightAt = now
 		wait := time.Duration((need - a.bucket.level) / limit.Rate * float64(time.Second))
-		return Verdict{Level: a.bucket.level, RetryAt: now.Add(max(wait, leastRetry))}
+		return Verdict{Level: a.bucket.level, Need: need, Known: l.known(), RetryAt: now.Add(max(wait, leastRetry))}
 	}
 	if !a.mayUse(units, limit, l.count, now) {
-		return Verdict{Level: a.bucket.level, RetryAt: now.Add(newsTakes)}
+		return Verdict{Level: a.bucket.level, Known: l.known(), RetryAt: now.Add(newsTakes)}
 	}
 	a.bucket.level -= units
 	a.admitted += units
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -332,3 +332,27 @@
 		}
 	}
 }
+
+// A refusal tells whether the account or only this node's part was used up.
+func TestARefusalTellsWhichLimitItMet(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	l := New(now)
+	l.SetNodes(1)
+	limit := Limit{Rate: 1000, Burst: 10_000}
+	now = now.Add(10 * time.Second)
+	is.True(l.Admit("t", limit, 9_900, now).OK)
+	v := l.Admit("t", limit, 5_000, now)
+	is.True(!v.OK)
+	is.Equal(v.Need, 1000.0)
+	is.Equal(v.Level, 100.0)
+
+	now = now.Add(10 * time.Second)
+	is.True(l.Admit("t", limit, 0, now).OK)
+	l.SetNodes(100)
+	is.True(l.Admit("t", limit, 500, now).OK)
+	v = l.Admit("t", limit, 500, now)
+	is.True(!v.OK)
+	is.Equal(v.Need, 0.0)
+	is.Equal(v.Known, 0.01)
+}
