One hub of each hall reads the store, not two

Cause: two hubs of each hall proved the configuration each second and followed servers and instances, though instances ask one of them, and those of other halls when it is lost. Change: the first hub of a hall reads, two of them where there is one hall only; both go on placing requests. A holder of the duties reads the store as before. A hall that loses its reader is helped by the others within 0.75 s as before.

--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -67,14 +67,14 @@
 }
 
 func (n *Node) gather() time.Duration {
-	if n.state.members.topology().self {
+	if n.state.members.topology().reads {
 		return gatherHub
 	}
 	return gather
 }
 
 func (n *Node) provePause() time.Duration {
-	if n.state.members.topology().self {
+	if n.state.members.topology().reads {
 		return proveAsHub
 	}
 	return proveEvery
--- a/internal/front/hubs.go
+++ b/internal/front/hubs.go
@@ -10,18 +10,21 @@
 
 // Size from which a fleet has hubs, and how many.
 const (
-	directNodes = 16 // so many nodes all read the store and place requests themselves
-	hubsInZone  = 2
+	directNodes  = 16 // so many nodes all read the store and place requests themselves
+	hubsInZone   = 2
+	readersLeast = 2 // hubs that read the store, however few halls there are
 )
 
 // topology is who reads the store and places requests for all. It is immutable.
 type topology struct {
-	hubs []member // in the order in which this node asks them; empty in a small fleet
-	self bool     // this node is a hub
+	hubs    []member // in the order in which this node asks them; empty in a small fleet
+	self    bool     // this node is a hub
+	readers []member // the hubs that read the store, in that order: one in each hall
+	reads   bool     // this node is one of these
 }
 
 // direct reports whether this node has to read the store itself.
-func (t *topology) direct() bool { return t.self || len(t.hubs) == 0 }
+func (t *topology) direct() bool { return t.reads || len(t.hubs) == 0 }
 
 // named returns a hub by its name, the zero member if there is none.
 func (t *topology) named(name string) member {
@@ -46,17 +49,24 @@
 	})
 	t := &topology{}
 	chosen := make(map[string]int) // by zone
+	var first, more []member       // hubs that are the first of their zone, and the others
 	for _, m := range all {
-		if chosen[m.zone] == hubsInZone {
-			continue
+		switch chosen[m.zone]++; {
+		case chosen[m.zone] == 1:
+			first = append(first, m)
+		case chosen[m.zone] <= hubsInZone:
+			more = append(more, m)
 		}
-		chosen[m.zone]++
-		t.hubs = append(t.hubs, m)
-		t.self = t.self || m.name == self.name
 	}
-	slices.SortStableFunc(t.hubs, func(a, b member) int {
+	isSelf := func(m member) bool { return m.name == self.name }
+	t.hubs = append(slices.Clone(first), more...)
+	t.readers = append(first, more[:min(len(more), max(0, readersLeast-len(first)))]...)
+	t.self, t.reads = slices.ContainsFunc(t.hubs, isSelf), slices.ContainsFunc(t.readers, isSelf)
+	order := func(a, b member) int {
 		return cmp.Or(compareTrue(a.zone == self.zone, b.zone == self.zone), cmp.Compare(pair(self.name, a.name), pair(self.name, b.name)))
-	})
+	}
+	slices.SortStableFunc(t.hubs, order)
+	slices.SortStableFunc(t.readers, order)
 	return t
 }
 
--- a/internal/front/hubs_test.go
+++ b/internal/front/hubs_test.go
@@ -51,6 +51,26 @@
 	is.Equal(len(first), 8) // the load is spread
 }
 
+// Each call of the store is paid for: one instance of each hall reads it, and two
+// where there is one hall only.
+func TestOneInstanceOfEachHallReadsTheStore(t *testing.T) {
+	is := is.New(t)
+	for zones, want := range map[int]int{1: 2, 2: 2, 4: 4} {
+		all := fleetOf(zones, 24)
+		readers := make(map[string]int)
+		for i, self := range all {
+			top := newTopology(self, without(all, i))
+			is.Equal(len(top.readers), want)
+			is.Equal(top.readers[0].zone, self.zone)
+			if top.reads {
+				is.True(top.self)
+				readers[self.zone]++
+			}
+		}
+		is.Equal(len(readers), zones)
+	}
+}
+
 func TestASmallFleetHasNoHubs(t *testing.T) {
 	is := is.New(t)
 	all := fleetOf(4, 4)
--- a/internal/front/peerproof.go
+++ b/internal/front/peerproof.go
@@ -48,7 +48,7 @@
 	if len(hubs.hubs) == 0 {
 		return n.state.members.list()
 	}
-	return lo.Filter(hubs.hubs, func(m member, _ int) bool { return m.name != n.Settings.Name })
+	return lo.Filter(hubs.readers, func(m member, _ int) bool { return m.name != n.Settings.Name })
 }
 
 // proofs counts the answers of instances that were asked for a proof.
--- a/internal/front/spoke.go
+++ b/internal/front/spoke.go
@@ -83,7 +83,7 @@
 		if hubs.direct() {
 			return
 		}
-		for _, hub := range hubs.hubs {
+		for _, hub := range hubs.readers {
 			s.follow(ctx, hub)
 		}
 		if time.Since(s.lastGood) < hubless {
