Three hubs read the store for a large fleet; configurations are passed on compressed

Ruled out: readers in all halls and proofs asked of each other (more to go wrong, and watches stay); differences of configurations (the store has whole ones). Change: at most three readers, of different halls, or one for a hundred instances; a configuration is compressed once for all that ask (374,605 bytes to 13,897, 2 ms to pack and unpack: BenchmarkPackConfig). An instance that the store lost is kept for one more second, not for 2.5.

--- a/internal/front/hub.go
+++ b/internal/front/hub.go
@@ -27,6 +27,8 @@
 	mu       sync.Mutex
 	item     store.Item // the configuration as last read; guarded by mu
 	provedAt time.Time  // when that read was sent; guarded by mu
+	packed   []byte     // a configuration compressed; guarded by mu
+	packedAt int64      // its revision; guarded by mu
 }
 
 // notProved is the age of a proof where there is none: a watch told of the
@@ -99,12 +101,22 @@
 		}
 	}
 	if item.Revision > q.Config {
-		a.Config = item.Value
+		a.PackedConfig = h.pack(item)
 	}
-	news := len(a.Config) > 0 || len(servers.Events)+len(nodes.Events) > 0 || servers.Whole || nodes.Whole
+	news := len(a.PackedConfig) > 0 || len(servers.Events)+len(nodes.Events) > 0 || servers.Whole || nodes.Whole
 	return a, news, nil
 }
 
+// pack returns a configuration compressed. It is compressed once for all that ask.
+func (h *hub) pack(item store.Item) []byte {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.packedAt != item.Revision {
+		h.packed, h.packedAt = packConfig(item.Value), item.Revision
+	}
+	return h.packed
+}
+
 func mirrorPart(c mirror.Change) *peerpb.MirrorPart {
 	return &peerpb.MirrorPart{Whole: c.Whole, At: c.At, Items: lo.Map(c.Events, func(e store.Event, _ int) *peerpb.MirrorItem {
 		return &peerpb.MirrorItem{Key: e.Key, Value: e.Value, Revision: e.Revision, Gone: e.Gone}
--- a/internal/front/hubs.go
+++ b/internal/front/hubs.go
@@ -12,14 +12,16 @@
 const (
 	directNodes  = 16 // so many nodes all read the store and place requests themselves
 	hubsInZone   = 2
-	readersLeast = 2 // hubs that read the store, however few halls there are
+	readersLeast = 2 // hubs that read the store, however few halls there are, and
+	readersMost  = 3 // at the most, or one for so many instances:
+	perReader    = 100
 )
 
 // topology is who reads the store and places requests for all. It is immutable.
 type topology struct {
 	hubs    []member // in the order in which this node asks them; empty in a small fleet
 	self    bool     // this node is a hub
-	readers []member // the hubs that read the store, in that order: one in each hall
+	readers []member // the hubs that read the store, in that order, of different halls
 	reads   bool     // this node is one of these
 }
 
@@ -60,7 +62,7 @@
 	}
 	isSelf := func(m member) bool { return m.name == self.name }
 	t.hubs = append(slices.Clone(first), more...)
-	t.readers = append(first, more[:min(len(more), max(0, readersLeast-len(first)))]...)
+	t.readers = readersOf(first, more, len(all))
 	t.self, t.reads = slices.ContainsFunc(t.hubs, isSelf), slices.ContainsFunc(t.readers, isSelf)
 	order := func(a, b member) int {
 		return cmp.Or(compareTrue(a.zone == self.zone, b.zone == self.zone), cmp.Compare(pair(self.name, a.name), pair(self.name, b.name)))
@@ -70,6 +72,16 @@
 	return t
 }
 
+// readersOf chooses the hubs that read the store for a number of instances: each of
+// them pays for its calls, while a question of an instance to a hub costs nothing.
+func readersOf(first, more []member, instances int) []member {
+	most := max(readersMost, (instances+perReader-1)/perReader)
+	if len(first) >= readersLeast {
+		return slices.Clone(first[:min(len(first), most)])
+	}
+	return append(slices.Clone(first), more[:min(len(more), readersLeast-len(first))]...)
+}
+
 // compareTrue orders true before false.
 func compareTrue(a, b bool) int {
 	switch {
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -153,12 +153,16 @@
 	return true
 }
 
+// lostGrace is how long after the end of a registration hubs have to tell that the
+// instance goes on: a report and an exchange between hubs take half of it.
+const lostGrace = time.Second
+
 // unregister notes that the registration of a node ended. In a large fleet those that
 // go on all the same are told of by hubs, which takes a moment.
 func (m *members) unregister(other *member, now time.Time) {
 	other.registered = false
-	if m.node.grouped() {
-		other.heardAt = now
+	if heard := now.Add(lostGrace - m.node.heardFor()); m.node.grouped() && heard.After(other.heardAt) {
+		other.heardAt = heard
 	}
 }
 
--- /dev/null
+++ b/internal/front/packing.go
@@ -0,0 +1,42 @@
+package front
+
+import (
+	"bytes"
+	"compress/gzip"
+	"fmt"
+	"io"
+)
+
+// mostConfig bounds a configuration that another instance passes on, in bytes. The
+// store takes values of a million.
+const mostConfig = 16 << 20
+
+// packConfig compresses a configuration that is passed on to many instances: one of
+// 1,700 routes has 0.5 MB, which a hundred instances cannot get through one link
+// within the time in which it has to be in force (BenchmarkPackConfig).
+func packConfig(value []byte) []byte {
+	var out bytes.Buffer
+	w, err := gzip.NewWriterLevel(&out, gzip.BestSpeed)
+	if err != nil {
+		panic(err) // the level is a constant
+	}
+	_, _ = w.Write(value) // a buffer takes all
+	_ = w.Close()
+	return out.Bytes()
+}
+
+// unpackConfig reverses packConfig.
+func unpackConfig(packed []byte) ([]byte, error) {
+	r, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return nil, fmt.Errorf("compressed configuration: %w", err)
+	}
+	value, err := io.ReadAll(io.LimitReader(r, mostConfig+1))
+	if err != nil {
+		return nil, fmt.Errorf("compressed configuration: %w", err)
+	}
+	if len(value) > mostConfig {
+		return nil, fmt.Errorf("compressed configuration: more than %d bytes", mostConfig)
+	}
+	return value, nil
+}
--- /dev/null
+++ b/internal/front/packing_test.go
@@ -0,0 +1,59 @@
+package front
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shelfcrank/shelfcrank/internal/policy"
+)
+
+// bigConfig is a configuration with many routes, as operators write it.
+func bigConfig(routes int) []byte {
+	c := policy.Config{Version: 2, Services: []policy.Service{{Name: "svc"}}}
+	for i := range routes {
+		c.Routes = append(c.Routes, policy.Route{
+			Name: fmt.Sprint("route-", i), Host: testHost, Prefix: fmt.Sprintf("/big%d/", i*7919%100_003), Kind: policy.Safe,
+			Timeout: 3 * time.Second, MaxAttempts: 2, Split: []policy.Share{{Service: "svc", Weight: 1}},
+		})
+	}
+	value, _ := json.Marshal(c)
+	return value
+}
+
+func TestAPackedConfigurationIsTheSame(t *testing.T) {
+	is := is.New(t)
+	value := bigConfig(1700)
+	packed := packConfig(value)
+	t.Logf("%d bytes, %d packed", len(value), len(packed))
+	is.True(len(packed) < len(value)/6)
+	got, err := unpackConfig(packed)
+	is.NoErr(err)
+	is.True(bytes.Equal(got, value))
+}
+
+func TestWhatCannotBeUnpacked(t *testing.T) {
+	is := is.New(t)
+	packed := packConfig(bigConfig(10))
+	for _, bad := range [][]byte{nil, []byte("plain"), packed[:len(packed)/2], packConfig(make([]byte, mostConfig+1))} {
+		_, err := unpackConfig(bad)
+		is.True(err != nil)
+	}
+}
+
+// A configuration of 1,700 routes for one instance; 0.5 MB went over the link before,
+// without any processor time.
+func BenchmarkPackConfig(b *testing.B) {
+	value := bigConfig(1700)
+	for b.Loop() {
+		packed := packConfig(value)
+		if _, err := unpackConfig(packed); err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(len(packed)), "bytes")
+	}
+}
--- a/internal/front/peerproof.go
+++ b/internal/front/peerproof.go
@@ -94,7 +94,10 @@
 	if err != nil {
 		return err
 	}
-	read := mirroredConfig(a, sent)
+	read, err := mirroredConfig(a, sent)
+	if err != nil {
+		return err
+	}
 	read.byPeer = true
 	n.state.send(read)
 	return nil
--- a/internal/front/spoke.go
+++ b/internal/front/spoke.go
@@ -117,9 +117,14 @@
 		if err != nil {
 			return
 		}
+		read, err := mirroredConfig(a, sent)
+		if err != nil {
+			s.node.event(event.ConfigRejected, zap.String("peer", hub.name), zap.Error(err))
+			return
+		}
 		s.lastGood, s.aloneSince = sent, time.Time{}
 		s.retry.Reset()
-		s.take(a, sent)
+		s.take(a, read, sent)
 	}
 }
 
@@ -143,21 +148,28 @@
 
 // mirroredConfig reads the configuration of an answer to a question sent at a
 // time. Its proof is at least as young as its age says, counted from then.
-func mirroredConfig(a *peerpb.MirrorAnswer, sent time.Time) configRead {
-	read := configRead{value: a.Config, revision: a.ConfigRevision}
+func mirroredConfig(a *peerpb.MirrorAnswer, sent time.Time) (configRead, error) {
+	read := configRead{revision: a.ConfigRevision}
+	if len(a.PackedConfig) > 0 {
+		value, err := unpackConfig(a.PackedConfig)
+		if err != nil {
+			return configRead{}, fmt.Errorf("unpack configuration %d: %w", a.ConfigRevision, err)
+		}
+		read.value = value
+	}
 	if a.ProofAge != notProved {
 		read.provedAt = sent.Add(-time.Duration(a.ProofAge))
 	}
-	return read
+	return read, nil
 }
 
 // take hands an answer to the state.
-func (s *spoke) take(a *peerpb.MirrorAnswer, sent time.Time) {
+func (s *spoke) take(a *peerpb.MirrorAnswer, read configRead, sent time.Time) {
 	n := s.node
 	n.state.send(storeCalled{ok: true, sent: sent})
 	if a.ConfigRevision >= s.revision {
 		s.revision = a.ConfigRevision
-		n.state.send(mirroredConfig(a, sent))
+		n.state.send(read)
 	}
 	if p := a.Servers; p != nil {
 		s.servers = p.At
