A shared prompt has one home among the two hubs that are asked

Cause: both hubs that a request asks for an offer told it as if their home of its subject kept the shared parts, though one of the two had never read them; the better offer was the one with the luckier draw, and subjects were read twice. Change: only the first hub of a subject has its home; the other tells what reading it there would cost, until it did read it.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -38,6 +38,7 @@
 	Avoid   []string // servers that already had the request
 	Slots   int      // requests that a server of the service works on at once; 0 if the servers tell it
 	Once    bool     // it must not be repeated, so that a failure is final
+	Away    bool     // the home of its shared parts is not among the servers to choose from
 }
 
 // shared returns the tokens of the parts that other requests have as well, and
@@ -115,7 +116,7 @@
 func Choose(views []View, r *Request) Choice {
 	shared, hash := r.shared()
 	home := -1
-	if shared > 0 {
+	if shared > 0 && !r.Away {
 		home = homeOf(views, r, hash)
 	}
 	best := Choice{Index: -1, Cost: math.Inf(1)}
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -55,6 +55,28 @@
 	is.Equal(len(used), 4)
 }
 
+// Two hubs offer servers for one subject; only one of them has its home. The other
+// tells what reading the shared parts there would cost, until it has read them.
+func TestASubjectHasNoSecondHome(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	home, away := NewTracker(), NewTracker()
+	for i := range 4 {
+		at, _ := home.Pick(servers(6), prompt(fmt.Sprint("a", i), 8000, "subject"), now)
+		r := prompt(fmt.Sprint("b", i), 8000, "subject")
+		r.Away = true
+		elsewhere, _ := away.Pick(servers(6), r, now)
+		if i == 0 {
+			is.True(elsewhere.Uncached > 2*at.Uncached-1000)
+			is.True(at.Cost < elsewhere.Cost)
+		} else {
+			is.Equal(elsewhere.Uncached, at.Uncached) // it is kept there as well by now
+		}
+		at.Done(Answered, now)
+		elsewhere.Done(Answered, now)
+	}
+}
+
 // homeBesideStreams has a request answered by one of four servers, starts streams of
 // short prompts there, which are read, and returns the request's ticket.
 func homeBesideStreams(tr *Tracker, r *Request, streams, tokens int, now time.Time) *Ticket {
--- a/internal/front/placing.go
+++ b/internal/front/placing.go
@@ -101,8 +101,10 @@
 	var wait sync.WaitGroup
 	for i := range answers {
 		hub := hubs.named(owners[i])
+		asked := *r
+		asked.Away = i > 0
 		wait.Go(func() {
-			if o, err := p.ask(ctx, hub, r, until); err == nil {
+			if o, err := p.ask(ctx, hub, &asked, until); err == nil {
 				answers[i] = o
 			} else if ctx.Err() != nil {
 				p.rest(hub)
@@ -136,7 +138,7 @@
 		return offered{Offer: o, hub: hub}, nil
 	}
 	q := &peerpb.Place{
-		Service: r.Service, Id: r.ID, Tokens: int64(r.Tokens), Avoid: r.Avoid, Slots: int64(r.Slots), Once: r.Once,
+		Service: r.Service, Id: r.ID, Tokens: int64(r.Tokens), Avoid: r.Avoid, Slots: int64(r.Slots), Once: r.Once, Away: r.Away,
 		Left: int64(until.Sub(now)), Incarnation: p.node.incarnation(),
 		Parts: lo.Map(r.Parts, func(part balance.Part, _ int) *peerpb.PromptPart {
 			return &peerpb.PromptPart{Id: part.ID, Tokens: int64(part.Tokens)}
@@ -168,7 +170,7 @@
 func (p *placer) serve(call *peerpb.Call, answer func(*peerpb.Answer) error) error {
 	q, now := call.GetPlace(), time.Now()
 	r := &balance.Request{
-		Service: q.Service, ID: q.Id, Engine: true, Tokens: int(q.Tokens), Avoid: q.Avoid, Slots: int(q.Slots), Once: q.Once,
+		Service: q.Service, ID: q.Id, Engine: true, Tokens: int(q.Tokens), Avoid: q.Avoid, Slots: int(q.Slots), Once: q.Once, Away: q.Away,
 		Parts: lo.Map(q.Parts, func(part *peerpb.PromptPart, _ int) balance.Part {
 			return balance.Part{ID: part.Id, Tokens: int(part.Tokens)}
 		}),
