Hubs confirm the limits of client accounts of a large fleet

Cause: an account that turns hot is asked for at hundreds of instances at once, and each may always admit one request before the others hear of it. Change: the hub that a request asks first for an offer sees a twelfth of all requests before they are sent, and estimates from these what all hubs see; it refuses what the limit does not bear. Such requests need not keep to the instance's part of the limit. Where no hub answers they have to.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -39,6 +39,8 @@
 	Slots   int      // requests that a server of the service works on at once; 0 if the servers tell it
 	Once    bool     // it must not be repeated, so that a failure is final
 	Away    bool     // the home of its shared parts is not among the servers to choose from
+	Account string   // client account, if it has a limit
+	Units   float64  // of the account's limit; 0 if they were granted for an earlier try
 }
 
 // shared returns the tokens of the parts that other requests have as well, and
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -112,9 +112,9 @@
 	view := h.View()
 	now := time.Now()
 	b := h.choice(q, view.Config.Service(q.service))
-	ticket, ok := h.Placer.Place(ctx, view.Servers[q.service], b, q.deadline, now)
-	if !ok {
-		return outcome{denial: h.noServer(q)}
+	ticket, err := h.Placer.Place(ctx, view.Servers[q.service], b, q.deadline, now)
+	if err != nil {
+		return outcome{denial: h.notPlaced(q, err)}
 	}
 	q.avoid = append(q.avoid, ticket.Server.ID)
 	call := h.call(q, view, ticket, now)
@@ -141,7 +141,12 @@
 	return status
 }
 
-func (h *Handler) noServer(q *request) *denial {
+// notPlaced is the denial for a request that no server was chosen for.
+func (h *Handler) notPlaced(q *request, err error) *denial {
+	var limit *LimitError
+	if errors.As(err, &limit) {
+		return overLimitDenial(q, limit.Verdict, time.Now())
+	}
 	return &denial{status: h.unless(q, http.StatusServiceUnavailable), why: "no server", wait: waitNone}
 }
 
@@ -154,6 +159,9 @@
 	if s != nil && s.Engine != nil {
 		b.Engine, b.Slots = true, s.Engine.Slots
 	}
+	if q.account != nil && q.account.Rate > 0 && len(q.avoid) == 0 && !q.answered {
+		b.Account, b.Units = q.account.Name, q.units
+	}
 	return b
 }
 
--- a/internal/forward/door.go
+++ b/internal/forward/door.go
@@ -139,10 +139,16 @@
 		}
 	}
 	now := time.Now()
-	v := h.Admission.Admit(q.account, q.units, now)
+	service := q.view.Config.Service(q.service)
+	v := h.Admission.Admit(q.account, q.units, service != nil && service.Engine != nil, now)
 	if v.OK {
 		return nil
 	}
+	return overLimitDenial(q, v, now)
+}
+
+// overLimitDenial refuses a request that the limit of its client account does not bear.
+func overLimitDenial(q *request, v quota.Verdict, now time.Time) *denial {
 	return &denial{
 		status: http.StatusTooManyRequests, why: overLimit(v), wait: v.RetryAt.Sub(now),
 		fields: []zap.Field{zap.Float64("units", q.units), zap.Float64("level", v.Level), zap.Float64("need", v.Need), zap.Float64("known", v.Known)},
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -75,7 +76,9 @@
 // Admission counts requests against the limits of client accounts and the budgets of
 // second tries, over all nodes.
 type Admission interface {
-	Admit(a *policy.Account, units float64, now time.Time) quota.Verdict
+	// Admit asks for units of an account's limit. placed says that the request is for
+	// servers that a Placer may choose by what others see of the account.
+	Admit(a *policy.Account, units float64, placed bool, now time.Time) quota.Verdict
 	Return(a *policy.Account, units float64)
 	FirstTry(service string, now time.Time)
 	SecondTry(service string, now time.Time) bool
@@ -83,11 +86,21 @@
 }
 
 // Placer chooses a server for a request and counts the request there until the
-// ticket is done or a deadline.
+// ticket is done or a deadline. Its errors are ErrNoServer and LimitError.
 type Placer interface {
-	Place(ctx context.Context, servers []registry.Server, r *balance.Request, until, now time.Time) (*balance.Ticket, bool)
+	Place(ctx context.Context, servers []registry.Server, r *balance.Request, until, now time.Time) (*balance.Ticket, error)
 }
 
+// ErrNoServer says that no server takes work for a service.
+var ErrNoServer = errors.New("no server takes work")
+
+// LimitError says that the limit of the client account does not bear the request,
+// as a hub found that sees more of the account's requests than this node.
+type LimitError struct{ quota.Verdict }
+
+// Error implements error.
+func (e *LimitError) Error() string { return overLimit(e.Verdict) }
+
 // Options are what a handler is made of.
 type Options struct {
 	Protocol  Protocol
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -66,7 +66,7 @@
 	refuse   bool
 }
 
-func (a *freely) Admit(*policy.Account, float64, time.Time) quota.Verdict {
+func (a *freely) Admit(*policy.Account, float64, bool, time.Time) quota.Verdict {
 	return quota.Verdict{OK: !a.refuse, RetryAt: time.Now().Add(time.Second)}
 }
 func (a *freely) Return(_ *policy.Account, units float64) { a.returned += units }
@@ -242,8 +242,32 @@
 // alone places requests by what one node knows.
 type alone struct{ *balance.Tracker }
 
-func (a alone) Place(_ context.Context, servers []registry.Server, r *balance.Request, _, now time.Time) (*balance.Ticket, bool) {
-	return a.Pick(servers, r, now)
+func (a alone) Place(_ context.Context, servers []registry.Server, r *balance.Request, _, now time.Time) (*balance.Ticket, error) {
+	ticket, ok := a.Pick(servers, r, now)
+	if !ok {
+		return nil, ErrNoServer
+	}
+	return ticket, nil
+}
+
+// overfull places nothing, for the limit does not bear it.
+type overfull struct{}
+
+func (overfull) Place(context.Context, []registry.Server, *balance.Request, time.Time, time.Time) (*balance.Ticket, error) {
+	return nil, &LimitError{quota.Verdict{Need: 1, RetryAt: time.Now().Add(250 * time.Millisecond)}}
+}
+
+// A request that is not placed because of a limit gets 429, and when to come back; its
+// units are given back.
+func TestALimitThatTheInstanceDidNotSee(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 0, sealed(200, "hi"))
+	w.handler.Placer = overfull{}
+	rec, _ := w.ask("/safe/a", "k")
+	is.Equal(rec.Code, http.StatusTooManyRequests)
+	is.True(rec.Header().Get("Retry-After") != "")
+	is.Equal(w.admit.returned, 1.0)
+	is.Equal(len(w.got), 0)
 }
 
 func TestAnswers(t *testing.T) {
--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -38,12 +38,39 @@
 }
 
 // Admit implements forward.Admission.
-func (a *admission) Admit(c *policy.Account, units float64, now time.Time) quota.Verdict {
+func (a *admission) Admit(c *policy.Account, units float64, placed bool, now time.Time) quota.Verdict {
+	placed = placed && a.node.grouped()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if placed {
+		return a.quota.AdmitForHub(c.Name, a.limit(c), units, now)
+	}
 	return a.quota.Admit(c.Name, a.limit(c), units, now)
 }
 
+// alone asks whether a request that no hub confirmed may be sent all the same. Nothing
+// is asked for with 0 units.
+func (a *admission) alone(account string, units float64, now time.Time) quota.Verdict {
+	if units == 0 {
+		return quota.Verdict{OK: true}
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.quota.Alone(account, a.limitsNow()[account], units, now)
+}
+
+// confirm asks, at a hub, whether the limit of a client account bears a request that
+// another instance admitted. Nothing is asked for with 0 units.
+func (a *admission) confirm(account string, units float64, now time.Time) quota.Verdict {
+	hubs := len(a.node.state.members.topology().hubs)
+	if units == 0 || hubs == 0 {
+		return quota.Verdict{OK: true}
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.quota.Confirm(account, a.limitsNow()[account], units, 1/float64(hubs), now)
+}
+
 // limit returns what a client account is kept to.
 func (a *admission) limit(c *policy.Account) quota.Limit {
 	limit := quota.Limit{Rate: c.Rate, Burst: c.Burst}
--- a/internal/front/placing.go
+++ b/internal/front/placing.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/forward"
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
 	"github.com/shelfcrank/shelfcrank/internal/place"
+	"github.com/shelfcrank/shelfcrank/internal/quota"
 	"github.com/shelfcrank/shelfcrank/internal/registry"
 	"github.com/shelfcrank/shelfcrank/internal/rendezvous"
 )
@@ -55,24 +57,43 @@
 }
 
 // Place implements forward.Placer.
-func (p *placer) Place(ctx context.Context, servers []registry.Server, r *balance.Request, until, now time.Time) (*balance.Ticket, bool) {
-	tracker, hubs := p.node.tracker, p.node.state.members.topology()
+func (p *placer) Place(ctx context.Context, servers []registry.Server, r *balance.Request, until, now time.Time) (*balance.Ticket, error) {
+	hubs := p.node.state.members.topology()
 	if !r.Engine || len(hubs.hubs) == 0 {
-		return tracker.Pick(servers, r, now)
+		return p.pick(servers, r, now)
 	}
-	best, ok := p.bestOffer(ctx, hubs, servers, r, until)
+	offers, refusal := p.offers(ctx, hubs, r, until)
+	if refusal != nil {
+		for _, o := range offers {
+			p.decline(o)
+		}
+		return nil, refusal
+	}
+	best, ok := p.bestOffer(offers, servers)
 	if !ok {
-		return tracker.Pick(servers, r, now)
+		if v := p.node.admission.alone(r.Account, r.Units, now); !v.OK {
+			return nil, &forward.LimitError{Verdict: v}
+		}
+		return p.pick(servers, r, now)
 	}
-	ticket := tracker.Take(best.server, r, best.Uncached, now)
+	ticket := p.node.tracker.Take(best.server, r, best.Uncached, now)
 	ticket.Observe(&noter{p, best})
-	return ticket, true
+	return ticket, nil
+}
+
+// pick chooses a server by what this node knows itself.
+func (p *placer) pick(servers []registry.Server, r *balance.Request, now time.Time) (*balance.Ticket, error) {
+	ticket, ok := p.node.tracker.Pick(servers, r, now)
+	if !ok {
+		return nil, forward.ErrNoServer
+	}
+	return ticket, nil
 }
 
-// bestOffer asks hubs, takes the best offer of a server that this node knows to
-// take work, and declines the others.
-func (p *placer) bestOffer(ctx context.Context, hubs *topology, servers []registry.Server, r *balance.Request, until time.Time) (best offered, found bool) {
-	for _, o := range p.offers(ctx, hubs, r, until) {
+// bestOffer takes the best offer of a server that this node knows to take work, and
+// declines the others.
+func (p *placer) bestOffer(offers []offered, servers []registry.Server) (best offered, found bool) {
+	for _, o := range offers {
 		var known bool
 		o.server, known = lo.Find(servers, func(s registry.Server) bool { return s.ID == o.Server })
 		if !known || found && o.Cost >= best.Cost {
@@ -92,27 +113,35 @@
 	p.note(o, &peerpb.Note{Done: true, Result: int32(balance.Cancelled)})
 }
 
-// offers asks the hubs that a request belongs to, all at once.
-func (p *placer) offers(ctx context.Context, hubs *topology, r *balance.Request, until time.Time) []offered {
+// offers asks the hubs that a request belongs to, all at once. The first of them is
+// where its shared parts have their home, and confirms that the limit of the client
+// account bears the request.
+func (p *placer) offers(ctx context.Context, hubs *topology, r *balance.Request, until time.Time) ([]offered, *forward.LimitError) {
 	ctx, cancel := context.WithTimeout(ctx, offerTimeout)
 	defer cancel()
 	owners := rendezvous.Order(r.Subject(), p.awake(hubs, time.Now()))
 	answers := make([]offered, min(offersAsked, len(owners)))
+	var refusal *forward.LimitError // of the first hub
 	var wait sync.WaitGroup
 	for i := range answers {
 		hub := hubs.named(owners[i])
 		asked := *r
-		asked.Away = i > 0
+		if i > 0 {
+			asked.Away, asked.Units = true, 0
+		}
 		wait.Go(func() {
-			if o, err := p.ask(ctx, hub, &asked, until); err == nil {
+			o, err := p.ask(ctx, hub, &asked, until)
+			switch {
+			case err == nil:
 				answers[i] = o
-			} else if ctx.Err() != nil {
+			case i == 0 && errors.As(err, &refusal):
+			case ctx.Err() != nil:
 				p.rest(hub)
 			}
 		})
 	}
 	wait.Wait()
-	return lo.Filter(answers, func(o offered, _ int) bool { return o.Server != "" })
+	return lo.Filter(answers, func(o offered, _ int) bool { return o.Server != "" }), refusal
 }
 
 // awake returns the names of the hubs that are not resting.
@@ -131,6 +160,9 @@
 func (p *placer) ask(ctx context.Context, hub member, r *balance.Request, until time.Time) (offered, error) {
 	now := time.Now()
 	if hub.name == p.node.Settings.Name {
+		if v := p.node.admission.confirm(r.Account, r.Units, now); !v.OK {
+			return offered{}, &forward.LimitError{Verdict: v}
+		}
 		o, ok := p.desk.Offer(p.self(), p.mine(r.Service), r, until, now)
 		if !ok {
 			return offered{}, errNoServer
@@ -139,6 +171,7 @@
 	}
 	q := &peerpb.Place{
 		Service: r.Service, Id: r.ID, Tokens: int64(r.Tokens), Avoid: r.Avoid, Slots: int64(r.Slots), Once: r.Once, Away: r.Away,
+		Account: r.Account, Units: r.Units,
 		Left: int64(until.Sub(now)), Incarnation: p.node.incarnation(),
 		Parts: lo.Map(r.Parts, func(part balance.Part, _ int) *peerpb.PromptPart {
 			return &peerpb.PromptPart{Id: part.ID, Tokens: int64(part.Tokens)}
@@ -149,6 +182,9 @@
 		return offered{}, fmt.Errorf("ask hub %s for an offer: %w", hub.name, err)
 	}
 	o := a.GetPlace()
+	if x := o.GetRefusal(); x != nil {
+		return offered{}, &forward.LimitError{Verdict: quota.Verdict{Level: x.Level, Need: x.Need, Known: x.Known, RetryAt: now.Add(time.Duration(x.Wait))}}
+	}
 	if o.GetServer() == "" {
 		return offered{}, errNoServer
 	}
@@ -175,6 +211,10 @@
 			return balance.Part{ID: part.Id, Tokens: int(part.Tokens)}
 		}),
 	}
+	if v := p.node.admission.confirm(q.Account, q.Units, now); !v.OK {
+		x := &peerpb.Refusal{Level: v.Level, Need: v.Need, Known: v.Known, Wait: int64(v.RetryAt.Sub(now))}
+		return answer(&peerpb.Answer{Body: &peerpb.Answer_Place{Place: &peerpb.PlaceAnswer{Refusal: x}}})
+	}
 	asker := place.Asker{Node: call.From, Incarnation: q.Incarnation}
 	o, _ := p.desk.Offer(asker, p.mine(q.Service), r, now.Add(time.Duration(q.Left)), now)
 	return answer(&peerpb.Answer{Body: &peerpb.Answer_Place{Place: &peerpb.PlaceAnswer{Server: o.Server, Cost: o.Cost, Ticket: o.Ticket, Uncached: int64(o.Uncached)}}})
--- a/internal/front/placing_test.go
+++ b/internal/front/placing_test.go
@@ -15,7 +15,7 @@
 // engines makes the world's service one of model servers.
 func (w *world) engines(version int64) {
 	c := policy.Config{
-		Version: version, Accounts: []policy.Account{{Name: "north", Keys: []string{"k1"}}},
+		Version: version, Accounts: []policy.Account{{Name: "north", Keys: []string{"k1"}, Rate: w.rate, Burst: w.burst}},
 		Routes: []policy.Route{{
 			Name: "safe", Host: testHost, Prefix: "/safe/", Kind: policy.Safe, Timeout: 3 * time.Second, MaxAttempts: 2,
 			Split: []policy.Share{{Service: "svc", Weight: 1}},
@@ -87,3 +87,18 @@
 		is.Equal(w.placed(), 0)
 	})
 }
+
+// All instances of a large fleet are asked at the same moment by one account. Each
+// could admit its one request; the hubs see that the account's limit does not bear
+// them all.
+func TestHubsSeeWhatSingleInstancesCannot(t *testing.T) {
+	const nodes, burst = 120, 40
+	play(t, nodes, func(is *is.I, w *world) {
+		w.engines(5)
+		time.Sleep(12 * time.Second)
+		answered := w.askAll("a")
+		t.Logf("%d of %d answered", answered, nodes)
+		is.True(answered >= burst*3/4)
+		is.True(answered <= 2*burst) // hubs estimate what the others see
+	}, limited(10, burst, 0))
+}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -93,6 +93,7 @@
 	fresh    float64 // admitted so shortly ago that the others don't know it
 	freshAt  time.Time
 	tightAt  time.Time // when the level was last too low for more than the even part
+	crowd    crowd
 }
 
 // Use of units that the others may use at the same time.
@@ -165,6 +166,28 @@
 
 // Admit asks for a request of so many units.
 func (l *Limiter) Admit(name string, limit Limit, units float64, now time.Time) Verdict {
+	return l.admit(name, limit, units, true, now)
+}
+
+// AdmitForHub asks for a request that a hub confirms before it is sent, so that this
+// node need not keep to its part of the limit. If no hub does, Alone has to be asked.
+func (l *Limiter) AdmitForHub(name string, limit Limit, units float64, now time.Time) Verdict {
+	return l.admit(name, limit, units, false, now)
+}
+
+// Alone asks whether a request that AdmitForHub admitted is within this node's part of
+// the limit, where no hub answers.
+func (l *Limiter) Alone(name string, limit Limit, units float64, now time.Time) Verdict {
+	a := l.account(name)
+	a.fresh -= units
+	defer func() { a.fresh += units }()
+	if limit.Rate > 0 && !a.mayUse(units, limit, l.count, now) {
+		return Verdict{Level: a.bucket.level, Known: l.known(), RetryAt: now.Add(newsTakes)}
+	}
+	return Verdict{OK: true, Level: a.bucket.level}
+}
+
+func (l *Limiter) admit(name string, limit Limit, units float64, inPart bool, now time.Time) Verdict {
 	a := l.account(name)
 	if limit.Rate <= 0 {
 		a.admitted += units
@@ -177,7 +200,8 @@
 		wait := time.Duration((need - a.bucket.level) / limit.Rate * float64(time.Second))
 		return Verdict{Level: a.bucket.level, Need: need, Known: l.known(), RetryAt: now.Add(max(wait, leastRetry))}
 	}
-	if !a.mayUse(units, limit, l.count, now) {
+	may := a.mayUse(units, limit, l.count, now)
+	if inPart && !may {
 		return Verdict{Level: a.bucket.level, Known: l.known(), RetryAt: now.Add(newsTakes)}
 	}
 	a.bucket.level -= units
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -29,6 +30,7 @@
 	admitted []float64 // by step
 	refused  float64   // in all
 	news     time.Duration
+	hubs     int // so many of the nodes confirm what the others admit; 0 for none
 }
 
 func newFleet(n int, limit Limit, seed uint64) *fleet {
@@ -74,6 +76,11 @@
 		f.refused += units
 		return 0
 	}
+	if f.hubs > 0 && !f.nodes[f.rnd.IntN(f.hubs)].Confirm("t", f.limits()["t"], units, 1/float64(f.hubs), f.now).OK {
+		l.Return("t", units)
+		f.refused += units
+		return 0
+	}
 	return units
 }
 
@@ -98,7 +105,7 @@
 				continue
 			}
 			to.Heard(News{
-				Node: string(rune('a' + i)), Incarnation: f.started[i].UnixNano(), Admitted: from.Admitted(),
+				Node: strconv.Itoa(i), Incarnation: f.started[i].UnixNano(), Admitted: from.Admitted(),
 				Levels: from.Levels(f.limits(), f.now), Seasoned: f.now.Sub(f.started[i]) > Season,
 			}, f.now)
 		}
@@ -356,3 +363,54 @@
 	is.Equal(v.Need, 0.0)
 	is.Equal(v.Known, 0.01)
 }
+
+// hubFleet is a large fleet whose news take a second, as they do through hubs.
+func hubFleet(nodes int, rate float64, seed uint64) *fleet {
+	f := newFleet(nodes, Limit{Rate: rate, Burst: 1.15 * rate}, seed)
+	f.news = 900 * time.Millisecond / testStep * testStep
+	f.hubs = 12
+	return f
+}
+
+// An account of a large fleet sends many times its usual. Each instance knows of it
+// from its own requests only, and they are few: hubs, which see more of them, keep the
+// limit.
+func TestHubsKeepTheLimitOfAnAccountThatTurnsHot(t *testing.T) {
+	const nodes, before, hot, usual = 150, 400, 300, 0.5
+	for _, hotness := range []float64{4, 10} {
+		for _, rate := range []float64{40_000, 120_000, 400_000} {
+			f := hubFleet(nodes, rate, 3)
+			for at := range before + hot {
+				demand := usual * rate
+				if at >= before {
+					demand *= hotness
+				}
+				f.step(demand)
+			}
+			share := f.worst() / f.allowed()
+			t.Logf("limit %.0f a second, %.0f times as hot: %.3f of what a window may have", rate, hotness, share)
+			if share > 1 {
+				t.Error("the limit is broken")
+			}
+		}
+	}
+}
+
+// Hubs do not refuse what is below a limit, though single requests are large.
+func TestHubsRefuseNothingBelowALimit(t *testing.T) {
+	for _, rate := range []float64{60_000, 200_000} {
+		f := hubFleet(100, rate, 5)
+		for range 600 {
+			f.step(0)
+		}
+		asked := 0.0
+		for range 1000 {
+			f.step(0.5 * rate)
+			asked += 0.5 * rate * testStep.Seconds()
+		}
+		t.Logf("limit %.0f a second: %.4f refused at half of it", rate, f.refused/asked)
+		if f.refused > 0.01*asked {
+			t.Error("too much is refused")
+		}
+	}
+}
