--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -22,6 +23,7 @@
 	mu        sync.Mutex
 	limitsOf  *policy.Config           // that byAccount was worked out for; guarded by mu
 	byAccount map[string]quota.Limit   // guarded by mu
+	rand      *rand.Rand               // guarded by mu
 	quota     *quota.Limiter           // guarded by mu
 	budgets   map[string]*retry.Budget // by service; guarded by mu
 	usage     *usage.Counter           // guarded by mu
@@ -31,7 +33,7 @@
 func newAdmission(n *Node) *admission {
 	b := n.Settings.Bounds
 	return &admission{
-		node: n, quota: quota.New(n.start), budgets: make(map[string]*retry.Budget), usage: usage.New(), book: newBook(),
+		node: n, rand: rand.New(rand.NewPCG(n.Seed, seedAdmission)), quota: quota.New(n.start), budgets: make(map[string]*retry.Budget), usage: usage.New(), book: newBook(),
 		limits: quota.Terms{Over: b.QuotaOver, Slack: b.QuotaSlack, Window: b.QuotaWindow()},
 		terms:  retry.Terms{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow()},
 	}
@@ -129,7 +131,7 @@
 	nodes := a.node.view.Load().Nodes
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.budget(service).Take(a.terms, nodes, now)
+	return a.budget(service).Take(a.terms, nodes, a.rand.Float64(), now)
 }
 
 // Began implements forward.Admission.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -170,7 +170,11 @@
 	keyOpen   = "open-usage"
 )
 
-const seedElector = 0x9e3779b9
+// Second halves of the seeds of random numbers.
+const (
+	seedElector   = 0x9e3779b9
+	seedAdmission = 0x85ebca6b
+)
 
 func (n *Node) version() int64 {
 	if c := n.view.Load().Config; c != nil {
