A session to another instance that went silent is given up after a second

Cause: connections may go silent for good without a reset, while new ones work. A session was closed by errors of its connection only; calls on a silent one ran into their deadlines one after the other, until the kernel gave it up, where it does. Ruled out: keep-alives of the sessions (each of them a wake-up a second and more on each of hundreds of instances; calls come several times a second anyway). Change: a call that fails closes its session if none has been answered there for a second.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -39,6 +39,10 @@
 	backlog      = 1024
 	idleAfter    = 2 * time.Minute
 	maxMessage   = 16 << 20
+	// silentAfter is how long a session may leave calls unanswered until the next one
+	// that fails closes it: a connection may go silent without a reset, while a new one
+	// works. The longest call that waits for news is answered in 0.4 s.
+	silentAfter = time.Second
 )
 
 // Node dials and serves sessions.
@@ -60,6 +64,7 @@
 	mux    *yamux.Session
 	err    error
 	usedAt atomic.Int64 // Unix nanoseconds
+	asked  atomic.Int64 // when the first call since the last answer was made, Unix nanoseconds; 0 if none was
 }
 
 // New returns a node that calls itself self.
@@ -164,11 +169,12 @@
 // Follow makes a call and hands each of its answers to each, until that
 // returns false or an error.
 func (n *Node) Follow(ctx context.Context, addr netip.AddrPort, call *peerpb.Call, each func(*peerpb.Answer) (bool, error)) error {
-	stream, err := n.open(ctx, addr)
+	stream, s, err := n.open(ctx, addr)
 	if err != nil {
 		return err
 	}
 	defer stream.Close()
+	s.asked.CompareAndSwap(0, time.Now().UnixNano())
 	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	call.From = n.self
@@ -179,8 +185,10 @@
 	for {
 		var a peerpb.Answer
 		if err := read(r, &a); err != nil {
+			n.suspect(addr, s)
 			return n.broke(addr, "receive", errors.Join(err, ctx.Err()))
 		}
+		s.asked.Store(0)
 		if f := a.GetFailure(); f != nil {
 			return FromFailure(f, addr.String())
 		}
@@ -195,20 +203,28 @@
 	return fault.New(fault.StepPeer, addr.String(), fault.KindBroken, fault.MayHaveRun, "%s: %w", what, err)
 }
 
-func (n *Node) open(ctx context.Context, addr netip.AddrPort) (*yamux.Stream, error) {
+// suspect closes a session that has left calls unanswered for long.
+func (n *Node) suspect(addr netip.AddrPort, s *session) {
+	asked := s.asked.Load()
+	if asked != 0 && time.Now().UnixNano()-asked > int64(silentAfter) {
+		n.drop(addr, s)
+	}
+}
+
+func (n *Node) open(ctx context.Context, addr netip.AddrPort) (*yamux.Stream, *session, error) {
 	for range 2 { // a kept session may turn out to be closed; then a new one is made
 		s, err := n.session(ctx, addr)
 		if err != nil {
-			return nil, fault.New(fault.StepPeer, addr.String(), fault.KindRefused, fault.NotRun, "dial: %w", err)
+			return nil, nil, fault.New(fault.StepPeer, addr.String(), fault.KindRefused, fault.NotRun, "dial: %w", err)
 		}
 		stream, err := s.mux.OpenStream()
 		if err == nil {
 			s.usedAt.Store(time.Now().UnixNano())
-			return stream, nil
+			return stream, s, nil
 		}
 		n.drop(addr, s)
 	}
-	return nil, fault.New(fault.StepPeer, addr.String(), fault.KindRefused, fault.NotRun, "session closed")
+	return nil, nil, fault.New(fault.StepPeer, addr.String(), fault.KindRefused, fault.NotRun, "session closed")
 }
 
 func (n *Node) session(ctx context.Context, addr netip.AddrPort) (*session, error) {
