--- a/internal/front/hubgroup.go
+++ b/internal/front/hubgroup.go
@@ -2,14 +2,11 @@
 
 import (
 	"maps"
-	"math"
 	"sync"
 	"time"
 
 	"github.com/shelfcrank/shelfcrank/internal/balance"
-	"github.com/shelfcrank/shelfcrank/internal/fault"
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
-	"github.com/shelfcrank/shelfcrank/internal/policy"
 	"github.com/shelfcrank/shelfcrank/internal/quota"
 	"github.com/shelfcrank/shelfcrank/internal/tally"
 	"github.com/shelfcrank/shelfcrank/internal/usage"
@@ -213,125 +210,3 @@
 	}
 	n.admission.quota.Heard(news, now)
 }
-
-// serveReport takes the report of an instance, and tells it what the others counted.
-func (n *Node) serveReport(call *peerpb.Call, answer func(*peerpb.Answer) error) error {
-	if !n.state.members.topology().self {
-		return fault.New(fault.StepPeer, call.From, fault.KindNotFound, fault.NotRun, "this instance is no hub")
-	}
-	q, now := call.GetReport(), time.Now()
-	n.state.members.heard(call.From, now)
-	n.heardClock(call.From, q.Share.Wall, now)
-	n.groups.reported(call.From, reportOf(q.Share, now))
-	counted := q.HubIncarnation == n.incarnation()
-	if counted {
-		admitted, _, runs := accountCounts(q.Share.Accounts)
-		from := tally.Source{Instance: call.From, Incarnation: q.Share.Incarnation}
-		n.admission.mu.Lock()
-		n.admission.book.unitsIn.Take(from, admitted)
-		n.admission.book.runsIn.Take(from, runs)
-		n.admission.mu.Unlock()
-	}
-	d := n.digest(call.From, q.Windows, now)
-	d.Counted = counted
-	return answer(&peerpb.Answer{Body: &peerpb.Answer_Digest{Digest: d}})
-}
-
-func reportOf(s *peerpb.Share, now time.Time) reported {
-	news := newsOf(s)
-	r := reported{uses: news.Uses, demand: news.Demand, risk: make(map[string]float64), at: now}
-	for name, l := range news.Lessons {
-		r.risk[name] = l.Risk
-	}
-	return r
-}
-
-// digest is what an instance has to know of all the others.
-func (n *Node) digest(to string, windows bool, now time.Time) *peerpb.Digest {
-	d := &peerpb.Digest{Incarnation: n.incarnation(), Seasoned: now.Sub(n.start) > quota.Season, ServersAt: n.news.newest()}
-	reports, others := n.groups.own(now), n.groups.known(now)
-	d.Alive = n.lostByStore(reports)
-	n.digestCounts(d, others, len(reports), windows, now)
-	sum := reportNews(reports, to)
-	addUses(sum.Uses, n.plainUses())
-	addDemand(sum.Demand, n.tracker.Demand(now))
-	for _, other := range others {
-		d.Alive = append(d.Alive, other.share.Alive...)
-		news := newsOf(other.share)
-		addUses(sum.Uses, news.Uses)
-		addDemand(sum.Demand, news.Demand)
-	}
-	d.Servers = useShares(sum.Uses)
-	for name, l := range n.tracker.Agreed() {
-		l.Pace.Weight = float64(1 + len(others))
-		d.Services = append(d.Services, serviceShare(name, sum.Demand[name], l))
-	}
-	return d
-}
-
-// digestCounts puts the counts of all groups into a digest.
-func (n *Node) digestCounts(d *peerpb.Digest, others map[string]heardGroup, reporters int, windows bool, now time.Time) {
-	a := n.admission
-	a.mu.Lock()
-	units, runs := n.groupTotals()
-	levels := a.levels(now)
-	a.mu.Unlock()
-	names := make(map[string]bool, len(units))
-	for name := range units {
-		names[name] = true
-	}
-	for _, other := range others {
-		for _, c := range other.share.Accounts {
-			names[c.Name] = true
-		}
-	}
-	d.Accounts = sortedKeys(names)
-	for _, name := range d.Accounts {
-		level, limited := levels[name]
-		d.Levels, d.Limited = append(d.Levels, float32(level)), append(d.Limited, limited)
-	}
-	own := &peerpb.Group{Hub: n.Settings.Name, Incarnation: n.incarnation(), Wall: n.clock.Own(now).UnixNano(), Stands: int64(1 + reporters)}
-	d.Groups = append(d.Groups, fillGroup(own, d.Accounts, accountShares(units, nil, runs), windows))
-	for name, other := range others {
-		s := other.share
-		g := &peerpb.Group{Hub: name, Incarnation: s.Incarnation, Wall: s.Wall + int64(now.Sub(other.at)), Stands: s.Stands}
-		d.Groups = append(d.Groups, fillGroup(g, d.Accounts, s.Accounts, windows))
-	}
-}
-
-// fillGroup puts counts into a group of a digest.
-func fillGroup(g *peerpb.Group, names []string, accounts []*peerpb.AccountShare, windows bool) *peerpb.Group {
-	admitted := make(map[string]float64, len(accounts))
-	for _, c := range accounts {
-		admitted[c.Name] = c.Admitted
-		if windows && len(c.Windows) > 0 {
-			g.Windows = append(g.Windows, &peerpb.AccountShare{Name: c.Name, Windows: c.Windows})
-		}
-	}
-	for _, name := range names {
-		g.Admitted = append(g.Admitted, int64(math.Round(admitted[name])))
-	}
-	return g
-}
-
-// plainUses returns this instance's use of the servers that run no models. The use
-// of the others is known to the hubs that place requests there.
-func (n *Node) plainUses() map[string]balance.Use {
-	uses := n.tracker.Uses()
-	v := n.view.Load()
-	if v.Config == nil {
-		return uses
-	}
-	for i := range v.Config.Services {
-		if s := &v.Config.Services[i]; placedByHubs(s) {
-			for _, server := range v.Servers[s.Name] {
-				delete(uses, server.ID)
-			}
-		}
-	}
-	return uses
-}
-
-// placedByHubs reports whether the hubs of a large fleet choose the servers of a
-// service.
-func placedByHubs(s *policy.Service) bool { return s.Engine != nil }
--- a/internal/front/report.go
+++ b/internal/front/report.go
@@ -5,10 +5,8 @@
 	"fmt"
 	"time"
 
-	"github.com/shelfcrank/shelfcrank/internal/balance"
 	"github.com/shelfcrank/shelfcrank/internal/fault"
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
-	"github.com/shelfcrank/shelfcrank/internal/quota"
 	"github.com/shelfcrank/shelfcrank/internal/tally"
 )
 
@@ -19,10 +17,6 @@
 	reporterRests = 800 * time.Millisecond // a hub that did not answer is not reported to
 )
 
-// digestNode is the name under which the word of all others is kept, whichever hub
-// told it.
-const digestNode = "/digest"
-
 // reporter reports what this instance counts to a hub. It belongs to the goroutine
 // that shares soft state.
 type reporter struct {
@@ -108,60 +102,3 @@
 		Services: n.serviceShares(n.tracker.Demand(now)),
 	}
 }
-
-// takeDigest takes what a hub tells of all others, after it confirmed this instance's
-// own counts.
-func (n *Node) takeDigest(hub tally.Source, units unitCounts, runs runCounts, d *peerpb.Digest, now time.Time) {
-	n.state.members.heard(hub.Instance, now)
-	for _, name := range d.Alive {
-		n.state.members.heard(name, now)
-	}
-	if n.reading.Load() {
-		n.heardNews(hub.Instance, d.ServersAt, now)
-	}
-	for _, g := range d.Groups {
-		n.heardClock(g.Hub, g.Wall, now)
-	}
-	demand, lessons := serviceNews(d.Services)
-	news := balance.News{Uses: usesOf(d.Servers), Demand: demand, Lessons: lessons}
-	n.tracker.Heard(digestNode, news, now.Add(believeLeast), now)
-	a := n.admission
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.book.units.Confirmed(hub, units)
-	a.book.runs.Confirmed(hub, runs)
-	for _, g := range d.Groups {
-		n.takeDigestGroup(hub, g, d, now)
-	}
-}
-
-// takeDigestGroup takes the counts of one group. The caller holds the admission's mu.
-func (n *Node) takeDigestGroup(hub tally.Source, g *peerpb.Group, d *peerpb.Digest, now time.Time) {
-	news := quota.News{Admitted: make(map[string]float64, len(d.Accounts)), Stands: int(g.Stands)}
-	for i, units := range g.Admitted {
-		if i < len(d.Accounts) {
-			news.Admitted[d.Accounts[i]] = float64(units)
-		}
-	}
-	from := tally.Source{Instance: g.Hub, Incarnation: g.Incarnation}
-	if from == hub {
-		news.Stands-- // this instance is in it
-		news.Seasoned, news.Levels = d.Seasoned, digestLevels(d)
-	}
-	n.takeGroup(from, news, now)
-	if len(g.Windows) > 0 {
-		_, _, runs := accountCounts(g.Windows)
-		n.admission.book.usage.Heard(groupOf(g.Hub), g.Incarnation, windowsOf(runs))
-	}
-}
-
-// digestLevels returns the levels of a digest, by account.
-func digestLevels(d *peerpb.Digest) map[string]float64 {
-	levels := make(map[string]float64, len(d.Accounts))
-	for i, name := range d.Accounts {
-		if i < len(d.Levels) && i < len(d.Limited) && d.Limited[i] {
-			levels[name] = float64(d.Levels[i])
-		}
-	}
-	return levels
-}
