A hub that the store lost stays a hub for all instances

Cause: the store turned a third of the instances away for 9 s, so that their registrations ended. Hubs went on to hear of each other, but the others were only told of lost instances that report, which hubs do not: they chose other hubs, asked these in vain, and all read the store directly. Change: a digest names the hubs that are heard of; an instance takes them for alive. Test: TestAHubThatTheStoreLostStaysAHub failed before.

--- a/internal/front/digest.go
+++ b/internal/front/digest.go
@@ -149,6 +149,7 @@
 		n.heardNews(hub.Instance, d.ServersAt, now)
 	}
 	for _, g := range d.Groups {
+		n.state.members.heard(g.Hub, now) // the hub heard of it just now, the store may have lost it
 		n.heardClock(g.Hub, g.Wall, now)
 	}
 	demand, lessons := serviceNews(d.Services)
--- a/internal/front/group_test.go
+++ b/internal/front/group_test.go
@@ -4,12 +4,14 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/shelfcrank/shelfcrank/internal/storetest"
 	"github.com/shelfcrank/shelfcrank/internal/usage"
 )
 
@@ -175,6 +177,25 @@
 	})
 }
 
+// The store turns a hub away for so long that its registration ends. It goes on, so
+// that all instances go on to take it for a hub: else they would report to, and read
+// through, instances that know nothing of it.
+func TestAHubThatTheStoreLostStaysAHub(t *testing.T) {
+	play(t, large, func(is *is.I, w *world) {
+		time.Sleep(4 * time.Second)
+		hubs, spokes := hubsOf(w)
+		w.store.SetFaults(hubs[0], storetest.Faults{Busy: true})
+		time.Sleep(registerTTL + 5*time.Second)
+		for _, name := range spokes {
+			names := w.nodes[name].node.state.members.topology().names()
+			slices.Sort(names)
+			is.Equal(names, hubs)
+		}
+		_, after := hubsOf(w)
+		is.Equal(after, spokes)
+	})
+}
+
 func namesOf(w *world) []string {
 	var names []string
 	for i := range w.starts {
