An instance that the store lost stays a member of a large fleet

Cause: hubs tell which of the instances that report are lost by the store, but went by a list of members that was not made anew when a registration ended. Change: the list is made anew when a registration ends. Tests: TestAnInstanceThatTheStoreLostStaysAMember failed before (20 of 21 members).

--- a/internal/front/group_test.go
+++ b/internal/front/group_test.go
@@ -196,6 +196,19 @@
 	})
 }
 
+// The same for an instance that is no hub: its hub tells the others that it goes on.
+func TestAnInstanceThatTheStoreLostStaysAMember(t *testing.T) {
+	play(t, large, func(is *is.I, w *world) {
+		time.Sleep(4 * time.Second)
+		_, spokes := hubsOf(w)
+		w.store.SetFaults(spokes[0], storetest.Faults{Busy: true})
+		time.Sleep(registerTTL + 5*time.Second)
+		for _, name := range namesOf(w) {
+			is.Equal(len(w.nodes[name].node.state.members.list()), large-1)
+		}
+	})
+}
+
 func namesOf(w *world) []string {
 	var names []string
 	for i := range w.starts {
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -96,12 +96,12 @@
 		}
 		m.note(store.Event{Item: item}, now)
 	}
-	m.show() // once: who is a hub is worked out anew each time
 	for name, other := range m.all {
 		if !listed[name] && other.registered {
 			m.unregister(other, now)
 		}
 	}
+	m.show() // once: who is a hub is worked out anew each time
 	m.node.elector.Saw(hasKey(items, m.node.elector.Key))
 	m.expire(now)
 }
@@ -122,7 +122,7 @@
 	}
 }
 
-// note notes a change, and reports whether it is of a node that is registered.
+// note notes a change, and reports whether it is of another node's registration.
 func (m *members) note(e store.Event, now time.Time) bool {
 	if e.Key == m.node.elector.Key {
 		m.node.elector.Saw(!e.Gone)
@@ -137,7 +137,7 @@
 			m.unregister(other, now)
 		}
 		m.expire(now)
-		return false
+		return true
 	}
 	var r registration
 	if err := json.Unmarshal(e.Value, &r); err != nil || !r.Addr.IsValid() {
