--- a/internal/front/digest.go
+++ b/internal/front/digest.go
@@ -25,20 +25,27 @@
 	n.state.members.heard(call.From, now)
 	n.heardClock(call.From, q.Share.Wall, now)
 	n.groups.reported(call.From, reportOf(q.Share, now))
+	// Counts that an earlier run of this hub was told are known to the other hubs.
 	counted := q.HubIncarnation == n.incarnation()
 	if counted {
-		admitted, _, runs := accountCounts(q.Share.Accounts)
-		from := tally.Source{Instance: call.From, Incarnation: q.Share.Incarnation}
-		n.admission.mu.Lock()
-		n.admission.book.unitsIn.Take(from, admitted)
-		n.admission.book.runsIn.Take(from, runs)
-		n.admission.mu.Unlock()
+		n.countReport(tally.Source{Instance: call.From, Incarnation: q.Share.Incarnation}, q.Share)
 	}
 	d := n.digest(call.From, q.Windows, now)
 	d.Counted = counted
 	return answer(&peerpb.Answer{Body: &peerpb.Answer_Digest{Digest: d}})
 }
 
+// countReport adds what an instance was counting to this hub's group.
+func (n *Node) countReport(from tally.Source, s *peerpb.Share) {
+	admitted, _, runs := accountCounts(s.Accounts)
+	a := n.admission
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.book.unitsIn.Take(from, admitted)
+	a.book.runsIn.Take(from, runs)
+}
+
+// reportOf reads what a report tells of what an instance is doing.
 func reportOf(s *peerpb.Share, now time.Time) reported {
 	news := newsOf(s)
 	r := reported{uses: news.Uses, demand: news.Demand, risk: make(map[string]float64), at: now}
--- a/internal/quota/crowd.go
+++ b/internal/quota/confirm.go
@@ -15,17 +15,17 @@
 	trustAfter = 4.0                    // requests seen in it that tell half of what the others see: a single large one tells little
 )
 
-// crowd is what a hub saw of an account in the time that the levels do not tell of.
-type crowd struct {
+// sample is what a hub saw of an account in the time that the levels do not tell of.
+type sample struct {
 	units    decay.Rate
 	requests decay.Rate
 }
 
 // unseen estimates what all hubs saw together of which the levels do not tell, if
 // this one sees a share of all requests.
-func (c *crowd) unseen(share float64, now time.Time) float64 {
-	units := c.units.At(blindFor, now) * blindFor.Seconds()
-	requests := c.requests.At(blindFor, now) * blindFor.Seconds()
+func (s *sample) unseen(share float64, now time.Time) float64 {
+	units := s.units.At(blindFor, now) * blindFor.Seconds()
+	requests := s.requests.At(blindFor, now) * blindFor.Seconds()
 	others := max(0, 1/share-1)
 	return units * (1 + others*requests/(requests+trustAfter))
 }
@@ -38,13 +38,13 @@
 	}
 	a := l.account(name)
 	a.bucket.fill(limit.part(l.known()), now)
-	left := a.bucket.level - a.crowd.unseen(share, now)
+	left := a.bucket.level - a.sample.unseen(share, now)
 	need := payShare * min(units, limit.Burst)
 	if left < need {
 		wait := time.Duration((need - left) / limit.Rate * float64(time.Second))
 		return Verdict{Level: left, Need: need, Known: l.known(), RetryAt: now.Add(max(wait, leastRetry))}
 	}
-	a.crowd.units.Add(units, blindFor, now)
-	a.crowd.requests.Add(1, blindFor, now)
+	a.sample.units.Add(units, blindFor, now)
+	a.sample.requests.Add(1, blindFor, now)
 	return Verdict{OK: true, Level: left}
 }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -93,7 +93,7 @@
 	fresh    float64 // admitted so shortly ago that the others don't know it
 	freshAt  time.Time
 	tightAt  time.Time // when the level was last too low for more than the even part
-	crowd    crowd
+	sample   sample    // of what is asked for, at a hub
 }
 
 // Use of units that the others may use at the same time.
