A digest works out only what it tells; sums of uses and demand in one place

A hub added up the counts of usage for each digest, some 80 a second, though only readers of the store ask for them, and read each other hub's share anew: both now happen once, when they are needed. Uses and demand were added field by field in the tracker and again in front: methods of theirs serve both.

--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -23,6 +23,11 @@
 	Holdup float64
 }
 
+// Plus returns the sum of two uses.
+func (u Use) Plus(more Use) Use {
+	return Use{Open: u.Open + more.Open, Prompt: u.Prompt + more.Prompt, Holdup: u.Holdup + more.Holdup}
+}
+
 type serviceState struct {
 	lesson
 	engine bool       // it has model servers
@@ -38,6 +43,11 @@
 	Held float64 // places at model servers held after the prompt was read
 }
 
+// Plus returns the sum of two demands.
+func (d Demand) Plus(more Demand) Demand {
+	return Demand{Busy: d.Busy + more.Busy, Held: d.Held + more.Held}
+}
+
 // demandOver is the time over which the work asked for is averaged.
 const demandOver = 3 * time.Second
 
@@ -155,8 +165,7 @@
 	defer t.mu.Unlock()
 	for _, r := range t.remotes {
 		if now.Before(r.until) {
-			sum.Busy += r.demand[service].Busy
-			sum.Held += r.demand[service].Held
+			sum = sum.Plus(r.demand[service])
 		}
 	}
 	return sum
@@ -231,11 +240,7 @@
 			continue
 		}
 		for id, u := range r.uses {
-			sum := t.sums[id]
-			sum.Open += u.Open
-			sum.Prompt += u.Prompt
-			sum.Holdup += u.Holdup
-			t.sums[id] = sum
+			t.sums[id] = t.sums[id].Plus(u)
 			if u.Holdup >= longHoldup {
 				t.server(id).longAt = now
 			}
--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -184,8 +184,7 @@
 		return a.usage
 	}
 	if n.state.members.topology().self {
-		_, runs := n.groupTotals()
-		a.book.usage.Heard(groupOf(n.Settings.Name), n.incarnation(), windowsOf(runs))
+		a.book.usage.Heard(groupOf(n.Settings.Name), n.incarnation(), windowsOf(n.groupRuns()))
 	}
 	return a.book.usage
 }
--- a/internal/front/digest.go
+++ b/internal/front/digest.go
@@ -1,7 +1,9 @@
 package front
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/shelfcrank/shelfcrank/internal/balance"
@@ -66,9 +68,8 @@
 	addDemand(sum.Demand, n.tracker.Demand(now))
 	for _, other := range others {
 		d.Alive = append(d.Alive, other.share.Alive...)
-		news := newsOf(other.share)
-		addUses(sum.Uses, news.Uses)
-		addDemand(sum.Demand, news.Demand)
+		addUses(sum.Uses, other.news.Uses)
+		addDemand(sum.Demand, other.news.Demand)
 	}
 	d.Servers = useShares(sum.Uses)
 	for name, l := range n.tracker.Agreed() {
@@ -82,7 +83,11 @@
 func (n *Node) digestCounts(d *peerpb.Digest, others map[string]heardGroup, reporters int, windows bool, now time.Time) {
 	a := n.admission
 	a.mu.Lock()
-	units, runs := n.groupTotals()
+	units := n.groupUnits()
+	var runs runCounts
+	if windows {
+		runs = n.groupRuns()
+	}
 	levels := a.levels(now)
 	a.mu.Unlock()
 	names := make(map[string]bool, len(units))
@@ -94,7 +99,7 @@
 			names[c.Name] = true
 		}
 	}
-	d.Accounts = sortedKeys(names)
+	d.Accounts = slices.Sorted(maps.Keys(names))
 	for _, name := range d.Accounts {
 		level, limited := levels[name]
 		d.Levels, d.Limited = append(d.Levels, float32(level)), append(d.Limited, limited)
--- a/internal/front/group.go
+++ b/internal/front/group.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"slices"
 	"strings"
 	"time"
 
@@ -98,25 +97,13 @@
 // addUses adds uses to a sum.
 func addUses(sum, more map[string]balance.Use) {
 	for id, u := range more {
-		s := sum[id]
-		sum[id] = balance.Use{Open: s.Open + u.Open, Prompt: s.Prompt + u.Prompt, Holdup: s.Holdup + u.Holdup}
+		sum[id] = sum[id].Plus(u)
 	}
 }
 
 // addDemand adds demand to a sum.
 func addDemand(sum, more map[string]balance.Demand) {
 	for name, d := range more {
-		s := sum[name]
-		sum[name] = balance.Demand{Busy: s.Busy + d.Busy, Held: s.Held + d.Held}
+		sum[name] = sum[name].Plus(d)
 	}
 }
-
-// sortedKeys returns the names of a set in a fixed order.
-func sortedKeys(set map[string]bool) []string {
-	out := make([]string, 0, len(set))
-	for name := range set {
-		out = append(out, name)
-	}
-	slices.Sort(out)
-	return out
-}
--- a/internal/front/group_test.go
+++ b/internal/front/group_test.go
@@ -133,6 +133,19 @@
 	}, limited(40, 80, 0.1))
 }
 
+// toldOnce checks that the platform was told of so many requests, and nothing twice.
+func (w *world) toldOnce(is *is.I, requests int64) {
+	is.Helper()
+	w.cloud.mu.Lock()
+	defer w.cloud.mu.Unlock()
+	var told int64
+	for _, counts := range w.cloud.windows {
+		told += counts["north"]
+	}
+	is.Equal(told, requests)
+	is.Equal(len(w.cloud.faults), 0)
+}
+
 // Counts of usage are whole although a hub dies with what was told to it, but for
 // what it had not passed on yet.
 func TestUsageOfALargeFleetWhileAHubDies(t *testing.T) {
@@ -143,14 +156,7 @@
 		time.Sleep(1200 * time.Millisecond)
 		w.kill(hubs[0])
 		time.Sleep(12 * time.Second)
-		w.cloud.mu.Lock()
-		defer w.cloud.mu.Unlock()
-		var told int64
-		for _, counts := range w.cloud.windows {
-			told += counts["north"]
-		}
-		is.Equal(told, int64(200))
-		is.Equal(len(w.cloud.faults), 0)
+		w.toldOnce(is, 200)
 	})
 }
 
@@ -166,14 +172,7 @@
 			w.start(fmt.Sprint("n", i))
 		}
 		time.Sleep(16 * time.Second)
-		w.cloud.mu.Lock()
-		defer w.cloud.mu.Unlock()
-		var told int64
-		for _, counts := range w.cloud.windows {
-			told += counts["north"]
-		}
-		is.Equal(told, int64(100))
-		is.Equal(len(w.cloud.faults), 0)
+		w.toldOnce(is, 100)
 	})
 }
 
--- a/internal/front/hubgroup.go
+++ b/internal/front/hubgroup.go
@@ -23,6 +23,7 @@
 // heardGroup is what another hub last told.
 type heardGroup struct {
 	share *peerpb.Share
+	news  balance.News // of servers and services, from the share
 	at    time.Time
 }
 
@@ -42,10 +43,10 @@
 }
 
 // heard notes what another hub tells.
-func (g *groups) heard(s *peerpb.Share, now time.Time) {
+func (g *groups) heard(s *peerpb.Share, news balance.News, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.others[s.Node] = heardGroup{s, now}
+	g.others[s.Node] = heardGroup{s, news, now}
 }
 
 // own returns the newest report of each instance of the group.
@@ -98,26 +99,32 @@
 	return tally.Source{Instance: n.Settings.Name, Incarnation: n.incarnation()}
 }
 
-// groupTotals returns what this hub's group counted: what was reported, and its own
-// counts but for what it told other hubs before it became one. The caller holds the
+// groupUnits returns the units that this hub's group admitted: what was reported, and
+// its own but for what it told other hubs before it became one. The caller holds the
 // admission's mu.
-func (n *Node) groupTotals() (unitCounts, runCounts) {
+func (n *Node) groupUnits() unitCounts {
 	a := n.admission
 	units := a.book.units.Offer(n.run(), a.quota.Admitted())
-	runs := a.book.runs.Offer(n.run(), n.openRuns())
-	a.book.units.Confirmed(n.run(), units)
-	a.book.runs.Confirmed(n.run(), runs)
-	units, runs = maps.Clone(units), maps.Clone(runs)
+	a.book.units.Confirmed(n.run(), units) // which copies them
 	for name, v := range a.book.unitsIn.Sum() {
 		units[name] += v
 	}
+	return units
+}
+
+// groupRuns returns the same of the requests that began to run in the windows that may
+// still be asked for. The caller holds the admission's mu.
+func (n *Node) groupRuns() runCounts {
+	a := n.admission
+	runs := a.book.runs.Offer(n.run(), n.openRuns())
+	a.book.runs.Confirmed(n.run(), runs) // which copies them
 	oldest := n.oldestOpen()
 	for key, v := range a.book.runsIn.Sum() {
 		if key.window >= oldest {
 			runs[key] += v
 		}
 	}
-	return units, runs
+	return runs
 }
 
 // oldestOpen returns the oldest window whose counts may still be asked for.
@@ -156,8 +163,7 @@
 	}
 	a := n.admission
 	a.mu.Lock()
-	units, runs := n.groupTotals()
-	s.Accounts = accountShares(units, a.levels(now), runs)
+	s.Accounts = accountShares(n.groupUnits(), a.levels(now), n.groupRuns())
 	a.mu.Unlock()
 	sum := reportNews(reports, "")
 	addUses(sum.Uses, n.plainUses())
@@ -187,11 +193,12 @@
 
 // heardGroup takes what another hub tells of its group.
 func (n *Node) heardGroup(s *peerpb.Share, now time.Time) {
-	n.groups.heard(s, now)
+	news := newsOf(s)
+	n.groups.heard(s, news, now)
 	for _, name := range s.Alive {
 		n.state.members.heard(name, now)
 	}
-	n.heardUses(s, now)
+	n.heardUses(s.Node, news, now)
 	admitted, levels, runs := accountCounts(s.Accounts)
 	n.admission.mu.Lock()
 	defer n.admission.mu.Unlock()
--- a/internal/front/hubs.go
+++ b/internal/front/hubs.go
@@ -50,8 +50,8 @@
 		return cmp.Or(cmp.Compare(b.cores, a.cores), cmp.Compare(xxhash.Sum64String(a.name), xxhash.Sum64String(b.name)))
 	})
 	t := &topology{}
-	chosen := make(map[string]int) // by zone
-	var first, more []member       // hubs that are the first of their zone, and the others
+	chosen := make(map[string]int) // by hall
+	var first, more []member       // hubs that are the first of their hall, and the others
 	for _, m := range all {
 		switch chosen[m.zone]++; {
 		case chosen[m.zone] == 1:
--- a/internal/front/share.go
+++ b/internal/front/share.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/shelfcrank/shelfcrank/internal/balance"
 	"github.com/shelfcrank/shelfcrank/internal/event"
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
 	"github.com/shelfcrank/shelfcrank/internal/quota"
@@ -211,7 +212,7 @@
 
 // heardNode takes what a node of a small fleet counted.
 func (n *Node) heardNode(s *peerpb.Share, now time.Time) {
-	n.heardUses(s, now)
+	n.heardUses(s.Node, newsOf(s), now)
 	if s.Brief {
 		return
 	}
@@ -225,6 +226,6 @@
 	a.usage.Heard(s.Node, s.Incarnation, windowsOf(runs))
 }
 
-func (n *Node) heardUses(s *peerpb.Share, now time.Time) {
-	n.tracker.Heard(s.Node, newsOf(s), now.Add(max(believeLeast, believeTimes*n.shareEvery())), now)
+func (n *Node) heardUses(from string, news balance.News, now time.Time) {
+	n.tracker.Heard(from, news, now.Add(max(believeLeast, believeTimes*n.shareEvery())), now)
 }
