The first view is written by an instance that reaches most of the others

The instance with another authority's certificate was the first to write a view, of itself alone. The others found each other, but a view whose keeper is listed and does not answer is kept, since its claims may only be cut off; so they had no view for as long as it ran, and unrepeatable requests were refused with 504. Ruled out: crypto/tls and the in-memory network (sessions were up, members known). Change: an instance writes the first view only when it reaches most of those listed (all of them are in that view), or after ten seconds, when most may be down. Open: two changes of a view of two keepers in quick succession can leave shards unknown; its guard (the proposer's own readiness) is as before.

--- a/internal/entry/tls_test.go
+++ b/internal/entry/tls_test.go
@@ -53,7 +53,7 @@
 	}
 	for i := range 3 {
 		if !found(i) {
-			t.Errorf("entry %d has not found the two others", i)
+			t.Errorf("entry %d has not found the two others: knows %d, view %+v", i, len(e.Entry(i).Snapshot().Members), e.Entry(i).Snapshot().View)
 		}
 	}
 	if n := len(e.Entry(3).Snapshot().Members); n != 0 {
@@ -64,7 +64,7 @@
 	b.Probe(context.Background())
 	o := traffic.NewClient(transport, b).Do(context.Background(), traffic.Call{Key: "voltra-north-key", IdemKey: "one", Path: "cabinet/unlock", Body: "b", Deadline: time.Now().Add(5 * time.Second)})
 	if !o.Whole {
-		t.Errorf("unlock: %v", o.Err)
+		t.Errorf("unlock: %v (keepers ready: %v %v %v)", o.Err, e.Entry(0).Relay().KeeperReady(), e.Entry(1).Relay().KeeperReady(), e.Entry(2).Relay().KeeperReady())
 	}
 	transport.CloseIdleConnections()
 	e.Stop()
--- a/internal/entry/views.go
+++ b/internal/entry/views.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/shelfcrank/shelfcrank/internal/claim"
 	"github.com/shelfcrank/shelfcrank/internal/control"
 	"github.com/shelfcrank/shelfcrank/internal/kv"
@@ -17,6 +19,7 @@
 	viewEvery   = 300 * time.Millisecond
 	viewSettle  = 1500 * time.Millisecond // how long a change of members must last
 	viewReadGap = 15 * time.Second        // between reads of the view that nothing asked for
+	foundAlone  = 10 * time.Second        // after its start, an instance that reached fewer than half writes the first view too: most may be down
 )
 
 // proposeViews keeps the agreed view in step with the instances that live. The
@@ -25,6 +28,7 @@
 func (i *Instance) proposeViews(ctx context.Context) error {
 	var want []claim.Member
 	var since, readAt time.Time
+	foundLatest := time.Now().Add(foundAlone)
 	for ctx.Err() == nil {
 		sleep(ctx, viewEvery)
 		now := time.Now()
@@ -33,8 +37,8 @@
 			readAt = now
 			if v, _, err := i.readView(ctx); err == nil {
 				i.loop.Send(ctx, control.ViewRead{View: v})
-			} else if errors.Is(err, kv.ErrNotFound) && !s.Leaving {
-				i.writeView(ctx, (&claim.View{}).Next([]claim.Member{self(s)}))
+			} else if first := usable(s); errors.Is(err, kv.ErrNotFound) && !s.Leaving && mayFound(len(first), i.listedEntries(), now, foundLatest) {
+				i.writeView(ctx, (&claim.View{}).Next(first))
 			}
 			continue
 		}
@@ -62,6 +66,24 @@
 	return ctx.Err()
 }
 
+// mayFound reports whether an instance that reaches so many instances, itself included,
+// may write the first view. It waits until it reaches most of those that the platform
+// lists: a view without them could be left only once its keeper is no longer listed. An
+// instance with a wrong certificate, which the store lets in and no other instance does,
+// was seen to write it first when many processes started at once.
+func mayFound(reached, listed int, now, latest time.Time) bool {
+	return 2*reached > listed || now.After(latest)
+}
+
+// listedEntries returns how many instances the platform lists that do not leave.
+func (i *Instance) listedEntries() int {
+	return lo.CountBy(*i.list.Load(), isServingEntry)
+}
+
+func isServingEntry(inst platform.Instance) bool {
+	return inst.Kind == platform.KindEntry && inst.State != platform.StateLeaving
+}
+
 // safe reports whether most keepers of every shard can still hand their claims
 // on. If not, the view stays while any keeper that does not answer may only be
 // cut off: when the cut ends, nothing was lost. It is given up on when the
@@ -77,7 +99,7 @@
 	}
 	listed := make(map[string]bool)
 	for _, inst := range *i.list.Load() {
-		if inst.Kind == platform.KindEntry && inst.State != platform.StateLeaving {
+		if isServingEntry(inst) {
 			listed[inst.ID] = true
 		}
 	}
