A caller that leaves while a server is chosen: nothing is sent, no hub rests

Cause: found by tests for callers that leave, one for each stage of a request. After the choice of a server nobody looked whether the client was still there: the request was written to a kept connection all the same. Ruled out: a server that works, a stream before and after its first event, a second try: the connection is closed at once and nothing else is sent. Tests: TestACallerThatLeaves (five stages; one failed: 1 request sent, now 0), TestACallerThatLeavesRestsNoHub (0 of 2 hubs awake, now 2).

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -209,6 +209,10 @@
 		}
 		return nil, fault.New(fault.StepDispatch, call.Server, kind, fault.NotRun, "connect: %w", err)
 	}
+	if ctx.Err() != nil { // it ended while the connection was made
+		c.keep(call.Server, k)
+		return nil, fault.New(fault.StepDispatch, call.Server, fault.KindTimeout, fault.NotRun, "connect: %w", context.Cause(ctx))
+	}
 	x := &exchange{client: c, server: call.Server, conn: k}
 	x.watch(ctx)
 	resp, err := x.do(call)
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -116,6 +116,10 @@
 	if err != nil {
 		return outcome{denial: h.notPlaced(q, err)}
 	}
+	if ctx.Err() != nil { // the client left while a server was chosen
+		ticket.Done(balance.Cancelled, time.Now())
+		return outcome{denial: h.ended(ctx, q)}
+	}
 	q.avoid = append(q.avoid, ticket.Server.ID)
 	call := h.call(q, view, ticket, now)
 	resp, err := h.Backends.Send(ctx, call)
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -89,6 +89,7 @@
 	admit   *freely
 	mu      sync.Mutex
 	got     []http.Header // what servers were sent; guarded by mu
+	closed  []time.Time   // when connections that servers kept open were closed from here; guarded by mu
 }
 
 const testHost = "shop.example"
@@ -180,20 +181,33 @@
 	switch answer := next(); answer {
 	case "":
 	case "hang":
-		_, _ = io.Copy(io.Discard, r)
+		w.keepOpen(r)
 	default:
 		text, closes := strings.CutSuffix(answer, thenClose)
 		_, _ = io.WriteString(c, text)
 		if !closes {
-			_, _ = io.Copy(io.Discard, r)
+			w.keepOpen(r)
 		}
 	}
 }
 
+// keepOpen waits until a connection is closed from the other side.
+func (w *world) keepOpen(r io.Reader) {
+	_, _ = io.Copy(io.Discard, r)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.closed = append(w.closed, time.Now())
+}
+
 // ask sends a request and returns the answer; cut says that the connection was
 // closed in its middle.
 func (w *world) ask(path, key string) (rec *httptest.ResponseRecorder, cut bool) {
-	r := httptest.NewRequest(http.MethodPost, "http://"+testHost+path, strings.NewReader("body"))
+	return w.askUntil(context.Background(), path, key)
+}
+
+// askUntil is ask for a caller that leaves when ctx ends.
+func (w *world) askUntil(ctx context.Context, path, key string) (rec *httptest.ResponseRecorder, cut bool) {
+	r := httptest.NewRequestWithContext(ctx, http.MethodPost, "http://"+testHost+path, strings.NewReader("body"))
 	r.Header.Set("Id", "7")
 	r.Header.Set("Key", key)
 	r.Header.Set("Deadline", "1500")
--- /dev/null
+++ b/internal/forward/leave_test.go
@@ -0,0 +1,74 @@
+package forward
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shelfcrank/shelfcrank/internal/balance"
+	"github.com/shelfcrank/shelfcrank/internal/registry"
+	"github.com/shelfcrank/shelfcrank/internal/virtual"
+)
+
+// slowPlacer takes its time to choose, as a hub that is asked.
+type slowPlacer struct {
+	Placer
+	takes time.Duration
+}
+
+// Place implements Placer.
+func (p slowPlacer) Place(ctx context.Context, servers []registry.Server, r *balance.Request, until, now time.Time) (*balance.Ticket, error) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(p.takes):
+	}
+	return p.Placer.Place(ctx, servers, r, until, now)
+}
+
+// A caller leaves: the server's connection is closed at once and nothing is sent any
+// more, wherever the request is.
+func TestACallerThatLeaves(t *testing.T) {
+	const (
+		leaves = 200 * time.Millisecond // after it asked
+		soon   = 50 * time.Millisecond  // after that no server works for it
+	)
+	paused := strings.TrimSuffix(events(1, 4, true), "0\r\n\r\n")
+	for _, test := range []struct {
+		name    string
+		path    string
+		scripts []string
+		placing time.Duration
+		sent    int
+	}{
+		{name: "while a server works", path: "/once/a", scripts: []string{"hang"}, sent: 1},
+		{name: "while a server works that may be repeated", path: "/safe/a", scripts: []string{"hang", sealed(200, "hi")}, sent: 1},
+		{name: "before the first event", path: "/resume/a", scripts: []string{"hang", events(1, 9, true)}, sent: 1},
+		{name: "in the middle of a stream", path: "/resume/a", scripts: []string{paused, events(5, 9, true)}, sent: 1},
+		{name: "while a server is chosen", path: "/resume/a", scripts: []string{events(1, 9, true)}, placing: time.Second},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			virtual.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t, 0, test.scripts...)
+				if test.placing > 0 {
+					w.handler.Placer = slowPlacer{w.handler.Placer, test.placing}
+				}
+				begun := time.Now()
+				ctx, leave := context.WithTimeout(context.Background(), leaves)
+				defer leave()
+				w.askUntil(ctx, test.path, "k")
+				is.True(time.Since(begun) < leaves+soon)
+				time.Sleep(2 * time.Second)
+				is.Equal(len(w.got), test.sent)
+				is.Equal(len(w.closed), test.sent)
+				for _, at := range w.closed {
+					is.True(at.Sub(begun) < leaves+soon)
+				}
+				w.handler.Backends.CloseIdle()
+			})
+		})
+	}
+}
--- a/internal/front/placing.go
+++ b/internal/front/placing.go
@@ -116,8 +116,8 @@
 // offers asks the hubs that a request belongs to, all at once. The first of them is
 // where its shared parts have their home, and confirms that the limit of the client
 // account bears the request.
-func (p *placer) offers(ctx context.Context, hubs *topology, r *balance.Request, until time.Time) ([]offered, *forward.LimitError) {
-	ctx, cancel := context.WithTimeout(ctx, offerTimeout)
+func (p *placer) offers(caller context.Context, hubs *topology, r *balance.Request, until time.Time) ([]offered, *forward.LimitError) {
+	ctx, cancel := context.WithTimeout(caller, offerTimeout)
 	defer cancel()
 	owners := rendezvous.Order(r.Subject(), p.awake(hubs, time.Now()))
 	answers := make([]offered, min(offersAsked, len(owners)))
@@ -135,6 +135,7 @@
 			case err == nil:
 				answers[i] = o
 			case i == 0 && errors.As(err, &refusal):
+			case caller.Err() != nil: // the client left, the hub may be well
 			case ctx.Err() != nil:
 				p.rest(hub)
 			}
--- a/internal/front/placing_test.go
+++ b/internal/front/placing_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"sync"
@@ -9,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/shelfcrank/shelfcrank/internal/balance"
 	"github.com/shelfcrank/shelfcrank/internal/policy"
 )
 
@@ -71,6 +73,21 @@
 	})
 }
 
+// A caller that leaves while hubs are asked says nothing of the hubs.
+func TestACallerThatLeavesRestsNoHub(t *testing.T) {
+	play(t, large, func(is *is.I, w *world) {
+		time.Sleep(4 * time.Second)
+		_, spokes := hubsOf(w)
+		p := w.nodes[spokes[0]].node.placer
+		hubs := p.node.state.members.topology()
+		ctx, leave := context.WithTimeout(context.Background(), time.Millisecond)
+		defer leave()
+		_, refusal := p.offers(ctx, hubs, &balance.Request{Service: "svc", ID: "1", Engine: true}, time.Now().Add(time.Second))
+		is.True(refusal == nil)
+		is.Equal(len(p.awake(hubs, time.Now())), len(hubs.hubs))
+	})
+}
+
 // When hubs die, the others choose by themselves until there are new ones.
 func TestRequestsAreServedWhileHubsDie(t *testing.T) {
 	play(t, large, func(is *is.I, w *world) {
