A hall is called hall in all packages, settings and log keys

The key of the settings file and of log lines is hall now; a registration keeps its name in the store, so that versions understand each other.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -114,7 +114,7 @@
 	{DutyLost, zap.InfoLevel, "duty lost", "This node no longer acts for all; why says the reason. Another takes over when the lease has ended."},
 	{UsageReported, zap.InfoLevel, "usage reported", "The platform took the counts of a window."},
 	{UsageMissed, zap.WarnLevel, "usage not reported", "The counts of a window could not be reported in time."},
-	{FleetOrdered, zap.InfoLevel, "servers ordered", "The platform took an order for a zone; the inputs that led to it are in the event."},
+	{FleetOrdered, zap.InfoLevel, "servers ordered", "The platform took an order for a hall; the inputs that led to it are in the event."},
 	{FleetRefused, zap.WarnLevel, "order of servers refused", "The platform refused an order; the planner looks elsewhere."},
 	{Reloaded, zap.InfoLevel, "settings read again", "The settings file was read again after a signal or a change."},
 	{ConfigInForce, zap.InfoLevel, "configuration in force", "This node now decides by the version."},
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -55,7 +55,7 @@
 // Cloud takes the orders of the node that acts for all.
 type Cloud interface {
 	ReportUsage(ctx context.Context, d duty.Token, window int64, counts map[string]int64) error
-	Order(ctx context.Context, d duty.Token, service, zone string, desired int, spot bool) error
+	Order(ctx context.Context, d duty.Token, service, hall string, desired int, spot bool) error
 }
 
 // Options are what a node is made of.
--- a/internal/front/hubs.go
+++ b/internal/front/hubs.go
@@ -11,7 +11,7 @@
 // Size from which a fleet has hubs, and how many.
 const (
 	directNodes  = 16 // so many nodes all read the store and place requests themselves
-	hubsInZone   = 2
+	hubsInHall   = 2
 	readersLeast = 2 // hubs that read the store, however few halls there are, and
 	readersMost  = 3 // at the most, or one for so many instances:
 	perReader    = 100
@@ -46,7 +46,7 @@
 	return lo.Map(t.hubs, func(m member, _ int) string { return m.name })
 }
 
-// newTopology chooses the hubs of a fleet: in each zone the nodes with the most
+// newTopology chooses the hubs of a fleet: in each hall the nodes with the most
 // processor time. All nodes that know the same members choose the same.
 func newTopology(self member, others []member) *topology {
 	if len(others) < directNodes {
@@ -57,10 +57,10 @@
 	chosen := make(map[string]int) // by hall
 	var first, more []member       // hubs that are the first of their hall, and the others
 	for _, m := range all {
-		switch chosen[m.zone]++; {
-		case chosen[m.zone] == 1:
+		switch chosen[m.hall]++; {
+		case chosen[m.hall] == 1:
 			first = append(first, m)
-		case chosen[m.zone] <= hubsInZone:
+		case chosen[m.hall] <= hubsInHall:
 			more = append(more, m)
 		}
 	}
@@ -70,7 +70,7 @@
 	t.standbys = standbysOf(t.readers, first, more, all)
 	t.self, t.reads = slices.ContainsFunc(t.hubs, isSelf), slices.ContainsFunc(t.readers, isSelf)
 	order := func(a, b member) int {
-		return cmp.Or(compareTrue(a.zone == self.zone, b.zone == self.zone), cmp.Compare(pair(self.name, a.name), pair(self.name, b.name)))
+		return cmp.Or(compareTrue(a.hall == self.hall, b.hall == self.hall), cmp.Compare(pair(self.name, a.name), pair(self.name, b.name)))
 	}
 	for _, list := range append([][]member{t.hubs, t.readers}, t.standbys...) {
 		slices.SortStableFunc(list, order)
@@ -134,5 +134,5 @@
 }
 
 // pair is a hash that differs between pairs of names, so that the nodes of a
-// zone are spread over its hubs.
+// hall are spread over its hubs.
 func pair(a, b string) uint64 { return xxhash.Sum64String(a + "\x00" + b) }
--- a/internal/front/hubs_test.go
+++ b/internal/front/hubs_test.go
@@ -10,11 +10,11 @@
 	"github.com/shelfcrank/shelfcrank/internal/store"
 )
 
-func fleetOf(zones, each int) []member {
+func fleetOf(halls, each int) []member {
 	var all []member
-	for z := range zones {
+	for z := range halls {
 		for i := range each {
-			m := member{name: fmt.Sprintf("%d-%d", z, i), zone: fmt.Sprint(z), cores: 0.2}
+			m := member{name: fmt.Sprintf("%d-%d", z, i), hall: fmt.Sprint(z), cores: 0.2}
 			if i < 1 {
 				m.cores = 0.8
 			}
@@ -41,10 +41,10 @@
 			names[h.name] = true
 		}
 		for z := range 4 {
-			is.True(names[fmt.Sprintf("%d-0", z)]) // the strong one of each zone
+			is.True(names[fmt.Sprintf("%d-0", z)]) // the strong one of each hall
 		}
 		is.Equal(top.self, names[self.name])
-		is.Equal(top.hubs[0].zone, self.zone)
+		is.Equal(top.hubs[0].hall, self.hall)
 		first[top.hubs[0].name]++
 		if top.self {
 			count++
@@ -57,17 +57,17 @@
 // Each call of the store is paid for: a few hubs of different halls read it, whatever
 // the number of halls, and one more for each hundred instances.
 func TestFewHubsReadTheStore(t *testing.T) {
-	for _, c := range []struct{ zones, each, want int }{{1, 24, 2}, {2, 24, 2}, {6, 8, 3}, {6, 49, 3}, {20, 17, 4}} {
+	for _, c := range []struct{ halls, each, want int }{{1, 24, 2}, {2, 24, 2}, {6, 8, 3}, {6, 49, 3}, {20, 17, 4}} {
 		is := is.New(t)
-		all := fleetOf(c.zones, c.each)
-		readers := make(map[string]int) // by zone
+		all := fleetOf(c.halls, c.each)
+		readers := make(map[string]int) // by hall
 		for i, self := range all {
 			top := newTopology(self, without(all, i))
 			is.Equal(len(top.readers), c.want)
 			if top.reads {
 				is.True(top.self)
-				is.Equal(top.readers[0].zone, self.zone)
-				readers[self.zone]++
+				is.Equal(top.readers[0].hall, self.hall)
+				readers[self.hall]++
 			}
 		}
 		sum := 0
@@ -75,7 +75,7 @@
 			sum += n
 		}
 		is.Equal(sum, c.want)
-		is.Equal(len(readers), min(c.zones, c.want))
+		is.Equal(len(readers), min(c.halls, c.want))
 	}
 }
 
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -17,7 +17,7 @@
 type member struct {
 	name       string
 	addr       netip.AddrPort
-	zone       string
+	hall       string
 	cores      float64 // processor time that it may use
 	registered bool
 	heardAt    time.Time
@@ -26,13 +26,13 @@
 // registration is what a node tells the others of itself through the store.
 type registration struct {
 	Addr  netip.AddrPort
-	Zone  string
+	Hall  string `json:"Zone"` // its name in the store
 	Cores float64
 }
 
 // registration returns this node's own.
 func (n *Node) registration() registration {
-	return registration{Addr: n.Settings.Peer, Zone: n.Settings.Zone, Cores: n.Settings.Cores}
+	return registration{Addr: n.Settings.Peer, Hall: n.Settings.Hall, Cores: n.Settings.Cores}
 }
 
 // A node that is heard of counts although its registration ended, for the store
@@ -155,7 +155,7 @@
 		m.all[name] = other
 		m.node.event(event.NodeJoined, zap.String("peer", name), zap.Stringer("address", r.Addr))
 	}
-	other.addr, other.zone, other.cores, other.registered = r.Addr, r.Zone, r.Cores, true
+	other.addr, other.hall, other.cores, other.registered = r.Addr, r.Hall, r.Cores, true
 	return true
 }
 
@@ -214,5 +214,5 @@
 	}
 	m.shown.Store(&out)
 	self := m.node.registration()
-	m.hubs.Store(newTopology(member{name: m.node.Settings.Name, addr: self.Addr, zone: self.Zone, cores: self.Cores}, out))
+	m.hubs.Store(newTopology(member{name: m.node.Settings.Name, addr: self.Addr, hall: self.Hall, cores: self.Cores}, out))
 }
--- a/internal/front/orders.go
+++ b/internal/front/orders.go
@@ -110,14 +110,14 @@
 	in.Busy, in.Held = demand.Busy, demand.Held
 	in.Known = in.Busy > trafficFloor
 	halls := make(map[string]*fleet.Hall)
-	for name, price := range x.ZonePrices {
+	for name, price := range x.HallPrices {
 		halls[name] = &fleet.Hall{Name: name, Price: price}
 	}
 	for _, server := range o.node.view.Load().Servers[s.Name] {
-		h := halls[server.Zone]
+		h := halls[server.Hall]
 		if h == nil {
-			h = &fleet.Hall{Name: server.Zone, Price: 1}
-			halls[server.Zone] = h
+			h = &fleet.Hall{Name: server.Hall, Price: 1}
+			halls[server.Hall] = h
 		}
 		if server.Spot {
 			h.Spot++
@@ -169,7 +169,7 @@
 	defer cancel()
 	err := o.node.Cloud.Order(call, token, k.service, k.hall, count, k.spot)
 	fields := []zap.Field{
-		zap.String("service", k.service), zap.String("zone", k.hall), zap.Bool("spot", k.spot), zap.Int("count", count),
+		zap.String("service", k.service), zap.String("hall", k.hall), zap.Bool("spot", k.spot), zap.Int("count", count),
 		zap.Int("there", there), zap.Float64("busy", in.Busy), zap.Float64("held", in.Held), zap.Int64("fence", token.Fence),
 	}
 	if err != nil {
--- a/internal/front/orders_test.go
+++ b/internal/front/orders_test.go
@@ -7,7 +7,7 @@
 	"github.com/matryer/is"
 )
 
-// A zone whose servers are lost is asked again at once, not only when the last
+// A hall whose servers are lost is asked again at once, not only when the last
 // order had time to show: it may have none to give, and then the others have to
 // be ordered.
 func TestLostServersAreOrderedAgainAtOnce(t *testing.T) {
--- a/internal/front/placing_test.go
+++ b/internal/front/placing_test.go
@@ -100,7 +100,7 @@
 			time.Sleep(time.Second)
 		}
 		after, _ := hubsOf(w)
-		is.Equal(len(after), hubsInZone)
+		is.Equal(len(after), hubsInHall)
 		is.Equal(w.placed(), 0)
 	})
 }
--- a/internal/front/world_test.go
+++ b/internal/front/world_test.go
@@ -184,7 +184,7 @@
 func serverID(i int) string { return fmt.Sprint("s", i) }
 
 func (w *world) putServer(i int, leaving bool) {
-	value, err := json.Marshal(registry.Server{Service: "svc", Addr: addrOf(100+i, 80), Zone: "z", Leaving: leaving})
+	value, err := json.Marshal(registry.Server{Service: "svc", Addr: addrOf(100+i, 80), Hall: "z", Leaving: leaving})
 	if err != nil {
 		w.t.Fatal(err)
 	}
@@ -226,7 +226,7 @@
 
 func (w *world) settings(name string, host int) settings.Front {
 	return settings.Front{
-		Name: name, Zone: "z", Front: addrOf(host, frontPort), Ready: addrOf(host, readyPort), Peer: addrOf(host, 8002), Metrics: addrOf(host, 8003),
+		Name: name, Hall: "z", Front: addrOf(host, frontPort), Ready: addrOf(host, readyPort), Peer: addrOf(host, 8002), Metrics: addrOf(host, 8003),
 		Bounds: settings.Bounds{RevokeMs: 5000, StrictRevoke: !w.lenient, ConfigMs: 2000, OuterMs: 5000, DrainMs: 2000, GraceS: 8, RetryRatio: 0.2, RetrySlack: 50, RetryWindowS: 10, LeaseMs: 3000, UsageWindowS: 5, UsageLateS: 10, QuotaWindowS: 8, QuotaOver: w.over},
 	}
 }
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -69,12 +69,12 @@
 	Backups      bool
 }
 
-// Scaling says how servers of a service are ordered. The bounds hold in each zone.
+// Scaling says how servers of a service are ordered. The bounds hold in each hall.
 type Scaling struct {
 	Min, Max   int
 	Boot       time.Duration // from an order to serving
 	SpotPrice  float64       // share of the price of a server that is not reclaimable
-	ZonePrices map[string]float64
+	HallPrices map[string]float64
 }
 
 // Account is a client account: a customer with keys, a limit and a priority.
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -17,7 +17,7 @@
 	ID       string
 	Service  string
 	Addr     netip.AddrPort
-	Zone     string
+	Hall     string
 	Slots    int
 	Leaving  bool
 	Spot     bool      // may be reclaimed
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -8,8 +8,8 @@
 // Front places one node that stands between clients and servers.
 type Front struct {
 	Name     string         `toml:"name" help:"Name of the node, unique among the nodes."`
-	Zone     string         `toml:"zone" help:"Zone the node runs in."`
-	Region   string         `toml:"region" help:"Region of the zone."`
+	Hall     string         `toml:"hall" help:"Hall the node runs in."`
+	Region   string         `toml:"region" help:"Region of the hall."`
 	Front    netip.AddrPort `toml:"front_address" help:"Address clients reach the node at."`
 	Ready    netip.AddrPort `toml:"ready_address" help:"Address at which the node says whether it takes connections."`
 	Peer     netip.AddrPort `toml:"peer_address" help:"Address the other nodes reach it at."`
@@ -88,7 +88,7 @@
 func (s *Front) check(lines map[string]int) []Fault {
 	c := checker{lines: lines}
 	c.need("name", s.Name != "")
-	c.need("zone", s.Zone != "")
+	c.need("hall", s.Hall != "")
 	c.need("front_address", s.Front.IsValid())
 	c.need("ready_address", s.Ready.IsValid())
 	c.need("peer_address", s.Peer.IsValid())
--- a/internal/settings/front_test.go
+++ b/internal/settings/front_test.go
@@ -12,7 +12,7 @@
 )
 
 const goodFront = `name = "n1"
-zone = "z"
+hall = "z"
 front_address = "127.0.0.1:8000"
 ready_address = "127.0.0.1:8001"
 peer_address = "127.0.0.1:8002"
@@ -73,7 +73,7 @@
 func TestFrontFaultsHaveLineAndKey(t *testing.T) {
 	is := is.New(t)
 	_, lines := loadFront(t, `name = ""
-zone = "z"
+hall = "z"
 front_address = "127.0.0.1:8000"
 ready_address = "127.0.0.1:8000"
 peer_address = "nowhere"
