Offers that come late are declined

Cause: read while tests for callers that leave were written. An instance does without a hub that takes longer than 70 ms; the hub had placed the request all the same and counted it at one of its endpoints until the client's deadline, up to 15 s of a prompt that nobody sends there. The slower a hub, the more of them, and the worse its offers. Ruled out: a note from the asker (it does not know the ticket); a note for each offer that is taken (one more message a request). Change: replies of hubs are waited for up to a second in the background; what comes late is declined by an ordinary note.

--- a/internal/front/placing.go
+++ b/internal/front/placing.go
@@ -23,6 +23,7 @@
 const (
 	offersAsked  = 2                      // hubs that are asked for an offer
 	offerTimeout = 70 * time.Millisecond  // a hub that takes longer is done without
+	lateOffer    = time.Second            // an offer that comes later ends at the hub with the client's deadline
 	hubRests     = 800 * time.Millisecond // a hub that did not answer is not asked
 	noteGather   = 8 * time.Millisecond   // notes to a hub travel together
 	noteTimeout  = 600 * time.Millisecond
@@ -116,33 +117,77 @@
 // offers asks the hubs that a request belongs to, all at once. The first of them is
 // where its shared parts have their home, and confirms that the limit of the client
 // account bears the request.
-func (p *placer) offers(caller context.Context, hubs *topology, r *balance.Request, until time.Time) ([]offered, *forward.LimitError) {
-	ctx, cancel := context.WithTimeout(caller, offerTimeout)
-	defer cancel()
+func (p *placer) offers(ctx context.Context, hubs *topology, r *balance.Request, until time.Time) ([]offered, *forward.LimitError) {
 	owners := rendezvous.Order(r.Subject(), p.awake(hubs, time.Now()))
-	answers := make([]offered, min(offersAsked, len(owners)))
-	var refusal *forward.LimitError // of the first hub
+	asked := lo.Map(owners[:min(offersAsked, len(owners))], func(name string, _ int) member { return hubs.named(name) })
+	replies := p.askHubs(ctx, asked, r, until)
+	late := time.NewTimer(offerTimeout)
+	defer late.Stop()
+	var offers []offered
+	var refusal *forward.LimitError
+	for waiting := asked; len(waiting) > 0; {
+		select {
+		case reply := <-replies:
+			waiting = lo.Reject(waiting, func(m member, _ int) bool { return m.name == reply.hub.name })
+			var limit *forward.LimitError
+			switch {
+			case reply.err == nil:
+				offers = append(offers, reply.offer)
+			case reply.hub.name == asked[0].name && errors.As(reply.err, &limit):
+				refusal = limit
+			}
+		case <-late.C:
+			for _, hub := range waiting {
+				p.rest(hub)
+			}
+			go p.declineLate(replies, len(waiting))
+			waiting = nil
+		case <-ctx.Done(): // the client left, the hubs may be well
+			go p.declineLate(replies, len(waiting))
+			waiting = nil
+		}
+	}
+	return offers, refusal
+}
+
+// reply is what a hub answered.
+type reply struct {
+	hub   member
+	offer offered
+	err   error
+}
+
+// askHubs asks hubs for an offer. It returns where their replies come, one of each.
+func (p *placer) askHubs(ctx context.Context, hubs []member, r *balance.Request, until time.Time) <-chan reply {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), lateOffer)
+	replies := make(chan reply, len(hubs))
 	var wait sync.WaitGroup
-	for i := range answers {
-		hub := hubs.named(owners[i])
-		asked := *r
+	for i, hub := range hubs {
+		q := *r
 		if i > 0 {
-			asked.Away, asked.Units = true, 0
+			q.Away, q.Units = true, 0
 		}
 		wait.Go(func() {
-			o, err := p.ask(ctx, hub, &asked, until)
-			switch {
-			case err == nil:
-				answers[i] = o
-			case i == 0 && errors.As(err, &refusal):
-			case caller.Err() != nil: // the client left, the hub may be well
-			case ctx.Err() != nil:
-				p.rest(hub)
-			}
+			o, err := p.ask(ctx, hub, &q, until)
+			replies <- reply{hub, o, err}
 		})
 	}
-	wait.Wait()
-	return lo.Filter(answers, func(o offered, _ int) bool { return o.Server != "" }), refusal
+	go func() {
+		wait.Wait()
+		cancel()
+	}()
+	return replies
+}
+
+// declineLate declines the offers that come when nobody waits for them any more. A hub
+// would else count the request at its server until the client's deadline: 15 s of a long
+// prompt that nobody reads, and the more of them the slower the hub answers.
+func (p *placer) declineLate(replies <-chan reply, count int) {
+	for range count {
+		if reply := <-replies; reply.err == nil {
+			p.decline(reply.offer)
+		}
+	}
 }
 
 // awake returns the names of the hubs that are not resting.
--- a/internal/front/placing_test.go
+++ b/internal/front/placing_test.go
@@ -88,6 +88,19 @@
 	})
 }
 
+// An offer that comes too late to be taken does not count at its hub any more.
+func TestLateOffersAreDeclined(t *testing.T) {
+	play(t, large, func(is *is.I, w *world) {
+		w.engines(5)
+		time.Sleep(4 * time.Second)
+		hubs, _ := hubsOf(w)
+		w.setSlow(true, hubs...)
+		is.Equal(w.askAll("a"), large) // the instances choose by themselves
+		time.Sleep(4 * slowDelay)
+		is.Equal(w.placed(), 0)
+	})
+}
+
 // When hubs die, the others choose by themselves until there are new ones.
 func TestRequestsAreServedWhileHubsDie(t *testing.T) {
 	play(t, large, func(is *is.I, w *world) {
--- a/internal/front/world_test.go
+++ b/internal/front/world_test.go
@@ -124,6 +124,29 @@
 	runs map[string]int       // by request id; guarded by mu
 	hold time.Duration        // how long servers work; guarded by mu
 	last map[string]time.Time // last request at each server; guarded by mu
+	slow map[string]bool      // sites that everything takes long to; guarded by mu
+}
+
+// slowDelay is longer than hubs are waited for.
+const slowDelay = 2 * offerTimeout
+
+// delay is how long a message takes from one site to another.
+func (w *world) delay(_, to string) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.slow[to] {
+		return slowDelay
+	}
+	return time.Millisecond
+}
+
+// setSlow makes everything that is sent to the nodes take long, or no longer.
+func (w *world) setSlow(slow bool, names ...string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, name := range names {
+		w.slow[w.nodes[name].site] = slow
+	}
 }
 
 type running struct {
@@ -143,10 +166,11 @@
 func newWorld(t *testing.T, nodes int, options ...func(*world)) *world {
 	t.Helper()
 	w := &world{
-		t: t, mem: netx.NewMem(func(string, string) time.Duration { return time.Millisecond }), store: storetest.New(),
+		t: t, store: storetest.New(),
 		cloud: &cloud{windows: make(map[int64]map[string]int64)}, nodes: make(map[string]*running),
-		runs: make(map[string]int), hold: 20 * time.Millisecond, last: make(map[string]time.Time),
+		runs: make(map[string]int), hold: 20 * time.Millisecond, last: make(map[string]time.Time), slow: make(map[string]bool),
 	}
+	w.mem = netx.NewMem(w.delay)
 	for _, set := range options {
 		set(w)
 	}
