Log lines of standbys; their code stands in one file

An instance logs when it goes over to a standby and back, and a standby that it stands in. When an instance tries the store alone follows from its name, not from a random number, so that tests count the same calls each run. A fleet whose readers are not known yet asks none.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -121,7 +121,7 @@
 	{ConfigRejected, zap.ErrorLevel, "configuration rejected", "The store holds a configuration that cannot be used; the version before stays in force, and keys are refused once it may be old."},
 	{ConfigStale, zap.WarnLevel, "configuration not proved", "For a while no read showed that the configuration in force is the newest: requests that need a key are refused."},
 	{ConfigProved, zap.InfoLevel, "configuration proved again", "A read showed which configuration is the newest."},
-	{StoreFollowed, zap.InfoLevel, "store followed", "From now on this node reads the store itself (directly) or through the hubs of its fleet. Only a large fleet has hubs; a node that no hub helps reads the store itself for a while."},
+	{StoreFollowed, zap.InfoLevel, "store followed", "From now on this node reads the store itself (directly) or through the hubs of its fleet. Only a large fleet has hubs; a node that no hub helps reads the store itself for a while. standby is the instance that it reads through while the hubs that read the store cannot; stands_in says that this node reads it for others meanwhile."},
 	{WatchSilent, zap.WarnLevel, "watch of the store is silent", "Another node knows a change of a server that this one has not heard of: its watches are begun anew."},
 	{ServerJoined, zap.InfoLevel, "server joined", "The server takes work."},
 	{ServerLeaving, zap.InfoLevel, "server leaving", "The server gets no new work."},
--- a/internal/front/spoke.go
+++ b/internal/front/spoke.go
@@ -4,11 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"github.com/shelfcrank/shelfcrank/internal/event"
@@ -49,7 +49,7 @@
 	defer cancel()
 	n.reading.Store(true)
 	defer n.reading.Store(false)
-	n.event(event.StoreFollowed, zap.Bool("directly", true))
+	n.event(event.StoreFollowed, zap.Bool("directly", true), zap.Bool("stands_in", n.standsIn(time.Now())))
 	var wait sync.WaitGroup
 	defer wait.Wait()
 	for _, serve := range []func(context.Context) error{n.proveConfig, n.watchConfig, n.watchServers, n.watchNodes} {
@@ -88,7 +88,7 @@
 			return
 		}
 		s.throughReaders(ctx, hubs)
-		if !s.standby && time.Since(s.lastGood) < hubless {
+		if s.standby == "" && time.Since(s.lastGood) < hubless {
 			sleep(ctx, hubPause)
 			continue
 		}
@@ -119,7 +119,7 @@
 	servers, nodes int64 // revisions up to which the entries are known
 	revision       int64 // of the configuration in hand
 	lastGood       time.Time
-	standby        bool                        // the last that helped was one that stands in for the readers
+	standby        string                      // the last that helped, if it was one that stands in for the readers
 	round          int                         // of standbys to ask next
 	without        int                         // so many said in a row that they cannot read the store
 	aloneAt        time.Time                   // when this node tries the store itself although they say so
@@ -131,62 +131,12 @@
 // an instance stands in for them one reader is asked, to find out whether they are back.
 func (s *spoke) throughReaders(ctx context.Context, hubs *topology) {
 	readers := hubs.readers
-	if s.standby {
-		readers = readers[:1]
+	if s.standby != "" {
+		readers = readers[:min(1, len(readers))]
 	}
 	for _, m := range readers {
-		if s.follow(ctx, m, false) {
-			s.standby = false
-		}
-	}
-}
-
-// throughStandbys reads through the first instance of a round that reads the store in
-// place of the readers, and reports whether there was one or another round is to be
-// tried. In trouble-1 of a fleet of 295 the three readers were among those that the store
-// turned away for 9 s: the 192 others all read it themselves, and made some 7,500 of
-// 15,000 calls of the day.
-func (s *spoke) throughStandbys(ctx context.Context, hubs *topology) bool {
-	if len(hubs.standbys) == 0 {
-		return false
-	}
-	for _, m := range hubs.standbys[s.round%len(hubs.standbys)] {
-		if m.name != s.node.Settings.Name && s.follow(ctx, m, true) {
-			s.standby = true
-			return true
-		}
-		if s.node.readsItself() {
-			return true // it was asked to stand in itself
-		}
-	}
-	s.standby = false
-	s.round++
-	return s.round%len(hubs.standbys) != 0
-}
-
-// Times of trying the store alone while those that read it for others say that they
-// cannot: it is most likely down for all, and they find out when it is back.
-const (
-	outageSigns = 5               // so many in a row say so; a store that turns a third away turns five away in 0.4% of cases
-	aloneLeast  = time.Second     // after the first sign
-	aloneEvery  = 3 * time.Second // keys are honoured for 4.4 s after a proof
-)
-
-// storeDown reports whether the store seems to be down for all, so that this node need
-// not try it now.
-func (s *spoke) storeDown() bool {
-	now := time.Now()
-	switch {
-	case s.without < outageSigns:
-		s.aloneAt = time.Time{}
-		return false
-	case s.aloneAt.IsZero(): // the instances of a fleet try at different moments
-		s.aloneAt = now.Add(aloneLeast + rand.N(aloneEvery-aloneLeast))
-	case now.After(s.aloneAt):
-		s.aloneAt = now.Add(aloneEvery)
-		return false
+		s.follow(ctx, m, false)
 	}
-	return true
 }
 
 // follow reads through one instance until it fails, or for a while if it only stands in
@@ -210,6 +160,7 @@
 			return helped
 		}
 		helped = true
+		s.setStandby(lo.Ternary(standIn, hub.name, ""))
 		s.lastGood, s.aloneSince, s.without = sent, time.Time{}, 0
 		s.retry.Reset()
 		s.take(a, read, sent)
--- a/internal/front/standin.go
+++ b/internal/front/standin.go
@@ -3,6 +3,10 @@
 import (
 	"context"
 	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/shelfcrank/shelfcrank/internal/event"
 )
 
 // Times of reading the store in place of readers that cannot.
@@ -63,3 +67,59 @@
 		}
 	}
 }
+
+// throughStandbys reads through the first instance of a round that reads the store in
+// place of the readers, and reports whether there was one or another round is to be
+// tried. In trouble-1 of a fleet of 295 the three readers were among those that the store
+// turned away for 9 s: the 192 others all read it themselves, and made some 7,500 of
+// 15,000 calls of the day.
+func (s *spoke) throughStandbys(ctx context.Context, hubs *topology) bool {
+	if len(hubs.standbys) == 0 {
+		return false
+	}
+	for _, m := range hubs.standbys[s.round%len(hubs.standbys)] {
+		if m.name != s.node.Settings.Name && s.follow(ctx, m, true) {
+			return true
+		}
+		if s.node.readsItself() {
+			return true // it was asked to stand in itself
+		}
+	}
+	s.setStandby("")
+	s.round++
+	return s.round%len(hubs.standbys) != 0
+}
+
+// setStandby notes which instance stands in for the readers; "" is none.
+func (s *spoke) setStandby(name string) {
+	if name != s.standby {
+		s.node.event(event.StoreFollowed, zap.Bool("directly", false), zap.String("standby", name))
+	}
+	s.standby = name
+}
+
+// Times of trying the store alone while those that read it for others say that they
+// cannot: it is most likely down for all, and they find out when it is back.
+const (
+	outageSigns = 5               // so many in a row say so; a store that turns a third away turns five away in 0.4% of cases
+	aloneLeast  = time.Second     // after the first sign
+	aloneEvery  = 3 * time.Second // keys are honoured for 4.4 s after a proof
+)
+
+// storeDown reports whether the store seems to be down for all, so that this node need
+// not try it now.
+func (s *spoke) storeDown() bool {
+	now := time.Now()
+	switch {
+	case s.without < outageSigns:
+		s.aloneAt = time.Time{}
+		return false
+	case s.aloneAt.IsZero(): // the instances of a fleet try at different moments
+		spread := pair(s.node.Settings.Name, "alone") % uint64(aloneEvery-aloneLeast)
+		s.aloneAt = now.Add(aloneLeast + time.Duration(spread))
+	case now.After(s.aloneAt):
+		s.aloneAt = now.Add(aloneEvery)
+		return false
+	}
+	return true
+}
