--- a/internal/front/placing.go
+++ b/internal/front/placing.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -121,30 +122,21 @@
 	owners := rendezvous.Order(r.Subject(), p.awake(hubs, time.Now()))
 	asked := lo.Map(owners[:min(offersAsked, len(owners))], func(name string, _ int) member { return hubs.named(name) })
 	replies := p.askHubs(ctx, asked, r, until)
-	late := time.NewTimer(offerTimeout)
-	defer late.Stop()
+	got := collect(ctx, replies, len(asked))
+	if missing := len(asked) - len(got); missing > 0 {
+		go p.declineLate(replies, missing)
+		if ctx.Err() == nil { // else the client left, and the hubs may be well
+			p.restSilent(asked, got)
+		}
+	}
 	var offers []offered
-	var refusal *forward.LimitError
-	for waiting := asked; len(waiting) > 0; {
-		select {
-		case reply := <-replies:
-			waiting = lo.Reject(waiting, func(m member, _ int) bool { return m.name == reply.hub.name })
-			var limit *forward.LimitError
-			switch {
-			case reply.err == nil:
-				offers = append(offers, reply.offer)
-			case reply.hub.name == asked[0].name && errors.As(reply.err, &limit):
-				refusal = limit
-			}
-		case <-late.C:
-			for _, hub := range waiting {
-				p.rest(hub)
-			}
-			go p.declineLate(replies, len(waiting))
-			waiting = nil
-		case <-ctx.Done(): // the client left, the hubs may be well
-			go p.declineLate(replies, len(waiting))
-			waiting = nil
+	var refusal *forward.LimitError // of the first hub
+	for _, reply := range got {
+		switch {
+		case reply.err == nil:
+			offers = append(offers, reply.offer)
+		case reply.hub.name == asked[0].name:
+			errors.As(reply.err, &refusal)
 		}
 	}
 	return offers, refusal
@@ -157,6 +149,33 @@
 	err   error
 }
 
+// collect returns the replies that come in time, and while the client waits.
+func collect(ctx context.Context, replies <-chan reply, count int) []reply {
+	late := time.NewTimer(offerTimeout)
+	defer late.Stop()
+	var got []reply
+	for len(got) < count {
+		select {
+		case reply := <-replies:
+			got = append(got, reply)
+		case <-late.C:
+			return got
+		case <-ctx.Done():
+			return got
+		}
+	}
+	return got
+}
+
+// restSilent does without the hubs that did not reply for a while.
+func (p *placer) restSilent(asked []member, got []reply) {
+	for _, hub := range asked {
+		if !slices.ContainsFunc(got, func(r reply) bool { return r.hub.name == hub.name }) {
+			p.rest(hub)
+		}
+	}
+}
+
 // askHubs asks hubs for an offer. It returns where their replies come, one of each.
 func (p *placer) askHubs(ctx context.Context, hubs []member, r *balance.Request, until time.Time) <-chan reply {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), lateOffer)
--- a/internal/front/standin.go
+++ b/internal/front/standin.go
@@ -13,7 +13,7 @@
 const (
 	standInKeep = 2 * time.Second        // after the last question an instance goes on reading
 	standInWait = 300 * time.Millisecond // that a question is held until this instance knows what is in the store
-	standInLook = 20 * time.Millisecond
+	standInLook = 20 * time.Millisecond  // between looks whether it does: a listing takes some 10 ms
 	// standInFor is how long an instance asks one that stands in before it tries a reader
 	// again.
 	standInFor = 4 * time.Second
