--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -93,7 +93,10 @@
 
 // holdup is how far reading a prompt makes the streams at its server pause for too long,
 // 0 to 1. A server reads a prompt in pieces, between which a stream gets one token each
-// time, and an event holds many tokens: the pause is about as long as the reading.
+// time, and an event holds many tokens: the pause is about as long as the reading. With
+// the square of the length in its place, whatever is kept of a prompt, 0.555 and 0.509 of
+// the credit of two loaded days at 9 servers were earned after all costs, 0.607 and 0.553
+// with it; at 18 faster ones no difference was seen.
 func holdup(reading, maxPause time.Duration) float64 {
 	x := float64(reading) / float64(cmp.Or(maxPause, usualPause))
 	return min(1, max(0, (x-shortReading)/(1-shortReading)))
