Revert: a prompt holds streams up by the time that it is read in

The finding stays in docs/size.md: nearly all late streams paused beside prompts of 20,000 tokens and more.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -30,18 +30,17 @@
 
 // Request is what the choice needs to know of a request.
 type Request struct {
-	Service  string
-	ID       string
-	Engine   bool // it goes to a model server
-	Tokens   int  // prompt tokens
-	Parts    []Part
-	Avoid    []string      // servers that already had the request
-	Slots    int           // requests that a server of the service works on at once; 0 if the servers tell it
-	Once     bool          // it must not be repeated, so that a failure is final
-	Away     bool          // the home of its shared parts is not among the servers to choose from
-	MaxPause time.Duration // that streams of the service may have between two events; 0 if it is not known
-	Account  string        // client account, if it has a limit
-	Units    float64       // of the account's limit; 0 if they were granted for an earlier try
+	Service string
+	ID      string
+	Engine  bool // it goes to a model server
+	Tokens  int  // prompt tokens
+	Parts   []Part
+	Avoid   []string // servers that already had the request
+	Slots   int      // requests that a server of the service works on at once; 0 if the servers tell it
+	Once    bool     // it must not be repeated, so that a failure is final
+	Away    bool     // the home of its shared parts is not among the servers to choose from
+	Account string   // client account, if it has a limit
+	Units   float64  // of the account's limit; 0 if they were granted for an earlier try
 }
 
 // shared returns the tokens of the parts that other requests have as well, and
@@ -64,7 +63,7 @@
 	Server  registry.Server
 	Open    float64       // requests on the way, from all nodes, as far as news of them still say anything
 	Prompt  int           // prompt tokens not read yet, from all nodes
-	Holdup  float64       // how far the prompts not read yet make streams pause for too long, see holdup; from all nodes
+	Holdup  float64       // how much the prompts not read yet hold up streams, from all nodes
 	Slow    float64       // how its times compare with those of its like; 1 is usual
 	Failing float64       // share of failures of late, 0 to 1
 	Resting bool          // failed in a row: gets no work unless all others rest too
@@ -81,25 +80,22 @@
 	homeShare      = 0.9                    // of the shared tokens that a home probably keeps
 	crowdPenalty   = 4 * time.Millisecond   // for each request on the way at an engine
 	fullPenalty    = 2 * time.Second        // for a server whose slots are all taken
-	usualPause     = 500 * time.Millisecond // that streams may have where it is not known
-	shortReading   = 0.5                    // of the longest pause: a prompt that is read in that time holds no stream up
+	longPrompt     = 10_000                 // tokens from which reading a prompt holds up streams beside it
+	mostHoldup     = 4.0
 	longHoldup     = 0.5                    // from which a prompt counts as long
-	holdsUp        = 350 * time.Millisecond // for each stream that a long prompt would make late, at full risk: what a late stream loses, in tokens read again at readAgain
-	heldUp         = time.Second            // for a stream beside a long prompt, at full risk: it is late, while a queue of that length is not
+	holdsUp        = 60 * time.Millisecond  // for each stream that a long prompt would hold up, at full risk
+	heldUp         = 250 * time.Millisecond // for a stream beside a long prompt, at full risk
 	readAgain      = 2.0                    // for a prompt token that is kept elsewhere, times its reading: it is paid for beside the time
 	spreadShare    = 0.5                    // the same for plain services, of the time of a request
 	spread         = 25 * time.Millisecond  // at the most, drawn by request: nodes that decide at once see the same
 )
 
-// holdup is how far reading a prompt makes the streams at its server pause for too long,
-// 0 to 1. A server reads a prompt in pieces, between which a stream gets one token each
-// time, and an event holds many tokens: the pause is about as long as the reading. With
-// the square of the length in its place, whatever is kept of a prompt, 0.555 and 0.509 of
-// the credit of two loaded days at 9 servers were earned after all costs, 0.607 and 0.553
-// with it; at 18 faster ones no difference was seen.
-func holdup(reading, maxPause time.Duration) float64 {
-	x := float64(reading) / float64(cmp.Or(maxPause, usualPause))
-	return min(1, max(0, (x-shortReading)/(1-shortReading)))
+// holdup is how much reading a prompt holds up the streams at its server, about
+// 1 for a long one. A step takes longer with each token that is read against
+// all those before it, so it grows with the square of the length.
+func holdup(tokens int) float64 {
+	x := float64(tokens) / longPrompt
+	return min(mostHoldup, x*x)
 }
 
 // Choice is the outcome of a choice among servers.
@@ -159,7 +155,7 @@
 	var t time.Duration
 	if r.Engine {
 		t = time.Duration(float64(v.Prompt+uncached)*v.Pace.Token + v.Open*float64(crowdPenalty))
-		t += time.Duration(v.Risk * (holdup(v.Pace.Reading(uncached), r.MaxPause)*v.Open*float64(holdsUp) + min(1, v.Holdup)*float64(heldUp)))
+		t += time.Duration(v.Risk * (holdup(r.Tokens)*v.Open*float64(holdsUp) + v.Holdup*float64(heldUp)))
 	} else {
 		t = time.Duration(float64(v.Work) * (1 + v.Open/max(1, slots)))
 	}
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -131,44 +131,21 @@
 	}
 }
 
-// Where servers read long prompts without holding up streams, a subject stays at its
-// home, though streams run there; and where the part that is not kept there is read in
-// less than the streams may pause. Some 0.12 s are read of the prompt at its home.
+// Where servers read long prompts without holding up streams, a subject stays at
+// its home, though streams run there.
 func TestALongPromptStaysAtItsHomeWhereItHoldsUpNothing(t *testing.T) {
-	for _, test := range []struct {
-		late     bool // streams beside long prompts
-		maxPause time.Duration
-		stays    bool
-	}{
-		{late: false, maxPause: 100 * time.Millisecond, stays: true},
-		{late: true, maxPause: 100 * time.Millisecond, stays: false},
-		{late: true, maxPause: 600 * time.Millisecond, stays: true},
-	} {
+	for _, late := range []bool{false, true} {
 		is := is.New(t)
 		now := time.Unix(1000, 0)
 		tr := NewTracker()
-		seeStreams(tr, 300, test.late, now)
+		seeStreams(tr, 300, late, now)
 		now = now.Add(time.Hour)
 		first := homeBesideStreams(tr, prompt("first", 16_000, "subject"), 6, 300, now)
-		long := prompt("next", 16_000, "subject")
-		long.MaxPause = test.maxPause
-		next, _ := tr.Pick(servers(4), long, now)
-		is.Equal(next.Server.ID == first.Server.ID, test.stays)
+		next, _ := tr.Pick(servers(4), prompt("next", 16_000, "subject"), now)
+		is.Equal(next.Server.ID == first.Server.ID, !late)
 	}
 }
 
-// A prompt that is read in less time than streams may pause is put beside them, one that
-// takes longer is kept apart, however many tokens either has.
-func TestTheReadingTimeOfAPromptTellsWhetherItHoldsUp(t *testing.T) {
-	is := is.New(t)
-	const pause = 600 * time.Millisecond
-	is.Equal(holdup(pause/2, pause), 0.0)
-	is.Equal(holdup(3*pause/4, pause), 0.5)
-	is.Equal(holdup(pause, pause), 1.0)
-	is.Equal(holdup(3*pause, pause), 1.0)
-	is.Equal(holdup(usualPause, 0), 1.0)
-}
-
 // Streams that are late with and without a long prompt are no reason to keep
 // them apart.
 func TestOnlyWhatLongPromptsDoIsARisk(t *testing.T) {
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -122,7 +122,7 @@
 	st, service := t.server(s.ID), t.service(r.Service)
 	k := &Ticket{Server: s, Uncached: uncached, tracker: t, request: r, state: st, service: service, at: now}
 	if r.Engine {
-		k.holdup = holdup(service.pace.Reading(uncached), r.MaxPause)
+		k.holdup = holdup(r.Tokens)
 	}
 	st.use.Open++
 	st.use.Prompt += uncached
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -161,7 +161,7 @@
 		Avoid: q.avoid, Once: !q.route.Idempotent(),
 	}
 	if s != nil && s.Engine != nil {
-		b.Engine, b.Slots, b.MaxPause = true, s.Engine.Slots, s.MaxPause
+		b.Engine, b.Slots = true, s.Engine.Slots
 	}
 	if q.account != nil && q.account.Rate > 0 && len(q.avoid) == 0 && !q.answered {
 		b.Account, b.Units = q.account.Name, q.units
--- a/internal/front/placing.go
+++ b/internal/front/placing.go
@@ -11,7 +11,6 @@
 	"github.com/shelfcrank/shelfcrank/internal/forward"
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
 	"github.com/shelfcrank/shelfcrank/internal/place"
-	"github.com/shelfcrank/shelfcrank/internal/policy"
 	"github.com/shelfcrank/shelfcrank/internal/registry"
 )
 
@@ -109,15 +108,6 @@
 	return p.owned.get(p.node.view.Load(), p.node.state.members.topology(), p.node.Settings.Name, service)
 }
 
-// service returns a service of the configuration in force, or nil.
-func (n *Node) service(name string) *policy.Service {
-	c := n.view.Load().Config
-	if c == nil {
-		return nil
-	}
-	return c.Service(name)
-}
-
 // serve answers a node that asks for an offer.
 func (p *placer) serve(call *peerpb.Call, answer func(*peerpb.Answer) error) error {
 	q, now := call.GetPlace(), time.Now()
@@ -127,9 +117,6 @@
 			return balance.Part{ID: part.Id, Tokens: int(part.Tokens)}
 		}),
 	}
-	if s := p.node.service(q.Service); s != nil {
-		r.MaxPause = s.MaxPause
-	}
 	if v := p.node.admission.confirm(q.Account, q.Units, now); !v.OK {
 		x := &peerpb.Refusal{Level: v.Level, Need: v.Need, Known: v.Known, Wait: int64(v.RetryAt.Sub(now))}
 		return answer(&peerpb.Answer{Body: &peerpb.Answer_Place{Place: &peerpb.PlaceAnswer{Refusal: x}}})
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -58,7 +58,6 @@
 	MaxConnections int // to one server, from all nodes together; 0 is no limit
 	Engine         *Engine
 	Scaling        *Scaling
-	MaxPause       time.Duration // the shortest of its routes' MaxPause; worked out by New, 0 if none has one
 }
 
 // Engine describes the model servers of a service.
@@ -133,7 +132,6 @@
 			return nil, fmt.Errorf("%w: route %s has no service", ErrInvalid, r.Name)
 		}
 		r.MaxAttempts = max(1, r.MaxAttempts)
-		c.boundPauses(r)
 		host := strings.ToLower(r.Host)
 		c.byHost[host] = append(c.byHost[host], r)
 	}
@@ -149,19 +147,6 @@
 	return &c, nil
 }
 
-// boundPauses makes the services of a route know how long its streams may pause.
-func (c *Config) boundPauses(r *Route) {
-	if r.MaxPause <= 0 {
-		return
-	}
-	for _, share := range r.Split {
-		s := c.byService[share.Service]
-		if s != nil && (s.MaxPause == 0 || r.MaxPause < s.MaxPause) {
-			s.MaxPause = r.MaxPause
-		}
-	}
-}
-
 // rank orders the pairs of a client account's and a route's priority.
 func (c *Config) rank() {
 	var all []rank
