--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -18,6 +18,7 @@
 	Service  string
 	Addr     netip.AddrPort
 	Hall     string
+	Version  string // of its software; "" where that is not told
 	Slots    int
 	Leaving  bool
 	Spot     bool      // may be reclaimed
