--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -31,6 +31,7 @@
 // Request is what the choice needs to know of a request.
 type Request struct {
 	Service string
+	Route   string
 	ID      string
 	Engine  bool // it goes to a model server
 	Tokens  int  // prompt tokens
@@ -41,6 +42,7 @@
 	Away    bool     // the home of its shared parts is not among the servers to choose from
 	Account string   // client account, if it has a limit
 	Units   float64  // of the account's limit; 0 if they were granted for an earlier try
+	Trial   bool     // it goes to the version of the service that is on trial
 }
 
 // shared returns the tokens of the parts that other requests have as well, and
--- a/internal/balance/ticket.go
+++ b/internal/balance/ticket.go
@@ -34,7 +34,12 @@
 	expect   float64 // nanoseconds
 	read     bool
 	done     bool
-	watcher  Observer
+	watchers []Observer
+
+	// What the goroutine that serves the request alone notes.
+	arrived bool
+	events  int
+	lastAt  time.Time
 }
 
 // Observer is told how a request goes on at its server.
@@ -43,8 +48,31 @@
 	Done(result Result)
 }
 
-// Observe sets who is told of the ticket from now on.
-func (k *Ticket) Observe(o Observer) { k.watcher = o }
+// Observe adds one who is told of the ticket from now on.
+func (k *Ticket) Observe(o Observer) { k.watchers = append(k.watchers, o) }
+
+// Arrive notes that the request reached the server, or may have.
+func (k *Ticket) Arrive() { k.arrived = true }
+
+// Arrived reports whether the request reached the server, as far as is known.
+func (k *Ticket) Arrived() bool { return k.arrived }
+
+// Event notes an event of the stream that answers the request.
+func (k *Ticket) Event(now time.Time) {
+	k.events++
+	k.lastAt = now
+}
+
+// leastPaced is the number of events from which their pace says something.
+const leastPaced = 4
+
+// PerEvent returns the mean time between two events, or 0 if there were too few.
+func (k *Ticket) PerEvent() time.Duration {
+	if k.events < leastPaced {
+		return 0
+	}
+	return k.lastAt.Sub(k.readAt) / time.Duration(k.events-1)
+}
 
 // work is how long the request keeps a server busy, in nanoseconds.
 func (k *Ticket) work() float64 {
@@ -60,8 +88,11 @@
 	news := !k.read
 	k.markRead(now, true)
 	k.tracker.mu.Unlock()
-	if news && k.watcher != nil {
-		k.watcher.Read()
+	if !news {
+		return
+	}
+	for _, w := range k.watchers {
+		w.Read()
 	}
 }
 
@@ -99,8 +130,11 @@
 
 // Done ends the request at the server.
 func (k *Ticket) Done(result Result, now time.Time) {
-	if k.end(result, now) && k.watcher != nil {
-		k.watcher.Done(result)
+	if !k.end(result, now) {
+		return
+	}
+	for _, w := range k.watchers {
+		w.Done(result)
 	}
 }
 
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -16,61 +16,67 @@
 // The events. Hundreds group them: 1xx process, 2xx table, 3xx membership,
 // 4xx requests, 5xx endpoints, 9xx broken invariants.
 const (
-	Started          Code = 101
-	Stopping         Code = 102
-	Stopped          Code = 103
-	ChildRestarted   Code = 104
-	ControlWedged    Code = 105
-	TableInForce     Code = 201
-	TableStale       Code = 202
-	StoreDown        Code = 203
-	StoreBack        Code = 204
-	EditAccepted     Code = 205
-	EditRefused      Code = 206
-	PeerSuspect      Code = 301
-	PeerDead         Code = 302
-	PeerJoined       Code = 303
-	PeerLeaving      Code = 304
-	ViewInstalled    Code = 305
-	ShardsUnknown    Code = 306
-	RequestFailed    Code = 401
-	RequestResumed   Code = 402
-	RecordTakenOver  Code = 403
-	RecordHandedOver Code = 404
-	RecordLost       Code = 405
-	OutcomeUnknown   Code = 406
-	ForwardAnswered  Code = 411
-	ForwardRefused   Code = 412
-	StreamBroken     Code = 413
-	ClientLeft       Code = 414
-	DutyTaken        Code = 601
-	DutyLost         Code = 602
-	UsageReported    Code = 603
-	UsageMissed      Code = 604
-	FleetOrdered     Code = 605
-	FleetRefused     Code = 606
-	Reloaded         Code = 106
-	ConfigInForce    Code = 211
-	ConfigRejected   Code = 212
-	ConfigStale      Code = 213
-	ConfigProved     Code = 214
-	StoreFollowed    Code = 215
-	WatchSilent      Code = 216
-	ServerJoined     Code = 511
-	ServerLeaving    Code = 512
-	ServerGone       Code = 513
-	ServerAbsent     Code = 514
-	ServerOdd        Code = 515
-	NodeJoined       Code = 311
-	NodeGone         Code = 312
-	ClockCorrected   Code = 313
-	EndpointJoined   Code = 501
-	EndpointLeaving  Code = 502
-	EndpointGone     Code = 503
-	EndpointEjected  Code = 504
-	KVMoved          Code = 505
-	KVMoveFailed     Code = 506
-	InvariantBroken  Code = 901
+	Started           Code = 101
+	Stopping          Code = 102
+	Stopped           Code = 103
+	ChildRestarted    Code = 104
+	ControlWedged     Code = 105
+	TableInForce      Code = 201
+	TableStale        Code = 202
+	StoreDown         Code = 203
+	StoreBack         Code = 204
+	EditAccepted      Code = 205
+	EditRefused       Code = 206
+	PeerSuspect       Code = 301
+	PeerDead          Code = 302
+	PeerJoined        Code = 303
+	PeerLeaving       Code = 304
+	ViewInstalled     Code = 305
+	ShardsUnknown     Code = 306
+	RequestFailed     Code = 401
+	RequestResumed    Code = 402
+	RecordTakenOver   Code = 403
+	RecordHandedOver  Code = 404
+	RecordLost        Code = 405
+	OutcomeUnknown    Code = 406
+	ForwardAnswered   Code = 411
+	ForwardRefused    Code = 412
+	StreamBroken      Code = 413
+	ClientLeft        Code = 414
+	DutyTaken         Code = 601
+	DutyLost          Code = 602
+	UsageReported     Code = 603
+	UsageMissed       Code = 604
+	FleetOrdered      Code = 605
+	FleetRefused      Code = 606
+	RolloutOrdered    Code = 621
+	RolloutFollowed   Code = 622
+	RolloutLed        Code = 623
+	RolloutLooked     Code = 624
+	RolloutNotWritten Code = 625
+	RolloutOdd        Code = 626
+	Reloaded          Code = 106
+	ConfigInForce     Code = 211
+	ConfigRejected    Code = 212
+	ConfigStale       Code = 213
+	ConfigProved      Code = 214
+	StoreFollowed     Code = 215
+	WatchSilent       Code = 216
+	ServerJoined      Code = 511
+	ServerLeaving     Code = 512
+	ServerGone        Code = 513
+	ServerAbsent      Code = 514
+	ServerOdd         Code = 515
+	NodeJoined        Code = 311
+	NodeGone          Code = 312
+	ClockCorrected    Code = 313
+	EndpointJoined    Code = 501
+	EndpointLeaving   Code = 502
+	EndpointGone      Code = 503
+	EndpointEjected   Code = 504
+	KVMoved           Code = 505
+	KVMoveFailed      Code = 506
+	InvariantBroken   Code = 901
 )
 
 // Entry describes one event.
@@ -116,6 +122,12 @@
 	{UsageMissed, zap.WarnLevel, "usage not reported", "The counts of a window could not be reported in time."},
 	{FleetOrdered, zap.InfoLevel, "servers ordered", "The platform took an order for a hall; the inputs that led to it are in the event."},
 	{FleetRefused, zap.WarnLevel, "order of servers refused", "The platform refused an order; the planner looks elsewhere."},
+	{RolloutOrdered, zap.InfoLevel, "roll-out ordered", "The operators want a service moved to the version target; order is the revision of their order."},
+	{RolloutFollowed, zap.InfoLevel, "roll-out followed", "This instance goes by this phase from now on: on trial a small share of the requests goes to the target, in the shift all new ones do, after that the target is all that is used, or nothing of it is."},
+	{RolloutLed, zap.InfoLevel, "roll-out led on", "This instance wrote a new phase to the store, with the status for the operators; why says the reason, seen, ended and failed count requests of the target over all instances, and evidence is what speaks against it (bad from 5 on) with the sign that it comes from."},
+	{RolloutLooked, zap.InfoLevel, "roll-out looked at", "The figures of a roll-out under way, each second, at the instance that leads it."},
+	{RolloutNotWritten, zap.WarnLevel, "roll-out not written", "The store did not take the new phase of a roll-out; it is tried again."},
+	{RolloutOdd, zap.ErrorLevel, "roll-out not understood", "An order or a record of a roll-out could not be read; the one before stays in force."},
 	{Reloaded, zap.InfoLevel, "settings read again", "The settings file was read again after a signal or a change."},
 	{ConfigInForce, zap.InfoLevel, "configuration in force", "This node now decides by the version."},
 	{ConfigRejected, zap.ErrorLevel, "configuration rejected", "The store holds a configuration that cannot be used; the version before stays in force, and keys are refused once it may be old."},
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -127,6 +127,7 @@
 		return h.failed(ctx, q, ticket, fault.As(err))
 	}
 	q.tried = append(q.tried, ticket.Server.ID)
+	ticket.Arrive()
 	defer resp.Close()
 	if resp.Answer.NotRun && resp.Status != http.StatusBadRequest {
 		ticket.Done(balance.Refused, time.Now())
@@ -157,7 +158,7 @@
 // choice is what choosing a server has to know of the request.
 func (h *Handler) choice(q *request, s *policy.Service) *balance.Request {
 	b := &balance.Request{
-		Service: q.service, ID: q.meta.ID, Tokens: q.meta.PromptTokens, Parts: q.meta.Parts,
+		Service: q.service, Route: q.route.Name, ID: q.meta.ID, Tokens: q.meta.PromptTokens, Parts: q.meta.Parts,
 		Avoid: q.avoid, Once: !q.route.Idempotent(),
 	}
 	if s != nil && s.Engine != nil {
@@ -200,6 +201,7 @@
 	}
 	q.tried = append(q.tried, ticket.Server.ID)
 	q.mayRun = true
+	ticket.Arrive()
 	ticket.Done(h.blame(ctx, f), now)
 	if q.route.Kind != policy.Streaming {
 		h.began(q)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -24,6 +24,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/policy"
 	"github.com/shelfcrank/shelfcrank/internal/quota"
 	"github.com/shelfcrank/shelfcrank/internal/registry"
+	"github.com/shelfcrank/shelfcrank/internal/rollout"
 )
 
 // Part is a piece of a prompt.
@@ -69,6 +70,8 @@
 	KeysUntil   time.Time                    // until when keys are honoured unless Config is proved again
 	OutageUntil time.Time                    // until when the store counts as down for all nodes
 	Servers     map[string][]registry.Server // that take new work, by service
+	Trial       map[string][]registry.Server // that take the share of a version on trial, by service
+	Rollouts    map[string]rollout.Record    // how far each service's roll-out is
 	Nodes       int                          // that run, this one included
 	Leaving     bool                         // this node is stopping
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -107,6 +107,7 @@
 			h.began(q)
 			h.Metrics.FirstToken(q.route.Name, time.Since(q.arrived))
 		}
+		ticket.Event(time.Now())
 		id := eventID(e)
 		if id != "" && q.event != "" && notAfter(id, q.event) {
 			continue // repeated by the server that goes on
--- a/internal/front/digest.go
+++ b/internal/front/digest.go
@@ -11,6 +11,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
 	"github.com/shelfcrank/shelfcrank/internal/policy"
 	"github.com/shelfcrank/shelfcrank/internal/quota"
+	"github.com/shelfcrank/shelfcrank/internal/rollctl"
 	"github.com/shelfcrank/shelfcrank/internal/tally"
 )
 
@@ -27,6 +28,7 @@
 	n.state.members.heard(call.From, now)
 	n.heardClock(call.From, q.Share.Wall, now)
 	n.groups.reported(call.From, reportOf(q.Share, now))
+	n.heardPermits(q.Share.Rollouts, now)
 	// Counts that an earlier run of this hub was told are known to the other hubs.
 	counted := q.HubIncarnation == n.incarnation()
 	if counted {
@@ -39,6 +41,7 @@
 
 // countReport adds what an instance was counting to this hub's group.
 func (n *Node) countReport(from tally.Source, s *peerpb.Share) {
+	n.rollouts.Reported(from, rolloutCounts(s.Rollouts.GetCounts()))
 	admitted, _, runs := accountCounts(s.Accounts)
 	a := n.admission
 	a.mu.Lock()
@@ -50,7 +53,7 @@
 // reportOf reads what a report tells of what an instance is doing.
 func reportOf(s *peerpb.Share, now time.Time) reported {
 	news := newsOf(s)
-	r := reported{uses: news.Uses, demand: news.Demand, risk: make(map[string]float64), at: now}
+	r := reported{uses: news.Uses, demand: news.Demand, risk: make(map[string]float64), rollouts: rolloutStates(s.Rollouts), at: now}
 	for name, l := range news.Lessons {
 		r.risk[name] = l.Risk
 	}
@@ -62,6 +65,7 @@
 	d := &peerpb.Digest{Incarnation: n.incarnation(), Seasoned: now.Sub(n.start) > quota.Season, ServersAt: n.news.newest()}
 	reports, others := n.groups.own(now), n.groups.known(now)
 	d.Alive = n.lostByStore(reports)
+	d.Rollouts = n.digestRollouts(to, reports, others, windows)
 	n.digestCounts(d, others, len(reports), windows, now)
 	sum := n.groupNews(reports, to, now)
 	for _, other := range others {
@@ -162,6 +166,9 @@
 		n.state.members.heard(g.Hub, now) // the hub heard of it just now, the store may have lost it
 		n.heardClock(g.Hub, g.Wall, now)
 	}
+	n.heardPermits(d.Rollouts, now)
+	n.rollouts.Heard(rollctl.ByHubs, tally.Source{Instance: digestNode}, rolloutCounts(d.Rollouts.GetCounts()))
+	n.rollouts.HeardStates(digestNode, rolloutStates(d.Rollouts), now)
 	demand, lessons := serviceNews(d.Services)
 	news := balance.News{Uses: usesOf(d.Servers), Demand: demand, Lessons: lessons}
 	n.tracker.Heard(digestNode, news, now.Add(believeLeast), now)
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"github.com/samber/lo"
 
 	"github.com/shelfcrank/shelfcrank/internal/mirror"
 	"github.com/shelfcrank/shelfcrank/internal/store"
@@ -50,15 +51,15 @@
 	for {
 		sent := time.Now()
 		call, cancel := context.WithTimeout(ctx, proveTimeout)
-		item, _, err := n.Store.Get(call, n.Decoder.ConfigKey())
+		items, _, err := n.Store.Range(call, n.Decoder.OperatorPrefix())
 		cancel()
 		pause := n.provePause() - time.Since(sent)
 		if n.called(sent, err) != nil {
 			pause = retry.NextBackOff()
 		} else {
 			retry.Reset()
-			n.hub.proved(item, sent)
-			n.state.send(configRead{value: item.Value, revision: item.Revision, provedAt: sent})
+			n.hub.proved(items, sent)
+			n.takeOperators(items, sent)
 		}
 		if !sleep(ctx, pause) {
 			return ctx.Err()
@@ -66,6 +67,20 @@
 	}
 }
 
+// takeOperators hands what the operators wrote, as read at a time, to the state: orders
+// first, so that a proof of the configuration is one of the orders as well.
+func (n *Node) takeOperators(items []store.Item, sent time.Time) {
+	n.state.send(operatorsRead{items: items, whole: true})
+	if config, ok := n.configOf(items); ok {
+		n.state.send(configRead{value: config.Value, revision: config.Revision, provedAt: sent})
+	}
+}
+
+// configOf returns the configuration among what the operators wrote.
+func (n *Node) configOf(items []store.Item) (store.Item, bool) {
+	return lo.Find(items, func(i store.Item) bool { return i.Key == n.Decoder.ConfigKey() })
+}
+
 func (n *Node) gather() time.Duration {
 	if n.readsForOthers() {
 		return gatherHub
@@ -139,7 +154,7 @@
 		return ctx.Err()
 	}
 	list := func([]store.Item, int64) {} // the read proves it
-	return n.watch(ctx, followed{n.Decoder.ConfigKey(), n.hub.config, list, n.awaitRole})
+	return n.watch(ctx, followed{n.Decoder.OperatorPrefix(), n.hub.operators, list, n.awaitRole})
 }
 
 func (n *Node) watchServers(ctx context.Context) error {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -31,6 +31,8 @@
 	"github.com/shelfcrank/shelfcrank/internal/peer"
 	"github.com/shelfcrank/shelfcrank/internal/policy"
 	"github.com/shelfcrank/shelfcrank/internal/registry"
+	"github.com/shelfcrank/shelfcrank/internal/rollctl"
+	"github.com/shelfcrank/shelfcrank/internal/rollout"
 	"github.com/shelfcrank/shelfcrank/internal/settings"
 	"github.com/shelfcrank/shelfcrank/internal/store"
 	"github.com/shelfcrank/shelfcrank/internal/walltime"
@@ -44,12 +46,17 @@
 
 // Decoder reads what the operators and the servers write to the store.
 type Decoder interface {
-	ConfigKey() string    // of the configuration
-	ServerPrefix() string // of the servers' entries
-	OwnPrefix() string    // of the keys that the product writes
+	OperatorPrefix() string // of what the operators write
+	ConfigKey() string      // of the configuration, below that
+	ServerPrefix() string   // of the servers' entries
+	OwnPrefix() string      // of the keys that the product writes
 	Config(value []byte) (*policy.Config, error)
 	ServerID(key string) (string, bool)
 	Server(id string, value []byte, now time.Time) (registry.Server, error)
+	// Order decodes the order of a roll-out; false if the key is none of one.
+	Order(key string, value []byte) (rollout.Order, bool, error)
+	// Status encodes how far a roll-out is, for the operators.
+	Status(r rollout.Record) (key string, value []byte, err error)
 }
 
 // Cloud takes the orders of the node that acts for all.
@@ -75,28 +82,30 @@
 // Node is a running node.
 type Node struct {
 	Options
-	start     time.Time
-	injector  do.Injector
-	metrics   *metrics.Metrics
-	state     *state
-	view      atomic.Pointer[forward.View]
-	clock     *walltime.Clock
-	peers     *peer.Node
-	backends  *backend.Client
-	tracker   *balance.Tracker
-	admission *admission
-	elector   *duty.Elector
-	handler   *forward.Handler
-	placer    *placer
-	hub       *hub
-	groups    *groups
-	news      serverNews
-	reading   atomic.Bool  // this node reads the store itself
-	revision  atomic.Int64 // of the configuration's item in hand
-	standIn   *standIn     // whether it reads the store in place of the readers
-	leaving   atomic.Bool
-	outage    atomic.Pointer[outage] // ends with the next outage of the store
-	knows     chan struct{}          // closed when a configuration and the servers are known
+	start         time.Time
+	injector      do.Injector
+	metrics       *metrics.Metrics
+	state         *state
+	view          atomic.Pointer[forward.View]
+	clock         *walltime.Clock
+	peers         *peer.Node
+	backends      *backend.Client
+	tracker       *balance.Tracker
+	admission     *admission
+	elector       *duty.Elector
+	handler       *forward.Handler
+	placer        *placer
+	rollouts      *rollctl.Control
+	knownRollouts atomic.Pointer[[]rollctl.Known]
+	hub           *hub
+	groups        *groups
+	news          serverNews
+	reading       atomic.Bool  // this node reads the store itself
+	revision      atomic.Int64 // of the configuration's item in hand
+	standIn       *standIn     // whether it reads the store in place of the readers
+	leaving       atomic.Bool
+	outage        atomic.Pointer[outage] // ends with the next outage of the store
+	knows         chan struct{}          // closed when a configuration and the servers are known
 }
 
 // incarnation tells this start of the node from earlier ones.
@@ -111,11 +120,13 @@
 
 // New wires a node; Run starts it.
 func New(o Options) (*Node, error) {
-	n := &Node{Options: o, start: time.Now(), injector: do.New(), knows: make(chan struct{}), standIn: newStandIn(), hub: newHub(), groups: newGroups()}
+	n := &Node{Options: o, start: time.Now(), injector: do.New(), knows: make(chan struct{}), standIn: newStandIn(), hub: newHub(o.Decoder.ConfigKey()), groups: newGroups()}
 	n.clock = walltime.New(n.start)
 	n.view.Store(&forward.View{Nodes: 1})
 	n.outage.Store(newOutage())
 	n.placer = newPlacer(n)
+	n.rollouts = rollctl.New(rollout.Bound{Share: o.Settings.Bounds.ExposeShare, Slack: o.Settings.Bounds.ExposeSlack}, n.run(), rand.New(rand.NewPCG(o.Seed, seedRollouts)))
+	n.knownRollouts.Store(&[]rollctl.Known{})
 	n.provide()
 	var err error
 	if n.metrics, err = do.Invoke[*metrics.Metrics](n.injector); err != nil {
@@ -164,17 +175,19 @@
 // Keys of the store below the product's own prefix. Those below live/ are
 // watched by all nodes; the others change too often for that.
 const (
-	keyLive   = "live/"
-	keyLeader = keyLive + "leader"
-	keyNodes  = keyLive + "nodes/"
-	keyUsage  = "usage/"
-	keyOpen   = "open-usage"
+	keyLive     = "live/"
+	keyLeader   = keyLive + "leader"
+	keyNodes    = keyLive + "nodes/"
+	keyRollouts = keyLive + "rollouts/"
+	keyUsage    = "usage/"
+	keyOpen     = "open-usage"
 )
 
 // Second halves of the seeds of random numbers.
 const (
 	seedElector   = 0x9e3779b9
 	seedAdmission = 0x85ebca6b
+	seedRollouts  = 0xc2b2ae35
 )
 
 func (n *Node) version() int64 {
@@ -262,6 +275,7 @@
 		{"usage", n.reportUsage},
 		{"open usage", n.keepOpenUsage},
 		{"fleet", n.orderServers},
+		{"roll-outs", n.leadRollouts},
 		{"upkeep", n.upkeep},
 		{"reload", n.reload},
 	} {
@@ -319,3 +333,13 @@
 		}
 	}
 }
+
+// leadRollouts leads the roll-outs while this node acts for all.
+func (n *Node) leadRollouts(ctx context.Context) error {
+	if !n.rollouts.Enabled() {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	l := rollctl.Leader{Host: rolloutHost{n}, Control: n.rollouts, Store: n.Store}
+	return l.Run(ctx)
+}
--- a/internal/front/group.go
+++ b/internal/front/group.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/shelfcrank/shelfcrank/internal/balance"
+	"github.com/shelfcrank/shelfcrank/internal/rollctl"
 	"github.com/shelfcrank/shelfcrank/internal/tally"
 	"github.com/shelfcrank/shelfcrank/internal/usage"
 )
@@ -84,10 +85,11 @@
 
 // reported is what an instance last reported to this hub of what it is doing.
 type reported struct {
-	uses   map[string]balance.Use
-	demand map[string]balance.Demand
-	risk   map[string]float64 // by service
-	at     time.Time
+	uses     map[string]balance.Use
+	demand   map[string]balance.Demand
+	risk     map[string]float64 // by service
+	rollouts []rollctl.State
+	at       time.Time
 }
 
 // reportCounts is how long a report counts that no other follows: the instance is
--- a/internal/front/hub.go
+++ b/internal/front/hub.go
@@ -23,38 +23,47 @@
 
 // hub is what a node that reads the store keeps for those that ask it.
 type hub struct {
-	config, servers, nodes *mirror.Copy
+	operators, servers, nodes *mirror.Copy // of what the operators wrote, the servers' and the nodes' entries
+	configKey                 string
 
 	mu       sync.Mutex
-	item     store.Item // the configuration as last read; guarded by mu
-	provedAt time.Time  // when that read was sent; guarded by mu
-	packed   []byte     // a configuration compressed; guarded by mu
-	packedAt int64      // its revision; guarded by mu
+	items    []store.Item // what the operators wrote, as last read; guarded by mu
+	provedAt time.Time    // when that read was sent; guarded by mu
+	packed   []byte       // a configuration compressed; guarded by mu
+	packedAt int64        // its revision; guarded by mu
 }
 
 // notProved is the age of a proof where there is none: a watch told of the
 // configuration.
 const notProved = -1
 
-func newHub() *hub {
-	return &hub{config: mirror.New(), servers: mirror.New(), nodes: mirror.New()}
+func newHub(configKey string) *hub {
+	return &hub{configKey: configKey, operators: mirror.New(), servers: mirror.New(), nodes: mirror.New()}
 }
 
-// proved notes a read of the configuration.
-func (h *hub) proved(item store.Item, sent time.Time) {
+// proved notes a read of what the operators wrote.
+func (h *hub) proved(items []store.Item, sent time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if item.Revision < h.item.Revision {
+	if !sent.After(h.provedAt) {
 		return
 	}
-	h.item, h.provedAt = item, sent
+	h.items, h.provedAt = items, sent
 }
 
-// newest returns the configuration and when it was proved to be the newest.
-func (h *hub) newest() (store.Item, time.Time) {
+// newest returns the configuration, when it was proved to be the newest, and the orders
+// of roll-outs.
+func (h *hub) newest() (config store.Item, provedAt time.Time, orders []store.Item) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.item, h.provedAt
+	for _, item := range h.items {
+		if item.Key == h.configKey {
+			config = item
+		} else {
+			orders = append(orders, item)
+		}
+	}
+	return config, h.provedAt, orders
 }
 
 // errNoHub says that a node does not read the store, or cannot reach it.
@@ -71,7 +80,7 @@
 	late := time.NewTimer(mirrorWait)
 	defer late.Stop()
 	for waited := false; ; {
-		changes := []<-chan struct{}{h.config.Changed(), h.servers.Changed(), h.nodes.Changed()}
+		changes := []<-chan struct{}{h.operators.Changed(), h.servers.Changed(), h.nodes.Changed()}
 		a, news, err := h.look(q, time.Now())
 		if err != nil || news || waited {
 			return a, err
@@ -98,7 +107,7 @@
 func (h *hub) look(q *peerpb.Mirror, now time.Time) (*peerpb.MirrorAnswer, bool, error) {
 	servers, known := h.servers.Since(q.Servers)
 	nodes, alsoKnown := h.nodes.Since(q.Nodes)
-	item, provedAt := h.newest()
+	item, provedAt, orders := h.newest()
 	if !known || !alsoKnown || now.Sub(provedAt) > mirrorStale {
 		return nil, false, errNoHub
 	}
@@ -106,17 +115,26 @@
 		ProofAge: int64(now.Sub(provedAt)), ConfigRevision: item.Revision,
 		Servers: mirrorPart(servers), Nodes: mirrorPart(nodes),
 	}
-	if watched, ok := h.config.Since(0); ok {
+	if watched, ok := h.operators.Since(0); ok {
 		for _, e := range watched.Events { // a watch may know before the next read
-			if e.Revision > item.Revision && !e.Gone {
+			switch {
+			case e.Gone:
+			case e.Key != h.configKey:
+				orders = append(orders, e.Item)
+			case e.Revision > item.Revision:
 				item, a.ConfigRevision, a.ProofAge = e.Item, e.Revision, notProved
 			}
 		}
 	}
+	for _, order := range orders {
+		if order.Revision > q.Orders {
+			a.Orders = append(a.Orders, mirrorItem(store.Event{Item: order}))
+		}
+	}
 	if item.Revision > q.Config {
 		a.PackedConfig = h.pack(item)
 	}
-	news := len(a.PackedConfig) > 0 || len(servers.Events)+len(nodes.Events) > 0 || servers.Whole || nodes.Whole
+	news := len(a.PackedConfig) > 0 || len(a.Orders) > 0 || len(servers.Events)+len(nodes.Events) > 0 || servers.Whole || nodes.Whole
 	return a, news, nil
 }
 
@@ -132,10 +150,14 @@
 
 func mirrorPart(c mirror.Change) *peerpb.MirrorPart {
 	return &peerpb.MirrorPart{Whole: c.Whole, At: c.At, Items: lo.Map(c.Events, func(e store.Event, _ int) *peerpb.MirrorItem {
-		return &peerpb.MirrorItem{Key: e.Key, Value: e.Value, Revision: e.Revision, Gone: e.Gone}
+		return mirrorItem(e)
 	})}
 }
 
+func mirrorItem(e store.Event) *peerpb.MirrorItem {
+	return &peerpb.MirrorItem{Key: e.Key, Value: e.Value, Revision: e.Revision, Gone: e.Gone}
+}
+
 func mirrorEvents(p *peerpb.MirrorPart) []store.Event {
 	return lo.Map(p.GetItems(), func(i *peerpb.MirrorItem, _ int) store.Event {
 		return store.Event{Item: store.Item{Key: i.Key, Value: i.Value, Revision: i.Revision}, Gone: i.Gone}
--- a/internal/front/hubgroup.go
+++ b/internal/front/hubgroup.go
@@ -8,6 +8,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/balance"
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
 	"github.com/shelfcrank/shelfcrank/internal/quota"
+	"github.com/shelfcrank/shelfcrank/internal/rollctl"
 	"github.com/shelfcrank/shelfcrank/internal/tally"
 	"github.com/shelfcrank/shelfcrank/internal/usage"
 )
@@ -175,6 +176,7 @@
 	s.Accounts = accountShares(n.groupUnits(), a.levels(now), n.groupRuns())
 	a.mu.Unlock()
 	sum := n.groupNews(reports, "", now)
+	s.Rollouts = n.groupRollouts(reports)
 	s.Servers = useShares(sum.Uses)
 	lessons := meanRisk(n.tracker.Lessons(), reports)
 	for name, d := range sum.Demand {
@@ -202,6 +204,7 @@
 func (n *Node) heardGroup(s *peerpb.Share, now time.Time) {
 	news := newsOf(s)
 	n.groups.heard(s, news, now)
+	n.heardRollouts(rollctl.AsHub, s, now)
 	for _, name := range s.Alive {
 		n.state.members.heard(name, now)
 	}
--- a/internal/front/offers.go
+++ b/internal/front/offers.go
@@ -140,7 +140,7 @@
 		if v := p.node.admission.confirm(r.Account, r.Units, now); !v.OK {
 			return offered{}, &forward.LimitError{Verdict: v}
 		}
-		o, ok := p.desk.Offer(p.self(), p.mine(r.Service), r, until, now)
+		o, ok := p.desk.Offer(p.self(), p.candidates(r), r, until, now)
 		if !ok {
 			return offered{}, errNoServer
 		}
@@ -148,7 +148,7 @@
 	}
 	q := &peerpb.Place{
 		Service: r.Service, Id: r.ID, Tokens: int64(r.Tokens), Avoid: r.Avoid, Slots: int64(r.Slots), Once: r.Once, Away: r.Away,
-		Account: r.Account, Units: r.Units,
+		Account: r.Account, Units: r.Units, Trial: r.Trial,
 		Left: int64(until.Sub(now)), Incarnation: p.node.incarnation(),
 		Parts: lo.Map(r.Parts, func(part balance.Part, _ int) *peerpb.PromptPart {
 			return &peerpb.PromptPart{Id: part.ID, Tokens: int64(part.Tokens)}
--- a/internal/front/orders.go
+++ b/internal/front/orders.go
@@ -96,6 +96,9 @@
 	wants := p.Plan(in, now)
 	// More is ordered before less is.
 	for _, more := range []bool{true, false} {
+		if !more && o.rollsOut(s.Name) {
+			return
+		}
 		for _, w := range wants {
 			o.order(ctx, s, p, in, orderKey{s.Name, w.Hall, true}, w.Spot, more)
 			o.order(ctx, s, p, in, orderKey{s.Name, w.Hall, false}, w.Regular, more)
@@ -103,6 +106,14 @@
 	}
 }
 
+// rollsOut reports whether a roll-out of a service is under way. Nothing is given back
+// then: endpoints of two versions stand side by side, and which of them would go is not
+// for this node to say.
+func (o *orders) rollsOut(service string) bool {
+	r, ordered := o.node.view.Load().Rollouts[service]
+	return ordered && !r.Phase.Final()
+}
+
 func (o *orders) input(s *policy.Service, now time.Time) fleet.Input {
 	x := s.Scaling
 	in := fleet.Input{Min: x.Min, Max: x.Max, SpotPrice: x.SpotPrice}
--- a/internal/front/placing.go
+++ b/internal/front/placing.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -42,8 +43,38 @@
 	server registry.Server // as this node knows it; set where the offer is taken
 }
 
-// Place implements forward.Placer.
+// Place implements forward.Placer. A request that a version on trial may get goes there
+// if it can.
 func (p *placer) Place(ctx context.Context, servers []registry.Server, r *balance.Request, until, now time.Time) (*balance.Ticket, error) {
+	ticket, err := p.placeOnTrial(ctx, r, until, now)
+	if ticket == nil && err == nil {
+		ticket, err = p.place(ctx, servers, r, until, now)
+	}
+	if err != nil {
+		return nil, err
+	}
+	p.node.rollouts.Watch(ticket, r, now)
+	return ticket, nil
+}
+
+// placeOnTrial places a request at an endpoint of the version on trial. It returns
+// neither a ticket nor an error if the request does not go there.
+func (p *placer) placeOnTrial(ctx context.Context, r *balance.Request, until, now time.Time) (*balance.Ticket, error) {
+	trial := p.node.view.Load().Trial[r.Service]
+	if len(trial) == 0 || !p.node.rollouts.Try(r, now) {
+		return nil, nil
+	}
+	q := *r
+	q.Trial = true
+	ticket, err := p.place(ctx, trial, &q, until, now)
+	if errors.Is(err, forward.ErrNoServer) {
+		return nil, nil
+	}
+	return ticket, err
+}
+
+// place chooses one of the servers.
+func (p *placer) place(ctx context.Context, servers []registry.Server, r *balance.Request, until, now time.Time) (*balance.Ticket, error) {
 	hubs := p.node.state.members.topology()
 	if !r.Engine || len(hubs.hubs) == 0 {
 		return p.pick(servers, r, now)
@@ -108,11 +139,20 @@
 	return p.owned.get(p.node.view.Load(), p.node.state.members.topology(), p.node.Settings.Name, service)
 }
 
+// candidates returns the servers that this node may offer for a request. Those of a
+// trial are few, and belong to all hubs.
+func (p *placer) candidates(r *balance.Request) []registry.Server {
+	if r.Trial {
+		return p.node.view.Load().Trial[r.Service]
+	}
+	return p.mine(r.Service)
+}
+
 // serve answers a node that asks for an offer.
 func (p *placer) serve(call *peerpb.Call, answer func(*peerpb.Answer) error) error {
 	q, now := call.GetPlace(), time.Now()
 	r := &balance.Request{
-		Service: q.Service, ID: q.Id, Engine: true, Tokens: int(q.Tokens), Avoid: q.Avoid, Slots: int(q.Slots), Once: q.Once, Away: q.Away,
+		Service: q.Service, ID: q.Id, Engine: true, Tokens: int(q.Tokens), Avoid: q.Avoid, Slots: int(q.Slots), Once: q.Once, Away: q.Away, Trial: q.Trial,
 		Parts: lo.Map(q.Parts, func(part *peerpb.PromptPart, _ int) balance.Part {
 			return balance.Part{ID: part.Id, Tokens: int(part.Tokens)}
 		}),
@@ -122,7 +162,7 @@
 		return answer(&peerpb.Answer{Body: &peerpb.Answer_Place{Place: &peerpb.PlaceAnswer{Refusal: x}}})
 	}
 	asker := place.Asker{Node: call.From, Incarnation: q.Incarnation}
-	o, _ := p.desk.Offer(asker, p.mine(q.Service), r, now.Add(time.Duration(q.Left)), now)
+	o, _ := p.desk.Offer(asker, p.candidates(r), r, now.Add(time.Duration(q.Left)), now)
 	return answer(&peerpb.Answer{Body: &peerpb.Answer_Place{Place: &peerpb.PlaceAnswer{Server: o.Server, Cost: o.Cost, Ticket: o.Ticket, Uncached: int64(o.Uncached)}}})
 }
 
--- a/internal/front/placing_test.go
+++ b/internal/front/placing_test.go
@@ -28,7 +28,7 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	w.store.Put("config", value)
+	w.store.Put("op/config", value)
 }
 
 // askAll sends a request to each node at the same moment and returns how many
--- a/internal/front/report.go
+++ b/internal/front/report.go
@@ -7,6 +7,7 @@
 
 	"github.com/shelfcrank/shelfcrank/internal/fault"
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
+	"github.com/shelfcrank/shelfcrank/internal/rollout"
 	"github.com/shelfcrank/shelfcrank/internal/tally"
 )
 
@@ -69,8 +70,9 @@
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	units, runs := n.offerTo(run)
+	rollouts := n.rollouts.OfferTo(run)
 	call := &peerpb.Call{Body: &peerpb.Call_Report{Report: &peerpb.Report{
-		HubIncarnation: run.Incarnation, Windows: n.reading.Load(), Share: n.reportShare(units, runs, time.Now()),
+		HubIncarnation: run.Incarnation, Windows: n.reading.Load(), Share: n.reportShare(units, runs, rollouts, time.Now()),
 	}}}
 	a, err := n.peers.Call(ctx, hub.addr, call)
 	if err != nil {
@@ -81,6 +83,7 @@
 		return nil, fault.New(fault.StepPeer, hub.name, fault.KindBroken, fault.NotRun, "answered with %T", a.Body)
 	}
 	if d.Counted {
+		n.rollouts.Confirmed(run, rollouts)
 		n.takeDigest(run, units, runs, d, time.Now())
 	}
 	return d, nil
@@ -95,10 +98,11 @@
 }
 
 // reportShare is what an instance tells its hub.
-func (n *Node) reportShare(units unitCounts, runs runCounts, now time.Time) *peerpb.Share {
+func (n *Node) reportShare(units unitCounts, runs runCounts, rollouts rollout.Counts, now time.Time) *peerpb.Share {
 	return &peerpb.Share{
 		Node: n.Settings.Name, Incarnation: n.incarnation(), Wall: n.clock.Own(now).UnixNano(),
 		Accounts: accountShares(units, nil, runs), Servers: useShares(n.plainUses()),
 		Services: n.serviceShares(n.tracker.Demand(now)),
+		Rollouts: n.ownRollouts(rollouts),
 	}
 }
--- /dev/null
+++ b/internal/front/rolloutmsg.go
@@ -0,0 +1,126 @@
+package front
+
+import (
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/shelfcrank/shelfcrank/internal/peerpb"
+	"github.com/shelfcrank/shelfcrank/internal/rollctl"
+	"github.com/shelfcrank/shelfcrank/internal/rollout"
+	"github.com/shelfcrank/shelfcrank/internal/tally"
+)
+
+// What is told of roll-outs, written and read.
+
+// rolloutShares writes what is told of roll-outs, nil if there are none.
+func (n *Node) rolloutShares(counts rollout.Counts, states []rollctl.State) *peerpb.Rollouts {
+	out := &peerpb.Rollouts{
+		Counts: countShares(counts),
+		States: lo.Map(states, func(s rollctl.State, _ int) *peerpb.RolloutState {
+			return &peerpb.RolloutState{Service: s.Service, Order: s.Order, Phase: string(s.Phase), Open: s.Open, Instances: s.Instances}
+		}),
+		Permits: lo.Map(n.rollouts.Permits(), func(p rollctl.Permit, _ int) *peerpb.RolloutPermit {
+			return &peerpb.RolloutPermit{Service: p.Service, Order: p.Order, Number: p.Number}
+		}),
+	}
+	if len(out.Counts)+len(out.States)+len(out.Permits) == 0 {
+		return nil
+	}
+	return out
+}
+
+// ownRollouts is what this instance tells of itself.
+func (n *Node) ownRollouts(counts rollout.Counts) *peerpb.Rollouts {
+	return n.rolloutShares(counts, n.rollouts.States(n.openRequests()))
+}
+
+// countShares writes counts, those of one key in one message.
+func countShares(counts rollout.Counts) []*peerpb.RolloutCount {
+	cells := make(map[rollout.Key]*peerpb.RolloutCount)
+	for key, v := range counts {
+		cell := key
+		cell.What = 0
+		c := cells[cell]
+		if c == nil {
+			c = &peerpb.RolloutCount{Service: key.Service, Order: key.Order, Route: key.Route, Trial: key.Trial, Bucket: int32(key.Bucket)}
+			cells[cell] = c
+		}
+		switch key.What {
+		case rollout.Begun:
+			c.Begun = v
+		case rollout.Late:
+			c.Late = v
+		case rollout.Ended:
+			c.Ended = v
+		case rollout.Failed:
+			c.Failed = v
+		case rollout.Paced:
+			c.Paced = v
+		}
+	}
+	return lo.Values(cells)
+}
+
+// rolloutCounts reads what countShares wrote.
+func rolloutCounts(shares []*peerpb.RolloutCount) rollout.Counts {
+	out := make(rollout.Counts)
+	for _, c := range shares {
+		key := rollout.Key{Service: c.Service, Order: c.Order, Route: c.Route, Trial: c.Trial, Bucket: uint8(c.Bucket)}
+		for what, v := range map[rollout.What]int64{
+			rollout.Begun: c.Begun, rollout.Late: c.Late, rollout.Ended: c.Ended, rollout.Failed: c.Failed, rollout.Paced: c.Paced,
+		} {
+			key.What = what
+			out[key] = v
+		}
+	}
+	return out
+}
+
+// rolloutStates reads what instances do.
+func rolloutStates(r *peerpb.Rollouts) []rollctl.State {
+	return lo.Map(r.GetStates(), func(s *peerpb.RolloutState, _ int) rollctl.State {
+		return rollctl.State{Service: s.Service, Order: s.Order, Phase: rollout.Phase(s.Phase), Open: s.Open, Instances: s.Instances}
+	})
+}
+
+// heardPermits takes the leader's permits, whoever passes them on.
+func (n *Node) heardPermits(r *peerpb.Rollouts, now time.Time) {
+	for _, p := range r.GetPermits() {
+		n.rollouts.Permitted(rollctl.Permit{Service: p.Service, Order: p.Order, Number: p.Number}, now)
+	}
+}
+
+// heardRollouts takes what another instance, or a hub for its group, tells of roll-outs.
+func (n *Node) heardRollouts(fleet rollctl.Fleet, s *peerpb.Share, now time.Time) {
+	n.heardPermits(s.Rollouts, now)
+	n.rollouts.Heard(fleet, tally.Source{Instance: s.Node, Incarnation: s.Incarnation}, rolloutCounts(s.Rollouts.GetCounts()))
+	n.rollouts.HeardStates(s.Node, rolloutStates(s.Rollouts), now)
+}
+
+// groupRollouts is what this hub tells of its group.
+func (n *Node) groupRollouts(reports map[string]reported) *peerpb.Rollouts {
+	states := n.rollouts.States(n.openRequests())
+	for _, r := range reports {
+		states = rollctl.SumStates(states, r.rollouts)
+	}
+	return n.rolloutShares(n.rollouts.Group(), states)
+}
+
+// digestRollouts is what this hub tells of all groups, with their counts if they are
+// asked for, but for the states of one instance.
+func (n *Node) digestRollouts(to string, reports map[string]reported, others map[string]heardGroup, counts bool) *peerpb.Rollouts {
+	if !counts {
+		return n.rolloutShares(nil, nil)
+	}
+	states := n.rollouts.States(n.openRequests())
+	for from, r := range reports {
+		if from != to {
+			states = rollctl.SumStates(states, r.rollouts)
+		}
+	}
+	for _, other := range others {
+		states = rollctl.SumStates(states, rolloutStates(other.share.Rollouts))
+	}
+	return n.rolloutShares(n.rollouts.AllCounts(), states)
+}
--- /dev/null
+++ b/internal/front/rollouts.go
@@ -0,0 +1,185 @@
+package front
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/shelfcrank/shelfcrank/internal/duty"
+	"github.com/shelfcrank/shelfcrank/internal/event"
+	"github.com/shelfcrank/shelfcrank/internal/forward"
+	"github.com/shelfcrank/shelfcrank/internal/registry"
+	"github.com/shelfcrank/shelfcrank/internal/rollctl"
+	"github.com/shelfcrank/shelfcrank/internal/rollout"
+	"github.com/shelfcrank/shelfcrank/internal/store"
+)
+
+// rolloutState is what an instance knows of roll-outs. It belongs to the state's
+// goroutine.
+type rolloutState struct {
+	node    *Node
+	orders  map[string]rollout.Order // newest, by service
+	records map[string]writtenRecord // newest, by service
+	seen    map[string]time.Time     // when a version was first seen, by service and version
+	read    bool                     // what the operators wrote was read once
+	fresh   map[string]bool          // services whose order came after that
+}
+
+// writtenRecord is a record as the store has it.
+type writtenRecord struct {
+	rollout.Record
+	revision int64
+}
+
+func newRolloutState(n *Node) *rolloutState {
+	return &rolloutState{
+		node: n, orders: make(map[string]rollout.Order), records: make(map[string]writtenRecord),
+		seen: make(map[string]time.Time), fresh: make(map[string]bool),
+	}
+}
+
+// takeOperators takes what the operators wrote, and reports whether an order is new.
+func (s *rolloutState) takeOperators(items []store.Item, whole bool) (changed bool) {
+	for _, item := range items {
+		changed = s.takeOrder(item) || changed
+	}
+	s.read = s.read || whole
+	return changed
+}
+
+func (s *rolloutState) takeOrder(item store.Item) bool {
+	if item.Key == s.node.Decoder.ConfigKey() {
+		return false
+	}
+	order, ok, err := s.node.Decoder.Order(item.Key, item.Value)
+	if err != nil {
+		s.node.event(event.RolloutOdd, zap.String("key", item.Key), zap.Int64("revision", item.Revision), zap.Error(err))
+	}
+	if !ok || err != nil || item.Revision <= s.orders[order.Service].Revision {
+		return false
+	}
+	order.Revision = item.Revision
+	s.orders[order.Service], s.fresh[order.Service] = order, s.read
+	s.node.event(event.RolloutOrdered, zap.String("service", order.Service), zap.String("target", order.Target), zap.Int64("order", order.Revision), zap.Duration("window", order.Window))
+	return true
+}
+
+// takeRecord takes a record, and reports whether it is new.
+func (s *rolloutState) takeRecord(item store.Item) bool {
+	name, ok := strings.CutPrefix(item.Key, s.node.Decoder.OwnPrefix()+keyRollouts)
+	if !ok || item.Revision <= s.records[name].revision {
+		return false
+	}
+	var r rollout.Record
+	if err := json.Unmarshal(item.Value, &r); err != nil {
+		s.node.event(event.RolloutOdd, zap.String("key", item.Key), zap.Int64("revision", item.Revision), zap.Error(err))
+		return false
+	}
+	s.records[name] = writtenRecord{r, item.Revision}
+	return true
+}
+
+// known returns what is known of a service's roll-out.
+func (s *rolloutState) known(service string) rollctl.Known {
+	var k rollctl.Known
+	if order, ok := s.orders[service]; ok {
+		k.Order = &order
+	}
+	if r, ok := s.records[service]; ok {
+		k.Record, k.Revision = &r.Record, r.revision
+	}
+	return k
+}
+
+// divide puts a service's endpoints into a view, divided as its roll-out asks for.
+func (s *rolloutState) divide(v *forward.View, service string, servers []registry.Server, now time.Time) *rollctl.Known {
+	for _, server := range servers {
+		if key := service + "\x00" + server.Version; s.seen[key].IsZero() {
+			s.seen[key] = now
+		}
+	}
+	// A version may be one that an order names of which this instance has not heard yet,
+	// until what the operators wrote was read after the version came up.
+	unproved := func(version string) bool { return !v.ProvedAt.After(s.seen[service+"\x00"+version]) }
+	known := s.known(service)
+	r, ok := rollout.Current(known.Order, known.Record)
+	arms := s.node.rollouts.Divide(servers, r, unproved)
+	v.Servers[service] = arms.Main
+	if !ok {
+		return nil
+	}
+	v.Trial[service], v.Rollouts[service] = arms.Trial, r
+	if s.node.rollouts.Follow(r, arms, v.Nodes, s.fresh[service]) {
+		s.node.event(event.RolloutFollowed, zap.String("service", service), zap.Int64("order", r.Order), zap.String("target", r.Target), zap.String("phase", string(r.Phase)), zap.Int("main", len(arms.Main)), zap.Int("trial", len(arms.Trial)))
+	}
+	for _, server := range servers {
+		if server.Version == r.Target {
+			known.Targets++
+		} else if !slices.Contains(r.Rejected, server.Version) {
+			known.Others++
+		}
+	}
+	return &known
+}
+
+// rolloutHost is what the leader of roll-outs needs of its instance. It implements
+// rollctl.Host.
+type rolloutHost struct{ *Node }
+
+// Acting implements rollctl.Host.
+func (h rolloutHost) Acting(ctx context.Context) (context.Context, context.CancelFunc, duty.Token, bool) {
+	return h.acting(ctx)
+}
+
+// Day implements rollctl.Host.
+func (h rolloutHost) Day(now time.Time) time.Time { return h.clock.At(now) }
+
+// Rollouts implements rollctl.Host.
+func (h rolloutHost) Rollouts() []rollctl.Known { return *h.knownRollouts.Load() }
+
+// Instances implements rollctl.Host.
+func (h rolloutHost) Instances() int { return h.view.Load().Nodes }
+
+// Fleet implements rollctl.Host.
+func (h rolloutHost) Fleet() rollctl.Fleet {
+	switch hubs := h.state.members.topology(); {
+	case len(hubs.hubs) == 0:
+		return rollctl.Peers
+	case hubs.self:
+		return rollctl.AsHub
+	}
+	return rollctl.ByHubs
+}
+
+// Open implements rollctl.Host.
+func (h rolloutHost) Open() map[string]int { return h.openRequests() }
+
+// openRequests returns this instance's requests by endpoint.
+func (n *Node) openRequests() map[string]int {
+	open := make(map[string]int)
+	for id, use := range n.tracker.Uses() {
+		open[id] = use.Open
+	}
+	return open
+}
+
+// DutyKey implements rollctl.Host.
+func (h rolloutHost) DutyKey() string { return h.elector.Key }
+
+// RecordKey implements rollctl.Host.
+func (h rolloutHost) RecordKey(service string) string {
+	return h.Decoder.OwnPrefix() + keyRollouts + service
+}
+
+// Wrote implements rollctl.Host.
+func (h rolloutHost) Wrote(r rollout.Record, at int64) { h.state.send(wroteRecord{r, at}) }
+
+// Status implements rollctl.Host.
+func (h rolloutHost) Status(r rollout.Record) (string, []byte, error) { return h.Decoder.Status(r) }
+
+// Event implements rollctl.Host.
+func (h rolloutHost) Event(c event.Code, fields ...zap.Field) { h.event(c, fields...) }
--- a/internal/front/share.go
+++ b/internal/front/share.go
@@ -12,6 +12,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/inflight"
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
 	"github.com/shelfcrank/shelfcrank/internal/quota"
+	"github.com/shelfcrank/shelfcrank/internal/rollctl"
 )
 
 // Times of the exchange of soft state.
@@ -162,6 +163,7 @@
 	a.mu.Unlock()
 	s.Servers = useShares(n.tracker.Uses())
 	s.Services = n.serviceShares(n.tracker.Demand(time.Now()))
+	s.Rollouts = n.ownRollouts(n.rollouts.Own())
 	return s
 }
 
@@ -204,6 +206,7 @@
 	if s.Brief {
 		return
 	}
+	n.heardRollouts(rollctl.Peers, s, now)
 	admitted, levels, runs := accountCounts(s.Accounts)
 	a := n.admission
 	a.mu.Lock()
--- a/internal/front/spoke.go
+++ b/internal/front/spoke.go
@@ -117,6 +117,7 @@
 	node           *Node
 	servers, nodes int64 // revisions up to which the entries are known
 	revision       int64 // of the configuration in hand
+	orders         int64 // highest revision of the orders in hand
 	lastGood       time.Time
 	standby        string                      // the last that helped, if it was one that stands in for the readers
 	round          int                         // of standbys to ask next
@@ -170,7 +171,7 @@
 }
 
 func (s *spoke) ask(ctx context.Context, hub member, standIn bool) (*peerpb.MirrorAnswer, error) {
-	return s.node.askMirror(ctx, hub, &peerpb.Mirror{Config: s.revision, Servers: s.servers, Nodes: s.nodes, StandIn: standIn})
+	return s.node.askMirror(ctx, hub, &peerpb.Mirror{Config: s.revision, Servers: s.servers, Nodes: s.nodes, Orders: s.orders, StandIn: standIn})
 }
 
 // askMirror asks an instance that reads the store for what changed there.
@@ -208,6 +209,7 @@
 func (s *spoke) take(a *peerpb.MirrorAnswer, read configRead, sent time.Time) {
 	n := s.node
 	n.state.send(storeCalled{ok: true, sent: sent})
+	s.takeOrders(a.Orders)
 	if a.ConfigRevision >= s.revision {
 		s.revision = a.ConfigRevision
 		n.state.send(read)
@@ -230,6 +232,15 @@
 	}
 }
 
+// takeOrders hands orders to the state, before the proof that comes with them.
+func (s *spoke) takeOrders(orders []*peerpb.MirrorItem) {
+	items := itemsOf(mirrorEvents(&peerpb.MirrorPart{Items: orders}))
+	for _, item := range items {
+		s.orders = max(s.orders, item.Revision)
+	}
+	s.node.state.send(operatorsRead{items: items, whole: true})
+}
+
 // changed hands changes to the state, if there are any.
 func (s *spoke) changed(events []store.Event) {
 	if len(events) > 0 {
@@ -243,10 +254,10 @@
 	n := s.node
 	sent := time.Now()
 	call, cancel := context.WithTimeout(ctx, proveTimeout)
-	item, _, err := n.Store.Get(call, n.Decoder.ConfigKey())
+	items, _, err := n.Store.Range(call, n.Decoder.OperatorPrefix())
 	cancel()
 	if n.called(sent, err) == nil {
-		n.state.send(configRead{value: item.Value, revision: item.Revision, provedAt: sent})
+		n.takeOperators(items, sent)
 		if s.aloneSince.IsZero() {
 			s.aloneSince = sent
 		}
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -10,6 +11,8 @@
 	"github.com/shelfcrank/shelfcrank/internal/forward"
 	"github.com/shelfcrank/shelfcrank/internal/policy"
 	"github.com/shelfcrank/shelfcrank/internal/registry"
+	"github.com/shelfcrank/shelfcrank/internal/rollctl"
+	"github.com/shelfcrank/shelfcrank/internal/rollout"
 	"github.com/shelfcrank/shelfcrank/internal/store"
 )
 
@@ -45,6 +48,19 @@
 	sent time.Time
 }
 
+// operatorsRead brings what the operators wrote, the configuration apart. whole says
+// that it is all of it.
+type operatorsRead struct {
+	items []store.Item
+	whole bool
+}
+
+// wroteRecord tells that this node wrote a record of a roll-out at a revision.
+type wroteRecord struct {
+	record rollout.Record
+	at     int64
+}
+
 // leave makes the node take leave.
 type leave struct{}
 
@@ -55,6 +71,8 @@
 func (watched) change()       {}
 func (storeCalled) change()   {}
 func (leave) change()         {}
+func (operatorsRead) change() {}
+func (wroteRecord) change()   {}
 
 const (
 	changeQueue = 256
@@ -73,6 +91,7 @@
 	changes  chan change
 	registry *registry.Registry
 	members  *members
+	rollouts *rolloutState
 
 	config     *policy.Config
 	revision   int64 // of the configuration's item
@@ -91,7 +110,7 @@
 }
 
 func newState(n *Node) *state {
-	return &state{node: n, changes: make(chan change, changeQueue), registry: registry.New(n.Settings.Bounds.Drain()), members: newMembers(n)}
+	return &state{node: n, changes: make(chan change, changeQueue), registry: registry.New(n.Settings.Bounds.Drain()), members: newMembers(n), rollouts: newRolloutState(n)}
 }
 
 func (s *state) send(c change) { s.changes <- c }
@@ -124,7 +143,15 @@
 	case listedServers:
 		s.takeServers(c.items, now)
 		s.node.news.listed(c.items, c.at)
+	case operatorsRead:
+		s.publishDue = s.rollouts.takeOperators(c.items, c.whole) || s.publishDue
+	case wroteRecord:
+		s.rollouts.records[c.record.Service] = writtenRecord{c.record, c.at}
+		s.publishDue = true
 	case listedNodes:
+		for _, item := range c.items {
+			s.rollouts.takeRecord(item)
+		}
 		s.members.replace(c.items, now)
 		s.publishDue = true
 	case watched:
@@ -253,16 +280,30 @@
 			}
 		} else if id, ok := s.node.Decoder.ServerID(e.Key); ok {
 			s.takeServer(id, e, now)
+		} else if strings.HasPrefix(e.Key, s.node.Decoder.OperatorPrefix()) {
+			s.takeOrder(e)
 		} else {
 			own = append(own, e)
 		}
 	}
 	if len(own) > 0 {
+		for _, e := range own {
+			if !e.Gone {
+				s.rollouts.takeRecord(e.Item)
+			}
+		}
 		s.members.take(own, now)
 		s.publishDue = true
 	}
 }
 
+// takeOrder takes an order that a watch told of.
+func (s *state) takeOrder(e store.Event) {
+	if !e.Gone && s.rollouts.takeOrder(e.Item) {
+		s.publishDue = true
+	}
+}
+
 func (s *state) takeServer(id string, e store.Event, now time.Time) {
 	s.publishDue = true
 	s.node.news.saw(e.Revision)
@@ -306,16 +347,32 @@
 	s.publishDue = false
 	v := &forward.View{
 		Config: s.config, ProvedAt: s.provedAt, ReadAt: s.readAt, KeysUntil: s.keysUntil(), OutageUntil: s.outageUntil(), Nodes: s.members.count(), Leaving: s.leaving,
-		Servers: make(map[string][]registry.Server),
+		Servers: make(map[string][]registry.Server), Trial: make(map[string][]registry.Server), Rollouts: make(map[string]rollout.Record),
 	}
 	for _, server := range s.registry.List() {
 		if !server.Leaving {
 			v.Servers[server.Service] = append(v.Servers[server.Service], server)
 		}
 	}
+	s.divide(v)
 	s.node.view.Store(v)
 	if !s.knows && s.config != nil && s.listed {
 		s.knows = true
 		close(s.node.knows)
 	}
 }
+
+// divide divides the endpoints of a view as roll-outs ask for.
+func (s *state) divide(v *forward.View) {
+	if !s.node.rollouts.Enabled() {
+		return
+	}
+	now := time.Now()
+	known := []rollctl.Known{}
+	for service, servers := range v.Servers {
+		if k := s.rollouts.divide(v, service, servers, now); k != nil {
+			known = append(known, *k)
+		}
+	}
+	s.node.knownRollouts.Store(&known)
+}
--- a/internal/front/world_test.go
+++ b/internal/front/world_test.go
@@ -22,6 +22,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/netx"
 	"github.com/shelfcrank/shelfcrank/internal/policy"
 	"github.com/shelfcrank/shelfcrank/internal/registry"
+	"github.com/shelfcrank/shelfcrank/internal/rollout"
 	"github.com/shelfcrank/shelfcrank/internal/settings"
 	"github.com/shelfcrank/shelfcrank/internal/store"
 	"github.com/shelfcrank/shelfcrank/internal/storetest"
@@ -57,9 +58,10 @@
 	h.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
 }
 
-func (plain) ConfigKey() string    { return "config" }
-func (plain) ServerPrefix() string { return "server/" }
-func (plain) OwnPrefix() string    { return "own/" }
+func (plain) OperatorPrefix() string { return "op/" }
+func (plain) ConfigKey() string      { return "op/config" }
+func (plain) ServerPrefix() string   { return "server/" }
+func (plain) OwnPrefix() string      { return "own/" }
 func (plain) Config(value []byte) (*policy.Config, error) {
 	var c policy.Config
 	if err := json.Unmarshal(value, &c); err != nil {
@@ -74,6 +76,16 @@
 	s.ID = id
 	return s, err
 }
+func (plain) Order(key string, value []byte) (rollout.Order, bool, error) {
+	service, ok := strings.CutPrefix(key, "op/rollout/")
+	var o rollout.Order
+	err := json.Unmarshal(value, &o)
+	o.Service = service
+	return o, ok, err
+}
+func (plain) Status(r rollout.Record) (string, []byte, error) {
+	return "status/rollout/" + r.Service, []byte(r.Phase), nil
+}
 
 // cloud notes what the one node that acts for all tells.
 type cloud struct {
@@ -125,6 +137,8 @@
 	hold time.Duration        // how long servers work; guarded by mu
 	last map[string]time.Time // last request at each server; guarded by mu
 	slow map[string]bool      // sites that everything takes long to; guarded by mu
+
+	rolls *rolls // set where the world has roll-outs
 }
 
 // slowDelay is longer than hubs are waited for.
@@ -202,13 +216,13 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	w.store.Put("config", value)
+	w.store.Put("op/config", value)
 }
 
 func serverID(i int) string { return fmt.Sprint("s", i) }
 
 func (w *world) putServer(i int, leaving bool) {
-	value, err := json.Marshal(registry.Server{Service: "svc", Addr: addrOf(100+i, 80), Hall: "z", Leaving: leaving})
+	value, err := json.Marshal(registry.Server{Service: "svc", Version: w.rolls.version(i), Addr: addrOf(100+i, 80), Hall: "z", Leaving: leaving})
 	if err != nil {
 		w.t.Fatal(err)
 	}
@@ -242,16 +256,21 @@
 	w.last[server] = time.Now()
 	hold := w.hold
 	w.mu.Unlock()
+	hold, fails := w.rolls.serve(server, r.URL.Path, hold)
 	time.Sleep(hold)
+	w.rolls.served(server)
 	rw.Header().Set("Id", id)
 	rw.Header().Set("Seal", "of "+server)
+	if fails {
+		rw.WriteHeader(http.StatusInternalServerError)
+	}
 	_, _ = io.WriteString(rw, "answer to "+id)
 }
 
 func (w *world) settings(name string, host int) settings.Front {
 	return settings.Front{
 		Name: name, Hall: "z", Front: addrOf(host, frontPort), Ready: addrOf(host, readyPort), Peer: addrOf(host, 8002), Metrics: addrOf(host, 8003),
-		Bounds: settings.Bounds{RevokeMs: 5000, StrictRevoke: !w.lenient, ConfigMs: 2000, OuterMs: 5000, DrainMs: 2000, GraceS: 8, RetryRatio: 0.2, RetrySlack: 50, RetryWindowS: 10, LeaseMs: 3000, UsageWindowS: 5, UsageLateS: 10, QuotaWindowS: 8, QuotaOver: w.over},
+		Bounds: settings.Bounds{RevokeMs: 5000, StrictRevoke: !w.lenient, ConfigMs: 2000, OuterMs: 5000, DrainMs: 2000, GraceS: 8, RetryRatio: 0.2, RetrySlack: 50, RetryWindowS: 10, LeaseMs: 3000, UsageWindowS: 5, UsageLateS: 10, QuotaWindowS: 8, QuotaOver: w.over, ExposeShare: w.rolls.share(), ExposeSlack: exposeSlack},
 	}
 }
 
--- /dev/null
+++ b/internal/rollctl/lead.go
@@ -0,0 +1,208 @@
+package rollctl
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/shelfcrank/shelfcrank/internal/duty"
+	"github.com/shelfcrank/shelfcrank/internal/event"
+	"github.com/shelfcrank/shelfcrank/internal/rollout"
+	"github.com/shelfcrank/shelfcrank/internal/store"
+)
+
+// Times of leading.
+const (
+	lookEvery = 300 * time.Millisecond // as often as instances report
+	logEvery  = 3                      // looks between two lines that tell the figures
+)
+
+// Known is what an instance knows of one service's roll-out.
+type Known struct {
+	Order    *rollout.Order  // newest, nil if none is known
+	Record   *rollout.Record // newest, nil if there is none
+	Revision int64           // of the record in the store, 0 if there is none
+	Targets  int             // endpoints of the target
+	Others   int             // endpoints of other versions that may be used
+}
+
+// Host is the instance that leads.
+type Host interface {
+	// Acting returns a context that ends before this instance has to be silent; false
+	// if it does not act for all.
+	Acting(ctx context.Context) (context.Context, context.CancelFunc, duty.Token, bool)
+	Day(now time.Time) time.Time                                   // the time of day
+	Rollouts() []Known                                             // of all services that have one
+	Instances() int                                                // that run, this one included
+	Fleet() Fleet                                                  // how counts come together here
+	Open() map[string]int                                          // this instance's requests, by endpoint
+	DutyKey() string                                               // of the holder in the store
+	RecordKey(service string) string                               // where a record lasts
+	Wrote(r rollout.Record, at int64)                              // a record was written at a revision
+	Status(r rollout.Record) (key string, value []byte, err error) // for the operators
+	Event(c event.Code, fields ...zap.Field)
+}
+
+// Leader leads the roll-outs while its instance acts for all.
+type Leader struct {
+	Host    Host
+	Control *Control
+	Store   store.Writer
+
+	token duty.Token
+	led   map[string]*led // by service
+}
+
+// led is what the leader keeps of one roll-out.
+type led struct {
+	order    int64
+	judge    *rollout.Judge
+	emptyAt  time.Time // since when nothing runs on the old version; zero if something does
+	looks    int
+	announce int64 // number of the last permit
+}
+
+// Run leads until ctx ends.
+func (l *Leader) Run(ctx context.Context) error {
+	t := time.NewTicker(lookEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+			l.look(ctx)
+		}
+	}
+}
+
+// look goes through the roll-outs once.
+func (l *Leader) look(ctx context.Context) {
+	call, cancel, token, ok := l.Host.Acting(ctx)
+	if !ok {
+		return
+	}
+	defer cancel()
+	if token != l.token {
+		// What an earlier run of this instance believed is not known to be true any more.
+		l.token, l.led = token, make(map[string]*led)
+	}
+	for _, k := range l.Host.Rollouts() {
+		if err := l.service(call, token, k, time.Now()); err != nil {
+			l.Host.Event(event.RolloutNotWritten, zap.Int64("fence", token.Fence), zap.Error(err))
+		}
+	}
+}
+
+// service leads one roll-out on.
+func (l *Leader) service(ctx context.Context, token duty.Token, k Known, now time.Time) error {
+	day := l.Host.Day(now)
+	if k.Order != nil && (k.Record == nil || k.Record.Order < k.Order.Revision) {
+		return l.write(ctx, token, k, rollout.Begin(*k.Order, k.Record, day), rollout.Verdict{})
+	}
+	if k.Record == nil || k.Record.Phase.Final() {
+		return nil
+	}
+	r := *k.Record
+	s := l.of(r)
+	standing := l.standing(s, r, k, now)
+	s.looks++
+	if s.looks%logEvery == 0 {
+		l.tell(event.RolloutLooked, r, standing.Verdict, zap.Int64("open_on_old", int64(standing.OldOpen)), zap.Bool("following", standing.Following))
+	}
+	next, changed := rollout.Next(r, standing)
+	if !changed {
+		l.permit(s, r, now)
+		return nil
+	}
+	return l.write(ctx, token, k, next, standing.Verdict)
+}
+
+// of returns what is kept of a roll-out.
+func (l *Leader) of(r rollout.Record) *led {
+	s := l.led[r.Service]
+	if s == nil || s.order != r.Order {
+		s = &led{order: r.Order, judge: rollout.NewJudge()}
+		l.led[r.Service] = s
+	}
+	return s
+}
+
+// permit lets a trial go on for a while.
+func (l *Leader) permit(s *led, r rollout.Record, now time.Time) {
+	if r.Phase != rollout.Trial {
+		return
+	}
+	s.announce = max(s.announce+1, now.UnixNano())
+	l.Control.Permitted(Permit{Service: r.Service, Order: r.Order, Number: s.announce}, now)
+}
+
+// standing sums what the instances tell.
+func (l *Leader) standing(s *led, r rollout.Record, k Known, now time.Time) rollout.Standing {
+	if r.Phase == rollout.Shift {
+		s.judge.Freeze()
+	}
+	out := rollout.Standing{
+		Now: l.Host.Day(now), Targets: k.Targets, Others: k.Others,
+		Verdict: s.judge.Look(l.Control.Total(l.Host.Fleet(), r.Service, r.Order)),
+	}
+	following := int64(0)
+	for _, state := range l.Control.AllStates(l.Control.States(l.Host.Open()), now) {
+		if state.Service != r.Service {
+			continue
+		}
+		out.OldOpen += int(state.Open)
+		if state.Order == r.Order && state.Phase == r.Phase {
+			following += state.Instances
+		}
+	}
+	out.Following = following >= int64(l.Host.Instances())
+	if out.OldOpen > 0 || r.Phase != rollout.Shift {
+		s.emptyAt = time.Time{}
+		return out
+	}
+	if s.emptyAt.IsZero() {
+		s.emptyAt = now
+	}
+	out.EmptyFor = now.Sub(s.emptyAt)
+	return out
+}
+
+// write puts a record in the store, with its status for the operators, if this instance
+// still holds the duty and nobody else wrote meanwhile.
+func (l *Leader) write(ctx context.Context, token duty.Token, k Known, r rollout.Record, v rollout.Verdict) error {
+	value, err := json.Marshal(r)
+	if err != nil {
+		return fmt.Errorf("encode the roll-out of %s: %w", r.Service, err)
+	}
+	status, told, err := l.Host.Status(r)
+	if err != nil {
+		return fmt.Errorf("encode the status of %s: %w", r.Service, err)
+	}
+	key := l.Host.RecordKey(r.Service)
+	at, err := l.Store.Do(ctx, store.Txn{
+		Expect: []store.Expect{{Key: key, Revision: k.Revision}, {Key: l.Host.DutyKey(), Revision: token.Fence}},
+		Put:    []store.Put{{Key: key, Value: value}, {Key: status, Value: told}},
+	})
+	if errors.Is(err, store.ErrConflict) {
+		return nil // another holder wrote, or an answer was lost: what is there is told by the watch
+	}
+	if err != nil {
+		return fmt.Errorf("write the roll-out of %s: %w", r.Service, err)
+	}
+	l.tell(event.RolloutLed, r, v, zap.Int64("revision", at), zap.Int64("fence", token.Fence))
+	l.Host.Wrote(r, at)
+	return nil
+}
+
+func (l *Leader) tell(c event.Code, r rollout.Record, v rollout.Verdict, more ...zap.Field) {
+	l.Host.Event(c, append([]zap.Field{
+		zap.String("service", r.Service), zap.Int64("order", r.Order), zap.String("target", r.Target), zap.String("phase", string(r.Phase)),
+		zap.String("why", r.Why), zap.Int64("seen", v.Seen), zap.Int64("ended", v.Ended), zap.Int64("failed", v.Failures),
+		zap.Float64("evidence", v.Evidence), zap.String("sign", v.Sign), zap.Time("deadline", r.Deadline),
+	}, more...)...)
+}
--- /dev/null
+++ b/internal/rollctl/rollctl.go
@@ -0,0 +1,209 @@
+// Package rollctl is one instance's part in the roll-outs of package rollout: it sends
+// the trial's share, counts how requests go at both versions, and passes counts on to
+// the instance that leads the roll-out.
+//
+// A version on trial gets requests only while the leader says again and again that it
+// may (a permit, which is a lease of two seconds): an instance that is cut off from the
+// leader, or whose leader is gone, stops by itself.
+//
+// Control is safe for concurrent use.
+package rollctl
+
+import (
+	"maps"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/shelfcrank/shelfcrank/internal/balance"
+	"github.com/shelfcrank/shelfcrank/internal/registry"
+	"github.com/shelfcrank/shelfcrank/internal/rollout"
+	"github.com/shelfcrank/shelfcrank/internal/tally"
+)
+
+// permitFor is how long a permit of the leader lasts at the instance that hears of it.
+// With the 1.5 s that it may take through the hubs, the last request reaches a bad
+// version 3.5 s after the leader has stopped; 5 s are allowed.
+const permitFor = 2 * time.Second
+
+// Control is an instance's part in all roll-outs.
+type Control struct {
+	bound rollout.Bound
+	self  tally.Source
+
+	mu       sync.Mutex
+	random   *rand.Rand                        // guarded by mu
+	services map[string]*service               // guarded by mu
+	own      rollout.Counts                    // of this instance; guarded by mu
+	ledger   *tally.Ledger[rollout.Key, int64] // what hubs were told of these; guarded by mu
+	reported *tally.Pool[rollout.Key, int64]   // what instances told this one as a hub; guarded by mu
+	others   map[teller]rollout.Counts         // what other instances, or hubs for their groups, told; guarded by mu
+	states   map[string]heardStates            // the same of what they do, by instance; guarded by mu
+}
+
+// service is what is known of the roll-out of one service.
+type service struct {
+	record   rollout.Record
+	arms     rollout.Arms
+	exposure rollout.Exposure
+	timing   *rollout.Timing
+	permit   Permit
+	until    time.Time // when the permit ends
+}
+
+// New returns the control of an instance.
+func New(bound rollout.Bound, self tally.Source, random *rand.Rand) *Control {
+	return &Control{
+		bound: bound, self: self, random: random, services: make(map[string]*service), own: make(rollout.Counts),
+		ledger: tally.NewLedger[rollout.Key, int64](), reported: tally.NewPool[rollout.Key, int64](),
+		others: make(map[teller]rollout.Counts), states: make(map[string]heardStates),
+	}
+}
+
+// Enabled reports whether the deployment has roll-outs.
+func (c *Control) Enabled() bool { return c.bound.Share > 0 }
+
+// Follow takes how far a roll-out is, and how it divides the endpoints. seasoned
+// says that this instance ran before the order. It reports whether the phase is new.
+func (c *Control) Follow(r rollout.Record, arms rollout.Arms, instances int, seasoned bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.service(r.Service)
+	changed := s.record.Order != r.Order || s.record.Phase != r.Phase
+	if s.record.Order != r.Order {
+		s.exposure = rollout.NewExposure(c.bound, instances, seasoned, c.random)
+		s.permit, s.until = Permit{}, time.Time{}
+		c.forget(func(k rollout.Key) bool { return k.Service == r.Service && k.Order < r.Order })
+	}
+	s.record, s.arms = r, arms
+	return changed
+}
+
+// forget drops the counts of orders that are over. The caller holds mu.
+func (c *Control) forget(over func(rollout.Key) bool) {
+	drop := func(k rollout.Key, _ int64) bool { return over(k) }
+	maps.DeleteFunc(c.own, drop)
+	for _, told := range c.others {
+		maps.DeleteFunc(told, drop)
+	}
+	c.ledger.Drop(over)
+	c.reported.Drop(over)
+}
+
+// service returns what is known of a service. The caller holds mu.
+func (c *Control) service(name string) *service {
+	s := c.services[name]
+	if s == nil {
+		s = &service{timing: rollout.NewTiming()}
+		c.services[name] = s
+	}
+	return s
+}
+
+// Try reports whether a request may go to the version on trial, and counts it there if
+// so. Only first tries do: a request that failed once goes to the version in use.
+func (c *Control) Try(r *balance.Request, now time.Time) bool {
+	if !c.Enabled() || len(r.Avoid) > 0 {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.services[r.Service]
+	if s == nil || s.record.Phase != rollout.Trial || now.After(s.until) || !s.exposure.Allowed() {
+		return false
+	}
+	s.exposure.Sent()
+	return true
+}
+
+// Watch counts how a request goes at the endpoint that was chosen for it.
+func (c *Control) Watch(k *balance.Ticket, r *balance.Request, now time.Time) {
+	if c.Enabled() {
+		k.Observe(&watcher{control: c, ticket: k, route: r.Route, size: r.Tokens, service: r.Service, sent: now})
+	}
+}
+
+// watcher counts one request. It implements balance.Observer.
+type watcher struct {
+	control *Control
+	ticket  *balance.Ticket
+	service string
+	route   string
+	size    int
+	sent    time.Time
+	first   time.Duration // until the first event
+	began   bool
+}
+
+// Read implements balance.Observer.
+func (w *watcher) Read() {
+	w.began, w.first = true, time.Since(w.sent)
+	w.control.began(w)
+}
+
+// Done implements balance.Observer.
+func (w *watcher) Done(result balance.Result) {
+	if !w.ticket.Arrived() {
+		return // the endpoint never had it
+	}
+	if !w.began {
+		w.first = time.Since(w.sent)
+		w.began = result == balance.Answered
+		if result != balance.Refused {
+			w.control.began(w)
+		}
+	}
+	w.control.ended(w, result)
+}
+
+func (w *watcher) outcome(result balance.Result) rollout.Outcome {
+	return rollout.Outcome{
+		Route: w.route, Size: w.size, First: w.first, Began: w.began, PerEvent: w.ticket.PerEvent(),
+		Judged: result == balance.Answered || result == balance.Failed, Failed: result == balance.Failed,
+	}
+}
+
+// key returns what a request is counted under, if its service has a roll-out under way.
+func (s *service) key(w *watcher) (rollout.Key, bool) {
+	if s.record.Order == 0 || s.record.Phase.Final() {
+		return rollout.Key{}, false
+	}
+	k := rollout.Key{Service: w.service, Order: s.record.Order, Route: w.route, Trial: w.onTrial(s)}
+	if k.Trial {
+		k.Bucket = s.arms.Group[w.ticket.Server.ID]
+	}
+	return k, true
+}
+
+func (w *watcher) onTrial(s *service) bool { return w.ticket.Server.Version == s.record.Target }
+
+// began counts the first event of a request, or that none came.
+func (c *Control) began(w *watcher) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.service(w.service)
+	s.exposure.Arrived()
+	if key, counted := s.key(w); counted {
+		s.timing.Began(c.own, key, w.outcome(balance.Cancelled))
+	}
+}
+
+// ended counts the end of a request, and learns from those of the version in use.
+func (c *Control) ended(w *watcher, result balance.Result) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.service(w.service)
+	key, counted := s.key(w)
+	outcome := w.outcome(result)
+	if counted {
+		s.timing.Ended(c.own, key, outcome)
+	}
+	if !counted || !key.Trial {
+		s.timing.Learn(outcome)
+	}
+}
+
+// Divide divides a service's endpoints as its roll-out asks for.
+func (c *Control) Divide(servers []registry.Server, r rollout.Record, unproved func(version string) bool) rollout.Arms {
+	return rollout.Divide(servers, r, c.bound.TrialShare(), unproved)
+}
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -38,6 +38,8 @@
 	QuotaWindowS float64 `toml:"quota_window_s" help:"Window over which the use of a limit is judged."`
 	LeaseMs      float64 `toml:"lease_ms" help:"Lease of the node that acts for all."`
 	UsageWindowS float64 `toml:"usage_window_s" help:"Window that usage is reported for."`
+	ExposeShare  float64 `toml:"expose_share" help:"Share of a service's requests that a version on trial may get; 0 where there are no roll-outs."`
+	ExposeSlack  float64 `toml:"expose_slack" help:"Requests that it may get beside."`
 	UsageLateS   float64 `toml:"usage_late_s" help:"Time after the end of a window at which its report is due."`
 }
 
