--- /dev/null
+++ b/internal/rollctl/rollctl_test.go
@@ -0,0 +1,99 @@
+package rollctl
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shelfcrank/shelfcrank/internal/balance"
+	"github.com/shelfcrank/shelfcrank/internal/registry"
+	"github.com/shelfcrank/shelfcrank/internal/rollout"
+	"github.com/shelfcrank/shelfcrank/internal/tally"
+)
+
+var begin = time.Unix(1000, 0)
+
+func onTrial() (*Control, *balance.Request) {
+	c := New(rollout.Bound{Share: 0.1, Slack: 50}, tally.Source{Instance: "a", Incarnation: 1}, rand.New(rand.NewPCG(1, 1)))
+	c.Follow(rollout.Record{Service: "s", Order: 5, Target: "v2", Phase: rollout.Trial}, rollout.Arms{Old: map[string]bool{"old": true}}, 1, true)
+	return c, &balance.Request{Service: "s", Route: "r", ID: "1"}
+}
+
+// serve sends a request to an endpoint, which answers it.
+func serve(c *Control, r *balance.Request, version string) {
+	tracker := balance.NewTracker()
+	k, _ := tracker.Pick([]registry.Server{{ID: "e", Service: "s", Version: version}}, r, begin)
+	c.Watch(k, r, begin)
+	k.Arrive()
+	k.Done(balance.Answered, begin)
+}
+
+func TestATrialNeedsThePermitOfTheLeader(t *testing.T) {
+	is := is.New(t)
+	c, r := onTrial()
+	for range 30 {
+		serve(c, r, "v1")
+	}
+	is.True(!c.Try(r, begin)) // no permit yet
+	c.Permitted(Permit{Service: "s", Order: 4, Number: 9}, begin)
+	is.True(!c.Try(r, begin)) // one of an earlier order
+	c.Permitted(Permit{Service: "s", Order: 5, Number: 1}, begin)
+	is.True(c.Try(r, begin.Add(permitFor)))
+	is.True(!c.Try(r, begin.Add(permitFor+1)))
+	c.Permitted(Permit{Service: "s", Order: 5, Number: 1}, begin.Add(time.Minute))
+	is.True(!c.Try(r, begin.Add(time.Minute))) // the same one, passed on late
+	c.Permitted(Permit{Service: "s", Order: 5, Number: 2}, begin.Add(time.Minute))
+	is.True(c.Try(r, begin.Add(time.Minute)))
+	second := *r
+	second.Avoid = []string{"e"}
+	is.True(!c.Try(&second, begin.Add(time.Minute)))
+}
+
+func TestATrialEndsWithItsPhase(t *testing.T) {
+	is := is.New(t)
+	c, r := onTrial()
+	for range 30 {
+		serve(c, r, "v1")
+	}
+	c.Permitted(Permit{Service: "s", Order: 5, Number: 1}, begin)
+	is.True(c.Try(r, begin))
+	c.Follow(rollout.Record{Service: "s", Order: 5, Target: "v2", Phase: rollout.RolledBack}, rollout.Arms{}, 1, true)
+	is.True(!c.Try(r, begin))
+}
+
+// Counts come to the leader once, whichever way they take.
+func TestCountsOfAllInstancesAreSummedOnce(t *testing.T) {
+	is := is.New(t)
+	begun := rollout.Key{Service: "s", Order: 5, Route: "r", What: rollout.Begun}
+	instance, r := onTrial()
+	for range 7 {
+		serve(instance, r, "v1")
+	}
+	hub, _ := onTrial()
+	other, _ := onTrial()
+	hubRun, from := tally.Source{Instance: "hub", Incarnation: 1}, tally.Source{Instance: "a", Incarnation: 1}
+	for range 3 { // told again and again
+		offer := instance.OfferTo(hubRun)
+		hub.Reported(from, offer)
+		instance.Confirmed(hubRun, offer)
+		other.Heard(AsHub, hubRun, hub.Group())
+		instance.Heard(ByHubs, tally.Source{}, hub.AllCounts())
+	}
+	is.Equal(hub.Total(AsHub, "s", 5)[begun], int64(7))
+	is.Equal(other.Total(AsHub, "s", 5)[begun], int64(7))
+	is.Equal(instance.Total(ByHubs, "s", 5)[begun], int64(7))
+	is.Equal(instance.Total(Peers, "s", 5)[begun], int64(7))
+	is.Equal(len(other.Total(AsHub, "s", 6)), 0)
+}
+
+// With the order's successor the counts of the order go.
+func TestCountsOfAnEarlierOrderAreDropped(t *testing.T) {
+	is := is.New(t)
+	c, r := onTrial()
+	serve(c, r, "v1")
+	is.True(len(c.Own()) > 0)
+	c.Follow(rollout.Record{Service: "s", Order: 8, Target: "v3", Phase: rollout.Trial}, rollout.Arms{}, 1, true)
+	is.Equal(len(c.Own()), 0)
+}
