--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -64,7 +64,7 @@
 // confirm asks, at a hub, whether the limit of a client account bears a request that
 // another instance admitted. Nothing is asked for with 0 units.
 func (a *admission) confirm(account string, units float64, now time.Time) quota.Verdict {
-	hubs := len(a.node.state.members.topology().hubs)
+	hubs := len(a.node.state.members.topology().Hubs)
 	if units == 0 || hubs == 0 {
 		return quota.Verdict{OK: true}
 	}
@@ -167,7 +167,7 @@
 const groupGone = 3 * time.Second
 
 // grouped reports whether the fleet is so large that counts are told by groups.
-func (n *Node) grouped() bool { return len(n.state.members.topology().hubs) > 0 }
+func (n *Node) grouped() bool { return len(n.state.members.topology().Hubs) > 0 }
 
 func (a *admission) forget(node string) {
 	a.mu.Lock()
@@ -183,7 +183,7 @@
 	if !n.grouped() {
 		return a.usage
 	}
-	if n.state.members.topology().self {
+	if n.state.members.topology().Self {
 		a.book.usage.Heard(groupOf(n.Settings.Name), n.incarnation(), windowsOf(n.groupRuns()))
 	}
 	return a.book.usage
--- a/internal/front/digest.go
+++ b/internal/front/digest.go
@@ -21,7 +21,7 @@
 
 // serveReport takes the report of an instance, and tells it what the others counted.
 func (n *Node) serveReport(call *peerpb.Call, answer func(*peerpb.Answer) error) error {
-	if !n.state.members.topology().self {
+	if !n.state.members.topology().Self {
 		return fault.New(fault.StepPeer, call.From, fault.KindNotFound, fault.NotRun, "this instance is no hub")
 	}
 	q, now := call.GetReport(), time.Now()
@@ -62,7 +62,7 @@
 
 // digest is what an instance has to know of all the others.
 func (n *Node) digest(to string, windows bool, now time.Time) *peerpb.Digest {
-	d := &peerpb.Digest{Incarnation: n.incarnation(), Seasoned: now.Sub(n.start) > quota.Season, ServersAt: n.news.newest()}
+	d := &peerpb.Digest{Incarnation: n.incarnation(), Seasoned: now.Sub(n.start) > quota.Season, ServersAt: n.news.Newest()}
 	reports, others := n.groups.own(now), n.groups.known(now)
 	d.Alive = n.lostByStore(reports)
 	d.Rollouts = n.digestRollouts(to, reports, others, windows)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -27,6 +27,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/event"
 	"github.com/shelfcrank/shelfcrank/internal/forward"
 	"github.com/shelfcrank/shelfcrank/internal/metrics"
+	"github.com/shelfcrank/shelfcrank/internal/mirror"
 	"github.com/shelfcrank/shelfcrank/internal/netx"
 	"github.com/shelfcrank/shelfcrank/internal/peer"
 	"github.com/shelfcrank/shelfcrank/internal/policy"
@@ -99,7 +100,7 @@
 	knownRollouts atomic.Pointer[[]rollctl.Known]
 	hub           *hub
 	groups        *groups
-	news          serverNews
+	news          mirror.News
 	reading       atomic.Bool  // this node reads the store itself
 	revision      atomic.Int64 // of the configuration's item in hand
 	standIn       *standIn     // whether it reads the store in place of the readers
--- a/internal/front/group_test.go
+++ b/internal/front/group_test.go
@@ -192,7 +192,7 @@
 		w.store.SetFaults(hubs[0], storetest.Faults{Busy: true})
 		time.Sleep(registerTTL + 5*time.Second)
 		for _, name := range spokes {
-			names := w.nodes[name].node.state.members.topology().names()
+			names := w.nodes[name].node.state.members.topology().Names()
 			slices.Sort(names)
 			is.Equal(names, hubs)
 		}
--- a/internal/front/hub.go
+++ b/internal/front/hub.go
@@ -143,7 +143,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.packedAt != item.Revision {
-		h.packed, h.packedAt = packConfig(item.Value), item.Revision
+		h.packed, h.packedAt = mirror.Pack(item.Value), item.Revision
 	}
 	return h.packed
 }
--- a/internal/front/hubgroup.go
+++ b/internal/front/hubgroup.go
@@ -169,7 +169,7 @@
 	reports := n.groups.own(now)
 	s := &peerpb.Share{
 		Node: n.Settings.Name, Incarnation: n.incarnation(), Group: true, Stands: int64(1 + len(reports)),
-		Wall: n.clock.Own(now).UnixNano(), ServersAt: n.news.newest(), Alive: n.lostByStore(reports),
+		Wall: n.clock.Own(now).UnixNano(), ServersAt: n.news.Newest(), Alive: n.lostByStore(reports),
 	}
 	a := n.admission
 	a.mu.Lock()
@@ -189,7 +189,7 @@
 func (n *Node) lostByStore(reports map[string]reported) []string {
 	registered := make(map[string]bool)
 	for _, m := range n.state.members.list() {
-		registered[m.name] = m.registered
+		registered[m.Name] = m.registered
 	}
 	var lost []string
 	for name := range reports {
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -7,18 +7,17 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"github.com/shelfcrank/shelfcrank/internal/event"
 	"github.com/shelfcrank/shelfcrank/internal/store"
+	"github.com/shelfcrank/shelfcrank/internal/topology"
 )
 
-// member is a node.
+// member is a node as this one knows it.
 type member struct {
-	name       string
-	addr       netip.AddrPort
-	hall       string
-	cores      float64 // processor time that it may use
+	topology.Member
 	registered bool
 	heardAt    time.Time
 }
@@ -52,7 +51,7 @@
 	node  *Node
 	all   map[string]*member
 	shown atomic.Pointer[[]member]
-	hubs  atomic.Pointer[topology]
+	hubs  atomic.Pointer[topology.Topology]
 	news  chan heard
 }
 
@@ -65,7 +64,7 @@
 func newMembers(n *Node) *members {
 	m := &members{node: n, all: make(map[string]*member), news: make(chan heard, changeQueue)}
 	m.shown.Store(&[]member{})
-	m.hubs.Store(&topology{})
+	m.hubs.Store(&topology.Topology{})
 	return m
 }
 
@@ -73,7 +72,7 @@
 func (m *members) list() []member { return *m.shown.Load() }
 
 // topology returns who reads the store and places requests for all.
-func (m *members) topology() *topology { return m.hubs.Load() }
+func (m *members) topology() *topology.Topology { return m.hubs.Load() }
 
 // count returns the number of nodes, this one included.
 func (m *members) count() int { return 1 + len(m.all) }
@@ -151,11 +150,11 @@
 	}
 	other := m.all[name]
 	if other == nil {
-		other = &member{name: name}
+		other = &member{Member: topology.Member{Name: name}}
 		m.all[name] = other
 		m.node.event(event.NodeJoined, zap.String("peer", name), zap.Stringer("address", r.Addr))
 	}
-	other.addr, other.hall, other.cores, other.registered = r.Addr, r.Hall, r.Cores, true
+	other.Addr, other.Hall, other.Cores, other.registered = r.Addr, r.Hall, r.Cores, true
 	return true
 }
 
@@ -214,5 +213,10 @@
 	}
 	m.shown.Store(&out)
 	self := m.node.registration()
-	m.hubs.Store(newTopology(member{name: m.node.Settings.Name, addr: self.Addr, hall: self.Hall, cores: self.Cores}, out))
+	m.hubs.Store(topology.New(topology.Member{Name: m.node.Settings.Name, Addr: self.Addr, Hall: self.Hall, Cores: self.Cores}, membersOf(out)))
+}
+
+// membersOf returns what the choice of hubs goes by.
+func membersOf(all []member) []topology.Member {
+	return lo.Map(all, func(m member, _ int) topology.Member { return m.Member })
 }
--- a/internal/front/notes.go
+++ b/internal/front/notes.go
@@ -45,13 +45,13 @@
 // note tells a hub of a request that it placed. It does not block.
 func (p *placer) note(o offered, note *peerpb.Note) {
 	note.Ticket = o.Ticket
-	if o.hub.name == p.node.Settings.Name {
+	if o.hub.Name == p.node.Settings.Name {
 		p.take(note)
 		return
 	}
 	p.mu.Lock()
-	if queue := p.notes[o.hub.name]; len(queue) < mostNotes {
-		p.notes[o.hub.name] = append(queue, note)
+	if queue := p.notes[o.hub.Name]; len(queue) < mostNotes {
+		p.notes[o.hub.Name] = append(queue, note)
 	}
 	p.mu.Unlock()
 	select {
@@ -74,15 +74,15 @@
 		p.mu.Unlock()
 		hubs := p.node.state.members.topology()
 		for name, notes := range all {
-			hub := hubs.named(name)
-			if !hub.addr.IsValid() {
+			hub := hubs.Named(name)
+			if !hub.Addr.IsValid() {
 				continue // no hub any more
 			}
 			wait.Go(func() {
 				call, cancel := context.WithTimeout(ctx, noteTimeout)
 				defer cancel()
 				// A lost note is made good by the deadline of its request.
-				_, _ = p.node.peers.Call(call, hub.addr, &peerpb.Call{Body: &peerpb.Call_Notes{Notes: &peerpb.Notes{Notes: notes}}})
+				_, _ = p.node.peers.Call(call, hub.Addr, &peerpb.Call{Body: &peerpb.Call_Notes{Notes: &peerpb.Notes{Notes: notes}}})
 			})
 		}
 	}
--- a/internal/front/offers.go
+++ b/internal/front/offers.go
@@ -17,6 +17,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/place"
 	"github.com/shelfcrank/shelfcrank/internal/quota"
 	"github.com/shelfcrank/shelfcrank/internal/rendezvous"
+	"github.com/shelfcrank/shelfcrank/internal/topology"
 )
 
 // Tuning of asking hubs for offers.
@@ -30,9 +31,9 @@
 // offers asks the hubs that a request belongs to, all at once. The first of them is
 // where its shared parts have their home, and confirms that the limit of the client
 // account bears the request.
-func (p *placer) offers(ctx context.Context, hubs *topology, r *balance.Request, until time.Time) ([]offered, *forward.LimitError) {
+func (p *placer) offers(ctx context.Context, hubs *topology.Topology, r *balance.Request, until time.Time) ([]offered, *forward.LimitError) {
 	owners := rendezvous.Order(r.Subject(), p.awake(hubs, time.Now()))
-	asked := lo.Map(owners[:min(offersAsked, len(owners))], func(name string, _ int) member { return hubs.named(name) })
+	asked := lo.Map(owners[:min(offersAsked, len(owners))], func(name string, _ int) topology.Member { return hubs.Named(name) })
 	replies := p.askHubs(ctx, asked, r, until)
 	got := collect(ctx, replies, len(asked))
 	if missing := len(asked) - len(got); missing > 0 {
@@ -47,7 +48,7 @@
 		switch {
 		case reply.err == nil:
 			offers = append(offers, reply.offer)
-		case reply.hub.name == asked[0].name:
+		case reply.hub.Name == asked[0].Name:
 			errors.As(reply.err, &refusal)
 		}
 	}
@@ -56,7 +57,7 @@
 
 // reply is what a hub answered.
 type reply struct {
-	hub   member
+	hub   topology.Member
 	offer offered
 	err   error
 }
@@ -80,16 +81,16 @@
 }
 
 // restSilent does without the hubs that did not reply for a while.
-func (p *placer) restSilent(asked []member, got []reply) {
+func (p *placer) restSilent(asked []topology.Member, got []reply) {
 	for _, hub := range asked {
-		if !slices.ContainsFunc(got, func(r reply) bool { return r.hub.name == hub.name }) {
+		if !slices.ContainsFunc(got, func(r reply) bool { return r.hub.Name == hub.Name }) {
 			p.rest(hub)
 		}
 	}
 }
 
 // askHubs asks hubs for an offer. It returns where their replies come, one of each.
-func (p *placer) askHubs(ctx context.Context, hubs []member, r *balance.Request, until time.Time) <-chan reply {
+func (p *placer) askHubs(ctx context.Context, hubs []topology.Member, r *balance.Request, until time.Time) <-chan reply {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), lateOffer)
 	replies := make(chan reply, len(hubs))
 	var wait sync.WaitGroup
@@ -122,21 +123,21 @@
 }
 
 // awake returns the names of the hubs that are not resting.
-func (p *placer) awake(hubs *topology, now time.Time) []string {
+func (p *placer) awake(hubs *topology.Topology, now time.Time) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return lo.FilterMap(hubs.hubs, func(h member, _ int) (string, bool) { return h.name, !now.Before(p.rests[h.name]) })
+	return lo.FilterMap(hubs.Hubs, func(h topology.Member, _ int) (string, bool) { return h.Name, !now.Before(p.rests[h.Name]) })
 }
 
-func (p *placer) rest(hub member) {
+func (p *placer) rest(hub topology.Member) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.rests[hub.name] = time.Now().Add(hubRests)
+	p.rests[hub.Name] = time.Now().Add(hubRests)
 }
 
-func (p *placer) ask(ctx context.Context, hub member, r *balance.Request, until time.Time) (offered, error) {
+func (p *placer) ask(ctx context.Context, hub topology.Member, r *balance.Request, until time.Time) (offered, error) {
 	now := time.Now()
-	if hub.name == p.node.Settings.Name {
+	if hub.Name == p.node.Settings.Name {
 		if v := p.node.admission.confirm(r.Account, r.Units, now); !v.OK {
 			return offered{}, &forward.LimitError{Verdict: v}
 		}
@@ -154,9 +155,9 @@
 			return &peerpb.PromptPart{Id: part.ID, Tokens: int64(part.Tokens)}
 		}),
 	}
-	a, err := p.node.peers.Call(ctx, hub.addr, &peerpb.Call{Body: &peerpb.Call_Place{Place: q}})
+	a, err := p.node.peers.Call(ctx, hub.Addr, &peerpb.Call{Body: &peerpb.Call_Place{Place: q}})
 	if err != nil {
-		return offered{}, fmt.Errorf("ask hub %s for an offer: %w", hub.name, err)
+		return offered{}, fmt.Errorf("ask hub %s for an offer: %w", hub.Name, err)
 	}
 	o := a.GetPlace()
 	if x := o.GetRefusal(); x != nil {
--- a/internal/front/peerproof.go
+++ b/internal/front/peerproof.go
@@ -9,6 +9,7 @@
 	"github.com/samber/lo"
 
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
+	"github.com/shelfcrank/shelfcrank/internal/topology"
 )
 
 // Times of asking the other instances for the configuration.
@@ -41,12 +42,12 @@
 }
 
 // readers returns the other instances that read the store.
-func (n *Node) readers() []member {
+func (n *Node) readers() []topology.Member {
 	hubs := n.state.members.topology()
-	if len(hubs.hubs) == 0 {
-		return n.state.members.list()
+	if len(hubs.Hubs) == 0 {
+		return membersOf(n.state.members.list())
 	}
-	return lo.Filter(hubs.readers, func(m member, _ int) bool { return m.name != n.Settings.Name })
+	return lo.Filter(hubs.Readers, func(m topology.Member, _ int) bool { return m.Name != n.Settings.Name })
 }
 
 // proofs counts the answers of instances that were asked for a proof.
@@ -62,7 +63,7 @@
 
 // askForProof asks instances for the configuration, all at once, and hands what
 // they know to the state.
-func (n *Node) askForProof(ctx context.Context, nodes []member) proofs {
+func (n *Node) askForProof(ctx context.Context, nodes []topology.Member) proofs {
 	counts := proofs{asked: len(nodes)}
 	var mu sync.Mutex // guards counts
 	var wait sync.WaitGroup
@@ -84,7 +85,7 @@
 }
 
 // askNodeForProof asks one instance.
-func (n *Node) askNodeForProof(ctx context.Context, m member) error {
+func (n *Node) askNodeForProof(ctx context.Context, m topology.Member) error {
 	sent := time.Now()
 	// Only the configuration is asked for: no entry is newer than these.
 	a, err := n.askMirror(ctx, m, &peerpb.Mirror{Config: n.revision.Load(), Servers: math.MaxInt64, Nodes: math.MaxInt64})
--- a/internal/front/placing.go
+++ b/internal/front/placing.go
@@ -13,6 +13,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
 	"github.com/shelfcrank/shelfcrank/internal/place"
 	"github.com/shelfcrank/shelfcrank/internal/registry"
+	"github.com/shelfcrank/shelfcrank/internal/topology"
 )
 
 // placer chooses servers: by itself in a small fleet and for plain services,
@@ -39,7 +40,7 @@
 // offered is an offer and the hub that made it.
 type offered struct {
 	place.Offer
-	hub    member
+	hub    topology.Member
 	server registry.Server // as this node knows it; set where the offer is taken
 }
 
@@ -76,7 +77,7 @@
 // place chooses one of the servers.
 func (p *placer) place(ctx context.Context, servers []registry.Server, r *balance.Request, until, now time.Time) (*balance.Ticket, error) {
 	hubs := p.node.state.members.topology()
-	if !r.Engine || len(hubs.hubs) == 0 {
+	if !r.Engine || len(hubs.Hubs) == 0 {
 		return p.pick(servers, r, now)
 	}
 	offers, refusal := p.offers(ctx, hubs, r, until)
@@ -172,7 +173,7 @@
 	p.desk.Adopt(p.node.tracker.Agreed())
 	members := map[string]bool{p.node.Settings.Name: true}
 	for _, m := range p.node.state.members.list() {
-		members[m.name] = true
+		members[m.Name] = true
 	}
 	p.desk.Expire(func(node string) bool { return members[node] }, wanted, now)
 }
@@ -184,11 +185,11 @@
 type ownedServers struct {
 	mu   sync.Mutex
 	view *forward.View
-	hubs *topology
+	hubs *topology.Topology
 	by   map[string][]registry.Server // by service
 }
 
-func (o *ownedServers) get(view *forward.View, hubs *topology, self, service string) []registry.Server {
+func (o *ownedServers) get(view *forward.View, hubs *topology.Topology, self, service string) []registry.Server {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.view != view || o.hubs != hubs {
@@ -196,7 +197,7 @@
 	}
 	servers, known := o.by[service]
 	if !known {
-		servers = place.Owned(self, hubs.names(), view.Servers[service])
+		servers = place.Owned(self, hubs.Names(), view.Servers[service])
 		o.by[service] = servers
 	}
 	return servers
--- a/internal/front/placing_test.go
+++ b/internal/front/placing_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/shelfcrank/shelfcrank/internal/balance"
 	"github.com/shelfcrank/shelfcrank/internal/policy"
+	"github.com/shelfcrank/shelfcrank/internal/topology"
 )
 
 // engines makes the world's service one of model servers.
@@ -84,7 +85,7 @@
 		defer leave()
 		_, refusal := p.offers(ctx, hubs, &balance.Request{Service: "svc", ID: "1", Engine: true}, time.Now().Add(time.Second))
 		is.True(refusal == nil)
-		is.Equal(len(p.awake(hubs, time.Now())), len(hubs.hubs))
+		is.Equal(len(p.awake(hubs, time.Now())), len(hubs.Hubs))
 	})
 }
 
@@ -113,7 +114,7 @@
 			time.Sleep(time.Second)
 		}
 		after, _ := hubsOf(w)
-		is.Equal(len(after), hubsInHall)
+		is.Equal(len(after), topology.HubsInHall)
 		is.Equal(w.placed(), 0)
 	})
 }
--- a/internal/front/report.go
+++ b/internal/front/report.go
@@ -9,6 +9,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
 	"github.com/shelfcrank/shelfcrank/internal/rollout"
 	"github.com/shelfcrank/shelfcrank/internal/tally"
+	"github.com/shelfcrank/shelfcrank/internal/topology"
 )
 
 // Times of reports to a hub.
@@ -32,9 +33,9 @@
 
 // report reports to the first hub that answers. After that no other is asked: each
 // count belongs to one group.
-func (r *reporter) report(ctx context.Context, hubs *topology) {
-	for _, hub := range hubs.hubs {
-		if time.Now().Before(r.rests[hub.name]) {
+func (r *reporter) report(ctx context.Context, hubs *topology.Topology) {
+	for _, hub := range hubs.Hubs {
+		if time.Now().Before(r.rests[hub.Name]) {
 			continue
 		}
 		if err := r.to(ctx, hub); err == nil {
@@ -43,15 +44,15 @@
 		if ctx.Err() != nil {
 			return
 		}
-		r.rests[hub.name] = time.Now().Add(reporterRests)
+		r.rests[hub.Name] = time.Now().Add(reporterRests)
 	}
 }
 
 // to reports to a hub. One that was started anew is told once more, for its counts
 // begin anew as well.
-func (r *reporter) to(ctx context.Context, hub member) error {
+func (r *reporter) to(ctx context.Context, hub topology.Member) error {
 	for range 2 {
-		run := tally.Source{Instance: hub.name, Incarnation: r.runs[hub.name]}
+		run := tally.Source{Instance: hub.Name, Incarnation: r.runs[hub.Name]}
 		d, err := r.call(ctx, hub, run)
 		if err != nil {
 			return err
@@ -59,13 +60,13 @@
 		if d.Counted {
 			return nil
 		}
-		r.runs[hub.name] = d.Incarnation
+		r.runs[hub.Name] = d.Incarnation
 	}
-	return fault.New(fault.StepPeer, hub.name, fault.KindBroken, fault.NotRun, "the hub was started anew twice")
+	return fault.New(fault.StepPeer, hub.Name, fault.KindBroken, fault.NotRun, "the hub was started anew twice")
 }
 
 // call sends one report, and takes its answer if the hub counted it.
-func (r *reporter) call(ctx context.Context, hub member, run tally.Source) (*peerpb.Digest, error) {
+func (r *reporter) call(ctx context.Context, hub topology.Member, run tally.Source) (*peerpb.Digest, error) {
 	n := r.node
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
@@ -74,13 +75,13 @@
 	call := &peerpb.Call{Body: &peerpb.Call_Report{Report: &peerpb.Report{
 		HubIncarnation: run.Incarnation, Windows: n.reading.Load(), Share: n.reportShare(units, runs, rollouts, time.Now()),
 	}}}
-	a, err := n.peers.Call(ctx, hub.addr, call)
+	a, err := n.peers.Call(ctx, hub.Addr, call)
 	if err != nil {
-		return nil, fmt.Errorf("report to %s: %w", hub.name, err)
+		return nil, fmt.Errorf("report to %s: %w", hub.Name, err)
 	}
 	d := a.GetDigest()
 	if d == nil {
-		return nil, fault.New(fault.StepPeer, hub.name, fault.KindBroken, fault.NotRun, "answered with %T", a.Body)
+		return nil, fault.New(fault.StepPeer, hub.Name, fault.KindBroken, fault.NotRun, "answered with %T", a.Body)
 	}
 	if d.Counted {
 		n.rollouts.Confirmed(run, rollouts)
--- a/internal/front/role.go
+++ b/internal/front/role.go
@@ -75,7 +75,7 @@
 func (n *Node) awaitStart(ctx context.Context, age time.Duration) bool {
 	for {
 		hubs, since := n.state.members.topology(), time.Since(n.start)
-		if hubs.reads || since > roleUnclear || since > age && hubs.direct() {
+		if hubs.Reads || since > roleUnclear || since > age && hubs.Direct() {
 			return ctx.Err() == nil
 		}
 		if !sleep(ctx, rolePoll) {
@@ -88,6 +88,6 @@
 // fleet only those that read the store do, else each loss of a holder would cost
 // calls of all.
 func (n *Node) mayLead() bool {
-	known := n.state.members.topology().reads || time.Since(n.start) > roleKnown
+	known := n.state.members.topology().Reads || time.Since(n.start) > roleKnown
 	return known && n.reading.Load()
 }
--- a/internal/front/rollouts.go
+++ b/internal/front/rollouts.go
@@ -147,9 +147,9 @@
 // Fleet implements rollctl.Host.
 func (h rolloutHost) Fleet() rollctl.Fleet {
 	switch hubs := h.state.members.topology(); {
-	case len(hubs.hubs) == 0:
+	case len(hubs.Hubs) == 0:
 		return rollctl.Peers
-	case hubs.self:
+	case hubs.Self:
 		return rollctl.AsHub
 	}
 	return rollctl.ByHubs
--- a/internal/front/share.go
+++ b/internal/front/share.go
@@ -13,6 +13,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
 	"github.com/shelfcrank/shelfcrank/internal/quota"
 	"github.com/shelfcrank/shelfcrank/internal/rollctl"
+	"github.com/shelfcrank/shelfcrank/internal/topology"
 )
 
 // Times of the exchange of soft state.
@@ -37,11 +38,11 @@
 			return ctx.Err()
 		}
 		switch hubs := n.state.members.topology(); {
-		case len(hubs.hubs) == 0:
-			x.with(ctx, n.state.members.list())
-		case hubs.self:
+		case len(hubs.Hubs) == 0:
+			x.with(ctx, membersOf(n.state.members.list()))
+		case hubs.Self:
 			n.hearReporters(time.Now())
-			x.with(ctx, hubs.hubs)
+			x.with(ctx, hubs.Hubs)
 		default:
 			r.report(ctx, hubs)
 		}
@@ -57,18 +58,18 @@
 
 // with exchanges soft state with other nodes, and does not wait for them. Of two
 // nodes the one with the lower name asks, and is answered in kind.
-func (x *exchanges) with(ctx context.Context, others []member) {
+func (x *exchanges) with(ctx context.Context, others []topology.Member) {
 	if len(others) == 0 {
 		return
 	}
 	mine := x.node.share()
 	for _, other := range others {
-		if x.node.Settings.Name >= other.name || !x.calls.Begin(other.name) {
+		if x.node.Settings.Name >= other.Name || !x.calls.Begin(other.Name) {
 			continue
 		}
 		x.wait.Go(func() {
 			x.node.exchange(ctx, other, mine)
-			x.calls.End(other.name)
+			x.calls.End(other.Name)
 		})
 	}
 }
@@ -77,12 +78,12 @@
 // to: all others in a small fleet, the other hubs for a hub, or its hub.
 func (n *Node) shareEvery() time.Duration {
 	hubs := n.state.members.topology()
-	if len(hubs.hubs) > 0 && !hubs.self {
+	if len(hubs.Hubs) > 0 && !hubs.Self {
 		return reportEvery
 	}
 	others := len(n.state.members.list())
-	if hubs.self {
-		others = len(hubs.hubs) - 1
+	if hubs.Self {
+		others = len(hubs.Hubs) - 1
 	}
 	return exchangeEvery(others)
 }
@@ -96,7 +97,7 @@
 // newsTake is the time in which all nodes know what one of them counted, delays of
 // the network apart.
 func (n *Node) newsTake() time.Duration {
-	hubs := len(n.state.members.topology().hubs)
+	hubs := len(n.state.members.topology().Hubs)
 	if hubs == 0 {
 		return n.shareEvery()
 	}
@@ -119,7 +120,7 @@
 		if !n.grouped() {
 			mine := &peerpb.Share{Node: n.Settings.Name, Incarnation: n.incarnation(), Brief: true, Servers: useShares(n.tracker.Uses())}
 			for _, other := range n.state.members.list() {
-				wait.Go(func() { n.exchange(ctx, other, mine) })
+				wait.Go(func() { n.exchange(ctx, other.Member, mine) })
 			}
 		}
 		sleep(ctx, briefEvery)
@@ -127,10 +128,10 @@
 	return ctx.Err()
 }
 
-func (n *Node) exchange(ctx context.Context, other member, mine *peerpb.Share) {
+func (n *Node) exchange(ctx context.Context, other topology.Member, mine *peerpb.Share) {
 	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
 	defer cancel()
-	a, err := n.peers.Call(ctx, other.addr, &peerpb.Call{Body: &peerpb.Call_Share{Share: mine}})
+	a, err := n.peers.Call(ctx, other.Addr, &peerpb.Call{Body: &peerpb.Call_Share{Share: mine}})
 	if err != nil {
 		return // the member's age says so
 	}
@@ -150,12 +151,12 @@
 
 // share is what this node tells the others it speaks to.
 func (n *Node) share() *peerpb.Share {
-	if n.state.members.topology().self {
+	if n.state.members.topology().Self {
 		return n.groupShare(time.Now())
 	}
 	s := &peerpb.Share{
 		Node: n.Settings.Name, Incarnation: n.incarnation(),
-		Wall: n.clock.Own(time.Now()).UnixNano(), ServersAt: n.news.newest(),
+		Wall: n.clock.Own(time.Now()).UnixNano(), ServersAt: n.news.Newest(),
 	}
 	a := n.admission
 	a.mu.Lock()
@@ -178,9 +179,9 @@
 	}
 	hubs := n.state.members.topology()
 	switch {
-	case s.Group && hubs.self:
+	case s.Group && hubs.Self:
 		n.heardGroup(s, now)
-	case !s.Group && len(hubs.hubs) == 0:
+	case !s.Group && len(hubs.Hubs) == 0:
 		n.heardNode(s, now)
 	}
 }
@@ -188,7 +189,7 @@
 // heardNews begins the own watches anew if another node knows of changes of servers
 // that this one has not seen for long.
 func (n *Node) heardNews(from string, serversAt int64, now time.Time) {
-	if n.news.behind(serversAt, now) {
+	if n.news.Behind(serversAt, now) {
 		n.event(event.WatchSilent, zap.String("peer", from), zap.Int64("revision", serversAt))
 		n.rewatch()
 	}
--- a/internal/front/spoke.go
+++ b/internal/front/spoke.go
@@ -12,8 +12,10 @@
 
 	"github.com/shelfcrank/shelfcrank/internal/event"
 	"github.com/shelfcrank/shelfcrank/internal/fault"
+	"github.com/shelfcrank/shelfcrank/internal/mirror"
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
 	"github.com/shelfcrank/shelfcrank/internal/store"
+	"github.com/shelfcrank/shelfcrank/internal/topology"
 )
 
 // Times of reading the store through hubs.
@@ -32,7 +34,7 @@
 // paid for, so that not all nodes of a large fleet may make them.
 func (n *Node) followStore(ctx context.Context) error {
 	n.meetOthers(ctx)
-	if !n.state.members.topology().direct() {
+	if !n.state.members.topology().Direct() {
 		n.readThroughHubs(ctx)
 	}
 	for ctx.Err() == nil {
@@ -109,7 +111,7 @@
 
 // readsItself reports whether this node has to read the store.
 func (n *Node) readsItself() bool {
-	return n.state.members.topology().direct() || n.standIn.asked(time.Now())
+	return n.state.members.topology().Direct() || n.standIn.asked(time.Now())
 }
 
 // spoke is a node that reads the store through hubs.
@@ -129,8 +131,8 @@
 
 // throughReaders reads through one reader after the other until each has failed. While
 // an instance stands in for them one reader is asked, to find out whether they are back.
-func (s *spoke) throughReaders(ctx context.Context, hubs *topology) {
-	readers := hubs.readers
+func (s *spoke) throughReaders(ctx context.Context, hubs *topology.Topology) {
+	readers := hubs.Readers
 	if s.standby != "" {
 		readers = readers[:min(1, len(readers))]
 	}
@@ -141,7 +143,7 @@
 
 // follow reads through one instance until it fails, or for a while if it only stands in
 // for the readers. It reports whether it got an answer.
-func (s *spoke) follow(ctx context.Context, hub member, standIn bool) bool {
+func (s *spoke) follow(ctx context.Context, hub topology.Member, standIn bool) bool {
 	helped := false
 	begun := time.Now()
 	for ctx.Err() == nil && !s.node.readsItself() {
@@ -158,11 +160,11 @@
 		}
 		read, err := mirroredConfig(a, sent)
 		if err != nil {
-			s.node.event(event.ConfigRejected, zap.String("peer", hub.name), zap.Error(err))
+			s.node.event(event.ConfigRejected, zap.String("peer", hub.Name), zap.Error(err))
 			return helped
 		}
 		helped = true
-		s.setStandby(lo.Ternary(standIn, hub.name, ""))
+		s.setStandby(lo.Ternary(standIn, hub.Name, ""))
 		s.lastGood, s.aloneSince, s.without = sent, time.Time{}, 0
 		s.retry.Reset()
 		s.take(a, read, sent)
@@ -170,22 +172,22 @@
 	return helped
 }
 
-func (s *spoke) ask(ctx context.Context, hub member, standIn bool) (*peerpb.MirrorAnswer, error) {
+func (s *spoke) ask(ctx context.Context, hub topology.Member, standIn bool) (*peerpb.MirrorAnswer, error) {
 	return s.node.askMirror(ctx, hub, &peerpb.Mirror{Config: s.revision, Servers: s.servers, Nodes: s.nodes, Orders: s.orders, StandIn: standIn})
 }
 
 // askMirror asks an instance that reads the store for what changed there.
-func (n *Node) askMirror(ctx context.Context, m member, q *peerpb.Mirror) (*peerpb.MirrorAnswer, error) {
+func (n *Node) askMirror(ctx context.Context, m topology.Member, q *peerpb.Mirror) (*peerpb.MirrorAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, mirrorTimeout)
 	defer cancel()
-	a, err := n.peers.Call(ctx, m.addr, &peerpb.Call{Body: &peerpb.Call_Mirror{Mirror: q}})
+	a, err := n.peers.Call(ctx, m.Addr, &peerpb.Call{Body: &peerpb.Call_Mirror{Mirror: q}})
 	if err != nil {
-		return nil, fmt.Errorf("read through %s: %w", m.name, err)
+		return nil, fmt.Errorf("read through %s: %w", m.Name, err)
 	}
 	if mirror := a.GetMirror(); mirror != nil {
 		return mirror, nil
 	}
-	return nil, fault.New(fault.StepPeer, m.name, fault.KindBroken, fault.NotRun, "answered with %T", a.Body)
+	return nil, fault.New(fault.StepPeer, m.Name, fault.KindBroken, fault.NotRun, "answered with %T", a.Body)
 }
 
 // mirroredConfig reads the configuration of an answer to a question sent at a
@@ -193,7 +195,7 @@
 func mirroredConfig(a *peerpb.MirrorAnswer, sent time.Time) (configRead, error) {
 	read := configRead{revision: a.ConfigRevision}
 	if len(a.PackedConfig) > 0 {
-		value, err := unpackConfig(a.PackedConfig)
+		value, err := mirror.Unpack(a.PackedConfig)
 		if err != nil {
 			return configRead{}, fmt.Errorf("unpack configuration %d: %w", a.ConfigRevision, err)
 		}
--- a/internal/front/spoke_test.go
+++ b/internal/front/spoke_test.go
@@ -12,10 +12,11 @@
 	"github.com/shelfcrank/shelfcrank/internal/settings"
 	"github.com/shelfcrank/shelfcrank/internal/store"
 	"github.com/shelfcrank/shelfcrank/internal/storetest"
+	"github.com/shelfcrank/shelfcrank/internal/topology"
 )
 
 // large is a fleet that has hubs.
-const large = directNodes + 6
+const large = topology.SmallFleet + 6
 
 func hubsOf(w *world) (hubs, spokes []string) {
 	for i := range w.starts {
@@ -37,7 +38,7 @@
 	play(t, large, func(is *is.I, w *world) {
 		time.Sleep(5 * time.Second)
 		hubs, _ := hubsOf(w)
-		is.Equal(len(hubs), hubsInHall)
+		is.Equal(len(hubs), topology.HubsInHall)
 		before := w.store.Calls()
 		for i := range 20 {
 			w.putServer(10+i, true)
@@ -46,7 +47,7 @@
 		calls := w.store.Calls() - before
 		// Ten seconds: each node keeps its lease five times; the holder of the
 		// duty renews its own and keeps counts, with room to spare; the hubs prove and watch.
-		const allowed = large*5 + 100 + hubsInHall*(10+20+3*5)
+		const allowed = large*5 + 100 + topology.HubsInHall*(10+20+3*5)
 		t.Logf("%d calls, %d allowed", calls, allowed)
 		is.True(calls <= allowed)
 	})
@@ -198,7 +199,7 @@
 		again := w.store.Calls() - before
 		// A node registers with two calls, lists the others once or twice, and keeps
 		// its lease twice; hubs and the holder have ten more.
-		const allowed = large*6 + hubsInHall*40
+		const allowed = large*6 + topology.HubsInHall*40
 		t.Logf("%d calls at the first start, %d at the second, %d allowed", first, again, allowed)
 		is.True(first <= allowed)
 		is.True(again <= allowed)
@@ -251,7 +252,7 @@
 		calls := w.store.Calls() - before
 		// Each keeps its lease twice and tries the store once; those that read it have
 		// some 25 calls.
-		const allowed = nodes*3 + (1+3)*hubsInHall*25
+		const allowed = nodes*3 + (1+3)*topology.HubsInHall*25
 		t.Logf("%d calls, %d allowed", calls, allowed)
 		is.True(calls <= allowed)
 	})
--- a/internal/front/standin.go
+++ b/internal/front/standin.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/shelfcrank/shelfcrank/internal/event"
+	"github.com/shelfcrank/shelfcrank/internal/topology"
 )
 
 // Times of reading the store in place of readers that cannot.
@@ -70,7 +71,7 @@
 
 // readsForOthers reports whether other instances rely on what this one reads.
 func (n *Node) readsForOthers() bool {
-	return n.state.members.topology().reads || n.standIn.asked(time.Now())
+	return n.state.members.topology().Reads || n.standIn.asked(time.Now())
 }
 
 // readForOthers makes this instance read the store for a while. If it begins to, it waits
@@ -92,12 +93,12 @@
 // tried. Without it, when the three readers of 295 instances were among 103 that the store
 // turned away for 9 s, the 192 others all read it themselves and made some 7,500 calls in
 // 12 s.
-func (s *spoke) throughStandbys(ctx context.Context, hubs *topology) bool {
-	if len(hubs.standbys) == 0 {
+func (s *spoke) throughStandbys(ctx context.Context, hubs *topology.Topology) bool {
+	if len(hubs.Standbys) == 0 {
 		return false
 	}
-	for _, m := range hubs.standbys[s.round%len(hubs.standbys)] {
-		if m.name != s.node.Settings.Name && s.follow(ctx, m, true) {
+	for _, m := range hubs.Standbys[s.round%len(hubs.Standbys)] {
+		if m.Name != s.node.Settings.Name && s.follow(ctx, m, true) {
 			return true
 		}
 		if s.node.readsItself() {
@@ -106,7 +107,7 @@
 	}
 	s.setStandby("")
 	s.round++
-	return s.round%len(hubs.standbys) != 0
+	return s.round%len(hubs.Standbys) != 0
 }
 
 // setStandby notes which instance stands in for the readers; "" is none.
@@ -134,7 +135,7 @@
 		s.aloneAt = time.Time{}
 		return false
 	case s.aloneAt.IsZero(): // the instances of a fleet try at different moments
-		spread := pair(s.node.Settings.Name, "alone") % uint64(aloneEvery-aloneLeast)
+		spread := topology.Pair(s.node.Settings.Name, "alone") % uint64(aloneEvery-aloneLeast)
 		s.aloneAt = now.Add(aloneLeast + time.Duration(spread))
 	case now.After(s.aloneAt):
 		s.aloneAt = now.Add(aloneEvery)
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -142,7 +142,7 @@
 		s.outageAt, s.publishDue = c.at, true
 	case listedServers:
 		s.takeServers(c.items, now)
-		s.node.news.listed(c.items, c.at)
+		s.node.news.Listed(c.items, c.at)
 	case operatorsRead:
 		s.publishDue = s.rollouts.takeOperators(c.items, c.whole) || s.publishDue
 	case wroteRecord:
@@ -306,7 +306,7 @@
 
 func (s *state) takeServer(id string, e store.Event, now time.Time) {
 	s.publishDue = true
-	s.node.news.saw(e.Revision)
+	s.node.news.Saw(e.Revision)
 	if e.Gone {
 		server, _ := s.registry.Find(id)
 		s.tell([]registry.Event{{Change: s.registry.Remove(id, s.troubled(now), now), Server: server}})
--- a/internal/front/news.go
+++ b/internal/mirror/news.go
@@ -1,4 +1,4 @@
-package front
+package mirror
 
 import (
 	"sync"
@@ -11,26 +11,26 @@
 // own watch counts as silent: changes are gathered, and travel.
 const silentAfter = 600 * time.Millisecond
 
-// serverNews tells a watch of the servers that has gone silent from one that has
+// News tells a watch of the servers that has gone silent from one that has
 // nothing to tell: the other nodes watch as well. It is safe for concurrent use.
-type serverNews struct {
+type News struct {
 	mu    sync.Mutex
 	seen  int64     // revision of the newest change of a server; guarded by mu
 	known int64     // revision up to which all changes are known; guarded by mu
 	since time.Time // when another node was first found to know more; guarded by mu
 }
 
-// saw notes a change.
-func (s *serverNews) saw(revision int64) {
+// Saw notes a change.
+func (s *News) Saw(revision int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.seen = max(s.seen, revision)
 	s.known = max(s.known, revision)
 }
 
-// listed notes a listing that is true at a revision. That alone is not told to
+// Listed notes a listing that is true at a revision. That alone is not told to
 // others: it grows with changes of other things.
-func (s *serverNews) listed(items []store.Item, at int64) {
+func (s *News) Listed(items []store.Item, at int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, item := range items {
@@ -39,16 +39,16 @@
 	s.known = max(s.known, at, s.seen)
 }
 
-// newest returns the revision of the newest change, for the other nodes.
-func (s *serverNews) newest() int64 {
+// Newest returns the revision of the newest change, for the other nodes.
+func (s *News) Newest() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.seen
 }
 
-// behind takes what another node told, and reports whether the own watch has
+// Behind takes what another node told, and reports whether the own watch has
 // been silent for too long.
-func (s *serverNews) behind(told int64, now time.Time) bool {
+func (s *News) Behind(told int64, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
--- a/internal/front/packing.go
+++ b/internal/mirror/packing.go
@@ -1,4 +1,4 @@
-package front
+package mirror
 
 import (
 	"bytes"
@@ -11,10 +11,10 @@
 // store takes values of a million.
 const mostConfig = 16 << 20
 
-// packConfig compresses a configuration that is passed on to many instances: one of
+// Pack compresses a configuration that is passed on to many instances: one of
 // 1,700 routes has 0.5 MB, which a hundred instances cannot get through one link
 // within the time in which it has to be in force (BenchmarkPackConfig).
-func packConfig(value []byte) []byte {
+func Pack(value []byte) []byte {
 	var out bytes.Buffer
 	w, err := gzip.NewWriterLevel(&out, gzip.BestSpeed)
 	if err != nil {
@@ -25,8 +25,8 @@
 	return out.Bytes()
 }
 
-// unpackConfig reverses packConfig.
-func unpackConfig(packed []byte) ([]byte, error) {
+// Unpack reverses Pack.
+func Unpack(packed []byte) ([]byte, error) {
 	r, err := gzip.NewReader(bytes.NewReader(packed))
 	if err != nil {
 		return nil, fmt.Errorf("compressed configuration: %w", err)
--- a/internal/front/packing_test.go
+++ b/internal/mirror/packing_test.go
@@ -1,4 +1,4 @@
-package front
+package mirror
 
 import (
 	"bytes"
@@ -17,7 +17,7 @@
 	c := policy.Config{Version: 2, Services: []policy.Service{{Name: "svc"}}}
 	for i := range routes {
 		c.Routes = append(c.Routes, policy.Route{
-			Name: fmt.Sprint("route-", i), Host: testHost, Prefix: fmt.Sprintf("/big%d/", i*7919%100_003), Kind: policy.Safe,
+			Name: fmt.Sprint("route-", i), Host: "shop.example", Prefix: fmt.Sprintf("/big%d/", i*7919%100_003), Kind: policy.Safe,
 			Timeout: 3 * time.Second, MaxAttempts: 2, Split: []policy.Share{{Service: "svc", Weight: 1}},
 		})
 	}
@@ -28,19 +28,19 @@
 func TestAPackedConfigurationIsTheSame(t *testing.T) {
 	is := is.New(t)
 	value := bigConfig(1700)
-	packed := packConfig(value)
+	packed := Pack(value)
 	t.Logf("%d bytes, %d packed", len(value), len(packed))
 	is.True(len(packed) < len(value)/6)
-	got, err := unpackConfig(packed)
+	got, err := Unpack(packed)
 	is.NoErr(err)
 	is.True(bytes.Equal(got, value))
 }
 
 func TestWhatCannotBeUnpacked(t *testing.T) {
 	is := is.New(t)
-	packed := packConfig(bigConfig(10))
-	for _, bad := range [][]byte{nil, []byte("plain"), packed[:len(packed)/2], packConfig(make([]byte, mostConfig+1))} {
-		_, err := unpackConfig(bad)
+	packed := Pack(bigConfig(10))
+	for _, bad := range [][]byte{nil, []byte("plain"), packed[:len(packed)/2], Pack(make([]byte, mostConfig+1))} {
+		_, err := Unpack(bad)
 		is.True(err != nil)
 	}
 }
@@ -50,8 +50,8 @@
 func BenchmarkPackConfig(b *testing.B) {
 	value := bigConfig(1700)
 	for b.Loop() {
-		packed := packConfig(value)
-		if _, err := unpackConfig(packed); err != nil {
+		packed := Pack(value)
+		if _, err := Unpack(packed); err != nil {
 			b.Fatal(err)
 		}
 		b.ReportMetric(float64(len(packed)), "bytes")
