--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -124,7 +124,7 @@
 	{FleetRefused, zap.WarnLevel, "order of servers refused", "The platform refused an order; the planner looks elsewhere."},
 	{RolloutOrdered, zap.InfoLevel, "roll-out ordered", "The operators want a service moved to the version target; order is the revision of their order."},
 	{RolloutFollowed, zap.InfoLevel, "roll-out followed", "This instance goes by this phase from now on: on trial a small share of the requests goes to the target, in the shift all new ones do, after that the target is all that is used, or nothing of it is."},
-	{RolloutLed, zap.InfoLevel, "roll-out led on", "This instance wrote a new phase to the store, with the status for the operators; why says the reason, seen, ended and failed count requests of the target over all instances, and evidence is what speaks against it (bad from 5 on) with the sign that it comes from."},
+	{RolloutLed, zap.InfoLevel, "roll-out led on", "This instance wrote a new phase to the store, with the status for the operators; why says the reason, seen, ended and failed count requests of the target over all instances, and evidence is what speaks against it (bad from 4 on) with the sign that it comes from."},
 	{RolloutLooked, zap.InfoLevel, "roll-out looked at", "The figures of a roll-out under way, each second, at the instance that leads it."},
 	{RolloutNotWritten, zap.WarnLevel, "roll-out not written", "The store did not take the new phase of a roll-out; it is tried again."},
 	{RolloutOdd, zap.ErrorLevel, "roll-out not understood", "An order or a record of a roll-out could not be read; the one before stays in force."},
--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -41,7 +41,7 @@
 	Seen     int64   // first events and answers of the version on trial
 	Ended    int64   // requests of it that came to an end
 	Failures int64   // of these, that failed
-	Evidence float64 // highest sum of all signs; bad from 5 on
+	Evidence float64 // highest sum of all signs; bad from alarm on
 	Sign     string  // the sign, and the route that it was seen on if on one only
 }
 
