Others are ordered for the loss of two halls while no reclaimable ones are to be had

Others are planned for the loss of one hall, 33 of them. At 24.7 and 25.3 s both halls are reclaimed; 32 endpoints are left for the work of 47 until 29.3 s, and the backlog lasts until 36 s. Ruled out: late orders (within 0.5 s), offers that come late, refusals by limits.

Change: while none are to be had, others are planned so that after the loss of the two halls that have most the work is at most 1.2 times what is left. A test of the planner failed first (1.5 times). TestOthersAreOrderedBeforeTheNextHallGoes asserted the number for one hall exactly; it asserts that as the least now, and the number for two exactly.

Tried beside it, not kept: telling a request at once that would hardly be begun in time (all places of an endpoint taken, and one no less urgent has waited there for half of the time that it has).

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -68,6 +68,7 @@
 	lossLoad    = 0.8              // load of a server that is borne if the next hall goes as well
 	fullLoad    = 0.75             // how full the servers may be that are left after the loss of two halls,
 	fullLoss    = 0.8              // how full they may be if the next hall goes as well
+	twoLossLoad = 1.2              // and if the next two do: others take seconds to start, and some requests are late meanwhile
 	mostReading = 0.8              // at the most the share of a server's time that is believed to go into prompts
 	hallsLost   = 2                // halls that may go at once
 	settle      = 8 * time.Second  // after the first traffic nothing is given back
@@ -198,26 +199,36 @@
 	return lo.Sum(counts[:len(counts)-min(lost, len(counts)/2)])
 }
 
+// lossOf returns how many servers are missing of a number when so many halls lose their
+// reclaimable servers: those that have most.
+func lossOf(halls []Hall, lost int, servers float64) int {
+	spots := lo.Map(halls, func(h Hall, _ int) int { return h.Spot })
+	slices.Sort(spots)
+	return int(math.Ceil(servers)) - lo.Sum(spots[:max(0, len(spots)-lost)])
+}
+
 // fill plans the servers that are not reclaimable: as many as make up for what
 // is missing. While reclaimable ones are not to be had anywhere, the hall that
-// has most of them may go next. Once ordered they stay until they have been
+// has most of them may go next, or two halls within a second. With one hall alone
+// 32 of 63 servers were left for five seconds on a fleet of 78 instances when two
+// went; planned for two, its days earned 0.521 in place of 0.488 (the mean of six, the same
+// days and seeds, after prices, standard error 0.008). Once ordered they stay until they have been
 // needless for a while: a plan that wavers would start them again and again.
 func (p *Planner) fill(in Input, wants []Want, now time.Time) {
 	busy, full := p.peak.over(holdShort, now), p.full.over(holdShort, now)
 	need := max(leastLeft, int(math.Ceil(carried(busy, full))))
 	planned := lo.SumBy(wants, func(w Want) int { return w.Spot })
-	spot, coming, most, committed := 0, 0, 0, 0
+	spot, coming, committed := 0, 0, 0
 	for i, w := range wants {
 		h := hallNamed(in, w.Hall)
 		spot += h.Spot
 		coming += h.SpotComing
-		most = max(most, h.Spot)
 		wants[i].Regular = h.Regular + h.RegularComing
 		committed += wants[i].Regular
 	}
 	missing := need - spot - coming - committed
 	if len(p.dry) > 0 && len(wants) > 1 {
-		missing = max(need-spot, int(math.Ceil(max(busy/lossLoad, full/fullLoss)))-(spot-most)) - committed
+		missing = max(need-spot, lossOf(in.Halls, 1, max(busy/lossLoad, full/fullLoss)), lossOf(in.Halls, hallsLost, max(busy, full)/twoLossLoad)) - committed
 	}
 	switch {
 	case missing > 0:
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -115,7 +115,24 @@
 	is.Equal(regular, 0) // eight of twelve would be left
 	in.Halls[1].Spot = 0
 	_, regular, _ = sums(p.Plan(in, now))
-	is.Equal(regular, int(math.Ceil(in.Busy/lossLoad))-4) // the hall that has most may go next
+	is.True(regular >= int(math.Ceil(in.Busy/lossLoad))-4) // the hall that has most may go next
+	is.Equal(regular, int(math.Ceil(in.Busy/twoLossLoad))) // or both that have any
+}
+
+// Two halls that are left go within a second, while none are to be had: what the others
+// carry then is at most a fifth more than they can. Planned for one hall, they had 1.5
+// times that.
+func TestTheLossOfTheLastTwoHallsIsBorne(t *testing.T) {
+	is := is.New(t)
+	p := New()
+	now := time.Unix(1000, 0)
+	in := Input{Min: 1, Max: 56, SpotPrice: 0.18, Halls: halls(27, 0), Busy: 25, Held: 37, Known: true}
+	in.Halls[0].Spot, in.Halls[1].Spot = 0, 0
+	for _, h := range in.Halls {
+		p.Refused(h.Name, now)
+	}
+	_, regular, _ := sums(p.Plan(in, now))
+	is.True(in.full() <= twoLossLoad*float64(regular))
 }
 
 // Some reclaimable servers are back, though fewer than the peak of the work
