--- a/internal/front/spoke_test.go
+++ b/internal/front/spoke_test.go
@@ -181,6 +181,9 @@
 		rounds++
 	}
 	is.True(rounds >= 4)
+	// Each round is paid for by those that are spoken to: a start costs one more than the
+	// usual pace does, and a part of one.
+	is.True(rounds <= 2+int(2*time.Second/n.shareEvery()))
 	is.Equal(n.sharePause(now.Add(time.Minute)), n.shareEvery())
 }
 
