Roll-outs: a proof through a peer brings the orders as well; a record of one's own does not replace a later one

The proof that another instance gives covers the orders, so they are taken before it; without them a version that an order names counted as proved while the order was unknown.

--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -70,7 +70,7 @@
 // takeOperators hands what the operators wrote, as read at a time, to the state: orders
 // first, so that a proof of the configuration is one of the orders as well.
 func (n *Node) takeOperators(items []store.Item, sent time.Time) {
-	n.state.send(operatorsRead{items: items, whole: true})
+	n.state.send(operatorsRead{items})
 	if config, ok := n.configOf(items); ok {
 		n.state.send(configRead{value: config.Value, revision: config.Revision, provedAt: sent})
 	}
--- a/internal/front/peerproof.go
+++ b/internal/front/peerproof.go
@@ -87,7 +87,8 @@
 // askNodeForProof asks one instance.
 func (n *Node) askNodeForProof(ctx context.Context, m topology.Member) error {
 	sent := time.Now()
-	// Only the configuration is asked for: no entry is newer than these.
+	// Only the configuration is asked for, and the orders, of which there are few: no entry
+	// is newer than these.
 	a, err := n.askMirror(ctx, m, &peerpb.Mirror{Config: n.revision.Load(), Servers: math.MaxInt64, Nodes: math.MaxInt64})
 	if err != nil {
 		return err
@@ -97,6 +98,7 @@
 		return err
 	}
 	read.byPeer = true
+	n.state.send(mirroredOrders(a.Orders))
 	n.state.send(read)
 	return nil
 }
--- a/internal/front/rollouts.go
+++ b/internal/front/rollouts.go
@@ -42,12 +42,13 @@
 	}
 }
 
-// takeOperators takes what the operators wrote, and reports whether an order is new.
-func (s *rolloutState) takeOperators(items []store.Item, whole bool) (changed bool) {
+// takeOperators takes what the operators wrote, as read, and reports whether an order is
+// new.
+func (s *rolloutState) takeOperators(items []store.Item) (changed bool) {
 	for _, item := range items {
 		changed = s.takeOrder(item) || changed
 	}
-	s.read = s.read || whole
+	s.read = true
 	return changed
 }
 
@@ -72,14 +73,23 @@
 func (s *rolloutState) takeRecord(item store.Item) bool {
 	name, ok := strings.CutPrefix(item.Key, s.node.Decoder.OwnPrefix()+keyRollouts)
 	if !ok || item.Revision <= s.records[name].revision {
-		return false
+		return false // an earlier one, that came late
 	}
 	var r rollout.Record
 	if err := json.Unmarshal(item.Value, &r); err != nil {
 		s.node.event(event.RolloutOdd, zap.String("key", item.Key), zap.Int64("revision", item.Revision), zap.Error(err))
 		return false
 	}
-	s.records[name] = writtenRecord{r, item.Revision}
+	return s.wrote(r, item.Revision)
+}
+
+// wrote notes a record as written at a revision, and reports whether it is new: a later
+// one may have been told of by the watch.
+func (s *rolloutState) wrote(r rollout.Record, at int64) bool {
+	if at <= s.records[r.Service].revision {
+		return false
+	}
+	s.records[r.Service] = writtenRecord{r, at}
 	return true
 }
 
--- a/internal/front/spoke.go
+++ b/internal/front/spoke.go
@@ -236,11 +236,15 @@
 
 // takeOrders hands orders to the state, before the proof that comes with them.
 func (s *spoke) takeOrders(orders []*peerpb.MirrorItem) {
-	items := itemsOf(mirrorEvents(&peerpb.MirrorPart{Items: orders}))
-	for _, item := range items {
-		s.orders = max(s.orders, item.Revision)
+	for _, order := range orders {
+		s.orders = max(s.orders, order.Revision)
 	}
-	s.node.state.send(operatorsRead{items: items, whole: true})
+	s.node.state.send(mirroredOrders(orders))
+}
+
+// mirroredOrders reads the orders of an answer.
+func mirroredOrders(orders []*peerpb.MirrorItem) operatorsRead {
+	return operatorsRead{itemsOf(mirrorEvents(&peerpb.MirrorPart{Items: orders}))}
 }
 
 // changed hands changes to the state, if there are any.
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -48,12 +48,9 @@
 	sent time.Time
 }
 
-// operatorsRead brings what the operators wrote, the configuration apart. whole says
-// that it is all of it.
-type operatorsRead struct {
-	items []store.Item
-	whole bool
-}
+// operatorsRead brings the orders of roll-outs as read, whether there are any or not; a
+// configuration among them is passed over.
+type operatorsRead struct{ items []store.Item }
 
 // wroteRecord tells that this node wrote a record of a roll-out at a revision.
 type wroteRecord struct {
@@ -144,10 +141,9 @@
 		s.takeServers(c.items, now)
 		s.node.news.Listed(c.items, c.at)
 	case operatorsRead:
-		s.publishDue = s.rollouts.takeOperators(c.items, c.whole) || s.publishDue
+		s.publishDue = s.rollouts.takeOperators(c.items) || s.publishDue
 	case wroteRecord:
-		s.rollouts.records[c.record.Service] = writtenRecord{c.record, c.at}
-		s.publishDue = true
+		s.publishDue = s.rollouts.wrote(c.record, c.at) || s.publishDue
 	case listedNodes:
 		for _, item := range c.items {
 			s.rollouts.takeRecord(item)
