Roll-outs: what a hub's group does is summed once; what nothing calls is gone

The states of a group were summed in two loops, but for one instance in one of them. Exposure.Counts and the end mark of the counts were not used. No change of behaviour.

--- a/internal/front/rolloutmsg.go
+++ b/internal/front/rolloutmsg.go
@@ -98,13 +98,21 @@
 	n.rollouts.HeardStates(s.Node, rolloutStates(s.Rollouts), now)
 }
 
-// groupRollouts is what this hub tells of its group.
-func (n *Node) groupRollouts(reports map[string]reported) *peerpb.Rollouts {
+// groupStates sums what this hub and the instances that report to it do in roll-outs, but
+// for one of these.
+func (n *Node) groupStates(reports map[string]reported, but string) []rollctl.State {
 	states := n.rollouts.States(n.openRequests())
-	for _, r := range reports {
-		states = rollctl.SumStates(states, r.rollouts)
+	for from, r := range reports {
+		if from != but {
+			states = rollctl.SumStates(states, r.rollouts)
+		}
 	}
-	return n.rolloutShares(n.rollouts.Group(), states)
+	return states
+}
+
+// groupRollouts is what this hub tells of its group.
+func (n *Node) groupRollouts(reports map[string]reported) *peerpb.Rollouts {
+	return n.rolloutShares(n.rollouts.Group(), n.groupStates(reports, ""))
 }
 
 // digestRollouts is what this hub tells of all groups, with their counts if they are
@@ -113,12 +121,7 @@
 	if !counts {
 		return n.rolloutShares(nil, nil)
 	}
-	states := n.rollouts.States(n.openRequests())
-	for from, r := range reports {
-		if from != to {
-			states = rollctl.SumStates(states, r.rollouts)
-		}
-	}
+	states := n.groupStates(reports, to)
 	for _, other := range others {
 		states = rollctl.SumStates(states, rolloutStates(other.share.Rollouts))
 	}
--- a/internal/rollout/counts.go
+++ b/internal/rollout/counts.go
@@ -17,7 +17,6 @@
 	Ended              // requests that came to an end
 	Failed             // of these, that the endpoint failed or broke off
 	Paced              // of these, whose events came several times as slowly as usual
-	whats
 )
 
 // Buckets is the number of groups that the endpoints on trial are counted in. One sick
--- a/internal/rollout/exposure.go
+++ b/internal/rollout/exposure.go
@@ -49,7 +49,3 @@
 
 // Sent counts a request that is about to be sent to the version on trial.
 func (e *Exposure) Sent() { e.trial++ }
-
-// Counts returns how many requests reached the service, and how many were sent to the
-// version on trial.
-func (e *Exposure) Counts() (all, trial int) { return e.all, e.trial }
