--- a/internal/front/world_test.go
+++ b/internal/front/world_test.go
@@ -335,6 +335,21 @@
 	}
 }
 
+// fault sets how the store serves nodes.
+func (w *world) fault(f storetest.Faults, names ...string) {
+	for _, name := range names {
+		w.store.SetFaults(name, f)
+	}
+}
+
+// restart stops a node as planned and starts it again.
+func (w *world) restart(name string) {
+	r := w.nodes[name]
+	r.stop()
+	<-r.done
+	w.start(name)
+}
+
 func (w *world) close() {
 	for _, r := range w.nodes {
 		r.stop()
