The line of an admitted request has the level of its account's limit

Of the incident's logs only refusals told a level, so that an instance which admitted too much told nothing.

--- a/internal/forward/door.go
+++ b/internal/forward/door.go
@@ -142,6 +142,7 @@
 	service := q.view.Config.Service(q.service)
 	v := h.Admission.Admit(q.account, q.units, service != nil && service.Engine != nil, now)
 	if v.OK {
+		q.level = v.Level
 		return nil
 	}
 	return overLimitDenial(q, v, now)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -141,6 +141,7 @@
 	account  *policy.Account // nil on a public route
 	service  string
 	units    float64
+	level    float64 // of the client account's limit, as this instance knew it once the request was admitted; units
 	priority int
 	method   string
 	uri      string
