What a node admitted while it was out of reach counts once it is heard of again

Cause: an instance that was dropped from the members was forgotten with its totals; when it was heard of again, these were taken for old. Change: totals of a dropped instance are kept for a minute, and the difference is taken off, less of it the longer the gap. Test first: 0 of 900 units counted before, 900 after (half of them after 20 s).

--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -153,7 +153,7 @@
 	defer a.mu.Unlock()
 	a.quota.SetNodes(nodes)
 	a.quota.Fill(a.limitsNow(), now)
-	a.quota.ForgetWhere(func(node string, heardAt time.Time) bool {
+	a.quota.DropWhere(func(node string, heardAt time.Time) bool {
 		return isGroup(node) != grouped || grouped && now.Sub(heardAt) > groupGone
 	})
 	a.quota.Tick(now)
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -57,9 +57,12 @@
 const (
 	newsDue    = 600 * time.Millisecond // a node is heard of more often than this
 	assumeMost = 10 * time.Second       // how long a silent node is assumed to go on
-	rateWeight = 0.3
-	leastRetry = 50 * time.Millisecond
-	payShare   = 0.2 // of a request that the level has to cover: an account over its limit is refused large and small requests alike
+	// keepForgotten is how long totals of a node are kept that is no member any more:
+	// longer than the store was seen to turn nodes away.
+	keepForgotten = time.Minute
+	rateWeight    = 0.3
+	leastRetry    = 50 * time.Millisecond
+	payShare      = 0.2 // of a request that the level has to cover: an account over its limit is refused large and small requests alike
 )
 
 // Season is how long after its start a node knows the levels well.
@@ -135,6 +138,7 @@
 
 type node struct {
 	incarnation int64
+	forgotten   bool // it is no member; its totals are kept in case it is one again
 	stands      int
 	heardAt     time.Time
 	accounts    map[string]*far
@@ -237,7 +241,9 @@
 func (l *Limiter) known() float64 {
 	known := 1
 	for _, n := range l.nodes {
-		known += n.stands
+		if !n.forgotten {
+			known += n.stands
+		}
 	}
 	return min(1, float64(known)/float64(max(1, l.count)))
 }
@@ -296,6 +302,10 @@
 	}
 	n.stands = max(1, news.Stands)
 	since := now.Sub(n.heardAt).Seconds()
+	counts := 1.0 // share of what it admitted that the levels would still tell of
+	if n.forgotten {
+		n.forgotten, counts = false, min(1, assumeMost.Seconds()/since)
+	}
 	for name, total := range news.Admitted {
 		f := n.accounts[name]
 		if f == nil {
@@ -310,7 +320,7 @@
 		if !n.heardAt.IsZero() && since > 0 {
 			f.rate += rateWeight * (delta/since - f.rate)
 		}
-		l.account(name).bucket.level -= delta - f.assumed
+		l.account(name).bucket.level -= counts*delta - f.assumed
 		f.assumed = 0
 	}
 	if news.Seasoned {
@@ -342,9 +352,12 @@
 func (l *Limiter) Tick(now time.Time) {
 	since := now.Sub(l.ticked)
 	l.ticked = now
-	for _, n := range l.nodes {
+	for name, n := range l.nodes {
 		silent := now.Sub(n.heardAt)
-		if silent < newsDue || silent > assumeMost {
+		if n.forgotten && silent > keepForgotten {
+			delete(l.nodes, name)
+		}
+		if n.forgotten || silent < newsDue || silent > assumeMost {
 			continue
 		}
 		for name, f := range n.accounts {
@@ -355,25 +368,30 @@
 	}
 }
 
-// ForgetWhere drops those nodes for which over returns true. It is told when each
-// was last heard of.
-func (l *Limiter) ForgetWhere(over func(node string, heardAt time.Time) bool) {
+// DropWhere drops those nodes for which over returns true, with all they told: others
+// count what they admit. It is told when each was last heard of.
+func (l *Limiter) DropWhere(over func(node string, heardAt time.Time) bool) {
 	for name, n := range l.nodes {
 		if over(name, n.heardAt) {
 			l.Forget(name)
+			delete(l.nodes, name)
 		}
 	}
 }
 
-// Forget drops a node that is no member any more. What it was assumed to have
-// admitted is given back.
+// Forget notes that a node is no member any more. What it was assumed to have admitted is
+// given back. What it told is kept for a while: it may only have been out of reach, and
+// what it admitted meanwhile must count when it is heard of again. Taken for old, 900 of
+// the 1,500 units that a node may have at once were never counted
+// (TestANodeThatWasForgottenIsHeardOfAgain).
 func (l *Limiter) Forget(name string) {
 	n := l.nodes[name]
 	if n == nil {
 		return
 	}
+	n.forgotten = true
 	for name, f := range n.accounts {
 		l.account(name).bucket.level += f.assumed
+		f.assumed, f.rate = 0, 0
 	}
-	delete(l.nodes, name)
 }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -230,6 +230,34 @@
 	is.True(l.Admit("t", limit, 800, now).OK) // half of the limit is in use
 }
 
+// A node that was given up and is heard of again, as the network between them is back:
+// what it admitted meanwhile was never told. It counts, but for what is longer ago than
+// levels are judged by.
+func TestANodeThatWasForgottenIsHeardOfAgain(t *testing.T) {
+	is := is.New(t)
+	limits := map[string]Limit{"t": {Rate: 100, Burst: 1500}}
+	for _, c := range []struct {
+		away  time.Duration
+		level float64
+	}{{4 * time.Second, 1500 - 900}, {20 * time.Second, 1500 - 900*0.5}} {
+		l, now := usedElsewhere(30)
+		now = now.Add(time.Minute)
+		l.Forget("b")
+		is.Equal(l.Levels(limits, now)["t"], 1500.0)
+		l.Heard(News{Node: "b", Incarnation: 1, Admitted: map[string]float64{"t": 1500}}, now)
+		l.Forget("b")
+		now = now.Add(c.away - time.Millisecond)
+		_ = l.Levels(limits, now)
+		now = now.Add(time.Millisecond)
+		l.Tick(now)
+		is.Equal(l.known(), 0.5) // one of two
+		before := l.Levels(limits, now)["t"]
+		l.Heard(News{Node: "b", Incarnation: 1, Admitted: map[string]float64{"t": 2400}}, now)
+		is.Equal(before-l.Levels(limits, now)["t"], 1500-c.level)
+		is.Equal(l.known(), 1.0)
+	}
+}
+
 // A client account sends many times its limit for long: nodes that admit on old news
 // must not all use the same units.
 func TestManyTimesTheLimitForLong(t *testing.T) {
