Instances tell each other who runs while the store has lost some

Cause (hypothesis 1): an instance that starts learned of the others from the store alone. While the store turned some away, their registrations were gone, and nobody who started then knew of them; of a pair the one with the lower name asks, so that a lost instance with a high name was asked by no one. Both sides used the whole limit. Class: a sum over all instances whose list of instances comes from one source, which may be partly away. Looked for elsewhere: the budget of second tries, counts of usage, permits of roll-outs and the hubs of a large fleet go by the same list, and are mended with it.

Change: while any is lost, exchanges, reports and digests carry instances with addresses and the age of their last word, so that one that ended is dropped as before; one that is not registered introduces itself; one that is silent is asked by both sides. Nothing is sent while the store has all. Weighed: the lost instance asking alone (no new message, but an instance that moved to another address or joined meanwhile stays unknown); taking a share of the limit by a count of instances that is never heard (the count is what lacks).

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -69,6 +69,7 @@
 	ServerOdd         Code = 515
 	NodeJoined        Code = 311
 	NodeGone          Code = 312
+	NodeOdd           Code = 314
 	ClockCorrected    Code = 313
 	EndpointJoined    Code = 501
 	EndpointLeaving   Code = 502
@@ -140,8 +141,9 @@
 	{ServerGone, zap.InfoLevel, "server gone", "The server's entry is no more; it gets no new work."},
 	{ServerAbsent, zap.WarnLevel, "server's entry lapsed", "The entry went while the store was in trouble; the server is used on for a moment, until that is believed."},
 	{ServerOdd, zap.WarnLevel, "server's entry not understood", "The entry could not be read; what was known of the server stays."},
-	{NodeJoined, zap.InfoLevel, "node joined", "Another node registered itself."},
+	{NodeJoined, zap.InfoLevel, "node joined", "Another node registered itself, or others tell of it while the store has lost some."},
 	{NodeGone, zap.InfoLevel, "node gone", "Another node's registration ended and it is not heard of."},
+	{NodeOdd, zap.WarnLevel, "word of a node not understood", "What another node (peer) tells of one that runs could not be read, and is passed over."},
 	{ClockCorrected, zap.WarnLevel, "time of day corrected", "This node's time of day is far from that of most others; theirs is used."},
 	{EndpointJoined, zap.InfoLevel, "endpoint joined", "The endpoint takes work."},
 	{EndpointLeaving, zap.InfoLevel, "endpoint leaving", "The endpoint gets no new work."},
--- a/internal/front/digest.go
+++ b/internal/front/digest.go
@@ -26,6 +26,7 @@
 	}
 	q, now := call.GetReport(), time.Now()
 	n.state.members.heard(call.From, now)
+	n.hearInstances(call.From, q.Share.Instances, now)
 	n.heardClock(call.From, q.Share.Wall, now)
 	n.groups.reported(call.From, reportOf(q.Share, now))
 	n.heardPermits(q.Share.Rollouts, now)
@@ -64,12 +65,14 @@
 func (n *Node) digest(to string, windows bool, now time.Time) *peerpb.Digest {
 	d := &peerpb.Digest{Incarnation: n.incarnation(), Seasoned: now.Sub(n.start) > quota.Season, ServersAt: n.news.Newest()}
 	reports, others := n.groups.own(now), n.groups.known(now)
-	d.Alive = n.lostByStore(reports)
+	d.Instances = n.tellInstances(now)
+	for _, other := range others {
+		d.Instances = append(d.Instances, passOn(other.share.Instances, now.Sub(other.at))...)
+	}
 	d.Rollouts = n.digestRollouts(to, reports, others, windows)
 	n.digestCounts(d, others, len(reports), windows, now)
 	sum := n.groupNews(reports, to, now)
 	for _, other := range others {
-		d.Alive = append(d.Alive, other.share.Alive...)
 		addUses(sum.Uses, other.news.Uses)
 		addDemand(sum.Demand, other.news.Demand)
 	}
@@ -156,9 +159,7 @@
 // own counts.
 func (n *Node) takeDigest(hub tally.Source, units unitCounts, runs runCounts, d *peerpb.Digest, now time.Time) {
 	n.state.members.heard(hub.Instance, now)
-	for _, name := range d.Alive {
-		n.state.members.heard(name, now)
-	}
+	n.hearInstances(hub.Instance, d.Instances, now)
 	if n.reading.Load() {
 		n.heardNews(hub.Instance, d.ServersAt, now)
 	}
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -244,7 +244,9 @@
 			continue
 		}
 		retry.Reset()
+		n.registered.Store(true)
 		n.keepRegistered(ctx, lease)
+		n.registered.Store(false)
 	}
 	return ctx.Err()
 }
@@ -254,6 +256,7 @@
 		call, cancel := context.WithTimeout(ctx, registerKeep/2)
 		err := n.Store.Keep(call, lease)
 		cancel()
+		n.registered.Store(err == nil)
 		if errors.Is(err, store.ErrNotFound) {
 			return
 		}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -102,6 +102,7 @@
 	groups        *groups
 	news          mirror.News
 	reading       atomic.Bool  // this node reads the store itself
+	registered    atomic.Bool  // the store has this node's registration, as far as is known
 	revision      atomic.Int64 // of the configuration's item in hand
 	standIn       *standIn     // whether it reads the store in place of the readers
 	leaving       atomic.Bool
--- a/internal/front/hubgroup.go
+++ b/internal/front/hubgroup.go
@@ -169,7 +169,7 @@
 	reports := n.groups.own(now)
 	s := &peerpb.Share{
 		Node: n.Settings.Name, Incarnation: n.incarnation(), Group: true, Stands: int64(1 + len(reports)),
-		Wall: n.clock.Own(now).UnixNano(), ServersAt: n.news.Newest(), Alive: n.lostByStore(reports),
+		Wall: n.clock.Own(now).UnixNano(), ServersAt: n.news.Newest(), Instances: n.tellInstances(now),
 	}
 	a := n.admission
 	a.mu.Lock()
@@ -185,29 +185,11 @@
 	return s
 }
 
-// lostByStore returns the reporters whose registration ended, though they run.
-func (n *Node) lostByStore(reports map[string]reported) []string {
-	registered := make(map[string]bool)
-	for _, m := range n.state.members.list() {
-		registered[m.Name] = m.registered
-	}
-	var lost []string
-	for name := range reports {
-		if !registered[name] {
-			lost = append(lost, name)
-		}
-	}
-	return lost
-}
-
 // heardGroup takes what another hub tells of its group.
 func (n *Node) heardGroup(s *peerpb.Share, now time.Time) {
 	news := newsOf(s)
 	n.groups.heard(s, news, now)
 	n.heardRollouts(rollctl.AsHub, s, now)
-	for _, name := range s.Alive {
-		n.state.members.heard(name, now)
-	}
 	n.heardUses(s.Node, news, now)
 	admitted, levels, runs := accountCounts(s.Accounts)
 	n.admission.mu.Lock()
--- /dev/null
+++ b/internal/front/lastheard.go
@@ -0,0 +1,43 @@
+package front
+
+import (
+	"sync"
+	"time"
+)
+
+// lastHeard is when other instances were last heard of, by themselves or through
+// others, by name. It is safe for concurrent use.
+type lastHeard struct {
+	mu sync.Mutex
+	at map[string]time.Time // guarded by mu
+}
+
+// note notes that an instance was heard of at a time, which may come late.
+func (h *lastHeard) note(name string, at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.at == nil {
+		h.at = make(map[string]time.Time)
+	}
+	if at.After(h.at[name]) {
+		h.at[name] = at
+	}
+}
+
+// of returns when an instance was last heard of, the zero time if that is long ago.
+func (h *lastHeard) of(name string) time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.at[name]
+}
+
+// forget drops what is from before a time.
+func (h *lastHeard) forget(before time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for name, at := range h.at {
+		if at.Before(before) {
+			delete(h.at, name)
+		}
+	}
+}
--- a/internal/front/limit_test.go
+++ b/internal/front/limit_test.go
@@ -58,3 +58,24 @@
 		}
 	}, limited(rate, burst, over), lenient)
 }
+
+// The same in a large fleet, where the hubs tell who runs: a hub and a spoke that start
+// while the store turns another hub and another spoke away know both of them.
+func TestStartingInstancesOfALargeFleetKnowThoseThatTheStoreLost(t *testing.T) {
+	play(t, large, func(_ *is.I, w *world) {
+		time.Sleep(4 * time.Second)
+		hubs, spokes := hubsOf(w)
+		w.fault(storetest.Faults{Busy: true}, hubs[0], spokes[0])
+		time.Sleep(registerTTL + 5*time.Second)
+		restarted := []string{hubs[1], spokes[1]}
+		for _, name := range restarted {
+			w.restart(name)
+		}
+		time.Sleep(5 * time.Second)
+		for _, name := range restarted {
+			if known := len(w.nodes[name].node.state.members.list()); known != large-1 {
+				t.Errorf("%s knows %d of %d others", name, known, large-1)
+			}
+		}
+	}, lenient)
+}
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -19,7 +19,6 @@
 type member struct {
 	topology.Member
 	registered bool
-	heardAt    time.Time
 }
 
 // registration is what a node tells the others of itself through the store.
@@ -45,24 +44,21 @@
 // heardFor returns how long a node counts after it was heard of.
 func (n *Node) heardFor() time.Duration { return max(heardLeast, heardTimes*n.shareEvery()) }
 
-// members knows the other nodes. It belongs to the state's goroutine; list and
-// heard are safe for concurrent use.
+// members knows the other nodes. It belongs to the state's goroutine; list, topology and
+// the times are safe for concurrent use.
 type members struct {
-	node  *Node
-	all   map[string]*member
-	shown atomic.Pointer[[]member]
-	hubs  atomic.Pointer[topology.Topology]
-	news  chan heard
-}
-
-// heard says that another node was heard of.
-type heard struct {
-	name string
-	at   time.Time
+	node    *Node
+	all     map[string]*member
+	shown   atomic.Pointer[[]member]
+	hubs    atomic.Pointer[topology.Topology]
+	heardAt lastHeard
+	// introduced is when others last said of themselves that they may not be registered:
+	// this node may not know, as it cannot read the store either.
+	introduced lastHeard
 }
 
 func newMembers(n *Node) *members {
-	m := &members{node: n, all: make(map[string]*member), news: make(chan heard, changeQueue)}
+	m := &members{node: n, all: make(map[string]*member)}
 	m.shown.Store(&[]member{})
 	m.hubs.Store(&topology.Topology{})
 	return m
@@ -77,13 +73,8 @@
 // count returns the number of nodes, this one included.
 func (m *members) count() int { return 1 + len(m.all) }
 
-// heard notes that a node was heard of. It never blocks.
-func (m *members) heard(name string, at time.Time) {
-	select {
-	case m.news <- heard{name, at}:
-	default:
-	}
-}
+// heard notes that a node was heard of.
+func (m *members) heard(name string, at time.Time) { m.heardAt.note(name, at) }
 
 func (m *members) prefix() string { return m.node.Decoder.OwnPrefix() + keyNodes }
 
@@ -148,14 +139,20 @@
 	if err := json.Unmarshal(e.Value, &r); err != nil || !r.Addr.IsValid() {
 		return false
 	}
-	other := m.all[name]
+	m.put(topology.Member{Name: name, Addr: r.Addr, Hall: r.Hall, Cores: r.Cores}).registered = true
+	return true
+}
+
+// put notes where a node is.
+func (m *members) put(at topology.Member) *member {
+	other := m.all[at.Name]
 	if other == nil {
-		other = &member{Member: topology.Member{Name: name}}
-		m.all[name] = other
-		m.node.event(event.NodeJoined, zap.String("peer", name), zap.Stringer("address", r.Addr))
+		other = &member{}
+		m.all[at.Name] = other
+		m.node.event(event.NodeJoined, zap.String("peer", at.Name), zap.Stringer("address", at.Addr))
 	}
-	other.Addr, other.Hall, other.Cores, other.registered = r.Addr, r.Hall, r.Cores, true
-	return true
+	other.Member = at
+	return other
 }
 
 // lostGrace is how long after the end of a registration hubs have to tell that the
@@ -166,8 +163,8 @@
 // go on all the same are told of by hubs, which takes a moment.
 func (m *members) unregister(other *member, now time.Time) {
 	other.registered = false
-	if heard := now.Add(lostGrace - m.node.heardFor()); m.node.grouped() && heard.After(other.heardAt) {
-		other.heardAt = heard
+	if m.node.grouped() {
+		m.heardAt.note(other.Name, now.Add(lostGrace-m.node.heardFor()))
 	}
 }
 
@@ -183,19 +180,9 @@
 
 // drop is expire, but leaves it to the caller to show the members.
 func (m *members) drop(now time.Time) bool {
-	for more := true; more; {
-		select {
-		case h := <-m.news:
-			if other := m.all[h.name]; other != nil {
-				other.heardAt = h.at
-			}
-		default:
-			more = false
-		}
-	}
 	dropped, heardFor := false, m.node.heardFor()
 	for name, other := range m.all {
-		if other.registered || now.Sub(other.heardAt) < heardFor {
+		if other.registered || now.Sub(m.heardAt.of(name)) < heardFor {
 			continue
 		}
 		delete(m.all, name)
@@ -203,6 +190,8 @@
 		m.node.event(event.NodeGone, zap.String("peer", name))
 		m.node.admission.forget(name)
 	}
+	m.heardAt.forget(now.Add(-heardFor))
+	m.introduced.forget(now.Add(-heardFor))
 	return dropped
 }
 
@@ -212,8 +201,7 @@
 		out = append(out, *other)
 	}
 	m.shown.Store(&out)
-	self := m.node.registration()
-	m.hubs.Store(topology.New(topology.Member{Name: m.node.Settings.Name, Addr: self.Addr, Hall: self.Hall, Cores: self.Cores}, membersOf(out)))
+	m.hubs.Store(topology.New(m.node.self(), membersOf(out)))
 }
 
 // membersOf returns what the choice of hubs goes by.
--- a/internal/front/report.go
+++ b/internal/front/report.go
@@ -101,7 +101,7 @@
 // reportShare is what an instance tells its hub.
 func (n *Node) reportShare(units unitCounts, runs runCounts, rollouts rollout.Counts, now time.Time) *peerpb.Share {
 	return &peerpb.Share{
-		Node: n.Settings.Name, Incarnation: n.incarnation(), Wall: n.clock.Own(now).UnixNano(),
+		Node: n.Settings.Name, Incarnation: n.incarnation(), Wall: n.clock.Own(now).UnixNano(), Instances: n.introduce(),
 		Accounts: accountShares(units, nil, runs), Servers: useShares(n.plainUses()),
 		Services: n.serviceShares(n.tracker.Demand(now)),
 		Rollouts: n.ownRollouts(rollouts),
--- a/internal/front/share.go
+++ b/internal/front/share.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -24,6 +25,8 @@
 	briefEvery   = 15 * time.Millisecond // at the most, news of a long prompt
 	believeLeast = 2 * time.Second       // a node's word counts for so long, or for
 	believeTimes = 3                     // so many exchanges
+	silentLeast  = time.Second           // a node that should ask and has not for so long is silent, or for
+	silentTimes  = 4                     // so many exchanges
 )
 
 // shareState exchanges soft state with the other nodes: in a small fleet with all
@@ -56,15 +59,31 @@
 	calls *inflight.Calls[string] // by name of the other node
 }
 
-// with exchanges soft state with other nodes, and does not wait for them. Of two
-// nodes the one with the lower name asks, and is answered in kind.
+// asks reports whether this node is to ask another one. Of two nodes the one with the
+// lower name asks, and is answered in kind. One that is silent is asked by both: the
+// other may not know of this node, as its registration ended while the other started.
+func (n *Node) asks(other string, now time.Time) bool {
+	switch cmp.Compare(n.Settings.Name, other) {
+	case 0:
+		return false // a hub is in the list of hubs
+	case -1:
+		return true
+	}
+	heardAt := n.state.members.heardAt.of(other)
+	if heardAt.Before(n.start) {
+		heardAt = n.start
+	}
+	return now.Sub(heardAt) > max(silentLeast, silentTimes*n.shareEvery())
+}
+
+// with exchanges soft state with other nodes, and does not wait for them.
 func (x *exchanges) with(ctx context.Context, others []topology.Member) {
 	if len(others) == 0 {
 		return
 	}
 	mine := x.node.share()
 	for _, other := range others {
-		if x.node.Settings.Name >= other.Name || !x.calls.Begin(other.Name) {
+		if !x.node.asks(other.Name, time.Now()) || !x.calls.Begin(other.Name) {
 			continue
 		}
 		x.wait.Go(func() {
@@ -156,7 +175,7 @@
 	}
 	s := &peerpb.Share{
 		Node: n.Settings.Name, Incarnation: n.incarnation(),
-		Wall: n.clock.Own(time.Now()).UnixNano(), ServersAt: n.news.Newest(),
+		Wall: n.clock.Own(time.Now()).UnixNano(), ServersAt: n.news.Newest(), Instances: n.tellInstances(time.Now()),
 	}
 	a := n.admission
 	a.mu.Lock()
@@ -173,6 +192,7 @@
 func (n *Node) heard(s *peerpb.Share) {
 	now := time.Now()
 	n.state.members.heard(s.Node, now)
+	n.hearInstances(s.Node, s.Instances, now)
 	if !s.Brief {
 		n.heardNews(s.Node, s.ServersAt, now)
 		n.heardClock(s.Node, s.Wall, now)
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -152,6 +152,8 @@
 		s.publishDue = true
 	case watched:
 		s.takeEvents(c.events, now)
+	case toldInstances:
+		s.publishDue = s.members.learn(c, now) || s.publishDue
 	case storeCalled:
 		s.takeCall(c, now)
 	case leave:
