A server has several lives, and an entry may be another writer's

Cause: leaving was sticky for a server's id, so that one which drained, ended and started again under its id never got work again; what was learned and counted of the life before stood for the next, connections included.

Change: the id that the product goes by names the life (id and start), so that beliefs, connections, homes, suspicion, places held and exposure end with it everywhere, also where peers and hubs tell of them; requests go by the id in the store. The registry orders news by start and by the store's revision: late ones are passed over, an earlier life in a newer entry is withheld until it has stood for 5 s. One function of the adapter decides whether an entry names a server; one that does not withholds it, is told of once a change with the reason, and leaves the others alone. Weighed: a field for the start beside the id, kept by each package (balance, place, backend, rollctl and the messages between instances would each have to compare it; the one that forgets is wrong): not taken.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -182,7 +182,7 @@
 		c.MaxConns = max(spareConns, s.MaxConnections/max(1, view.Nodes))
 	}
 	h.Protocol.Outgoing(c.Header, Outgoing{
-		Server: ticket.Server.ID, Account: q.accountName(), Left: q.deadline.Sub(now), Priority: q.priority, LastEventID: q.event,
+		Server: ticket.Server.StoreID(), Account: q.accountName(), Left: q.deadline.Sub(now), Priority: q.priority, LastEventID: q.event,
 	})
 	return c
 }
--- a/internal/front/lost.go
+++ b/internal/front/lost.go
@@ -87,7 +87,7 @@
 	for _, i := range told {
 		addr, err := netip.ParseAddrPort(i.Address)
 		if err != nil || i.Name == "" || i.Age < 0 {
-			n.event(event.NodeOdd, zap.String("peer", from), zap.String("told", i.Name), zap.Error(err))
+			n.event(event.NodeOdd, zap.String("peer", from), zap.String("told", cut(i.Name)), zap.Error(err))
 			continue
 		}
 		switch i.Name {
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -138,7 +138,7 @@
 	case sharedOutage:
 		s.outageAt, s.publishDue = c.at, true
 	case listedServers:
-		s.takeServers(c.items, now)
+		s.takeServers(c.items, c.at, now)
 		s.node.news.Listed(c.items, c.at)
 	case operatorsRead:
 		s.publishDue = s.rollouts.takeOperators(c.items) || s.publishDue
@@ -244,8 +244,9 @@
 	return s.storeDown && now.Sub(s.downAt) > leastOutage
 }
 
-func (s *state) takeServers(items []store.Item, now time.Time) {
+func (s *state) takeServers(items []store.Item, at int64, now time.Time) {
 	var servers []registry.Server
+	var odd []string
 	for _, item := range items {
 		id, ok := s.node.Decoder.ServerID(item.Key)
 		if !ok {
@@ -253,22 +254,33 @@
 		}
 		if server, ok := s.decode(id, item, now); ok {
 			servers = append(servers, server)
+		} else {
+			odd = append(odd, id)
 		}
 	}
-	s.tell(s.registry.Replace(servers, s.troubled(now), now))
+	s.tell(s.registry.Replace(servers, odd, at, s.troubled(now), now))
 	s.listed, s.publishDue = true, true
 }
 
-// decode reads a server's entry. One that can't be read leaves what is known.
+// decode reads a server's entry. One that can't be read names no server to use, and is
+// told of once for each change; the others hold.
 func (s *state) decode(id string, item store.Item, now time.Time) (registry.Server, bool) {
 	server, err := s.node.Decoder.Server(id, item.Value, now)
 	if err == nil {
+		server.Revision = item.Revision
 		return server, true
 	}
-	s.node.event(event.ServerOdd, zap.String("server", id), zap.Error(err))
-	return s.registry.Find(id)
+	if s.registry.Withhold(id, item.Revision, now) != registry.None {
+		s.node.event(event.ServerOdd, zap.String("server", cut(id)), zap.Int64("revision", item.Revision), zap.String("error", cut(err.Error())))
+	}
+	return registry.Server{}, false
 }
 
+// oddText bounds what is logged of an entry that another wrote, in bytes.
+const oddText = 200
+
+func cut(text string) string { return text[:min(len(text), oddText)] }
+
 func (s *state) takeEvents(events []store.Event, now time.Time) {
 	var own []store.Event // of the product's own keys
 	for _, e := range events {
@@ -307,7 +319,7 @@
 	s.node.news.Saw(e.Revision)
 	if e.Gone {
 		server, _ := s.registry.Find(id)
-		s.tell([]registry.Event{{Change: s.registry.Remove(id, s.troubled(now), now), Server: server}})
+		s.tell([]registry.Event{{Change: s.registry.Remove(id, e.Revision, s.troubled(now), now), Server: server}})
 		return
 	}
 	if server, ok := s.decode(id, e.Item, now); ok {
@@ -318,12 +330,13 @@
 var serverEvents = map[registry.Change]event.Code{
 	registry.Joined: event.ServerJoined, registry.Left: event.ServerLeaving,
 	registry.Gone: event.ServerGone, registry.Absent: event.ServerAbsent,
+	registry.Again: event.ServerAgain, registry.Withheld: event.ServerWithheld,
 }
 
 func (s *state) tell(changed []registry.Event) {
 	for _, c := range changed {
 		if code, ok := serverEvents[c.Change]; ok {
-			s.node.event(code, zap.String("server", c.Server.ID), zap.String("service", c.Server.Service), zap.String("hall", c.Server.Hall), zap.String("version", c.Server.Version), zap.Bool("spot", c.Server.Spot))
+			s.node.event(code, zap.String("server", c.Server.ID), zap.String("service", c.Server.Service), zap.String("hall", c.Server.Hall), zap.String("version", c.Server.Version), zap.Bool("spot", c.Server.Spot), zap.Int64("revision", c.Server.Revision))
 			s.publishDue = true
 		}
 	}
--- a/internal/front/world_test.go
+++ b/internal/front/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -69,11 +70,17 @@
 	}
 	return policy.New(c)
 }
+
+var errNoAddress = errors.New("no address")
+
 func (plain) ServerID(key string) (string, bool) { return strings.CutPrefix(key, "server/") }
 func (plain) Server(id string, value []byte, _ time.Time) (registry.Server, error) {
 	var s registry.Server
 	err := json.Unmarshal(value, &s)
-	s.ID = id
+	s.ID, s.Name = registry.LifeID(id, s.Born), id
+	if err == nil && !s.Addr.IsValid() {
+		err = errNoAddress
+	}
 	return s, err
 }
 func (plain) Order(key string, value []byte) (rollout.Order, bool, error) {
--- /dev/null
+++ b/internal/registry/lives.go
@@ -0,0 +1,113 @@
+package registry
+
+import (
+	"strconv"
+	"time"
+)
+
+// What is known of a server belongs to one of its lives: a later one holds nothing of
+// what an earlier one kept, and says nothing of what that one ran. News come late, twice
+// or in another order, so that two things decide which is newer: the start of the life
+// that they tell of, and the revision of the store at which they were written.
+
+// LifeID returns the id of one life of a server.
+func LifeID(name string, born time.Time) string {
+	if born.IsZero() {
+		return name
+	}
+	return name + "@" + strconv.FormatInt(born.UnixMilli(), 10)
+}
+
+// key returns the id of the server over all its lives.
+func (s *Server) key() string {
+	if s.Name != "" {
+		return s.Name
+	}
+	return s.ID
+}
+
+// StoreID returns the id that the server has in the store and goes by in requests,
+// whichever its life.
+func (s *Server) StoreID() string { return s.key() }
+
+// life is the newest life that was heard of for a server.
+type life struct {
+	born     time.Time
+	revision int64     // of the newest entry
+	until    time.Time // until when it is remembered without an entry
+}
+
+// earlierStands is how long an entry has to name an earlier life than the newest until
+// that is believed. The store may apply a write of the earlier life seconds late; the
+// server then writes again within a heartbeat, of 1.2 s where it is known, or the entry
+// goes after three. What stands for longer is what the server says of itself: its clock
+// was set back.
+const earlierStands = 5 * time.Second
+
+// judgement says what an entry is to what was heard before.
+type judgement int
+
+const (
+	current judgement = iota
+	late              // an older entry
+	earlier           // names an earlier life than the newest, although it is newer
+	foreign           // lacks the start that the server, or others, told
+)
+
+func (r *Registry) judge(name string, s Server) judgement {
+	newest := r.newest[name]
+	switch {
+	case s.Revision != 0 && s.Revision < newest.revision:
+		return late
+	case s.Born.IsZero() && r.bornTold:
+		return foreign
+	case s.Born.Before(newest.born):
+		return earlier
+	}
+	return current
+}
+
+// Withhold notes that a server's entry names no server to use since a revision, 0 if that
+// is not known. What runs there goes on; it may be used again once its entry reads well.
+func (r *Registry) Withhold(name string, revision int64, now time.Time) Change {
+	newest := r.newest[name]
+	if revision != 0 && revision < newest.revision {
+		return None
+	}
+	news := revision > newest.revision
+	newest.revision = max(revision, newest.revision)
+	newest.until = now.Add(leftFor)
+	r.newest[name] = newest
+	if e := r.servers[name]; e != nil {
+		news = news || !e.withheld
+		e.withheld, e.earlier, e.absent = true, nil, time.Time{}
+	}
+	if news {
+		return Withheld
+	}
+	return None
+}
+
+// doubt notes that a server's entry names an earlier life. Neither may be used: the
+// earlier one may be over, and whether the later one leaves is not known.
+func (r *Registry) doubt(name string, s Server, now time.Time) Change {
+	e := r.servers[name]
+	if e == nil {
+		e = &entry{server: s, withheld: true}
+		r.servers[name] = e
+	}
+	since := now
+	if e.earlier != nil && e.earlier.ID == s.ID {
+		since = e.since
+	}
+	change := r.Withhold(name, s.Revision, now)
+	e.earlier, e.since = &s, since
+	return change
+}
+
+// believe takes an earlier life for the newest.
+func (r *Registry) believe(name string, s Server, now time.Time) Event {
+	delete(r.newest, name)
+	delete(r.servers, name)
+	return Event{r.Put(s, now), s}
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -1,8 +1,9 @@
 // Package registry keeps what a node believes about the servers: which there
 // are, which are leaving, and which are gone.
 //
-// Leaving, once said, is sticky for a server's id. A Registry belongs to one goroutine and
-// publishes immutable lists. The package is pure.
+// A server may start again under its id: each of its lives is a server of its own, known
+// by the id and the time of its start (lives.go). Leaving, once said, is sticky for a life.
+// A Registry belongs to one goroutine and publishes immutable lists. The package is pure.
 package registry
 
 import (
@@ -12,9 +13,12 @@
 	"time"
 )
 
-// Server is one incarnation of a server.
+// Server is one life of a server.
 type Server struct {
-	ID       string
+	ID       string    // of this life, see LifeID
+	Name     string    // id of the server over all its lives; empty where that is ID
+	Born     time.Time // start of this life; zero where that is not told
+	Revision int64     // of its entry in the store; 0 when not known
 	Service  string
 	Addr     netip.AddrPort
 	Hall     string
@@ -33,9 +37,11 @@
 const (
 	None Change = iota
 	Joined
-	Left   // gets no new work any more
-	Gone   // its entry is no more
-	Absent // its entry is no more, but the store was in trouble: believed for a while
+	Left     // gets no new work any more
+	Gone     // its entry is no more
+	Absent   // its entry is no more, but the store was in trouble: believed for a while
+	Again    // it started again, and takes work
+	Withheld // its entry names no server to use, for now
 )
 
 // Times that the registry keeps to.
@@ -44,55 +50,92 @@
 	// one is used on whose entry went while the store was in trouble. Servers
 	// write every second or so: one that lives is back by then.
 	absentShare = 0.75
-	// leftFor is how long the id of a server that left is remembered.
+	// leftFor is how long a life that left is remembered, and the newest life of a server
+	// that has no entry any more.
 	leftFor = 2 * time.Minute
 )
 
 type entry struct {
-	server Server
-	absent time.Time // when to drop it; zero while its entry stands
+	server   Server
+	absent   time.Time // when to drop it; zero while its entry stands
+	withheld bool      // the entry names no server to use
+	earlier  *Server   // the earlier life that the entry names; nil if it names none
+	since    time.Time // when that was first seen
 }
 
-// Registry holds the servers by id.
+// parting is a life that gets no new work any more.
+type parting struct {
+	name  string
+	until time.Time // until when it is remembered
+}
+
+// Registry holds the servers by their ids over all lives.
 type Registry struct {
-	servers map[string]*entry
-	left    map[string]time.Time // ids that get no new work, until when remembered
-	bound   time.Duration        // within which a server that left is out of use
+	servers  map[string]*entry
+	newest   map[string]life    // of each server, also for a while without an entry
+	left     map[string]parting // by id of the life
+	bound    time.Duration      // within which a server that left is out of use
+	bornTold bool               // some server told when it started: so do all
 }
 
 // New returns an empty registry. bound is the time within which a server that
 // left has to be out of use.
 func New(bound time.Duration) *Registry {
-	return &Registry{bound: bound, servers: make(map[string]*entry), left: make(map[string]time.Time)}
+	return &Registry{bound: bound, servers: make(map[string]*entry), newest: make(map[string]life), left: make(map[string]parting)}
 }
 
 // Put takes a server's entry as written.
 func (r *Registry) Put(s Server, now time.Time) Change {
+	name := s.key()
+	switch r.judge(name, s) {
+	case late:
+		return None
+	case foreign:
+		return r.Withhold(name, s.Revision, now)
+	case earlier:
+		return r.doubt(name, s, now)
+	}
+	r.newest[name] = life{born: s.Born, revision: s.Revision}
+	r.bornTold = r.bornTold || !s.Born.IsZero()
 	_, left := r.left[s.ID]
-	old, known := r.servers[s.ID]
 	if left {
 		s.Leaving = true
 	}
-	r.servers[s.ID] = &entry{server: s}
+	old := r.servers[name]
+	r.servers[name] = &entry{server: s}
 	if s.Leaving {
-		r.left[s.ID] = now.Add(leftFor)
+		r.left[s.ID] = parting{name, now.Add(leftFor)}
 	}
+	return changeOf(old, s, left)
+}
+
+// changeOf returns what became of a server whose entry is read. old is what was known of
+// it, nil if it was not, and left says that this life had left before.
+func changeOf(old *entry, s Server, left bool) Change {
+	again := old != nil && old.server.ID != s.ID
 	switch {
-	case s.Leaving && (!known && !left || known && !old.server.Leaving):
+	case s.Leaving && !left && (old == nil || again || !old.server.Leaving):
 		return Left
-	case !known && !s.Leaving:
+	case s.Leaving:
+		return None
+	case again:
+		return Again
+	case old == nil || old.withheld:
 		return Joined
 	}
 	return None
 }
 
-// Remove takes note that a server's entry is gone. trouble says that the store
-// is or just was not to be relied on.
-func (r *Registry) Remove(id string, trouble bool, now time.Time) Change {
-	e, ok := r.servers[id]
-	if !ok {
+// Remove takes note that a server's entry is gone as of a revision, 0 if that is not
+// known. trouble says that the store is or just was not to be relied on.
+func (r *Registry) Remove(name string, revision int64, trouble bool, now time.Time) Change {
+	e, ok := r.servers[name]
+	newest := r.newest[name]
+	if !ok || revision != 0 && revision < newest.revision {
 		return None
 	}
+	newest.revision = max(revision, newest.revision)
+	r.newest[name] = newest
 	if trouble && !e.server.Leaving {
 		if e.absent.IsZero() {
 			e.absent = r.absentUntil(now)
@@ -100,7 +143,7 @@
 		}
 		return None
 	}
-	r.drop(id, now)
+	r.drop(name, now)
 	return Gone
 }
 
@@ -110,28 +153,35 @@
 
 // drop forgets a server. One that never said that it leaves may come back: its
 // entry lapsed while the store was down.
-func (r *Registry) drop(id string, now time.Time) {
-	if r.servers[id].server.Leaving {
-		r.left[id] = now.Add(leftFor)
+func (r *Registry) drop(name string, now time.Time) {
+	if s := r.servers[name].server; s.Leaving {
+		r.left[s.ID] = parting{name, now.Add(leftFor)}
 	}
-	delete(r.servers, id)
+	delete(r.servers, name)
+	newest := r.newest[name]
+	newest.until = now.Add(leftFor)
+	r.newest[name] = newest
 }
 
-// Replace takes a whole listing: servers that it lacks are gone.
-func (r *Registry) Replace(all []Server, trouble bool, now time.Time) (changed []Event) {
+// Replace takes a whole listing as of a revision, 0 if that is not known: servers that it
+// lacks are gone. withheld are those whose entries name no server to use.
+func (r *Registry) Replace(all []Server, withheld []string, at int64, trouble bool, now time.Time) (changed []Event) {
 	listed := make(map[string]bool, len(all))
 	for _, s := range all {
-		listed[s.ID] = true
+		listed[s.key()] = true
 		if c := r.Put(s, now); c != None {
 			changed = append(changed, Event{c, s})
 		}
 	}
-	for id, e := range r.servers {
-		if listed[id] {
+	for _, name := range withheld {
+		listed[name] = true
+	}
+	for name, e := range r.servers {
+		if listed[name] {
 			continue
 		}
 		s := e.server
-		if c := r.Remove(id, trouble, now); c != None {
+		if c := r.Remove(name, at, trouble, now); c != None {
 			changed = append(changed, Event{c, s})
 		}
 	}
@@ -144,41 +194,55 @@
 	Server Server
 }
 
-// Expire drops what has been absent for too long. While the store is down
-// nothing is dropped: no news is not news.
+// Expire drops what has been absent for too long, and believes what entries have named
+// for long. While the store is down nothing is dropped: no news is not news.
 func (r *Registry) Expire(storeDown bool, now time.Time) (changed []Event) {
-	for id, e := range r.servers {
+	for name, e := range r.servers {
 		switch {
+		case e.earlier != nil && now.Sub(e.since) >= earlierStands:
+			changed = append(changed, r.believe(name, *e.earlier, now))
 		case e.absent.IsZero():
 		case storeDown:
 			e.absent = r.absentUntil(now)
 		case now.After(e.absent):
 			changed = append(changed, Event{Gone, e.server})
-			r.drop(id, now)
+			r.drop(name, now)
 		}
 	}
-	for id, until := range r.left {
-		if _, listed := r.servers[id]; !listed && now.After(until) {
+	r.forget(now)
+	return changed
+}
+
+// forget drops what is remembered of servers that have no entry any more.
+func (r *Registry) forget(now time.Time) {
+	for id, p := range r.left {
+		if e := r.servers[p.name]; (e == nil || e.server.ID != id) && now.After(p.until) {
 			delete(r.left, id)
 		}
 	}
-	return changed
+	for name, l := range r.newest {
+		if r.servers[name] == nil && now.After(l.until) {
+			delete(r.newest, name)
+		}
+	}
 }
 
-// Find returns a server by its id.
-func (r *Registry) Find(id string) (Server, bool) {
-	e, ok := r.servers[id]
-	if !ok {
+// Find returns a server by its id over all lives, if it may be used.
+func (r *Registry) Find(name string) (Server, bool) {
+	e, ok := r.servers[name]
+	if !ok || e.withheld {
 		return Server{}, false
 	}
 	return e.server, true
 }
 
-// List returns all servers, ordered by id.
+// List returns all servers that may be used, ordered by id.
 func (r *Registry) List() []Server {
 	out := make([]Server, 0, len(r.servers))
 	for _, e := range r.servers {
-		out = append(out, e.server)
+		if !e.withheld {
+			out = append(out, e.server)
+		}
 	}
 	slices.SortFunc(out, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
 	return out
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -22,7 +22,7 @@
 	r := New(testDrain)
 	now := time.Unix(1000, 0)
 	r.Put(Server{ID: "a"}, now)
-	is.Equal(r.Remove("a", true, now), Absent)
+	is.Equal(r.Remove("a", 0, true, now), Absent)
 	is.True(listed(r, "a")) // it may live
 	r.Expire(false, now.Add(testDrain*9/10))
 	is.True(!listed(r, "a"))
@@ -33,7 +33,7 @@
 	r := New(testDrain)
 	now := time.Unix(1000, 0)
 	r.Put(Server{ID: "a"}, now)
-	r.Remove("a", true, now)
+	r.Remove("a", 0, true, now)
 	r.Put(Server{ID: "a"}, now.Add(time.Second))
 	r.Expire(false, now.Add(time.Minute))
 	is.True(listed(r, "a"))
@@ -45,7 +45,7 @@
 	r := New(testDrain)
 	now := time.Unix(1000, 0)
 	r.Put(Server{ID: "a"}, now)
-	r.Remove("a", true, now)
+	r.Remove("a", 0, true, now)
 	for range 50 {
 		now = now.Add(100 * time.Millisecond)
 		r.Expire(true, now)
@@ -63,7 +63,7 @@
 	is.Equal(r.Put(Server{ID: "a", Leaving: true}, now), Left)
 	r.Put(Server{ID: "a"}, now) // an old entry
 	is.True(!listed(r, "a"))
-	is.Equal(r.Remove("a", true, now), Gone) // it said that it leaves
+	is.Equal(r.Remove("a", 0, true, now), Gone) // it said that it leaves
 	r.Put(Server{ID: "a"}, now.Add(time.Second))
 	is.True(!listed(r, "a"))
 }
@@ -72,8 +72,8 @@
 	is := is.New(t)
 	r := New(testDrain)
 	now := time.Unix(1000, 0)
-	r.Replace([]Server{{ID: "a"}, {ID: "b"}}, false, now)
-	changed := r.Replace([]Server{{ID: "b"}}, false, now)
+	r.Replace([]Server{{ID: "a"}, {ID: "b"}}, nil, 0, false, now)
+	changed := r.Replace([]Server{{ID: "b"}}, nil, 0, false, now)
 	is.Equal(len(changed), 1)
 	is.Equal(changed[0].Change, Gone)
 	is.Equal(len(r.List()), 1)
