--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -67,7 +67,7 @@
 	ServerGone        Code = 513
 	ServerAbsent      Code = 514
 	ServerOdd         Code = 515
-	ServerAgain       Code = 516
+	ServerRestarted       Code = 516
 	ServerWithheld    Code = 517
 	NodeJoined        Code = 311
 	NodeGone          Code = 312
@@ -143,8 +143,8 @@
 	{ServerGone, zap.InfoLevel, "server gone", "The server's entry is no more; it gets no new work."},
 	{ServerAbsent, zap.WarnLevel, "server's entry lapsed", "The entry went while the store was in trouble; the server is used on for a moment, until that is believed."},
 	{ServerOdd, zap.WarnLevel, "server's entry not understood", "The entry names no server to use, for the reason told: it cannot be read, or a field is missing, of another type or out of its range. Told once for each change (revision). No new work goes there until it reads well; what runs there goes on."},
-	{ServerAgain, zap.InfoLevel, "server started again", "A later life of the server takes work. Its id ends with the Unix millisecond of its start; nothing that was known of the life before counts for it."},
-	{ServerWithheld, zap.WarnLevel, "server withheld", "The entry names an earlier life of the server than the newest, or does not say which, as another writer's or a late write does: no new work goes there. An earlier life is believed once the entry has stood for 5 s."},
+	{ServerRestarted, zap.InfoLevel, "server started again", "A later incarnation of the server takes work. Its id ends with the Unix millisecond of its start; nothing that was known of the incarnation before counts for it."},
+	{ServerWithheld, zap.WarnLevel, "server withheld", "The entry names an earlier incarnation of the server than the newest, or does not say which, as another writer's or a late write does: no new work goes there. An earlier incarnation is believed once the entry has stood for 5 s."},
 	{NodeJoined, zap.InfoLevel, "node joined", "Another node registered itself, or others tell of it while the store has lost some."},
 	{NodeGone, zap.InfoLevel, "node gone", "Another node's registration ended and it is not heard of."},
 	{NodeOdd, zap.WarnLevel, "word of a node not understood", "What another node (peer), or its registration in the store (revision), tells of one that runs could not be read, and is passed over."},
--- a/internal/front/lives_test.go
+++ b/internal/front/restarted_test.go
@@ -8,9 +8,9 @@
 	"github.com/matryer/is"
 )
 
-// putLife writes the entry of a server's life that began at a time.
-func (w *world) putLife(i int, born time.Time, leaving bool) {
-	w.store.Put("server/"+serverID(i), fmt.Appendf(nil, `{"Service":"svc","Addr":%q,"Hall":"z","Born":%q,"Leaving":%t}`, addrOf(100+i, 80), born.Format(time.RFC3339Nano), leaving))
+// putIncarnation writes the entry of a server's incarnation that began at a time.
+func (w *world) putIncarnation(i int, started time.Time, leaving bool) {
+	w.store.Put("server/"+serverID(i), fmt.Appendf(nil, `{"Service":"svc","Addr":%q,"Hall":"z","StartedAt":%q,"Leaving":%t}`, addrOf(100+i, 80), started.Format(time.RFC3339Nano), leaving))
 }
 
 // askFor asks all nodes in turn for a while.
@@ -22,7 +22,7 @@
 }
 
 // A server says that it leaves, ends, and starts again under its id, with its entry gone
-// between or not. Leaving is of the life that said so: the later one gets work at all nodes,
+// between or not. Leaving is of the incarnation that said so: the later one gets work at all nodes,
 // in a small fleet and in one that reads the store through hubs.
 func TestAServerThatStartsAgainGetsWork(t *testing.T) {
 	for _, nodes := range []int{3, large} {
@@ -30,10 +30,10 @@
 			play(t, nodes, func(is *is.I, w *world) {
 				time.Sleep(4 * time.Second)
 				for i := range testServers {
-					w.putLife(i, time.Now(), false)
+					w.putIncarnation(i, time.Now(), false)
 				}
 				time.Sleep(time.Second)
-				w.putLife(0, time.Now().Add(-time.Second), true)
+				w.putIncarnation(0, time.Now().Add(-time.Second), true)
 				time.Sleep(2 * time.Second)
 				left := time.Now()
 				w.askFor("a", time.Second)
@@ -42,7 +42,7 @@
 					w.store.Put("server/"+serverID(0), nil)
 					time.Sleep(time.Second)
 				}
-				w.putLife(0, time.Now(), false)
+				w.putIncarnation(0, time.Now(), false)
 				time.Sleep(time.Second)
 				again := time.Now()
 				w.askFor("b", time.Second)
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -330,7 +330,7 @@
 var serverEvents = map[registry.Change]event.Code{
 	registry.Joined: event.ServerJoined, registry.Left: event.ServerLeaving,
 	registry.Gone: event.ServerGone, registry.Absent: event.ServerAbsent,
-	registry.Again: event.ServerAgain, registry.Withheld: event.ServerWithheld,
+	registry.Restarted: event.ServerRestarted, registry.Withheld: event.ServerWithheld,
 }
 
 func (s *state) tell(changed []registry.Event) {
--- a/internal/front/world_test.go
+++ b/internal/front/world_test.go
@@ -77,7 +77,7 @@
 func (plain) Server(id string, value []byte, _ time.Time) (registry.Server, error) {
 	var s registry.Server
 	err := json.Unmarshal(value, &s)
-	s.ID, s.Name = registry.LifeID(id, s.Born), id
+	s.ID, s.Name = registry.IncarnationID(id, s.StartedAt), id
 	if err == nil && !s.Addr.IsValid() {
 		err = errNoAddress
 	}
--- a/internal/registry/lives.go
+++ b/internal/registry/incarnation.go
@@ -5,52 +5,49 @@
 	"time"
 )
 
-// What is known of a server belongs to one of its lives: a later one holds nothing of
-// what an earlier one kept, and says nothing of what that one ran. News come late, twice
-// or in another order, so that two things decide which is newer: the start of the life
-// that they tell of, and the revision of the store at which they were written.
+// What is known of a server belongs to one of its incarnations: a later one holds nothing
+// of what an earlier one kept, and says nothing of what that one ran. News come late, twice
+// or in another order, so that two things decide which is newer: the start of the
+// incarnation that they tell of, and the revision of the store at which they were written.
 
-// LifeID returns the id of one life of a server.
-func LifeID(name string, born time.Time) string {
-	if born.IsZero() {
+// IncarnationID returns the id of one incarnation of a server.
+func IncarnationID(name string, started time.Time) string {
+	if started.IsZero() {
 		return name
 	}
-	return name + "@" + strconv.FormatInt(born.UnixMilli(), 10)
+	return name + "@" + strconv.FormatInt(started.UnixMilli(), 10)
 }
 
-// key returns the id of the server over all its lives.
-func (s *Server) key() string {
+// StoreID returns the id that the server has in the store and goes by in requests,
+// whichever its incarnation.
+func (s *Server) StoreID() string {
 	if s.Name != "" {
 		return s.Name
 	}
 	return s.ID
 }
 
-// StoreID returns the id that the server has in the store and goes by in requests,
-// whichever its life.
-func (s *Server) StoreID() string { return s.key() }
-
-// life is the newest life that was heard of for a server.
-type life struct {
-	born     time.Time
+// incarnation is the newest incarnation that was heard of for a server.
+type incarnation struct {
+	started  time.Time
 	revision int64     // of the newest entry
 	until    time.Time // until when it is remembered without an entry
 }
 
-// earlierStands is how long an entry has to name an earlier life than the newest until
-// that is believed. The store may apply a write of the earlier life seconds late; the
+// earlierStands is how long an entry has to name an earlier incarnation than the newest
+// until that is believed. The store may apply a write of the earlier one seconds late; the
 // server then writes again within a heartbeat, of 1.2 s where it is known, or the entry
 // goes after three. What stands for longer is what the server says of itself: its clock
 // was set back.
 const earlierStands = 5 * time.Second
 
-// judgement says what an entry is to what was heard before.
+// judgement says how an entry stands to what was heard before.
 type judgement int
 
 const (
 	current judgement = iota
 	late              // an older entry
-	earlier           // names an earlier life than the newest, although it is newer
+	earlier           // names an earlier incarnation than the newest, although it is newer
 	foreign           // lacks the start that the server, or others, told
 )
 
@@ -59,9 +56,9 @@
 	switch {
 	case s.Revision != 0 && s.Revision < newest.revision:
 		return late
-	case s.Born.IsZero() && r.bornTold:
+	case s.StartedAt.IsZero() && r.startTold:
 		return foreign
-	case s.Born.Before(newest.born):
+	case s.StartedAt.Before(newest.started):
 		return earlier
 	}
 	return current
@@ -88,7 +85,7 @@
 	return None
 }
 
-// doubt notes that a server's entry names an earlier life. Neither may be used: the
+// doubt notes that a server's entry names an earlier incarnation. Neither may be used: the
 // earlier one may be over, and whether the later one leaves is not known.
 func (r *Registry) doubt(name string, s Server, now time.Time) Change {
 	e := r.servers[name]
@@ -105,7 +102,7 @@
 	return change
 }
 
-// believe takes an earlier life for the newest.
+// believe takes an earlier incarnation for the newest.
 func (r *Registry) believe(name string, s Server, now time.Time) Event {
 	delete(r.newest, name)
 	delete(r.servers, name)
--- a/internal/registry/lives_test.go
+++ b/internal/registry/incarnation_test.go
@@ -10,53 +10,53 @@
 
 var began = time.Unix(1000, 0)
 
-// lifeOf returns the entry of a server's life that began so many seconds on.
-func lifeOf(name string, second int, revision int64, leaving bool) Server {
-	born := began.Add(time.Duration(second) * time.Second)
-	return Server{ID: LifeID(name, born), Name: name, Born: born, Revision: revision, Leaving: leaving}
+// entryOf returns the entry of a server's incarnation that began so many seconds on.
+func entryOf(name string, second int, revision int64, leaving bool) Server {
+	started := began.Add(time.Duration(second) * time.Second)
+	return Server{ID: IncarnationID(name, started), Name: name, StartedAt: started, Revision: revision, Leaving: leaving}
 }
 
 // A server said that it leaves, ended, and started again under its id.
 func TestLeavingIsOfOneLife(t *testing.T) {
 	is := is.New(t)
 	r := New(testDrain)
-	is.Equal(r.Put(lifeOf("a", 1, 1, false), began), Joined)
-	is.Equal(r.Put(lifeOf("a", 1, 2, true), began), Left)
-	is.Equal(r.Put(lifeOf("a", 9, 3, false), began), Again)
+	is.Equal(r.Put(entryOf("a", 1, 1, false), began), Joined)
+	is.Equal(r.Put(entryOf("a", 1, 2, true), began), Left)
+	is.Equal(r.Put(entryOf("a", 9, 3, false), began), Restarted)
 	s, ok := r.Find("a")
-	is.True(ok && !s.Leaving && s.ID == LifeID("a", s.Born))
-	is.Equal(r.Put(lifeOf("a", 1, 2, true), began), None) // comes late
+	is.True(ok && !s.Leaving && s.ID == IncarnationID("a", s.StartedAt))
+	is.Equal(r.Put(entryOf("a", 1, 2, true), began), None) // comes late
 	is.True(listed(r, "a"))
-	is.Equal(r.Put(lifeOf("a", 9, 4, true), began), Left)
-	is.Equal(r.Put(lifeOf("a", 10, 5, true), began), Left) // one that leaves at once
+	is.Equal(r.Put(entryOf("a", 9, 4, true), began), Left)
+	is.Equal(r.Put(entryOf("a", 10, 5, true), began), Left) // one that leaves at once
 }
 
-// News of an earlier life, or of the time before an entry went, come late: from a stale
+// News of an earlier incarnation, or of the time before an entry went, come late: from a stale
 // read, from a watch that was behind, from an instance that was cut off.
 func TestLateNewsAreNoNews(t *testing.T) {
 	is := is.New(t)
 	r := New(testDrain)
-	r.Put(lifeOf("a", 1, 5, false), began)
-	r.Put(lifeOf("b", 1, 6, false), began)
+	r.Put(entryOf("a", 1, 5, false), began)
+	r.Put(entryOf("b", 1, 6, false), began)
 	is.Equal(r.Remove("a", 4, false, began), None)
 	is.Equal(len(r.Replace(nil, nil, 4, false, began)), 0) // a listing from before
 	is.Equal(r.Remove("a", 9, false, began), Gone)
-	is.Equal(r.Put(lifeOf("a", 1, 5, false), began), None)
+	is.Equal(r.Put(entryOf("a", 1, 5, false), began), None)
 	is.Equal(r.Withhold("b", 5, began), None)
 	is.True(!listed(r, "a") && listed(r, "b"))
 }
 
-// The store applies a write of an earlier life after those of the later one: neither is
+// The store applies a write of an earlier incarnation after those of the later one: neither is
 // used until the later one writes again. Where it stands, the server's clock was set back.
 func TestAnEarlierLifeInANewerEntry(t *testing.T) {
 	is := is.New(t)
 	r := New(testDrain)
-	r.Put(lifeOf("a", 9, 5, false), began)
-	is.Equal(r.Put(lifeOf("a", 1, 6, false), began), Withheld)
+	r.Put(entryOf("a", 9, 5, false), began)
+	is.Equal(r.Put(entryOf("a", 1, 6, false), began), Withheld)
 	is.True(!listed(r, "a"))
-	is.Equal(r.Put(lifeOf("a", 9, 7, false), began.Add(2*time.Second)), Joined)
-	is.Equal(r.Put(lifeOf("a", 1, 8, false), began), Withheld)
-	is.Equal(r.Put(lifeOf("a", 1, 8, false), began.Add(earlierStands/2)), None) // listed once more
+	is.Equal(r.Put(entryOf("a", 9, 7, false), began.Add(2*time.Second)), Joined)
+	is.Equal(r.Put(entryOf("a", 1, 8, false), began), Withheld)
+	is.Equal(r.Put(entryOf("a", 1, 8, false), began.Add(earlierStands/2)), None) // listed once more
 	is.Equal(len(r.Expire(false, began.Add(earlierStands-1))), 0)
 	changed := r.Expire(false, began.Add(earlierStands))
 	is.Equal(len(changed), 1)
@@ -69,7 +69,7 @@
 	is := is.New(t)
 	r := New(testDrain)
 	is.Equal(r.Put(Server{ID: "a", Name: "a", Revision: 1}, began), Joined) // none has told so far
-	is.Equal(r.Put(lifeOf("a", 1, 2, false), began), Again)
+	is.Equal(r.Put(entryOf("a", 1, 2, false), began), Restarted)
 	is.Equal(r.Put(Server{ID: "a", Name: "a", Revision: 3}, began), Withheld)
 	is.Equal(r.Put(Server{ID: "c", Name: "c", Revision: 4}, began), Withheld)
 	r.Expire(false, began.Add(time.Minute))
@@ -80,12 +80,12 @@
 func TestAWithheldServerComesBack(t *testing.T) {
 	is := is.New(t)
 	r := New(testDrain)
-	r.Put(lifeOf("a", 1, 1, false), began)
+	r.Put(entryOf("a", 1, 1, false), began)
 	is.Equal(r.Withhold("a", 2, began), Withheld)
 	is.Equal(r.Withhold("a", 2, began), None) // read once more
 	is.Equal(len(r.Replace(nil, []string{"a"}, 3, false, began)), 0)
 	is.Equal(len(r.List()), 0)
-	is.Equal(r.Put(lifeOf("a", 1, 4, false), began), Joined)
+	is.Equal(r.Put(entryOf("a", 1, 4, false), began), Joined)
 	is.Equal(len(r.List()), 1)
 }
 
@@ -108,12 +108,12 @@
 	}
 }
 
-// history draws what a server and other writers wrote over some lives.
+// history draws what a server and other writers wrote over some incarnations.
 func history(rnd *rand.Rand) []written {
 	var all []written
-	for life := range 1 + rnd.IntN(6) {
+	for n := range 1 + rnd.IntN(6) {
 		for _, w := range []written{
-			{server: lifeOf("a", life, 0, false)}, {odd: true}, {server: lifeOf("a", life, 0, false)}, {server: lifeOf("a", life, 0, true)}, {gone: true},
+			{server: entryOf("a", n, 0, false)}, {odd: true}, {server: entryOf("a", n, 0, false)}, {server: entryOf("a", n, 0, true)}, {gone: true},
 		} {
 			if rnd.IntN(3) == 0 {
 				continue
@@ -126,7 +126,7 @@
 	return all
 }
 
-// Whatever is lost, comes late, twice or in another order: a life that is known to leave,
+// Whatever is lost, comes late, twice or in another order: an incarnation that is known to leave,
 // or to be followed by a later one, gets no new work, and a listing of the store as it is
 // then leaves the registry with what is true.
 func TestRandomNewsOfLives(t *testing.T) {
@@ -139,20 +139,20 @@
 		}
 		r := New(testDrain)
 		now := began
-		left := make(map[string]bool) // lives that were told to leave
-		var newest time.Time          // of the lives that were told of
+		left := make(map[string]bool) // incarnations that were told to leave
+		var newest time.Time          // of the incarnations that were told of
 		for range 3 * len(all) {
 			now = now.Add(time.Duration(rnd.IntN(300)) * time.Millisecond)
 			w := all[rnd.IntN(len(all))]
 			w.tell(r, now)
 			if !w.odd && !w.gone {
 				left[w.server.ID] = left[w.server.ID] || w.server.Leaving
-				if w.server.Born.After(newest) {
-					newest = w.server.Born
+				if w.server.StartedAt.After(newest) {
+					newest = w.server.StartedAt
 				}
 			}
 			r.Expire(false, now)
-			if s, ok := r.Find("a"); ok && !s.Leaving && (left[s.ID] || s.Born.Before(newest)) {
+			if s, ok := r.Find("a"); ok && !s.Leaving && (left[s.ID] || s.StartedAt.Before(newest)) {
 				t.Fatalf("seed %d: %s is used", seed, s.ID)
 			}
 		}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -1,9 +1,9 @@
 // Package registry keeps what a node believes about the servers: which there
 // are, which are leaving, and which are gone.
 //
-// A server may start again under its id: each of its lives is a server of its own, known
-// by the id and the time of its start (lives.go). Leaving, once said, is sticky for a life.
-// A Registry belongs to one goroutine and publishes immutable lists. The package is pure.
+// A server may start again under its id: each of its incarnations is a server of its own,
+// known by the id and the time of its start (incarnation.go). Leaving, once said, is
+// sticky for an incarnation. A Registry belongs to one goroutine and publishes immutable lists. The package is pure.
 package registry
 
 import (
@@ -13,21 +13,21 @@
 	"time"
 )
 
-// Server is one life of a server.
+// Server is one incarnation of a server.
 type Server struct {
-	ID       string    // of this life, see LifeID
-	Name     string    // id of the server over all its lives; empty where that is ID
-	Born     time.Time // start of this life; zero where that is not told
-	Revision int64     // of its entry in the store; 0 when not known
-	Service  string
-	Addr     netip.AddrPort
-	Hall     string
-	Version  string // of its software; "" where that is not told
-	Slots    int
-	Leaving  bool
-	Spot     bool      // may be reclaimed
-	LeavesAt time.Time // when a leaving server ends; zero when not known
-	WarmAt   time.Time // until when it is slow after its start
+	ID        string    // of this incarnation, see IncarnationID
+	Name      string    // id of the server over all its incarnations; empty where that is ID
+	StartedAt time.Time // start of this incarnation; zero where that is not told
+	Revision  int64     // of its entry in the store; 0 when not known
+	Service   string
+	Addr      netip.AddrPort
+	Hall      string
+	Version   string // of its software; "" where that is not told
+	Slots     int
+	Leaving   bool
+	Spot      bool      // may be reclaimed
+	LeavesAt  time.Time // when a leaving server ends; zero when not known
+	WarmAt    time.Time // until when it is slow after its start
 }
 
 // Change is what became of a server.
@@ -37,11 +37,11 @@
 const (
 	None Change = iota
 	Joined
-	Left     // gets no new work any more
-	Gone     // its entry is no more
-	Absent   // its entry is no more, but the store was in trouble: believed for a while
-	Again    // it started again, and takes work
-	Withheld // its entry names no server to use, for now
+	Left      // gets no new work any more
+	Gone      // its entry is no more
+	Absent    // its entry is no more, but the store was in trouble: believed for a while
+	Restarted // it started again, and takes work
+	Withheld  // its entry names no server to use, for now
 )
 
 // Times that the registry keeps to.
@@ -50,8 +50,8 @@
 	// one is used on whose entry went while the store was in trouble. Servers
 	// write every second or so: one that lives is back by then.
 	absentShare = 0.75
-	// leftFor is how long a life that left is remembered, and the newest life of a server
-	// that has no entry any more.
+	// leftFor is how long an incarnation that left is remembered, and the newest one of a
+	// server that has no entry any more.
 	leftFor = 2 * time.Minute
 )
 
@@ -59,34 +59,34 @@
 	server   Server
 	absent   time.Time // when to drop it; zero while its entry stands
 	withheld bool      // the entry names no server to use
-	earlier  *Server   // the earlier life that the entry names; nil if it names none
+	earlier  *Server   // the earlier incarnation that the entry names; nil if it names none
 	since    time.Time // when that was first seen
 }
 
-// parting is a life that gets no new work any more.
+// parting is an incarnation that gets no new work any more.
 type parting struct {
 	name  string
 	until time.Time // until when it is remembered
 }
 
-// Registry holds the servers by their ids over all lives.
+// Registry holds the servers by their ids over all incarnations.
 type Registry struct {
-	servers  map[string]*entry
-	newest   map[string]life    // of each server, also for a while without an entry
-	left     map[string]parting // by id of the life
-	bound    time.Duration      // within which a server that left is out of use
-	bornTold bool               // some server told when it started: so do all
+	servers   map[string]*entry
+	newest    map[string]incarnation // of each server, also for a while without an entry
+	left      map[string]parting     // by id of the incarnation
+	bound     time.Duration          // within which a server that left is out of use
+	startTold bool                   // some server told when it started: so do all
 }
 
 // New returns an empty registry. bound is the time within which a server that
 // left has to be out of use.
 func New(bound time.Duration) *Registry {
-	return &Registry{bound: bound, servers: make(map[string]*entry), newest: make(map[string]life), left: make(map[string]parting)}
+	return &Registry{bound: bound, servers: make(map[string]*entry), newest: make(map[string]incarnation), left: make(map[string]parting)}
 }
 
 // Put takes a server's entry as written.
 func (r *Registry) Put(s Server, now time.Time) Change {
-	name := s.key()
+	name := s.StoreID()
 	switch r.judge(name, s) {
 	case late:
 		return None
@@ -95,8 +95,8 @@
 	case earlier:
 		return r.doubt(name, s, now)
 	}
-	r.newest[name] = life{born: s.Born, revision: s.Revision}
-	r.bornTold = r.bornTold || !s.Born.IsZero()
+	r.newest[name] = incarnation{started: s.StartedAt, revision: s.Revision}
+	r.startTold = r.startTold || !s.StartedAt.IsZero()
 	_, left := r.left[s.ID]
 	if left {
 		s.Leaving = true
@@ -110,7 +110,7 @@
 }
 
 // changeOf returns what became of a server whose entry is read. old is what was known of
-// it, nil if it was not, and left says that this life had left before.
+// it, nil if it was not, and left says that this incarnation had left before.
 func changeOf(old *entry, s Server, left bool) Change {
 	again := old != nil && old.server.ID != s.ID
 	switch {
@@ -119,7 +119,7 @@
 	case s.Leaving:
 		return None
 	case again:
-		return Again
+		return Restarted
 	case old == nil || old.withheld:
 		return Joined
 	}
@@ -168,7 +168,7 @@
 func (r *Registry) Replace(all []Server, withheld []string, at int64, trouble bool, now time.Time) (changed []Event) {
 	listed := make(map[string]bool, len(all))
 	for _, s := range all {
-		listed[s.key()] = true
+		listed[s.StoreID()] = true
 		if c := r.Put(s, now); c != None {
 			changed = append(changed, Event{c, s})
 		}
@@ -227,7 +227,7 @@
 	}
 }
 
-// Find returns a server by its id over all lives, if it may be used.
+// Find returns a server by its id over all incarnations, if it may be used.
 func (r *Registry) Find(name string) (Server, bool) {
 	e, ok := r.servers[name]
 	if !ok || e.withheld {
