A listing writes over the entries in hand

Cause: with several incarnations a listing of 2,300 servers took 1.45 ms where it took 0.76: each entry was made anew and looked up in one more map.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -67,7 +67,7 @@
 	ServerGone        Code = 513
 	ServerAbsent      Code = 514
 	ServerOdd         Code = 515
-	ServerRestarted       Code = 516
+	ServerRestarted   Code = 516
 	ServerWithheld    Code = 517
 	NodeJoined        Code = 311
 	NodeGone          Code = 312
--- a/internal/registry/incarnation.go
+++ b/internal/registry/incarnation.go
@@ -51,8 +51,17 @@
 	foreign           // lacks the start that the server, or others, told
 )
 
-func (r *Registry) judge(name string, s Server) judgement {
+// newestOf returns the newest incarnation of a server, to be brought up to date.
+func (r *Registry) newestOf(name string) *incarnation {
 	newest := r.newest[name]
+	if newest == nil {
+		newest = &incarnation{}
+		r.newest[name] = newest
+	}
+	return newest
+}
+
+func (r *Registry) judge(newest *incarnation, s *Server) judgement {
 	switch {
 	case s.Revision != 0 && s.Revision < newest.revision:
 		return late
@@ -67,14 +76,13 @@
 // Withhold notes that a server's entry names no server to use since a revision, 0 if that
 // is not known. What runs there goes on; it may be used again once its entry reads well.
 func (r *Registry) Withhold(name string, revision int64, now time.Time) Change {
-	newest := r.newest[name]
+	newest := r.newestOf(name)
 	if revision != 0 && revision < newest.revision {
 		return None
 	}
 	news := revision > newest.revision
 	newest.revision = max(revision, newest.revision)
 	newest.until = now.Add(leftFor)
-	r.newest[name] = newest
 	if e := r.servers[name]; e != nil {
 		news = news || !e.withheld
 		e.withheld, e.earlier, e.absent = true, nil, time.Time{}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -72,22 +72,23 @@
 // Registry holds the servers by their ids over all incarnations.
 type Registry struct {
 	servers   map[string]*entry
-	newest    map[string]incarnation // of each server, also for a while without an entry
-	left      map[string]parting     // by id of the incarnation
-	bound     time.Duration          // within which a server that left is out of use
-	startTold bool                   // some server told when it started: so do all
+	newest    map[string]*incarnation // of each server, also for a while without an entry
+	left      map[string]parting      // by id of the incarnation
+	bound     time.Duration           // within which a server that left is out of use
+	startTold bool                    // some server told when it started: so do all
 }
 
 // New returns an empty registry. bound is the time within which a server that
 // left has to be out of use.
 func New(bound time.Duration) *Registry {
-	return &Registry{bound: bound, servers: make(map[string]*entry), newest: make(map[string]incarnation), left: make(map[string]parting)}
+	return &Registry{bound: bound, servers: make(map[string]*entry), newest: make(map[string]*incarnation), left: make(map[string]parting)}
 }
 
 // Put takes a server's entry as written.
 func (r *Registry) Put(s Server, now time.Time) Change {
 	name := s.StoreID()
-	switch r.judge(name, s) {
+	newest := r.newestOf(name)
+	switch r.judge(newest, &s) {
 	case late:
 		return None
 	case foreign:
@@ -95,23 +96,28 @@
 	case earlier:
 		return r.doubt(name, s, now)
 	}
-	r.newest[name] = incarnation{started: s.StartedAt, revision: s.Revision}
+	newest.started, newest.revision = s.StartedAt, s.Revision
 	r.startTold = r.startTold || !s.StartedAt.IsZero()
 	_, left := r.left[s.ID]
 	if left {
 		s.Leaving = true
 	}
-	old := r.servers[name]
-	r.servers[name] = &entry{server: s}
 	if s.Leaving {
 		r.left[s.ID] = parting{name, now.Add(leftFor)}
 	}
-	return changeOf(old, s, left)
+	old := r.servers[name]
+	if old == nil {
+		r.servers[name] = &entry{server: s}
+		return changeOf(nil, &s, left)
+	}
+	change := changeOf(old, &s, left)
+	*old = entry{server: s}
+	return change
 }
 
 // changeOf returns what became of a server whose entry is read. old is what was known of
 // it, nil if it was not, and left says that this incarnation had left before.
-func changeOf(old *entry, s Server, left bool) Change {
+func changeOf(old *entry, s *Server, left bool) Change {
 	again := old != nil && old.server.ID != s.ID
 	switch {
 	case s.Leaving && !left && (old == nil || again || !old.server.Leaving):
@@ -130,12 +136,14 @@
 // known. trouble says that the store is or just was not to be relied on.
 func (r *Registry) Remove(name string, revision int64, trouble bool, now time.Time) Change {
 	e, ok := r.servers[name]
-	newest := r.newest[name]
-	if !ok || revision != 0 && revision < newest.revision {
+	if !ok {
+		return None
+	}
+	newest := r.newestOf(name)
+	if revision != 0 && revision < newest.revision {
 		return None
 	}
 	newest.revision = max(revision, newest.revision)
-	r.newest[name] = newest
 	if trouble && !e.server.Leaving {
 		if e.absent.IsZero() {
 			e.absent = r.absentUntil(now)
@@ -158,9 +166,7 @@
 		r.left[s.ID] = parting{name, now.Add(leftFor)}
 	}
 	delete(r.servers, name)
-	newest := r.newest[name]
-	newest.until = now.Add(leftFor)
-	r.newest[name] = newest
+	r.newestOf(name).until = now.Add(leftFor)
 }
 
 // Replace takes a whole listing as of a revision, 0 if that is not known: servers that it
