--- a/internal/registry/incarnation_test.go
+++ b/internal/registry/incarnation_test.go
@@ -17,7 +17,7 @@
 }
 
 // A server said that it leaves, ended, and started again under its id.
-func TestLeavingIsOfOneLife(t *testing.T) {
+func TestLeavingIsOfOneIncarnation(t *testing.T) {
 	is := is.New(t)
 	r := New(testDrain)
 	is.Equal(r.Put(entryOf("a", 1, 1, false), began), Joined)
@@ -129,7 +129,7 @@
 // Whatever is lost, comes late, twice or in another order: an incarnation that is known to leave,
 // or to be followed by a later one, gets no new work, and a listing of the store as it is
 // then leaves the registry with what is true.
-func TestRandomNewsOfLives(t *testing.T) {
+func TestRandomNewsOfIncarnations(t *testing.T) {
 	const histories = 10_000 // 0.2 s
 	for seed := range uint64(histories) {
 		rnd := rand.New(rand.NewPCG(seed, 1))
