--- a/internal/front/restarted_test.go
+++ b/internal/front/restarted_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/shelfcrank/shelfcrank/internal/storetest"
 )
 
 // putIncarnation writes the entry of a server's incarnation that began at a time.
@@ -72,3 +76,83 @@
 		})
 	}
 }
+
+// Servers leave, end, start again and have their entries spoilt in quick succession, while
+// instances are killed, watches are silent or cut, and answers of the store are lost. What
+// an entry takes away gets no new work after the bound, and in the end each server is used.
+func TestRandomDaysOfServers(t *testing.T) {
+	for seed := range uint64(3) {
+		for _, nodes := range []int{3, large} {
+			play(t, nodes, func(is *is.I, w *world) {
+				time.Sleep(4 * time.Second)
+				w.randomServers(rand.New(rand.NewPCG(seed, 13)), nodes)
+				for i := range testServers {
+					w.allow(i)
+				}
+				time.Sleep(4 * time.Second)
+				end := time.Now()
+				w.askFor("end", 2*time.Second)
+				for i := range testServers {
+					is.True(w.lastAt(serverID(i)).After(end))
+				}
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				is.Equal(w.bad, nil)
+			})
+		}
+	}
+}
+
+// randomServers plays 30 s of changes of servers and faults of instances.
+func (w *world) randomServers(rnd *rand.Rand, nodes int) {
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	for i := range 1000 {
+		time.Sleep(30 * time.Millisecond)
+		name := fmt.Sprint("n", rnd.IntN(nodes))
+		wait.Go(func() { w.ask(name, "/once/a", "k1", fmt.Sprint("r", i)) })
+		server := rnd.IntN(testServers)
+		switch x := rnd.Float64(); {
+		case x < 0.02:
+			w.takeOut(server, func() { w.putIncarnation(server, time.Now(), true) })
+		case x < 0.03:
+			w.takeOut(server, func() { w.store.Put("server/"+serverID(server), nil) })
+		case x < 0.045:
+			w.takeOut(server, func() { w.store.Put("server/"+serverID(server), []byte("{")) })
+		case x < 0.08:
+			w.allow(server)
+		case x < 0.085:
+			w.kill(name)
+			w.start(name)
+		case x < 0.09:
+			w.store.SetFaults(name, storetest.Faults{Silent: true})
+		case x < 0.1:
+			w.store.SetFaults(name, storetest.Faults{LoseNext: 1})
+		case x < 0.11:
+			w.store.Compact()
+		case x < 0.15:
+			w.store.SetFaults(name, storetest.Faults{})
+		}
+	}
+	for i := range nodes {
+		w.store.SetFaults(fmt.Sprint("n", i), storetest.Faults{})
+	}
+}
+
+// takeOut changes the entry of a server so that it allows no new work.
+func (w *world) takeOut(i int, change func()) {
+	change()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.out[serverID(i)].IsZero() {
+		w.out[serverID(i)] = time.Now()
+	}
+}
+
+// allow starts a server again.
+func (w *world) allow(i int) {
+	w.mu.Lock()
+	delete(w.out, serverID(i))
+	w.mu.Unlock()
+	w.putIncarnation(i, time.Now(), false)
+}
--- a/internal/front/world_test.go
+++ b/internal/front/world_test.go
@@ -144,6 +144,8 @@
 	hold time.Duration        // how long servers work; guarded by mu
 	last map[string]time.Time // last request at each server; guarded by mu
 	slow map[string]bool      // sites that everything takes long to; guarded by mu
+	out  map[string]time.Time // since when a server's entry allows no new work; guarded by mu
+	bad  []string             // what was seen that must not be; guarded by mu
 
 	rolls *rolls // set where the world has roll-outs
 }
@@ -189,7 +191,7 @@
 	w := &world{
 		t: t, store: storetest.New(),
 		cloud: &cloud{windows: make(map[int64]map[string]int64)}, nodes: make(map[string]*running),
-		runs: make(map[string]int), hold: 20 * time.Millisecond, last: make(map[string]time.Time), slow: make(map[string]bool),
+		runs: make(map[string]int), hold: 20 * time.Millisecond, last: make(map[string]time.Time), slow: make(map[string]bool), out: make(map[string]time.Time),
 	}
 	w.mem = netx.NewMem(w.delay)
 	for _, set := range options {
@@ -261,6 +263,9 @@
 	w.mu.Lock()
 	w.runs[id]++
 	w.last[server] = time.Now()
+	if since := w.out[server]; !since.IsZero() && time.Since(since) > w.drain() {
+		w.bad = append(w.bad, fmt.Sprintf("%s reached %s %s after its entry said no", id, server, time.Since(since)))
+	}
 	hold := w.hold
 	w.mu.Unlock()
 	hold, fails := w.rolls.serve(server, r.URL.Path, hold)
@@ -274,6 +279,9 @@
 	_, _ = io.WriteString(rw, "answer to "+id)
 }
 
+// drain is the bound within which a server that leaves gets no new work.
+func (w *world) drain() time.Duration { return w.settings("n0", 1).Bounds.Drain() }
+
 func (w *world) settings(name string, host int) settings.Front {
 	return settings.Front{
 		Name: name, Hall: "z", Front: addrOf(host, frontPort), Ready: addrOf(host, readyPort), Peer: addrOf(host, 8002), Metrics: addrOf(host, 8003),
