Endpoints on trial and old ones in the shift keep their connections; versions that are gone are forgotten

Cause: upkeep took the servers that get the usual requests for all there are, so that idle connections to endpoints on trial were closed each second, and what was known of old ones in the shift was dropped; an instance of a large fleet told uses of both as of plain services. Versions were remembered for good.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -69,6 +69,7 @@
 	ReadAt      time.Time                    // the same for this node's own way to the store
 	KeysUntil   time.Time                    // until when keys are honoured unless Config is proved again
 	OutageUntil time.Time                    // until when the store counts as down for all nodes
+	Listed      []registry.Server            // all that do not leave, whichever requests they may get
 	Servers     map[string][]registry.Server // that take new work, by service
 	Trial       map[string][]registry.Server // that take the share of a version on trial, by service
 	Rollouts    map[string]rollout.Record    // how far each service's roll-out is
--- a/internal/front/digest.go
+++ b/internal/front/digest.go
@@ -141,11 +141,9 @@
 	if v.Config == nil {
 		return uses
 	}
-	for i := range v.Config.Services {
-		if s := &v.Config.Services[i]; placedByHubs(s) {
-			for _, server := range v.Servers[s.Name] {
-				delete(uses, server.ID)
-			}
+	for _, server := range v.Listed {
+		if s := v.Config.Service(server.Service); s != nil && placedByHubs(s) {
+			delete(uses, server.ID)
 		}
 	}
 	return uses
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -304,13 +304,8 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case now := <-t.C:
-			wanted := make(map[string]bool)
-			for _, servers := range n.view.Load().Servers {
-				for _, s := range servers {
-					wanted[s.ID] = true
-				}
-			}
-			is := func(id string) bool { return wanted[id] }
+			inUse := n.serversInUse()
+			is := func(id string) bool { return inUse[id] }
 			n.backends.Tidy(now, is)
 			n.tracker.Forget(is)
 			n.placer.tidy(is, now)
@@ -319,6 +314,16 @@
 	}
 }
 
+// serversInUse returns the ids of all servers that may have connections and requests,
+// whichever the requests that they may get.
+func (n *Node) serversInUse() map[string]bool {
+	inUse := make(map[string]bool)
+	for _, s := range n.view.Load().Listed {
+		inUse[s.ID] = true
+	}
+	return inUse
+}
+
 // reload reads the settings again when asked to. Addresses and the like cannot
 // change while a process runs; a change is told in the log.
 func (n *Node) reload(ctx context.Context) error {
--- a/internal/front/rollouts.go
+++ b/internal/front/rollouts.go
@@ -22,11 +22,11 @@
 // goroutine.
 type rolloutState struct {
 	node    *Node
-	orders  map[string]rollout.Order // newest, by service
-	records map[string]writtenRecord // newest, by service
-	seen    map[string]time.Time     // when a version was first seen, by service and version
-	read    bool                     // what the operators wrote was read once
-	fresh   map[string]bool          // services whose order came after that
+	orders  map[string]rollout.Order        // newest, by service
+	records map[string]writtenRecord        // newest, by service
+	seen    map[string]map[string]time.Time // when a version came up, by service and version
+	read    bool                            // what the operators wrote was read once
+	fresh   map[string]bool                 // services whose order came after that
 }
 
 // writtenRecord is a record as the store has it.
@@ -38,7 +38,7 @@
 func newRolloutState(n *Node) *rolloutState {
 	return &rolloutState{
 		node: n, orders: make(map[string]rollout.Order), records: make(map[string]writtenRecord),
-		seen: make(map[string]time.Time), fresh: make(map[string]bool),
+		seen: make(map[string]map[string]time.Time), fresh: make(map[string]bool),
 	}
 }
 
@@ -105,16 +105,26 @@
 	return k
 }
 
-// divide puts a service's endpoints into a view, divided as its roll-out asks for.
-func (s *rolloutState) divide(v *forward.View, service string, servers []registry.Server, now time.Time) *rollctl.Known {
+// see notes when the versions of a service's endpoints came up. One that is gone is
+// forgotten: if it comes up again an order may have named it since.
+func (s *rolloutState) see(service string, servers []registry.Server, now time.Time) {
+	seen := make(map[string]time.Time, len(s.seen[service]))
 	for _, server := range servers {
-		if key := service + "\x00" + server.Version; s.seen[key].IsZero() {
-			s.seen[key] = now
+		at, known := s.seen[service][server.Version]
+		if !known {
+			at = now
 		}
+		seen[server.Version] = at
 	}
+	s.seen[service] = seen
+}
+
+// divide puts a service's endpoints into a view, divided as its roll-out asks for.
+func (s *rolloutState) divide(v *forward.View, service string, servers []registry.Server, now time.Time) *rollctl.Known {
+	s.see(service, servers, now)
 	// A version may be one that an order names of which this instance has not heard yet,
 	// until what the operators wrote was read after the version came up.
-	unproved := func(version string) bool { return !v.ProvedAt.After(s.seen[service+"\x00"+version]) }
+	unproved := func(version string) bool { return !v.ProvedAt.After(s.seen[service][version]) }
 	known := s.known(service)
 	r, ok := rollout.Current(known.Order, known.Record)
 	arms := s.node.rollouts.Divide(servers, r, unproved)
--- a/internal/front/rollouts_test.go
+++ b/internal/front/rollouts_test.go
@@ -273,6 +273,27 @@
 	return both[i%2 : i%2+1]
 }
 
+// While a version is on trial, and while requests shift to it, the endpoints of both keep
+// their connections and what is known of them, whichever gets the next request.
+func TestEndpointsOfBothVersionsAreInUse(t *testing.T) {
+	play(t, 3, func(is *is.I, w *world) {
+		meanwhile := func() {
+			for range 40 {
+				time.Sleep(250 * time.Millisecond)
+				n := w.nodes["n0"].node
+				phase := n.view.Load().Rollouts["svc"].Phase
+				if phase != rollout.Trial && phase != rollout.Shift {
+					continue
+				}
+				if in := len(n.serversInUse()); in != oldServers+newServers {
+					t.Errorf("%d of %d servers in use in the phase %s", in, oldServers+newServers, phase)
+				}
+			}
+		}
+		is.Equal(w.rollOut(conduct{}, 200, meanwhile).status, string(rollout.Completed))
+	}, withRollouts)
+}
+
 func TestAGoodVersionIsCompletedInTime(t *testing.T) {
 	for _, nodes := range []int{3, 8, large} {
 		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -362,6 +362,7 @@
 	}
 	for _, server := range s.registry.List() {
 		if !server.Leaving {
+			v.Listed = append(v.Listed, server)
 			v.Servers[server.Service] = append(v.Servers[server.Service], server)
 		}
 	}
