A short outage is no reason to tell who runs

Read again: an instance whose renewal fails took its registration for lost at once, so that in an outage for all each hub of a large fleet would have told every instance to all others (some 50 bytes each, three times a second). Now the registration stands for as long as its lease was last renewed for.

--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -251,14 +251,21 @@
 	return ctx.Err()
 }
 
+// keepRegistered renews the lease of the registration until it is over. While the store
+// does not answer, the registration stands for as long as the lease was last renewed for.
 func (n *Node) keepRegistered(ctx context.Context, lease int64) {
+	until := time.Now().Add(registerTTL)
 	for sleep(ctx, registerKeep) {
+		sent := time.Now()
 		call, cancel := context.WithTimeout(ctx, registerKeep/2)
 		err := n.Store.Keep(call, lease)
 		cancel()
-		n.registered.Store(err == nil)
 		if errors.Is(err, store.ErrNotFound) {
 			return
 		}
+		if err == nil {
+			until = sent.Add(registerTTL)
+		}
+		n.registered.Store(time.Now().Before(until))
 	}
 }
