--- a/internal/front/deadly_test.go
+++ b/internal/front/deadly_test.go
@@ -32,11 +32,17 @@
 	after  map[string]int       // times that a path reached a server after deadlyEnds had ended under it; guarded by mu
 	runs   map[string]int       // at servers, by request id; guarded by mu
 	all    int                  // runs at servers; guarded by mu
+	failed map[string]bool      // requests that a server failed before it ran them; guarded by mu
 	fixed  bool                 // no request is deadly any more; guarded by mu
+	third  map[string]time.Time // when the last of deadlyEnds ended under a path; guarded by mu
+	late   map[string]int       // times that a path reached a server later than newsTime after that; guarded by mu
+
+	startsAfter time.Duration // how long a server that ended under a request is away
+	failsEach   int           // of so many deadly requests at a server one is failed before it runs; 0 for none
 }
 
 func newDeaths() *deaths {
-	return &deaths{server: make(map[int]*http.Server), down: make(map[string]bool), ended: make(map[string]int), after: make(map[string]int), runs: make(map[string]int)}
+	return &deaths{server: make(map[int]*http.Server), down: make(map[string]bool), ended: make(map[string]int), after: make(map[string]int), runs: make(map[string]int), third: make(map[string]time.Time), late: make(map[string]int), failed: make(map[string]bool), startsAfter: startsAfter}
 }
 
 // started notes the process of a server.
@@ -55,8 +61,13 @@
 	d.all++
 	if d.ended[path] >= deadlyEnds {
 		d.after[path]++
+		if time.Since(d.third[path]) > newsTime {
+			d.late[path]++
+		}
 	}
-	return strings.Contains(path, "deadly") && !d.fixed
+	deadly := strings.Contains(path, "deadly") && !d.fixed
+	d.failed[id] = deadly && d.failsEach > 0 && d.all%d.failsEach == 0
+	return deadly && !d.failed[id]
 }
 
 // crash ends a server under a request. All its connections end with it. It starts again
@@ -72,6 +83,9 @@
 	d.down[serverID(i)] = true
 	if path != "" {
 		d.ended[path]++
+		if d.ended[path] == deadlyEnds {
+			d.third[path] = time.Now()
+		}
 	}
 	d.mu.Unlock()
 	_ = s.Close()
@@ -92,6 +106,22 @@
 	return d.ended[path], d.after[path]
 }
 
+// tooLate returns how often a path reached a server later than newsTime after the last of
+// deadlyEnds had ended under it.
+func (d *deaths) tooLate(path string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.late[path]
+}
+
+// failsFirst reports whether a server failed a deadly request instead of running it, the
+// last time that it arrived.
+func (d *deaths) failsFirst(id string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.failed[id]
+}
+
 // arrived returns how many requests reached a server, and how often.
 func (d *deaths) arrived() (requests, runs int) {
 	d.mu.Lock()
@@ -375,6 +405,6 @@
 		return true
 	}
 	time.Sleep(crashAfter)
-	w.crash(i, path, startsAfter)
+	w.crash(i, path, w.deaths.startsAfter)
 	return false
 }
--- /dev/null
+++ b/internal/front/deadlyagain_test.go
@@ -0,0 +1,96 @@
+package front
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Servers that fail part of what they are sent, before they run it, say nothing of a request.
+func TestADeadlyRequestIsStoppedWhereServersFail(t *testing.T) {
+	for _, nodes := range []int{4, large} {
+		play(t, nodes, func(is *is.I, w *world) {
+			time.Sleep(4 * time.Second)
+			const path = "/safe/deadly"
+			w.askDeadly(path, "d", 20*time.Second, namesOf(w)...)
+			w.stopped(is, path)
+		}, manyServers, func(w *world) { w.deaths.failsEach = 2 })
+	}
+}
+
+// Callers that leave before the server has ended come back all the same.
+func TestADeadlyRequestIsStoppedWhereCallersLeave(t *testing.T) {
+	for _, nodes := range []int{4, large} {
+		for _, stay := range []time.Duration{5 * time.Millisecond, 20 * time.Millisecond} {
+			play(t, nodes, func(is *is.I, w *world) {
+				time.Sleep(4 * time.Second)
+				const path = "/safe/deadly"
+				w.askAndLeave(path, stay, 20*time.Second)
+				w.stopped(is, path)
+			}, manyServers)
+		}
+	}
+}
+
+// Servers that start again at once, under the same id and address, are as dead as others.
+func TestADeadlyRequestIsStoppedWhereServersAreBackAtOnce(t *testing.T) {
+	for _, nodes := range []int{4, large} {
+		for _, again := range []time.Duration{0, 20 * time.Millisecond, 200 * time.Millisecond} {
+			play(t, nodes, func(is *is.I, w *world) {
+				time.Sleep(4 * time.Second)
+				const path = "/safe/deadly"
+				w.askDeadly(path, "d", 20*time.Second, namesOf(w)...)
+				w.stopped(is, path)
+			}, manyServers, func(w *world) { w.deaths.startsAfter = again })
+		}
+	}
+}
+
+// late is the number of times that a deadly request may reach servers later than newsTime
+// after the end of the third one.
+const (
+	late     = 3
+	newsTime = 3 * time.Second
+)
+
+// stopped checks that a request was deadly and was stopped.
+func (w *world) stopped(is *is.I, path string) {
+	is.Helper()
+	ended, after := w.deaths.counts(path)
+	tooLate := w.deaths.tooLate(path)
+	w.t.Logf("%d instances: %d ended, %d sent after, %d of them late", len(w.nodes), ended, after, tooLate)
+	is.True(ended >= deadlyEnds) // it was deadly
+	is.True(tooLate <= late)
+}
+
+// askAndLeave asks for a path ten times a second for a while, by callers that leave early.
+func (w *world) askAndLeave(path string, stay, d time.Duration) {
+	names := namesOf(w)
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	for i := range int(d / (100 * time.Millisecond)) {
+		time.Sleep(100 * time.Millisecond)
+		name := names[i%len(names)]
+		wait.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), stay)
+			defer cancel()
+			r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addrOf(hostOf(name), frontPort).String()+path, strings.NewReader("body"))
+			if err != nil {
+				w.t.Error(err)
+				return
+			}
+			r.Host = testHost
+			r.Header.Set("Id", fmt.Sprint(name, "/leaves", i))
+			r.Header.Set("Key", "k1")
+			if resp, err := w.client.Do(r); err == nil {
+				_ = resp.Body.Close()
+			}
+		})
+	}
+}
--- a/internal/front/world_test.go
+++ b/internal/front/world_test.go
@@ -302,6 +302,7 @@
 		return
 	}
 	hold, fails := w.rolls.serve(server, r.URL.Path, hold)
+	fails = fails || w.deaths.failsFirst(id)
 	time.Sleep(hold)
 	w.rolls.served(server)
 	rw.Header().Set("Id", id)
