A run that its caller left counts if its endpoint ends under it

Callers that leave before the endpoint has ended came back and ended the next one, without bound: 125 endpoints at 4 instances in 20 s, 103 runs later than 3 s after the third end. A run that was cut off counted only if the endpoint had cut it off. Now one that was given up waits for the same word of its endpoint (a refused connection, its entry); it is not looked at, since most do not end. The permit of a run that is not decided is kept for as long: else one run after the other begins while it is not known that endpoints end under each, also after a quarantine.

Ruled out: looking at each endpoint after a client has left (a probe each, priced, and too early: it ends later).

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -55,8 +55,9 @@
 		return outcome{denial: d}
 	}
 	if leave != nil {
-		defer leave()
+		defer func() { leave(!q.undecided) }()
 	}
+	q.undecided = false
 	if d := h.mayTry(ctx, q, last, unreached); d != nil {
 		return outcome{denial: d}
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -151,31 +151,32 @@
 
 // request is one request on its way.
 type request struct {
-	meta     Meta
-	arrived  time.Time
-	deadline time.Time
-	view     *View
-	route    *policy.Route
-	account  *policy.Account // nil on a public route
-	service  string
-	units    float64
-	level    float64 // of the client account's limit, as this instance knew it once the request was admitted; units
-	priority int
-	method   string
-	uri      string
-	host     string
-	header   http.Header // as the servers get it, but for what each is told
-	body     []byte
-	tried    []string                // servers that it was sent to
-	avoid    []string                // servers that were chosen for it, reached or not
-	mayRun   bool                    // a server may have run it
-	print    *quarantine.Fingerprint // nil until it is needed
-	counted  bool                    // a run of it was counted for the usage reports
-	event    string                  // id of the last event passed on
-	answered bool                    // the head of an answer was passed on
-	first    time.Time               // when the first event was passed on
-	lastAt   time.Time               // when the last event was passed on
-	pause    time.Duration           // the longest between two events
+	meta      Meta
+	arrived   time.Time
+	deadline  time.Time
+	view      *View
+	route     *policy.Route
+	account   *policy.Account // nil on a public route
+	service   string
+	units     float64
+	level     float64 // of the client account's limit, as this instance knew it once the request was admitted; units
+	priority  int
+	method    string
+	uri       string
+	host      string
+	header    http.Header // as the servers get it, but for what each is told
+	body      []byte
+	tried     []string                // servers that it was sent to
+	avoid     []string                // servers that were chosen for it, reached or not
+	mayRun    bool                    // a server may have run it
+	print     *quarantine.Fingerprint // nil until it is needed
+	undecided bool                    // it is not known whether a server ended under its last run
+	counted   bool                    // a run of it was counted for the usage reports
+	event     string                  // id of the last event passed on
+	answered  bool                    // the head of an answer was passed on
+	first     time.Time               // when the first event was passed on
+	lastAt    time.Time               // when the last event was passed on
+	pause     time.Duration           // the longest between two events
 }
 
 // passed notes that an event was passed on.
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -89,11 +89,14 @@
 type noSuspects struct{}
 
 func (noSuspects) Knows(int) bool { return false }
-func (noSuspects) Enter(context.Context, quarantine.Fingerprint, time.Time) (func(), error) {
+func (noSuspects) Enter(context.Context, quarantine.Fingerprint, time.Time) (func(bool), error) {
 	return nil, nil
 }
 func (noSuspects) Allows(quarantine.Fingerprint) error                                    { return nil }
-func (noSuspects) Broke(context.Context, registry.Server, quarantine.Fingerprint, string) {}
+func (noSuspects) Broke(context.Context, registry.Server, quarantine.Fingerprint, string) bool {
+	return false
+}
+func (noSuspects) Left(registry.Server, quarantine.Fingerprint, string) {}
 func (noSuspects) Unreached(registry.Server)                                              {}
 func (noSuspects) CameThrough(quarantine.Fingerprint, registry.Server)                    {}
 
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -18,12 +18,15 @@
 	// its fingerprint worked out.
 	Knows(length int) bool
 	// Enter asks whether a request may run until a deadline. leave, which may be nil, is
-	// called when its run is over. A *quarantine.RefusedError says why it may not.
-	Enter(ctx context.Context, f quarantine.Fingerprint, until time.Time) (leave func(), err error)
+	// called when its run is over, and told whether it is known what became of it. A
+	// *quarantine.RefusedError says why it may not.
+	Enter(ctx context.Context, f quarantine.Fingerprint, until time.Time) (leave func(decided bool), err error)
 	// Allows looks once more whether the request may run, right before it is sent.
 	Allows(f quarantine.Fingerprint) error
 	// Broke takes note that a server cut a run off, and finds out whether it has ended.
-	Broke(ctx context.Context, s registry.Server, f quarantine.Fingerprint, account string)
+	Broke(ctx context.Context, s registry.Server, f quarantine.Fingerprint, account string) (ended bool)
+	// Left takes note that a run was given up because its client left or its time is over.
+	Left(s registry.Server, f quarantine.Fingerprint, account string)
 	// Unreached takes note that a server's address refused a connection.
 	Unreached(s registry.Server)
 	// CameThrough takes note that a run came to its end at a server.
@@ -43,7 +46,7 @@
 }
 
 // enter asks whether the request may be tried, and refuses it if not.
-func (h *Handler) enter(ctx context.Context, q *request) (leave func(), d *denial) {
+func (h *Handler) enter(ctx context.Context, q *request) (leave func(decided bool), d *denial) {
 	if ctx.Err() != nil || !h.Quarantine.Knows(q.length()) {
 		return nil, nil // one whose client left is told so
 	}
@@ -77,12 +80,21 @@
 	return nil
 }
 
-// broke takes note that the server cut the request's run off, unless its client left or
-// its time is over.
+// broke takes note that the request's run was cut off: by the server, or because its client
+// left or its time is over.
 func (h *Handler) broke(ctx context.Context, q *request, server registry.Server) {
-	if ctx.Err() == nil {
-		h.Quarantine.Broke(ctx, server, q.fingerprint(), q.accountName())
+	if ctx.Err() != nil {
+		h.left(q, server)
+		return
 	}
+	q.undecided = !h.Quarantine.Broke(ctx, server, q.fingerprint(), q.accountName())
+}
+
+// left takes note that the request's run was given up. The server may end under it all the
+// same, a moment after its client has left.
+func (h *Handler) left(q *request, server registry.Server) {
+	q.undecided = true
+	h.Quarantine.Left(server, q.fingerprint(), q.accountName())
 }
 
 // cameThrough takes note that a server has answered the request whole, if that shows that it
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -116,6 +116,7 @@
 		h.openStream(w, q, resp)
 		if _, err := w.Write(e); err != nil {
 			ticket.Done(balance.Cancelled, time.Now())
+			h.left(q, ticket.Server)
 			h.logEnd(q, event.ClientLeft, resp.Status, "the client left", err)
 			panic(http.ErrAbortHandler)
 		}
--- a/internal/front/deadlyagain_test.go
+++ b/internal/front/deadlyagain_test.go
@@ -31,14 +31,20 @@
 	}
 }
 
-// Callers that leave before the server has ended come back all the same.
+// Callers that did not wait saw one request end endpoints for as long as they came back.
+//
+// Order of events: a caller leaves some milliseconds after its request was sent, the instance
+// cancels the run, and the endpoint ends all the same a moment later; the caller comes back.
+// Cause: a run that was cut off counted only if the endpoint had cut it off. Evidence: no line
+// "server ended under a request" for any of 125 endpoints that ended, and each request's own
+// line says that its client left.
 func TestADeadlyRequestIsStoppedWhereCallersLeave(t *testing.T) {
 	for _, nodes := range []int{4, large} {
 		for _, stay := range []time.Duration{5 * time.Millisecond, 20 * time.Millisecond} {
 			play(t, nodes, func(is *is.I, w *world) {
 				time.Sleep(4 * time.Second)
 				const path = "/safe/deadly"
-				w.askAndLeave(path, stay, 20*time.Second)
+				w.askAndLeave(path, stay, 80*time.Second) // the quarantine ends meanwhile
 				w.stopped(is, path)
 			}, manyServers)
 		}
--- a/internal/front/suspectends.go
+++ b/internal/front/suspectends.go
@@ -24,14 +24,24 @@
 
 // Broke implements forward.Quarantine. Servers that were to end anyhow are not counted:
 // they cut off what ran too long.
-func (s *suspects) Broke(ctx context.Context, server registry.Server, f quarantine.Fingerprint, account string) {
+func (s *suspects) Broke(ctx context.Context, server registry.Server, f quarantine.Fingerprint, account string) (ended bool) {
 	if !s.node.takesWork(server) {
-		return
+		return false
 	}
 	now := time.Now()
 	s.tell(s.table.Broke(quarantine.Run{Fingerprint: f, Endpoint: server.ID, Name: server.StoreID(), Account: account}, now))
-	if s.hasEnded(ctx, server, now) {
-		s.tell(s.table.EndpointEnded(server.ID, time.Now()))
+	if !s.hasEnded(ctx, server, now) {
+		return false
+	}
+	s.tell(s.table.EndpointEnded(server.ID, time.Now()))
+	return true
+}
+
+// Left implements forward.Quarantine. Whether the server ends is not looked at: it may do so
+// later, and most do not. The next request that it refuses or its next entry tells.
+func (s *suspects) Left(server registry.Server, f quarantine.Fingerprint, account string) {
+	if s.node.takesWork(server) {
+		s.tell(s.table.Broke(quarantine.Run{Fingerprint: f, Endpoint: server.ID, Name: server.StoreID(), Account: account}, time.Now()))
 	}
 }
 
--- a/internal/front/suspects.go
+++ b/internal/front/suspects.go
@@ -64,13 +64,14 @@
 }
 
 // Enter implements forward.Quarantine.
-func (s *suspects) Enter(ctx context.Context, f quarantine.Fingerprint, until time.Time) (leave func(), err error) {
+func (s *suspects) Enter(ctx context.Context, f quarantine.Fingerprint, until time.Time) (leave func(decided bool), err error) {
 	switch v, end := s.table.Verdict(f, time.Now()); v {
 	case quarantine.Refused:
 		return nil, s.refused(f, end)
 	case quarantine.Free:
 		return nil, nil
 	}
+	until = until.Add(quarantine.Undecided)
 	for _, owner := range s.owners(f) {
 		granted, err := s.acquire(ctx, owner, f, until)
 		if err != nil {
@@ -80,10 +81,10 @@
 			break
 		}
 		if v, end := s.table.Verdict(f, time.Now()); v == quarantine.Refused { // heard while it was asked
-			s.release(owner, f)
+			s.release(owner, f, true)
 			return nil, s.refused(f, end)
 		}
-		return func() { s.release(owner, f) }, nil
+		return func(decided bool) { s.release(owner, f, decided) }, nil
 	}
 	return nil, s.refused(f, time.Time{})
 }
@@ -131,17 +132,23 @@
 	return a.GetPermit().GetGranted(), nil
 }
 
-// release gives a permit back. One that is lost on the way lapses.
-func (s *suspects) release(owner topology.Member, f quarantine.Fingerprint) {
+// release gives a permit back. One whose run is not decided is kept until it is: else one
+// run after the other begins while it is not yet known that servers end under each. One that
+// is lost on the way lapses.
+func (s *suspects) release(owner topology.Member, f quarantine.Fingerprint, decided bool) {
+	var keep time.Duration
+	if !decided {
+		keep = quarantine.Undecided
+	}
 	if owner.Name == s.node.Settings.Name {
-		s.permits.Release(f, owner.Name)
+		s.permits.Release(f, owner.Name, time.Now().Add(keep))
 		return
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), suspectTimeout)
 		defer cancel()
 		_, _ = s.node.peers.Call(ctx, owner.Addr, &peerpb.Call{Body: &peerpb.Call_Permit{Permit: &peerpb.Permit{
-			Sum: f.Sum[:], Length: int64(f.Length), Done: true,
+			Sum: f.Sum[:], Length: int64(f.Length), Done: true, Left: int64(keep),
 		}}})
 	}()
 }
@@ -150,14 +157,14 @@
 func (s *suspects) servePermit(call *peerpb.Call, answer func(*peerpb.Answer) error) error {
 	q, now := call.GetPermit(), time.Now()
 	f, ok := fingerprintOf(q.Sum, q.Length)
+	left := min(max(0, time.Duration(q.Left)), longestRun)
 	granted := false
 	switch {
 	case !ok:
 	case q.Done:
-		s.permits.Release(f, call.From)
+		s.permits.Release(f, call.From, now.Add(left))
 	default:
 		v, _ := s.table.Verdict(f, now)
-		left := min(max(0, time.Duration(q.Left)), longestRun)
 		granted = v != quarantine.Refused && s.permits.Acquire(f, call.From, now.Add(left), now)
 	}
 	return answer(&peerpb.Answer{Body: &peerpb.Answer_Permit{Permit: &peerpb.PermitAnswer{Granted: granted}}})
--- a/internal/quarantine/permits.go
+++ b/internal/quarantine/permits.go
@@ -31,12 +31,12 @@
 	return true
 }
 
-// Release gives an instance's permit back.
-func (p *Permits) Release(f Fingerprint, holder string) {
+// Release ends an instance's permit at a time, unless it lapses before.
+func (p *Permits) Release(f Fingerprint, holder string, at time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.held[f].holder == holder {
-		delete(p.held, f)
+	if h := p.held[f]; h.holder == holder && at.Before(h.until) {
+		p.held[f] = permit{holder, at}
 	}
 }
 
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -34,10 +34,10 @@
 const (
 	// window is how long an end counts.
 	window = time.Minute
-	// undecided is how long a run that was cut off waits to hear whether its endpoint
+	// Undecided is how long a run that was cut off waits to hear whether its endpoint
 	// ended: an endpoint that starts again, or whose entry goes after three heartbeats of
 	// 1.2 s, is known to have by then.
-	undecided = 6 * time.Second
+	Undecided = 6 * time.Second
 	// remember is how long a request is known after its quarantine, so that a run that ends
 	// an endpoint again puts it back at once, for longer.
 	remember = 10 * time.Minute
@@ -61,7 +61,8 @@
 // neither fill the table nor push others' out.
 const accountShare = 0.25
 
-// Run is a run of a request at an endpoint that was cut off.
+// Run is a run of a request at an endpoint that was cut off, by the endpoint or because its
+// caller left.
 type Run struct {
 	Fingerprint Fingerprint
 	Endpoint    string // id of the incarnation
@@ -346,8 +347,8 @@
 func (t *Table) Expire(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.broken = slices.DeleteFunc(t.broken, func(b brokenRun) bool { return now.Sub(b.at) > undecided })
-	maps.DeleteFunc(t.ended, func(_ string, at time.Time) bool { return now.Sub(at) > undecided })
+	t.broken = slices.DeleteFunc(t.broken, func(b brokenRun) bool { return now.Sub(b.at) > Undecided })
+	maps.DeleteFunc(t.ended, func(_ string, at time.Time) bool { return now.Sub(at) > Undecided })
 	for f, s := range t.suspects {
 		if s.over(now) {
 			t.drop(f)
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -175,9 +175,9 @@
 	is.True(p.Acquire(print(1), "n1", at(10), at(0)))
 	is.True(!p.Acquire(print(1), "n2", at(10), at(1)))
 	is.True(p.Acquire(print(2), "n2", at(10), at(1)))
-	p.Release(print(1), "n2") // not its own
+	p.Release(print(1), "n2", at(1)) // not its own
 	is.True(!p.Acquire(print(1), "n2", at(10), at(1)))
-	p.Release(print(1), "n1")
+	p.Release(print(1), "n1", at(1))
 	is.True(p.Acquire(print(1), "n2", at(10), at(1)))
 	is.True(p.Acquire(print(1), "n3", at(20), at(10))) // the holder is gone
 	p.Expire(at(30))
