--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -17,6 +17,7 @@
 	"syscall"
 	"time"
 
+	"github.com/shelfcrank/shelfcrank/internal/clock"
 	"github.com/shelfcrank/shelfcrank/internal/fault"
 	"github.com/shelfcrank/shelfcrank/internal/netx"
 	"github.com/shelfcrank/shelfcrank/internal/notice"
@@ -87,6 +88,7 @@
 	net      netx.Network
 	protocol Protocol
 	notices  *notice.Book
+	clock    *clock.Clock
 
 	mu      sync.Mutex
 	servers map[string]*connections // by server id; guarded by mu
@@ -98,9 +100,9 @@
 }
 
 // New returns a client that dials through n. What servers say of themselves in their
-// answers goes into the book.
-func New(n netx.Network, p Protocol, notices *notice.Book) *Client {
-	return &Client{net: n, protocol: p, notices: notices, servers: make(map[string]*connections)}
+// answers goes into the book. The clock may be nil.
+func New(n netx.Network, p Protocol, notices *notice.Book, c *clock.Clock) *Client {
+	return &Client{net: n, clock: c, protocol: p, notices: notices, servers: make(map[string]*connections)}
 }
 
 // errCap says that no more connections to a server may be made.
@@ -108,7 +110,7 @@
 
 // acquire returns a kept connection or a new one.
 func (c *Client) acquire(ctx context.Context, call *Call) (*conn, error) {
-	now := time.Now()
+	now := c.clock.Now()
 	c.mu.Lock()
 	s := c.servers[call.Server.ID]
 	if s == nil {
@@ -152,7 +154,7 @@
 		c.lose(server)
 		return
 	}
-	k.idleSince = time.Now()
+	k.idleSince = c.clock.Now()
 	s.idle = append(s.idle, k)
 }
 
@@ -199,7 +201,7 @@
 
 // CloseIdle closes all idle connections.
 func (c *Client) CloseIdle() {
-	c.Tidy(time.Now(), func(string) bool { return false })
+	c.Tidy(c.clock.Now(), func(string) bool { return false })
 }
 
 // Send sends a request and returns the head of its answer. An error is a
@@ -219,7 +221,7 @@
 	}
 	// The server may have said that it wants no more while the connection was made, which
 	// takes up to dialTimeout: four instances' requests at once would fill its rest.
-	if err := c.notices.Allows(&call.Server, time.Now()); err != nil {
+	if err := c.notices.Allows(&call.Server, c.clock.Now()); err != nil {
 		c.keep(call.Server.ID, k)
 		return nil, fault.New(fault.StepDispatch, call.Server.ID, fault.KindLimit, fault.NotRun, "send: %w", err)
 	}
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -57,7 +57,7 @@
 			go serve(c, script)
 		}
 	}()
-	return New(mem.Site("node"), testProtocol{}, notice.New(notice.Options{})), &conns
+	return New(mem.Site("node"), testProtocol{}, notice.New(notice.Options{}), nil), &conns
 }
 
 func serve(c net.Conn, script []string) {
@@ -113,7 +113,7 @@
 func TestNothingSentIsNotRun(t *testing.T) {
 	bubble(t, func(t *testing.T, is *is.I) {
 		mem := netx.NewMem(func(string, string) time.Duration { return time.Millisecond })
-		_, err := New(mem.Site("node"), testProtocol{}, notice.New(notice.Options{})).Send(context.Background(), call("1"))
+		_, err := New(mem.Site("node"), testProtocol{}, notice.New(notice.Options{}), nil).Send(context.Background(), call("1"))
 		is.Equal(fault.As(err).Run, fault.NotRun)
 	})
 }
@@ -231,7 +231,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
 		begun := time.Now()
-		_, err = New(mem.Site("node"), testProtocol{}, notice.New(notice.Options{})).Send(ctx, call("1"))
+		_, err = New(mem.Site("node"), testProtocol{}, notice.New(notice.Options{}), nil).Send(ctx, call("1"))
 		is.Equal(fault.As(err).Kind, fault.KindTimeout)
 		is.Equal(fault.As(err).Run, fault.MayHaveRun)
 		is.True((<-closedAt).Sub(begun) < 1100*time.Millisecond)
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -129,7 +129,7 @@
 		}
 		a := x.client.protocol.Answer(resp.StatusCode, resp.Header)
 		if !a.Misdirected { // else another server speaks, which has the address now
-			x.client.notices.Hear(x.server, a.Notice, time.Now())
+			x.client.notices.Hear(x.server, a.Notice, x.client.clock.Now())
 		}
 		if a.RequestID != "" && a.RequestID != call.ID {
 			x.last = true // it is no longer certain what comes when
--- a/internal/cmd/front.go
+++ b/internal/cmd/front.go
@@ -13,6 +13,7 @@
 
 	"go.uber.org/zap/zapcore"
 
+	"github.com/shelfcrank/shelfcrank/internal/clock"
 	"github.com/shelfcrank/shelfcrank/internal/front"
 	"github.com/shelfcrank/shelfcrank/internal/logsink"
 	"github.com/shelfcrank/shelfcrank/internal/netx"
@@ -47,7 +48,7 @@
 		Settings: set, Net: netx.TCP{}, Decoder: platform.Decoder{}, Protocol: platform.Edge{},
 		Store: platform.NewStore(set.Store, storeTransport(), front.WatchWait.Milliseconds()),
 		Cloud: platform.NewCloud(set.Cloud, storeTransport()),
-		Log:   log, Seed: rand.Uint64(), Reload: reload,
+		Clock: clock.New(clock.System{}), Log: log, Seed: rand.Uint64(), Reload: reload,
 		Reread: func() (settings.Front, error) { return settings.LoadFront(file) },
 	})
 	if err != nil {
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -17,6 +17,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/shelfcrank/shelfcrank/internal/clock"
 	"github.com/shelfcrank/shelfcrank/internal/event"
 	"github.com/shelfcrank/shelfcrank/internal/store"
 )
@@ -53,8 +54,9 @@
 		store.Reader
 		store.Writer
 	}
-	Log  *zap.Logger
-	Rand *rand.Rand // used by Run only
+	Clock *clock.Clock // may be nil
+	Log   *zap.Logger
+	Rand  *rand.Rand // used by Run only
 	// Eligible says whether this node may compete now; nil if it always may. In
 	// a large fleet few compete: each campaign costs calls of the store.
 	Eligible func() bool
@@ -172,7 +174,7 @@
 func (e *Elector) campaign(ctx context.Context) (lease, fence int64, sent time.Time, ok bool) {
 	call, cancel := context.WithTimeout(ctx, e.TTL/3)
 	defer cancel()
-	sent = time.Now()
+	sent = e.Clock.Now()
 	lease, err := e.Store.Grant(call, e.TTL.Milliseconds())
 	if err != nil {
 		return 0, 0, sent, false
@@ -195,7 +197,7 @@
 
 // settle finds out what became of a write whose answer was lost.
 func (e *Elector) settle(ctx context.Context, lease int64, sent time.Time) (int64, int64, time.Time, bool) {
-	for time.Since(sent) < e.TTL && ctx.Err() == nil {
+	for e.Clock.Since(sent) < e.TTL && ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, e.TTL/6)
 		item, _, err := e.Store.Get(call, e.Key)
 		cancel()
@@ -225,7 +227,7 @@
 		case <-time.After(pause):
 		}
 		pause = e.TTL / 6
-		sent := time.Now()
+		sent := e.Clock.Now()
 		call, cancel := context.WithTimeout(ctx, e.TTL/4)
 		err := e.Store.Keep(call, lease)
 		cancel()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/thejerf/suture/v4"
 	"go.uber.org/zap"
 
+	"github.com/shelfcrank/shelfcrank/internal/clock"
 	"github.com/shelfcrank/shelfcrank/internal/control"
 	"github.com/shelfcrank/shelfcrank/internal/endpoint"
 	"github.com/shelfcrank/shelfcrank/internal/event"
@@ -41,9 +42,10 @@
 	Settings  settings.Serve
 	Net       netx.Network
 	Log       *zap.Logger
-	Seed      uint64      // of the random numbers
-	CallerTLS *tls.Config // nil for plain text
-	PeerTLS   *tls.Config // nil for plain text
+	Seed      uint64       // of the random numbers
+	CallerTLS *tls.Config  // nil for plain text
+	PeerTLS   *tls.Config  // nil for plain text
+	Clock     *clock.Clock // may be nil
 	Switches  relay.Switches
 }
 
@@ -104,7 +106,7 @@
 	do.Provide(i.injector, func(do.Injector) (*control.Loop, error) {
 		return control.New(member.Member{ID: i.id, Name: s.Name, Hall: s.Hall, Addr: s.Peer}), nil
 	})
-	do.Provide(i.injector, func(do.Injector) (*peer.Node, error) { return peer.New(o.Net, i.id, o.PeerTLS), nil })
+	do.Provide(i.injector, func(do.Injector) (*peer.Node, error) { return peer.New(o.Net, i.id, o.PeerTLS, o.Clock), nil })
 	do.Provide(i.injector, func(in do.Injector) (*kv.Client, error) {
 		return kv.New(s.Store, do.MustInvoke[*http.Transport](in), kv.FleetBudget), nil
 	})
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"strings"
-	"time"
 
 	"github.com/shelfcrank/shelfcrank/internal/backend"
 	"github.com/shelfcrank/shelfcrank/internal/balance"
@@ -25,17 +24,17 @@
 		return h.stream(ctx, w, q, ticket, resp)
 	}
 	if q.answered {
-		ticket.Done(balance.Failed, time.Now())
+		ticket.Done(balance.Failed, h.Clock.Now())
 		return outcome{again: true, denial: &denial{why: "the server did not go on with the stream"}}
 	}
 	h.began(q)
 	if ok && !valid(resp) {
-		ticket.Done(balance.Failed, time.Now())
+		ticket.Done(balance.Failed, h.Clock.Now())
 		return outcome{again: q.route.Idempotent(), denial: &denial{status: http.StatusBadGateway, why: "an answer without a seal"}}
 	}
 	body, err := io.ReadAll(io.LimitReader(resp, wholeBody+1))
 	if err != nil {
-		ticket.Done(h.blame(ctx, broken(err)), time.Now())
+		ticket.Done(h.blame(ctx, broken(err)), h.Clock.Now())
 		h.broke(ctx, q, ticket.Server)
 		if ctx.Err() != nil {
 			return outcome{denial: h.ended(ctx, q)}
@@ -44,12 +43,12 @@
 	}
 	h.cameThrough(q, ticket.Server, resp)
 	if resp.Status >= http.StatusInternalServerError {
-		ticket.Done(balance.Failed, time.Now())
+		ticket.Done(balance.Failed, h.Clock.Now())
 		if q.route.Idempotent() && len(body) <= wholeBody {
 			return outcome{again: true, denial: &denial{why: "the server failed", answer: &answer{resp, body}}}
 		}
 	} else {
-		ticket.Done(balance.Answered, time.Now())
+		ticket.Done(balance.Answered, h.Clock.Now())
 	}
 	h.pass(w, q, resp, body)
 	return outcome{done: true}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -98,9 +98,9 @@
 	switch {
 	case len(q.tried) >= limit, unreached >= connectFailures:
 		return last
-	case time.Until(q.deadline) < leastLeft:
+	case h.Clock.Until(q.deadline) < leastLeft:
 		return last
-	case len(q.tried) > 0 && !h.Admission.SecondTry(q.service, time.Now()):
+	case len(q.tried) > 0 && !h.Admission.SecondTry(q.service, h.Clock.Now()):
 		return last
 	}
 	return nil
@@ -129,18 +129,18 @@
 // attempt sends the request to one server.
 func (h *Handler) attempt(ctx context.Context, w http.ResponseWriter, q *request) outcome {
 	view := h.View()
-	now := time.Now()
+	now := h.Clock.Now()
 	b := h.choice(q, view.Config.Service(q.service))
 	ticket, err := h.Placer.Place(ctx, view.Servers[q.service], b, q.deadline, now)
 	if err != nil {
 		return outcome{unplaced: true, denial: h.notPlaced(q, err)}
 	}
 	if ctx.Err() != nil { // the client left while a server was chosen
-		ticket.Done(balance.Cancelled, time.Now())
+		ticket.Done(balance.Cancelled, h.Clock.Now())
 		return outcome{denial: h.ended(ctx, q)}
 	}
 	if d := h.stillAllowed(q); d != nil {
-		ticket.Done(balance.Cancelled, time.Now())
+		ticket.Done(balance.Cancelled, h.Clock.Now())
 		return outcome{denial: d}
 	}
 	q.avoid = append(q.avoid, ticket.Server.ID)
@@ -153,7 +153,7 @@
 	ticket.Arrive()
 	defer resp.Close()
 	if resp.Answer.NotRun && resp.Status != http.StatusBadRequest {
-		ticket.Done(balance.Refused, time.Now())
+		ticket.Done(balance.Refused, h.Clock.Now())
 		return outcome{again: true, denial: &denial{
 			status: h.unless(q, http.StatusServiceUnavailable), why: "the server refused", wait: waitFull,
 		}}
@@ -173,12 +173,12 @@
 func (h *Handler) notPlaced(q *request, err error) *denial {
 	var limit *LimitError
 	if errors.As(err, &limit) {
-		return overLimitDenial(q, limit.Verdict, time.Now())
+		return overLimitDenial(q, limit.Verdict, h.Clock.Now())
 	}
 	var resting *RestingError
 	if errors.As(err, &resting) {
 		// A rest binds this node alone: a client that comes back sooner may reach another.
-		wait := min(max(waitFull, time.Until(resting.Until)), waitNone)
+		wait := min(max(waitFull, h.Clock.Until(resting.Until)), waitNone)
 		return &denial{status: h.unless(q, http.StatusServiceUnavailable), why: "all servers asked for rest", wait: wait}
 	}
 	return &denial{status: h.unless(q, http.StatusServiceUnavailable), why: "no server", wait: waitNone}
@@ -218,7 +218,7 @@
 
 // failed tells what follows from an attempt that brought no answer.
 func (h *Handler) failed(ctx context.Context, q *request, ticket *balance.Ticket, f *fault.Error) outcome {
-	now := time.Now()
+	now := h.Clock.Now()
 	if f.Run == fault.NotRun {
 		if errors.Is(f, syscall.ECONNREFUSED) {
 			h.Quarantine.Unreached(ticket.Server)
--- a/internal/forward/door.go
+++ b/internal/forward/door.go
@@ -15,7 +15,7 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	q := &request{arrived: time.Now(), view: h.View(), meta: h.Protocol.Request(r.Header)}
+	q := &request{arrived: h.Clock.Now(), view: h.View(), meta: h.Protocol.Request(r.Header)}
 	if q.view.Leaving {
 		w.Header().Set("Connection", "close")
 	}
@@ -23,7 +23,7 @@
 		h.refuse(w, q, d)
 		return
 	}
-	ctx, cancel := context.WithDeadlineCause(r.Context(), q.deadline, errDeadline)
+	ctx, cancel := context.WithTimeoutCause(r.Context(), h.Clock.Until(q.deadline), errDeadline)
 	defer cancel()
 	if d := h.read(w, q, r); d != nil {
 		h.refuse(w, q, d)
@@ -95,7 +95,7 @@
 		return tooLarge()
 	}
 	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(q.deadline) // not supported by a recorder in a test
+	_ = control.SetReadDeadline(h.Clock.Steady(q.deadline)) // not supported by a recorder in a test
 	body, err := readBody(r, limit)
 	if err != nil {
 		var large *http.MaxBytesError
@@ -138,7 +138,7 @@
 			q.units = float64(q.meta.PromptTokens + q.meta.OutputTokens)
 		}
 	}
-	now := time.Now()
+	now := h.Clock.Now()
 	service := q.view.Config.Service(q.service)
 	v := h.Admission.Admit(q.account, q.units, service != nil && service.Engine != nil, now)
 	if v.OK {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -19,6 +19,7 @@
 
 	"github.com/shelfcrank/shelfcrank/internal/backend"
 	"github.com/shelfcrank/shelfcrank/internal/balance"
+	"github.com/shelfcrank/shelfcrank/internal/clock"
 	"github.com/shelfcrank/shelfcrank/internal/event"
 	"github.com/shelfcrank/shelfcrank/internal/metrics"
 	"github.com/shelfcrank/shelfcrank/internal/policy"
@@ -129,6 +130,7 @@
 	Admission Admission
 	// Quarantine knows the requests under which servers end.
 	Quarantine Quarantine
+	Clock      *clock.Clock // may be nil
 	Log        *zap.Logger
 	Metrics    *metrics.Metrics
 	// CertainFor is how long after the proof of a configuration it is certain
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -92,13 +92,13 @@
 func (noSuspects) Enter(context.Context, quarantine.Fingerprint, time.Time) (func(bool), error) {
 	return nil, nil
 }
-func (noSuspects) Allows(quarantine.Fingerprint) error                                    { return nil }
+func (noSuspects) Allows(quarantine.Fingerprint) error { return nil }
 func (noSuspects) Broke(context.Context, registry.Server, quarantine.Fingerprint, string) bool {
 	return false
 }
 func (noSuspects) Left(registry.Server, quarantine.Fingerprint, string) {}
-func (noSuspects) Unreached(registry.Server)                                              {}
-func (noSuspects) CameThrough(quarantine.Fingerprint, registry.Server)                    {}
+func (noSuspects) Unreached(registry.Server)                            {}
+func (noSuspects) CameThrough(quarantine.Fingerprint, registry.Server)  {}
 
 // world is a handler with scripted servers.
 type world struct {
@@ -175,7 +175,7 @@
 	}
 	view := &View{Config: testConfig(t), ProvedAt: time.Now(), KeysUntil: time.Now().Add(4 * time.Second), Servers: map[string][]registry.Server{"svc": servers}, Nodes: 1}
 	w.handler = New(Options{
-		Protocol: plainProtocol{}, View: func() *View { return view }, Backends: backend.New(mem.Site("node"), plainProtocol{}, notice.New(notice.Options{})),
+		Protocol: plainProtocol{}, View: func() *View { return view }, Backends: backend.New(mem.Site("node"), plainProtocol{}, notice.New(notice.Options{}), nil),
 		Placer: alone{balance.NewTracker()}, Admission: w.admit, Quarantine: noSuspects{}, Log: zap.NewNop(), Metrics: m,
 		CertainFor: 2 * time.Second,
 	})
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -64,7 +64,7 @@
 		fields: []zap.Field{zap.Stringer("fingerprint", q.fingerprint())},
 	}
 	if r, ok := quarantine.AsRefused(err); ok && !r.Until.IsZero() {
-		d.wait = time.Until(r.Until)
+		d.wait = h.Clock.Until(r.Until)
 	}
 	return d
 }
--- a/internal/forward/refuse.go
+++ b/internal/forward/refuse.go
@@ -69,7 +69,7 @@
 
 // logEnd writes the line that tells how a request ended and by which inputs.
 func (h *Handler) logEnd(q *request, c event.Code, status int, why string, err error, more ...zap.Field) {
-	now := time.Now()
+	now := h.Clock.Now()
 	fields := []zap.Field{
 		zap.String("request", q.meta.ID), zap.Int("status", status), zap.Duration("took", now.Sub(q.arrived)),
 		zap.Strings("servers", q.tried), zap.Bool("may_have_run", q.mayRun),
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -80,7 +80,7 @@
 // stream passes events on as they come.
 func (h *Handler) stream(ctx context.Context, w http.ResponseWriter, q *request, ticket *balance.Ticket, resp *backend.Response) outcome {
 	if !valid(resp) {
-		ticket.Done(balance.Failed, time.Now())
+		ticket.Done(balance.Failed, h.Clock.Now())
 		return outcome{again: q.route.Idempotent(), denial: &denial{status: http.StatusBadGateway, why: "a stream without a seal"}}
 	}
 	r := bufio.NewReader(resp)
@@ -92,7 +92,7 @@
 			if q.pause > 0 && q.route.MaxPause > 0 {
 				ticket.Streamed(q.pause > time.Duration(pauseShare*float64(q.route.MaxPause)))
 			}
-			ticket.Done(balance.Answered, time.Now())
+			ticket.Done(balance.Answered, h.Clock.Now())
 			h.cameThrough(q, ticket.Server, resp)
 			h.openStream(w, q, resp)
 			h.logEnd(q, event.ForwardAnswered, resp.Status, "", nil)
@@ -104,18 +104,18 @@
 		buf = e
 		if first {
 			first = false
-			ticket.Read(time.Now())
+			ticket.Read(h.Clock.Now())
 			h.began(q)
-			h.Metrics.FirstToken(q.route.Name, time.Since(q.arrived))
+			h.Metrics.FirstToken(q.route.Name, h.Clock.Since(q.arrived))
 		}
-		ticket.Event(time.Now())
+		ticket.Event(h.Clock.Now())
 		id := eventID(e)
 		if id != "" && q.event != "" && notAfter(id, q.event) {
 			continue // repeated by the server that goes on
 		}
 		h.openStream(w, q, resp)
 		if _, err := w.Write(e); err != nil {
-			ticket.Done(balance.Cancelled, time.Now())
+			ticket.Done(balance.Cancelled, h.Clock.Now())
 			h.left(q, ticket.Server)
 			h.logEnd(q, event.ClientLeft, resp.Status, "the client left", err)
 			panic(http.ErrAbortHandler)
@@ -123,7 +123,7 @@
 		if r.Buffered() == 0 {
 			_ = http.NewResponseController(w).Flush()
 		}
-		q.passed(time.Now())
+		q.passed(h.Clock.Now())
 		if id != "" {
 			q.event = id
 		}
@@ -141,7 +141,7 @@
 
 // brokenStream tells what follows from a stream that broke off.
 func (h *Handler) brokenStream(ctx context.Context, q *request, ticket *balance.Ticket, err error) outcome {
-	ticket.Done(h.blame(ctx, broken(err)), time.Now())
+	ticket.Done(h.blame(ctx, broken(err)), h.Clock.Now())
 	h.broke(ctx, q, ticket.Server)
 	if ctx.Err() != nil {
 		return outcome{denial: h.ended(ctx, q)}
--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -139,7 +139,7 @@
 	if account == "" {
 		return
 	}
-	w := usage.WindowOf(a.node.clock.At(time.Now()), a.node.Settings.Bounds.UsageWindow())
+	w := usage.WindowOf(a.node.walltime.At(a.node.Clock.Now()), a.node.Settings.Bounds.UsageWindow())
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.usage.Add(w, account, count)
@@ -147,7 +147,7 @@
 
 // tick lets time pass; nodes is how many run.
 func (a *admission) tick(nodes int, now time.Time) {
-	w := usage.WindowOf(a.node.clock.At(now), a.node.Settings.Bounds.UsageWindow())
+	w := usage.WindowOf(a.node.walltime.At(now), a.node.Settings.Bounds.UsageWindow())
 	grouped := a.node.grouped()
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/front/digest.go
+++ b/internal/front/digest.go
@@ -24,7 +24,7 @@
 	if !n.state.members.topology().Self {
 		return fault.New(fault.StepPeer, call.From, fault.KindNotFound, fault.NotRun, "this instance is no hub")
 	}
-	q, now := call.GetReport(), time.Now()
+	q, now := call.GetReport(), n.Clock.Now()
 	n.state.members.heard(call.From, now)
 	n.hearInstances(call.From, q.Share.Instances, now)
 	n.suspects.met(call.From, q.Share.Incarnation)
@@ -110,7 +110,7 @@
 		level, limited := levels[name]
 		d.Levels, d.Limited = append(d.Levels, float32(level)), append(d.Limited, limited)
 	}
-	own := &peerpb.Group{Hub: n.Settings.Name, Incarnation: n.incarnation(), Wall: n.clock.Own(now).UnixNano(), Stands: int64(1 + reporters)}
+	own := &peerpb.Group{Hub: n.Settings.Name, Incarnation: n.incarnation(), Wall: n.walltime.Own(now).UnixNano(), Stands: int64(1 + reporters)}
 	d.Groups = append(d.Groups, fillGroup(own, d.Accounts, accountShares(units, nil, runs), windows))
 	for name, other := range others {
 		s := other.share
--- a/internal/front/duties.go
+++ b/internal/front/duties.go
@@ -31,12 +31,12 @@
 func (n *Node) reportUsage(ctx context.Context) error {
 	window := n.Settings.Bounds.UsageWindow()
 	behind := n.usageBehind()
-	next := usage.WindowOf(n.clock.At(time.Now()), window)
+	next := usage.WindowOf(n.walltime.At(n.Clock.Now()), window)
 	var holder duty.Token
 	for sleep(ctx, usageLook) {
-		now := time.Now()
+		now := n.Clock.Now()
 		token, _, ok := n.elector.Token(now)
-		current := usage.WindowOf(n.clock.At(now), window)
+		current := usage.WindowOf(n.walltime.At(now), window)
 		if !ok || n.view.Load().Config == nil {
 			continue
 		}
@@ -51,7 +51,7 @@
 			next = current - behind
 		}
 		due := usage.End(next, window).Add(usageSettles + n.newsTake())
-		if n.clock.At(now).Before(due) {
+		if n.walltime.At(now).Before(due) {
 			continue
 		}
 		if n.reportWindow(ctx, next) {
@@ -70,11 +70,11 @@
 
 // acting returns a context that ends before this node has to be silent.
 func (n *Node) acting(ctx context.Context) (context.Context, context.CancelFunc, duty.Token, bool) {
-	token, until, ok := n.elector.Token(time.Now())
-	if !ok || time.Until(until) < leastForCall {
+	token, until, ok := n.elector.Token(n.Clock.Now())
+	if !ok || n.Clock.Until(until) < leastForCall {
 		return nil, nil, token, false
 	}
-	end := min(time.Until(until), orderTimeout)
+	end := min(n.Clock.Until(until), orderTimeout)
 	call, cancel := context.WithTimeout(ctx, end)
 	return call, cancel, token, true
 }
@@ -155,7 +155,7 @@
 		if !ok {
 			continue
 		}
-		current := usage.WindowOf(n.clock.At(time.Now()), n.Settings.Bounds.UsageWindow())
+		current := usage.WindowOf(n.walltime.At(n.Clock.Now()), n.Settings.Bounds.UsageWindow())
 		value, err := json.Marshal(n.admission.records(current - 1))
 		if err == nil && !bytes.Equal(value, last) {
 			_, err = n.Store.Do(call, store.Txn{
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -49,11 +49,11 @@
 func (n *Node) proveConfig(ctx context.Context) error {
 	retry := newBackoff(retryPause, retryProof)
 	for {
-		sent := time.Now()
+		sent := n.Clock.Now()
 		call, cancel := context.WithTimeout(ctx, proveTimeout)
 		items, _, err := n.Store.Range(call, n.Decoder.OperatorPrefix())
 		cancel()
-		pause := n.provePause() - time.Since(sent)
+		pause := n.provePause() - n.Clock.Since(sent)
 		if n.called(sent, err) != nil {
 			pause = retry.NextBackOff()
 		} else {
@@ -180,7 +180,7 @@
 func (n *Node) watch(ctx context.Context, p followed) error {
 	down, cut := newBackoff(retryFirst, retryMost), newBackoff(retryPause, retryWatch)
 	for ctx.Err() == nil {
-		sent := time.Now()
+		sent := n.Clock.Now()
 		call, cancel := context.WithTimeout(ctx, listTimeout)
 		items, at, err := n.Store.Range(call, p.prefix)
 		cancel()
@@ -191,9 +191,9 @@
 		down.Reset()
 		p.kept.Replace(items, at)
 		p.list(items, at)
-		begun := time.Now()
+		begun := n.Clock.Now()
 		n.follow(ctx, p, at)
-		if time.Since(begun) > steadyWatch {
+		if n.Clock.Since(begun) > steadyWatch {
 			cut.Reset()
 		}
 		n.pauseForStore(ctx, cut.NextBackOff())
@@ -254,9 +254,9 @@
 // keepRegistered renews the lease of the registration until it is over. While the store
 // does not answer, the registration stands for as long as the lease was last renewed for.
 func (n *Node) keepRegistered(ctx context.Context, lease int64) {
-	until := time.Now().Add(registerTTL)
+	until := n.Clock.Now().Add(registerTTL)
 	for sleep(ctx, registerKeep) {
-		sent := time.Now()
+		sent := n.Clock.Now()
 		call, cancel := context.WithTimeout(ctx, registerKeep/2)
 		err := n.Store.Keep(call, lease)
 		cancel()
@@ -266,6 +266,6 @@
 		if err == nil {
 			until = sent.Add(registerTTL)
 		}
-		n.registered.Store(time.Now().Before(until))
+		n.registered.Store(n.Clock.Now().Before(until))
 	}
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -23,6 +23,7 @@
 
 	"github.com/shelfcrank/shelfcrank/internal/backend"
 	"github.com/shelfcrank/shelfcrank/internal/balance"
+	"github.com/shelfcrank/shelfcrank/internal/clock"
 	"github.com/shelfcrank/shelfcrank/internal/duty"
 	"github.com/shelfcrank/shelfcrank/internal/event"
 	"github.com/shelfcrank/shelfcrank/internal/forward"
@@ -75,6 +76,7 @@
 	Cloud    Cloud
 	Decoder  Decoder
 	Protocol forward.Protocol
+	Clock    *clock.Clock // may be nil
 	Log      *zap.Logger
 	Seed     uint64                         // of the random numbers
 	Reload   <-chan os.Signal               // asks for the settings to be read again; may be nil
@@ -89,7 +91,7 @@
 	metrics       *metrics.Metrics
 	state         *state
 	view          atomic.Pointer[forward.View]
-	clock         *walltime.Clock
+	walltime      *walltime.Clock
 	peers         *peer.Node
 	backends      *backend.Client
 	notices       *notice.Book // what endpoints said of themselves in their answers
@@ -125,14 +127,14 @@
 
 // New wires a node; Run starts it.
 func New(o Options) (*Node, error) {
-	n := &Node{Options: o, start: time.Now(), injector: do.New(), knows: make(chan struct{}), standIn: newStandIn(), hub: newHub(o.Decoder.ConfigKey()), groups: newGroups()}
-	n.clock = walltime.New(n.start)
+	n := &Node{Options: o, start: o.Clock.Now(), injector: do.New(), knows: make(chan struct{}), standIn: newStandIn(o.Clock), hub: newHub(o.Decoder.ConfigKey(), o.Clock), groups: newGroups()}
+	n.walltime = walltime.New(n.start)
 	n.view.Store(&forward.View{Nodes: 1})
 	n.outage.Store(newOutage())
-	n.notices = notice.New(notice.Options{Told: n.noticed, TimeOfDay: n.clock.At})
+	n.notices = notice.New(notice.Options{Told: n.noticed, TimeOfDay: n.walltime.At})
 	n.placer = newPlacer(n)
 	n.suspects = newSuspects(n)
-	n.rollouts = rollctl.New(rollout.Bound{Share: o.Settings.Bounds.ExposeShare, Slack: o.Settings.Bounds.ExposeSlack}, n.run(), rand.New(rand.NewPCG(o.Seed, seedRollouts)))
+	n.rollouts = rollctl.New(rollout.Bound{Share: o.Settings.Bounds.ExposeShare, Slack: o.Settings.Bounds.ExposeSlack}, n.run(), rand.New(rand.NewPCG(o.Seed, seedRollouts)), o.Clock)
 	n.knownRollouts.Store(&[]rollctl.Known{})
 	n.provide()
 	var err error
@@ -162,21 +164,23 @@
 			Traffic: n.peerTraffic,
 		})
 	})
-	do.Provide(n.injector, func(do.Injector) (*peer.Node, error) { return peer.New(o.Net, s.Name, nil), nil })
-	do.Provide(n.injector, func(do.Injector) (*backend.Client, error) { return backend.New(o.Net, o.Protocol, n.notices), nil })
+	do.Provide(n.injector, func(do.Injector) (*peer.Node, error) { return peer.New(o.Net, s.Name, nil, o.Clock), nil })
+	do.Provide(n.injector, func(do.Injector) (*backend.Client, error) {
+		return backend.New(o.Net, o.Protocol, n.notices, o.Clock), nil
+	})
 	do.Provide(n.injector, func(do.Injector) (*balance.Tracker, error) { return balance.NewTracker(), nil })
 	do.Provide(n.injector, func(do.Injector) (*admission, error) { return newAdmission(n), nil })
 	do.Provide(n.injector, func(do.Injector) (*duty.Elector, error) {
 		return duty.New(duty.Options{
 			Node: s.Name, Value: fmt.Appendf(nil, "%s %d", s.Name, n.incarnation()),
-			Key: o.Decoder.OwnPrefix() + keyLeader, TTL: s.Bounds.Lease(), Store: o.Store, Log: o.Log,
+			Key: o.Decoder.OwnPrefix() + keyLeader, TTL: s.Bounds.Lease(), Store: o.Store, Clock: o.Clock, Log: o.Log,
 			Rand: rand.New(rand.NewPCG(o.Seed, seedElector)), Eligible: n.mayLead,
 		}), nil
 	})
 	do.Provide(n.injector, func(do.Injector) (*forward.Handler, error) {
 		return forward.New(forward.Options{
 			Protocol: o.Protocol, View: n.view.Load, Backends: n.backends, Placer: n.placer, Admission: n.admission, Quarantine: n.suspects,
-			Log: o.Log, Metrics: n.metrics, CertainFor: certain,
+			Clock: o.Clock, Log: o.Log, Metrics: n.metrics, CertainFor: certain,
 		}), nil
 	})
 }
@@ -311,7 +315,8 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case now := <-t.C:
+		case <-t.C:
+			now := n.Clock.Now()
 			inUse := n.serversInUse()
 			is := func(id string) bool { return inUse[id] }
 			n.backends.Tidy(now, is)
--- a/internal/front/hub.go
+++ b/internal/front/hub.go
@@ -12,6 +12,7 @@
 	"github.com/samber/lo"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/shelfcrank/shelfcrank/internal/clock"
 	"github.com/shelfcrank/shelfcrank/internal/fault"
 	"github.com/shelfcrank/shelfcrank/internal/mirror"
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
@@ -26,6 +27,7 @@
 
 // hub is what a node that reads the store keeps for those that ask it.
 type hub struct {
+	clock                     *clock.Clock
 	operators, servers, nodes *mirror.Copy // of what the operators wrote, the servers' and the nodes' entries
 	configKey                 string
 
@@ -53,8 +55,8 @@
 // configuration.
 const notProved = -1
 
-func newHub(configKey string) *hub {
-	return &hub{configKey: configKey, parts: make(map[partKey]*packedPart), operators: mirror.New(), servers: mirror.New(), nodes: mirror.New()}
+func newHub(configKey string, c *clock.Clock) *hub {
+	return &hub{configKey: configKey, clock: c, parts: make(map[partKey]*packedPart), operators: mirror.New(), servers: mirror.New(), nodes: mirror.New()}
 }
 
 // proved notes a read of what the operators wrote.
@@ -97,7 +99,7 @@
 	defer late.Stop()
 	for waited := false; ; {
 		changes := []<-chan struct{}{h.operators.Changed(), h.servers.Changed(), h.nodes.Changed()}
-		a, news, err := h.look(q, time.Now())
+		a, news, err := h.look(q, h.clock.Now())
 		if err != nil || news || waited {
 			return a, err
 		}
@@ -237,7 +239,7 @@
 func (n *Node) serveMirror(ctx context.Context, call *peerpb.Call, answer func(*peerpb.Answer) error) error {
 	q := call.GetMirror()
 	if q.StandIn {
-		n.readForOthers(ctx, time.Now())
+		n.readForOthers(ctx, n.Clock.Now())
 	}
 	if !n.reading.Load() {
 		return fault.New(fault.StepPeer, call.From, fault.KindNotFound, fault.NotRun, "%w", errNoHub)
--- a/internal/front/hub_test.go
+++ b/internal/front/hub_test.go
@@ -16,7 +16,7 @@
 // instance of the version before does not say that it unpacks.
 func TestPackedPartsReadTheSame(t *testing.T) {
 	is := is.New(t)
-	h, now := newHub("config"), time.Now()
+	h, now := newHub("config", nil), time.Now()
 	var items []store.Item
 	for i := range 1000 {
 		items = append(items, store.Item{Key: fmt.Sprint("k", i), Value: fmt.Appendf(nil, `{"Service":"svc","Slots":%d}`, i), Revision: int64(i + 1)})
--- a/internal/front/hubgroup.go
+++ b/internal/front/hubgroup.go
@@ -139,7 +139,7 @@
 
 // oldestOpen returns the oldest window whose counts may still be asked for.
 func (n *Node) oldestOpen() int64 {
-	return usage.WindowOf(n.clock.At(time.Now()), n.Settings.Bounds.UsageWindow()) - n.usageBehind() - 1
+	return usage.WindowOf(n.walltime.At(n.Clock.Now()), n.Settings.Bounds.UsageWindow()) - n.usageBehind() - 1
 }
 
 // openRuns returns this instance's own counts of the windows that may still be asked
@@ -169,7 +169,7 @@
 	reports := n.groups.own(now)
 	s := &peerpb.Share{
 		Node: n.Settings.Name, Incarnation: n.incarnation(), Group: true, Stands: int64(1 + len(reports)),
-		Wall: n.clock.Own(now).UnixNano(), ServersAt: n.news.Newest(), Instances: n.tellInstances(now),
+		Wall: n.walltime.Own(now).UnixNano(), ServersAt: n.news.Newest(), Instances: n.tellInstances(now),
 	}
 	a := n.admission
 	a.mu.Lock()
--- a/internal/front/notes.go
+++ b/internal/front/notes.go
@@ -25,7 +25,7 @@
 }
 
 func (p *placer) take(note *peerpb.Note) {
-	p.desk.Note(place.Note{Ticket: note.Ticket, Read: note.Read, Done: note.Done, Result: balance.Result(note.Result)}, time.Now())
+	p.desk.Note(place.Note{Ticket: note.Ticket, Read: note.Read, Done: note.Done, Result: balance.Result(note.Result)}, p.node.Clock.Now())
 }
 
 // noter tells a hub how a request goes on. It implements balance.Observer.
--- a/internal/front/offers.go
+++ b/internal/front/offers.go
@@ -32,7 +32,7 @@
 // where its shared parts have their home, and confirms that the limit of the client
 // account bears the request.
 func (p *placer) offers(ctx context.Context, hubs *topology.Topology, r *balance.Request, until time.Time) ([]offered, *forward.LimitError) {
-	owners := rendezvous.Order(r.Subject(), p.awake(hubs, time.Now()))
+	owners := rendezvous.Order(r.Subject(), p.awake(hubs, p.node.Clock.Now()))
 	asked := lo.Map(owners[:min(offersAsked, len(owners))], func(name string, _ int) topology.Member { return hubs.Named(name) })
 	replies := p.askHubs(ctx, asked, r, until)
 	got := collect(ctx, replies, len(asked))
@@ -132,11 +132,11 @@
 func (p *placer) rest(hub topology.Member) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.rests[hub.Name] = time.Now().Add(hubRests)
+	p.rests[hub.Name] = p.node.Clock.Now().Add(hubRests)
 }
 
 func (p *placer) ask(ctx context.Context, hub topology.Member, r *balance.Request, until time.Time) (offered, error) {
-	now := time.Now()
+	now := p.node.Clock.Now()
 	if hub.Name == p.node.Settings.Name {
 		if v := p.node.admission.confirm(r.Account, r.Units, now); !v.OK {
 			return offered{}, &forward.LimitError{Verdict: v}
--- a/internal/front/orders.go
+++ b/internal/front/orders.go
@@ -57,7 +57,7 @@
 func (n *Node) orderServers(ctx context.Context) error {
 	o := &orders{node: n}
 	for sleep(ctx, planEvery) {
-		token, _, ok := n.elector.Token(time.Now())
+		token, _, ok := n.elector.Token(n.Clock.Now())
 		if !ok || n.Settings.Cloud.Port() == 0 {
 			continue
 		}
@@ -77,7 +77,7 @@
 	}
 	for i := range view.Config.Services {
 		s := &view.Config.Services[i]
-		if s.Scaling == nil || len(view.Servers[s.Name]) == 0 && time.Since(o.node.start) < listedBy {
+		if s.Scaling == nil || len(view.Servers[s.Name]) == 0 && o.node.Clock.Since(o.node.start) < listedBy {
 			continue
 		}
 		o.service(ctx, s)
@@ -91,7 +91,7 @@
 		p = fleet.New()
 		o.planners[s.Name] = p
 	}
-	now := time.Now()
+	now := o.node.Clock.Now()
 	in := o.input(s, now)
 	wants := p.Plan(in, now)
 	// More is ordered before less is.
@@ -157,7 +157,7 @@
 // order sends one order if it changes something, or if the last one seems to
 // have come to nothing.
 func (o *orders) order(ctx context.Context, s *policy.Service, p *fleet.Planner, in fleet.Input, k orderKey, count int, more bool) {
-	now := time.Now()
+	now := o.node.Clock.Now()
 	there := there(in, k)
 	last, told := o.last[k]
 	if told {
--- a/internal/front/peerproof.go
+++ b/internal/front/peerproof.go
@@ -33,7 +33,7 @@
 		if n.view.Load().Config == nil || !n.storeTroubled() {
 			continue
 		}
-		asked := time.Now()
+		asked := n.Clock.Now()
 		if n.askForProof(ctx, n.readers()).shared() {
 			n.state.send(sharedOutage{at: asked})
 		}
@@ -86,7 +86,7 @@
 
 // askNodeForProof asks one instance.
 func (n *Node) askNodeForProof(ctx context.Context, m topology.Member) error {
-	sent := time.Now()
+	sent := n.Clock.Now()
 	// Only the configuration is asked for, and the orders, of which there are few: no entry
 	// is newer than these.
 	a, err := n.askMirror(ctx, m, &peerpb.Mirror{Config: n.revision.Load(), Servers: math.MaxInt64, Nodes: math.MaxInt64})
--- a/internal/front/placing.go
+++ b/internal/front/placing.go
@@ -166,7 +166,7 @@
 
 // serve answers a node that asks for an offer.
 func (p *placer) serve(call *peerpb.Call, answer func(*peerpb.Answer) error) error {
-	q, now := call.GetPlace(), time.Now()
+	q, now := call.GetPlace(), p.node.Clock.Now()
 	r := &balance.Request{
 		Service: q.Service, ID: q.Id, Engine: true, Tokens: int(q.Tokens), Avoid: q.Avoid, Slots: int(q.Slots), Once: q.Once, Away: q.Away, Trial: q.Trial,
 		Parts: lo.Map(q.Parts, func(part *peerpb.PromptPart, _ int) balance.Part {
--- a/internal/front/report.go
+++ b/internal/front/report.go
@@ -35,7 +35,7 @@
 // count belongs to one group.
 func (r *reporter) report(ctx context.Context, hubs *topology.Topology) {
 	for _, hub := range hubs.Hubs {
-		if time.Now().Before(r.rests[hub.Name]) {
+		if r.node.Clock.Now().Before(r.rests[hub.Name]) {
 			continue
 		}
 		if err := r.to(ctx, hub); err == nil {
@@ -44,7 +44,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		r.rests[hub.Name] = time.Now().Add(reporterRests)
+		r.rests[hub.Name] = r.node.Clock.Now().Add(reporterRests)
 	}
 }
 
@@ -73,7 +73,7 @@
 	units, runs := n.offerTo(run)
 	rollouts := n.rollouts.OfferTo(run)
 	call := &peerpb.Call{Body: &peerpb.Call_Report{Report: &peerpb.Report{
-		HubIncarnation: run.Incarnation, Windows: n.reading.Load(), Share: n.reportShare(units, runs, rollouts, time.Now()),
+		HubIncarnation: run.Incarnation, Windows: n.reading.Load(), Share: n.reportShare(units, runs, rollouts, r.node.Clock.Now()),
 	}}}
 	a, err := n.peers.Call(ctx, hub.Addr, call)
 	if err != nil {
@@ -85,7 +85,7 @@
 	}
 	if d.Counted {
 		n.rollouts.Confirmed(run, rollouts)
-		n.takeDigest(run, units, runs, d, time.Now())
+		n.takeDigest(run, units, runs, d, r.node.Clock.Now())
 	}
 	return d, nil
 }
@@ -101,7 +101,7 @@
 // reportShare is what an instance tells its hub.
 func (n *Node) reportShare(units unitCounts, runs runCounts, rollouts rollout.Counts, now time.Time) *peerpb.Share {
 	return &peerpb.Share{
-		Node: n.Settings.Name, Incarnation: n.incarnation(), Wall: n.clock.Own(now).UnixNano(), Instances: n.introduce(),
+		Node: n.Settings.Name, Incarnation: n.incarnation(), Wall: n.walltime.Own(now).UnixNano(), Instances: n.introduce(),
 		Accounts: accountShares(units, nil, runs), Servers: useShares(n.plainUses()),
 		Services: n.serviceShares(n.tracker.Demand(now)),
 		Rollouts: n.ownRollouts(rollouts),
--- a/internal/front/role.go
+++ b/internal/front/role.go
@@ -30,7 +30,7 @@
 	if met || err != nil {
 		return // if the store is in trouble, following it copes with that
 	}
-	if !sleep(ctx, time.Until(n.start.Add(othersListed))) {
+	if !sleep(ctx, n.Clock.Until(n.start.Add(othersListed))) {
 		return
 	}
 	_, _ = n.listOthers(ctx, func(ctx context.Context, prefix string) ([]store.Item, error) {
@@ -42,7 +42,7 @@
 // listOthers notes which other instances a listing has, and reports whether there are
 // any.
 func (n *Node) listOthers(ctx context.Context, list func(context.Context, string) ([]store.Item, error)) (bool, error) {
-	sent := time.Now()
+	sent := n.Clock.Now()
 	call, cancel := context.WithTimeout(ctx, meetTimeout)
 	defer cancel()
 	items, err := list(call, n.Decoder.OwnPrefix()+keyLive)
@@ -50,7 +50,7 @@
 		return false, err // they are listed again when the store is followed
 	}
 	n.state.send(listedNodes{items})
-	for end := time.Now().Add(rolePoll); time.Now().Before(end); {
+	for end := n.Clock.Now().Add(rolePoll); n.Clock.Now().Before(end); {
 		if len(n.state.members.list()) > 0 {
 			return true, nil
 		}
@@ -74,7 +74,7 @@
 // hub doesn't wait: the others need it.
 func (n *Node) awaitStart(ctx context.Context, age time.Duration) bool {
 	for {
-		hubs, since := n.state.members.topology(), time.Since(n.start)
+		hubs, since := n.state.members.topology(), n.Clock.Since(n.start)
 		if hubs.Reads || since > roleUnclear || since > age && hubs.Direct() {
 			return ctx.Err() == nil
 		}
@@ -88,6 +88,6 @@
 // fleet only those that read the store do, else each loss of a holder would cost
 // calls of all.
 func (n *Node) mayLead() bool {
-	known := n.state.members.topology().Reads || time.Since(n.start) > roleKnown
+	known := n.state.members.topology().Reads || n.Clock.Since(n.start) > roleKnown
 	return known && n.reading.Load()
 }
--- a/internal/front/rollouts.go
+++ b/internal/front/rollouts.go
@@ -156,7 +156,7 @@
 }
 
 // Day implements rollctl.Host.
-func (h rolloutHost) Day(now time.Time) time.Time { return h.clock.At(now) }
+func (h rolloutHost) Day(now time.Time) time.Time { return h.walltime.At(now) }
 
 // Rollouts implements rollctl.Host.
 func (h rolloutHost) Rollouts() []rollctl.Known { return *h.knownRollouts.Load() }
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -52,13 +52,13 @@
 // answers close their connections; only when no new connections come is the
 // door closed.
 func (n *Node) drain(clients *http.Server) {
-	begun := time.Now()
+	begun := n.Clock.Now()
 	end := begun.Add(shareOf(drainShare, n.Settings.Bounds.Grace()))
 	n.leaving.Store(true)
 	n.state.send(leave{})
 	n.event(event.Stopping, zap.Time("by", end))
 	time.Sleep(quietAfter)
-	ctx, cancel := context.WithDeadline(context.Background(), end)
+	ctx, cancel := context.WithTimeout(context.Background(), n.Clock.Until(end))
 	defer cancel()
 	if err := clients.Shutdown(ctx); err != nil {
 		_ = clients.Close()
@@ -67,7 +67,7 @@
 
 // serveReady tells the platform's entry whether this node takes connections.
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if !n.ready(time.Now()) {
+	if !n.ready(n.Clock.Now()) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/internal/front/share.go
+++ b/internal/front/share.go
@@ -37,14 +37,14 @@
 	x := &exchanges{node: n, wait: &wait, calls: inflight.New[string]()}
 	r := newReporter(n)
 	for {
-		if !sleep(ctx, n.sharePause(time.Now())) {
+		if !sleep(ctx, n.sharePause(n.Clock.Now())) {
 			return ctx.Err()
 		}
 		switch hubs := n.state.members.topology(); {
 		case len(hubs.Hubs) == 0:
 			x.with(ctx, membersOf(n.state.members.list()))
 		case hubs.Self:
-			n.hearReporters(time.Now())
+			n.hearReporters(n.Clock.Now())
 			x.with(ctx, hubs.Hubs)
 		default:
 			r.report(ctx, hubs)
@@ -83,7 +83,7 @@
 	}
 	mine := x.node.share()
 	for _, other := range others {
-		if !x.node.asks(other.Name, time.Now()) || !x.calls.Begin(other.Name) {
+		if !x.node.asks(other.Name, x.node.Clock.Now()) || !x.calls.Begin(other.Name) {
 			continue
 		}
 		x.wait.Go(func() {
@@ -171,18 +171,18 @@
 // share is what this node tells the others it speaks to.
 func (n *Node) share() *peerpb.Share {
 	if n.state.members.topology().Self {
-		return n.groupShare(time.Now())
+		return n.groupShare(n.Clock.Now())
 	}
 	s := &peerpb.Share{
 		Node: n.Settings.Name, Incarnation: n.incarnation(),
-		Wall: n.clock.Own(time.Now()).UnixNano(), ServersAt: n.news.Newest(), Instances: n.tellInstances(time.Now()),
+		Wall: n.walltime.Own(n.Clock.Now()).UnixNano(), ServersAt: n.news.Newest(), Instances: n.tellInstances(n.Clock.Now()),
 	}
 	a := n.admission
 	a.mu.Lock()
-	s.Accounts = accountShares(a.quota.Admitted(), a.levels(time.Now()), runsOf(a.usage.Own()))
+	s.Accounts = accountShares(a.quota.Admitted(), a.levels(n.Clock.Now()), runsOf(a.usage.Own()))
 	a.mu.Unlock()
 	s.Servers = useShares(n.tracker.Uses())
-	s.Services = n.serviceShares(n.tracker.Demand(time.Now()))
+	s.Services = n.serviceShares(n.tracker.Demand(n.Clock.Now()))
 	s.Rollouts = n.ownRollouts(n.rollouts.Own())
 	return s
 }
@@ -190,7 +190,7 @@
 // heard takes what another node tells. Counts are taken from nodes that see the
 // fleet as this one does: all from all, or hubs from hubs.
 func (n *Node) heard(s *peerpb.Share) {
-	now := time.Now()
+	now := n.Clock.Now()
 	n.state.members.heard(s.Node, now)
 	n.hearInstances(s.Node, s.Instances, now)
 	n.suspects.met(s.Node, s.Incarnation)
@@ -217,7 +217,7 @@
 }
 
 func (n *Node) heardClock(from string, wall int64, now time.Time) {
-	if c := n.clock.Heard(from, time.Unix(0, wall), now); c != 0 {
+	if c := n.walltime.Heard(from, time.Unix(0, wall), now); c != 0 {
 		n.event(event.ClockCorrected, zap.Duration("by", c), zap.String("peer", from))
 	}
 }
--- a/internal/front/spoke.go
+++ b/internal/front/spoke.go
@@ -51,19 +51,19 @@
 	defer cancel()
 	n.reading.Store(true)
 	defer n.reading.Store(false)
-	n.event(event.StoreFollowed, zap.Bool("directly", true), zap.Bool("stands_in", n.standIn.asked(time.Now())))
+	n.event(event.StoreFollowed, zap.Bool("directly", true), zap.Bool("stands_in", n.standIn.asked(n.Clock.Now())))
 	var wait sync.WaitGroup
 	defer wait.Wait()
 	for _, serve := range []func(context.Context) error{n.proveConfig, n.watchConfig, n.watchServers, n.watchNodes} {
 		wait.Go(func() { _ = serve(ctx) }) // ends with ctx only
 	}
-	stay := time.Now().Add(directAtLeast)
+	stay := n.Clock.Now().Add(directAtLeast)
 	if n.view.Load().Config == nil {
-		stay = time.Now() // at the start nothing was tried yet
+		stay = n.Clock.Now() // at the start nothing was tried yet
 	}
-	needed := time.Now()
+	needed := n.Clock.Now()
 	for sleep(ctx, roleLook) {
-		now := time.Now()
+		now := n.Clock.Now()
 		if n.readsItself() || n.view.Load().Config == nil || n.storeTroubled() {
 			needed = now
 		}
@@ -75,7 +75,7 @@
 }
 
 // storeTroubled reports whether this node's last own proof is old.
-func (n *Node) storeTroubled() bool { return time.Since(n.view.Load().ReadAt) > mirrorStale }
+func (n *Node) storeTroubled() bool { return n.Clock.Since(n.view.Load().ReadAt) > mirrorStale }
 
 // readThroughHubs follows the store through those that read it, until this node becomes
 // one or none of them knows what is in the store although this node can find out.
@@ -83,14 +83,14 @@
 	n.event(event.StoreFollowed, zap.Bool("directly", false))
 	ctx, cancel := n.standIn.untilAsked(ctx)
 	defer cancel()
-	s := &spoke{node: n, lastGood: time.Now(), retry: newBackoff(retryPause, retryAlone)}
+	s := &spoke{node: n, lastGood: n.Clock.Now(), retry: newBackoff(retryPause, retryAlone)}
 	for ctx.Err() == nil {
 		hubs := n.state.members.topology()
 		if n.readsItself() {
 			return
 		}
 		s.throughReaders(ctx, hubs)
-		if s.standby == "" && time.Since(s.lastGood) < hubless {
+		if s.standby == "" && n.Clock.Since(s.lastGood) < hubless {
 			sleep(ctx, hubPause)
 			continue
 		}
@@ -104,7 +104,7 @@
 			sleep(ctx, hubPause)
 			continue
 		}
-		if s.proveAlone(ctx) && time.Since(s.aloneSince) > aloneFor {
+		if s.proveAlone(ctx) && n.Clock.Since(s.aloneSince) > aloneFor {
 			return
 		}
 	}
@@ -112,7 +112,7 @@
 
 // readsItself reports whether this node has to read the store.
 func (n *Node) readsItself() bool {
-	return n.state.members.topology().Direct() || n.standIn.asked(time.Now())
+	return n.state.members.topology().Direct() || n.standIn.asked(n.Clock.Now())
 }
 
 // spoke is a node that reads the store through hubs.
@@ -146,12 +146,12 @@
 // for the readers. It reports whether it got an answer.
 func (s *spoke) follow(ctx context.Context, hub topology.Member, standIn bool) bool {
 	helped := false
-	begun := time.Now()
+	begun := s.node.Clock.Now()
 	for ctx.Err() == nil && !s.node.readsItself() {
-		if standIn && time.Since(begun) > standInFor {
+		if standIn && s.node.Clock.Since(begun) > standInFor {
 			return true
 		}
-		sent := time.Now()
+		sent := s.node.Clock.Now()
 		a, err := s.ask(ctx, hub, standIn)
 		if saysNoHub(err) {
 			s.without++
@@ -262,7 +262,7 @@
 // says whether the store answered. It asks ever more seldom.
 func (s *spoke) proveAlone(ctx context.Context) bool {
 	n := s.node
-	sent := time.Now()
+	sent := s.node.Clock.Now()
 	call, cancel := context.WithTimeout(ctx, proveTimeout)
 	items, _, err := n.Store.Range(call, n.Decoder.OperatorPrefix())
 	cancel()
--- a/internal/front/standin.go
+++ b/internal/front/standin.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/shelfcrank/shelfcrank/internal/clock"
 	"github.com/shelfcrank/shelfcrank/internal/event"
 	"github.com/shelfcrank/shelfcrank/internal/topology"
 )
@@ -27,9 +28,10 @@
 	since atomic.Int64  // when that began, Unix nanoseconds
 	until atomic.Int64  // when it ends if nobody asks again, Unix nanoseconds
 	kick  chan struct{} // somebody asked; has room for one
+	clock *clock.Clock
 }
 
-func newStandIn() *standIn { return &standIn{kick: make(chan struct{}, 1)} }
+func newStandIn(c *clock.Clock) *standIn { return &standIn{kick: make(chan struct{}, 1), clock: c} }
 
 // asked reports whether this instance was asked of late.
 func (s *standIn) asked(now time.Time) bool { return now.UnixNano() < s.until.Load() }
@@ -55,7 +57,7 @@
 // waiting for a reader that is dead.
 func (s *standIn) untilAsked(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
-	if !s.asked(time.Now()) {
+	if !s.asked(s.clock.Now()) {
 		select {
 		case <-s.kick: // from before this instance read the store the last time
 		default:
@@ -71,7 +73,7 @@
 
 // readsForOthers reports whether other instances rely on what this one reads.
 func (n *Node) readsForOthers() bool {
-	return n.state.members.topology().Reads || n.standIn.asked(time.Now())
+	return n.state.members.topology().Reads || n.standIn.asked(n.Clock.Now())
 }
 
 // readForOthers makes this instance read the store for a while. If it begins to, it waits
@@ -81,7 +83,7 @@
 	if !n.reading.Load() {
 		n.standIn.wake()
 	}
-	for time.Now().Before(latest) && !n.hub.knows(time.Now()) {
+	for n.Clock.Now().Before(latest) && !n.hub.knows(n.Clock.Now()) {
 		if !sleep(ctx, standInLook) {
 			return
 		}
@@ -129,7 +131,7 @@
 // storeDown reports whether the store seems to be down for all, so that this node need
 // not try it now.
 func (s *spoke) storeDown() bool {
-	now := time.Now()
+	now := s.node.Clock.Now()
 	switch {
 	case s.without < outageSigns:
 		s.aloneAt = time.Time{}
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -151,9 +151,9 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case c := <-s.changes:
-			s.apply(c, time.Now())
+			s.apply(c, s.node.Clock.Now())
 		case <-t.C:
-			s.tick(time.Now())
+			s.tick(s.node.Clock.Now())
 		}
 		if s.publishDue {
 			s.publish()
@@ -367,7 +367,7 @@
 
 func (s *state) tell(changed []registry.Event) {
 	for _, c := range changed {
-		s.node.suspects.serverChanged(c, time.Now())
+		s.node.suspects.serverChanged(c, s.node.Clock.Now())
 		if code, ok := serverEvents[c.Change]; ok {
 			s.node.event(code, zap.String("server", c.Server.ID), zap.String("service", c.Server.Service), zap.String("hall", c.Server.Hall), zap.String("version", c.Server.Version), zap.Bool("spot", c.Server.Spot), zap.Int64("revision", c.Server.Revision))
 			s.publishDue = true
@@ -411,7 +411,7 @@
 	if !s.node.rollouts.Enabled() {
 		return
 	}
-	now := time.Now()
+	now := s.node.Clock.Now()
 	known := []rollctl.Known{}
 	for service, servers := range v.Servers {
 		if k := s.rollouts.divide(v, service, servers, now); k != nil {
--- a/internal/front/suspectends.go
+++ b/internal/front/suspectends.go
@@ -28,12 +28,12 @@
 	if !s.node.takesWork(server) {
 		return false
 	}
-	now := time.Now()
+	now := s.node.Clock.Now()
 	s.tell(s.table.Broke(quarantine.Run{Fingerprint: f, Endpoint: server.ID, Name: server.StoreID(), Account: account}, now))
 	if !s.hasEnded(ctx, server, now) {
 		return false
 	}
-	s.tell(s.table.EndpointEnded(server.ID, time.Now()))
+	s.tell(s.table.EndpointEnded(server.ID, s.node.Clock.Now()))
 	return true
 }
 
@@ -41,7 +41,7 @@
 // later, and most do not. The next request that it refuses or its next entry tells.
 func (s *suspects) Left(server registry.Server, f quarantine.Fingerprint, account string) {
 	if s.node.takesWork(server) {
-		s.tell(s.table.Broke(quarantine.Run{Fingerprint: f, Endpoint: server.ID, Name: server.StoreID(), Account: account}, time.Now()))
+		s.tell(s.table.Broke(quarantine.Run{Fingerprint: f, Endpoint: server.ID, Name: server.StoreID(), Account: account}, s.node.Clock.Now()))
 	}
 }
 
@@ -56,8 +56,8 @@
 func (s *suspects) hasEnded(ctx context.Context, server registry.Server, since time.Time) bool {
 	s.mu.Lock()
 	p := s.probes[server.ID]
-	if p == nil || !p.found() && p.begun.Before(since) && time.Since(p.begun) > probeEvery {
-		p = &probe{begun: time.Now(), done: make(chan struct{})}
+	if p == nil || !p.found() && p.begun.Before(since) && s.node.Clock.Since(p.begun) > probeEvery {
+		p = &probe{begun: s.node.Clock.Now(), done: make(chan struct{})}
 		s.probes[server.ID] = p
 		go func() {
 			p.ended = s.node.backends.ProbeEnded(context.WithoutCancel(ctx), server)
@@ -86,13 +86,13 @@
 // Unreached implements forward.Quarantine.
 func (s *suspects) Unreached(server registry.Server) {
 	if s.node.takesWork(server) {
-		s.tell(s.table.EndpointEnded(server.ID, time.Now()))
+		s.tell(s.table.EndpointEnded(server.ID, s.node.Clock.Now()))
 	}
 }
 
 // CameThrough implements forward.Quarantine.
 func (s *suspects) CameThrough(f quarantine.Fingerprint, server registry.Server) {
-	s.tell(s.table.CameThrough(f, server.ID, time.Now()))
+	s.tell(s.table.CameThrough(f, server.ID, s.node.Clock.Now()))
 }
 
 // serverChanged takes what the store tells of servers.
--- a/internal/front/suspectnews.go
+++ b/internal/front/suspectnews.go
@@ -59,7 +59,7 @@
 // hear takes what another instance tells. The first end that it saw of a request is not
 // logged here: all that ran on a server that ended has one.
 func (s *suspects) hear(told []*peerpb.Suspect) {
-	now := time.Now()
+	now := s.node.Clock.Now()
 	changes := s.table.Hear(suspectsOf(told, now), now)
 	s.tell(lo.Filter(changes, func(c quarantine.Change, _ int) bool {
 		return c.Kind != quarantine.EndSeen || len(c.Suspect.Ends) > 1
@@ -72,7 +72,7 @@
 	defer wait.Wait()
 	for kicked(ctx, s.kick) {
 		own, heard := s.table.News()
-		now := time.Now()
+		now := s.node.Clock.Now()
 		s.send(ctx, &wait, s.counting(), own, now)
 		concerning := lo.Filter(append(own, heard...), func(x quarantine.Suspect, _ int) bool { return x.Concerns(now) })
 		s.send(ctx, &wait, s.node.group(now), concerning, now)
@@ -83,7 +83,7 @@
 // met takes note that an instance was heard of, and tells it all if it has started since it
 // was told, or something did not reach it.
 func (s *suspects) met(name string, incarnation int64) {
-	now := time.Now()
+	now := s.node.Clock.Now()
 	s.mu.Lock()
 	b := s.briefed(name)
 	if b.incarnation != incarnation {
--- a/internal/front/suspects.go
+++ b/internal/front/suspects.go
@@ -53,7 +53,7 @@
 
 // Allows implements forward.Quarantine.
 func (s *suspects) Allows(f quarantine.Fingerprint) error {
-	if v, until := s.table.Verdict(f, time.Now()); v == quarantine.Refused {
+	if v, until := s.table.Verdict(f, s.node.Clock.Now()); v == quarantine.Refused {
 		return s.refused(f, until)
 	}
 	return nil
@@ -65,7 +65,7 @@
 
 // Enter implements forward.Quarantine.
 func (s *suspects) Enter(ctx context.Context, f quarantine.Fingerprint, until time.Time) (leave func(decided bool), err error) {
-	switch v, end := s.table.Verdict(f, time.Now()); v {
+	switch v, end := s.table.Verdict(f, s.node.Clock.Now()); v {
 	case quarantine.Refused:
 		return nil, s.refused(f, end)
 	case quarantine.Free:
@@ -80,7 +80,7 @@
 		if !granted {
 			break
 		}
-		if v, end := s.table.Verdict(f, time.Now()); v == quarantine.Refused { // heard while it was asked
+		if v, end := s.table.Verdict(f, s.node.Clock.Now()); v == quarantine.Refused { // heard while it was asked
 			s.release(owner, f, true)
 			return nil, s.refused(f, end)
 		}
@@ -117,7 +117,7 @@
 }
 
 func (s *suspects) acquire(ctx context.Context, owner topology.Member, f quarantine.Fingerprint, until time.Time) (bool, error) {
-	now := time.Now()
+	now := s.node.Clock.Now()
 	if owner.Name == s.node.Settings.Name {
 		return s.permits.Acquire(f, owner.Name, until, now), nil
 	}
@@ -141,7 +141,7 @@
 		keep = quarantine.Undecided
 	}
 	if owner.Name == s.node.Settings.Name {
-		s.permits.Release(f, owner.Name, time.Now().Add(keep))
+		s.permits.Release(f, owner.Name, s.node.Clock.Now().Add(keep))
 		return
 	}
 	go func() {
@@ -155,7 +155,7 @@
 
 // servePermit answers an instance that asks for a permit, or gives it back.
 func (s *suspects) servePermit(call *peerpb.Call, answer func(*peerpb.Answer) error) error {
-	q, now := call.GetPermit(), time.Now()
+	q, now := call.GetPermit(), s.node.Clock.Now()
 	f, ok := fingerprintOf(q.Sum, q.Length)
 	left := min(max(0, time.Duration(q.Left)), longestRun)
 	granted := false
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -22,6 +22,7 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/shelfcrank/shelfcrank/internal/clock"
 	"github.com/shelfcrank/shelfcrank/internal/fault"
 	"github.com/shelfcrank/shelfcrank/internal/netx"
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
@@ -50,6 +51,7 @@
 	self    string
 	net     netx.Network
 	tls     *tls.Config // nil for plain text
+	clock   *clock.Clock
 	handler Handler
 
 	mu       sync.Mutex
@@ -69,9 +71,9 @@
 	asked  atomic.Int64 // when the first call since the last answer was made, Unix nanoseconds; 0 if none was
 }
 
-// New returns a node that calls itself self.
-func New(n netx.Network, self string, tlsConfig *tls.Config) *Node {
-	return &Node{self: self, net: n, tls: tlsConfig, sessions: make(map[netip.AddrPort]*session), traffic: traffic{flows: make(map[Flow]Volume)}}
+// New returns a node that calls itself self. The clock may be nil.
+func New(n netx.Network, self string, tlsConfig *tls.Config, c *clock.Clock) *Node {
+	return &Node{self: self, clock: c, net: n, tls: tlsConfig, sessions: make(map[netip.AddrPort]*session), traffic: traffic{flows: make(map[Flow]Volume)}}
 }
 
 // SetHandler sets who answers; it is called before Serve.
@@ -176,7 +178,7 @@
 		return err
 	}
 	defer stream.Close()
-	s.asked.CompareAndSwap(0, time.Now().UnixNano())
+	s.asked.CompareAndSwap(0, n.clock.Now().UnixNano())
 	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	call.From = n.self
@@ -213,7 +215,7 @@
 // suspect closes a session that has left calls unanswered for long.
 func (n *Node) suspect(addr netip.AddrPort, s *session) {
 	asked := s.asked.Load()
-	if asked != 0 && time.Now().UnixNano()-asked > int64(silentAfter) {
+	if asked != 0 && n.clock.Now().UnixNano()-asked > int64(silentAfter) {
 		n.drop(addr, s)
 	}
 }
@@ -226,7 +228,7 @@
 		}
 		stream, err := s.mux.OpenStream()
 		if err == nil {
-			s.usedAt.Store(time.Now().UnixNano())
+			s.usedAt.Store(n.clock.Now().UnixNano())
 			return stream, s, nil
 		}
 		n.drop(addr, s)
@@ -267,7 +269,7 @@
 	}
 	n.mu.Lock()
 	s.mux, s.err = mux, err
-	s.usedAt.Store(time.Now().UnixNano())
+	s.usedAt.Store(n.clock.Now().UnixNano())
 	if err != nil && n.sessions[addr] == s {
 		delete(n.sessions, addr)
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -58,12 +58,12 @@
 		l, err := mem.Site("b").Listen(addr)
 		is.NoErr(err)
 		ctx, stop := context.WithCancel(context.Background())
-		server := New(mem.Site("b"), "b", nil)
+		server := New(mem.Site("b"), "b", nil, nil)
 		server.SetHandler(done{})
 		served := make(chan error, 1)
 		go func() { served <- server.Serve(ctx, l) }()
 		network := &mutable{Network: mem.Site("a")}
-		client := New(network, "a", nil)
+		client := New(network, "a", nil, nil)
 		call := func() error {
 			ctx, cancel := context.WithTimeout(context.Background(), 400*time.Millisecond)
 			defer cancel()
--- a/internal/rollctl/lead.go
+++ b/internal/rollctl/lead.go
@@ -92,7 +92,7 @@
 		l.token, l.led = token, make(map[string]*led)
 	}
 	for _, k := range l.Host.Rollouts() {
-		if err := l.service(call, token, k, time.Now()); err != nil {
+		if err := l.service(call, token, k, l.Control.clock.Now()); err != nil {
 			l.Host.Event(event.RolloutNotWritten, zap.Int64("fence", token.Fence), zap.Error(err))
 		}
 	}
--- a/internal/rollctl/rollctl.go
+++ b/internal/rollctl/rollctl.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/shelfcrank/shelfcrank/internal/balance"
+	"github.com/shelfcrank/shelfcrank/internal/clock"
 	"github.com/shelfcrank/shelfcrank/internal/registry"
 	"github.com/shelfcrank/shelfcrank/internal/rollout"
 	"github.com/shelfcrank/shelfcrank/internal/tally"
@@ -28,6 +29,7 @@
 
 // Control is an instance's part in all roll-outs.
 type Control struct {
+	clock *clock.Clock
 	bound rollout.Bound
 	self  tally.Source
 
@@ -51,10 +53,10 @@
 	until    time.Time // when the permit ends
 }
 
-// New returns the control of an instance.
-func New(bound rollout.Bound, self tally.Source, random *rand.Rand) *Control {
+// New returns the control of an instance. The clock may be nil.
+func New(bound rollout.Bound, self tally.Source, random *rand.Rand, c *clock.Clock) *Control {
 	return &Control{
-		bound: bound, self: self, random: random, services: make(map[string]*service), own: make(rollout.Counts),
+		clock: c, bound: bound, self: self, random: random, services: make(map[string]*service), own: make(rollout.Counts),
 		ledger: tally.NewLedger[rollout.Key, int64](), reported: tally.NewPool[rollout.Key, int64](),
 		others: make(map[teller]rollout.Counts), states: make(map[string]heardStates),
 	}
@@ -137,7 +139,7 @@
 
 // Read implements balance.Observer.
 func (w *watcher) Read() {
-	w.began, w.first = true, time.Since(w.sent)
+	w.began, w.first = true, w.control.clock.Since(w.sent)
 	w.control.began(w)
 }
 
@@ -147,7 +149,7 @@
 		return // the endpoint never had it
 	}
 	if !w.began {
-		w.first = time.Since(w.sent)
+		w.first = w.control.clock.Since(w.sent)
 		w.began = result == balance.Answered
 		if result != balance.Refused {
 			w.control.began(w)
--- a/internal/rollctl/rollctl_test.go
+++ b/internal/rollctl/rollctl_test.go
@@ -16,7 +16,7 @@
 var begin = time.Unix(1000, 0)
 
 func onTrial() (*Control, *balance.Request) {
-	c := New(rollout.Bound{Share: 0.1, Slack: 50}, tally.Source{Instance: "a", Incarnation: 1}, rand.New(rand.NewPCG(1, 1)))
+	c := New(rollout.Bound{Share: 0.1, Slack: 50}, tally.Source{Instance: "a", Incarnation: 1}, rand.New(rand.NewPCG(1, 1)), nil)
 	c.Follow(rollout.Record{Service: "s", Order: 5, Target: "v2", Phase: rollout.Trial}, rollout.Arms{Old: map[string]bool{"old": true}}, 1, true)
 	return c, &balance.Request{Service: "s", Route: "r", ID: "1"}
 }
