--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -11,7 +11,11 @@
 // Clock is safe for concurrent use. A nil Clock tells the steady time.
 package clock
 
-import "time"
+import (
+	"context"
+	"sync"
+	"time"
+)
 
 // Machine is the part of a machine that a clock reads.
 type Machine interface {
@@ -19,6 +23,15 @@
 	Boot() (time.Duration, error)
 	// Steady returns the same without the time for which the machine was suspended.
 	Steady() time.Duration
+	// After returns a channel that gets the time after d on the steady clock.
+	After(d time.Duration) <-chan time.Time
+	// AfterFunc calls f after d on the steady clock.
+	AfterFunc(d time.Duration, f func()) Timer
+}
+
+// Timer is a call to come.
+type Timer interface {
+	Stop() bool
 }
 
 // Clock tells the time.
@@ -27,12 +40,15 @@
 	start   time.Time     // with a steady reading
 	boot    time.Duration // the machine's boot time at the start
 	err     error         // why the boot time cannot be told
+
+	mu        sync.Mutex
+	deadlines map[*Deadline]struct{} // that were started and not stopped; guarded by mu
 }
 
 // New returns a clock of a machine. Where this cannot tell its boot time the clock stands still
 // while the machine is suspended, and Err says why.
 func New(m Machine) *Clock {
-	c := &Clock{machine: m, start: time.Now()}
+	c := &Clock{machine: m, start: time.Now(), deadlines: make(map[*Deadline]struct{})}
 	c.boot, c.err = m.Boot()
 	if c.err != nil {
 		c.boot = m.Steady()
@@ -67,6 +83,31 @@
 // Until returns the time left until t.
 func (c *Clock) Until(t time.Time) time.Duration { return t.Sub(c.Now()) }
 
+// Sleep waits for d on the steady clock, and reports false if ctx ends before.
+func (c *Clock) Sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-c.After(d):
+		return true
+	}
+}
+
+// After returns a channel that gets the time after d on the steady clock.
+func (c *Clock) After(d time.Duration) <-chan time.Time {
+	if c == nil {
+		return time.After(d)
+	}
+	return c.machine.After(d)
+}
+
+func (c *Clock) afterFunc(d time.Duration, f func()) Timer {
+	if c == nil {
+		return time.AfterFunc(d, f)
+	}
+	return c.machine.AfterFunc(d, f)
+}
+
 // Steady returns when t will be on the steady clock, if the machine is not suspended until
 // then: what timers and deadlines of connections go by.
 func (c *Clock) Steady(t time.Time) time.Time { return time.Now().Add(c.Until(t)) }
--- a/internal/clocktest/machine.go
+++ b/internal/clocktest/machine.go
@@ -4,6 +4,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/shelfcrank/shelfcrank/internal/clock"
 )
 
 // Machine is a stand-in of a machine's clocks. What runs while it is suspended reads the time
@@ -62,3 +64,73 @@
 	m.lost += time.Since(m.since)
 	m.since = time.Time{}
 }
+
+// AwaitResume returns once the machine runs.
+func (m *Machine) AwaitResume() {
+	for m.suspended() {
+		time.Sleep(resumePoll)
+	}
+}
+
+// resumePoll is how often a suspended machine is looked at.
+const resumePoll = 5 * time.Millisecond
+
+func (m *Machine) suspended() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.since.IsZero()
+}
+
+// After implements clock.Machine.
+func (m *Machine) After(d time.Duration) <-chan time.Time {
+	c := make(chan time.Time, 1)
+	m.AfterFunc(d, func() { c <- time.Now() })
+	return c
+}
+
+// AfterFunc implements clock.Machine: what is due while the machine is suspended, or after,
+// comes as much later as the suspension takes.
+func (m *Machine) AfterFunc(d time.Duration, f func()) clock.Timer {
+	t := &timer{machine: m, due: m.Steady() + d, call: f}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.wait = time.AfterFunc(d, t.look)
+	return t
+}
+
+// timer is a call on the steady clock of a machine.
+type timer struct {
+	machine *Machine
+	due     time.Duration
+	call    func()
+
+	mu   sync.Mutex
+	wait *time.Timer // guarded by mu
+	over bool        // called or stopped; guarded by mu
+}
+
+// look calls if it is time, or waits on.
+func (t *timer) look() {
+	t.machine.AwaitResume()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.over {
+		return
+	}
+	if left := t.due - t.machine.Steady(); left > 0 {
+		t.wait = time.AfterFunc(left, t.look)
+		return
+	}
+	t.over = true
+	go t.call()
+}
+
+// Stop implements clock.Timer.
+func (t *timer) Stop() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	stopped := !t.over
+	t.over = true
+	t.wait.Stop()
+	return stopped
+}
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -141,7 +141,7 @@
 func (e *Elector) rest(ctx context.Context) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(restMin + time.Duration(e.Rand.Int64N(int64(restMin)))):
+	case <-e.Clock.After(restMin + time.Duration(e.Rand.Int64N(int64(restMin)))):
 	}
 }
 
@@ -160,7 +160,7 @@
 		return false
 	case <-e.kick:
 		return false // wait a random moment first
-	case <-time.After(wait):
+	case <-e.Clock.After(wait):
 	}
 	if e.Eligible != nil && !e.Eligible() {
 		return false
@@ -210,7 +210,7 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(e.TTL / 10):
+		case <-e.Clock.After(e.TTL / 10):
 		}
 	}
 	return 0, 0, sent, false
@@ -224,7 +224,7 @@
 		case <-ctx.Done():
 			e.drop("this node stops")
 			return
-		case <-time.After(pause):
+		case <-e.Clock.After(pause):
 		}
 		pause = e.TTL / 6
 		sent := e.Clock.Now()
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"github.com/shelfcrank/shelfcrank/internal/clock"
 	"github.com/shelfcrank/shelfcrank/internal/store"
 	"github.com/shelfcrank/shelfcrank/internal/storetest"
 	"github.com/shelfcrank/shelfcrank/internal/virtual"
@@ -50,11 +51,14 @@
 	stop    context.CancelFunc
 }
 
-func start(s *storetest.Store, name string, life int) *node {
+func start(s *storetest.Store, name string, life int) *node { return startOn(s, name, life, nil) }
+
+// startOn starts an elector that goes by a clock.
+func startOn(s *storetest.Store, name string, life int, by *clock.Clock) *node {
 	ctx, stop := context.WithCancel(context.Background())
 	c := s.Client(name)
 	e := New(Options{
-		Node: name, Value: fmt.Appendf(nil, "%s %d", name, life), Key: testKey, TTL: testTTL, Store: c,
+		Node: name, Value: fmt.Appendf(nil, "%s %d", name, life), Key: testKey, TTL: testTTL, Store: c, Clock: by,
 		Log: zap.NewNop(), Rand: rand.New(rand.NewPCG(uint64(life), 7)),
 	})
 	go func() { _ = e.Run(ctx) }()
--- a/internal/forward/door.go
+++ b/internal/forward/door.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net"
@@ -23,8 +22,8 @@
 		h.refuse(w, q, d)
 		return
 	}
-	ctx, cancel := context.WithTimeoutCause(r.Context(), h.Clock.Until(q.deadline), errDeadline)
-	defer cancel()
+	ctx := q.end.Start(h.Clock, r.Context(), q.deadline, errDeadline)
+	defer q.end.Stop()
 	if d := h.read(w, q, r); d != nil {
 		h.refuse(w, q, d)
 		return
--- a/internal/front/duties.go
+++ b/internal/front/duties.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/shelfcrank/shelfcrank/internal/clock"
 	"github.com/shelfcrank/shelfcrank/internal/duty"
 	"github.com/shelfcrank/shelfcrank/internal/event"
 	"github.com/shelfcrank/shelfcrank/internal/store"
@@ -33,7 +34,7 @@
 	behind := n.usageBehind()
 	next := usage.WindowOf(n.walltime.At(n.Clock.Now()), window)
 	var holder duty.Token
-	for sleep(ctx, usageLook) {
+	for n.Clock.Sleep(ctx, usageLook) {
 		now := n.Clock.Now()
 		token, _, ok := n.elector.Token(now)
 		current := usage.WindowOf(n.walltime.At(now), window)
@@ -68,15 +69,21 @@
 	return int64(b.UsageLate()/b.UsageWindow()) + 1
 }
 
+// errSilent ends a call that this node may not make any more, or that takes too long.
+var errSilent = errors.New("the time to act for all is over")
+
 // acting returns a context that ends before this node has to be silent.
 func (n *Node) acting(ctx context.Context) (context.Context, context.CancelFunc, duty.Token, bool) {
 	token, until, ok := n.elector.Token(n.Clock.Now())
 	if !ok || n.Clock.Until(until) < leastForCall {
 		return nil, nil, token, false
 	}
-	end := min(n.Clock.Until(until), orderTimeout)
-	call, cancel := context.WithTimeout(ctx, end)
-	return call, cancel, token, true
+	end := n.Clock.Now().Add(orderTimeout)
+	if until.Before(end) {
+		end = until
+	}
+	var d clock.Deadline
+	return d.Start(n.Clock, ctx, end, errSilent), d.Stop, token, true
 }
 
 // reportWindow reports one window, and says whether it is done with.
@@ -150,7 +157,7 @@
 // that are not reported yet in the store: all nodes may die at once.
 func (n *Node) keepOpenUsage(ctx context.Context) error {
 	var last []byte
-	for sleep(ctx, openEvery) {
+	for n.Clock.Sleep(ctx, openEvery) {
 		call, cancel, token, ok := n.acting(ctx)
 		if !ok {
 			continue
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -61,7 +61,7 @@
 			n.hub.proved(items, sent)
 			n.takeOperators(items, sent)
 		}
-		if !sleep(ctx, pause) {
+		if !n.Clock.Sleep(ctx, pause) {
 			return ctx.Err()
 		}
 	}
@@ -111,16 +111,7 @@
 	select {
 	case <-ctx.Done():
 	case <-back.Done():
-	case <-time.After(d):
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
+	case <-n.Clock.After(d):
 	}
 }
 
@@ -218,7 +209,7 @@
 		p.kept.Apply(events, at)
 		if len(events) > 0 {
 			n.state.send(watched{events})
-			sleep(ctx, n.gather())
+			n.Clock.Sleep(ctx, n.gather())
 		}
 	}
 }
@@ -255,7 +246,7 @@
 // does not answer, the registration stands for as long as the lease was last renewed for.
 func (n *Node) keepRegistered(ctx context.Context, lease int64) {
 	until := n.Clock.Now().Add(registerTTL)
-	for sleep(ctx, registerKeep) {
+	for n.Clock.Sleep(ctx, registerKeep) {
 		sent := n.Clock.Now()
 		call, cancel := context.WithTimeout(ctx, registerKeep/2)
 		err := n.Store.Keep(call, lease)
--- a/internal/front/notes.go
+++ b/internal/front/notes.go
@@ -67,7 +67,7 @@
 func (p *placer) tellNotes(ctx context.Context) error {
 	var wait sync.WaitGroup
 	defer wait.Wait()
-	for kicked(ctx, p.kick) && sleep(ctx, noteGather) {
+	for kicked(ctx, p.kick) && p.node.Clock.Sleep(ctx, noteGather) {
 		p.mu.Lock()
 		all := p.notes
 		p.notes = make(map[string][]*peerpb.Note, len(all))
--- a/internal/front/orders.go
+++ b/internal/front/orders.go
@@ -56,7 +56,7 @@
 // orderServers orders and gives back servers.
 func (n *Node) orderServers(ctx context.Context) error {
 	o := &orders{node: n}
-	for sleep(ctx, planEvery) {
+	for n.Clock.Sleep(ctx, planEvery) {
 		token, _, ok := n.elector.Token(n.Clock.Now())
 		if !ok || n.Settings.Cloud.Port() == 0 {
 			continue
--- a/internal/front/peerproof.go
+++ b/internal/front/peerproof.go
@@ -29,7 +29,7 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	for sleep(ctx, peerProofEvery) {
+	for n.Clock.Sleep(ctx, peerProofEvery) {
 		if n.view.Load().Config == nil || !n.storeTroubled() {
 			continue
 		}
--- a/internal/front/role.go
+++ b/internal/front/role.go
@@ -30,7 +30,7 @@
 	if met || err != nil {
 		return // if the store is in trouble, following it copes with that
 	}
-	if !sleep(ctx, n.Clock.Until(n.start.Add(othersListed))) {
+	if !n.Clock.Sleep(ctx, n.Clock.Until(n.start.Add(othersListed))) {
 		return
 	}
 	_, _ = n.listOthers(ctx, func(ctx context.Context, prefix string) ([]store.Item, error) {
@@ -54,7 +54,7 @@
 		if len(n.state.members.list()) > 0 {
 			return true, nil
 		}
-		if !sleep(ctx, rolePoll/10) {
+		if !n.Clock.Sleep(ctx, rolePoll/10) {
 			break
 		}
 	}
@@ -78,7 +78,7 @@
 		if hubs.Reads || since > roleUnclear || since > age && hubs.Direct() {
 			return ctx.Err() == nil
 		}
-		if !sleep(ctx, rolePoll) {
+		if !n.Clock.Sleep(ctx, rolePoll) {
 			return false
 		}
 	}
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -27,7 +27,7 @@
 	select {
 	case <-n.knows:
 	case <-ctx.Done():
-	case <-time.After(firstKnown):
+	case <-n.Clock.After(firstKnown):
 	}
 	s := &http.Server{
 		Handler: n.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
--- a/internal/front/share.go
+++ b/internal/front/share.go
@@ -37,7 +37,7 @@
 	x := &exchanges{node: n, wait: &wait, calls: inflight.New[string]()}
 	r := newReporter(n)
 	for {
-		if !sleep(ctx, n.sharePause(n.Clock.Now())) {
+		if !n.Clock.Sleep(ctx, n.sharePause(n.Clock.Now())) {
 			return ctx.Err()
 		}
 		switch hubs := n.state.members.topology(); {
@@ -142,7 +142,7 @@
 				wait.Go(func() { n.exchange(ctx, other.Member, mine) })
 			}
 		}
-		sleep(ctx, briefEvery)
+		n.Clock.Sleep(ctx, briefEvery)
 	}
 	return ctx.Err()
 }
--- a/internal/front/spoke.go
+++ b/internal/front/spoke.go
@@ -62,7 +62,7 @@
 		stay = n.Clock.Now() // at the start nothing was tried yet
 	}
 	needed := n.Clock.Now()
-	for sleep(ctx, roleLook) {
+	for n.Clock.Sleep(ctx, roleLook) {
 		now := n.Clock.Now()
 		if n.readsItself() || n.view.Load().Config == nil || n.storeTroubled() {
 			needed = now
@@ -91,7 +91,7 @@
 		}
 		s.throughReaders(ctx, hubs)
 		if s.standby == "" && n.Clock.Since(s.lastGood) < hubless {
-			sleep(ctx, hubPause)
+			n.Clock.Sleep(ctx, hubPause)
 			continue
 		}
 		if n.view.Load().Config == nil {
@@ -101,7 +101,7 @@
 			continue
 		}
 		if s.storeDown() {
-			sleep(ctx, hubPause)
+			n.Clock.Sleep(ctx, hubPause)
 			continue
 		}
 		if s.proveAlone(ctx) && n.Clock.Since(s.aloneSince) > aloneFor {
@@ -271,10 +271,10 @@
 		if s.aloneSince.IsZero() {
 			s.aloneSince = sent
 		}
-		sleep(ctx, 2*hubPause)
+		s.node.Clock.Sleep(ctx, 2*hubPause)
 		return true
 	}
 	s.aloneSince = time.Time{}
-	sleep(ctx, s.retry.NextBackOff())
+	s.node.Clock.Sleep(ctx, s.retry.NextBackOff())
 	return false
 }
--- a/internal/front/standin.go
+++ b/internal/front/standin.go
@@ -84,7 +84,7 @@
 		n.standIn.wake()
 	}
 	for n.Clock.Now().Before(latest) && !n.hub.knows(n.Clock.Now()) {
-		if !sleep(ctx, standInLook) {
+		if !n.Clock.Sleep(ctx, standInLook) {
 			return
 		}
 	}
--- a/internal/front/world_test.go
+++ b/internal/front/world_test.go
@@ -18,6 +18,8 @@
 	"go.uber.org/zap"
 
 	"github.com/shelfcrank/shelfcrank/internal/backend"
+	"github.com/shelfcrank/shelfcrank/internal/clock"
+	"github.com/shelfcrank/shelfcrank/internal/clocktest"
 	"github.com/shelfcrank/shelfcrank/internal/duty"
 	"github.com/shelfcrank/shelfcrank/internal/forward"
 	"github.com/shelfcrank/shelfcrank/internal/netx"
@@ -144,21 +146,23 @@
 	burst   float64
 	over    float64 // share of a limit by which a window may go over it
 
-	mu   sync.Mutex
-	runs map[string]int       // by request id; guarded by mu
-	hold time.Duration        // how long servers work; guarded by mu
-	last map[string]time.Time // last request at each server; guarded by mu
-	slow map[string]bool      // sites that everything takes long to; guarded by mu
-	out  map[string]time.Time // since when a server's entry allows no new work; guarded by mu
-	bad  []string             // what was seen that must not be; guarded by mu
+	mu        sync.Mutex
+	runs      map[string]int       // by request id; guarded by mu
+	hold      time.Duration        // how long servers work; guarded by mu
+	last      map[string]time.Time // last request at each server; guarded by mu
+	slow      map[string]bool      // sites that everything takes long to; guarded by mu
+	out       map[string]time.Time // since when a server's entry allows no new work; guarded by mu
+	cancelled map[string]time.Time // when servers were told to stop work, by request id; guarded by mu
+	bad       []string             // what was seen that must not be; guarded by mu
 
 	rolls *rolls // set where the world has roll-outs
 	said  *said  // what servers say of themselves in their answers, and what follows
 
-	halls    int            // that instances are spread over
-	servers  int            // how many there are
-	deaths   *deaths        // servers that end under a request
-	restarts sync.WaitGroup // of servers that ended
+	halls    int                           // that instances are spread over
+	servers  int                           // how many there are
+	deaths   *deaths                       // servers that end under a request
+	machines map[string]*clocktest.Machine // of the nodes, where these can be suspended; else nil
+	restarts sync.WaitGroup                // of servers that ended
 }
 
 // slowDelay is longer than hubs are waited for.
@@ -202,7 +206,7 @@
 	w := &world{
 		t: t, store: storetest.New(),
 		cloud: &cloud{windows: make(map[int64]map[string]int64)}, nodes: make(map[string]*running),
-		runs: make(map[string]int), hold: 20 * time.Millisecond, last: make(map[string]time.Time), slow: make(map[string]bool), out: make(map[string]time.Time),
+		runs: make(map[string]int), cancelled: make(map[string]time.Time), hold: 20 * time.Millisecond, last: make(map[string]time.Time), slow: make(map[string]bool), out: make(map[string]time.Time),
 		said: newSaid(), halls: 1, servers: testServers, deaths: newDeaths(),
 	}
 	w.mem = netx.NewMem(w.delay)
@@ -301,6 +305,8 @@
 		rw.WriteHeader(status)
 		return
 	}
+	stop := context.AfterFunc(r.Context(), func() { w.noteCancelled(id) })
+	defer stop()
 	hold, fails := w.rolls.serve(server, r.URL.Path, hold)
 	fails = fails || w.deaths.failsFirst(id)
 	time.Sleep(hold)
@@ -347,10 +353,16 @@
 func (w *world) start(name string) {
 	w.starts++
 	site := fmt.Sprint(name, "-", w.starts)
-	n, err := New(Options{
+	o := Options{
 		Settings: w.settings(name, hostOf(name)), Net: w.mem.Site(site), Store: slowListing{w.store.Client(name), w.listing}, Cloud: w.cloud,
 		Decoder: plain{}, Protocol: plain{}, Log: zap.NewNop(), Seed: uint64(w.starts),
-	})
+	}
+	if w.machines != nil {
+		w.machines[name] = clocktest.New()
+		o.Clock = clock.New(w.machines[name])
+		o.Cloud = machineCloud{w.cloud, w.machines[name]}
+	}
+	n, err := New(o)
 	if err != nil {
 		w.t.Fatal(err)
 	}
@@ -453,6 +465,20 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// noteCancelled notes that the work on a request was cancelled at its server.
+func (w *world) noteCancelled(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cancelled[id] = time.Now()
+}
+
+// cancelledAt returns when the work on a request was cancelled; zero if it was not.
+func (w *world) cancelledAt(id string) time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cancelled[id]
+}
+
 func (w *world) runsOf(id string) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/netx/mem.go
+++ b/internal/netx/mem.go
@@ -23,6 +23,7 @@
 	delay     func(from, to string) time.Duration
 	cut       map[link]bool         // guarded by mu
 	sites     map[string][]*memSite // guarded by mu
+	frozen    map[string]bool       // by site; guarded by mu
 }
 
 type link struct{ from, to string }
@@ -35,6 +36,7 @@
 		delay:     delay,
 		cut:       make(map[link]bool),
 		sites:     make(map[string][]*memSite),
+		frozen:    make(map[string]bool),
 	}
 }
 
@@ -82,6 +84,27 @@
 	}
 }
 
+// Freeze stops the processes of a site from reading and connecting, or lets them go on. What
+// others send meanwhile waits for them; what they write, for their going on.
+func (m *Mem) Freeze(site string, frozen bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.frozen[site] = frozen
+}
+
+func (m *Mem) isFrozen(site string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.frozen[site]
+}
+
+// awaitThaw returns once a site is not frozen.
+func (m *Mem) awaitThaw(site string) {
+	for m.isFrozen(site) {
+		time.Sleep(thawPoll)
+	}
+}
+
 func (m *Mem) parted(from, to string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -114,6 +137,7 @@
 )
 
 func (s *memSite) Dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+	s.m.awaitThaw(s.name)
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	s.m.mu.Lock()
@@ -161,6 +185,7 @@
 func (l *memListener) Accept() (net.Conn, error) {
 	select {
 	case c := <-l.accept:
+		l.m.awaitThaw(l.site)
 		return c, nil
 	case <-l.done:
 		return nil, net.ErrClosed
@@ -200,6 +225,7 @@
 const (
 	pipeCapacity = 256 << 10
 	cutPoll      = 50 * time.Millisecond
+	thawPoll     = 5 * time.Millisecond
 )
 
 func newPipe() *pipe { return &pipe{changed: make(chan struct{})} }
@@ -231,7 +257,7 @@
 		wait := time.Duration(-1)
 		if len(p.chunks) > 0 {
 			wait = max(0, time.Until(p.chunks[0].due))
-			if wait == 0 && !c.m.parted(c.peerSite, c.site) {
+			if wait == 0 && !c.m.parted(c.peerSite, c.site) && !c.m.isFrozen(c.site) && !c.m.isFrozen(c.peerSite) {
 				n := p.take(b)
 				p.mu.Unlock()
 				return n, nil
@@ -239,7 +265,12 @@
 			wait = max(wait, time.Duration(0))
 			if wait == 0 {
 				wait = cutPoll
+				if c.m.isFrozen(c.site) || c.m.isFrozen(c.peerSite) {
+					wait = thawPoll
+				}
 			}
+		} else if p.closed && c.m.isFrozen(c.site) {
+			wait = thawPoll
 		} else if p.closed {
 			p.mu.Unlock()
 			return 0, io.EOF
--- a/internal/storetest/storetest.go
+++ b/internal/storetest/storetest.go
@@ -24,6 +24,7 @@
 	Late     time.Duration // a write that is not answered is done so much later
 	Silent   bool          // watches hear nothing
 	Slow     time.Duration // added to each call
+	Frozen   bool          // the caller stands still: its calls leave, and their answers reach it, once it goes on
 }
 
 // ErrLost says that an answer was lost.
@@ -151,6 +152,7 @@
 // enter begins a call: it meets the caller's faults.
 func (c *Client) enter(ctx context.Context) error {
 	s := c.store
+	c.awaitThaw()
 	s.mu.Lock()
 	f, ok := s.faults[c.caller]
 	if !ok {
@@ -174,6 +176,22 @@
 	return nil
 }
 
+// thawPoll is how often a caller that stands still is looked at.
+const thawPoll = 5 * time.Millisecond
+
+// awaitThaw returns once the caller does not stand still.
+func (c *Client) awaitThaw() {
+	for c.frozen() {
+		time.Sleep(thawPoll)
+	}
+}
+
+func (c *Client) frozen() bool {
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	return c.store.faults[c.caller].Frozen
+}
+
 // Get implements store.Reader.
 func (c *Client) Get(ctx context.Context, key string) (store.Item, int64, error) {
 	if err := c.enter(ctx); err != nil {
@@ -231,6 +249,7 @@
 	look := time.NewTicker(50 * time.Millisecond) // leases run out without a call
 	defer look.Stop()
 	for {
+		c.awaitThaw()
 		events, at, changed, err := c.since(prefix, after)
 		if err != nil || len(events) > 0 {
 			return events, at, err
