What binds others goes by boot time

After a suspension of its machine an instance served by what was no longer so: keys that were taken away (5 to 18.5 s, 5 allowed), routes that it did not know (404 up to 18.5 s after they were added), a lease that had lapsed (an order numbered 1 after 3). Cause: Go's steady clock, by which all ages and deadlines went, stands still while the machine is suspended.

Timers and contexts stay on the steady clock. A watcher sees a standstill within 50 ms of its end (a stopped process as well as a suspended machine), ends the contexts whose deadlines have passed, and has the configuration read, the registration renewed and watches begun anew at once.

The other way weighed: steady deadlines, and all that is believed dropped by the watcher. Not taken: what acts between the waking and the watcher's look acts on old beliefs, and each belief needs a hook.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -19,8 +19,10 @@
 
 // Machine is the part of a machine that a clock reads.
 type Machine interface {
+	// Counts says why Boot cannot be told, or nil.
+	Counts() error
 	// Boot returns the time since some moment of the past, suspensions included.
-	Boot() (time.Duration, error)
+	Boot() time.Duration
 	// Steady returns the same without the time for which the machine was suspended.
 	Steady() time.Duration
 	// After returns a channel that gets the time after d on the steady clock.
@@ -41,18 +43,17 @@
 	boot    time.Duration // the machine's boot time at the start
 	err     error         // why the boot time cannot be told
 
-	mu        sync.Mutex
-	deadlines map[*Deadline]struct{} // that were started and not stopped; guarded by mu
+	mu      sync.Mutex
+	numbers uint64             // of deadlines so far; guarded by mu
+	pending map[uint64]pending // by number; guarded by mu
 }
 
 // New returns a clock of a machine. Where this cannot tell its boot time the clock stands still
 // while the machine is suspended, and Err says why.
 func New(m Machine) *Clock {
-	c := &Clock{machine: m, start: time.Now(), deadlines: make(map[*Deadline]struct{})}
-	c.boot, c.err = m.Boot()
-	if c.err != nil {
-		c.boot = m.Steady()
-	}
+	c := &Clock{machine: m, start: time.Now(), pending: make(map[uint64]pending)}
+	c.err = m.Counts()
+	c.boot = c.elapsed()
 	return c
 }
 
@@ -73,8 +74,13 @@
 	return c.start.Add(c.elapsed() - c.boot)
 }
 
+// elapsed returns the time since some moment of the past, suspensions included if they can be
+// told.
 func (c *Clock) elapsed() time.Duration {
-	return c.machine.Steady()
+	if c.err != nil {
+		return c.machine.Steady()
+	}
+	return c.machine.Boot()
 }
 
 // Since returns the time that has passed since t.
--- a/internal/clock/deadline.go
+++ b/internal/clock/deadline.go
@@ -10,48 +10,52 @@
 // has all the time before it that it had at the suspension.
 type Deadline struct {
 	clock  *Clock
-	at     time.Time
-	cause  error
-	cancel context.CancelCauseFunc
+	number uint64 // among the clock's deadlines
 	timer  Timer
+	cancel context.CancelCauseFunc
+}
+
+// pending is a deadline that was not stopped.
+type pending struct {
+	at  time.Time
+	end func()
 }
 
-// Start returns a context that ends at a time, with a cause. Stop has to be called.
-func (d *Deadline) Start(c *Clock, parent context.Context, at time.Time, cause error) context.Context {
+// WithDeadline returns a context that ends at a time, with a cause. The deadline has to be
+// stopped.
+func (c *Clock) WithDeadline(parent context.Context, at time.Time, cause error) (context.Context, Deadline) {
 	ctx, cancel := context.WithCancelCause(parent)
-	*d = Deadline{clock: c, at: at, cause: cause, cancel: cancel}
 	left := c.Until(at)
 	if left <= 0 {
 		cancel(cause)
 	}
-	d.timer = c.afterFunc(left, d.end)
-	c.add(d)
-	return ctx
+	end := func() { cancel(cause) }
+	return ctx, Deadline{clock: c, number: c.add(pending{at, end}), timer: c.afterFunc(left, end), cancel: cancel}
 }
 
-func (d *Deadline) end() { d.cancel(d.cause) }
-
 // Stop ends the context, and releases what belongs to it.
-func (d *Deadline) Stop() {
+func (d Deadline) Stop() {
 	d.timer.Stop()
-	d.clock.remove(d)
+	d.clock.remove(d.number)
 	d.cancel(nil)
 }
 
-func (c *Clock) add(d *Deadline) {
+func (c *Clock) add(p pending) (number uint64) {
 	if c == nil {
-		return
+		return 0
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.deadlines[d] = struct{}{}
+	c.numbers++
+	c.pending[c.numbers] = p
+	return c.numbers
 }
 
-func (c *Clock) remove(d *Deadline) {
+func (c *Clock) remove(number uint64) {
 	if c == nil {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.deadlines, d)
+	delete(c.pending, number)
 }
--- a/internal/clock/machine_other.go
+++ b/internal/clock/machine_other.go
@@ -9,5 +9,8 @@
 
 var errNoBoot = errors.New("this system's boot time cannot be read")
 
+// Counts implements Machine.
+func (System) Counts() error { return errNoBoot }
+
 // Boot implements Machine.
-func (System) Boot() (time.Duration, error) { return 0, errNoBoot }
+func (System) Boot() time.Duration { return 0 }
--- a/internal/clocktest/machine.go
+++ b/internal/clocktest/machine.go
@@ -33,10 +33,13 @@
 	return time.Now(), m.lost
 }
 
+// Counts implements clock.Machine.
+func (m *Machine) Counts() error { return nil }
+
 // Boot implements clock.Machine.
-func (m *Machine) Boot() (time.Duration, error) {
+func (m *Machine) Boot() time.Duration {
 	now, _ := m.now()
-	return now.Sub(m.start), nil
+	return now.Sub(m.start)
 }
 
 // Steady implements clock.Machine.
--- a/internal/cmd/serve.go
+++ b/internal/cmd/serve.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/shelfcrank/shelfcrank/internal/clock"
 	"github.com/shelfcrank/shelfcrank/internal/entry"
 	"github.com/shelfcrank/shelfcrank/internal/keys"
 	"github.com/shelfcrank/shelfcrank/internal/netx"
@@ -55,7 +56,7 @@
 
 func serve(ctx context.Context, set settings.Serve, log *zap.Logger) error {
 	defer func() { _ = log.Sync() }()
-	o := entry.Options{Settings: set, Net: netx.TCP{}, Log: log, Seed: rand.Uint64()}
+	o := entry.Options{Settings: set, Net: netx.TCP{}, Clock: clock.New(clock.System{}), Log: log, Seed: rand.Uint64()}
 	if !set.Plain {
 		loader, err := keys.NewLoader(keys.Files{Authority: set.TLS.Authority, Cert: set.TLS.Cert, Key: set.TLS.Key})
 		if err != nil {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/shelfcrank/shelfcrank/internal/clock"
 	"github.com/shelfcrank/shelfcrank/internal/member"
 	"github.com/shelfcrank/shelfcrank/internal/platform"
 )
@@ -28,6 +29,7 @@
 	events  chan Event
 	snap    atomic.Pointer[Snapshot]
 	state   *State // owned by control
+	clock   *clock.Clock
 	news    atomic.Pointer[[]platform.Notice]
 	aliveAt atomic.Int64 // Unix nanoseconds of the last answered probe
 
@@ -36,12 +38,12 @@
 	wake    chan struct{} // has room for one
 }
 
-// New returns a loop for an instance; Serve runs it.
-func New(self member.Member) *Loop {
-	l := &Loop{events: make(chan Event, eventQueue), state: NewState(self), wake: make(chan struct{}, 1)}
+// New returns a loop for an instance; Serve runs it. The clock may be nil.
+func New(self member.Member, c *clock.Clock) *Loop {
+	l := &Loop{clock: c, events: make(chan Event, eventQueue), state: NewState(self), wake: make(chan struct{}, 1)}
 	l.publish()
 	l.news.Store(&[]platform.Notice{})
-	l.aliveAt.Store(time.Now().UnixNano())
+	l.aliveAt.Store(l.clock.Now().UnixNano())
 	return l
 }
 
@@ -84,7 +86,7 @@
 		case <-t.C:
 		case e = <-l.events:
 		}
-		l.handle(e, time.Now())
+		l.handle(e, l.clock.Now())
 	}
 }
 
@@ -151,7 +153,7 @@
 		l.Send(ctx, p)
 		select {
 		case <-p.done:
-			l.aliveAt.Store(time.Now().UnixNano())
+			l.aliveAt.Store(l.clock.Now().UnixNano())
 		case <-time.After(wedgedFor):
 			wedged()
 		case <-ctx.Done():
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -79,7 +79,7 @@
 
 // New wires an entry instance; Run starts it.
 func New(o Options) (*Instance, error) {
-	i := &Instance{opts: o, id: ID(o.Settings.Name, time.Now()), injector: do.New(), kick: make(chan struct{}, 1), left: make(chan struct{})}
+	i := &Instance{opts: o, id: ID(o.Settings.Name, o.Clock.Now()), injector: do.New(), kick: make(chan struct{}, 1), left: make(chan struct{})}
 	i.list.Store(&[]platform.Instance{})
 	i.provide()
 	var err error
@@ -104,7 +104,7 @@
 	o, s := i.opts, i.opts.Settings
 	do.Provide(i.injector, func(do.Injector) (*http.Transport, error) { return netx.Transport(o.Net), nil })
 	do.Provide(i.injector, func(do.Injector) (*control.Loop, error) {
-		return control.New(member.Member{ID: i.id, Name: s.Name, Hall: s.Hall, Addr: s.Peer}), nil
+		return control.New(member.Member{ID: i.id, Name: s.Name, Hall: s.Hall, Addr: s.Peer}, o.Clock), nil
 	})
 	do.Provide(i.injector, func(do.Injector) (*peer.Node, error) { return peer.New(o.Net, i.id, o.PeerTLS, o.Clock), nil })
 	do.Provide(i.injector, func(in do.Injector) (*kv.Client, error) {
@@ -129,7 +129,7 @@
 	})
 	do.Provide(i.injector, func(in do.Injector) (*relay.Relay, error) {
 		return relay.New(relay.Options{
-			Self: i.id, Hall: s.Hall, Log: o.Log, Seed: o.Seed, Switches: o.Switches,
+			Self: i.id, Hall: s.Hall, Log: o.Log, Clock: o.Clock, Seed: o.Seed, Switches: o.Switches,
 			Peers:     do.MustInvoke[*peer.Node](in),
 			Endpoints: do.MustInvoke[*endpoint.Client](in),
 			Control:   do.MustInvoke[*control.Loop](in),
@@ -141,7 +141,7 @@
 			Snapshot: do.MustInvoke[*control.Loop](in).Snapshot,
 			Relay:    do.MustInvoke[*relay.Relay](in),
 			Operator: i, Ready: i.ready,
-			Metrics: do.MustInvoke[*metrics.Metrics](in).Handler(),
+			Metrics: do.MustInvoke[*metrics.Metrics](in).Handler(), Clock: o.Clock,
 		}), nil
 	})
 }
@@ -268,6 +268,7 @@
 		return s
 	}
 	root := suture.New("entry", spec)
+	root.Add(child{"clock", i.watchClock})
 	root.Add(group("control",
 		child{"loop", i.loop.Serve},
 		child{"effects", func(ctx context.Context) error { return i.loop.Effects(ctx, i.act) }},
@@ -294,6 +295,22 @@
 	return root
 }
 
+// watchClock tells of standstills of this instance, and ends what passed its time meanwhile.
+// What is believed needs nothing then: its age says that it has to be heard anew.
+func (i *Instance) watchClock(ctx context.Context) error {
+	c := i.opts.Clock
+	if c == nil {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	if err := c.Err(); err != nil {
+		i.event(event.ClockStandsStill, zap.Error(err))
+	}
+	return c.Run(ctx, func(w clock.Waking) {
+		i.event(event.Woken, zap.Duration("stood", w.Stood), zap.Duration("suspended", w.Suspended), zap.Int("ended", w.Ended))
+	})
+}
+
 func (i *Instance) supervised(e suture.Event) {
 	switch e.Type() {
 	case suture.EventTypeServiceTerminate, suture.EventTypeServicePanic:
@@ -357,7 +374,7 @@
 	switch {
 	case s.Leaving:
 		return fmt.Errorf("%w: leaving", errNotReady)
-	case !i.loop.Alive(time.Now()):
+	case !i.loop.Alive(i.opts.Clock.Now()):
 		return fmt.Errorf("%w: control does not answer", errNotReady)
 	case s.Table == nil:
 		return fmt.Errorf("%w: no table yet", errNotReady)
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -50,7 +50,7 @@
 			all = true // there is news
 		}
 		i.beat.Add(1)
-		i.peers.Tidy(time.Now())
+		i.peers.Tidy(i.opts.Clock.Now())
 		for _, addr := range i.heartbeatTo(all) {
 			if !calls.Begin(addr) {
 				continue
@@ -69,7 +69,7 @@
 func (i *Instance) heartbeatTo(all bool) []netip.AddrPort {
 	s := i.loop.Snapshot()
 	l := member.NewList(s.Self)
-	now := time.Now()
+	now := i.opts.Clock.Now()
 	known := make(map[netip.AddrPort]bool)
 	for _, m := range s.Members {
 		known[m.Addr] = true
@@ -116,7 +116,7 @@
 	for _, n := range i.loop.News() {
 		h.Leaving = append(h.Leaving, &peerpb.Leaving{Endpoint: n.ID, Incarnation: n.Incarnation, Deadline: peer.Nanos(n.Deadline)})
 	}
-	for _, u := range i.gateway.Usage(time.Now()) {
+	for _, u := range i.gateway.Usage(i.opts.Clock.Now()) {
 		if u.Open == 0 && u.Rate < leastUsage {
 			continue
 		}
@@ -225,7 +225,7 @@
 			ID: m.ID, Hall: m.Hall, State: m.State.String(), Leaving: m.Leaving, Revision: m.TableRevision, HeardAt: m.HeardAt,
 		})
 	}
-	now := time.Now()
+	now := i.opts.Clock.Now()
 	for _, pools := range []control.Pools{s.Models, s.Services} {
 		for _, p := range pools {
 			out.Endpoints = append(out.Endpoints, statusEndpoints(p, now)...)
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -36,7 +36,7 @@
 				p = &poll{}
 			}
 			current[e] = p
-			if e.AskedForRest(time.Now()) || !calls.Begin(e) {
+			if e.AskedForRest(i.opts.Clock.Now()) || !calls.Begin(e) {
 				continue
 			}
 			wait.Go(func() {
@@ -61,7 +61,7 @@
 }
 
 func (i *Instance) readReport(ctx context.Context, e *route.Endpoint, p *poll) {
-	mark, at := e.Mark(), time.Now()
+	mark, at := e.Mark(), i.opts.Clock.Now()
 	rep, err := i.endpoints.Report(ctx, e.Addr, p.since, i.relay.Hear(e))
 	if err != nil {
 		return // an old report makes the endpoint suspect
--- a/internal/entry/views.go
+++ b/internal/entry/views.go
@@ -28,10 +28,10 @@
 func (i *Instance) proposeViews(ctx context.Context) error {
 	var want []claim.Member
 	var since, readAt time.Time
-	foundLatest := time.Now().Add(foundAlone)
+	foundLatest := i.opts.Clock.Now().Add(foundAlone)
 	for ctx.Err() == nil {
 		sleep(ctx, viewEvery)
-		now := time.Now()
+		now := i.opts.Clock.Now()
 		s := i.loop.Snapshot()
 		if s.View == nil || now.Sub(readAt) > viewReadGap {
 			readAt = now
@@ -44,7 +44,7 @@
 			}
 			continue
 		}
-		now = time.Now()
+		now = i.opts.Clock.Now()
 		next := usable(s)
 		if !sameIDs(want, next) {
 			want, since = next, now
@@ -63,7 +63,7 @@
 			continue // one change at a time, while that is possible
 		}
 		i.writeView(ctx, s.View.Next(next))
-		since = time.Now()
+		since = i.opts.Clock.Now()
 	}
 	return ctx.Err()
 }
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -108,7 +108,7 @@
 		current := n.Notices[:0]
 		for _, notice := range n.Notices {
 			// A notice for an earlier life of this instance's name is not for it.
-			if notice.ID != i.opts.Settings.Name || notice.Deadline.After(time.Now()) {
+			if notice.ID != i.opts.Settings.Name || notice.Deadline.After(i.opts.Clock.Now()) {
 				current = append(current, notice)
 			}
 		}
--- a/internal/forward/door.go
+++ b/internal/forward/door.go
@@ -22,8 +22,8 @@
 		h.refuse(w, q, d)
 		return
 	}
-	ctx := q.end.Start(h.Clock, r.Context(), q.deadline, errDeadline)
-	defer q.end.Stop()
+	ctx, deadline := h.Clock.WithDeadline(r.Context(), q.deadline, errDeadline)
+	defer deadline.Stop()
 	if d := h.read(w, q, r); d != nil {
 		h.refuse(w, q, d)
 		return
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -156,7 +156,6 @@
 	meta      Meta
 	arrived   time.Time
 	deadline  time.Time
-	end       clock.Deadline
 	view      *View
 	route     *policy.Route
 	account   *policy.Account // nil on a public route
--- a/internal/front/duties.go
+++ b/internal/front/duties.go
@@ -11,7 +11,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/shelfcrank/shelfcrank/internal/clock"
 	"github.com/shelfcrank/shelfcrank/internal/duty"
 	"github.com/shelfcrank/shelfcrank/internal/event"
 	"github.com/shelfcrank/shelfcrank/internal/store"
@@ -82,8 +81,8 @@
 	if until.Before(end) {
 		end = until
 	}
-	var d clock.Deadline
-	return d.Start(n.Clock, ctx, end, errSilent), d.Stop, token, true
+	call, deadline := n.Clock.WithDeadline(ctx, end, errSilent)
+	return call, deadline.Stop, token, true
 }
 
 // reportWindow reports one window, and says whether it is done with.
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -61,12 +61,24 @@
 			n.hub.proved(items, sent)
 			n.takeOperators(items, sent)
 		}
-		if !n.Clock.Sleep(ctx, pause) {
+		if !n.sleepOrWake(ctx, pause) {
 			return ctx.Err()
 		}
 	}
 }
 
+// sleepOrWake waits for a pause, or until this node has stood still. It reports false when
+// ctx ended before.
+func (n *Node) sleepOrWake(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-n.woken.Load().ctx.Done():
+	case <-n.Clock.After(d):
+	}
+	return true
+}
+
 // takeOperators hands what the operators wrote, as read at a time, to the state: orders
 // first, so that a proof of the configuration is one of the orders as well.
 func (n *Node) takeOperators(items []store.Item, sent time.Time) {
@@ -246,7 +258,7 @@
 // does not answer, the registration stands for as long as the lease was last renewed for.
 func (n *Node) keepRegistered(ctx context.Context, lease int64) {
 	until := n.Clock.Now().Add(registerTTL)
-	for n.Clock.Sleep(ctx, registerKeep) {
+	for n.sleepOrWake(ctx, registerKeep) {
 		sent := n.Clock.Now()
 		call, cancel := context.WithTimeout(ctx, registerKeep/2)
 		err := n.Store.Keep(call, lease)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -112,6 +112,7 @@
 	standIn       *standIn     // whether it reads the store in place of the readers
 	leaving       atomic.Bool
 	outage        atomic.Pointer[outage] // ends with the next outage of the store
+	woken         atomic.Pointer[outage] // ends when this node has stood still
 	knows         chan struct{}          // closed when a configuration and the servers are known
 }
 
@@ -131,6 +132,7 @@
 	n.walltime = walltime.New(n.start)
 	n.view.Store(&forward.View{Nodes: 1})
 	n.outage.Store(newOutage())
+	n.woken.Store(newOutage())
 	n.notices = notice.New(notice.Options{Told: n.noticed, TimeOfDay: n.walltime.At})
 	n.placer = newPlacer(n)
 	n.suspects = newSuspects(n)
@@ -276,6 +278,7 @@
 	}
 	root := suture.New("front", spec)
 	for _, p := range []part{
+		{"clock", n.watchClock},
 		{"state", n.state.Serve},
 		{"follow store", n.followStore},
 		{"ask peers", n.proveThroughPeers},
@@ -329,6 +332,24 @@
 	}
 }
 
+// watchClock looks for standstills of this node. Most of what is believed needs nothing then: its
+// age says that it has to be heard anew. Watches are begun anew, whose connections may be dead, and
+// what keeps this node proved and registered is done at once.
+func (n *Node) watchClock(ctx context.Context) error {
+	if n.Clock == nil {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	if err := n.Clock.Err(); err != nil {
+		n.event(event.ClockStandsStill, zap.Error(err))
+	}
+	return n.Clock.Run(ctx, func(w clock.Waking) {
+		n.event(event.Woken, zap.Duration("stood", w.Stood), zap.Duration("suspended", w.Suspended), zap.Int("ended", w.Ended), zap.Duration("config_age", n.Clock.Since(n.view.Load().ReadAt)))
+		n.rewatch()
+		n.woken.Swap(newOutage()).end()
+	})
+}
+
 // inOtherHall reports whether another instance's address is in another hall.
 func (n *Node) inOtherHall(addr netip.AddrPort) bool {
 	hall, known := (*n.state.members.halls.Load())[addr]
--- a/internal/front/share.go
+++ b/internal/front/share.go
@@ -37,7 +37,7 @@
 	x := &exchanges{node: n, wait: &wait, calls: inflight.New[string]()}
 	r := newReporter(n)
 	for {
-		if !n.Clock.Sleep(ctx, n.sharePause(n.Clock.Now())) {
+		if !n.sleepOrWake(ctx, n.sharePause(n.Clock.Now())) {
 			return ctx.Err()
 		}
 		switch hubs := n.state.members.topology(); {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/danielgtaylor/huma/v2/adapters/humago"
 
 	"github.com/shelfcrank/shelfcrank/internal/admit"
+	"github.com/shelfcrank/shelfcrank/internal/clock"
 	"github.com/shelfcrank/shelfcrank/internal/control"
 	"github.com/shelfcrank/shelfcrank/internal/fault"
 	"github.com/shelfcrank/shelfcrank/internal/record"
@@ -46,6 +47,7 @@
 	Operator Operator
 	Ready    func() error
 	Metrics  http.Handler
+	Clock    *clock.Clock // may be nil
 }
 
 // Gateway serves callers and operators.
@@ -119,7 +121,7 @@
 func (g *Gateway) account(a Auth) (*table.View, *table.Account, error) {
 	v := g.Snapshot().Table
 	if v == nil {
-		return nil, nil, fault.New(fault.StepAuth, "", fault.KindRefused, fault.NotRun, "no table yet").Retry(time.Now().Add(time.Second))
+		return nil, nil, fault.New(fault.StepAuth, "", fault.KindRefused, fault.NotRun, "no table yet").Retry(g.Clock.Now().Add(time.Second))
 	}
 	key, ok := strings.CutPrefix(a.Authorization, "Bearer ")
 	if !ok || key == "" {
@@ -165,7 +167,7 @@
 	if !ok {
 		return req, nil, nil, fault.New(fault.StepParse, "", fault.KindNotFound, fault.NotRun, "no class of the table matches %s", path)
 	}
-	now := time.Now()
+	now := g.Clock.Now()
 	deadline := now.Add(class.Deadline)
 	if h.Deadline != "" {
 		d, err := time.Parse(time.RFC3339, h.Deadline)
@@ -187,7 +189,7 @@
 // submit takes a request through the account's limits to the relay. The
 // returned function ends its use of the limits.
 func (g *Gateway) submit(ctx context.Context, req record.Request, acc *table.Account, work int) (func(), error) {
-	now := time.Now()
+	now := g.Clock.Now()
 	s := g.Snapshot()
 	g.mu.Lock()
 	v := g.limits.Admit(acc, work, s.Demand[acc.Name], now)
--- a/internal/gateway/models.go
+++ b/internal/gateway/models.go
@@ -80,7 +80,7 @@
 func (g *Gateway) model(ctx context.Context, h CallHeaders, b modelBody, prompt, first string, chat bool) (*huma.StreamResponse, error) {
 	req, acc, _, err := g.begin(h, "model/"+b.Model)
 	if err != nil {
-		return nil, problemOf(err)
+		return nil, g.problemOf(err)
 	}
 	req.Kind, req.Target, req.Body, req.Chat = record.KindModel, b.Model, []byte(prompt), chat
 	req.Repeatable = true // a model call has no effect but its answer
@@ -99,7 +99,7 @@
 	}
 	end, err := g.submit(ctx, req, acc, prefix.Tokens(prompt)+req.MaxTokens)
 	if err != nil {
-		return nil, problemOf(err)
+		return nil, g.problemOf(err)
 	}
 	a := answer{g: g, id: req.ID, account: acc.Name, model: b.Model, chat: chat, stream: b.Stream}
 	return &huma.StreamResponse{Body: func(hc huma.Context) {
@@ -155,7 +155,7 @@
 		err = result.Failure
 	}
 	if err != nil {
-		writeProblem(hc, problemOf(err))
+		writeProblem(hc, a.g.problemOf(err))
 		return
 	}
 	if a.model == "" {
@@ -268,7 +268,7 @@
 	case err != nil:
 		_ = writeEvent(w, "", struct {
 			Error *Problem `json:"error"`
-		}{problemOf(err)})
+		}{a.g.problemOf(err)})
 	default:
 		_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
 	}
--- a/internal/gateway/operators.go
+++ b/internal/gateway/operators.go
@@ -91,24 +91,24 @@
 	}
 	huma.Register(api, op("get-table", http.MethodGet, "/operator/table"), func(_ context.Context, in *operatorInput) (*bodyOf[*table.Document], error) {
 		if _, err := g.operator(in.Auth); err != nil {
-			return nil, problemOf(err)
+			return nil, g.problemOf(err)
 		}
 		return &bodyOf[*table.Document]{g.Snapshot().Stored.Doc}, nil
 	})
 	huma.Register(api, op("edit-table", http.MethodPost, "/operator/edits"), g.edit)
 	huma.Register(api, op("get-history", http.MethodGet, "/operator/history"), func(ctx context.Context, in *historyInput) (*bodyOf[[]table.Accepted], error) {
 		if _, err := g.operator(in.Auth); err != nil {
-			return nil, problemOf(err)
+			return nil, g.problemOf(err)
 		}
 		h, err := g.Operator.History(ctx, in.Limit)
 		if err != nil {
-			return nil, problemOf(storeFault(err))
+			return nil, g.problemOf(g.storeFault(err))
 		}
 		return &bodyOf[[]table.Accepted]{h}, nil
 	})
 	huma.Register(api, op("get-status", http.MethodGet, "/operator/status"), func(ctx context.Context, in *operatorInput) (*bodyOf[Status], error) {
 		if _, err := g.operator(in.Auth); err != nil {
-			return nil, problemOf(err)
+			return nil, g.problemOf(err)
 		}
 		return &bodyOf[Status]{g.Operator.Status(ctx)}, nil
 	})
@@ -128,7 +128,7 @@
 func (g *Gateway) edit(ctx context.Context, in *editInput) (*bodyOf[EditAnswer], error) {
 	acc, err := g.operator(in.Auth)
 	if err != nil {
-		return nil, problemOf(err)
+		return nil, g.problemOf(err)
 	}
 	b := in.Body
 	accepted, err := g.Operator.Edit(ctx, table.Edit{
@@ -136,13 +136,13 @@
 		Value: b.Value, Was: b.Was, HasWas: b.HasWas, Kind: b.Kind, Force: b.Force,
 	})
 	if err != nil {
-		return nil, problemOf(editFault(err))
+		return nil, g.problemOf(g.editFault(err))
 	}
 	return &bodyOf[EditAnswer]{EditAnswer{accepted}}, nil
 }
 
 // editFault tells a conflict and a refusal from a store that did not answer.
-func editFault(err error) error {
+func (g *Gateway) editFault(err error) error {
 	var conflict *table.ConflictError
 	var rejected *table.RejectedError
 	switch {
@@ -151,14 +151,14 @@
 	case errors.As(err, &rejected):
 		return fault.New(fault.StepEdit, "", fault.KindInput, fault.NotRun, "%w", err)
 	case errors.Is(err, table.ErrUnresolved):
-		return fault.New(fault.StepEdit, "", fault.KindTimeout, fault.MayHaveRun, "%w", err).Retry(time.Now().Add(time.Second))
+		return fault.New(fault.StepEdit, "", fault.KindTimeout, fault.MayHaveRun, "%w", err).Retry(g.Clock.Now().Add(time.Second))
 	default:
-		return storeFault(err)
+		return g.storeFault(err)
 	}
 }
 
-func storeFault(err error) error {
-	f := fault.New(fault.StepStore, "", fault.KindRefused, fault.NotRun, "%w", err).Retry(time.Now().Add(time.Second))
+func (g *Gateway) storeFault(err error) error {
+	f := fault.New(fault.StepStore, "", fault.KindRefused, fault.NotRun, "%w", err).Retry(g.Clock.Now().Add(time.Second))
 	if errors.Is(err, kv.ErrUnknown) {
 		f.Run = fault.MayHaveRun
 	}
--- a/internal/gateway/problem.go
+++ b/internal/gateway/problem.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/danielgtaylor/huma/v2"
 
@@ -19,7 +18,7 @@
 	Step   string              `json:"step,omitempty" doc:"Step at which the error arose."`
 	Errors []*huma.ErrorDetail `json:"errors,omitempty"`
 
-	retryAt time.Time
+	retryAfter string // seconds; empty if coming back is no use
 }
 
 // Error implements error.
@@ -34,9 +33,8 @@
 // GetHeaders implements huma.HeadersError.
 func (p *Problem) GetHeaders() http.Header {
 	h := http.Header{}
-	if !p.retryAt.IsZero() {
-		seconds := max(0, int(time.Until(p.retryAt).Seconds()+0.999))
-		h.Set("Retry-After", strconv.Itoa(seconds))
+	if p.retryAfter != "" {
+		h.Set("Retry-After", p.retryAfter)
 	}
 	return h
 }
@@ -54,10 +52,15 @@
 }
 
 // problemOf returns the answer for an error.
-func problemOf(err error) *Problem {
+func (g *Gateway) problemOf(err error) *Problem {
 	f := fault.As(err)
 	status := statusOf[f.Kind]
-	return &Problem{Status: status, Title: http.StatusText(status), Detail: f.Error(), Run: f.Run.String(), Step: string(f.Step), retryAt: f.RetryAt}
+	p := &Problem{Status: status, Title: http.StatusText(status), Detail: f.Error(), Run: f.Run.String(), Step: string(f.Step)}
+	if !f.RetryAt.IsZero() {
+		seconds := max(0, int(g.Clock.Until(f.RetryAt).Seconds()+0.999))
+		p.retryAfter = strconv.Itoa(seconds)
+	}
+	return p
 }
 
 // useProblems makes huma's own errors, such as a body that does not parse,
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -36,7 +36,7 @@
 	target := in.Service + "/" + in.Path
 	req, acc, _, err := g.begin(in.CallHeaders, "service/"+target)
 	if err != nil {
-		return nil, problemOf(err)
+		return nil, g.problemOf(err)
 	}
 	req.Kind, req.Target, req.Body, req.ContentType = record.KindService, target, in.RawBody, in.ContentType
 	if req.ContentType == "" {
@@ -45,7 +45,7 @@
 	req.Digest = relay.Digest([]byte(target), req.Body)
 	end, err := g.submit(ctx, req, acc, 1)
 	if err != nil {
-		return nil, problemOf(err)
+		return nil, g.problemOf(err)
 	}
 	a := answer{g: g, id: req.ID, account: acc.Name}
 	return &huma.StreamResponse{Body: func(hc huma.Context) {
@@ -88,7 +88,7 @@
 func (g *Gateway) getRequest(ctx context.Context, in *RequestInput) (*requestOutput, error) {
 	_, acc, err := g.account(in.Auth)
 	if err != nil {
-		return nil, problemOf(err)
+		return nil, g.problemOf(err)
 	}
 	a := answer{g: g, id: in.ID, account: acc.Name}
 	out := &requestOutput{ID: in.ID, Body: RequestState{ID: in.ID}}
@@ -109,7 +109,7 @@
 		return nil
 	})
 	if err != nil && ctx.Err() == nil {
-		return nil, problemOf(err)
+		return nil, g.problemOf(err)
 	}
 	return out, nil
 }
@@ -117,13 +117,13 @@
 func (g *Gateway) resumeRequest(ctx context.Context, in *streamInput) (*huma.StreamResponse, error) {
 	_, acc, err := g.account(in.Auth)
 	if err != nil {
-		return nil, problemOf(err)
+		return nil, g.problemOf(err)
 	}
 	a := answer{g: g, id: in.ID, account: acc.Name, stream: true}
 	return &huma.StreamResponse{Body: func(hc huma.Context) {
 		head, err := g.head(hc.Context(), a)
 		if err != nil {
-			writeProblem(hc, problemOf(err))
+			writeProblem(hc, g.problemOf(err))
 			return
 		}
 		a.model, a.chat, a.stream = head.Target, head.Chat, head.Kind == record.KindModel
--- a/internal/relay/engines.go
+++ b/internal/relay/engines.go
@@ -50,7 +50,7 @@
 		KVRate: kvRateTotal / float64(1+len(s.Members)),
 	}
 	moves := make(chan struct{}, 1) // one export at a time: they share the engine's link
-	for _, act := range drain.Plan(streams, limits, time.Now()) {
+	for _, act := range drain.Plan(streams, limits, r.Clock.Now()) {
 		if act.Way == drain.Finish {
 			continue
 		}
@@ -86,10 +86,10 @@
 func (r *Relay) moveIdle(e control.EndpointLeaving, moves chan struct{}) {
 	limit := e.Deadline.Add(-idleMargin)
 	if e.Deadline.IsZero() {
-		limit = time.Now().Add(moveTimeout)
+		limit = r.Clock.Now().Add(moveTimeout)
 	}
-	ctx, cancel := context.WithDeadline(r.ctx, limit)
-	defer cancel()
+	ctx, deadline := r.Clock.WithDeadline(r.ctx, limit, context.DeadlineExceeded)
+	defer deadline.Stop()
 	for _, rec := range r.idleCaches(e.Endpoint) {
 		class, pool, err := r.modelPool(rec)
 		if err != nil || ctx.Err() != nil {
@@ -100,7 +100,7 @@
 			return
 		}
 		chain := prefix.Chain(class.Model, string(rec.Body))
-		if home[0].AskedForRest(time.Now()) || home[0].Blocks.Held(chain) == len(chain) {
+		if home[0].AskedForRest(r.Clock.Now()) || home[0].Blocks.Held(chain) == len(chain) {
 			continue // it wants no calls, or another instance moved a later turn of it
 		}
 		moves <- struct{}{}
@@ -115,7 +115,7 @@
 // leaveEngine takes one stream away from an engine.
 func (r *Relay) leaveEngine(a *run, e control.EndpointLeaving, act drain.Action, moves chan struct{}) {
 	select {
-	case <-time.After(time.Until(act.At)):
+	case <-time.After(r.Clock.Until(act.At)):
 	case <-r.ctx.Done():
 		return
 	}
@@ -140,7 +140,7 @@
 	}
 	req := r.routeRequest(rec, class)
 	req.Prefer, req.Recompute, req.Session = "", 0, r.draw() // spread the receivers
-	d, ok := r.routing(route.PolicyDefault).Choose(pool, req, time.Now())
+	d, ok := r.routing(route.PolicyDefault).Choose(pool, req, r.Clock.Now())
 	if !ok {
 		return false
 	}
--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -37,10 +37,10 @@
 func (r *Relay) Follow(ctx context.Context, id string, from int, each func(Chunk) error) error {
 	pos := from
 	var missingSince time.Time
-	movedAt := time.Now() // when the answer last made progress, or its owner was reached
+	movedAt := r.Clock.Now() // when the answer last made progress, or its owner was reached
 	deliver := func(c Chunk) error {
 		pos += len(c.Tokens)
-		movedAt = time.Now()
+		movedAt = r.Clock.Now()
 		return each(c)
 	}
 	for {
@@ -52,14 +52,14 @@
 		case err == errNowhere && missingSince.IsZero() && from == 0 && pos == 0 && !r.wasHere(id):
 			return fault.New(fault.StepResume, "", fault.KindNotFound, fault.MayHaveRun, "no such request")
 		case (err == errNowhere || err == errGone) && missingSince.IsZero():
-			missingSince = time.Now()
-		case (err == errNowhere || err == errGone) && time.Since(missingSince) > lostAfter:
+			missingSince = r.Clock.Now()
+		case (err == errNowhere || err == errGone) && r.Clock.Since(missingSince) > lostAfter:
 			r.event(event.RecordLost, zap.String("request", id))
 			return fault.New(fault.StepResume, "", fault.KindNotFound, fault.MayHaveRun, "no entry instance holds the request")
-		case err == errUnsure && time.Since(movedAt) > unsureAfter:
-			return fault.New(fault.StepResume, "", fault.KindTimeout, fault.MayHaveRun, "the instance that holds the request does not answer").Retry(time.Now().Add(retryAfter))
+		case err == errUnsure && r.Clock.Since(movedAt) > unsureAfter:
+			return fault.New(fault.StepResume, "", fault.KindTimeout, fault.MayHaveRun, "the instance that holds the request does not answer").Retry(r.Clock.Now().Add(retryAfter))
 		case err == nil:
-			movedAt, missingSince = time.Now(), time.Time{}
+			movedAt, missingSince = r.Clock.Now(), time.Time{}
 		case err != errNowhere && err != errGone:
 			missingSince = time.Time{}
 		}
@@ -239,7 +239,7 @@
 		}
 	}
 	r.keeperMu.Lock()
-	c, voted := r.keeper.Look(id, time.Now())
+	c, voted := r.keeper.Look(id, r.Clock.Now())
 	r.keeperMu.Unlock()
 	if voted {
 		consider(place{owner: c.Owner, digest: c.Digest, voted: true})
--- a/internal/relay/handle.go
+++ b/internal/relay/handle.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -112,7 +111,7 @@
 	}
 	r.keeperMu.Lock()
 	defer r.keeperMu.Unlock()
-	if c, ok := r.keeper.Look(id, time.Now()); ok {
+	if c, ok := r.keeper.Look(id, r.Clock.Now()); ok {
 		return &peerpb.FindAnswer{Found: true, Owner: c.Owner, Voted: true, Digest: c.Digest}
 	}
 	return &peerpb.FindAnswer{}
--- a/internal/relay/hold.go
+++ b/internal/relay/hold.go
@@ -105,7 +105,7 @@
 			last = fault.New(fault.StepHold, m.ID, fault.KindRefused, fault.NotRun, "second copy: %s", h.GetOutcome())
 		}
 	}
-	return fault.New(fault.StepHold, "", fault.KindRefused, notRunIf(rec.Fresh), "no instance in another hall holds a second copy: %w", last).Retry(time.Now().Add(retryAfter))
+	return fault.New(fault.StepHold, "", fault.KindRefused, notRunIf(rec.Fresh), "no instance in another hall holds a second copy: %w", last).Retry(r.Clock.Now().Add(retryAfter))
 }
 
 // ballot counts the keepers' answers to one attempt.
@@ -127,7 +127,7 @@
 		r.start(rec, nil)
 		return nil
 	}
-	giveUp := time.Now().Add(claimGiveUp)
+	giveUp := r.Clock.Now().Add(claimGiveUp)
 	if rec.Deadline.Before(giveUp) {
 		giveUp = rec.Deadline
 	}
@@ -148,8 +148,8 @@
 				return err
 			}
 		}
-		if !time.Now().Before(giveUp) || ctx.Err() != nil {
-			return fault.New(fault.StepClaim, "", fault.KindTimeout, notRunIf(rec.Fresh), "most keepers of the key did not answer").Retry(time.Now().Add(retryAfter))
+		if !r.Clock.Now().Before(giveUp) || ctx.Err() != nil {
+			return fault.New(fault.StepClaim, "", fault.KindTimeout, notRunIf(rec.Fresh), "most keepers of the key did not answer").Retry(r.Clock.Now().Add(retryAfter))
 		}
 		pause := claimPause + time.Duration(r.draw()%uint64(claimPause))
 		select {
@@ -249,7 +249,7 @@
 
 // vote gives this instance's own vote.
 func (r *Relay) vote(h *peerpb.Hold) *peerpb.HoldAnswer {
-	now := time.Now()
+	now := r.Clock.Now()
 	m := h.Record
 	r.keeperMu.Lock()
 	a := r.keeper.Vote(claim.Vote{
@@ -340,9 +340,9 @@
 		retention = s.Table.System.Retention
 	}
 	r.keeperMu.Lock()
-	moved := r.keeper.Install(v, time.Now(), retention)
+	moved := r.keeper.Install(v, r.Clock.Now(), retention)
 	if moved {
-		r.installedAt = time.Now()
+		r.installedAt = r.Clock.Now()
 	}
 	r.keeperMu.Unlock()
 	if moved {
@@ -367,7 +367,7 @@
 		}
 		r.keeperMu.Lock()
 		missing, view := r.keeper.Missing(), r.keeper.View()
-		n := r.keeper.Unknown(time.Now())
+		n := r.keeper.Unknown(r.Clock.Now())
 		r.keeperMu.Unlock()
 		if n > unknown {
 			r.event(event.ShardsUnknown, zap.Int("shards", n))
--- a/internal/relay/leave.go
+++ b/internal/relay/leave.go
@@ -31,7 +31,7 @@
 // planned stop it is zero and the table's stop deadline counts.
 func (r *Relay) Leave(ctx context.Context, by time.Time) int {
 	r.draining.Store(true)
-	start := time.Now()
+	start := r.Clock.Now()
 	planned := by.IsZero()
 	var handover time.Time
 	if planned {
@@ -43,13 +43,13 @@
 	limit := by.Add(-handoverSend)
 	r.waitUntil(ctx, handover, r.ownsNothing)
 	r.giveAway(ctx, limit)
-	r.waitUntil(ctx, earlier(limit, time.Now().Add(heldWait)), r.newsDelivered)
+	r.waitUntil(ctx, earlier(limit, r.Clock.Now().Add(heldWait)), r.newsDelivered)
 	if planned {
-		limit = earlier(limit, time.Now().Add(claimsWait))
+		limit = earlier(limit, r.Clock.Now().Add(claimsWait))
 	}
 	r.waitUntil(ctx, limit, r.replaced)
 	if planned {
-		r.waitUntil(ctx, time.Now().Add(followersWait), func() bool { return false })
+		r.waitUntil(ctx, r.Clock.Now().Add(followersWait), func() bool { return false })
 		limit = by.Add(-handoverSend)
 	}
 	// The death of another instance may have made this one the owner of its
@@ -74,9 +74,9 @@
 // giveAway hands over what runs here, again and again, since a target may
 // refuse or die, until nothing is left or the limit comes.
 func (r *Relay) giveAway(ctx context.Context, limit time.Time) {
-	for !r.Switches.NoHandover && !r.ownsNothing() && time.Now().Before(limit) && ctx.Err() == nil {
+	for !r.Switches.NoHandover && !r.ownsNothing() && r.Clock.Now().Before(limit) && ctx.Err() == nil {
 		r.handOver(ctx, limit)
-		r.waitUntil(ctx, earlier(limit, time.Now().Add(handoverAgain)), r.ownsNothing)
+		r.waitUntil(ctx, earlier(limit, r.Clock.Now().Add(handoverAgain)), r.ownsNothing)
 	}
 	r.waitUntil(ctx, limit, r.ownsNothing)
 }
@@ -107,11 +107,11 @@
 	r.keeperMu.Lock()
 	defer r.keeperMu.Unlock()
 	v := r.keeper.View()
-	return v == nil || !v.Has(r.Self) && time.Since(r.installedAt) > collectWait
+	return v == nil || !v.Has(r.Self) && r.Clock.Since(r.installedAt) > collectWait
 }
 
 func (r *Relay) waitUntil(ctx context.Context, limit time.Time, ok func() bool) {
-	for !ok() && time.Now().Before(limit) && ctx.Err() == nil {
+	for !ok() && r.Clock.Now().Before(limit) && ctx.Err() == nil {
 		select {
 		case <-time.After(leavePoll):
 		case <-ctx.Done():
@@ -125,8 +125,8 @@
 	slices.SortFunc(records, func(a, b *record.Record) int {
 		return cmp.Or(cmp.Compare(b.Priority, a.Priority), a.Deadline.Compare(b.Deadline))
 	})
-	ctx, cancel := context.WithDeadline(ctx, by)
-	defer cancel()
+	ctx, deadline := r.Clock.WithDeadline(ctx, by, context.DeadlineExceeded)
+	defer deadline.Stop()
 	slots := make(chan struct{}, handoverAtOnce)
 	for _, rec := range records {
 		if !rec.Repeatable {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -21,6 +21,7 @@
 	"go.uber.org/zap"
 
 	"github.com/shelfcrank/shelfcrank/internal/claim"
+	"github.com/shelfcrank/shelfcrank/internal/clock"
 	"github.com/shelfcrank/shelfcrank/internal/control"
 	"github.com/shelfcrank/shelfcrank/internal/endpoint"
 	"github.com/shelfcrank/shelfcrank/internal/event"
@@ -60,7 +61,8 @@
 	Control   Control
 	Log       *zap.Logger
 	Metrics   *metrics.Metrics
-	Seed      uint64 // of the relay's random numbers
+	Clock     *clock.Clock // may be nil
+	Seed      uint64       // of the relay's random numbers
 	Switches  Switches
 }
 
@@ -183,7 +185,7 @@
 // has its id. After it returns nil, Follow gives the answer. An error says
 // that the request was refused.
 func (r *Relay) Submit(ctx context.Context, req record.Request) error {
-	now := time.Now()
+	now := r.Clock.Now()
 	if old, ok := r.store.Get(req.ID); ok {
 		return sameRequest(old.Digest, req)
 	}
@@ -244,7 +246,7 @@
 // canMakeIt refuses at once a model call that no endpoint would begin to
 // answer before its deadline. It returns what routing has to know of the call.
 func (r *Relay) canMakeIt(rec *record.Record) (*route.Request, error) {
-	now := time.Now()
+	now := r.Clock.Now()
 	class, pool, err := r.modelPool(rec)
 	if err != nil {
 		return nil, err
--- a/internal/relay/upkeep.go
+++ b/internal/relay/upkeep.go
@@ -99,7 +99,7 @@
 		if s.Table == nil {
 			continue
 		}
-		now := time.Now()
+		now := r.Clock.Now()
 		for _, rec := range r.store.Expired(now, s.Table.System.Retention) {
 			r.store.Remove(rec)
 		}
