--- a/internal/experiment/chaos_test.go
+++ b/internal/experiment/chaos_test.go
@@ -16,6 +16,8 @@
 	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
 
+	"github.com/shelfcrank/shelfcrank/internal/clock"
+	"github.com/shelfcrank/shelfcrank/internal/clocktest"
 	"github.com/shelfcrank/shelfcrank/internal/deployment"
 	"github.com/shelfcrank/shelfcrank/internal/event"
 	"github.com/shelfcrank/shelfcrank/internal/netx"
@@ -50,11 +52,12 @@
 	client *traffic.Client
 	scale  float64 // of the traffic
 
-	mu     sync.Mutex
-	rnd    *rand.Rand   // guarded by mu
-	down   map[int]bool // entry instances that are not running; guarded by mu
-	faults []string     // guarded by mu
-	wait   sync.WaitGroup
+	mu       sync.Mutex
+	rnd      *rand.Rand                    // guarded by mu
+	down     map[int]bool                  // entry instances that are not running; guarded by mu
+	machines map[string]*clocktest.Machine // of the entry instances that run, by name; guarded by mu
+	faults   []string                      // guarded by mu
+	wait     sync.WaitGroup
 }
 
 // chaosSpec is a small form of a deployment.
@@ -94,11 +97,20 @@
 		}
 	})
 	core, logs := observer.New(zapcore.InfoLevel)
-	e, err := StartEmbedded(EmbeddedOptions{Spec: spec, Base: chaosBase, Site: mem.Site, Log: zap.New(core), Seed: seed, Switches: sw, System: system})
+	c := &chaos{t: t, rnd: rand.New(rand.NewPCG(seed, 77)), spec: spec, mem: mem, logs: logs, scale: chaosScale, down: make(map[int]bool), machines: make(map[string]*clocktest.Machine)}
+	c.e, err = StartEmbedded(EmbeddedOptions{Spec: spec, Base: chaosBase, Site: mem.Site, Log: zap.New(core), Seed: seed, Switches: sw, System: system, Clock: c.clock})
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &chaos{t: t, rnd: rand.New(rand.NewPCG(seed, 77)), spec: spec, mem: mem, e: e, logs: logs, scale: chaosScale, down: make(map[int]bool)}
+	return c
+}
+
+// clock returns the clock of an entry instance that starts, on a machine of its own.
+func (c *chaos) clock(entry string) *clock.Clock {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.machines[entry] = clocktest.New()
+	return clock.New(c.machines[entry])
 }
 
 func (c *chaos) note(format string, args ...any) {
@@ -201,6 +213,22 @@
 	})
 }
 
+// suspendEntry suspends the machine of an entry instance for a while.
+func (c *chaos) suspendEntry(i int, d time.Duration) {
+	c.note("%s suspend entry %d for %s", stamp(), i, d)
+	name := c.spec.Entry(chaosBase, i).Name
+	c.mu.Lock()
+	machine := c.machines[name]
+	c.mu.Unlock()
+	machine.Suspend()
+	c.mem.Freeze(name, true)
+	c.wait.Go(func() {
+		time.Sleep(d)
+		machine.Resume()
+		c.mem.Freeze(name, false)
+	})
+}
+
 // reclaimHall announces the reclaim of a hall with its entry instances.
 func (c *chaos) reclaimHall(hall string, notice time.Duration) {
 	c.note("%s reclaim of hall %s in %s", stamp(), hall, notice)
@@ -413,3 +441,43 @@
 		})
 	}
 }
+
+// injectSuspensions suspends one entry instance after the other, beside engines that are killed
+// and a store in trouble.
+func (c *chaos) injectSuspensions(ctx context.Context, start time.Time) {
+	for ctx.Err() == nil && time.Since(start) < chaosTraffic {
+		sleepCtx(ctx, c.between(300*time.Millisecond, 2*time.Second))
+		up := c.running()
+		asleep := c.between(500*time.Millisecond, 6*time.Second)
+		c.suspendEntry(up[c.draw(len(up))], asleep)
+		switch c.draw(3) {
+		case 0:
+			c.store(ctx, c.between(time.Second, 6*time.Second))
+		case 1:
+			id := fmt.Sprintf("%s-%02d", c.spec.Models[0].Name, c.draw(3)+3)
+			c.note("%s kill engine %s", stamp(), id)
+			c.e.World.Kill(id)
+		}
+		sleepCtx(ctx, asleep+killGap) // the records of one that stands still have new copies by then
+	}
+}
+
+func TestRandomSuspensions(t *testing.T) {
+	for k := range uint64(*seedsFlag) {
+		seed := *firstSeed + k
+		name := []string{"voltra", "bazaarline"}[seed%2]
+		t.Run(fmt.Sprintf("%s-%d", name, seed), func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				c := newChaos(t, name, seed, relay.Switches{})
+				tally := c.run(seed, c.injectSuspensions)
+				broken := c.check(seed, tally)
+				c.e.Stop()
+				t.Logf("sent %d answered %d late %d failed %d (refused %d, unknown %d) resumes %d, %d faults",
+					tally.Sent, tally.Answered, tally.Late, tally.Failed, tally.RefusedNotRun, tally.Unknown, tally.Resumes, len(c.faults))
+				for _, b := range broken {
+					t.Error(b)
+				}
+			})
+		})
+	}
+}
--- a/internal/experiment/embedded.go
+++ b/internal/experiment/embedded.go
@@ -14,6 +14,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/shelfcrank/shelfcrank/internal/clock"
 	"github.com/shelfcrank/shelfcrank/internal/deployment"
 	"github.com/shelfcrank/shelfcrank/internal/entry"
 	"github.com/shelfcrank/shelfcrank/internal/netx"
@@ -34,6 +35,7 @@
 	switches relay.Switches
 	seed     uint64
 	peerTLS  func(entry string) *tls.Config
+	clock    func(entry string) *clock.Clock
 
 	mu      sync.Mutex
 	entries map[int]*embeddedEntry // guarded by mu
@@ -57,7 +59,8 @@
 	Switches relay.Switches
 	System   []table.Cell // cells of the first table's default row
 
-	PeerTLS func(entry string) *tls.Config // between entry instances; nil for plain text
+	PeerTLS func(entry string) *tls.Config  // between entry instances; nil for plain text
+	Clock   func(entry string) *clock.Clock // of each entry instance; nil for the steady time
 }
 
 // StartEmbedded starts the stand-ins and all entry instances.
@@ -66,7 +69,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &Embedded{Spec: o.Spec, base: o.Base, site: o.Site, log: o.Log, switches: o.Switches, seed: o.Seed, peerTLS: o.PeerTLS, entries: make(map[int]*embeddedEntry)}
+	e := &Embedded{Spec: o.Spec, base: o.Base, site: o.Site, log: o.Log, switches: o.Switches, seed: o.Seed, peerTLS: o.PeerTLS, clock: o.Clock, entries: make(map[int]*embeddedEntry)}
 	e.World = standin.New(o.Site("platform"), o.Site, set)
 	if err := e.World.Start(); err != nil {
 		return nil, err
@@ -86,6 +89,9 @@
 	if e.peerTLS != nil {
 		o.PeerTLS = e.peerTLS(set.Name)
 	}
+	if e.clock != nil {
+		o.Clock = e.clock(set.Name)
+	}
 	inst, err := entry.New(o)
 	if err != nil {
 		return err
