Nothing is sent or taken after its time, also after a suspension

Endpoints got a request that had waited for a choice while the machine was suspended, with all the time before it that it had at its arrival. The time is looked at again before it leaves. An answer of another instance that came after the time of its call, by a clock that counts, is none: it tells of a moment before the suspension (a permit that lapsed, levels of limits).

--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -96,8 +96,9 @@
 // steadyTime is what tells the steady time, which stands still while the machine is suspended.
 var steadyTime = []string{"time.Now()", "time.Since(", "time.Until(", "context.WithDeadline(", "context.WithDeadlineCause("}
 
-// steadyUses are what may go by it: deadlines of connections, which run on that clock, and dates.
-var steadyUses = []string{"Deadline(time.Now()", "time.Now().Unix(),"}
+// steadyUses are what may go by it: deadlines of connections and contexts, which run on that
+// clock, and dates.
+var steadyUses = []string{"Deadline(time.Now()", "time.Now().Unix(),", "time.Until(end)"}
 
 // TestServingAsksTheClock finds places that ask Go for the time.
 func TestServingAsksTheClock(t *testing.T) {
--- a/internal/clocktest/machine.go
+++ b/internal/clocktest/machine.go
@@ -18,6 +18,7 @@
 	mu    sync.Mutex
 	since time.Time     // when the suspension began; zero while the machine runs; guarded by mu
 	lost  time.Duration // that earlier suspensions took; guarded by mu
+	skips time.Duration // that were skipped; guarded by mu
 }
 
 // New returns a machine that runs.
@@ -39,7 +40,9 @@
 // Boot implements clock.Machine.
 func (m *Machine) Boot() time.Duration {
 	now, _ := m.now()
-	return now.Sub(m.start)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return now.Sub(m.start) + m.skips
 }
 
 // Steady implements clock.Machine.
@@ -57,6 +60,13 @@
 	}
 }
 
+// Skip suspends the machine for d in no time of the test: only its boot time tells.
+func (m *Machine) Skip(d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.skips += d
+}
+
 // Resume ends a suspension.
 func (m *Machine) Resume() {
 	m.mu.Lock()
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -111,6 +111,11 @@
 	if !errors.Is(context.Cause(ctx), errDeadline) {
 		return &denial{gone: true, why: "the client left", err: context.Cause(ctx)}
 	}
+	return h.late(q)
+}
+
+// late is the denial for a request whose time is over.
+func (h *Handler) late(q *request) *denial {
 	if q.mayRun {
 		return &denial{status: http.StatusGatewayTimeout, why: "no answer in time"}
 	}
@@ -139,6 +144,11 @@
 		ticket.Done(balance.Cancelled, h.Clock.Now())
 		return outcome{denial: h.ended(ctx, q)}
 	}
+	now = h.Clock.Now() // the machine may have been suspended while a server was chosen
+	if !now.Before(q.deadline) {
+		ticket.Done(balance.Cancelled, now)
+		return outcome{denial: h.late(q)}
+	}
 	if d := h.stillAllowed(q); d != nil {
 		ticket.Done(balance.Cancelled, h.Clock.Now())
 		return outcome{denial: d}
--- /dev/null
+++ b/internal/forward/suspend_test.go
@@ -0,0 +1,58 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shelfcrank/shelfcrank/internal/balance"
+	"github.com/shelfcrank/shelfcrank/internal/clock"
+	"github.com/shelfcrank/shelfcrank/internal/clocktest"
+	"github.com/shelfcrank/shelfcrank/internal/registry"
+	"github.com/shelfcrank/shelfcrank/internal/virtual"
+)
+
+// suspending is a placer during whose choice the machine is suspended.
+type suspending struct {
+	Placer
+	machine *clocktest.Machine
+	d       time.Duration
+}
+
+func (s suspending) Place(ctx context.Context, servers []registry.Server, r *balance.Request, until, now time.Time) (*balance.Ticket, error) {
+	s.machine.Suspend()
+	time.Sleep(s.d)
+	s.machine.Resume()
+	return s.Placer.Place(ctx, servers, r, until, now)
+}
+
+// Endpoints got requests whose time was over, with as much time left as they had before the
+// machine of the instance was suspended.
+func TestNothingIsSentAfterItsTime(t *testing.T) {
+	for _, c := range []struct {
+		suspended time.Duration
+		status    int
+		sent      int
+	}{{500 * time.Millisecond, http.StatusOK, 1}, {3 * time.Second, http.StatusServiceUnavailable, 0}} {
+		virtual.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, 0, sealed(http.StatusOK, "hi"))
+			m := clocktest.New()
+			w.handler.Clock = clock.New(m)
+			w.handler.Placer = suspending{w.handler.Placer, m, c.suspended}
+			rec, _ := w.ask("/safe/a", "k")
+			is.Equal(rec.Code, c.status)
+			is.Equal(len(w.got), c.sent)
+			for _, h := range w.got {
+				left, err := time.ParseDuration(h.Get("Deadline") + "ms")
+				is.NoErr(err)
+				is.True(left <= 1500*time.Millisecond-c.suspended)
+			}
+			w.handler.Backends.CloseIdle()
+			time.Sleep(3 * time.Second)
+		})
+	}
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -157,9 +157,12 @@
 	return protodelim.UnmarshalOptions{MaxSize: maxMessage}.UnmarshalFrom(r, m)
 }
 
-// Call makes a call and returns its one answer.
+// Call makes a call and returns its one answer. One that came after the time of ctx is none,
+// also where the machine was suspended meanwhile and ctx has time left: what the peer said of
+// that moment is not so any more.
 func (n *Node) Call(ctx context.Context, addr netip.AddrPort, call *peerpb.Call) (*peerpb.Answer, error) {
 	var got *peerpb.Answer
+	latest := n.latest(ctx)
 	err := n.Follow(ctx, addr, call, func(a *peerpb.Answer) (bool, error) {
 		got = a
 		return false, nil
@@ -167,9 +170,23 @@
 	if err != nil {
 		return nil, err
 	}
+	if !latest.IsZero() && n.clock.Now().After(latest) {
+		return nil, n.broke(addr, "receive", errLate)
+	}
 	return got, nil
 }
 
+var errLate = errors.New("the answer came after its time")
+
+// latest returns when a call's time is over, zero if that is open.
+func (n *Node) latest(ctx context.Context) time.Time {
+	end, ok := ctx.Deadline()
+	if !ok {
+		return time.Time{}
+	}
+	return n.clock.Now().Add(time.Until(end))
+}
+
 // Follow makes a call and hands each of its answers to each, until that
 // returns false or an error.
 func (n *Node) Follow(ctx context.Context, addr netip.AddrPort, call *peerpb.Call, each func(*peerpb.Answer) (bool, error)) error {
