--- a/internal/balance/server.go
+++ b/internal/balance/server.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Tuning of what is believed of a server.
+// What is believed of a server.
 const (
 	failureHalfLife = 4 * time.Second // until half of a failure is forgotten; faults last seconds
 	failureWeight   = 0.3             // of the newest result
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -8,7 +8,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/registry"
 )
 
-// Tuning of what is believed of a service.
+// What is believed of a service.
 const (
 	firstWork     = 50 * time.Millisecond // of a request of a plain service, until some were seen
 	serviceWeight = 0.05                  // of the newest such time
--- a/internal/entry/views.go
+++ b/internal/entry/views.go
@@ -72,7 +72,7 @@
 // included. It waits until these are most of those that the platform lists, or until it
 // is late: a view without the others could be left only once its keepers are no longer
 // listed. An instance with a wrong certificate, which the store lets in and no other
-// instance does, was seen to write it first when many processes started at once.
+// instance does, may write it first when many processes start at once.
 func (i *Instance) foundView(ctx context.Context, reached []claim.Member, late bool) {
 	if 2*len(reached) > lo.CountBy(*i.list.Load(), isServingEntry) || late {
 		i.writeView(ctx, (&claim.View{}).Next(reached))
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -57,7 +57,7 @@
 	Regular int
 }
 
-// Tuning of the plan; docs/design/platform.md argues each.
+// Parts of the plan. Loads are shares of what a server can do.
 const (
 	spotFactor  = 1.5              // reclaimable servers for each server's worth of work,
 	spotSpare   = 2.5              // and for its root: chance weighs more in a small fleet
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -14,7 +14,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/policy"
 )
 
-// Tuning of attempts.
+// Bounds of attempts.
 const (
 	leastLeft       = 20 * time.Millisecond // with less time left no server is asked
 	onceIdle        = 3 * time.Second       // connections idle for longer are not used for what runs once
@@ -257,8 +257,7 @@
 
 // began counts a run of the request for the usage reports. A server of a plain service
 // counts each of its runs. Engines count a request once, also if one fails it and another
-// runs it again: while engines failed 45% of their requests, counting both told 38 of 227
-// and 339 of 4,514 requests too many in a window.
+// runs it again.
 func (h *Handler) began(q *request) {
 	if q.route.Kind == policy.Streaming && q.counted {
 		return
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -28,7 +28,7 @@
 	retryFirst   = 600 * time.Millisecond  // at first, and
 	retryMost    = 6 * time.Second         // at the most, for others: the read tells them when it is back
 	steadyWatch  = time.Second             // a watch that held for longer is begun anew at once
-	registerTTL  = 9 * time.Second         // a renewal costs a tenth of a call: 295 instances renewed each 2 s make 9,700 in 66 s, each 3 s 6,500
+	registerTTL  = 9 * time.Second         // each renewal of each instance is a call that is paid for
 	registerKeep = 3 * time.Second
 	// WatchWait is how long the store may hold a watch that has nothing to tell.
 	WatchWait  = 20 * time.Second
--- a/internal/front/hub.go
+++ b/internal/front/hub.go
@@ -166,15 +166,15 @@
 	return h.packed
 }
 
-// Tuning of packed parts.
+// When parts are packed.
 const (
 	packFrom = 16              // items; fewer are not worth it
 	packFor  = 2 * time.Second // instances that start together ask for the same
 )
 
 // part returns what changed in a copy, packed if the caller reads that and it is much. It is
-// packed once for all that ask for the same. While 3,000 servers registered it took 67 kB for
-// each of 100 instances in place of 768 (TestWhatInstancesTellEachOther).
+// packed once for all that ask for the same, which keeps the links of hubs free while a
+// large fleet starts.
 func (h *hub) part(of *mirror.Copy, after int64, c mirror.Change, unpacks bool, now time.Time) *peerpb.MirrorPart {
 	if !unpacks || len(c.Events) < packFrom {
 		return mirrorPart(c)
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -108,8 +108,8 @@
 }
 
 // take takes changes of the product's own keys. Who is a hub is worked out once for all
-// of them: when a third of 295 registrations ended, and came back, doing it for each took
-// 58% of the processor time of all instances for three seconds (perf).
+// of them: registrations end and come back by the hundred where the store turns instances
+// away.
 func (m *members) take(events []store.Event, now time.Time) {
 	changed := false
 	for _, e := range events {
--- a/internal/front/notes.go
+++ b/internal/front/notes.go
@@ -10,7 +10,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/place"
 )
 
-// Tuning of notes to hubs.
+// Times and sizes of notes to hubs.
 const (
 	noteGather  = 8 * time.Millisecond // notes to a hub travel together
 	noteTimeout = 600 * time.Millisecond
--- a/internal/front/offers.go
+++ b/internal/front/offers.go
@@ -20,7 +20,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/topology"
 )
 
-// Tuning of asking hubs for offers.
+// Times of asking hubs for offers.
 const (
 	offersAsked  = 2                      // hubs that are asked for an offer
 	offerTimeout = 70 * time.Millisecond  // a hub that takes longer is done without
--- a/internal/front/role.go
+++ b/internal/front/role.go
@@ -9,8 +9,7 @@
 
 // Times in which an instance that starts finds out whether it has to follow the
 // store. Each call of the store is paid for, and all instances of a large fleet
-// may start at once: 77 were seen to start within 0.2 s, and a registration takes
-// some 10 ms.
+// may start at once.
 const (
 	othersListed = 400 * time.Millisecond // after its start, most of those that started with it are registered
 	roleKnown    = 600 * time.Millisecond // after its start, it knows the other instances
@@ -23,8 +22,8 @@
 // the hubs get what is in the store from these, and read no more of it than who they
 // are. Those that are registered from before, or since long, are seen in a listing that
 // may be old; when the whole fleet starts for the first time, the others are listed
-// once most are registered. A start of 22 instances, renewals included, takes 150 calls
-// of the store and took 264 without this (TestALargeFleetStartsWithFewCalls).
+// once most are registered. It saves the calls with which each would follow the store
+// until it knows its role.
 func (n *Node) meetOthers(ctx context.Context) {
 	met, err := n.listOthers(ctx, n.Store.Peek)
 	if met || err != nil {
--- a/internal/front/standin.go
+++ b/internal/front/standin.go
@@ -92,9 +92,8 @@
 
 // throughStandbys reads through the first instance of a round that reads the store in
 // place of the readers, and reports whether there was one or another round is to be
-// tried. Without it, when the three readers of 295 instances were among 103 that the store
-// turned away for 9 s, the 192 others all read it themselves and made some 7,500 calls in
-// 12 s.
+// tried. It keeps all others from reading the store themselves where it turns all readers
+// away.
 func (s *spoke) throughStandbys(ctx context.Context, hubs *topology.Topology) bool {
 	if len(hubs.Standbys) == 0 {
 		return false
@@ -123,7 +122,7 @@
 // Times of trying the store alone while those that read it for others say that they
 // cannot: it is most likely down for all, and they find out when it is back.
 const (
-	outageSigns = 5               // so many in a row say so; a store that turns a third away turns five away in 0.4% of cases
+	outageSigns = 5               // so many in a row say so; a store that turns a third of all away rarely turns five away
 	aloneLeast  = time.Second     // after the first sign
 	aloneEvery  = 3 * time.Second // keys are honoured for 4.4 s after a proof
 )
--- a/internal/front/suspects.go
+++ b/internal/front/suspects.go
@@ -14,7 +14,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/topology"
 )
 
-// Tuning of the suspects.
+// Bounds of the suspects.
 const (
 	mostSuspects  = 4096                  // some 1.2 MB
 	permitTimeout = 70 * time.Millisecond // as for an offer; the next one is asked then
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -11,9 +11,8 @@
 )
 
 // leastEvents is how many changes a copy remembers at the least; else as many as it has
-// items. A reader that is further behind gets all items, which is then less. While 3,000
-// servers registered within 1.5 s, 512 changes were fewer than came between two questions of
-// a reader: each got all of them again and again, 2,007 kB of 739 (virtual time, 100 instances).
+// items. A reader that is further behind gets all items, which is then less: when a
+// fleet starts, more entries change between two questions of a reader than a fixed number.
 const leastEvents = 512
 
 // Copy is the copy of what the store has under one prefix.
--- a/internal/mirror/packing.go
+++ b/internal/mirror/packing.go
@@ -11,9 +11,8 @@
 // store takes values of a million.
 const mostConfig = 16 << 20
 
-// Pack compresses a configuration that is passed on to many instances: one of
-// 1,700 routes has 0.5 MB, which a hundred instances cannot get through one link
-// within the time in which it has to be in force (BenchmarkPackConfig).
+// Pack compresses a configuration that is passed on to many instances: a large
+// one they cannot all get through one link within the time in which it has to be in force.
 func Pack(value []byte) []byte {
 	var out bytes.Buffer
 	w, err := gzip.NewWriterLevel(&out, gzip.BestSpeed)
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -141,7 +141,7 @@
 
 // Closed returns the ids of those endpoints that may not be sent requests, and when the
 // first of them takes requests again, zero if none does. It takes no time while no endpoint
-// has said anything, 44 µs for 2,300 endpoints of which 20 have (one core, BenchmarkClosed).
+// has said anything.
 func (b *Book) Closed(endpoints []registry.Server, now time.Time) (ids []string, opensAt time.Time) {
 	standings := *b.standings.Load()
 	if len(standings) == 0 {
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -39,7 +39,7 @@
 // factors.
 var Prior = Model{Base: 15 * float64(time.Millisecond), Token: 16 * float64(time.Microsecond)}
 
-// Tuning of a Learner.
+// Terms of a Learner.
 const (
 	ranges    = 18                    // of lengths: each is twice as long as the one before it
 	memory    = 48                    // observations of a range that count; older ones fade
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -13,7 +13,7 @@
 //
 // The hash is a strong one rather than a keyed one: a key would have to be the same at
 // all instances and secret to callers, and who could make two requests collide could have
-// others' refused. It costs 11 µs at a body of 12 KB (BenchmarkFingerprint), and is worked out only for requests
+// others' refused. It is dear for a long body, and is worked out only for requests
 // that are as long as one under suspicion, and for those that were cut off.
 type Fingerprint struct {
 	Sum    [sumSize]byte
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -58,7 +58,7 @@
 	newsDue    = 600 * time.Millisecond // a node is heard of more often than this
 	assumeMost = 10 * time.Second       // how long a silent node is assumed to go on
 	// keepForgotten is how long totals of a node are kept that is no member any more:
-	// longer than the store was seen to turn nodes away.
+	// longer than the store turns nodes away.
 	keepForgotten = time.Minute
 	rateWeight    = 0.3
 	leastRetry    = 50 * time.Millisecond
@@ -393,9 +393,7 @@
 
 // Forget notes that a node is no member any more. What it was assumed to have admitted is
 // given back. What it told is kept for a while: it may only have been out of reach, and
-// what it admitted meanwhile must count when it is heard of again. Taken for old, 900 of
-// the 1,500 units that a node may have at once were never counted
-// (TestANodeThatWasForgottenIsHeardOfAgain).
+// what it admitted meanwhile must count when it is heard of again.
 func (l *Limiter) Forget(name string) {
 	n := l.nodes[name]
 	if n == nil {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -233,8 +233,8 @@
 
 // Expire drops what has been absent for too long, and believes what entries have named
 // for long. While the store is down nothing is dropped: no news is not news. It runs ten
-// times a second, and looks only at servers that something became of: 80 µs for 2,300
-// before, 32 ns since (BenchmarkQuiet).
+// times a second, and looks only at servers that something became of, since most of
+// thousands are quiet.
 func (r *Registry) Expire(storeDown bool, now time.Time) (changed []Event) {
 	for name := range r.pending {
 		e := r.servers[name]
--- a/internal/rollout/counts.go
+++ b/internal/rollout/counts.go
@@ -47,7 +47,7 @@
 	PerEvent time.Duration // between two events on the mean; 0 if there were too few
 }
 
-// Tuning of what counts as slow.
+// What counts as slow.
 const (
 	// slowTimes is how many times the usual time counts as slow. A bad version is
 	// several times as slow; an endpoint that is merely full takes up to twice.
--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -5,7 +5,7 @@
 	"slices"
 )
 
-// Tuning of the verdict. The false verdicts that it comes to are measured by
+// Terms of the verdict. The false verdicts that it comes to are counted by
 // TestFalseVerdicts.
 const (
 	// alarm is the sum of the logarithms of likelihood ratios from which a version is
--- a/internal/rollout/next.go
+++ b/internal/rollout/next.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Tuning of how a roll-out goes on.
+// Parts and times of a roll-out.
 const (
 	// trialPart is the part of the operators' time that a trial takes. The rest is for
 	// the requests that run on the old version: a stream of the longest kind takes
@@ -10,8 +10,8 @@
 	trialPart = 0.45
 	// lastTrial is the part of that time by whose end a doubtful trial is judged.
 	lastTrial = 0.7
-	// leastSeenGood is how many answers a version needs to be found good. Of as many
-	// from one that fails 15 in 100, fewer than three fail in 5 of 100 cases.
+	// leastSeenGood is how many answers a version needs to be found good: of as many from
+	// a bad one, hardly ever fewer than three fail.
 	leastSeenGood = 40
 	// enoughSeen is how many answers do where the deadline leaves no time for more.
 	enoughSeen = 15
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -66,7 +66,7 @@
 	}
 }
 
-// Tuning of the default policy; each is measured in docs/measurements.md.
+// Weights and times of the default policy.
 const (
 	homeCount    = 3    // homes of a session: two in its first hall, one in its second
 	sampleCount  = 3    // other endpoints looked at
--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -25,7 +25,7 @@
 	readersMost  = 3 // at the most, or one for so many instances:
 	perReader    = 100
 	// standbyRounds is how many times as many as the readers may be asked to stand in for
-	// them: a third of a fleet was seen to be turned away by the store at once, and with
+	// them: the store may turn a third of a fleet away at once, and with
 	// it all readers.
 	standbyRounds = 3
 )
