Failing test: a deadly model request at the own interface

The stand-in of engines ends under a prompt and is back after 2 s. What instances tell each other of suspects is a package of its own, for both interfaces.

--- a/internal/front/suspectnews.go
+++ b/internal/front/suspectnews.go
@@ -11,6 +11,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/event"
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
 	"github.com/shelfcrank/shelfcrank/internal/quarantine"
+	"github.com/shelfcrank/shelfcrank/internal/quarantine/told"
 	"github.com/shelfcrank/shelfcrank/internal/topology"
 )
 
@@ -58,9 +59,9 @@
 
 // hear takes what another instance tells. The first end that it saw of a request is not
 // logged here: all that ran on a server that ended has one.
-func (s *suspects) hear(told []*peerpb.Suspect) {
+func (s *suspects) hear(news []*peerpb.Suspect) {
 	now := s.node.Clock.Now()
-	changes := s.table.Hear(suspectsOf(told, now), now)
+	changes := s.table.Hear(told.Read(news, now), now)
 	s.tell(lo.Filter(changes, func(c quarantine.Change, _ int) bool {
 		return c.Kind != quarantine.EndSeen || len(c.Suspect.Ends) > 1
 	}))
@@ -100,7 +101,7 @@
 	to, known := lo.Find(s.node.state.members.list(), func(m member) bool { return m.Name == name })
 	all := s.table.Suspects(s.hearsAll(name), now)
 	if known && len(all) > 0 {
-		go s.sendOnce(context.Background(), to.Member, suspectMessages(all, now))
+		go s.sendOnce(context.Background(), to.Member, told.Write(all, now))
 	}
 }
 
@@ -137,17 +138,17 @@
 	if len(news) == 0 {
 		return
 	}
-	told := suspectMessages(news, now)
+	messages := told.Write(news, now)
 	for _, m := range to {
-		wait.Go(func() { s.sendOnce(ctx, m, told) })
+		wait.Go(func() { s.sendOnce(ctx, m, messages) })
 	}
 }
 
 // sendOnce tells an instance. What does not reach it is owed.
-func (s *suspects) sendOnce(ctx context.Context, to topology.Member, told []*peerpb.Suspect) {
+func (s *suspects) sendOnce(ctx context.Context, to topology.Member, news []*peerpb.Suspect) {
 	ctx, cancel := context.WithTimeout(ctx, suspectTimeout)
 	defer cancel()
-	call := &peerpb.Call{Body: &peerpb.Call_Suspects{Suspects: &peerpb.Suspects{Suspects: told}}}
+	call := &peerpb.Call{Body: &peerpb.Call_Suspects{Suspects: &peerpb.Suspects{Suspects: news}}}
 	if _, err := s.node.peers.Call(ctx, to.Addr, call); err != nil {
 		s.mu.Lock()
 		defer s.mu.Unlock()
--- a/internal/front/suspects.go
+++ b/internal/front/suspects.go
@@ -10,6 +10,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/forward"
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
 	"github.com/shelfcrank/shelfcrank/internal/quarantine"
+	"github.com/shelfcrank/shelfcrank/internal/quarantine/told"
 	"github.com/shelfcrank/shelfcrank/internal/rendezvous"
 	"github.com/shelfcrank/shelfcrank/internal/topology"
 )
@@ -156,7 +157,7 @@
 // servePermit answers an instance that asks for a permit, or gives it back.
 func (s *suspects) servePermit(call *peerpb.Call, answer func(*peerpb.Answer) error) error {
 	q, now := call.GetPermit(), s.node.Clock.Now()
-	f, ok := fingerprintOf(q.Sum, q.Length)
+	f, ok := told.Fingerprint(q.Sum, q.Length)
 	left := min(max(0, time.Duration(q.Left)), longestRun)
 	granted := false
 	switch {
--- a/internal/front/suspectmsg.go
+++ b/internal/quarantine/told/told.go
@@ -1,4 +1,6 @@
-package front
+// Package told is what instances tell each other of suspects: it writes and reads the messages.
+// Times travel as ages, for the clocks of two instances need not agree.
+package told
 
 import (
 	"time"
@@ -7,16 +9,13 @@
 	"github.com/shelfcrank/shelfcrank/internal/quarantine"
 )
 
-// What is told of suspects, written and read. Times travel as ages, for the clocks of two
-// instances need not agree.
+// most bounds what one message tells, some 100 bytes each.
+const most = 1024
 
-// mostToldSuspects bounds what one message tells, some 100 bytes each.
-const mostToldSuspects = 1024
-
-// suspectMessages writes suspects.
-func suspectMessages(all []quarantine.Suspect, now time.Time) []*peerpb.Suspect {
+// Write returns what is told of suspects, of so many at the most as one message takes.
+func Write(all []quarantine.Suspect, now time.Time) []*peerpb.Suspect {
 	var out []*peerpb.Suspect
-	for i := range all[:min(len(all), mostToldSuspects)] {
+	for i := range all[:min(len(all), most)] {
 		s := &all[i]
 		m := &peerpb.Suspect{Sum: s.Fingerprint.Sum[:], Length: int64(s.Fingerprint.Length), Account: s.Account, Strikes: int32(s.Strikes)}
 		for endpoint, at := range s.Ends {
@@ -33,11 +32,11 @@
 	return out
 }
 
-// suspectsOf reads what suspectMessages wrote. One without a fingerprint is passed over.
-func suspectsOf(told []*peerpb.Suspect, now time.Time) []quarantine.Suspect {
+// Read returns the suspects that Write told of. One without a fingerprint is passed over.
+func Read(told []*peerpb.Suspect, now time.Time) []quarantine.Suspect {
 	var out []quarantine.Suspect
-	for _, m := range told[:min(len(told), mostToldSuspects)] {
-		f, ok := fingerprintOf(m.Sum, m.Length)
+	for _, m := range told[:min(len(told), most)] {
+		f, ok := Fingerprint(m.Sum, m.Length)
 		if !ok {
 			continue
 		}
@@ -59,7 +58,8 @@
 // ago returns a time that long ago; never one to come.
 func ago(age int64, now time.Time) time.Time { return now.Add(-max(0, time.Duration(age))) }
 
-func fingerprintOf(sum []byte, length int64) (f quarantine.Fingerprint, ok bool) {
+// Fingerprint returns a request's fingerprint as it was told, and false if it is none.
+func Fingerprint(sum []byte, length int64) (f quarantine.Fingerprint, ok bool) {
 	f.Length = int(length)
 	return f, copy(f.Sum[:], sum) == len(f.Sum) && len(sum) == len(f.Sum)
 }
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -84,6 +84,7 @@
 	}
 	e.w.arrived(e.place.ID)
 	e.w.sayLeaving(e.place.ID, rw.Header())
+	e.w.dieOf(e.place, g.Prompt)
 	s := e.admit(r.Context(), g)
 	rw.Header().Set("Content-Type", "text/event-stream")
 	flush := http.NewResponseController(rw)
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -32,6 +32,7 @@
 	StoreOld        bool    `json:"store_old"`         // reads answer with the value before the newest
 	ListFrozen      bool    `json:"list_frozen"`       // the instance list stays as it is
 	RefuseKVImport  float64 `json:"refuse_kv_import"`  // share of KV cache imports that are refused
+	DeadlyPrompt    string  `json:"deadly_prompt"`     // an engine that is sent a prompt with it ends, and starts again; empty is none
 }
 
 // Truth is what really happened, counted where it happened.
@@ -48,6 +49,9 @@
 	StoreReads          int     `json:"store_reads"`
 	StoreWrites         int     `json:"store_writes"`
 	Cost                float64 `json:"cost"`
+	EndedUnder          int     `json:"ended_under"`       // engines that ended of a deadly prompt
+	DeadlySent          int     `json:"deadly_sent"`       // times that it was sent to one
+	DeadlySentAfter     int     `json:"deadly_sent_after"` // of these, after the third had ended
 }
 
 // World is a set of stand-ins.
@@ -72,6 +76,8 @@
 	computed  map[uint64]struct{}    // blocks computed before, by session; guarded by mu
 	startedAt time.Time              // when cost began to count
 	servers   map[string]*placeState // guarded by mu
+	dying     map[string]bool        // engines that end of a deadly prompt, or are not back; guarded by mu
+	deaths    uint64                 // of them so far; guarded by mu
 }
 
 type instance struct {
@@ -97,7 +103,7 @@
 		net: n, siteN: site, set: set,
 		rnd:     rand.New(rand.NewPCG(set.Seed, set.Seed^0x9e3779b97f4a7c15)),
 		noticed: make(chan struct{}), runs: make(map[uint64]int), computed: make(map[uint64]struct{}),
-		servers: make(map[string]*placeState),
+		servers: make(map[string]*placeState), dying: make(map[string]bool),
 	}
 	w.store = newStore(w)
 	w.ctx, w.stop = context.WithCancel(context.Background())
