The own interface stops a model request under which engines end

A deadly prompt ran again at one engine after the other until its deadline, and came again: 37 engines ended, it was sent 42 times after the third. The cause: nothing knew of ends by request. Each instance keeps a quarantine now, by class and body, and tells the others what it saw; a run that broke is looked at once, by a connection to its engine. No permits: a record runs at one place.

Ruled out: a bound of tries for each record alone (callers come back with another). Tests of experiment, relay and entry pass.

--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -81,6 +81,20 @@
 // Close ends the stream; the engine cancels what is left of it.
 func (s *Stream) Close() { _ = s.body.Close() }
 
+// Look returns why an endpoint cannot be reached, or nil if it answers, whatever it says.
+func (c *Client) Look(ctx context.Context, addr netip.AddrPort) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodHead, "http://"+addr.String()+"/", nil)
+	if err != nil {
+		return fault.New(fault.StepDispatch, addr.String(), fault.KindInternal, fault.NotRun, "look: %w", err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return fault.New(fault.StepDispatch, addr.String(), fault.KindRefused, fault.NotRun, "look: %w", err)
+	}
+	_ = resp.Body.Close()
+	return nil
+}
+
 // Generate starts a request at an engine. Ending ctx cancels it.
 func (c *Client) Generate(ctx context.Context, addr netip.AddrPort, g *Generate, hear Hear) (*Stream, error) {
 	resp, err := c.post(ctx, addr, "/v1/generate", g, hear)
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -52,6 +52,10 @@
 	defer deadline.Stop()
 	pause := resumePauseMin
 	for {
+		if f := r.mayRun(rec); f != nil {
+			r.fail(rec, f)
+			return
+		}
 		class, pool, err := r.modelPool(rec)
 		if class != nil && req == nil {
 			req = r.routeRequest(rec, class)
@@ -126,6 +130,7 @@
 	e.Begin(d.Uncached)
 	defer e.End()
 	e.Blocks.Add(req.Chain...)
+	life := r.suspects.life(e)
 	stream, err := r.Endpoints.Generate(ctx, e.Addr, &endpoint.Generate{
 		Request: rec.ID, Session: rec.Session, Prompt: string(rec.Body), MaxTokens: rec.MaxTokens,
 		Priority: rec.Priority, Seed: rec.Seed, ResumeFrom: from,
@@ -134,6 +139,7 @@
 		defer stream.Close()
 		err = r.read(rec, stream)
 	}
+	r.ran(ctx, rec, e, life, err)
 	return r.judge(ctx, e, req, err)
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -41,6 +41,8 @@
 
 // Endpoints calls engines and services.
 type Endpoints interface {
+	// Look returns why no connection to an endpoint can be made, or nil.
+	Look(ctx context.Context, addr netip.AddrPort) error
 	Generate(ctx context.Context, addr netip.AddrPort, g *endpoint.Generate, hear endpoint.Hear) (*endpoint.Stream, error)
 	Import(ctx context.Context, addr netip.AddrPort, m endpoint.Import, hear endpoint.Hear) (endpoint.Export, error)
 	Call(ctx context.Context, addr netip.AddrPort, path, contentType, key string, body []byte, hear endpoint.Hear) (endpoint.ServiceAnswer, error)
@@ -96,6 +98,8 @@
 	runs  map[string]*run             // requests that run here; guarded by runMu
 	news  map[*record.Record]struct{} // records with news for their holder; guarded by runMu
 
+	suspects *suspects
+
 	retryMu sync.Mutex
 	retries map[string]*retryBudget // by class; guarded by retryMu
 
@@ -121,7 +125,7 @@
 		Options: o, store: record.NewStore(), keeper: claim.NewKeeper(o.Self),
 		rnd:  rand.New(rand.NewPCG(o.Seed, 0x5bd1e995)),
 		runs: make(map[string]*run), news: make(map[*record.Record]struct{}),
-		retries: make(map[string]*retryBudget),
+		retries: make(map[string]*retryBudget), suspects: newSuspects(),
 	}
 	r.policy.Store(&namedPolicy{route.PolicyDefault, route.New(route.PolicyDefault)})
 	r.ctx, r.stop = context.WithCancel(context.Background())
--- a/internal/relay/upkeep.go
+++ b/internal/relay/upkeep.go
@@ -106,6 +106,7 @@
 		r.keeperMu.Lock()
 		r.keeper.Expire(now)
 		r.keeperMu.Unlock()
+		r.suspects.expire(now)
 	}
 }
 
