--- a/internal/front/suspend_test.go
+++ b/internal/front/suspend_test.go
@@ -187,6 +187,32 @@
 	}
 }
 
+// The same in a large fleet, where hubs and readers are among those that are suspended.
+func TestALimitHoldsWhileHubsAreSuspended(t *testing.T) {
+	const rate, burst, over, window = 40, 80, 0.1, 8
+	for _, share := range []int{4, 1} { // one in so many
+		for _, d := range []time.Duration{suspensions[1], suspensions[3]} {
+			play(t, large, func(_ *is.I, w *world) {
+				time.Sleep(8 * time.Second)
+				var names []string
+				for i := 0; i < large; i += share {
+					names = append(names, fmt.Sprint("n", i))
+				}
+				w.limitHolds(d+20*time.Second, 3*rate, window, (rate*window+burst)*(1+over), func() {
+					time.Sleep(5 * time.Second)
+					w.suspend(d, names...)
+				})
+				time.Sleep(10 * time.Second)
+				for _, name := range names {
+					if status := w.ask(name, "/safe/a", "k1", name+"/last"); status != http.StatusOK {
+						t.Errorf("one in %d suspended for %s: %s answers %d afterwards", share, d, name, status)
+					}
+				}
+			}, limited(rate, burst, over), suspendable, func(w *world) { w.halls = 2 })
+		}
+	}
+}
+
 // limitHolds sends requests to all nodes for a time, so many a second, while something else
 // happens, and checks that no more than most run in any window of whole seconds.
 func (w *world) limitHolds(d time.Duration, perSecond, window int, most float64, meanwhile func()) {
@@ -198,7 +224,7 @@
 	for second := range int(d / time.Second) {
 		for i := range perSecond {
 			time.Sleep(time.Second / time.Duration(perSecond))
-			name := fmt.Sprint("n", r.IntN(4))
+			name := fmt.Sprint("n", r.IntN(len(w.nodes)))
 			wait.Go(func() { w.ask(name, "/safe/a", "k1", fmt.Sprint(name, "/", w.started(), "-", second, "-", i)) })
 		}
 		runs = append(runs, w.started())
