--- a/internal/experiment/chaos_test.go
+++ b/internal/experiment/chaos_test.go
@@ -363,7 +363,7 @@
 		broken = append(broken, c.story(tally)...)
 		broken = append(broken, tally.Errors...)
 		broken = append(broken, c.faults...)
-		broken = append(broken, fmt.Sprintf("repeat with: go test ./internal/experiment -run TestRandomFaults -seeds 1 -first %d", seed))
+		broken = append(broken, fmt.Sprintf("repeat with: go test ./internal/experiment -run %s -seeds 1 -first %d", strings.Split(c.t.Name(), "/")[0], seed))
 	}
 	return broken
 }
@@ -414,14 +414,17 @@
 	virtual.Test(t, f)
 }
 
-func TestRandomFaults(t *testing.T) {
+func TestRandomFaults(t *testing.T) { randomRuns(t, (*chaos).inject) }
+
+// randomRuns makes runs in which something draws faults.
+func randomRuns(t *testing.T, inject func(c *chaos, ctx context.Context, start time.Time)) {
 	for k := range uint64(*seedsFlag) {
 		seed := *firstSeed + k
 		name := []string{"voltra", "bazaarline"}[seed%2]
 		t.Run(fmt.Sprintf("%s-%d", name, seed), func(t *testing.T) {
 			bubble(t, func(t *testing.T) {
 				c := newChaos(t, name, seed, relay.Switches{})
-				tally := c.run(seed, c.inject)
+				tally := c.run(seed, func(ctx context.Context, start time.Time) { inject(c, ctx, start) })
 				broken := c.check(seed, tally)
 				c.e.Stop()
 				t.Logf("sent %d answered %d late %d failed %d (refused %d, unknown %d) resumes %d, %d faults",
@@ -462,22 +465,4 @@
 	}
 }
 
-func TestRandomSuspensions(t *testing.T) {
-	for k := range uint64(*seedsFlag) {
-		seed := *firstSeed + k
-		name := []string{"voltra", "bazaarline"}[seed%2]
-		t.Run(fmt.Sprintf("%s-%d", name, seed), func(t *testing.T) {
-			bubble(t, func(t *testing.T) {
-				c := newChaos(t, name, seed, relay.Switches{})
-				tally := c.run(seed, c.injectSuspensions)
-				broken := c.check(seed, tally)
-				c.e.Stop()
-				t.Logf("sent %d answered %d late %d failed %d (refused %d, unknown %d) resumes %d, %d faults",
-					tally.Sent, tally.Answered, tally.Late, tally.Failed, tally.RefusedNotRun, tally.Unknown, tally.Resumes, len(c.faults))
-				for _, b := range broken {
-					t.Error(b)
-				}
-			})
-		})
-	}
-}
+func TestRandomSuspensions(t *testing.T) { randomRuns(t, (*chaos).injectSuspensions) }
--- a/internal/front/deadlyagain_test.go
+++ b/internal/front/deadlyagain_test.go
@@ -1,10 +1,7 @@
 package front
 
 import (
-	"context"
 	"fmt"
-	"net/http"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -90,20 +87,6 @@
 	for i := range int(d / (100 * time.Millisecond)) {
 		time.Sleep(100 * time.Millisecond)
 		name := names[i%len(names)]
-		wait.Go(func() {
-			ctx, cancel := context.WithTimeout(context.Background(), stay)
-			defer cancel()
-			r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addrOf(hostOf(name), frontPort).String()+path, strings.NewReader("body"))
-			if err != nil {
-				w.t.Error(err)
-				return
-			}
-			r.Host = testHost
-			r.Header.Set("Id", fmt.Sprint(name, "/leaves", i))
-			r.Header.Set("Key", "k1")
-			if resp, err := w.client.Do(r); err == nil {
-				_ = resp.Body.Close()
-			}
-		})
+		wait.Go(func() { w.askUntil(name, path, "k1", fmt.Sprint(name, "/leaves", i), stay) })
 	}
 }
--- a/internal/front/suspend_test.go
+++ b/internal/front/suspend_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -135,7 +134,7 @@
 			time.Sleep(4 * time.Second)
 			w.work(work)
 			var wait sync.WaitGroup
-			wait.Go(func() { w.askAndStay("n0", "/safe/a", "n0/long", work) })
+			wait.Go(func() { w.askUntil("n0", "/safe/a", "k1", "n0/long", work) })
 			time.Sleep(inHand)
 			w.suspend(d, "n0")
 			woken := time.Now()
@@ -236,22 +235,3 @@
 		}
 	}
 }
-
-// askAndStay sends a request and waits for its answer for a while, longer than the request may
-// take.
-func (w *world) askAndStay(node, path, id string, stay time.Duration) {
-	ctx, cancel := context.WithTimeout(context.Background(), stay)
-	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addrOf(hostOf(node), frontPort).String()+path, strings.NewReader("body"))
-	if err != nil {
-		w.t.Error(err)
-		return
-	}
-	r.Host = testHost
-	r.Header.Set("Id", id)
-	r.Header.Set("Key", "k1")
-	r.Header.Set("Deadline", "2500")
-	if resp, err := w.client.Do(r); err == nil {
-		_ = resp.Body.Close()
-	}
-}
--- a/internal/front/world_test.go
+++ b/internal/front/world_test.go
@@ -428,7 +428,12 @@
 
 // ask sends a request to a node and returns the status, 0 if there was none.
 func (w *world) ask(node, path, key, id string) int {
-	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	return w.askUntil(node, path, key, id, 3*time.Second)
+}
+
+// askUntil is ask for a client that leaves after a while.
+func (w *world) askUntil(node, path, key, id string, stay time.Duration) int {
+	ctx, cancel := context.WithTimeout(context.Background(), stay)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addrOf(hostOf(node), frontPort).String()+path, io.MultiReader(strings.NewReader("body")))
 	if err != nil {
