An instance that is not listed yet is owed what is known of suspects

One that was heard of before its registration was known counted as told of all, and learned of a quarantined request from others only. Twins of permits' calls and of lists of servers are one each, a field hides no builtin's name.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -171,7 +171,7 @@
 	tried     []string                // servers that it was sent to
 	avoid     []string                // servers that were chosen for it, reached or not
 	mayRun    bool                    // a server may have run it
-	print     *quarantine.Fingerprint // nil until it is needed
+	hash      *quarantine.Fingerprint // of the request; nil until it is needed
 	undecided bool                    // it is not known whether a server ended under its last run
 	counted   bool                    // a run of it was counted for the usage reports
 	event     string                  // id of the last event passed on
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -38,11 +38,11 @@
 
 // fingerprint tells the request apart by what a server receives. It is worked out once.
 func (q *request) fingerprint() quarantine.Fingerprint {
-	if q.print == nil {
+	if q.hash == nil {
 		f := quarantine.Of(q.method, q.host, q.uri, q.body)
-		q.print = &f
+		q.hash = &f
 	}
-	return *q.print
+	return *q.hash
 }
 
 // enter asks whether the request may be tried, and refuses it if not.
--- a/internal/front/deadlyagain_test.go
+++ b/internal/front/deadlyagain_test.go
@@ -90,3 +90,19 @@
 		wait.Go(func() { w.askUntil(name, path, "k1", fmt.Sprint(name, "/leaves", i), stay) })
 	}
 }
+
+// An instance that is heard of before its registration is known here is told of all suspects
+// once it is.
+func TestAnInstanceIsOwedSuspectsUntilItIsListed(t *testing.T) {
+	play(t, 4, func(is *is.I, w *world) {
+		time.Sleep(4 * time.Second)
+		w.askDeadly("/safe/deadly", "d", 4*time.Second, namesOf(w)...)
+		s := w.nodes["n0"].node.suspects
+		now := s.node.Clock.Now()
+		s.met("unlisted", 7)
+		is.True(s.owes("unlisted", 7, now.Add(2*briefEach)))
+		s.met("n1", 7)
+		is.True(!s.owes("n1", 7, now.Add(2*briefEach)))
+		time.Sleep(time.Second)
+	}, manyServers)
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/samber/do/v2"
+	"github.com/samber/lo"
 	"github.com/thejerf/suture/v4"
 	"go.uber.org/zap"
 
@@ -386,22 +387,20 @@
 // serversInUse returns the ids of all servers that may have connections and requests,
 // whichever the requests that they may get.
 func (n *Node) serversInUse() map[string]bool {
-	inUse := make(map[string]bool)
-	for _, s := range n.view.Load().Listed {
-		inUse[s.ID] = true
-	}
-	return inUse
+	return n.listed(func(s registry.Server) string { return s.ID })
 }
 
 // listedNames returns a test for the ids over all incarnations of the servers in use.
 func (n *Node) listedNames() func(name string) bool {
-	names := make(map[string]bool)
-	for _, s := range n.view.Load().Listed {
-		names[s.StoreID()] = true
-	}
+	names := n.listed(func(s registry.Server) string { return s.StoreID() })
 	return func(name string) bool { return names[name] }
 }
 
+// listed returns the servers in use by a name.
+func (n *Node) listed(by func(registry.Server) string) map[string]bool {
+	return lo.SliceToMap(n.view.Load().Listed, func(s registry.Server) (string, bool) { return by(s), true })
+}
+
 // reload reads the settings again when asked to. Addresses and the like cannot
 // change while a process runs; a change is told in the log.
 func (n *Node) reload(ctx context.Context) error {
--- a/internal/front/suspectnews.go
+++ b/internal/front/suspectnews.go
@@ -85,26 +85,33 @@
 // was told, or something did not reach it.
 func (s *suspects) met(name string, incarnation int64) {
 	now := s.node.Clock.Now()
-	s.mu.Lock()
-	b := s.briefed(name)
-	if b.incarnation != incarnation {
-		b.incarnation, b.owed = incarnation, true
+	if !s.owes(name, incarnation, now) {
+		return
 	}
-	due := b.owed && now.Sub(b.triedAt) >= briefEach
-	if due {
-		b.owed, b.triedAt = false, now
+	to, listed := lo.Find(s.node.state.members.list(), func(m member) bool { return m.Name == name })
+	if !listed {
+		return // it is told once its address is known
 	}
+	s.mu.Lock()
+	b := s.briefed(name)
+	b.owed, b.triedAt = false, now
 	s.mu.Unlock()
-	if !due {
-		return
-	}
-	to, known := lo.Find(s.node.state.members.list(), func(m member) bool { return m.Name == name })
-	all := s.table.Suspects(s.hearsAll(name), now)
-	if known && len(all) > 0 {
+	if all := s.table.Suspects(s.hearsAll(name), now); len(all) > 0 {
 		go s.sendOnce(context.Background(), to.Member, told.Write(all, now))
 	}
 }
 
+// owes reports whether an instance has to be told all now.
+func (s *suspects) owes(name string, incarnation int64, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.briefed(name)
+	if b.incarnation != incarnation {
+		b.incarnation, b.owed = incarnation, true
+	}
+	return b.owed && now.Sub(b.triedAt) >= briefEach
+}
+
 // briefed returns what an instance was told. s.mu is held.
 func (s *suspects) briefed(name string) *briefed {
 	b := s.peers[name]
--- a/internal/front/suspects.go
+++ b/internal/front/suspects.go
@@ -124,15 +124,20 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
 	defer cancel()
-	a, err := s.node.peers.Call(ctx, owner.Addr, &peerpb.Call{Body: &peerpb.Call_Permit{Permit: &peerpb.Permit{
-		Sum: f.Sum[:], Length: int64(f.Length), Left: int64(until.Sub(now)),
-	}}})
+	a, err := s.node.peers.Call(ctx, owner.Addr, permitCall(f, until.Sub(now), false))
 	if err != nil {
 		return false, err
 	}
 	return a.GetPermit().GetGranted(), nil
 }
 
+// permitCall asks for a permit, or says that its run is done, and for how long it counts.
+func permitCall(f quarantine.Fingerprint, left time.Duration, done bool) *peerpb.Call {
+	return &peerpb.Call{Body: &peerpb.Call_Permit{Permit: &peerpb.Permit{
+		Sum: f.Sum[:], Length: int64(f.Length), Left: int64(left), Done: done,
+	}}}
+}
+
 // release gives a permit back. One whose run is not decided is kept until it is: else one
 // run after the other begins while it is not yet known that servers end under each. One that
 // is lost on the way lapses.
@@ -148,9 +153,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), suspectTimeout)
 		defer cancel()
-		_, _ = s.node.peers.Call(ctx, owner.Addr, &peerpb.Call{Body: &peerpb.Call_Permit{Permit: &peerpb.Permit{
-			Sum: f.Sum[:], Length: int64(f.Length), Done: true, Left: int64(keep),
-		}}})
+		_, _ = s.node.peers.Call(ctx, owner.Addr, permitCall(f, keep, true))
 	}()
 }
 
