An instance that stands still is given no more than a second of a limit at once

The look for a standstill came up to 100 ms after requests at the waking: each of four instances let half a burst through before it (492 in a window of 440 after 2.5 s), or heard first what the others had admitted meanwhile and kept it as a debt of hundreds of units (refused for 15 s and longer). A bucket is filled for a second at the most at once, as it is filled ten times a second; of a debt one burst is kept.

--- a/internal/clock/wake.go
+++ b/internal/clock/wake.go
@@ -6,9 +6,9 @@
 )
 
 const (
-	// lookEvery is how soon a standstill is noticed: well before calls under a lease that
+	// LookEvery is how soon a standstill is noticed: well before calls under a lease that
 	// lapsed meanwhile count against their sender (300 ms).
-	lookEvery = 50 * time.Millisecond
+	LookEvery = 100 * time.Millisecond
 	// noticeable is the shortest standstill that counts. A process on a busy machine may not
 	// be scheduled for some tenths of a second.
 	noticeable = 400 * time.Millisecond
@@ -21,16 +21,44 @@
 	Ended     int           // contexts whose deadlines passed meanwhile
 }
 
-// Run looks for standstills until ctx ends. After each it ends the contexts whose deadlines
-// have passed, and then calls woken.
+// Watcher sees standstills. It belongs to one goroutine, which looks each LookEvery.
+type Watcher struct {
+	clock     *Clock
+	at        time.Time     // of the last look
+	suspended time.Duration // until then
+}
+
+// Watch returns a watcher that looks for standstills from now on, or nil for a nil clock.
+func (c *Clock) Watch() *Watcher {
+	if c == nil {
+		return nil
+	}
+	return &Watcher{clock: c, at: c.Now(), suspended: c.suspended()}
+}
+
+// Look reports whether the process has stood still since the last look. If so the contexts whose
+// deadlines have passed are ended by now. A nil watcher sees nothing.
+func (w *Watcher) Look() (Waking, bool) {
+	if w == nil {
+		return Waking{}, false
+	}
+	c := w.clock
+	now, suspended := c.Now(), c.suspended()
+	waking := Waking{Stood: now.Sub(w.at) - LookEvery, Suspended: suspended - w.suspended}
+	w.at, w.suspended = now, suspended
+	if waking.Stood < noticeable {
+		return Waking{}, false
+	}
+	waking.Ended = c.endPassed()
+	return waking, true
+}
+
+// Run looks for standstills until ctx ends, and tells of each.
 func (c *Clock) Run(ctx context.Context, woken func(Waking)) error {
-	at, suspended := c.Now(), c.suspended()
-	for c.Sleep(ctx, lookEvery) {
-		w := Waking{Stood: c.Since(at) - lookEvery, Suspended: c.suspended() - suspended}
-		at, suspended = c.Now(), c.suspended()
-		if w.Stood >= noticeable {
-			w.Ended = c.endPassed()
-			woken(w)
+	w := c.Watch()
+	for c.Sleep(ctx, LookEvery) {
+		if waking, ok := w.Look(); ok {
+			woken(waking)
 		}
 	}
 	return ctx.Err()
--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -173,7 +173,7 @@
 func (a *admission) woke(now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.quota.Woke(now)
+	a.quota.Woke(a.limitsNow(), now)
 }
 
 func (a *admission) forget(node string) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -257,6 +257,9 @@
 	go func() { _ = ready.Serve(listeners[1]) }()
 	figures := &http.Server{Handler: n.serveMetrics(), ReadHeaderTimeout: headerTimeout}
 	go func() { _ = figures.Serve(listeners[3]) }()
+	if err := n.Clock.Err(); err != nil {
+		n.event(event.ClockStandsStill, zap.Error(err))
+	}
 	n.event(event.Started, zap.String("node", s.Name), zap.Stringer("front", s.Front), zap.Int64("incarnation", n.incarnation()))
 	clients := n.serveClients(ctx, listeners[0])
 	<-ctx.Done()
@@ -279,7 +282,6 @@
 	}
 	root := suture.New("front", spec)
 	for _, p := range []part{
-		{"clock", n.watchClock},
 		{"state", n.state.Serve},
 		{"follow store", n.followStore},
 		{"ask peers", n.proveThroughPeers},
@@ -337,25 +339,16 @@
 // node, nor it with them.
 const longStandstill = believeLeast
 
-// watchClock looks for standstills of this node. Most of what is believed needs nothing then: its
+// wake takes note that this node stood still. Most of what is believed needs nothing then: its
 // age says that it has to be heard anew. Watches are begun anew, whose connections may be dead, and
 // what keeps this node proved and registered is done at once.
-func (n *Node) watchClock(ctx context.Context) error {
-	if n.Clock == nil {
-		<-ctx.Done()
-		return ctx.Err()
+func (n *Node) wake(w clock.Waking) {
+	n.event(event.Woken, zap.Duration("stood", w.Stood), zap.Duration("suspended", w.Suspended), zap.Int("ended", w.Ended), zap.Duration("config_age", n.Clock.Since(n.view.Load().ReadAt)))
+	if w.Stood >= longStandstill {
+		n.admission.woke(n.Clock.Now())
 	}
-	if err := n.Clock.Err(); err != nil {
-		n.event(event.ClockStandsStill, zap.Error(err))
-	}
-	return n.Clock.Run(ctx, func(w clock.Waking) {
-		n.event(event.Woken, zap.Duration("stood", w.Stood), zap.Duration("suspended", w.Suspended), zap.Int("ended", w.Ended), zap.Duration("config_age", n.Clock.Since(n.view.Load().ReadAt)))
-		if w.Stood >= longStandstill {
-			n.admission.woke(n.Clock.Now())
-		}
-		n.rewatch()
-		n.woken.Swap(newOutage()).end()
-	})
+	n.rewatch()
+	n.woken.Swap(newOutage()).end()
 }
 
 // inOtherHall reports whether another instance's address is in another hall.
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/shelfcrank/shelfcrank/internal/clock"
 	"github.com/shelfcrank/shelfcrank/internal/event"
 	"github.com/shelfcrank/shelfcrank/internal/forward"
 	"github.com/shelfcrank/shelfcrank/internal/policy"
@@ -78,7 +79,7 @@
 
 const (
 	changeQueue = 256
-	stateTick   = 100 * time.Millisecond
+	stateTick   = clock.LookEvery
 	// troubleFor is how long after a failed call the store counts as troubled:
 	// entries that lapsed meanwhile take so long to be written again.
 	troubleFor = 3 * time.Second
@@ -146,6 +147,7 @@
 func (s *state) Serve(ctx context.Context) error {
 	t := time.NewTicker(stateTick)
 	defer t.Stop()
+	watcher := s.node.Clock.Watch()
 	for {
 		select {
 		case <-ctx.Done():
@@ -153,6 +155,9 @@
 		case c := <-s.changes:
 			s.apply(c, s.node.Clock.Now())
 		case <-t.C:
+			if w, woken := watcher.Look(); woken {
+				s.node.wake(w)
+			}
 			s.tick(s.node.Clock.Now())
 		}
 		if s.publishDue {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -82,12 +82,21 @@
 	level   float64
 	at      time.Time
 	adopted bool // the level was taken over from a node that knows it well
+	filled  bool // it is filled some times a second
 }
 
+// fillMost is the longest time that a bucket is filled for at once. More has passed only if
+// this node stood still, and the others may have used it.
+const fillMost = time.Second
+
 // fill brings the level up to now.
 func (b *bucket) fill(limit Limit, now time.Time) {
-	b.level = min(limit.Burst, b.level+limit.Rate*now.Sub(b.at).Seconds())
-	b.at = now
+	passed := now.Sub(b.at)
+	if b.filled {
+		passed = min(passed, fillMost)
+	}
+	b.level = min(limit.Burst, b.level+limit.Rate*passed.Seconds())
+	b.at, b.filled = now, true
 }
 
 type account struct {
@@ -272,6 +281,8 @@
 	for name, a := range l.accounts {
 		if limit := limits[name]; limit.Rate > 0 {
 			a.bucket.fill(limit.part(share), now)
+		} else {
+			a.bucket.filled = false
 		}
 	}
 }
@@ -370,10 +381,12 @@
 
 // Woke takes note that this node stood still for long. It begins with empty buckets, as at its
 // start: the others may have used whatever time has added, and after all stood still each
-// would use the whole of it.
-func (l *Limiter) Woke(now time.Time) {
-	for _, a := range l.accounts {
-		a.bucket = bucket{level: min(0, a.bucket.level), at: now}
+// would use the whole of it. Of a debt one burst is kept: more is what the others admitted
+// from time that this bucket never got.
+func (l *Limiter) Woke(limits map[string]Limit, now time.Time) {
+	for name, a := range l.accounts {
+		level := max(-limits[name].Burst, min(0, a.bucket.level))
+		a.bucket = bucket{level: level, at: now, filled: true}
 		a.fresh, a.tightAt = 0, now
 	}
 	clear(l.nodes)
