Totals from before a standstill, told by one that stood still as well, are no debt

Instances of a large fleet that had been suspended refused an account for 15 s and longer: levels of -345 to -590 where the others' were at 80. Their hub had stood still as well, and passed on what other hubs had sent it before; the next digest had the totals of 20 s more, and all of it was taken off. Traced with the totals heard by one of them. For 3 s after a long standstill a debt is one burst at the most. Ruled out: the order of look and news (a test each), parts of the limit by instances known (all known after 0.3 s).

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -160,7 +160,9 @@
 	nodes    map[string]*node
 	count    int // of nodes that run, as far as is known
 	ticked   time.Time
-	since    time.Time // first news of a node that knows the levels well
+	since    time.Time        // first news of a node that knows the levels well
+	wokeAt   time.Time        // when this node last stood still for long; zero if it never did
+	woke     map[string]Limit // that held then
 }
 
 // New returns the limiter of a node that starts now.
@@ -338,6 +340,19 @@
 		l.adopt(news.Levels, now)
 	}
 	n.heardAt = now
+	l.forgive(now)
+}
+
+// forgive bounds debts by one burst while what is heard after a standstill may be told by nodes
+// that stood still as well: they first pass on totals from before it, and then all that was
+// admitted since, which time has paid for.
+func (l *Limiter) forgive(now time.Time) {
+	if l.wokeAt.IsZero() || now.Sub(l.wokeAt) > Season {
+		return
+	}
+	for name, a := range l.accounts {
+		a.bucket.level = max(a.bucket.level, -l.woke[name].Burst)
+	}
 }
 
 // adopt takes over levels that this node cannot know yet.
@@ -384,13 +399,14 @@
 // would use the whole of it. Of a debt one burst is kept: more is what the others admitted
 // from time that this bucket never got.
 func (l *Limiter) Woke(limits map[string]Limit, now time.Time) {
-	for name, a := range l.accounts {
-		level := max(-limits[name].Burst, min(0, a.bucket.level))
-		a.bucket = bucket{level: level, at: now, filled: true}
+	for _, a := range l.accounts {
+		a.bucket = bucket{level: min(0, a.bucket.level), at: now, filled: true}
 		a.fresh, a.tightAt = 0, now
 	}
 	clear(l.nodes)
 	l.start, l.since = now, time.Time{}
+	l.wokeAt, l.woke = now, limits
+	l.forgive(now)
 }
 
 // DropWhere drops those nodes for which over returns true, with all they told: others
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -480,3 +480,26 @@
 	l.Fill(map[string]Limit{"north": limit}, now.Add(2*time.Second))
 	is.True(l.Admit("north", limit, 1, now.Add(3*time.Second)).OK) // a burst takes two to pay
 }
+
+// A node that stood still hears totals from before it first, of one that stood still as well, and
+// then what they are.
+func TestOldTotalsAfterAStandstillAreNoDebt(t *testing.T) {
+	is := is.New(t)
+	limits := map[string]Limit{"north": {Rate: 40, Burst: 80}}
+	now := time.Unix(1000, 0)
+	l := New(now.Add(-time.Minute))
+	l.SetNodes(2)
+	is.True(l.Admit("north", limits["north"], 1, now).OK)
+	now = now.Add(20 * time.Second)
+	l.Woke(limits, now)
+	for _, admitted := range []float64{100, 900, 910} {
+		now = now.Add(300 * time.Millisecond)
+		l.Fill(limits, now)
+		l.Heard(News{Node: "n1", Incarnation: 1, Admitted: map[string]float64{"north": admitted}}, now)
+	}
+	for range 30 {
+		now = now.Add(100 * time.Millisecond)
+		l.Fill(limits, now)
+	}
+	is.True(l.Admit("north", limits["north"], 1, now).OK)
+}
