--- a/internal/relay/suspects.go
+++ b/internal/relay/suspects.go
@@ -145,7 +145,7 @@
 	if len(own)+len(heard) == 0 {
 		return
 	}
-	call := &peerpb.Call{Body: &peerpb.Call_Suspects{Suspects: &peerpb.Suspects{Suspects: told.Write(own, r.Clock.Now())}}}
+	news := &peerpb.Suspects{Suspects: told.Write(own, r.Clock.Now())}
 	for _, m := range r.snap().Members {
 		if m.ID == r.Self {
 			continue
@@ -153,7 +153,8 @@
 		r.wait.Go(func() {
 			ctx, cancel := context.WithTimeout(r.ctx, suspectTimeout)
 			defer cancel()
-			_, _ = r.Peers.Call(ctx, m.Addr, call) // who does not hear of it counts for itself
+			call := &peerpb.Call{Body: &peerpb.Call_Suspects{Suspects: news}} // a call belongs to its caller
+			_, _ = r.Peers.Call(ctx, m.Addr, call)                            // who does not hear of it counts for itself
 		})
 	}
 }
