A run that was cut off, and the incarnation of an engine, are noted in one place each

Read again: what is noted of a run that was cut off stood twice (by the server, by its client), and so did the name of an engine's incarnation and the length that tells whether a model request may be suspect.

--- a/internal/front/suspectends.go
+++ b/internal/front/suspectends.go
@@ -29,7 +29,7 @@
 		return false
 	}
 	now := s.node.Clock.Now()
-	s.tell(s.table.Broke(quarantine.Run{Fingerprint: f, Endpoint: server.ID, Name: server.StoreID(), Account: account}, now))
+	s.cutOff(server, f, account, now)
 	if !s.hasEnded(ctx, server, now) {
 		return false
 	}
@@ -37,11 +37,16 @@
 	return true
 }
 
+// cutOff takes note of a run that was cut off.
+func (s *suspects) cutOff(server registry.Server, f quarantine.Fingerprint, account string, at time.Time) {
+	s.tell(s.table.Broke(quarantine.Run{Fingerprint: f, Endpoint: server.ID, Name: server.StoreID(), Account: account}, at))
+}
+
 // Left implements forward.Quarantine. Whether the server ends is not looked at: it may do so
 // later, and most do not. The next request that it refuses or its next entry tells.
 func (s *suspects) Left(server registry.Server, f quarantine.Fingerprint, account string) {
 	if s.node.takesWork(server) {
-		s.tell(s.table.Broke(quarantine.Run{Fingerprint: f, Endpoint: server.ID, Name: server.StoreID(), Account: account}, s.node.Clock.Now()))
+		s.cutOff(server, f, account, s.node.Clock.Now())
 	}
 }
 
--- a/internal/relay/suspects.go
+++ b/internal/relay/suspects.go
@@ -47,6 +47,11 @@
 func (s *suspects) life(e *route.Endpoint) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.lifeLocked(e)
+}
+
+// lifeLocked is life for a caller that holds mu.
+func (s *suspects) lifeLocked(e *route.Endpoint) string {
 	return fmt.Sprintf("%s/%d", e.ID, s.lives[e.ID])
 }
 
@@ -55,7 +60,7 @@
 func (s *suspects) over(e *route.Endpoint, life string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if fmt.Sprintf("%s/%d", e.ID, s.lives[e.ID]) == life {
+	if s.lifeLocked(e) == life {
 		s.lives[e.ID]++
 	}
 }
@@ -74,10 +79,14 @@
 	return quarantine.Of("model", rec.Class, "", rec.Body)
 }
 
+// knows reports whether a request may be under suspicion, without working out its fingerprint.
+func (s *suspects) knows(rec *record.Record) bool {
+	return s.table.Knows(quarantine.Length("model", rec.Class, "", rec.Body))
+}
+
 // mayRun says why a request may not run now, or nil.
 func (r *Relay) mayRun(rec *record.Record) *fault.Error {
-	length := quarantine.Length("model", rec.Class, "", rec.Body)
-	if !r.suspects.table.Knows(length) {
+	if !r.suspects.knows(rec) {
 		return nil
 	}
 	verdict, until := r.suspects.table.Verdict(fingerprint(rec), r.Clock.Now())
@@ -123,7 +132,7 @@
 
 // cameThrough takes note that an endpoint answered a request whole.
 func (r *Relay) cameThrough(rec *record.Record, life string) {
-	if r.suspects.table.Knows(quarantine.Length("model", rec.Class, "", rec.Body)) {
+	if r.suspects.knows(rec) {
 		r.tellSuspects(r.suspects.table.CameThrough(fingerprint(rec), life, r.Clock.Now()))
 	}
 }
