Rate limits that endpoints name are read and logged

Nothing distinguished the hypotheses of the incident: no line named a limit. No decision changes: nothing asks the table yet.

A refusal without the header does not lift a limit, and text that is no number changes nothing.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -21,6 +21,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/fault"
 	"github.com/shelfcrank/shelfcrank/internal/netx"
 	"github.com/shelfcrank/shelfcrank/internal/notice"
+	"github.com/shelfcrank/shelfcrank/internal/ratelimit"
 	"github.com/shelfcrank/shelfcrank/internal/registry"
 )
 
@@ -38,6 +39,7 @@
 	Misdirected bool   // another server has the address
 	Close       bool   // the server wants the connection closed
 	Notice      notice.Notice
+	RateLimit   ratelimit.Limit
 	Load        Load
 	HasLoad     bool
 }
@@ -88,6 +90,7 @@
 	net      netx.Network
 	protocol Protocol
 	notices  *notice.Book
+	limits   *ratelimit.Table
 	clock    *clock.Clock
 
 	mu      sync.Mutex
@@ -99,10 +102,18 @@
 	open int
 }
 
-// New returns a client that dials through n. What servers say of themselves in their
-// answers goes into the book. The clock may be nil.
-func New(n netx.Network, p Protocol, notices *notice.Book, c *clock.Clock) *Client {
-	return &Client{net: n, clock: c, protocol: p, notices: notices, servers: make(map[string]*connections)}
+// Options configure a Client.
+type Options struct {
+	Net      netx.Network
+	Protocol Protocol
+	Notices  *notice.Book     // takes what servers say of themselves in their answers
+	Limits   *ratelimit.Table // takes the rate limits that they name
+	Clock    *clock.Clock     // may be nil
+}
+
+// New returns a client without connections.
+func New(o Options) *Client {
+	return &Client{net: o.Net, clock: o.Clock, protocol: o.Protocol, notices: o.Notices, limits: o.Limits, servers: make(map[string]*connections)}
 }
 
 // errCap says that no more connections to a server may be made.
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -18,6 +18,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/fault"
 	"github.com/shelfcrank/shelfcrank/internal/netx"
 	"github.com/shelfcrank/shelfcrank/internal/notice"
+	"github.com/shelfcrank/shelfcrank/internal/ratelimit"
 	"github.com/shelfcrank/shelfcrank/internal/registry"
 	"github.com/shelfcrank/shelfcrank/internal/virtual"
 )
@@ -35,6 +36,12 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 }
 
+func newClient(mem *netx.Mem) *Client {
+	return New(Options{
+		Net: mem.Site("node"), Protocol: testProtocol{}, Notices: notice.New(notice.Options{}), Limits: ratelimit.New(ratelimit.Options{}),
+	})
+}
+
 // play serves each connection by a script: what to write after each request.
 // An empty answer closes the connection. It returns a client, and how many
 // connections were made.
@@ -57,7 +64,7 @@
 			go serve(c, script)
 		}
 	}()
-	return New(mem.Site("node"), testProtocol{}, notice.New(notice.Options{}), nil), &conns
+	return newClient(mem), &conns
 }
 
 func serve(c net.Conn, script []string) {
@@ -113,7 +120,7 @@
 func TestNothingSentIsNotRun(t *testing.T) {
 	bubble(t, func(t *testing.T, is *is.I) {
 		mem := netx.NewMem(func(string, string) time.Duration { return time.Millisecond })
-		_, err := New(mem.Site("node"), testProtocol{}, notice.New(notice.Options{}), nil).Send(context.Background(), call("1"))
+		_, err := newClient(mem).Send(context.Background(), call("1"))
 		is.Equal(fault.As(err).Run, fault.NotRun)
 	})
 }
@@ -231,7 +238,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
 		begun := time.Now()
-		_, err = New(mem.Site("node"), testProtocol{}, notice.New(notice.Options{}), nil).Send(ctx, call("1"))
+		_, err = newClient(mem).Send(ctx, call("1"))
 		is.Equal(fault.As(err).Kind, fault.KindTimeout)
 		is.Equal(fault.As(err).Run, fault.MayHaveRun)
 		is.True((<-closedAt).Sub(begun) < 1100*time.Millisecond)
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -83,6 +83,7 @@
 	server     registry.Server
 	conn       *conn
 	sentBefore int64
+	sentAt     time.Time
 	stopWatch  func() bool
 	written    chan error // result of a write that goes on beside the answer; nil when there is none
 	whole      bool       // the answer was read to its end
@@ -92,7 +93,7 @@
 
 // watch ends the exchange when ctx does.
 func (x *exchange) watch(ctx context.Context) {
-	x.sentBefore = x.conn.sent()
+	x.sentBefore, x.sentAt = x.conn.sent(), x.client.clock.Now()
 	x.stopWatch = context.AfterFunc(ctx, func() { _ = x.conn.raw.SetDeadline(time.Unix(1, 0)) })
 }
 
@@ -129,7 +130,9 @@
 		}
 		a := x.client.protocol.Answer(resp.StatusCode, resp.Header)
 		if !a.Misdirected { // else another server speaks, which has the address now
-			x.client.notices.Hear(x.server, a.Notice, x.client.clock.Now())
+			now := x.client.clock.Now()
+			x.client.notices.Hear(x.server, a.Notice, now)
+			x.client.limits.Observe(x.server.ID, a.RateLimit, x.sentAt, now)
 		}
 		if a.RequestID != "" && a.RequestID != call.ID {
 			x.last = true // it is no longer certain what comes when
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -77,6 +77,7 @@
 	ServerWithheld    Code = 517
 	ServerSaysLeaving Code = 518
 	ServerAsksRest    Code = 519
+	ServerRateLimit   Code = 520
 	NodeJoined        Code = 311
 	NodeGone          Code = 312
 	NodeOdd           Code = 314
@@ -162,6 +163,7 @@
 	{ServerWithheld, zap.WarnLevel, "server withheld", "The entry names an earlier incarnation of the server than the newest, or does not say which, as another writer's or a late write does: no new work goes there. An earlier incarnation is believed once the entry has stood for 5 s."},
 	{ServerSaysLeaving, zap.InfoLevel, "server said that it leaves", "An answer of the server says so: it gets no new work from this instance from now on, whatever the store says. listed tells whether the store's word was still that it takes work."},
 	{ServerAsksRest, zap.InfoLevel, "server asked for rest", "The server turned a request away and wants none from this instance until the time told. Told once for each rest."},
+	{ServerRateLimit, zap.InfoLevel, "rate limit of an endpoint changed", "The endpoint (server) accepts so many requests a second (to, where limited is true) from all instances together. by_peer tells that another instance reported it, not an answer to this one."},
 	{NodeJoined, zap.InfoLevel, "node joined", "Another node registered itself, or others tell of it while the store has lost some."},
 	{NodeGone, zap.InfoLevel, "node gone", "Another node's registration ended and it is not heard of."},
 	{NodeOdd, zap.WarnLevel, "word of a node not understood", "What another node (peer), or its registration in the store (revision), tells of one that runs could not be read, and is passed over."},
--- a/internal/forward/benchforward_test.go
+++ b/internal/forward/benchforward_test.go
@@ -18,6 +18,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/netx"
 	"github.com/shelfcrank/shelfcrank/internal/notice"
 	"github.com/shelfcrank/shelfcrank/internal/policy"
+	"github.com/shelfcrank/shelfcrank/internal/ratelimit"
 	"github.com/shelfcrank/shelfcrank/internal/registry"
 )
 
@@ -45,7 +46,7 @@
 	view := &View{Config: config, ProvedAt: time.Now(), KeysUntil: time.Now().Add(time.Hour), Servers: map[string][]registry.Server{"svc": {{ID: "s0", Service: "svc", Addr: addr}}}, Nodes: 1}
 	c := clock.New(clock.System{})
 	h := New(Options{
-		Protocol: plainProtocol{}, View: func() *View { return view }, Backends: backend.New(netx.TCP{}, plainProtocol{}, notice.New(notice.Options{}), c),
+		Protocol: plainProtocol{}, View: func() *View { return view }, Backends: backend.New(backend.Options{Net: netx.TCP{}, Protocol: plainProtocol{}, Notices: notice.New(notice.Options{}), Limits: ratelimit.New(ratelimit.Options{}), Clock: c}),
 		Placer: alone{balance.NewTracker()}, Admission: &freely{budget: 5}, Quarantine: noSuspects{}, Clock: c, Log: zap.NewNop(), Metrics: m,
 		CertainFor: 2 * time.Second,
 	})
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -26,6 +26,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/policy"
 	"github.com/shelfcrank/shelfcrank/internal/quarantine"
 	"github.com/shelfcrank/shelfcrank/internal/quota"
+	"github.com/shelfcrank/shelfcrank/internal/ratelimit"
 	"github.com/shelfcrank/shelfcrank/internal/registry"
 	"github.com/shelfcrank/shelfcrank/internal/virtual"
 )
@@ -175,7 +176,7 @@
 	}
 	view := &View{Config: testConfig(t), ProvedAt: time.Now(), KeysUntil: time.Now().Add(4 * time.Second), Servers: map[string][]registry.Server{"svc": servers}, Nodes: 1}
 	w.handler = New(Options{
-		Protocol: plainProtocol{}, View: func() *View { return view }, Backends: backend.New(mem.Site("node"), plainProtocol{}, notice.New(notice.Options{}), nil),
+		Protocol: plainProtocol{}, View: func() *View { return view }, Backends: backend.New(backend.Options{Net: mem.Site("node"), Protocol: plainProtocol{}, Notices: notice.New(notice.Options{}), Limits: ratelimit.New(ratelimit.Options{})}),
 		Placer: alone{balance.NewTracker()}, Admission: w.admit, Quarantine: noSuspects{}, Log: zap.NewNop(), Metrics: m,
 		CertainFor: 2 * time.Second,
 	})
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -34,6 +34,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/notice"
 	"github.com/shelfcrank/shelfcrank/internal/peer"
 	"github.com/shelfcrank/shelfcrank/internal/policy"
+	"github.com/shelfcrank/shelfcrank/internal/ratelimit"
 	"github.com/shelfcrank/shelfcrank/internal/registry"
 	"github.com/shelfcrank/shelfcrank/internal/rollctl"
 	"github.com/shelfcrank/shelfcrank/internal/rollout"
@@ -96,6 +97,7 @@
 	peers         *peer.Node
 	backends      *backend.Client
 	notices       *notice.Book // what endpoints said of themselves in their answers
+	limits        *ratelimit.Table
 	tracker       *balance.Tracker
 	admission     *admission
 	elector       *duty.Elector
@@ -135,6 +137,7 @@
 	n.outage.Store(newOutage())
 	n.woken.Store(newOutage())
 	n.notices = notice.New(notice.Options{Told: n.noticed, TimeOfDay: n.walltime.At})
+	n.limits = newLimits(n)
 	n.placer = newPlacer(n)
 	n.suspects = newSuspects(n)
 	n.rollouts = rollctl.New(rollout.Bound{Share: o.Settings.Bounds.ExposeShare, Slack: o.Settings.Bounds.ExposeSlack}, n.run(), rand.New(rand.NewPCG(o.Seed, seedRollouts)), o.Clock)
@@ -169,7 +172,7 @@
 	})
 	do.Provide(n.injector, func(do.Injector) (*peer.Node, error) { return peer.New(o.Net, s.Name, nil, o.Clock), nil })
 	do.Provide(n.injector, func(do.Injector) (*backend.Client, error) {
-		return backend.New(o.Net, o.Protocol, n.notices, o.Clock), nil
+		return backend.New(backend.Options{Net: o.Net, Protocol: o.Protocol, Notices: n.notices, Limits: n.limits, Clock: o.Clock}), nil
 	})
 	do.Provide(n.injector, func(do.Injector) (*balance.Tracker, error) { return balance.NewTracker(), nil })
 	do.Provide(n.injector, func(do.Injector) (*admission, error) { return newAdmission(n), nil })
@@ -327,6 +330,7 @@
 			is := func(id string) bool { return inUse[id] }
 			n.backends.Tidy(now, is)
 			n.notices.Forget(n.listedNames(), now)
+			n.limits.Expire(is, now)
 			n.tracker.Forget(is)
 			n.placer.tidy(is, now)
 			n.suspects.tidy(is, now)
--- /dev/null
+++ b/internal/ratelimit/table.go
@@ -0,0 +1,285 @@
+// Package ratelimit keeps requests within the rate limits that endpoints name.
+//
+// A limit holds for all instances together. Time of day is cut into slots, and each slot
+// has as many grants as the limit bears. Rendezvous hashing over the live instances decides
+// who holds a grant, so that instances divide a limit without a message for each request.
+// Instances that disagree for a moment on the members or the time of day hold a few
+// grants twice or not at all.
+//
+// Table is safe for concurrent use.
+package ratelimit
+
+import (
+	"errors"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// ErrNoGrant says that this instance holds no grant of an endpoint's rate limit now.
+var ErrNoGrant = errors.New("the endpoint's rate limit has no grant for this instance now")
+
+// Options configure a Table.
+type Options struct {
+	Self      string                           // name of this instance
+	Instances func() []string                  // names of the live instances, in any order; Self may be missing. nil for Self alone
+	TimeOfDay func(now time.Time) time.Time    // roughly the same at all instances; nil for the moment itself
+	Changed   func(endpoint string, c Change)  // called for each change of a limit, without locks held; may be nil
+	Divide    func(s Slot, names []string) int // grants of a slot that are this instance's; nil for Rendezvous
+}
+
+// Change is a change of the limit in force for an endpoint.
+type Change struct {
+	From, To Limit
+	Own      bool // an answer to this instance said so, not another instance
+}
+
+// Table holds the limits of endpoints, by the ids of their incarnations.
+type Table struct {
+	options Options
+	named   atomic.Int64 // endpoints with a limit in force
+
+	mu      sync.Mutex
+	entries map[string]*entry // guarded by mu
+}
+
+// entry is what is known of one endpoint. One whose limit was lifted is kept for liftedFor, so
+// that an older report from another instance does not put the limit in force again.
+type entry struct {
+	limit  Limit     // None or Named
+	asOf   time.Time // the limit was in force then
+	own    bool      // this instance was told by the endpoint itself
+	grants grants
+}
+
+// liftedFor is how long a lifted limit is remembered and reported.
+const liftedFor = 10 * time.Second
+
+// New returns a table without limits.
+func New(o Options) *Table {
+	if o.TimeOfDay == nil {
+		o.TimeOfDay = func(now time.Time) time.Time { return now }
+	}
+	if o.Instances == nil {
+		o.Instances = func() []string { return nil }
+	}
+	if o.Divide == nil {
+		o.Divide = func(s Slot, names []string) int { return Rendezvous(s, o.Self, names) }
+	}
+	return &Table{options: o, entries: make(map[string]*entry)}
+}
+
+// Observe takes what an answer says about the limit of its endpoint, with the times at which
+// the request was sent and the answer was read. A looser limit is as old as the request:
+// the answer may have been made before a stricter one that overtook it.
+func (t *Table) Observe(endpoint string, said Limit, sent, read time.Time) {
+	if said.Kind == Unknown || said.Kind == None && t.named.Load() == 0 {
+		return
+	}
+	t.mu.Lock()
+	e := t.entries[endpoint]
+	if e == nil {
+		if said.Kind == None {
+			t.mu.Unlock()
+			return
+		}
+		e = t.add(endpoint, read)
+	}
+	from := e.limit
+	if said.Kind == None && from.Kind == None {
+		t.mu.Unlock()
+		return
+	}
+	asOf := read
+	if said.looserThan(from) {
+		asOf = sent
+	}
+	if asOf.Before(e.asOf) || said.looserThan(from) && asOf.Equal(e.asOf) {
+		t.mu.Unlock()
+		return
+	}
+	e.own = true
+	t.set(e, said, asOf)
+	t.mu.Unlock()
+	t.report(endpoint, Change{From: from, To: said, Own: true})
+}
+
+// add starts to track an endpoint. t.mu is held.
+func (t *Table) add(endpoint string, now time.Time) *entry {
+	e := &entry{grants: newGrants(slotAt(t.options.TimeOfDay(now)))}
+	t.entries[endpoint] = e
+	return e
+}
+
+// set puts a limit in force. t.mu is held.
+func (t *Table) set(e *entry, l Limit, asOf time.Time) {
+	if e.limit.Kind != l.Kind {
+		if l.Kind == Named {
+			t.named.Add(1)
+		} else {
+			t.named.Add(-1)
+		}
+	}
+	e.limit, e.asOf = l, asOf
+}
+
+func (t *Table) report(endpoint string, c Change) {
+	if c.From != c.To && t.options.Changed != nil {
+		t.options.Changed(endpoint, c)
+	}
+}
+
+// Allows reports whether this instance may send a request to an endpoint now.
+func (t *Table) Allows(endpoint string, now time.Time) bool {
+	if t.named.Load() == 0 {
+		return true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[endpoint]
+	return e == nil || e.limit.Kind != Named || t.fill(endpoint, e, now).any()
+}
+
+// Take uses a grant for a request that is sent now. It returns ErrNoGrant if the endpoint has
+// a limit and this instance holds none.
+func (t *Table) Take(endpoint string, now time.Time) error {
+	if t.named.Load() == 0 {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[endpoint]
+	if e == nil || e.limit.Kind != Named {
+		return nil
+	}
+	if !t.fill(endpoint, e, now).take() {
+		return ErrNoGrant
+	}
+	return nil
+}
+
+// fill adds the grants of the slots that have begun since the last call. t.mu is held.
+func (t *Table) fill(endpoint string, e *entry, now time.Time) *grants {
+	current := slotAt(t.options.TimeOfDay(now))
+	if current == e.grants.slot {
+		return &e.grants
+	}
+	names := t.options.Instances()
+	e.grants.advance(current, func(slot int64) int {
+		return t.options.Divide(Slot{Endpoint: endpoint, Rate: e.limit.Rate, Index: slot}, names)
+	})
+	return &e.grants
+}
+
+// nextMost bounds how far ahead Next looks.
+const nextMost = 2 * time.Second
+
+// Next returns when this instance may next send a request to an endpoint, at the most
+// nextMost from now.
+func (t *Table) Next(endpoint string, now time.Time) time.Time {
+	if t.Allows(endpoint, now) {
+		return now
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[endpoint]
+	if e == nil {
+		return now
+	}
+	wall := t.options.TimeOfDay(now)
+	names := t.options.Instances()
+	for slot := slotAt(wall) + 1; ; slot++ {
+		in := slotStart(slot).Sub(wall)
+		if in >= nextMost || t.options.Divide(Slot{Endpoint: endpoint, Rate: e.limit.Rate, Index: slot}, names) > 0 {
+			return now.Add(min(in, nextMost))
+		}
+	}
+}
+
+// Expire drops lifted limits after a while, and endpoints that are gone.
+func (t *Table) Expire(listed func(endpoint string) bool, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, e := range t.entries {
+		if listed(id) && (e.limit.Kind == Named || now.Sub(e.asOf) < liftedFor) {
+			continue
+		}
+		t.set(e, Limit{}, e.asOf)
+		delete(t.entries, id)
+	}
+}
+
+// Report is what one instance reports to others about the limit of an endpoint.
+type Report struct {
+	Endpoint string
+	Limit    Limit         // None or Named
+	Age      time.Duration // since the limit was in force
+}
+
+// maxReports bounds the reports in one message.
+const maxReports = 64
+
+// Reports returns what endpoints told this instance itself, the newest first.
+func (t *Table) Reports(now time.Time) []Report {
+	if t == nil {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Report
+	for id, e := range t.entries {
+		if e.own {
+			out = append(out, Report{Endpoint: id, Limit: e.limit, Age: max(0, now.Sub(e.asOf))})
+		}
+	}
+	return Newest(out)
+}
+
+// Newest returns the newest report on each endpoint, at the most as many as fit into a message.
+func Newest(reports []Report) []Report {
+	slices.SortStableFunc(reports, func(a, b Report) int { return int(a.Age - b.Age) })
+	seen := make(map[string]bool, len(reports))
+	var out []Report
+	for _, r := range reports {
+		if !seen[r.Endpoint] && len(out) < maxReports {
+			seen[r.Endpoint] = true
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// Apply takes the reports of another instance. The newest one on an endpoint holds.
+func (t *Table) Apply(reports []Report, now time.Time) {
+	for _, r := range reports {
+		t.apply(r, now)
+	}
+}
+
+func (t *Table) apply(r Report, now time.Time) {
+	if r.Limit.Kind == Unknown || r.Age < 0 {
+		return
+	}
+	asOf := now.Add(-r.Age)
+	t.mu.Lock()
+	e := t.entries[r.Endpoint]
+	if e == nil {
+		if r.Limit.Kind == None {
+			t.mu.Unlock()
+			return
+		}
+		e = t.add(r.Endpoint, now)
+	}
+	from := e.limit
+	if !asOf.After(e.asOf) {
+		t.mu.Unlock()
+		return
+	}
+	if from != r.Limit {
+		e.own = false
+	}
+	t.set(e, r.Limit, asOf)
+	t.mu.Unlock()
+	t.report(r.Endpoint, Change{From: from, To: r.Limit})
+}
