--- /dev/null
+++ b/internal/check/ratelimit_test.go
@@ -0,0 +1,106 @@
+package check
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+const contact = 3 * time.Second
+
+// limited returns a history of an endpoint that names a limit of one a second, of which an
+// instance knows from 100 ms on.
+func limited() *RateLimits {
+	c := NewRateLimits(contact)
+	c.Named("e", 1, at(0))
+	c.Passed("e", "n", at(100))
+	return c
+}
+
+// arrive records requests at even distances within a time.
+func (c *RateLimits) arrive(instance string, n, fromMs, toMs int) {
+	for i := range n {
+		c.Arrived("e", instance, at(fromMs+i*(toMs-fromMs)/n))
+	}
+}
+
+func TestRateLimitsAtTheBound(t *testing.T) {
+	is := is.New(t)
+	below, above := limited(), limited()
+	below.arrive("n", 11, 5000, 9000) // 1.5 x 4 + 5
+	above.arrive("n", 12, 5000, 9000)
+	is.Equal(len(below.Violations()), 0)
+	is.Equal(len(above.Violations()), 1)
+}
+
+func TestRateLimitsSumOverInstances(t *testing.T) {
+	is := is.New(t)
+	c := limited()
+	c.Passed("e", "m", at(200))
+	c.arrive("n", 6, 5000, 9000)
+	c.arrive("m", 6, 5000, 9000)
+	is.Equal(len(c.Violations()), 1)
+}
+
+func TestRateLimitsBindOnlyWhoPassedThemOnInTime(t *testing.T) {
+	is := is.New(t)
+	unknown, soon, late := limited(), limited(), limited()
+	unknown.arrive("m", 50, 5000, 9000)
+	soon.arrive("n", 50, 101, 599)
+	late.arrive("n", 50, 600, 1000)
+	for _, c := range []*RateLimits{unknown, soon, late} {
+		c.Arrived("e", "n", at(3000))
+	}
+	is.Equal(len(unknown.Violations()), 0)
+	is.Equal(len(soon.Violations()), 0)
+	is.Equal(len(late.Violations()), 1)
+}
+
+func TestRateLimitsBindFromContactOn(t *testing.T) {
+	is := is.New(t)
+	before, after := limited(), limited()
+	before.arrive("n", 50, 600, 2999)
+	after.arrive("n", 50, 600, 3001)
+	after.Arrived("e", "n", at(3000))
+	is.Equal(len(before.Violations()), 0)
+	is.Equal(len(after.Violations()), 1)
+}
+
+func TestRateLimitsExcuse(t *testing.T) {
+	is := is.New(t)
+	c := limited()
+	c.arrive("n", 50, 5000, 9000)
+	c.Excuse("m", at(5000), at(9000))
+	is.Equal(len(c.Violations()), 1)
+	c.Excuse("n", at(5000), at(8000))
+	is.Equal(len(c.Violations()), 1) // 12 or more after the excuse
+	c.Excuse("n", at(8000), at(9000))
+	is.Equal(len(c.Violations()), 0)
+}
+
+func TestRateLimitsThatChange(t *testing.T) {
+	is := is.New(t)
+	raised, lowered, lifted, again := limited(), limited(), limited(), limited()
+	raised.Named("e", 3, at(7000))
+	raised.arrive("n", 23, 6000, 9500)
+	is.Equal(len(raised.Violations()), 0) // 1.5 x 4 x 3 + 5
+	lowered.Named("e", 0.1, at(8000))
+	lowered.arrive("n", 11, 6000, 9500)
+	is.Equal(len(lowered.Violations()), 0)
+	lowered.arrive("n", 6, 13_000, 14_000)
+	is.Equal(len(lowered.Violations()), 1) // 1.5 x 4 x 0.1 + 5
+	lifted.Lifted("e", at(5000))
+	lifted.arrive("n", 50, 5000, 9000)
+	is.Equal(len(lifted.Violations()), 0)
+	again.Lifted("e", at(5000))
+	again.Named("e", 1, at(6000))
+	again.arrive("n", 50, 10_000, 14_000)
+	is.Equal(len(again.Violations()), 0) // no answer has named it anew
+	again.Passed("e", "n", at(7000))
+	is.Equal(len(again.Violations()), 1)
+}
--- a/internal/front/world_test.go
+++ b/internal/front/world_test.go
@@ -24,6 +24,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/forward"
 	"github.com/shelfcrank/shelfcrank/internal/netx"
 	"github.com/shelfcrank/shelfcrank/internal/policy"
+	"github.com/shelfcrank/shelfcrank/internal/ratelimit"
 	"github.com/shelfcrank/shelfcrank/internal/registry"
 	"github.com/shelfcrank/shelfcrank/internal/rollout"
 	"github.com/shelfcrank/shelfcrank/internal/settings"
@@ -38,6 +39,9 @@
 func (plain) Answer(status int, h http.Header) backend.Answer {
 	a := backend.Answer{RequestID: h.Get("Id"), Sealed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest}
 	a.Notice.Leaving = h.Get("Leaving") != ""
+	if text := h.Get("Limit"); text != "" {
+		a.RateLimit = ratelimit.Parse(text)
+	}
 	if rest, err := time.ParseDuration(h.Get("Rest")); err == nil && status == http.StatusServiceUnavailable {
 		a.Notice.RestFor = rest
 	}
@@ -161,6 +165,7 @@
 	halls    int                           // that instances are spread over
 	servers  int                           // how many there are
 	deaths   *deaths                       // servers that end under a request
+	limits   *rateLimits                   // that servers name
 	machines map[string]*clocktest.Machine // of the nodes, where these can be suspended; else nil
 	restarts sync.WaitGroup                // of servers that ended
 }
@@ -207,7 +212,7 @@
 		t: t, store: storetest.New(),
 		cloud: &cloud{windows: make(map[int64]map[string]int64)}, nodes: make(map[string]*running),
 		runs: make(map[string]int), cancelled: make(map[string]time.Time), hold: 20 * time.Millisecond, last: make(map[string]time.Time), slow: make(map[string]bool), out: make(map[string]time.Time),
-		said: newSaid(), halls: 1, servers: testServers, deaths: newDeaths(),
+		said: newSaid(), halls: 1, servers: testServers, deaths: newDeaths(), limits: newRateLimits(),
 	}
 	w.mem = netx.NewMem(w.delay)
 	for _, set := range options {
@@ -299,9 +304,11 @@
 		w.bad = append(w.bad, fmt.Sprintf("%s reached %s %s after its entry said no", id, server, time.Since(since)))
 	}
 	hold := w.hold
+	w.limits.arrives(server, id, time.Now())
 	w.bad = append(w.bad, w.said.arrives(server, id, w.drain(), time.Now())...)
 	w.mu.Unlock()
 	if status := w.said.answer(server, id, rw.Header(), time.Now()); status != 0 {
+		w.limits.answers(server, id, rw.Header(), time.Now())
 		rw.WriteHeader(status)
 		return
 	}
@@ -313,6 +320,7 @@
 	w.rolls.served(server)
 	rw.Header().Set("Id", id)
 	rw.Header().Set("Seal", "of "+server)
+	w.limits.answers(server, id, rw.Header(), time.Now())
 	if fails {
 		rw.WriteHeader(http.StatusInternalServerError)
 	}
