The own interface keeps to the rate limits that its endpoints name

Its endpoints name them as Rate-Limit.

The choice leaves out endpoints without a grant, the grant is taken right before the call leaves, and heartbeats carry what endpoints named. Reports of load and cache moves are no calls and need no grant. Left: above 16 members an instance hears of a limit from its neighbours' own answers or its own only.

--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -28,6 +28,17 @@
 // Pools holds the pool of each model or service by its name.
 type Pools map[string]*route.Pool
 
+// Each calls f for each endpoint of all pools.
+func (p Pools) Each(f func(*route.Endpoint)) {
+	for _, pool := range p {
+		for _, hall := range pool.Halls {
+			for _, e := range hall.Endpoints {
+				f(e)
+			}
+		}
+	}
+}
+
 // Demand sums the usage of the other instances by account.
 type Demand map[string]admit.Usage
 
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -22,6 +22,7 @@
 
 	"github.com/shelfcrank/shelfcrank/internal/fault"
 	"github.com/shelfcrank/shelfcrank/internal/notice"
+	"github.com/shelfcrank/shelfcrank/internal/ratelimit"
 )
 
 // ErrLeaving says that an endpoint refused work because it is leaving.
@@ -37,8 +38,18 @@
 	streamBufferKB = 4
 )
 
+// RateLimitHeader names the requests a second that an endpoint accepts from all instances
+// together, a decimal number. It is set in all its answers for as long as the limit holds.
+const RateLimitHeader = "Rate-Limit"
+
+// Statement is what an endpoint says of itself in an answer.
+type Statement struct {
+	notice.Notice
+	RateLimit ratelimit.Limit
+}
+
 // Hear takes what an endpoint said of itself in an answer, whatever the answer was.
-type Hear func(n notice.Notice)
+type Hear func(s Statement)
 
 // Client calls endpoints over HTTP.
 type Client struct {
@@ -173,9 +184,7 @@
 	if err != nil {
 		return nil, dispatchError(addr, err, connected.Load())
 	}
-	if n := noticeOf(resp); n != (notice.Notice{}) {
-		hear(n)
-	}
+	hear(statementOf(resp))
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(LeavingHeader) != "" {
 		_ = resp.Body.Close()
 		return nil, fault.New(fault.StepDispatch, addr.String(), fault.KindRefused, fault.NotRun, "%w", ErrLeaving)
@@ -191,13 +200,21 @@
 	return resp, nil
 }
 
-// noticeOf returns what an endpoint says of itself in an answer.
-func noticeOf(resp *http.Response) notice.Notice {
-	n := notice.Notice{Leaving: resp.Header.Get(LeavingHeader) != ""}
+// statementOf returns what an endpoint says of itself in an answer. A refusal that names no
+// rate limit does not tell that there is none.
+func statementOf(resp *http.Response) Statement {
+	s := Statement{Notice: notice.Notice{Leaving: resp.Header.Get(LeavingHeader) != ""}}
+	refusal := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests
+	switch values := resp.Header[RateLimitHeader]; {
+	case len(values) > 0:
+		s.RateLimit = ratelimit.Parse(values[0])
+	case refusal:
+		s.RateLimit = ratelimit.Limit{Kind: ratelimit.Unknown}
+	}
 	if resp.StatusCode == http.StatusServiceUnavailable {
-		n.RestFor = notice.RetryAfter(resp.Header)
+		s.RestFor = notice.RetryAfter(resp.Header)
 	}
-	return n
+	return s
 }
 
 // dispatchError classifies a failed call. Without a connection nothing was sent.
@@ -229,9 +246,7 @@
 		return r, dispatchError(addr, err, true)
 	}
 	defer resp.Body.Close()
-	if n := noticeOf(resp); n != (notice.Notice{}) {
-		hear(n)
-	}
+	hear(statementOf(resp))
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxReport)).Decode(&r); err != nil {
 		return r, fault.New(fault.StepRoute, addr.String(), fault.KindBroken, fault.NotRun, "report: %w", err)
 	}
--- a/internal/endpoint/client_test.go
+++ b/internal/endpoint/client_test.go
@@ -16,9 +16,10 @@
 	"github.com/shelfcrank/shelfcrank/internal/fault"
 	"github.com/shelfcrank/shelfcrank/internal/netx"
 	"github.com/shelfcrank/shelfcrank/internal/notice"
+	"github.com/shelfcrank/shelfcrank/internal/ratelimit"
 )
 
-func nobody(notice.Notice) {}
+func nobody(Statement) {}
 
 // What an endpoint says of itself is heard in each of its answers, whatever the answer is,
 // those to questions for its load included.
@@ -49,7 +50,7 @@
 		}))
 		addr := netip.MustParseAddrPort(strings.TrimPrefix(srv.URL, "http://"))
 		var heard notice.Notice
-		hear := func(n notice.Notice) { heard = n }
+		hear := func(s Statement) { heard = s.Notice }
 		c := New(netx.Transport(netx.TCP{}))
 		_, _ = c.Call(context.Background(), addr, "pay", "text/plain", "k", nil, hear)
 		is.Equal(heard, test.want)
@@ -95,3 +96,20 @@
 	is.Equal(fault.As(err).Run, fault.NotRun)
 	is.Equal(fault.As(err).Kind, fault.KindRefused)
 }
+
+func TestAnEndpointNamesARateLimit(t *testing.T) {
+	for _, test := range []struct {
+		status int
+		header http.Header
+		want   ratelimit.Limit
+	}{
+		{200, http.Header{RateLimitHeader: {"1.5"}}, ratelimit.Limit{Kind: ratelimit.Named, Rate: 1.5}},
+		{429, http.Header{RateLimitHeader: {"2"}}, ratelimit.Limit{Kind: ratelimit.Named, Rate: 2}},
+		{200, nil, ratelimit.Limit{}},
+		{503, nil, ratelimit.Limit{Kind: ratelimit.Unknown}},
+		{200, http.Header{RateLimitHeader: {"few"}}, ratelimit.Limit{Kind: ratelimit.Unknown}},
+	} {
+		is := is.New(t)
+		is.Equal(statementOf(&http.Response{StatusCode: test.status, Header: test.header}).RateLimit, test.want)
+	}
+}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -18,6 +18,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/peer"
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
 	"github.com/shelfcrank/shelfcrank/internal/platform"
+	"github.com/shelfcrank/shelfcrank/internal/ratelimit/wire"
 	"github.com/shelfcrank/shelfcrank/internal/route"
 	"github.com/shelfcrank/shelfcrank/internal/table"
 )
@@ -122,6 +123,7 @@
 		}
 		h.Usage = append(h.Usage, &peerpb.Usage{Account: u.Account, Rate: u.Rate, Tokens: u.Tokens, Open: int64(u.Open)})
 	}
+	h.Limits = wire.Encode(i.relay.Limits().Reports(i.opts.Clock.Now()))
 	return h
 }
 
@@ -141,6 +143,7 @@
 		e.Usage = append(e.Usage, admit.Usage{Account: u.Account, Rate: u.Rate, Tokens: u.Tokens, Open: int(u.Open)})
 	}
 	i.loop.Send(ctx, e)
+	i.relay.Limits().Apply(wire.Decode(h.Limits), i.opts.Clock.Now())
 	s := i.loop.Snapshot()
 	if h.Self.TableRevision > s.Self.TableRevision || h.Self.ViewEpoch > s.Self.ViewEpoch {
 		if addr, err := netip.ParseAddrPort(h.Self.Address); err == nil {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -87,6 +87,7 @@
 	EndpointGone      Code = 503
 	EndpointEjected   Code = 504
 	EndpointAsksRest  Code = 507
+	EndpointRateLimit Code = 508
 	KVMoved           Code = 505
 	KVMoveFailed      Code = 506
 	InvariantBroken   Code = 901
@@ -173,6 +174,7 @@
 	{EndpointGone, zap.InfoLevel, "endpoint gone", "The endpoint left the list or its deadline passed."},
 	{EndpointEjected, zap.WarnLevel, "endpoint ejected", "Calls to the endpoint failed in a row; it rests for a while."},
 	{EndpointAsksRest, zap.InfoLevel, "endpoint asked for rest", "The endpoint turned a call away and wants none from this instance until the time told. Told once for each rest."},
+	{EndpointRateLimit, zap.InfoLevel, "rate limit of an endpoint changed", "The endpoint accepts so many calls a second (to, where limited is true) from all instances together. by_peer tells that another instance reported it, not an answer to this one."},
 	{KVMoved, zap.InfoLevel, "KV cache moved", "A stream's cache was imported by another endpoint."},
 	{KVMoveFailed, zap.WarnLevel, "KV cache move failed", "The stream goes on by recomputing."},
 	{InvariantBroken, zap.ErrorLevel, "invariant broken", "A promise was broken. Report it with the log; the run counts as failed."},
--- a/internal/experiment/bench.go
+++ b/internal/experiment/bench.go
@@ -12,8 +12,8 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/shelfcrank/shelfcrank/internal/deployment"
+	"github.com/shelfcrank/shelfcrank/internal/endpoint"
 	"github.com/shelfcrank/shelfcrank/internal/netx"
-	"github.com/shelfcrank/shelfcrank/internal/notice"
 	"github.com/shelfcrank/shelfcrank/internal/standin"
 	"github.com/shelfcrank/shelfcrank/internal/table"
 	"github.com/shelfcrank/shelfcrank/internal/traffic"
@@ -332,7 +332,7 @@
 func directCall(ctx context.Context, addr netip.AddrPort, prompt string, priority int) (time.Duration, bool) {
 	c := directClient()
 	start := time.Now()
-	s, err := c.Generate(ctx, addr, generate(prompt, priority), func(notice.Notice) {})
+	s, err := c.Generate(ctx, addr, generate(prompt, priority), func(endpoint.Statement) {})
 	if err != nil {
 		return 0, false
 	}
--- a/internal/front/digest.go
+++ b/internal/front/digest.go
@@ -12,6 +12,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/policy"
 	"github.com/shelfcrank/shelfcrank/internal/quota"
 	"github.com/shelfcrank/shelfcrank/internal/ratelimit"
+	"github.com/shelfcrank/shelfcrank/internal/ratelimit/wire"
 	"github.com/shelfcrank/shelfcrank/internal/rollctl"
 	"github.com/shelfcrank/shelfcrank/internal/tally"
 )
@@ -58,7 +59,7 @@
 // reportOf reads what a report tells of what an instance is doing.
 func reportOf(s *peerpb.Share, now time.Time) reported {
 	news := newsOf(s)
-	r := reported{uses: news.Uses, demand: news.Demand, risk: make(map[string]float64), rollouts: rolloutStates(s.Rollouts), limits: limitReports(s.Limits), at: now}
+	r := reported{uses: news.Uses, demand: news.Demand, risk: make(map[string]float64), rollouts: rolloutStates(s.Rollouts), limits: wire.Decode(s.Limits), at: now}
 	for name, l := range news.Lessons {
 		r.risk[name] = l.Risk
 	}
@@ -76,9 +77,9 @@
 	d.Rollouts = n.digestRollouts(to, reports, others, windows)
 	limits := n.groupLimits(reports, now)
 	for _, other := range others {
-		limits = append(limits, aged(limitReports(other.share.Limits), now.Sub(other.at))...)
+		limits = append(limits, aged(wire.Decode(other.share.Limits), now.Sub(other.at))...)
 	}
-	d.Limits = limitShares(ratelimit.Newest(limits))
+	d.Limits = wire.Encode(ratelimit.Newest(limits))
 	n.digestCounts(d, others, len(reports), windows, now)
 	sum := n.groupNews(reports, to, now)
 	for _, other := range others {
@@ -175,7 +176,7 @@
 		n.state.members.heard(g.Hub, now) // the hub heard of it just now, the store may have lost it
 		n.heardClock(g.Hub, g.Wall, now)
 	}
-	n.limits.Apply(limitReports(d.Limits), now)
+	n.limits.Apply(wire.Decode(d.Limits), now)
 	n.heardPermits(d.Rollouts, now)
 	n.rollouts.Heard(rollctl.ByHubs, tally.Source{Instance: digestNode}, rolloutCounts(d.Rollouts.GetCounts()))
 	n.rollouts.HeardStates(digestNode, rolloutStates(d.Rollouts), now)
--- a/internal/front/hubgroup.go
+++ b/internal/front/hubgroup.go
@@ -8,6 +8,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/balance"
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
 	"github.com/shelfcrank/shelfcrank/internal/quota"
+	"github.com/shelfcrank/shelfcrank/internal/ratelimit/wire"
 	"github.com/shelfcrank/shelfcrank/internal/rollctl"
 	"github.com/shelfcrank/shelfcrank/internal/tally"
 	"github.com/shelfcrank/shelfcrank/internal/usage"
@@ -177,7 +178,7 @@
 	a.mu.Unlock()
 	sum := n.groupNews(reports, "", now)
 	s.Rollouts = n.groupRollouts(reports)
-	s.Limits = limitShares(n.groupLimits(reports, now))
+	s.Limits = wire.Encode(n.groupLimits(reports, now))
 	s.Servers = useShares(sum.Uses)
 	lessons := meanRisk(n.tracker.Lessons(), reports)
 	for name, d := range sum.Demand {
--- a/internal/front/report.go
+++ b/internal/front/report.go
@@ -7,6 +7,7 @@
 
 	"github.com/shelfcrank/shelfcrank/internal/fault"
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
+	"github.com/shelfcrank/shelfcrank/internal/ratelimit/wire"
 	"github.com/shelfcrank/shelfcrank/internal/rollout"
 	"github.com/shelfcrank/shelfcrank/internal/tally"
 	"github.com/shelfcrank/shelfcrank/internal/topology"
@@ -105,6 +106,6 @@
 		Accounts: accountShares(units, nil, runs), Servers: useShares(n.plainUses()),
 		Services: n.serviceShares(n.tracker.Demand(now)),
 		Rollouts: n.ownRollouts(rollouts),
-		Limits:   limitShares(n.limits.Reports(now)),
+		Limits:   wire.Encode(n.limits.Reports(now)),
 	}
 }
--- a/internal/front/share.go
+++ b/internal/front/share.go
@@ -13,6 +13,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/inflight"
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
 	"github.com/shelfcrank/shelfcrank/internal/quota"
+	"github.com/shelfcrank/shelfcrank/internal/ratelimit/wire"
 	"github.com/shelfcrank/shelfcrank/internal/rollctl"
 	"github.com/shelfcrank/shelfcrank/internal/topology"
 )
@@ -184,7 +185,7 @@
 	s.Servers = useShares(n.tracker.Uses())
 	s.Services = n.serviceShares(n.tracker.Demand(n.Clock.Now()))
 	s.Rollouts = n.ownRollouts(n.rollouts.Own())
-	s.Limits = limitShares(n.limits.Reports(n.Clock.Now()))
+	s.Limits = wire.Encode(n.limits.Reports(n.Clock.Now()))
 	return s
 }
 
@@ -195,7 +196,7 @@
 	n.state.members.heard(s.Node, now)
 	n.hearInstances(s.Node, s.Instances, now)
 	n.suspects.met(s.Node, s.Incarnation)
-	n.limits.Apply(limitReports(s.Limits), now)
+	n.limits.Apply(wire.Decode(s.Limits), now)
 	if !s.Brief {
 		n.heardNews(s.Node, s.ServersAt, now)
 		n.heardClock(s.Node, s.Wall, now)
--- a/internal/front/sharemsg.go
+++ b/internal/front/sharemsg.go
@@ -3,13 +3,10 @@
 import (
 	"time"
 
-	"github.com/samber/lo"
-
 	"github.com/shelfcrank/shelfcrank/internal/balance"
 	"github.com/shelfcrank/shelfcrank/internal/pace"
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
 	"github.com/shelfcrank/shelfcrank/internal/quota"
-	"github.com/shelfcrank/shelfcrank/internal/ratelimit"
 )
 
 // What a Share says, written and read.
@@ -69,24 +66,6 @@
 	}
 }
 
-// limitShares writes reports on rate limits of endpoints.
-func limitShares(reports []ratelimit.Report) []*peerpb.EndpointLimit {
-	return lo.Map(reports, func(r ratelimit.Report, _ int) *peerpb.EndpointLimit {
-		return &peerpb.EndpointLimit{Endpoint: r.Endpoint, Named: r.Limit.Kind == ratelimit.Named, Rate: r.Limit.Rate, Age: int64(r.Age)}
-	})
-}
-
-// limitReports reads what limitShares wrote. Rates that are none are left out.
-func limitReports(limits []*peerpb.EndpointLimit) []ratelimit.Report {
-	return lo.FilterMap(limits, func(l *peerpb.EndpointLimit, _ int) (ratelimit.Report, bool) {
-		r := ratelimit.Report{Endpoint: l.Endpoint, Age: time.Duration(l.Age)}
-		if l.Named {
-			r.Limit = ratelimit.Limit{Kind: ratelimit.Named, Rate: l.Rate}
-		}
-		return r, l.Rate >= 0 && l.Age >= 0
-	})
-}
-
 // seasoned reports whether the sender of a share knows the levels of limits well.
 func seasoned(s *peerpb.Share) bool { return time.Duration(s.Wall-s.Incarnation) > quota.Season }
 
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -12,7 +12,6 @@
 	"github.com/shelfcrank/shelfcrank/internal/endpoint"
 	"github.com/shelfcrank/shelfcrank/internal/event"
 	"github.com/shelfcrank/shelfcrank/internal/fault"
-	"github.com/shelfcrank/shelfcrank/internal/notice"
 	"github.com/shelfcrank/shelfcrank/internal/prefix"
 	"github.com/shelfcrank/shelfcrank/internal/record"
 	"github.com/shelfcrank/shelfcrank/internal/route"
@@ -40,7 +39,7 @@
 	return &route.Request{
 		Session: xxhash.Sum64String(rec.Session), Chain: prefix.Chain(class.Model, prompt),
 		Tokens: prefix.Tokens(prompt), Priority: rec.Priority, Target: class.Target,
-		Recompute: class.Recompute, Hall: r.Hall, Draw: r.draw(), Prefer: rec.Endpoint(),
+		Recompute: class.Recompute, Hall: r.Hall, Draw: r.draw(), Prefer: rec.Endpoint(), Limits: r.limits,
 	}
 }
 
@@ -121,6 +120,9 @@
 	if r.snap().Models[e.Model].Find(e.ID) != e {
 		return errMoved // it began to leave since it was chosen
 	}
+	if err := r.limits.Take(e.Key, r.Clock.Now()); err != nil {
+		return fault.New(fault.StepDispatch, e.ID, fault.KindLimit, fault.MayHaveRun, "send: %w", err)
+	}
 	from := rec.Position()
 	if from > 0 && rec.Endpoint() != e.ID {
 		r.event(event.RequestResumed, zap.String("request", rec.ID), zap.String("endpoint", e.ID), zap.Int("position", from))
@@ -151,24 +153,26 @@
 	a.moveTo = nil
 	r.runMu.Unlock()
 	now := r.Clock.Now()
-	if to != nil && pool.Find(to.ID) == to && !to.AskedForRest(now) {
+	if to != nil && pool.Find(to.ID) == to && req.Accepts(to, now) {
 		return route.Estimate(to, req, now), true
 	}
 	return r.routing(r.snap().Table.System.Policy).Choose(pool, req, now)
 }
 
-// Hear returns what takes an endpoint's word of itself, of any of its answers: one that
-// leaves gets no new work, whether the list says so or not, and one that asked for rest
-// gets no calls until its end.
+// Hear returns what takes an endpoint's word of itself in the answer to a request that is sent
+// now: one that leaves gets no new work, whether the list says so or not, one that asked for
+// rest gets no calls until its end, and one that names a rate limit gets no more than that.
 func (r *Relay) Hear(e *route.Endpoint) endpoint.Hear {
-	return func(n notice.Notice) {
+	sent := r.Clock.Now()
+	return func(n endpoint.Statement) {
+		now := r.Clock.Now()
+		r.limits.Observe(e.Key, n.RateLimit, sent, now)
 		if n.Leaving {
 			r.Control.Send(r.ctx, control.Refused{Endpoint: e})
 		}
 		if n.RestFor <= 0 {
 			return
 		}
-		now := r.Clock.Now()
 		until := now.Add(n.RestFor)
 		if e.RestUntil(until, now) {
 			r.event(event.EndpointAsksRest, zap.String("endpoint", e.ID), zap.Duration("rest", n.RestFor), zap.Time("until", until))
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -28,6 +28,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/fault"
 	"github.com/shelfcrank/shelfcrank/internal/metrics"
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
+	"github.com/shelfcrank/shelfcrank/internal/ratelimit"
 	"github.com/shelfcrank/shelfcrank/internal/record"
 	"github.com/shelfcrank/shelfcrank/internal/route"
 	"github.com/shelfcrank/shelfcrank/internal/table"
@@ -99,6 +100,7 @@
 	news  map[*record.Record]struct{} // records with news for their holder; guarded by runMu
 
 	suspects *suspects
+	limits   *ratelimit.Table
 
 	retryMu sync.Mutex
 	retries map[string]*retryBudget // by class; guarded by retryMu
@@ -127,6 +129,7 @@
 		runs: make(map[string]*run), news: make(map[*record.Record]struct{}),
 		retries: make(map[string]*retryBudget), suspects: newSuspects(),
 	}
+	r.limits = newLimits(r)
 	r.policy.Store(&namedPolicy{route.PolicyDefault, route.New(route.PolicyDefault)})
 	r.ctx, r.stop = context.WithCancel(context.Background())
 	return r
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -29,7 +29,7 @@
 	budget := r.retryBudget(class)
 	budget.first()
 	name, path := splitTarget(rec.Target)
-	req := &route.Request{Hall: r.Hall, Priority: rec.Priority}
+	req := &route.Request{Hall: r.Hall, Priority: rec.Priority, Limits: r.limits}
 	for {
 		req.Draw = r.draw()
 		err := r.callOnce(ctx, rec, name, path, req)
@@ -69,6 +69,9 @@
 		return fault.New(fault.StepRoute, "", fault.KindRefused, r.notSent(rec), "no endpoint serves %s", name)
 	}
 	e := d.Endpoint
+	if err := r.limits.Take(e.Key, now); err != nil {
+		return fault.New(fault.StepDispatch, e.ID, fault.KindLimit, r.notSent(rec), "send: %w", err)
+	}
 	rec.SetEndpoint(e.ID)
 	e.Begin(0)
 	defer e.End()
--- a/internal/relay/upkeep.go
+++ b/internal/relay/upkeep.go
@@ -107,6 +107,7 @@
 		r.keeper.Expire(now)
 		r.keeperMu.Unlock()
 		r.suspects.expire(now)
+		r.expireLimits(now)
 	}
 }
 
--- a/internal/route/baseline.go
+++ b/internal/route/baseline.go
@@ -13,7 +13,7 @@
 func (rr *roundRobin) Choose(p *Pool, r *Request, now time.Time) (Decision, bool) {
 	for range p.Size {
 		e := p.at(int(rr.next.Add(1) % uint64(p.Size)))
-		if !avoided(r, e.ID) && !e.Resting(now) {
+		if r.eligible(e, now) {
 			return Estimate(e, r, now), true
 		}
 	}
@@ -33,7 +33,7 @@
 	}
 	for i := range p.Size {
 		e := p.at((start + i) % p.Size)
-		if avoided(r, e.ID) || e.Resting(now) {
+		if !r.eligible(e, now) {
 			continue
 		}
 		load := max(e.load.Load().Running, e.Open())
@@ -54,7 +54,7 @@
 	var home [homeCount]*Endpoint
 	n := Homes(p, r.Session, home[:])
 	for _, e := range home[:n] {
-		if !avoided(r, e.ID) && !e.Resting(now) {
+		if r.eligible(e, now) {
 			return Estimate(e, r, now), true
 		}
 	}
@@ -62,11 +62,11 @@
 }
 
 // anyOf is the floor of outlier ejection: when all endpoints rest, one that
-// did not fail this very request is tried all the same. One that asked for rest is not.
+// did not fail this very request is tried all the same, unless it accepts no calls.
 func anyOf(p *Pool, r *Request, now time.Time) (Decision, bool) {
 	for i := range p.Size {
 		e := p.at((int(r.Draw%uint64(p.Size)) + i) % p.Size)
-		if !avoided(r, e.ID) && !e.AskedForRest(now) {
+		if !avoided(r, e.ID) && r.Accepts(e, now) {
 			return Estimate(e, r, now), true
 		}
 	}
@@ -86,7 +86,7 @@
 	bestWait := time.Duration(0)
 	for i := range uint64(serviceSamples) {
 		e := p.at(int(mix(r.Draw, i) % uint64(p.Size)))
-		if avoided(r, e.ID) || e.Resting(now) {
+		if !r.eligible(e, now) {
 			continue
 		}
 		wait := time.Duration(e.ewma.Load()) * time.Duration(e.Open()+1)
--- a/internal/route/pool.go
+++ b/internal/route/pool.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"fmt"
 	"net/netip"
 	"slices"
 	"strings"
@@ -30,6 +31,7 @@
 type Endpoint struct {
 	ID          string
 	Incarnation uint64
+	Key         string // ID and incarnation
 	Addr        netip.AddrPort
 	Hall        string
 	Model       string        // model or service that it serves
@@ -49,7 +51,7 @@
 // NewEndpoint returns an endpoint without load. blocks bounds what is
 // remembered of its cache; 0 for a plain service.
 func NewEndpoint(id string, incarnation uint64, addr netip.AddrPort, hall, model string, blocks int, now time.Time) *Endpoint {
-	e := &Endpoint{ID: id, Incarnation: incarnation, Addr: addr, Hall: hall, Model: model, JoinedAt: now}
+	e := &Endpoint{ID: id, Incarnation: incarnation, Key: fmt.Sprintf("%s#%d", id, incarnation), Addr: addr, Hall: hall, Model: model, JoinedAt: now}
 	e.seed = xxhash.Sum64String(id)
 	if blocks > 0 {
 		e.Blocks = prefix.NewIndex(blocks)
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -29,6 +29,25 @@
 	Draw      uint64        // random number drawn by the caller
 	Avoid     []string      // endpoints that already failed the request
 	Prefer    string        // endpoint that holds the request's KV cache
+	Limits    Limits        // nil if no endpoint has a rate limit
+}
+
+// Limits tells whether this instance may send to an endpoint now by the rate limit that it
+// names.
+type Limits interface {
+	Allows(key string, now time.Time) bool
+}
+
+// Accepts reports whether an endpoint takes calls of this instance now: it did not ask for rest
+// and is not at its rate limit.
+func (r *Request) Accepts(e *Endpoint, now time.Time) bool {
+	return !e.AskedForRest(now) && (r.Limits == nil || r.Limits.Allows(e.Key, now))
+}
+
+// eligible reports whether an endpoint is a candidate for the request: it is not ejected and
+// accepts it, and has not failed it already.
+func (r *Request) eligible(e *Endpoint, now time.Time) bool {
+	return !avoided(r, e.ID) && !e.Resting(now) && r.Accepts(e, now)
 }
 
 // Decision is an endpoint with what is expected of it.
@@ -84,7 +103,7 @@
 	var best Decision
 	bestScore := math.Inf(1)
 	consider := func(e *Endpoint, atHome bool) {
-		if e == nil || e.Resting(now) || avoided(r, e.ID) {
+		if e == nil || !r.eligible(e, now) {
 			return
 		}
 		d := Estimate(e, r, now)
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -83,7 +83,7 @@
 		return
 	}
 	e.w.arrived(e.place.ID)
-	e.w.sayLeaving(e.place.ID, rw.Header())
+	e.w.announce(e.place.ID, rw.Header())
 	e.w.dieOf(e.place, g.Prompt)
 	s := e.admit(r.Context(), g)
 	rw.Header().Set("Content-Type", "text/event-stream")
@@ -315,7 +315,7 @@
 }
 
 func (e *engine) getReport(rw http.ResponseWriter, r *http.Request) {
-	e.w.sayLeaving(e.place.ID, rw.Header())
+	e.w.announce(e.place.ID, rw.Header())
 	since, _ := strconv.Atoi(r.URL.Query().Get("since"))
 	now := time.Now()
 	e.mu.Lock()
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -35,7 +35,7 @@
 
 // ServeHTTP implements http.Handler.
 func (s *service) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
-	s.w.sayLeaving(s.place.ID, rw.Header())
+	s.w.announce(s.place.ID, rw.Header())
 	if r.URL.Path == "/v1/report" {
 		writeJSON(rw, endpoint.Report{Running: len(s.workers)})
 		return
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -78,6 +78,7 @@
 	servers   map[string]*placeState // guarded by mu
 	dying     map[string]bool        // engines that end of a deadly prompt, or are not back; guarded by mu
 	deaths    uint64                 // of them so far; guarded by mu
+	limits    rateLimits             // that endpoints name; guarded by mu
 }
 
 type instance struct {
@@ -103,7 +104,7 @@
 		net: n, siteN: site, set: set,
 		rnd:     rand.New(rand.NewPCG(set.Seed, set.Seed^0x9e3779b97f4a7c15)),
 		noticed: make(chan struct{}), runs: make(map[uint64]int), computed: make(map[uint64]struct{}),
-		servers: make(map[string]*placeState), dying: make(map[string]bool),
+		servers: make(map[string]*placeState), dying: make(map[string]bool), limits: newRateLimits(),
 	}
 	w.store = newStore(w)
 	w.ctx, w.stop = context.WithCancel(context.Background())
@@ -364,15 +365,22 @@
 
 const leavingGrace = 5 * time.Second
 
-// sayLeaving sets the header by which an endpoint that leaves says so in an answer.
-func (w *World) sayLeaving(id string, h http.Header) {
+// announce sets the headers by which an endpoint says in an answer that it leaves and which rate
+// it accepts.
+func (w *World) announce(id string, h http.Header) {
 	if w.leavingFor(id) > 0 {
 		h.Set(endpoint.LeavingHeader, "1")
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.limits.announce(id, h, time.Now())
 }
 
 // arrived counts new work that reached an instance.
 func (w *World) arrived(id string) {
+	w.mu.Lock()
+	w.limits.checker.Arrived(id, anyInstance, time.Now())
+	w.mu.Unlock()
 	if w.leavingFor(id) <= leavingGrace {
 		return
 	}
