--- /dev/null
+++ b/internal/check/accounts.go
@@ -0,0 +1,70 @@
+package check
+
+import (
+	"fmt"
+	"time"
+)
+
+// quota: what ran for an account stays within its limit.
+func quota(x *index) (out []Violation) {
+	for _, account := range x.Accounts {
+		if account.Rate <= 0 {
+			continue
+		}
+		if v, broken := x.quota(account); broken {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
+func (x *index) quota(account Account) (Violation, bool) {
+	window := x.Bounds.QuotaWindow
+	allowed := (account.Rate*window.Seconds() + account.Burst) * (1 + x.Bounds.QuotaOver)
+	type use struct {
+		at    time.Time
+		units float64
+	}
+	var within []use
+	sum := 0.0
+	seen := make(map[string]bool)
+	for _, r := range x.ordered {
+		a := x.attempts[r.Request]
+		if a == nil || a.Account != account.Name || !r.Ran || seen[r.Request] {
+			continue
+		}
+		seen[r.Request] = true
+		within = append(within, use{r.At, a.Units})
+		sum += a.Units
+		for !within[0].at.After(r.At.Add(-window)) {
+			sum -= within[0].units
+			within = within[1:]
+		}
+		if sum > allowed {
+			return Violation{"QUOTA", r.At, fmt.Sprintf("%s ran %v units in %s, allowed %v", account.Name, sum, window, allowed)}, true
+		}
+	}
+	return Violation{}, false
+}
+
+// one: usage of a window is reported with one set of counts, and fences of a duty only rise.
+func one(x *index) (out []Violation) {
+	counts := make(map[int64]string)
+	holders := make(map[int64]string)
+	highest := int64(0)
+	for _, c := range x.DutyCalls {
+		if old, known := counts[c.Window]; known && old != c.Counts {
+			out = append(out, Violation{"ONE", c.At, fmt.Sprintf("window %d was reported as %s and as %s", c.Window, old, c.Counts)})
+		}
+		counts[c.Window] = c.Counts
+		if old, known := holders[c.Fence]; known && old != c.Holder {
+			out = append(out, Violation{"ONE", c.At, fmt.Sprintf("fence %d was sent by %s and by %s", c.Fence, old, c.Holder)})
+		}
+		holders[c.Fence] = c.Holder
+		if c.Fence < highest && !x.disrupted("", c.At, c.At) && !x.disrupted(c.Holder, c.At, c.At) {
+			out = append(out, Violation{"ONE", c.At, fmt.Sprintf("%s sent fence %d after %d", c.Holder, c.Fence, highest)})
+		}
+		highest = max(highest, c.Fence)
+	}
+	return out
+}
