shelfcrank soak: real instances under overlapping faults, every rule checked

Front instances run as processes on loopback addresses of their own, against a store, a cloud and endpoints in the platform's formats; callers keep their connections until they end. 24 kinds of faults overlap: planned stops, kills, pauses, the store down, slow, turning one away, losing answers, forgetting its history or silent, configurations and keys in quick succession, endpoints that leave (by entry or by answer alone), ask for rest, name rate limits, refuse, fail, hang, lose answers, crash, or end under a request, callers that leave, bursts.

Not there yet: proxies on the links between instances and to endpoints (delay, resets, one direction), sizes beyond a few instances.

--- a/internal/check/endpoints.go
+++ b/internal/check/endpoints.go
@@ -17,7 +17,7 @@
 func drainStore(x *index) (out []Violation) {
 	left := make(map[string]time.Time)
 	for _, l := range x.Leavings {
-		if !x.disrupted("", l.AckedAt, l.AckedAt) {
+		if _, known := left[l.Endpoint]; !known && !x.disrupted("", l.AckedAt, l.AckedAt) {
 			left[l.Endpoint] = l.AckedAt
 		}
 	}
--- /dev/null
+++ b/internal/soak/operator.go
@@ -0,0 +1,228 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/shelfcrank/shelfcrank/internal/check"
+	"github.com/shelfcrank/shelfcrank/internal/policy"
+	"github.com/shelfcrank/shelfcrank/internal/settings"
+	"github.com/shelfcrank/shelfcrank/internal/storetest"
+	"github.com/shelfcrank/shelfcrank/platform/platformtest"
+)
+
+// bounds are what the deployment of a soak asks to be kept to.
+var bounds = settings.Bounds{
+	RevokeMs: 5000, StrictRevoke: true, ConfigMs: 2000, OuterMs: 5000, DrainMs: 2000, GraceS: 8, RetryRatio: 0.2, RetrySlack: 50,
+	RetryWindowS: 10, QuotaOver: 0.1, QuotaWindowS: 8, LeaseMs: 3000, UsageWindowS: 5, UsageLateS: 10,
+}
+
+func checkBounds() check.Bounds {
+	return check.Bounds{
+		Contact: 3 * time.Second, Drain: bounds.Drain(), Revoke: bounds.Revoke(), Config: bounds.Config(), Outer: bounds.Outer(),
+		RollbackOver: 250 * time.Millisecond, Grace: bounds.Grace(), Recover: 12 * time.Second, RetryRatio: bounds.RetryRatio,
+		RetrySlack: bounds.RetrySlack, RetryWindow: bounds.RetryWindow(), QuotaOver: bounds.QuotaOver, QuotaWindow: bounds.QuotaWindow(),
+	}
+}
+
+const (
+	host          = "soak.example"
+	engineService = "engine"
+	plainService  = "plain"
+	keysEach      = 4
+	busyRate      = 10.0 // requests a second of the account that asks for more
+	busyBurst     = 10.0
+)
+
+// class is a kind of request.
+type class struct {
+	route  policy.Route
+	method string
+	weight float64
+}
+
+func route(name string, kind policy.Kind, service string, timeout time.Duration, attempts int, resumable bool) policy.Route {
+	return policy.Route{
+		Name: name, Host: host, Prefix: "/" + name + "/", Kind: kind, Timeout: timeout, Target: time.Second, MaxPause: time.Second,
+		MaxAttempts: attempts, Resumable: resumable, Split: []policy.Share{{Service: service, Weight: 1}},
+	}
+}
+
+var classes = []class{
+	{route("pay", policy.Unsafe, plainService, 1500*time.Millisecond, 1, false), "POST", 3},
+	{route("price", policy.Safe, plainService, 1500*time.Millisecond, 2, false), "GET", 3},
+	{route("chat", policy.Streaming, engineService, 6*time.Second, 2, true), "POST", 3},
+	{route("note", policy.Streaming, engineService, 6*time.Second, 1, false), "POST", 1},
+}
+
+// probe is a route that versions of the configuration add and remove.
+type probe struct {
+	route        policy.Route
+	since, until int64 // versions; until is 0 while the route stands
+}
+
+// key is a key of a client account.
+type key struct {
+	name      string
+	account   string
+	addedAt   time.Time
+	revokedAt time.Time // zero while it holds
+}
+
+// operator writes the configuration.
+type operator struct {
+	store  *storetest.Store
+	record *recorder
+
+	mu      sync.Mutex
+	version int64      // guarded by mu
+	probes  []*probe   // guarded by mu
+	keys    []*key     // guarded by mu
+	added   int        // keys so far; guarded by mu
+	rnd     *rand.Rand // guarded by mu
+}
+
+var accountNames = []string{"north", "south", "busy"}
+
+func newOperator(store *storetest.Store, record *recorder, seed uint64) *operator {
+	o := &operator{store: store, record: record, rnd: rand.New(rand.NewPCG(seed, 101))}
+	for _, account := range accountNames {
+		for range keysEach {
+			o.addKey(account, time.Time{})
+		}
+	}
+	return o
+}
+
+// addKey adds a key. o.mu is held, or o is not shared yet.
+func (o *operator) addKey(account string, at time.Time) {
+	o.added++
+	o.keys = append(o.keys, &key{name: fmt.Sprintf("%s-key-%d", account, o.added), account: account, addedAt: at})
+}
+
+// accounts returns the limits of the client accounts.
+func (o *operator) accounts() []check.Account {
+	return []check.Account{{Name: "busy", Rate: busyRate, Burst: busyBurst}}
+}
+
+const mostProbes = 3
+
+// configure writes a version that adds a route and may remove one.
+func (o *operator) configure() error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.version += 1 + int64(o.rnd.IntN(3))
+	name := fmt.Sprintf("probe-%d", o.version)
+	o.probes = append(o.probes, &probe{route: route(name, policy.Safe, plainService, 1500*time.Millisecond, 2, false), since: o.version})
+	standing := slices.DeleteFunc(slices.Clone(o.probes), func(p *probe) bool { return p.until != 0 })
+	if len(standing) > mostProbes {
+		standing[0].until = o.version
+	}
+	return o.write(nil)
+}
+
+// revoke writes a version that takes a key away and adds another one.
+func (o *operator) revoke(target uint64) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.version++
+	standing := slices.DeleteFunc(slices.Clone(o.keys), func(k *key) bool { return !k.revokedAt.IsZero() })
+	taken := standing[target%uint64(len(standing))]
+	o.addKey(taken.account, time.Now())
+	return o.write(taken)
+}
+
+// write writes the configuration without a key that is taken away now, if any. o.mu is held.
+func (o *operator) write(taken *key) error {
+	c := policy.Config{
+		Version:  o.version,
+		Services: []policy.Service{{Name: plainService}, {Name: engineService, Engine: &policy.Engine{Slots: slots, TokensAnItem: 1}}},
+		Limits:   policy.Limits{IdleTimeout: 15 * time.Second},
+	}
+	for _, class := range classes {
+		c.Routes = append(c.Routes, class.route)
+	}
+	for _, p := range o.probes {
+		if p.until == 0 {
+			c.Routes = append(c.Routes, p.route)
+		}
+	}
+	for _, name := range accountNames {
+		a := policy.Account{Name: name}
+		if name == "busy" {
+			a.Rate, a.Burst = busyRate, busyBurst
+		}
+		for _, k := range o.keys {
+			if k.account == name && k.revokedAt.IsZero() && k != taken {
+				a.Keys = append(a.Keys, k.name)
+			}
+		}
+		c.Accounts = append(c.Accounts, a)
+	}
+	entry, value, err := platformtest.ConfigEntry(c)
+	if err != nil {
+		return err
+	}
+	sent := time.Now()
+	o.store.Put(entry, value)
+	now := time.Now()
+	o.record.config(check.Config{Version: c.Version, SentAt: sent, AckedAt: now})
+	if taken != nil {
+		taken.revokedAt = now
+	}
+	return nil
+}
+
+// keySettles is how long a new key is not used: instances may not know it yet.
+const keySettles = 12 * time.Second
+
+// pickKey draws a key of an account; now and then one that was taken away.
+func (o *operator) pickKey(account string) *key {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	wantRevoked := o.rnd.Float64() < 0.05
+	var fits []*key
+	for _, k := range o.keys {
+		if k.account == account && k.revokedAt.IsZero() != wantRevoked && time.Since(k.addedAt) > keySettles {
+			fits = append(fits, k)
+		}
+	}
+	if len(fits) == 0 {
+		for _, k := range o.keys {
+			if k.account == account && k.revokedAt.IsZero() {
+				return k
+			}
+		}
+	}
+	return fits[o.rnd.IntN(len(fits))]
+}
+
+// pickProbe draws a route that was added; it may be removed by now.
+func (o *operator) pickProbe() (policy.Route, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.probes) == 0 {
+		return policy.Route{}, false
+	}
+	recent := o.probes[max(0, len(o.probes)-mostProbes-2):]
+	return recent[o.rnd.IntN(len(recent))].route, true
+}
+
+// describe fills in what the configuration says of an attempt, once that has ended.
+func (o *operator) describe(a *check.Attempt, k *key) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	a.Account, a.KeyRevoked = k.account, k.revokedAt
+	if !strings.HasPrefix(a.Route, "probe-") {
+		return
+	}
+	for _, p := range o.probes {
+		if p.route.Name == a.Route {
+			a.Since, a.Until = p.since, p.until
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/recorder.go
@@ -0,0 +1,93 @@
+package soak
+
+import (
+	"sync"
+	"time"
+
+	"github.com/shelfcrank/shelfcrank/internal/check"
+)
+
+// recorder collects the history of a run. It is safe for concurrent use.
+type recorder struct {
+	mu      sync.Mutex
+	history check.History // guarded by mu
+}
+
+func (r *recorder) attempt(a check.Attempt) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.history.Attempts = append(r.history.Attempts, a)
+}
+
+// arrive records a request at an endpoint, and returns a number for update.
+func (r *recorder) arrive(a check.Arrival) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.history.Arrivals = append(r.history.Arrivals, a)
+	return len(r.history.Arrivals) - 1
+}
+
+func (r *recorder) update(arrival int, f func(a *check.Arrival)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f(&r.history.Arrivals[arrival])
+}
+
+func (r *recorder) statement(s check.Statement) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.history.Statements = append(r.history.Statements, s)
+}
+
+func (r *recorder) rate(c check.RateChange) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.history.RateChanges = append(r.history.RateChanges, c)
+}
+
+func (r *recorder) config(c check.Config) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.history.Configs = append(r.history.Configs, c)
+}
+
+func (r *recorder) leaving(endpoint string, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.history.Leavings = append(r.history.Leavings, check.Leaving{Endpoint: endpoint, AckedAt: at})
+}
+
+func (r *recorder) dutyCall(c check.DutyCall) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.history.DutyCalls = append(r.history.DutyCalls, c)
+}
+
+func (r *recorder) exit(instance, text string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.history.Exits = append(r.history.Exits, check.Exit{Instance: instance, At: time.Now(), Text: text})
+}
+
+// disrupt records a disruption that begins now, and returns what ends it.
+func (r *recorder) disrupt(instance string, kind Kind, planned bool) (end func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := len(r.history.Disruptions)
+	now := time.Now()
+	r.history.Disruptions = append(r.history.Disruptions, check.Disruption{Instance: instance, Kind: string(kind), Planned: planned, From: now, To: now.Add(time.Hour)})
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.history.Disruptions[n].To = time.Now()
+	}
+}
+
+// finish returns the history of the run.
+func (r *recorder) finish(bounds check.Bounds, accounts []check.Account) *check.History {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h := r.history
+	h.Bounds, h.Accounts, h.EndedAt = bounds, accounts, time.Now()
+	return &h
+}
--- /dev/null
+++ b/internal/soak/run.go
@@ -0,0 +1,224 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/shelfcrank/shelfcrank/internal/check"
+	"github.com/shelfcrank/shelfcrank/internal/storetest"
+)
+
+// Options configure a run.
+type Options struct {
+	Scenario Scenario
+	Seed     uint64
+	Actions  []Action  // faults to play; nil for those that the seed draws
+	Dir      string    // of settings and logs
+	Progress io.Writer // gets a line each few seconds
+}
+
+// Report is what a run came to.
+type Report struct {
+	Seed       uint64            `json:"seed"`
+	Scenario   Scenario          `json:"scenario"`
+	Actions    []Action          `json:"actions"`
+	Seconds    []Second          `json:"seconds"`
+	Attempts   int               `json:"attempts"`
+	Arrivals   int               `json:"arrivals"`
+	Served     int               `json:"served"`
+	Refused    int               `json:"refused"`
+	Failed     int               `json:"failed"`
+	Violations []check.Violation `json:"violations"`
+	Began      time.Time         `json:"began"` // of the traffic
+	Logs       map[string]string `json:"-"`     // file by instance
+}
+
+// run is a run under way.
+type run struct {
+	Options
+	record    *recorder
+	world     *world
+	operator  *operator
+	traffic   *traffic
+	instances []*instance
+	faults    sync.WaitGroup
+}
+
+// Times of a run.
+const (
+	startWait     = 10 * time.Second // for the instances to be ready
+	progressEvery = 5 * time.Second
+)
+
+// Run plays a run to its end, or until ctx ends. Only processes that it started are ended.
+func Run(ctx context.Context, o Options) (*Report, error) {
+	if o.Actions == nil {
+		o.Actions = Schedule(o.Scenario, o.Seed)
+	}
+	r, err := newRun(o)
+	if r != nil {
+		defer r.close()
+	}
+	if err != nil {
+		return nil, err
+	}
+	live, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for _, i := range r.instances {
+		go i.watchReady(live)
+	}
+	if err := r.awaitReady(live); err != nil {
+		return nil, err
+	}
+	r.play(ctx)
+	return r.report(ctx)
+}
+
+func newRun(o Options) (*run, error) {
+	record := &recorder{}
+	r := &run{Options: o, record: record, world: newWorld(record)}
+	for n := range o.Scenario.Instances {
+		r.instances = append(r.instances, newInstance(n, o.Scenario, o.Dir, record))
+	}
+	r.operator = newOperator(r.world.store, record, o.Seed)
+	r.traffic = newTraffic(r.instances, r.operator, record, o.Seed)
+	r.world.sender = r.traffic.sender
+	if err := r.operator.configure(); err != nil {
+		return r, err
+	}
+	for n := range o.Scenario.Engines + o.Scenario.Services {
+		service := engineService
+		if n >= o.Scenario.Engines {
+			service = plainService
+		}
+		if err := r.world.add(service, hallOf(n, o.Scenario)); err != nil {
+			return r, err
+		}
+	}
+	for _, i := range r.instances {
+		if err := r.world.serve(i); err != nil {
+			return r, err
+		}
+	}
+	for _, i := range r.instances {
+		if err := i.start(); err != nil {
+			return r, err
+		}
+	}
+	return r, nil
+}
+
+// close ends all processes and stand-ins.
+func (r *run) close() {
+	var wait sync.WaitGroup
+	for _, i := range r.instances {
+		wait.Go(i.kill)
+	}
+	wait.Wait()
+	r.world.close()
+}
+
+var errNotReady = errors.New("the instances are not ready")
+
+func (r *run) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startWait)
+	defer cancel()
+	for ctx.Err() == nil {
+		ready := 0
+		for _, i := range r.instances {
+			if _, ok := i.process(); ok {
+				ready++
+			}
+		}
+		if ready == len(r.instances) {
+			return nil
+		}
+		sleep(ctx, 50*time.Millisecond)
+	}
+	return errNotReady
+}
+
+// play sends traffic and strikes with faults.
+func (r *run) play(outer context.Context) {
+	ctx, cancel := context.WithTimeout(outer, time.Duration(r.Scenario.Seconds)*time.Second)
+	defer cancel()
+	begin := time.Now()
+	r.faults.Go(func() { r.progress(ctx, begin) })
+	r.faults.Go(func() {
+		for _, a := range r.Actions {
+			sleep(ctx, time.Until(begin.Add(a.At)))
+			if ctx.Err() != nil {
+				return
+			}
+			r.faults.Go(func() { r.strike(ctx, a) })
+		}
+	})
+	r.traffic.run(ctx, outer, r.Scenario.Rate)
+	r.faults.Wait()
+}
+
+func (r *run) progress(ctx context.Context, begin time.Time) {
+	if r.Progress == nil {
+		return
+	}
+	for {
+		sleep(ctx, progressEvery)
+		if ctx.Err() != nil {
+			return
+		}
+		served, refused, failed := sum(r.traffic.totals())
+		fmt.Fprintf(r.Progress, "%4.0f s: %d served, %d refused, %d failed\n", time.Since(begin).Seconds(), served, refused, failed)
+	}
+}
+
+func sum(seconds []Second) (served, refused, failed int) {
+	for _, s := range seconds {
+		served, refused, failed = served+s.Served, refused+s.Refused, failed+s.Failed
+	}
+	return served, refused, failed
+}
+
+// report checks what was recorded.
+func (r *run) report(ctx context.Context) (*Report, error) {
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	out := &Report{Seed: r.Seed, Scenario: r.Scenario, Actions: r.Actions, Seconds: r.traffic.totals(), Began: r.traffic.began, Logs: make(map[string]string)}
+	for _, i := range r.instances {
+		if err := i.brokenInvariants(); err != nil {
+			return nil, err
+		}
+		out.Logs[i.name] = i.logFile()
+	}
+	h := r.record.finish(checkBounds(), r.operator.accounts())
+	out.Served, out.Refused, out.Failed = sum(out.Seconds)
+	out.Attempts, out.Arrivals = len(h.Attempts), len(h.Arrivals)
+	out.Violations = check.Run(h)
+	return out, nil
+}
+
+// TempDir returns a folder for the files of a run, and what removes it.
+func TempDir() (dir string, remove func(), err error) {
+	dir, err = os.MkdirTemp("", "shelfcrank-soak-")
+	if err != nil {
+		return "", nil, fmt.Errorf("folder of the run: %w", err)
+	}
+	return dir, func() { _ = os.RemoveAll(dir) }, nil
+}
+
+// storeLate is how long after a write that is not answered it is done.
+const storeLate = time.Second
+
+// storeFaults are what an instance, or all of them, meets at the store.
+var storeFaults = map[Kind]storetest.Faults{
+	StoreDown:    {Down: true},
+	StoreRefuses: {Busy: true},
+	StoreSlow:    {Slow: 300 * time.Millisecond},
+	StoreLoses:   {LoseNext: 3, Late: storeLate},
+	StoreSilent:  {Silent: true},
+}
