Soak: whole services fail, a late call of a holder is excused for 0.3 s only

Planted faults showed what the soak could not see: repeats outside the budget need a service of which all endpoints fail, and a holder was excused for three seconds after its standstill where the rule says 0.3 s.

--- a/internal/check/accounts.go
+++ b/internal/check/accounts.go
@@ -47,6 +47,19 @@
 	return Violation{}, false
 }
 
+// thaw is how long after its standstill a call of an instance may still arrive.
+const thaw = 300 * time.Millisecond
+
+// thawed reports whether a call may have been on its way while its holder stood still.
+func (x *index) thawed(c DutyCall) bool {
+	for _, d := range x.Disruptions {
+		if d.Instance == c.Holder && d.From.Before(c.At) && c.At.Before(d.To.Add(thaw)) {
+			return true
+		}
+	}
+	return false
+}
+
 // one: usage of a window is reported with one set of counts, and fences of a duty only rise.
 func one(x *index) (out []Violation) {
 	counts := make(map[int64]string)
@@ -61,7 +74,7 @@
 			out = append(out, Violation{"ONE", c.At, fmt.Sprintf("fence %d was sent by %s and by %s", c.Fence, old, c.Holder)})
 		}
 		holders[c.Fence] = c.Holder
-		if c.Fence < highest && !x.disrupted("", c.At, c.At) && !x.disrupted(c.Holder, c.At, c.At) {
+		if c.Fence < highest && !x.thawed(c) {
 			out = append(out, Violation{"ONE", c.At, fmt.Sprintf("%s sent fence %d after %d", c.Holder, c.Fence, highest)})
 		}
 		highest = max(highest, c.Fence)
--- a/internal/check/rules_test.go
+++ b/internal/check/rules_test.go
@@ -293,6 +293,8 @@
 	is.Equal(len(one(newIndex(h))), 1)
 	h.Disruptions = []Disruption{{"n", "pause", false, at(0), at(15)}}
 	is.Equal(len(one(newIndex(h))), 0)
+	h.Disruptions[0].From, h.Disruptions[0].To = at(-1000), at(-281)
+	is.Equal(len(one(newIndex(h))), 1)
 }
 
 // Each rule has a row in docs/proofs.md that names its checker.
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -30,7 +30,7 @@
 	Rest         Kind = "rest"          // an endpoint refuses work and asks for rest
 	Limit        Kind = "limit"         // an endpoint names a rate limit, which changes
 	Refuse       Kind = "refuse"        // an endpoint refuses part of its requests
-	Fail         Kind = "fail"          // an endpoint fails part of its requests
+	Fail         Kind = "fail"          // an endpoint, or all of a service, fail most of their requests
 	Hang         Kind = "hang"          // an endpoint does not answer
 	LoseAnswers  Kind = "lose-answers"  // an endpoint breaks off part of its answers
 	Crash        Kind = "crash"         // an endpoint ends, and another one starts
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -108,7 +108,7 @@
 	case Refuse:
 		during(func(b *behavior) { b.refuse = 0.5 }, func(b *behavior) { b.refuse = 0 })
 	case Fail:
-		during(func(b *behavior) { b.fail = 0.5 }, func(b *behavior) { b.fail = 0 })
+		r.failService(ctx, a, e.service)
 	case Hang:
 		during(func(b *behavior) { b.hang = true }, func(b *behavior) { b.hang = false })
 	case LoseAnswers:
@@ -120,6 +120,21 @@
 	}
 }
 
+// failService makes one or all endpoints of a service fail most of their requests.
+func (r *run) failService(ctx context.Context, a Action, service string) {
+	struck := r.world.of(service)
+	if a.Target/2%2 == 0 {
+		struck = struck[:1]
+	}
+	for _, e := range struck {
+		e.change(func(b *behavior) { b.fail = 0.7 })
+	}
+	sleep(ctx, a.For)
+	for _, e := range struck {
+		e.change(func(b *behavior) { b.fail = 0 })
+	}
+}
+
 // limit makes an endpoint name two rate limits in turn, and none after them.
 func (r *run) limit(ctx context.Context, a Action, e *endpoint) {
 	for n := range uint64(2) {
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/shelfcrank/shelfcrank/internal/check"
 	"github.com/shelfcrank/shelfcrank/internal/duty"
 	"github.com/shelfcrank/shelfcrank/internal/storetest"
@@ -148,6 +150,13 @@
 	return e
 }
 
+// of returns the endpoints of a service that take work.
+func (w *world) of(service string) []*endpoint {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return lo.Filter(w.endpoints, func(e *endpoint, _ int) bool { return e.service == service })
+}
+
 // remove takes an endpoint out of those that take work, and reports whether it was among them.
 func (w *world) remove(e *endpoint) bool {
 	w.mu.Lock()
