--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -89,7 +89,7 @@
 type Client struct {
 	net      netx.Network
 	protocol Protocol
-	notices  *notice.Book
+	notices  *notice.Table
 	limits   *ratelimit.Table
 	clock    *clock.Clock
 
@@ -106,7 +106,7 @@
 type Options struct {
 	Net      netx.Network
 	Protocol Protocol
-	Notices  *notice.Book     // takes what servers say of themselves in their answers
+	Notices  *notice.Table    // takes what servers say of themselves in their answers
 	Limits   *ratelimit.Table // takes the rate limits that they name
 	Clock    *clock.Clock     // may be nil
 }
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -131,7 +131,7 @@
 		a := x.client.protocol.Answer(resp.StatusCode, resp.Header)
 		if !a.Misdirected { // else another server speaks, which has the address now
 			now := x.client.clock.Now()
-			x.client.notices.Hear(x.server, a.Notice, now)
+			x.client.notices.Observe(x.server, a.Notice, now)
 			x.client.limits.Observe(x.server.ID, a.RateLimit, x.sentAt, now)
 		}
 		if a.RequestID != "" && a.RequestID != call.ID {
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -177,7 +177,7 @@
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	tr := NewTracker()
-	tr.Heard("n2", News{Uses: map[string]Use{"s0": {Open: 9, Prompt: 90_000}, "s1": {Open: 9, Prompt: 90_000}}}, now.Add(time.Second), now)
+	tr.Apply("n2", Update{Uses: map[string]Use{"s0": {Open: 9, Prompt: 90_000}, "s1": {Open: 9, Prompt: 90_000}}}, now.Add(time.Second), now)
 	k, _ := tr.Pick(servers(3), prompt("a", 1000, ""), now)
 	is.Equal(k.Server.ID, "s2")
 }
@@ -187,7 +187,7 @@
 	now := time.Unix(1000, 0)
 	tr := NewTracker()
 	for i := range 80 {
-		tr.Heard(fmt.Sprint("n", i), News{Demand: map[string]Demand{"llm": {Busy: 0.5, Held: 0.25}}}, now.Add(6*time.Second), now)
+		tr.Apply(fmt.Sprint("n", i), Update{Demand: map[string]Demand{"llm": {Busy: 0.5, Held: 0.25}}}, now.Add(6*time.Second), now)
 	}
 	is.Equal(tr.FleetDemand("llm", now.Add(5*time.Second)), Demand{40, 20}) // a large fleet exchanges seldom
 	is.Equal(tr.FleetDemand("llm", now.Add(7*time.Second)), Demand{})
@@ -265,7 +265,7 @@
 
 // Many nodes that heard the same seconds ago do not all send to the server that
 // had least to do then.
-func TestOldNewsSendNobodyToTheSamePlainServer(t *testing.T) {
+func TestStaleUpdatesDoNotHerdRequestsToOnePlainServer(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	all := servers(5)
@@ -278,7 +278,7 @@
 		for round := range 200 {
 			uses := map[string]Use{"s1": {Open: 3}, "s2": {Open: 4}, "s3": {Open: 3}, "s4": {Open: 5}}
 			at := now.Add(time.Duration(round) * 2 * time.Second)
-			tr.Heard("n", News{Uses: uses}, at.Add(6*time.Second), at)
+			tr.Apply("n", Update{Uses: uses}, at.Add(6*time.Second), at)
 		}
 		k, _ := tr.Pick(all, &Request{Service: "plain", ID: fmt.Sprint("r", i)}, now.Add(401*time.Second))
 		got[k.Server.ID]++
--- a/internal/balance/lesson.go
+++ b/internal/balance/estimate.go
@@ -2,17 +2,17 @@
 
 import "github.com/shelfcrank/shelfcrank/internal/pace"
 
-// Lesson is what an instance learned of a service's model endpoints.
-type Lesson struct {
+// Estimate is what an instance learned of a service's model endpoints.
+type Estimate struct {
 	Pace pace.Opinion
 	Risk float64 // that streams pause for too long beside a long prompt, 0 to 1
 }
 
-// Lessons are those of all services, by name.
-type Lessons map[string]Lesson
+// Estimates are those of all services, by name.
+type Estimates map[string]Estimate
 
-// lesson is what is learned of a service here, and what all instances make of it.
-type lesson struct {
+// estimator is what is learned of a service here, and what all instances make of it.
+type estimator struct {
 	reading pace.Learner
 	pauses  holdRisk
 	pace    pace.Model // of all instances
@@ -20,7 +20,7 @@
 	adopted bool       // pace and risk come from another tracker of this instance
 }
 
-func newLesson() lesson { return lesson{pauses: newHoldRisk()} }
+func newEstimator() estimator { return estimator{pauses: newHoldRisk()} }
 
 // holdRisk learns how far long prompts have to be kept apart from streams. There
 // are endpoints that read a prompt in pieces so small that no stream is held up,
@@ -78,7 +78,7 @@
 	}
 	risk, nodes := s.pauses.risk(), 1.0
 	for _, r := range t.remotes {
-		if l, told := r.lessons[service]; told {
+		if l, told := r.estimates[service]; told {
 			opinions = append(opinions, l.Pace)
 			risk += l.Risk
 			nodes++
@@ -87,22 +87,22 @@
 	s.pace, s.risk = pace.Agreed(opinions), risk/nodes
 }
 
-// Lessons returns what this instance learned itself, as a hub too.
-func (t *Tracker) Lessons() Lessons {
+// Estimates returns what this instance learned itself, as a hub too.
+func (t *Tracker) Estimates() Estimates {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := make(Lessons)
+	out := make(Estimates)
 	for name, s := range t.services {
 		if s.engine {
 			own := pace.Opinion{Model: s.reading.Model(), Weight: s.reading.Weight()}
-			out[name] = Lesson{pace.Joined(own, t.desk[name].Pace), s.pauses.risk()}
+			out[name] = Estimate{pace.Joined(own, t.desk[name].Pace), s.pauses.risk()}
 		}
 	}
 	return out
 }
 
 // FromDesk takes what this instance learned as a hub, from all that it placed.
-func (t *Tracker) FromDesk(lessons Lessons) {
+func (t *Tracker) FromDesk(lessons Estimates) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.desk = lessons
@@ -113,18 +113,18 @@
 }
 
 // Agreed returns what follows from the lessons of all instances.
-func (t *Tracker) Agreed() Lessons {
+func (t *Tracker) Agreed() Estimates {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := make(Lessons)
+	out := make(Estimates)
 	for name, s := range t.services {
-		out[name] = Lesson{pace.Opinion{Model: s.pace, Weight: 1}, s.risk}
+		out[name] = Estimate{pace.Opinion{Model: s.pace, Weight: 1}, s.risk}
 	}
 	return out
 }
 
 // Adopt makes this tracker go by what another tracker of the same instance learned.
-func (t *Tracker) Adopt(lessons Lessons) {
+func (t *Tracker) Adopt(lessons Estimates) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for name, l := range lessons {
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -10,10 +10,10 @@
 
 // What is believed of a service.
 const (
-	firstWork     = 50 * time.Millisecond // of a request of a plain service, until some were seen
-	serviceWeight = 0.05                  // of the newest such time
-	newsWeight    = 0.02                  // of the newest time between two news
-	aloneShare    = 0.25                  // of its own tokens that a request may find queued, to tell how fast a server reads
+	firstWork      = 50 * time.Millisecond // of a request of a plain service, until some were seen
+	serviceWeight  = 0.05                  // of the newest such time
+	intervalWeight = 0.02                  // of the newest time between two news
+	aloneShare     = 0.25                  // of its own tokens that a request may find queued, to tell how fast a server reads
 )
 
 // Use is how much of a server one node has on the way.
@@ -29,7 +29,7 @@
 }
 
 type serviceState struct {
-	lesson
+	estimator
 	engine bool       // it has model servers
 	work   float64    // nanoseconds
 	asked  decay.Rate // nanoseconds of work asked for in a second
@@ -52,30 +52,30 @@
 const demandOver = 3 * time.Second
 
 type remote struct {
-	uses    map[string]Use
-	demand  map[string]Demand // by service
-	lessons Lessons
-	at      time.Time // when it was told
-	until   time.Time // when it counts no more
+	uses      map[string]Use
+	demand    map[string]Demand // by service
+	estimates Estimates
+	at        time.Time // when it was told
+	until     time.Time // when it counts no more
 }
 
 // Tracker holds the beliefs about all servers.
 type Tracker struct {
-	mu        sync.Mutex
-	servers   map[string]*serverState  // by server id; guarded by mu
-	services  map[string]*serviceState // by name; guarded by mu
-	remotes   map[string]remote        // by node; guarded by mu
-	told      chan struct{}            // has room for one
-	desk      Lessons                  // of the tracker that this node places requests by as a hub; guarded by mu
-	sums      map[string]Use           // of the remotes, by server id; guarded by mu
-	newsEvery float64                  // nanoseconds between two news of a node, on the mean; guarded by mu
+	mu             sync.Mutex
+	servers        map[string]*serverState  // by server id; guarded by mu
+	services       map[string]*serviceState // by name; guarded by mu
+	remotes        map[string]remote        // by node; guarded by mu
+	longPrompts    chan struct{}            // has room for one
+	desk           Estimates                // of the tracker that this node places requests by as a hub; guarded by mu
+	sums           map[string]Use           // of the remotes, by server id; guarded by mu
+	updateInterval float64                  // nanoseconds between two news of a node, on the mean; guarded by mu
 }
 
 // NewTracker returns a tracker that believes nothing yet.
 func NewTracker() *Tracker {
 	return &Tracker{
 		servers: make(map[string]*serverState), services: make(map[string]*serviceState),
-		remotes: make(map[string]remote), sums: make(map[string]Use), told: make(chan struct{}, 1),
+		remotes: make(map[string]remote), sums: make(map[string]Use), longPrompts: make(chan struct{}, 1),
 	}
 }
 
@@ -131,21 +131,21 @@
 		st.longAt = now.Add(service.pace.Reading(uncached))
 	}
 	service.asked.Add(k.work(), demandOver, now)
-	if uncached >= tellFrom {
+	if uncached >= broadcastFrom {
 		select {
-		case t.told <- struct{}{}:
+		case t.longPrompts <- struct{}{}:
 		default:
 		}
 	}
 	return k
 }
 
-// tellFrom is the number of prompt tokens from which the other nodes hear of a
+// broadcastFrom is the number of prompt tokens from which the other nodes hear of a
 // request at once.
-const tellFrom = 3000
+const broadcastFrom = 3000
 
-// Told is sent on when the other nodes should hear of the uses at once.
-func (t *Tracker) Told() <-chan struct{} { return t.told }
+// LongPrompts is sent on when the other nodes should hear of the uses at once.
+func (t *Tracker) LongPrompts() <-chan struct{} { return t.longPrompts }
 
 // Demand returns, by service, what this node was asked for.
 func (t *Tracker) Demand(now time.Time) map[string]Demand {
@@ -191,7 +191,7 @@
 	if service.engine {
 		return float64(told)
 	}
-	return float64(told) * service.work / (service.work + t.newsEvery/2)
+	return float64(told) * service.work / (service.work + t.updateInterval/2)
 }
 
 func (t *Tracker) server(id string) *serverState {
@@ -206,33 +206,33 @@
 func (t *Tracker) service(name string) *serviceState {
 	s := t.services[name]
 	if s == nil {
-		s = &serviceState{work: float64(firstWork), lesson: newLesson()}
+		s = &serviceState{work: float64(firstWork), estimator: newEstimator()}
 		t.services[name] = s
 		t.agree(name)
 	}
 	return s
 }
 
-// News is what another node tells. Brief news leave all but the uses as it was.
-type News struct {
-	Uses    map[string]Use
-	Demand  map[string]Demand // by service
-	Lessons Lessons
-	Brief   bool
+// Update is what another node tells. Brief news leave all but the uses as it was.
+type Update struct {
+	Uses      map[string]Use
+	Demand    map[string]Demand // by service
+	Estimates Estimates
+	Brief     bool
 }
 
-// Heard takes another node's news, which count until the node is heard of again
+// Apply takes another node's news, which count until the node is heard of again
 // or until a deadline.
-func (t *Tracker) Heard(node string, news News, until, now time.Time) {
+func (t *Tracker) Apply(node string, news Update, until, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if news.Brief {
-		news.Demand, news.Lessons = t.remotes[node].demand, t.remotes[node].lessons
+		news.Demand, news.Estimates = t.remotes[node].demand, t.remotes[node].estimates
 	}
 	if last, known := t.remotes[node]; known {
-		t.newsEvery += newsWeight * (float64(now.Sub(last.at)) - t.newsEvery)
+		t.updateInterval += intervalWeight * (float64(now.Sub(last.at)) - t.updateInterval)
 	}
-	t.remotes[node] = remote{news.Uses, news.Demand, news.Lessons, now, until}
+	t.remotes[node] = remote{news.Uses, news.Demand, news.Estimates, now, until}
 	clear(t.sums)
 	for name, r := range t.remotes {
 		if now.After(r.until) {
--- a/internal/clock/wake.go
+++ b/internal/clock/wake.go
@@ -14,8 +14,8 @@
 	noticeable = 400 * time.Millisecond
 )
 
-// Waking is the end of a standstill: the process was stopped, or its machine suspended.
-type Waking struct {
+// Resumption is the end of a standstill: the process was stopped, or its machine suspended.
+type Resumption struct {
 	Stood     time.Duration
 	Suspended time.Duration // the part of it that the steady clock did not count
 	Ended     int           // contexts whose deadlines passed meanwhile
@@ -38,23 +38,23 @@
 
 // Look reports whether the process has stood still since the last look. If so the contexts whose
 // deadlines have passed are ended by now. A nil watcher sees nothing.
-func (w *Watcher) Look() (Waking, bool) {
+func (w *Watcher) Look() (Resumption, bool) {
 	if w == nil {
-		return Waking{}, false
+		return Resumption{}, false
 	}
 	c := w.clock
 	now, suspended := c.Now(), c.suspended()
-	waking := Waking{Stood: now.Sub(w.at) - LookEvery, Suspended: suspended - w.suspended}
+	waking := Resumption{Stood: now.Sub(w.at) - LookEvery, Suspended: suspended - w.suspended}
 	w.at, w.suspended = now, suspended
 	if waking.Stood < noticeable {
-		return Waking{}, false
+		return Resumption{}, false
 	}
 	waking.Ended = c.endPassed()
 	return waking, true
 }
 
 // Run looks for standstills until ctx ends, and tells of each.
-func (c *Clock) Run(ctx context.Context, woken func(Waking)) error {
+func (c *Clock) Run(ctx context.Context, woken func(Resumption)) error {
 	w := c.Watch()
 	for c.Sleep(ctx, LookEvery) {
 		if waking, ok := w.Look(); ok {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -26,12 +26,12 @@
 
 // Loop is the control goroutine and its mailbox.
 type Loop struct {
-	events  chan Event
-	snap    atomic.Pointer[Snapshot]
-	state   *State // owned by control
-	clock   *clock.Clock
-	news    atomic.Pointer[[]platform.Notice]
-	aliveAt atomic.Int64 // Unix nanoseconds of the last answered probe
+	events        chan Event
+	snap          atomic.Pointer[Snapshot]
+	state         *State // owned by control
+	clock         *clock.Clock
+	recentLeaving atomic.Pointer[[]platform.Notice]
+	aliveAt       atomic.Int64 // Unix nanoseconds of the last answered probe
 
 	mu      sync.Mutex
 	pending []Effect      // guarded by mu
@@ -42,7 +42,7 @@
 func New(self member.Member, c *clock.Clock) *Loop {
 	l := &Loop{clock: c, events: make(chan Event, eventQueue), state: NewState(self), wake: make(chan struct{}, 1)}
 	l.publish()
-	l.news.Store(&[]platform.Notice{})
+	l.recentLeaving.Store(&[]platform.Notice{})
 	l.aliveAt.Store(l.clock.Now().UnixNano())
 	return l
 }
@@ -50,8 +50,8 @@
 // Snapshot returns the newest published state.
 func (l *Loop) Snapshot() *Snapshot { return l.snap.Load() }
 
-// News returns the endpoints that began to leave of late.
-func (l *Loop) News() []platform.Notice { return *l.news.Load() }
+// RecentLeaving returns the endpoints that began to leave of late.
+func (l *Loop) RecentLeaving() []platform.Notice { return *l.recentLeaving.Load() }
 
 // Send hands an event to the control goroutine. It waits while the mailbox is
 // full and gives up when ctx ends.
@@ -103,7 +103,7 @@
 	l.publish()
 	if _, ok := e.(tick); ok {
 		news := l.state.recentLeaving(now)
-		l.news.Store(&news)
+		l.recentLeaving.Store(&news)
 	}
 	l.queue(effects)
 }
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -48,7 +48,7 @@
 			})
 		}()
 		for i := range 5 {
-			l.Send(ctx, Heard{Members: []member.Member{{ID: string(rune('a'+i)) + "#1", Name: string(rune('a' + i))}}})
+			l.Send(ctx, HeartbeatReceived{Members: []member.Member{{ID: string(rune('a'+i)) + "#1", Name: string(rune('a' + i))}}})
 		}
 		time.Sleep(100 * time.Millisecond)
 		is.Equal(len(l.Snapshot().Members), 5)
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -29,8 +29,8 @@
 // NoticesRead brings reclaim notices.
 type NoticesRead struct{ Notices []platform.Notice }
 
-// Heard brings news of entry instances and what their sender knows.
-type Heard struct {
+// HeartbeatReceived brings news of entry instances and what their sender knows.
+type HeartbeatReceived struct {
 	Members []member.Member
 	Leaving []platform.Notice
 	From    string
@@ -52,16 +52,16 @@
 // status asks for the members as they are right now.
 type status struct{ reply chan []member.Member }
 
-func (TableRead) event()   {}
-func (ViewRead) event()    {}
-func (ListRead) event()    {}
-func (NoticesRead) event() {}
-func (Heard) event()       {}
-func (Refused) event()     {}
-func (Leave) event()       {}
-func (tick) event()        {}
-func (probe) event()       {}
-func (status) event()      {}
+func (TableRead) event()         {}
+func (ViewRead) event()          {}
+func (ListRead) event()          {}
+func (NoticesRead) event()       {}
+func (HeartbeatReceived) event() {}
+func (Refused) event()           {}
+func (Leave) event()             {}
+func (tick) event()              {}
+func (probe) event()             {}
+func (status) event()            {}
 
 // Effect is something that the rest of the process has to act on.
 type Effect interface{ effect() }
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -91,8 +91,8 @@
 		s.listRead(e, now)
 	case NoticesRead:
 		s.notices(e.Notices, now)
-	case Heard:
-		s.heard(e, now)
+	case HeartbeatReceived:
+		s.applyHeartbeat(e, now)
 	case Refused:
 		s.leave(e.Endpoint.ID, e.Endpoint.Incarnation, time.Time{}, now)
 	case Leave:
@@ -138,10 +138,10 @@
 	s.emit(SelfLeaving(e))
 }
 
-func (s *State) heard(e Heard, now time.Time) {
+func (s *State) applyHeartbeat(e HeartbeatReceived, now time.Time) {
 	s.members.SetSelf(s.snap.Self)
 	for _, m := range e.Members {
-		if c, changed := s.members.Heard(m, now); changed {
+		if c, changed := s.members.Apply(m, now); changed {
 			s.memberChanged(c)
 		}
 	}
@@ -289,14 +289,14 @@
 	s.emit(EndpointGone{Endpoint: k.endpoint})
 }
 
-// newsAge is how long a leaving endpoint is told to peers.
-const newsAge = 15 * time.Second
+// recentAge is how long a leaving endpoint is told to peers.
+const recentAge = 15 * time.Second
 
 // recentLeaving returns the endpoints that began to leave of late.
 func (s *State) recentLeaving(now time.Time) []platform.Notice {
 	var out []platform.Notice
 	for inc, l := range s.leaving {
-		if now.Sub(l.at) < newsAge {
+		if now.Sub(l.at) < recentAge {
 			out = append(out, platform.Notice{ID: inc.id, Incarnation: inc.num, Deadline: l.deadline})
 		}
 	}
--- a/internal/control/state_test.go
+++ b/internal/control/state_test.go
@@ -34,10 +34,10 @@
 	is.Equal(s.snap.Models["m"].Size, 1) // another life under the same name
 }
 
-func TestNewsOfAnUnknownEndpointIsKept(t *testing.T) {
+func TestAnUpdateOfAnUnknownEndpointIsKept(t *testing.T) {
 	is := is.New(t)
 	s := NewState(member.Member{ID: "n#1", Name: "n"})
-	s.Apply(Heard{Leaving: []platform.Notice{{ID: "e", Incarnation: 1, Deadline: t0.Add(time.Minute)}}}, t0)
+	s.Apply(HeartbeatReceived{Leaving: []platform.Notice{{ID: "e", Incarnation: 1, Deadline: t0.Add(time.Minute)}}}, t0)
 	s.Apply(ListRead{Instances: []platform.Instance{engine("e", 1)}}, t0.Add(time.Second))
 	is.True(s.snap.Models["m"] == nil || s.snap.Models["m"].Size == 0)
 }
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -48,8 +48,8 @@
 	RateLimit ratelimit.Limit
 }
 
-// Hear takes what an endpoint said of itself in an answer, whatever the answer was.
-type Hear func(s Statement)
+// Observe takes what an endpoint said of itself in an answer, whatever the answer was.
+type Observe func(s Statement)
 
 // Client calls endpoints over HTTP.
 type Client struct {
@@ -107,7 +107,7 @@
 }
 
 // Generate starts a request at an engine. Ending ctx cancels it.
-func (c *Client) Generate(ctx context.Context, addr netip.AddrPort, g *Generate, hear Hear) (*Stream, error) {
+func (c *Client) Generate(ctx context.Context, addr netip.AddrPort, g *Generate, hear Observe) (*Stream, error) {
 	resp, err := c.post(ctx, addr, "/v1/generate", g, hear)
 	if err != nil {
 		return nil, err
@@ -118,7 +118,7 @@
 }
 
 // Import asks the engine at addr to fetch a KV cache.
-func (c *Client) Import(ctx context.Context, addr netip.AddrPort, m Import, hear Hear) (Export, error) {
+func (c *Client) Import(ctx context.Context, addr netip.AddrPort, m Import, hear Observe) (Export, error) {
 	var x Export
 	resp, err := c.post(ctx, addr, "/v1/kv/import", m, hear)
 	if err != nil {
@@ -131,7 +131,7 @@
 	return x, nil
 }
 
-func (c *Client) post(ctx context.Context, addr netip.AddrPort, path string, v any, hear Hear) (*http.Response, error) {
+func (c *Client) post(ctx context.Context, addr netip.AddrPort, path string, v any, hear Observe) (*http.Response, error) {
 	b, err := json.Marshal(v)
 	if err != nil {
 		return nil, fault.New(fault.StepDispatch, addr.String(), fault.KindInternal, fault.NotRun, "encode: %w", err)
@@ -149,7 +149,7 @@
 // Call makes one call to a plain service. key is handed on as Idempotency-Key.
 // It is never repeated here: not by the transport either, since a POST whose
 // body was sent is not sent again.
-func (c *Client) Call(ctx context.Context, addr netip.AddrPort, path, contentType, key string, body []byte, hear Hear) (ServiceAnswer, error) {
+func (c *Client) Call(ctx context.Context, addr netip.AddrPort, path, contentType, key string, body []byte, hear Observe) (ServiceAnswer, error) {
 	var a ServiceAnswer
 	resp, err := c.send(ctx, addr, "/"+path, contentType, body, key, hear)
 	if err != nil {
@@ -164,7 +164,7 @@
 	return a, nil
 }
 
-func (c *Client) send(ctx context.Context, addr netip.AddrPort, path, contentType string, body []byte, key string, hear Hear) (*http.Response, error) {
+func (c *Client) send(ctx context.Context, addr netip.AddrPort, path, contentType string, body []byte, key string, hear Observe) (*http.Response, error) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, "http://"+addr.String()+path, bytes.NewReader(body))
@@ -232,7 +232,7 @@
 }
 
 // Report reads an endpoint's load and its cache events from number since on.
-func (c *Client) Report(ctx context.Context, addr netip.AddrPort, since int, hear Hear) (Report, error) {
+func (c *Client) Report(ctx context.Context, addr netip.AddrPort, since int, hear Observe) (Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	var r Report
--- a/internal/endpoint/client_test.go
+++ b/internal/endpoint/client_test.go
@@ -23,7 +23,7 @@
 
 // What an endpoint says of itself is heard in each of its answers, whatever the answer is,
 // those to questions for its load included.
-func TestAnEndpointsWordIsHeard(t *testing.T) {
+func TestStatementsOfEndpointsAreObserved(t *testing.T) {
 	for _, test := range []struct {
 		status     int
 		leaving    string
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -288,7 +288,7 @@
 		child{"reports", i.readReports},
 	))
 	root.Add(group("requests",
-		child{"news", i.relay.PushNews},
+		child{"news", i.relay.PushUpdates},
 		child{"expiry", i.relay.Expire},
 		child{"claims", i.relay.PullClaims},
 	))
@@ -306,8 +306,8 @@
 	if err := c.Err(); err != nil {
 		i.event(event.ClockStandsStill, zap.Error(err))
 	}
-	return c.Run(ctx, func(w clock.Waking) {
-		i.event(event.Woken, zap.Duration("stood", w.Stood), zap.Duration("suspended", w.Suspended), zap.Int("ended", w.Ended))
+	return c.Run(ctx, func(w clock.Resumption) {
+		i.event(event.Resumed, zap.Duration("stood", w.Stood), zap.Duration("suspended", w.Suspended), zap.Int("ended", w.Ended))
 	})
 }
 
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -74,7 +74,7 @@
 	known := make(map[netip.AddrPort]bool)
 	for _, m := range s.Members {
 		known[m.Addr] = true
-		l.Heard(m, now)
+		l.Apply(m, now)
 	}
 	var out []netip.AddrPort
 	for _, m := range l.Neighbours() {
@@ -100,7 +100,7 @@
 	if err != nil || a.GetHeartbeat() == nil {
 		return
 	}
-	i.heard(ctx, a.GetHeartbeat())
+	i.applyHeartbeat(ctx, a.GetHeartbeat())
 }
 
 func (i *Instance) makeHeartbeat() *peerpb.Heartbeat {
@@ -114,7 +114,7 @@
 			h.Members = append(h.Members, wireMember(m))
 		}
 	}
-	for _, n := range i.loop.News() {
+	for _, n := range i.loop.RecentLeaving() {
 		h.Leaving = append(h.Leaving, &peerpb.Leaving{Endpoint: n.ID, Incarnation: n.Incarnation, Deadline: peer.Nanos(n.Deadline)})
 	}
 	for _, u := range i.gateway.Usage(i.opts.Clock.Now()) {
@@ -127,12 +127,12 @@
 	return h
 }
 
-// heard takes a heartbeat and catches up with a sender that is ahead.
-func (i *Instance) heard(ctx context.Context, h *peerpb.Heartbeat) {
+// applyHeartbeat takes a heartbeat and catches up with a sender that is ahead.
+func (i *Instance) applyHeartbeat(ctx context.Context, h *peerpb.Heartbeat) {
 	if h.Self == nil {
 		return
 	}
-	e := control.Heard{From: h.Self.Id, Members: []member.Member{fromWire(h.Self)}, Usage: []admit.Usage{}}
+	e := control.HeartbeatReceived{From: h.Self.Id, Members: []member.Member{fromWire(h.Self)}, Usage: []admit.Usage{}}
 	for _, m := range h.Members {
 		e.Members = append(e.Members, fromWire(m))
 	}
@@ -171,7 +171,7 @@
 func (i *Instance) Handle(ctx context.Context, call *peerpb.Call, answer func(*peerpb.Answer) error) error {
 	switch b := call.Body.(type) {
 	case *peerpb.Call_Heartbeat:
-		i.heard(ctx, b.Heartbeat)
+		i.applyHeartbeat(ctx, b.Heartbeat)
 		return answer(&peerpb.Answer{Body: &peerpb.Answer_Heartbeat{Heartbeat: i.makeHeartbeat()}})
 	case *peerpb.Call_FetchTable:
 		return answer(&peerpb.Answer{Body: &peerpb.Answer_Table{Table: i.ownTable()}})
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -62,7 +62,7 @@
 
 func (i *Instance) readReport(ctx context.Context, e *route.Endpoint, p *poll) {
 	mark, at := e.Mark(), i.opts.Clock.Now()
-	rep, err := i.endpoints.Report(ctx, e.Addr, p.since, i.relay.Hear(e))
+	rep, err := i.endpoints.Report(ctx, e.Addr, p.since, i.relay.Observer(e))
 	if err != nil {
 		return // an old report makes the endpoint suspect
 	}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -21,7 +21,7 @@
 	Stopped           Code = 103
 	ChildRestarted    Code = 104
 	ControlWedged     Code = 105
-	Woken             Code = 106
+	Resumed           Code = 106
 	ClockStandsStill  Code = 107
 	TableInForce      Code = 201
 	TableStale        Code = 202
@@ -108,7 +108,7 @@
 	{Stopped, zap.InfoLevel, "entry instance stopped", "All records were finished or handed over, or the deadline passed; left says how many were not."},
 	{ChildRestarted, zap.WarnLevel, "child restarted", "The supervisor restarted a part that failed. Repeated often it is a defect: report it."},
 	{ControlWedged, zap.ErrorLevel, "control loop wedged", "The control goroutine did not answer the watchdog; /readyz fails until it does."},
-	{Woken, zap.WarnLevel, "instance stood still", "The process was stopped or its machine suspended, for as long as stood tells, and goes on. suspended is the part of it that the steady clock did not count, ended tells how many requests and calls were ended whose time had passed meanwhile, config_age how old the configuration in hand is; what is older than allowed is not used until it is heard anew."},
+	{Resumed, zap.WarnLevel, "instance stood still", "The process was stopped or its machine suspended, for as long as stood tells, and goes on. suspended is the part of it that the steady clock did not count, ended tells how many requests and calls were ended whose time had passed meanwhile, config_age how old the configuration in hand is; what is older than allowed is not used until it is heard anew."},
 	{ClockStandsStill, zap.WarnLevel, "clock does not count suspensions", "This system cannot tell its boot time: while the machine is suspended, deadlines and leases seem to stand still."},
 	{TableInForce, zap.InfoLevel, "table revision in force", "This instance now decides by the revision."},
 	{TableStale, zap.WarnLevel, "older table revision ignored", "The store or a peer offered a revision below the one in force. If the store does so for long, it was restored from a copy."},
--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -27,13 +27,13 @@
 	quota     *quota.Limiter           // guarded by mu
 	budgets   map[string]*retry.Budget // by service; guarded by mu
 	usage     *usage.Counter           // guarded by mu
-	book      *book                    // counts of the groups of a large fleet; guarded by mu
+	counters  *counters                // counts of the groups of a large fleet; guarded by mu
 }
 
 func newAdmission(n *Node) *admission {
 	b := n.Settings.Bounds
 	return &admission{
-		node: n, rand: rand.New(rand.NewPCG(n.Seed, seedAdmission)), quota: quota.New(n.start), budgets: make(map[string]*retry.Budget), usage: usage.New(), book: newBook(),
+		node: n, rand: rand.New(rand.NewPCG(n.Seed, seedAdmission)), quota: quota.New(n.start), budgets: make(map[string]*retry.Budget), usage: usage.New(), counters: newCounters(),
 		limits: quota.Terms{Over: b.QuotaOver, Slack: b.QuotaSlack, Window: b.QuotaWindow()},
 		terms:  retry.Terms{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow()},
 	}
@@ -158,7 +158,7 @@
 	})
 	a.quota.Tick(now)
 	a.usage.Expire(w)
-	a.book.expire(w)
+	a.counters.expire(w)
 }
 
 // groupGone is how long after its last word a group is taken to be gone: its hub
@@ -169,11 +169,11 @@
 // grouped reports whether the fleet is so large that counts are told by groups.
 func (n *Node) grouped() bool { return len(n.state.members.topology().Hubs) > 0 }
 
-// woke takes note that this node stood still for long.
-func (a *admission) woke(now time.Time) {
+// resume takes note that this node stood still for long.
+func (a *admission) resume(now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.quota.Woke(a.limitsNow(), now)
+	a.quota.Resume(a.limitsNow(), now)
 }
 
 func (a *admission) forget(node string) {
@@ -191,9 +191,9 @@
 		return a.usage
 	}
 	if n.state.members.topology().Self {
-		a.book.usage.Heard(groupOf(n.Settings.Name), n.incarnation(), windowsOf(n.groupRuns()))
+		a.counters.usage.Apply(groupOf(n.Settings.Name), n.incarnation(), windowsOf(n.groupRuns()))
 	}
-	return a.book.usage
+	return a.counters.usage
 }
 
 // sum returns the counts of a window over all nodes.
@@ -218,5 +218,5 @@
 	name, run := a.node.Settings.Name, a.node.incarnation()
 	groups, nodes := lo.FilterReject(records, func(r usage.Record, _ int) bool { return isGroup(r.Node) })
 	a.usage.Recall(nodes, name, run)
-	a.book.usage.Recall(groups, groupOf(name), run)
+	a.counters.usage.Recall(groups, groupOf(name), run)
 }
--- a/internal/front/calls.go
+++ b/internal/front/calls.go
@@ -19,7 +19,7 @@
 	case *peerpb.Call_Place:
 		return n.placer.serve(call, answer)
 	case *peerpb.Call_Suspects:
-		n.suspects.hear(body.Suspects.GetSuspects())
+		n.suspects.apply(body.Suspects.GetSuspects())
 		return answer(&peerpb.Answer{Body: &peerpb.Answer_Done{Done: &peerpb.Done{}}})
 	case *peerpb.Call_Permit:
 		return n.suspects.servePermit(call, answer)
--- a/internal/front/deadlyagain_test.go
+++ b/internal/front/deadlyagain_test.go
@@ -93,20 +93,20 @@
 
 // An instance that is heard of before its registration is known here is told of all suspects
 // once it is.
-func TestAnInstanceIsOwedSuspectsUntilItIsListed(t *testing.T) {
+func TestSuspectsArePendingForAnInstanceUntilItIsListed(t *testing.T) {
 	play(t, 4, func(is *is.I, w *world) {
 		time.Sleep(4 * time.Second)
 		w.askDeadly("/safe/deadly", "d", 4*time.Second, namesOf(w)...)
 		s := w.nodes["n0"].node.suspects
 		now := s.node.Clock.Now()
 		s.met("unlisted", 7)
-		is.True(s.owes("unlisted", 7, now.Add(2*briefEach)))
+		is.True(s.needsSync("unlisted", 7, now.Add(2*syncInterval)))
 		started := w.nodes["n1"].node.incarnation() // n1 itself may be met at the same moment
 		s.mu.Lock()
-		s.peers["n1"] = &briefed{incarnation: started, owed: true}
+		s.peers["n1"] = &syncState{incarnation: started, pending: true}
 		s.mu.Unlock()
 		s.met("n1", started)
-		is.True(!s.owes("n1", started, now.Add(2*briefEach)))
+		is.True(!s.needsSync("n1", started, now.Add(2*syncInterval)))
 		time.Sleep(time.Second)
 	}, manyServers)
 }
--- a/internal/front/digest.go
+++ b/internal/front/digest.go
@@ -27,14 +27,14 @@
 		return fault.New(fault.StepPeer, call.From, fault.KindNotFound, fault.NotRun, "this instance is no hub")
 	}
 	q, now := call.GetReport(), n.Clock.Now()
-	n.state.members.heard(call.From, now)
-	n.hearInstances(call.From, q.Share.Instances, now)
+	n.state.members.seen(call.From, now)
+	n.applyInstances(call.From, q.Share.Instances, now)
 	n.suspects.met(call.From, q.Share.Incarnation)
-	n.heardClock(call.From, q.Share.Wall, now)
+	n.applyClock(call.From, q.Share.Wall, now)
 	report := reportOf(q.Share, now)
 	n.groups.reported(call.From, report)
 	n.limits.Apply(report.limits, now)
-	n.heardPermits(q.Share.Rollouts, now)
+	n.applyPermits(q.Share.Rollouts, now)
 	// Counts that an earlier run of this hub was told are known to the other hubs.
 	counted := q.HubIncarnation == n.incarnation()
 	if counted {
@@ -52,15 +52,15 @@
 	a := n.admission
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.book.unitsIn.Take(from, admitted)
-	a.book.runsIn.Take(from, runs)
+	a.counters.unitsIn.Take(from, admitted)
+	a.counters.runsIn.Take(from, runs)
 }
 
 // reportOf reads what a report tells of what an instance is doing.
 func reportOf(s *peerpb.Share, now time.Time) reported {
-	news := newsOf(s)
+	news := updateOf(s)
 	r := reported{uses: news.Uses, demand: news.Demand, risk: make(map[string]float64), rollouts: rolloutStates(s.Rollouts), limits: wire.Decode(s.Limits), at: now}
-	for name, l := range news.Lessons {
+	for name, l := range news.Estimates {
 		r.risk[name] = l.Risk
 	}
 	return r
@@ -68,9 +68,9 @@
 
 // digest is what an instance has to know of all the others.
 func (n *Node) digest(to string, windows bool, now time.Time) *peerpb.Digest {
-	d := &peerpb.Digest{Incarnation: n.incarnation(), Seasoned: now.Sub(n.start) > quota.Season, ServersAt: n.news.Newest()}
+	d := &peerpb.Digest{Incarnation: n.incarnation(), Seasoned: now.Sub(n.start) > quota.Season, ServersAt: n.watchProgress.Newest()}
 	reports, others := n.groups.own(now), n.groups.known(now)
-	d.Instances = n.tellInstances(now)
+	d.Instances = n.advertisedInstances(now)
 	for _, other := range others {
 		d.Instances = append(d.Instances, passOn(other.share.Instances, now.Sub(other.at))...)
 	}
@@ -81,10 +81,10 @@
 	}
 	d.Limits = wire.Encode(ratelimit.Newest(limits))
 	n.digestCounts(d, others, len(reports), windows, now)
-	sum := n.groupNews(reports, to, now)
+	sum := n.groupUpdate(reports, to, now)
 	for _, other := range others {
-		addUses(sum.Uses, other.news.Uses)
-		addDemand(sum.Demand, other.news.Demand)
+		addUses(sum.Uses, other.update.Uses)
+		addDemand(sum.Demand, other.update.Demand)
 	}
 	d.Servers = useShares(sum.Uses)
 	for name, l := range n.tracker.Agreed() {
@@ -95,7 +95,7 @@
 }
 
 // digestCounts puts the counts of all groups into a digest.
-func (n *Node) digestCounts(d *peerpb.Digest, others map[string]heardGroup, reporters int, windows bool, now time.Time) {
+func (n *Node) digestCounts(d *peerpb.Digest, others map[string]peerGroup, reporters int, windows bool, now time.Time) {
 	a := n.admission
 	a.mu.Lock()
 	units := n.groupUnits()
@@ -166,28 +166,28 @@
 // takeDigest takes what a hub tells of all others, after it confirmed this instance's
 // own counts.
 func (n *Node) takeDigest(hub tally.Source, units unitCounts, runs runCounts, d *peerpb.Digest, now time.Time) {
-	n.state.members.heard(hub.Instance, now)
-	n.hearInstances(hub.Instance, d.Instances, now)
+	n.state.members.seen(hub.Instance, now)
+	n.applyInstances(hub.Instance, d.Instances, now)
 	n.suspects.met(hub.Instance, hub.Incarnation)
 	if n.reading.Load() {
-		n.heardNews(hub.Instance, d.ServersAt, now)
+		n.applyServersAt(hub.Instance, d.ServersAt, now)
 	}
 	for _, g := range d.Groups {
-		n.state.members.heard(g.Hub, now) // the hub heard of it just now, the store may have lost it
-		n.heardClock(g.Hub, g.Wall, now)
+		n.state.members.seen(g.Hub, now) // the hub heard of it just now, the store may have lost it
+		n.applyClock(g.Hub, g.Wall, now)
 	}
 	n.limits.Apply(wire.Decode(d.Limits), now)
-	n.heardPermits(d.Rollouts, now)
-	n.rollouts.Heard(rollctl.ByHubs, tally.Source{Instance: digestNode}, rolloutCounts(d.Rollouts.GetCounts()))
-	n.rollouts.HeardStates(digestNode, rolloutStates(d.Rollouts), now)
-	demand, lessons := serviceNews(d.Services)
-	news := balance.News{Uses: usesOf(d.Servers), Demand: demand, Lessons: lessons}
-	n.tracker.Heard(digestNode, news, now.Add(believeLeast), now)
+	n.applyPermits(d.Rollouts, now)
+	n.rollouts.Apply(rollctl.ByHubs, tally.Source{Instance: digestNode}, rolloutCounts(d.Rollouts.GetCounts()))
+	n.rollouts.ApplyStates(digestNode, rolloutStates(d.Rollouts), now)
+	demand, lessons := serviceUpdate(d.Services)
+	news := balance.Update{Uses: usesOf(d.Servers), Demand: demand, Estimates: lessons}
+	n.tracker.Apply(digestNode, news, now.Add(shareTTLLeast), now)
 	a := n.admission
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.book.units.Confirmed(hub, units)
-	a.book.runs.Confirmed(hub, runs)
+	a.counters.units.Confirmed(hub, units)
+	a.counters.runs.Confirmed(hub, runs)
 	for _, g := range d.Groups {
 		n.takeDigestGroup(hub, g, d, now)
 	}
@@ -195,7 +195,7 @@
 
 // takeDigestGroup takes the counts of one group. The caller holds the admission's mu.
 func (n *Node) takeDigestGroup(hub tally.Source, g *peerpb.Group, d *peerpb.Digest, now time.Time) {
-	news := quota.News{Admitted: make(map[string]float64, len(d.Accounts)), Stands: int(g.Stands)}
+	news := quota.Update{Admitted: make(map[string]float64, len(d.Accounts)), Stands: int(g.Stands)}
 	for i, units := range g.Admitted {
 		if i < len(d.Accounts) {
 			news.Admitted[d.Accounts[i]] = float64(units)
@@ -209,7 +209,7 @@
 	n.takeGroup(from, news, now)
 	if len(g.Windows) > 0 {
 		_, _, runs := accountCounts(g.Windows)
-		n.admission.book.usage.Heard(groupOf(g.Hub), g.Incarnation, windowsOf(runs))
+		n.admission.counters.usage.Apply(groupOf(g.Hub), g.Incarnation, windowsOf(runs))
 	}
 }
 
--- a/internal/front/duties.go
+++ b/internal/front/duties.go
@@ -50,7 +50,7 @@
 			n.event(event.UsageMissed, zap.Int64("window", next))
 			next = current - behind
 		}
-		due := usage.End(next, window).Add(usageSettles + n.newsTake())
+		due := usage.End(next, window).Add(usageSettles + n.propagation())
 		if n.walltime.At(now).Before(due) {
 			continue
 		}
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -73,7 +73,7 @@
 	select {
 	case <-ctx.Done():
 		return false
-	case <-n.woken.Load().ctx.Done():
+	case <-n.resumed.Load().ctx.Done():
 	case <-n.Clock.After(d):
 	}
 	return true
--- a/internal/front/spoke.go
+++ b/internal/front/follower.go
@@ -83,7 +83,7 @@
 	n.event(event.StoreFollowed, zap.Bool("directly", false))
 	ctx, cancel := n.standIn.untilAsked(ctx)
 	defer cancel()
-	s := &spoke{node: n, lastGood: n.Clock.Now(), retry: newBackoff(retryPause, retryAlone)}
+	s := &follower{node: n, lastGood: n.Clock.Now(), retry: newBackoff(retryPause, retryAlone)}
 	for ctx.Err() == nil {
 		hubs := n.state.members.topology()
 		if n.readsItself() {
@@ -115,8 +115,8 @@
 	return n.state.members.topology().Direct() || n.standIn.asked(n.Clock.Now())
 }
 
-// spoke is a node that reads the store through hubs.
-type spoke struct {
+// follower is a node that reads the store through hubs.
+type follower struct {
 	node           *Node
 	servers, nodes int64 // revisions up to which the entries are known
 	revision       int64 // of the configuration in hand
@@ -132,7 +132,7 @@
 
 // throughReaders reads through one reader after the other until each has failed. While
 // an instance stands in for them one reader is asked, to find out whether they are back.
-func (s *spoke) throughReaders(ctx context.Context, hubs *topology.Topology) {
+func (s *follower) throughReaders(ctx context.Context, hubs *topology.Topology) {
 	readers := hubs.Readers
 	if s.standby != "" {
 		readers = readers[:min(1, len(readers))]
@@ -144,7 +144,7 @@
 
 // follow reads through one instance until it fails, or for a while if it only stands in
 // for the readers. It reports whether it got an answer.
-func (s *spoke) follow(ctx context.Context, hub topology.Member, standIn bool) bool {
+func (s *follower) follow(ctx context.Context, hub topology.Member, standIn bool) bool {
 	helped := false
 	begun := s.node.Clock.Now()
 	for ctx.Err() == nil && !s.node.readsItself() {
@@ -173,7 +173,7 @@
 	return helped
 }
 
-func (s *spoke) ask(ctx context.Context, hub topology.Member, standIn bool) (*peerpb.MirrorAnswer, error) {
+func (s *follower) ask(ctx context.Context, hub topology.Member, standIn bool) (*peerpb.MirrorAnswer, error) {
 	return s.node.askMirror(ctx, hub, &peerpb.Mirror{Config: s.revision, Servers: s.servers, Nodes: s.nodes, Orders: s.orders, StandIn: standIn, Unpacks: true})
 }
 
@@ -212,7 +212,7 @@
 }
 
 // take hands an answer to the state.
-func (s *spoke) take(a *peerpb.MirrorAnswer, read configRead, sent time.Time) {
+func (s *follower) take(a *peerpb.MirrorAnswer, read configRead, sent time.Time) {
 	n := s.node
 	n.state.send(storeCalled{ok: true, sent: sent})
 	s.takeOrders(a.Orders)
@@ -239,7 +239,7 @@
 }
 
 // takeOrders hands orders to the state, before the proof that comes with them.
-func (s *spoke) takeOrders(orders []*peerpb.MirrorItem) {
+func (s *follower) takeOrders(orders []*peerpb.MirrorItem) {
 	for _, order := range orders {
 		s.orders = max(s.orders, order.Revision)
 	}
@@ -252,7 +252,7 @@
 }
 
 // changed hands changes to the state, if there are any.
-func (s *spoke) changed(events []store.Event) {
+func (s *follower) changed(events []store.Event) {
 	if len(events) > 0 {
 		s.node.state.send(watched{events})
 	}
@@ -260,7 +260,7 @@
 
 // proveAlone reads the configuration from the store when no hub knows it, and
 // says whether the store answered. It asks ever more seldom.
-func (s *spoke) proveAlone(ctx context.Context) bool {
+func (s *follower) proveAlone(ctx context.Context) bool {
 	n := s.node
 	sent := s.node.Clock.Now()
 	call, cancel := context.WithTimeout(ctx, proveTimeout)
--- a/internal/front/spoke_test.go
+++ b/internal/front/follower_test.go
@@ -53,7 +53,7 @@
 	})
 }
 
-func TestAConfigurationReachesSpokesSoon(t *testing.T) {
+func TestAConfigurationReachesFollowersSoon(t *testing.T) {
 	play(t, large, func(is *is.I, w *world) {
 		time.Sleep(4 * time.Second)
 		w.configure(4, "k2", "k3")
@@ -159,13 +159,13 @@
 	now := time.Unix(1000, 0)
 	n := ofLarge(is, now)
 	m := n.state.members
-	m.heard("n7", now)
+	m.seen("n7", now)
 	m.take([]store.Event{store.Event{Item: store.Item{Key: m.prefix() + "n7"}, Gone: true}}, now)
 	m.expire(now.Add(n.shareEvery() + time.Second))
 	is.Equal(len(m.list()), 111)
-	m.expire(now.Add(n.heardFor() - time.Millisecond))
+	m.expire(now.Add(n.memberTTL() - time.Millisecond))
 	is.Equal(len(m.list()), 111)
-	m.expire(now.Add(n.heardFor()))
+	m.expire(now.Add(n.memberTTL()))
 	is.Equal(len(m.list()), 110)
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -96,7 +96,7 @@
 	walltime      *walltime.Clock
 	peers         *peer.Node
 	backends      *backend.Client
-	notices       *notice.Book // what endpoints said of themselves in their answers
+	notices       *notice.Table // what endpoints said of themselves in their answers
 	limits        *ratelimit.Table
 	tracker       *balance.Tracker
 	admission     *admission
@@ -108,14 +108,14 @@
 	knownRollouts atomic.Pointer[[]rollctl.Known]
 	hub           *hub
 	groups        *groups
-	news          mirror.News
+	watchProgress mirror.Progress
 	reading       atomic.Bool  // this node reads the store itself
 	registered    atomic.Bool  // the store has this node's registration, as far as is known
 	revision      atomic.Int64 // of the configuration's item in hand
 	standIn       *standIn     // whether it reads the store in place of the readers
 	leaving       atomic.Bool
 	outage        atomic.Pointer[outage] // ends with the next outage of the store
-	woken         atomic.Pointer[outage] // ends when this node has stood still
+	resumed       atomic.Pointer[outage] // ends when this node has stood still
 	knows         chan struct{}          // closed when a configuration and the servers are known
 }
 
@@ -135,8 +135,8 @@
 	n.walltime = walltime.New(n.start)
 	n.view.Store(&forward.View{Nodes: 1})
 	n.outage.Store(newOutage())
-	n.woken.Store(newOutage())
-	n.notices = notice.New(notice.Options{Told: n.noticed, TimeOfDay: n.walltime.At})
+	n.resumed.Store(newOutage())
+	n.notices = notice.New(notice.Options{Changed: n.noticed, TimeOfDay: n.walltime.At})
 	n.limits = newLimits(n)
 	n.placer = newPlacer(n)
 	n.suspects = newSuspects(n)
@@ -291,9 +291,9 @@
 		{"register", n.register},
 		{"peers", func(ctx context.Context) error { return n.peers.Serve(ctx, peers) }},
 		{"share", n.shareState},
-		{"tell", n.tellUses},
-		{"notes", n.placer.tellNotes},
-		{"suspects", n.suspects.tellNews},
+		{"tell", n.broadcastUses},
+		{"notes", n.placer.sendNotes},
+		{"suspects", n.suspects.sendUpdates},
 		{"elector", n.elector.Run},
 		{"usage", n.reportUsage},
 		{"open usage", n.keepOpenUsage},
@@ -341,18 +341,18 @@
 
 // longStandstill is the shortest standstill after which the others no longer count with this
 // node, nor it with them.
-const longStandstill = believeLeast
+const longStandstill = shareTTLLeast
 
-// wake takes note that this node stood still. Most of what is believed needs nothing then: its
+// onResume takes note that this node stood still. Most of what is believed needs nothing then: its
 // age says that it has to be heard anew. Watches are begun anew, whose connections may be dead, and
 // what keeps this node proved and registered is done at once.
-func (n *Node) wake(w clock.Waking) {
-	n.event(event.Woken, zap.Duration("stood", w.Stood), zap.Duration("suspended", w.Suspended), zap.Int("ended", w.Ended), zap.Duration("config_age", n.Clock.Since(n.view.Load().ReadAt)))
+func (n *Node) onResume(w clock.Resumption) {
+	n.event(event.Resumed, zap.Duration("stood", w.Stood), zap.Duration("suspended", w.Suspended), zap.Int("ended", w.Ended), zap.Duration("config_age", n.Clock.Since(n.view.Load().ReadAt)))
 	if w.Stood >= longStandstill {
-		n.admission.woke(n.Clock.Now())
+		n.admission.resume(n.Clock.Now())
 	}
 	n.rewatch()
-	n.woken.Swap(newOutage()).end()
+	n.resumed.Swap(newOutage()).end()
 }
 
 // inOtherHall reports whether another instance's address is in another hall.
@@ -374,7 +374,7 @@
 func (n *Node) noticed(endpoint registry.Server, said notice.Notice, until time.Time) {
 	if said.Leaving {
 		n.event(event.ServerSaysLeaving, zap.String("server", endpoint.ID), zap.Bool("listed", n.serversInUse()[endpoint.ID]))
-		n.state.send(saidLeaving{endpoint.ID})
+		n.state.send(announcedLeaving{endpoint.ID})
 	}
 	if said.RestFor > 0 {
 		n.event(event.ServerAsksRest, zap.String("server", endpoint.ID), zap.Duration("rest", said.RestFor), zap.Time("until", until))
--- a/internal/front/group.go
+++ b/internal/front/group.go
@@ -58,10 +58,10 @@
 	return out
 }
 
-// book keeps the counts of an instance of a large fleet: what it told the hubs, what
+// counters keeps the counts of an instance of a large fleet: what it told the hubs, what
 // others told it as a hub, and what the groups of the hubs counted. It is guarded by
 // the admission's mu.
-type book struct {
+type counters struct {
 	units   *tally.Ledger[string, float64]
 	runs    *tally.Ledger[runKey, int64]
 	unitsIn *tally.Pool[string, float64]
@@ -69,15 +69,15 @@
 	usage   *usage.Counter // by groups
 }
 
-func newBook() *book {
-	return &book{
+func newCounters() *counters {
+	return &counters{
 		units: tally.NewLedger[string, float64](), runs: tally.NewLedger[runKey, int64](),
 		unitsIn: tally.NewPool[string, float64](), runsIn: tally.NewPool[runKey, int64](), usage: usage.New(),
 	}
 }
 
 // expire forgets counts of windows long before current.
-func (b *book) expire(current int64) {
+func (b *counters) expire(current int64) {
 	b.usage.Expire(current)
 	old := func(k runKey) bool { return k.window < current-usage.KeepWindows }
 	b.runs.Drop(old)
--- a/internal/front/group_test.go
+++ b/internal/front/group_test.go
@@ -71,7 +71,7 @@
 
 // What instances tell each other does not grow with the fleet for those that are no
 // hubs. It did with its size: each spoke to all others.
-func TestAnInstanceTellsAndHearsNoMoreInALargerFleet(t *testing.T) {
+func TestGossipPerInstanceDoesNotGrowWithTheFleet(t *testing.T) {
 	bytes := make(map[int]float64)
 	for _, nodes := range []int{30, 120} {
 		play(t, nodes, func(is *is.I, w *world) {
@@ -133,15 +133,15 @@
 	}, limited(40, 80, 0.1))
 }
 
-// useSpokes has instances that are no hubs serve so many requests over a while.
-func (w *world) useSpokes(is *is.I, requests int, over time.Duration) {
+// useFollowers has instances that are no hubs serve so many requests over a while.
+func (w *world) useFollowers(is *is.I, requests int, over time.Duration) {
 	is.Helper()
 	_, spokes := hubsOf(w)
 	is.Equal(w.askMany("u", requests, over, func(i int) string { return spokes[i%len(spokes)] })[200], requests)
 }
 
-// toldOnce checks that the platform was told of so many requests, and nothing twice.
-func (w *world) toldOnce(is *is.I, requests int64) {
+// reportedOnce checks that the platform was told of so many requests, and nothing twice.
+func (w *world) reportedOnce(is *is.I, requests int64) {
 	is.Helper()
 	w.cloud.mu.Lock()
 	defer w.cloud.mu.Unlock()
@@ -159,11 +159,11 @@
 	play(t, large, func(is *is.I, w *world) {
 		time.Sleep(6 * time.Second)
 		hubs, _ := hubsOf(w)
-		w.useSpokes(is, 200, 4*time.Second)
+		w.useFollowers(is, 200, 4*time.Second)
 		time.Sleep(1200 * time.Millisecond)
 		w.kill(hubs[0])
 		time.Sleep(12 * time.Second)
-		w.toldOnce(is, 200)
+		w.reportedOnce(is, 200)
 	})
 }
 
@@ -171,14 +171,14 @@
 func TestUsageOfALargeFleetSurvivesTheKillOfAll(t *testing.T) {
 	play(t, large, func(is *is.I, w *world) {
 		time.Sleep(6 * time.Second)
-		w.useSpokes(is, 100, 2*time.Second)
+		w.useFollowers(is, 100, 2*time.Second)
 		time.Sleep(2500 * time.Millisecond)
 		w.kill(namesOf(w)...)
 		for i := range large {
 			w.start(fmt.Sprint("n", i))
 		}
 		time.Sleep(16 * time.Second)
-		w.toldOnce(is, 100)
+		w.reportedOnce(is, 100)
 	})
 }
 
--- a/internal/front/hubgroup.go
+++ b/internal/front/hubgroup.go
@@ -18,15 +18,15 @@
 // safe for concurrent use.
 type groups struct {
 	mu      sync.Mutex
-	reports map[string]reported   // of its own group, by instance; guarded by mu
-	others  map[string]heardGroup // of the other hubs, by name; guarded by mu
+	reports map[string]reported  // of its own group, by instance; guarded by mu
+	others  map[string]peerGroup // of the other hubs, by name; guarded by mu
 }
 
-// heardGroup is what another hub last told.
-type heardGroup struct {
-	share *peerpb.Share
-	news  balance.News // of servers and services, from the share
-	at    time.Time
+// peerGroup is what another hub last told.
+type peerGroup struct {
+	share  *peerpb.Share
+	update balance.Update // of servers and services, from the share
+	at     time.Time
 }
 
 // groupCounts is how long the word of another hub is passed on. A hub that is silent
@@ -34,7 +34,7 @@
 const groupCounts = 1500 * time.Millisecond
 
 func newGroups() *groups {
-	return &groups{reports: make(map[string]reported), others: make(map[string]heardGroup)}
+	return &groups{reports: make(map[string]reported), others: make(map[string]peerGroup)}
 }
 
 // reported notes a report.
@@ -44,11 +44,11 @@
 	g.reports[from] = r
 }
 
-// heard notes what another hub tells.
-func (g *groups) heard(s *peerpb.Share, news balance.News, now time.Time) {
+// apply notes what another hub tells.
+func (g *groups) apply(s *peerpb.Share, news balance.Update, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.others[s.Node] = heardGroup{s, news, now}
+	g.others[s.Node] = peerGroup{s, news, now}
 }
 
 // own returns the newest report of each instance of the group.
@@ -60,16 +60,16 @@
 }
 
 // known returns what the other hubs tell.
-func (g *groups) known(now time.Time) map[string]heardGroup {
+func (g *groups) known(now time.Time) map[string]peerGroup {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	maps.DeleteFunc(g.others, func(_ string, h heardGroup) bool { return now.Sub(h.at) > groupCounts })
+	maps.DeleteFunc(g.others, func(_ string, h peerGroup) bool { return now.Sub(h.at) > groupCounts })
 	return maps.Clone(g.others)
 }
 
-// reportNews sums reports as news of one node, but for that of one instance.
-func reportNews(reports map[string]reported, but string) balance.News {
-	news := balance.News{Uses: make(map[string]balance.Use), Demand: make(map[string]balance.Demand)}
+// reportUpdate sums reports as news of one node, but for that of one instance.
+func reportUpdate(reports map[string]reported, but string) balance.Update {
+	news := balance.Update{Uses: make(map[string]balance.Use), Demand: make(map[string]balance.Demand)}
 	for from, r := range reports {
 		if from != but {
 			addUses(news.Uses, r.uses)
@@ -79,10 +79,10 @@
 	return news
 }
 
-// groupNews sums what this hub and the instances that report to it are doing, but for one
+// groupUpdate sums what this hub and the instances that report to it are doing, but for one
 // of these.
-func (n *Node) groupNews(reports map[string]reported, but string, now time.Time) balance.News {
-	sum := reportNews(reports, but)
+func (n *Node) groupUpdate(reports map[string]reported, but string, now time.Time) balance.Update {
+	sum := reportUpdate(reports, but)
 	addUses(sum.Uses, n.plainUses())
 	addDemand(sum.Demand, n.tracker.Demand(now))
 	return sum
@@ -90,8 +90,8 @@
 
 // meanRisk returns, by service, the mean of what a node and the instances that
 // report to it found.
-func meanRisk(own balance.Lessons, reports map[string]reported) balance.Lessons {
-	out := make(balance.Lessons, len(own))
+func meanRisk(own balance.Estimates, reports map[string]reported) balance.Estimates {
+	out := make(balance.Estimates, len(own))
 	for name, l := range own {
 		sum, n := l.Risk, 1.0
 		for _, r := range reports {
@@ -100,7 +100,7 @@
 				n++
 			}
 		}
-		out[name] = balance.Lesson{Pace: l.Pace, Risk: sum / n}
+		out[name] = balance.Estimate{Pace: l.Pace, Risk: sum / n}
 	}
 	return out
 }
@@ -115,9 +115,9 @@
 // admission's mu.
 func (n *Node) groupUnits() unitCounts {
 	a := n.admission
-	units := a.book.units.Offer(n.run(), a.quota.Admitted())
-	a.book.units.Confirmed(n.run(), units) // which copies them
-	for name, v := range a.book.unitsIn.Sum() {
+	units := a.counters.units.Offer(n.run(), a.quota.Admitted())
+	a.counters.units.Confirmed(n.run(), units) // which copies them
+	for name, v := range a.counters.unitsIn.Sum() {
 		units[name] += v
 	}
 	return units
@@ -127,10 +127,10 @@
 // still be asked for. The caller holds the admission's mu.
 func (n *Node) groupRuns() runCounts {
 	a := n.admission
-	runs := a.book.runs.Offer(n.run(), n.openRuns())
-	a.book.runs.Confirmed(n.run(), runs) // which copies them
+	runs := a.counters.runs.Offer(n.run(), n.openRuns())
+	a.counters.runs.Confirmed(n.run(), runs) // which copies them
 	oldest := n.oldestOpen()
-	for key, v := range a.book.runsIn.Sum() {
+	for key, v := range a.counters.runsIn.Sum() {
 		if key.window >= oldest {
 			runs[key] += v
 		}
@@ -152,16 +152,16 @@
 	return runs
 }
 
-// hearReporters takes what the instances that report to this hub counted, as of one
+// applyReports takes what the instances that report to this hub counted, as of one
 // other node.
-func (n *Node) hearReporters(now time.Time) {
+func (n *Node) applyReports(now time.Time) {
 	reports := n.groups.own(now)
-	n.tracker.Heard(groupOf(n.Settings.Name), reportNews(reports, ""), now.Add(believeLeast), now)
+	n.tracker.Apply(groupOf(n.Settings.Name), reportUpdate(reports, ""), now.Add(shareTTLLeast), now)
 	a := n.admission
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.quota.Heard(quota.News{
-		Node: groupOf(n.Settings.Name), Incarnation: n.incarnation(), Admitted: maps.Clone(a.book.unitsIn.Sum()), Stands: len(reports),
+	a.quota.Apply(quota.Update{
+		Node: groupOf(n.Settings.Name), Incarnation: n.incarnation(), Admitted: maps.Clone(a.counters.unitsIn.Sum()), Stands: len(reports),
 	}, now)
 }
 
@@ -170,44 +170,44 @@
 	reports := n.groups.own(now)
 	s := &peerpb.Share{
 		Node: n.Settings.Name, Incarnation: n.incarnation(), Group: true, Stands: int64(1 + len(reports)),
-		Wall: n.walltime.Own(now).UnixNano(), ServersAt: n.news.Newest(), Instances: n.tellInstances(now),
+		Wall: n.walltime.Own(now).UnixNano(), ServersAt: n.watchProgress.Newest(), Instances: n.advertisedInstances(now),
 	}
 	a := n.admission
 	a.mu.Lock()
 	s.Accounts = accountShares(n.groupUnits(), a.levels(now), n.groupRuns())
 	a.mu.Unlock()
-	sum := n.groupNews(reports, "", now)
+	sum := n.groupUpdate(reports, "", now)
 	s.Rollouts = n.groupRollouts(reports)
 	s.Limits = wire.Encode(n.groupLimits(reports, now))
 	s.Servers = useShares(sum.Uses)
-	lessons := meanRisk(n.tracker.Lessons(), reports)
+	lessons := meanRisk(n.tracker.Estimates(), reports)
 	for name, d := range sum.Demand {
 		s.Services = append(s.Services, serviceShare(name, d, lessons[name]))
 	}
 	return s
 }
 
-// heardGroup takes what another hub tells of its group.
-func (n *Node) heardGroup(s *peerpb.Share, now time.Time) {
-	news := newsOf(s)
-	n.groups.heard(s, news, now)
-	n.heardRollouts(rollctl.AsHub, s, now)
-	n.heardUses(s.Node, news, now)
+// applyGroup takes what another hub tells of its group.
+func (n *Node) applyGroup(s *peerpb.Share, now time.Time) {
+	news := updateOf(s)
+	n.groups.apply(s, news, now)
+	n.applyRollouts(rollctl.AsHub, s, now)
+	n.applyUses(s.Node, news, now)
 	admitted, levels, runs := accountCounts(s.Accounts)
 	n.admission.mu.Lock()
 	defer n.admission.mu.Unlock()
-	n.takeGroup(tally.Source{Instance: s.Node, Incarnation: s.Incarnation}, quota.News{
+	n.takeGroup(tally.Source{Instance: s.Node, Incarnation: s.Incarnation}, quota.Update{
 		Admitted: admitted, Levels: levels, Seasoned: seasoned(s), Stands: int(s.Stands),
 	}, now)
-	n.admission.book.usage.Heard(groupOf(s.Node), s.Incarnation, windowsOf(runs))
+	n.admission.counters.usage.Apply(groupOf(s.Node), s.Incarnation, windowsOf(runs))
 }
 
 // takeGroup takes the units that a group admitted, less this instance's own, which
 // are taken off at once. The caller holds the admission's mu.
-func (n *Node) takeGroup(hub tally.Source, news quota.News, now time.Time) {
+func (n *Node) takeGroup(hub tally.Source, news quota.Update, now time.Time) {
 	news.Node, news.Incarnation = groupOf(hub.Instance), hub.Incarnation
-	for name, told := range n.admission.book.units.Told(hub) {
+	for name, told := range n.admission.counters.units.Reported(hub) {
 		news.Admitted[name] -= told
 	}
-	n.admission.quota.Heard(news, now)
+	n.admission.quota.Apply(news, now)
 }
--- a/internal/front/lastheard.go
+++ b/internal/front/lastseen.go
@@ -5,15 +5,15 @@
 	"time"
 )
 
-// lastHeard is when other instances were last heard of, by themselves or through
+// lastSeen is when other instances were last heard of, by themselves or through
 // others, by name. It is safe for concurrent use.
-type lastHeard struct {
+type lastSeen struct {
 	mu sync.Mutex
 	at map[string]time.Time // guarded by mu
 }
 
 // note notes that an instance was heard of at a time, which may come late.
-func (h *lastHeard) note(name string, at time.Time) {
+func (h *lastSeen) note(name string, at time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.at == nil {
@@ -25,14 +25,14 @@
 }
 
 // of returns when an instance was last heard of, the zero time if that is long ago.
-func (h *lastHeard) of(name string) time.Time {
+func (h *lastSeen) of(name string) time.Time {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.at[name]
 }
 
 // forget drops what is from before a time.
-func (h *lastHeard) forget(before time.Time) {
+func (h *lastSeen) forget(before time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for name, at := range h.at {
--- a/internal/front/limit_test.go
+++ b/internal/front/limit_test.go
@@ -83,22 +83,22 @@
 // A store that is away for a moment takes no registration: nobody is told who runs, as
 // that would be each instance to all others of a large fleet. Only one whose registration
 // may have ended tells of itself.
-func TestAShortOutageIsNoReasonToTellWhoRuns(t *testing.T) {
+func TestAShortOutageDoesNotAdvertiseInstances(t *testing.T) {
 	play(t, 3, func(is *is.I, w *world) {
 		time.Sleep(4 * time.Second)
 		w.fault(storetest.Faults{Busy: true}, "n0", "n1", "n2")
 		time.Sleep(5 * time.Second)
 		for _, r := range w.nodes {
-			is.Equal(len(r.node.tellInstances(time.Now())), 0)
+			is.Equal(len(r.node.advertisedInstances(time.Now())), 0)
 		}
 		time.Sleep(registerTTL)
 		for _, r := range w.nodes {
-			is.Equal(len(r.node.tellInstances(time.Now())), 3)
+			is.Equal(len(r.node.advertisedInstances(time.Now())), 3)
 		}
 		w.fault(storetest.Faults{}, "n0", "n1", "n2")
 		time.Sleep(2*registerKeep + retryMost)
 		for _, r := range w.nodes {
-			is.Equal(len(r.node.tellInstances(time.Now())), 0)
+			is.Equal(len(r.node.advertisedInstances(time.Now())), 0)
 		}
 	})
 }
--- a/internal/front/lost.go
+++ b/internal/front/lost.go
@@ -20,19 +20,19 @@
 // runningInstance is an instance that another one told of.
 type runningInstance struct {
 	topology.Member
-	heardAt time.Time
+	seenAt time.Time
 }
 
-// toldInstances tells the state who runs.
-type toldInstances []runningInstance
+// peerInstances tells the state who runs.
+type peerInstances []runningInstance
 
-func (toldInstances) change() {}
+func (peerInstances) change() {}
 
-// tellInstances returns the instances to tell others of, none while the store has them
+// advertisedInstances returns the instances to tell others of, none while the store has them
 // all. In a small fleet, that is all that were heard of lately: those that the
 // store turns away know no others than these. In a large one it is those that the
 // store lost; the others are known through the hubs.
-func (n *Node) tellInstances(now time.Time) []*peerpb.Instance {
+func (n *Node) advertisedInstances(now time.Time) []*peerpb.Instance {
 	told := n.introduce()
 	all := n.state.members.list()
 	lost := lo.Filter(all, func(m member, _ int) bool { return n.lostByStore(m, now) })
@@ -43,7 +43,7 @@
 		all = lost
 	}
 	for _, m := range all {
-		if age := now.Sub(n.state.members.heardAt.of(m.Name)); age < n.heardFor() {
+		if age := now.Sub(n.state.members.seenAt.of(m.Name)); age < n.memberTTL() {
 			told = append(told, instanceOf(m.Member, age))
 		}
 	}
@@ -52,7 +52,7 @@
 
 // lostByStore reports whether another instance may not be registered though it runs.
 func (n *Node) lostByStore(m member, now time.Time) bool {
-	return !m.registered || now.Sub(n.state.members.introduced.of(m.Name)) < n.heardFor()
+	return !m.registered || now.Sub(n.state.members.introduced.of(m.Name)) < n.memberTTL()
 }
 
 // introduce returns this instance, for others to know of, while it is not registered.
@@ -81,9 +81,9 @@
 	})
 }
 
-// hearInstances takes what another instance tells of who runs.
-func (n *Node) hearInstances(from string, told []*peerpb.Instance, now time.Time) {
-	var running toldInstances
+// applyInstances takes what another instance tells of who runs.
+func (n *Node) applyInstances(from string, told []*peerpb.Instance, now time.Time) {
+	var running peerInstances
 	for _, i := range told {
 		addr, err := netip.ParseAddrPort(i.Address)
 		if err != nil || i.Name == "" || i.Age < 0 {
@@ -97,8 +97,8 @@
 			n.state.members.introduced.note(from, now)
 		}
 		running = append(running, runningInstance{
-			Member:  topology.Member{Name: i.Name, Addr: addr, Hall: i.Hall, Cores: i.Cores},
-			heardAt: now.Add(-time.Duration(i.Age)),
+			Member: topology.Member{Name: i.Name, Addr: addr, Hall: i.Hall, Cores: i.Cores},
+			seenAt: now.Add(-time.Duration(i.Age)),
 		})
 	}
 	if len(running) > 0 {
@@ -110,15 +110,15 @@
 // changed. What the store says of a registered instance goes before, unless this
 // instance cannot read it. The times go with what is told, so that an instance that ended
 // is dropped everywhere as soon after its last word.
-func (m *members) learn(told toldInstances, now time.Time) bool {
+func (m *members) learn(told peerInstances, now time.Time) bool {
 	changed := false
-	heardFor := m.node.heardFor()
+	heardFor := m.node.memberTTL()
 	for _, t := range told {
-		if now.Sub(t.heardAt) >= heardFor {
+		if now.Sub(t.seenAt) >= heardFor {
 			continue
 		}
-		heardAt := m.heardAt.of(t.Name)
-		m.heardAt.note(t.Name, t.heardAt)
+		heardAt := m.seenAt.of(t.Name)
+		m.seenAt.note(t.Name, t.seenAt)
 		known := m.all[t.Name]
 		if known == nil {
 			m.put(t.Member)
@@ -126,7 +126,7 @@
 			continue
 		}
 		trusted := known.registered && !m.node.storeTroubled()
-		if !trusted && known.Member != t.Member && t.heardAt.After(heardAt) {
+		if !trusted && known.Member != t.Member && t.seenAt.After(heardAt) {
 			m.put(t.Member)
 			changed = true
 		}
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -37,25 +37,25 @@
 // may have been down, or turn that node away: for so long, or for so many
 // exchanges.
 const (
-	heardLeast = 2500 * time.Millisecond
-	heardTimes = 3
+	memberTTLLeast  = 2500 * time.Millisecond
+	memberTTLRounds = 3
 )
 
-// heardFor returns how long a node counts after it was heard of.
-func (n *Node) heardFor() time.Duration { return max(heardLeast, heardTimes*n.shareEvery()) }
+// memberTTL returns how long a node counts after it was heard of.
+func (n *Node) memberTTL() time.Duration { return max(memberTTLLeast, memberTTLRounds*n.shareEvery()) }
 
 // members knows the other nodes. It belongs to the state's goroutine; list, topology and
 // the times are safe for concurrent use.
 type members struct {
-	node    *Node
-	all     map[string]*member
-	shown   atomic.Pointer[[]member]
-	hubs    atomic.Pointer[topology.Topology]
-	halls   atomic.Pointer[map[netip.AddrPort]string] // by the address of each other node
-	heardAt lastHeard
+	node   *Node
+	all    map[string]*member
+	shown  atomic.Pointer[[]member]
+	hubs   atomic.Pointer[topology.Topology]
+	halls  atomic.Pointer[map[netip.AddrPort]string] // by the address of each other node
+	seenAt lastSeen
 	// introduced is when others last said of themselves that they may not be registered:
 	// this node may not know, as it cannot read the store either.
-	introduced lastHeard
+	introduced lastSeen
 }
 
 func newMembers(n *Node) *members {
@@ -75,8 +75,8 @@
 // count returns the number of nodes, this one included.
 func (m *members) count() int { return 1 + len(m.all) }
 
-// heard notes that a node was heard of.
-func (m *members) heard(name string, at time.Time) { m.heardAt.note(name, at) }
+// seen notes that a node was heard of.
+func (m *members) seen(name string, at time.Time) { m.seenAt.note(name, at) }
 
 func (m *members) prefix() string { return m.node.Decoder.OwnPrefix() + keyNodes }
 
@@ -167,7 +167,7 @@
 func (m *members) unregister(other *member, now time.Time) {
 	other.registered = false
 	if m.node.grouped() {
-		m.heardAt.note(other.Name, now.Add(lostGrace-m.node.heardFor()))
+		m.seenAt.note(other.Name, now.Add(lostGrace-m.node.memberTTL()))
 	}
 }
 
@@ -183,9 +183,9 @@
 
 // drop is expire, but leaves it to the caller to show the members.
 func (m *members) drop(now time.Time) bool {
-	dropped, heardFor := false, m.node.heardFor()
+	dropped, heardFor := false, m.node.memberTTL()
 	for name, other := range m.all {
-		if other.registered || now.Sub(m.heardAt.of(name)) < heardFor {
+		if other.registered || now.Sub(m.seenAt.of(name)) < heardFor {
 			continue
 		}
 		delete(m.all, name)
@@ -193,7 +193,7 @@
 		m.node.event(event.NodeGone, zap.String("peer", name))
 		m.node.admission.forget(name)
 	}
-	m.heardAt.forget(now.Add(-heardFor))
+	m.seenAt.forget(now.Add(-heardFor))
 	m.introduced.forget(now.Add(-heardFor))
 	return dropped
 }
--- a/internal/front/notes.go
+++ b/internal/front/notes.go
@@ -63,8 +63,8 @@
 // mostNotes bounds what waits for one hub. What is dropped ends at its deadline.
 const mostNotes = 4096
 
-// tellNotes sends notes to the hubs.
-func (p *placer) tellNotes(ctx context.Context) error {
+// sendNotes sends notes to the hubs.
+func (p *placer) sendNotes(ctx context.Context) error {
 	var wait sync.WaitGroup
 	defer wait.Wait()
 	for kicked(ctx, p.kick) && p.node.Clock.Sleep(ctx, noteGather) {
--- a/internal/front/placing.go
+++ b/internal/front/placing.go
@@ -184,7 +184,7 @@
 
 // tidy ends what must be over.
 func (p *placer) tidy(wanted func(server string) bool, now time.Time) {
-	p.node.tracker.FromDesk(p.desk.Lessons())
+	p.node.tracker.FromDesk(p.desk.Estimates())
 	p.desk.Adopt(p.node.tracker.Agreed())
 	members := map[string]bool{p.node.Settings.Name: true}
 	for _, m := range p.node.state.members.list() {
--- a/internal/front/ratelimit_test.go
+++ b/internal/front/ratelimit_test.go
@@ -161,9 +161,9 @@
 		case x < 0.012:
 			w.limits.lift(server)
 		case x < 0.02:
-			w.said.asksRest(server, time.Duration(rnd.ExpFloat64()*float64(time.Second)))
+			w.statements.asksRest(server, time.Duration(rnd.ExpFloat64()*float64(time.Second)))
 		case x < 0.05:
-			w.said.asksRest(server, 0)
+			w.statements.asksRest(server, 0)
 		case x < 0.06:
 			w.fault(storetest.Faults{Down: true}, name)
 		case x < 0.08:
@@ -171,7 +171,7 @@
 		case x < 0.082:
 			w.limits.excuse(3*time.Second, name)
 			w.kill(name)
-			w.said.forgives(name)
+			w.statements.reset(name)
 			w.start(name)
 		}
 	}
--- a/internal/front/report.go
+++ b/internal/front/report.go
@@ -96,7 +96,7 @@
 	a := n.admission
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.book.units.Offer(hub, a.quota.Admitted()), a.book.runs.Offer(hub, n.openRuns())
+	return a.counters.units.Offer(hub, a.quota.Admitted()), a.counters.runs.Offer(hub, n.openRuns())
 }
 
 // reportShare is what an instance tells its hub.
--- a/internal/front/rolloutmsg.go
+++ b/internal/front/rolloutmsg.go
@@ -84,18 +84,18 @@
 	})
 }
 
-// heardPermits takes the leader's permits, whoever passes them on.
-func (n *Node) heardPermits(r *peerpb.Rollouts, now time.Time) {
+// applyPermits takes the leader's permits, whoever passes them on.
+func (n *Node) applyPermits(r *peerpb.Rollouts, now time.Time) {
 	for _, p := range r.GetPermits() {
 		n.rollouts.Permitted(rollctl.Permit{Service: p.Service, Order: p.Order, Number: p.Number}, now)
 	}
 }
 
-// heardRollouts takes what another instance, or a hub for its group, tells of roll-outs.
-func (n *Node) heardRollouts(fleet rollctl.Fleet, s *peerpb.Share, now time.Time) {
-	n.heardPermits(s.Rollouts, now)
-	n.rollouts.Heard(fleet, tally.Source{Instance: s.Node, Incarnation: s.Incarnation}, rolloutCounts(s.Rollouts.GetCounts()))
-	n.rollouts.HeardStates(s.Node, rolloutStates(s.Rollouts), now)
+// applyRollouts takes what another instance, or a hub for its group, tells of roll-outs.
+func (n *Node) applyRollouts(fleet rollctl.Fleet, s *peerpb.Share, now time.Time) {
+	n.applyPermits(s.Rollouts, now)
+	n.rollouts.Apply(fleet, tally.Source{Instance: s.Node, Incarnation: s.Incarnation}, rolloutCounts(s.Rollouts.GetCounts()))
+	n.rollouts.ApplyStates(s.Node, rolloutStates(s.Rollouts), now)
 }
 
 // groupStates sums what this hub and the instances that report to it do in roll-outs, but
@@ -117,7 +117,7 @@
 
 // digestRollouts is what this hub tells of all groups, with their counts if they are
 // asked for, but for the states of one instance.
-func (n *Node) digestRollouts(to string, reports map[string]reported, others map[string]heardGroup, counts bool) *peerpb.Rollouts {
+func (n *Node) digestRollouts(to string, reports map[string]reported, others map[string]peerGroup, counts bool) *peerpb.Rollouts {
 	if !counts {
 		return n.rolloutShares(nil, nil)
 	}
--- a/internal/front/share.go
+++ b/internal/front/share.go
@@ -20,14 +20,14 @@
 
 // Times of the exchange of soft state.
 const (
-	shareLeast   = 200 * time.Millisecond
-	shareForNode = 25 * time.Millisecond // added for each node, so that a node's load stays the same as the fleet grows
-	shareTimeout = 600 * time.Millisecond
-	briefEvery   = 15 * time.Millisecond // at the most, news of a long prompt
-	believeLeast = 2 * time.Second       // a node's word counts for so long, or for
-	believeTimes = 3                     // so many exchanges
-	silentLeast  = time.Second           // a node that should ask and has not for so long is silent, or for
-	silentTimes  = 4                     // so many exchanges
+	shareLeast        = 200 * time.Millisecond
+	shareForNode      = 25 * time.Millisecond // added for each node, so that a node's load stays the same as the fleet grows
+	shareTimeout      = 600 * time.Millisecond
+	broadcastInterval = 15 * time.Millisecond // at the most, news of a long prompt
+	shareTTLLeast     = 2 * time.Second       // a node's word counts for so long, or for
+	shareTTLRounds    = 3                     // so many exchanges
+	silentLeast       = time.Second           // a node that should ask and has not for so long is silent, or for
+	silentTimes       = 4                     // so many exchanges
 )
 
 // shareState exchanges soft state with the other nodes: in a small fleet with all
@@ -45,7 +45,7 @@
 		case len(hubs.Hubs) == 0:
 			x.with(ctx, membersOf(n.state.members.list()))
 		case hubs.Self:
-			n.hearReporters(n.Clock.Now())
+			n.applyReports(n.Clock.Now())
 			x.with(ctx, hubs.Hubs)
 		default:
 			r.report(ctx, hubs)
@@ -70,7 +70,7 @@
 	case -1:
 		return true
 	}
-	heardAt := n.state.members.heardAt.of(other)
+	heardAt := n.state.members.seenAt.of(other)
 	if heardAt.Before(n.start) {
 		heardAt = n.start
 	}
@@ -114,9 +114,9 @@
 	return max(shareLeast, time.Duration(others)*shareForNode)
 }
 
-// newsTake is the time in which all nodes know what one of them counted, delays of
+// propagation is the time in which all nodes know what one of them counted, delays of
 // the network apart.
-func (n *Node) newsTake() time.Duration {
+func (n *Node) propagation() time.Duration {
 	hubs := len(n.state.members.topology().Hubs)
 	if hubs == 0 {
 		return n.shareEvery()
@@ -130,20 +130,20 @@
 	return min(n.shareEvery(), shareLeast+now.Sub(n.start))
 }
 
-// tellUses tells the other nodes at once when a long prompt was sent to a
+// broadcastUses tells the other nodes at once when a long prompt was sent to a
 // server: requests come in clumps, and nodes that decide at the same moment
 // would all choose the same server.
-func (n *Node) tellUses(ctx context.Context) error {
+func (n *Node) broadcastUses(ctx context.Context) error {
 	var wait sync.WaitGroup
 	defer wait.Wait()
-	for kicked(ctx, n.tracker.Told()) {
+	for kicked(ctx, n.tracker.LongPrompts()) {
 		if !n.grouped() {
 			mine := &peerpb.Share{Node: n.Settings.Name, Incarnation: n.incarnation(), Brief: true, Servers: useShares(n.tracker.Uses())}
 			for _, other := range n.state.members.list() {
 				wait.Go(func() { n.exchange(ctx, other.Member, mine) })
 			}
 		}
-		n.Clock.Sleep(ctx, briefEvery)
+		n.Clock.Sleep(ctx, broadcastInterval)
 	}
 	return ctx.Err()
 }
@@ -156,13 +156,13 @@
 		return // the member's age says so
 	}
 	if s := a.GetShare(); s != nil {
-		n.heard(s)
+		n.applyShare(s)
 	}
 }
 
 // serveShare takes another node's soft state and answers in kind.
 func (n *Node) serveShare(s *peerpb.Share, answer func(*peerpb.Answer) error) error {
-	n.heard(s)
+	n.applyShare(s)
 	if s.Brief {
 		return answer(&peerpb.Answer{Body: &peerpb.Answer_Done{Done: &peerpb.Done{}}})
 	}
@@ -176,7 +176,7 @@
 	}
 	s := &peerpb.Share{
 		Node: n.Settings.Name, Incarnation: n.incarnation(),
-		Wall: n.walltime.Own(n.Clock.Now()).UnixNano(), ServersAt: n.news.Newest(), Instances: n.tellInstances(n.Clock.Now()),
+		Wall: n.walltime.Own(n.Clock.Now()).UnixNano(), ServersAt: n.watchProgress.Newest(), Instances: n.advertisedInstances(n.Clock.Now()),
 	}
 	a := n.admission
 	a.mu.Lock()
@@ -189,59 +189,59 @@
 	return s
 }
 
-// heard takes what another node tells. Counts are taken from nodes that see the
+// applyShare takes what another node tells. Counts are taken from nodes that see the
 // fleet as this one does: all from all, or hubs from hubs.
-func (n *Node) heard(s *peerpb.Share) {
+func (n *Node) applyShare(s *peerpb.Share) {
 	now := n.Clock.Now()
-	n.state.members.heard(s.Node, now)
-	n.hearInstances(s.Node, s.Instances, now)
+	n.state.members.seen(s.Node, now)
+	n.applyInstances(s.Node, s.Instances, now)
 	n.suspects.met(s.Node, s.Incarnation)
 	n.limits.Apply(wire.Decode(s.Limits), now)
 	if !s.Brief {
-		n.heardNews(s.Node, s.ServersAt, now)
-		n.heardClock(s.Node, s.Wall, now)
+		n.applyServersAt(s.Node, s.ServersAt, now)
+		n.applyClock(s.Node, s.Wall, now)
 	}
 	hubs := n.state.members.topology()
 	switch {
 	case s.Group && hubs.Self:
-		n.heardGroup(s, now)
+		n.applyGroup(s, now)
 	case !s.Group && len(hubs.Hubs) == 0:
-		n.heardNode(s, now)
+		n.applyPeer(s, now)
 	}
 }
 
-// heardNews begins the own watches anew if another node knows of changes of servers
+// applyServersAt begins the own watches anew if another node knows of changes of servers
 // that this one has not seen for long.
-func (n *Node) heardNews(from string, serversAt int64, now time.Time) {
-	if n.news.Behind(serversAt, now) {
+func (n *Node) applyServersAt(from string, serversAt int64, now time.Time) {
+	if n.watchProgress.Behind(serversAt, now) {
 		n.event(event.WatchSilent, zap.String("peer", from), zap.Int64("revision", serversAt))
 		n.rewatch()
 	}
 }
 
-func (n *Node) heardClock(from string, wall int64, now time.Time) {
-	if c := n.walltime.Heard(from, time.Unix(0, wall), now); c != 0 {
+func (n *Node) applyClock(from string, wall int64, now time.Time) {
+	if c := n.walltime.Apply(from, time.Unix(0, wall), now); c != 0 {
 		n.event(event.ClockCorrected, zap.Duration("by", c), zap.String("peer", from))
 	}
 }
 
-// heardNode takes what a node of a small fleet counted.
-func (n *Node) heardNode(s *peerpb.Share, now time.Time) {
-	n.heardUses(s.Node, newsOf(s), now)
+// applyPeer takes what a node of a small fleet counted.
+func (n *Node) applyPeer(s *peerpb.Share, now time.Time) {
+	n.applyUses(s.Node, updateOf(s), now)
 	if s.Brief {
 		return
 	}
-	n.heardRollouts(rollctl.Peers, s, now)
+	n.applyRollouts(rollctl.Peers, s, now)
 	admitted, levels, runs := accountCounts(s.Accounts)
 	a := n.admission
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.quota.Heard(quota.News{
+	a.quota.Apply(quota.Update{
 		Node: s.Node, Incarnation: s.Incarnation, Seasoned: seasoned(s), Admitted: admitted, Levels: levels,
 	}, now)
-	a.usage.Heard(s.Node, s.Incarnation, windowsOf(runs))
+	a.usage.Apply(s.Node, s.Incarnation, windowsOf(runs))
 }
 
-func (n *Node) heardUses(from string, news balance.News, now time.Time) {
-	n.tracker.Heard(from, news, now.Add(max(believeLeast, believeTimes*n.shareEvery())), now)
+func (n *Node) applyUses(from string, news balance.Update, now time.Time) {
+	n.tracker.Apply(from, news, now.Add(max(shareTTLLeast, shareTTLRounds*n.shareEvery())), now)
 }
--- a/internal/front/sharemsg.go
+++ b/internal/front/sharemsg.go
@@ -50,7 +50,7 @@
 // learned itself.
 func (n *Node) serviceShares(demand map[string]balance.Demand) []*peerpb.ServiceShare {
 	var out []*peerpb.ServiceShare
-	lessons := n.tracker.Lessons()
+	lessons := n.tracker.Estimates()
 	for name, d := range demand {
 		out = append(out, serviceShare(name, d, lessons[name]))
 	}
@@ -58,7 +58,7 @@
 }
 
 // serviceShare writes what is told of one service.
-func serviceShare(name string, d balance.Demand, l balance.Lesson) *peerpb.ServiceShare {
+func serviceShare(name string, d balance.Demand, l balance.Estimate) *peerpb.ServiceShare {
 	return &peerpb.ServiceShare{
 		Name: name, Busy: d.Busy, Held: d.Held,
 		PaceBase: l.Pace.Model.Base, PaceToken: l.Pace.Model.Token, PacePair: l.Pace.Model.Pair, PaceWeight: l.Pace.Weight,
@@ -81,10 +81,10 @@
 	return admitted, levels, runs
 }
 
-// newsOf reads what a share tells of servers and services.
-func newsOf(s *peerpb.Share) balance.News {
-	demand, lessons := serviceNews(s.Services)
-	return balance.News{Uses: usesOf(s.Servers), Demand: demand, Lessons: lessons, Brief: s.Brief}
+// updateOf reads what a share tells of servers and services.
+func updateOf(s *peerpb.Share) balance.Update {
+	demand, lessons := serviceUpdate(s.Services)
+	return balance.Update{Uses: usesOf(s.Servers), Demand: demand, Estimates: lessons, Brief: s.Brief}
 }
 
 // usesOf reads what useShares wrote.
@@ -96,13 +96,13 @@
 	return uses
 }
 
-// serviceNews reads demand and lessons of services.
-func serviceNews(services []*peerpb.ServiceShare) (map[string]balance.Demand, balance.Lessons) {
-	demand, lessons := make(map[string]balance.Demand, len(services)), make(balance.Lessons, len(services))
+// serviceUpdate reads demand and lessons of services.
+func serviceUpdate(services []*peerpb.ServiceShare) (map[string]balance.Demand, balance.Estimates) {
+	demand, lessons := make(map[string]balance.Demand, len(services)), make(balance.Estimates, len(services))
 	for _, service := range services {
 		demand[service.Name] = balance.Demand{Busy: service.Busy, Held: service.Held}
 		if service.PaceWeight > 0 || service.HoldRisk > 0 {
-			lessons[service.Name] = balance.Lesson{
+			lessons[service.Name] = balance.Estimate{
 				Pace: pace.Opinion{
 					Model:  pace.Model{Base: service.PaceBase, Token: service.PaceToken, Pair: service.PacePair},
 					Weight: service.PaceWeight,
--- a/internal/front/standin.go
+++ b/internal/front/standin.go
@@ -94,7 +94,7 @@
 // place of the readers, and reports whether there was one or another round is to be
 // tried. It keeps all others from reading the store themselves where it turns all readers
 // away.
-func (s *spoke) throughStandbys(ctx context.Context, hubs *topology.Topology) bool {
+func (s *follower) throughStandbys(ctx context.Context, hubs *topology.Topology) bool {
 	if len(hubs.Standbys) == 0 {
 		return false
 	}
@@ -112,7 +112,7 @@
 }
 
 // setStandby notes which instance stands in for the readers; "" is none.
-func (s *spoke) setStandby(name string) {
+func (s *follower) setStandby(name string) {
 	if name != s.standby {
 		s.node.event(event.StoreFollowed, zap.Bool("directly", false), zap.String("standby", name))
 	}
@@ -129,7 +129,7 @@
 
 // storeDown reports whether the store seems to be down for all, so that this node need
 // not try it now.
-func (s *spoke) storeDown() bool {
+func (s *follower) storeDown() bool {
 	now := s.node.Clock.Now()
 	switch {
 	case s.without < outageSigns:
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -60,22 +60,22 @@
 	at     int64
 }
 
-// saidLeaving tells that an answer of a server said that it leaves.
-type saidLeaving struct{ server string }
+// announcedLeaving tells that an answer of a server said that it leaves.
+type announcedLeaving struct{ server string }
 
 // leave makes the node take leave.
 type leave struct{}
 
-func (configRead) change()    {}
-func (sharedOutage) change()  {}
-func (listedServers) change() {}
-func (listedNodes) change()   {}
-func (watched) change()       {}
-func (storeCalled) change()   {}
-func (saidLeaving) change()   {}
-func (leave) change()         {}
-func (operatorsRead) change() {}
-func (wroteRecord) change()   {}
+func (configRead) change()       {}
+func (sharedOutage) change()     {}
+func (listedServers) change()    {}
+func (listedNodes) change()      {}
+func (watched) change()          {}
+func (storeCalled) change()      {}
+func (announcedLeaving) change() {}
+func (leave) change()            {}
+func (operatorsRead) change()    {}
+func (wroteRecord) change()      {}
 
 const (
 	changeQueue = 256
@@ -156,7 +156,7 @@
 			s.apply(c, s.node.Clock.Now())
 		case <-t.C:
 			if w, woken := watcher.Look(); woken {
-				s.node.wake(w)
+				s.node.onResume(w)
 			}
 			s.tick(s.node.Clock.Now())
 		}
@@ -174,7 +174,7 @@
 		s.outageAt, s.publishDue = c.at, true
 	case listedServers:
 		s.takeServers(c.items, c.at, now)
-		s.node.news.Listed(c.items, c.at)
+		s.node.watchProgress.Listed(c.items, c.at)
 	case operatorsRead:
 		s.publishDue = s.rollouts.takeOperators(c.items) || s.publishDue
 	case wroteRecord:
@@ -187,12 +187,12 @@
 		s.publishDue = true
 	case watched:
 		s.takeEvents(c.events, now)
-	case toldInstances:
+	case peerInstances:
 		s.publishDue = s.members.learn(c, now) || s.publishDue
 	case storeCalled:
 		s.takeCall(c, now)
-	case saidLeaving:
-		s.tell(s.registry.Leave(c.server, now))
+	case announcedLeaving:
+		s.logChanges(s.registry.Leave(c.server, now))
 	case leave:
 		s.leaving, s.publishDue = true, true
 	}
@@ -295,7 +295,7 @@
 			odd = append(odd, id)
 		}
 	}
-	s.tell(s.registry.Replace(servers, odd, at, s.troubled(now), now))
+	s.logChanges(s.registry.Replace(servers, odd, at, s.troubled(now), now))
 	s.listed, s.publishDue = true, true
 }
 
@@ -353,14 +353,14 @@
 
 func (s *state) takeServer(id string, e store.Event, now time.Time) {
 	s.publishDue = true
-	s.node.news.Saw(e.Revision)
+	s.node.watchProgress.Saw(e.Revision)
 	if e.Gone {
 		server, _ := s.registry.Find(id)
-		s.tell([]registry.Event{{Change: s.registry.Remove(id, e.Revision, s.troubled(now), now), Server: server}})
+		s.logChanges([]registry.Event{{Change: s.registry.Remove(id, e.Revision, s.troubled(now), now), Server: server}})
 		return
 	}
 	if server, ok := s.decode(id, e.Item, now); ok {
-		s.tell([]registry.Event{{Change: s.registry.Put(server, now), Server: server}})
+		s.logChanges([]registry.Event{{Change: s.registry.Put(server, now), Server: server}})
 	}
 }
 
@@ -370,7 +370,7 @@
 	registry.Restarted: event.ServerRestarted, registry.Withheld: event.ServerWithheld,
 }
 
-func (s *state) tell(changed []registry.Event) {
+func (s *state) logChanges(changed []registry.Event) {
 	for _, c := range changed {
 		s.node.suspects.serverChanged(c, s.node.Clock.Now())
 		if code, ok := serverEvents[c.Change]; ok {
@@ -381,7 +381,7 @@
 }
 
 func (s *state) tick(now time.Time) {
-	s.tell(s.registry.Expire(s.outage(now), now))
+	s.logChanges(s.registry.Expire(s.outage(now), now))
 	if s.config != nil && !s.stale && now.After(s.keysUntil()) {
 		s.stale = true
 		s.node.event(event.ConfigStale, zap.Int64("version", s.config.Version), zap.Duration("age", now.Sub(s.provedAt)))
--- a/internal/front/said_test.go
+++ b/internal/front/statements_test.go
@@ -31,17 +31,17 @@
 
 // said is what servers say of themselves in their answers, and what reaches them although
 // they said so. The id of a request begins with the instance that it is sent to.
-type said struct {
-	mu      sync.Mutex
-	leaving map[string]bool          // servers that say they leave; guarded by mu
-	asks    map[string]time.Duration // rest that servers turn work away for; guarded by mu
-	fails   map[string]bool          // servers that run requests and fail them; guarded by mu
-	told    map[pair]time.Time       // when an instance was first told that a server leaves; guarded by mu
-	rests   map[pair][]*rest         // guarded by mu
+type statements struct {
+	mu          sync.Mutex
+	leaving     map[string]bool          // servers that say they leave; guarded by mu
+	asks        map[string]time.Duration // rest that servers turn work away for; guarded by mu
+	fails       map[string]bool          // servers that run requests and fail them; guarded by mu
+	announcedAt map[pair]time.Time       // when an instance was first told that a server leaves; guarded by mu
+	rests       map[pair][]*rest         // guarded by mu
 }
 
-func newSaid() *said {
-	return &said{leaving: make(map[string]bool), asks: make(map[string]time.Duration), fails: make(map[string]bool), told: make(map[pair]time.Time), rests: make(map[pair][]*rest)}
+func newStatements() *statements {
+	return &statements{leaving: make(map[string]bool), asks: make(map[string]time.Duration), fails: make(map[string]bool), announcedAt: make(map[pair]time.Time), rests: make(map[pair][]*rest)}
 }
 
 func pairOf(server, id string) pair {
@@ -50,51 +50,51 @@
 }
 
 // leaves makes a server say that it leaves.
-func (s *said) leaves(server string) {
+func (s *statements) leaves(server string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.leaving[server] = true
 }
 
 // startsAgain makes a server start again: it says nothing of what it said before.
-func (s *said) startsAgain(server string) {
+func (s *statements) startsAgain(server string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.leaving[server] = false
 	forget := func(p pair) bool { return p.server == server }
-	maps.DeleteFunc(s.told, func(p pair, _ time.Time) bool { return forget(p) })
+	maps.DeleteFunc(s.announcedAt, func(p pair, _ time.Time) bool { return forget(p) })
 	maps.DeleteFunc(s.rests, func(p pair, _ []*rest) bool { return forget(p) })
 }
 
 // asksRest makes a server turn work away and ask for rest, or take work where that is 0.
-func (s *said) asksRest(server string, d time.Duration) {
+func (s *statements) asksRest(server string, d time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.asks[server] = d
 }
 
 // failsAll makes a server fail what it runs.
-func (s *said) failsAll(server string) {
+func (s *statements) failsAll(server string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fails[server] = true
 }
 
-// forgives drops what an instance was told: it restarts.
-func (s *said) forgives(instance string) {
+// reset drops what an instance was told: it restarts.
+func (s *statements) reset(instance string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	forget := func(p pair) bool { return p.instance == instance }
-	maps.DeleteFunc(s.told, func(p pair, _ time.Time) bool { return forget(p) })
+	maps.DeleteFunc(s.announcedAt, func(p pair, _ time.Time) bool { return forget(p) })
 	maps.DeleteFunc(s.rests, func(p pair, _ []*rest) bool { return forget(p) })
 }
 
 // arrives takes note of a request at a server, and returns what is wrong with it.
-func (s *said) arrives(server, id string, bound time.Duration, now time.Time) (bad []string) {
+func (s *statements) arrives(server, id string, bound time.Duration, now time.Time) (bad []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := pairOf(server, id)
-	if told, ok := s.told[p]; ok && now.Sub(told) > bound {
+	if told, ok := s.announcedAt[p]; ok && now.Sub(told) > bound {
 		bad = append(bad, fmt.Sprintf("%s reached %s %s after an answer had told that it leaves", id, server, now.Sub(told)))
 	}
 	for _, r := range s.rests[p] {
@@ -110,14 +110,14 @@
 
 // answer sets the headers of a server's answer. It returns the status of a request that
 // the server turns away or fails, or 0.
-func (s *said) answer(server, id string, h http.Header, now time.Time) int {
+func (s *statements) answer(server, id string, h http.Header, now time.Time) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := pairOf(server, id)
 	if s.leaving[server] {
 		h.Set("Leaving", "1")
-		if _, ok := s.told[p]; !ok {
-			s.told[p] = now
+		if _, ok := s.announcedAt[p]; !ok {
+			s.announcedAt[p] = now
 		}
 	}
 	d := s.asks[server]
@@ -177,7 +177,7 @@
 						w.fault(storetest.Faults{Down: true}, name)
 					}
 				}
-				w.said.leaves(serverID(0))
+				w.statements.leaves(serverID(0))
 				answered := w.askAround("a", 8*time.Second)
 				is.Equal(len(w.seenBad()), 0)
 				if nodes < large { // of a large fleet some are told late, or never: a third of few requests
@@ -200,14 +200,14 @@
 	for _, nodes := range []int{3, large} {
 		for _, failing := range []bool{true, false} {
 			play(t, nodes, func(is *is.I, w *world) {
-				w.said.asksRest(serverID(0), 3*time.Second)
+				w.statements.asksRest(serverID(0), 3*time.Second)
 				for i := 1; failing && i < testServers; i++ {
-					w.said.failsAll(serverID(i))
+					w.statements.failsAll(serverID(i))
 				}
 				answered := w.askAround("a", 6*time.Second)
 				is.Equal(len(w.seenBad()), 0)
 				is.True(failing || answered >= 280) // of 300: the other two take all
-				w.said.asksRest(serverID(0), 0)
+				w.statements.asksRest(serverID(0), 0)
 				time.Sleep(3 * time.Second)
 				well := time.Now()
 				w.askAround("b", 12*time.Second)
@@ -222,12 +222,12 @@
 func TestAllServersAskForRest(t *testing.T) {
 	play(t, 2, func(is *is.I, w *world) {
 		for i := range testServers {
-			w.said.asksRest(serverID(i), 2*time.Second)
+			w.statements.asksRest(serverID(i), 2*time.Second)
 		}
 		w.askAround("a", 4*time.Second)
 		is.Equal(len(w.seenBad()), 0)
 		for i := range testServers {
-			w.said.asksRest(serverID(i), 0)
+			w.statements.asksRest(serverID(i), 0)
 		}
 		time.Sleep(2 * time.Second)
 		is.True(w.askAround("b", time.Second) >= 48)
@@ -261,16 +261,16 @@
 		server := rnd.IntN(testServers)
 		switch x := rnd.Float64(); {
 		case x < 0.01:
-			w.said.leaves(serverID(server))
+			w.statements.leaves(serverID(server))
 		case x < 0.015:
 			w.putServer(server, true)
 		case x < 0.025:
-			w.said.startsAgain(serverID(server))
+			w.statements.startsAgain(serverID(server))
 			w.putIncarnation(server, time.Now(), false)
 		case x < 0.05:
-			w.said.asksRest(serverID(server), time.Duration(rnd.ExpFloat64()*float64(2*time.Second)))
+			w.statements.asksRest(serverID(server), time.Duration(rnd.ExpFloat64()*float64(2*time.Second)))
 		case x < 0.1:
-			w.said.asksRest(serverID(server), 0)
+			w.statements.asksRest(serverID(server), 0)
 		case x < 0.11:
 			w.fault(storetest.Faults{Down: true}, name)
 		case x < 0.12:
@@ -279,7 +279,7 @@
 			w.fault(storetest.Faults{}, name)
 		case x < 0.152:
 			w.kill(name)
-			w.said.forgives(name)
+			w.statements.reset(name)
 			w.start(name)
 		}
 	}
--- a/internal/front/suspectends.go
+++ b/internal/front/suspectends.go
@@ -33,13 +33,13 @@
 	if !s.hasEnded(ctx, server, now) {
 		return false
 	}
-	s.tell(s.table.EndpointEnded(server.ID, s.node.Clock.Now()))
+	s.broadcast(s.table.EndpointEnded(server.ID, s.node.Clock.Now()))
 	return true
 }
 
 // cutOff takes note of a run that was cut off.
 func (s *suspects) cutOff(server registry.Server, f quarantine.Fingerprint, account string, at time.Time) {
-	s.tell(s.table.Broke(quarantine.Run{Fingerprint: f, Endpoint: server.ID, Name: server.StoreID(), Account: account}, at))
+	s.broadcast(s.table.Broke(quarantine.Run{Fingerprint: f, Endpoint: server.ID, Name: server.StoreID(), Account: account}, at))
 }
 
 // Left implements forward.Quarantine. Whether the server ends is not looked at: it may do so
@@ -91,13 +91,13 @@
 // Unreached implements forward.Quarantine.
 func (s *suspects) Unreached(server registry.Server) {
 	if s.node.takesWork(server) {
-		s.tell(s.table.EndpointEnded(server.ID, s.node.Clock.Now()))
+		s.broadcast(s.table.EndpointEnded(server.ID, s.node.Clock.Now()))
 	}
 }
 
 // CameThrough implements forward.Quarantine.
 func (s *suspects) CameThrough(f quarantine.Fingerprint, server registry.Server) {
-	s.tell(s.table.CameThrough(f, server.ID, s.node.Clock.Now()))
+	s.broadcast(s.table.CameThrough(f, server.ID, s.node.Clock.Now()))
 }
 
 // serverChanged takes what the store tells of servers.
@@ -105,9 +105,9 @@
 	switch c.Change {
 	case registry.Gone:
 		if !c.Server.Leaving {
-			s.tell(s.table.EndpointEnded(c.Server.ID, now))
+			s.broadcast(s.table.EndpointEnded(c.Server.ID, now))
 		}
 	case registry.Restarted:
-		s.tell(s.table.EndpointRestarted(c.Server.StoreID(), c.Server.ID, now))
+		s.broadcast(s.table.EndpointRestarted(c.Server.StoreID(), c.Server.ID, now))
 	}
 }
--- a/internal/front/suspects.go
+++ b/internal/front/suspects.go
@@ -10,7 +10,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/forward"
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
 	"github.com/shelfcrank/shelfcrank/internal/quarantine"
-	"github.com/shelfcrank/shelfcrank/internal/quarantine/told"
+	"github.com/shelfcrank/shelfcrank/internal/quarantine/wire"
 	"github.com/shelfcrank/shelfcrank/internal/rendezvous"
 	"github.com/shelfcrank/shelfcrank/internal/topology"
 )
@@ -36,14 +36,14 @@
 	kick    chan struct{} // there are news; has room for one
 
 	mu     sync.Mutex
-	probes map[string]*probe   // by id of the incarnation; guarded by mu
-	peers  map[string]*briefed // by name of the instance; guarded by mu
+	probes map[string]*probe     // by id of the incarnation; guarded by mu
+	peers  map[string]*syncState // by name of the instance; guarded by mu
 }
 
 func newSuspects(n *Node) *suspects {
 	return &suspects{
 		node: n, table: quarantine.New(quarantine.Options{Length: n.Settings.Quarantine(), Most: mostSuspects}),
-		permits: quarantine.NewPermits(), kick: make(chan struct{}, 1), probes: make(map[string]*probe), peers: make(map[string]*briefed),
+		permits: quarantine.NewPermits(), kick: make(chan struct{}, 1), probes: make(map[string]*probe), peers: make(map[string]*syncState),
 	}
 }
 
@@ -160,7 +160,7 @@
 // servePermit answers an instance that asks for a permit, or gives it back.
 func (s *suspects) servePermit(call *peerpb.Call, answer func(*peerpb.Answer) error) error {
 	q, now := call.GetPermit(), s.node.Clock.Now()
-	f, ok := told.Fingerprint(q.Sum, q.Length)
+	f, ok := wire.Fingerprint(q.Sum, q.Length)
 	left := min(max(0, time.Duration(q.Left)), longestRun)
 	granted := false
 	switch {
--- a/internal/front/suspectsapi.go
+++ b/internal/front/suspectsapi.go
@@ -58,6 +58,6 @@
 		return
 	}
 	s.node.event(event.QuarantineLifted, zap.Stringer("fingerprint", x.Fingerprint), zap.String("account", x.Account))
-	s.tell(s.table.CameThrough(x.Fingerprint, "", s.node.Clock.Now()))
+	s.broadcast(s.table.CameThrough(x.Fingerprint, "", s.node.Clock.Now()))
 	w.WriteHeader(http.StatusNoContent)
 }
--- a/internal/front/suspectnews.go
+++ b/internal/front/suspectsync.go
@@ -11,7 +11,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/event"
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
 	"github.com/shelfcrank/shelfcrank/internal/quarantine"
-	"github.com/shelfcrank/shelfcrank/internal/quarantine/told"
+	"github.com/shelfcrank/shelfcrank/internal/quarantine/wire"
 	"github.com/shelfcrank/shelfcrank/internal/topology"
 )
 
@@ -20,18 +20,18 @@
 // Times of news.
 const (
 	suspectTimeout = 400 * time.Millisecond // for news to arrive
-	briefEach      = time.Second            // one that does not answer is told all so often at the most
+	syncInterval   = time.Second            // one that does not answer is told all so often at the most
 )
 
-// briefed is what another instance was told.
-type briefed struct {
+// syncState is what another instance was told.
+type syncState struct {
 	incarnation int64     // its newest; one that starts knows nothing
-	owed        bool      // something did not reach it
+	pending     bool      // something did not reach it
 	triedAt     time.Time // when it was last told all, or tried to
 }
 
-// tell logs changes and has the other instances told.
-func (s *suspects) tell(changes []quarantine.Change) {
+// broadcast logs changes and has the other instances told.
+func (s *suspects) broadcast(changes []quarantine.Change) {
 	for _, c := range changes {
 		s.log(c)
 	}
@@ -57,22 +57,22 @@
 	}
 }
 
-// hear takes what another instance tells. The first end that it saw of a request is not
+// apply takes what another instance tells. The first end that it saw of a request is not
 // logged here: all that ran on a server that ended has one.
-func (s *suspects) hear(news []*peerpb.Suspect) {
+func (s *suspects) apply(news []*peerpb.Suspect) {
 	now := s.node.Clock.Now()
-	changes := s.table.Hear(told.Read(news, now), now)
-	s.tell(lo.Filter(changes, func(c quarantine.Change, _ int) bool {
+	changes := s.table.Apply(wire.Decode(news, now), now)
+	s.broadcast(lo.Filter(changes, func(c quarantine.Change, _ int) bool {
 		return c.Kind != quarantine.EndSeen || len(c.Suspect.Ends) > 1
 	}))
 }
 
-// tellNews sends news to the other instances as soon as there are any.
-func (s *suspects) tellNews(ctx context.Context) error {
+// sendUpdates sends news to the other instances as soon as there are any.
+func (s *suspects) sendUpdates(ctx context.Context) error {
 	var wait sync.WaitGroup
 	defer wait.Wait()
 	for kicked(ctx, s.kick) {
-		own, heard := s.table.News()
+		own, heard := s.table.Updates()
 		now := s.node.Clock.Now()
 		s.send(ctx, &wait, s.counting(), own, now)
 		concerning := lo.Filter(append(own, heard...), func(x quarantine.Suspect, _ int) bool { return x.Concerns(now) })
@@ -85,7 +85,7 @@
 // was told, or something did not reach it.
 func (s *suspects) met(name string, incarnation int64) {
 	now := s.node.Clock.Now()
-	if !s.owes(name, incarnation, now) {
+	if !s.needsSync(name, incarnation, now) {
 		return
 	}
 	to, listed := lo.Find(s.node.state.members.list(), func(m member) bool { return m.Name == name })
@@ -93,37 +93,37 @@
 		return // it is told once its address is known
 	}
 	s.mu.Lock()
-	b := s.briefed(name)
-	b.owed, b.triedAt = false, now
+	b := s.syncStateOf(name)
+	b.pending, b.triedAt = false, now
 	s.mu.Unlock()
-	if all := s.table.Suspects(s.hearsAll(name), now); len(all) > 0 {
-		go s.sendOnce(context.Background(), to.Member, told.Write(all, now))
+	if all := s.table.Suspects(s.receivesAll(name), now); len(all) > 0 {
+		go s.sendOnce(context.Background(), to.Member, wire.Encode(all, now))
 	}
 }
 
-// owes reports whether an instance has to be told all now.
-func (s *suspects) owes(name string, incarnation int64, now time.Time) bool {
+// needsSync reports whether an instance has to be told all now.
+func (s *suspects) needsSync(name string, incarnation int64, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	b := s.briefed(name)
+	b := s.syncStateOf(name)
 	if b.incarnation != incarnation {
-		b.incarnation, b.owed = incarnation, true
+		b.incarnation, b.pending = incarnation, true
 	}
-	return b.owed && now.Sub(b.triedAt) >= briefEach
+	return b.pending && now.Sub(b.triedAt) >= syncInterval
 }
 
-// briefed returns what an instance was told. s.mu is held.
-func (s *suspects) briefed(name string) *briefed {
+// syncStateOf returns what an instance was told. s.mu is held.
+func (s *suspects) syncStateOf(name string) *syncState {
 	b := s.peers[name]
 	if b == nil {
-		b = &briefed{}
+		b = &syncState{}
 		s.peers[name] = b
 	}
 	return b
 }
 
-// hearsAll reports whether an instance hears of all ends of servers.
-func (s *suspects) hearsAll(name string) bool {
+// receivesAll reports whether an instance hears of all ends of servers.
+func (s *suspects) receivesAll(name string) bool {
 	hubs := s.node.state.members.topology()
 	return len(hubs.Hubs) == 0 || hubs.Named(name).Name == name
 }
@@ -145,7 +145,7 @@
 	if len(news) == 0 {
 		return
 	}
-	messages := told.Write(news, now)
+	messages := wire.Encode(news, now)
 	for _, m := range to {
 		wait.Go(func() { s.sendOnce(ctx, m, messages) })
 	}
@@ -159,6 +159,6 @@
 	if _, err := s.node.peers.Call(ctx, to.Addr, call); err != nil {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.briefed(to.Name).owed = true
+		s.syncStateOf(to.Name).pending = true
 	}
 }
--- a/internal/front/traffic_test.go
+++ b/internal/front/traffic_test.go
@@ -26,7 +26,7 @@
 }
 
 // told logs what was told since an earlier moment, and returns the bytes.
-func (w *world) told(phase string, before map[peer.Flow]peer.Volume) (total int64) {
+func (w *world) logTraffic(phase string, before map[peer.Flow]peer.Volume) (total int64) {
 	for f, v := range w.flows() {
 		b := before[f]
 		sent, received := v.Sent-b.Sent, v.Received-b.Received
@@ -45,7 +45,7 @@
 // store passed 665 MB on to the others, 2.2 MB to each of them: its list of changes was shorter than
 // what changes between two questions of an instance, which then got all entries, again and again. By hand for other sizes:
 // SHELFCRANK_FLEET=300 go test ./internal/front -run TestWhatInstancesTell -v
-func TestWhatInstancesTellEachOther(t *testing.T) {
+func TestGossipVolume(t *testing.T) {
 	nodes := 100
 	if n, err := strconv.Atoi(os.Getenv("SHELFCRANK_FLEET")); err == nil {
 		nodes = n
@@ -60,10 +60,10 @@
 			}
 		}
 		time.Sleep(8 * time.Second)
-		start := w.told(fmt.Sprintf("start (%s)", time.Since(begun)), nil)
+		start := w.logTraffic(fmt.Sprintf("start (%s)", time.Since(begun)), nil)
 		before := w.flows()
 		time.Sleep(10 * time.Second)
-		quiet := w.told("quiet 10 s", before)
+		quiet := w.logTraffic("quiet 10 s", before)
 		t.Logf("%d instances: %d kB each at the start, %d bytes a second each after it", nodes, start/int64(nodes)/1000, quiet/int64(nodes)/10)
 		t.Logf("all entries: %d kB", listing/1000)
 		is.True(start < 3*int64(nodes)*listing/2) // each instance is told each entry once, and a few things beside
--- a/internal/front/world_test.go
+++ b/internal/front/world_test.go
@@ -159,8 +159,8 @@
 	cancelled map[string]time.Time // when servers were told to stop work, by request id; guarded by mu
 	bad       []string             // what was seen that must not be; guarded by mu
 
-	rolls *rolls // set where the world has roll-outs
-	said  *said  // what servers say of themselves in their answers, and what follows
+	rolls      *rolls      // set where the world has roll-outs
+	statements *statements // what servers say of themselves in their answers, and what follows
 
 	halls    int                           // that instances are spread over
 	servers  int                           // how many there are
@@ -212,7 +212,7 @@
 		t: t, store: storetest.New(),
 		cloud: &cloud{windows: make(map[int64]map[string]int64)}, nodes: make(map[string]*running),
 		runs: make(map[string]int), cancelled: make(map[string]time.Time), hold: 20 * time.Millisecond, last: make(map[string]time.Time), slow: make(map[string]bool), out: make(map[string]time.Time),
-		said: newSaid(), halls: 1, servers: testServers, deaths: newDeaths(), limits: newRateLimits(),
+		statements: newStatements(), halls: 1, servers: testServers, deaths: newDeaths(), limits: newRateLimits(),
 	}
 	w.mem = netx.NewMem(w.delay)
 	for _, set := range options {
@@ -305,9 +305,9 @@
 	}
 	hold := w.hold
 	w.limits.arrives(server, id, time.Now())
-	w.bad = append(w.bad, w.said.arrives(server, id, w.drain(), time.Now())...)
+	w.bad = append(w.bad, w.statements.arrives(server, id, w.drain(), time.Now())...)
 	w.mu.Unlock()
-	if status := w.said.answer(server, id, rw.Header(), time.Now()); status != 0 {
+	if status := w.statements.answer(server, id, rw.Header(), time.Now()); status != 0 {
 		w.limits.answers(server, id, rw.Header(), time.Now())
 		rw.WriteHeader(status)
 		return
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -102,9 +102,9 @@
 	return slices.BinarySearchFunc(l.members, id, func(m Member, id string) int { return strings.Compare(m.ID, id) })
 }
 
-// Heard takes news of a member, from itself or from a peer. Older news than
+// Apply takes news of a member, from itself or from a peer. Older news than
 // what is known is ignored.
-func (l *List) Heard(m Member, now time.Time) (Change, bool) {
+func (l *List) Apply(m Member, now time.Time) (Change, bool) {
 	if m.ID == l.self.ID || m.ID == "" || slices.Contains(l.retired, m.ID) {
 		return Change{}, false
 	}
--- a/internal/mirror/news.go
+++ b/internal/mirror/progress.go
@@ -11,9 +11,9 @@
 // own watch counts as silent: changes are gathered, and travel.
 const silentAfter = 600 * time.Millisecond
 
-// News tells a watch of the servers that has gone silent from one that has
+// Progress tells a watch of the servers that has gone silent from one that has
 // nothing to tell: the other nodes watch as well. It is safe for concurrent use.
-type News struct {
+type Progress struct {
 	mu    sync.Mutex
 	seen  int64     // revision of the newest change of a server; guarded by mu
 	known int64     // revision up to which all changes are known; guarded by mu
@@ -21,7 +21,7 @@
 }
 
 // Saw notes a change.
-func (s *News) Saw(revision int64) {
+func (s *Progress) Saw(revision int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.seen = max(s.seen, revision)
@@ -30,7 +30,7 @@
 
 // Listed notes a listing that is true at a revision. That alone is not told to
 // others: it grows with changes of other things.
-func (s *News) Listed(items []store.Item, at int64) {
+func (s *Progress) Listed(items []store.Item, at int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, item := range items {
@@ -40,7 +40,7 @@
 }
 
 // Newest returns the revision of the newest change, for the other nodes.
-func (s *News) Newest() int64 {
+func (s *Progress) Newest() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.seen
@@ -48,7 +48,7 @@
 
 // Behind takes what another node told, and reports whether the own watch has
 // been silent for too long.
-func (s *News) Behind(told int64, now time.Time) bool {
+func (s *Progress) Behind(told int64, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -52,14 +52,14 @@
 type Options struct {
 	// Told is called for each notice that says something new, with the end of the rest if
 	// it asks for one.
-	Told func(endpoint registry.Server, n Notice, until time.Time)
+	Changed func(endpoint registry.Server, n Notice, until time.Time)
 	// TimeOfDay returns the time of day at a moment, which the starts of endpoints are
 	// compared with; nil for the moment itself.
 	TimeOfDay func(now time.Time) time.Time
 }
 
-// Book holds what was heard, by the ids of endpoints over all their incarnations.
-type Book struct {
+// Table holds what was heard, by the ids of endpoints over all their incarnations.
+type Table struct {
 	options Options
 
 	mu        sync.Mutex                          // held to write
@@ -67,27 +67,27 @@
 }
 
 // New returns an empty book.
-func New(o Options) *Book {
-	b := &Book{options: o}
+func New(o Options) *Table {
+	b := &Table{options: o}
 	b.standings.Store(&map[string]standing{})
 	return b
 }
 
-// Hear takes what an answer said that was read at a time. Leaving, once said, holds for
+// Observe takes what an answer said that was read at a time. Leaving, once said, holds for
 // good. A rest holds to the latest end that was asked for: an answer that was on the way
 // meanwhile, and asks for less, does not take back what the one before asked.
-func (b *Book) Hear(endpoint registry.Server, n Notice, at time.Time) {
+func (b *Table) Observe(endpoint registry.Server, n Notice, at time.Time) {
 	if n == (Notice{}) {
 		return
 	}
 	until := at.Add(n.RestFor)
-	if b.note(endpoint, n, until, at) && b.options.Told != nil {
-		b.options.Told(endpoint, n, until)
+	if b.note(endpoint, n, until, at) && b.options.Changed != nil {
+		b.options.Changed(endpoint, n, until)
 	}
 }
 
 // note writes a notice down and reports whether it says something new.
-func (b *Book) note(endpoint registry.Server, n Notice, until, at time.Time) (news bool) {
+func (b *Table) note(endpoint registry.Server, n Notice, until, at time.Time) (news bool) {
 	wall := at
 	if b.options.TimeOfDay != nil {
 		wall = b.options.TimeOfDay(at)
@@ -122,7 +122,7 @@
 )
 
 // Allows returns nil if an endpoint may be sent a request, else why not.
-func (b *Book) Allows(endpoint *registry.Server, now time.Time) error {
+func (b *Table) Allows(endpoint *registry.Server, now time.Time) error {
 	s := (*b.standings.Load())[endpoint.StoreID()]
 	switch {
 	case s.leaves(endpoint.StartedAt):
@@ -134,7 +134,7 @@
 }
 
 // Leaves reports whether an endpoint said that it leaves.
-func (b *Book) Leaves(endpoint *registry.Server) bool {
+func (b *Table) Leaves(endpoint *registry.Server) bool {
 	s := (*b.standings.Load())[endpoint.StoreID()]
 	return s.leaves(endpoint.StartedAt)
 }
@@ -142,7 +142,7 @@
 // Closed returns the ids of those endpoints that may not be sent requests, and when the
 // first of them takes requests again, zero if none does. It takes no time while no endpoint
 // has said anything.
-func (b *Book) Closed(endpoints []registry.Server, now time.Time) (ids []string, opensAt time.Time) {
+func (b *Table) Closed(endpoints []registry.Server, now time.Time) (ids []string, opensAt time.Time) {
 	standings := *b.standings.Load()
 	if len(standings) == 0 {
 		return nil, time.Time{}
@@ -166,7 +166,7 @@
 
 // Open returns those endpoints that may be sent requests: the list itself while no
 // endpoint has said anything.
-func (b *Book) Open(endpoints []registry.Server, now time.Time) []registry.Server {
+func (b *Table) Open(endpoints []registry.Server, now time.Time) []registry.Server {
 	if len(*b.standings.Load()) == 0 {
 		return endpoints
 	}
@@ -181,7 +181,7 @@
 
 // Forget drops what no longer holds: rests that are over, and the word of endpoints that
 // are not listed, by their ids over all incarnations, and were not heard of for long.
-func (b *Book) Forget(listed func(endpoint string) bool, now time.Time) {
+func (b *Table) Forget(listed func(endpoint string) bool, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	old := *b.standings.Load()
--- a/internal/notice/notice_test.go
+++ b/internal/notice/notice_test.go
@@ -24,12 +24,12 @@
 	is := is.New(t)
 	b := New(Options{})
 	first, second := incarnation("a", at(0)), incarnation("a", at(5000))
-	b.Hear(first, Notice{Leaving: true}, at(1000))
-	b.Hear(first, Notice{}, at(1500)) // an answer that says nothing takes nothing back
+	b.Observe(first, Notice{Leaving: true}, at(1000))
+	b.Observe(first, Notice{}, at(1500)) // an answer that says nothing takes nothing back
 	is.Equal(b.Allows(&first, at(9000)), ErrLeaving)
 	is.NoErr(b.Allows(&second, at(9000)))
 	// The second one answers before its entry is read, so that it is taken for the first.
-	b.Hear(first, Notice{Leaving: true}, at(6000))
+	b.Observe(first, Notice{Leaving: true}, at(6000))
 	is.Equal(b.Allows(&second, at(9000)), ErrLeaving)
 }
 
@@ -37,24 +37,24 @@
 	is := is.New(t)
 	b := New(Options{})
 	a := registry.Server{ID: "a"}
-	b.Hear(a, Notice{RestFor: 3 * time.Second}, at(0))
-	b.Hear(a, Notice{RestFor: time.Second}, at(100)) // was on the way
+	b.Observe(a, Notice{RestFor: 3 * time.Second}, at(0))
+	b.Observe(a, Notice{RestFor: time.Second}, at(100)) // was on the way
 	is.Equal(b.Allows(&a, at(2999)), ErrResting)
 	is.NoErr(b.Allows(&a, at(3000)))
-	b.Hear(a, Notice{RestFor: time.Second}, at(3500))
+	b.Observe(a, Notice{RestFor: time.Second}, at(3500))
 	is.Equal(b.Allows(&a, at(4000)), ErrResting)
 }
 
-func TestNewsIsToldOnce(t *testing.T) {
+func TestAChangeOfANoticeIsReportedOnce(t *testing.T) {
 	is := is.New(t)
 	told := 0
-	b := New(Options{Told: func(registry.Server, Notice, time.Time) { told++ }})
+	b := New(Options{Changed: func(registry.Server, Notice, time.Time) { told++ }})
 	a := registry.Server{ID: "a"}
 	for i := range 10 {
-		b.Hear(a, Notice{Leaving: true, RestFor: time.Second}, at(i))
+		b.Observe(a, Notice{Leaving: true, RestFor: time.Second}, at(i))
 	}
 	is.Equal(told, 1)
-	b.Hear(a, Notice{RestFor: time.Second}, at(5000)) // another rest
+	b.Observe(a, Notice{RestFor: time.Second}, at(5000)) // another rest
 	is.Equal(told, 2)
 }
 
@@ -68,9 +68,9 @@
 	closed, _ := b.Closed(all, at(0))
 	is.Equal(len(closed), 0)
 	is.Equal(len(b.Open(all, at(0))), 5)
-	b.Hear(all[1], Notice{Leaving: true}, at(0))
-	b.Hear(all[3], Notice{RestFor: 4 * time.Second}, at(0))
-	b.Hear(all[4], Notice{RestFor: 2 * time.Second}, at(0))
+	b.Observe(all[1], Notice{Leaving: true}, at(0))
+	b.Observe(all[3], Notice{RestFor: 4 * time.Second}, at(0))
+	b.Observe(all[4], Notice{RestFor: 2 * time.Second}, at(0))
 	closed, opensAt := b.Closed(all, at(1))
 	is.Equal(closed, []string{"e1", "e3", "e4"})
 	is.Equal(opensAt, at(2000))
@@ -86,8 +86,8 @@
 	is := is.New(t)
 	b := New(Options{})
 	a, c := registry.Server{ID: "a"}, registry.Server{ID: "c"}
-	b.Hear(a, Notice{RestFor: time.Second}, at(0))
-	b.Hear(c, Notice{Leaving: true}, at(0))
+	b.Observe(a, Notice{RestFor: time.Second}, at(0))
+	b.Observe(c, Notice{Leaving: true}, at(0))
 	listed := func(name string) bool { return name == "c" }
 	b.Forget(listed, at(2000))
 	is.Equal(len(*b.standings.Load()), 1)
@@ -116,12 +116,12 @@
 				read = started
 			case 2:
 				leaving = true
-				b.Hear(known, Notice{Leaving: true}, now)
+				b.Observe(known, Notice{Leaving: true}, now)
 			case 3:
 				rest := time.Duration(1+rnd.IntN(4000)) * time.Millisecond
 				restUntil = later(restUntil, now.Add(rest))
 				anyUntil = later(anyUntil, restUntil)
-				b.Hear(known, Notice{RestFor: rest}, now)
+				b.Observe(known, Notice{RestFor: rest}, now)
 			case 4:
 				b.Forget(func(string) bool { return true }, now)
 			}
@@ -154,7 +154,7 @@
 	for _, closed := range []int{0, 20} {
 		book := New(Options{})
 		for i := range closed {
-			book.Hear(all[i*100], Notice{RestFor: time.Hour}, at(0))
+			book.Observe(all[i*100], Notice{RestFor: time.Hour}, at(0))
 		}
 		b.Run(fmt.Sprint(closed), func(b *testing.B) {
 			b.ReportAllocs()
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -129,10 +129,10 @@
 }
 
 // Adopt makes the desk go by what the node learned of the servers.
-func (d *Desk) Adopt(lessons balance.Lessons) { d.tracker.Adopt(lessons) }
+func (d *Desk) Adopt(lessons balance.Estimates) { d.tracker.Adopt(lessons) }
 
-// Lessons returns what the desk learned from all that it placed.
-func (d *Desk) Lessons() balance.Lessons { return d.tracker.Lessons() }
+// Estimates returns what the desk learned from all that it placed.
+func (d *Desk) Estimates() balance.Estimates { return d.tracker.Estimates() }
 
 // Open returns how many requests are placed and not done.
 func (d *Desk) Open() int {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -258,17 +258,17 @@
 	return []Change{{s.clone(), Released, endpoint}}
 }
 
-// Hear takes what another instance knows.
-func (t *Table) Hear(told []Suspect, now time.Time) (changes []Change) {
+// Apply takes what another instance knows.
+func (t *Table) Apply(told []Suspect, now time.Time) (changes []Change) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for i := range told {
-		changes = append(changes, t.hear(&told[i], now)...)
+		changes = append(changes, t.apply(&told[i], now)...)
 	}
 	return changes
 }
 
-func (t *Table) hear(told *Suspect, now time.Time) (changes []Change) {
+func (t *Table) apply(told *Suspect, now time.Time) (changes []Change) {
 	s := t.suspect(told.Fingerprint, told.Account, now)
 	if told.ClearedAt.After(s.ClearedAt) {
 		released := len(s.Ends) > 0 || !s.Until.IsZero()
@@ -293,9 +293,9 @@
 	return changes
 }
 
-// News returns the suspects of whom something new is known since it was last called: what
+// Updates returns the suspects of whom something new is known since it was last called: what
 // this instance saw itself, and what others told.
-func (t *Table) News() (own, heard []Suspect) {
+func (t *Table) Updates() (own, heard []Suspect) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.drain(t.own), t.drain(t.heard)
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -210,17 +210,17 @@
 				q.EndpointEnded(endpoint, at(now))
 				after[endpoint] = true
 			}
-			own, _ := q.News()
+			own, _ := q.Updates()
 			late = append(late, own...)
 			for range rnd.IntN(4) {
 				if len(late) > 0 {
-					tables[rnd.IntN(instances)].Hear(late[rnd.IntN(len(late)):][:1], at(now))
+					tables[rnd.IntN(instances)].Apply(late[rnd.IntN(len(late)):][:1], at(now))
 				}
 			}
 		}
 		rnd.Shuffle(len(late), func(i, j int) { late[i], late[j] = late[j], late[i] })
 		for _, q := range tables {
-			q.Hear(late, at(now))
+			q.Apply(late, at(now))
 		}
 		for i, q := range tables {
 			s, _ := q.Find(print(1).String())
--- a/internal/quarantine/told/told.go
+++ b/internal/quarantine/wire/wire.go
@@ -1,6 +1,6 @@
-// Package told is what instances tell each other of suspects: it writes and reads the messages.
+// Package wire is what instances tell each other of suspects: it writes and reads the messages.
 // Times travel as ages, for the clocks of two instances need not agree.
-package told
+package wire
 
 import (
 	"time"
@@ -12,8 +12,8 @@
 // most bounds what one message tells, some 100 bytes each.
 const most = 1024
 
-// Write returns what is told of suspects, of so many at the most as one message takes.
-func Write(all []quarantine.Suspect, now time.Time) []*peerpb.Suspect {
+// Encode returns what is told of suspects, of so many at the most as one message takes.
+func Encode(all []quarantine.Suspect, now time.Time) []*peerpb.Suspect {
 	var out []*peerpb.Suspect
 	for i := range all[:min(len(all), most)] {
 		s := &all[i]
@@ -32,8 +32,8 @@
 	return out
 }
 
-// Read returns the suspects that Write told of. One without a fingerprint is passed over.
-func Read(told []*peerpb.Suspect, now time.Time) []quarantine.Suspect {
+// Decode returns the suspects that Write told of. One without a fingerprint is passed over.
+func Decode(told []*peerpb.Suspect, now time.Time) []quarantine.Suspect {
 	var out []quarantine.Suspect
 	for _, m := range told[:min(len(told), most)] {
 		f, ok := Fingerprint(m.Sum, m.Length)
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -68,8 +68,8 @@
 // Season is how long after its start a node knows the levels well.
 const Season = 3 * time.Second
 
-// News is what a node tells of itself.
-type News struct {
+// Update is what a node tells of itself.
+type Update struct {
 	Node        string
 	Incarnation int64              // a restarted node has a higher one
 	Admitted    map[string]float64 // units by client account since it started
@@ -155,14 +155,14 @@
 
 // Limiter counts the use of limits by client account.
 type Limiter struct {
-	start    time.Time // from which empty buckets fill
-	accounts map[string]*account
-	nodes    map[string]*node
-	count    int // of nodes that run, as far as is known
-	ticked   time.Time
-	since    time.Time        // first news of a node that knows the levels well
-	wokeAt   time.Time        // when this node last stood still for long; zero if it never did
-	woke     map[string]Limit // that held then
+	start        time.Time // from which empty buckets fill
+	accounts     map[string]*account
+	nodes        map[string]*node
+	count        int // of nodes that run, as far as is known
+	ticked       time.Time
+	since        time.Time        // first news of a node that knows the levels well
+	resumedAt    time.Time        // when this node last stood still for long; zero if it never did
+	resumeLimits map[string]Limit // that held then
 }
 
 // New returns the limiter of a node that starts now.
@@ -303,8 +303,8 @@
 	return out
 }
 
-// Heard takes the news of another node.
-func (l *Limiter) Heard(news News, now time.Time) {
+// Apply takes the news of another node.
+func (l *Limiter) Apply(news Update, now time.Time) {
 	n, known := l.nodes[news.Node]
 	if known && n.incarnation != news.Incarnation {
 		l.Forget(news.Node) // settles what it was assumed to admit while it was down
@@ -340,18 +340,18 @@
 		l.adopt(news.Levels, now)
 	}
 	n.heardAt = now
-	l.forgive(now)
+	l.boundDebts(now)
 }
 
-// forgive bounds debts by one burst while what is heard after a standstill may be told by nodes
+// boundDebts bounds debts by one burst while what is heard after a standstill may be told by nodes
 // that stood still as well: they first pass on totals from before it, and then all that was
 // admitted since, which time has paid for.
-func (l *Limiter) forgive(now time.Time) {
-	if l.wokeAt.IsZero() || now.Sub(l.wokeAt) > Season {
+func (l *Limiter) boundDebts(now time.Time) {
+	if l.resumedAt.IsZero() || now.Sub(l.resumedAt) > Season {
 		return
 	}
 	for name, a := range l.accounts {
-		a.bucket.level = max(a.bucket.level, -l.woke[name].Burst)
+		a.bucket.level = max(a.bucket.level, -l.resumeLimits[name].Burst)
 	}
 }
 
@@ -394,19 +394,19 @@
 	}
 }
 
-// Woke takes note that this node stood still for long. It begins with empty buckets, as at its
+// Resume takes note that this node stood still for long. It begins with empty buckets, as at its
 // start: the others may have used whatever time has added, and after all stood still each
 // would use the whole of it. Of a debt one burst is kept: more is what the others admitted
 // from time that this bucket never got.
-func (l *Limiter) Woke(limits map[string]Limit, now time.Time) {
+func (l *Limiter) Resume(limits map[string]Limit, now time.Time) {
 	for _, a := range l.accounts {
 		a.bucket = bucket{level: min(0, a.bucket.level), at: now, filled: true}
 		a.fresh, a.tightAt = 0, now
 	}
 	clear(l.nodes)
 	l.start, l.since = now, time.Time{}
-	l.wokeAt, l.woke = now, limits
-	l.forgive(now)
+	l.resumedAt, l.resumeLimits = now, limits
+	l.boundDebts(now)
 }
 
 // DropWhere drops those nodes for which over returns true, with all they told: others
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -104,7 +104,7 @@
 			if i == j || from == nil || to == nil {
 				continue
 			}
-			to.Heard(News{
+			to.Apply(Update{
 				Node: strconv.Itoa(i), Incarnation: f.started[i].UnixNano(), Admitted: from.Admitted(),
 				Levels: from.Levels(f.limits(), f.now), Seasoned: f.now.Sub(f.started[i]) > Season,
 			}, f.now)
@@ -215,7 +215,7 @@
 		now = now.Add(100 * time.Millisecond)
 		admitted += 50
 		l.SetNodes(2)
-		l.Heard(News{Node: "b", Incarnation: 1, Admitted: map[string]float64{"t": admitted}}, now)
+		l.Apply(Update{Node: "b", Incarnation: 1, Admitted: map[string]float64{"t": admitted}}, now)
 		l.Tick(now)
 	}
 	return l, now
@@ -233,7 +233,7 @@
 // A node that was given up and is heard of again, as the network between them is back:
 // what it admitted meanwhile was never told. It counts, but for what is longer ago than
 // levels are judged by.
-func TestANodeThatWasForgottenIsHeardOfAgain(t *testing.T) {
+func TestUnitsOfANodeThatReturnsCount(t *testing.T) {
 	is := is.New(t)
 	limits := map[string]Limit{"t": {Rate: 100, Burst: 1500}}
 	for _, c := range []struct {
@@ -244,7 +244,7 @@
 		now = now.Add(time.Minute)
 		l.Forget("b")
 		is.Equal(l.Levels(limits, now)["t"], 1500.0)
-		l.Heard(News{Node: "b", Incarnation: 1, Admitted: map[string]float64{"t": 1500}}, now)
+		l.Apply(Update{Node: "b", Incarnation: 1, Admitted: map[string]float64{"t": 1500}}, now)
 		l.Forget("b")
 		now = now.Add(c.away - time.Millisecond)
 		_ = l.Levels(limits, now)
@@ -252,7 +252,7 @@
 		l.Tick(now)
 		is.Equal(l.known(), 0.5) // one of two
 		before := l.Levels(limits, now)["t"]
-		l.Heard(News{Node: "b", Incarnation: 1, Admitted: map[string]float64{"t": 2400}}, now)
+		l.Apply(Update{Node: "b", Incarnation: 1, Admitted: map[string]float64{"t": 2400}}, now)
 		is.Equal(before-l.Levels(limits, now)["t"], 1500-c.level)
 		is.Equal(l.known(), 1.0)
 	}
@@ -369,7 +369,7 @@
 }
 
 // A refusal tells whether the account or only this node's part was used up.
-func TestARefusalTellsWhichLimitItMet(t *testing.T) {
+func TestARefusalNamesTheLimitItMet(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	l := New(now)
@@ -453,7 +453,7 @@
 	l.SetNodes(4)
 	is.True(l.Admit("north", limit, 1, now).OK)
 	now = now.Add(20 * time.Second)
-	l.Woke(map[string]Limit{"north": limit}, now)
+	l.Resume(map[string]Limit{"north": limit}, now)
 	is.True(!l.Admit("north", limit, 1, now).OK) // it does not know what the others admitted
 	is.Equal(l.Admitted()["north"], 1.0)         // others go on counting from there
 	now = now.Add(time.Second)
@@ -461,21 +461,21 @@
 }
 
 // A node that stood still hears what the others admitted meanwhile, before it notices.
-func TestANodeThatStoodStillOwesOneBurst(t *testing.T) {
+func TestDebtAfterAStandstillIsBoundByOneBurst(t *testing.T) {
 	is := is.New(t)
 	limit := Limit{Rate: 40, Burst: 80}
 	now := time.Unix(1000, 0)
 	l := New(now.Add(-time.Minute))
 	l.SetNodes(2)
-	news := func(admitted float64) News {
-		return News{Node: "n1", Incarnation: 1, Admitted: map[string]float64{"north": admitted}}
+	news := func(admitted float64) Update {
+		return Update{Node: "n1", Incarnation: 1, Admitted: map[string]float64{"north": admitted}}
 	}
-	l.Heard(news(100), now)
+	l.Apply(news(100), now)
 	is.True(l.Admit("north", limit, 1, now).OK)
 	now = now.Add(20 * time.Second)
-	l.Heard(news(900), now)
-	l.Woke(map[string]Limit{"north": limit}, now)
-	l.Heard(news(910), now.Add(200*time.Millisecond))
+	l.Apply(news(900), now)
+	l.Resume(map[string]Limit{"north": limit}, now)
+	l.Apply(news(910), now.Add(200*time.Millisecond))
 	l.Fill(map[string]Limit{"north": limit}, now.Add(time.Second))
 	l.Fill(map[string]Limit{"north": limit}, now.Add(2*time.Second))
 	is.True(l.Admit("north", limit, 1, now.Add(3*time.Second)).OK) // a burst takes two to pay
@@ -491,11 +491,11 @@
 	l.SetNodes(2)
 	is.True(l.Admit("north", limits["north"], 1, now).OK)
 	now = now.Add(20 * time.Second)
-	l.Woke(limits, now)
+	l.Resume(limits, now)
 	for _, admitted := range []float64{100, 900, 910} {
 		now = now.Add(300 * time.Millisecond)
 		l.Fill(limits, now)
-		l.Heard(News{Node: "n1", Incarnation: 1, Admitted: map[string]float64{"north": admitted}}, now)
+		l.Apply(Update{Node: "n1", Incarnation: 1, Admitted: map[string]float64{"north": admitted}}, now)
 	}
 	for range 30 {
 		now = now.Add(100 * time.Millisecond)
--- a/internal/ratelimit/table_test.go
+++ b/internal/ratelimit/table_test.go
@@ -113,7 +113,7 @@
 	is.Equal(table.Take("e", at(9000)), ErrNoGrant) // no grants of the time without a limit
 }
 
-func TestNextTellsWhenThereIsAGrant(t *testing.T) {
+func TestNextReturnsWhenThereIsAGrant(t *testing.T) {
 	is := is.New(t)
 	names := []string{"a", "b", "c"}
 	table := New(Options{Self: "a", Instances: func() []string { return names }})
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -252,8 +252,8 @@
 	return r.fetched
 }
 
-// News is what the holder of the second copy does not know yet.
-type News struct {
+// Update is what the holder of the second copy does not know yet.
+type Update struct {
 	From     int
 	Tokens   []string
 	Endpoint string
@@ -263,10 +263,10 @@
 
 // Unreported returns what the holder does not know yet. The second result is
 // false when there is nothing.
-func (r *Record) Unreported() (News, bool) {
+func (r *Record) Unreported() (Update, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	n := News{From: r.reported, Endpoint: r.endpoint, Fetched: r.fetched && r.resultOK && !r.dropOK}
+	n := Update{From: r.reported, Endpoint: r.endpoint, Fetched: r.fetched && r.resultOK && !r.dropOK}
 	if r.reported < len(r.tokens) {
 		n.Tokens = slices.Clone(r.tokens[r.reported:])
 	}
@@ -278,7 +278,7 @@
 
 // Reported notes that the holder knows the news, and reports whether there is
 // more to tell it.
-func (r *Record) Reported(holder string, n News) bool {
+func (r *Record) Reported(holder string, n Update) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.holder != holder {
--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -66,7 +66,7 @@
 	is.Equal(r.Owner(), "b")
 }
 
-func TestNewsAreToldUntilAcknowledged(t *testing.T) {
+func TestUpdatesAreSentUntilAcknowledged(t *testing.T) {
 	is := is.New(t)
 	r := New(Request{ID: "a"}, "owner")
 	r.SetHolder("h", 0)
--- a/internal/registry/incarnation.go
+++ b/internal/registry/incarnation.go
@@ -112,8 +112,8 @@
 	return change
 }
 
-// believe takes an earlier incarnation for the newest.
-func (r *Registry) believe(name string, s Server, now time.Time) Event {
+// accept takes an earlier incarnation for the newest.
+func (r *Registry) accept(name string, s Server, now time.Time) Event {
 	delete(r.newest, name)
 	delete(r.servers, name)
 	r.listed = nil
--- a/internal/registry/incarnation_test.go
+++ b/internal/registry/incarnation_test.go
@@ -33,7 +33,7 @@
 
 // News of an earlier incarnation, or of the time before an entry went, come late: from a stale
 // read, from a watch that was behind, from an instance that was cut off.
-func TestLateNewsAreNoNews(t *testing.T) {
+func TestLateUpdatesAreIgnored(t *testing.T) {
 	is := is.New(t)
 	r := New(testDrain)
 	r.Put(entryOf("a", 1, 5, false), began)
@@ -97,7 +97,7 @@
 	revision int64
 }
 
-func (w written) tell(r *Registry, now time.Time) {
+func (w written) writeTo(r *Registry, now time.Time) {
 	switch {
 	case w.gone:
 		r.Remove(w.server.Name, w.revision, false, now)
@@ -129,7 +129,7 @@
 // Whatever is lost, comes late, twice or in another order: an incarnation that is known to leave,
 // or to be followed by a later one, gets no new work, and a listing of the store as it is
 // then leaves the registry with what is true.
-func TestRandomNewsOfIncarnations(t *testing.T) {
+func TestRandomUpdatesOfIncarnations(t *testing.T) {
 	const histories = 10_000 // 0.2 s
 	for seed := range uint64(histories) {
 		rnd := rand.New(rand.NewPCG(seed, 1))
@@ -144,7 +144,7 @@
 		for range 3 * len(all) {
 			now = now.Add(time.Duration(rnd.IntN(300)) * time.Millisecond)
 			w := all[rnd.IntN(len(all))]
-			w.tell(r, now)
+			w.writeTo(r, now)
 			if !w.odd && !w.gone {
 				left[w.server.ID] = left[w.server.ID] || w.server.Leaving
 				if w.server.StartedAt.After(newest) {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -242,7 +242,7 @@
 		case e == nil || e.earlier == nil && e.absent.IsZero():
 			delete(r.pending, name)
 		case e.earlier != nil && now.Sub(e.since) >= earlierStands:
-			changed = append(changed, r.believe(name, *e.earlier, now))
+			changed = append(changed, r.accept(name, *e.earlier, now))
 		case e.absent.IsZero():
 		case storeDown:
 			e.absent = r.absentUntil(now)
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -17,7 +17,7 @@
 // The store was in trouble for this node alone. A server that goes just after
 // without having said so must be out of use within the bound, although its
 // entry may only have lapsed.
-func TestAnEntryThatWentAfterTroubleIsBelievedInTime(t *testing.T) {
+func TestAMissingEntryAfterTroubleIsAcceptedInTime(t *testing.T) {
 	is := is.New(t)
 	r := New(testDrain)
 	now := time.Unix(1000, 0)
--- a/internal/relay/engines.go
+++ b/internal/relay/engines.go
@@ -104,7 +104,7 @@
 			continue // it wants no calls, or another instance moved a later turn of it
 		}
 		moves <- struct{}{}
-		x, err := r.Endpoints.Import(ctx, home[0].Addr, endpoint.Import{Request: rec.ID, From: e.Endpoint.Addr}, r.Hear(home[0]))
+		x, err := r.Endpoints.Import(ctx, home[0].Addr, endpoint.Import{Request: rec.ID, From: e.Endpoint.Addr}, r.Observer(home[0]))
 		<-moves
 		if err == nil {
 			home[0].Blocks.Add(x.Chain...)
@@ -148,7 +148,7 @@
 	defer cancel()
 	d.Endpoint.Begin(0) // counts towards its load while the cache is on its way
 	defer d.Endpoint.End()
-	x, err := r.Endpoints.Import(ctx, d.Endpoint.Addr, endpoint.Import{Request: rec.ID, From: e.Endpoint.Addr}, r.Hear(d.Endpoint))
+	x, err := r.Endpoints.Import(ctx, d.Endpoint.Addr, endpoint.Import{Request: rec.ID, From: e.Endpoint.Addr}, r.Observer(d.Endpoint))
 	if err != nil {
 		r.event(event.KVMoveFailed, zap.String("request", rec.ID), zap.Error(err))
 		return false
--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -122,7 +122,7 @@
 		if p.Result != nil {
 			rec.MarkFetched()
 			if rec.Repeatable && p.Owner == r.Self {
-				r.noteNews(rec) // the second copy may go too
+				r.markUpdated(rec) // the second copy may go too
 			}
 			return true, nil
 		}
--- a/internal/relay/hold.go
+++ b/internal/relay/hold.go
@@ -95,7 +95,7 @@
 		switch h := a.GetHold(); h.GetOutcome() {
 		case peerpb.HoldAnswer_HELD:
 			rec.SetHolder(m.ID, pos)
-			r.noteNews(rec)
+			r.markUpdated(rec)
 			return nil
 		case peerpb.HoldAnswer_TAKEN:
 			return errTaken
--- a/internal/relay/leave.go
+++ b/internal/relay/leave.go
@@ -43,7 +43,7 @@
 	limit := by.Add(-handoverSend)
 	r.waitUntil(ctx, handover, r.ownsNothing)
 	r.giveAway(ctx, limit)
-	r.waitUntil(ctx, earlier(limit, r.Clock.Now().Add(heldWait)), r.newsDelivered)
+	r.waitUntil(ctx, earlier(limit, r.Clock.Now().Add(heldWait)), r.updatesDelivered)
 	if planned {
 		limit = earlier(limit, r.Clock.Now().Add(claimsWait))
 	}
@@ -93,12 +93,12 @@
 	return r.store.All(func(rec *record.Record) bool { return rec.Owner() == r.Self && !rec.Done() })
 }
 
-// newsDelivered reports whether all holders know all there is to know, and all
+// updatesDelivered reports whether all holders know all there is to know, and all
 // results of requests that may not be repeated are with their keepers.
-func (r *Relay) newsDelivered() bool {
+func (r *Relay) updatesDelivered() bool {
 	r.runMu.Lock()
 	defer r.runMu.Unlock()
-	return len(r.news) == 0
+	return len(r.updated) == 0
 }
 
 // replaced reports whether a view without this instance is in force and its
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -136,7 +136,7 @@
 	stream, err := r.Endpoints.Generate(ctx, e.Addr, &endpoint.Generate{
 		Request: rec.ID, Session: rec.Session, Prompt: string(rec.Body), MaxTokens: rec.MaxTokens,
 		Priority: rec.Priority, Seed: rec.Seed, ResumeFrom: from,
-	}, r.Hear(e))
+	}, r.Observer(e))
 	if err == nil {
 		defer stream.Close()
 		err = r.read(rec, stream)
@@ -159,10 +159,10 @@
 	return r.routing(r.snap().Table.System.Policy).Choose(pool, req, now)
 }
 
-// Hear returns what takes an endpoint's word of itself in the answer to a request that is sent
+// Observer returns what takes an endpoint's word of itself in the answer to a request that is sent
 // now: one that leaves gets no new work, whether the list says so or not, one that asked for
 // rest gets no calls until its end, and one that names a rate limit gets no more than that.
-func (r *Relay) Hear(e *route.Endpoint) endpoint.Hear {
+func (r *Relay) Observer(e *route.Endpoint) endpoint.Observe {
 	sent := r.Clock.Now()
 	return func(n endpoint.Statement) {
 		now := r.Clock.Now()
@@ -222,7 +222,7 @@
 				r.broken("positions only grow: "+err.Error(), rec)
 				return fault.New(fault.StepStream, "", fault.KindInternal, fault.Ran, "%w", err)
 			}
-			r.noteNews(rec)
+			r.markUpdated(rec)
 		}
 		if c.Done {
 			r.finish(rec, record.Result{Status: statusOK})
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -44,9 +44,9 @@
 type Endpoints interface {
 	// Look returns why no connection to an endpoint can be made, or nil.
 	Look(ctx context.Context, addr netip.AddrPort) error
-	Generate(ctx context.Context, addr netip.AddrPort, g *endpoint.Generate, hear endpoint.Hear) (*endpoint.Stream, error)
-	Import(ctx context.Context, addr netip.AddrPort, m endpoint.Import, hear endpoint.Hear) (endpoint.Export, error)
-	Call(ctx context.Context, addr netip.AddrPort, path, contentType, key string, body []byte, hear endpoint.Hear) (endpoint.ServiceAnswer, error)
+	Generate(ctx context.Context, addr netip.AddrPort, g *endpoint.Generate, hear endpoint.Observe) (*endpoint.Stream, error)
+	Import(ctx context.Context, addr netip.AddrPort, m endpoint.Import, hear endpoint.Observe) (endpoint.Export, error)
+	Call(ctx context.Context, addr netip.AddrPort, path, contentType, key string, body []byte, hear endpoint.Observe) (endpoint.ServiceAnswer, error)
 }
 
 // Control is the control goroutine as seen from traffic.
@@ -95,9 +95,9 @@
 	rndMu sync.Mutex
 	rnd   *rand.Rand // guarded by rndMu
 
-	runMu sync.Mutex
-	runs  map[string]*run             // requests that run here; guarded by runMu
-	news  map[*record.Record]struct{} // records with news for their holder; guarded by runMu
+	runMu   sync.Mutex
+	runs    map[string]*run             // requests that run here; guarded by runMu
+	updated map[*record.Record]struct{} // records with news for their holder; guarded by runMu
 
 	suspects *suspects
 	limits   *ratelimit.Table
@@ -126,7 +126,7 @@
 	r := &Relay{
 		Options: o, store: record.NewStore(), keeper: claim.NewKeeper(o.Self),
 		rnd:  rand.New(rand.NewPCG(o.Seed, 0x5bd1e995)),
-		runs: make(map[string]*run), news: make(map[*record.Record]struct{}),
+		runs: make(map[string]*run), updated: make(map[*record.Record]struct{}),
 		retries: make(map[string]*retryBudget), suspects: newSuspects(),
 	}
 	r.limits = newLimits(r)
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -105,7 +105,7 @@
 	r.Metrics.Request(rec.Class, outcome)
 	switch {
 	case rec.Repeatable:
-		r.noteNews(rec)
+		r.markUpdated(rec)
 	case res.Failure != nil && res.Failure.Run == fault.NotRun:
 		r.giveBack(rec) // nothing ran: a repeat may try again
 	default:
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -82,7 +82,7 @@
 	if !rec.Repeatable {
 		key = rec.ID
 	}
-	ans, err := r.Endpoints.Call(ctx, e.Addr, path, rec.ContentType, key, rec.Body, r.Hear(e))
+	ans, err := r.Endpoints.Call(ctx, e.Addr, path, rec.ContentType, key, rec.Body, r.Observer(e))
 	if err != nil {
 		f := fault.As(err)
 		if f.Run != fault.NotRun {
--- a/internal/relay/suspects.go
+++ b/internal/relay/suspects.go
@@ -14,7 +14,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/fault"
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
 	"github.com/shelfcrank/shelfcrank/internal/quarantine"
-	"github.com/shelfcrank/shelfcrank/internal/quarantine/told"
+	"github.com/shelfcrank/shelfcrank/internal/quarantine/wire"
 	"github.com/shelfcrank/shelfcrank/internal/record"
 	"github.com/shelfcrank/shelfcrank/internal/route"
 )
@@ -110,7 +110,7 @@
 		r.endpointEnded(e, life)
 	case fault.As(err).Kind == fault.KindBroken:
 		run := quarantine.Run{Fingerprint: fingerprint(rec), Endpoint: life, Name: e.ID, Account: rec.Account}
-		r.tellSuspects(r.suspects.table.Broke(run, r.Clock.Now()))
+		r.broadcastSuspects(r.suspects.table.Broke(run, r.Clock.Now()))
 		if r.hasEnded(ctx, e) {
 			r.endpointEnded(e, life)
 		}
@@ -120,7 +120,7 @@
 // endpointEnded takes note that an incarnation of an endpoint has ended.
 func (r *Relay) endpointEnded(e *route.Endpoint, life string) {
 	r.suspects.over(e, life)
-	r.tellSuspects(r.suspects.table.EndpointEnded(life, r.Clock.Now()))
+	r.broadcastSuspects(r.suspects.table.EndpointEnded(life, r.Clock.Now()))
 }
 
 // hasEnded looks whether an endpoint's process has ended: its address refuses connections.
@@ -133,12 +133,12 @@
 // cameThrough takes note that an endpoint answered a request whole.
 func (r *Relay) cameThrough(rec *record.Record, life string) {
 	if r.suspects.knows(rec) {
-		r.tellSuspects(r.suspects.table.CameThrough(fingerprint(rec), life, r.Clock.Now()))
+		r.broadcastSuspects(r.suspects.table.CameThrough(fingerprint(rec), life, r.Clock.Now()))
 	}
 }
 
-// tellSuspects logs changes and tells the other instances.
-func (r *Relay) tellSuspects(changes []quarantine.Change) {
+// broadcastSuspects logs changes and tells the other instances.
+func (r *Relay) broadcastSuspects(changes []quarantine.Change) {
 	for _, c := range changes {
 		f := zap.Stringer("fingerprint", c.Suspect.Fingerprint)
 		switch c.Kind {
@@ -150,11 +150,11 @@
 			r.event(event.QuarantineOver, f, zap.String("server", c.Endpoint))
 		}
 	}
-	own, heard := r.suspects.table.News()
+	own, heard := r.suspects.table.Updates()
 	if len(own)+len(heard) == 0 {
 		return
 	}
-	news := &peerpb.Suspects{Suspects: told.Write(own, r.Clock.Now())}
+	news := &peerpb.Suspects{Suspects: wire.Encode(own, r.Clock.Now())}
 	for _, m := range r.snap().Members {
 		if m.ID == r.Self {
 			continue
@@ -168,9 +168,9 @@
 	}
 }
 
-// hearSuspects takes what another instance tells, and passes nothing on: it told all.
-func (r *Relay) hearSuspects(news []*peerpb.Suspect) {
+// applySuspects takes what another instance tells, and passes nothing on: it told all.
+func (r *Relay) applySuspects(news []*peerpb.Suspect) {
 	now := r.Clock.Now()
-	r.suspects.table.Hear(told.Read(news, now), now)
-	r.suspects.table.News()
+	r.suspects.table.Apply(wire.Decode(news, now), now)
+	r.suspects.table.Updates()
 }
--- a/internal/relay/upkeep.go
+++ b/internal/relay/upkeep.go
@@ -22,16 +22,16 @@
 	expireEvery = 2 * time.Second
 )
 
-// noteNews marks a record as having news for the holder of its second copy.
-func (r *Relay) noteNews(rec *record.Record) {
+// markUpdated marks a record as having news for the holder of its second copy.
+func (r *Relay) markUpdated(rec *record.Record) {
 	r.runMu.Lock()
-	r.news[rec] = struct{}{}
+	r.updated[rec] = struct{}{}
 	r.runMu.Unlock()
 }
 
-// PushNews brings second copies up to date until ctx ends: for each holder one
+// PushUpdates brings second copies up to date until ctx ends: for each holder one
 // message with the news of all records.
-func (r *Relay) PushNews(ctx context.Context) error {
+func (r *Relay) PushUpdates(ctx context.Context) error {
 	t := time.NewTicker(newsEvery)
 	defer t.Stop()
 	for {
@@ -44,18 +44,18 @@
 	}
 }
 
-type sentNews struct {
+type sentUpdate struct {
 	rec  *record.Record
-	news record.News
+	news record.Update
 }
 
 func (r *Relay) pushOnce(ctx context.Context) {
 	r.runMu.Lock()
-	fresh := r.news
-	r.news = make(map[*record.Record]struct{})
+	fresh := r.updated
+	r.updated = make(map[*record.Record]struct{})
 	r.runMu.Unlock()
 	updates := make(map[string][]*peerpb.Update)
-	sent := make(map[string][]sentNews)
+	sent := make(map[string][]sentUpdate)
 	for rec := range fresh {
 		n, any := rec.Unreported()
 		holder := rec.Holder()
@@ -63,14 +63,14 @@
 			continue
 		}
 		updates[holder] = append(updates[holder], &peerpb.Update{Id: rec.ID, From: int32(n.From), Tokens: n.Tokens, Endpoint: n.Endpoint, Result: peer.ToResult(n.Result), Drop: n.Fetched})
-		sent[holder] = append(sent[holder], sentNews{rec, n})
+		sent[holder] = append(sent[holder], sentUpdate{rec, n})
 	}
 	for holder, list := range updates {
 		r.wait.Go(func() { r.pushTo(ctx, holder, list, sent[holder]) })
 	}
 }
 
-func (r *Relay) pushTo(ctx context.Context, holder string, updates []*peerpb.Update, sent []sentNews) {
+func (r *Relay) pushTo(ctx context.Context, holder string, updates []*peerpb.Update, sent []sentUpdate) {
 	m, ok := r.snap().Member(holder)
 	if !ok {
 		return
@@ -80,7 +80,7 @@
 	_, err := r.Peers.Call(ctx, m.Addr, &peerpb.Call{Body: &peerpb.Call_Progress{Progress: &peerpb.Progress{Updates: updates}}})
 	for _, s := range sent {
 		if err != nil || s.rec.Reported(holder, s.news) {
-			r.noteNews(s.rec)
+			r.markUpdated(s.rec)
 		}
 	}
 }
--- a/internal/rollctl/tell.go
+++ b/internal/rollctl/exchange.go
@@ -25,8 +25,8 @@
 	Instances int64 // that say so
 }
 
-// heardStates is what an instance, or a hub for its group, last told.
-type heardStates struct {
+// peerStates is what an instance, or a hub for its group, last told.
+type peerStates struct {
 	states []State
 	at     time.Time
 }
@@ -79,18 +79,18 @@
 	return out
 }
 
-// HeardStates takes what an instance, or a hub for its group, does.
-func (c *Control) HeardStates(from string, states []State, now time.Time) {
+// ApplyStates takes what an instance, or a hub for its group, does.
+func (c *Control) ApplyStates(from string, states []State, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.states[from] = heardStates{states, now}
+	c.states[from] = peerStates{states, now}
 }
 
 // AllStates sums what this instance and those heard of do.
 func (c *Control) AllStates(own []State, now time.Time) []State {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	maps.DeleteFunc(c.states, func(_ string, h heardStates) bool { return now.Sub(h.at) > statesCount })
+	maps.DeleteFunc(c.states, func(_ string, h peerStates) bool { return now.Sub(h.at) > statesCount })
 	sum := SumStates(nil, own)
 	for _, h := range c.states {
 		sum = SumStates(sum, h.states)
@@ -160,18 +160,18 @@
 	return sum
 }
 
-// Heard takes what another instance, or a hub for its group or for all, counted.
-func (c *Control) Heard(fleet Fleet, from tally.Source, told rollout.Counts) {
+// Apply takes what another instance, or a hub for its group or for all, counted.
+func (c *Control) Apply(fleet Fleet, from tally.Source, told rollout.Counts) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(told) == 0 {
 		return // it knows of no roll-out; what it told before may still count
 	}
-	c.others[teller{fleet, from}] = told
+	c.others[source{fleet, from}] = told
 }
 
-// teller is who told counts, and as what.
-type teller struct {
+// source is who told counts, and as what.
+type source struct {
 	fleet Fleet
 	from  tally.Source
 }
--- a/internal/rollctl/lead.go
+++ b/internal/rollctl/lead.go
@@ -112,7 +112,7 @@
 	standing := l.standing(s, r, k, now)
 	s.looks++
 	if s.looks%logEvery == 0 {
-		l.tell(event.RolloutLooked, r, standing.Verdict, zap.Int64("open_on_old", int64(standing.OldOpen)), zap.Bool("following", standing.Following))
+		l.logDecision(event.RolloutLooked, r, standing.Verdict, zap.Int64("open_on_old", int64(standing.OldOpen)), zap.Bool("following", standing.Following))
 	}
 	next, changed := rollout.Next(r, standing)
 	if !changed {
@@ -194,12 +194,12 @@
 	if err != nil {
 		return fmt.Errorf("write the roll-out of %s: %w", r.Service, err)
 	}
-	l.tell(event.RolloutLed, r, v, zap.Int64("revision", at), zap.Int64("fence", token.Fence))
+	l.logDecision(event.RolloutLed, r, v, zap.Int64("revision", at), zap.Int64("fence", token.Fence))
 	l.Host.Wrote(r, at)
 	return nil
 }
 
-func (l *Leader) tell(c event.Code, r rollout.Record, v rollout.Verdict, more ...zap.Field) {
+func (l *Leader) logDecision(c event.Code, r rollout.Record, v rollout.Verdict, more ...zap.Field) {
 	l.Host.Event(c, append([]zap.Field{
 		zap.String("service", r.Service), zap.Int64("order", r.Order), zap.String("target", r.Target), zap.String("phase", string(r.Phase)),
 		zap.String("why", r.Why), zap.Int64("seen", v.Seen), zap.Int64("ended", v.Ended), zap.Int64("failed", v.Failures),
--- a/internal/rollctl/rollctl.go
+++ b/internal/rollctl/rollctl.go
@@ -39,8 +39,8 @@
 	own      rollout.Counts                    // of this instance; guarded by mu
 	ledger   *tally.Ledger[rollout.Key, int64] // what hubs were told of these; guarded by mu
 	reported *tally.Pool[rollout.Key, int64]   // what instances told this one as a hub; guarded by mu
-	others   map[teller]rollout.Counts         // what other instances, or hubs for their groups, told; guarded by mu
-	states   map[string]heardStates            // the same of what they do, by instance; guarded by mu
+	others   map[source]rollout.Counts         // what other instances, or hubs for their groups, told; guarded by mu
+	states   map[string]peerStates             // the same of what they do, by instance; guarded by mu
 }
 
 // service is what is known of the roll-out of one service.
@@ -58,7 +58,7 @@
 	return &Control{
 		clock: c, bound: bound, self: self, random: random, services: make(map[string]*service), own: make(rollout.Counts),
 		ledger: tally.NewLedger[rollout.Key, int64](), reported: tally.NewPool[rollout.Key, int64](),
-		others: make(map[teller]rollout.Counts), states: make(map[string]heardStates),
+		others: make(map[source]rollout.Counts), states: make(map[string]peerStates),
 	}
 }
 
--- a/internal/rollctl/rollctl_test.go
+++ b/internal/rollctl/rollctl_test.go
@@ -78,8 +78,8 @@
 		offer := instance.OfferTo(hubRun)
 		hub.Reported(from, offer)
 		instance.Confirmed(hubRun, offer)
-		other.Heard(AsHub, hubRun, hub.Group())
-		instance.Heard(ByHubs, tally.Source{}, hub.AllCounts())
+		other.Apply(AsHub, hubRun, hub.Group())
+		instance.Apply(ByHubs, tally.Source{}, hub.AllCounts())
 	}
 	is.Equal(hub.Total(AsHub, "s", 5)[begun], int64(7))
 	is.Equal(other.Total(AsHub, "s", 5)[begun], int64(7))
--- a/internal/tally/tally.go
+++ b/internal/tally/tally.go
@@ -26,12 +26,12 @@
 
 // Ledger divides the running totals of one instance among the hubs that it told.
 type Ledger[K comparable, V Number] struct {
-	told map[Source]Counts[K, V] // what each hub confirmed
+	reported map[Source]Counts[K, V] // what each hub confirmed
 }
 
 // NewLedger returns a ledger of an instance that told nothing yet.
 func NewLedger[K comparable, V Number]() *Ledger[K, V] {
-	return &Ledger[K, V]{told: make(map[Source]Counts[K, V])}
+	return &Ledger[K, V]{reported: make(map[Source]Counts[K, V])}
 }
 
 // Offer returns what a hub is to be told: what it confirmed before, and that part
@@ -42,7 +42,7 @@
 	if offer == nil {
 		offer = make(Counts[K, V])
 	}
-	for other, told := range l.told {
+	for other, told := range l.reported {
 		if other == hub {
 			continue
 		}
@@ -56,14 +56,14 @@
 }
 
 // Confirmed notes that a hub has what it was offered.
-func (l *Ledger[K, V]) Confirmed(hub Source, offer Counts[K, V]) { merge(l.told, hub, offer) }
+func (l *Ledger[K, V]) Confirmed(hub Source, offer Counts[K, V]) { merge(l.reported, hub, offer) }
 
-// Told returns what a hub confirmed. It must not be changed.
-func (l *Ledger[K, V]) Told(hub Source) Counts[K, V] { return l.told[hub] }
+// Reported returns what a hub confirmed. It must not be changed.
+func (l *Ledger[K, V]) Reported(hub Source) Counts[K, V] { return l.reported[hub] }
 
 // Drop forgets keys that are not counted any more.
 func (l *Ledger[K, V]) Drop(key func(K) bool) {
-	for _, told := range l.told {
+	for _, told := range l.reported {
 		dropKeys(told, key)
 	}
 }
--- a/internal/tally/tally_test.go
+++ b/internal/tally/tally_test.go
@@ -18,7 +18,7 @@
 func hub(i int) Source { return Source{Instance: fmt.Sprint("hub", i), Incarnation: 1} }
 
 // tell tells a hub of an instance's totals; the call or its answer may be lost.
-func tell(l *ledger, self, to Source, p *pool, total counts, callLost, answerLost bool) {
+func exchange(l *ledger, self, to Source, p *pool, total counts, callLost, answerLost bool) {
 	offer := l.Offer(to, maps.Clone(total))
 	if callLost {
 		return
@@ -46,11 +46,11 @@
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			i, h := rapid.IntRange(0, instances-1).Draw(t, "instance"), rapid.IntRange(0, hubs-1).Draw(t, "hub")
 			totals[i][rapid.SampledFrom([]string{"a", "b"}).Draw(t, "key")] += rapid.Int64Range(-2, 9).Draw(t, "more")
-			tell(ledgers[i], self(i), hub(h), pools[h], totals[i], rapid.Bool().Draw(t, "call lost"), rapid.Bool().Draw(t, "answer lost"))
+			exchange(ledgers[i], self(i), hub(h), pools[h], totals[i], rapid.Bool().Draw(t, "call lost"), rapid.Bool().Draw(t, "answer lost"))
 		}
 		for i := range instances {
 			for h := range hubs {
-				tell(ledgers[i], self(i), hub(h), pools[h], totals[i], false, false)
+				exchange(ledgers[i], self(i), hub(h), pools[h], totals[i], false, false)
 			}
 		}
 		for _, key := range []string{"a", "b"} {
@@ -73,10 +73,10 @@
 	is := is.New(t)
 	l, first, second := NewLedger[string, int64](), NewPool[string, int64](), NewPool[string, int64]()
 	self := Source{"i", 1}
-	tell(l, self, hub(0), first, counts{"a": 5}, false, true) // counted, but not confirmed
-	tell(l, self, hub(1), second, counts{"a": 7}, false, false)
+	exchange(l, self, hub(0), first, counts{"a": 5}, false, true) // counted, but not confirmed
+	exchange(l, self, hub(1), second, counts{"a": 7}, false, false)
 	is.Equal(first.Sum()["a"]+second.Sum()["a"], int64(12))
-	tell(l, self, hub(0), first, counts{"a": 8}, false, false)
+	exchange(l, self, hub(0), first, counts{"a": 8}, false, false)
 	is.Equal(first.Sum()["a"]+second.Sum()["a"], int64(8))
 }
 
@@ -93,9 +93,9 @@
 	is := is.New(t)
 	old := func(key string) bool { return key == "old" }
 	l, p := NewLedger[string, int64](), NewPool[string, int64]()
-	tell(l, Source{"i", 1}, hub(0), p, counts{"old": 5, "new": 1}, false, false)
+	exchange(l, Source{"i", 1}, hub(0), p, counts{"old": 5, "new": 1}, false, false)
 	l.Drop(old)
 	p.Drop(old)
 	is.Equal(p.Sum(), counts{"new": 1})
-	is.Equal(l.Told(hub(0)), counts{"new": 1})
+	is.Equal(l.Reported(hub(0)), counts{"new": 1})
 }
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -68,9 +68,9 @@
 	return out
 }
 
-// Heard replaces what one incarnation of another node counted. What an earlier
+// Apply replaces what one incarnation of another node counted. What an earlier
 // incarnation counted stays.
-func (c *Counter) Heard(node string, incarnation int64, counts map[int64]Counts) {
+func (c *Counter) Apply(node string, incarnation int64, counts map[int64]Counts) {
 	for w, of := range counts {
 		all := c.heard[w]
 		if all == nil {
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -21,9 +21,9 @@
 	c := New()
 	c.Add(7, "a", 2)
 	c.Add(7, "a", -1) // turned out not to have run
-	c.Heard("n1", 1, map[int64]Counts{7: {"a": 3}})
-	c.Heard("n1", 1, map[int64]Counts{7: {"a": 5}}) // replaces
-	c.Heard("n1", 2, map[int64]Counts{7: {"b": 1}}) // started anew
+	c.Apply("n1", 1, map[int64]Counts{7: {"a": 3}})
+	c.Apply("n1", 1, map[int64]Counts{7: {"a": 5}}) // replaces
+	c.Apply("n1", 2, map[int64]Counts{7: {"b": 1}}) // started anew
 	is.Equal(c.Sum(7, []string{"a", "b", "c"}), Counts{"a": 6, "b": 1, "c": 0})
 	c.Expire(7 + KeepWindows + 1)
 	is.Equal(c.Sum(7, nil), Counts{})
@@ -34,13 +34,13 @@
 	c := New()
 	c.Add(6, "a", 1)
 	c.Add(7, "a", 2)
-	c.Heard("n1", 5, map[int64]Counts{7: {"a": 3}})
+	c.Apply("n1", 5, map[int64]Counts{7: {"a": 3}})
 	records := c.Records("n0", 4, 7)
 	is.Equal(len(records), 2)
 
 	fresh := New()
 	fresh.Add(7, "a", 10)
-	fresh.Heard("n1", 5, map[int64]Counts{7: {"a": 4}}) // heard since
+	fresh.Apply("n1", 5, map[int64]Counts{7: {"a": 4}}) // heard since
 	fresh.Recall(records, "n0", 9)                      // started anew
 	fresh.Recall(records, "n0", 9)                      // once more changes nothing
 	is.Equal(fresh.Sum(7, nil), Counts{"a": 10 + 2 + 4})
--- a/internal/walltime/walltime.go
+++ b/internal/walltime/walltime.go
@@ -13,7 +13,7 @@
 
 const (
 	// believed is how long another node's word counts.
-	believed = 10 * time.Second
+	wordTTL = 10 * time.Second
 	// apart is how far the median may be from this node's own time.
 	apart = 400 * time.Millisecond
 )
@@ -53,15 +53,15 @@
 // are told: else nodes would follow one another.
 func (c *Clock) Own(now time.Time) time.Time { return c.raw(now) }
 
-// Heard takes what another node takes the time of day to be, and returns the
+// Apply takes what another node takes the time of day to be, and returns the
 // correction that holds.
-func (c *Clock) Heard(node string, wall, now time.Time) time.Duration {
+func (c *Clock) Apply(node string, wall, now time.Time) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.words[node] = word{wall.Sub(c.raw(now)), now}
 	offsets := []time.Duration{0}
 	for name, w := range c.words {
-		if now.Sub(w.at) > believed {
+		if now.Sub(w.at) > wordTTL {
 			delete(c.words, name)
 			continue
 		}
--- a/internal/walltime/walltime_test.go
+++ b/internal/walltime/walltime_test.go
@@ -7,12 +7,12 @@
 	"github.com/matryer/is"
 )
 
-func TestTheMajorityIsBelieved(t *testing.T) {
+func TestTheMajoritySetsTheTimeOfDay(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
 	c := New(now)
 	for _, name := range []string{"a", "b", "c"} {
-		c.Heard(name, now.Add(2*time.Second), now)
+		c.Apply(name, now.Add(2*time.Second), now)
 	}
 	is.Equal(c.At(now).Sub(now.Round(0)).Round(time.Millisecond), 2*time.Second)
 	is.Equal(c.Own(now).Sub(now.Round(0)).Round(time.Millisecond), time.Duration(0)) // others are told its own
@@ -22,9 +22,9 @@
 	is := is.New(t)
 	now := time.Now()
 	c := New(now)
-	c.Heard("a", now.Add(time.Hour), now)
-	c.Heard("b", now.Add(100*time.Millisecond), now)
-	is.Equal(c.Heard("c", now.Add(-100*time.Millisecond), now), time.Duration(0))
+	c.Apply("a", now.Add(time.Hour), now)
+	c.Apply("b", now.Add(100*time.Millisecond), now)
+	is.Equal(c.Apply("c", now.Add(-100*time.Millisecond), now), time.Duration(0))
 	later := now.Add(20 * time.Second) // old words count no more
-	is.Equal(c.Heard("d", later.Add(time.Minute), later), time.Minute)
+	is.Equal(c.Apply("d", later.Add(time.Minute), later), time.Minute)
 }
