--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -53,7 +53,7 @@
 
 // Call is one request to one server.
 type Call struct {
-	Server   registry.Server
+	Endpoint registry.Endpoint
 	MaxConns int // connections to the server that this node may have; 0 is no limit
 	Method   string
 	URI      string // as the client sent it
@@ -93,8 +93,8 @@
 	limits   *ratelimit.Table
 	clock    *clock.Clock
 
-	mu      sync.Mutex
-	servers map[string]*connections // by server id; guarded by mu
+	mu        sync.Mutex
+	endpoints map[string]*connections // by server id; guarded by mu
 }
 
 type connections struct {
@@ -113,7 +113,7 @@
 
 // New returns a client without connections.
 func New(o Options) *Client {
-	return &Client{net: o.Net, clock: o.Clock, protocol: o.Protocol, notices: o.Notices, limits: o.Limits, servers: make(map[string]*connections)}
+	return &Client{net: o.Net, clock: o.Clock, protocol: o.Protocol, notices: o.Notices, limits: o.Limits, endpoints: make(map[string]*connections)}
 }
 
 // errCap says that no more connections to a server may be made.
@@ -123,10 +123,10 @@
 func (c *Client) acquire(ctx context.Context, call *Call) (*conn, error) {
 	now := c.clock.Now()
 	c.mu.Lock()
-	s := c.servers[call.Server.ID]
+	s := c.endpoints[call.Endpoint.ID]
 	if s == nil {
 		s = &connections{}
-		c.servers[call.Server.ID] = s
+		c.endpoints[call.Endpoint.ID] = s
 	}
 	for len(s.idle) > 0 {
 		k := s.idle[len(s.idle)-1]
@@ -147,9 +147,9 @@
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	raw, err := c.net.Dial(ctx, call.Server.Addr)
+	raw, err := c.net.Dial(ctx, call.Endpoint.Addr)
 	if err != nil {
-		c.discard(call.Server.ID, nil)
+		c.discard(call.Endpoint.ID, nil)
 		return nil, err
 	}
 	return newConn(raw), nil
@@ -159,7 +159,7 @@
 func (c *Client) keep(server string, k *conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s := c.servers[server]
+	s := c.endpoints[server]
 	if s == nil || len(s.idle) >= maxIdleConns {
 		k.shut()
 		c.lose(server)
@@ -181,7 +181,7 @@
 
 // lose takes one off the open connections to a server. c.mu is held.
 func (c *Client) lose(server string) {
-	if s := c.servers[server]; s != nil {
+	if s := c.endpoints[server]; s != nil {
 		s.open--
 	}
 }
@@ -191,7 +191,7 @@
 func (c *Client) Tidy(now time.Time, wanted func(server string) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for id, s := range c.servers {
+	for id, s := range c.endpoints {
 		gone := !wanted(id)
 		kept := s.idle[:0]
 		for _, k := range s.idle {
@@ -205,7 +205,7 @@
 		clear(s.idle[len(kept):])
 		s.idle = kept
 		if gone && s.open <= 0 {
-			delete(c.servers, id)
+			delete(c.endpoints, id)
 		}
 	}
 }
@@ -224,23 +224,23 @@
 		if errors.Is(err, errCap) {
 			kind = fault.KindLimit
 		}
-		return nil, fault.New(fault.StepDispatch, call.Server.ID, kind, fault.NotRun, "connect: %w", err)
+		return nil, fault.New(fault.StepDispatch, call.Endpoint.ID, kind, fault.NotRun, "connect: %w", err)
 	}
 	if ctx.Err() != nil { // it ended while the connection was made
-		c.keep(call.Server.ID, k)
-		return nil, fault.New(fault.StepDispatch, call.Server.ID, fault.KindTimeout, fault.NotRun, "connect: %w", context.Cause(ctx))
+		c.keep(call.Endpoint.ID, k)
+		return nil, fault.New(fault.StepDispatch, call.Endpoint.ID, fault.KindTimeout, fault.NotRun, "connect: %w", context.Cause(ctx))
 	}
 	// The server may have said that it wants no more while the connection was made, which
 	// takes up to dialTimeout: four instances' requests at once would fill its rest.
-	if err := c.notices.Allows(&call.Server, c.clock.Now()); err != nil {
-		c.keep(call.Server.ID, k)
-		return nil, fault.New(fault.StepDispatch, call.Server.ID, fault.KindLimit, fault.NotRun, "send: %w", err)
+	if err := c.notices.Allows(&call.Endpoint, c.clock.Now()); err != nil {
+		c.keep(call.Endpoint.ID, k)
+		return nil, fault.New(fault.StepDispatch, call.Endpoint.ID, fault.KindLimit, fault.NotRun, "send: %w", err)
 	}
-	if err := c.limits.Take(call.Server.ID, c.clock.Now()); err != nil {
-		c.keep(call.Server.ID, k)
-		return nil, fault.New(fault.StepDispatch, call.Server.ID, fault.KindLimit, fault.NotRun, "send: %w", err)
+	if err := c.limits.Take(call.Endpoint.ID, c.clock.Now()); err != nil {
+		c.keep(call.Endpoint.ID, k)
+		return nil, fault.New(fault.StepDispatch, call.Endpoint.ID, fault.KindLimit, fault.NotRun, "send: %w", err)
 	}
-	x := &exchange{client: c, server: call.Server, conn: k}
+	x := &exchange{client: c, endpoint: call.Endpoint, conn: k}
 	x.watch(ctx)
 	resp, err := x.do(call)
 	if err != nil {
@@ -257,7 +257,7 @@
 // ProbeEnded connects to a server to find out whether its process has ended: its address
 // refuses connections then. One that takes the connection may have started again, and the
 // connection is kept for the next request.
-func (c *Client) ProbeEnded(ctx context.Context, server registry.Server) bool {
+func (c *Client) ProbeEnded(ctx context.Context, server registry.Endpoint) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	raw, err := c.net.Dial(ctx, server.Addr)
@@ -265,7 +265,7 @@
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
 	c.mu.Lock()
-	s := c.servers[server.ID]
+	s := c.endpoints[server.ID]
 	if s != nil {
 		s.open++
 	}
@@ -289,7 +289,7 @@
 		kind = fault.KindTimeout
 		err = errors.Join(err, context.Cause(ctx))
 	}
-	return fault.New(fault.StepDispatch, call.Server.ID, kind, run, "exchange: %w", err)
+	return fault.New(fault.StepDispatch, call.Endpoint.ID, kind, run, "exchange: %w", err)
 }
 
 // Read implements io.Reader. It returns io.EOF only at the end of the whole
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -84,7 +84,7 @@
 }
 
 func call(id string) *Call {
-	return &Call{Server: registry.Server{ID: "s", Addr: serverAddr}, Method: http.MethodPost, URI: "/a/b?c=%20d", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte("body"), ID: id}
+	return &Call{Endpoint: registry.Endpoint{ID: "s", Addr: serverAddr}, Method: http.MethodPost, URI: "/a/b?c=%20d", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte("body"), ID: id}
 }
 
 func send(t *testing.T, c *Client, id string) (string, error) {
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -80,7 +80,7 @@
 // exchange is one request and its answer on a connection.
 type exchange struct {
 	client     *Client
-	server     registry.Server
+	endpoint   registry.Endpoint
 	conn       *conn
 	sentBefore int64
 	sentAt     time.Time
@@ -131,8 +131,8 @@
 		a := x.client.protocol.Answer(resp.StatusCode, resp.Header)
 		if !a.Misdirected { // else another server speaks, which has the address now
 			now := x.client.clock.Now()
-			x.client.notices.Observe(x.server, a.Notice, now)
-			x.client.limits.Observe(x.server.ID, a.RateLimit, x.sentAt, now)
+			x.client.notices.Observe(x.endpoint, a.Notice, now)
+			x.client.limits.Observe(x.endpoint.ID, a.RateLimit, x.sentAt, now)
 		}
 		if a.RequestID != "" && a.RequestID != call.ID {
 			x.last = true // it is no longer certain what comes when
@@ -169,10 +169,10 @@
 		}
 	}
 	if !reuse || x.conn.read.Buffered() > 0 {
-		x.client.discard(x.server.ID, x.conn)
+		x.client.discard(x.endpoint.ID, x.conn)
 		return
 	}
-	x.client.keep(x.server.ID, x.conn)
+	x.client.keep(x.endpoint.ID, x.conn)
 }
 
 // head returns the request line and the headers.
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -62,17 +62,17 @@
 
 // View is what is believed of one server at the moment of a choice.
 type View struct {
-	Server  registry.Server
-	Open    float64       // requests on the way, from all nodes, as far as news of them still say anything
-	Prompt  int           // prompt tokens not read yet, from all nodes
-	Holdup  float64       // how much the prompts not read yet hold up streams, from all nodes
-	Slow    float64       // how its times compare with those of its like; 1 is usual
-	Failing float64       // share of failures of late, 0 to 1
-	Resting bool          // failed in a row: gets no work unless all others rest too
-	Keeps   bool          // this node sent the shared parts there of late
-	Work    time.Duration // usual time of a request at the service
-	Pace    pace.Model    // of the service's model servers
-	Risk    float64       // that streams there pause for too long beside a long prompt, 0 to 1
+	Endpoint registry.Endpoint
+	Open     float64       // requests on the way, from all nodes, as far as news of them still say anything
+	Prompt   int           // prompt tokens not read yet, from all nodes
+	Holdup   float64       // how much the prompts not read yet hold up streams, from all nodes
+	Slow     float64       // how its times compare with those of its like; 1 is usual
+	Failing  float64       // share of failures of late, 0 to 1
+	Resting  bool          // failed in a row: gets no work unless all others rest too
+	Keeps    bool          // this node sent the shared parts there of late
+	Work     time.Duration // usual time of a request at the service
+	Pace     pace.Model    // of the service's model servers
+	Risk     float64       // that streams there pause for too long beside a long prompt, 0 to 1
 }
 
 // Weights of the choice, as times. Each is argued in docs/design/platform.md.
@@ -126,7 +126,7 @@
 	best := Choice{Index: -1, Cost: math.Inf(1)}
 	for i := range views {
 		v := &views[i]
-		if avoided(r, v.Server.ID) {
+		if avoided(r, v.Endpoint.ID) {
 			continue
 		}
 		uncached := r.Tokens
@@ -153,7 +153,7 @@
 // cost estimates how long a request would wait at a server, with a penalty for
 // the risk that it fails there.
 func (v *View) cost(r *Request, uncached int) float64 {
-	slots := float64(cmp.Or(r.Slots, v.Server.Slots))
+	slots := float64(cmp.Or(r.Slots, v.Endpoint.Slots))
 	var t time.Duration
 	if r.Engine {
 		t = time.Duration(float64(v.Prompt+uncached)*v.Pace.Token + v.Open*float64(crowdPenalty))
@@ -188,7 +188,7 @@
 		if views[i].Resting {
 			continue
 		}
-		if s := rendezvous.Score(hash, views[i].Server.ID); best < 0 || s > most {
+		if s := rendezvous.Score(hash, views[i].Endpoint.ID); best < 0 || s > most {
 			best, most = i, s
 		}
 	}
@@ -199,4 +199,6 @@
 func draw(r *Request, v *View) float64 { return float64(tie(r, v)>>11) / (1 << 53) }
 
 // tie spreads requests over servers that are equally good.
-func tie(r *Request, v *View) uint64 { return rendezvous.Score(xxhash.Sum64String(r.ID), v.Server.ID) }
+func tie(r *Request, v *View) uint64 {
+	return rendezvous.Score(xxhash.Sum64String(r.ID), v.Endpoint.ID)
+}
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -11,10 +11,10 @@
 	"github.com/shelfcrank/shelfcrank/internal/registry"
 )
 
-func servers(n int) []registry.Server {
-	var out []registry.Server
+func servers(n int) []registry.Endpoint {
+	var out []registry.Endpoint
 	for i := range n {
-		out = append(out, registry.Server{ID: fmt.Sprint("s", i), Service: "llm"})
+		out = append(out, registry.Endpoint{ID: fmt.Sprint("s", i), Service: "llm"})
 	}
 	return out
 }
@@ -37,8 +37,8 @@
 		is.True(ok)
 		b, ok := NewTracker().Pick(servers(6), prompt("b", 8000, subject), now)
 		is.True(ok)
-		is.Equal(a.Server.ID, b.Server.ID)
-		homes[a.Server.ID]++
+		is.Equal(a.Endpoint.ID, b.Endpoint.ID)
+		homes[a.Endpoint.ID]++
 	}
 	is.Equal(len(homes), 6)
 }
@@ -50,7 +50,7 @@
 	used := make(map[string]bool)
 	for i := range 12 {
 		k, _ := tr.Pick(servers(4), prompt(fmt.Sprint(i), 9000, "same"), now)
-		used[k.Server.ID] = true
+		used[k.Endpoint.ID] = true
 	}
 	is.Equal(len(used), 4)
 }
@@ -84,7 +84,7 @@
 	first.Read(now)
 	first.Done(Answered, now)
 	for i := range streams {
-		k, _ := tr.Pick([]registry.Server{first.Server}, prompt(fmt.Sprint(i), tokens, ""), now)
+		k, _ := tr.Pick([]registry.Endpoint{first.Endpoint}, prompt(fmt.Sprint(i), tokens, ""), now)
 		k.Read(now)
 	}
 	return first
@@ -97,7 +97,7 @@
 	tr := NewTracker()
 	first := homeBesideStreams(tr, prompt("first", 9000, "subject"), 3, 500, now)
 	next, _ := tr.Pick(servers(4), prompt("next", 9000, "subject"), now)
-	is.Equal(next.Server.ID, first.Server.ID)
+	is.Equal(next.Endpoint.ID, first.Endpoint.ID)
 }
 
 // Where streams pause for too long beside long prompts, they are kept apart.
@@ -110,10 +110,10 @@
 	long, _ := tr.Pick(servers(3), prompt("long", 40_000, ""), now)
 	for i := range 20 {
 		k, _ := tr.Pick(servers(3), prompt(fmt.Sprint(i), 500, ""), now)
-		is.True(k.Server.ID != long.Server.ID)
+		is.True(k.Endpoint.ID != long.Endpoint.ID)
 	}
 	next, _ := tr.Pick(servers(3), prompt("next", 30_000, ""), now)
-	is.Equal(next.Server.ID, long.Server.ID) // rather than hold up the streams at the others
+	is.Equal(next.Endpoint.ID, long.Endpoint.ID) // rather than hold up the streams at the others
 }
 
 // seeStreams shows a tracker streams of which those that run beside a long prompt
@@ -142,7 +142,7 @@
 		now = now.Add(time.Hour)
 		first := homeBesideStreams(tr, prompt("first", 16_000, "subject"), 6, 300, now)
 		next, _ := tr.Pick(servers(4), prompt("next", 16_000, "subject"), now)
-		is.Equal(next.Server.ID == first.Server.ID, !late)
+		is.Equal(next.Endpoint.ID == first.Endpoint.ID, !late)
 	}
 }
 
@@ -179,7 +179,7 @@
 	tr := NewTracker()
 	tr.Apply("n2", Update{Uses: map[string]Use{"s0": {Open: 9, Prompt: 90_000}, "s1": {Open: 9, Prompt: 90_000}}}, now.Add(time.Second), now)
 	k, _ := tr.Pick(servers(3), prompt("a", 1000, ""), now)
-	is.Equal(k.Server.ID, "s2")
+	is.Equal(k.Endpoint.ID, "s2")
 }
 
 func TestTheDemandOfAllNodesCountsUntilItsDeadline(t *testing.T) {
@@ -215,11 +215,11 @@
 		k.Done(Failed, now)
 	}
 	k, _ := tr.Pick(servers(2), prompt("b", 100, ""), now)
-	is.Equal(k.Server.ID, "s1")
+	is.Equal(k.Endpoint.ID, "s1")
 	k, _ = tr.Pick(servers(1), prompt("c", 100, ""), now) // better than none
-	is.Equal(k.Server.ID, "s0")
+	is.Equal(k.Endpoint.ID, "s0")
 	k.Done(Answered, now)
-	is.True(now.After(tr.servers["s0"].restUntil))
+	is.True(now.After(tr.endpoints["s0"].restUntil))
 }
 
 // What is counted as on the way ends with the requests, whatever becomes of them.
@@ -244,7 +244,7 @@
 			k.Done(result, now)
 			k.Done(result, now) // ends once
 		}
-		for id, s := range tr.servers {
+		for id, s := range tr.endpoints {
 			if s.use.Open != 0 || s.use.Prompt != 0 || s.use.Holdup > 1e-9 {
 				t.Fatalf("%s: %+v", id, s.use)
 			}
@@ -281,7 +281,7 @@
 			tr.Apply("n", Update{Uses: uses}, at.Add(6*time.Second), at)
 		}
 		k, _ := tr.Pick(all, &Request{Service: "plain", ID: fmt.Sprint("r", i)}, now.Add(401*time.Second))
-		got[k.Server.ID]++
+		got[k.Endpoint.ID]++
 	}
 	for _, s := range all {
 		is.True(got[s.ID] >= 8)
@@ -297,7 +297,7 @@
 	got := make(map[string]int)
 	for i := range 6 {
 		k, _ := tr.Pick(all, &Request{Service: "plain", ID: fmt.Sprint("r", i)}, now)
-		got[k.Server.ID]++
+		got[k.Endpoint.ID]++
 	}
 	is.Equal(got, map[string]int{"s0": 3, "s1": 3})
 }
--- a/internal/balance/server.go
+++ b/internal/balance/endpoint.go
@@ -20,8 +20,8 @@
 	keepMost        = 4096             // shared prompts remembered for one server
 )
 
-// serverState is what is believed of one server.
-type serverState struct {
+// endpointState is what is believed of one server.
+type endpointState struct {
 	use       Use // from this node
 	slow      float64
 	slowAt    time.Time
@@ -34,18 +34,18 @@
 }
 
 // slowNow is how slow the server is believed to be; 1 is usual.
-func (s *serverState) slowNow(now time.Time) float64 {
+func (s *endpointState) slowNow(now time.Time) float64 {
 	return 1 + (s.slow-1)*math.Exp2(-float64(now.Sub(s.slowAt))/float64(slowHalfLife))
 }
 
-func (s *serverState) failingAt(now time.Time) float64 {
+func (s *endpointState) failingAt(now time.Time) float64 {
 	if s.failing == 0 {
 		return 0
 	}
 	return s.failing * math.Exp2(-float64(now.Sub(s.failedAt))/float64(failureHalfLife))
 }
 
-func (s *serverState) remember(hash uint64, now time.Time) {
+func (s *endpointState) remember(hash uint64, now time.Time) {
 	if len(s.keeps) >= keepMost {
 		for h, at := range s.keeps {
 			if now.Sub(at) > keepFor/2 {
@@ -58,7 +58,7 @@
 	}
 }
 
-func (s *serverState) note(result Result, now time.Time) {
+func (s *endpointState) note(result Result, now time.Time) {
 	failing := s.failingAt(now)
 	s.failedAt = now
 	if result == Answered {
--- a/internal/balance/ticket.go
+++ b/internal/balance/ticket.go
@@ -19,12 +19,12 @@
 
 // Ticket is a request that was sent to a server. Read and Done are called on it.
 type Ticket struct {
-	Server   registry.Server
+	Endpoint registry.Endpoint
 	Cost     float64 // of the choice, see Choice
 	Uncached int     // prompt tokens that the server probably has to read
 	tracker  *Tracker
 	request  *Request
-	state    *serverState
+	state    *endpointState
 	service  *serviceState
 	queued   int  // prompt tokens that were to be read before
 	learns   bool // how it goes tells how fast the server is
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -62,26 +62,26 @@
 // Tracker holds the beliefs about all servers.
 type Tracker struct {
 	mu             sync.Mutex
-	servers        map[string]*serverState  // by server id; guarded by mu
-	services       map[string]*serviceState // by name; guarded by mu
-	remotes        map[string]remote        // by node; guarded by mu
-	longPrompts    chan struct{}            // has room for one
-	desk           Estimates                // of the tracker that this node places requests by as a hub; guarded by mu
-	sums           map[string]Use           // of the remotes, by server id; guarded by mu
-	updateInterval float64                  // nanoseconds between two news of a node, on the mean; guarded by mu
+	endpoints      map[string]*endpointState // by server id; guarded by mu
+	services       map[string]*serviceState  // by name; guarded by mu
+	remotes        map[string]remote         // by node; guarded by mu
+	longPrompts    chan struct{}             // has room for one
+	desk           Estimates                 // of the tracker that this node places requests by as a hub; guarded by mu
+	sums           map[string]Use            // of the remotes, by server id; guarded by mu
+	updateInterval float64                   // nanoseconds between two news of a node, on the mean; guarded by mu
 }
 
 // NewTracker returns a tracker that believes nothing yet.
 func NewTracker() *Tracker {
 	return &Tracker{
-		servers: make(map[string]*serverState), services: make(map[string]*serviceState),
+		endpoints: make(map[string]*endpointState), services: make(map[string]*serviceState),
 		remotes: make(map[string]remote), sums: make(map[string]Use), longPrompts: make(chan struct{}, 1),
 	}
 }
 
 // Pick chooses a server and counts the request there. The second result is
 // false when there is none.
-func (t *Tracker) Pick(servers []registry.Server, r *Request, now time.Time) (*Ticket, bool) {
+func (t *Tracker) Pick(servers []registry.Endpoint, r *Request, now time.Time) (*Ticket, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	service := t.service(r.Service)
@@ -96,7 +96,7 @@
 		return nil, false
 	}
 	v := &views[best.Index]
-	k := t.count(v.Server, r, best.Uncached, now)
+	k := t.count(v.Endpoint, r, best.Uncached, now)
 	k.Cost, k.queued, k.learns = best.Cost, v.Prompt, true
 	k.expect = service.work
 	if r.Engine {
@@ -110,7 +110,7 @@
 
 // Take counts a request at a server that a hub has chosen for it, and of whose
 // queue this node knows too little to learn from how it goes.
-func (t *Tracker) Take(s registry.Server, r *Request, uncached int, now time.Time) *Ticket {
+func (t *Tracker) Take(s registry.Endpoint, r *Request, uncached int, now time.Time) *Ticket {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.service(r.Service).engine = r.Engine
@@ -118,9 +118,9 @@
 }
 
 // count counts a request at a server.
-func (t *Tracker) count(s registry.Server, r *Request, uncached int, now time.Time) *Ticket {
-	st, service := t.server(s.ID), t.service(r.Service)
-	k := &Ticket{Server: s, Uncached: uncached, tracker: t, request: r, state: st, service: service, at: now}
+func (t *Tracker) count(s registry.Endpoint, r *Request, uncached int, now time.Time) *Ticket {
+	st, service := t.endpoint(s.ID), t.service(r.Service)
+	k := &Ticket{Endpoint: s, Uncached: uncached, tracker: t, request: r, state: st, service: service, at: now}
 	if r.Engine {
 		k.holdup = holdup(r.Tokens)
 	}
@@ -171,12 +171,12 @@
 	return sum
 }
 
-func (t *Tracker) view(s registry.Server, service *serviceState, hash uint64, now time.Time) View {
-	st := t.server(s.ID)
+func (t *Tracker) view(s registry.Endpoint, service *serviceState, hash uint64, now time.Time) View {
+	st := t.endpoint(s.ID)
 	far := t.sums[s.ID]
 	seen, keeps := st.keeps[hash]
 	return View{
-		Server: s, Open: float64(st.use.Open) + t.farOpen(far.Open, service), Prompt: st.use.Prompt + far.Prompt, Holdup: st.use.Holdup + far.Holdup,
+		Endpoint: s, Open: float64(st.use.Open) + t.farOpen(far.Open, service), Prompt: st.use.Prompt + far.Prompt, Holdup: st.use.Holdup + far.Holdup,
 		Slow: st.slowNow(now), Failing: st.failingAt(now), Resting: now.Before(st.restUntil),
 		Keeps: keeps && now.Sub(seen) < keepFor,
 		Work:  time.Duration(service.work), Pace: service.pace, Risk: service.risk,
@@ -194,11 +194,11 @@
 	return float64(told) * service.work / (service.work + t.updateInterval/2)
 }
 
-func (t *Tracker) server(id string) *serverState {
-	s := t.servers[id]
+func (t *Tracker) endpoint(id string) *endpointState {
+	s := t.endpoints[id]
 	if s == nil {
-		s = &serverState{slow: 1, keeps: make(map[uint64]time.Time)}
-		t.servers[id] = s
+		s = &endpointState{slow: 1, keeps: make(map[uint64]time.Time)}
+		t.endpoints[id] = s
 	}
 	return s
 }
@@ -218,7 +218,7 @@
 	Uses      map[string]Use
 	Demand    map[string]Demand // by service
 	Estimates Estimates
-	Brief     bool
+	UsesOnly  bool
 }
 
 // Apply takes another node's news, which count until the node is heard of again
@@ -226,7 +226,7 @@
 func (t *Tracker) Apply(node string, news Update, until, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if news.Brief {
+	if news.UsesOnly {
 		news.Demand, news.Estimates = t.remotes[node].demand, t.remotes[node].estimates
 	}
 	if last, known := t.remotes[node]; known {
@@ -242,7 +242,7 @@
 		for id, u := range r.uses {
 			t.sums[id] = t.sums[id].Plus(u)
 			if u.Holdup >= longHoldup {
-				t.server(id).longAt = now
+				t.endpoint(id).longAt = now
 			}
 		}
 	}
@@ -253,7 +253,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	out := make(map[string]Use)
-	for id, s := range t.servers {
+	for id, s := range t.endpoints {
 		if s.use.Open != 0 {
 			out[id] = s.use
 		}
@@ -265,9 +265,9 @@
 func (t *Tracker) Forget(wanted func(server string) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for id, s := range t.servers {
+	for id, s := range t.endpoints {
 		if s.use.Open == 0 && !wanted(id) {
-			delete(t.servers, id)
+			delete(t.endpoints, id)
 		}
 	}
 }
--- a/internal/claim/keeper.go
+++ b/internal/claim/keeper.go
@@ -74,7 +74,7 @@
 
 type shardState struct {
 	knows     uint64          // epoch for which the keeper knows all claims of the shard
-	heard     map[string]bool // old keepers whose claims arrived
+	received  map[string]bool // old keepers whose claims arrived
 	installed time.Time
 	forget    time.Time // when old claims that may have been lost have lapsed
 }
@@ -107,7 +107,7 @@
 	k.view = v
 	for s := range k.shards {
 		st := &k.shards[s]
-		next := shardState{knows: st.knows, heard: make(map[string]bool), installed: now, forget: now.Add(retention)}
+		next := shardState{knows: st.knows, received: make(map[string]bool), installed: now, forget: now.Add(retention)}
 		old, cur := v.OldGroup(Shard(s)), v.Group(Shard(s))
 		keptBefore := st.knows == v.Epoch-1 && hasMember(old, k.self)
 		switch {
@@ -116,7 +116,7 @@
 		case keptBefore && sameMembers(old, cur): // any two majorities of one group meet
 			next.knows = v.Epoch
 		case keptBefore:
-			next.heard[k.self] = true
+			next.received[k.self] = true
 		}
 		*st = next
 		k.settle(Shard(s))
@@ -136,7 +136,7 @@
 			continue
 		}
 		for _, m := range k.view.OldGroup(Shard(s)) {
-			if !st.heard[m.ID] && m.ID != k.self && !slices.Contains(need, m) {
+			if !st.received[m.ID] && m.ID != k.self && !slices.Contains(need, m) {
 				need = append(need, m)
 			}
 		}
@@ -188,7 +188,7 @@
 	}
 	for s := range k.shards {
 		if t.Knew[s] && hasMember(k.view.OldGroup(Shard(s)), from) {
-			k.shards[s].heard[from] = true
+			k.shards[s].received[from] = true
 			k.settle(Shard(s))
 		}
 	}
@@ -197,7 +197,7 @@
 func (k *Keeper) settle(s Shard) {
 	st := &k.shards[s]
 	old := k.view.OldGroup(s)
-	if len(old) > 0 && len(st.heard) >= Majority(len(old)) {
+	if len(old) > 0 && len(st.received) >= Majority(len(old)) {
 		st.knows = k.view.Epoch
 	}
 }
--- a/internal/cmd/status.go
+++ b/internal/cmd/status.go
@@ -45,7 +45,7 @@
 		if m.Leaving {
 			state += ", leaving"
 		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s ago\n", m.ID, m.Hall, state, m.Revision, time.Since(m.HeardAt).Round(time.Millisecond))
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s ago\n", m.ID, m.Hall, state, m.Revision, time.Since(m.SeenAt).Round(time.Millisecond))
 	}
 	fmt.Fprintln(w, "\t\t\t\t\nENDPOINT\tHALL\tSERVES\tRUNNING\tOPEN HERE")
 	slices.SortFunc(s.Endpoints, func(a, b gateway.StatusEndpoint) int { return strings.Compare(a.ID, b.ID) })
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -35,12 +35,12 @@
 
 	mu      sync.Mutex
 	pending []Effect      // guarded by mu
-	wake    chan struct{} // has room for one
+	signal  chan struct{} // has room for one
 }
 
 // New returns a loop for an instance; Serve runs it. The clock may be nil.
 func New(self member.Member, c *clock.Clock) *Loop {
-	l := &Loop{clock: c, events: make(chan Event, eventQueue), state: NewState(self), wake: make(chan struct{}, 1)}
+	l := &Loop{clock: c, events: make(chan Event, eventQueue), state: NewState(self), signal: make(chan struct{}, 1)}
 	l.publish()
 	l.recentLeaving.Store(&[]platform.Notice{})
 	l.aliveAt.Store(l.clock.Now().UnixNano())
@@ -122,7 +122,7 @@
 	l.pending = append(l.pending, effects...)
 	l.mu.Unlock()
 	select {
-	case l.wake <- struct{}{}:
+	case l.signal <- struct{}{}:
 	default:
 	}
 }
@@ -133,7 +133,7 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-l.wake:
+		case <-l.signal:
 		}
 		l.mu.Lock()
 		batch := l.pending
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -46,11 +46,11 @@
 
 // Options are what an elector is made of.
 type Options struct {
-	Node  string // name of this machine
-	Value []byte // of the key; differs between incarnations
-	Key   string
-	TTL   time.Duration // of the lease
-	Store interface {
+	Instance string // name of this machine
+	Value    []byte // of the key; differs between incarnations
+	Key      string
+	TTL      time.Duration // of the lease
+	Store    interface {
 		store.Reader
 		store.Writer
 	}
@@ -105,7 +105,7 @@
 	if e.token.Fence != fence {
 		event.Log(e.Log, event.DutyTaken, zap.Int64("fence", fence), zap.Time("until", until))
 	}
-	e.token, e.until = Token{e.Node, fence}, until
+	e.token, e.until = Token{e.Instance, fence}, until
 }
 
 func (e *Elector) drop(why string) {
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -58,7 +58,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	c := s.Client(name)
 	e := New(Options{
-		Node: name, Value: fmt.Appendf(nil, "%s %d", name, life), Key: testKey, TTL: testTTL, Store: c, Clock: by,
+		Instance: name, Value: fmt.Appendf(nil, "%s %d", name, life), Key: testKey, TTL: testTTL, Store: c, Clock: by,
 		Log: zap.NewNop(), Rand: rand.New(rand.NewPCG(uint64(life), 7)),
 	})
 	go func() { _ = e.Run(ctx) }()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -55,7 +55,7 @@
 	id        string
 	injector  do.Injector
 	loop      *control.Loop
-	peers     *peer.Node
+	peers     *peer.Instance
 	relay     *relay.Relay
 	gateway   *gateway.Gateway
 	store     *kv.Client
@@ -88,7 +88,7 @@
 	}
 	i.transport = do.MustInvoke[*http.Transport](i.injector)
 	i.loop = do.MustInvoke[*control.Loop](i.injector)
-	i.peers = do.MustInvoke[*peer.Node](i.injector)
+	i.peers = do.MustInvoke[*peer.Instance](i.injector)
 	i.store = do.MustInvoke[*kv.Client](i.injector)
 	i.platform = do.MustInvoke[*platform.Client](i.injector)
 	i.endpoints = do.MustInvoke[*endpoint.Client](i.injector)
@@ -106,7 +106,7 @@
 	do.Provide(i.injector, func(do.Injector) (*control.Loop, error) {
 		return control.New(member.Member{ID: i.id, Name: s.Name, Hall: s.Hall, Addr: s.Peer}, o.Clock), nil
 	})
-	do.Provide(i.injector, func(do.Injector) (*peer.Node, error) { return peer.New(o.Net, i.id, o.PeerTLS, o.Clock), nil })
+	do.Provide(i.injector, func(do.Injector) (*peer.Instance, error) { return peer.New(o.Net, i.id, o.PeerTLS, o.Clock), nil })
 	do.Provide(i.injector, func(in do.Injector) (*kv.Client, error) {
 		return kv.New(s.Store, do.MustInvoke[*http.Transport](in), kv.FleetBudget), nil
 	})
@@ -130,7 +130,7 @@
 	do.Provide(i.injector, func(in do.Injector) (*relay.Relay, error) {
 		return relay.New(relay.Options{
 			Self: i.id, Hall: s.Hall, Log: o.Log, Clock: o.Clock, Seed: o.Seed, Switches: o.Switches,
-			Peers:     do.MustInvoke[*peer.Node](in),
+			Peers:     do.MustInvoke[*peer.Instance](in),
 			Endpoints: do.MustInvoke[*endpoint.Client](in),
 			Control:   do.MustInvoke[*control.Loop](in),
 			Metrics:   do.MustInvoke[*metrics.Metrics](in),
@@ -146,8 +146,8 @@
 	})
 }
 
-// NodeID returns the instance's ID among its peers.
-func (i *Instance) NodeID() string { return i.id }
+// InstanceID returns the instance's ID among its peers.
+func (i *Instance) InstanceID() string { return i.id }
 
 // Relay returns the part that carries requests, for tests and embedded runs.
 func (i *Instance) Relay() *relay.Relay { return i.relay }
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -24,11 +24,11 @@
 )
 
 const (
-	heartbeatTimeout = 900 * time.Millisecond
-	toldMembers      = 3  // other members told of in one heartbeat, in turn
-	freshSeeds       = 16 // listed instances not known yet that one heartbeat goes to
-	editTimeout      = 10 * time.Second
-	leastUsage       = 0.01 // requests per second below which use is not told
+	heartbeatTimeout   = 900 * time.Millisecond
+	membersInHeartbeat = 3  // other members told of in one heartbeat, in turn
+	freshSeeds         = 16 // listed instances not known yet that one heartbeat goes to
+	editTimeout        = 10 * time.Second
+	leastUsage         = 0.01 // requests per second below which use is not told
 )
 
 // heartbeats sends this instance's heartbeat to its neighbours, and to the
@@ -108,7 +108,7 @@
 	h := &peerpb.Heartbeat{Self: wireMember(s.Self)}
 	h.Self.Beat = i.beat.Load()
 	offset := int(i.beat.Load())
-	for k := range min(toldMembers, len(s.Members)) {
+	for k := range min(membersInHeartbeat, len(s.Members)) {
 		m := s.Members[(offset+k)%len(s.Members)]
 		if m.State != member.Dead {
 			h.Members = append(h.Members, wireMember(m))
@@ -225,7 +225,7 @@
 	}
 	for _, m := range i.loop.Members(ctx) {
 		out.Members = append(out.Members, gateway.StatusMember{
-			ID: m.ID, Hall: m.Hall, State: m.State.String(), Leaving: m.Leaving, Revision: m.TableRevision, HeardAt: m.HeardAt,
+			ID: m.ID, Hall: m.Hall, State: m.State.String(), Leaving: m.Leaving, Revision: m.TableRevision, SeenAt: m.SeenAt,
 		})
 	}
 	now := i.opts.Clock.Now()
--- a/internal/experiment/ratelimit_test.go
+++ b/internal/experiment/ratelimit_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"testing"
 	"time"
 
@@ -30,7 +29,7 @@
 		}
 		sleepCtx(ctx, 4*time.Second)
 	})
-	t.Log(fmt.Sprintf("%d of %d answered", tally.Answered, tally.Sent))
+	t.Logf("%d of %d answered", tally.Answered, tally.Sent)
 	is.Equal(violations, nil)
 	is.Equal(broken, nil)
 }
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -35,13 +35,13 @@
 	body, err := io.ReadAll(io.LimitReader(resp, wholeBody+1))
 	if err != nil {
 		ticket.Done(h.blame(ctx, broken(err)), h.Clock.Now())
-		h.broke(ctx, q, ticket.Server)
+		h.broke(ctx, q, ticket.Endpoint)
 		if ctx.Err() != nil {
 			return outcome{denial: h.ended(ctx, q)}
 		}
 		return outcome{again: q.route.Idempotent(), denial: &denial{status: http.StatusBadGateway, why: "the answer broke off", err: err}}
 	}
-	h.cameThrough(q, ticket.Server, resp)
+	h.cameThrough(q, ticket.Endpoint, resp)
 	if resp.Status >= http.StatusInternalServerError {
 		ticket.Done(balance.Failed, h.Clock.Now())
 		if q.route.Idempotent() && len(body) <= wholeBody {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -136,7 +136,7 @@
 	view := h.View()
 	now := h.Clock.Now()
 	b := h.choice(q, view.Config.Service(q.service))
-	ticket, err := h.Placer.Place(ctx, view.Servers[q.service], b, q.deadline, now)
+	ticket, err := h.Placer.Place(ctx, view.Endpoints[q.service], b, q.deadline, now)
 	if err != nil {
 		return outcome{unplaced: true, denial: h.notPlaced(q, err)}
 	}
@@ -153,13 +153,13 @@
 		ticket.Done(balance.Cancelled, h.Clock.Now())
 		return outcome{denial: d}
 	}
-	q.avoid = append(q.avoid, ticket.Server.ID)
+	q.avoid = append(q.avoid, ticket.Endpoint.ID)
 	call := h.call(q, view, ticket, now)
 	resp, err := h.Backends.Send(ctx, call)
 	if err != nil {
 		return h.failed(ctx, q, ticket, fault.As(err))
 	}
-	q.tried = append(q.tried, ticket.Server.ID)
+	q.tried = append(q.tried, ticket.Endpoint.ID)
 	ticket.Arrive()
 	defer resp.Close()
 	if resp.Answer.NotRun && resp.Status != http.StatusBadRequest {
@@ -211,17 +211,17 @@
 
 func (h *Handler) call(q *request, view *View, ticket *balance.Ticket, now time.Time) *backend.Call {
 	c := &backend.Call{
-		Server: ticket.Server, Method: q.method, URI: q.uri, Host: q.host,
+		Endpoint: ticket.Endpoint, Method: q.method, URI: q.uri, Host: q.host,
 		Header: q.header.Clone(), Body: q.body, ID: q.meta.ID,
 	}
 	if !q.route.Idempotent() {
 		c.MaxIdle = onceIdle
 	}
 	if s := view.Config.Service(q.service); s != nil && s.MaxConnections > 0 {
-		c.MaxConns = max(spareConns, s.MaxConnections/max(1, view.Nodes))
+		c.MaxConns = max(spareConns, s.MaxConnections/max(1, view.Instances))
 	}
 	h.Protocol.Outgoing(c.Header, Outgoing{
-		Server: ticket.Server.StoreID(), Account: q.accountName(), Left: q.deadline.Sub(now), Priority: q.priority, LastEventID: q.event,
+		Endpoint: ticket.Endpoint.StoreID(), Account: q.accountName(), Left: q.deadline.Sub(now), Priority: q.priority, LastEventID: q.event,
 	})
 	return c
 }
@@ -231,7 +231,7 @@
 	now := h.Clock.Now()
 	if f.Run == fault.NotRun {
 		if errors.Is(f, syscall.ECONNREFUSED) {
-			h.Quarantine.Unreached(ticket.Server)
+			h.Quarantine.Unreached(ticket.Endpoint)
 		}
 		ticket.Done(h.blame(ctx, f), now)
 		if ctx.Err() != nil {
@@ -241,11 +241,11 @@
 			status: h.unless(q, http.StatusServiceUnavailable), why: "no server reached", wait: waitFull, err: f,
 		}}
 	}
-	q.tried = append(q.tried, ticket.Server.ID)
+	q.tried = append(q.tried, ticket.Endpoint.ID)
 	q.mayRun = true
 	ticket.Arrive()
 	ticket.Done(h.blame(ctx, f), now)
-	h.broke(ctx, q, ticket.Server)
+	h.broke(ctx, q, ticket.Endpoint)
 	if q.route.Kind != policy.Streaming {
 		h.began(q)
 	}
--- a/internal/forward/benchforward_test.go
+++ b/internal/forward/benchforward_test.go
@@ -43,7 +43,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	view := &View{Config: config, ProvedAt: time.Now(), KeysUntil: time.Now().Add(time.Hour), Servers: map[string][]registry.Server{"svc": {{ID: "s0", Service: "svc", Addr: addr}}}, Nodes: 1}
+	view := &View{Config: config, ProvedAt: time.Now(), KeysUntil: time.Now().Add(time.Hour), Endpoints: map[string][]registry.Endpoint{"svc": {{ID: "s0", Service: "svc", Addr: addr}}}, Instances: 1}
 	c := clock.New(clock.System{})
 	h := New(Options{
 		Protocol: plainProtocol{}, View: func() *View { return view }, Backends: backend.New(backend.Options{Net: netx.TCP{}, Protocol: plainProtocol{}, Notices: notice.New(notice.Options{}), Limits: ratelimit.New(ratelimit.Options{}), Clock: c}),
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -47,7 +47,7 @@
 
 // Outgoing is what a server is told of a request.
 type Outgoing struct {
-	Server      string
+	Endpoint    string
 	Account     string
 	Left        time.Duration // until the answer is of no use
 	Priority    int           // 0 is the most urgent
@@ -66,17 +66,17 @@
 
 // View is the immutable state that requests are decided by.
 type View struct {
-	Config      *policy.Config               // nil until one is known
-	ProvedAt    time.Time                    // sending of the read, of this node or another, that last showed Config to be the newest
-	ReadAt      time.Time                    // the same for this node's own way to the store
-	KeysUntil   time.Time                    // until when keys are honoured unless Config is proved again
-	OutageUntil time.Time                    // until when the store counts as down for all nodes
-	Listed      []registry.Server            // all that do not leave, whichever requests they may get
-	Servers     map[string][]registry.Server // that take new work, by service
-	Trial       map[string][]registry.Server // that take the share of a version on trial, by service
-	Rollouts    map[string]rollout.Record    // how far each service's roll-out is
-	Nodes       int                          // that run, this one included
-	Leaving     bool                         // this node is stopping
+	Config      *policy.Config                 // nil until one is known
+	ProvedAt    time.Time                      // sending of the read, of this node or another, that last showed Config to be the newest
+	ReadAt      time.Time                      // the same for this node's own way to the store
+	KeysUntil   time.Time                      // until when keys are honoured unless Config is proved again
+	OutageUntil time.Time                      // until when the store counts as down for all nodes
+	Listed      []registry.Endpoint            // all that do not leave, whichever requests they may get
+	Endpoints   map[string][]registry.Endpoint // that take new work, by service
+	Trial       map[string][]registry.Endpoint // that take the share of a version on trial, by service
+	Rollouts    map[string]rollout.Record      // how far each service's roll-out is
+	Instances   int                            // that run, this one included
+	Leaving     bool                           // this node is stopping
 }
 
 // Admission counts requests against the limits of client accounts and the budgets of
@@ -94,11 +94,11 @@
 // Placer chooses a server for a request and counts the request there until the
 // ticket is done or a deadline. Its errors are ErrNoServer and LimitError.
 type Placer interface {
-	Place(ctx context.Context, servers []registry.Server, r *balance.Request, until, now time.Time) (*balance.Ticket, error)
+	Place(ctx context.Context, servers []registry.Endpoint, r *balance.Request, until, now time.Time) (*balance.Ticket, error)
 }
 
-// ErrNoServer says that no server takes work for a service.
-var ErrNoServer = errors.New("no server takes work")
+// ErrNoEndpoint says that no server takes work for a service.
+var ErrNoEndpoint = errors.New("no server takes work")
 
 // LimitError says that the limit of the client account does not bear the request,
 // as a hub found that sees more of the account's requests than this node.
@@ -119,7 +119,7 @@
 }
 
 // Unwrap says that no server takes work.
-func (e *ClosedError) Unwrap() error { return ErrNoServer }
+func (e *ClosedError) Unwrap() error { return ErrNoEndpoint }
 
 // Options are what a handler is made of.
 type Options struct {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -49,7 +49,7 @@
 func (plainProtocol) Clean(h http.Header)       { h.Del("Key") }
 func (plainProtocol) CleanAnswer(h http.Header) { h.Del("Content-Length"); h.Del("Transfer-Encoding") }
 func (plainProtocol) Outgoing(h http.Header, o Outgoing) {
-	h.Set("Server", o.Server)
+	h.Set("Server", o.Endpoint)
 	h.Set("Account", o.Account)
 	h.Set("Deadline", strconv.FormatInt(o.Left.Milliseconds(), 10))
 	if o.LastEventID != "" {
@@ -94,12 +94,12 @@
 	return nil, nil
 }
 func (noSuspects) Allows(quarantine.Fingerprint) error { return nil }
-func (noSuspects) Broke(context.Context, registry.Server, quarantine.Fingerprint, string) bool {
+func (noSuspects) Broke(context.Context, registry.Endpoint, quarantine.Fingerprint, string) bool {
 	return false
 }
-func (noSuspects) Left(registry.Server, quarantine.Fingerprint, string) {}
-func (noSuspects) Unreached(registry.Server)                            {}
-func (noSuspects) CameThrough(quarantine.Fingerprint, registry.Server)  {}
+func (noSuspects) Left(registry.Endpoint, quarantine.Fingerprint, string) {}
+func (noSuspects) Unreached(registry.Endpoint)                            {}
+func (noSuspects) CameThrough(quarantine.Fingerprint, registry.Endpoint)  {}
 
 // world is a handler with scripted servers.
 type world struct {
@@ -142,11 +142,11 @@
 	t.Helper()
 	mem := netx.NewMem(func(string, string) time.Duration { return time.Millisecond })
 	w := &world{admit: &freely{budget: 5}}
-	var servers []registry.Server
+	var servers []registry.Endpoint
 	turn := 0
 	for i := range dead + len(scripts) {
 		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 80)
-		servers = append(servers, registry.Server{ID: fmt.Sprint("s", i), Service: "svc", Addr: addr})
+		servers = append(servers, registry.Endpoint{ID: fmt.Sprint("s", i), Service: "svc", Addr: addr})
 		if i < dead {
 			continue
 		}
@@ -174,7 +174,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	view := &View{Config: testConfig(t), ProvedAt: time.Now(), KeysUntil: time.Now().Add(4 * time.Second), Servers: map[string][]registry.Server{"svc": servers}, Nodes: 1}
+	view := &View{Config: testConfig(t), ProvedAt: time.Now(), KeysUntil: time.Now().Add(4 * time.Second), Endpoints: map[string][]registry.Endpoint{"svc": servers}, Instances: 1}
 	w.handler = New(Options{
 		Protocol: plainProtocol{}, View: func() *View { return view }, Backends: backend.New(backend.Options{Net: mem.Site("node"), Protocol: plainProtocol{}, Notices: notice.New(notice.Options{}), Limits: ratelimit.New(ratelimit.Options{})}),
 		Placer: alone{balance.NewTracker()}, Admission: w.admit, Quarantine: noSuspects{}, Log: zap.NewNop(), Metrics: m,
@@ -274,10 +274,10 @@
 // alone places requests by what one node knows.
 type alone struct{ *balance.Tracker }
 
-func (a alone) Place(_ context.Context, servers []registry.Server, r *balance.Request, _, now time.Time) (*balance.Ticket, error) {
+func (a alone) Place(_ context.Context, servers []registry.Endpoint, r *balance.Request, _, now time.Time) (*balance.Ticket, error) {
 	ticket, ok := a.Pick(servers, r, now)
 	if !ok {
-		return nil, ErrNoServer
+		return nil, ErrNoEndpoint
 	}
 	return ticket, nil
 }
@@ -285,7 +285,7 @@
 // overfull places nothing, for the limit does not bear it.
 type overfull struct{}
 
-func (overfull) Place(context.Context, []registry.Server, *balance.Request, time.Time, time.Time) (*balance.Ticket, error) {
+func (overfull) Place(context.Context, []registry.Endpoint, *balance.Request, time.Time, time.Time) (*balance.Ticket, error) {
 	return nil, &LimitError{quota.Verdict{Need: 1, RetryAt: time.Now().Add(250 * time.Millisecond)}}
 }
 
--- a/internal/forward/leave_test.go
+++ b/internal/forward/leave_test.go
@@ -21,7 +21,7 @@
 }
 
 // Place implements Placer.
-func (p slowPlacer) Place(ctx context.Context, servers []registry.Server, r *balance.Request, until, now time.Time) (*balance.Ticket, error) {
+func (p slowPlacer) Place(ctx context.Context, servers []registry.Endpoint, r *balance.Request, until, now time.Time) (*balance.Ticket, error) {
 	select {
 	case <-ctx.Done():
 	case <-time.After(p.takes):
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -24,13 +24,13 @@
 	// Allows looks once more whether the request may run, right before it is sent.
 	Allows(f quarantine.Fingerprint) error
 	// Broke takes note that a server cut a run off, and finds out whether it has ended.
-	Broke(ctx context.Context, s registry.Server, f quarantine.Fingerprint, account string) (ended bool)
+	Broke(ctx context.Context, s registry.Endpoint, f quarantine.Fingerprint, account string) (ended bool)
 	// Left takes note that a run was given up because its client left or its time is over.
-	Left(s registry.Server, f quarantine.Fingerprint, account string)
+	Left(s registry.Endpoint, f quarantine.Fingerprint, account string)
 	// Unreached takes note that a server's address refused a connection.
-	Unreached(s registry.Server)
+	Unreached(s registry.Endpoint)
 	// CameThrough takes note that a run came to its end at a server.
-	CameThrough(f quarantine.Fingerprint, s registry.Server)
+	CameThrough(f quarantine.Fingerprint, s registry.Endpoint)
 }
 
 // length is the length of the request's fingerprint.
@@ -82,7 +82,7 @@
 
 // broke takes note that the request's run was cut off: by the server, or because its client
 // left or its time is over.
-func (h *Handler) broke(ctx context.Context, q *request, server registry.Server) {
+func (h *Handler) broke(ctx context.Context, q *request, server registry.Endpoint) {
 	if ctx.Err() != nil {
 		h.left(q, server)
 		return
@@ -92,14 +92,14 @@
 
 // left takes note that the request's run was given up. The server may end under it all the
 // same, a moment after its client has left.
-func (h *Handler) left(q *request, server registry.Server) {
+func (h *Handler) left(q *request, server registry.Endpoint) {
 	q.undecided = true
 	h.Quarantine.Left(server, q.fingerprint(), q.accountName())
 }
 
 // cameThrough takes note that a server has answered the request whole, if that shows that it
 // has run.
-func (h *Handler) cameThrough(q *request, server registry.Server, resp *backend.Response) {
+func (h *Handler) cameThrough(q *request, server registry.Endpoint, resp *backend.Response) {
 	if provesRun(resp) && h.Quarantine.Knows(q.length()) {
 		h.Quarantine.CameThrough(q.fingerprint(), server)
 	}
--- a/internal/forward/refuse.go
+++ b/internal/forward/refuse.go
@@ -91,7 +91,7 @@
 	if q.account != nil && q.account.Rate > 0 && c != event.ForwardRefused {
 		// Levels of the instances that differ by more than they admit in a second show that
 		// some do not count what others admit.
-		fields = append(fields, zap.Float64("units", q.units), zap.Float64("level", q.level), zap.Int("instances", q.view.Nodes))
+		fields = append(fields, zap.Float64("units", q.units), zap.Float64("level", q.level), zap.Int("instances", q.view.Instances))
 	}
 	if why != "" {
 		fields = append(fields, zap.String("why", why))
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -93,7 +93,7 @@
 				ticket.Streamed(q.pause > time.Duration(pauseShare*float64(q.route.MaxPause)))
 			}
 			ticket.Done(balance.Answered, h.Clock.Now())
-			h.cameThrough(q, ticket.Server, resp)
+			h.cameThrough(q, ticket.Endpoint, resp)
 			h.openStream(w, q, resp)
 			h.logEnd(q, event.ForwardAnswered, resp.Status, "", nil)
 			return outcome{done: true}
@@ -116,7 +116,7 @@
 		h.openStream(w, q, resp)
 		if _, err := w.Write(e); err != nil {
 			ticket.Done(balance.Cancelled, h.Clock.Now())
-			h.left(q, ticket.Server)
+			h.left(q, ticket.Endpoint)
 			h.logEnd(q, event.ClientLeft, resp.Status, "the client left", err)
 			panic(http.ErrAbortHandler)
 		}
@@ -142,13 +142,13 @@
 // brokenStream tells what follows from a stream that broke off.
 func (h *Handler) brokenStream(ctx context.Context, q *request, ticket *balance.Ticket, err error) outcome {
 	ticket.Done(h.blame(ctx, broken(err)), h.Clock.Now())
-	h.broke(ctx, q, ticket.Server)
+	h.broke(ctx, q, ticket.Endpoint)
 	if ctx.Err() != nil {
 		return outcome{denial: h.ended(ctx, q)}
 	}
 	again := q.route.Idempotent()
 	if again {
-		h.event(event.RequestResumed, zap.String("request", q.meta.ID), zap.String("server", ticket.Server.ID), zap.String("after", q.event), zap.Error(err))
+		h.event(event.RequestResumed, zap.String("request", q.meta.ID), zap.String("server", ticket.Endpoint.ID), zap.String("after", q.event), zap.Error(err))
 	}
 	return outcome{again: again, denial: &denial{status: http.StatusBadGateway, why: "the stream broke off", err: err}}
 }
--- a/internal/forward/suspend_test.go
+++ b/internal/forward/suspend_test.go
@@ -22,7 +22,7 @@
 	d       time.Duration
 }
 
-func (s suspending) Place(ctx context.Context, servers []registry.Server, r *balance.Request, until, now time.Time) (*balance.Ticket, error) {
+func (s suspending) Place(ctx context.Context, servers []registry.Endpoint, r *balance.Request, until, now time.Time) (*balance.Ticket, error) {
 	s.machine.Suspend()
 	time.Sleep(s.d)
 	s.machine.Resume()
--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -16,9 +16,9 @@
 // admission counts requests for all goroutines that serve clients. It
 // implements forward.Admission.
 type admission struct {
-	node   *Node
-	terms  retry.Terms
-	limits quota.Terms
+	instance *Instance
+	terms    retry.Terms
+	limits   quota.Terms
 
 	mu        sync.Mutex
 	limitsOf  *policy.Config           // that byAccount was worked out for; guarded by mu
@@ -30,10 +30,10 @@
 	counters  *counters                // counts of the groups of a large fleet; guarded by mu
 }
 
-func newAdmission(n *Node) *admission {
+func newAdmission(n *Instance) *admission {
 	b := n.Settings.Bounds
 	return &admission{
-		node: n, rand: rand.New(rand.NewPCG(n.Seed, seedAdmission)), quota: quota.New(n.start), budgets: make(map[string]*retry.Budget), usage: usage.New(), counters: newCounters(),
+		instance: n, rand: rand.New(rand.NewPCG(n.Seed, seedAdmission)), quota: quota.New(n.start), budgets: make(map[string]*retry.Budget), usage: usage.New(), counters: newCounters(),
 		limits: quota.Terms{Over: b.QuotaOver, Slack: b.QuotaSlack, Window: b.QuotaWindow()},
 		terms:  retry.Terms{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow()},
 	}
@@ -41,7 +41,7 @@
 
 // Admit implements forward.Admission.
 func (a *admission) Admit(c *policy.Account, units float64, placed bool, now time.Time) quota.Verdict {
-	placed = placed && a.node.grouped()
+	placed = placed && a.instance.grouped()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if placed {
@@ -64,7 +64,7 @@
 // confirm asks, at a hub, whether the limit of a client account bears a request that
 // another instance admitted. Nothing is asked for with 0 units.
 func (a *admission) confirm(account string, units float64, now time.Time) quota.Verdict {
-	hubs := len(a.node.state.members.topology().Hubs)
+	hubs := len(a.instance.state.members.topology().Hubs)
 	if units == 0 || hubs == 0 {
 		return quota.Verdict{OK: true}
 	}
@@ -85,7 +85,7 @@
 // limitsNow returns what the client accounts of the configuration in force are kept
 // to. The caller holds mu.
 func (a *admission) limitsNow() map[string]quota.Limit {
-	config := a.node.view.Load().Config
+	config := a.instance.view.Load().Config
 	if config == nil || config == a.limitsOf {
 		return a.byAccount
 	}
@@ -120,7 +120,7 @@
 
 // FirstTry implements forward.Admission.
 func (a *admission) FirstTry(service string, now time.Time) {
-	nodes := a.node.view.Load().Nodes
+	nodes := a.instance.view.Load().Instances
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.budget(service).Sent(a.terms, nodes, now)
@@ -128,7 +128,7 @@
 
 // SecondTry implements forward.Admission.
 func (a *admission) SecondTry(service string, now time.Time) bool {
-	nodes := a.node.view.Load().Nodes
+	nodes := a.instance.view.Load().Instances
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.budget(service).Take(a.terms, nodes, a.rand.Float64(), now)
@@ -139,7 +139,7 @@
 	if account == "" {
 		return
 	}
-	w := usage.WindowOf(a.node.walltime.At(a.node.Clock.Now()), a.node.Settings.Bounds.UsageWindow())
+	w := usage.WindowOf(a.instance.walltime.At(a.instance.Clock.Now()), a.instance.Settings.Bounds.UsageWindow())
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.usage.Add(w, account, count)
@@ -147,11 +147,11 @@
 
 // tick lets time pass; nodes is how many run.
 func (a *admission) tick(nodes int, now time.Time) {
-	w := usage.WindowOf(a.node.walltime.At(now), a.node.Settings.Bounds.UsageWindow())
-	grouped := a.node.grouped()
+	w := usage.WindowOf(a.instance.walltime.At(now), a.instance.Settings.Bounds.UsageWindow())
+	grouped := a.instance.grouped()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.quota.SetNodes(nodes)
+	a.quota.SetInstances(nodes)
 	a.quota.Fill(a.limitsNow(), now)
 	a.quota.DropWhere(func(node string, heardAt time.Time) bool {
 		return isGroup(node) != grouped || grouped && now.Sub(heardAt) > groupGone
@@ -167,7 +167,7 @@
 const groupGone = 3 * time.Second
 
 // grouped reports whether the fleet is so large that counts are told by groups.
-func (n *Node) grouped() bool { return len(n.state.members.topology().Hubs) > 0 }
+func (n *Instance) grouped() bool { return len(n.state.members.topology().Hubs) > 0 }
 
 // resume takes note that this node stood still for long.
 func (a *admission) resume(now time.Time) {
@@ -186,7 +186,7 @@
 // counter returns the counts of all nodes, with this hub's own group brought up to
 // now. The caller holds mu.
 func (a *admission) counter() *usage.Counter {
-	n := a.node
+	n := a.instance
 	if !n.grouped() {
 		return a.usage
 	}
@@ -207,7 +207,7 @@
 func (a *admission) records(from int64) []usage.Record {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.counter().Records(a.node.Settings.Name, a.node.incarnation(), from)
+	return a.counter().Records(a.instance.Settings.Name, a.instance.incarnation(), from)
 }
 
 // recall takes counts that were kept in the store: of groups or of single nodes, as
@@ -215,8 +215,8 @@
 func (a *admission) recall(records []usage.Record) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	name, run := a.node.Settings.Name, a.node.incarnation()
-	groups, nodes := lo.FilterReject(records, func(r usage.Record, _ int) bool { return isGroup(r.Node) })
+	name, run := a.instance.Settings.Name, a.instance.incarnation()
+	groups, nodes := lo.FilterReject(records, func(r usage.Record, _ int) bool { return isGroup(r.Instance) })
 	a.usage.Recall(nodes, name, run)
 	a.counters.usage.Recall(groups, groupOf(name), run)
 }
--- a/internal/front/calls.go
+++ b/internal/front/calls.go
@@ -8,7 +8,7 @@
 )
 
 // Handle implements peer.Handler.
-func (n *Node) Handle(ctx context.Context, call *peerpb.Call, answer func(*peerpb.Answer) error) error {
+func (n *Instance) Handle(ctx context.Context, call *peerpb.Call, answer func(*peerpb.Answer) error) error {
 	switch body := call.Body.(type) {
 	case *peerpb.Call_Share:
 		return n.serveShare(body.Share, answer)
--- a/internal/front/deadlyagain_test.go
+++ b/internal/front/deadlyagain_test.go
@@ -98,7 +98,7 @@
 		time.Sleep(4 * time.Second)
 		w.askDeadly("/safe/deadly", "d", 4*time.Second, namesOf(w)...)
 		s := w.nodes["n0"].node.suspects
-		now := s.node.Clock.Now()
+		now := s.instance.Clock.Now()
 		s.met("unlisted", 7)
 		is.True(s.needsSync("unlisted", 7, now.Add(2*syncInterval)))
 		started := w.nodes["n1"].node.incarnation() // n1 itself may be met at the same moment
--- a/internal/front/digest.go
+++ b/internal/front/digest.go
@@ -17,12 +17,12 @@
 	"github.com/shelfcrank/shelfcrank/internal/tally"
 )
 
-// digestNode is the name under which the word of all others is kept, whichever hub
+// digestInstance is the name under which the word of all others is kept, whichever hub
 // told it.
-const digestNode = "/digest"
+const digestInstance = "/digest"
 
 // serveReport takes the report of an instance, and tells it what the others counted.
-func (n *Node) serveReport(call *peerpb.Call, answer func(*peerpb.Answer) error) error {
+func (n *Instance) serveReport(call *peerpb.Call, answer func(*peerpb.Answer) error) error {
 	if !n.state.members.topology().Self {
 		return fault.New(fault.StepPeer, call.From, fault.KindNotFound, fault.NotRun, "this instance is no hub")
 	}
@@ -46,7 +46,7 @@
 }
 
 // countReport adds what an instance was counting to this hub's group.
-func (n *Node) countReport(from tally.Source, s *peerpb.Share) {
+func (n *Instance) countReport(from tally.Source, s *peerpb.Share) {
 	n.rollouts.Reported(from, rolloutCounts(s.Rollouts.GetCounts()))
 	admitted, _, runs := accountCounts(s.Accounts)
 	a := n.admission
@@ -67,7 +67,7 @@
 }
 
 // digest is what an instance has to know of all the others.
-func (n *Node) digest(to string, windows bool, now time.Time) *peerpb.Digest {
+func (n *Instance) digest(to string, windows bool, now time.Time) *peerpb.Digest {
 	d := &peerpb.Digest{Incarnation: n.incarnation(), Seasoned: now.Sub(n.start) > quota.Season, ServersAt: n.watchProgress.Newest()}
 	reports, others := n.groups.own(now), n.groups.known(now)
 	d.Instances = n.advertisedInstances(now)
@@ -95,7 +95,7 @@
 }
 
 // digestCounts puts the counts of all groups into a digest.
-func (n *Node) digestCounts(d *peerpb.Digest, others map[string]peerGroup, reporters int, windows bool, now time.Time) {
+func (n *Instance) digestCounts(d *peerpb.Digest, others map[string]peerGroup, reporters int, windows bool, now time.Time) {
 	a := n.admission
 	a.mu.Lock()
 	units := n.groupUnits()
@@ -145,7 +145,7 @@
 
 // plainUses returns this instance's use of the servers that run no models. The use
 // of the others is known to the hubs that place requests there.
-func (n *Node) plainUses() map[string]balance.Use {
+func (n *Instance) plainUses() map[string]balance.Use {
 	uses := n.tracker.Uses()
 	v := n.view.Load()
 	if v.Config == nil {
@@ -165,12 +165,12 @@
 
 // takeDigest takes what a hub tells of all others, after it confirmed this instance's
 // own counts.
-func (n *Node) takeDigest(hub tally.Source, units unitCounts, runs runCounts, d *peerpb.Digest, now time.Time) {
+func (n *Instance) takeDigest(hub tally.Source, units unitCounts, runs runCounts, d *peerpb.Digest, now time.Time) {
 	n.state.members.seen(hub.Instance, now)
 	n.applyInstances(hub.Instance, d.Instances, now)
 	n.suspects.met(hub.Instance, hub.Incarnation)
 	if n.reading.Load() {
-		n.applyServersAt(hub.Instance, d.ServersAt, now)
+		n.applyEndpointsAt(hub.Instance, d.ServersAt, now)
 	}
 	for _, g := range d.Groups {
 		n.state.members.seen(g.Hub, now) // the hub heard of it just now, the store may have lost it
@@ -178,11 +178,11 @@
 	}
 	n.limits.Apply(wire.Decode(d.Limits), now)
 	n.applyPermits(d.Rollouts, now)
-	n.rollouts.Apply(rollctl.ByHubs, tally.Source{Instance: digestNode}, rolloutCounts(d.Rollouts.GetCounts()))
-	n.rollouts.ApplyStates(digestNode, rolloutStates(d.Rollouts), now)
+	n.rollouts.Apply(rollctl.ByHubs, tally.Source{Instance: digestInstance}, rolloutCounts(d.Rollouts.GetCounts()))
+	n.rollouts.ApplyStates(digestInstance, rolloutStates(d.Rollouts), now)
 	demand, lessons := serviceUpdate(d.Services)
 	news := balance.Update{Uses: usesOf(d.Servers), Demand: demand, Estimates: lessons}
-	n.tracker.Apply(digestNode, news, now.Add(shareTTLLeast), now)
+	n.tracker.Apply(digestInstance, news, now.Add(shareTTLLeast), now)
 	a := n.admission
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -194,7 +194,7 @@
 }
 
 // takeDigestGroup takes the counts of one group. The caller holds the admission's mu.
-func (n *Node) takeDigestGroup(hub tally.Source, g *peerpb.Group, d *peerpb.Digest, now time.Time) {
+func (n *Instance) takeDigestGroup(hub tally.Source, g *peerpb.Group, d *peerpb.Digest, now time.Time) {
 	news := quota.Update{Admitted: make(map[string]float64, len(d.Accounts)), Stands: int(g.Stands)}
 	for i, units := range g.Admitted {
 		if i < len(d.Accounts) {
--- a/internal/front/duties.go
+++ b/internal/front/duties.go
@@ -28,7 +28,7 @@
 // reportUsage tells the platform, while this node acts for all, how many
 // requests began to run in each window. What is told is written to the store
 // first, so that whoever acts next tells exactly the same.
-func (n *Node) reportUsage(ctx context.Context) error {
+func (n *Instance) reportUsage(ctx context.Context) error {
 	window := n.Settings.Bounds.UsageWindow()
 	behind := n.usageBehind()
 	next := usage.WindowOf(n.walltime.At(n.Clock.Now()), window)
@@ -63,7 +63,7 @@
 
 // usageBehind is how many windows a new holder catches up with: those whose
 // reports are not late yet.
-func (n *Node) usageBehind() int64 {
+func (n *Instance) usageBehind() int64 {
 	b := n.Settings.Bounds
 	return int64(b.UsageLate()/b.UsageWindow()) + 1
 }
@@ -72,7 +72,7 @@
 var errSilent = errors.New("the time to act for all is over")
 
 // acting returns a context that ends before this node has to be silent.
-func (n *Node) acting(ctx context.Context) (context.Context, context.CancelFunc, duty.Token, bool) {
+func (n *Instance) acting(ctx context.Context) (context.Context, context.CancelFunc, duty.Token, bool) {
 	token, until, ok := n.elector.Token(n.Clock.Now())
 	if !ok || n.Clock.Until(until) < leastForCall {
 		return nil, nil, token, false
@@ -86,7 +86,7 @@
 }
 
 // reportWindow reports one window, and says whether it is done with.
-func (n *Node) reportWindow(ctx context.Context, window int64) bool {
+func (n *Instance) reportWindow(ctx context.Context, window int64) bool {
 	call, cancel, token, ok := n.acting(ctx)
 	if !ok {
 		return false
@@ -109,7 +109,7 @@
 
 // settleCounts writes the counts of a window to the store, or reads those that
 // an earlier holder wrote.
-func (n *Node) settleCounts(ctx context.Context, token duty.Token, window int64) (usage.Counts, error) {
+func (n *Instance) settleCounts(ctx context.Context, token duty.Token, window int64) (usage.Counts, error) {
 	var accounts []string
 	for _, c := range n.view.Load().Config.Accounts {
 		accounts = append(accounts, c.Name)
@@ -145,7 +145,7 @@
 	return nil, err
 }
 
-func (n *Node) usageKey(window int64) string {
+func (n *Instance) usageKey(window int64) string {
 	return n.Decoder.OwnPrefix() + keyUsage + strconv.FormatInt(window, 10)
 }
 
@@ -154,7 +154,7 @@
 
 // keepOpenUsage keeps, while this node acts for all, the counts of the windows
 // that are not reported yet in the store: all nodes may die at once.
-func (n *Node) keepOpenUsage(ctx context.Context) error {
+func (n *Instance) keepOpenUsage(ctx context.Context) error {
 	var last []byte
 	for n.Clock.Sleep(ctx, openEvery) {
 		call, cancel, token, ok := n.acting(ctx)
@@ -178,7 +178,7 @@
 }
 
 // recallUsage takes what an earlier holder kept, and says whether it knows.
-func (n *Node) recallUsage(ctx context.Context) bool {
+func (n *Instance) recallUsage(ctx context.Context) bool {
 	call, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	item, _, err := n.Store.Get(call, n.Decoder.OwnPrefix()+keyOpen)
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -39,14 +39,14 @@
 
 // called tells the state how a call of the store went, and returns its error.
 // A refusal by the rules of the store is an answer.
-func (n *Node) called(sent time.Time, err error) error {
+func (n *Instance) called(sent time.Time, err error) error {
 	answered := err == nil || errors.Is(err, store.ErrNotFound) || errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrCompacted)
 	n.state.send(storeCalled{ok: answered, sent: sent})
 	return err
 }
 
 // proveConfig reads the configuration again and again: a watch may be silent.
-func (n *Node) proveConfig(ctx context.Context) error {
+func (n *Instance) proveConfig(ctx context.Context) error {
 	retry := newBackoff(retryPause, retryProof)
 	for {
 		sent := n.Clock.Now()
@@ -61,15 +61,15 @@
 			n.hub.proved(items, sent)
 			n.takeOperators(items, sent)
 		}
-		if !n.sleepOrWake(ctx, pause) {
+		if !n.sleepOrResume(ctx, pause) {
 			return ctx.Err()
 		}
 	}
 }
 
-// sleepOrWake waits for a pause, or until this node has stood still. It reports false when
+// sleepOrResume waits for a pause, or until this node has stood still. It reports false when
 // ctx ended before.
-func (n *Node) sleepOrWake(ctx context.Context, d time.Duration) bool {
+func (n *Instance) sleepOrResume(ctx context.Context, d time.Duration) bool {
 	select {
 	case <-ctx.Done():
 		return false
@@ -81,7 +81,7 @@
 
 // takeOperators hands what the operators wrote, as read at a time, to the state: orders
 // first, so that a proof of the configuration is one of the orders as well.
-func (n *Node) takeOperators(items []store.Item, sent time.Time) {
+func (n *Instance) takeOperators(items []store.Item, sent time.Time) {
 	n.state.send(operatorsRead{items})
 	if config, ok := n.configOf(items); ok {
 		n.state.send(configRead{value: config.Value, revision: config.Revision, provedAt: sent})
@@ -89,18 +89,18 @@
 }
 
 // configOf returns the configuration among what the operators wrote.
-func (n *Node) configOf(items []store.Item) (store.Item, bool) {
+func (n *Instance) configOf(items []store.Item) (store.Item, bool) {
 	return lo.Find(items, func(i store.Item) bool { return i.Key == n.Decoder.ConfigKey() })
 }
 
-func (n *Node) gather() time.Duration {
+func (n *Instance) gather() time.Duration {
 	if n.readsForOthers() {
 		return gatherHub
 	}
 	return gather
 }
 
-func (n *Node) provePause() time.Duration {
+func (n *Instance) provePause() time.Duration {
 	if n.readsForOthers() {
 		return proveAsHub
 	}
@@ -118,7 +118,7 @@
 }
 
 // pauseForStore waits for a pause, or until the store is back.
-func (n *Node) pauseForStore(ctx context.Context, d time.Duration) {
+func (n *Instance) pauseForStore(ctx context.Context, d time.Duration) {
 	back := n.outage.Load().ctx
 	select {
 	case <-ctx.Done():
@@ -150,9 +150,9 @@
 }
 
 // rewatch ends all watches, so that they begin anew.
-func (n *Node) rewatch() { n.outage.Swap(newOutage()).end() }
+func (n *Instance) rewatch() { n.outage.Swap(newOutage()).end() }
 
-func (n *Node) watchConfig(ctx context.Context) error {
+func (n *Instance) watchConfig(ctx context.Context) error {
 	if !n.awaitRole(ctx) {
 		return ctx.Err()
 	}
@@ -160,14 +160,14 @@
 	return n.watch(ctx, followed{n.Decoder.OperatorPrefix(), n.hub.operators, list, n.awaitRole})
 }
 
-func (n *Node) watchServers(ctx context.Context) error {
-	list := func(items []store.Item, at int64) { n.state.send(listedServers{items, at}) }
-	return n.watch(ctx, followed{n.Decoder.ServerPrefix(), n.hub.servers, list, n.awaitRole})
+func (n *Instance) watchEndpoints(ctx context.Context) error {
+	list := func(items []store.Item, at int64) { n.state.send(listedEndpoints{items, at}) }
+	return n.watch(ctx, followed{n.Decoder.EndpointPrefix(), n.hub.endpoints, list, n.awaitRole})
 }
 
-func (n *Node) watchNodes(ctx context.Context) error {
-	list := func(items []store.Item, _ int64) { n.state.send(listedNodes{items}) }
-	return n.watch(ctx, followed{n.Decoder.OwnPrefix() + keyLive, n.hub.nodes, list, n.awaitOthers})
+func (n *Instance) watchInstances(ctx context.Context) error {
+	list := func(items []store.Item, _ int64) { n.state.send(listedInstances{items}) }
+	return n.watch(ctx, followed{n.Decoder.OwnPrefix() + keyLive, n.hub.instances, list, n.awaitOthers})
 }
 
 // followed is a part of the store that an instance follows.
@@ -180,7 +180,7 @@
 
 // watch lists a part of the store and follows its changes, and lists anew
 // whenever it may have missed one.
-func (n *Node) watch(ctx context.Context, p followed) error {
+func (n *Instance) watch(ctx context.Context, p followed) error {
 	down, cut := newBackoff(retryFirst, retryMost), newBackoff(retryPause, retryWatch)
 	for ctx.Err() == nil {
 		sent := n.Clock.Now()
@@ -205,7 +205,7 @@
 }
 
 // follow passes changes on until a watch fails.
-func (n *Node) follow(ctx context.Context, p followed, at int64) {
+func (n *Instance) follow(ctx context.Context, p followed, at int64) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stop := context.AfterFunc(n.outage.Load().ctx, cancel)
@@ -227,7 +227,7 @@
 }
 
 // register keeps this node's address in the store for the others.
-func (n *Node) register(ctx context.Context) error {
+func (n *Instance) register(ctx context.Context) error {
 	retry := newBackoff(retryFirst, retryMost)
 	value, err := json.Marshal(n.registration())
 	if err != nil {
@@ -238,7 +238,7 @@
 		lease, err := n.Store.Grant(call, registerTTL.Milliseconds())
 		if err == nil {
 			_, err = n.Store.Do(call, store.Txn{Put: []store.Put{{
-				Key: n.Decoder.OwnPrefix() + keyNodes + n.Settings.Name, Value: value, Lease: lease,
+				Key: n.Decoder.OwnPrefix() + keyInstances + n.Settings.Name, Value: value, Lease: lease,
 			}}})
 		}
 		cancel()
@@ -256,9 +256,9 @@
 
 // keepRegistered renews the lease of the registration until it is over. While the store
 // does not answer, the registration stands for as long as the lease was last renewed for.
-func (n *Node) keepRegistered(ctx context.Context, lease int64) {
+func (n *Instance) keepRegistered(ctx context.Context, lease int64) {
 	until := n.Clock.Now().Add(registerTTL)
-	for n.sleepOrWake(ctx, registerKeep) {
+	for n.sleepOrResume(ctx, registerKeep) {
 		sent := n.Clock.Now()
 		call, cancel := context.WithTimeout(ctx, registerKeep/2)
 		err := n.Store.Keep(call, lease)
--- a/internal/front/follower.go
+++ b/internal/front/follower.go
@@ -33,7 +33,7 @@
 // followStore keeps up with what the store has: directly where this node is a
 // hub or the fleet is small, else through the hubs. Each call of the store is
 // paid for, so that not all nodes of a large fleet may make them.
-func (n *Node) followStore(ctx context.Context) error {
+func (n *Instance) followStore(ctx context.Context) error {
 	n.meetOthers(ctx)
 	if !n.state.members.topology().Direct() {
 		n.readThroughHubs(ctx)
@@ -46,7 +46,7 @@
 }
 
 // readDirectly follows the store until this node need not any more.
-func (n *Node) readDirectly(ctx context.Context) {
+func (n *Instance) readDirectly(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	n.reading.Store(true)
@@ -54,7 +54,7 @@
 	n.event(event.StoreFollowed, zap.Bool("directly", true), zap.Bool("stands_in", n.standIn.asked(n.Clock.Now())))
 	var wait sync.WaitGroup
 	defer wait.Wait()
-	for _, serve := range []func(context.Context) error{n.proveConfig, n.watchConfig, n.watchServers, n.watchNodes} {
+	for _, serve := range []func(context.Context) error{n.proveConfig, n.watchConfig, n.watchEndpoints, n.watchInstances} {
 		wait.Go(func() { _ = serve(ctx) }) // ends with ctx only
 	}
 	stay := n.Clock.Now().Add(directAtLeast)
@@ -75,15 +75,15 @@
 }
 
 // storeTroubled reports whether this node's last own proof is old.
-func (n *Node) storeTroubled() bool { return n.Clock.Since(n.view.Load().ReadAt) > mirrorStale }
+func (n *Instance) storeTroubled() bool { return n.Clock.Since(n.view.Load().ReadAt) > mirrorStale }
 
 // readThroughHubs follows the store through those that read it, until this node becomes
 // one or none of them knows what is in the store although this node can find out.
-func (n *Node) readThroughHubs(ctx context.Context) {
+func (n *Instance) readThroughHubs(ctx context.Context) {
 	n.event(event.StoreFollowed, zap.Bool("directly", false))
 	ctx, cancel := n.standIn.untilAsked(ctx)
 	defer cancel()
-	s := &follower{node: n, lastGood: n.Clock.Now(), retry: newBackoff(retryPause, retryAlone)}
+	s := &follower{instance: n, lastGood: n.Clock.Now(), retry: newBackoff(retryPause, retryAlone)}
 	for ctx.Err() == nil {
 		hubs := n.state.members.topology()
 		if n.readsItself() {
@@ -111,23 +111,23 @@
 }
 
 // readsItself reports whether this node has to read the store.
-func (n *Node) readsItself() bool {
+func (n *Instance) readsItself() bool {
 	return n.state.members.topology().Direct() || n.standIn.asked(n.Clock.Now())
 }
 
 // follower is a node that reads the store through hubs.
 type follower struct {
-	node           *Node
-	servers, nodes int64 // revisions up to which the entries are known
-	revision       int64 // of the configuration in hand
-	orders         int64 // highest revision of the orders in hand
-	lastGood       time.Time
-	standby        string                      // the last that helped, if it was one that stands in for the readers
-	round          int                         // of standbys to ask next
-	without        int                         // so many said in a row that they cannot read the store
-	aloneAt        time.Time                   // when this node tries the store itself although they say so
-	retry          *backoff.ExponentialBackOff // of reads of the store while no hub helps
-	aloneSince     time.Time                   // when the store answered although no hub knew
+	instance             *Instance
+	endpoints, instances int64 // revisions up to which the entries are known
+	revision             int64 // of the configuration in hand
+	orders               int64 // highest revision of the orders in hand
+	lastGood             time.Time
+	standby              string                      // the last that helped, if it was one that stands in for the readers
+	round                int                         // of standbys to ask next
+	without              int                         // so many said in a row that they cannot read the store
+	aloneAt              time.Time                   // when this node tries the store itself although they say so
+	retry                *backoff.ExponentialBackOff // of reads of the store while no hub helps
+	aloneSince           time.Time                   // when the store answered although no hub knew
 }
 
 // throughReaders reads through one reader after the other until each has failed. While
@@ -146,12 +146,12 @@
 // for the readers. It reports whether it got an answer.
 func (s *follower) follow(ctx context.Context, hub topology.Member, standIn bool) bool {
 	helped := false
-	begun := s.node.Clock.Now()
-	for ctx.Err() == nil && !s.node.readsItself() {
-		if standIn && s.node.Clock.Since(begun) > standInFor {
+	begun := s.instance.Clock.Now()
+	for ctx.Err() == nil && !s.instance.readsItself() {
+		if standIn && s.instance.Clock.Since(begun) > standInFor {
 			return true
 		}
-		sent := s.node.Clock.Now()
+		sent := s.instance.Clock.Now()
 		a, err := s.ask(ctx, hub, standIn)
 		if saysNoHub(err) {
 			s.without++
@@ -161,7 +161,7 @@
 		}
 		read, err := mirroredConfig(a, sent)
 		if err != nil {
-			s.node.event(event.ConfigRejected, zap.String("peer", hub.Name), zap.Error(err))
+			s.instance.event(event.ConfigRejected, zap.String("peer", hub.Name), zap.Error(err))
 			return helped
 		}
 		helped = true
@@ -174,11 +174,11 @@
 }
 
 func (s *follower) ask(ctx context.Context, hub topology.Member, standIn bool) (*peerpb.MirrorAnswer, error) {
-	return s.node.askMirror(ctx, hub, &peerpb.Mirror{Config: s.revision, Servers: s.servers, Nodes: s.nodes, Orders: s.orders, StandIn: standIn, Unpacks: true})
+	return s.instance.askMirror(ctx, hub, &peerpb.Mirror{Config: s.revision, Servers: s.endpoints, Nodes: s.instances, Orders: s.orders, StandIn: standIn, Unpacks: true})
 }
 
 // askMirror asks an instance that reads the store for what changed there.
-func (n *Node) askMirror(ctx context.Context, m topology.Member, q *peerpb.Mirror) (*peerpb.MirrorAnswer, error) {
+func (n *Instance) askMirror(ctx context.Context, m topology.Member, q *peerpb.Mirror) (*peerpb.MirrorAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, mirrorTimeout)
 	defer cancel()
 	a, err := n.peers.Call(ctx, m.Addr, &peerpb.Call{Body: &peerpb.Call_Mirror{Mirror: q}})
@@ -213,7 +213,7 @@
 
 // take hands an answer to the state.
 func (s *follower) take(a *peerpb.MirrorAnswer, read configRead, sent time.Time) {
-	n := s.node
+	n := s.instance
 	n.state.send(storeCalled{ok: true, sent: sent})
 	s.takeOrders(a.Orders)
 	if a.ConfigRevision >= s.revision {
@@ -221,17 +221,17 @@
 		n.state.send(read)
 	}
 	if p := a.Servers; p != nil {
-		s.servers = p.At
+		s.endpoints = p.At
 		if events := mirrorEvents(p); p.Whole {
-			n.state.send(listedServers{itemsOf(events), p.At})
+			n.state.send(listedEndpoints{itemsOf(events), p.At})
 		} else {
 			s.changed(events)
 		}
 	}
 	if p := a.Nodes; p != nil {
-		s.nodes = p.At
+		s.instances = p.At
 		if events := mirrorEvents(p); p.Whole {
-			n.state.send(listedNodes{itemsOf(events)})
+			n.state.send(listedInstances{itemsOf(events)})
 		} else {
 			s.changed(events)
 		}
@@ -243,7 +243,7 @@
 	for _, order := range orders {
 		s.orders = max(s.orders, order.Revision)
 	}
-	s.node.state.send(mirroredOrders(orders))
+	s.instance.state.send(mirroredOrders(orders))
 }
 
 // mirroredOrders reads the orders of an answer.
@@ -254,15 +254,15 @@
 // changed hands changes to the state, if there are any.
 func (s *follower) changed(events []store.Event) {
 	if len(events) > 0 {
-		s.node.state.send(watched{events})
+		s.instance.state.send(watched{events})
 	}
 }
 
 // proveAlone reads the configuration from the store when no hub knows it, and
 // says whether the store answered. It asks ever more seldom.
 func (s *follower) proveAlone(ctx context.Context) bool {
-	n := s.node
-	sent := s.node.Clock.Now()
+	n := s.instance
+	sent := s.instance.Clock.Now()
 	call, cancel := context.WithTimeout(ctx, proveTimeout)
 	items, _, err := n.Store.Range(call, n.Decoder.OperatorPrefix())
 	cancel()
@@ -271,10 +271,10 @@
 		if s.aloneSince.IsZero() {
 			s.aloneSince = sent
 		}
-		s.node.Clock.Sleep(ctx, 2*hubPause)
+		s.instance.Clock.Sleep(ctx, 2*hubPause)
 		return true
 	}
 	s.aloneSince = time.Time{}
-	s.node.Clock.Sleep(ctx, s.retry.NextBackOff())
+	s.instance.Clock.Sleep(ctx, s.retry.NextBackOff())
 	return false
 }
--- a/internal/front/follower_test.go
+++ b/internal/front/follower_test.go
@@ -136,10 +136,10 @@
 }
 
 // ofLarge returns a node that is not running, and knows 111 others.
-func ofLarge(is *is.I, now time.Time) *Node { return ofFleet(is, 111, now) }
+func ofLarge(is *is.I, now time.Time) *Instance { return ofFleet(is, 111, now) }
 
 // ofFleet returns a node that is not running, and knows so many others.
-func ofFleet(is *is.I, others int, now time.Time) *Node {
+func ofFleet(is *is.I, others int, now time.Time) *Instance {
 	n, err := New(Options{Settings: settings.Front{Name: "self"}, Decoder: plain{}, Protocol: plain{}, Log: zap.NewNop()})
 	is.NoErr(err)
 	m := n.state.members
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -53,11 +53,11 @@
 type Decoder interface {
 	OperatorPrefix() string // of what the operators write
 	ConfigKey() string      // of the configuration, below that
-	ServerPrefix() string   // of the servers' entries
+	EndpointPrefix() string // of the servers' entries
 	OwnPrefix() string      // of the keys that the product writes
 	Config(value []byte) (*policy.Config, error)
-	ServerID(key string) (string, bool)
-	Server(id string, value []byte, now time.Time) (registry.Server, error)
+	EndpointID(key string) (string, bool)
+	Endpoint(id string, value []byte, now time.Time) (registry.Endpoint, error)
 	// Order decodes the order of a roll-out; false if the key is none of one.
 	Order(key string, value []byte) (rollout.Order, bool, error)
 	// Status encodes how far a roll-out is, for the operators.
@@ -85,8 +85,8 @@
 	Reread   func() (settings.Front, error) // reads the settings again; nil where they can't change
 }
 
-// Node is a running node.
-type Node struct {
+// Instance is a running node.
+type Instance struct {
 	Options
 	start         time.Time
 	injector      do.Injector
@@ -94,7 +94,7 @@
 	state         *state
 	view          atomic.Pointer[forward.View]
 	walltime      *walltime.Clock
-	peers         *peer.Node
+	peers         *peer.Instance
 	backends      *backend.Client
 	notices       *notice.Table // what endpoints said of themselves in their answers
 	limits        *ratelimit.Table
@@ -120,7 +120,7 @@
 }
 
 // incarnation tells this start of the node from earlier ones.
-func (n *Node) incarnation() int64 { return n.start.UnixNano() }
+func (n *Instance) incarnation() int64 { return n.start.UnixNano() }
 
 // Parts of the bounds that the node keeps to.
 const (
@@ -130,10 +130,10 @@
 )
 
 // New wires a node; Run starts it.
-func New(o Options) (*Node, error) {
-	n := &Node{Options: o, start: o.Clock.Now(), injector: do.New(), knows: make(chan struct{}), standIn: newStandIn(o.Clock), hub: newHub(o.Decoder.ConfigKey(), o.Clock), groups: newGroups()}
+func New(o Options) (*Instance, error) {
+	n := &Instance{Options: o, start: o.Clock.Now(), injector: do.New(), knows: make(chan struct{}), standIn: newStandIn(o.Clock), hub: newHub(o.Decoder.ConfigKey(), o.Clock), groups: newGroups()}
 	n.walltime = walltime.New(n.start)
-	n.view.Store(&forward.View{Nodes: 1})
+	n.view.Store(&forward.View{Instances: 1})
 	n.outage.Store(newOutage())
 	n.resumed.Store(newOutage())
 	n.notices = notice.New(notice.Options{Changed: n.noticed, TimeOfDay: n.walltime.At})
@@ -147,7 +147,7 @@
 	if n.metrics, err = do.Invoke[*metrics.Metrics](n.injector); err != nil {
 		return nil, fmt.Errorf("wire node: %w", err)
 	}
-	n.peers = do.MustInvoke[*peer.Node](n.injector)
+	n.peers = do.MustInvoke[*peer.Instance](n.injector)
 	n.backends = do.MustInvoke[*backend.Client](n.injector)
 	n.tracker = do.MustInvoke[*balance.Tracker](n.injector)
 	n.admission = do.MustInvoke[*admission](n.injector)
@@ -159,18 +159,18 @@
 	return n, nil
 }
 
-func (n *Node) provide() {
+func (n *Instance) provide() {
 	o, s := n.Options, n.Options.Settings
 	do.Provide(n.injector, func(do.Injector) (*metrics.Metrics, error) {
 		return metrics.New(metrics.Gauges{
 			Records: func() int64 { return 0 },
 			Claims:  func() int64 { return 0 },
 			Table:   func() int64 { return n.version() },
-			Members: func() int64 { return int64(n.view.Load().Nodes - 1) },
+			Members: func() int64 { return int64(n.view.Load().Instances - 1) },
 			Traffic: n.peerTraffic,
 		})
 	})
-	do.Provide(n.injector, func(do.Injector) (*peer.Node, error) { return peer.New(o.Net, s.Name, nil, o.Clock), nil })
+	do.Provide(n.injector, func(do.Injector) (*peer.Instance, error) { return peer.New(o.Net, s.Name, nil, o.Clock), nil })
 	do.Provide(n.injector, func(do.Injector) (*backend.Client, error) {
 		return backend.New(backend.Options{Net: o.Net, Protocol: o.Protocol, Notices: n.notices, Limits: n.limits, Clock: o.Clock}), nil
 	})
@@ -178,7 +178,7 @@
 	do.Provide(n.injector, func(do.Injector) (*admission, error) { return newAdmission(n), nil })
 	do.Provide(n.injector, func(do.Injector) (*duty.Elector, error) {
 		return duty.New(duty.Options{
-			Node: s.Name, Value: fmt.Appendf(nil, "%s %d", s.Name, n.incarnation()),
+			Instance: s.Name, Value: fmt.Appendf(nil, "%s %d", s.Name, n.incarnation()),
 			Key: o.Decoder.OwnPrefix() + keyLeader, TTL: s.Bounds.Lease(), Store: o.Store, Clock: o.Clock, Log: o.Log,
 			Rand: rand.New(rand.NewPCG(o.Seed, seedElector)), Eligible: n.mayLead,
 		}), nil
@@ -194,12 +194,12 @@
 // Keys of the store below the product's own prefix. Those below live/ are
 // watched by all nodes; the others change too often for that.
 const (
-	keyLive     = "live/"
-	keyLeader   = keyLive + "leader"
-	keyNodes    = keyLive + "nodes/"
-	keyRollouts = keyLive + "rollouts/"
-	keyUsage    = "usage/"
-	keyOpen     = "open-usage"
+	keyLive      = "live/"
+	keyLeader    = keyLive + "leader"
+	keyInstances = keyLive + "nodes/"
+	keyRollouts  = keyLive + "rollouts/"
+	keyUsage     = "usage/"
+	keyOpen      = "open-usage"
 )
 
 // Second halves of the seeds of random numbers.
@@ -209,14 +209,14 @@
 	seedRollouts  = 0xc2b2ae35
 )
 
-func (n *Node) version() int64 {
+func (n *Instance) version() int64 {
 	if c := n.view.Load().Config; c != nil {
 		return c.Version
 	}
 	return 0
 }
 
-func (n *Node) event(c event.Code, fields ...zap.Field) {
+func (n *Instance) event(c event.Code, fields ...zap.Field) {
 	event.Log(n.Log, c, fields...)
 	n.metrics.Event(int(c))
 }
@@ -240,7 +240,7 @@
 func (p part) String() string { return p.name }
 
 // Run serves until ctx ends, then finishes what it has taken and stops.
-func (n *Node) Run(ctx context.Context) error {
+func (n *Instance) Run(ctx context.Context) error {
 	s := n.Settings
 	listeners := make([]net.Listener, 0, 4)
 	for _, addr := range []netip.AddrPort{s.Front, s.Ready, s.Peer, s.Metrics} {
@@ -278,7 +278,7 @@
 	return nil
 }
 
-func (n *Node) tree(peers net.Listener) *suture.Supervisor {
+func (n *Instance) tree(peers net.Listener) *suture.Supervisor {
 	spec := suture.Spec{
 		EventHook: n.supervised, Timeout: stopTimeout,
 		FailureBackoff: failureBackoff, FailureThreshold: failuresToBackoff,
@@ -297,7 +297,7 @@
 		{"elector", n.elector.Run},
 		{"usage", n.reportUsage},
 		{"open usage", n.keepOpenUsage},
-		{"fleet", n.orderServers},
+		{"fleet", n.orderEndpoints},
 		{"roll-outs", n.leadRollouts},
 		{"upkeep", n.upkeep},
 		{"reload", n.reload},
@@ -307,7 +307,7 @@
 	return root
 }
 
-func (n *Node) supervised(e suture.Event) {
+func (n *Instance) supervised(e suture.Event) {
 	switch e.Type() {
 	case suture.EventTypeServiceTerminate, suture.EventTypeServicePanic:
 		n.event(event.ChildRestarted, zap.String("what", e.String()))
@@ -317,7 +317,7 @@
 const upkeepEvery = time.Second
 
 // upkeep closes connections that are not wanted any more.
-func (n *Node) upkeep(ctx context.Context) error {
+func (n *Instance) upkeep(ctx context.Context) error {
 	t := time.NewTicker(upkeepEvery)
 	defer t.Stop()
 	for {
@@ -326,7 +326,7 @@
 			return ctx.Err()
 		case <-t.C:
 			now := n.Clock.Now()
-			inUse := n.serversInUse()
+			inUse := n.endpointsInUse()
 			is := func(id string) bool { return inUse[id] }
 			n.backends.Tidy(now, is)
 			n.notices.Forget(n.listedNames(), now)
@@ -346,7 +346,7 @@
 // onResume takes note that this node stood still. Most of what is believed needs nothing then: its
 // age says that it has to be heard anew. Watches are begun anew, whose connections may be dead, and
 // what keeps this node proved and registered is done at once.
-func (n *Node) onResume(w clock.Resumption) {
+func (n *Instance) onResume(w clock.Resumption) {
 	n.event(event.Resumed, zap.Duration("stood", w.Stood), zap.Duration("suspended", w.Suspended), zap.Int("ended", w.Ended), zap.Duration("config_age", n.Clock.Since(n.view.Load().ReadAt)))
 	if w.Stood >= longStandstill {
 		n.admission.resume(n.Clock.Now())
@@ -356,13 +356,13 @@
 }
 
 // inOtherHall reports whether another instance's address is in another hall.
-func (n *Node) inOtherHall(addr netip.AddrPort) bool {
+func (n *Instance) inOtherHall(addr netip.AddrPort) bool {
 	hall, known := (*n.state.members.halls.Load())[addr]
 	return known && hall != n.Settings.Hall
 }
 
 // peerTraffic returns what the calls to other instances took.
-func (n *Node) peerTraffic() []metrics.Traffic {
+func (n *Instance) peerTraffic() []metrics.Traffic {
 	var out []metrics.Traffic
 	for f, v := range n.peers.Traffic() {
 		out = append(out, metrics.Traffic{Kind: f.Kind, Crosses: f.Crosses, Calls: v.Calls, Sent: v.Sent, Received: v.Received})
@@ -371,9 +371,9 @@
 }
 
 // noticed takes something new that an endpoint said of itself in an answer.
-func (n *Node) noticed(endpoint registry.Server, said notice.Notice, until time.Time) {
+func (n *Instance) noticed(endpoint registry.Endpoint, said notice.Notice, until time.Time) {
 	if said.Leaving {
-		n.event(event.ServerSaysLeaving, zap.String("server", endpoint.ID), zap.Bool("listed", n.serversInUse()[endpoint.ID]))
+		n.event(event.ServerSaysLeaving, zap.String("server", endpoint.ID), zap.Bool("listed", n.endpointsInUse()[endpoint.ID]))
 		n.state.send(announcedLeaving{endpoint.ID})
 	}
 	if said.RestFor > 0 {
@@ -381,26 +381,26 @@
 	}
 }
 
-// serversInUse returns the ids of all servers that may have connections and requests,
+// endpointsInUse returns the ids of all servers that may have connections and requests,
 // whichever the requests that they may get.
-func (n *Node) serversInUse() map[string]bool {
-	return n.listed(func(s registry.Server) string { return s.ID })
+func (n *Instance) endpointsInUse() map[string]bool {
+	return n.listed(func(s registry.Endpoint) string { return s.ID })
 }
 
 // listedNames returns a test for the ids over all incarnations of the servers in use.
-func (n *Node) listedNames() func(name string) bool {
-	names := n.listed(func(s registry.Server) string { return s.StoreID() })
+func (n *Instance) listedNames() func(name string) bool {
+	names := n.listed(func(s registry.Endpoint) string { return s.StoreID() })
 	return func(name string) bool { return names[name] }
 }
 
 // listed returns the servers in use by a name.
-func (n *Node) listed(by func(registry.Server) string) map[string]bool {
-	return lo.SliceToMap(n.view.Load().Listed, func(s registry.Server) (string, bool) { return by(s), true })
+func (n *Instance) listed(by func(registry.Endpoint) string) map[string]bool {
+	return lo.SliceToMap(n.view.Load().Listed, func(s registry.Endpoint) (string, bool) { return by(s), true })
 }
 
 // reload reads the settings again when asked to. Addresses and the like cannot
 // change while a process runs; a change is told in the log.
-func (n *Node) reload(ctx context.Context) error {
+func (n *Instance) reload(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
@@ -416,7 +416,7 @@
 }
 
 // leadRollouts leads the roll-outs while this node acts for all.
-func (n *Node) leadRollouts(ctx context.Context) error {
+func (n *Instance) leadRollouts(ctx context.Context) error {
 	if !n.rollouts.Enabled() {
 		<-ctx.Done()
 		return ctx.Err()
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -365,7 +365,7 @@
 		s := newState(w.nodes["n0"].node)
 		now := time.Now()
 		at := func(ms int) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
-		s.registry.Put(registry.Server{ID: "a"}, at(0))
+		s.registry.Put(registry.Endpoint{ID: "a"}, at(0))
 		s.apply(storeCalled{ok: false, sent: at(0)}, at(900))
 		s.apply(storeCalled{ok: true, sent: at(950)}, at(1000))
 		is.Equal(s.registry.Remove("a", 0, s.troubled(at(2000)), at(2000)), registry.Absent)
@@ -413,7 +413,7 @@
 		w.store.SetFaults("n0", storetest.Faults{Silent: true})
 		time.Sleep(300 * time.Millisecond)
 		used := func() bool {
-			return slices.ContainsFunc(w.nodes["n0"].node.view.Load().Servers["svc"], func(s registry.Server) bool { return s.ID == serverID(0) })
+			return slices.ContainsFunc(w.nodes["n0"].node.view.Load().Endpoints["svc"], func(s registry.Endpoint) bool { return s.ID == serverID(0) })
 		}
 		is.True(used())
 		w.putServer(0, true)
--- a/internal/front/hub.go
+++ b/internal/front/hub.go
@@ -27,9 +27,9 @@
 
 // hub is what a node that reads the store keeps for those that ask it.
 type hub struct {
-	clock                     *clock.Clock
-	operators, servers, nodes *mirror.Copy // of what the operators wrote, the servers' and the nodes' entries
-	configKey                 string
+	clock                           *clock.Clock
+	operators, endpoints, instances *mirror.Copy // of what the operators wrote, the servers' and the nodes' entries
+	configKey                       string
 
 	mu       sync.Mutex
 	items    []store.Item            // what the operators wrote, as last read; guarded by mu
@@ -56,7 +56,7 @@
 const notProved = -1
 
 func newHub(configKey string, c *clock.Clock) *hub {
-	return &hub{configKey: configKey, clock: c, parts: make(map[partKey]*packedPart), operators: mirror.New(), servers: mirror.New(), nodes: mirror.New()}
+	return &hub{configKey: configKey, clock: c, parts: make(map[partKey]*packedPart), operators: mirror.New(), endpoints: mirror.New(), instances: mirror.New()}
 }
 
 // proved notes a read of what the operators wrote.
@@ -98,7 +98,7 @@
 	late := time.NewTimer(mirrorWait)
 	defer late.Stop()
 	for waited := false; ; {
-		changes := []<-chan struct{}{h.operators.Changed(), h.servers.Changed(), h.nodes.Changed()}
+		changes := []<-chan struct{}{h.operators.Changed(), h.endpoints.Changed(), h.instances.Changed()}
 		a, news, err := h.look(q, h.clock.Now())
 		if err != nil || news || waited {
 			return a, err
@@ -123,15 +123,15 @@
 
 // look makes an answer, and says whether there is anything new in it.
 func (h *hub) look(q *peerpb.Mirror, now time.Time) (*peerpb.MirrorAnswer, bool, error) {
-	servers, known := h.servers.Since(q.Servers)
-	nodes, alsoKnown := h.nodes.Since(q.Nodes)
+	servers, known := h.endpoints.Since(q.Servers)
+	nodes, alsoKnown := h.instances.Since(q.Nodes)
 	item, provedAt, orders := h.newest()
 	if !known || !alsoKnown || now.Sub(provedAt) > mirrorStale {
 		return nil, false, errNoHub
 	}
 	a := &peerpb.MirrorAnswer{
 		ProofAge: int64(now.Sub(provedAt)), ConfigRevision: item.Revision,
-		Servers: h.part(h.servers, q.Servers, servers, q.Unpacks, now), Nodes: h.part(h.nodes, q.Nodes, nodes, q.Unpacks, now),
+		Servers: h.part(h.endpoints, q.Servers, servers, q.Unpacks, now), Nodes: h.part(h.instances, q.Nodes, nodes, q.Unpacks, now),
 	}
 	if watched, ok := h.operators.Since(0); ok {
 		for _, e := range watched.Events { // a watch may know before the next read
@@ -236,7 +236,7 @@
 }
 
 // serveMirror answers a node that reads through this one.
-func (n *Node) serveMirror(ctx context.Context, call *peerpb.Call, answer func(*peerpb.Answer) error) error {
+func (n *Instance) serveMirror(ctx context.Context, call *peerpb.Call, answer func(*peerpb.Answer) error) error {
 	q := call.GetMirror()
 	if q.StandIn {
 		n.readForOthers(ctx, n.Clock.Now())
--- a/internal/front/hub_test.go
+++ b/internal/front/hub_test.go
@@ -21,14 +21,14 @@
 	for i := range 1000 {
 		items = append(items, store.Item{Key: fmt.Sprint("k", i), Value: fmt.Appendf(nil, `{"Service":"svc","Slots":%d}`, i), Revision: int64(i + 1)})
 	}
-	h.servers.Replace(items, 1000)
+	h.endpoints.Replace(items, 1000)
 	for _, after := range []int64{0, 500} {
-		change, _ := h.servers.Since(after)
-		plain := h.part(h.servers, after, change, false, now)
-		packed := h.part(h.servers, after, change, true, now)
+		change, _ := h.endpoints.Since(after)
+		plain := h.part(h.endpoints, after, change, false, now)
+		packed := h.part(h.endpoints, after, change, true, now)
 		is.True(len(plain.Items) == 1000 && len(plain.Packed) == 0)
 		is.True(len(packed.Items) == 0 && len(packed.Packed) > 0)
-		is.Equal(&packed.Packed[0], &h.part(h.servers, after, change, true, now).Packed[0]) // the same bytes
+		is.Equal(&packed.Packed[0], &h.part(h.endpoints, after, change, true, now).Packed[0]) // the same bytes
 		is.Equal(packed.Whole, plain.Whole)
 		is.Equal(packed.At, plain.At)
 		is.NoErr(unpackPart(packed))
@@ -40,10 +40,10 @@
 			is.Equal(seen[e.Key], string(e.Value))
 		}
 	}
-	h.part(h.servers, 0, mirror.Change{}, true, now.Add(2*packFor))
-	h.servers.Apply([]store.Event{{Item: store.Item{Key: "k1", Revision: 1001}}}, 1001)
-	change, _ := h.servers.Since(1000)
-	is.Equal(len(h.part(h.servers, 1000, change, true, now).Items), 1) // a few are told as they are
+	h.part(h.endpoints, 0, mirror.Change{}, true, now.Add(2*packFor))
+	h.endpoints.Apply([]store.Event{{Item: store.Item{Key: "k1", Revision: 1001}}}, 1001)
+	change, _ := h.endpoints.Since(1000)
+	is.Equal(len(h.part(h.endpoints, 1000, change, true, now).Items), 1) // a few are told as they are
 }
 
 func TestASpoiltPartIsAnError(t *testing.T) {
--- a/internal/front/hubgroup.go
+++ b/internal/front/hubgroup.go
@@ -81,7 +81,7 @@
 
 // groupUpdate sums what this hub and the instances that report to it are doing, but for one
 // of these.
-func (n *Node) groupUpdate(reports map[string]reported, but string, now time.Time) balance.Update {
+func (n *Instance) groupUpdate(reports map[string]reported, but string, now time.Time) balance.Update {
 	sum := reportUpdate(reports, but)
 	addUses(sum.Uses, n.plainUses())
 	addDemand(sum.Demand, n.tracker.Demand(now))
@@ -106,14 +106,14 @@
 }
 
 // run returns this run of the instance as a source of counts.
-func (n *Node) run() tally.Source {
+func (n *Instance) run() tally.Source {
 	return tally.Source{Instance: n.Settings.Name, Incarnation: n.incarnation()}
 }
 
 // groupUnits returns the units that this hub's group admitted: what was reported, and
 // its own but for what it told other hubs before it became one. The caller holds the
 // admission's mu.
-func (n *Node) groupUnits() unitCounts {
+func (n *Instance) groupUnits() unitCounts {
 	a := n.admission
 	units := a.counters.units.Offer(n.run(), a.quota.Admitted())
 	a.counters.units.Confirmed(n.run(), units) // which copies them
@@ -125,7 +125,7 @@
 
 // groupRuns returns the same of the requests that began to run in the windows that may
 // still be asked for. The caller holds the admission's mu.
-func (n *Node) groupRuns() runCounts {
+func (n *Instance) groupRuns() runCounts {
 	a := n.admission
 	runs := a.counters.runs.Offer(n.run(), n.openRuns())
 	a.counters.runs.Confirmed(n.run(), runs) // which copies them
@@ -139,13 +139,13 @@
 }
 
 // oldestOpen returns the oldest window whose counts may still be asked for.
-func (n *Node) oldestOpen() int64 {
+func (n *Instance) oldestOpen() int64 {
 	return usage.WindowOf(n.walltime.At(n.Clock.Now()), n.Settings.Bounds.UsageWindow()) - n.usageBehind() - 1
 }
 
 // openRuns returns this instance's own counts of the windows that may still be asked
 // for. The caller holds the admission's mu.
-func (n *Node) openRuns() runCounts {
+func (n *Instance) openRuns() runCounts {
 	oldest := n.oldestOpen()
 	runs := runsOf(n.admission.usage.Own())
 	maps.DeleteFunc(runs, func(k runKey, _ int64) bool { return k.window < oldest })
@@ -154,19 +154,19 @@
 
 // applyReports takes what the instances that report to this hub counted, as of one
 // other node.
-func (n *Node) applyReports(now time.Time) {
+func (n *Instance) applyReports(now time.Time) {
 	reports := n.groups.own(now)
 	n.tracker.Apply(groupOf(n.Settings.Name), reportUpdate(reports, ""), now.Add(shareTTLLeast), now)
 	a := n.admission
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.quota.Apply(quota.Update{
-		Node: groupOf(n.Settings.Name), Incarnation: n.incarnation(), Admitted: maps.Clone(a.counters.unitsIn.Sum()), Stands: len(reports),
+		Instance: groupOf(n.Settings.Name), Incarnation: n.incarnation(), Admitted: maps.Clone(a.counters.unitsIn.Sum()), Stands: len(reports),
 	}, now)
 }
 
 // groupShare is what this hub tells the other hubs.
-func (n *Node) groupShare(now time.Time) *peerpb.Share {
+func (n *Instance) groupShare(now time.Time) *peerpb.Share {
 	reports := n.groups.own(now)
 	s := &peerpb.Share{
 		Node: n.Settings.Name, Incarnation: n.incarnation(), Group: true, Stands: int64(1 + len(reports)),
@@ -188,7 +188,7 @@
 }
 
 // applyGroup takes what another hub tells of its group.
-func (n *Node) applyGroup(s *peerpb.Share, now time.Time) {
+func (n *Instance) applyGroup(s *peerpb.Share, now time.Time) {
 	news := updateOf(s)
 	n.groups.apply(s, news, now)
 	n.applyRollouts(rollctl.AsHub, s, now)
@@ -204,8 +204,8 @@
 
 // takeGroup takes the units that a group admitted, less this instance's own, which
 // are taken off at once. The caller holds the admission's mu.
-func (n *Node) takeGroup(hub tally.Source, news quota.Update, now time.Time) {
-	news.Node, news.Incarnation = groupOf(hub.Instance), hub.Incarnation
+func (n *Instance) takeGroup(hub tally.Source, news quota.Update, now time.Time) {
+	news.Instance, news.Incarnation = groupOf(hub.Instance), hub.Incarnation
 	for name, told := range n.admission.counters.units.Reported(hub) {
 		news.Admitted[name] -= told
 	}
--- a/internal/front/limits.go
+++ b/internal/front/limits.go
@@ -13,7 +13,7 @@
 )
 
 // newLimits returns the rate limits of endpoints, which this instance shares with its peers.
-func newLimits(n *Node) *ratelimit.Table {
+func newLimits(n *Instance) *ratelimit.Table {
 	return ratelimit.New(ratelimit.Options{
 		Self:      n.Settings.Name,
 		Instances: func() []string { return lo.Map(n.state.members.list(), func(m member, _ int) string { return m.Name }) },
@@ -22,14 +22,14 @@
 	})
 }
 
-func (n *Node) rateLimitChanged(endpoint string, c ratelimit.Change) {
+func (n *Instance) rateLimitChanged(endpoint string, c ratelimit.Change) {
 	n.event(event.ServerRateLimit, zap.String("server", endpoint), zap.Float64("from", c.From.Rate), zap.Float64("to", c.To.Rate),
 		zap.Bool("limited", c.To.Kind == ratelimit.Named), zap.Bool("by_peer", !c.Own))
 }
 
 // closed returns the ids of those endpoints that this instance may not send to now, by what
 // they said in their answers, and when the first of them takes requests again, zero if none does.
-func (n *Node) closed(endpoints []registry.Server, now time.Time) (ids []string, opensAt time.Time) {
+func (n *Instance) closed(endpoints []registry.Endpoint, now time.Time) (ids []string, opensAt time.Time) {
 	ids, opensAt = n.notices.Closed(endpoints, now)
 	if !n.limits.Any() {
 		return ids, opensAt
@@ -49,22 +49,22 @@
 
 // open returns those endpoints that this instance may send to now, by what they said in their
 // answers.
-func (n *Node) open(endpoints []registry.Server, now time.Time) []registry.Server {
+func (n *Instance) open(endpoints []registry.Endpoint, now time.Time) []registry.Endpoint {
 	endpoints = n.notices.Open(endpoints, now)
 	if !n.limits.Any() {
 		return endpoints
 	}
-	return lo.Filter(endpoints, func(e registry.Server, _ int) bool { return n.limits.Allows(e.ID, now) })
+	return lo.Filter(endpoints, func(e registry.Endpoint, _ int) bool { return n.limits.Allows(e.ID, now) })
 }
 
 // allows reports whether this instance may send to an endpoint now, by what it said in its
 // answers.
-func (n *Node) allows(endpoint *registry.Server, now time.Time) bool {
+func (n *Instance) allows(endpoint *registry.Endpoint, now time.Time) bool {
 	return n.notices.Allows(endpoint, now) == nil && n.limits.Allows(endpoint.ID, now)
 }
 
 // groupLimits returns what endpoints named to this hub and to the instances that report to it.
-func (n *Node) groupLimits(reports map[string]reported, now time.Time) []ratelimit.Report {
+func (n *Instance) groupLimits(reports map[string]reported, now time.Time) []ratelimit.Report {
 	all := n.limits.Reports(now)
 	for _, r := range reports {
 		all = append(all, aged(r.limits, now.Sub(r.at))...)
--- a/internal/front/lost.go
+++ b/internal/front/lost.go
@@ -32,7 +32,7 @@
 // all. In a small fleet, that is all that were heard of lately: those that the
 // store turns away know no others than these. In a large one it is those that the
 // store lost; the others are known through the hubs.
-func (n *Node) advertisedInstances(now time.Time) []*peerpb.Instance {
+func (n *Instance) advertisedInstances(now time.Time) []*peerpb.Instance {
 	told := n.introduce()
 	all := n.state.members.list()
 	lost := lo.Filter(all, func(m member, _ int) bool { return n.lostByStore(m, now) })
@@ -51,12 +51,12 @@
 }
 
 // lostByStore reports whether another instance may not be registered though it runs.
-func (n *Node) lostByStore(m member, now time.Time) bool {
+func (n *Instance) lostByStore(m member, now time.Time) bool {
 	return !m.registered || now.Sub(n.state.members.introduced.of(m.Name)) < n.memberTTL()
 }
 
 // introduce returns this instance, for others to know of, while it is not registered.
-func (n *Node) introduce() []*peerpb.Instance {
+func (n *Instance) introduce() []*peerpb.Instance {
 	if n.registered.Load() {
 		return nil
 	}
@@ -64,7 +64,7 @@
 }
 
 // self returns this instance as the others know it.
-func (n *Node) self() topology.Member {
+func (n *Instance) self() topology.Member {
 	r := n.registration()
 	return topology.Member{Name: n.Settings.Name, Addr: r.Addr, Hall: r.Hall, Cores: r.Cores}
 }
@@ -82,7 +82,7 @@
 }
 
 // applyInstances takes what another instance tells of who runs.
-func (n *Node) applyInstances(from string, told []*peerpb.Instance, now time.Time) {
+func (n *Instance) applyInstances(from string, told []*peerpb.Instance, now time.Time) {
 	var running peerInstances
 	for _, i := range told {
 		addr, err := netip.ParseAddrPort(i.Address)
@@ -112,7 +112,7 @@
 // is dropped everywhere as soon after its last word.
 func (m *members) learn(told peerInstances, now time.Time) bool {
 	changed := false
-	heardFor := m.node.memberTTL()
+	heardFor := m.instance.memberTTL()
 	for _, t := range told {
 		if now.Sub(t.seenAt) >= heardFor {
 			continue
@@ -125,7 +125,7 @@
 			changed = true
 			continue
 		}
-		trusted := known.registered && !m.node.storeTroubled()
+		trusted := known.registered && !m.instance.storeTroubled()
 		if !trusted && known.Member != t.Member && t.seenAt.After(heardAt) {
 			m.put(t.Member)
 			changed = true
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -29,7 +29,7 @@
 }
 
 // registration returns this node's own.
-func (n *Node) registration() registration {
+func (n *Instance) registration() registration {
 	return registration{Addr: n.Settings.Peer, Hall: n.Settings.Hall, Cores: n.Settings.Cores}
 }
 
@@ -42,24 +42,26 @@
 )
 
 // memberTTL returns how long a node counts after it was heard of.
-func (n *Node) memberTTL() time.Duration { return max(memberTTLLeast, memberTTLRounds*n.shareEvery()) }
+func (n *Instance) memberTTL() time.Duration {
+	return max(memberTTLLeast, memberTTLRounds*n.shareEvery())
+}
 
 // members knows the other nodes. It belongs to the state's goroutine; list, topology and
 // the times are safe for concurrent use.
 type members struct {
-	node   *Node
-	all    map[string]*member
-	shown  atomic.Pointer[[]member]
-	hubs   atomic.Pointer[topology.Topology]
-	halls  atomic.Pointer[map[netip.AddrPort]string] // by the address of each other node
-	seenAt lastSeen
+	instance *Instance
+	all      map[string]*member
+	shown    atomic.Pointer[[]member]
+	hubs     atomic.Pointer[topology.Topology]
+	halls    atomic.Pointer[map[netip.AddrPort]string] // by the address of each other node
+	seenAt   lastSeen
 	// introduced is when others last said of themselves that they may not be registered:
 	// this node may not know, as it cannot read the store either.
 	introduced lastSeen
 }
 
-func newMembers(n *Node) *members {
-	m := &members{node: n, all: make(map[string]*member)}
+func newMembers(n *Instance) *members {
+	m := &members{instance: n, all: make(map[string]*member)}
 	m.shown.Store(&[]member{})
 	m.hubs.Store(&topology.Topology{})
 	m.halls.Store(&map[netip.AddrPort]string{})
@@ -78,7 +80,7 @@
 // seen notes that a node was heard of.
 func (m *members) seen(name string, at time.Time) { m.seenAt.note(name, at) }
 
-func (m *members) prefix() string { return m.node.Decoder.OwnPrefix() + keyNodes }
+func (m *members) prefix() string { return m.instance.Decoder.OwnPrefix() + keyInstances }
 
 func (m *members) replace(items []store.Item, now time.Time) {
 	listed := make(map[string]bool)
@@ -93,7 +95,7 @@
 			m.unregister(other, now)
 		}
 	}
-	m.node.elector.Saw(hasKey(items, m.node.elector.Key))
+	m.instance.elector.Saw(hasKey(items, m.instance.elector.Key))
 	m.drop(now)
 	m.show()
 }
@@ -123,12 +125,12 @@
 
 // note notes a change, and reports whether it is of another node's registration.
 func (m *members) note(e store.Event, now time.Time) bool {
-	if e.Key == m.node.elector.Key {
-		m.node.elector.Saw(!e.Gone)
+	if e.Key == m.instance.elector.Key {
+		m.instance.elector.Saw(!e.Gone)
 		return false
 	}
 	name, ok := strings.CutPrefix(e.Key, m.prefix())
-	if !ok || name == m.node.Settings.Name {
+	if !ok || name == m.instance.Settings.Name {
 		return false
 	}
 	if e.Gone {
@@ -139,7 +141,7 @@
 	}
 	var r registration
 	if err := json.Unmarshal(e.Value, &r); err != nil || !r.Addr.IsValid() {
-		m.node.event(event.NodeOdd, zap.String("told", cut(name)), zap.Int64("revision", e.Revision), zap.Error(err))
+		m.instance.event(event.NodeOdd, zap.String("told", cut(name)), zap.Int64("revision", e.Revision), zap.Error(err))
 		return false
 	}
 	m.put(topology.Member{Name: name, Addr: r.Addr, Hall: r.Hall, Cores: r.Cores}).registered = true
@@ -152,7 +154,7 @@
 	if other == nil {
 		other = &member{}
 		m.all[at.Name] = other
-		m.node.event(event.NodeJoined, zap.String("peer", at.Name), zap.Stringer("address", at.Addr))
+		m.instance.event(event.NodeJoined, zap.String("peer", at.Name), zap.Stringer("address", at.Addr))
 	}
 	other.Member = at
 	return other
@@ -166,8 +168,8 @@
 // go on all the same are told of by hubs, which takes a moment.
 func (m *members) unregister(other *member, now time.Time) {
 	other.registered = false
-	if m.node.grouped() {
-		m.seenAt.note(other.Name, now.Add(lostGrace-m.node.memberTTL()))
+	if m.instance.grouped() {
+		m.seenAt.note(other.Name, now.Add(lostGrace-m.instance.memberTTL()))
 	}
 }
 
@@ -183,15 +185,15 @@
 
 // drop is expire, but leaves it to the caller to show the members.
 func (m *members) drop(now time.Time) bool {
-	dropped, heardFor := false, m.node.memberTTL()
+	dropped, heardFor := false, m.instance.memberTTL()
 	for name, other := range m.all {
 		if other.registered || now.Sub(m.seenAt.of(name)) < heardFor {
 			continue
 		}
 		delete(m.all, name)
 		dropped = true
-		m.node.event(event.NodeGone, zap.String("peer", name))
-		m.node.admission.forget(name)
+		m.instance.event(event.NodeGone, zap.String("peer", name))
+		m.instance.admission.forget(name)
 	}
 	m.seenAt.forget(now.Add(-heardFor))
 	m.introduced.forget(now.Add(-heardFor))
@@ -207,7 +209,7 @@
 	}
 	m.shown.Store(&out)
 	m.halls.Store(&halls)
-	m.hubs.Store(topology.New(m.node.self(), membersOf(out)))
+	m.hubs.Store(topology.New(m.instance.self(), membersOf(out)))
 }
 
 // membersOf returns what the choice of hubs goes by.
--- a/internal/front/notes.go
+++ b/internal/front/notes.go
@@ -25,7 +25,7 @@
 }
 
 func (p *placer) take(note *peerpb.Note) {
-	p.desk.Note(place.Note{Ticket: note.Ticket, Read: note.Read, Done: note.Done, Result: balance.Result(note.Result)}, p.node.Clock.Now())
+	p.desk.Note(place.Note{Ticket: note.Ticket, Read: note.Read, Done: note.Done, Result: balance.Result(note.Result)}, p.instance.Clock.Now())
 }
 
 // noter tells a hub how a request goes on. It implements balance.Observer.
@@ -45,7 +45,7 @@
 // note tells a hub of a request that it placed. It does not block.
 func (p *placer) note(o offered, note *peerpb.Note) {
 	note.Ticket = o.Ticket
-	if o.hub.Name == p.node.Settings.Name {
+	if o.hub.Name == p.instance.Settings.Name {
 		p.take(note)
 		return
 	}
@@ -67,12 +67,12 @@
 func (p *placer) sendNotes(ctx context.Context) error {
 	var wait sync.WaitGroup
 	defer wait.Wait()
-	for kicked(ctx, p.kick) && p.node.Clock.Sleep(ctx, noteGather) {
+	for kicked(ctx, p.kick) && p.instance.Clock.Sleep(ctx, noteGather) {
 		p.mu.Lock()
 		all := p.notes
 		p.notes = make(map[string][]*peerpb.Note, len(all))
 		p.mu.Unlock()
-		hubs := p.node.state.members.topology()
+		hubs := p.instance.state.members.topology()
 		for name, notes := range all {
 			hub := hubs.Named(name)
 			if !hub.Addr.IsValid() {
@@ -82,7 +82,7 @@
 				call, cancel := context.WithTimeout(ctx, noteTimeout)
 				defer cancel()
 				// A lost note is made good by the deadline of its request.
-				_, _ = p.node.peers.Call(call, hub.Addr, &peerpb.Call{Body: &peerpb.Call_Notes{Notes: &peerpb.Notes{Notes: notes}}})
+				_, _ = p.instance.peers.Call(call, hub.Addr, &peerpb.Call{Body: &peerpb.Call_Notes{Notes: &peerpb.Notes{Notes: notes}}})
 			})
 		}
 	}
--- a/internal/front/offers.go
+++ b/internal/front/offers.go
@@ -32,7 +32,7 @@
 // where its shared parts have their home, and confirms that the limit of the client
 // account bears the request.
 func (p *placer) offers(ctx context.Context, hubs *topology.Topology, r *balance.Request, until time.Time) ([]offered, *forward.LimitError) {
-	owners := rendezvous.Order(r.Subject(), p.awake(hubs, p.node.Clock.Now()))
+	owners := rendezvous.Order(r.Subject(), p.awake(hubs, p.instance.Clock.Now()))
 	asked := lo.Map(owners[:min(offersAsked, len(owners))], func(name string, _ int) topology.Member { return hubs.Named(name) })
 	replies := p.askHubs(ctx, asked, r, until)
 	got := collect(ctx, replies, len(asked))
@@ -132,30 +132,30 @@
 func (p *placer) rest(hub topology.Member) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.rests[hub.Name] = p.node.Clock.Now().Add(hubRests)
+	p.rests[hub.Name] = p.instance.Clock.Now().Add(hubRests)
 }
 
 func (p *placer) ask(ctx context.Context, hub topology.Member, r *balance.Request, until time.Time) (offered, error) {
-	now := p.node.Clock.Now()
-	if hub.Name == p.node.Settings.Name {
-		if v := p.node.admission.confirm(r.Account, r.Units, now); !v.OK {
+	now := p.instance.Clock.Now()
+	if hub.Name == p.instance.Settings.Name {
+		if v := p.instance.admission.confirm(r.Account, r.Units, now); !v.OK {
 			return offered{}, &forward.LimitError{Verdict: v}
 		}
 		o, ok := p.desk.Offer(p.self(), p.candidates(r), r, until, now)
 		if !ok {
-			return offered{}, errNoServer
+			return offered{}, errNoEndpoint
 		}
 		return offered{Offer: o, hub: hub}, nil
 	}
 	q := &peerpb.Place{
 		Service: r.Service, Id: r.ID, Tokens: int64(r.Tokens), Avoid: r.Avoid, Slots: int64(r.Slots), Once: r.Once, Away: r.Away,
 		Account: r.Account, Units: r.Units, Trial: r.Trial,
-		Left: int64(until.Sub(now)), Incarnation: p.node.incarnation(),
+		Left: int64(until.Sub(now)), Incarnation: p.instance.incarnation(),
 		Parts: lo.Map(r.Parts, func(part balance.Part, _ int) *peerpb.PromptPart {
 			return &peerpb.PromptPart{Id: part.ID, Tokens: int64(part.Tokens)}
 		}),
 	}
-	a, err := p.node.peers.Call(ctx, hub.Addr, &peerpb.Call{Body: &peerpb.Call_Place{Place: q}})
+	a, err := p.instance.peers.Call(ctx, hub.Addr, &peerpb.Call{Body: &peerpb.Call_Place{Place: q}})
 	if err != nil {
 		return offered{}, fmt.Errorf("ask hub %s for an offer: %w", hub.Name, err)
 	}
@@ -164,9 +164,9 @@
 		return offered{}, &forward.LimitError{Verdict: quota.Verdict{Level: x.Level, Need: x.Need, Known: x.Known, RetryAt: now.Add(time.Duration(x.Wait))}}
 	}
 	if o.GetServer() == "" {
-		return offered{}, errNoServer
+		return offered{}, errNoEndpoint
 	}
-	return offered{Offer: place.Offer{Server: o.Server, Cost: o.Cost, Uncached: int(o.Uncached), Ticket: o.Ticket}, hub: hub}, nil
+	return offered{Offer: place.Offer{Endpoint: o.Server, Cost: o.Cost, Uncached: int(o.Uncached), Ticket: o.Ticket}, hub: hub}, nil
 }
 
-var errNoServer = fault.New(fault.StepPeer, "", fault.KindLimit, fault.NotRun, "the hub has no server to offer")
+var errNoEndpoint = fault.New(fault.StepPeer, "", fault.KindLimit, fault.NotRun, "the hub has no server to offer")
--- a/internal/front/orders.go
+++ b/internal/front/orders.go
@@ -47,15 +47,15 @@
 
 // orders carries plans out while this node acts for all.
 type orders struct {
-	node     *Node
+	instance *Instance
 	planners map[string]*fleet.Planner // by service
 	last     map[orderKey]ordered
 	holder   duty.Token
 }
 
-// orderServers orders and gives back servers.
-func (n *Node) orderServers(ctx context.Context) error {
-	o := &orders{node: n}
+// orderEndpoints orders and gives back servers.
+func (n *Instance) orderEndpoints(ctx context.Context) error {
+	o := &orders{instance: n}
 	for n.Clock.Sleep(ctx, planEvery) {
 		token, _, ok := n.elector.Token(n.Clock.Now())
 		if !ok || n.Settings.Cloud.Port() == 0 {
@@ -71,13 +71,13 @@
 }
 
 func (o *orders) round(ctx context.Context) {
-	view := o.node.view.Load()
+	view := o.instance.view.Load()
 	if view.Config == nil {
 		return
 	}
 	for i := range view.Config.Services {
 		s := &view.Config.Services[i]
-		if s.Scaling == nil || len(view.Servers[s.Name]) == 0 && o.node.Clock.Since(o.node.start) < listedBy {
+		if s.Scaling == nil || len(view.Endpoints[s.Name]) == 0 && o.instance.Clock.Since(o.instance.start) < listedBy {
 			continue
 		}
 		o.service(ctx, s)
@@ -91,7 +91,7 @@
 		p = fleet.New()
 		o.planners[s.Name] = p
 	}
-	now := o.node.Clock.Now()
+	now := o.instance.Clock.Now()
 	in := o.input(s, now)
 	wants := p.Plan(in, now)
 	// More is ordered before less is.
@@ -110,21 +110,21 @@
 // then: endpoints of two versions stand side by side, and which of them would go is not
 // for this node to say.
 func (o *orders) rollsOut(service string) bool {
-	r, ordered := o.node.view.Load().Rollouts[service]
+	r, ordered := o.instance.view.Load().Rollouts[service]
 	return ordered && !r.Phase.Final()
 }
 
 func (o *orders) input(s *policy.Service, now time.Time) fleet.Input {
 	x := s.Scaling
 	in := fleet.Input{Min: x.Min, Max: x.Max, SpotPrice: x.SpotPrice}
-	demand := o.node.tracker.FleetDemand(s.Name, now)
+	demand := o.instance.tracker.FleetDemand(s.Name, now)
 	in.Busy, in.Held = demand.Busy, demand.Held
 	in.Known = in.Busy > trafficFloor
 	halls := make(map[string]*fleet.Hall)
 	for name, price := range x.HallPrices {
 		halls[name] = &fleet.Hall{Name: name, Price: price}
 	}
-	for _, server := range o.node.view.Load().Servers[s.Name] {
+	for _, server := range o.instance.view.Load().Endpoints[s.Name] {
 		h := halls[server.Hall]
 		if h == nil {
 			h = &fleet.Hall{Name: server.Hall, Price: 1}
@@ -157,7 +157,7 @@
 // order sends one order if it changes something, or if the last one seems to
 // have come to nothing.
 func (o *orders) order(ctx context.Context, s *policy.Service, p *fleet.Planner, in fleet.Input, k orderKey, count int, more bool) {
-	now := o.node.Clock.Now()
+	now := o.instance.Clock.Now()
 	there := there(in, k)
 	last, told := o.last[k]
 	if told {
@@ -173,12 +173,12 @@
 	if k.spot && count > there && !p.MayAsk(k.hall, now) {
 		return
 	}
-	call, cancel, token, ok := o.node.acting(ctx)
+	call, cancel, token, ok := o.instance.acting(ctx)
 	if !ok {
 		return
 	}
 	defer cancel()
-	err := o.node.Cloud.Order(call, token, k.service, k.hall, count, k.spot)
+	err := o.instance.Cloud.Order(call, token, k.service, k.hall, count, k.spot)
 	fields := []zap.Field{
 		zap.String("service", k.service), zap.String("hall", k.hall), zap.Bool("spot", k.spot), zap.Int("count", count),
 		zap.Int("there", there), zap.Float64("busy", in.Busy), zap.Float64("held", in.Held), zap.Int64("fence", token.Fence),
@@ -188,14 +188,14 @@
 			p.Refused(k.hall, now)
 			delete(o.last, k)
 		}
-		o.node.event(event.FleetRefused, append(fields, zap.Error(err))...)
+		o.instance.event(event.FleetRefused, append(fields, zap.Error(err))...)
 		return
 	}
 	o.last[k] = ordered{count: count, at: now, most: there}
 	if k.spot && count > there {
 		p.Accepted(k.hall)
 	}
-	o.node.event(event.FleetOrdered, fields...)
+	o.instance.event(event.FleetOrdered, fields...)
 }
 
 func there(in fleet.Input, k orderKey) int {
--- a/internal/front/peerproof.go
+++ b/internal/front/peerproof.go
@@ -24,7 +24,7 @@
 //
 // Where a key that is taken away must end at every instance within a bound, that
 // bound holds whatever the others say, and nothing is asked.
-func (n *Node) proveThroughPeers(ctx context.Context) error {
+func (n *Instance) proveThroughPeers(ctx context.Context) error {
 	if n.Settings.Bounds.StrictRevoke {
 		<-ctx.Done()
 		return ctx.Err()
@@ -42,7 +42,7 @@
 }
 
 // readers returns the other instances that read the store.
-func (n *Node) readers() []topology.Member {
+func (n *Instance) readers() []topology.Member {
 	hubs := n.state.members.topology()
 	if len(hubs.Hubs) == 0 {
 		return membersOf(n.state.members.list())
@@ -63,13 +63,13 @@
 
 // askForProof asks instances for the configuration, all at once, and hands what
 // they know to the state.
-func (n *Node) askForProof(ctx context.Context, nodes []topology.Member) proofs {
+func (n *Instance) askForProof(ctx context.Context, nodes []topology.Member) proofs {
 	counts := proofs{asked: len(nodes)}
 	var mu sync.Mutex // guards counts
 	var wait sync.WaitGroup
 	for _, m := range nodes {
 		wait.Go(func() {
-			err := n.askNodeForProof(ctx, m)
+			err := n.askInstanceForProof(ctx, m)
 			mu.Lock()
 			defer mu.Unlock()
 			switch {
@@ -84,8 +84,8 @@
 	return counts
 }
 
-// askNodeForProof asks one instance.
-func (n *Node) askNodeForProof(ctx context.Context, m topology.Member) error {
+// askInstanceForProof asks one instance.
+func (n *Instance) askInstanceForProof(ctx context.Context, m topology.Member) error {
 	sent := n.Clock.Now()
 	// Only the configuration is asked for, and the orders, of which there are few: no entry
 	// is newer than these.
--- a/internal/front/placing_test.go
+++ b/internal/front/placing_test.go
@@ -80,7 +80,7 @@
 		time.Sleep(4 * time.Second)
 		_, spokes := hubsOf(w)
 		p := w.nodes[spokes[0]].node.placer
-		hubs := p.node.state.members.topology()
+		hubs := p.instance.state.members.topology()
 		ctx, leave := context.WithTimeout(context.Background(), time.Millisecond)
 		defer leave()
 		_, refusal := p.offers(ctx, hubs, &balance.Request{Service: "svc", ID: "1", Engine: true}, time.Now().Add(time.Second))
--- a/internal/front/report.go
+++ b/internal/front/report.go
@@ -23,20 +23,20 @@
 // reporter reports what this instance counts to a hub. It belongs to the goroutine
 // that shares soft state.
 type reporter struct {
-	node  *Node
-	runs  map[string]int64     // newest known run of each hub
-	rests map[string]time.Time // hubs that did not answer, until when
+	instance *Instance
+	runs     map[string]int64     // newest known run of each hub
+	rests    map[string]time.Time // hubs that did not answer, until when
 }
 
-func newReporter(n *Node) *reporter {
-	return &reporter{node: n, runs: make(map[string]int64), rests: make(map[string]time.Time)}
+func newReporter(n *Instance) *reporter {
+	return &reporter{instance: n, runs: make(map[string]int64), rests: make(map[string]time.Time)}
 }
 
 // report reports to the first hub that answers. After that no other is asked: each
 // count belongs to one group.
 func (r *reporter) report(ctx context.Context, hubs *topology.Topology) {
 	for _, hub := range hubs.Hubs {
-		if r.node.Clock.Now().Before(r.rests[hub.Name]) {
+		if r.instance.Clock.Now().Before(r.rests[hub.Name]) {
 			continue
 		}
 		if err := r.to(ctx, hub); err == nil {
@@ -45,7 +45,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		r.rests[hub.Name] = r.node.Clock.Now().Add(reporterRests)
+		r.rests[hub.Name] = r.instance.Clock.Now().Add(reporterRests)
 	}
 }
 
@@ -68,13 +68,13 @@
 
 // call sends one report, and takes its answer if the hub counted it.
 func (r *reporter) call(ctx context.Context, hub topology.Member, run tally.Source) (*peerpb.Digest, error) {
-	n := r.node
+	n := r.instance
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	units, runs := n.offerTo(run)
 	rollouts := n.rollouts.OfferTo(run)
 	call := &peerpb.Call{Body: &peerpb.Call_Report{Report: &peerpb.Report{
-		HubIncarnation: run.Incarnation, Windows: n.reading.Load(), Share: n.reportShare(units, runs, rollouts, r.node.Clock.Now()),
+		HubIncarnation: run.Incarnation, Windows: n.reading.Load(), Share: n.reportShare(units, runs, rollouts, r.instance.Clock.Now()),
 	}}}
 	a, err := n.peers.Call(ctx, hub.Addr, call)
 	if err != nil {
@@ -86,13 +86,13 @@
 	}
 	if d.Counted {
 		n.rollouts.Confirmed(run, rollouts)
-		n.takeDigest(run, units, runs, d, r.node.Clock.Now())
+		n.takeDigest(run, units, runs, d, r.instance.Clock.Now())
 	}
 	return d, nil
 }
 
 // offerTo returns the counts that a hub is to be told.
-func (n *Node) offerTo(hub tally.Source) (unitCounts, runCounts) {
+func (n *Instance) offerTo(hub tally.Source) (unitCounts, runCounts) {
 	a := n.admission
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -100,7 +100,7 @@
 }
 
 // reportShare is what an instance tells its hub.
-func (n *Node) reportShare(units unitCounts, runs runCounts, rollouts rollout.Counts, now time.Time) *peerpb.Share {
+func (n *Instance) reportShare(units unitCounts, runs runCounts, rollouts rollout.Counts, now time.Time) *peerpb.Share {
 	return &peerpb.Share{
 		Node: n.Settings.Name, Incarnation: n.incarnation(), Wall: n.walltime.Own(now).UnixNano(), Instances: n.introduce(),
 		Accounts: accountShares(units, nil, runs), Servers: useShares(n.plainUses()),
--- a/internal/front/role.go
+++ b/internal/front/role.go
@@ -24,7 +24,7 @@
 // may be old; when the whole fleet starts for the first time, the others are listed
 // once most are registered. It saves the calls with which each would follow the store
 // until it knows its role.
-func (n *Node) meetOthers(ctx context.Context) {
+func (n *Instance) meetOthers(ctx context.Context) {
 	met, err := n.listOthers(ctx, n.Store.Peek)
 	if met || err != nil {
 		return // if the store is in trouble, following it copes with that
@@ -40,7 +40,7 @@
 
 // listOthers notes which other instances a listing has, and reports whether there are
 // any.
-func (n *Node) listOthers(ctx context.Context, list func(context.Context, string) ([]store.Item, error)) (bool, error) {
+func (n *Instance) listOthers(ctx context.Context, list func(context.Context, string) ([]store.Item, error)) (bool, error) {
 	sent := n.Clock.Now()
 	call, cancel := context.WithTimeout(ctx, meetTimeout)
 	defer cancel()
@@ -48,7 +48,7 @@
 	if n.called(sent, err) != nil {
 		return false, err // they are listed again when the store is followed
 	}
-	n.state.send(listedNodes{items})
+	n.state.send(listedInstances{items})
 	for end := n.Clock.Now().Add(rolePoll); n.Clock.Now().Before(end); {
 		if len(n.state.members.list()) > 0 {
 			return true, nil
@@ -63,15 +63,15 @@
 // awaitOthers waits, after the start, until most of the instances that started at
 // the same moment are registered: one watch then tells them all. It reports false
 // when ctx ended before.
-func (n *Node) awaitOthers(ctx context.Context) bool { return n.awaitStart(ctx, othersListed) }
+func (n *Instance) awaitOthers(ctx context.Context) bool { return n.awaitStart(ctx, othersListed) }
 
 // awaitRole waits, after the start, until this instance knows that it has to
 // follow the store itself. It reports false when ctx ended before.
-func (n *Node) awaitRole(ctx context.Context) bool { return n.awaitStart(ctx, roleKnown) }
+func (n *Instance) awaitRole(ctx context.Context) bool { return n.awaitStart(ctx, roleKnown) }
 
 // awaitStart waits for an age, and longer where hubs read for this instance. A
 // hub doesn't wait: the others need it.
-func (n *Node) awaitStart(ctx context.Context, age time.Duration) bool {
+func (n *Instance) awaitStart(ctx context.Context, age time.Duration) bool {
 	for {
 		hubs, since := n.state.members.topology(), n.Clock.Since(n.start)
 		if hubs.Reads || since > roleUnclear || since > age && hubs.Direct() {
@@ -86,7 +86,7 @@
 // mayLead reports whether this instance may compete for the duties: in a large
 // fleet only those that read the store do, else each loss of a holder would cost
 // calls of all.
-func (n *Node) mayLead() bool {
+func (n *Instance) mayLead() bool {
 	known := n.state.members.topology().Reads || n.Clock.Since(n.start) > roleKnown
 	return known && n.reading.Load()
 }
--- a/internal/front/rolloutmsg.go
+++ b/internal/front/rolloutmsg.go
@@ -14,7 +14,7 @@
 // What is told of roll-outs, written and read.
 
 // rolloutShares writes what is told of roll-outs, nil if there are none.
-func (n *Node) rolloutShares(counts rollout.Counts, states []rollctl.State) *peerpb.Rollouts {
+func (n *Instance) rolloutShares(counts rollout.Counts, states []rollctl.State) *peerpb.Rollouts {
 	out := &peerpb.Rollouts{
 		Counts: countShares(counts),
 		States: lo.Map(states, func(s rollctl.State, _ int) *peerpb.RolloutState {
@@ -31,7 +31,7 @@
 }
 
 // ownRollouts is what this instance tells of itself.
-func (n *Node) ownRollouts(counts rollout.Counts) *peerpb.Rollouts {
+func (n *Instance) ownRollouts(counts rollout.Counts) *peerpb.Rollouts {
 	return n.rolloutShares(counts, n.rollouts.States(n.openRequests()))
 }
 
@@ -85,14 +85,14 @@
 }
 
 // applyPermits takes the leader's permits, whoever passes them on.
-func (n *Node) applyPermits(r *peerpb.Rollouts, now time.Time) {
+func (n *Instance) applyPermits(r *peerpb.Rollouts, now time.Time) {
 	for _, p := range r.GetPermits() {
 		n.rollouts.Permitted(rollctl.Permit{Service: p.Service, Order: p.Order, Number: p.Number}, now)
 	}
 }
 
 // applyRollouts takes what another instance, or a hub for its group, tells of roll-outs.
-func (n *Node) applyRollouts(fleet rollctl.Fleet, s *peerpb.Share, now time.Time) {
+func (n *Instance) applyRollouts(fleet rollctl.Fleet, s *peerpb.Share, now time.Time) {
 	n.applyPermits(s.Rollouts, now)
 	n.rollouts.Apply(fleet, tally.Source{Instance: s.Node, Incarnation: s.Incarnation}, rolloutCounts(s.Rollouts.GetCounts()))
 	n.rollouts.ApplyStates(s.Node, rolloutStates(s.Rollouts), now)
@@ -100,7 +100,7 @@
 
 // groupStates sums what this hub and the instances that report to it do in roll-outs, but
 // for one of these.
-func (n *Node) groupStates(reports map[string]reported, but string) []rollctl.State {
+func (n *Instance) groupStates(reports map[string]reported, but string) []rollctl.State {
 	states := n.rollouts.States(n.openRequests())
 	for from, r := range reports {
 		if from != but {
@@ -111,13 +111,13 @@
 }
 
 // groupRollouts is what this hub tells of its group.
-func (n *Node) groupRollouts(reports map[string]reported) *peerpb.Rollouts {
+func (n *Instance) groupRollouts(reports map[string]reported) *peerpb.Rollouts {
 	return n.rolloutShares(n.rollouts.Group(), n.groupStates(reports, ""))
 }
 
 // digestRollouts is what this hub tells of all groups, with their counts if they are
 // asked for, but for the states of one instance.
-func (n *Node) digestRollouts(to string, reports map[string]reported, others map[string]peerGroup, counts bool) *peerpb.Rollouts {
+func (n *Instance) digestRollouts(to string, reports map[string]reported, others map[string]peerGroup, counts bool) *peerpb.Rollouts {
 	if !counts {
 		return n.rolloutShares(nil, nil)
 	}
--- a/internal/front/rollouts.go
+++ b/internal/front/rollouts.go
@@ -21,12 +21,12 @@
 // rolloutState is what an instance knows of roll-outs. It belongs to the state's
 // goroutine.
 type rolloutState struct {
-	node    *Node
-	orders  map[string]rollout.Order        // newest, by service
-	records map[string]writtenRecord        // newest, by service
-	seen    map[string]map[string]time.Time // when a version came up, by service and version
-	read    bool                            // what the operators wrote was read once
-	fresh   map[string]bool                 // services whose order came after that
+	instance *Instance
+	orders   map[string]rollout.Order        // newest, by service
+	records  map[string]writtenRecord        // newest, by service
+	seen     map[string]map[string]time.Time // when a version came up, by service and version
+	read     bool                            // what the operators wrote was read once
+	fresh    map[string]bool                 // services whose order came after that
 }
 
 // writtenRecord is a record as the store has it.
@@ -35,9 +35,9 @@
 	revision int64
 }
 
-func newRolloutState(n *Node) *rolloutState {
+func newRolloutState(n *Instance) *rolloutState {
 	return &rolloutState{
-		node: n, orders: make(map[string]rollout.Order), records: make(map[string]writtenRecord),
+		instance: n, orders: make(map[string]rollout.Order), records: make(map[string]writtenRecord),
 		seen: make(map[string]map[string]time.Time), fresh: make(map[string]bool),
 	}
 }
@@ -53,31 +53,31 @@
 }
 
 func (s *rolloutState) takeOrder(item store.Item) bool {
-	if item.Key == s.node.Decoder.ConfigKey() {
+	if item.Key == s.instance.Decoder.ConfigKey() {
 		return false
 	}
-	order, ok, err := s.node.Decoder.Order(item.Key, item.Value)
+	order, ok, err := s.instance.Decoder.Order(item.Key, item.Value)
 	if err != nil {
-		s.node.event(event.RolloutOdd, zap.String("key", item.Key), zap.Int64("revision", item.Revision), zap.Error(err))
+		s.instance.event(event.RolloutOdd, zap.String("key", item.Key), zap.Int64("revision", item.Revision), zap.Error(err))
 	}
 	if !ok || err != nil || item.Revision <= s.orders[order.Service].Revision {
 		return false
 	}
 	order.Revision = item.Revision
 	s.orders[order.Service], s.fresh[order.Service] = order, s.read
-	s.node.event(event.RolloutOrdered, zap.String("service", order.Service), zap.String("target", order.Target), zap.Int64("order", order.Revision), zap.Duration("window", order.Window))
+	s.instance.event(event.RolloutOrdered, zap.String("service", order.Service), zap.String("target", order.Target), zap.Int64("order", order.Revision), zap.Duration("window", order.Window))
 	return true
 }
 
 // takeRecord takes a record, and reports whether it is new.
 func (s *rolloutState) takeRecord(item store.Item) bool {
-	name, ok := strings.CutPrefix(item.Key, s.node.Decoder.OwnPrefix()+keyRollouts)
+	name, ok := strings.CutPrefix(item.Key, s.instance.Decoder.OwnPrefix()+keyRollouts)
 	if !ok || item.Revision <= s.records[name].revision {
 		return false // an earlier one, that came late
 	}
 	var r rollout.Record
 	if err := json.Unmarshal(item.Value, &r); err != nil {
-		s.node.event(event.RolloutOdd, zap.String("key", item.Key), zap.Int64("revision", item.Revision), zap.Error(err))
+		s.instance.event(event.RolloutOdd, zap.String("key", item.Key), zap.Int64("revision", item.Revision), zap.Error(err))
 		return false
 	}
 	return s.wrote(r, item.Revision)
@@ -107,7 +107,7 @@
 
 // see notes when the versions of a service's endpoints came up. One that is gone is
 // forgotten: if it comes up again an order may have named it since.
-func (s *rolloutState) see(service string, servers []registry.Server, now time.Time) {
+func (s *rolloutState) see(service string, servers []registry.Endpoint, now time.Time) {
 	seen := make(map[string]time.Time, len(s.seen[service]))
 	for _, server := range servers {
 		at, known := s.seen[service][server.Version]
@@ -120,21 +120,21 @@
 }
 
 // divide puts a service's endpoints into a view, divided as its roll-out asks for.
-func (s *rolloutState) divide(v *forward.View, service string, servers []registry.Server, now time.Time) *rollctl.Known {
+func (s *rolloutState) divide(v *forward.View, service string, servers []registry.Endpoint, now time.Time) *rollctl.Known {
 	s.see(service, servers, now)
 	// A version may be one that an order names of which this instance has not heard yet,
 	// until what the operators wrote was read after the version came up.
 	unproved := func(version string) bool { return !v.ProvedAt.After(s.seen[service][version]) }
 	known := s.known(service)
 	r, ok := rollout.Current(known.Order, known.Record)
-	arms := s.node.rollouts.Divide(servers, r, unproved)
-	v.Servers[service] = arms.Main
+	arms := s.instance.rollouts.Divide(servers, r, unproved)
+	v.Endpoints[service] = arms.Main
 	if !ok {
 		return nil
 	}
 	v.Trial[service], v.Rollouts[service] = arms.Trial, r
-	if s.node.rollouts.Follow(r, arms, v.Nodes, s.fresh[service]) {
-		s.node.event(event.RolloutFollowed, zap.String("service", service), zap.Int64("order", r.Order), zap.String("target", r.Target), zap.String("phase", string(r.Phase)), zap.Int("main", len(arms.Main)), zap.Int("trial", len(arms.Trial)))
+	if s.instance.rollouts.Follow(r, arms, v.Instances, s.fresh[service]) {
+		s.instance.event(event.RolloutFollowed, zap.String("service", service), zap.Int64("order", r.Order), zap.String("target", r.Target), zap.String("phase", string(r.Phase)), zap.Int("main", len(arms.Main)), zap.Int("trial", len(arms.Trial)))
 	}
 	for _, server := range servers {
 		if server.Version == r.Target {
@@ -148,7 +148,7 @@
 
 // rolloutHost is what the leader of roll-outs needs of its instance. It implements
 // rollctl.Host.
-type rolloutHost struct{ *Node }
+type rolloutHost struct{ *Instance }
 
 // Acting implements rollctl.Host.
 func (h rolloutHost) Acting(ctx context.Context) (context.Context, context.CancelFunc, duty.Token, bool) {
@@ -162,7 +162,7 @@
 func (h rolloutHost) Rollouts() []rollctl.Known { return *h.knownRollouts.Load() }
 
 // Instances implements rollctl.Host.
-func (h rolloutHost) Instances() int { return h.view.Load().Nodes }
+func (h rolloutHost) Instances() int { return h.view.Load().Instances }
 
 // Fleet implements rollctl.Host.
 func (h rolloutHost) Fleet() rollctl.Fleet {
@@ -179,7 +179,7 @@
 func (h rolloutHost) Open() map[string]int { return h.openRequests() }
 
 // openRequests returns this instance's requests by endpoint.
-func (n *Node) openRequests() map[string]int {
+func (n *Instance) openRequests() map[string]int {
 	open := make(map[string]int)
 	for id, use := range n.tracker.Uses() {
 		open[id] = use.Open
--- a/internal/front/rollouts_test.go
+++ b/internal/front/rollouts_test.go
@@ -290,7 +290,7 @@
 					continue
 				}
 				looked++
-				if in := len(n.serversInUse()); in != oldServers+newServers {
+				if in := len(n.endpointsInUse()); in != oldServers+newServers {
 					t.Errorf("%d of %d servers in use in the phase %s", in, oldServers+newServers, phase)
 				}
 			}
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -23,7 +23,7 @@
 )
 
 // serveClients begins to serve clients, by the limits of the configuration.
-func (n *Node) serveClients(ctx context.Context, l net.Listener) *http.Server {
+func (n *Instance) serveClients(ctx context.Context, l net.Listener) *http.Server {
 	select {
 	case <-n.knows:
 	case <-ctx.Done():
@@ -51,7 +51,7 @@
 // drain finishes what clients have sent. The node is not ready from now on, and
 // answers close their connections; only when no new connections come is the
 // door closed.
-func (n *Node) drain(clients *http.Server) {
+func (n *Instance) drain(clients *http.Server) {
 	begun := n.Clock.Now()
 	end := begun.Add(shareOf(drainShare, n.Settings.Bounds.Grace()))
 	n.leaving.Store(true)
@@ -66,7 +66,7 @@
 }
 
 // serveReady tells the platform's entry whether this node takes connections.
-func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
+func (n *Instance) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !n.ready(n.Clock.Now()) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
@@ -74,7 +74,7 @@
 
 // ready reports whether this node can serve as well as any: it is not stopping
 // and reads the store, or no other node does either.
-func (n *Node) ready(now time.Time) bool {
+func (n *Instance) ready(now time.Time) bool {
 	v := n.view.Load()
 	if n.leaving.Load() || v.Config == nil {
 		return false
@@ -82,7 +82,7 @@
 	return now.Sub(v.ReadAt) < readyFor || now.Before(v.OutageUntil)
 }
 
-func (n *Node) serveMetrics() http.Handler {
+func (n *Instance) serveMetrics() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", n.metrics.Handler())
 	mux.HandleFunc("GET "+QuarantinePath, n.suspects.serveList)
--- a/internal/front/share.go
+++ b/internal/front/share.go
@@ -21,7 +21,7 @@
 // Times of the exchange of soft state.
 const (
 	shareLeast        = 200 * time.Millisecond
-	shareForNode      = 25 * time.Millisecond // added for each node, so that a node's load stays the same as the fleet grows
+	shareForInstance  = 25 * time.Millisecond // added for each node, so that a node's load stays the same as the fleet grows
 	shareTimeout      = 600 * time.Millisecond
 	broadcastInterval = 15 * time.Millisecond // at the most, news of a long prompt
 	shareTTLLeast     = 2 * time.Second       // a node's word counts for so long, or for
@@ -32,13 +32,13 @@
 
 // shareState exchanges soft state with the other nodes: in a small fleet with all
 // of them, in a large one through the hubs (report.go).
-func (n *Node) shareState(ctx context.Context) error {
+func (n *Instance) shareState(ctx context.Context) error {
 	var wait sync.WaitGroup
 	defer wait.Wait()
-	x := &exchanges{node: n, wait: &wait, calls: inflight.New[string]()}
+	x := &exchanges{instance: n, wait: &wait, calls: inflight.New[string]()}
 	r := newReporter(n)
 	for {
-		if !n.sleepOrWake(ctx, n.sharePause(n.Clock.Now())) {
+		if !n.sleepOrResume(ctx, n.sharePause(n.Clock.Now())) {
 			return ctx.Err()
 		}
 		switch hubs := n.state.members.topology(); {
@@ -55,15 +55,15 @@
 
 // exchanges are the exchanges that are under way.
 type exchanges struct {
-	node  *Node
-	wait  *sync.WaitGroup
-	calls *inflight.Calls[string] // by name of the other node
+	instance *Instance
+	wait     *sync.WaitGroup
+	calls    *inflight.Calls[string] // by name of the other node
 }
 
 // asks reports whether this node is to ask another one. Of two nodes the one with the
 // lower name asks, and is answered in kind. One that is silent is asked by both: the
 // other may not know of this node, as its registration ended while the other started.
-func (n *Node) asks(other string, now time.Time) bool {
+func (n *Instance) asks(other string, now time.Time) bool {
 	switch cmp.Compare(n.Settings.Name, other) {
 	case 0:
 		return false // a hub is in the list of hubs
@@ -82,13 +82,13 @@
 	if len(others) == 0 {
 		return
 	}
-	mine := x.node.share()
+	mine := x.instance.share()
 	for _, other := range others {
-		if !x.node.asks(other.Name, x.node.Clock.Now()) || !x.calls.Begin(other.Name) {
+		if !x.instance.asks(other.Name, x.instance.Clock.Now()) || !x.calls.Begin(other.Name) {
 			continue
 		}
 		x.wait.Go(func() {
-			x.node.exchange(ctx, other, mine)
+			x.instance.exchange(ctx, other, mine)
 			x.calls.End(other.Name)
 		})
 	}
@@ -96,7 +96,7 @@
 
 // shareEvery is the time between two exchanges with each node that this one speaks
 // to: all others in a small fleet, the other hubs for a hub, or its hub.
-func (n *Node) shareEvery() time.Duration {
+func (n *Instance) shareEvery() time.Duration {
 	hubs := n.state.members.topology()
 	if len(hubs.Hubs) > 0 && !hubs.Self {
 		return reportEvery
@@ -111,12 +111,12 @@
 // exchangeEvery is the time between two exchanges of a pair where each node speaks to so
 // many others.
 func exchangeEvery(others int) time.Duration {
-	return max(shareLeast, time.Duration(others)*shareForNode)
+	return max(shareLeast, time.Duration(others)*shareForInstance)
 }
 
 // propagation is the time in which all nodes know what one of them counted, delays of
 // the network apart.
-func (n *Node) propagation() time.Duration {
+func (n *Instance) propagation() time.Duration {
 	hubs := len(n.state.members.topology().Hubs)
 	if hubs == 0 {
 		return n.shareEvery()
@@ -126,14 +126,14 @@
 
 // sharePause is the time until the next round of exchanges. A node that has just
 // started knows nothing of the others and begins with short ones.
-func (n *Node) sharePause(now time.Time) time.Duration {
+func (n *Instance) sharePause(now time.Time) time.Duration {
 	return min(n.shareEvery(), shareLeast+now.Sub(n.start))
 }
 
 // broadcastUses tells the other nodes at once when a long prompt was sent to a
 // server: requests come in clumps, and nodes that decide at the same moment
 // would all choose the same server.
-func (n *Node) broadcastUses(ctx context.Context) error {
+func (n *Instance) broadcastUses(ctx context.Context) error {
 	var wait sync.WaitGroup
 	defer wait.Wait()
 	for kicked(ctx, n.tracker.LongPrompts()) {
@@ -148,7 +148,7 @@
 	return ctx.Err()
 }
 
-func (n *Node) exchange(ctx context.Context, other topology.Member, mine *peerpb.Share) {
+func (n *Instance) exchange(ctx context.Context, other topology.Member, mine *peerpb.Share) {
 	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
 	defer cancel()
 	a, err := n.peers.Call(ctx, other.Addr, &peerpb.Call{Body: &peerpb.Call_Share{Share: mine}})
@@ -161,7 +161,7 @@
 }
 
 // serveShare takes another node's soft state and answers in kind.
-func (n *Node) serveShare(s *peerpb.Share, answer func(*peerpb.Answer) error) error {
+func (n *Instance) serveShare(s *peerpb.Share, answer func(*peerpb.Answer) error) error {
 	n.applyShare(s)
 	if s.Brief {
 		return answer(&peerpb.Answer{Body: &peerpb.Answer_Done{Done: &peerpb.Done{}}})
@@ -170,7 +170,7 @@
 }
 
 // share is what this node tells the others it speaks to.
-func (n *Node) share() *peerpb.Share {
+func (n *Instance) share() *peerpb.Share {
 	if n.state.members.topology().Self {
 		return n.groupShare(n.Clock.Now())
 	}
@@ -191,14 +191,14 @@
 
 // applyShare takes what another node tells. Counts are taken from nodes that see the
 // fleet as this one does: all from all, or hubs from hubs.
-func (n *Node) applyShare(s *peerpb.Share) {
+func (n *Instance) applyShare(s *peerpb.Share) {
 	now := n.Clock.Now()
 	n.state.members.seen(s.Node, now)
 	n.applyInstances(s.Node, s.Instances, now)
 	n.suspects.met(s.Node, s.Incarnation)
 	n.limits.Apply(wire.Decode(s.Limits), now)
 	if !s.Brief {
-		n.applyServersAt(s.Node, s.ServersAt, now)
+		n.applyEndpointsAt(s.Node, s.ServersAt, now)
 		n.applyClock(s.Node, s.Wall, now)
 	}
 	hubs := n.state.members.topology()
@@ -210,23 +210,23 @@
 	}
 }
 
-// applyServersAt begins the own watches anew if another node knows of changes of servers
+// applyEndpointsAt begins the own watches anew if another node knows of changes of servers
 // that this one has not seen for long.
-func (n *Node) applyServersAt(from string, serversAt int64, now time.Time) {
+func (n *Instance) applyEndpointsAt(from string, serversAt int64, now time.Time) {
 	if n.watchProgress.Behind(serversAt, now) {
 		n.event(event.WatchSilent, zap.String("peer", from), zap.Int64("revision", serversAt))
 		n.rewatch()
 	}
 }
 
-func (n *Node) applyClock(from string, wall int64, now time.Time) {
+func (n *Instance) applyClock(from string, wall int64, now time.Time) {
 	if c := n.walltime.Apply(from, time.Unix(0, wall), now); c != 0 {
 		n.event(event.ClockCorrected, zap.Duration("by", c), zap.String("peer", from))
 	}
 }
 
 // applyPeer takes what a node of a small fleet counted.
-func (n *Node) applyPeer(s *peerpb.Share, now time.Time) {
+func (n *Instance) applyPeer(s *peerpb.Share, now time.Time) {
 	n.applyUses(s.Node, updateOf(s), now)
 	if s.Brief {
 		return
@@ -237,11 +237,11 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.quota.Apply(quota.Update{
-		Node: s.Node, Incarnation: s.Incarnation, Seasoned: seasoned(s), Admitted: admitted, Levels: levels,
+		Instance: s.Node, Incarnation: s.Incarnation, Seasoned: seasoned(s), Admitted: admitted, Levels: levels,
 	}, now)
 	a.usage.Apply(s.Node, s.Incarnation, windowsOf(runs))
 }
 
-func (n *Node) applyUses(from string, news balance.Update, now time.Time) {
+func (n *Instance) applyUses(from string, news balance.Update, now time.Time) {
 	n.tracker.Apply(from, news, now.Add(max(shareTTLLeast, shareTTLRounds*n.shareEvery())), now)
 }
--- a/internal/front/sharemsg.go
+++ b/internal/front/sharemsg.go
@@ -48,7 +48,7 @@
 
 // serviceShares returns what is told of services: demand, and what this node
 // learned itself.
-func (n *Node) serviceShares(demand map[string]balance.Demand) []*peerpb.ServiceShare {
+func (n *Instance) serviceShares(demand map[string]balance.Demand) []*peerpb.ServiceShare {
 	var out []*peerpb.ServiceShare
 	lessons := n.tracker.Estimates()
 	for name, d := range demand {
@@ -84,7 +84,7 @@
 // updateOf reads what a share tells of servers and services.
 func updateOf(s *peerpb.Share) balance.Update {
 	demand, lessons := serviceUpdate(s.Services)
-	return balance.Update{Uses: usesOf(s.Servers), Demand: demand, Estimates: lessons, Brief: s.Brief}
+	return balance.Update{Uses: usesOf(s.Servers), Demand: demand, Estimates: lessons, UsesOnly: s.Brief}
 }
 
 // usesOf reads what useShares wrote.
--- a/internal/front/standin.go
+++ b/internal/front/standin.go
@@ -45,8 +45,8 @@
 	return time.Unix(0, s.since.Load())
 }
 
-// wake ends the contexts of untilAsked.
-func (s *standIn) wake() {
+// signal ends the contexts of untilAsked.
+func (s *standIn) signal() {
 	select {
 	case s.kick <- struct{}{}:
 	default:
@@ -72,16 +72,16 @@
 }
 
 // readsForOthers reports whether other instances rely on what this one reads.
-func (n *Node) readsForOthers() bool {
+func (n *Instance) readsForOthers() bool {
 	return n.state.members.topology().Reads || n.standIn.asked(n.Clock.Now())
 }
 
 // readForOthers makes this instance read the store for a while. If it begins to, it waits
 // a moment until it knows what is there.
-func (n *Node) readForOthers(ctx context.Context, now time.Time) {
+func (n *Instance) readForOthers(ctx context.Context, now time.Time) {
 	latest := n.standIn.ask(now).Add(standInWait)
 	if !n.reading.Load() {
-		n.standIn.wake()
+		n.standIn.signal()
 	}
 	for n.Clock.Now().Before(latest) && !n.hub.knows(n.Clock.Now()) {
 		if !n.Clock.Sleep(ctx, standInLook) {
@@ -99,10 +99,10 @@
 		return false
 	}
 	for _, m := range hubs.Standbys[s.round%len(hubs.Standbys)] {
-		if m.Name != s.node.Settings.Name && s.follow(ctx, m, true) {
+		if m.Name != s.instance.Settings.Name && s.follow(ctx, m, true) {
 			return true
 		}
-		if s.node.readsItself() {
+		if s.instance.readsItself() {
 			return true // it was asked to stand in itself
 		}
 	}
@@ -114,7 +114,7 @@
 // setStandby notes which instance stands in for the readers; "" is none.
 func (s *follower) setStandby(name string) {
 	if name != s.standby {
-		s.node.event(event.StoreFollowed, zap.Bool("directly", false), zap.String("standby", name))
+		s.instance.event(event.StoreFollowed, zap.Bool("directly", false), zap.String("standby", name))
 	}
 	s.standby = name
 }
@@ -130,13 +130,13 @@
 // storeDown reports whether the store seems to be down for all, so that this node need
 // not try it now.
 func (s *follower) storeDown() bool {
-	now := s.node.Clock.Now()
+	now := s.instance.Clock.Now()
 	switch {
 	case s.without < outageSigns:
 		s.aloneAt = time.Time{}
 		return false
 	case s.aloneAt.IsZero(): // the instances of a fleet try at different moments
-		spread := topology.Pair(s.node.Settings.Name, "alone") % uint64(aloneEvery-aloneLeast)
+		spread := topology.Pair(s.instance.Settings.Name, "alone") % uint64(aloneEvery-aloneLeast)
 		s.aloneAt = now.Add(aloneLeast + time.Duration(spread))
 	case now.After(s.aloneAt):
 		s.aloneAt = now.Add(aloneEvery)
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -36,12 +36,12 @@
 // listedServers and listedNodes bring all entries of a kind, watched the changes
 // since.
 type (
-	listedServers struct {
+	listedEndpoints struct {
 		items []store.Item
 		at    int64 // revision at which they were listed
 	}
-	listedNodes struct{ items []store.Item }
-	watched     struct{ events []store.Event }
+	listedInstances struct{ items []store.Item }
+	watched         struct{ events []store.Event }
 )
 
 // storeCalled tells how a call of the store went that was sent at a time.
@@ -61,15 +61,15 @@
 }
 
 // announcedLeaving tells that an answer of a server said that it leaves.
-type announcedLeaving struct{ server string }
+type announcedLeaving struct{ endpoint string }
 
 // leave makes the node take leave.
 type leave struct{}
 
 func (configRead) change()       {}
 func (sharedOutage) change()     {}
-func (listedServers) change()    {}
-func (listedNodes) change()      {}
+func (listedEndpoints) change()  {}
+func (listedInstances) change()  {}
 func (watched) change()          {}
 func (storeCalled) change()      {}
 func (announcedLeaving) change() {}
@@ -90,7 +90,7 @@
 
 // state is what a node believes. It belongs to the goroutine that runs Serve.
 type state struct {
-	node     *Node
+	instance *Instance
 	changes  chan change
 	registry *registry.Registry
 	members  *members
@@ -115,14 +115,14 @@
 
 // takers are the servers that take work, as views show them.
 type takers struct {
-	of        []registry.Server // the registry's list that they were taken from
-	all       []registry.Server
-	byService map[string][]registry.Server
+	of        []registry.Endpoint // the registry's list that they were taken from
+	all       []registry.Endpoint
+	byService map[string][]registry.Endpoint
 }
 
 // takersOf returns the servers of a list that take work.
-func takersOf(list []registry.Server) takers {
-	t := takers{of: list, byService: make(map[string][]registry.Server)}
+func takersOf(list []registry.Endpoint) takers {
+	t := takers{of: list, byService: make(map[string][]registry.Endpoint)}
 	for _, server := range list {
 		if !server.Leaving {
 			t.all = append(t.all, server)
@@ -133,12 +133,12 @@
 }
 
 // sameList reports whether two lists of a registry are one and the same.
-func sameList(a, b []registry.Server) bool {
+func sameList(a, b []registry.Endpoint) bool {
 	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
 
-func newState(n *Node) *state {
-	return &state{node: n, changes: make(chan change, changeQueue), registry: registry.New(n.Settings.Bounds.Drain()), members: newMembers(n), rollouts: newRolloutState(n)}
+func newState(n *Instance) *state {
+	return &state{instance: n, changes: make(chan change, changeQueue), registry: registry.New(n.Settings.Bounds.Drain()), members: newMembers(n), rollouts: newRolloutState(n)}
 }
 
 func (s *state) send(c change) { s.changes <- c }
@@ -147,18 +147,18 @@
 func (s *state) Serve(ctx context.Context) error {
 	t := time.NewTicker(stateTick)
 	defer t.Stop()
-	watcher := s.node.Clock.Watch()
+	watcher := s.instance.Clock.Watch()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case c := <-s.changes:
-			s.apply(c, s.node.Clock.Now())
+			s.apply(c, s.instance.Clock.Now())
 		case <-t.C:
 			if w, woken := watcher.Look(); woken {
-				s.node.onResume(w)
+				s.instance.onResume(w)
 			}
-			s.tick(s.node.Clock.Now())
+			s.tick(s.instance.Clock.Now())
 		}
 		if s.publishDue {
 			s.publish()
@@ -172,14 +172,14 @@
 		s.takeConfig(c)
 	case sharedOutage:
 		s.outageAt, s.publishDue = c.at, true
-	case listedServers:
-		s.takeServers(c.items, c.at, now)
-		s.node.watchProgress.Listed(c.items, c.at)
+	case listedEndpoints:
+		s.takeEndpoints(c.items, c.at, now)
+		s.instance.watchProgress.Listed(c.items, c.at)
 	case operatorsRead:
 		s.publishDue = s.rollouts.takeOperators(c.items) || s.publishDue
 	case wroteRecord:
 		s.publishDue = s.rollouts.wrote(c.record, c.at) || s.publishDue
-	case listedNodes:
+	case listedInstances:
 		for _, item := range c.items {
 			s.rollouts.takeRecord(item)
 		}
@@ -192,7 +192,7 @@
 	case storeCalled:
 		s.takeCall(c, now)
 	case announcedLeaving:
-		s.logChanges(s.registry.Leave(c.server, now))
+		s.logChanges(s.registry.Leave(c.endpoint, now))
 	case leave:
 		s.leaving, s.publishDue = true, true
 	}
@@ -202,16 +202,16 @@
 // one in force. It never goes back.
 func (s *state) takeConfig(c configRead) {
 	if c.revision > s.revision {
-		next, err := s.node.Decoder.Config(c.value)
+		next, err := s.instance.Decoder.Config(c.value)
 		if err != nil {
-			s.node.event(event.ConfigRejected, zap.Int64("revision", c.revision), zap.Error(err))
+			s.instance.event(event.ConfigRejected, zap.Int64("revision", c.revision), zap.Error(err))
 			return // what it takes away is not known: the one in force is not proved
 		}
 		s.revision = c.revision
-		s.node.revision.Store(c.revision)
+		s.instance.revision.Store(c.revision)
 		if s.config == nil || next.Version > s.config.Version {
 			s.config, s.publishDue = next, true
-			s.node.event(event.ConfigInForce, zap.Int64("version", next.Version), zap.Int64("revision", c.revision), zap.Bool("by_watch", c.provedAt.IsZero()))
+			s.instance.event(event.ConfigInForce, zap.Int64("version", next.Version), zap.Int64("revision", c.revision), zap.Bool("by_watch", c.provedAt.IsZero()))
 		}
 	}
 	if c.revision != s.revision {
@@ -224,7 +224,7 @@
 		s.provedAt, s.publishDue = c.provedAt, true
 		if s.stale {
 			s.stale = false
-			s.node.event(event.ConfigProved, zap.Int64("version", s.config.Version), zap.Bool("by_peer", c.byPeer))
+			s.instance.event(event.ConfigProved, zap.Int64("version", s.config.Version), zap.Bool("by_peer", c.byPeer))
 		}
 	}
 }
@@ -232,7 +232,7 @@
 // keysUntil is how long a key may be honoured. What no node can read binds
 // none, unless the deployment says that a key taken away must end all the same.
 func (s *state) keysUntil() time.Time {
-	b := s.node.Settings.Bounds
+	b := s.instance.Settings.Bounds
 	if b.StrictRevoke {
 		return s.provedAt.Add(shareOf(keysShare, b.Revoke()))
 	}
@@ -260,8 +260,8 @@
 		s.answeredAt = now
 		if s.storeDown {
 			s.storeDown = false
-			s.node.event(event.StoreBack)
-			s.node.rewatch()
+			s.instance.event(event.StoreBack)
+			s.instance.rewatch()
 		}
 		return
 	}
@@ -271,7 +271,7 @@
 	s.troubleAt = now
 	if !s.storeDown {
 		s.storeDown, s.downAt = true, now
-		s.node.event(event.StoreDown)
+		s.instance.event(event.StoreDown)
 	}
 }
 
@@ -281,11 +281,11 @@
 	return s.storeDown && now.Sub(s.downAt) > leastOutage
 }
 
-func (s *state) takeServers(items []store.Item, at int64, now time.Time) {
-	var servers []registry.Server
+func (s *state) takeEndpoints(items []store.Item, at int64, now time.Time) {
+	var servers []registry.Endpoint
 	var odd []string
 	for _, item := range items {
-		id, ok := s.node.Decoder.ServerID(item.Key)
+		id, ok := s.instance.Decoder.EndpointID(item.Key)
 		if !ok {
 			continue
 		}
@@ -301,16 +301,16 @@
 
 // decode reads a server's entry. One that can't be read names no server to use, and is
 // told of once for each change; the others hold.
-func (s *state) decode(id string, item store.Item, now time.Time) (registry.Server, bool) {
-	server, err := s.node.Decoder.Server(id, item.Value, now)
+func (s *state) decode(id string, item store.Item, now time.Time) (registry.Endpoint, bool) {
+	server, err := s.instance.Decoder.Endpoint(id, item.Value, now)
 	if err == nil {
 		server.Revision = item.Revision
 		return server, true
 	}
 	if s.registry.Withhold(id, item.Revision, now) != registry.None {
-		s.node.event(event.ServerOdd, zap.String("server", cut(id)), zap.Int64("revision", item.Revision), zap.String("error", cut(err.Error())))
+		s.instance.event(event.ServerOdd, zap.String("server", cut(id)), zap.Int64("revision", item.Revision), zap.String("error", cut(err.Error())))
 	}
-	return registry.Server{}, false
+	return registry.Endpoint{}, false
 }
 
 // oddText bounds what is logged of an entry that another wrote, in bytes.
@@ -321,13 +321,13 @@
 func (s *state) takeEvents(events []store.Event, now time.Time) {
 	var own []store.Event // of the product's own keys
 	for _, e := range events {
-		if e.Key == s.node.Decoder.ConfigKey() {
+		if e.Key == s.instance.Decoder.ConfigKey() {
 			if !e.Gone {
 				s.takeConfig(configRead{value: e.Value, revision: e.Revision})
 			}
-		} else if id, ok := s.node.Decoder.ServerID(e.Key); ok {
-			s.takeServer(id, e, now)
-		} else if strings.HasPrefix(e.Key, s.node.Decoder.OperatorPrefix()) {
+		} else if id, ok := s.instance.Decoder.EndpointID(e.Key); ok {
+			s.takeEndpoint(id, e, now)
+		} else if strings.HasPrefix(e.Key, s.instance.Decoder.OperatorPrefix()) {
 			s.takeOrder(e)
 		} else {
 			own = append(own, e)
@@ -351,20 +351,20 @@
 	}
 }
 
-func (s *state) takeServer(id string, e store.Event, now time.Time) {
+func (s *state) takeEndpoint(id string, e store.Event, now time.Time) {
 	s.publishDue = true
-	s.node.watchProgress.Saw(e.Revision)
+	s.instance.watchProgress.Saw(e.Revision)
 	if e.Gone {
 		server, _ := s.registry.Find(id)
-		s.logChanges([]registry.Event{{Change: s.registry.Remove(id, e.Revision, s.troubled(now), now), Server: server}})
+		s.logChanges([]registry.Event{{Change: s.registry.Remove(id, e.Revision, s.troubled(now), now), Endpoint: server}})
 		return
 	}
 	if server, ok := s.decode(id, e.Item, now); ok {
-		s.logChanges([]registry.Event{{Change: s.registry.Put(server, now), Server: server}})
+		s.logChanges([]registry.Event{{Change: s.registry.Put(server, now), Endpoint: server}})
 	}
 }
 
-var serverEvents = map[registry.Change]event.Code{
+var endpointEvents = map[registry.Change]event.Code{
 	registry.Joined: event.ServerJoined, registry.Left: event.ServerLeaving,
 	registry.Gone: event.ServerGone, registry.Absent: event.ServerAbsent,
 	registry.Restarted: event.ServerRestarted, registry.Withheld: event.ServerWithheld,
@@ -372,9 +372,9 @@
 
 func (s *state) logChanges(changed []registry.Event) {
 	for _, c := range changed {
-		s.node.suspects.serverChanged(c, s.node.Clock.Now())
-		if code, ok := serverEvents[c.Change]; ok {
-			s.node.event(code, zap.String("server", c.Server.ID), zap.String("service", c.Server.Service), zap.String("hall", c.Server.Hall), zap.String("version", c.Server.Version), zap.Bool("spot", c.Server.Spot), zap.Int64("revision", c.Server.Revision))
+		s.instance.suspects.endpointChanged(c, s.instance.Clock.Now())
+		if code, ok := endpointEvents[c.Change]; ok {
+			s.instance.event(code, zap.String("server", c.Endpoint.ID), zap.String("service", c.Endpoint.Service), zap.String("hall", c.Endpoint.Hall), zap.String("version", c.Endpoint.Version), zap.Bool("spot", c.Endpoint.Spot), zap.Int64("revision", c.Endpoint.Revision))
 			s.publishDue = true
 		}
 	}
@@ -384,12 +384,12 @@
 	s.logChanges(s.registry.Expire(s.outage(now), now))
 	if s.config != nil && !s.stale && now.After(s.keysUntil()) {
 		s.stale = true
-		s.node.event(event.ConfigStale, zap.Int64("version", s.config.Version), zap.Duration("age", now.Sub(s.provedAt)))
+		s.instance.event(event.ConfigStale, zap.Int64("version", s.config.Version), zap.Duration("age", now.Sub(s.provedAt)))
 	}
 	if s.members.expire(now) {
 		s.publishDue = true
 	}
-	s.node.admission.tick(s.members.count(), now)
+	s.instance.admission.tick(s.members.count(), now)
 }
 
 // publish shows a new view. Most differ in the proof of the configuration alone: the servers
@@ -400,28 +400,28 @@
 		s.takers = takersOf(list)
 	}
 	v := &forward.View{
-		Config: s.config, ProvedAt: s.provedAt, ReadAt: s.readAt, KeysUntil: s.keysUntil(), OutageUntil: s.outageUntil(), Nodes: s.members.count(), Leaving: s.leaving,
-		Listed: s.takers.all, Servers: maps.Clone(s.takers.byService), Trial: make(map[string][]registry.Server), Rollouts: make(map[string]rollout.Record),
+		Config: s.config, ProvedAt: s.provedAt, ReadAt: s.readAt, KeysUntil: s.keysUntil(), OutageUntil: s.outageUntil(), Instances: s.members.count(), Leaving: s.leaving,
+		Listed: s.takers.all, Endpoints: maps.Clone(s.takers.byService), Trial: make(map[string][]registry.Endpoint), Rollouts: make(map[string]rollout.Record),
 	}
 	s.divide(v)
-	s.node.view.Store(v)
+	s.instance.view.Store(v)
 	if !s.knows && s.config != nil && s.listed {
 		s.knows = true
-		close(s.node.knows)
+		close(s.instance.knows)
 	}
 }
 
 // divide divides the endpoints of a view as roll-outs ask for.
 func (s *state) divide(v *forward.View) {
-	if !s.node.rollouts.Enabled() {
+	if !s.instance.rollouts.Enabled() {
 		return
 	}
-	now := s.node.Clock.Now()
+	now := s.instance.Clock.Now()
 	known := []rollctl.Known{}
-	for service, servers := range v.Servers {
+	for service, servers := range v.Endpoints {
 		if k := s.rollouts.divide(v, service, servers, now); k != nil {
 			known = append(known, *k)
 		}
 	}
-	s.node.knownRollouts.Store(&known)
+	s.instance.knownRollouts.Store(&known)
 }
--- a/internal/front/suspects.go
+++ b/internal/front/suspects.go
@@ -30,19 +30,19 @@
 // that some of it did not reach, or that has started since, is told all when it is next
 // heard of. Nothing is told while no server ends.
 type suspects struct {
-	node    *Node
-	table   *quarantine.Table
-	permits *quarantine.Permits
-	kick    chan struct{} // there are news; has room for one
+	instance *Instance
+	table    *quarantine.Table
+	permits  *quarantine.Permits
+	kick     chan struct{} // there are news; has room for one
 
 	mu     sync.Mutex
 	probes map[string]*probe     // by id of the incarnation; guarded by mu
 	peers  map[string]*syncState // by name of the instance; guarded by mu
 }
 
-func newSuspects(n *Node) *suspects {
+func newSuspects(n *Instance) *suspects {
 	return &suspects{
-		node: n, table: quarantine.New(quarantine.Options{Length: n.Settings.Quarantine(), Most: mostSuspects}),
+		instance: n, table: quarantine.New(quarantine.Options{Length: n.Settings.Quarantine(), Most: mostSuspects}),
 		permits: quarantine.NewPermits(), kick: make(chan struct{}, 1), probes: make(map[string]*probe), peers: make(map[string]*syncState),
 	}
 }
@@ -54,7 +54,7 @@
 
 // Allows implements forward.Quarantine.
 func (s *suspects) Allows(f quarantine.Fingerprint) error {
-	if v, until := s.table.Verdict(f, s.node.Clock.Now()); v == quarantine.Refused {
+	if v, until := s.table.Verdict(f, s.instance.Clock.Now()); v == quarantine.Refused {
 		return s.refused(f, until)
 	}
 	return nil
@@ -66,7 +66,7 @@
 
 // Enter implements forward.Quarantine.
 func (s *suspects) Enter(ctx context.Context, f quarantine.Fingerprint, until time.Time) (leave func(decided bool), err error) {
-	switch v, end := s.table.Verdict(f, s.node.Clock.Now()); v {
+	switch v, end := s.table.Verdict(f, s.instance.Clock.Now()); v {
 	case quarantine.Refused:
 		return nil, s.refused(f, end)
 	case quarantine.Free:
@@ -81,7 +81,7 @@
 		if !granted {
 			break
 		}
-		if v, end := s.table.Verdict(f, s.node.Clock.Now()); v == quarantine.Refused { // heard while it was asked
+		if v, end := s.table.Verdict(f, s.instance.Clock.Now()); v == quarantine.Refused { // heard while it was asked
 			s.release(owner, f, true)
 			return nil, s.refused(f, end)
 		}
@@ -94,8 +94,8 @@
 // while it answers: one of all in a small fleet, of the hubs in a large one.
 func (s *suspects) owners(f quarantine.Fingerprint) []topology.Member {
 	all := s.counting()
-	if s.node.counts() {
-		all = append(all, s.node.self())
+	if s.instance.counts() {
+		all = append(all, s.instance.self())
 	}
 	by := lo.KeyBy(all, func(m topology.Member) string { return m.Name })
 	order := rendezvous.Order(f.Hash(), lo.Keys(by))
@@ -104,27 +104,27 @@
 
 // counting returns the other instances that hear of all ends of servers.
 func (s *suspects) counting() []topology.Member {
-	members := s.node.state.members
+	members := s.instance.state.members
 	if hubs := members.topology().Hubs; len(hubs) > 0 {
-		return lo.Filter(hubs, func(m topology.Member, _ int) bool { return m.Name != s.node.Settings.Name })
+		return lo.Filter(hubs, func(m topology.Member, _ int) bool { return m.Name != s.instance.Settings.Name })
 	}
 	return membersOf(members.list())
 }
 
 // counts reports whether this instance hears of all ends of servers.
-func (n *Node) counts() bool {
+func (n *Instance) counts() bool {
 	t := n.state.members.topology()
 	return len(t.Hubs) == 0 || t.Self
 }
 
 func (s *suspects) acquire(ctx context.Context, owner topology.Member, f quarantine.Fingerprint, until time.Time) (bool, error) {
-	now := s.node.Clock.Now()
-	if owner.Name == s.node.Settings.Name {
+	now := s.instance.Clock.Now()
+	if owner.Name == s.instance.Settings.Name {
 		return s.permits.Acquire(f, owner.Name, until, now), nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
 	defer cancel()
-	a, err := s.node.peers.Call(ctx, owner.Addr, permitCall(f, until.Sub(now), false))
+	a, err := s.instance.peers.Call(ctx, owner.Addr, permitCall(f, until.Sub(now), false))
 	if err != nil {
 		return false, err
 	}
@@ -146,20 +146,20 @@
 	if !decided {
 		keep = quarantine.Undecided
 	}
-	if owner.Name == s.node.Settings.Name {
-		s.permits.Release(f, owner.Name, s.node.Clock.Now().Add(keep))
+	if owner.Name == s.instance.Settings.Name {
+		s.permits.Release(f, owner.Name, s.instance.Clock.Now().Add(keep))
 		return
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), suspectTimeout)
 		defer cancel()
-		_, _ = s.node.peers.Call(ctx, owner.Addr, permitCall(f, keep, true))
+		_, _ = s.instance.peers.Call(ctx, owner.Addr, permitCall(f, keep, true))
 	}()
 }
 
 // servePermit answers an instance that asks for a permit, or gives it back.
 func (s *suspects) servePermit(call *peerpb.Call, answer func(*peerpb.Answer) error) error {
-	q, now := call.GetPermit(), s.node.Clock.Now()
+	q, now := call.GetPermit(), s.instance.Clock.Now()
 	f, ok := wire.Fingerprint(q.Sum, q.Length)
 	left := min(max(0, time.Duration(q.Left)), longestRun)
 	granted := false
@@ -189,7 +189,7 @@
 		}
 	}
 	members := make(map[string]bool)
-	for _, m := range s.node.state.members.list() {
+	for _, m := range s.instance.state.members.list() {
 		members[m.Name] = true
 	}
 	for name := range s.peers {
--- a/internal/front/suspectsapi.go
+++ b/internal/front/suspectsapi.go
@@ -42,7 +42,7 @@
 // serveList lists the suspects, by fingerprint.
 func (s *suspects) serveList(w http.ResponseWriter, _ *http.Request) {
 	out := []SuspectStatus{}
-	for _, x := range s.table.Suspects(true, s.node.Clock.Now()) {
+	for _, x := range s.table.Suspects(true, s.instance.Clock.Now()) {
 		out = append(out, suspectStatus(&x))
 	}
 	slices.SortFunc(out, func(a, b SuspectStatus) int { return strings.Compare(a.Fingerprint, b.Fingerprint) })
@@ -57,7 +57,7 @@
 		http.Error(w, "no suspect has this fingerprint, or several do", http.StatusNotFound)
 		return
 	}
-	s.node.event(event.QuarantineLifted, zap.Stringer("fingerprint", x.Fingerprint), zap.String("account", x.Account))
-	s.broadcast(s.table.CameThrough(x.Fingerprint, "", s.node.Clock.Now()))
+	s.instance.event(event.QuarantineLifted, zap.Stringer("fingerprint", x.Fingerprint), zap.String("account", x.Account))
+	s.broadcast(s.table.CameThrough(x.Fingerprint, "", s.instance.Clock.Now()))
 	w.WriteHeader(http.StatusNoContent)
 }
--- a/internal/front/suspectsync.go
+++ b/internal/front/suspectsync.go
@@ -49,18 +49,18 @@
 	account := zap.String("account", c.Suspect.Account)
 	switch c.Kind {
 	case quarantine.EndSeen:
-		s.node.event(event.EndedUnder, f, account, zap.String("server", c.Endpoint), zap.Int("ends", len(c.Suspect.Ends)))
+		s.instance.event(event.EndedUnder, f, account, zap.String("server", c.Endpoint), zap.Int("ends", len(c.Suspect.Ends)))
 	case quarantine.Quarantined:
-		s.node.event(event.Quarantined, f, account, zap.Strings("servers", lo.Keys(c.Suspect.Ends)), zap.Time("until", c.Suspect.Until), zap.Int("strikes", c.Suspect.Strikes))
+		s.instance.event(event.Quarantined, f, account, zap.Strings("servers", lo.Keys(c.Suspect.Ends)), zap.Time("until", c.Suspect.Until), zap.Int("strikes", c.Suspect.Strikes))
 	case quarantine.Released:
-		s.node.event(event.QuarantineOver, f, account, zap.String("server", c.Endpoint))
+		s.instance.event(event.QuarantineOver, f, account, zap.String("server", c.Endpoint))
 	}
 }
 
 // apply takes what another instance tells. The first end that it saw of a request is not
 // logged here: all that ran on a server that ended has one.
 func (s *suspects) apply(news []*peerpb.Suspect) {
-	now := s.node.Clock.Now()
+	now := s.instance.Clock.Now()
 	changes := s.table.Apply(wire.Decode(news, now), now)
 	s.broadcast(lo.Filter(changes, func(c quarantine.Change, _ int) bool {
 		return c.Kind != quarantine.EndSeen || len(c.Suspect.Ends) > 1
@@ -73,10 +73,10 @@
 	defer wait.Wait()
 	for kicked(ctx, s.kick) {
 		own, heard := s.table.Updates()
-		now := s.node.Clock.Now()
+		now := s.instance.Clock.Now()
 		s.send(ctx, &wait, s.counting(), own, now)
 		concerning := lo.Filter(append(own, heard...), func(x quarantine.Suspect, _ int) bool { return x.Concerns(now) })
-		s.send(ctx, &wait, s.node.group(now), concerning, now)
+		s.send(ctx, &wait, s.instance.group(now), concerning, now)
 	}
 	return ctx.Err()
 }
@@ -84,11 +84,11 @@
 // met takes note that an instance was heard of, and tells it all if it has started since it
 // was told, or something did not reach it.
 func (s *suspects) met(name string, incarnation int64) {
-	now := s.node.Clock.Now()
+	now := s.instance.Clock.Now()
 	if !s.needsSync(name, incarnation, now) {
 		return
 	}
-	to, listed := lo.Find(s.node.state.members.list(), func(m member) bool { return m.Name == name })
+	to, listed := lo.Find(s.instance.state.members.list(), func(m member) bool { return m.Name == name })
 	if !listed {
 		return // it is told once its address is known
 	}
@@ -124,12 +124,12 @@
 
 // receivesAll reports whether an instance hears of all ends of servers.
 func (s *suspects) receivesAll(name string) bool {
-	hubs := s.node.state.members.topology()
+	hubs := s.instance.state.members.topology()
 	return len(hubs.Hubs) == 0 || hubs.Named(name).Name == name
 }
 
 // group returns the instances that report to this one, if it is a hub.
-func (n *Node) group(now time.Time) []topology.Member {
+func (n *Instance) group(now time.Time) []topology.Member {
 	if !n.state.members.topology().Self {
 		return nil
 	}
@@ -156,7 +156,7 @@
 	ctx, cancel := context.WithTimeout(ctx, suspectTimeout)
 	defer cancel()
 	call := &peerpb.Call{Body: &peerpb.Call_Suspects{Suspects: &peerpb.Suspects{Suspects: news}}}
-	if _, err := s.node.peers.Call(ctx, to.Addr, call); err != nil {
+	if _, err := s.instance.peers.Call(ctx, to.Addr, call); err != nil {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.syncStateOf(to.Name).pending = true
--- a/internal/front/world_test.go
+++ b/internal/front/world_test.go
@@ -63,7 +63,7 @@
 	h.Del("Transfer-Encoding")
 }
 func (plain) Outgoing(h http.Header, o forward.Outgoing) {
-	h.Set("Server", o.Server)
+	h.Set("Server", o.Endpoint)
 	h.Set("Account", o.Account)
 }
 func (plain) RetryAfter(h http.Header, wait time.Duration) {
@@ -72,7 +72,7 @@
 
 func (plain) OperatorPrefix() string { return "op/" }
 func (plain) ConfigKey() string      { return "op/config" }
-func (plain) ServerPrefix() string   { return "server/" }
+func (plain) EndpointPrefix() string { return "server/" }
 func (plain) OwnPrefix() string      { return "own/" }
 func (plain) Config(value []byte) (*policy.Config, error) {
 	var c policy.Config
@@ -84,9 +84,9 @@
 
 var errNoAddress = errors.New("no address")
 
-func (plain) ServerID(key string) (string, bool) { return strings.CutPrefix(key, "server/") }
-func (plain) Server(id string, value []byte, _ time.Time) (registry.Server, error) {
-	var s registry.Server
+func (plain) EndpointID(key string) (string, bool) { return strings.CutPrefix(key, "server/") }
+func (plain) Endpoint(id string, value []byte, _ time.Time) (registry.Endpoint, error) {
+	var s registry.Endpoint
 	err := json.Unmarshal(value, &s)
 	s.ID, s.Name = registry.IncarnationID(id, s.StartedAt), id
 	if err == nil && !s.Addr.IsValid() {
@@ -193,7 +193,7 @@
 }
 
 type running struct {
-	node *Node
+	node *Instance
 	site string
 	stop context.CancelFunc
 	done chan struct{}
@@ -253,7 +253,7 @@
 
 // putServer writes the entry of a server, and returns its size.
 func (w *world) putServer(i int, leaving bool) int {
-	value, err := json.Marshal(registry.Server{Service: "svc", Version: w.rolls.version(i), Addr: addrOf(100+i, 80), Hall: "z", Leaving: leaving})
+	value, err := json.Marshal(registry.Endpoint{Service: "svc", Version: w.rolls.version(i), Addr: addrOf(100+i, 80), Hall: "z", Leaving: leaving})
 	if err != nil {
 		w.t.Fatal(err)
 	}
@@ -352,7 +352,7 @@
 }
 
 func (s slowListing) Range(ctx context.Context, prefix string) ([]store.Item, int64, error) {
-	if prefix == (plain{}).ServerPrefix() {
+	if prefix == (plain{}).EndpointPrefix() {
 		time.Sleep(s.late)
 	}
 	return s.Store.Range(ctx, prefix)
--- a/internal/gateway/operators.go
+++ b/internal/gateway/operators.go
@@ -35,7 +35,7 @@
 	State    string    `json:"state"`
 	Leaving  bool      `json:"leaving"`
 	Revision uint64    `json:"table_revision"`
-	HeardAt  time.Time `json:"heard_at"`
+	SeenAt   time.Time `json:"heard_at"`
 }
 
 // StatusEndpoint is an endpoint in a Status.
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -51,7 +51,7 @@
 	Beat          uint64 // highest heartbeat heard of
 	TableRevision uint64
 	ViewEpoch     uint64
-	HeardAt       time.Time // when a higher heartbeat was last heard of, on this clock
+	SeenAt        time.Time // when a higher heartbeat was last heard of, on this clock
 }
 
 // Usable reports whether new work may be given to the member.
@@ -113,7 +113,7 @@
 		if l.replaces(m) {
 			return Change{}, false
 		}
-		m.HeardAt, m.State = now, Alive
+		m.SeenAt, m.State = now, Alive
 		l.members = slices.Insert(l.members, i, m)
 		return Change{Member: m, New: true, Left: m.Leaving}, true
 	}
@@ -121,7 +121,7 @@
 	c := Change{Was: old.State, Left: m.Leaving && !old.Leaving}
 	old.Leaving = old.Leaving || m.Leaving
 	if m.Beat > old.Beat {
-		old.Beat, old.HeardAt, old.State = m.Beat, now, Alive
+		old.Beat, old.SeenAt, old.State = m.Beat, now, Alive
 		old.TableRevision = max(old.TableRevision, m.TableRevision)
 		old.ViewEpoch = max(old.ViewEpoch, m.ViewEpoch)
 		old.Addr, old.Hall = m.Addr, m.Hall
@@ -171,7 +171,7 @@
 		if !near[m.ID] {
 			factor = farFactor
 		}
-		switch silent := now.Sub(m.HeardAt); {
+		switch silent := now.Sub(m.SeenAt); {
 		case slices.Contains(l.retired, m.ID):
 			m.State = Dead
 		case silent >= DeadAfter*factor:
@@ -184,7 +184,7 @@
 		}
 	}
 	l.members = slices.DeleteFunc(l.members, func(m Member) bool {
-		return m.State == Dead && now.Sub(m.HeardAt) >= ForgetAfter
+		return m.State == Dead && now.Sub(m.SeenAt) >= ForgetAfter
 	})
 	return changes
 }
--- a/internal/notice/notice_test.go
+++ b/internal/notice/notice_test.go
@@ -16,8 +16,8 @@
 func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 
 // incarnation returns the incarnation of an endpoint that began at a time.
-func incarnation(name string, started time.Time) registry.Server {
-	return registry.Server{ID: registry.IncarnationID(name, started), Name: name, StartedAt: started}
+func incarnation(name string, started time.Time) registry.Endpoint {
+	return registry.Endpoint{ID: registry.IncarnationID(name, started), Name: name, StartedAt: started}
 }
 
 func TestLeavingHoldsForAnIncarnation(t *testing.T) {
@@ -36,7 +36,7 @@
 func TestARestHoldsToItsLatestEnd(t *testing.T) {
 	is := is.New(t)
 	b := New(Options{})
-	a := registry.Server{ID: "a"}
+	a := registry.Endpoint{ID: "a"}
 	b.Observe(a, Notice{RestFor: 3 * time.Second}, at(0))
 	b.Observe(a, Notice{RestFor: time.Second}, at(100)) // was on the way
 	is.Equal(b.Allows(&a, at(2999)), ErrResting)
@@ -48,8 +48,8 @@
 func TestAChangeOfANoticeIsReportedOnce(t *testing.T) {
 	is := is.New(t)
 	told := 0
-	b := New(Options{Changed: func(registry.Server, Notice, time.Time) { told++ }})
-	a := registry.Server{ID: "a"}
+	b := New(Options{Changed: func(registry.Endpoint, Notice, time.Time) { told++ }})
+	a := registry.Endpoint{ID: "a"}
 	for i := range 10 {
 		b.Observe(a, Notice{Leaving: true, RestFor: time.Second}, at(i))
 	}
@@ -61,9 +61,9 @@
 func TestEndpointsAreOpenOrClosed(t *testing.T) {
 	is := is.New(t)
 	b := New(Options{})
-	var all []registry.Server
+	var all []registry.Endpoint
 	for i := range 5 {
-		all = append(all, registry.Server{ID: fmt.Sprint("e", i)})
+		all = append(all, registry.Endpoint{ID: fmt.Sprint("e", i)})
 	}
 	closed, _ := b.Closed(all, at(0))
 	is.Equal(len(closed), 0)
@@ -85,7 +85,7 @@
 func TestWhatNoLongerHoldsIsForgotten(t *testing.T) {
 	is := is.New(t)
 	b := New(Options{})
-	a, c := registry.Server{ID: "a"}, registry.Server{ID: "c"}
+	a, c := registry.Endpoint{ID: "a"}, registry.Endpoint{ID: "c"}
 	b.Observe(a, Notice{RestFor: time.Second}, at(0))
 	b.Observe(c, Notice{Leaving: true}, at(0))
 	listed := func(name string) bool { return name == "c" }
@@ -147,9 +147,9 @@
 // Telling which of 2,300 endpoints are closed: 7 ns and no memory while none said
 // anything, 44 µs and 0.9 KB while 20 of them did, on one core.
 func BenchmarkClosed(b *testing.B) {
-	all := make([]registry.Server, 2300)
+	all := make([]registry.Endpoint, 2300)
 	for i := range all {
-		all[i] = registry.Server{ID: fmt.Sprint("e", i)}
+		all[i] = registry.Endpoint{ID: fmt.Sprint("e", i)}
 	}
 	for _, closed := range []int{0, 20} {
 		book := New(Options{})
--- a/internal/notice/notice.go
+++ b/internal/notice/table.go
@@ -25,10 +25,10 @@
 
 // standing is what an endpoint last said of itself.
 type standing struct {
-	leaving   time.Time // time of day when it last said that it leaves; zero if it did not
-	restAsked time.Time // time of day when it last asked for rest
-	restUntil time.Time
-	heardAt   time.Time // when it last said anything of itself
+	leaving    time.Time // time of day when it last said that it leaves; zero if it did not
+	restAsked  time.Time // time of day when it last asked for rest
+	restUntil  time.Time
+	observedAt time.Time // when it last said anything of itself
 }
 
 // leaves reports whether an incarnation said that it leaves. An answer does not tell which
@@ -52,7 +52,7 @@
 type Options struct {
 	// Told is called for each notice that says something new, with the end of the rest if
 	// it asks for one.
-	Changed func(endpoint registry.Server, n Notice, until time.Time)
+	Changed func(endpoint registry.Endpoint, n Notice, until time.Time)
 	// TimeOfDay returns the time of day at a moment, which the starts of endpoints are
 	// compared with; nil for the moment itself.
 	TimeOfDay func(now time.Time) time.Time
@@ -76,7 +76,7 @@
 // Observe takes what an answer said that was read at a time. Leaving, once said, holds for
 // good. A rest holds to the latest end that was asked for: an answer that was on the way
 // meanwhile, and asks for less, does not take back what the one before asked.
-func (b *Table) Observe(endpoint registry.Server, n Notice, at time.Time) {
+func (b *Table) Observe(endpoint registry.Endpoint, n Notice, at time.Time) {
 	if n == (Notice{}) {
 		return
 	}
@@ -87,7 +87,7 @@
 }
 
 // note writes a notice down and reports whether it says something new.
-func (b *Table) note(endpoint registry.Server, n Notice, until, at time.Time) (news bool) {
+func (b *Table) note(endpoint registry.Endpoint, n Notice, until, at time.Time) (news bool) {
 	wall := at
 	if b.options.TimeOfDay != nil {
 		wall = b.options.TimeOfDay(at)
@@ -96,7 +96,7 @@
 	defer b.mu.Unlock()
 	old := *b.standings.Load()
 	s := old[endpoint.StoreID()]
-	s.heardAt = at
+	s.observedAt = at
 	if n.Leaving {
 		news = !s.leaves(endpoint.StartedAt)
 		s.leaving = wall
@@ -122,7 +122,7 @@
 )
 
 // Allows returns nil if an endpoint may be sent a request, else why not.
-func (b *Table) Allows(endpoint *registry.Server, now time.Time) error {
+func (b *Table) Allows(endpoint *registry.Endpoint, now time.Time) error {
 	s := (*b.standings.Load())[endpoint.StoreID()]
 	switch {
 	case s.leaves(endpoint.StartedAt):
@@ -134,7 +134,7 @@
 }
 
 // Leaves reports whether an endpoint said that it leaves.
-func (b *Table) Leaves(endpoint *registry.Server) bool {
+func (b *Table) Leaves(endpoint *registry.Endpoint) bool {
 	s := (*b.standings.Load())[endpoint.StoreID()]
 	return s.leaves(endpoint.StartedAt)
 }
@@ -142,7 +142,7 @@
 // Closed returns the ids of those endpoints that may not be sent requests, and when the
 // first of them takes requests again, zero if none does. It takes no time while no endpoint
 // has said anything.
-func (b *Table) Closed(endpoints []registry.Server, now time.Time) (ids []string, opensAt time.Time) {
+func (b *Table) Closed(endpoints []registry.Endpoint, now time.Time) (ids []string, opensAt time.Time) {
 	standings := *b.standings.Load()
 	if len(standings) == 0 {
 		return nil, time.Time{}
@@ -166,11 +166,11 @@
 
 // Open returns those endpoints that may be sent requests: the list itself while no
 // endpoint has said anything.
-func (b *Table) Open(endpoints []registry.Server, now time.Time) []registry.Server {
+func (b *Table) Open(endpoints []registry.Endpoint, now time.Time) []registry.Endpoint {
 	if len(*b.standings.Load()) == 0 {
 		return endpoints
 	}
-	open := make([]registry.Server, 0, len(endpoints))
+	open := make([]registry.Endpoint, 0, len(endpoints))
 	for i := range endpoints {
 		if b.Allows(&endpoints[i], now) == nil {
 			open = append(open, endpoints[i])
@@ -190,7 +190,7 @@
 	}
 	next := make(map[string]standing, len(old))
 	for id, s := range old {
-		leaves := !s.leaving.IsZero() && (listed(id) || now.Sub(s.heardAt) < keepFor)
+		leaves := !s.leaving.IsZero() && (listed(id) || now.Sub(s.observedAt) < keepFor)
 		if leaves || now.Before(s.restUntil) {
 			next[id] = s
 		}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -46,8 +46,8 @@
 	silentAfter = time.Second
 )
 
-// Node dials and serves sessions.
-type Node struct {
+// Instance dials and serves sessions.
+type Instance struct {
 	self    string
 	net     netx.Network
 	tls     *tls.Config // nil for plain text
@@ -72,15 +72,15 @@
 }
 
 // New returns a node that calls itself self. The clock may be nil.
-func New(n netx.Network, self string, tlsConfig *tls.Config, c *clock.Clock) *Node {
-	return &Node{self: self, clock: c, net: n, tls: tlsConfig, sessions: make(map[netip.AddrPort]*session), traffic: traffic{flows: make(map[Flow]Volume)}}
+func New(n netx.Network, self string, tlsConfig *tls.Config, c *clock.Clock) *Instance {
+	return &Instance{self: self, clock: c, net: n, tls: tlsConfig, sessions: make(map[netip.AddrPort]*session), traffic: traffic{flows: make(map[Flow]Volume)}}
 }
 
 // SetHandler sets who answers; it is called before Serve.
-func (n *Node) SetHandler(h Handler) { n.handler = h }
+func (n *Instance) SetHandler(h Handler) { n.handler = h }
 
 // Bytes returns how many bytes were sent to and got from peers.
-func (n *Node) Bytes() (sent, got int64) { return n.sent.Load(), n.got.Load() }
+func (n *Instance) Bytes() (sent, got int64) { return n.sent.Load(), n.got.Load() }
 
 func config() *yamux.Config {
 	c := yamux.DefaultConfig()
@@ -94,7 +94,7 @@
 }
 
 // Serve answers calls on a listener until ctx ends.
-func (n *Node) Serve(ctx context.Context, l net.Listener) error {
+func (n *Instance) Serve(ctx context.Context, l net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
 	defer stop()
 	var wait sync.WaitGroup
@@ -111,7 +111,7 @@
 	}
 }
 
-func (n *Node) serveConn(ctx context.Context, c net.Conn) {
+func (n *Instance) serveConn(ctx context.Context, c net.Conn) {
 	if n.tls != nil {
 		c = tls.Server(c, n.tls)
 	}
@@ -135,7 +135,7 @@
 	}
 }
 
-func (n *Node) serveStream(ctx context.Context, stream *yamux.Stream) {
+func (n *Instance) serveStream(ctx context.Context, stream *yamux.Stream) {
 	defer stream.Close()
 	var call peerpb.Call
 	if err := read(bufio.NewReader(stream), &call); err != nil {
@@ -160,7 +160,7 @@
 // Call makes a call and returns its one answer. One that came after the time of ctx is none,
 // also where the machine was suspended meanwhile and ctx has time left: what the peer said of
 // that moment is not so any more.
-func (n *Node) Call(ctx context.Context, addr netip.AddrPort, call *peerpb.Call) (*peerpb.Answer, error) {
+func (n *Instance) Call(ctx context.Context, addr netip.AddrPort, call *peerpb.Call) (*peerpb.Answer, error) {
 	var got *peerpb.Answer
 	latest := n.latest(ctx)
 	err := n.Follow(ctx, addr, call, func(a *peerpb.Answer) (bool, error) {
@@ -179,7 +179,7 @@
 var errLate = errors.New("the answer came after its time")
 
 // latest returns when a call's time is over, zero if that is open.
-func (n *Node) latest(ctx context.Context) time.Time {
+func (n *Instance) latest(ctx context.Context) time.Time {
 	end, ok := ctx.Deadline()
 	if !ok {
 		return time.Time{}
@@ -189,7 +189,7 @@
 
 // Follow makes a call and hands each of its answers to each, until that
 // returns false or an error.
-func (n *Node) Follow(ctx context.Context, addr netip.AddrPort, call *peerpb.Call, each func(*peerpb.Answer) (bool, error)) error {
+func (n *Instance) Follow(ctx context.Context, addr netip.AddrPort, call *peerpb.Call, each func(*peerpb.Answer) (bool, error)) error {
 	stream, s, err := n.open(ctx, addr)
 	if err != nil {
 		return err
@@ -225,19 +225,19 @@
 	}
 }
 
-func (n *Node) broke(addr netip.AddrPort, what string, err error) error {
+func (n *Instance) broke(addr netip.AddrPort, what string, err error) error {
 	return fault.New(fault.StepPeer, addr.String(), fault.KindBroken, fault.MayHaveRun, "%s: %w", what, err)
 }
 
 // suspect closes a session that has left calls unanswered for long.
-func (n *Node) suspect(addr netip.AddrPort, s *session) {
+func (n *Instance) suspect(addr netip.AddrPort, s *session) {
 	asked := s.asked.Load()
 	if asked != 0 && n.clock.Now().UnixNano()-asked > int64(silentAfter) {
 		n.drop(addr, s)
 	}
 }
 
-func (n *Node) open(ctx context.Context, addr netip.AddrPort) (*yamux.Stream, *session, error) {
+func (n *Instance) open(ctx context.Context, addr netip.AddrPort) (*yamux.Stream, *session, error) {
 	for range 2 { // a kept session may turn out to be closed; then a new one is made
 		s, err := n.session(ctx, addr)
 		if err != nil {
@@ -253,7 +253,7 @@
 	return nil, nil, fault.New(fault.StepPeer, addr.String(), fault.KindRefused, fault.NotRun, "session closed")
 }
 
-func (n *Node) session(ctx context.Context, addr netip.AddrPort) (*session, error) {
+func (n *Instance) session(ctx context.Context, addr netip.AddrPort) (*session, error) {
 	n.mu.Lock()
 	s, ok := n.sessions[addr]
 	if ok && s.mux != nil && s.mux.IsClosed() {
@@ -273,7 +273,7 @@
 	}
 }
 
-func (n *Node) dial(addr netip.AddrPort, s *session) {
+func (n *Instance) dial(addr netip.AddrPort, s *session) {
 	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
 	defer cancel()
 	c, err := n.net.Dial(ctx, addr)
@@ -294,7 +294,7 @@
 	close(s.ready)
 }
 
-func (n *Node) drop(addr netip.AddrPort, s *session) {
+func (n *Instance) drop(addr netip.AddrPort, s *session) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.sessions[addr] == s {
@@ -305,7 +305,7 @@
 
 // Tidy closes sessions that were not used for long, and all of a peer that is
 // known to be gone.
-func (n *Node) Tidy(now time.Time) {
+func (n *Instance) Tidy(now time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for addr, s := range n.sessions {
@@ -317,7 +317,7 @@
 }
 
 // Forget closes the session to an address.
-func (n *Node) Forget(addr netip.AddrPort) {
+func (n *Instance) Forget(addr netip.AddrPort) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if s, ok := n.sessions[addr]; ok && s.mux != nil {
@@ -327,7 +327,7 @@
 }
 
 // Close closes all sessions.
-func (n *Node) Close() {
+func (n *Instance) Close() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for addr, s := range n.sessions {
@@ -339,11 +339,11 @@
 }
 
 // counted counts the bytes of a connection.
-func (n *Node) counted(c net.Conn) net.Conn { return &countedConn{c, n} }
+func (n *Instance) counted(c net.Conn) net.Conn { return &countedConn{c, n} }
 
 type countedConn struct {
 	net.Conn
-	n *Node
+	n *Instance
 }
 
 func (c *countedConn) Read(b []byte) (int, error) {
--- a/internal/peer/traffic.go
+++ b/internal/peer/traffic.go
@@ -44,7 +44,7 @@
 
 // Traffic returns what the calls of this instance took. Bytes are those of the messages,
 // without what the session adds (two frames of 12 bytes for most).
-func (n *Node) Traffic() map[Flow]Volume {
+func (n *Instance) Traffic() map[Flow]Volume {
 	n.traffic.mu.Lock()
 	defer n.traffic.mu.Unlock()
 	return maps.Clone(n.traffic.flows)
@@ -52,7 +52,7 @@
 
 // SetCrosses sets what tells whether an address is in another hall; it is called before
 // Serve.
-func (n *Node) SetCrosses(crosses func(netip.AddrPort) bool) { n.traffic.crosses = crosses }
+func (n *Instance) SetCrosses(crosses func(netip.AddrPort) bool) { n.traffic.crosses = crosses }
 
 // kindOf returns the kind of a call: the name of its body's type.
 func kindOf(call *peerpb.Call) string {
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -22,7 +22,7 @@
 
 // Offer is the best of a hub's servers for a request.
 type Offer struct {
-	Server   string
+	Endpoint string
 	Cost     float64 // see balance.Choice
 	Uncached int     // prompt tokens that it probably has to read
 	Ticket   uint64  // names the request in notes; it counts until it is done
@@ -38,7 +38,7 @@
 
 // Asker is the node that a request is placed for.
 type Asker struct {
-	Node        string
+	Instance    string
 	Incarnation int64 // a restarted node has a higher one
 }
 
@@ -69,7 +69,7 @@
 
 // Offer places a request of a node on the best of the servers. It counts there
 // until it is done, or until a deadline.
-func (d *Desk) Offer(asker Asker, servers []registry.Server, r *balance.Request, until, now time.Time) (Offer, bool) {
+func (d *Desk) Offer(asker Asker, servers []registry.Endpoint, r *balance.Request, until, now time.Time) (Offer, bool) {
 	d.met(asker, now)
 	ticket, ok := d.tracker.Pick(servers, r, now)
 	if !ok {
@@ -79,17 +79,19 @@
 	defer d.mu.Unlock()
 	d.last++
 	d.open[d.last] = held{ticket, asker, until}
-	return Offer{Server: ticket.Server.ID, Cost: ticket.Cost, Uncached: ticket.Uncached, Ticket: d.last}, true
+	return Offer{Endpoint: ticket.Endpoint.ID, Cost: ticket.Cost, Uncached: ticket.Uncached, Ticket: d.last}, true
 }
 
 // met ends what ran for an earlier incarnation of a node.
 func (d *Desk) met(asker Asker, now time.Time) {
 	d.mu.Lock()
-	restarted := asker.Incarnation > d.starts[asker.Node]
-	d.starts[asker.Node] = max(asker.Incarnation, d.starts[asker.Node])
+	restarted := asker.Incarnation > d.starts[asker.Instance]
+	d.starts[asker.Instance] = max(asker.Incarnation, d.starts[asker.Instance])
 	d.mu.Unlock()
 	if restarted {
-		d.end(func(h held) bool { return h.asker.Node == asker.Node && h.asker.Incarnation < asker.Incarnation }, now)
+		d.end(func(h held) bool {
+			return h.asker.Instance == asker.Instance && h.asker.Incarnation < asker.Incarnation
+		}, now)
 	}
 }
 
@@ -144,13 +146,13 @@
 // Expire ends what must be over: notes may be lost, and nodes die. known says
 // whether a node is a member, wanted whether a server is still there.
 func (d *Desk) Expire(known, wanted func(name string) bool, now time.Time) {
-	d.end(func(h held) bool { return now.After(h.until) || !known(h.asker.Node) }, now)
+	d.end(func(h held) bool { return now.After(h.until) || !known(h.asker.Instance) }, now)
 	d.tracker.Forget(wanted)
 }
 
 // Owned returns those of the servers that belong to a hub.
-func Owned(hub string, hubs []string, servers []registry.Server) []registry.Server {
-	var owned []registry.Server
+func Owned(hub string, hubs []string, servers []registry.Endpoint) []registry.Endpoint {
+	var owned []registry.Endpoint
 	for _, s := range servers {
 		if rendezvous.Best(xxhash.Sum64String(s.ID), hubs) == hub {
 			owned = append(owned, s)
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -13,10 +13,10 @@
 
 var start = time.Unix(1000, 0)
 
-func servers(n int) []registry.Server {
-	var out []registry.Server
+func servers(n int) []registry.Endpoint {
+	var out []registry.Endpoint
 	for i := range n {
-		out = append(out, registry.Server{ID: fmt.Sprint("s", i), Service: "llm"})
+		out = append(out, registry.Endpoint{ID: fmt.Sprint("s", i), Service: "llm"})
 	}
 	return out
 }
@@ -34,7 +34,7 @@
 	for i := range 24 {
 		o, ok := d.Offer(Asker{fmt.Sprint("n", i), 1}, servers(6), prompt(fmt.Sprint(i)), start.Add(time.Minute), start)
 		is.True(ok)
-		got[o.Server]++
+		got[o.Endpoint]++
 	}
 	for id, n := range got {
 		t.Log(id, n)
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -119,7 +119,7 @@
 	broken   []brokenRun              // that wait to hear of their endpoint; guarded by mu
 	ended    map[string]time.Time     // endpoints that are known to have ended; guarded by mu
 	own      map[Fingerprint]bool     // of whom this instance saw something new; guarded by mu
-	heard    map[Fingerprint]bool     // of whom others told something new; guarded by mu
+	received map[Fingerprint]bool     // of whom others told something new; guarded by mu
 }
 
 type brokenRun struct {
@@ -131,7 +131,7 @@
 func New(o Options) *Table {
 	return &Table{
 		options: o, suspects: make(map[Fingerprint]*Suspect), lengths: make(map[int]int), accounts: make(map[string]int),
-		ended: make(map[string]time.Time), own: make(map[Fingerprint]bool), heard: make(map[Fingerprint]bool),
+		ended: make(map[string]time.Time), own: make(map[Fingerprint]bool), received: make(map[Fingerprint]bool),
 	}
 }
 
@@ -288,7 +288,7 @@
 	}
 	changes = append(changes, t.judge(s, now)...)
 	if len(changes) > 0 {
-		t.heard[s.Fingerprint] = true
+		t.received[s.Fingerprint] = true
 	}
 	return changes
 }
@@ -298,7 +298,7 @@
 func (t *Table) Updates() (own, heard []Suspect) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.drain(t.own), t.drain(t.heard)
+	return t.drain(t.own), t.drain(t.received)
 }
 
 func (t *Table) drain(of map[Fingerprint]bool) (out []Suspect) {
@@ -398,7 +398,7 @@
 	s := t.suspects[f]
 	delete(t.suspects, f)
 	delete(t.own, f)
-	delete(t.heard, f)
+	delete(t.received, f)
 	if t.lengths[f.Length]--; t.lengths[f.Length] <= 0 {
 		delete(t.lengths, f.Length)
 	}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -166,7 +166,7 @@
 	is.True(len(q.suspects) <= options.Most)
 	is.Equal(verdict(q, 0, 5), Refused)
 	q.Expire(at(5 + remember.Seconds()*2))
-	is.Equal(len(q.suspects)+len(q.lengths)+len(q.accounts)+len(q.ended)+len(q.broken)+len(q.own)+len(q.heard), 0)
+	is.Equal(len(q.suspects)+len(q.lengths)+len(q.accounts)+len(q.ended)+len(q.broken)+len(q.own)+len(q.received), 0)
 }
 
 func TestPermitsAreHeldOneAtATime(t *testing.T) {
