--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -55,7 +55,7 @@
 }
 
 const (
-	newsDue    = 600 * time.Millisecond // a node is heard of more often than this
+	updateDue  = 600 * time.Millisecond // a node is heard of more often than this
 	assumeMost = 10 * time.Second       // how long a silent node is assumed to go on
 	// keepForgotten is how long totals of a node are kept that is no member any more:
 	// longer than the store turns nodes away.
@@ -70,7 +70,7 @@
 
 // Update is what a node tells of itself.
 type Update struct {
-	Node        string
+	Instance    string
 	Incarnation int64              // a restarted node has a higher one
 	Admitted    map[string]float64 // units by client account since it started
 	Levels      map[string]float64 // of its buckets
@@ -110,10 +110,10 @@
 
 // Use of units that the others may use at the same time.
 const (
-	newsTakes  = 250 * time.Millisecond // until all nodes know what one admitted
-	freshShare = 2.0                    // times its even part of the level that a node may use before
-	calmLevel  = 0.5                    // of the burst: above it an account is well within its limit,
-	calmAfter  = 6 * time.Second        // if it has been for so long: three times what news of 77 nodes take
+	propagation = 250 * time.Millisecond // until all nodes know what one admitted
+	freshShare  = 2.0                    // times its even part of the level that a node may use before
+	calmLevel   = 0.5                    // of the burst: above it an account is well within its limit,
+	calmAfter   = 6 * time.Second        // if it has been for so long: three times what news of 77 nodes take
 )
 
 // mayUse reports whether a node may use so many units before the others hear
@@ -122,7 +122,7 @@
 // come in clumps: while the account is well within its limit, its part is as large
 // as limit.Alone at least.
 func (a *account) mayUse(units float64, limit Limit, nodes int, now time.Time) bool {
-	if now.Sub(a.freshAt) > newsTakes {
+	if now.Sub(a.freshAt) > propagation {
 		a.fresh, a.freshAt = 0, now
 	}
 	level := a.bucket.level + a.fresh
@@ -145,11 +145,11 @@
 	assumed  float64 // taken off without news; settled by the next news
 }
 
-type node struct {
+type instance struct {
 	incarnation int64
 	forgotten   bool // it is no member; its totals are kept in case it is one again
 	stands      int
-	heardAt     time.Time
+	seenAt      time.Time
 	accounts    map[string]*far
 }
 
@@ -157,7 +157,7 @@
 type Limiter struct {
 	start        time.Time // from which empty buckets fill
 	accounts     map[string]*account
-	nodes        map[string]*node
+	instances    map[string]*instance
 	count        int // of nodes that run, as far as is known
 	ticked       time.Time
 	since        time.Time        // first news of a node that knows the levels well
@@ -167,7 +167,7 @@
 
 // New returns the limiter of a node that starts now.
 func New(now time.Time) *Limiter {
-	return &Limiter{start: now, accounts: make(map[string]*account), nodes: make(map[string]*node)}
+	return &Limiter{start: now, accounts: make(map[string]*account), instances: make(map[string]*instance)}
 }
 
 func (l *Limiter) account(name string) *account {
@@ -234,7 +234,7 @@
 // beyondPart refuses a request that is beyond this node's part of a limit: it is to come
 // back when the others know what this node admitted.
 func (l *Limiter) beyondPart(level float64, now time.Time) Verdict {
-	return Verdict{Level: level, Known: l.known(), RetryAt: now.Add(newsTakes)}
+	return Verdict{Level: level, Known: l.known(), RetryAt: now.Add(propagation)}
 }
 
 // part returns the part of a limit that may be used by nodes that know of each
@@ -244,14 +244,14 @@
 	return l
 }
 
-// SetNodes tells how many nodes run, this one included.
-func (l *Limiter) SetNodes(count int) { l.count = count }
+// SetInstances tells how many nodes run, this one included.
+func (l *Limiter) SetInstances(count int) { l.count = count }
 
 // known is the share of the nodes that this one is or has heard of. The others
 // admit their part unseen: after all were started anew, each knows only itself.
 func (l *Limiter) known() float64 {
 	known := 1
-	for _, n := range l.nodes {
+	for _, n := range l.instances {
 		if !n.forgotten {
 			known += n.stands
 		}
@@ -305,16 +305,16 @@
 
 // Apply takes the news of another node.
 func (l *Limiter) Apply(news Update, now time.Time) {
-	n, known := l.nodes[news.Node]
+	n, known := l.instances[news.Instance]
 	if known && n.incarnation != news.Incarnation {
-		l.Forget(news.Node) // settles what it was assumed to admit while it was down
+		l.Forget(news.Instance) // settles what it was assumed to admit while it was down
 	}
 	if !known || n.incarnation != news.Incarnation {
-		n = &node{incarnation: news.Incarnation, accounts: make(map[string]*far)}
-		l.nodes[news.Node] = n
+		n = &instance{incarnation: news.Incarnation, accounts: make(map[string]*far)}
+		l.instances[news.Instance] = n
 	}
 	n.stands = max(1, news.Stands)
-	since := now.Sub(n.heardAt).Seconds()
+	since := now.Sub(n.seenAt).Seconds()
 	counts := 1.0 // share of what it admitted that the levels would still tell of
 	if n.forgotten {
 		n.forgotten, counts = false, min(1, assumeMost.Seconds()/since)
@@ -330,7 +330,7 @@
 		}
 		delta := total - f.admitted
 		f.admitted = total
-		if !n.heardAt.IsZero() && since > 0 {
+		if !n.seenAt.IsZero() && since > 0 {
 			f.rate += rateWeight * (delta/since - f.rate)
 		}
 		l.account(name).bucket.level -= counts*delta - f.assumed
@@ -339,7 +339,7 @@
 	if news.Seasoned {
 		l.adopt(news.Levels, now)
 	}
-	n.heardAt = now
+	n.seenAt = now
 	l.boundDebts(now)
 }
 
@@ -378,12 +378,12 @@
 func (l *Limiter) Tick(now time.Time) {
 	since := now.Sub(l.ticked)
 	l.ticked = now
-	for name, n := range l.nodes {
-		silent := now.Sub(n.heardAt)
+	for name, n := range l.instances {
+		silent := now.Sub(n.seenAt)
 		if n.forgotten && silent > keepForgotten {
-			delete(l.nodes, name)
+			delete(l.instances, name)
 		}
-		if n.forgotten || silent < newsDue || silent > assumeMost {
+		if n.forgotten || silent < updateDue || silent > assumeMost {
 			continue
 		}
 		for name, f := range n.accounts {
@@ -403,7 +403,7 @@
 		a.bucket = bucket{level: min(0, a.bucket.level), at: now, filled: true}
 		a.fresh, a.tightAt = 0, now
 	}
-	clear(l.nodes)
+	clear(l.instances)
 	l.start, l.since = now, time.Time{}
 	l.resumedAt, l.resumeLimits = now, limits
 	l.boundDebts(now)
@@ -412,10 +412,10 @@
 // DropWhere drops those nodes for which over returns true, with all they told: others
 // count what they admit. It is told when each was last heard of.
 func (l *Limiter) DropWhere(over func(node string, heardAt time.Time) bool) {
-	for name, n := range l.nodes {
-		if over(name, n.heardAt) {
+	for name, n := range l.instances {
+		if over(name, n.seenAt) {
 			l.Forget(name)
-			delete(l.nodes, name)
+			delete(l.instances, name)
 		}
 	}
 }
@@ -424,7 +424,7 @@
 // given back. What it told is kept for a while: it may only have been out of reach, and
 // what it admitted meanwhile must count when it is heard of again.
 func (l *Limiter) Forget(name string) {
-	n := l.nodes[name]
+	n := l.instances[name]
 	if n == nil {
 		return
 	}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -90,7 +90,7 @@
 	for i := range f.nodes {
 		if f.nodes[i] == nil && !f.now.Before(f.back[i]) {
 			f.nodes[i], f.started[i] = New(f.now), f.now
-			f.nodes[i].SetNodes(len(f.nodes))
+			f.nodes[i].SetInstances(len(f.nodes))
 		}
 	}
 	if f.now.Sub(time.Unix(1000, 0))%f.news == 0 {
@@ -105,14 +105,14 @@
 				continue
 			}
 			to.Apply(Update{
-				Node: strconv.Itoa(i), Incarnation: f.started[i].UnixNano(), Admitted: from.Admitted(),
+				Instance: strconv.Itoa(i), Incarnation: f.started[i].UnixNano(), Admitted: from.Admitted(),
 				Levels: from.Levels(f.limits(), f.now), Seasoned: f.now.Sub(f.started[i]) > Season,
 			}, f.now)
 		}
 	}
 	for _, l := range f.nodes {
 		if l != nil {
-			l.SetNodes(len(f.nodes))
+			l.SetInstances(len(f.nodes))
 			l.Tick(f.now)
 		}
 	}
@@ -214,8 +214,8 @@
 	for range news {
 		now = now.Add(100 * time.Millisecond)
 		admitted += 50
-		l.SetNodes(2)
-		l.Apply(Update{Node: "b", Incarnation: 1, Admitted: map[string]float64{"t": admitted}}, now)
+		l.SetInstances(2)
+		l.Apply(Update{Instance: "b", Incarnation: 1, Admitted: map[string]float64{"t": admitted}}, now)
 		l.Tick(now)
 	}
 	return l, now
@@ -244,7 +244,7 @@
 		now = now.Add(time.Minute)
 		l.Forget("b")
 		is.Equal(l.Levels(limits, now)["t"], 1500.0)
-		l.Apply(Update{Node: "b", Incarnation: 1, Admitted: map[string]float64{"t": 1500}}, now)
+		l.Apply(Update{Instance: "b", Incarnation: 1, Admitted: map[string]float64{"t": 1500}}, now)
 		l.Forget("b")
 		now = now.Add(c.away - time.Millisecond)
 		_ = l.Levels(limits, now)
@@ -252,7 +252,7 @@
 		l.Tick(now)
 		is.Equal(l.known(), 0.5) // one of two
 		before := l.Levels(limits, now)["t"]
-		l.Apply(Update{Node: "b", Incarnation: 1, Admitted: map[string]float64{"t": 2400}}, now)
+		l.Apply(Update{Instance: "b", Incarnation: 1, Admitted: map[string]float64{"t": 2400}}, now)
 		is.Equal(before-l.Levels(limits, now)["t"], 1500-c.level)
 		is.Equal(l.known(), 1.0)
 	}
@@ -373,7 +373,7 @@
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	l := New(now)
-	l.SetNodes(1)
+	l.SetInstances(1)
 	limit := Limit{Rate: 1000, Burst: 10_000}
 	now = now.Add(10 * time.Second)
 	is.True(l.Admit("t", limit, 9_900, now).OK)
@@ -384,7 +384,7 @@
 
 	now = now.Add(10 * time.Second)
 	is.True(l.Admit("t", limit, 0, now).OK)
-	l.SetNodes(100)
+	l.SetInstances(100)
 	is.True(l.Admit("t", limit, 500, now).OK)
 	v = l.Admit("t", limit, 500, now)
 	is.True(!v.OK)
@@ -450,7 +450,7 @@
 	limit := Limit{Rate: 40, Burst: 80}
 	now := time.Unix(1000, 0)
 	l := New(now.Add(-time.Minute))
-	l.SetNodes(4)
+	l.SetInstances(4)
 	is.True(l.Admit("north", limit, 1, now).OK)
 	now = now.Add(20 * time.Second)
 	l.Resume(map[string]Limit{"north": limit}, now)
@@ -466,9 +466,9 @@
 	limit := Limit{Rate: 40, Burst: 80}
 	now := time.Unix(1000, 0)
 	l := New(now.Add(-time.Minute))
-	l.SetNodes(2)
+	l.SetInstances(2)
 	news := func(admitted float64) Update {
-		return Update{Node: "n1", Incarnation: 1, Admitted: map[string]float64{"north": admitted}}
+		return Update{Instance: "n1", Incarnation: 1, Admitted: map[string]float64{"north": admitted}}
 	}
 	l.Apply(news(100), now)
 	is.True(l.Admit("north", limit, 1, now).OK)
@@ -488,14 +488,14 @@
 	limits := map[string]Limit{"north": {Rate: 40, Burst: 80}}
 	now := time.Unix(1000, 0)
 	l := New(now.Add(-time.Minute))
-	l.SetNodes(2)
+	l.SetInstances(2)
 	is.True(l.Admit("north", limits["north"], 1, now).OK)
 	now = now.Add(20 * time.Second)
 	l.Resume(limits, now)
 	for _, admitted := range []float64{100, 900, 910} {
 		now = now.Add(300 * time.Millisecond)
 		l.Fill(limits, now)
-		l.Apply(Update{Node: "n1", Incarnation: 1, Admitted: map[string]float64{"north": admitted}}, now)
+		l.Apply(Update{Instance: "n1", Incarnation: 1, Admitted: map[string]float64{"north": admitted}}, now)
 	}
 	for range 30 {
 		now = now.Add(100 * time.Millisecond)
--- a/internal/registry/bench_test.go
+++ b/internal/registry/bench_test.go
@@ -10,9 +10,9 @@
 // allocations now that the entries in hand are written over.
 func BenchmarkReplace(b *testing.B) {
 	r := New(testDrain)
-	all := make([]Server, 2300)
+	all := make([]Endpoint, 2300)
 	for i := range all {
-		all[i] = Server{ID: fmt.Sprint("i-", i), Service: "llm", Hall: "z", Slots: 64}
+		all[i] = Endpoint{ID: fmt.Sprint("i-", i), Service: "llm", Hall: "z", Slots: 64}
 	}
 	b.ReportAllocs()
 	for b.Loop() {
@@ -26,7 +26,7 @@
 func BenchmarkQuiet(b *testing.B) {
 	r := New(testDrain)
 	for i := range 2300 {
-		r.Put(Server{ID: fmt.Sprint("i-", i), Service: "llm", Hall: "z", Slots: 64}, began)
+		r.Put(Endpoint{ID: fmt.Sprint("i-", i), Service: "llm", Hall: "z", Slots: 64}, began)
 	}
 	b.Run("expire", func(b *testing.B) {
 		b.ReportAllocs()
--- a/internal/registry/incarnation.go
+++ b/internal/registry/incarnation.go
@@ -20,7 +20,7 @@
 
 // StoreID returns the id that the server has in the store and goes by in requests,
 // whichever its incarnation.
-func (s *Server) StoreID() string {
+func (s *Endpoint) StoreID() string {
 	if s.Name != "" {
 		return s.Name
 	}
@@ -61,11 +61,11 @@
 	return newest
 }
 
-func (r *Registry) judge(newest *incarnation, s *Server) judgement {
+func (r *Registry) judge(newest *incarnation, s *Endpoint) judgement {
 	switch {
 	case s.Revision != 0 && s.Revision < newest.revision:
 		return late
-	case s.StartedAt.IsZero() && r.startTold:
+	case s.StartedAt.IsZero() && r.hasStart:
 		return foreign
 	case s.StartedAt.Before(newest.started):
 		return earlier
@@ -84,7 +84,7 @@
 	newest.revision = max(revision, newest.revision)
 	r.remember(name, now)
 	r.listed = nil
-	if e := r.servers[name]; e != nil {
+	if e := r.endpoints[name]; e != nil {
 		news = news || !e.withheld
 		e.withheld, e.earlier, e.absent = true, nil, time.Time{}
 	}
@@ -96,11 +96,11 @@
 
 // doubt notes that a server's entry names an earlier incarnation. Neither may be used: the
 // earlier one may be over, and whether the later one leaves is not known.
-func (r *Registry) doubt(name string, s Server, now time.Time) Change {
-	e := r.servers[name]
+func (r *Registry) doubt(name string, s Endpoint, now time.Time) Change {
+	e := r.endpoints[name]
 	if e == nil {
-		e = &entry{server: s, withheld: true}
-		r.servers[name] = e
+		e = &entry{endpoint: s, withheld: true}
+		r.endpoints[name] = e
 	}
 	since := now
 	if e.earlier != nil && e.earlier.ID == s.ID {
@@ -113,9 +113,9 @@
 }
 
 // accept takes an earlier incarnation for the newest.
-func (r *Registry) accept(name string, s Server, now time.Time) Event {
+func (r *Registry) accept(name string, s Endpoint, now time.Time) Event {
 	delete(r.newest, name)
-	delete(r.servers, name)
+	delete(r.endpoints, name)
 	r.listed = nil
 	return Event{r.Put(s, now), s}
 }
--- a/internal/registry/incarnation_test.go
+++ b/internal/registry/incarnation_test.go
@@ -11,9 +11,9 @@
 var began = time.Unix(1000, 0)
 
 // entryOf returns the entry of a server's incarnation that began so many seconds on.
-func entryOf(name string, second int, revision int64, leaving bool) Server {
+func entryOf(name string, second int, revision int64, leaving bool) Endpoint {
 	started := began.Add(time.Duration(second) * time.Second)
-	return Server{ID: IncarnationID(name, started), Name: name, StartedAt: started, Revision: revision, Leaving: leaving}
+	return Endpoint{ID: IncarnationID(name, started), Name: name, StartedAt: started, Revision: revision, Leaving: leaving}
 }
 
 // A server said that it leaves, ended, and started again under its id.
@@ -68,10 +68,10 @@
 func TestAnEntryWithoutItsStart(t *testing.T) {
 	is := is.New(t)
 	r := New(testDrain)
-	is.Equal(r.Put(Server{ID: "a", Name: "a", Revision: 1}, began), Joined) // none has told so far
+	is.Equal(r.Put(Endpoint{ID: "a", Name: "a", Revision: 1}, began), Joined) // none has told so far
 	is.Equal(r.Put(entryOf("a", 1, 2, false), began), Restarted)
-	is.Equal(r.Put(Server{ID: "a", Name: "a", Revision: 3}, began), Withheld)
-	is.Equal(r.Put(Server{ID: "c", Name: "c", Revision: 4}, began), Withheld)
+	is.Equal(r.Put(Endpoint{ID: "a", Name: "a", Revision: 3}, began), Withheld)
+	is.Equal(r.Put(Endpoint{ID: "c", Name: "c", Revision: 4}, began), Withheld)
 	r.Expire(false, began.Add(time.Minute))
 	is.True(!listed(r, "a") && !listed(r, "c"))
 }
@@ -91,7 +91,7 @@
 
 // written is a write to the store: an entry, an odd one, or its end.
 type written struct {
-	server   Server
+	server   Endpoint
 	odd      bool
 	gone     bool
 	revision int64
@@ -157,14 +157,14 @@
 			}
 		}
 		last := all[len(all)-1]
-		var listing []Server
+		var listing []Endpoint
 		var odd []string
 		switch {
 		case last.odd:
 			odd = []string{"a"}
 			r.Withhold("a", last.revision, now)
 		case !last.gone:
-			listing = []Server{last.server}
+			listing = []Endpoint{last.server}
 		}
 		r.Replace(listing, odd, last.revision, false, now)
 		s, used := r.Find("a")
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -14,8 +14,8 @@
 	"time"
 )
 
-// Server is one incarnation of a server.
-type Server struct {
+// Endpoint is one incarnation of a server.
+type Endpoint struct {
 	ID        string    // of this incarnation, see IncarnationID
 	Name      string    // id of the server over all its incarnations; empty where that is ID
 	StartedAt time.Time // start of this incarnation; zero where that is not told
@@ -57,10 +57,10 @@
 )
 
 type entry struct {
-	server   Server
+	endpoint Endpoint
 	absent   time.Time // when to drop it; zero while its entry stands
 	withheld bool      // the entry names no server to use
-	earlier  *Server   // the earlier incarnation that the entry names; nil if it names none
+	earlier  *Endpoint // the earlier incarnation that the entry names; nil if it names none
 	since    time.Time // when that was first seen
 }
 
@@ -72,24 +72,24 @@
 
 // Registry holds the servers by their ids over all incarnations.
 type Registry struct {
-	servers   map[string]*entry
+	endpoints map[string]*entry
 	newest    map[string]*incarnation // of each server, also for a while without an entry
 	left      map[string]parting      // by id of the incarnation
 	pending   map[string]bool         // servers whose entry may be absent, or name an earlier incarnation
 	parted    map[string]bool         // servers that may have no entry any more, and are remembered
-	listed    []Server                // what List returns; nil when it has to be made anew
+	listed    []Endpoint              // what List returns; nil when it has to be made anew
 	bound     time.Duration           // within which a server that left is out of use
-	startTold bool                    // some server told when it started: so do all
+	hasStart  bool                    // some server told when it started: so do all
 }
 
 // New returns an empty registry. bound is the time within which a server that
 // left has to be out of use.
 func New(bound time.Duration) *Registry {
-	return &Registry{bound: bound, servers: make(map[string]*entry), newest: make(map[string]*incarnation), left: make(map[string]parting), pending: make(map[string]bool), parted: make(map[string]bool)}
+	return &Registry{bound: bound, endpoints: make(map[string]*entry), newest: make(map[string]*incarnation), left: make(map[string]parting), pending: make(map[string]bool), parted: make(map[string]bool)}
 }
 
 // Put takes a server's entry as written.
-func (r *Registry) Put(s Server, now time.Time) Change {
+func (r *Registry) Put(s Endpoint, now time.Time) Change {
 	name := s.StoreID()
 	newest := r.newestOf(name)
 	switch r.judge(newest, &s) {
@@ -102,7 +102,7 @@
 	}
 	newest.started, newest.revision = s.StartedAt, s.Revision
 	r.listed = nil
-	r.startTold = r.startTold || !s.StartedAt.IsZero()
+	r.hasStart = r.hasStart || !s.StartedAt.IsZero()
 	_, left := r.left[s.ID]
 	if left {
 		s.Leaving = true
@@ -110,22 +110,22 @@
 	if s.Leaving {
 		r.left[s.ID] = parting{name, now.Add(leftFor)}
 	}
-	old := r.servers[name]
+	old := r.endpoints[name]
 	if old == nil {
-		r.servers[name] = &entry{server: s}
+		r.endpoints[name] = &entry{endpoint: s}
 		return changeOf(nil, &s, left)
 	}
 	change := changeOf(old, &s, left)
-	*old = entry{server: s}
+	*old = entry{endpoint: s}
 	return change
 }
 
 // changeOf returns what became of a server whose entry is read. old is what was known of
 // it, nil if it was not, and left says that this incarnation had left before.
-func changeOf(old *entry, s *Server, left bool) Change {
-	again := old != nil && old.server.ID != s.ID
+func changeOf(old *entry, s *Endpoint, left bool) Change {
+	again := old != nil && old.endpoint.ID != s.ID
 	switch {
-	case s.Leaving && !left && (old == nil || again || !old.server.Leaving):
+	case s.Leaving && !left && (old == nil || again || !old.endpoint.Leaving):
 		return Left
 	case s.Leaving:
 		return None
@@ -140,17 +140,17 @@
 // Leave takes an incarnation's own word that it leaves, which may come long before the
 // store's and without it.
 func (r *Registry) Leave(id string, now time.Time) []Event {
-	for name, e := range r.servers {
-		if e.server.ID != id || e.withheld {
+	for name, e := range r.endpoints {
+		if e.endpoint.ID != id || e.withheld {
 			continue
 		}
 		r.left[id] = parting{name, now.Add(leftFor)}
-		if e.server.Leaving {
+		if e.endpoint.Leaving {
 			return nil
 		}
-		e.server.Leaving = true
+		e.endpoint.Leaving = true
 		r.listed = nil
-		return []Event{{Left, e.server}}
+		return []Event{{Left, e.endpoint}}
 	}
 	return nil
 }
@@ -158,7 +158,7 @@
 // Remove takes note that a server's entry is gone as of a revision, 0 if that is not
 // known. trouble says that the store is or just was not to be relied on.
 func (r *Registry) Remove(name string, revision int64, trouble bool, now time.Time) Change {
-	e, ok := r.servers[name]
+	e, ok := r.endpoints[name]
 	if !ok {
 		return None
 	}
@@ -167,7 +167,7 @@
 		return None
 	}
 	newest.revision = max(revision, newest.revision)
-	if trouble && !e.server.Leaving {
+	if trouble && !e.endpoint.Leaving {
 		if e.absent.IsZero() {
 			e.absent = r.absentUntil(now)
 			r.pending[name] = true
@@ -186,10 +186,10 @@
 // drop forgets a server. One that never said that it leaves may come back: its
 // entry lapsed while the store was down.
 func (r *Registry) drop(name string, now time.Time) {
-	if s := r.servers[name].server; s.Leaving {
+	if s := r.endpoints[name].endpoint; s.Leaving {
 		r.left[s.ID] = parting{name, now.Add(leftFor)}
 	}
-	delete(r.servers, name)
+	delete(r.endpoints, name)
 	r.remember(name, now)
 	r.listed = nil
 }
@@ -202,7 +202,7 @@
 
 // Replace takes a whole listing as of a revision, 0 if that is not known: servers that it
 // lacks are gone. withheld are those whose entries name no server to use.
-func (r *Registry) Replace(all []Server, withheld []string, at int64, trouble bool, now time.Time) (changed []Event) {
+func (r *Registry) Replace(all []Endpoint, withheld []string, at int64, trouble bool, now time.Time) (changed []Event) {
 	listed := make(map[string]bool, len(all))
 	for _, s := range all {
 		listed[s.StoreID()] = true
@@ -213,11 +213,11 @@
 	for _, name := range withheld {
 		listed[name] = true
 	}
-	for name, e := range r.servers {
+	for name, e := range r.endpoints {
 		if listed[name] {
 			continue
 		}
-		s := e.server
+		s := e.endpoint
 		if c := r.Remove(name, at, trouble, now); c != None {
 			changed = append(changed, Event{c, s})
 		}
@@ -227,8 +227,8 @@
 
 // Event is a change of a server.
 type Event struct {
-	Change Change
-	Server Server
+	Change   Change
+	Endpoint Endpoint
 }
 
 // Expire drops what has been absent for too long, and believes what entries have named
@@ -237,7 +237,7 @@
 // thousands are quiet.
 func (r *Registry) Expire(storeDown bool, now time.Time) (changed []Event) {
 	for name := range r.pending {
-		e := r.servers[name]
+		e := r.endpoints[name]
 		switch {
 		case e == nil || e.earlier == nil && e.absent.IsZero():
 			delete(r.pending, name)
@@ -247,7 +247,7 @@
 		case storeDown:
 			e.absent = r.absentUntil(now)
 		case now.After(e.absent):
-			changed = append(changed, Event{Gone, e.server})
+			changed = append(changed, Event{Gone, e.endpoint})
 			r.drop(name, now)
 		}
 	}
@@ -258,14 +258,14 @@
 // forget drops what is remembered of servers that have no entry any more.
 func (r *Registry) forget(now time.Time) {
 	for id, p := range r.left {
-		if e := r.servers[p.name]; (e == nil || e.server.ID != id) && now.After(p.until) {
+		if e := r.endpoints[p.name]; (e == nil || e.endpoint.ID != id) && now.After(p.until) {
 			delete(r.left, id)
 		}
 	}
 	for name := range r.parted {
 		newest := r.newest[name]
 		switch {
-		case newest == nil || r.servers[name] != nil:
+		case newest == nil || r.endpoints[name] != nil:
 			delete(r.parted, name)
 		case now.After(newest.until):
 			delete(r.newest, name)
@@ -275,27 +275,27 @@
 }
 
 // Find returns a server by its id over all incarnations, if it may be used.
-func (r *Registry) Find(name string) (Server, bool) {
-	e, ok := r.servers[name]
+func (r *Registry) Find(name string) (Endpoint, bool) {
+	e, ok := r.endpoints[name]
 	if !ok || e.withheld {
-		return Server{}, false
+		return Endpoint{}, false
 	}
-	return e.server, true
+	return e.endpoint, true
 }
 
 // List returns all servers that may be used, ordered by id. It is the same slice until
 // something becomes of a server, and must not be changed.
-func (r *Registry) List() []Server {
+func (r *Registry) List() []Endpoint {
 	if r.listed != nil {
 		return r.listed
 	}
-	out := make([]Server, 0, len(r.servers))
-	for _, e := range r.servers {
+	out := make([]Endpoint, 0, len(r.endpoints))
+	for _, e := range r.endpoints {
 		if !e.withheld {
-			out = append(out, e.server)
+			out = append(out, e.endpoint)
 		}
 	}
-	slices.SortFunc(out, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(out, func(a, b Endpoint) int { return cmp.Compare(a.ID, b.ID) })
 	r.listed = out
 	return out
 }
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -21,7 +21,7 @@
 	is := is.New(t)
 	r := New(testDrain)
 	now := time.Unix(1000, 0)
-	r.Put(Server{ID: "a"}, now)
+	r.Put(Endpoint{ID: "a"}, now)
 	is.Equal(r.Remove("a", 0, true, now), Absent)
 	is.True(listed(r, "a")) // it may live
 	r.Expire(false, now.Add(testDrain*9/10))
@@ -32,9 +32,9 @@
 	is := is.New(t)
 	r := New(testDrain)
 	now := time.Unix(1000, 0)
-	r.Put(Server{ID: "a"}, now)
+	r.Put(Endpoint{ID: "a"}, now)
 	r.Remove("a", 0, true, now)
-	r.Put(Server{ID: "a"}, now.Add(time.Second))
+	r.Put(Endpoint{ID: "a"}, now.Add(time.Second))
 	r.Expire(false, now.Add(time.Minute))
 	is.True(listed(r, "a"))
 }
@@ -44,7 +44,7 @@
 	is := is.New(t)
 	r := New(testDrain)
 	now := time.Unix(1000, 0)
-	r.Put(Server{ID: "a"}, now)
+	r.Put(Endpoint{ID: "a"}, now)
 	r.Remove("a", 0, true, now)
 	for range 50 {
 		now = now.Add(100 * time.Millisecond)
@@ -59,12 +59,12 @@
 	is := is.New(t)
 	r := New(testDrain)
 	now := time.Unix(1000, 0)
-	r.Put(Server{ID: "a"}, now)
-	is.Equal(r.Put(Server{ID: "a", Leaving: true}, now), Left)
-	r.Put(Server{ID: "a"}, now) // an old entry
+	r.Put(Endpoint{ID: "a"}, now)
+	is.Equal(r.Put(Endpoint{ID: "a", Leaving: true}, now), Left)
+	r.Put(Endpoint{ID: "a"}, now) // an old entry
 	is.True(!listed(r, "a"))
 	is.Equal(r.Remove("a", 0, true, now), Gone) // it said that it leaves
-	r.Put(Server{ID: "a"}, now.Add(time.Second))
+	r.Put(Endpoint{ID: "a"}, now.Add(time.Second))
 	is.True(!listed(r, "a"))
 }
 
@@ -72,8 +72,8 @@
 	is := is.New(t)
 	r := New(testDrain)
 	now := time.Unix(1000, 0)
-	r.Replace([]Server{{ID: "a"}, {ID: "b"}}, nil, 0, false, now)
-	changed := r.Replace([]Server{{ID: "b"}}, nil, 0, false, now)
+	r.Replace([]Endpoint{{ID: "a"}, {ID: "b"}}, nil, 0, false, now)
+	changed := r.Replace([]Endpoint{{ID: "b"}}, nil, 0, false, now)
 	is.Equal(len(changed), 1)
 	is.Equal(changed[0].Change, Gone)
 	is.Equal(len(r.List()), 1)
@@ -85,13 +85,13 @@
 	is := is.New(t)
 	now := time.Now()
 	r := New(2 * time.Second)
-	s := Server{ID: "a", Service: "svc"}
+	s := Endpoint{ID: "a", Service: "svc"}
 	is.Equal(r.Put(s, now), Joined)
 	changed := r.Leave("a", now)
 	is.Equal(len(changed), 1)
 	is.Equal(changed[0].Change, Left)
 	is.Equal(len(r.Leave("a", now)), 0)
 	is.Equal(len(r.Leave("other", now)), 0)
-	is.Equal(len(r.Replace([]Server{s}, nil, 0, false, now)), 0)
+	is.Equal(len(r.Replace([]Endpoint{s}, nil, 0, false, now)), 0)
 	is.True(r.List()[0].Leaving)
 }
--- a/internal/relay/upkeep.go
+++ b/internal/relay/upkeep.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	newsEvery   = 50 * time.Millisecond
-	expireEvery = 2 * time.Second
+	pushInterval = 50 * time.Millisecond
+	expireEvery  = 2 * time.Second
 )
 
 // markUpdated marks a record as having news for the holder of its second copy.
@@ -32,7 +32,7 @@
 // PushUpdates brings second copies up to date until ctx ends: for each holder one
 // message with the news of all records.
 func (r *Relay) PushUpdates(ctx context.Context) error {
-	t := time.NewTicker(newsEvery)
+	t := time.NewTicker(pushInterval)
 	defer t.Stop()
 	for {
 		select {
@@ -45,8 +45,8 @@
 }
 
 type sentUpdate struct {
-	rec  *record.Record
-	news record.Update
+	rec    *record.Record
+	update record.Update
 }
 
 func (r *Relay) pushOnce(ctx context.Context) {
@@ -79,7 +79,7 @@
 	defer cancel()
 	_, err := r.Peers.Call(ctx, m.Addr, &peerpb.Call{Body: &peerpb.Call_Progress{Progress: &peerpb.Progress{Updates: updates}}})
 	for _, s := range sent {
-		if err != nil || s.rec.Reported(holder, s.news) {
+		if err != nil || s.rec.Reported(holder, s.update) {
 			r.markUpdated(s.rec)
 		}
 	}
--- a/internal/rollctl/rollctl.go
+++ b/internal/rollctl/rollctl.go
@@ -172,12 +172,12 @@
 	}
 	k := rollout.Key{Service: w.service, Order: s.record.Order, Route: w.route, Trial: w.onTrial(s)}
 	if k.Trial {
-		k.Bucket = s.arms.Group[w.ticket.Server.ID]
+		k.Bucket = s.arms.Group[w.ticket.Endpoint.ID]
 	}
 	return k, true
 }
 
-func (w *watcher) onTrial(s *service) bool { return w.ticket.Server.Version == s.record.Target }
+func (w *watcher) onTrial(s *service) bool { return w.ticket.Endpoint.Version == s.record.Target }
 
 // began counts the first event of a request, or that none came.
 func (c *Control) began(w *watcher) {
@@ -206,6 +206,6 @@
 }
 
 // Divide divides a service's endpoints as its roll-out asks for.
-func (c *Control) Divide(servers []registry.Server, r rollout.Record, unproved func(version string) bool) rollout.Arms {
+func (c *Control) Divide(servers []registry.Endpoint, r rollout.Record, unproved func(version string) bool) rollout.Arms {
 	return rollout.Divide(servers, r, c.bound.TrialShare(), unproved)
 }
--- a/internal/rollctl/rollctl_test.go
+++ b/internal/rollctl/rollctl_test.go
@@ -24,7 +24,7 @@
 // serve sends a request to an endpoint, which answers it.
 func serve(c *Control, r *balance.Request, version string) {
 	tracker := balance.NewTracker()
-	k, _ := tracker.Pick([]registry.Server{{ID: "e", Service: "s", Version: version}}, r, begin)
+	k, _ := tracker.Pick([]registry.Endpoint{{ID: "e", Service: "s", Version: version}}, r, begin)
 	c.Watch(k, r, begin)
 	k.Arrive()
 	k.Done(balance.Answered, begin)
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -96,10 +96,10 @@
 
 // Arms are the endpoints of a service, divided by version.
 type Arms struct {
-	Main  []registry.Server // that get all requests but the trial's
-	Trial []registry.Server // that get the trial's share
-	Old   map[string]bool   // ids of those that the target replaces
-	Group map[string]uint8  // ids of those of the target, to the group that each is counted in
+	Main  []registry.Endpoint // that get all requests but the trial's
+	Trial []registry.Endpoint // that get the trial's share
+	Old   map[string]bool     // ids of those that the target replaces
+	Group map[string]uint8    // ids of those of the target, to the group that each is counted in
 }
 
 // leastTrial is the number of endpoints that a trial needs, if there are so many: a
@@ -112,9 +112,9 @@
 // requests that a trial gets: they go to no more endpoints than that share of those
 // there are, so that each has as much to do as the others, and a version that fails
 // under load does so while it is on trial.
-func Divide(servers []registry.Server, r Record, share float64, unproved func(version string) bool) Arms {
+func Divide(servers []registry.Endpoint, r Record, share float64, unproved func(version string) bool) Arms {
 	arms := Arms{Old: make(map[string]bool), Group: make(map[string]uint8)}
-	var target, unknown, rejected []registry.Server
+	var target, unknown, rejected []registry.Endpoint
 	for _, s := range servers {
 		if r.Order != 0 && s.Version == r.Target {
 			target = append(target, s)
@@ -151,7 +151,7 @@
 
 // firstOf returns the first list that has anything in it: endpoints that should not be
 // used are better than none.
-func firstOf(lists ...[]registry.Server) []registry.Server {
+func firstOf(lists ...[]registry.Endpoint) []registry.Endpoint {
 	for _, l := range lists {
 		if len(l) > 0 {
 			return l
@@ -167,9 +167,9 @@
 
 // rank orders the endpoints of the target: the first ones are on trial. All instances
 // order them alike, and each roll-out differently.
-func rank(target []registry.Server, r Record) {
+func rank(target []registry.Endpoint, r Record) {
 	subject := xxhash.Sum64String(r.Service) ^ uint64(r.Order)
-	slices.SortFunc(target, func(a, b registry.Server) int {
+	slices.SortFunc(target, func(a, b registry.Endpoint) int {
 		return cmp.Compare(rendezvous.Score(subject, b.ID), rendezvous.Score(subject, a.ID))
 	})
 }
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -60,15 +60,15 @@
 	is.True(sent >= 20) // after eight requests each, of which the share alone allows none
 }
 
-func endpoints(version string, n int) []registry.Server {
-	var out []registry.Server
+func endpoints(version string, n int) []registry.Endpoint {
+	var out []registry.Endpoint
 	for i := range n {
-		out = append(out, registry.Server{ID: fmt.Sprint(version, "-", i), Version: version})
+		out = append(out, registry.Endpoint{ID: fmt.Sprint(version, "-", i), Version: version})
 	}
 	return out
 }
 
-func versionsOf(servers []registry.Server) map[string]int {
+func versionsOf(servers []registry.Endpoint) map[string]int {
 	out := make(map[string]int)
 	for _, s := range servers {
 		out[s.Version]++
@@ -84,7 +84,7 @@
 	for name, c := range map[string]struct {
 		order       *Order
 		last        *Record
-		servers     []registry.Server
+		servers     []registry.Endpoint
 		unproved    string
 		main, trial map[string]int
 	}{
--- a/internal/soak/endpoint.go
+++ b/internal/soak/endpoint.go
@@ -89,10 +89,10 @@
 }
 
 // entry returns its entry in the store.
-func (e *endpoint) entry() registry.Server {
+func (e *endpoint) entry() registry.Endpoint {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return registry.Server{ID: e.id, Name: e.id, Service: e.service, Addr: e.addr, Hall: e.hall, Version: "v1", Slots: slots, Leaving: e.behavior.leaving}
+	return registry.Endpoint{ID: e.id, Name: e.id, Service: e.service, Addr: e.addr, Hall: e.hall, Version: "v1", Slots: slots, Leaving: e.behavior.leaving}
 }
 
 // change changes its behavior.
--- a/internal/tally/tally.go
+++ b/internal/tally/tally.go
@@ -70,22 +70,22 @@
 
 // Pool sums at a hub what the instances told it.
 type Pool[K comparable, V Number] struct {
-	told map[Source]Counts[K, V] // newest of each instance
-	sum  Counts[K, V]            // of all, those that are gone included
+	reported map[Source]Counts[K, V] // newest of each instance
+	sum      Counts[K, V]            // of all, those that are gone included
 }
 
 // NewPool returns an empty pool.
 func NewPool[K comparable, V Number]() *Pool[K, V] {
-	return &Pool[K, V]{told: make(map[Source]Counts[K, V]), sum: make(Counts[K, V])}
+	return &Pool[K, V]{reported: make(map[Source]Counts[K, V]), sum: make(Counts[K, V])}
 }
 
 // Take takes the totals that an instance tells.
 func (p *Pool[K, V]) Take(from Source, totals Counts[K, V]) {
-	before := p.told[from]
+	before := p.reported[from]
 	for key, v := range totals {
 		p.sum[key] += v - before[key]
 	}
-	merge(p.told, from, totals)
+	merge(p.reported, from, totals)
 }
 
 // Sum returns the sums over all instances that ever told anything. They must not
@@ -95,7 +95,7 @@
 // Drop forgets keys that are not counted any more.
 func (p *Pool[K, V]) Drop(key func(K) bool) {
 	dropKeys(p.sum, key)
-	for _, told := range p.told {
+	for _, told := range p.reported {
 		dropKeys(told, key)
 	}
 }
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -33,19 +33,19 @@
 }
 
 type source struct {
-	node        string
+	instance    string
 	incarnation int64
 }
 
 // Counter holds the counts of this node and what it heard of the others'.
 type Counter struct {
-	own   map[int64]Counts
-	heard map[int64]map[source]Counts
+	own      map[int64]Counts
+	received map[int64]map[source]Counts
 }
 
 // New returns an empty counter.
 func New() *Counter {
-	return &Counter{own: make(map[int64]Counts), heard: make(map[int64]map[source]Counts)}
+	return &Counter{own: make(map[int64]Counts), received: make(map[int64]map[source]Counts)}
 }
 
 // Add counts requests of a client account in a window; n is negative for one that
@@ -72,10 +72,10 @@
 // incarnation counted stays.
 func (c *Counter) Apply(node string, incarnation int64, counts map[int64]Counts) {
 	for w, of := range counts {
-		all := c.heard[w]
+		all := c.received[w]
 		if all == nil {
 			all = make(map[source]Counts)
-			c.heard[w] = all
+			c.received[w] = all
 		}
 		all[source{node, incarnation}] = of
 	}
@@ -91,7 +91,7 @@
 	for account, n := range c.own[window] {
 		out[account] += n
 	}
-	for _, counts := range c.heard[window] {
+	for _, counts := range c.received[window] {
 		for account, n := range counts {
 			out[account] += n
 		}
@@ -101,7 +101,7 @@
 
 // Record is what one incarnation of a node counted in a window.
 type Record struct {
-	Node        string `json:"node"`
+	Instance    string `json:"node"`
 	Incarnation int64  `json:"incarnation"`
 	Window      int64  `json:"window"`
 	Counts      Counts `json:"counts"`
@@ -116,15 +116,15 @@
 			out = append(out, Record{node, incarnation, w, maps.Clone(counts)})
 		}
 	}
-	for w, sources := range c.heard {
+	for w, sources := range c.received {
 		for s, counts := range sources {
 			if w >= from {
-				out = append(out, Record{s.node, s.incarnation, w, counts})
+				out = append(out, Record{s.instance, s.incarnation, w, counts})
 			}
 		}
 	}
 	slices.SortFunc(out, func(a, b Record) int {
-		return cmp.Or(cmp.Compare(a.Window, b.Window), cmp.Compare(a.Node, b.Node), cmp.Compare(a.Incarnation, b.Incarnation))
+		return cmp.Or(cmp.Compare(a.Window, b.Window), cmp.Compare(a.Instance, b.Instance), cmp.Compare(a.Incarnation, b.Incarnation))
 	})
 	return out
 }
@@ -134,24 +134,24 @@
 // incarnation knows better itself.
 func (c *Counter) Recall(records []Record, node string, incarnation int64) {
 	for _, r := range records {
-		if r.Node == node && r.Incarnation == incarnation {
+		if r.Instance == node && r.Incarnation == incarnation {
 			continue
 		}
-		all := c.heard[r.Window]
+		all := c.received[r.Window]
 		if all == nil {
 			all = make(map[source]Counts)
-			c.heard[r.Window] = all
+			c.received[r.Window] = all
 		}
 		merged := maps.Clone(r.Counts)
-		for account, n := range all[source{r.Node, r.Incarnation}] {
+		for account, n := range all[source{r.Instance, r.Incarnation}] {
 			merged[account] = max(merged[account], n)
 		}
-		all[source{r.Node, r.Incarnation}] = merged
+		all[source{r.Instance, r.Incarnation}] = merged
 	}
 }
 
 // Expire forgets the windows long before current.
 func (c *Counter) Expire(current int64) {
 	maps.DeleteFunc(c.own, func(w int64, _ Counts) bool { return w < current-KeepWindows })
-	maps.DeleteFunc(c.heard, func(w int64, _ map[source]Counts) bool { return w < current-KeepWindows })
+	maps.DeleteFunc(c.received, func(w int64, _ map[source]Counts) bool { return w < current-KeepWindows })
 }
--- a/internal/vocabulary/vocabulary.go
+++ b/internal/vocabulary/vocabulary.go
@@ -21,19 +21,28 @@
 	"golang.org/x/tools/go/analysis"
 )
 
-// retired are terms that the glossary replaced, with the term to use.
-var retired = map[string]string{
-	"hear": "apply or observe", "hears": "apply or observe", "heard": "apply or seen",
-	"tell": "send, report or broadcast", "tells": "send, report or broadcast", "told": "sent, reported or announced",
-	"news": "update", "owe": "pending", "owes": "pending", "owed": "pending", "brief": "broadcast", "briefed": "synced",
-	"woke": "resumed", "woken": "resumed", "wake": "resume", "forgive": "bound", "believe": "accept", "believed": "accepted",
-	"spoke": "follower", "spokes": "followers", "lesson": "estimate", "lessons": "estimates", "said": "announced",
+// term is a rejected word with the term to use.
+type term struct {
+	use      string
+	platform bool // the package that speaks to the platform may use it
 }
 
-// platformWords are words of the platform, with the project's own.
-var platformWords = map[string]string{
-	"server": "endpoint", "servers": "endpoints", "node": "instance", "nodes": "instances", "zone": "hall", "zones": "halls",
-	"tenant": "client account", "tenants": "client accounts", "machine": "instance", "machines": "instances",
+//go:embed words.txt
+var wordText string
+
+// terms are the rejected words.
+var terms = parseTerms(wordText)
+
+// parseTerms reads lines of kind, word and term. It leaves out comments.
+func parseTerms(text string) map[string]term {
+	out := make(map[string]term)
+	for line := range strings.Lines(text) {
+		kind, rest, _ := strings.Cut(strings.TrimSpace(line), " ")
+		if word, use, ok := strings.Cut(rest, " "); ok && kind != "#" {
+			out[word] = term{use, kind == "platform"}
+		}
+	}
+	return out
 }
 
 // Analyzer reports declared names that use a rejected word more often than allow.txt lets them.
@@ -89,19 +98,12 @@
 			continue
 		}
 		for _, id := range names {
-			pass.Reportf(id.Pos(), "%s uses %q: say %s (%d such names in %s, %d allowed)", id.Name, word, replacement(word), len(names), path, allowed[use{path, word}])
+			pass.Reportf(id.Pos(), "%s uses %q: say %s (%d such names in %s, %d allowed)", id.Name, word, terms[word].use, len(names), path, allowed[use{path, word}])
 		}
 	}
 	return nil, nil
 }
 
-func replacement(word string) string {
-	if term, ok := retired[word]; ok {
-		return term
-	}
-	return platformWords[word]
-}
-
 // uses returns the declared names of a package that use a rejected word, by word.
 func uses(pass *analysis.Pass) map[string][]*ast.Ident {
 	found := make(map[string][]*ast.Ident)
@@ -147,11 +149,8 @@
 // rejected reports whether names of a package may not use a word. The package that speaks to the
 // platform has its words.
 func rejected(pass *analysis.Pass, word string) bool {
-	if _, ok := retired[word]; ok {
-		return true
-	}
-	_, ok := platformWords[word]
-	return ok && !strings.HasPrefix(strings.TrimPrefix(pass.Pkg.Path(), modulePath), "platform")
+	t, ok := terms[word]
+	return ok && !(t.platform && strings.HasPrefix(strings.TrimPrefix(pass.Pkg.Path(), modulePath), "platform"))
 }
 
 // words splits a name at its capitals and returns the parts in lower case.
