Soak: links to endpoints and to the store that delay, reset, go silent one way

A loopback proxy stands on each link from instances to endpoints, the store and the cloud. Three more kinds of faults harm one for seconds.

--- a/internal/check/history.go
+++ b/internal/check/history.go
@@ -113,6 +113,12 @@
 	From, To time.Time
 }
 
+// HeldUp is a time for which the link to an endpoint was harmed: requests may reach it late.
+type HeldUp struct {
+	Endpoint string
+	From, To time.Time
+}
+
 // DutyCall is a call that one instance at a time may make.
 type DutyCall struct {
 	At     time.Time
@@ -145,6 +151,7 @@
 	Configs     []Config
 	Leavings    []Leaving
 	Disruptions []Disruption
+	HeldUp      []HeldUp
 	DutyCalls   []DutyCall
 	Exits       []Exit
 	Accounts    []Account
@@ -227,6 +234,16 @@
 	return !x.disrupted(instance, from, to) && !x.disrupted("", from, to)
 }
 
+// heldUp reports whether a request at an endpoint may be late because the link was harmed.
+func (x *index) heldUp(r *Arrival) bool {
+	for _, h := range x.HeldUp {
+		if h.Endpoint == r.Endpoint && h.From.Before(r.At) && r.At.Before(h.To.Add(x.Bounds.Contact)) {
+			return true
+		}
+	}
+	return false
+}
+
 // sender returns the instance that a request was sent to.
 func (x *index) sender(request string) string {
 	if a := x.attempts[request]; a != nil {
--- a/internal/check/rules_test.go
+++ b/internal/check/rules_test.go
@@ -287,6 +287,19 @@
 	}
 }
 
+func TestARequestOverAHarmedLinkMayBeLate(t *testing.T) {
+	is := is.New(t)
+	for _, rule := range []string{"DRAIN store", "DRAIN answer", "BUDGET rest", "LIMIT", "BUDGET deadline", "GONE"} {
+		h := &History{Bounds: testBounds, EndedAt: at(60_000), HeldUp: []HeldUp{{"e", at(-1), at(6000)}}}
+		planted[rule].above(h)
+		for _, r := range Rules {
+			if r.Name == rule {
+				is.Equal(r.Check(newIndex(h)), nil) // rule
+			}
+		}
+	}
+}
+
 func TestARepeatedDutyCallOfAnEarlierHolderIsReported(t *testing.T) {
 	is := is.New(t)
 	h := &History{Bounds: testBounds, DutyCalls: []DutyCall{{at(0), "n", 1, 5, "a=1"}, {at(10), "m", 2, 6, "a=1"}, {at(20), "n", 1, 7, "a=1"}}}
--- a/internal/soak/endpoint.go
+++ b/internal/soak/endpoint.go
@@ -57,7 +57,7 @@
 	id      string
 	service string
 	hall    string
-	addr    netip.AddrPort
+	link    *link // that instances reach it through
 	record  *recorder
 	sender  func(request string) string // instance that a request was sent to
 	crashed func(e *endpoint)           // called once it has ended under a request
@@ -76,7 +76,10 @@
 	if err != nil {
 		return fmt.Errorf("start endpoint %s: %w", e.id, err)
 	}
-	e.addr = netip.MustParseAddrPort(l.Addr().String())
+	if e.link, err = newLink("127.0.0.1:0", netip.MustParseAddrPort(l.Addr().String())); err != nil {
+		_ = l.Close()
+		return err
+	}
 	e.server = &http.Server{Handler: e, ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = e.server.Serve(l) }()
 	return nil
@@ -86,13 +89,14 @@
 func (e *endpoint) end() {
 	e.ended.Store(true)
 	_ = e.server.Close()
+	e.link.close()
 }
 
 // entry returns its entry in the store.
 func (e *endpoint) entry() registry.Endpoint {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return registry.Endpoint{ID: e.id, Name: e.id, Service: e.service, Addr: e.addr, Hall: e.hall, Version: "v1", Slots: slots, Leaving: e.behavior.leaving}
+	return registry.Endpoint{ID: e.id, Name: e.id, Service: e.service, Addr: e.link.addr(), Hall: e.hall, Version: "v1", Slots: slots, Leaving: e.behavior.leaving}
 }
 
 // change changes its behavior.
--- /dev/null
+++ b/internal/soak/link_test.go
@@ -0,0 +1,105 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// echo returns a link to a server that sends back what it gets.
+func echo(t *testing.T) *link {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				_, _ = io.Copy(c, c)
+			}()
+		}
+	}()
+	k, err := newLink("127.0.0.1:0", netip.MustParseAddrPort(l.Addr().String()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		k.close()
+		_ = l.Close()
+	})
+	return k
+}
+
+func dial(t *testing.T, k *link) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", k.addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	return c
+}
+
+// exchange sends a byte and waits for it to come back.
+func exchange(c net.Conn) error {
+	if _, err := c.Write([]byte{1}); err != nil {
+		return err
+	}
+	_, err := io.ReadFull(c, make([]byte, 1))
+	return err
+}
+
+func TestALinkCarriesBytesBothWays(t *testing.T) {
+	is := is.New(t)
+	c := dial(t, echo(t))
+	is.NoErr(exchange(c))
+	is.NoErr(exchange(c))
+}
+
+func TestASilentLinkCarriesWhatWaitedOnceItHeals(t *testing.T) {
+	for _, s := range []linkState{{silentTo: true}, {silentOf: true}} {
+		is := is.New(t)
+		k := echo(t)
+		c := dial(t, k)
+		is.NoErr(exchange(c))
+		k.set(s)
+		_, err := c.Write([]byte{1})
+		is.NoErr(err)
+		_ = c.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+		_, err = c.Read(make([]byte, 1))
+		is.True(err != nil) // nothing came back
+		_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+		k.set(linkState{})
+		_, err = io.ReadFull(c, make([]byte, 1))
+		is.NoErr(err)
+	}
+}
+
+func TestALinkIsResetAndRefusesConnections(t *testing.T) {
+	is := is.New(t)
+	k := echo(t)
+	c := dial(t, k)
+	is.NoErr(exchange(c))
+	k.set(linkState{refuses: true})
+	k.reset()
+	is.True(exchange(c) != nil)
+	again, err := net.Dial("tcp", k.addr().String())
+	if err == nil {
+		err = exchange(again)
+		_ = again.Close()
+	}
+	is.True(err != nil)
+	k.set(linkState{})
+	is.NoErr(exchange(dial(t, k)))
+}
--- a/internal/soak/recorder.go
+++ b/internal/soak/recorder.go
@@ -83,6 +83,20 @@
 	}
 }
 
+// holdUp records that the link to an endpoint is harmed from now on, and returns what ends it.
+func (r *recorder) holdUp(endpoint string) (end func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := len(r.history.HeldUp)
+	now := time.Now()
+	r.history.HeldUp = append(r.history.HeldUp, check.HeldUp{Endpoint: endpoint, From: now, To: now.Add(time.Hour)})
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.history.HeldUp[n].To = time.Now()
+	}
+}
+
 // finish returns the history of the run.
 func (r *recorder) finish(bounds check.Bounds, accounts []check.Account) *check.History {
 	r.mu.Lock()
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -37,12 +37,15 @@
 	Deadly       Kind = "deadly"        // a request comes again and again under which endpoints end
 	GiveUp       Kind = "give-up"       // callers leave before their answer
 	Burst        Kind = "burst"         // several times the requests
+	LinkSlow     Kind = "link-slow"     // a link to an endpoint or the store delays and throttles
+	LinkReset    Kind = "link-reset"    // its connections are reset, and new ones refused
+	LinkSilent   Kind = "link-silent"   // it carries nothing one way
 )
 
 // Kinds are all kinds of faults.
 var Kinds = []Kind{
 	Stop, Kill, Pause, StoreDown, StoreRefuses, StoreSlow, StoreLoses, StoreForgets, StoreSilent, CloudDown, Configure, Revoke,
-	Leave, LeaveQuietly, Rest, Limit, Refuse, Fail, Hang, LoseAnswers, Crash, Deadly, GiveUp, Burst,
+	Leave, LeaveQuietly, Rest, Limit, Refuse, Fail, Hang, LoseAnswers, Crash, Deadly, GiveUp, Burst, LinkSlow, LinkReset, LinkSilent,
 }
 
 // Action is one fault of a run. Times are since the start of the traffic.
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -41,6 +41,8 @@
 		r.traffic.setFactor(1)
 	case Deadly:
 		r.sendDeadly(ctx, a)
+	case LinkSlow, LinkReset, LinkSilent:
+		r.strikeLink(ctx, a)
 	default:
 		if e := r.world.pick(a.Target); e != nil {
 			r.strikeEndpoint(ctx, a, e)
@@ -91,6 +93,37 @@
 	r.world.store.SetFaults(instance, storetest.Faults{})
 }
 
+// linkStates are what links do.
+var linkStates = map[Kind][]linkState{
+	LinkSlow:   {{delay: 150 * time.Millisecond, perSecond: 200_000}},
+	LinkReset:  {{refuses: true}},
+	LinkSilent: {{silentTo: true}, {silentOf: true}},
+}
+
+// strikeLink harms the link of an instance to the store, or that of all to an endpoint.
+func (r *run) strikeLink(ctx context.Context, a Action) {
+	var k *link
+	if a.Target%3 == 0 {
+		i := r.instances[a.Target/3%uint64(len(r.instances))]
+		k = r.world.links[i.name]
+		defer r.record.disrupt(i.name, a.Kind, false)()
+	} else {
+		e := r.world.pick(a.Target / 3)
+		if e == nil {
+			return
+		}
+		k = e.link
+		defer r.record.holdUp(e.id)()
+	}
+	states := linkStates[a.Kind]
+	k.set(states[a.Target/5%uint64(len(states))])
+	if a.Kind == LinkReset {
+		k.reset()
+	}
+	sleep(ctx, a.For)
+	k.set(linkState{})
+}
+
 // rateLimits are what an endpoint names in turn while it is limited.
 var rateLimits = []float64{3, 1, 0.5, 6, 2}
 
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -7,6 +7,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"net/netip"
 	"slices"
 	"strings"
 	"sync"
@@ -23,11 +24,13 @@
 
 // world is the platform around the instances: its store, cloud and endpoints.
 type world struct {
-	store   *storetest.Store
-	record  *recorder
-	sender  func(request string) string
-	servers []*http.Server
-	cloud   *cloud
+	store    *storetest.Store
+	record   *recorder
+	sender   func(request string) string
+	servers  []*http.Server
+	links    map[string]*link // of instances to the store
+	platform []*link          // to the store and the cloud
+	cloud    *cloud
 
 	mu        sync.Mutex
 	endpoints []*endpoint // that take work; guarded by mu
@@ -61,7 +64,7 @@
 func (c *cloud) Scale(duty.Token, string, string, int, bool) error { return nil }
 
 func newWorld(record *recorder) *world {
-	return &world{store: storetest.New(), record: record, cloud: &cloud{record: record}}
+	return &world{store: storetest.New(), links: make(map[string]*link), record: record, cloud: &cloud{record: record}}
 }
 
 // serve serves the store and the cloud as an instance sees them.
@@ -73,10 +76,19 @@
 		{storePort, platformtest.StoreHandler(w.store.Client(i.name))},
 		{cloudPort, platformtest.CloudHandler(w.cloud)},
 	} {
-		l, err := net.Listen("tcp", i.at(s.port).String())
+		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			return fmt.Errorf("serve the platform for %s: %w", i.name, err)
 		}
+		k, err := newLink(i.at(s.port).String(), netip.MustParseAddrPort(l.Addr().String()))
+		if err != nil {
+			_ = l.Close()
+			return err
+		}
+		w.platform = append(w.platform, k)
+		if s.port == storePort {
+			w.links[i.name] = k
+		}
 		server := &http.Server{Handler: s.handler, ReadHeaderTimeout: 5 * time.Second}
 		w.servers = append(w.servers, server)
 		go func() { _ = server.Serve(l) }()
@@ -93,6 +105,9 @@
 	for _, e := range all {
 		e.end()
 	}
+	for _, k := range w.platform {
+		k.close()
+	}
 	for _, s := range w.servers {
 		_ = s.Close()
 	}
