--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -12,7 +12,7 @@
 
 // admitted drives nine instances with callers that move between them and
 // returns how many requests were admitted in each 10 s. gossip says which
-// instances hear of each other.
+// instances learn of each other.
 func admitted(seed uint64, seconds int, gossip func(i, j int) bool) []int {
 	const instances, asked = 9, 400
 	rnd := rand.New(rand.NewPCG(seed, 2))
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -1,6 +1,6 @@
 // Package balance chooses the server that a request is sent to.
 //
-// The choice is a pure function of what is believed about the servers: prompt
+// The choice is a pure function of what is assumed about the servers: prompt
 // tokens and requests on the way from this node and from the others, how fast
 // and how reliable a server was of late, and which parts of the prompt it
 // probably keeps. All nodes come to the same home for a shared prompt without
@@ -60,10 +60,10 @@
 	return tokens, d.Sum64()
 }
 
-// View is what is believed of one server at the moment of a choice.
+// View is what is assumed of one server at the moment of a choice.
 type View struct {
 	Endpoint registry.Endpoint
-	Open     float64       // requests on the way, from all nodes, as far as news of them still say anything
+	Open     float64       // requests on the way, from all nodes, as far as updates on them still say anything
 	Prompt   int           // prompt tokens not read yet, from all nodes
 	Holdup   float64       // how much the prompts not read yet hold up streams, from all nodes
 	Slow     float64       // how its times compare with those of its like; 1 is usual
--- a/internal/balance/endpoint.go
+++ b/internal/balance/endpoint.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// What is believed of a server.
+// What is assumed of a server.
 const (
 	failureHalfLife = 4 * time.Second // until half of a failure is forgotten; faults last seconds
 	failureWeight   = 0.3             // of the newest result
@@ -15,12 +15,12 @@
 	slowWeight      = 0.15             // of the newest time
 	slowLeast       = 0.7              // times count as no less than this share of what is expected,
 	slowMost        = 8                // and as no more than so many times
-	slowHalfLife    = 6 * time.Second  // until half of what is believed of a server's speed is forgotten: one that gets no work would never prove itself
-	keepFor         = 20 * time.Second // how long a shared prompt is believed to be kept
+	slowHalfLife    = 6 * time.Second  // until half of what is assumed of a server's speed is forgotten: one that gets no work would never prove itself
+	keepFor         = 20 * time.Second // how long a shared prompt is assumed to be kept
 	keepMost        = 4096             // shared prompts remembered for one server
 )
 
-// endpointState is what is believed of one server.
+// endpointState is what is assumed of one server.
 type endpointState struct {
 	use       Use // from this node
 	slow      float64
@@ -33,7 +33,7 @@
 	keeps     map[uint64]time.Time // hash of shared parts to when they were sent there last
 }
 
-// slowNow is how slow the server is believed to be; 1 is usual.
+// slowNow is how slow the server is assumed to be; 1 is usual.
 func (s *endpointState) slowNow(now time.Time) float64 {
 	return 1 + (s.slow-1)*math.Exp2(-float64(now.Sub(s.slowAt))/float64(slowHalfLife))
 }
--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -31,7 +31,7 @@
 	apart  share // and of the others
 }
 
-// Terms of the risk. It is believed in full if one in ten streams more is late
+// Terms of the risk. It is assumed in full if one in ten streams more is late
 // beside long prompts, which is what keeping them apart costs about.
 const (
 	fullRisk  = 0.1
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -8,11 +8,11 @@
 	"github.com/shelfcrank/shelfcrank/internal/registry"
 )
 
-// What is believed of a service.
+// What is assumed of a service.
 const (
 	firstWork      = 50 * time.Millisecond // of a request of a plain service, until some were seen
 	serviceWeight  = 0.05                  // of the newest such time
-	intervalWeight = 0.02                  // of the newest time between two news
+	intervalWeight = 0.02                  // of the newest time between two updates
 	aloneShare     = 0.25                  // of its own tokens that a request may find queued, to tell how fast a server reads
 )
 
@@ -55,7 +55,7 @@
 	uses      map[string]Use
 	demand    map[string]Demand // by service
 	estimates Estimates
-	at        time.Time // when it was told
+	at        time.Time // when it was received
 	until     time.Time // when it counts no more
 }
 
@@ -68,7 +68,7 @@
 	longPrompts    chan struct{}             // has room for one
 	desk           Estimates                 // of the tracker that this node places requests by as a hub; guarded by mu
 	sums           map[string]Use            // of the remotes, by server id; guarded by mu
-	updateInterval float64                   // nanoseconds between two news of a node, on the mean; guarded by mu
+	updateInterval float64                   // nanoseconds between two updates of a node, on the mean; guarded by mu
 }
 
 // NewTracker returns a tracker that believes nothing yet.
@@ -140,11 +140,11 @@
 	return k
 }
 
-// broadcastFrom is the number of prompt tokens from which the other nodes hear of a
+// broadcastFrom is the number of prompt tokens from which the other nodes learn of a
 // request at once.
 const broadcastFrom = 3000
 
-// LongPrompts is sent on when the other nodes should hear of the uses at once.
+// LongPrompts is sent on when the other nodes should learn of the uses at once.
 func (t *Tracker) LongPrompts() <-chan struct{} { return t.longPrompts }
 
 // Demand returns, by service, what this node was asked for.
@@ -183,9 +183,9 @@
 	}
 }
 
-// farOpen returns how many requests of the others are believed to be at a server
-// still. Of those of a plain service that they told of, those are gone by now
-// that take less time than the news do; to go by their number would send all
+// farOpen returns how many requests of the others are assumed to be at a server
+// still. Of those of a plain service that they reported, those are gone by now
+// that take less time than updates do; to go by their number would send all
 // instances' requests to the server that had fewest then.
 func (t *Tracker) farOpen(told int, service *serviceState) float64 {
 	if service.engine {
@@ -213,7 +213,7 @@
 	return s
 }
 
-// Update is what another node tells. Brief news leave all but the uses as it was.
+// Update is what another node sends. One of uses only leaves all else as it was.
 type Update struct {
 	Uses      map[string]Use
 	Demand    map[string]Demand // by service
@@ -221,7 +221,7 @@
 	UsesOnly  bool
 }
 
-// Apply takes another node's news, which count until the node is heard of again
+// Apply takes another node's update, which counts until the node is seen again
 // or until a deadline.
 func (t *Tracker) Apply(node string, news Update, until, now time.Time) {
 	t.mu.Lock()
@@ -261,7 +261,7 @@
 	return out
 }
 
-// Forget drops what is believed of servers that are gone.
+// Forget drops what is assumed of servers that are gone.
 func (t *Tracker) Forget(wanted func(server string) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -90,7 +90,7 @@
 	})
 }
 
-// serving are the packages in which what is believed, promised or bounded hangs on time.
+// serving are the packages in which what is assumed, promised or bounded hangs on time.
 var serving = []string{"front", "forward", "backend", "peer", "duty", "rollctl", "relay", "gateway", "entry", "control"}
 
 // steadyTime is what tells the steady time, which stands still while the machine is suspended.
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -29,7 +29,7 @@
 // NoticesRead brings reclaim notices.
 type NoticesRead struct{ Notices []platform.Notice }
 
-// HeartbeatReceived brings news of entry instances and what their sender knows.
+// HeartbeatReceived brings updates of entry instances and what their sender knows.
 type HeartbeatReceived struct {
 	Members []member.Member
 	Leaving []platform.Notice
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -70,7 +70,7 @@
 	mu    sync.Mutex
 	token Token
 	until time.Time // when this node stops acting; guarded by mu
-	taken bool      // the key is believed to be there; guarded by mu
+	taken bool      // the key is assumed to be there; guarded by mu
 }
 
 // New returns an elector; Run runs it.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -296,7 +296,7 @@
 }
 
 // watchClock tells of standstills of this instance, and ends what passed its time meanwhile.
-// What is believed needs nothing then: its age says that it has to be heard anew.
+// What is assumed needs nothing then: its age says that it has to be received anew.
 func (i *Instance) watchClock(ctx context.Context) error {
 	c := i.opts.Clock
 	if c == nil {
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -66,7 +66,7 @@
 
 // heartbeatTo returns where heartbeats go. A heartbeat is answered by one, so
 // of two that have each other as neighbours only the one with the lower ID
-// begins, unless it has news or has not heard of the other for a while.
+// begins, unless it has an update or has not seen the other for a while.
 func (i *Instance) heartbeatTo(all bool) []netip.AddrPort {
 	s := i.loop.Snapshot()
 	l := member.NewList(s.Self)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -69,7 +69,7 @@
 	fullLoad    = 0.75             // how full the servers may be that are left after the loss of two halls,
 	fullLoss    = 0.8              // how full they may be if the next hall goes as well
 	twoLossLoad = 0.9              // and if the next two do: others take seconds to start
-	mostReading = 0.8              // at the most the share of a server's time that is believed to go into prompts
+	mostReading = 0.8              // at the most the share of a server's time that may go into prompts
 	hallsLost   = 2                // halls that may go at once
 	settle      = 8 * time.Second  // after the first traffic nothing is given back
 	tryAgain    = 3 * time.Second  // after a refusal no reclaimable ones are asked for
--- a/internal/front/deadly_test.go
+++ b/internal/front/deadly_test.go
@@ -266,7 +266,7 @@
 }
 
 // Instances are cut off from each other in two halves, and both reach the servers: each half
-// counts for itself. Once they hear of each other again, nothing more is sent by either.
+// counts for itself. Once they learn of each other again, nothing more is sent by either.
 func TestAQuarantineWhileInstancesAreCutOff(t *testing.T) {
 	play(t, 4, func(is *is.I, w *world) {
 		time.Sleep(4 * time.Second)
--- a/internal/front/deadlyagain_test.go
+++ b/internal/front/deadlyagain_test.go
@@ -91,7 +91,7 @@
 	}
 }
 
-// An instance that is heard of before its registration is known here is told of all suspects
+// An instance that is seen before its registration is known here is told of all suspects
 // once it is.
 func TestSuspectsArePendingForAnInstanceUntilItIsListed(t *testing.T) {
 	play(t, 4, func(is *is.I, w *world) {
--- a/internal/front/digest.go
+++ b/internal/front/digest.go
@@ -18,10 +18,10 @@
 )
 
 // digestInstance is the name under which the word of all others is kept, whichever hub
-// told it.
+// sent it.
 const digestInstance = "/digest"
 
-// serveReport takes the report of an instance, and tells it what the others counted.
+// serveReport takes the report of an instance, and answers with what the others counted.
 func (n *Instance) serveReport(call *peerpb.Call, answer func(*peerpb.Answer) error) error {
 	if !n.state.members.topology().Self {
 		return fault.New(fault.StepPeer, call.From, fault.KindNotFound, fault.NotRun, "this instance is no hub")
@@ -35,7 +35,7 @@
 	n.groups.reported(call.From, report)
 	n.limits.Apply(report.limits, now)
 	n.applyPermits(q.Share.Rollouts, now)
-	// Counts that an earlier run of this hub was told are known to the other hubs.
+	// Counts that an earlier run of this hub received are known to the other hubs.
 	counted := q.HubIncarnation == n.incarnation()
 	if counted {
 		n.countReport(tally.Source{Instance: call.From, Incarnation: q.Share.Incarnation}, q.Share)
@@ -56,7 +56,7 @@
 	a.counters.runsIn.Take(from, runs)
 }
 
-// reportOf reads what a report tells of what an instance is doing.
+// reportOf reads from a report what an instance is doing.
 func reportOf(s *peerpb.Share, now time.Time) reported {
 	news := updateOf(s)
 	r := reported{uses: news.Uses, demand: news.Demand, risk: make(map[string]float64), rollouts: rolloutStates(s.Rollouts), limits: wire.Decode(s.Limits), at: now}
@@ -163,7 +163,7 @@
 // service.
 func placedByHubs(s *policy.Service) bool { return s.Engine != nil }
 
-// takeDigest takes what a hub tells of all others, after it confirmed this instance's
+// takeDigest takes what a hub sends of all others, after it confirmed this instance's
 // own counts.
 func (n *Instance) takeDigest(hub tally.Source, units unitCounts, runs runCounts, d *peerpb.Digest, now time.Time) {
 	n.state.members.seen(hub.Instance, now)
@@ -173,7 +173,7 @@
 		n.applyEndpointsAt(hub.Instance, d.ServersAt, now)
 	}
 	for _, g := range d.Groups {
-		n.state.members.seen(g.Hub, now) // the hub heard of it just now, the store may have lost it
+		n.state.members.seen(g.Hub, now) // the hub saw it just now, the store may have lost it
 		n.applyClock(g.Hub, g.Wall, now)
 	}
 	n.limits.Apply(wire.Decode(d.Limits), now)
--- a/internal/front/follower_test.go
+++ b/internal/front/follower_test.go
@@ -152,7 +152,7 @@
 }
 
 // The store turns a node away for long, so that its registration ends; the
-// others hear of it all the while, however seldom the nodes of a large fleet
+// others receive its updates all the while, however seldom the nodes of a large fleet
 // speak to each other.
 func TestANodeWithoutTheStoreStaysAMember(t *testing.T) {
 	is := is.New(t)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -343,8 +343,8 @@
 // node, nor it with them.
 const longStandstill = shareTTLLeast
 
-// onResume takes note that this node stood still. Most of what is believed needs nothing then: its
-// age says that it has to be heard anew. Watches are begun anew, whose connections may be dead, and
+// onResume handles a standstill of this node. Most of the state needs nothing then: its
+// age says that it has to be received anew. Watches are begun anew, whose connections may be dead, and
 // what keeps this node proved and registered is done at once.
 func (n *Instance) onResume(w clock.Resumption) {
 	n.event(event.Resumed, zap.Duration("stood", w.Stood), zap.Duration("suspended", w.Suspended), zap.Int("ended", w.Ended), zap.Duration("config_age", n.Clock.Since(n.view.Load().ReadAt)))
@@ -399,7 +399,7 @@
 }
 
 // reload reads the settings again when asked to. Addresses and the like cannot
-// change while a process runs; a change is told in the log.
+// change while a process runs; a change is logged.
 func (n *Instance) reload(ctx context.Context) error {
 	for {
 		select {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -407,7 +407,7 @@
 }
 
 // The watches of one node go silent and no read of the configuration shows it:
-// it hears from the others that there is news of a server.
+// the others report a newer change of a server.
 func TestASilentWatchOfServersIsNoticed(t *testing.T) {
 	play(t, 3, func(is *is.I, w *world) {
 		w.store.SetFaults("n0", storetest.Faults{Silent: true})
--- a/internal/front/group.go
+++ b/internal/front/group.go
@@ -12,9 +12,9 @@
 )
 
 // In a large fleet soft state goes up and down a tree: each instance reports to a
-// hub, the hubs exchange the sums of their groups, and the answer to a report tells
+// hub, the hubs exchange the sums of their groups, and the answer to a report has
 // what all the others counted. An instance speaks with one or two others whatever
-// the size of the fleet. With all speaking to all, news of 295 instances were 7.4 s
+// the size of the fleet. With all sending to all, updates of 295 instances were 7.4 s
 // old; so they are some 0.8 s old.
 
 // groupMark follows a hub's name where counts are those of its whole group, so that
@@ -58,8 +58,8 @@
 	return out
 }
 
-// counters keeps the counts of an instance of a large fleet: what it told the hubs, what
-// others told it as a hub, and what the groups of the hubs counted. It is guarded by
+// counters keeps the counts of an instance of a large fleet: what it reported to the hubs, what
+// others reported to it as a hub, and what the groups of the hubs counted. It is guarded by
 // the admission's mu.
 type counters struct {
 	units   *tally.Ledger[string, float64]
--- a/internal/front/group_test.go
+++ b/internal/front/group_test.go
@@ -69,7 +69,7 @@
 	}, limited(rate, burst, 0))
 }
 
-// What instances tell each other does not grow with the fleet for those that are no
+// What instances exchange does not grow with the fleet for those that are no
 // hubs. It did with its size: each spoke to all others.
 func TestGossipPerInstanceDoesNotGrowWithTheFleet(t *testing.T) {
 	bytes := make(map[int]float64)
--- a/internal/front/hubgroup.go
+++ b/internal/front/hubgroup.go
@@ -22,7 +22,7 @@
 	others  map[string]peerGroup // of the other hubs, by name; guarded by mu
 }
 
-// peerGroup is what another hub last told.
+// peerGroup is what another hub last sent.
 type peerGroup struct {
 	share  *peerpb.Share
 	update balance.Update // of servers and services, from the share
@@ -44,7 +44,7 @@
 	g.reports[from] = r
 }
 
-// apply notes what another hub tells.
+// apply notes what another hub sends.
 func (g *groups) apply(s *peerpb.Share, news balance.Update, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -59,7 +59,7 @@
 	return maps.Clone(g.reports)
 }
 
-// known returns what the other hubs tell.
+// known returns what the other hubs sent.
 func (g *groups) known(now time.Time) map[string]peerGroup {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -67,7 +67,7 @@
 	return maps.Clone(g.others)
 }
 
-// reportUpdate sums reports as news of one node, but for that of one instance.
+// reportUpdate sums reports as an update of one node, but for that of one instance.
 func reportUpdate(reports map[string]reported, but string) balance.Update {
 	news := balance.Update{Uses: make(map[string]balance.Use), Demand: make(map[string]balance.Demand)}
 	for from, r := range reports {
@@ -111,7 +111,7 @@
 }
 
 // groupUnits returns the units that this hub's group admitted: what was reported, and
-// its own but for what it told other hubs before it became one. The caller holds the
+// its own but for what it reported to other hubs before it became one. The caller holds the
 // admission's mu.
 func (n *Instance) groupUnits() unitCounts {
 	a := n.admission
@@ -165,7 +165,7 @@
 	}, now)
 }
 
-// groupShare is what this hub tells the other hubs.
+// groupShare is what this hub sends to the other hubs.
 func (n *Instance) groupShare(now time.Time) *peerpb.Share {
 	reports := n.groups.own(now)
 	s := &peerpb.Share{
@@ -187,7 +187,7 @@
 	return s
 }
 
-// applyGroup takes what another hub tells of its group.
+// applyGroup takes what another hub sends of its group.
 func (n *Instance) applyGroup(s *peerpb.Share, now time.Time) {
 	news := updateOf(s)
 	n.groups.apply(s, news, now)
--- a/internal/front/lastseen.go
+++ b/internal/front/lastseen.go
@@ -5,14 +5,14 @@
 	"time"
 )
 
-// lastSeen is when other instances were last heard of, by themselves or through
+// lastSeen is when other instances were last seen, by themselves or through
 // others, by name. It is safe for concurrent use.
 type lastSeen struct {
 	mu sync.Mutex
 	at map[string]time.Time // guarded by mu
 }
 
-// note notes that an instance was heard of at a time, which may come late.
+// note notes that an instance was seen at a time, which may come late.
 func (h *lastSeen) note(name string, at time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -24,7 +24,7 @@
 	}
 }
 
-// of returns when an instance was last heard of, the zero time if that is long ago.
+// of returns when an instance was last seen, the zero time if that is long ago.
 func (h *lastSeen) of(name string) time.Time {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/front/limit_test.go
+++ b/internal/front/limit_test.go
@@ -14,7 +14,7 @@
 // A client account that sent many times its limit got 4% more than a window allows.
 //
 // What happened: the store turned two of seven instances away for longer than their
-// registrations last, while the others went on to hear of them. Meanwhile four others
+// registrations last, while the others still received their updates. Meanwhile four others
 // were stopped as planned and started again. They learned who runs from the store alone,
 // so that they did not know the two, or dropped them: of a pair the one that is named
 // first asks the other, and those that did not know the last one never asked it. Neither
--- a/internal/front/lost.go
+++ b/internal/front/lost.go
@@ -15,21 +15,21 @@
 // Who runs is known from the store. While it turns some instances away, their
 // registrations end although they run, and they see nobody else's: an instance that
 // starts then would not know of them, nor they of it, and neither count what the other
-// admits. So instances tell each other who runs as long as the store has lost any.
+// admits. So instances exchange who runs as long as the store has lost any.
 
-// runningInstance is an instance that another one told of.
+// runningInstance is an instance that another one reported.
 type runningInstance struct {
 	topology.Member
 	seenAt time.Time
 }
 
-// peerInstances tells the state who runs.
+// peerInstances carries to the state who runs.
 type peerInstances []runningInstance
 
 func (peerInstances) change() {}
 
-// advertisedInstances returns the instances to tell others of, none while the store has them
-// all. In a small fleet, that is all that were heard of lately: those that the
+// advertisedInstances returns the instances to report to others, none while the store has them
+// all. In a small fleet, that is all that were seen lately: those that the
 // store turns away know no others than these. In a large one it is those that the
 // store lost; the others are known through the hubs.
 func (n *Instance) advertisedInstances(now time.Time) []*peerpb.Instance {
@@ -73,7 +73,7 @@
 	return &peerpb.Instance{Name: m.Name, Address: m.Addr.String(), Hall: m.Hall, Cores: m.Cores, Age: int64(max(age, 0))}
 }
 
-// passOn returns what another hub told some time ago, as this one tells it: a hub that
+// passOn returns what another hub reported some time ago, as this one reports it: a hub that
 // the store turned away does not know which instances it lost since.
 func passOn(told []*peerpb.Instance, ago time.Duration) []*peerpb.Instance {
 	return lo.Map(told, func(i *peerpb.Instance, _ int) *peerpb.Instance {
@@ -81,7 +81,7 @@
 	})
 }
 
-// applyInstances takes what another instance tells of who runs.
+// applyInstances takes from another instance which instances run.
 func (n *Instance) applyInstances(from string, told []*peerpb.Instance, now time.Time) {
 	var running peerInstances
 	for _, i := range told {
@@ -108,7 +108,7 @@
 
 // learn takes who runs as another instance knows it, and reports whether anything
 // changed. What the store says of a registered instance goes before, unless this
-// instance cannot read it. The times go with what is told, so that an instance that ended
+// instance cannot read it. The times go with the report, so that an instance that ended
 // is dropped everywhere as soon after its last word.
 func (m *members) learn(told peerInstances, now time.Time) bool {
 	changed := false
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -21,7 +21,7 @@
 	registered bool
 }
 
-// registration is what a node tells the others of itself through the store.
+// registration is what a node publishes of itself through the store.
 type registration struct {
 	Addr  netip.AddrPort
 	Hall  string `json:"Zone"` // its name in the store
@@ -33,7 +33,7 @@
 	return registration{Addr: n.Settings.Peer, Hall: n.Settings.Hall, Cores: n.Settings.Cores}
 }
 
-// A node that is heard of counts although its registration ended, for the store
+// A node that is seen counts although its registration ended, for the store
 // may have been down, or turn that node away: for so long, or for so many
 // exchanges.
 const (
@@ -41,7 +41,7 @@
 	memberTTLRounds = 3
 )
 
-// memberTTL returns how long a node counts after it was heard of.
+// memberTTL returns how long a node counts after it was seen.
 func (n *Instance) memberTTL() time.Duration {
 	return max(memberTTLLeast, memberTTLRounds*n.shareEvery())
 }
@@ -77,7 +77,7 @@
 // count returns the number of nodes, this one included.
 func (m *members) count() int { return 1 + len(m.all) }
 
-// seen notes that a node was heard of.
+// seen notes that a node was seen.
 func (m *members) seen(name string, at time.Time) { m.seenAt.note(name, at) }
 
 func (m *members) prefix() string { return m.instance.Decoder.OwnPrefix() + keyInstances }
@@ -160,12 +160,12 @@
 	return other
 }
 
-// lostGrace is how long after the end of a registration hubs have to tell that the
+// lostGrace is how long after the end of a registration hubs have to report that the
 // instance goes on: a report and an exchange between hubs take half of it.
 const lostGrace = time.Second
 
 // unregister notes that the registration of a node ended. In a large fleet those that
-// go on all the same are told of by hubs, which takes a moment.
+// go on all the same are reported by hubs, which takes a moment.
 func (m *members) unregister(other *member, now time.Time) {
 	other.registered = false
 	if m.instance.grouped() {
@@ -173,7 +173,7 @@
 	}
 }
 
-// expire drops nodes that are neither registered nor heard of, and reports
+// expire drops nodes that are neither registered nor seen, and reports
 // whether there were any.
 func (m *members) expire(now time.Time) bool {
 	dropped := m.drop(now)
--- a/internal/front/peerproof_test.go
+++ b/internal/front/peerproof_test.go
@@ -54,7 +54,7 @@
 	}
 }
 
-// A node that hears of nobody cannot tell an outage from its being turned away.
+// A node that learns of nobody cannot tell an outage from its being turned away.
 func TestAnIsolatedInstanceRefusesKeysInTime(t *testing.T) {
 	play(t, 1, func(is *is.I, w *world) {
 		w.store.SetFaults("n0", storetest.Faults{Busy: true, Silent: true})
--- a/internal/front/placing_test.go
+++ b/internal/front/placing_test.go
@@ -58,7 +58,7 @@
 	return open
 }
 
-// Hubs place the requests of all nodes, and hear of the end of each.
+// Hubs place the requests of all nodes, and learn of the end of each.
 func TestHubsPlaceRequests(t *testing.T) {
 	play(t, large, func(is *is.I, w *world) {
 		w.engines(5)
--- a/internal/front/share.go
+++ b/internal/front/share.go
@@ -23,7 +23,7 @@
 	shareLeast        = 200 * time.Millisecond
 	shareForInstance  = 25 * time.Millisecond // added for each node, so that a node's load stays the same as the fleet grows
 	shareTimeout      = 600 * time.Millisecond
-	broadcastInterval = 15 * time.Millisecond // at the most, news of a long prompt
+	broadcastInterval = 15 * time.Millisecond // at the most, uses by long prompts
 	shareTTLLeast     = 2 * time.Second       // a node's word counts for so long, or for
 	shareTTLRounds    = 3                     // so many exchanges
 	silentLeast       = time.Second           // a node that should ask and has not for so long is silent, or for
@@ -130,7 +130,7 @@
 	return min(n.shareEvery(), shareLeast+now.Sub(n.start))
 }
 
-// broadcastUses tells the other nodes at once when a long prompt was sent to a
+// broadcastUses sends the uses to the other nodes at once when a long prompt went to a
 // server: requests come in clumps, and nodes that decide at the same moment
 // would all choose the same server.
 func (n *Instance) broadcastUses(ctx context.Context) error {
@@ -169,7 +169,7 @@
 	return answer(&peerpb.Answer{Body: &peerpb.Answer_Share{Share: n.share()}})
 }
 
-// share is what this node tells the others it speaks to.
+// share is what this node sends to those it exchanges with.
 func (n *Instance) share() *peerpb.Share {
 	if n.state.members.topology().Self {
 		return n.groupShare(n.Clock.Now())
@@ -189,7 +189,7 @@
 	return s
 }
 
-// applyShare takes what another node tells. Counts are taken from nodes that see the
+// applyShare takes the share of another node. Counts are taken from nodes that see the
 // fleet as this one does: all from all, or hubs from hubs.
 func (n *Instance) applyShare(s *peerpb.Share) {
 	now := n.Clock.Now()
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -101,7 +101,7 @@
 	provedAt   time.Time
 	readAt     time.Time // the same for this node's own way to the store
 	outageAt   time.Time // when the others last said that they cannot read the store either
-	stale      bool      // a stale configuration was told of
+	stale      bool      // a stale configuration was reported
 	troubleAt  time.Time // of the last call that failed
 	answeredAt time.Time // of the last call that did not
 	storeDown  bool
@@ -300,7 +300,7 @@
 }
 
 // decode reads a server's entry. One that can't be read names no server to use, and is
-// told of once for each change; the others hold.
+// logged once for each change; the others hold.
 func (s *state) decode(id string, item store.Item, now time.Time) (registry.Endpoint, bool) {
 	server, err := s.instance.Decoder.Endpoint(id, item.Value, now)
 	if err == nil {
@@ -344,7 +344,7 @@
 	}
 }
 
-// takeOrder takes an order that a watch told of.
+// takeOrder takes an order that a watch brought.
 func (s *state) takeOrder(e store.Event) {
 	if !e.Gone && s.rollouts.takeOrder(e.Item) {
 		s.publishDue = true
--- a/internal/front/suspects.go
+++ b/internal/front/suspects.go
@@ -22,18 +22,18 @@
 	permitAsked   = 2                     // instances that are asked for a permit
 )
 
-// suspects knows the requests under which servers end, and tells the other instances. It
+// suspects knows the requests under which servers end, and broadcasts them to the other instances. It
 // implements forward.Quarantine.
 //
 // What an instance sees goes at once to all that count: to all others in a small fleet, to
-// the hubs in a large one. Hubs tell their instances of those that may not run freely. One
-// that some of it did not reach, or that has started since, is told all when it is next
-// heard of. Nothing is told while no server ends.
+// the hubs in a large one. Hubs pass on to their instances those that may not run freely. One
+// that missed an update, or has started since, is synced when it is next
+// seen. Nothing is sent while no server ends.
 type suspects struct {
 	instance *Instance
 	table    *quarantine.Table
 	permits  *quarantine.Permits
-	kick     chan struct{} // there are news; has room for one
+	kick     chan struct{} // updates are there; has room for one
 
 	mu     sync.Mutex
 	probes map[string]*probe     // by id of the incarnation; guarded by mu
@@ -81,7 +81,7 @@
 		if !granted {
 			break
 		}
-		if v, end := s.table.Verdict(f, s.instance.Clock.Now()); v == quarantine.Refused { // heard while it was asked
+		if v, end := s.table.Verdict(f, s.instance.Clock.Now()); v == quarantine.Refused { // received while it was asked
 			s.release(owner, f, true)
 			return nil, s.refused(f, end)
 		}
@@ -102,7 +102,7 @@
 	return lo.Map(order[:min(permitAsked, len(order))], func(name string, _ int) topology.Member { return by[name] })
 }
 
-// counting returns the other instances that hear of all ends of servers.
+// counting returns the other instances that learn of all ends of servers.
 func (s *suspects) counting() []topology.Member {
 	members := s.instance.state.members
 	if hubs := members.topology().Hubs; len(hubs) > 0 {
@@ -111,7 +111,7 @@
 	return membersOf(members.list())
 }
 
-// counts reports whether this instance hears of all ends of servers.
+// counts reports whether this instance learns of all ends of servers.
 func (n *Instance) counts() bool {
 	t := n.state.members.topology()
 	return len(t.Hubs) == 0 || t.Self
--- a/internal/front/suspectsync.go
+++ b/internal/front/suspectsync.go
@@ -15,22 +15,22 @@
 	"github.com/shelfcrank/shelfcrank/internal/topology"
 )
 
-// What instances tell each other of suspects.
+// How instances exchange suspects.
 
-// Times of news.
+// Times of updates.
 const (
-	suspectTimeout = 400 * time.Millisecond // for news to arrive
-	syncInterval   = time.Second            // one that does not answer is told all so often at the most
+	suspectTimeout = 400 * time.Millisecond // for an update to arrive
+	syncInterval   = time.Second            // between two attempts to send everything to an instance that does not answer
 )
 
-// syncState is what another instance was told.
+// syncState is what was sent to another instance.
 type syncState struct {
 	incarnation int64     // its newest; one that starts knows nothing
 	pending     bool      // something did not reach it
-	triedAt     time.Time // when it was last told all, or tried to
+	triedAt     time.Time // when everything was last sent, or tried to be
 }
 
-// broadcast logs changes and has the other instances told.
+// broadcast logs changes and has them sent to the other instances.
 func (s *suspects) broadcast(changes []quarantine.Change) {
 	for _, c := range changes {
 		s.log(c)
@@ -57,7 +57,7 @@
 	}
 }
 
-// apply takes what another instance tells. The first end that it saw of a request is not
+// apply takes the update of another instance. The first end that it saw of a request is not
 // logged here: all that ran on a server that ended has one.
 func (s *suspects) apply(news []*peerpb.Suspect) {
 	now := s.instance.Clock.Now()
@@ -67,7 +67,7 @@
 	}))
 }
 
-// sendUpdates sends news to the other instances as soon as there are any.
+// sendUpdates sends updates to the other instances as soon as there are any.
 func (s *suspects) sendUpdates(ctx context.Context) error {
 	var wait sync.WaitGroup
 	defer wait.Wait()
@@ -81,8 +81,8 @@
 	return ctx.Err()
 }
 
-// met takes note that an instance was heard of, and tells it all if it has started since it
-// was told, or something did not reach it.
+// met notes that an instance was seen, and sends it everything if it has started since it
+// was last synced, or missed an update.
 func (s *suspects) met(name string, incarnation int64) {
 	now := s.instance.Clock.Now()
 	if !s.needsSync(name, incarnation, now) {
@@ -90,7 +90,7 @@
 	}
 	to, listed := lo.Find(s.instance.state.members.list(), func(m member) bool { return m.Name == name })
 	if !listed {
-		return // it is told once its address is known
+		return // it is synced once its address is known
 	}
 	s.mu.Lock()
 	b := s.syncStateOf(name)
@@ -101,7 +101,7 @@
 	}
 }
 
-// needsSync reports whether an instance has to be told all now.
+// needsSync reports whether everything has to be sent to an instance now.
 func (s *suspects) needsSync(name string, incarnation int64, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -112,7 +112,7 @@
 	return b.pending && now.Sub(b.triedAt) >= syncInterval
 }
 
-// syncStateOf returns what an instance was told. s.mu is held.
+// syncStateOf returns what was sent to an instance. s.mu is held.
 func (s *suspects) syncStateOf(name string) *syncState {
 	b := s.peers[name]
 	if b == nil {
@@ -122,7 +122,7 @@
 	return b
 }
 
-// receivesAll reports whether an instance hears of all ends of servers.
+// receivesAll reports whether an instance learns of all ends of servers.
 func (s *suspects) receivesAll(name string) bool {
 	hubs := s.instance.state.members.topology()
 	return len(hubs.Hubs) == 0 || hubs.Named(name).Name == name
@@ -140,7 +140,7 @@
 	})
 }
 
-// send tells some instances, and does not wait for them.
+// send sends updates to some instances, and does not wait for them.
 func (s *suspects) send(ctx context.Context, wait *sync.WaitGroup, to []topology.Member, news []quarantine.Suspect, now time.Time) {
 	if len(news) == 0 {
 		return
@@ -151,7 +151,7 @@
 	}
 }
 
-// sendOnce tells an instance. What does not reach it is owed.
+// sendOnce sends updates to an instance. What does not reach it is pending.
 func (s *suspects) sendOnce(ctx context.Context, to topology.Member, news []*peerpb.Suspect) {
 	ctx, cancel := context.WithTimeout(ctx, suspectTimeout)
 	defer cancel()
--- a/internal/front/suspend_test.go
+++ b/internal/front/suspend_test.go
@@ -156,8 +156,8 @@
 //
 // Order of events: the account is at its limit; all instances stand still for 20 s; they go on at
 // the same moment, each with a bucket that time has filled, and each lets a whole burst through
-// before it hears of the others. Their registrations have lapsed, so that each takes itself for
-// the only one. Cause: a level counts time in which the instance could not hear of what the others
+// before it learns of the others. Their registrations have lapsed, so that each takes itself for
+// the only one. Cause: a level counts time in which the instance could not learn of what the others
 // admit. Evidence: 80 were admitted by each of four in the first quarter of a second.
 //
 // Whoever is suspended, for however long, once or twice: the limit holds, and each instance serves
--- a/internal/front/traffic_test.go
+++ b/internal/front/traffic_test.go
@@ -40,7 +40,7 @@
 // many as 300 have of 10, the size to come.
 const serversEach = 30
 
-// What instances tell each other while a fleet starts, with servers that
+// What instances exchange while a fleet starts, with servers that
 // register within 1.5 s, and while nothing happens. At 300 instances those that read the
 // store passed 665 MB on to the others, 2.2 MB to each of them: its list of changes was shorter than
 // what changes between two questions of an instance, which then got all entries, again and again. By hand for other sizes:
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -2,8 +2,8 @@
 // dead.
 //
 // News comes from the platform's lagging list, from heartbeats, and from what
-// peers tell of third ones. An incarnation that is leaving or was replaced
-// never comes back; a suspect or dead one that is heard of again does, since
+// peers report third ones. An incarnation that is leaving or was replaced
+// never comes back; a suspect or dead one that is seen again does, since
 // it was only frozen or cut off. The package is pure and belongs to one
 // goroutine.
 package member
@@ -24,8 +24,8 @@
 // The states.
 const (
 	Alive   State = iota
-	Suspect       // not heard of for a while
-	Dead          // not heard of until the dead line
+	Suspect       // not seen for a while
+	Dead          // not seen until the dead line
 )
 
 // String returns the word shown by status.
@@ -48,10 +48,10 @@
 	Addr          netip.AddrPort // peer address
 	State         State
 	Leaving       bool
-	Beat          uint64 // highest heartbeat heard of
+	Beat          uint64 // highest heartbeat seen
 	TableRevision uint64
 	ViewEpoch     uint64
-	SeenAt        time.Time // when a higher heartbeat was last heard of, on this clock
+	SeenAt        time.Time // when a higher heartbeat was last seen, on this clock
 }
 
 // Usable reports whether new work may be given to the member.
@@ -61,7 +61,7 @@
 type Change struct {
 	Member Member
 	Was    State
-	New    bool // first heard of
+	New    bool // first seen
 	Left   bool // began to leave
 }
 
@@ -102,7 +102,7 @@
 	return slices.BinarySearchFunc(l.members, id, func(m Member, id string) int { return strings.Compare(m.ID, id) })
 }
 
-// Apply takes news of a member, from itself or from a peer. Older news than
+// Apply takes an update of a member, from itself or from a peer. An older one than
 // what is known is ignored.
 func (l *List) Apply(m Member, now time.Time) (Change, bool) {
 	if m.ID == l.self.ID || m.ID == "" || slices.Contains(l.retired, m.ID) {
@@ -207,7 +207,7 @@
 }
 
 // farFactor is by how much longer a member that is no neighbour may be silent:
-// news of it comes from third ones, and less often.
+// updates of it come from third ones, and less often.
 const farFactor = 8
 
 // Neighbours returns the members that this instance sends heartbeats to: all
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -17,7 +17,7 @@
 	is.Equal(len(l.Tick(t0.Add(SuspectAfter))), 1)
 	is.Equal(l.Tick(t0.Add(DeadAfter))[0].Member.State, Dead)
 	_, changed := l.Apply(Member{ID: "b#1", Name: "b", Beat: 1}, t0.Add(DeadAfter))
-	is.True(!changed) // old news from a third one does not revive it
+	is.True(!changed) // a stale update from a third one does not revive it
 	c, changed := l.Apply(Member{ID: "b#1", Name: "b", Beat: 2}, t0.Add(DeadAfter))
 	is.True(changed)
 	is.Equal(c.Member.State, Alive) // it was only frozen
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -75,7 +75,7 @@
 	return m, gauges(meter, g)
 }
 
-// trafficCounters exports what instances tell each other, by kind of call and whether it
+// trafficCounters exports what instances exchange, by kind of call and whether it
 // goes to another hall.
 func trafficCounters(meter metric.Meter, read func() []Traffic) error {
 	for name, of := range map[string]func(Traffic) int64{
--- a/internal/notice/table.go
+++ b/internal/notice/table.go
@@ -2,7 +2,7 @@
 // and until when they want no more requests from this instance.
 //
 // An answer is the first word, and often for seconds the only one, of an endpoint that
-// leaves: while the store does not take its entry, nobody else tells of it.
+// leaves: while the store does not take its entry, nobody else reports it.
 //
 // Book is safe for concurrent use. Reading it takes no lock.
 package notice
@@ -33,7 +33,7 @@
 
 // leaves reports whether an incarnation said that it leaves. An answer does not tell which
 // incarnation gave it, and one that started again may speak for seconds before its entry
-// is read: what was heard since a start is that incarnation's word, or a later one's.
+// is read: what was observed since a start is that incarnation's word, or a later one's.
 func (s *standing) leaves(started time.Time) bool {
 	return !s.leaving.IsZero() && !s.leaving.Before(started)
 }
@@ -58,7 +58,7 @@
 	TimeOfDay func(now time.Time) time.Time
 }
 
-// Table holds what was heard, by the ids of endpoints over all their incarnations.
+// Table holds what was observed, by the ids of endpoints over all their incarnations.
 type Table struct {
 	options Options
 
@@ -180,7 +180,7 @@
 }
 
 // Forget drops what no longer holds: rests that are over, and the word of endpoints that
-// are not listed, by their ids over all incarnations, and were not heard of for long.
+// are not listed, by their ids over all incarnations, and were not seen for long.
 func (b *Table) Forget(listed func(endpoint string) bool, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -16,7 +16,7 @@
 	"time"
 )
 
-// Model is what is believed of a service's endpoints. Times are in nanoseconds.
+// Model is what is assumed of a service's endpoints. Times are in nanoseconds.
 type Model struct {
 	Base  float64 // of any request
 	Token float64 // of each token to be read
@@ -34,7 +34,7 @@
 	return time.Duration(m.Base) + m.Reading(tokens)
 }
 
-// Prior is believed before anything was observed. Endpoints differ by more than
+// Prior is assumed before anything was observed. Endpoints differ by more than
 // ten: 5 to 50 microseconds a token; this is the middle of that on a scale of
 // factors.
 var Prior = Model{Base: 15 * float64(time.Millisecond), Token: 16 * float64(time.Microsecond)}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -1,6 +1,6 @@
 // Package place lets a few hubs choose servers for all nodes of a large fleet.
 //
-// Nodes that choose by what they heard of each other seconds ago send their
+// Nodes that choose by seconds-old updates of each other send their
 // requests to the same servers. So the servers are divided among the hubs; a
 // hub knows all requests that run at its servers, since it placed them, and
 // hears how each goes on. A node asks the two hubs that a request's subject
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -7,8 +7,8 @@
 // endpoints have ended does not run until a deadline, and then once, at one place, to tell
 // whether it may run again.
 //
-// Instances tell each other what they saw. The news may come late, twice or in any order:
-// what a Table holds depends on what it was told, not on when. Table and Permits read no
+// Instances exchange what they saw. Updates may come late, twice or in any order:
+// what a Table holds depends on what it received, not on when. Table and Permits read no
 // clock and are safe for concurrent use.
 package quarantine
 
@@ -34,14 +34,14 @@
 const (
 	// window is how long an end counts.
 	window = time.Minute
-	// Undecided is how long a run that was cut off waits to hear whether its endpoint
+	// Undecided is how long a run that was cut off waits to learn whether its endpoint
 	// ended: an endpoint that starts again, or whose entry goes after three heartbeats of
 	// 1.2 s, is known to have by then.
 	Undecided = 6 * time.Second
 	// remember is how long a request is known after its quarantine, so that a run that ends
 	// an endpoint again puts it back at once, for longer.
 	remember = 10 * time.Minute
-	// Longest bounds how long a quarantine may last, whoever tells of it.
+	// Longest bounds how long a quarantine may last, whoever reports it.
 	Longest = 24 * time.Hour
 	// mostStrikes bounds how often the length of a quarantine doubles.
 	mostStrikes = 4
@@ -116,10 +116,10 @@
 	suspects map[Fingerprint]*Suspect // guarded by mu
 	lengths  map[int]int              // suspects by the length of their fingerprint; guarded by mu
 	accounts map[string]int           // suspects by client account; guarded by mu
-	broken   []brokenRun              // that wait to hear of their endpoint; guarded by mu
+	broken   []brokenRun              // that wait for word of their endpoint; guarded by mu
 	ended    map[string]time.Time     // endpoints that are known to have ended; guarded by mu
 	own      map[Fingerprint]bool     // of whom this instance saw something new; guarded by mu
-	received map[Fingerprint]bool     // of whom others told something new; guarded by mu
+	received map[Fingerprint]bool     // of whom others reported something new; guarded by mu
 }
 
 type brokenRun struct {
@@ -294,7 +294,7 @@
 }
 
 // Updates returns the suspects of whom something new is known since it was last called: what
-// this instance saw itself, and what others told.
+// this instance saw itself, and what others reported.
 func (t *Table) Updates() (own, heard []Suspect) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -380,7 +380,7 @@
 const roomMade = 0.25
 
 // makeRoom drops the least suspected of some suspects, and of those as much suspected the
-// ones that were heard of least recently.
+// ones that were seen least recently.
 func (t *Table) makeRoom(of func(*Suspect) bool, now time.Time) {
 	var all []*Suspect
 	for _, s := range t.suspects {
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -184,7 +184,7 @@
 	is.Equal(len(p.held), 0)
 }
 
-// Instances see ends and runs that come through, and tell each other late, twice, in any
+// Instances see ends and runs that come through, and exchange them late, twice, in any
 // order, or not until the end. Once all is told, all judge alike, by all that happened.
 func TestRandomHistories(t *testing.T) {
 	const instances = 4
--- a/internal/quarantine/suspect.go
+++ b/internal/quarantine/suspect.go
@@ -70,7 +70,7 @@
 }
 
 // compareSuspicion orders the least suspected first: those that are not quarantined, with
-// fewer ends, heard of longer ago.
+// fewer ends, seen longer ago.
 func compareSuspicion(a, b *Suspect, now time.Time) int {
 	return cmp.Or(
 		cmp.Compare(rank(a.Until.After(now)), rank(b.Until.After(now))),
--- a/internal/quarantine/wire/wire.go
+++ b/internal/quarantine/wire/wire.go
@@ -1,4 +1,4 @@
-// Package wire is what instances tell each other of suspects: it writes and reads the messages.
+// Package wire encodes suspects for messages between instances.
 // Times travel as ages, for the clocks of two instances need not agree.
 package wire
 
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -1,9 +1,9 @@
 // Package quota holds the client accounts' limits over all nodes together.
 //
 // Each node runs the token bucket of the whole system: it takes off what it
-// admits at once, and what the others admitted when it hears of it. A level
-// below zero is a debt that time pays, so that what was admitted on old news is
-// made good. A node that is not heard of is assumed to go on as before.
+// admits at once, and what the others admitted when it learns of it. A level
+// below zero is a debt that time pays, so that what was admitted on stale updates is
+// made good. A node that is not seen is assumed to go on as before.
 //
 // The package is pure; a Limiter belongs to one goroutine at a time.
 package quota
@@ -16,7 +16,7 @@
 type Limit struct {
 	Rate  float64 // units a second
 	Burst float64 // units above the rate
-	Alone float64 // units that a node may use before the others hear, however many they are
+	Alone float64 // units that a node may use before the others know, however many they are
 }
 
 // Terms are by how much a window may go over a limit.
@@ -27,12 +27,12 @@
 }
 
 // Parts of the terms that are used to refuse nothing below a limit; the rest
-// covers what is admitted on old news.
+// covers what is admitted on stale updates.
 const (
 	overUsed      = 0.5
 	slackForRate  = 0.3
 	slackForBurst = 0.2
-	slackAlone    = 0.2 // what one node may use of it before the others hear
+	slackAlone    = 0.2 // what one node may use of it before the others know
 )
 
 // Stretch returns the limit that is kept to.
@@ -55,7 +55,7 @@
 }
 
 const (
-	updateDue  = 600 * time.Millisecond // a node is heard of more often than this
+	updateDue  = 600 * time.Millisecond // a node is seen more often than this
 	assumeMost = 10 * time.Second       // how long a silent node is assumed to go on
 	// keepForgotten is how long totals of a node are kept that is no member any more:
 	// longer than the store turns nodes away.
@@ -68,7 +68,7 @@
 // Season is how long after its start a node knows the levels well.
 const Season = 3 * time.Second
 
-// Update is what a node tells of itself.
+// Update is what a node sends of itself.
 type Update struct {
 	Instance    string
 	Incarnation int64              // a restarted node has a higher one
@@ -113,10 +113,10 @@
 	propagation = 250 * time.Millisecond // until all nodes know what one admitted
 	freshShare  = 2.0                    // times its even part of the level that a node may use before
 	calmLevel   = 0.5                    // of the burst: above it an account is well within its limit,
-	calmAfter   = 6 * time.Second        // if it has been for so long: three times what news of 77 nodes take
+	calmAfter   = 6 * time.Second        // if it has been for so long: three times what updates of a large fleet take
 )
 
-// mayUse reports whether a node may use so many units before the others hear
+// mayUse reports whether a node may use so many units before the others know
 // of it. One request always may: else the largest would never be admitted. In a
 // large fleet the even part of a small account is less than two requests, and they
 // come in clumps: while the account is well within its limit, its part is as large
@@ -142,7 +142,7 @@
 type far struct {
 	admitted float64
 	rate     float64 // units a second, of late
-	assumed  float64 // taken off without news; settled by the next news
+	assumed  float64 // taken off without an update; settled by the next one
 }
 
 type instance struct {
@@ -160,7 +160,7 @@
 	instances    map[string]*instance
 	count        int // of nodes that run, as far as is known
 	ticked       time.Time
-	since        time.Time        // first news of a node that knows the levels well
+	since        time.Time        // first update of a node that knows the levels well
 	resumedAt    time.Time        // when this node last stood still for long; zero if it never did
 	resumeLimits map[string]Limit // that held then
 }
@@ -247,7 +247,7 @@
 // SetInstances tells how many nodes run, this one included.
 func (l *Limiter) SetInstances(count int) { l.count = count }
 
-// known is the share of the nodes that this one is or has heard of. The others
+// known is the share of the nodes that this one is or has seen. The others
 // admit their part unseen: after all were started anew, each knows only itself.
 func (l *Limiter) known() float64 {
 	known := 1
@@ -303,7 +303,7 @@
 	return out
 }
 
-// Apply takes the news of another node.
+// Apply takes the update of another node.
 func (l *Limiter) Apply(news Update, now time.Time) {
 	n, known := l.instances[news.Instance]
 	if known && n.incarnation != news.Incarnation {
@@ -315,7 +315,7 @@
 	}
 	n.stands = max(1, news.Stands)
 	since := now.Sub(n.seenAt).Seconds()
-	counts := 1.0 // share of what it admitted that the levels would still tell of
+	counts := 1.0 // share of what it admitted that the levels would still show
 	if n.forgotten {
 		n.forgotten, counts = false, min(1, assumeMost.Seconds()/since)
 	}
@@ -343,7 +343,7 @@
 	l.boundDebts(now)
 }
 
-// boundDebts bounds debts by one burst while what is heard after a standstill may be told by nodes
+// boundDebts bounds debts by one burst while updates after a standstill may come from nodes
 // that stood still as well: they first pass on totals from before it, and then all that was
 // admitted since, which time has paid for.
 func (l *Limiter) boundDebts(now time.Time) {
@@ -409,8 +409,8 @@
 	l.boundDebts(now)
 }
 
-// DropWhere drops those nodes for which over returns true, with all they told: others
-// count what they admit. It is told when each was last heard of.
+// DropWhere drops those nodes for which over returns true, with all they reported: others
+// count what they admit. It is given when each was last seen.
 func (l *Limiter) DropWhere(over func(node string, heardAt time.Time) bool) {
 	for name, n := range l.instances {
 		if over(name, n.seenAt) {
@@ -421,8 +421,8 @@
 }
 
 // Forget notes that a node is no member any more. What it was assumed to have admitted is
-// given back. What it told is kept for a while: it may only have been out of reach, and
-// what it admitted meanwhile must count when it is heard of again.
+// given back. What it reported is kept for a while: it may only have been out of reach, and
+// what it admitted meanwhile must count when it is seen again.
 func (l *Limiter) Forget(name string) {
 	n := l.instances[name]
 	if n == nil {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -207,7 +207,7 @@
 }
 
 // usedElsewhere returns a node whose only peer admits 500 units a second of an
-// account, after so many news of it, and when the last one came.
+// account, after so many updates of it, and when the last one came.
 func usedElsewhere(news int) (*Limiter, time.Time) {
 	now, admitted := time.Unix(1000, 0), 0.0
 	l := New(now)
@@ -230,7 +230,7 @@
 	is.True(l.Admit("t", limit, 800, now).OK) // half of the limit is in use
 }
 
-// A node that was given up and is heard of again, as the network between them is back:
+// A node that was given up and is seen again, as the network between them is back:
 // what it admitted meanwhile was never told. It counts, but for what is longer ago than
 // levels are judged by.
 func TestUnitsOfANodeThatReturnsCount(t *testing.T) {
@@ -258,7 +258,7 @@
 	}
 }
 
-// A client account sends many times its limit for long: nodes that admit on old news
+// A client account sends many times its limit for long: nodes that admit on stale updates
 // must not all use the same units.
 func TestManyTimesTheLimitForLong(t *testing.T) {
 	is := is.New(t)
@@ -443,7 +443,7 @@
 	}
 }
 
-// All nodes stood still for so long that their buckets would be full, and hear of each other only
+// All nodes stood still for so long that their buckets would be full, and learn of each other only
 // later.
 func TestNodesThatStoodStillBeginEmpty(t *testing.T) {
 	is := is.New(t)
--- a/internal/registry/incarnation.go
+++ b/internal/registry/incarnation.go
@@ -27,7 +27,7 @@
 	return s.ID
 }
 
-// incarnation is the newest incarnation that was heard of for a server.
+// incarnation is the newest incarnation that was seen for a server.
 type incarnation struct {
 	started  time.Time
 	revision int64     // of the newest entry
@@ -35,7 +35,7 @@
 }
 
 // earlierStands is how long an entry has to name an earlier incarnation than the newest
-// until that is believed. The store may apply a write of the earlier one seconds late; the
+// until that is accepted. The store may apply a write of the earlier one seconds late; the
 // server then writes again within a heartbeat, of 1.2 s where it is known, or the entry
 // goes after three. What stands for longer is what the server says of itself: its clock
 // was set back.
--- a/internal/relay/suspects.go
+++ b/internal/relay/suspects.go
@@ -23,7 +23,7 @@
 	mostSuspects   = 4096
 	mostLives      = 4096 // endpoints that were seen to end
 	quarantineFor  = time.Minute
-	suspectTimeout = 400 * time.Millisecond // for news to arrive
+	suspectTimeout = 400 * time.Millisecond // for an update to arrive
 	lookTimeout    = 200 * time.Millisecond // for a look whether an endpoint has ended
 )
 
@@ -163,12 +163,12 @@
 			ctx, cancel := context.WithTimeout(r.ctx, suspectTimeout)
 			defer cancel()
 			call := &peerpb.Call{Body: &peerpb.Call_Suspects{Suspects: news}} // a call belongs to its caller
-			_, _ = r.Peers.Call(ctx, m.Addr, call)                            // who does not hear of it counts for itself
+			_, _ = r.Peers.Call(ctx, m.Addr, call)                            // an instance that misses it counts for itself
 		})
 	}
 }
 
-// applySuspects takes what another instance tells, and passes nothing on: it told all.
+// applySuspects takes the update of another instance, which sent it to all, and passes nothing on.
 func (r *Relay) applySuspects(news []*peerpb.Suspect) {
 	now := r.Clock.Now()
 	r.suspects.table.Apply(wire.Decode(news, now), now)
--- a/internal/relay/upkeep.go
+++ b/internal/relay/upkeep.go
@@ -30,7 +30,7 @@
 }
 
 // PushUpdates brings second copies up to date until ctx ends: for each holder one
-// message with the news of all records.
+// message with the updates of all records.
 func (r *Relay) PushUpdates(ctx context.Context) error {
 	t := time.NewTicker(pushInterval)
 	defer t.Stop()
--- a/internal/rollctl/exchange.go
+++ b/internal/rollctl/exchange.go
@@ -25,13 +25,13 @@
 	Instances int64 // that say so
 }
 
-// peerStates is what an instance, or a hub for its group, last told.
+// peerStates is what an instance, or a hub for its group, last reported.
 type peerStates struct {
 	states []State
 	at     time.Time
 }
 
-// statesCount is how long the word of an instance counts that is not heard of again.
+// statesCount is how long a report counts after which the instance is not seen again.
 const statesCount = 3 * time.Second
 
 // Permitted takes a permit.
@@ -86,7 +86,7 @@
 	c.states[from] = peerStates{states, now}
 }
 
-// AllStates sums what this instance and those heard of do.
+// AllStates sums what this instance and those seen do.
 func (c *Control) AllStates(own []State, now time.Time) []State {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -122,7 +122,7 @@
 	return maps.Clone(c.own)
 }
 
-// OfferTo returns what a hub is to be told of this instance's counts.
+// OfferTo returns what is to be reported to a hub of this instance's counts.
 func (c *Control) OfferTo(hub tally.Source) rollout.Counts {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -165,12 +165,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(told) == 0 {
-		return // it knows of no roll-out; what it told before may still count
+		return // it knows of no roll-out; what it reported before may still count
 	}
 	c.others[source{fleet, from}] = told
 }
 
-// source is who told counts, and as what.
+// source is who reported counts, and as what.
 type source struct {
 	fleet Fleet
 	from  tally.Source
@@ -181,9 +181,9 @@
 
 // The kinds of fleet, as an instance sees them.
 const (
-	Peers  Fleet = iota // all tell all
-	AsHub               // instances tell hubs, and these each other; this one is a hub
-	ByHubs              // the same, and this one is told the sum by its hub
+	Peers  Fleet = iota // all send to all
+	AsHub               // instances report to hubs, and these to each other; this one is a hub
+	ByHubs              // the same, and this one gets the sum from its hub
 )
 
 // Total returns the counts of all instances for an order.
--- a/internal/rollctl/rollctl.go
+++ b/internal/rollctl/rollctl.go
@@ -22,7 +22,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/tally"
 )
 
-// permitFor is how long a permit of the leader lasts at the instance that hears of it.
+// permitFor is how long a permit of the leader lasts at the instance that learns of it.
 // With the 1.5 s that it may take through the hubs, the last request reaches a bad
 // version 3.5 s after the leader has stopped; 5 s are allowed.
 const permitFor = 2 * time.Second
--- a/internal/rollout/exposure.go
+++ b/internal/rollout/exposure.go
@@ -17,8 +17,8 @@
 func (b Bound) TrialShare() float64 { return exposureMargin * b.Share }
 
 // Exposure keeps one instance to its part of the bound. Each counts only what it sent
-// itself, so that the sum over all instances keeps to the bound whatever they hear of
-// each other: a share of each one's own requests is that share of all.
+// itself, so that the sum over all instances keeps to the bound whatever they learn of
+// each other and when: a share of each one's own requests is that share of all.
 type Exposure struct {
 	bound  Bound
 	credit float64 // requests that may be sent before the share allows them, under 1
--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -34,7 +34,7 @@
 	{Ended, Paced, 0.10, 0.25},
 }
 
-// Verdict is what is believed of the version on trial.
+// Verdict is a judgement on the version on trial.
 type Verdict struct {
 	Bad      bool
 	Doubtful bool    // it may be bad: more has to be seen
--- a/internal/rollout/next.go
+++ b/internal/rollout/next.go
@@ -18,7 +18,7 @@
 	// settle is how long nothing must have run on the old version until the roll-out
 	// is completed: all instances have told of it by then.
 	settle = 900 * time.Millisecond
-	// followed is how long instances that are not heard of are waited for after the
+	// followed is how long instances that are not seen are waited for after the
 	// shift: they are without the store by then, and refuse requests.
 	followed = 4400 * time.Millisecond
 )
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -132,7 +132,7 @@
 
 // score is the price of a decision in milliseconds. What is computed away from
 // the session's first home is paid for twice: the next turn comes in at another
-// entry instance, which looks at the first home and may not have heard of this
+// entry instance, which looks at the first home and may not know of this
 // place yet, so that it will be computed again.
 func score(d Decision, r *Request, atHome bool) float64 {
 	ms := float64(d.FirstToken) / float64(time.Millisecond)
--- a/internal/tally/tally.go
+++ b/internal/tally/tally.go
@@ -1,11 +1,11 @@
 // Package tally sums what many instances count, through a few hubs.
 //
-// Each instance tells one hub what it counted, and goes to another hub when that
-// one does not answer. What is told is the running total of all that this hub was
-// ever told, never an increase: a message that is repeated, lost or late changes
-// nothing in the end. Each count is told to one hub, so that the sum over all hubs
-// has it once. What a hub did not confirm is told to the next one as well: it is
-// then counted twice, until the first hub is told again or forgotten.
+// Each instance reports to one hub what it counted, and goes to another hub when that
+// one does not answer. What is reported is the running total of all that was ever reported
+// to this hub, never an increase: a message that is repeated, lost or late changes
+// nothing in the end. Each count is reported to one hub, so that the sum over all hubs
+// has it once. What a hub did not confirm is reported to the next one as well: it is
+// then counted twice, until the first hub gets a report again or is forgotten.
 //
 // The package is pure; its types belong to one goroutine at a time.
 package tally
@@ -24,19 +24,19 @@
 	Incarnation int64
 }
 
-// Ledger divides the running totals of one instance among the hubs that it told.
+// Ledger divides the running totals of one instance among the hubs that it reports to.
 type Ledger[K comparable, V Number] struct {
 	reported map[Source]Counts[K, V] // what each hub confirmed
 }
 
-// NewLedger returns a ledger of an instance that told nothing yet.
+// NewLedger returns a ledger of an instance that reported nothing yet.
 func NewLedger[K comparable, V Number]() *Ledger[K, V] {
 	return &Ledger[K, V]{reported: make(map[Source]Counts[K, V])}
 }
 
-// Offer returns what a hub is to be told: what it confirmed before, and that part
+// Offer returns what is to be reported to a hub: what it confirmed before, and that part
 // of the instance's totals which no hub has confirmed. Keys that are not in the
-// totals any more are not told.
+// totals any more are not reported.
 func (l *Ledger[K, V]) Offer(hub Source, total Counts[K, V]) Counts[K, V] {
 	offer := maps.Clone(total)
 	if offer == nil {
@@ -68,7 +68,7 @@
 	}
 }
 
-// Pool sums at a hub what the instances told it.
+// Pool sums at a hub what the instances reported.
 type Pool[K comparable, V Number] struct {
 	reported map[Source]Counts[K, V] // newest of each instance
 	sum      Counts[K, V]            // of all, those that are gone included
@@ -79,7 +79,7 @@
 	return &Pool[K, V]{reported: make(map[Source]Counts[K, V]), sum: make(Counts[K, V])}
 }
 
-// Take takes the totals that an instance tells.
+// Take takes the totals that an instance reports.
 func (p *Pool[K, V]) Take(from Source, totals Counts[K, V]) {
 	before := p.reported[from]
 	for key, v := range totals {
@@ -88,7 +88,7 @@
 	merge(p.reported, from, totals)
 }
 
-// Sum returns the sums over all instances that ever told anything. They must not
+// Sum returns the sums over all instances that ever reported anything. They must not
 // be changed.
 func (p *Pool[K, V]) Sum() Counts[K, V] { return p.sum }
 
@@ -101,7 +101,7 @@
 }
 
 // merge puts counts in the place of older ones. A key that is not in them stays as it
-// was: it may be told again.
+// was: it may be reported again.
 func merge[K comparable, V Number](all map[Source]Counts[K, V], of Source, newer Counts[K, V]) {
 	if all[of] == nil {
 		all[of] = make(Counts[K, V], len(newer))
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -37,7 +37,7 @@
 	incarnation int64
 }
 
-// Counter holds the counts of this node and what it heard of the others'.
+// Counter holds the counts of this node and those that others reported.
 type Counter struct {
 	own      map[int64]Counts
 	received map[int64]map[source]Counts
