Rate limits are looked up once for all endpoints of a request

Observe and Apply each change an entry in one place under the lock. No change of behaviour; tests of limits pass.

--- a/internal/front/limits.go
+++ b/internal/front/limits.go
@@ -31,12 +31,13 @@
 // they said in their answers, and when the first of them takes requests again, zero if none does.
 func (n *Instance) closed(endpoints []registry.Endpoint, now time.Time) (ids []string, opensAt time.Time) {
 	ids, opensAt = n.notices.Closed(endpoints, now)
-	if !n.limits.Any() {
+	exhausted := n.limits.Exhausted(now)
+	if len(exhausted) == 0 {
 		return ids, opensAt
 	}
 	for i := range endpoints {
 		id := endpoints[i].ID
-		if slices.Contains(ids, id) || n.limits.Allows(id, now) {
+		if !exhausted[id] || slices.Contains(ids, id) {
 			continue
 		}
 		ids = append(ids, id)
@@ -51,10 +52,11 @@
 // answers.
 func (n *Instance) open(endpoints []registry.Endpoint, now time.Time) []registry.Endpoint {
 	endpoints = n.notices.Open(endpoints, now)
-	if !n.limits.Any() {
+	exhausted := n.limits.Exhausted(now)
+	if len(exhausted) == 0 {
 		return endpoints
 	}
-	return lo.Filter(endpoints, func(e registry.Endpoint, _ int) bool { return n.limits.Allows(e.ID, now) })
+	return lo.Filter(endpoints, func(e registry.Endpoint, _ int) bool { return !exhausted[e.ID] })
 }
 
 // allows reports whether this instance may send to an endpoint now, by what it said in its
--- a/internal/ratelimit/table.go
+++ b/internal/ratelimit/table.go
@@ -71,39 +71,35 @@
 }
 
 // Observe takes what an answer says about the limit of its endpoint, with the times at which
-// the request was sent and the answer was read. A looser limit is as old as the request:
-// the answer may have been made before a stricter one that overtook it.
+// the request was sent and the answer was read.
 func (t *Table) Observe(endpoint string, said Limit, sent, read time.Time) {
 	if said.Kind == Unknown || said.Kind == None && !t.Any() {
 		return
 	}
+	t.changed(endpoint, t.observe(endpoint, said, sent, read))
+}
+
+// observe is Observe for a limit that is known. A looser limit is as old as the request: the
+// answer may have been made before a stricter one that overtook it.
+func (t *Table) observe(endpoint string, said Limit, sent, read time.Time) Change {
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	e := t.entries[endpoint]
 	if e == nil {
-		if said.Kind == None {
-			t.mu.Unlock()
-			return
-		}
 		e = &entry{}
-		t.entries[endpoint] = e
 	}
-	from := e.limit
-	if said.Kind == None && from.Kind == None {
-		t.mu.Unlock()
-		return
-	}
-	asOf := read
-	if said.looserThan(from) {
+	asOf, looser := read, said.looserThan(e.limit)
+	if looser {
 		asOf = sent
 	}
-	if asOf.Before(e.asOf) || said.looserThan(from) && asOf.Equal(e.asOf) {
-		t.mu.Unlock()
-		return
+	if said.Kind == None && !looser || asOf.Before(e.asOf) || looser && asOf.Equal(e.asOf) {
+		return Change{}
 	}
+	c := Change{From: e.limit, To: said, Own: true}
 	e.own = true
+	t.entries[endpoint] = e
 	t.set(e, said, asOf, read)
-	t.mu.Unlock()
-	t.report(endpoint, Change{From: from, To: said, Own: true})
+	return c
 }
 
 // set puts a limit in force. Under a stricter one, grants of the limit before are void.
@@ -122,7 +118,8 @@
 	e.limit, e.asOf = l, asOf
 }
 
-func (t *Table) report(endpoint string, c Change) {
+// changed reports a change, if it is one.
+func (t *Table) changed(endpoint string, c Change) {
 	if c.From != c.To && t.options.Changed != nil {
 		t.options.Changed(endpoint, c)
 	}
@@ -131,6 +128,23 @@
 // Any reports whether any endpoint has a limit.
 func (t *Table) Any() bool { return t.named.Load() > 0 }
 
+// Exhausted returns the endpoints that have a limit of which this instance holds no grant now;
+// nil while no endpoint has a limit.
+func (t *Table) Exhausted(now time.Time) map[string]bool {
+	if !t.Any() {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make(map[string]bool)
+	for id, e := range t.entries {
+		if e.limit.Kind == Named && !t.fill(id, e, now).any() {
+			out[id] = true
+		}
+	}
+	return out
+}
+
 // Allows reports whether this instance may send a request to an endpoint now.
 func (t *Table) Allows(endpoint string, now time.Time) bool {
 	if !t.Any() {
@@ -254,34 +268,26 @@
 // Apply takes the reports of another instance. The newest one on an endpoint holds.
 func (t *Table) Apply(reports []Report, now time.Time) {
 	for _, r := range reports {
-		t.apply(r, now)
+		if r.Limit.Kind != Unknown && r.Age >= 0 {
+			t.changed(r.Endpoint, t.apply(r, now))
+		}
 	}
 }
 
-func (t *Table) apply(r Report, now time.Time) {
-	if r.Limit.Kind == Unknown || r.Age < 0 {
-		return
-	}
-	asOf := now.Add(-r.Age)
+func (t *Table) apply(r Report, now time.Time) Change {
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	e := t.entries[r.Endpoint]
 	if e == nil {
-		if r.Limit.Kind == None {
-			t.mu.Unlock()
-			return
-		}
 		e = &entry{}
-		t.entries[r.Endpoint] = e
 	}
-	from := e.limit
-	if !asOf.After(e.asOf) {
-		t.mu.Unlock()
-		return
-	}
-	if from != r.Limit {
-		e.own = false
+	asOf := now.Add(-r.Age)
+	if r.Limit.Kind == None && e.limit.Kind == None || !asOf.After(e.asOf) {
+		return Change{}
 	}
+	c := Change{From: e.limit, To: r.Limit}
+	e.own = e.own && c.From == c.To
+	t.entries[r.Endpoint] = e
 	t.set(e, r.Limit, asOf, now)
-	t.mu.Unlock()
-	t.report(r.Endpoint, Change{From: from, To: r.Limit})
+	return c
 }
--- a/internal/ratelimit/table_test.go
+++ b/internal/ratelimit/table_test.go
@@ -113,6 +113,19 @@
 	is.Equal(table.Take("e", at(9000)), ErrNoGrant) // no grants of the time without a limit
 }
 
+func TestEndpointsWithoutAGrantAreExhausted(t *testing.T) {
+	is := is.New(t)
+	table := New(Options{Self: "a"})
+	is.Equal(table.Exhausted(at(0)), nil)
+	table.Observe("e", named(0), at(0), at(0))
+	table.Observe("f", named(100), at(0), at(0))
+	is.Equal(table.Exhausted(at(500)), map[string]bool{"e": true})
+	for table.Take("f", at(500)) == nil {
+		continue
+	}
+	is.Equal(table.Exhausted(at(500)), map[string]bool{"e": true, "f": true})
+}
+
 func TestNextReturnsWhenThereIsAGrant(t *testing.T) {
 	is := is.New(t)
 	names := []string{"a", "b", "c"}
