--- a/internal/endpoint/client_test.go
+++ b/internal/endpoint/client_test.go
@@ -113,3 +113,20 @@
 		is.Equal(statementOf(&http.Response{StatusCode: test.status, Header: test.header}).RateLimit, test.want)
 	}
 }
+
+// Any report of an endpoint is read or refused.
+func FuzzReport(f *testing.F) {
+	f.Add(`{"running":1,"queued_tokens":[1,2],"per_token_us":100,"first":3,"events":[{"block":7,"evicted":true}]}`)
+	f.Add(`{"running":1e300}`)
+	f.Add(`[`)
+	f.Fuzz(func(t *testing.T, body string) {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) }))
+		defer srv.Close()
+		addr := netip.MustParseAddrPort(strings.TrimPrefix(srv.URL, "http://"))
+		c := New(netx.Transport(netx.TCP{}))
+		_, err := c.Report(context.Background(), addr, 0, nobody)
+		if err != nil && fault.As(err).Run != fault.NotRun {
+			t.Fatalf("a report that can't be read is %v", err)
+		}
+	})
+}
--- a/internal/ratelimit/wire/wire.go
+++ b/internal/ratelimit/wire/wire.go
@@ -17,9 +17,12 @@
 	})
 }
 
+// most bounds the reports that are read from one message.
+const most = 1024
+
 // Decode reads reports. Those whose rate or age is negative or no number are left out.
 func Decode(limits []*peerpb.EndpointLimit) []ratelimit.Report {
-	return lo.FilterMap(limits, func(l *peerpb.EndpointLimit, _ int) (ratelimit.Report, bool) {
+	return lo.FilterMap(limits[:min(len(limits), most)], func(l *peerpb.EndpointLimit, _ int) (ratelimit.Report, bool) {
 		r := ratelimit.Report{Endpoint: l.GetEndpoint(), Age: time.Duration(l.GetAge())}
 		if l.GetNamed() {
 			r.Limit = ratelimit.Limit{Kind: ratelimit.Named, Rate: l.GetRate()}
