--- a/internal/check/answers.go
+++ b/internal/check/answers.go
@@ -60,8 +60,8 @@
 	return out
 }
 
-// promises reports whether a status says that the request has not run and never will.
-func promises(status int) bool {
+// Promises reports whether a status says that the request has not run and never will.
+func Promises(status int) bool {
 	switch status {
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
 		return true
@@ -73,7 +73,7 @@
 func refused(x *index) (out []Violation) {
 	for i := range x.Attempts {
 		a := &x.Attempts[i]
-		if !a.Idempotent && promises(a.Status) && x.runs(a.ID) > 0 {
+		if !a.Idempotent && Promises(a.Status) && x.runs(a.ID) > 0 {
 			out = append(out, Violation{"REFUSED", a.EndedAt, fmt.Sprintf("%s got %d from %s and ran", a.ID, a.Status, a.Instance)})
 		}
 	}
--- a/internal/check/check.go
+++ b/internal/check/check.go
@@ -18,7 +18,7 @@
 	Text string
 }
 
-// String tells the rule, the moment and what was seen.
+// String returns the rule, the moment and what was seen.
 func (v Violation) String() string {
 	return fmt.Sprintf("%s at %s: %s", v.Rule, v.At.Format("15:04:05.000"), v.Text)
 }
--- a/internal/check/config.go
+++ b/internal/check/config.go
@@ -95,7 +95,7 @@
 	var out []Violation
 	for i := range x.Attempts {
 		a := &x.Attempts[i]
-		if a.Status < 300 || a.Status >= 500 || promises(a.Status) || a.Sealed || a.Since != 0 || a.Until != 0 || !a.KeyRevoked.IsZero() {
+		if a.Status < 300 || a.Status >= 500 || Promises(a.Status) || a.Sealed || a.Since != 0 || a.Until != 0 || !a.KeyRevoked.IsZero() {
 			continue
 		}
 		out = append(out, Violation{"DENIED", a.EndedAt, fmt.Sprintf("%s by %s got %d", a.ID, a.Instance, a.Status)})
--- a/internal/check/endpoints.go
+++ b/internal/check/endpoints.go
@@ -33,7 +33,7 @@
 
 type pair struct{ endpoint, instance string }
 
-// drainAnswer: an endpoint that told an instance that it leaves gets no new work from it.
+// drainAnswer: an endpoint that announced to an instance that it leaves gets no new work from it.
 func drainAnswer(x *index) (out []Violation) {
 	said := make(map[pair]time.Time)
 	for _, s := range x.Statements {
--- a/internal/check/history.go
+++ b/internal/check/history.go
@@ -64,7 +64,7 @@
 	URI       string
 	BodySum   uint64
 	Account   string
-	Deadline  time.Duration // as the endpoint was told; negative if it was not
+	Deadline  time.Duration // in the request's header; negative if there is none
 	Ran       bool          // the endpoint began to work on it
 	EndedAt   time.Time     // of the work; zero while it goes on
 	Cancelled bool          // the instance closed the connection before the end
@@ -74,7 +74,7 @@
 	AnswerSum uint64
 }
 
-// Statement is what an endpoint said of itself in an answer to an instance.
+// Statement is what an endpoint announced of itself in an answer to an instance.
 type Statement struct {
 	Endpoint  string
 	Instance  string
@@ -128,7 +128,7 @@
 	Counts string // canonical text of its counts
 }
 
-// Exit is a process that ended by itself, or said that an invariant is broken.
+// Exit is a process that ended by itself, or reported a broken invariant.
 type Exit struct {
 	Instance string
 	At       time.Time
--- a/internal/check/runs.go
+++ b/internal/check/runs.go
@@ -77,7 +77,7 @@
 	return out
 }
 
-// budgetDeadline: endpoints are told no more time than is left.
+// budgetDeadline: endpoints are given no more time than is left.
 func budgetDeadline(x *index) []Violation {
 	var late []Violation
 	all := 0
--- a/internal/front/limits.go
+++ b/internal/front/limits.go
@@ -28,7 +28,7 @@
 }
 
 // closed returns the ids of those endpoints that this instance may not send to now, by what
-// they said in their answers, and when the first of them takes requests again, zero if none does.
+// they announced in their answers, and when the first of them takes requests again, zero if none does.
 func (n *Instance) closed(endpoints []registry.Endpoint, now time.Time) (ids []string, opensAt time.Time) {
 	ids, opensAt = n.notices.Closed(endpoints, now)
 	exhausted := n.limits.Exhausted(now)
@@ -48,8 +48,8 @@
 	return ids, opensAt
 }
 
-// open returns those endpoints that this instance may send to now, by what they said in their
-// answers.
+// open returns those endpoints that this instance may send to now, by what they announced in
+// their answers.
 func (n *Instance) open(endpoints []registry.Endpoint, now time.Time) []registry.Endpoint {
 	endpoints = n.notices.Open(endpoints, now)
 	exhausted := n.limits.Exhausted(now)
@@ -59,8 +59,8 @@
 	return lo.Filter(endpoints, func(e registry.Endpoint, _ int) bool { return !exhausted[e.ID] })
 }
 
-// allows reports whether this instance may send to an endpoint now, by what it said in its
-// answers.
+// allows reports whether this instance may send to an endpoint now, by what it announced in
+// its answers.
 func (n *Instance) allows(endpoint *registry.Endpoint, now time.Time) bool {
 	return n.notices.Allows(endpoint, now) == nil && n.limits.Allows(endpoint.ID, now)
 }
--- a/internal/ratelimit/grants.go
+++ b/internal/ratelimit/grants.go
@@ -16,7 +16,7 @@
 	// one instance come in clumps; without it most grants of a strict limit would lapse.
 	grantSlots = 4
 	// leastRate is the rate at which an endpoint is asked although it names a lower one: only
-	// an answer tells that a limit was lifted.
+	// an answer shows that a limit was lifted.
 	leastRate = 0.1
 )
 
--- a/internal/ratelimit/limit.go
+++ b/internal/ratelimit/limit.go
@@ -6,14 +6,14 @@
 	"strings"
 )
 
-// Kind tells what an answer says about the rate limit of its endpoint.
+// Kind is what an answer says about the rate limit of its endpoint.
 type Kind int
 
 // The kinds.
 const (
 	None    Kind = iota // the endpoint names no limit
 	Named               // it names one
-	Unknown             // the answer does not tell: what was known before holds
+	Unknown             // the answer does not say: the limit known before holds
 )
 
 // Limit is the rate of requests that an endpoint accepts from all instances together.
--- a/internal/ratelimit/table.go
+++ b/internal/ratelimit/table.go
@@ -32,7 +32,7 @@
 // Change is a change of the limit in force for an endpoint.
 type Change struct {
 	From, To Limit
-	Own      bool // an answer to this instance said so, not another instance
+	Own      bool // observed in an answer to this instance, not reported by another one
 }
 
 // Table holds the limits of endpoints, by the ids of their incarnations.
@@ -49,7 +49,7 @@
 type entry struct {
 	limit  Limit     // None or Named
 	asOf   time.Time // the limit was in force then
-	own    bool      // this instance was told by the endpoint itself
+	own    bool      // observed in an answer to this instance
 	grants grants
 }
 
@@ -235,7 +235,7 @@
 // maxReports bounds the reports in one message.
 const maxReports = 64
 
-// Reports returns what endpoints told this instance itself, the newest first.
+// Reports returns what this instance observed itself, the newest first.
 func (t *Table) Reports(now time.Time) []Report {
 	if t == nil {
 		return nil
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -51,8 +51,8 @@
 func (c *caller) serve(ctx context.Context, q *request) {
 	deadline := time.Now().Add(q.route.Timeout)
 	a, wait := c.attempt(ctx, q, time.Until(deadline))
-	final := a.Status >= 200 && a.Status < 500 && !promises(a.Status)
-	if final || !a.LeftAt.IsZero() || !q.route.Idempotent() && !promises(a.Status) {
+	final := a.Status >= 200 && a.Status < 500 && !check.Promises(a.Status)
+	if final || !a.LeftAt.IsZero() || !q.route.Idempotent() && !check.Promises(a.Status) {
 		return
 	}
 	left := time.Until(deadline)
@@ -64,14 +64,6 @@
 	c.attempt(ctx, q, time.Until(deadline))
 }
 
-func promises(status int) bool {
-	switch status {
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		return true
-	}
-	return false
-}
-
 func (c *caller) close() {
 	if c.conn != nil {
 		_ = c.conn.Close()
@@ -97,7 +89,7 @@
 	return nil
 }
 
-// attempt makes one attempt and records it. It returns when to come back, as the answer told.
+// attempt makes one attempt and records it. It returns the answer's time to come back.
 func (c *caller) attempt(ctx context.Context, q *request, left time.Duration) (check.Attempt, time.Duration) {
 	a := check.Attempt{
 		ID: c.traffic.newID(), Route: q.route.Name, Service: q.route.Split[0].Service, Method: q.method, URI: q.route.Prefix + "x",
--- a/internal/soak/explain.go
+++ b/internal/soak/explain.go
@@ -14,14 +14,14 @@
 
 const (
 	explained  = 5               // violations that are explained
-	around     = 6 * time.Second // of the faults that are told with a violation
-	mostLines  = 12              // of the log that are told with a violation
+	around     = 6 * time.Second // of the faults that are printed with a violation
+	mostLines  = 12              // of the log that are printed with a violation
 	maxLogText = 400
 )
 
 var requestID = regexp.MustCompile(`q\d{6}`)
 
-// Explain tells the first violations, the faults around them, and what the logs say of their
+// Explain writes the first violations, the faults around them, and the log lines of their
 // requests.
 func Explain(w io.Writer, r *Report) error {
 	for _, v := range r.Violations[:min(explained, len(r.Violations))] {
--- a/internal/soak/instances.go
+++ b/internal/soak/instances.go
@@ -122,7 +122,7 @@
 	}
 }
 
-// signal sends a signal to the process, if one runs. ends tells that it makes the process end.
+// signal sends a signal to the process, if one runs; ends marks one that makes the process end.
 func (i *instance) signal(s syscall.Signal, ends bool) (ended <-chan struct{}) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -167,7 +167,7 @@
 	i.busy = false
 }
 
-// process returns a number that tells the present process from others, and whether the
+// process returns the number of the present process, and whether the
 // balancer sends new connections there.
 func (i *instance) process() (incarnation int, ready bool) {
 	i.mu.Lock()
--- a/internal/soak/scenario.go
+++ b/internal/soak/scenario.go
@@ -37,7 +37,7 @@
 //go:embed default.toml
 var defaultScenario []byte
 
-// Default returns the scenario that is played unless told otherwise.
+// Default returns the scenario that is played where no other one is given.
 func Default() (Scenario, error) { return Parse(defaultScenario) }
 
 // ErrScenario says that a scenario can't be played.
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -56,7 +56,7 @@
 	Target uint64        `json:"target"` // draws what it strikes
 }
 
-// String tells the action and its time.
+// String returns the action with its time.
 func (a Action) String() string {
 	return fmt.Sprintf("%6.2f s %s for %s (%d)", a.At.Seconds(), a.Kind, a.For.Round(time.Millisecond), a.Target%1000)
 }
--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -140,7 +140,7 @@
 	switch {
 	case a.Status >= 200 && a.Status < 300 && a.Whole:
 		s.Served++
-	case promises(a.Status):
+	case check.Promises(a.Status):
 		s.Refused++
 	default:
 		s.Failed++
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -215,7 +215,7 @@
 	return nil
 }
 
-// crashed ends an endpoint without a word and starts another one in its place.
+// crashed ends an endpoint without notice and starts another one in its place.
 func (w *world) crashed(e *endpoint) {
 	if !w.remove(e) {
 		return
--- a/internal/standin/ratelimit.go
+++ b/internal/standin/ratelimit.go
@@ -9,7 +9,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/endpoint"
 )
 
-// anyInstance stands for all instances: a call does not tell which one sent it.
+// anyInstance stands for all instances: a call does not name its sender.
 const anyInstance = ""
 
 // rateLimitContact is how long after an endpoint named a limit all instances keep to it.
