--- a/internal/ratelimit/table.go
+++ b/internal/ratelimit/table.go
@@ -22,11 +22,10 @@
 
 // Options configure a Table.
 type Options struct {
-	Self      string                           // name of this instance
-	Instances func() []string                  // names of the live instances, in any order; Self may be missing. nil for Self alone
-	TimeOfDay func(now time.Time) time.Time    // roughly the same at all instances; nil for the moment itself
-	Changed   func(endpoint string, c Change)  // called for each change of a limit, without locks held; may be nil
-	Divide    func(s Slot, names []string) int // grants of a slot that are this instance's; nil for Rendezvous
+	Self      string                          // name of this instance
+	Instances func() []string                 // names of the live instances, in any order; Self may be missing. nil for Self alone
+	TimeOfDay func(now time.Time) time.Time   // roughly the same at all instances; nil for the moment itself
+	Changed   func(endpoint string, c Change) // called for each change of a limit, without locks held; may be nil
 }
 
 // Change is a change of the limit in force for an endpoint.
@@ -64,9 +63,6 @@
 	if o.Instances == nil {
 		o.Instances = func() []string { return nil }
 	}
-	if o.Divide == nil {
-		o.Divide = func(s Slot, names []string) int { return Rendezvous(s, o.Self, names) }
-	}
 	return &Table{options: o, entries: make(map[string]*entry)}
 }
 
@@ -182,7 +178,7 @@
 	}
 	names := t.options.Instances()
 	e.grants.advance(current, func(slot int64) int {
-		return t.options.Divide(Slot{Endpoint: endpoint, Rate: e.limit.Rate, Index: slot}, names)
+		return Rendezvous(Slot{Endpoint: endpoint, Rate: e.limit.Rate, Index: slot}, t.options.Self, names)
 	})
 	return &e.grants
 }
@@ -206,7 +202,7 @@
 	names := t.options.Instances()
 	for slot := slotAt(wall) + 1; ; slot++ {
 		in := slotStart(slot).Sub(wall)
-		if in >= nextMost || t.options.Divide(Slot{Endpoint: endpoint, Rate: e.limit.Rate, Index: slot}, names) > 0 {
+		if in >= nextMost || Rendezvous(Slot{Endpoint: endpoint, Rate: e.limit.Rate, Index: slot}, t.options.Self, names) > 0 {
 			return now.Add(min(in, nextMost))
 		}
 	}
--- a/internal/ratelimit/table_test.go
+++ b/internal/ratelimit/table_test.go
@@ -148,7 +148,7 @@
 
 // fleet draws requests at instances that share one limit and returns the largest number sent in
 // a window, and the mean rate.
-func fleet(seed uint64, instances int, rate float64, divide func(self string) func(Slot, []string) int) (most int, mean float64) {
+func fleet(seed uint64, instances int, rate float64) (most int, mean float64) {
 	rnd := rand.New(rand.NewPCG(seed, 5))
 	var names []string
 	for i := range instances {
@@ -158,7 +158,7 @@
 	for i, name := range names {
 		skew := time.Duration(rnd.IntN(100)) * time.Millisecond
 		tables[i] = New(Options{
-			Self: name, Instances: func() []string { return names }, Divide: divide(name),
+			Self: name, Instances: func() []string { return names },
 			TimeOfDay: func(now time.Time) time.Time { return now.Add(skew) },
 		})
 		tables[i].Observe("e", named(rate), at(0), at(0))
@@ -186,7 +186,7 @@
 	for _, instances := range []int{1, 3, 9, 22, 77, 300} {
 		for _, rate := range []float64{0, 0.05, 0.5, 1, 1.7, 6, 40} {
 			for seed := range uint64(4) {
-				most, mean := fleet(seed, instances, rate, func(string) func(Slot, []string) int { return nil })
+				most, mean := fleet(seed, instances, rate)
 				if float64(most) > bound(rate) {
 					t.Errorf("%d instances, %v a second, seed %d: %d in a window of %v", instances, rate, seed, most, bound(rate))
 				}
