Fewer readings of the clock for each request, and what nothing used is gone

Nothing waits between them, so that what is decided is the same.

Gone: a nil test in ratelimit.Table.Reports, and two fields of check that no rule read. A soak removes the logs of an earlier run in its folder: broken invariants of that run counted for the next one, in each run of -shrink.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -232,15 +232,16 @@
 	}
 	// The server may have said that it wants no more while the connection was made, which
 	// takes up to dialTimeout: four instances' requests at once would fill its rest.
-	if err := c.notices.Allows(&call.Endpoint, c.clock.Now()); err != nil {
+	now := c.clock.Now()
+	if err := c.notices.Allows(&call.Endpoint, now); err != nil {
 		c.keep(call.Endpoint.ID, k)
 		return nil, fault.New(fault.StepDispatch, call.Endpoint.ID, fault.KindLimit, fault.NotRun, "send: %w", err)
 	}
-	if err := c.limits.Take(call.Endpoint.ID, c.clock.Now()); err != nil {
+	if err := c.limits.Take(call.Endpoint.ID, now); err != nil {
 		c.keep(call.Endpoint.ID, k)
 		return nil, fault.New(fault.StepDispatch, call.Endpoint.ID, fault.KindLimit, fault.NotRun, "send: %w", err)
 	}
-	x := &exchange{client: c, endpoint: call.Endpoint, conn: k}
+	x := &exchange{client: c, endpoint: call.Endpoint, conn: k, sentAt: now}
 	x.watch(ctx)
 	resp, err := x.do(call)
 	if err != nil {
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -93,7 +93,7 @@
 
 // watch ends the exchange when ctx does.
 func (x *exchange) watch(ctx context.Context) {
-	x.sentBefore, x.sentAt = x.conn.sent(), x.client.clock.Now()
+	x.sentBefore = x.conn.sent()
 	x.stopWatch = context.AfterFunc(ctx, func() { _ = x.conn.raw.SetDeadline(time.Unix(1, 0)) })
 }
 
--- a/internal/check/history.go
+++ b/internal/check/history.go
@@ -11,7 +11,6 @@
 	Drain        time.Duration // after which an endpoint that leaves gets no new work
 	Revoke       time.Duration // after which a key that was taken away must not work
 	Config       time.Duration // after which a configuration is in force
-	Outer        time.Duration // added to that while the store turns an instance away
 	RollbackOver time.Duration // after an effect of a configuration was seen, from which none before it may show
 	Grace        time.Duration // that a stopping instance has
 	Recover      time.Duration // after the last fault, from which requests are served again
@@ -67,7 +66,6 @@
 	Deadline  time.Duration // in the request's header; negative if there is none
 	Ran       bool          // the endpoint began to work on it
 	EndedAt   time.Time     // of the work; zero while it goes on
-	Cancelled bool          // the instance closed the connection before the end
 	Broke     bool          // the endpoint broke off
 	Crashed   bool          // the endpoint ended under it
 	Status    int
--- a/internal/ratelimit/table.go
+++ b/internal/ratelimit/table.go
@@ -233,9 +233,6 @@
 
 // Reports returns what this instance observed itself, the newest first.
 func (t *Table) Reports(now time.Time) []Report {
-	if t == nil {
-		return nil
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []Report
--- a/internal/soak/endpoint.go
+++ b/internal/soak/endpoint.go
@@ -196,7 +196,6 @@
 	c.endpoint.record.update(c.arrival, func(a *check.Arrival) {
 		a.EndedAt, a.Status, a.AnswerSum = time.Now(), status, sum
 		a.Broke = err != nil && (c.endpoint.ended.Load() || c.ctx.Err() == nil)
-		a.Cancelled = err != nil && !a.Broke
 	})
 	if err != nil {
 		panic(http.ErrAbortHandler)
--- a/internal/soak/instances.go
+++ b/internal/soak/instances.go
@@ -74,6 +74,15 @@
 
 func (i *instance) logFile() string { return filepath.Join(i.dir, i.name+".log") }
 
+// removeLog removes the log of an earlier run in the same folder, whose broken invariants are not
+// those of this one.
+func (i *instance) removeLog() error {
+	if err := os.Remove(i.logFile()); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return fmt.Errorf("log of an earlier run: %w", err)
+	}
+	return nil
+}
+
 // start starts a process.
 func (i *instance) start() error {
 	file := filepath.Join(i.dir, i.name+".toml")
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -23,7 +23,7 @@
 
 func checkBounds() check.Bounds {
 	return check.Bounds{
-		Contact: 3 * time.Second, Drain: bounds.Drain(), Revoke: bounds.Revoke(), Config: bounds.Config(), Outer: bounds.Outer(),
+		Contact: 3 * time.Second, Drain: bounds.Drain(), Revoke: bounds.Revoke(), Config: bounds.Config(),
 		RollbackOver: 250 * time.Millisecond, Grace: bounds.Grace(), Recover: 12 * time.Second, RetryRatio: bounds.RetryRatio,
 		RetrySlack: bounds.RetrySlack, RetryWindow: bounds.RetryWindow(), QuotaOver: bounds.QuotaOver, QuotaWindow: bounds.QuotaWindow(),
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -101,6 +101,9 @@
 		}
 	}
 	for _, i := range r.instances {
+		if err := i.removeLog(); err != nil {
+			return r, err
+		}
 		if err := r.world.serve(i); err != nil {
 			return r, err
 		}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -72,6 +72,16 @@
 	}
 }
 
+func TestTheLogOfAnEarlierRunIsNotRead(t *testing.T) {
+	is := is.New(t)
+	i := &instance{name: "n", dir: t.TempDir(), record: &recorder{}}
+	is.NoErr(os.WriteFile(i.logFile(), []byte(invariantEvent+"\n"), 0o600))
+	is.NoErr(i.removeLog())
+	is.NoErr(i.brokenInvariants())
+	is.Equal(len(i.record.history.Exits), 0)
+	is.NoErr(i.removeLog()) // there is none
+}
+
 func TestAViolationIsExplained(t *testing.T) {
 	is := is.New(t)
 	dir := t.TempDir()
