Configurations and entries that are passed over as older are logged

217: the store has the configuration at a lower revision than the one in hand; 521: an endpoint's entry was read at a lower revision than one that is known. No decision is changed.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -68,6 +68,7 @@
 	ConfigProved      Code = 214
 	StoreFollowed     Code = 215
 	WatchSilent       Code = 216
+	ConfigPassedOver  Code = 217
 	ServerJoined      Code = 511
 	ServerLeaving     Code = 512
 	ServerGone        Code = 513
@@ -78,6 +79,7 @@
 	ServerSaysLeaving Code = 518
 	ServerAsksRest    Code = 519
 	ServerRateLimit   Code = 520
+	ServerPassedOver  Code = 521
 	NodeJoined        Code = 311
 	NodeGone          Code = 312
 	NodeOdd           Code = 314
@@ -155,6 +157,7 @@
 	{ConfigProved, zap.InfoLevel, "configuration proved again", "A read showed which configuration is the newest."},
 	{StoreFollowed, zap.InfoLevel, "store followed", "From now on this node reads the store itself (directly) or through the hubs of its fleet. Only a large fleet has hubs; a node that no hub helps reads the store itself for a while. standby is the instance that it reads through while the hubs that read the store cannot; stands_in says that this node reads it for others meanwhile."},
 	{WatchSilent, zap.WarnLevel, "watch of the store is silent", "Another node knows a change of a server that this one has not heard of: its watches are begun anew."},
+	{ConfigPassedOver, zap.WarnLevel, "configuration passed over", "The store has the configuration at a revision below that of the one in force (in_hand), which stays in force. For a moment after an answer that came late; for longer, the store was restored from an older copy."},
 	{ServerJoined, zap.InfoLevel, "server joined", "The server takes work."},
 	{ServerLeaving, zap.InfoLevel, "server leaving", "The server gets no new work."},
 	{ServerGone, zap.InfoLevel, "server gone", "The server's entry is no more; it gets no new work."},
@@ -165,6 +168,7 @@
 	{ServerSaysLeaving, zap.InfoLevel, "server said that it leaves", "An answer of the server says so: it gets no new work from this instance from now on, whatever the store says. listed tells whether the store's word was still that it takes work."},
 	{ServerAsksRest, zap.InfoLevel, "server asked for rest", "The server turned a request away and wants none from this instance until the time told. Told once for each rest."},
 	{ServerRateLimit, zap.InfoLevel, "rate limit of an endpoint changed", "The endpoint (server) accepts so many requests a second (to, where limited is true) from all instances together. by_peer tells that another instance reported it, not an answer to this one."},
+	{ServerPassedOver, zap.InfoLevel, "server's entry passed over", "The entry was read at a revision below one that is known for the server, and changed nothing."},
 	{NodeJoined, zap.InfoLevel, "node joined", "Another node registered itself, or others tell of it while the store has lost some."},
 	{NodeGone, zap.InfoLevel, "node gone", "Another node's registration ended and it is not heard of."},
 	{NodeOdd, zap.WarnLevel, "word of a node not understood", "What another node (peer), or its registration in the store (revision), tells of one that runs could not be read, and is passed over."},
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -98,6 +98,7 @@
 
 	config     *policy.Config
 	revision   int64 // of the configuration's item
+	passedOver int64 // of an older one that was read last
 	provedAt   time.Time
 	readAt     time.Time // the same for this node's own way to the store
 	outageAt   time.Time // when the others last said that they cannot read the store either
@@ -215,6 +216,7 @@
 		}
 	}
 	if c.revision != s.revision {
+		s.passOver(c)
 		return
 	}
 	if !c.byPeer && c.provedAt.After(s.readAt) {
@@ -229,6 +231,15 @@
 	}
 }
 
+// passOver logs a configuration that is older than the one in hand, once for each revision.
+func (s *state) passOver(c configRead) {
+	if c.revision >= s.revision || c.revision == s.passedOver {
+		return
+	}
+	s.passedOver = c.revision
+	s.instance.event(event.ConfigPassedOver, zap.Int64("revision", c.revision), zap.Int64("in_hand", s.revision), zap.Int64("version", s.config.Version), zap.Bool("by_peer", c.byPeer))
+}
+
 // keysUntil is how long a key may be honoured. What no node can read binds
 // none, unless the deployment says that a key taken away must end all the same.
 func (s *state) keysUntil() time.Time {
@@ -305,6 +316,9 @@
 	server, err := s.instance.Decoder.Endpoint(id, item.Value, now)
 	if err == nil {
 		server.Revision = item.Revision
+		if s.registry.Outdated(server) {
+			s.instance.event(event.ServerPassedOver, zap.String("server", server.ID), zap.Int64("revision", item.Revision), zap.Bool("leaving", server.Leaving))
+		}
 		return server, true
 	}
 	if s.registry.Withhold(id, item.Revision, now) != registry.None {
--- a/internal/registry/incarnation.go
+++ b/internal/registry/incarnation.go
@@ -73,6 +73,13 @@
 	return current
 }
 
+// Outdated reports whether an entry is older than one that is known for its server, so that
+// Put makes nothing of it.
+func (r *Registry) Outdated(s Endpoint) bool {
+	newest := r.newest[s.StoreID()]
+	return newest != nil && r.judge(newest, &s) == late
+}
+
 // Withhold notes that a server's entry names no server to use since a revision, 0 if that
 // is not known. What runs there goes on; it may be used again once its entry reads well.
 func (r *Registry) Withhold(name string, revision int64, now time.Time) Change {
