Failing tests: the store comes back from an older copy

The stand-in restores a backup: writes and leases since are gone, revisions are given out again, a watch from one that it does not have gets ErrCompacted, a waiting one goes on.

--- /dev/null
+++ b/internal/front/restored_test.go
@@ -0,0 +1,166 @@
+package front
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shelfcrank/shelfcrank/internal/storetest"
+)
+
+// churn makes the store give out so many revisions.
+func (w *world) churn(revisions int) {
+	for range revisions {
+		w.store.Put("op/unused", []byte("{}"))
+	}
+}
+
+// restore makes the store unavailable for a while and brings an older copy back, which still
+// lacks what operators and servers have to write again.
+func (w *world) restore(b storetest.Backup, away time.Duration) {
+	names := slices.Collect(maps.Keys(w.nodes))
+	w.fault(storetest.Faults{Down: true}, names...)
+	time.Sleep(away)
+	w.store.Restore(b)
+	w.fault(storetest.Faults{}, names...)
+}
+
+// drills are for how long the store is away, and how much later operators write again.
+var drills = []struct{ away, rewritten time.Duration }{{0, 0}, {2 * time.Second, 0}, {300 * time.Millisecond, time.Second}}
+
+func TestAConfigurationIsInForceAfterTheStoreIsRestored(t *testing.T) {
+	for _, nodes := range []int{4, large} {
+		for _, drill := range drills {
+			play(t, nodes, func(is *is.I, w *world) {
+				time.Sleep(4 * time.Second)
+				backup := w.store.Backup()
+				w.churn(40)
+				w.configure(2, "k1", "k2")
+				time.Sleep(2 * time.Second)
+				w.restore(backup, drill.away)
+				time.Sleep(drill.rewritten)
+				w.configure(2, "k1", "k2")
+				time.Sleep(time.Second)
+				w.configure(4, "k2", "k3")
+				time.Sleep(w.settings("n0", 1).Bounds.Config())
+				for name := range w.nodes {
+					is.Equal(w.ask(name, "/new/a", "k3", name+"/added"), 200)
+					is.Equal(w.ask(name, "/safe/a", "k1", name+"/taken"), 401)
+					is.True(w.ready(name))
+				}
+			})
+		}
+	}
+}
+
+func TestAVersionInForceIsKeptWhileTheRestoredStoreLacksIt(t *testing.T) {
+	play(t, 4, func(is *is.I, w *world) {
+		time.Sleep(4 * time.Second)
+		backup := w.store.Backup()
+		w.configure(2, "k2")
+		time.Sleep(time.Second)
+		w.restore(backup, 300*time.Millisecond) // and nobody writes it again
+		for i := range 40 {
+			time.Sleep(250 * time.Millisecond)
+			name := fmt.Sprint("n", i%4)
+			is.Equal(w.ask(name, "/new/a", "k2", fmt.Sprint("new", i)), 200)
+			is.Equal(w.ask(name, "/safe/a", "k1", fmt.Sprint("taken", i)), 401)
+		}
+	})
+}
+
+func TestALeavingServerGetsNoNewWorkAfterTheStoreIsRestored(t *testing.T) {
+	for _, nodes := range []int{4, large} {
+		for _, drill := range drills {
+			play(t, nodes, func(is *is.I, w *world) {
+				time.Sleep(4 * time.Second)
+				backup := w.store.Backup()
+				w.churn(40)
+				for i := range testServers {
+					w.putServer(i, false)
+				}
+				time.Sleep(2 * time.Second)
+				w.restore(backup, drill.away)
+				time.Sleep(drill.rewritten + 500*time.Millisecond)
+				w.putServer(0, true)
+				left := time.Now()
+				for i := range 60 {
+					time.Sleep(50 * time.Millisecond)
+					w.ask(fmt.Sprint("n", i%nodes), "/once/a", "k1", fmt.Sprint("r", i))
+				}
+				is.True(w.lastAt(serverID(0)).Sub(left) < w.drain())
+				is.True(w.lastAt(serverID(1)).Sub(left) > w.drain())
+			})
+		}
+	}
+}
+
+func TestAServerThatLeftIsNotBackWithAnOlderCopyOfTheStore(t *testing.T) {
+	for _, gone := range []bool{false, true} {
+		play(t, 4, func(is *is.I, w *world) {
+			time.Sleep(4 * time.Second)
+			backup := w.store.Backup()
+			if gone {
+				w.store.Put("server/"+serverID(0), nil)
+			} else {
+				w.putServer(0, true)
+			}
+			left := time.Now()
+			time.Sleep(time.Second)
+			w.restore(backup, 300*time.Millisecond)
+			for i := range 60 {
+				time.Sleep(50 * time.Millisecond)
+				w.ask(fmt.Sprint("n", i%4), "/once/a", "k1", fmt.Sprint("r", i))
+			}
+			is.True(w.lastAt(serverID(0)).Sub(left) < w.drain())
+		})
+	}
+}
+
+func TestDutiesAfterTheStoreIsRestored(t *testing.T) {
+	for _, nodes := range []int{4, large} {
+		for _, drill := range drills {
+			play(t, nodes, func(is *is.I, w *world) {
+				time.Sleep(4 * time.Second)
+				backup := w.store.Backup()
+				w.churn(40)
+				holder := w.holder()
+				w.kill(holder)
+				w.start(holder)
+				for i := range 200 {
+					time.Sleep(50 * time.Millisecond)
+					w.ask(fmt.Sprint("n", i%nodes), "/once/a", "k1", fmt.Sprint("r", i))
+				}
+				w.restore(backup, drill.away)
+				for i := range 600 {
+					time.Sleep(50 * time.Millisecond)
+					w.ask(fmt.Sprint("n", i%nodes), "/once/a", "k1", fmt.Sprint("s", i))
+				}
+				w.cloud.mu.Lock()
+				defer w.cloud.mu.Unlock()
+				is.Equal(w.cloud.faults, nil)
+				is.True(len(w.cloud.windows) >= 6) // in 40 s, of 5 s each
+			})
+		}
+	}
+}
+
+func TestAnInstanceRegistersAgainAfterTheStoreIsRestored(t *testing.T) {
+	play(t, 4, func(is *is.I, w *world) {
+		time.Sleep(4 * time.Second)
+		backup := w.store.Backup()
+		w.kill("n1")
+		w.start("n1")
+		time.Sleep(2 * time.Second)
+		w.restore(backup, 300*time.Millisecond)
+		time.Sleep(5 * time.Second)
+		w.kill("n0")
+		w.start("n0") // it learns of the others from the store
+		time.Sleep(time.Second)
+		is.Equal(w.nodes["n0"].node.view.Load().Instances, 4)
+	})
+}
--- a/internal/storetest/storetest.go
+++ b/internal/storetest/storetest.go
@@ -270,7 +270,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire(time.Now())
-	if after < s.oldest {
+	if after < s.oldest || after > s.rev {
 		return nil, 0, nil, store.ErrCompacted
 	}
 	if s.faults[c.caller].Silent {
