--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -25,7 +25,7 @@
 // Token is who acts, as the receiver of an order is told.
 type Token struct {
 	Holder string
-	Fence  int64
+	Fence  store.Revision
 }
 
 // Errors of orders. Any other error leaves open whether the order was taken.
@@ -99,11 +99,11 @@
 	}
 }
 
-func (e *Elector) hold(fence int64, until time.Time) {
+func (e *Elector) hold(fence store.Revision, until time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.token.Fence != fence {
-		event.Log(e.Log, event.DutyTaken, zap.Int64("fence", fence), zap.Time("until", until))
+		event.Log(e.Log, event.DutyTaken, zap.Int64("fence", int64(fence)), zap.Time("until", until))
 	}
 	e.token, e.until = Token{e.Instance, fence}, until
 }
@@ -112,7 +112,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.until = time.Time{}
-	event.Log(e.Log, event.DutyLost, zap.Int64("fence", e.token.Fence), zap.String("why", why))
+	event.Log(e.Log, event.DutyLost, zap.Int64("fence", int64(e.token.Fence)), zap.String("why", why))
 }
 
 func (e *Elector) deadline(sent time.Time) time.Time {
@@ -171,7 +171,7 @@
 }
 
 // campaign tries to get the key. sent is when the lease was asked for.
-func (e *Elector) campaign(ctx context.Context) (lease, fence int64, sent time.Time, ok bool) {
+func (e *Elector) campaign(ctx context.Context) (lease int64, fence store.Revision, sent time.Time, ok bool) {
 	call, cancel := context.WithTimeout(ctx, e.TTL/3)
 	defer cancel()
 	sent = e.Clock.Now()
@@ -196,7 +196,7 @@
 }
 
 // settle finds out what became of a write whose answer was lost.
-func (e *Elector) settle(ctx context.Context, lease int64, sent time.Time) (int64, int64, time.Time, bool) {
+func (e *Elector) settle(ctx context.Context, lease int64, sent time.Time) (int64, store.Revision, time.Time, bool) {
 	for e.Clock.Since(sent) < e.TTL && ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, e.TTL/6)
 		item, _, err := e.Store.Get(call, e.Key)
@@ -217,7 +217,7 @@
 }
 
 // renew keeps the lease until it is lost.
-func (e *Elector) renew(ctx context.Context, lease, fence int64) {
+func (e *Elector) renew(ctx context.Context, lease int64, fence store.Revision) {
 	pause := time.Duration(renewShare * float64(e.TTL))
 	for {
 		select {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -16,83 +16,84 @@
 // The events. Hundreds group them: 1xx process, 2xx table, 3xx membership,
 // 4xx requests, 5xx endpoints, 9xx broken invariants.
 const (
-	Started           Code = 101
-	Stopping          Code = 102
-	Stopped           Code = 103
-	ChildRestarted    Code = 104
-	ControlWedged     Code = 105
-	Resumed           Code = 106
-	ClockStandsStill  Code = 107
-	TableInForce      Code = 201
-	TableStale        Code = 202
-	StoreDown         Code = 203
-	StoreBack         Code = 204
-	EditAccepted      Code = 205
-	EditRefused       Code = 206
-	PeerSuspect       Code = 301
-	PeerDead          Code = 302
-	PeerJoined        Code = 303
-	PeerLeaving       Code = 304
-	ViewInstalled     Code = 305
-	ShardsUnknown     Code = 306
-	RequestFailed     Code = 401
-	RequestResumed    Code = 402
-	RecordTakenOver   Code = 403
-	RecordHandedOver  Code = 404
-	RecordLost        Code = 405
-	OutcomeUnknown    Code = 406
-	ForwardAnswered   Code = 411
-	ForwardRefused    Code = 412
-	StreamBroken      Code = 413
-	ClientLeft        Code = 414
-	EndedUnder        Code = 421
-	Quarantined       Code = 422
-	QuarantineOver    Code = 423
-	QuarantineLifted  Code = 424
-	DutyTaken         Code = 601
-	DutyLost          Code = 602
-	UsageReported     Code = 603
-	UsageMissed       Code = 604
-	FleetOrdered      Code = 605
-	FleetRefused      Code = 606
-	RolloutOrdered    Code = 621
-	RolloutFollowed   Code = 622
-	RolloutLed        Code = 623
-	RolloutLooked     Code = 624
-	RolloutNotWritten Code = 625
-	RolloutOdd        Code = 626
-	Reloaded          Code = 106
-	ConfigInForce     Code = 211
-	ConfigRejected    Code = 212
-	ConfigStale       Code = 213
-	ConfigProved      Code = 214
-	StoreFollowed     Code = 215
-	WatchSilent       Code = 216
-	ConfigPassedOver  Code = 217
-	ServerJoined      Code = 511
-	ServerLeaving     Code = 512
-	ServerGone        Code = 513
-	ServerAbsent      Code = 514
-	ServerOdd         Code = 515
-	ServerRestarted   Code = 516
-	ServerWithheld    Code = 517
-	ServerSaysLeaving Code = 518
-	ServerAsksRest    Code = 519
-	ServerRateLimit   Code = 520
-	ServerPassedOver  Code = 521
-	NodeJoined        Code = 311
-	NodeGone          Code = 312
-	NodeOdd           Code = 314
-	ClockCorrected    Code = 313
-	EndpointJoined    Code = 501
-	EndpointLeaving   Code = 502
-	EndpointGone      Code = 503
-	EndpointEjected   Code = 504
-	EndpointAsksRest  Code = 507
-	EndpointRateLimit Code = 508
-	KVMoved           Code = 505
-	KVMoveFailed      Code = 506
-	InvariantBroken   Code = 901
+	Started            Code = 101
+	Stopping           Code = 102
+	Stopped            Code = 103
+	ChildRestarted     Code = 104
+	ControlWedged      Code = 105
+	Resumed            Code = 106
+	ClockStandsStill   Code = 107
+	TableInForce       Code = 201
+	TableStale         Code = 202
+	StoreDown          Code = 203
+	StoreBack          Code = 204
+	EditAccepted       Code = 205
+	EditRefused        Code = 206
+	PeerSuspect        Code = 301
+	PeerDead           Code = 302
+	PeerJoined         Code = 303
+	PeerLeaving        Code = 304
+	ViewInstalled      Code = 305
+	ShardsUnknown      Code = 306
+	RequestFailed      Code = 401
+	RequestResumed     Code = 402
+	RecordTakenOver    Code = 403
+	RecordHandedOver   Code = 404
+	RecordLost         Code = 405
+	OutcomeUnknown     Code = 406
+	ForwardAnswered    Code = 411
+	ForwardRefused     Code = 412
+	StreamBroken       Code = 413
+	ClientLeft         Code = 414
+	EndedUnder         Code = 421
+	Quarantined        Code = 422
+	QuarantineOver     Code = 423
+	QuarantineLifted   Code = 424
+	DutyTaken          Code = 601
+	DutyLost           Code = 602
+	UsageReported      Code = 603
+	UsageMissed        Code = 604
+	FleetOrdered       Code = 605
+	FleetRefused       Code = 606
+	RolloutOrdered     Code = 621
+	RolloutFollowed    Code = 622
+	RolloutLed         Code = 623
+	RolloutLooked      Code = 624
+	RolloutNotWritten  Code = 625
+	RolloutOdd         Code = 626
+	Reloaded           Code = 106
+	ConfigInForce      Code = 211
+	ConfigRejected     Code = 212
+	ConfigStale        Code = 213
+	ConfigProved       Code = 214
+	StoreFollowed      Code = 215
+	WatchSilent        Code = 216
+	ConfigPassedOver   Code = 217
+	StoreRestored      Code = 218
+	ServerJoined       Code = 511
+	ServerLeaving      Code = 512
+	ServerGone         Code = 513
+	ServerAbsent       Code = 514
+	ServerOdd          Code = 515
+	ServerRestarted    Code = 516
+	ServerWithheld     Code = 517
+	ServerSaysLeaving  Code = 518
+	ServerAsksRest     Code = 519
+	ServerRateLimit    Code = 520
+	EndpointPassedOver Code = 521
+	NodeJoined         Code = 311
+	NodeGone           Code = 312
+	NodeOdd            Code = 314
+	ClockCorrected     Code = 313
+	EndpointJoined     Code = 501
+	EndpointLeaving    Code = 502
+	EndpointGone       Code = 503
+	EndpointEjected    Code = 504
+	EndpointAsksRest   Code = 507
+	EndpointRateLimit  Code = 508
+	KVMoved            Code = 505
+	KVMoveFailed       Code = 506
+	InvariantBroken    Code = 901
 )
 
 // Entry describes one event.
@@ -157,7 +158,8 @@
 	{ConfigProved, zap.InfoLevel, "configuration proved again", "A read showed which configuration is the newest."},
 	{StoreFollowed, zap.InfoLevel, "store followed", "From now on this node reads the store itself (directly) or through the hubs of its fleet. Only a large fleet has hubs; a node that no hub helps reads the store itself for a while. standby is the instance that it reads through while the hubs that read the store cannot; stands_in says that this node reads it for others meanwhile."},
 	{WatchSilent, zap.WarnLevel, "watch of the store is silent", "Another node knows a change of a server that this one has not heard of: its watches are begun anew."},
-	{ConfigPassedOver, zap.WarnLevel, "configuration passed over", "The store has the configuration at a revision below that of the one in force (in_hand), which stays in force. For a moment after an answer that came late; for longer, the store was restored from an older copy."},
+	{ConfigPassedOver, zap.WarnLevel, "configuration passed over", "The store has the configuration at a revision below that of the one in force (in_hand), which stays in force. The answer came late."},
+	{StoreRestored, zap.WarnLevel, "store restored from an older copy", "The store is in a later era than before. Versions in force and leaving endpoints are kept; what operators and endpoints write again is taken, with revisions that were given out before."},
 	{ServerJoined, zap.InfoLevel, "server joined", "The server takes work."},
 	{ServerLeaving, zap.InfoLevel, "server leaving", "The server gets no new work."},
 	{ServerGone, zap.InfoLevel, "server gone", "The server's entry is no more; it gets no new work."},
@@ -168,7 +170,7 @@
 	{ServerSaysLeaving, zap.InfoLevel, "server said that it leaves", "An answer of the server says so: it gets no new work from this instance from now on, whatever the store says. listed tells whether the store's word was still that it takes work."},
 	{ServerAsksRest, zap.InfoLevel, "server asked for rest", "The server turned a request away and wants none from this instance until the time told. Told once for each rest."},
 	{ServerRateLimit, zap.InfoLevel, "rate limit of an endpoint changed", "The endpoint (server) accepts so many requests a second (to, where limited is true) from all instances together. by_peer tells that another instance reported it, not an answer to this one."},
-	{ServerPassedOver, zap.InfoLevel, "server's entry passed over", "The entry was read at a revision below one that is known for the server, and changed nothing."},
+	{EndpointPassedOver, zap.InfoLevel, "endpoint's entry passed over", "The entry was read at a revision below one that is known for the server, and changed nothing."},
 	{NodeJoined, zap.InfoLevel, "node joined", "Another node registered itself, or others tell of it while the store has lost some."},
 	{NodeGone, zap.InfoLevel, "node gone", "Another node's registration ended and it is not heard of."},
 	{NodeOdd, zap.WarnLevel, "word of a node not understood", "What another node (peer), or its registration in the store (revision), tells of one that runs could not be read, and is passed over."},
--- a/internal/front/digest.go
+++ b/internal/front/digest.go
@@ -14,6 +14,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/ratelimit"
 	"github.com/shelfcrank/shelfcrank/internal/ratelimit/wire"
 	"github.com/shelfcrank/shelfcrank/internal/rollctl"
+	"github.com/shelfcrank/shelfcrank/internal/store"
 	"github.com/shelfcrank/shelfcrank/internal/tally"
 )
 
@@ -68,7 +69,7 @@
 
 // digest is what an instance has to know of all the others.
 func (n *Instance) digest(to string, windows bool, now time.Time) *peerpb.Digest {
-	d := &peerpb.Digest{Incarnation: n.incarnation(), Seasoned: now.Sub(n.start) > quota.Season, ServersAt: n.watchProgress.Newest()}
+	d := &peerpb.Digest{Incarnation: n.incarnation(), Seasoned: now.Sub(n.start) > quota.Season, ServersAt: int64(n.watchProgress.Newest())}
 	reports, others := n.groups.own(now), n.groups.known(now)
 	d.Instances = n.advertisedInstances(now)
 	for _, other := range others {
@@ -170,7 +171,7 @@
 	n.applyInstances(hub.Instance, d.Instances, now)
 	n.suspects.met(hub.Instance, hub.Incarnation)
 	if n.reading.Load() {
-		n.applyEndpointsAt(hub.Instance, d.ServersAt, now)
+		n.applyEndpointsAt(hub.Instance, store.Revision(d.ServersAt), now)
 	}
 	for _, g := range d.Groups {
 		n.state.members.seen(g.Hub, now) // the hub saw it just now, the store may have lost it
--- a/internal/front/duties.go
+++ b/internal/front/duties.go
@@ -100,10 +100,10 @@
 		return true
 	}
 	if err := n.Cloud.ReportUsage(call, token, window, counts); err != nil {
-		n.event(event.UsageMissed, zap.Int64("window", window), zap.Int64("fence", token.Fence), zap.Error(err))
+		n.event(event.UsageMissed, zap.Int64("window", window), zap.Int64("fence", int64(token.Fence)), zap.Error(err))
 		return false
 	}
-	n.event(event.UsageReported, zap.Int64("window", window), zap.Int64("fence", token.Fence), zap.Any("counts", counts))
+	n.event(event.UsageReported, zap.Int64("window", window), zap.Int64("fence", int64(token.Fence)), zap.Any("counts", counts))
 	return true
 }
 
--- /dev/null
+++ b/internal/front/era.go
@@ -0,0 +1,62 @@
+package front
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/shelfcrank/shelfcrank/internal/event"
+	"github.com/shelfcrank/shelfcrank/internal/store"
+)
+
+// era is what the state knows of the store's era. It belongs to the state's goroutine.
+type era struct {
+	known  bool
+	number int64
+}
+
+// revisionOf returns a revision that a change was read at or after, zero if it names none.
+func revisionOf(c change) store.Revision {
+	switch c := c.(type) {
+	case configRead:
+		return c.revision
+	case listedEndpoints:
+		return c.at
+	case listedInstances:
+		return c.at
+	case operatorsRead:
+		return newestOf(c.items)
+	case watched:
+		if len(c.events) > 0 {
+			return c.events[0].Revision
+		}
+	}
+	return 0
+}
+
+func newestOf(items []store.Item) store.Revision {
+	var newest store.Revision
+	for _, item := range items {
+		newest = max(newest, item.Revision)
+	}
+	return newest
+}
+
+// enter takes note of the era that a change was read in, and reports whether the change may be
+// used: what was read in an earlier era came late.
+func (s *state) enter(c change, now time.Time) bool {
+	at := revisionOf(c)
+	switch number := at.Era(); {
+	case at == 0:
+	case !s.era.known:
+		s.era = era{known: true, number: number}
+	case number > s.era.number:
+		s.instance.event(event.StoreRestored, zap.Inline(at), zap.Int64("before", s.era.number))
+		s.era.number = number
+		s.troubleAt = now
+		s.instance.refresh()
+	case number < s.era.number:
+		return false
+	}
+	return true
+}
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -67,8 +67,8 @@
 	}
 }
 
-// sleepOrResume waits for a pause, or until this node has stood still. It reports false when
-// ctx ended before.
+// sleepOrResume waits for a pause, or until the next refresh. It reports false when ctx ended
+// before.
 func (n *Instance) sleepOrResume(ctx context.Context, d time.Duration) bool {
 	select {
 	case <-ctx.Done():
@@ -156,26 +156,26 @@
 	if !n.awaitRole(ctx) {
 		return ctx.Err()
 	}
-	list := func([]store.Item, int64) {} // the read proves it
+	list := func([]store.Item, store.Revision) {} // the read proves it
 	return n.watch(ctx, followed{n.Decoder.OperatorPrefix(), n.hub.operators, list, n.awaitRole})
 }
 
 func (n *Instance) watchEndpoints(ctx context.Context) error {
-	list := func(items []store.Item, at int64) { n.state.send(listedEndpoints{items, at}) }
+	list := func(items []store.Item, at store.Revision) { n.state.send(listedEndpoints{items, at}) }
 	return n.watch(ctx, followed{n.Decoder.EndpointPrefix(), n.hub.endpoints, list, n.awaitRole})
 }
 
 func (n *Instance) watchInstances(ctx context.Context) error {
-	list := func(items []store.Item, _ int64) { n.state.send(listedInstances{items}) }
+	list := func(items []store.Item, at store.Revision) { n.state.send(listedInstances{items, at}) }
 	return n.watch(ctx, followed{n.Decoder.OwnPrefix() + keyLive, n.hub.instances, list, n.awaitOthers})
 }
 
 // followed is a part of the store that an instance follows.
 type followed struct {
 	prefix string
-	kept   *mirror.Copy                       // for those that ask this instance
-	list   func(items []store.Item, at int64) // takes the whole of it
-	await  func(context.Context) bool         // waits until changes have to be followed; false when ctx ended
+	kept   *mirror.Copy                                // for those that ask this instance
+	list   func(items []store.Item, at store.Revision) // takes the whole of it
+	await  func(context.Context) bool                  // waits until changes have to be followed; false when ctx ended
 }
 
 // watch lists a part of the store and follows its changes, and lists anew
@@ -205,7 +205,7 @@
 }
 
 // follow passes changes on until a watch fails.
-func (n *Instance) follow(ctx context.Context, p followed, at int64) {
+func (n *Instance) follow(ctx context.Context, p followed, at store.Revision) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stop := context.AfterFunc(n.outage.Load().ctx, cancel)
--- a/internal/front/follower.go
+++ b/internal/front/follower.go
@@ -118,9 +118,9 @@
 // follower is a node that reads the store through hubs.
 type follower struct {
 	instance             *Instance
-	endpoints, instances int64 // revisions up to which the entries are known
-	revision             int64 // of the configuration in hand
-	orders               int64 // highest revision of the orders in hand
+	endpoints, instances store.Revision // revisions up to which the entries are known
+	revision             store.Revision // of the configuration in hand
+	orders               store.Revision // highest revision of the orders in hand
 	lastGood             time.Time
 	standby              string                      // the last that helped, if it was one that stands in for the readers
 	round                int                         // of standbys to ask next
@@ -174,7 +174,7 @@
 }
 
 func (s *follower) ask(ctx context.Context, hub topology.Member, standIn bool) (*peerpb.MirrorAnswer, error) {
-	return s.instance.askMirror(ctx, hub, &peerpb.Mirror{Config: s.revision, Servers: s.endpoints, Nodes: s.instances, Orders: s.orders, StandIn: standIn, Unpacks: true})
+	return s.instance.askMirror(ctx, hub, &peerpb.Mirror{Config: int64(s.revision), Servers: int64(s.endpoints), Nodes: int64(s.instances), Orders: int64(s.orders), StandIn: standIn, Unpacks: true})
 }
 
 // askMirror asks an instance that reads the store for what changed there.
@@ -197,7 +197,7 @@
 // mirroredConfig reads the configuration of an answer to a question sent at a
 // time. Its proof is at least as young as its age says, counted from then.
 func mirroredConfig(a *peerpb.MirrorAnswer, sent time.Time) (configRead, error) {
-	read := configRead{revision: a.ConfigRevision}
+	read := configRead{revision: store.Revision(a.ConfigRevision)}
 	if len(a.PackedConfig) > 0 {
 		value, err := mirror.Unpack(a.PackedConfig)
 		if err != nil {
@@ -216,22 +216,22 @@
 	n := s.instance
 	n.state.send(storeCalled{ok: true, sent: sent})
 	s.takeOrders(a.Orders)
-	if a.ConfigRevision >= s.revision {
-		s.revision = a.ConfigRevision
+	if read.revision >= s.revision {
+		s.revision = read.revision
 		n.state.send(read)
 	}
 	if p := a.Servers; p != nil {
-		s.endpoints = p.At
+		s.endpoints = store.Revision(p.At)
 		if events := mirrorEvents(p); p.Whole {
-			n.state.send(listedEndpoints{itemsOf(events), p.At})
+			n.state.send(listedEndpoints{itemsOf(events), s.endpoints})
 		} else {
 			s.changed(events)
 		}
 	}
 	if p := a.Nodes; p != nil {
-		s.instances = p.At
+		s.instances = store.Revision(p.At)
 		if events := mirrorEvents(p); p.Whole {
-			n.state.send(listedInstances{itemsOf(events)})
+			n.state.send(listedInstances{itemsOf(events), s.instances})
 		} else {
 			s.changed(events)
 		}
@@ -241,7 +241,7 @@
 // takeOrders hands orders to the state, before the proof that comes with them.
 func (s *follower) takeOrders(orders []*peerpb.MirrorItem) {
 	for _, order := range orders {
-		s.orders = max(s.orders, order.Revision)
+		s.orders = max(s.orders, store.Revision(order.Revision))
 	}
 	s.instance.state.send(mirroredOrders(orders))
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -111,11 +111,11 @@
 	watchProgress mirror.Progress
 	reading       atomic.Bool  // this node reads the store itself
 	registered    atomic.Bool  // the store has this node's registration, as far as is known
-	revision      atomic.Int64 // of the configuration's item in hand
+	revision      atomic.Int64 // of the configuration's item in hand, a store.Revision
 	standIn       *standIn     // whether it reads the store in place of the readers
 	leaving       atomic.Bool
 	outage        atomic.Pointer[outage] // ends with the next outage of the store
-	resumed       atomic.Pointer[outage] // ends when this node has stood still
+	resumed       atomic.Pointer[outage] // ends with the next refresh
 	knows         chan struct{}          // closed when a configuration and the servers are known
 }
 
@@ -351,6 +351,11 @@
 	if w.Stood >= longStandstill {
 		n.admission.resume(n.Clock.Now())
 	}
+	n.refresh()
+}
+
+// refresh begins the watches anew, and does at once what keeps this node proved and registered.
+func (n *Instance) refresh() {
 	n.rewatch()
 	n.resumed.Swap(newOutage()).end()
 }
--- a/internal/front/hub.go
+++ b/internal/front/hub.go
@@ -35,14 +35,14 @@
 	items    []store.Item            // what the operators wrote, as last read; guarded by mu
 	provedAt time.Time               // when that read was sent; guarded by mu
 	packed   []byte                  // a configuration compressed; guarded by mu
-	packedAt int64                   // its revision; guarded by mu
+	packedAt store.Revision          // its revision; guarded by mu
 	parts    map[partKey]*packedPart // guarded by mu
 }
 
 // partKey names what an instance that asks does not know yet.
 type partKey struct {
 	of        *mirror.Copy
-	after, at int64
+	after, at store.Revision
 }
 
 // packedPart is a part compressed for all that ask for the same.
@@ -123,15 +123,15 @@
 
 // look makes an answer, and says whether there is anything new in it.
 func (h *hub) look(q *peerpb.Mirror, now time.Time) (*peerpb.MirrorAnswer, bool, error) {
-	servers, known := h.endpoints.Since(q.Servers)
-	nodes, alsoKnown := h.instances.Since(q.Nodes)
+	servers, known := h.endpoints.Since(store.Revision(q.Servers))
+	nodes, alsoKnown := h.instances.Since(store.Revision(q.Nodes))
 	item, provedAt, orders := h.newest()
 	if !known || !alsoKnown || now.Sub(provedAt) > mirrorStale {
 		return nil, false, errNoHub
 	}
 	a := &peerpb.MirrorAnswer{
-		ProofAge: int64(now.Sub(provedAt)), ConfigRevision: item.Revision,
-		Servers: h.part(h.endpoints, q.Servers, servers, q.Unpacks, now), Nodes: h.part(h.instances, q.Nodes, nodes, q.Unpacks, now),
+		ProofAge: int64(now.Sub(provedAt)), ConfigRevision: int64(item.Revision),
+		Servers: h.part(h.endpoints, store.Revision(q.Servers), servers, q.Unpacks, now), Nodes: h.part(h.instances, store.Revision(q.Nodes), nodes, q.Unpacks, now),
 	}
 	if watched, ok := h.operators.Since(0); ok {
 		for _, e := range watched.Events { // a watch may know before the next read
@@ -140,16 +140,16 @@
 			case e.Key != h.configKey:
 				orders = append(orders, e.Item)
 			case e.Revision > item.Revision:
-				item, a.ConfigRevision, a.ProofAge = e.Item, e.Revision, notProved
+				item, a.ConfigRevision, a.ProofAge = e.Item, int64(e.Revision), notProved
 			}
 		}
 	}
 	for _, order := range orders {
-		if order.Revision > q.Orders {
+		if order.Revision > store.Revision(q.Orders) {
 			a.Orders = append(a.Orders, mirrorItem(store.Event{Item: order}))
 		}
 	}
-	if item.Revision > q.Config {
+	if item.Revision > store.Revision(q.Config) {
 		a.PackedConfig = h.pack(item)
 	}
 	news := len(a.PackedConfig) > 0 || len(a.Orders) > 0 || len(servers.Events)+len(nodes.Events) > 0 || servers.Whole || nodes.Whole
@@ -175,7 +175,7 @@
 // part returns what changed in a copy, packed if the caller reads that and it is much. It is
 // packed once for all that ask for the same, which keeps the links of hubs free while a
 // large fleet starts.
-func (h *hub) part(of *mirror.Copy, after int64, c mirror.Change, unpacks bool, now time.Time) *peerpb.MirrorPart {
+func (h *hub) part(of *mirror.Copy, after store.Revision, c mirror.Change, unpacks bool, now time.Time) *peerpb.MirrorPart {
 	if !unpacks || len(c.Events) < packFrom {
 		return mirrorPart(c)
 	}
@@ -195,7 +195,7 @@
 		p = &packedPart{mirror.Pack(items), now.Add(packFor)}
 		h.parts[key] = p
 	}
-	return &peerpb.MirrorPart{Whole: c.Whole, At: c.At, Packed: p.bytes}
+	return &peerpb.MirrorPart{Whole: c.Whole, At: int64(c.At), Packed: p.bytes}
 }
 
 // unpackPart reverses part.
@@ -216,18 +216,18 @@
 }
 
 func mirrorPart(c mirror.Change) *peerpb.MirrorPart {
-	return &peerpb.MirrorPart{Whole: c.Whole, At: c.At, Items: lo.Map(c.Events, func(e store.Event, _ int) *peerpb.MirrorItem {
+	return &peerpb.MirrorPart{Whole: c.Whole, At: int64(c.At), Items: lo.Map(c.Events, func(e store.Event, _ int) *peerpb.MirrorItem {
 		return mirrorItem(e)
 	})}
 }
 
 func mirrorItem(e store.Event) *peerpb.MirrorItem {
-	return &peerpb.MirrorItem{Key: e.Key, Value: e.Value, Revision: e.Revision, Gone: e.Gone}
+	return &peerpb.MirrorItem{Key: e.Key, Value: e.Value, Revision: int64(e.Revision), Gone: e.Gone}
 }
 
 func mirrorEvents(p *peerpb.MirrorPart) []store.Event {
 	return lo.Map(p.GetItems(), func(i *peerpb.MirrorItem, _ int) store.Event {
-		return store.Event{Item: store.Item{Key: i.Key, Value: i.Value, Revision: i.Revision}, Gone: i.Gone}
+		return store.Event{Item: store.Item{Key: i.Key, Value: i.Value, Revision: store.Revision(i.Revision)}, Gone: i.Gone}
 	})
 }
 
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -141,7 +141,7 @@
 	}
 	var r registration
 	if err := json.Unmarshal(e.Value, &r); err != nil || !r.Addr.IsValid() {
-		m.instance.event(event.NodeOdd, zap.String("told", cut(name)), zap.Int64("revision", e.Revision), zap.Error(err))
+		m.instance.event(event.NodeOdd, zap.String("told", cut(name)), zap.Inline(e.Revision), zap.Error(err))
 		return false
 	}
 	m.put(topology.Member{Name: name, Addr: r.Addr, Hall: r.Hall, Cores: r.Cores}).registered = true
--- a/internal/front/orders.go
+++ b/internal/front/orders.go
@@ -181,7 +181,7 @@
 	err := o.instance.Cloud.Order(call, token, k.service, k.hall, count, k.spot)
 	fields := []zap.Field{
 		zap.String("service", k.service), zap.String("hall", k.hall), zap.Bool("spot", k.spot), zap.Int("count", count),
-		zap.Int("there", there), zap.Float64("busy", in.Busy), zap.Float64("held", in.Held), zap.Int64("fence", token.Fence),
+		zap.Int("there", there), zap.Float64("busy", in.Busy), zap.Float64("held", in.Held), zap.Int64("fence", int64(token.Fence)),
 	}
 	if err != nil {
 		if errors.Is(err, duty.ErrSoldOut) {
--- a/internal/front/role.go
+++ b/internal/front/role.go
@@ -48,7 +48,7 @@
 	if n.called(sent, err) != nil {
 		return false, err // they are listed again when the store is followed
 	}
-	n.state.send(listedInstances{items})
+	n.state.send(listedInstances{items: items})
 	for end := n.Clock.Now().Add(rolePoll); n.Clock.Now().Before(end); {
 		if len(n.state.members.list()) > 0 {
 			return true, nil
--- a/internal/front/rolloutmsg.go
+++ b/internal/front/rolloutmsg.go
@@ -8,6 +8,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
 	"github.com/shelfcrank/shelfcrank/internal/rollctl"
 	"github.com/shelfcrank/shelfcrank/internal/rollout"
+	"github.com/shelfcrank/shelfcrank/internal/store"
 	"github.com/shelfcrank/shelfcrank/internal/tally"
 )
 
@@ -18,10 +19,10 @@
 	out := &peerpb.Rollouts{
 		Counts: countShares(counts),
 		States: lo.Map(states, func(s rollctl.State, _ int) *peerpb.RolloutState {
-			return &peerpb.RolloutState{Service: s.Service, Order: s.Order, Phase: string(s.Phase), Open: s.Open, Instances: s.Instances}
+			return &peerpb.RolloutState{Service: s.Service, Order: int64(s.Order), Phase: string(s.Phase), Open: s.Open, Instances: s.Instances}
 		}),
 		Permits: lo.Map(n.rollouts.Permits(), func(p rollctl.Permit, _ int) *peerpb.RolloutPermit {
-			return &peerpb.RolloutPermit{Service: p.Service, Order: p.Order, Number: p.Number}
+			return &peerpb.RolloutPermit{Service: p.Service, Order: int64(p.Order), Number: p.Number}
 		}),
 	}
 	if len(out.Counts)+len(out.States)+len(out.Permits) == 0 {
@@ -43,7 +44,7 @@
 		cell.What = 0
 		c := cells[cell]
 		if c == nil {
-			c = &peerpb.RolloutCount{Service: key.Service, Order: key.Order, Route: key.Route, Trial: key.Trial, Bucket: int32(key.Bucket)}
+			c = &peerpb.RolloutCount{Service: key.Service, Order: int64(key.Order), Route: key.Route, Trial: key.Trial, Bucket: int32(key.Bucket)}
 			cells[cell] = c
 		}
 		switch key.What {
@@ -66,7 +67,7 @@
 func rolloutCounts(shares []*peerpb.RolloutCount) rollout.Counts {
 	out := make(rollout.Counts)
 	for _, c := range shares {
-		key := rollout.Key{Service: c.Service, Order: c.Order, Route: c.Route, Trial: c.Trial, Bucket: uint8(c.Bucket)}
+		key := rollout.Key{Service: c.Service, Order: store.Revision(c.Order), Route: c.Route, Trial: c.Trial, Bucket: uint8(c.Bucket)}
 		for what, v := range map[rollout.What]int64{
 			rollout.Begun: c.Begun, rollout.Late: c.Late, rollout.Ended: c.Ended, rollout.Failed: c.Failed, rollout.Paced: c.Paced,
 		} {
@@ -80,14 +81,14 @@
 // rolloutStates reads what instances do.
 func rolloutStates(r *peerpb.Rollouts) []rollctl.State {
 	return lo.Map(r.GetStates(), func(s *peerpb.RolloutState, _ int) rollctl.State {
-		return rollctl.State{Service: s.Service, Order: s.Order, Phase: rollout.Phase(s.Phase), Open: s.Open, Instances: s.Instances}
+		return rollctl.State{Service: s.Service, Order: store.Revision(s.Order), Phase: rollout.Phase(s.Phase), Open: s.Open, Instances: s.Instances}
 	})
 }
 
 // applyPermits takes the leader's permits, whoever passes them on.
 func (n *Instance) applyPermits(r *peerpb.Rollouts, now time.Time) {
 	for _, p := range r.GetPermits() {
-		n.rollouts.Permitted(rollctl.Permit{Service: p.Service, Order: p.Order, Number: p.Number}, now)
+		n.rollouts.Permitted(rollctl.Permit{Service: p.Service, Order: store.Revision(p.Order), Number: p.Number}, now)
 	}
 }
 
--- a/internal/front/rollouts.go
+++ b/internal/front/rollouts.go
@@ -32,7 +32,7 @@
 // writtenRecord is a record as the store has it.
 type writtenRecord struct {
 	rollout.Record
-	revision int64
+	revision store.Revision
 }
 
 func newRolloutState(n *Instance) *rolloutState {
@@ -58,14 +58,14 @@
 	}
 	order, ok, err := s.instance.Decoder.Order(item.Key, item.Value)
 	if err != nil {
-		s.instance.event(event.RolloutOdd, zap.String("key", item.Key), zap.Int64("revision", item.Revision), zap.Error(err))
+		s.instance.event(event.RolloutOdd, zap.String("key", item.Key), zap.Inline(item.Revision), zap.Error(err))
 	}
 	if !ok || err != nil || item.Revision <= s.orders[order.Service].Revision {
 		return false
 	}
 	order.Revision = item.Revision
 	s.orders[order.Service], s.fresh[order.Service] = order, s.read
-	s.instance.event(event.RolloutOrdered, zap.String("service", order.Service), zap.String("target", order.Target), zap.Int64("order", order.Revision), zap.Duration("window", order.Window))
+	s.instance.event(event.RolloutOrdered, zap.String("service", order.Service), zap.String("target", order.Target), zap.Int64("order", int64(order.Revision)), zap.Duration("window", order.Window))
 	return true
 }
 
@@ -77,7 +77,7 @@
 	}
 	var r rollout.Record
 	if err := json.Unmarshal(item.Value, &r); err != nil {
-		s.instance.event(event.RolloutOdd, zap.String("key", item.Key), zap.Int64("revision", item.Revision), zap.Error(err))
+		s.instance.event(event.RolloutOdd, zap.String("key", item.Key), zap.Inline(item.Revision), zap.Error(err))
 		return false
 	}
 	return s.wrote(r, item.Revision)
@@ -85,7 +85,7 @@
 
 // wrote notes a record as written at a revision, and reports whether it is new: a later
 // one may have been told of by the watch.
-func (s *rolloutState) wrote(r rollout.Record, at int64) bool {
+func (s *rolloutState) wrote(r rollout.Record, at store.Revision) bool {
 	if at <= s.records[r.Service].revision {
 		return false
 	}
@@ -134,7 +134,7 @@
 	}
 	v.Trial[service], v.Rollouts[service] = arms.Trial, r
 	if s.instance.rollouts.Follow(r, arms, v.Instances, s.fresh[service]) {
-		s.instance.event(event.RolloutFollowed, zap.String("service", service), zap.Int64("order", r.Order), zap.String("target", r.Target), zap.String("phase", string(r.Phase)), zap.Int("main", len(arms.Main)), zap.Int("trial", len(arms.Trial)))
+		s.instance.event(event.RolloutFollowed, zap.String("service", service), zap.Int64("order", int64(r.Order)), zap.String("target", r.Target), zap.String("phase", string(r.Phase)), zap.Int("main", len(arms.Main)), zap.Int("trial", len(arms.Trial)))
 	}
 	for _, server := range servers {
 		if server.Version == r.Target {
@@ -196,7 +196,7 @@
 }
 
 // Wrote implements rollctl.Host.
-func (h rolloutHost) Wrote(r rollout.Record, at int64) { h.state.send(wroteRecord{r, at}) }
+func (h rolloutHost) Wrote(r rollout.Record, at store.Revision) { h.state.send(wroteRecord{r, at}) }
 
 // Status implements rollctl.Host.
 func (h rolloutHost) Status(r rollout.Record) (string, []byte, error) { return h.Decoder.Status(r) }
--- a/internal/front/share.go
+++ b/internal/front/share.go
@@ -15,6 +15,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/quota"
 	"github.com/shelfcrank/shelfcrank/internal/ratelimit/wire"
 	"github.com/shelfcrank/shelfcrank/internal/rollctl"
+	"github.com/shelfcrank/shelfcrank/internal/store"
 	"github.com/shelfcrank/shelfcrank/internal/topology"
 )
 
@@ -176,7 +177,7 @@
 	}
 	s := &peerpb.Share{
 		Node: n.Settings.Name, Incarnation: n.incarnation(),
-		Wall: n.walltime.Own(n.Clock.Now()).UnixNano(), ServersAt: n.watchProgress.Newest(), Instances: n.advertisedInstances(n.Clock.Now()),
+		Wall: n.walltime.Own(n.Clock.Now()).UnixNano(), ServersAt: int64(n.watchProgress.Newest()), Instances: n.advertisedInstances(n.Clock.Now()),
 	}
 	a := n.admission
 	a.mu.Lock()
@@ -198,7 +199,7 @@
 	n.suspects.met(s.Node, s.Incarnation)
 	n.limits.Apply(wire.Decode(s.Limits), now)
 	if !s.Brief {
-		n.applyEndpointsAt(s.Node, s.ServersAt, now)
+		n.applyEndpointsAt(s.Node, store.Revision(s.ServersAt), now)
 		n.applyClock(s.Node, s.Wall, now)
 	}
 	hubs := n.state.members.topology()
@@ -212,9 +213,9 @@
 
 // applyEndpointsAt begins the own watches anew if another node knows of changes of servers
 // that this one has not seen for long.
-func (n *Instance) applyEndpointsAt(from string, serversAt int64, now time.Time) {
+func (n *Instance) applyEndpointsAt(from string, serversAt store.Revision, now time.Time) {
 	if n.watchProgress.Behind(serversAt, now) {
-		n.event(event.WatchSilent, zap.String("peer", from), zap.Int64("revision", serversAt))
+		n.event(event.WatchSilent, zap.String("peer", from), zap.Inline(serversAt))
 		n.rewatch()
 	}
 }
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -25,7 +25,7 @@
 // the read was sent, zero for a watch.
 type configRead struct {
 	value    []byte
-	revision int64
+	revision store.Revision
 	provedAt time.Time
 	byPeer   bool // another node read it, while this one could not
 }
@@ -38,10 +38,13 @@
 type (
 	listedEndpoints struct {
 		items []store.Item
-		at    int64 // revision at which they were listed
+		at    store.Revision // at which they were listed
 	}
-	listedInstances struct{ items []store.Item }
-	watched         struct{ events []store.Event }
+	listedInstances struct {
+		items []store.Item
+		at    store.Revision // zero where that is not known
+	}
+	watched struct{ events []store.Event }
 )
 
 // storeCalled tells how a call of the store went that was sent at a time.
@@ -57,7 +60,7 @@
 // wroteRecord tells that this node wrote a record of a roll-out at a revision.
 type wroteRecord struct {
 	record rollout.Record
-	at     int64
+	at     store.Revision
 }
 
 // announcedLeaving tells that an answer of a server said that it leaves.
@@ -97,8 +100,8 @@
 	rollouts *rolloutState
 
 	config     *policy.Config
-	revision   int64 // of the configuration's item
-	passedOver int64 // of an older one that was read last
+	revision   store.Revision // of the configuration's item
+	passedOver store.Revision // of an older one that was read last
 	provedAt   time.Time
 	readAt     time.Time // the same for this node's own way to the store
 	outageAt   time.Time // when the others last said that they cannot read the store either
@@ -108,6 +111,7 @@
 	storeDown  bool
 	downAt     time.Time // since when the store is down
 	leaving    bool
+	era        era
 	listed     bool // the servers are known
 	knows      bool // as Node.knows
 	publishDue bool
@@ -168,6 +172,9 @@
 }
 
 func (s *state) apply(c change, now time.Time) {
+	if !s.enter(c, now) {
+		return
+	}
 	switch c := c.(type) {
 	case configRead:
 		s.takeConfig(c)
@@ -205,14 +212,14 @@
 	if c.revision > s.revision {
 		next, err := s.instance.Decoder.Config(c.value)
 		if err != nil {
-			s.instance.event(event.ConfigRejected, zap.Int64("revision", c.revision), zap.Error(err))
+			s.instance.event(event.ConfigRejected, zap.Inline(c.revision), zap.Error(err))
 			return // what it takes away is not known: the one in force is not proved
 		}
 		s.revision = c.revision
-		s.instance.revision.Store(c.revision)
+		s.instance.revision.Store(int64(c.revision))
 		if s.config == nil || next.Version > s.config.Version {
 			s.config, s.publishDue = next, true
-			s.instance.event(event.ConfigInForce, zap.Int64("version", next.Version), zap.Int64("revision", c.revision), zap.Bool("by_watch", c.provedAt.IsZero()))
+			s.instance.event(event.ConfigInForce, zap.Int64("version", next.Version), zap.Inline(c.revision), zap.Bool("by_watch", c.provedAt.IsZero()))
 		}
 	}
 	if c.revision != s.revision {
@@ -237,7 +244,7 @@
 		return
 	}
 	s.passedOver = c.revision
-	s.instance.event(event.ConfigPassedOver, zap.Int64("revision", c.revision), zap.Int64("in_hand", s.revision), zap.Int64("version", s.config.Version), zap.Bool("by_peer", c.byPeer))
+	s.instance.event(event.ConfigPassedOver, zap.Inline(c.revision), zap.Object("in_hand", s.revision), zap.Int64("version", s.config.Version), zap.Bool("by_peer", c.byPeer))
 }
 
 // keysUntil is how long a key may be honoured. What no node can read binds
@@ -292,7 +299,7 @@
 	return s.storeDown && now.Sub(s.downAt) > leastOutage
 }
 
-func (s *state) takeEndpoints(items []store.Item, at int64, now time.Time) {
+func (s *state) takeEndpoints(items []store.Item, at store.Revision, now time.Time) {
 	var servers []registry.Endpoint
 	var odd []string
 	for _, item := range items {
@@ -317,12 +324,12 @@
 	if err == nil {
 		server.Revision = item.Revision
 		if s.registry.Outdated(server) {
-			s.instance.event(event.ServerPassedOver, zap.String("server", server.ID), zap.Int64("revision", item.Revision), zap.Bool("leaving", server.Leaving))
+			s.instance.event(event.EndpointPassedOver, zap.String("server", server.ID), zap.Inline(item.Revision), zap.Bool("leaving", server.Leaving))
 		}
 		return server, true
 	}
 	if s.registry.Withhold(id, item.Revision, now) != registry.None {
-		s.instance.event(event.ServerOdd, zap.String("server", cut(id)), zap.Int64("revision", item.Revision), zap.String("error", cut(err.Error())))
+		s.instance.event(event.ServerOdd, zap.String("server", cut(id)), zap.Inline(item.Revision), zap.String("error", cut(err.Error())))
 	}
 	return registry.Endpoint{}, false
 }
@@ -388,7 +395,7 @@
 	for _, c := range changed {
 		s.instance.suspects.endpointChanged(c, s.instance.Clock.Now())
 		if code, ok := endpointEvents[c.Change]; ok {
-			s.instance.event(code, zap.String("server", c.Endpoint.ID), zap.String("service", c.Endpoint.Service), zap.String("hall", c.Endpoint.Hall), zap.String("version", c.Endpoint.Version), zap.Bool("spot", c.Endpoint.Spot), zap.Int64("revision", c.Endpoint.Revision))
+			s.instance.event(code, zap.String("server", c.Endpoint.ID), zap.String("service", c.Endpoint.Service), zap.String("hall", c.Endpoint.Hall), zap.String("version", c.Endpoint.Version), zap.Bool("spot", c.Endpoint.Spot), zap.Inline(c.Endpoint.Revision))
 			s.publishDue = true
 		}
 	}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -21,8 +21,8 @@
 	known   bool                  // a listing was taken; guarded by mu
 	items   map[string]store.Item // guarded by mu
 	events  []store.Event         // changes after from; guarded by mu
-	from    int64                 // guarded by mu
-	at      int64                 // revision up to which the copy is true; guarded by mu
+	from    store.Revision        // guarded by mu
+	at      store.Revision        // revision up to which the copy is true; guarded by mu
 	changed chan struct{}         // closed and made anew with each change; guarded by mu
 }
 
@@ -31,13 +31,13 @@
 
 // Change is what a reader of a copy does not know yet.
 type Change struct {
-	Whole  bool          // Events put all the items there are, instead of the changes
-	Events []store.Event // empty if there is nothing new
-	At     int64         // where the reader goes on from
+	Whole  bool           // Events put all the items there are, instead of the changes
+	Events []store.Event  // empty if there is nothing new
+	At     store.Revision // where the reader goes on from
 }
 
 // Replace takes a listing that is true at a revision.
-func (c *Copy) Replace(items []store.Item, at int64) {
+func (c *Copy) Replace(items []store.Item, at store.Revision) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.items = make(map[string]store.Item, len(items))
@@ -49,7 +49,7 @@
 }
 
 // Apply takes the changes up to a revision.
-func (c *Copy) Apply(events []store.Event, at int64) {
+func (c *Copy) Apply(events []store.Event, at store.Revision) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.at = max(c.at, at)
@@ -85,7 +85,7 @@
 
 // Since returns what changed after a revision; after 0 that is all. The second
 // result is false while the copy knows nothing.
-func (c *Copy) Since(after int64) (Change, bool) {
+func (c *Copy) Since(after store.Revision) (Change, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.known {
--- a/internal/mirror/progress.go
+++ b/internal/mirror/progress.go
@@ -15,13 +15,13 @@
 // nothing to tell: the other nodes watch as well. It is safe for concurrent use.
 type Progress struct {
 	mu    sync.Mutex
-	seen  int64     // revision of the newest change of a server; guarded by mu
-	known int64     // revision up to which all changes are known; guarded by mu
-	since time.Time // when another node was first found to know more; guarded by mu
+	seen  store.Revision // revision of the newest change of a server; guarded by mu
+	known store.Revision // revision up to which all changes are known; guarded by mu
+	since time.Time      // when another node was first found to know more; guarded by mu
 }
 
 // Saw notes a change.
-func (s *Progress) Saw(revision int64) {
+func (s *Progress) Saw(revision store.Revision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.seen = max(s.seen, revision)
@@ -30,7 +30,7 @@
 
 // Listed notes a listing that is true at a revision. That alone is not told to
 // others: it grows with changes of other things.
-func (s *Progress) Listed(items []store.Item, at int64) {
+func (s *Progress) Listed(items []store.Item, at store.Revision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, item := range items {
@@ -40,7 +40,7 @@
 }
 
 // Newest returns the revision of the newest change, for the other nodes.
-func (s *Progress) Newest() int64 {
+func (s *Progress) Newest() store.Revision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.seen
@@ -48,7 +48,7 @@
 
 // Behind takes what another node told, and reports whether the own watch has
 // been silent for too long.
-func (s *Progress) Behind(told int64, now time.Time) bool {
+func (s *Progress) Behind(told store.Revision, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
--- a/internal/registry/incarnation.go
+++ b/internal/registry/incarnation.go
@@ -3,6 +3,8 @@
 import (
 	"strconv"
 	"time"
+
+	"github.com/shelfcrank/shelfcrank/internal/store"
 )
 
 // What is known of a server belongs to one of its incarnations: a later one holds nothing
@@ -30,8 +32,8 @@
 // incarnation is the newest incarnation that was seen for a server.
 type incarnation struct {
 	started  time.Time
-	revision int64     // of the newest entry
-	until    time.Time // until when it is remembered without an entry
+	revision store.Revision // of the newest entry
+	until    time.Time      // until when it is remembered without an entry
 }
 
 // earlierStands is how long an entry has to name an earlier incarnation than the newest
@@ -82,7 +84,7 @@
 
 // Withhold notes that a server's entry names no server to use since a revision, 0 if that
 // is not known. What runs there goes on; it may be used again once its entry reads well.
-func (r *Registry) Withhold(name string, revision int64, now time.Time) Change {
+func (r *Registry) Withhold(name string, revision store.Revision, now time.Time) Change {
 	newest := r.newestOf(name)
 	if revision != 0 && revision < newest.revision {
 		return None
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -12,14 +12,16 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"github.com/shelfcrank/shelfcrank/internal/store"
 )
 
 // Endpoint is one incarnation of a server.
 type Endpoint struct {
-	ID        string    // of this incarnation, see IncarnationID
-	Name      string    // id of the server over all its incarnations; empty where that is ID
-	StartedAt time.Time // start of this incarnation; zero where that is not told
-	Revision  int64     // of its entry in the store; 0 when not known
+	ID        string         // of this incarnation, see IncarnationID
+	Name      string         // id of the server over all its incarnations; empty where that is ID
+	StartedAt time.Time      // start of this incarnation; zero where that is not told
+	Revision  store.Revision // of its entry in the store; 0 when not known
 	Service   string
 	Addr      netip.AddrPort
 	Hall      string
@@ -157,7 +159,7 @@
 
 // Remove takes note that a server's entry is gone as of a revision, 0 if that is not
 // known. trouble says that the store is or just was not to be relied on.
-func (r *Registry) Remove(name string, revision int64, trouble bool, now time.Time) Change {
+func (r *Registry) Remove(name string, revision store.Revision, trouble bool, now time.Time) Change {
 	e, ok := r.endpoints[name]
 	if !ok {
 		return None
@@ -202,7 +204,7 @@
 
 // Replace takes a whole listing as of a revision, 0 if that is not known: servers that it
 // lacks are gone. withheld are those whose entries name no server to use.
-func (r *Registry) Replace(all []Endpoint, withheld []string, at int64, trouble bool, now time.Time) (changed []Event) {
+func (r *Registry) Replace(all []Endpoint, withheld []string, at store.Revision, trouble bool, now time.Time) (changed []Event) {
 	listed := make(map[string]bool, len(all))
 	for _, s := range all {
 		listed[s.StoreID()] = true
--- a/internal/rollctl/exchange.go
+++ b/internal/rollctl/exchange.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/shelfcrank/shelfcrank/internal/rollout"
+	"github.com/shelfcrank/shelfcrank/internal/store"
 	"github.com/shelfcrank/shelfcrank/internal/tally"
 )
 
@@ -12,14 +13,14 @@
 // higher number.
 type Permit struct {
 	Service string
-	Order   int64
+	Order   store.Revision
 	Number  int64
 }
 
 // State is what instances do in a roll-out.
 type State struct {
 	Service   string
-	Order     int64
+	Order     store.Revision
 	Phase     rollout.Phase
 	Open      int64 // requests that run on endpoints which the target replaces
 	Instances int64 // that say so
@@ -187,7 +188,7 @@
 )
 
 // Total returns the counts of all instances for an order.
-func (c *Control) Total(fleet Fleet, serviceName string, order int64) rollout.Counts {
+func (c *Control) Total(fleet Fleet, serviceName string, order store.Revision) rollout.Counts {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	sum := make(rollout.Counts)
--- a/internal/rollctl/lead.go
+++ b/internal/rollctl/lead.go
@@ -25,7 +25,7 @@
 type Known struct {
 	Order    *rollout.Order  // newest, nil if none is known
 	Record   *rollout.Record // newest, nil if there is none
-	Revision int64           // of the record in the store, 0 if there is none
+	Revision store.Revision  // of the record in the store, 0 if there is none
 	Targets  int             // endpoints of the target
 	Others   int             // endpoints of other versions that may be used
 }
@@ -42,7 +42,7 @@
 	Open() map[string]int                                          // this instance's requests, by endpoint
 	DutyKey() string                                               // of the holder in the store
 	RecordKey(service string) string                               // where a record lasts
-	Wrote(r rollout.Record, at int64)                              // a record was written at a revision
+	Wrote(r rollout.Record, at store.Revision)                     // a record was written at a revision
 	Status(r rollout.Record) (key string, value []byte, err error) // for the operators
 	Event(c event.Code, fields ...zap.Field)
 }
@@ -59,7 +59,7 @@
 
 // led is what the leader keeps of one roll-out.
 type led struct {
-	order    int64
+	order    store.Revision
 	judge    *rollout.Judge
 	emptyAt  time.Time // since when nothing runs on the old version; zero if something does
 	looks    int
@@ -93,7 +93,7 @@
 	}
 	for _, k := range l.Host.Rollouts() {
 		if err := l.service(call, token, k, l.Control.clock.Now()); err != nil {
-			l.Host.Event(event.RolloutNotWritten, zap.Int64("fence", token.Fence), zap.Error(err))
+			l.Host.Event(event.RolloutNotWritten, zap.Int64("fence", int64(token.Fence)), zap.Error(err))
 		}
 	}
 }
@@ -194,14 +194,14 @@
 	if err != nil {
 		return fmt.Errorf("write the roll-out of %s: %w", r.Service, err)
 	}
-	l.logDecision(event.RolloutLed, r, v, zap.Int64("revision", at), zap.Int64("fence", token.Fence))
+	l.logDecision(event.RolloutLed, r, v, zap.Inline(at), zap.Int64("fence", int64(token.Fence)))
 	l.Host.Wrote(r, at)
 	return nil
 }
 
 func (l *Leader) logDecision(c event.Code, r rollout.Record, v rollout.Verdict, more ...zap.Field) {
 	l.Host.Event(c, append([]zap.Field{
-		zap.String("service", r.Service), zap.Int64("order", r.Order), zap.String("target", r.Target), zap.String("phase", string(r.Phase)),
+		zap.String("service", r.Service), zap.Int64("order", int64(r.Order)), zap.String("target", r.Target), zap.String("phase", string(r.Phase)),
 		zap.String("why", r.Why), zap.Int64("seen", v.Seen), zap.Int64("ended", v.Ended), zap.Int64("failed", v.Failures),
 		zap.Float64("evidence", v.Evidence), zap.String("sign", v.Sign), zap.Time("deadline", r.Deadline),
 	}, more...)...)
--- a/internal/rollout/counts.go
+++ b/internal/rollout/counts.go
@@ -4,6 +4,7 @@
 	"math/bits"
 	"time"
 
+	"github.com/shelfcrank/shelfcrank/internal/store"
 	"github.com/shelfcrank/shelfcrank/internal/tally"
 )
 
@@ -26,7 +27,7 @@
 // Key names a count.
 type Key struct {
 	Service string
-	Order   int64 // revision of the order
+	Order   store.Revision // of the order
 	Route   string
 	Trial   bool  // of the version on trial, else of the old one
 	Bucket  uint8 // of the endpoint; 0 for the old version
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -22,14 +22,15 @@
 
 	"github.com/shelfcrank/shelfcrank/internal/registry"
 	"github.com/shelfcrank/shelfcrank/internal/rendezvous"
+	"github.com/shelfcrank/shelfcrank/internal/store"
 )
 
 // Order is the operators' order to move a service to a version.
 type Order struct {
 	Service  string
 	Target   string
-	Revision int64         // of the order in the store: it tells orders apart, newer ones are higher
-	Window   time.Duration // that the operators give; it becomes a deadline when the order is first seen
+	Revision store.Revision // of the order in the store: it tells orders apart, newer ones are higher
+	Window   time.Duration  // that the operators give; it becomes a deadline when the order is first seen
 }
 
 // Phase is how far a roll-out is.
@@ -50,7 +51,7 @@
 // has an earlier phase.
 type Record struct {
 	Service  string
-	Order    int64 // revision of the order
+	Order    store.Revision // of the order
 	Target   string
 	Phase    Phase
 	TrialEnd time.Time // when the trial has to be judged, of the day
--- a/internal/storetest/backup.go
+++ b/internal/storetest/backup.go
@@ -29,12 +29,20 @@
 }
 
 // Restore replaces what the store has by an older copy: writes and leases since then are gone,
-// and their revisions are given out again. The leases of the copy begin anew. Calls that are
+// their revisions are given out again, and the era rises. The leases of the copy begin anew. Calls that are
 // waiting go on in what was restored.
 func (s *Store) Restore(b Backup) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.era++
 	s.rev, s.items, s.made, s.log, s.oldest = b.rev, maps.Clone(b.items), maps.Clone(b.made), slices.Clone(b.log), b.oldest
+	for key, item := range s.items {
+		item.Revision = revision(s.era, item.Revision.Number())
+		s.items[key] = item
+	}
+	for i, e := range s.log {
+		s.log[i].Revision = revision(s.era, e.Revision.Number())
+	}
 	s.leases = maps.Clone(b.leases)
 	for id, l := range s.leases {
 		l.until = time.Now().Add(l.ttl)
--- a/internal/storetest/storetest.go
+++ b/internal/storetest/storetest.go
@@ -41,6 +41,7 @@
 	wait time.Duration // how long a watch is held
 
 	mu      sync.Mutex
+	era     int64                 // guarded by mu
 	rev     int64                 // guarded by mu
 	items   map[string]store.Item // guarded by mu
 	made    map[string]time.Time  // when each item was made; guarded by mu
@@ -85,7 +86,7 @@
 }
 
 // Put writes a key as the operators and the servers do. A nil value drops it.
-func (s *Store) Put(key string, value []byte) int64 {
+func (s *Store) Put(key string, value []byte) store.Revision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire(time.Now())
@@ -96,11 +97,22 @@
 		s.put(store.Put{Key: key, Value: value})
 	}
 	s.signal()
-	return s.rev
+	return s.revision()
+}
+
+// revision returns the store's revision.
+func (s *Store) revision() store.Revision { return revision(s.era, s.rev) }
+
+func revision(era, number int64) store.Revision {
+	r, err := store.NewRevision(era, number)
+	if err != nil {
+		panic(err) // no test writes so much
+	}
+	return r
 }
 
 // Client returns the store as one caller sees it.
-func (s *Store) Client(caller string) *Client { return &Client{s, caller} }
+func (s *Store) Client(caller string) *Client { return &Client{store: s, caller: caller} }
 
 func (s *Store) signal() {
 	close(s.changed)
@@ -108,7 +120,7 @@
 }
 
 func (s *Store) put(p store.Put) {
-	item := store.Item{Key: p.Key, Value: p.Value, Revision: s.rev, Lease: p.Lease}
+	item := store.Item{Key: p.Key, Value: p.Value, Revision: s.revision(), Lease: p.Lease}
 	if _, known := s.items[p.Key]; !known {
 		s.made[p.Key] = time.Now()
 	}
@@ -119,7 +131,7 @@
 func (s *Store) drop(key string) {
 	delete(s.items, key)
 	delete(s.made, key)
-	s.log = append(s.log, store.Event{Item: store.Item{Key: key, Revision: s.rev}, Gone: true})
+	s.log = append(s.log, store.Event{Item: store.Item{Key: key, Revision: s.revision()}, Gone: true})
 }
 
 // expire drops the keys of leases that ran out.
@@ -147,6 +159,14 @@
 type Client struct {
 	store  *Store
 	caller string
+	era    int64 // the latest that an answer named; guarded by store.mu
+}
+
+// Era implements store.Reader.
+func (c *Client) Era() int64 {
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	return c.era
 }
 
 // enter begins a call: it meets the caller's faults.
@@ -193,7 +213,7 @@
 }
 
 // Get implements store.Reader.
-func (c *Client) Get(ctx context.Context, key string) (store.Item, int64, error) {
+func (c *Client) Get(ctx context.Context, key string) (store.Item, store.Revision, error) {
 	if err := c.enter(ctx); err != nil {
 		return store.Item{}, 0, err
 	}
@@ -201,15 +221,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire(time.Now())
+	c.era = s.era
 	item, ok := s.items[key]
 	if !ok {
-		return store.Item{}, s.rev, store.ErrNotFound
+		return store.Item{}, s.revision(), store.ErrNotFound
 	}
-	return item, s.rev, nil
+	return item, s.revision(), nil
 }
 
 // Range implements store.Reader.
-func (c *Client) Range(ctx context.Context, prefix string) ([]store.Item, int64, error) {
+func (c *Client) Range(ctx context.Context, prefix string) ([]store.Item, store.Revision, error) {
 	if err := c.enter(ctx); err != nil {
 		return nil, 0, err
 	}
@@ -217,6 +238,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire(time.Now())
+	c.era = s.era
 	var out []store.Item
 	for key, item := range s.items {
 		if strings.HasPrefix(key, prefix) {
@@ -224,7 +246,7 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b store.Item) int { return strings.Compare(a.Key, b.Key) })
-	return out, s.rev, nil
+	return out, s.revision(), nil
 }
 
 // peekAge is how old the state is that Peek tells.
@@ -240,7 +262,7 @@
 }
 
 // Watch implements store.Reader.
-func (c *Client) Watch(ctx context.Context, prefix string, after int64) ([]store.Event, int64, error) {
+func (c *Client) Watch(ctx context.Context, prefix string, after store.Revision) ([]store.Event, store.Revision, error) {
 	if err := c.enter(ctx); err != nil {
 		return nil, 0, err
 	}
@@ -251,13 +273,23 @@
 	for {
 		c.awaitThaw()
 		events, at, changed, err := c.since(prefix, after)
-		if err != nil || len(events) > 0 {
-			return events, at, err
+		if err != nil {
+			return nil, 0, err
+		}
+		restored := at.Era() != after.Era()
+		if len(events) > 0 && !restored {
+			return events, at, nil
+		}
+		if len(events) > 0 {
+			return nil, 0, store.ErrCompacted
 		}
 		select {
 		case <-ctx.Done():
 			return nil, 0, ctx.Err()
 		case <-end.C:
+			if restored {
+				return nil, 0, store.ErrCompacted
+			}
 			return nil, at, nil
 		case <-look.C:
 		case <-changed:
@@ -265,33 +297,38 @@
 	}
 }
 
-func (c *Client) since(prefix string, after int64) ([]store.Event, int64, <-chan struct{}, error) {
+func (c *Client) since(prefix string, after store.Revision) ([]store.Event, store.Revision, <-chan struct{}, error) {
 	s := c.store
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire(time.Now())
-	if after < s.oldest || after > s.rev {
+	c.era = s.era
+	if n := after.Number(); n < s.oldest || n > s.rev {
 		return nil, 0, nil, store.ErrCompacted
 	}
 	if s.faults[c.caller].Silent {
-		return nil, after, s.changed, nil
+		return nil, revision(s.era, after.Number()), s.changed, nil
 	}
 	var out []store.Event
 	for _, e := range s.log {
-		if e.Revision > after && strings.HasPrefix(e.Key, prefix) {
+		if e.Revision.Number() > after.Number() && strings.HasPrefix(e.Key, prefix) {
 			out = append(out, e)
 		}
 	}
-	return out, s.rev, s.changed, nil
+	return out, s.revision(), s.changed, nil
 }
 
 // Do implements store.Writer.
-func (c *Client) Do(ctx context.Context, t store.Txn) (int64, error) {
+func (c *Client) Do(ctx context.Context, t store.Txn) (store.Revision, error) {
 	if err := c.enter(ctx); err != nil {
 		return 0, err
 	}
 	s := c.store
 	s.mu.Lock()
+	if t.ExpectsBefore(c.era) {
+		s.mu.Unlock()
+		return 0, &store.Conflict{}
+	}
 	f := s.faults[c.caller]
 	if f.LoseNext > 0 {
 		f.LoseNext--
@@ -310,10 +347,11 @@
 		return 0, ErrLost
 	}
 	defer s.mu.Unlock()
+	c.era = s.era
 	return s.do(t)
 }
 
-func (s *Store) do(t store.Txn) (int64, error) {
+func (s *Store) do(t store.Txn) (store.Revision, error) {
 	s.expire(time.Now())
 	conflict := &store.Conflict{}
 	for _, e := range t.Expect {
@@ -322,7 +360,7 @@
 		conflict.Items = append(conflict.Items, item)
 	}
 	for i, e := range t.Expect {
-		if conflict.Items[i].Revision != e.Revision {
+		if conflict.Items[i].Revision.Number() != e.Revision.Number() {
 			return 0, conflict
 		}
 	}
@@ -341,7 +379,7 @@
 		}
 	}
 	s.signal()
-	return s.rev, nil
+	return s.revision(), nil
 }
 
 // Grant implements store.Writer.
@@ -352,6 +390,7 @@
 	s := c.store
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	c.era = s.era
 	s.lastID++
 	ttl := max(s.ttl, time.Duration(ttlMs)*time.Millisecond)
 	s.leases[s.lastID] = lease{ttl, time.Now().Add(ttl)}
@@ -367,6 +406,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire(time.Now())
+	c.era = s.era
 	l, ok := s.leases[id]
 	if !ok {
 		return store.ErrNotFound
@@ -384,6 +424,7 @@
 	s := c.store
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	c.era = s.era
 	if _, ok := s.leases[id]; !ok {
 		return store.ErrNotFound
 	}
