A read of a restored store proves no version while more than that version may be lost

What callers saw: none yet. Found by looking for the same cause elsewhere: a key worked 5.9 s after it was taken away (5 s allowed). A version that no instance had read yet was acknowledged right before the store was lost; the copy had a version older than the one in force, and reading that counted as proof of the one in force until the operators wrote again.

Change: while the store has an older version than the one in force, its reads prove nothing for 2 s after the era was first seen, in which operators and endpoints write again. The last read of that time counts once it is over, and the configuration is read again at once, so that a version that nobody writes again stays in force without a gap.

Left: a version that was acknowledged and lost, that no instance read, that the operators write again more than 2 s later, or whose predecessor the copy has: its key may work until it is written again.

Test: fails without the change (a run of the key at 5.0 s and later), passes with it.

--- a/internal/front/era.go
+++ b/internal/front/era.go
@@ -9,10 +9,15 @@
 	"github.com/shelfcrank/shelfcrank/internal/store"
 )
 
+// rewriteWithin is how long after a restore of the store operators and endpoints are given to
+// write again what it lost.
+const rewriteWithin = 2 * time.Second
+
 // era is what the state knows of the store's era. It belongs to the state's goroutine.
 type era struct {
-	known  bool
-	number int64
+	known      bool
+	number     int64
+	restoredAt time.Time // when the era was first seen; zero if the store was never restored
 }
 
 // revisionOf returns a revision that a change was read at or after, zero if it names none.
@@ -50,9 +55,12 @@
 	case at == 0:
 	case !s.era.known:
 		s.era = era{known: true, number: number}
+		if number > 0 {
+			s.era.restoredAt = now
+		}
 	case number > s.era.number:
 		s.instance.event(event.StoreRestored, zap.Inline(at), zap.Int64("before", s.era.number))
-		s.era.number = number
+		s.era.number, s.era.restoredAt = number, now
 		s.troubleAt = now
 		s.instance.refresh()
 	case number < s.era.number:
@@ -60,3 +68,9 @@
 	}
 	return true
 }
+
+// settling reports whether operators and endpoints may still be writing again what the store
+// lost.
+func (s *state) settling(now time.Time) bool {
+	return !s.era.restoredAt.IsZero() && now.Sub(s.era.restoredAt) < rewriteWithin
+}
--- a/internal/front/restored_test.go
+++ b/internal/front/restored_test.go
@@ -69,7 +69,7 @@
 			time.Sleep(250 * time.Millisecond)
 			name := fmt.Sprint("n", i%4)
 			is.Equal(w.ask(name, "/new/a", "k2", fmt.Sprint("new", i)), 200)
-			id, settled := fmt.Sprint("taken", i), time.Since(restored) > proveEvery+2*time.Second+2*stateTick
+			id, settled := fmt.Sprint("taken", i), time.Since(restored) > proveEvery+rewriteWithin+2*stateTick
 			status := w.ask(name, "/safe/a", "k1", id)
 			is.True(status == 401 || status == 503 && !settled) // 503: whether it holds again may be lost
 			is.Equal(w.runsOf(id), 0)
@@ -77,6 +77,32 @@
 	})
 }
 
+func TestAKeyTakenAwayJustBeforeTheStoreIsRestored(t *testing.T) {
+	play(t, 4, func(is *is.I, w *world) {
+		time.Sleep(4 * time.Second)
+		backup := w.store.Backup()
+		w.configure(2, "k1", "k2")
+		time.Sleep(time.Second)
+		all := slices.Collect(maps.Keys(w.nodes))
+		w.fault(storetest.Faults{Busy: true, Silent: true}, all...)
+		w.configure(3, "k2")
+		taken := time.Now()
+		time.Sleep(4 * time.Second)
+		w.store.Restore(backup)
+		w.fault(storetest.Faults{}, all...)
+		for i := range 80 {
+			time.Sleep(25 * time.Millisecond)
+			if time.Since(taken) > 5900*time.Millisecond {
+				w.configure(3, "k2")
+			}
+			name, id := fmt.Sprint("n", i%4), fmt.Sprint("taken", i)
+			late := time.Since(taken) > w.settings("n0", 1).Bounds.Revoke()
+			w.ask(name, "/safe/a", "k1", id)
+			is.True(!late || w.runsOf(id) == 0)
+		}
+	})
+}
+
 func TestALeavingServerGetsNoNewWorkAfterTheStoreIsRestored(t *testing.T) {
 	for _, nodes := range []int{4, large} {
 		for _, drill := range drills {
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -112,8 +112,10 @@
 	downAt     time.Time // since when the store is down
 	leaving    bool
 	era        era
-	listed     bool // the servers are known
-	knows      bool // as Node.knows
+	behind     bool       // the store has an older version than the one in force
+	withheld   configRead // that counts once the store has settled
+	listed     bool       // the servers are known
+	knows      bool       // as Node.knows
 	publishDue bool
 	takers     takers
 }
@@ -177,7 +179,7 @@
 	}
 	switch c := c.(type) {
 	case configRead:
-		s.takeConfig(c)
+		s.takeConfig(c, now)
 	case sharedOutage:
 		s.outageAt, s.publishDue = c.at, true
 	case listedEndpoints:
@@ -208,14 +210,14 @@
 
 // takeConfig puts a newer configuration in force, and notes the proof of the
 // one in force. It never goes back.
-func (s *state) takeConfig(c configRead) {
+func (s *state) takeConfig(c configRead, now time.Time) {
 	if c.revision > s.revision {
 		next, err := s.instance.Decoder.Config(c.value)
 		if err != nil {
 			s.instance.event(event.ConfigRejected, zap.Inline(c.revision), zap.Error(err))
 			return // what it takes away is not known: the one in force is not proved
 		}
-		s.revision = c.revision
+		s.revision, s.behind = c.revision, s.config != nil && next.Version < s.config.Version
 		s.instance.revision.Store(int64(c.revision))
 		if s.config == nil || next.Version > s.config.Version {
 			s.config, s.publishDue = next, true
@@ -226,6 +228,10 @@
 		s.passOver(c)
 		return
 	}
+	if s.behind && s.settling(now) {
+		s.withheld = c // more than the version in force may be lost
+		return
+	}
 	if !c.byPeer && c.provedAt.After(s.readAt) {
 		s.readAt, s.publishDue = c.provedAt, true
 	}
@@ -344,7 +350,7 @@
 	for _, e := range events {
 		if e.Key == s.instance.Decoder.ConfigKey() {
 			if !e.Gone {
-				s.takeConfig(configRead{value: e.Value, revision: e.Revision})
+				s.takeConfig(configRead{value: e.Value, revision: e.Revision}, now)
 			}
 		} else if id, ok := s.instance.Decoder.EndpointID(e.Key); ok {
 			s.takeEndpoint(id, e, now)
@@ -402,6 +408,11 @@
 }
 
 func (s *state) tick(now time.Time) {
+	if s.withheld.revision != 0 && !s.settling(now) {
+		s.takeConfig(s.withheld, now)
+		s.withheld = configRead{}
+		s.instance.refresh()
+	}
 	s.logChanges(s.registry.Expire(s.outage(now), now))
 	if s.config != nil && !s.stale && now.After(s.keysUntil()) {
 		s.stale = true
