An entry that is back with an older copy of the store names no endpoint to use until it stands

What callers saw: none yet; the test's endpoint got work 2 s and more after its entry had gone. The restored copy had the entry from before, in a later era, and so newer than its end.

Change: the registry remembers at which revision an entry went while the store was well. The same incarnation in a later era is withheld like one that is named although it is not the newest: for 5 s, in which it is either removed again, or stands and is used. A later incarnation is used at once; what lapsed in trouble is not concerned.

--- a/internal/registry/incarnation.go
+++ b/internal/registry/incarnation.go
@@ -34,10 +34,11 @@
 	started  time.Time
 	revision store.Revision // of the newest entry
 	until    time.Time      // until when it is remembered without an entry
+	goneAt   store.Revision // at which its entry went while the store was well; zero if it did not
 }
 
-// earlierStands is how long an entry has to name an earlier incarnation than the newest
-// until that is accepted. The store may apply a write of the earlier one seconds late; the
+// earlierStands is how long an entry has to name an earlier incarnation than the newest, or one
+// whose entry had gone before the store was restored, until that is accepted. The store may apply a write of the earlier one seconds late; the
 // server then writes again within a heartbeat, of 1.2 s where it is known, or the entry
 // goes after three. What stands for longer is what the server says of itself: its clock
 // was set back.
@@ -50,6 +51,7 @@
 	current judgement = iota
 	late              // an older entry
 	earlier           // names an earlier incarnation than the newest, although it is newer
+	revived           // had gone, and is there again in a later era of the store
 	foreign           // lacks the start that the server, or others, told
 )
 
@@ -71,6 +73,8 @@
 		return foreign
 	case s.StartedAt.Before(newest.started):
 		return earlier
+	case s.StartedAt.Equal(newest.started) && newest.goneAt != 0 && newest.goneAt.Era() < s.Revision.Era():
+		return revived
 	}
 	return current
 }
@@ -103,8 +107,8 @@
 	return None
 }
 
-// doubt notes that a server's entry names an earlier incarnation. Neither may be used: the
-// earlier one may be over, and whether the later one leaves is not known.
+// doubt notes that a server's entry names an earlier incarnation, or one that had gone. None
+// may be used: the one named may be over, and whether a later one leaves is not known.
 func (r *Registry) doubt(name string, s Endpoint, now time.Time) Change {
 	e := r.endpoints[name]
 	if e == nil {
--- a/internal/registry/incarnation_test.go
+++ b/internal/registry/incarnation_test.go
@@ -177,3 +177,22 @@
 		}
 	}
 }
+
+func TestAnEntryThatIsBackWithARestoredStoreIsUsedOnceItStands(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(2000, 0)
+	r := New(2 * time.Second)
+	later, err := store.NewRevision(1, 5)
+	is.NoErr(err)
+	is.Equal(r.Put(entryOf("a", 1, 5, false), now), Joined)
+	is.Equal(r.Remove("a", 9, false, now), Gone)
+	is.Equal(r.Put(entryOf("a", 1, later, false), now), Withheld)
+	is.Equal(len(r.List()), 0)
+	r.Expire(false, now.Add(earlierStands-time.Second))
+	is.Equal(len(r.List()), 0)
+	r.Expire(false, now.Add(earlierStands))
+	is.Equal(len(r.List()), 1)
+	is.Equal(r.Put(entryOf("b", 1, 6, false), now), Joined) // a later incarnation is at work at once
+	is.Equal(r.Remove("b", 9, false, now), Gone)
+	is.Equal(r.Put(entryOf("b", 2, later, false), now), Joined)
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -99,10 +99,10 @@
 		return None
 	case foreign:
 		return r.Withhold(name, s.Revision, now)
-	case earlier:
+	case earlier, revived:
 		return r.doubt(name, s, now)
 	}
-	newest.started, newest.revision = s.StartedAt, s.Revision
+	newest.started, newest.revision, newest.goneAt = s.StartedAt, s.Revision, 0
 	r.listed = nil
 	r.hasStart = r.hasStart || !s.StartedAt.IsZero()
 	_, left := r.left[s.ID]
@@ -178,6 +178,7 @@
 		return None
 	}
 	r.drop(name, now)
+	newest.goneAt = newest.revision
 	return Gone
 }
 
