The duty has one holder across restores of the store

What callers saw: none.

Cause: a restored store may lack the key and the lease of the holder, so that another instance took the key while the holder still acted within its own deadline; or it had those of an earlier holder, whose next renewal succeeded.

Change: nobody takes the key for the length of a lease after it first saw an era. A holder that renews in a new era reads the key: it goes on, with the fence of that era, if the key is its own and its time had not run out before; else it stops.

--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -4,8 +4,9 @@
 // a deadline of its own that lies well before the lease can end, counted by the
 // steady clock from the sending of the last renewal, so that it is silent
 // before another node can get the key. Its fence is the revision at which the
-// key was written, which goes up with each holder. The lease is never ended
-// early: between two holders there is always the length of a lease.
+// key was written, which goes up with each holder, and when the store is restored.
+// The lease is never ended early: between two holders there is always the length
+// of a lease. After a restore nobody takes the key for that long.
 package duty
 
 import (
@@ -67,6 +68,10 @@
 	Options
 	kick chan struct{} // the key went; has room for one
 
+	// Of Run: the store's era, and from when on no holder of an earlier one acts any more.
+	era       int64
+	settledAt time.Time
+
 	mu    sync.Mutex
 	token Token
 	until time.Time // when this node stops acting; guarded by mu
@@ -145,6 +150,16 @@
 	}
 }
 
+// settled reports whether every holder of an earlier era has stopped acting. A restored store
+// may lack the key of one that acts on until shortly before its lease would have ended.
+func (e *Elector) settled() bool {
+	now := e.Clock.Now()
+	if era := e.Store.Era(); era != e.era {
+		e.era, e.settledAt = era, now.Add(e.TTL)
+	}
+	return !now.Before(e.settledAt)
+}
+
 // awaitFree waits until the key seems to be free, or looks when there is no
 // news for long.
 func (e *Elector) awaitFree(ctx context.Context) bool {
@@ -162,7 +177,7 @@
 		return false // wait a random moment first
 	case <-e.Clock.After(wait):
 	}
-	if e.Eligible != nil && !e.Eligible() {
+	if !e.settled() || e.Eligible != nil && !e.Eligible() {
 		return false
 	}
 	e.mu.Lock()
@@ -176,15 +191,15 @@
 	defer cancel()
 	sent = e.Clock.Now()
 	lease, err := e.Store.Grant(call, e.TTL.Milliseconds())
-	if err != nil {
-		return 0, 0, sent, false
+	if err != nil || !e.settled() {
+		return 0, 0, sent, false // a lease without a key ends by itself
 	}
 	fence, err = e.Store.Do(call, store.Txn{
 		Expect: []store.Expect{{Key: e.Key}}, Put: []store.Put{{Key: e.Key, Value: e.Value, Lease: lease}},
 	})
 	switch {
 	case err == nil:
-		return lease, fence, sent, true
+		return lease, fence, sent, fence.Era() == e.era
 	case errors.Is(err, store.ErrConflict):
 		e.Saw(true)
 		_ = e.Store.End(call, lease) // else it ends by itself
@@ -201,8 +216,8 @@
 		call, cancel := context.WithTimeout(ctx, e.TTL/6)
 		item, _, err := e.Store.Get(call, e.Key)
 		cancel()
-		if err == nil && item.Lease == lease && string(item.Value) == string(e.Value) {
-			return lease, item.Revision, sent, true
+		if err == nil && e.owns(item, lease) {
+			return lease, item.Revision, sent, item.Revision.Era() == e.era
 		}
 		if err == nil {
 			e.Saw(true)
@@ -216,6 +231,30 @@
 	return 0, 0, sent, false
 }
 
+// owns reports whether the key was written with a lease by this elector.
+func (e *Elector) owns(item store.Item, lease int64) bool {
+	return item.Lease == lease && string(item.Value) == string(e.Value)
+}
+
+// confirm returns the fence after the lease was renewed at a time, which is a new one if the
+// store was restored meanwhile. It reports false if the key is another's, or may have been
+// another's in between.
+func (e *Elector) confirm(ctx context.Context, lease int64, fence store.Revision, sent time.Time) (store.Revision, bool, error) {
+	if e.Store.Era() == fence.Era() {
+		return fence, true, nil
+	}
+	if _, until, _ := e.Token(sent); !sent.Before(until) {
+		return 0, false, nil
+	}
+	call, cancel := context.WithTimeout(ctx, e.TTL/4)
+	defer cancel()
+	item, _, err := e.Store.Get(call, e.Key)
+	if errors.Is(err, store.ErrNotFound) {
+		return 0, false, nil
+	}
+	return item.Revision, e.owns(item, lease), err
+}
+
 // renew keeps the lease until it is lost.
 func (e *Elector) renew(ctx context.Context, lease int64, fence store.Revision) {
 	pause := time.Duration(renewShare * float64(e.TTL))
@@ -233,6 +272,15 @@
 		cancel()
 		switch {
 		case err == nil:
+			next, owned, err := e.confirm(ctx, lease, fence, sent)
+			if err != nil {
+				continue
+			}
+			if !owned {
+				e.drop("the store was restored")
+				return
+			}
+			fence = next
 			e.hold(fence, e.deadline(sent))
 			pause = time.Duration(renewShare * float64(e.TTL))
 		case errors.Is(err, store.ErrNotFound):
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -93,11 +93,29 @@
 // sooner than a part of the lease later.
 func TestNeverTwoHolders(t *testing.T) {
 	for seed := range uint64(30) {
-		virtual.Test(t, func(t *testing.T) { playHolders(t, seed) })
+		virtual.Test(t, func(t *testing.T) { playHolders(t, seed, func(*rand.Rand, *storetest.Store) {}) })
 	}
 }
 
-func playHolders(t *testing.T, seed uint64) {
+func TestNeverTwoHoldersAcrossRestoresOfTheStore(t *testing.T) {
+	for seed := range uint64(60) {
+		virtual.Test(t, func(t *testing.T) {
+			var backups []storetest.Backup
+			playHolders(t, seed, func(rnd *rand.Rand, s *storetest.Store) {
+				if rnd.Float64() < 0.3 {
+					backups = append(backups, s.Backup())
+				}
+				if rnd.Float64() < 0.01 && len(backups) > 0 {
+					s.Restore(backups[max(0, len(backups)-1-rnd.IntN(50))])
+					backups = nil
+				}
+			})
+		})
+	}
+}
+
+// playHolders plays random faults of a seed, and what more is to happen at each step.
+func playHolders(t *testing.T, seed uint64, more func(*rand.Rand, *storetest.Store)) {
 	rnd := rand.New(rand.NewPCG(seed, 3))
 	s := storetest.New()
 	names := []string{"a", "b", "c", "d"}
@@ -107,6 +125,7 @@
 	holder, acted := "", 0
 	for range 1200 {
 		time.Sleep(50 * time.Millisecond)
+		more(rnd, s)
 		for _, name := range names {
 			if nodes[name] == nil && rnd.Float64() < 0.1 {
 				life++
