Counts of usage that were settled are the same after a restore of the store

What the platform saw: two reports with different counts for one window (40 and then 80, 46, 0; ONE).

Cause: counts are settled in the store before they are reported. A restored store had lost them, and the holder, new or the same, counted the window anew, with what had come in meanwhile.

Left: where the only instance that knows what was settled is killed, or cut off from the store, at the restore, the window goes unreported: which of two counts was reported cannot be known then.

Test: the holder goes on, is killed, is cut off, all are killed; two reports in each before, one or none after.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -200,6 +200,7 @@
 	keyRollouts  = keyLive + "rollouts/"
 	keyUsage     = "usage/"
 	keyOpen      = "open-usage"
+	keyEra       = "era"
 )
 
 // Second halves of the seeds of random numbers.
--- a/internal/front/restored_test.go
+++ b/internal/front/restored_test.go
@@ -179,6 +179,43 @@
 	}
 }
 
+func TestUsageIsReportedOnceAcrossARestoreOfTheStore(t *testing.T) {
+	for name, fate := range map[string]func(w *world, holder string){
+		"the holder goes on":       func(*world, string) {},
+		"the holder is killed":     func(w *world, holder string) { w.kill(holder) },
+		"the holder is cut off":    func(w *world, holder string) { w.fault(storetest.Faults{Busy: true}, holder) },
+		"all instances are killed": func(w *world, _ string) { w.killAndStart(namesOf(w)...) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			play(t, 4, func(is *is.I, w *world) {
+				window := w.nodes["n0"].node.Settings.Bounds.UsageWindow()
+				time.Sleep(8 * time.Second)
+				holder := w.holder()
+				late := "n1" // the others do not know its counts
+				if holder == late {
+					late = "n2"
+				}
+				time.Sleep(time.Until(time.Now().Truncate(window).Add(window)))
+				backup := w.store.Backup()
+				w.cutOff(late, true)
+				for i := range 40 {
+					time.Sleep(50 * time.Millisecond)
+					w.ask(late, "/safe/a", "k1", fmt.Sprint("late", i))
+					w.ask(holder, "/safe/a", "k1", fmt.Sprint("soon", i))
+				}
+				time.Sleep(time.Until(time.Now().Truncate(window).Add(window + 2*time.Second)))
+				w.cutOff(late, false)
+				w.restore(backup, 300*time.Millisecond)
+				fate(w, holder)
+				time.Sleep(3 * window)
+				w.cloud.mu.Lock()
+				defer w.cloud.mu.Unlock()
+				is.Equal(w.cloud.faults, nil)
+			})
+		})
+	}
+}
+
 func TestAnInstanceRegistersAgainAfterTheStoreIsRestored(t *testing.T) {
 	play(t, 4, func(is *is.I, w *world) {
 		time.Sleep(4 * time.Second)
