Instances register anew in a new era of the store

Found in the table of what depends on leases: a restored store gives numbers of leases out again, so that the renewal of a lost one succeeds for a lease of another's, and the instance stays without a registration. The others know it through gossip only; instances that start do not.

Change: an instance registers anew after the first renewal in a new era, in a large fleet at a moment of its own within 3 s: a registration is two writes, and the store takes some hundred a second.

Test: fails without the change (no registration 15 s later), passes with it.

--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -12,24 +12,26 @@
 
 	"github.com/shelfcrank/shelfcrank/internal/mirror"
 	"github.com/shelfcrank/shelfcrank/internal/store"
+	"github.com/shelfcrank/shelfcrank/internal/topology"
 )
 
 // Times of following the store.
 const (
-	proveEvery   = 1700 * time.Millisecond
-	proveAsHub   = time.Second // other nodes count on it
-	proveTimeout = 900 * time.Millisecond
-	listTimeout  = 1500 * time.Millisecond
-	retryPause   = 150 * time.Millisecond
-	retryGrowth  = 2.5
-	retryProof   = 400 * time.Millisecond  // at the most, between reads while the store is down
-	retryAlone   = 1200 * time.Millisecond // at the most, for a node that no hub helps
-	retryWatch   = 700 * time.Millisecond  // at the most, for watches: what they miss has to be known in time
-	retryFirst   = 600 * time.Millisecond  // at first, and
-	retryMost    = 6 * time.Second         // at the most, for others: the read tells them when it is back
-	steadyWatch  = time.Second             // a watch that held for longer is begun anew at once
-	registerTTL  = 9 * time.Second         // each renewal of each instance is a call that is paid for
-	registerKeep = 3 * time.Second
+	proveEvery     = 1700 * time.Millisecond
+	proveAsHub     = time.Second // other nodes count on it
+	proveTimeout   = 900 * time.Millisecond
+	listTimeout    = 1500 * time.Millisecond
+	retryPause     = 150 * time.Millisecond
+	retryGrowth    = 2.5
+	retryProof     = 400 * time.Millisecond  // at the most, between reads while the store is down
+	retryAlone     = 1200 * time.Millisecond // at the most, for a node that no hub helps
+	retryWatch     = 700 * time.Millisecond  // at the most, for watches: what they miss has to be known in time
+	retryFirst     = 600 * time.Millisecond  // at first, and
+	retryMost      = 6 * time.Second         // at the most, for others: the read tells them when it is back
+	steadyWatch    = time.Second             // a watch that held for longer is begun anew at once
+	registerTTL    = 9 * time.Second         // each renewal of each instance is a call that is paid for
+	registerKeep   = 3 * time.Second
+	registerSpread = 3 * time.Second // the store takes some hundred writes a second
 	// WatchWait is how long the store may hold a watch that has nothing to tell.
 	WatchWait  = 20 * time.Second
 	watchSlack = 1500 * time.Millisecond
@@ -236,8 +238,9 @@
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, listTimeout)
 		lease, err := n.Store.Grant(call, registerTTL.Milliseconds())
+		var at store.Revision
 		if err == nil {
-			_, err = n.Store.Do(call, store.Txn{Put: []store.Put{{
+			at, err = n.Store.Do(call, store.Txn{Put: []store.Put{{
 				Key: n.Decoder.OwnPrefix() + keyInstances + n.Settings.Name, Value: value, Lease: lease,
 			}}})
 		}
@@ -248,15 +251,23 @@
 		}
 		retry.Reset()
 		n.registered.Store(true)
-		n.keepRegistered(ctx, lease)
+		n.keepRegistered(ctx, lease, at.Era())
 		n.registered.Store(false)
 	}
 	return ctx.Err()
 }
 
-// keepRegistered renews the lease of the registration until it is over. While the store
-// does not answer, the registration stands for as long as the lease was last renewed for.
-func (n *Instance) keepRegistered(ctx context.Context, lease int64) {
+// awaitTurn spreads the registrations of a large fleet, which all notice a restore at once.
+func (n *Instance) awaitTurn(ctx context.Context) {
+	if n.grouped() {
+		n.Clock.Sleep(ctx, time.Duration(topology.Pair(n.Settings.Name, "register")%uint64(registerSpread)))
+	}
+}
+
+// keepRegistered renews the lease of the registration until it is over, or the store was
+// restored: what it has now may lack the registration, and the lease be another's. While the
+// store does not answer, the registration stands for as long as the lease was last renewed for.
+func (n *Instance) keepRegistered(ctx context.Context, lease, era int64) {
 	until := n.Clock.Now().Add(registerTTL)
 	for n.sleepOrResume(ctx, registerKeep) {
 		sent := n.Clock.Now()
@@ -266,6 +277,10 @@
 		if errors.Is(err, store.ErrNotFound) {
 			return
 		}
+		if n.Store.Era() != era {
+			n.awaitTurn(ctx)
+			return
+		}
 		if err == nil {
 			until = sent.Add(registerTTL)
 		}
--- a/internal/front/restored_test.go
+++ b/internal/front/restored_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/shelfcrank/shelfcrank/internal/store"
 	"github.com/shelfcrank/shelfcrank/internal/storetest"
 )
 
@@ -231,3 +232,32 @@
 		is.Equal(w.nodes["n0"].node.view.Load().Instances, 4)
 	})
 }
+
+func TestALeaseThatIsGivenOutAgainRegistersNobodyElse(t *testing.T) {
+	play(t, 4, func(is *is.I, w *world) {
+		time.Sleep(4 * time.Second)
+		backup := w.store.Backup()
+		w.kill("n1")
+		w.start("n1")
+		time.Sleep(time.Second)
+		other := w.store.Client(operators)
+		registered := func(name string) (store.Item, error) {
+			item, _, err := other.Get(t.Context(), "own/"+keyInstances+name)
+			return item, err
+		}
+		before, err := registered("n1")
+		is.NoErr(err)
+		w.fault(storetest.Faults{Busy: true}, "n1")
+		w.store.Restore(backup)
+		for lease := int64(0); lease < before.Lease; {
+			lease, err = other.Grant(t.Context(), time.Minute.Milliseconds())
+			is.NoErr(err)
+		}
+		w.fault(storetest.Faults{}, "n1")
+		time.Sleep(15 * time.Second)
+		for name := range w.nodes {
+			_, err := registered(name)
+			is.NoErr(err)
+		}
+	})
+}
--- a/internal/storetest/backup.go
+++ b/internal/storetest/backup.go
@@ -16,6 +16,7 @@
 	log    []store.Event
 	oldest int64
 	leases map[int64]lease
+	lastID int64
 }
 
 // Backup copies what the store has now.
@@ -24,12 +25,12 @@
 	defer s.mu.Unlock()
 	s.expire(time.Now())
 	return Backup{
-		rev: s.rev, items: maps.Clone(s.items), made: maps.Clone(s.made), log: slices.Clone(s.log), oldest: s.oldest, leases: maps.Clone(s.leases),
+		rev: s.rev, items: maps.Clone(s.items), made: maps.Clone(s.made), log: slices.Clone(s.log), oldest: s.oldest, leases: maps.Clone(s.leases), lastID: s.lastID,
 	}
 }
 
 // Restore replaces what the store has by an older copy: writes and leases since then are gone,
-// their revisions are given out again, and the era rises. The leases of the copy begin anew. Calls that are
+// their numbers are given out again, and the era rises. The leases of the copy begin anew. Calls that are
 // waiting go on in what was restored.
 func (s *Store) Restore(b Backup) {
 	s.mu.Lock()
@@ -43,7 +44,7 @@
 	for i, e := range s.log {
 		s.log[i].Revision = revision(s.era, e.Revision.Number())
 	}
-	s.leases = maps.Clone(b.leases)
+	s.leases, s.lastID = maps.Clone(b.leases), b.lastID
 	for id, l := range s.leases {
 		l.until = time.Now().Add(l.ttl)
 		s.leases[id] = l
