Instances agree on the latest version of the configuration whatever the store has

What callers saw: none yet. Found while looking for the same cause elsewhere: an instance that starts after a restore read the copy's version, and went by it until the operators wrote again: a key that was taken away worked there, a route that was added got 404, while the others kept the later version.

Where the store brings it first, nothing is fetched. A later write of the operators replaces it as usual, since versions rise.

Weighed: only hubs pass versions on with what they mirror, without a message of its own. Then a hub that starts itself has nobody to learn it from.

--- a/internal/front/calls.go
+++ b/internal/front/calls.go
@@ -16,6 +16,8 @@
 		return n.serveReport(call, answer)
 	case *peerpb.Call_Mirror:
 		return n.serveMirror(ctx, call, answer)
+	case *peerpb.Call_FetchConfig:
+		return n.serveConfig(answer)
 	case *peerpb.Call_Place:
 		return n.placer.serve(call, answer)
 	case *peerpb.Call_Suspects:
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -108,6 +108,7 @@
 	knownRollouts atomic.Pointer[[]rollctl.Known]
 	hub           *hub
 	groups        *groups
+	versions      *versions
 	watchProgress mirror.Progress
 	reading       atomic.Bool  // this node reads the store itself
 	registered    atomic.Bool  // the store has this node's registration, as far as is known
@@ -131,7 +132,7 @@
 
 // New wires a node; Run starts it.
 func New(o Options) (*Instance, error) {
-	n := &Instance{Options: o, start: o.Clock.Now(), injector: do.New(), knows: make(chan struct{}), standIn: newStandIn(o.Clock), hub: newHub(o.Decoder.ConfigKey(), o.Clock), groups: newGroups()}
+	n := &Instance{Options: o, start: o.Clock.Now(), injector: do.New(), knows: make(chan struct{}), standIn: newStandIn(o.Clock), hub: newHub(o.Decoder.ConfigKey(), o.Clock), groups: newGroups(), versions: newVersions(o.Clock)}
 	n.walltime = walltime.New(n.start)
 	n.view.Store(&forward.View{Instances: 1})
 	n.outage.Store(newOutage())
@@ -289,6 +290,7 @@
 		{"state", n.state.Serve},
 		{"follow store", n.followStore},
 		{"ask peers", n.proveThroughPeers},
+		{"versions", n.fetchVersions},
 		{"register", n.register},
 		{"peers", func(ctx context.Context) error { return n.peers.Serve(ctx, peers) }},
 		{"share", n.shareState},
--- a/internal/front/restored_test.go
+++ b/internal/front/restored_test.go
@@ -104,6 +104,32 @@
 	})
 }
 
+func TestAnInstanceThatStartsHasTheVersionThatTheRestoredStoreLacks(t *testing.T) {
+	for _, nodes := range []int{4, large} {
+		play(t, nodes, func(is *is.I, w *world) {
+			time.Sleep(6 * time.Second)
+			hubs, _ := hubsOf(w)
+			backup := w.store.Backup()
+			w.configure(2, "k2")
+			time.Sleep(2 * time.Second)
+			w.restore(backup, 300*time.Millisecond) // and nobody writes it again
+			time.Sleep(time.Second)
+			restarted := []string{hubs[0], fmt.Sprint("n", nodes-1)}
+			w.killAndStart(restarted...)
+			time.Sleep(6 * time.Second)
+			for _, name := range restarted {
+				is.Equal(w.ask(name, "/new/a", "k2", name+"/new"), 200)
+				is.Equal(w.ask(name, "/safe/a", "k1", name+"/taken"), 401)
+			}
+			w.configure(3, "k3") // the operators go on from there
+			time.Sleep(2 * time.Second)
+			for name := range w.nodes {
+				is.Equal(w.ask(name, "/new/a", "k3", name+"/next"), 200)
+			}
+		})
+	}
+}
+
 func TestALeavingServerGetsNoNewWorkAfterTheStoreIsRestored(t *testing.T) {
 	for _, nodes := range []int{4, large} {
 		for _, drill := range drills {
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -180,6 +180,8 @@
 	switch c := c.(type) {
 	case configRead:
 		s.takeConfig(c, now)
+	case peerConfig:
+		s.takePeerConfig(c)
 	case sharedOutage:
 		s.outageAt, s.publishDue = c.at, true
 	case listedEndpoints:
@@ -220,7 +222,7 @@
 		s.revision, s.behind = c.revision, s.config != nil && next.Version < s.config.Version
 		s.instance.revision.Store(int64(c.revision))
 		if s.config == nil || next.Version > s.config.Version {
-			s.config, s.publishDue = next, true
+			s.putInForce(next, c.value)
 			s.instance.event(event.ConfigInForce, zap.Int64("version", next.Version), zap.Inline(c.revision), zap.Bool("by_watch", c.provedAt.IsZero()))
 		}
 	}
@@ -244,6 +246,11 @@
 	}
 }
 
+func (s *state) putInForce(c *policy.Config, value []byte) {
+	s.config, s.publishDue = c, true
+	s.instance.versions.hold(c.Version, value)
+}
+
 // passOver logs a configuration that is older than the one in hand, once for each revision.
 func (s *state) passOver(c configRead) {
 	if c.revision >= s.revision || c.revision == s.passedOver {
