An earlier incarnation is not accepted after its entry has gone in trouble

Cause: an entry that named an earlier incarnation was withheld, to be accepted after 5 s if it stood. It went while the store was in trouble, which only marked it as lapsed; the 5 s ran on, and the incarnation was taken for one that takes work. Not a matter of eras: any outage at the wrong moment does it.

Change: a withheld entry that goes is dropped: there is nothing that may be used on.

Test: fails without the change, passes with it.

--- a/internal/registry/incarnation_test.go
+++ b/internal/registry/incarnation_test.go
@@ -196,3 +196,14 @@
 	is.Equal(r.Remove("b", 9, false, now), Gone)
 	is.Equal(r.Put(entryOf("b", 2, later, false), now), Joined)
 }
+
+func TestAnEarlierIncarnationIsNotAcceptedOnceItsEntryIsGone(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(2000, 0)
+	r := New(2 * time.Second)
+	r.Put(entryOf("a", 2, 5, false), now)
+	is.Equal(r.Put(entryOf("a", 1, 6, false), now), Withheld)
+	r.Remove("a", 7, true, now.Add(time.Second))
+	r.Expire(false, now.Add(2*earlierStands))
+	is.Equal(len(r.List()), 0)
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -169,7 +169,7 @@
 		return None
 	}
 	newest.revision = max(revision, newest.revision)
-	if trouble && !e.endpoint.Leaving {
+	if trouble && !e.endpoint.Leaving && !e.withheld {
 		if e.absent.IsZero() {
 			e.absent = r.absentUntil(now)
 			r.pending[name] = true
