--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -185,12 +185,12 @@
 func (n *Instance) watch(ctx context.Context, p followed) error {
 	down, cut := newBackoff(retryFirst, retryMost), newBackoff(retryPause, retryWatch)
 	for ctx.Err() == nil {
-		sent := n.Clock.Now()
-		call, cancel := context.WithTimeout(ctx, listTimeout)
-		items, at, err := n.Store.Range(call, p.prefix)
-		cancel()
+		sent, refreshed := n.Clock.Now(), n.outage.Load().ctx
+		items, at, err := n.list(ctx, p.prefix, refreshed)
 		if n.called(sent, err) != nil {
-			n.pauseForStore(ctx, down.NextBackOff())
+			if refreshed.Err() == nil {
+				n.pauseForStore(ctx, down.NextBackOff())
+			}
 			continue
 		}
 		down.Reset()
@@ -206,6 +206,16 @@
 	return ctx.Err()
 }
 
+// list lists a part of the store, unless the store turns out to be back meanwhile: a call from
+// before may never be answered.
+func (n *Instance) list(ctx context.Context, prefix string, refreshed context.Context) ([]store.Item, store.Revision, error) {
+	call, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	stop := context.AfterFunc(refreshed, cancel)
+	defer stop()
+	return n.Store.Range(call, prefix)
+}
+
 // follow passes changes on until a watch fails.
 func (n *Instance) follow(ctx context.Context, p followed, at store.Revision) {
 	ctx, cancel := context.WithCancel(ctx)
