An instance that starts in a later era proves no version until the store has settled

Cause: the instance read the copy's version and took it for proved; that it lacked a later one was known to the others only.

Change: such an instance proves nothing for 2 s after the era was first seen by any instance, which the store keeps since the counts of usage need it too, or until the operators write again. It gets a later version from another instance at once, not after 2 s. In the first era nothing changes.

Test: fails without the change (the key runs), passes with it.

--- a/internal/front/era.go
+++ b/internal/front/era.go
@@ -18,6 +18,7 @@
 	known      bool
 	number     int64
 	restoredAt time.Time // when the era was first seen; zero if the store was never restored
+	joined     bool      // this instance started in it, and knows nothing of an earlier one
 }
 
 // revisionOf returns a revision that a change was read at or after, zero if it names none.
@@ -56,11 +57,11 @@
 	case !s.era.known:
 		s.era = era{known: true, number: number}
 		if number > 0 {
-			s.era.restoredAt = now
+			s.era.restoredAt, s.era.joined = now, true
 		}
 	case number > s.era.number:
 		s.instance.event(event.StoreRestored, zap.Inline(at), zap.Int64("before", s.era.number))
-		s.era.number, s.era.restoredAt = number, now
+		s.era = era{known: true, number: number, restoredAt: now}
 		s.troubleAt = now
 		s.instance.refresh()
 	case number < s.era.number:
@@ -69,6 +70,26 @@
 	return true
 }
 
+// eraMarked tells when an era was first seen by any instance, of the day.
+type eraMarked struct {
+	number int64
+	at     time.Time
+}
+
+func (eraMarked) change() {}
+
+// marked takes the time at which an era was first seen, if that is earlier than known here.
+func (s *state) marked(c eraMarked, now time.Time) {
+	at := now.Add(c.at.Sub(s.instance.walltime.At(now)))
+	if c.number == s.era.number && at.Before(s.era.restoredAt) {
+		s.era.restoredAt = at
+	}
+}
+
+// mayLack reports whether a read of the store proves no version: later ones may be lost, and not
+// be written again yet.
+func (s *state) mayLack(now time.Time) bool { return (s.behind || s.era.joined) && s.settling(now) }
+
 // settling reports whether operators and endpoints may still be writing again what the store
 // lost.
 func (s *state) settling(now time.Time) bool {
--- a/internal/front/restored_test.go
+++ b/internal/front/restored_test.go
@@ -130,6 +130,31 @@
 	}
 }
 
+func TestAKeyTakenAwayIsNotTakenByAnInstanceThatStartsAfterARestore(t *testing.T) {
+	play(t, 4, func(is *is.I, w *world) {
+		time.Sleep(4 * time.Second)
+		backup := w.store.Backup()
+		w.configure(2, "k2")
+		time.Sleep(w.settings("n0", 1).Bounds.Revoke())
+		w.kill("n0")
+		w.store.Restore(backup)
+		w.start("n0")
+		for i := range 36 {
+			time.Sleep(25 * time.Millisecond)
+			id := fmt.Sprint("taken", i)
+			w.ask("n0", "/safe/a", "k1", id)
+			is.Equal(w.runsOf(id), 0)
+		}
+		w.configure(2, "k2")
+		time.Sleep(time.Second)
+		is.Equal(w.ask("n0", "/safe/a", "k2", "after"), 200)
+		w.kill("n1")
+		w.start("n1") // long after the restore
+		time.Sleep(time.Second)
+		is.Equal(w.ask("n1", "/safe/a", "k2", "later"), 200)
+	})
+}
+
 func TestALeavingServerGetsNoNewWorkAfterTheStoreIsRestored(t *testing.T) {
 	for _, nodes := range []int{4, large} {
 		for _, drill := range drills {
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -180,6 +180,8 @@
 	switch c := c.(type) {
 	case configRead:
 		s.takeConfig(c, now)
+	case eraMarked:
+		s.marked(c, now)
 	case peerConfig:
 		s.takePeerConfig(c)
 	case sharedOutage:
@@ -219,6 +221,9 @@
 			s.instance.event(event.ConfigRejected, zap.Inline(c.revision), zap.Error(err))
 			return // what it takes away is not known: the one in force is not proved
 		}
+		if s.revision != 0 && s.revision.Era() == c.revision.Era() {
+			s.era.joined = false // the operators wrote again
+		}
 		s.revision, s.behind = c.revision, s.config != nil && next.Version < s.config.Version
 		s.instance.revision.Store(int64(c.revision))
 		if s.config == nil || next.Version > s.config.Version {
@@ -230,8 +235,8 @@
 		s.passOver(c)
 		return
 	}
-	if s.behind && s.settling(now) {
-		s.withheld = c // more than the version in force may be lost
+	if s.mayLack(now) {
+		s.withheld = c
 		return
 	}
 	if !c.byPeer && c.provedAt.After(s.readAt) {
--- a/internal/front/usagereport.go
+++ b/internal/front/usagereport.go
@@ -119,6 +119,7 @@
 	var known eraMark
 	if err == nil && json.Unmarshal(item.Value, &known) == nil && known.Era == r.era {
 		r.eraAt = known.At
+		r.state.send(eraMarked{r.era, r.eraAt})
 		return nil
 	}
 	value, err := json.Marshal(eraMark{r.era, r.eraAt})
--- a/internal/front/versions.go
+++ b/internal/front/versions.go
@@ -19,7 +19,8 @@
 // Times of getting a configuration from another instance.
 const (
 	versionLook  = 300 * time.Millisecond
-	versionAfter = rewriteWithin // that another instance has a later version which the store does not bring here
+	versionAfter = rewriteWithin   // that another instance has a later version which the store does not bring here
+	versionStart = 5 * time.Second // an instance counts as starting
 	fetchTimeout = time.Second
 )
 
@@ -72,11 +73,11 @@
 	v.later.version, v.later.at = max(version, v.later.version), from
 }
 
-// missing returns the instance to get a version from that has been missing here for long.
-func (v *versions) missing(now time.Time) (string, bool) {
+// missing returns the instance to get a version from that has been missing here for a time.
+func (v *versions) missing(now time.Time, after time.Duration) (string, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.later.version <= v.own() || now.Sub(v.later.since) < versionAfter {
+	if v.later.version <= v.own() || now.Sub(v.later.since) < after {
 		return "", false
 	}
 	return v.later.at, true
@@ -93,7 +94,7 @@
 // fetchVersions gets versions that are missing here, until ctx ends.
 func (n *Instance) fetchVersions(ctx context.Context) error {
 	for n.Clock.Sleep(ctx, versionLook) {
-		from, ok := n.versions.missing(n.Clock.Now())
+		from, ok := n.versions.missing(n.Clock.Now(), n.versionPatience())
 		if !ok {
 			continue
 		}
@@ -107,6 +108,15 @@
 	return ctx.Err()
 }
 
+// versionPatience returns how long the store is given to bring a version that another instance
+// has. Where it was restored, an instance that starts knows only what the store still has.
+func (n *Instance) versionPatience() time.Duration {
+	if n.Store.Era() > 0 && n.Clock.Since(n.start) < versionStart {
+		return 0
+	}
+	return versionAfter
+}
+
 // fetchConfig asks an instance for the configuration in force there.
 func (n *Instance) fetchConfig(ctx context.Context, from string) ([]byte, error) {
 	for _, m := range n.state.members.list() {
