Soak: the store comes back from an older copy

Fault store-restored: the store is away for 0.5 to 2.6 s and comes back with a copy up to 10 s old; operators and endpoints write again 0 to 2 s later, in any order, one in four times without the entry of an endpoint that is ready. Nobody's writes are answered while the store is away. Its draws leave those of the other kinds as they were.

On the way: an instance that had once met a fault of its own at the stand-in of the store never met one of all again, so that later store-down, store-slow and restores passed it by.

--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -11,7 +11,6 @@
 	"github.com/shelfcrank/shelfcrank/internal/check"
 	"github.com/shelfcrank/shelfcrank/internal/policy"
 	"github.com/shelfcrank/shelfcrank/internal/settings"
-	"github.com/shelfcrank/shelfcrank/internal/storetest"
 	"github.com/shelfcrank/shelfcrank/platform/platformtest"
 )
 
@@ -75,7 +74,7 @@
 
 // operator writes the configuration.
 type operator struct {
-	store  *storetest.Store
+	store  *writer
 	record *recorder
 
 	mu      sync.Mutex
@@ -88,7 +87,7 @@
 
 var accountNames = []string{"north", "south", "busy"}
 
-func newOperator(store *storetest.Store, record *recorder, seed uint64) *operator {
+func newOperator(store *writer, record *recorder, seed uint64) *operator {
 	o := &operator{store: store, record: record, rnd: rand.New(rand.NewPCG(seed, 101))}
 	for _, account := range accountNames {
 		for range keysEach {
@@ -168,7 +167,7 @@
 		return err
 	}
 	sent := time.Now()
-	o.store.Put(entry, value)
+	o.store.put(entry, value)
 	now := time.Now()
 	o.record.config(check.Config{Version: c.Version, SentAt: sent, AckedAt: now})
 	if taken != nil {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -85,7 +85,7 @@
 	for n := range o.Scenario.Instances {
 		r.instances = append(r.instances, newInstance(n, o.Scenario, o.Dir, record))
 	}
-	r.operator = newOperator(r.world.store, record, o.Seed)
+	r.operator = newOperator(r.world.writer, record, o.Seed)
 	r.traffic = newTraffic(r.instances, r.operator, record, o.Seed)
 	r.world.sender = r.traffic.sender
 	if err := r.operator.configure(); err != nil {
@@ -152,6 +152,7 @@
 	defer cancel()
 	begin := time.Now()
 	r.faults.Go(func() { r.progress(ctx, begin) })
+	r.faults.Go(func() { r.world.keepBackups(ctx) })
 	r.faults.Go(func() {
 		for _, a := range r.Actions {
 			sleep(ctx, time.Until(begin.Add(a.At)))
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -21,6 +21,8 @@
 		r.strikeStore(ctx, a, "")
 	case StoreRefuses, StoreLoses, StoreSilent:
 		r.strikeStore(ctx, a, r.instances[a.Target%uint64(len(r.instances))].name)
+	case Restored:
+		r.restoreStore(ctx, a)
 	case StoreForgets:
 		r.world.store.Compact()
 	case CloudDown:
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -25,6 +25,7 @@
 // world is the platform around the instances: its store, cloud and endpoints.
 type world struct {
 	store    *storetest.Store
+	writer   *writer
 	record   *recorder
 	sender   func(request string) string
 	servers  []*http.Server
@@ -34,6 +35,7 @@
 
 	mu        sync.Mutex
 	endpoints []*endpoint // that take work; guarded by mu
+	backups   []backup    // guarded by mu
 	started   int         // endpoints so far; guarded by mu
 	ended     bool        // guarded by mu
 	wait      sync.WaitGroup
@@ -64,7 +66,8 @@
 func (c *cloud) Scale(duty.Token, string, string, int, bool) error { return nil }
 
 func newWorld(record *recorder) *world {
-	return &world{store: storetest.New(), links: make(map[string]*link), record: record, cloud: &cloud{record: record}}
+	s := storetest.New()
+	return &world{store: s, writer: newWriter(s), links: make(map[string]*link), record: record, cloud: &cloud{record: record}}
 }
 
 // serve serves the store and the cloud as an instance sees them.
@@ -136,16 +139,20 @@
 	if err != nil {
 		return err
 	}
-	w.store.Put(key, value)
+	w.writer.put(key, value)
 	return nil
 }
 
 // drop drops the entry of an endpoint.
-func (w *world) drop(e *endpoint) {
+func (w *world) drop(e *endpoint) { w.writer.put(w.keyOf(e), nil) }
+
+// keyOf returns the key of an endpoint's entry, "" if it has none.
+func (w *world) keyOf(e *endpoint) string {
 	key, _, err := platformtest.ServerEntry(e.entry())
-	if err == nil {
-		w.store.Put(key, nil)
+	if err != nil {
+		return ""
 	}
+	return key
 }
 
 // pick returns an endpoint that takes work, nil if there are too few to spare one.
--- a/internal/storetest/storetest.go
+++ b/internal/storetest/storetest.go
@@ -67,6 +67,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults[caller] = f
+	if f == (Faults{}) {
+		delete(s.faults, caller)
+	}
 	s.signal()
 }
 
