--- a/internal/soak/restore.go
+++ b/internal/soak/restore.go
@@ -108,7 +108,7 @@
 	w.store.SetFaults("", storetest.Faults{Down: true, Silent: true})
 	sleep(ctx, a.For)
 	w.store.Restore(b.Backup)
-	w.store.SetFaults("", storetest.Faults{})
+	w.store.ClearFaults("")
 	w.writer.reachable.Unlock()
 	sleep(ctx, time.Duration(a.Target/7%uint64(rewriteMost)))
 	leftOut := ""
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/shelfcrank/shelfcrank/internal/check"
-	"github.com/shelfcrank/shelfcrank/internal/storetest"
 )
 
 // strike plays one fault to its end.
@@ -92,7 +91,7 @@
 	defer r.record.disrupt(instance, a.Kind, false)()
 	r.world.store.SetFaults(instance, storeFaults[a.Kind])
 	sleep(ctx, a.For)
-	r.world.store.SetFaults(instance, storetest.Faults{})
+	r.world.store.ClearFaults(instance)
 }
 
 // linkStates are what links do.
--- a/internal/storetest/storetest.go
+++ b/internal/storetest/storetest.go
@@ -67,9 +67,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults[caller] = f
-	if f == (Faults{}) {
-		delete(s.faults, caller)
-	}
+	s.signal()
+}
+
+// ClearFaults makes a caller meet what every caller does.
+func (s *Store) ClearFaults(caller string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.faults, caller)
 	s.signal()
 }
 
