A listing that is given up is no sign that the store is down

The refresh that gives it up comes from the store's return; counted as a failed call, sent at the same moment, it could mark the store as down again, and the next answer refresh again.

--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -187,10 +187,11 @@
 	for ctx.Err() == nil {
 		sent, refreshed := n.Clock.Now(), n.outage.Load().ctx
 		items, at, err := n.list(ctx, p.prefix, refreshed)
+		if err != nil && refreshed.Err() != nil {
+			continue // given up, which says nothing of the store
+		}
 		if n.called(sent, err) != nil {
-			if refreshed.Err() == nil {
-				n.pauseForStore(ctx, down.NextBackOff())
-			}
+			n.pauseForStore(ctx, down.NextBackOff())
 			continue
 		}
 		down.Reset()
