Roll-outs outlive a restore of the store

Change: an order for the target of a record of an earlier era is the one that the record is of, written again. A record in hand that is further on than the store's is kept, and the leader writes it again. Once the store has settled, a roll-out that is over takes the revision of its order in the new era, so that a later order for the same target is told from it. Another order than the one known counts once the store has settled.

Left: a leader that starts after the restore goes by the copy's record until one that knows more acts for all.

--- /dev/null
+++ b/internal/front/rolloutrestored_test.go
@@ -0,0 +1,66 @@
+package front
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shelfcrank/shelfcrank/internal/rollout"
+	"github.com/shelfcrank/shelfcrank/internal/storetest"
+)
+
+func TestAVersionThatWasRolledBackStaysSoAfterTheStoreIsRestored(t *testing.T) {
+	const (
+		beforeOrder = iota
+		inTrial
+		atEnd
+	)
+	for name, when := range map[string]int{"copy from before the order": beforeOrder, "copy from the trial": inTrial, "copy from after it": atEnd} {
+		t.Run(name, func(t *testing.T) {
+			play(t, 8, func(is *is.I, w *world) {
+				var backup storetest.Backup
+				if when == beforeOrder {
+					backup = w.store.Backup()
+				}
+				o := w.rollOut(conduct{fails: 0.3}, 200, func() {
+					if when == inTrial {
+						backup = w.store.Backup()
+					}
+				})
+				is.Equal(o.status, string(rollout.RolledBack))
+				if when == atEnd {
+					backup = w.store.Backup()
+				}
+				arrived := w.arrivedAt("v2")
+				w.churn(40)
+				w.restore(backup, time.Second)
+				stop := w.load(200)
+				time.Sleep(500 * time.Millisecond)
+				value, err := json.Marshal(rollout.Order{Target: "v2", Window: 12 * time.Second})
+				is.NoErr(err)
+				w.store.Put("op/rollout/svc", value)
+				for i := range oldServers + newServers {
+					w.putServer(i, false)
+				}
+				time.Sleep(8 * time.Second)
+				stop()
+				is.Equal(w.arrivedAt("v2"), arrived)
+				is.Equal(w.status(), string(rollout.RolledBack))
+				w.order("v2", 12*time.Second) // the operators want it tried again
+				stop = w.load(200)
+				time.Sleep(6 * time.Second)
+				stop()
+				is.True(w.arrivedAt("v2") > 0)
+			}, withRollouts)
+		})
+	}
+}
+
+// arrivedAt returns how many requests reached a version since the last order.
+func (w *world) arrivedAt(version string) int {
+	w.rolls.mu.Lock()
+	defer w.rolls.mu.Unlock()
+	return w.rolls.arrived[version]
+}
--- a/internal/front/rollouts.go
+++ b/internal/front/rollouts.go
@@ -33,6 +33,7 @@
 type writtenRecord struct {
 	rollout.Record
 	revision store.Revision
+	lost     bool // the store has none, or an earlier one than this, at the revision
 }
 
 func newRolloutState(n *Instance) *rolloutState {
@@ -64,11 +65,41 @@
 		return false
 	}
 	order.Revision = item.Revision
+	if known, ok := s.orders[order.Service]; ok && known.Revision.Era() < order.Revision.Era() || s.settling() {
+		return s.takeOrderAgain(known, order, ok)
+	}
 	s.orders[order.Service], s.fresh[order.Service] = order, s.read
 	s.instance.event(event.RolloutOrdered, zap.String("service", order.Service), zap.String("target", order.Target), zap.Int64("order", int64(order.Revision)), zap.Duration("window", order.Window))
 	return true
 }
 
+func (s *rolloutState) settling() bool {
+	return s.instance.state.settling(s.instance.Clock.Now())
+}
+
+// takeOrderAgain takes an order that is read in a later era of the store than the one known, if
+// there is one. Another one than that counts once the store has settled: it may be older.
+func (s *rolloutState) takeOrderAgain(known, order rollout.Order, exists bool) bool {
+	same := exists && known.Target == order.Target && known.Window == order.Window
+	if !same && s.settling() {
+		return false
+	}
+	s.orders[order.Service] = order
+	s.fresh[order.Service] = s.fresh[order.Service] && same || !same && s.read
+	return true
+}
+
+// listed takes note of records that a listing of a later era lacks.
+func (s *rolloutState) listed(items []store.Item, at store.Revision) {
+	for service, r := range s.records {
+		key := s.instance.Decoder.OwnPrefix() + keyRollouts + service
+		if r.revision.Era() < at.Era() && !hasKey(items, key) {
+			r.revision, r.lost = 0, true
+			s.records[service] = r
+		}
+	}
+}
+
 // takeRecord takes a record, and reports whether it is new.
 func (s *rolloutState) takeRecord(item store.Item) bool {
 	name, ok := strings.CutPrefix(item.Key, s.instance.Decoder.OwnPrefix()+keyRollouts)
@@ -80,6 +111,11 @@
 		s.instance.event(event.RolloutOdd, zap.String("key", item.Key), zap.Inline(item.Revision), zap.Error(err))
 		return false
 	}
+	if known := s.records[name]; known.After(r) {
+		known.revision, known.lost = item.Revision, true
+		s.records[name] = known
+		return false
+	}
 	return s.wrote(r, item.Revision)
 }
 
@@ -89,7 +125,7 @@
 	if at <= s.records[r.Service].revision {
 		return false
 	}
-	s.records[r.Service] = writtenRecord{r, at}
+	s.records[r.Service] = writtenRecord{Record: r, revision: at}
 	return true
 }
 
@@ -100,8 +136,9 @@
 		k.Order = &order
 	}
 	if r, ok := s.records[service]; ok {
-		k.Record, k.Revision = &r.Record, r.revision
+		k.Record, k.Revision, k.Lost = &r.Record, r.revision, r.lost
 	}
+	k.Settled = !s.settling()
 	return k
 }
 
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -197,6 +197,7 @@
 		for _, item := range c.items {
 			s.rollouts.takeRecord(item)
 		}
+		s.rollouts.listed(c.items, c.at)
 		s.members.replace(c.items, now)
 		s.publishDue = true
 	case watched:
--- a/internal/rollctl/lead.go
+++ b/internal/rollctl/lead.go
@@ -26,6 +26,8 @@
 	Order    *rollout.Order  // newest, nil if none is known
 	Record   *rollout.Record // newest, nil if there is none
 	Revision store.Revision  // of the record in the store, 0 if there is none
+	Lost     bool            // the store has no record, or an earlier one than this
+	Settled  bool            // operators have written again what the store lost
 	Targets  int             // endpoints of the target
 	Others   int             // endpoints of other versions that may be used
 }
@@ -101,10 +103,16 @@
 // service leads one roll-out on.
 func (l *Leader) service(ctx context.Context, token duty.Token, k Known, now time.Time) error {
 	day := l.Host.Day(now)
-	if k.Order != nil && (k.Record == nil || k.Record.Order < k.Order.Revision) {
+	if k.Order != nil && (k.Record == nil || !k.Record.Covers(*k.Order)) {
 		return l.write(ctx, token, k, rollout.Begin(*k.Order, k.Record, day), rollout.Verdict{})
 	}
-	if k.Record == nil || k.Record.Phase.Final() {
+	if k.Record == nil {
+		return nil
+	}
+	if r, again := again(k); again {
+		return l.write(ctx, token, k, r, rollout.Verdict{})
+	}
+	if k.Record.Phase.Final() {
 		return nil
 	}
 	r := *k.Record
@@ -122,6 +130,18 @@
 	return l.write(ctx, token, k, next, standing.Verdict)
 }
 
+// again returns the record to write after a restore of the store, and whether it has to be: the
+// store lost it, or a roll-out that is over goes by an order's revision of an earlier era, from
+// which an order for the same target could not be told that is given later.
+func again(k Known) (rollout.Record, bool) {
+	r := *k.Record
+	if k.Settled && k.Order != nil && r.Phase.Final() && r.Order < k.Order.Revision {
+		r.Order = k.Order.Revision
+		return r, true
+	}
+	return r, k.Lost
+}
+
 // of returns what is kept of a roll-out.
 func (l *Leader) of(r rollout.Record) *led {
 	s := l.led[r.Service]
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -61,6 +61,30 @@
 	Why      string    // of the phase, for operators
 }
 
+// Covers reports whether the record is of an order, or of a later one. An order for the same
+// target that is read in a later era of the store is the one that the record is of, written
+// again.
+func (r *Record) Covers(o Order) bool {
+	return r.Order >= o.Revision || r.Order.Era() < o.Revision.Era() && r.Target == o.Target
+}
+
+// rank orders phases: those of a roll-out never go back.
+func (p Phase) rank() int {
+	switch p {
+	case Trial:
+		return 1
+	case Shift:
+		return 2
+	}
+	return 3
+}
+
+// After reports whether the record is of a later order than another one, or of the same in a
+// later phase.
+func (r *Record) After(o Record) bool {
+	return r.Order > o.Order || r.Order == o.Order && r.Phase.rank() > o.Phase.rank()
+}
+
 // mostRejected bounds the versions that a record remembers as rejected.
 const mostRejected = 8
 
@@ -82,7 +106,7 @@
 	switch {
 	case order == nil && last == nil:
 		return Record{}, false
-	case order == nil || last != nil && last.Order >= order.Revision:
+	case order == nil || last != nil && last.Covers(*order):
 		return *last, true
 	}
 	next := Record{Service: order.Service, Order: order.Revision, Target: order.Target, Phase: Trial, Why: "ordered"}
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -166,3 +166,25 @@
 		is.New(t).True(!changed) // what is over stays as it is
 	}
 }
+
+func TestARecordCoversItsOrderInALaterEra(t *testing.T) {
+	is := is.New(t)
+	at := func(era, number int64) store.Revision {
+		r, err := store.NewRevision(era, number)
+		is.NoErr(err)
+		return r
+	}
+	r := Record{Service: "s", Order: at(1, 50), Target: "v2", Phase: RolledBack}
+	for order, covered := range map[Order]bool{
+		{Target: "v2", Revision: at(1, 50)}: true,
+		{Target: "v2", Revision: at(1, 51)}: false,
+		{Target: "v2", Revision: at(2, 40)}: true,
+		{Target: "v3", Revision: at(2, 40)}: false,
+		{Target: "v3", Revision: at(0, 90)}: true,
+	} {
+		is.Equal(r.Covers(order), covered)
+	}
+	is.True(r.After(Record{Order: at(1, 50), Phase: Shift}))
+	is.True(!r.After(Record{Order: at(1, 50), Phase: Completed}))
+	is.True(!r.After(Record{Order: at(2, 1), Phase: Trial}))
+}
