Hubs' mirrors are a package of their own

internal/hub has what a hub answers, without the instance around it: mirrors of the store, proofs, packing.

--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -60,7 +60,7 @@
 			pause = retry.NextBackOff()
 		} else {
 			retry.Reset()
-			n.hub.proved(items, sent)
+			n.hub.Proved(items, sent)
 			n.takeOperators(items, sent)
 		}
 		if !n.sleepOrResume(ctx, pause) {
@@ -159,17 +159,17 @@
 		return ctx.Err()
 	}
 	list := func([]store.Item, store.Revision) {} // the read proves it
-	return n.watch(ctx, followed{n.Decoder.OperatorPrefix(), n.hub.operators, list, n.awaitRole})
+	return n.watch(ctx, followed{n.Decoder.OperatorPrefix(), n.hub.Operators, list, n.awaitRole})
 }
 
 func (n *Instance) watchEndpoints(ctx context.Context) error {
 	list := func(items []store.Item, at store.Revision) { n.state.send(listedEndpoints{items, at}) }
-	return n.watch(ctx, followed{n.Decoder.EndpointPrefix(), n.hub.endpoints, list, n.awaitRole})
+	return n.watch(ctx, followed{n.Decoder.EndpointPrefix(), n.hub.Endpoints, list, n.awaitRole})
 }
 
 func (n *Instance) watchInstances(ctx context.Context) error {
 	list := func(items []store.Item, at store.Revision) { n.state.send(listedInstances{items, at}) }
-	return n.watch(ctx, followed{n.Decoder.OwnPrefix() + keyLive, n.hub.instances, list, n.awaitOthers})
+	return n.watch(ctx, followed{n.Decoder.OwnPrefix() + keyLive, n.hub.Instances, list, n.awaitOthers})
 }
 
 // followed is a part of the store that an instance follows.
--- a/internal/front/follower.go
+++ b/internal/front/follower.go
@@ -13,6 +13,7 @@
 
 	"github.com/shelfcrank/shelfcrank/internal/event"
 	"github.com/shelfcrank/shelfcrank/internal/fault"
+	"github.com/shelfcrank/shelfcrank/internal/hub"
 	"github.com/shelfcrank/shelfcrank/internal/mirror"
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
 	"github.com/shelfcrank/shelfcrank/internal/store"
@@ -21,7 +22,7 @@
 
 // Times of reading the store through hubs.
 const (
-	mirrorTimeout = mirrorWait + 350*time.Millisecond
+	mirrorTimeout = hub.Wait + 350*time.Millisecond
 	hubless       = 500 * time.Millisecond // without any hub a node reads the store itself
 	hubPause      = 150 * time.Millisecond // between two rounds of hubs that do not know
 	aloneFor      = 700 * time.Millisecond // a node that reaches the store gives the hubs so long to reach it too
@@ -75,7 +76,7 @@
 }
 
 // storeTroubled reports whether this node's last own proof is old.
-func (n *Instance) storeTroubled() bool { return n.Clock.Since(n.view.Load().ReadAt) > mirrorStale }
+func (n *Instance) storeTroubled() bool { return n.Clock.Since(n.view.Load().ReadAt) > hub.Stale }
 
 // readThroughHubs follows the store through those that read it, until this node becomes
 // one or none of them knows what is in the store although this node can find out.
@@ -144,7 +145,7 @@
 
 // follow reads through one instance until it fails, or for a while if it only stands in
 // for the readers. It reports whether it got an answer.
-func (s *follower) follow(ctx context.Context, hub topology.Member, standIn bool) bool {
+func (s *follower) follow(ctx context.Context, through topology.Member, standIn bool) bool {
 	helped := false
 	begun := s.instance.Clock.Now()
 	for ctx.Err() == nil && !s.instance.readsItself() {
@@ -152,8 +153,8 @@
 			return true
 		}
 		sent := s.instance.Clock.Now()
-		a, err := s.ask(ctx, hub, standIn)
-		if saysNoHub(err) {
+		a, err := s.ask(ctx, through, standIn)
+		if hub.SaysUnknown(err) {
 			s.without++
 		}
 		if err != nil {
@@ -161,11 +162,11 @@
 		}
 		read, err := mirroredConfig(a, sent)
 		if err != nil {
-			s.instance.event(event.ConfigRejected, zap.String("peer", hub.Name), zap.Error(err))
+			s.instance.event(event.ConfigRejected, zap.String("peer", through.Name), zap.Error(err))
 			return helped
 		}
 		helped = true
-		s.setStandby(lo.Ternary(standIn, hub.Name, ""))
+		s.setStandby(lo.Ternary(standIn, through.Name, ""))
 		s.lastGood, s.aloneSince, s.without = sent, time.Time{}, 0
 		s.retry.Reset()
 		s.take(a, read, sent)
@@ -173,8 +174,8 @@
 	return helped
 }
 
-func (s *follower) ask(ctx context.Context, hub topology.Member, standIn bool) (*peerpb.MirrorAnswer, error) {
-	return s.instance.askMirror(ctx, hub, &peerpb.Mirror{Config: int64(s.revision), Servers: int64(s.endpoints), Nodes: int64(s.instances), Orders: int64(s.orders), StandIn: standIn, Unpacks: true})
+func (s *follower) ask(ctx context.Context, through topology.Member, standIn bool) (*peerpb.MirrorAnswer, error) {
+	return s.instance.askMirror(ctx, through, &peerpb.Mirror{Config: int64(s.revision), Servers: int64(s.endpoints), Nodes: int64(s.instances), Orders: int64(s.orders), StandIn: standIn, Unpacks: true})
 }
 
 // askMirror asks an instance that reads the store for what changed there.
@@ -186,7 +187,7 @@
 		return nil, fmt.Errorf("read through %s: %w", m.Name, err)
 	}
 	if mirror := a.GetMirror(); mirror != nil {
-		if err := errors.Join(unpackPart(mirror.Servers), unpackPart(mirror.Nodes)); err != nil {
+		if err := errors.Join(hub.Unpack(mirror.Servers), hub.Unpack(mirror.Nodes)); err != nil {
 			return nil, fault.New(fault.StepPeer, m.Name, fault.KindBroken, fault.NotRun, "read through it: %w", err)
 		}
 		return mirror, nil
@@ -205,7 +206,7 @@
 		}
 		read.value = value
 	}
-	if a.ProofAge != notProved {
+	if a.ProofAge != hub.NotProved {
 		read.provedAt = sent.Add(-time.Duration(a.ProofAge))
 	}
 	return read, nil
@@ -222,16 +223,16 @@
 	}
 	if p := a.Servers; p != nil {
 		s.endpoints = store.Revision(p.At)
-		if events := mirrorEvents(p); p.Whole {
-			n.state.send(listedEndpoints{itemsOf(events), s.endpoints})
+		if events := hub.Events(p); p.Whole {
+			n.state.send(listedEndpoints{hub.Items(events), s.endpoints})
 		} else {
 			s.changed(events)
 		}
 	}
 	if p := a.Nodes; p != nil {
 		s.instances = store.Revision(p.At)
-		if events := mirrorEvents(p); p.Whole {
-			n.state.send(listedInstances{itemsOf(events), s.instances})
+		if events := hub.Events(p); p.Whole {
+			n.state.send(listedInstances{hub.Items(events), s.instances})
 		} else {
 			s.changed(events)
 		}
@@ -248,7 +249,7 @@
 
 // mirroredOrders reads the orders of an answer.
 func mirroredOrders(orders []*peerpb.MirrorItem) operatorsRead {
-	return operatorsRead{itemsOf(mirrorEvents(&peerpb.MirrorPart{Items: orders}))}
+	return operatorsRead{hub.Items(hub.Events(&peerpb.MirrorPart{Items: orders}))}
 }
 
 // changed hands changes to the state, if there are any.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -28,6 +28,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/duty"
 	"github.com/shelfcrank/shelfcrank/internal/event"
 	"github.com/shelfcrank/shelfcrank/internal/forward"
+	"github.com/shelfcrank/shelfcrank/internal/hub"
 	"github.com/shelfcrank/shelfcrank/internal/metrics"
 	"github.com/shelfcrank/shelfcrank/internal/mirror"
 	"github.com/shelfcrank/shelfcrank/internal/netx"
@@ -106,7 +107,7 @@
 	suspects      *suspects
 	rollouts      *rollctl.Control
 	knownRollouts atomic.Pointer[[]rollctl.Known]
-	hub           *hub
+	hub           *hub.Mirror
 	groups        *groups
 	versions      *versions
 	watchProgress mirror.Progress
@@ -132,7 +133,7 @@
 
 // New wires a node; Run starts it.
 func New(o Options) (*Instance, error) {
-	n := &Instance{Options: o, start: o.Clock.Now(), injector: do.New(), knows: make(chan struct{}), standIn: newStandIn(o.Clock), hub: newHub(o.Decoder.ConfigKey(), o.Clock), groups: newGroups(), versions: newVersions(o.Clock)}
+	n := &Instance{Options: o, start: o.Clock.Now(), injector: do.New(), knows: make(chan struct{}), standIn: newStandIn(o.Clock), hub: hub.New(o.Decoder.ConfigKey(), o.Clock), groups: newGroups(), versions: newVersions(o.Clock)}
 	n.walltime = walltime.New(n.start)
 	n.view.Store(&forward.View{Instances: 1})
 	n.outage.Store(newOutage())
--- /dev/null
+++ b/internal/front/mirror.go
@@ -0,0 +1,25 @@
+package front
+
+import (
+	"context"
+
+	"github.com/shelfcrank/shelfcrank/internal/fault"
+	"github.com/shelfcrank/shelfcrank/internal/hub"
+	"github.com/shelfcrank/shelfcrank/internal/peerpb"
+)
+
+// serveMirror answers a node that reads through this one.
+func (n *Instance) serveMirror(ctx context.Context, call *peerpb.Call, answer func(*peerpb.Answer) error) error {
+	q := call.GetMirror()
+	if q.StandIn {
+		n.readForOthers(ctx, n.Clock.Now())
+	}
+	if !n.reading.Load() {
+		return fault.New(fault.StepPeer, call.From, fault.KindNotFound, fault.NotRun, "%w", hub.ErrUnknown)
+	}
+	a, err := n.hub.Answer(ctx, q)
+	if err != nil {
+		return fault.New(fault.StepPeer, call.From, fault.KindNotFound, fault.NotRun, "%w", err)
+	}
+	return answer(&peerpb.Answer{Body: &peerpb.Answer_Mirror{Mirror: a}})
+}
--- a/internal/front/peerproof.go
+++ b/internal/front/peerproof.go
@@ -8,6 +8,7 @@
 
 	"github.com/samber/lo"
 
+	"github.com/shelfcrank/shelfcrank/internal/hub"
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
 	"github.com/shelfcrank/shelfcrank/internal/topology"
 )
@@ -75,7 +76,7 @@
 			switch {
 			case err == nil:
 				counts.proved++
-			case saysNoHub(err):
+			case hub.SaysUnknown(err):
 				counts.without++
 			}
 		})
--- a/internal/front/standin.go
+++ b/internal/front/standin.go
@@ -83,7 +83,7 @@
 	if !n.reading.Load() {
 		n.standIn.signal()
 	}
-	for n.Clock.Now().Before(latest) && !n.hub.knows(n.Clock.Now()) {
+	for n.Clock.Now().Before(latest) && !n.hub.Knows(n.Clock.Now()) {
 		if !n.Clock.Sleep(ctx, standInLook) {
 			return
 		}
--- a/internal/front/hub.go
+++ b/internal/hub/hub.go
@@ -1,4 +1,8 @@
-package front
+// Package hub answers the instances of a large fleet that read the store through one that
+// follows it: what changed since they last asked, with the age of its last proof.
+//
+// Mirror is safe for concurrent use.
+package hub
 
 import (
 	"context"
@@ -21,14 +25,14 @@
 
 // Times of a hub's answers.
 const (
-	mirrorWait  = 400 * time.Millisecond  // that a question is held if there is no news
-	mirrorStale = 1800 * time.Millisecond // after its last proof a hub is not to be relied on
+	Wait  = 400 * time.Millisecond  // that a question is held if nothing has changed
+	Stale = 1800 * time.Millisecond // after its last proof a hub is not to be relied on
 )
 
-// hub is what a node that reads the store keeps for those that ask it.
-type hub struct {
+// Mirror is what an instance that reads the store keeps for those that ask it.
+type Mirror struct {
 	clock                           *clock.Clock
-	operators, endpoints, instances *mirror.Copy // of what the operators wrote, the servers' and the nodes' entries
+	Operators, Endpoints, Instances *mirror.Copy // of what the operators wrote, the servers' and the nodes' entries
 	configKey                       string
 
 	mu       sync.Mutex
@@ -51,16 +55,17 @@
 	until time.Time // when it is dropped
 }
 
-// notProved is the age of a proof where there is none: a watch told of the
+// NotProved is the age of a proof where there is none: a watch told of the
 // configuration.
-const notProved = -1
+const NotProved = -1
 
-func newHub(configKey string, c *clock.Clock) *hub {
-	return &hub{configKey: configKey, clock: c, parts: make(map[partKey]*packedPart), operators: mirror.New(), endpoints: mirror.New(), instances: mirror.New()}
+// New returns a mirror that knows nothing yet, of a store whose configuration is at a key.
+func New(configKey string, c *clock.Clock) *Mirror {
+	return &Mirror{configKey: configKey, clock: c, parts: make(map[partKey]*packedPart), Operators: mirror.New(), Endpoints: mirror.New(), Instances: mirror.New()}
 }
 
-// proved notes a read of what the operators wrote.
-func (h *hub) proved(items []store.Item, sent time.Time) {
+// Proved notes a read of what the operators wrote.
+func (h *Mirror) Proved(items []store.Item, sent time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !sent.After(h.provedAt) {
@@ -71,7 +76,7 @@
 
 // newest returns the configuration, when it was proved to be the newest, and the orders
 // of roll-outs.
-func (h *hub) newest() (config store.Item, provedAt time.Time, orders []store.Item) {
+func (h *Mirror) newest() (config store.Item, provedAt time.Time, orders []store.Item) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, item := range h.items {
@@ -84,23 +89,23 @@
 	return config, h.provedAt, orders
 }
 
-// errNoHub says that a node does not read the store, or cannot reach it.
-var errNoHub = errors.New("this node does not know what is in the store")
+// ErrUnknown says that an instance does not read the store, or cannot reach it.
+var ErrUnknown = errors.New("this instance does not know what is in the store")
 
-// saysNoHub reports whether an asked instance answered with errNoHub.
-func saysNoHub(err error) bool {
+// SaysUnknown reports whether an instance that was asked answered with ErrUnknown.
+func SaysUnknown(err error) bool {
 	var f *fault.Error
 	return errors.As(err, &f) && f.Step == fault.StepPeer && f.Kind == fault.KindNotFound
 }
 
-// answer tells a node what it does not know yet, at once if there is anything.
-func (h *hub) answer(ctx context.Context, q *peerpb.Mirror) (*peerpb.MirrorAnswer, error) {
-	late := time.NewTimer(mirrorWait)
+// Answer returns what an instance does not have yet, at once if there is anything.
+func (h *Mirror) Answer(ctx context.Context, q *peerpb.Mirror) (*peerpb.MirrorAnswer, error) {
+	late := time.NewTimer(Wait)
 	defer late.Stop()
 	for waited := false; ; {
-		changes := []<-chan struct{}{h.operators.Changed(), h.endpoints.Changed(), h.instances.Changed()}
-		a, news, err := h.look(q, h.clock.Now())
-		if err != nil || news || waited {
+		changes := []<-chan struct{}{h.Operators.Changed(), h.Endpoints.Changed(), h.Instances.Changed()}
+		a, changed, err := h.look(q, h.clock.Now())
+		if err != nil || changed || waited {
 			return a, err
 		}
 		select {
@@ -115,32 +120,32 @@
 	}
 }
 
-// knows reports whether this instance can answer others.
-func (h *hub) knows(now time.Time) bool {
+// Knows reports whether this instance can answer others.
+func (h *Mirror) Knows(now time.Time) bool {
 	_, _, err := h.look(&peerpb.Mirror{Config: math.MaxInt64, Servers: math.MaxInt64, Nodes: math.MaxInt64}, now)
 	return err == nil
 }
 
-// look makes an answer, and says whether there is anything new in it.
-func (h *hub) look(q *peerpb.Mirror, now time.Time) (*peerpb.MirrorAnswer, bool, error) {
-	servers, known := h.endpoints.Since(store.Revision(q.Servers))
-	nodes, alsoKnown := h.instances.Since(store.Revision(q.Nodes))
+// look makes an answer, and reports whether anything in it has changed.
+func (h *Mirror) look(q *peerpb.Mirror, now time.Time) (*peerpb.MirrorAnswer, bool, error) {
+	servers, known := h.Endpoints.Since(store.Revision(q.Servers))
+	nodes, alsoKnown := h.Instances.Since(store.Revision(q.Nodes))
 	item, provedAt, orders := h.newest()
-	if !known || !alsoKnown || now.Sub(provedAt) > mirrorStale {
-		return nil, false, errNoHub
+	if !known || !alsoKnown || now.Sub(provedAt) > Stale {
+		return nil, false, ErrUnknown
 	}
 	a := &peerpb.MirrorAnswer{
 		ProofAge: int64(now.Sub(provedAt)), ConfigRevision: int64(item.Revision),
-		Servers: h.part(h.endpoints, store.Revision(q.Servers), servers, q.Unpacks, now), Nodes: h.part(h.instances, store.Revision(q.Nodes), nodes, q.Unpacks, now),
+		Servers: h.part(h.Endpoints, store.Revision(q.Servers), servers, q.Unpacks, now), Nodes: h.part(h.Instances, store.Revision(q.Nodes), nodes, q.Unpacks, now),
 	}
-	if watched, ok := h.operators.Since(0); ok {
+	if watched, ok := h.Operators.Since(0); ok {
 		for _, e := range watched.Events { // a watch may know before the next read
 			switch {
 			case e.Gone:
 			case e.Key != h.configKey:
 				orders = append(orders, e.Item)
 			case e.Revision > item.Revision:
-				item, a.ConfigRevision, a.ProofAge = e.Item, int64(e.Revision), notProved
+				item, a.ConfigRevision, a.ProofAge = e.Item, int64(e.Revision), NotProved
 			}
 		}
 	}
@@ -152,12 +157,12 @@
 	if item.Revision > store.Revision(q.Config) {
 		a.PackedConfig = h.pack(item)
 	}
-	news := len(a.PackedConfig) > 0 || len(a.Orders) > 0 || len(servers.Events)+len(nodes.Events) > 0 || servers.Whole || nodes.Whole
-	return a, news, nil
+	changed := len(a.PackedConfig) > 0 || len(a.Orders) > 0 || len(servers.Events)+len(nodes.Events) > 0 || servers.Whole || nodes.Whole
+	return a, changed, nil
 }
 
 // pack returns a configuration compressed. It is compressed once for all that ask.
-func (h *hub) pack(item store.Item) []byte {
+func (h *Mirror) pack(item store.Item) []byte {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.packedAt != item.Revision {
@@ -175,7 +180,7 @@
 // part returns what changed in a copy, packed if the caller reads that and it is much. It is
 // packed once for all that ask for the same, which keeps the links of hubs free while a
 // large fleet starts.
-func (h *hub) part(of *mirror.Copy, after store.Revision, c mirror.Change, unpacks bool, now time.Time) *peerpb.MirrorPart {
+func (h *Mirror) part(of *mirror.Copy, after store.Revision, c mirror.Change, unpacks bool, now time.Time) *peerpb.MirrorPart {
 	if !unpacks || len(c.Events) < packFrom {
 		return mirrorPart(c)
 	}
@@ -198,8 +203,8 @@
 	return &peerpb.MirrorPart{Whole: c.Whole, At: int64(c.At), Packed: p.bytes}
 }
 
-// unpackPart reverses part.
-func unpackPart(p *peerpb.MirrorPart) error {
+// Unpack reverses part.
+func Unpack(p *peerpb.MirrorPart) error {
 	if len(p.GetPacked()) == 0 {
 		return nil
 	}
@@ -225,28 +230,14 @@
 	return &peerpb.MirrorItem{Key: e.Key, Value: e.Value, Revision: int64(e.Revision), Gone: e.Gone}
 }
 
-func mirrorEvents(p *peerpb.MirrorPart) []store.Event {
+// Events returns the changes of an unpacked part.
+func Events(p *peerpb.MirrorPart) []store.Event {
 	return lo.Map(p.GetItems(), func(i *peerpb.MirrorItem, _ int) store.Event {
 		return store.Event{Item: store.Item{Key: i.Key, Value: i.Value, Revision: store.Revision(i.Revision)}, Gone: i.Gone}
 	})
 }
 
-func itemsOf(events []store.Event) []store.Item {
+// Items returns the items of events.
+func Items(events []store.Event) []store.Item {
 	return lo.Map(events, func(e store.Event, _ int) store.Item { return e.Item })
 }
-
-// serveMirror answers a node that reads through this one.
-func (n *Instance) serveMirror(ctx context.Context, call *peerpb.Call, answer func(*peerpb.Answer) error) error {
-	q := call.GetMirror()
-	if q.StandIn {
-		n.readForOthers(ctx, n.Clock.Now())
-	}
-	if !n.reading.Load() {
-		return fault.New(fault.StepPeer, call.From, fault.KindNotFound, fault.NotRun, "%w", errNoHub)
-	}
-	a, err := n.hub.answer(ctx, q)
-	if err != nil {
-		return fault.New(fault.StepPeer, call.From, fault.KindNotFound, fault.NotRun, "%w", err)
-	}
-	return answer(&peerpb.Answer{Body: &peerpb.Answer_Mirror{Mirror: a}})
-}
