Versions that instances have in force are tracked in a package of their own

internal/version, moved from front without change of behaviour but for two things that its tests showed: the instance to ask is the one with the latest version, not the last that advertised any, and one that cannot be asked is forgotten, so that it does not hide others.

--- a/internal/front/digest.go
+++ b/internal/front/digest.go
@@ -35,7 +35,7 @@
 	report := reportOf(q.Share, now)
 	n.groups.reported(call.From, report)
 	n.limits.Apply(report.limits, now)
-	n.versions.advertised(call.From, q.Share.ConfigVersion, now)
+	n.versions.Advertised(call.From, q.Share.ConfigVersion, now)
 	n.applyPermits(q.Share.Rollouts, now)
 	// Counts that an earlier run of this hub received are known to the other hubs.
 	counted := q.HubIncarnation == n.incarnation()
@@ -70,7 +70,7 @@
 
 // digest is what an instance has to know of all the others.
 func (n *Instance) digest(to string, windows bool, now time.Time) *peerpb.Digest {
-	d := &peerpb.Digest{Incarnation: n.incarnation(), ConfigVersion: n.versions.own(), Seasoned: now.Sub(n.start) > quota.Season, ServersAt: int64(n.watchProgress.Newest())}
+	d := &peerpb.Digest{Incarnation: n.incarnation(), ConfigVersion: n.versions.Own(), Seasoned: now.Sub(n.start) > quota.Season, ServersAt: int64(n.watchProgress.Newest())}
 	reports, others := n.groups.own(now), n.groups.known(now)
 	d.Instances = n.advertisedInstances(now)
 	for _, other := range others {
@@ -179,7 +179,7 @@
 		n.applyClock(g.Hub, g.Wall, now)
 	}
 	n.limits.Apply(wire.Decode(d.Limits), now)
-	n.versions.advertised(hub.Instance, d.ConfigVersion, now)
+	n.versions.Advertised(hub.Instance, d.ConfigVersion, now)
 	n.applyPermits(d.Rollouts, now)
 	n.rollouts.Apply(rollctl.ByHubs, tally.Source{Instance: digestInstance}, rolloutCounts(d.Rollouts.GetCounts()))
 	n.rollouts.ApplyStates(digestInstance, rolloutStates(d.Rollouts), now)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -41,6 +41,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/rollout"
 	"github.com/shelfcrank/shelfcrank/internal/settings"
 	"github.com/shelfcrank/shelfcrank/internal/store"
+	"github.com/shelfcrank/shelfcrank/internal/version"
 	"github.com/shelfcrank/shelfcrank/internal/walltime"
 )
 
@@ -109,7 +110,7 @@
 	knownRollouts atomic.Pointer[[]rollctl.Known]
 	hub           *hub.Mirror
 	groups        *groups
-	versions      *versions
+	versions      *version.Tracker
 	watchProgress mirror.Progress
 	reading       atomic.Bool  // this node reads the store itself
 	registered    atomic.Bool  // the store has this node's registration, as far as is known
@@ -133,7 +134,7 @@
 
 // New wires a node; Run starts it.
 func New(o Options) (*Instance, error) {
-	n := &Instance{Options: o, start: o.Clock.Now(), injector: do.New(), knows: make(chan struct{}), standIn: newStandIn(o.Clock), hub: hub.New(o.Decoder.ConfigKey(), o.Clock), groups: newGroups(), versions: newVersions(o.Clock)}
+	n := &Instance{Options: o, start: o.Clock.Now(), injector: do.New(), knows: make(chan struct{}), standIn: newStandIn(o.Clock), hub: hub.New(o.Decoder.ConfigKey(), o.Clock), groups: newGroups(), versions: version.New()}
 	n.walltime = walltime.New(n.start)
 	n.view.Store(&forward.View{Instances: 1})
 	n.outage.Store(newOutage())
--- a/internal/front/hubgroup.go
+++ b/internal/front/hubgroup.go
@@ -169,7 +169,7 @@
 func (n *Instance) groupShare(now time.Time) *peerpb.Share {
 	reports := n.groups.own(now)
 	s := &peerpb.Share{
-		Node: n.Settings.Name, Incarnation: n.incarnation(), ConfigVersion: n.versions.own(), Group: true, Stands: int64(1 + len(reports)),
+		Node: n.Settings.Name, Incarnation: n.incarnation(), ConfigVersion: n.versions.Own(), Group: true, Stands: int64(1 + len(reports)),
 		Wall: n.walltime.Own(now).UnixNano(), ServersAt: int64(n.watchProgress.Newest()), Instances: n.advertisedInstances(now),
 	}
 	a := n.admission
--- a/internal/front/report.go
+++ b/internal/front/report.go
@@ -102,7 +102,7 @@
 // reportShare is what an instance tells its hub.
 func (n *Instance) reportShare(units unitCounts, runs runCounts, rollouts rollout.Counts, now time.Time) *peerpb.Share {
 	return &peerpb.Share{
-		Node: n.Settings.Name, Incarnation: n.incarnation(), ConfigVersion: n.versions.own(), Wall: n.walltime.Own(now).UnixNano(), Instances: n.introduce(),
+		Node: n.Settings.Name, Incarnation: n.incarnation(), ConfigVersion: n.versions.Own(), Wall: n.walltime.Own(now).UnixNano(), Instances: n.introduce(),
 		Accounts: accountShares(units, nil, runs), Servers: useShares(n.plainUses()),
 		Services: n.serviceShares(n.tracker.Demand(now)),
 		Rollouts: n.ownRollouts(rollouts),
--- a/internal/front/share.go
+++ b/internal/front/share.go
@@ -176,7 +176,7 @@
 		return n.groupShare(n.Clock.Now())
 	}
 	s := &peerpb.Share{
-		Node: n.Settings.Name, Incarnation: n.incarnation(), ConfigVersion: n.versions.own(),
+		Node: n.Settings.Name, Incarnation: n.incarnation(), ConfigVersion: n.versions.Own(),
 		Wall: n.walltime.Own(n.Clock.Now()).UnixNano(), ServersAt: int64(n.watchProgress.Newest()), Instances: n.advertisedInstances(n.Clock.Now()),
 	}
 	a := n.admission
@@ -198,7 +198,7 @@
 	n.applyInstances(s.Node, s.Instances, now)
 	n.suspects.met(s.Node, s.Incarnation)
 	n.limits.Apply(wire.Decode(s.Limits), now)
-	n.versions.advertised(s.Node, s.ConfigVersion, now)
+	n.versions.Advertised(s.Node, s.ConfigVersion, now)
 	if !s.Brief {
 		n.applyEndpointsAt(s.Node, store.Revision(s.ServersAt), now)
 		n.applyClock(s.Node, s.Wall, now)
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -254,7 +254,7 @@
 
 func (s *state) putInForce(c *policy.Config, value []byte) {
 	s.config, s.publishDue = c, true
-	s.instance.versions.hold(c.Version, value)
+	s.instance.versions.Hold(c.Version, value)
 }
 
 // passOver logs a configuration that is older than the one in hand, once for each revision.
--- /dev/null
+++ b/internal/version/version_test.go
@@ -0,0 +1,44 @@
+package version
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestALaterVersionIsMissingOnceItWasAdvertisedForLong(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	tr := New()
+	tr.Hold(3, []byte("three"))
+	tr.Advertised("a", 3, now)
+	_, missing := tr.Missing(now.Add(time.Hour), time.Second)
+	is.True(!missing)
+
+	tr.Advertised("b", 5, now)
+	tr.Advertised("c", 4, now.Add(900*time.Millisecond)) // an earlier one changes nothing
+	_, missing = tr.Missing(now.Add(999*time.Millisecond), time.Second)
+	is.True(!missing)
+	from, missing := tr.Missing(now.Add(time.Second), time.Second)
+	is.True(missing && from == "b")
+
+	tr.Hold(5, []byte("five"))
+	_, missing = tr.Missing(now.Add(time.Hour), 0)
+	is.True(!missing)
+	tr.Advertised("d", 6, now.Add(time.Hour)) // missing since now, not since the one before
+	_, missing = tr.Missing(now.Add(time.Hour), time.Second)
+	is.True(!missing)
+	is.Equal(string(tr.Value()), "five")
+}
+
+func TestAnInstanceThatIsGoneDoesNotHideOthers(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	tr := New()
+	tr.Advertised("gone", 5, now)
+	tr.Forget("gone")
+	tr.Advertised("b", 4, now)
+	from, missing := tr.Missing(now.Add(time.Second), time.Second)
+	is.True(missing && from == "b")
+}
