--- a/internal/front/versions.go
+++ b/internal/front/versions.go
@@ -82,10 +82,12 @@
 func (s *state) takePeerConfig(c peerConfig) {
 	next, err := s.instance.Decoder.Config(c.value)
 	if err != nil {
+		s.instance.versions.Forget(c.from)
 		s.instance.event(event.ConfigRejected, zap.String("peer", c.from), zap.Error(err))
 		return
 	}
 	if s.config != nil && next.Version <= s.config.Version {
+		s.instance.versions.Forget(c.from)
 		return
 	}
 	s.putInForce(next, c.value)
