An analyzer rejects revisions of the store that are plain integers

Variables, fields, parameters and results named revision, rev or fence have to be of store.Revision outside the adapter, the stand-in and generated code. It found the fencing token of check.DutyCall, which is one now.

--- a/internal/check/accounts.go
+++ b/internal/check/accounts.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/shelfcrank/shelfcrank/internal/store"
 )
 
 // quota: what ran for an account stays within its limit.
@@ -63,8 +65,8 @@
 // one: usage of a window is reported with one set of counts, and fences of a duty only rise.
 func one(x *index) (out []Violation) {
 	counts := make(map[int64]string)
-	holders := make(map[int64]string)
-	highest := int64(0)
+	holders := make(map[store.Revision]string)
+	highest := store.Revision(0)
 	for _, c := range x.DutyCalls {
 		if old, known := counts[c.Window]; known && old != c.Counts {
 			out = append(out, Violation{"ONE", c.At, fmt.Sprintf("window %d was reported as %s and as %s", c.Window, old, c.Counts)})
--- a/internal/check/history.go
+++ b/internal/check/history.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/shelfcrank/shelfcrank/internal/store"
 )
 
 // Bounds are the figures of the rules.
@@ -121,7 +123,7 @@
 type DutyCall struct {
 	At     time.Time
 	Holder string
-	Fence  int64
+	Fence  store.Revision
 	Window int64  // of a usage report
 	Counts string // canonical text of its counts
 }
--- a/internal/vocabulary/cmd/vocabulary/main.go
+++ b/internal/vocabulary/cmd/vocabulary/main.go
@@ -1,10 +1,10 @@
-// Command vocabulary runs the vocabulary analyzer on packages.
+// Command vocabulary runs the analyzers of package vocabulary on packages.
 package main
 
 import (
-	"golang.org/x/tools/go/analysis/singlechecker"
+	"golang.org/x/tools/go/analysis/multichecker"
 
 	"github.com/shelfcrank/shelfcrank/internal/vocabulary"
 )
 
-func main() { singlechecker.Main(vocabulary.Analyzer) }
+func main() { multichecker.Main(vocabulary.Analyzer, vocabulary.Revisions) }
--- a/internal/vocabulary/vocabulary_test.go
+++ b/internal/vocabulary/vocabulary_test.go
@@ -11,6 +11,10 @@
 	analysistest.Run(t, analysistest.TestData(), Analyzer, "names")
 }
 
+func TestPlainRevisionsAreReported(t *testing.T) {
+	analysistest.Run(t, analysistest.TestData(), Revisions, "numbers")
+}
+
 func TestWords(t *testing.T) {
 	is := is.New(t)
 	for name, want := range map[string][]string{
