--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -23,7 +23,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/store"
 )
 
-// Token is who acts, as the receiver of an order is told.
+// Token identifies who acts to the receiver of an order.
 type Token struct {
 	Holder string
 	Fence  store.Revision
--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -166,7 +166,7 @@
 // to admit until then is given back.
 const groupGone = 3 * time.Second
 
-// grouped reports whether the fleet is so large that counts are told by groups.
+// grouped reports whether the fleet is so large that counts are reported by groups.
 func (n *Instance) grouped() bool { return len(n.state.members.topology().Hubs) > 0 }
 
 // resume takes note that this node stood still for long.
--- a/internal/front/era.go
+++ b/internal/front/era.go
@@ -70,7 +70,7 @@
 	return true
 }
 
-// eraMarked tells when an era was first seen by any instance, of the day.
+// eraMarked brings the time at which any instance first saw an era, of the day.
 type eraMarked struct {
 	number int64
 	at     time.Time
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -27,19 +27,19 @@
 	retryAlone     = 1200 * time.Millisecond // at the most, for a node that no hub helps
 	retryWatch     = 700 * time.Millisecond  // at the most, for watches: what they miss has to be known in time
 	retryFirst     = 600 * time.Millisecond  // at first, and
-	retryMost      = 6 * time.Second         // at the most, for others: the read tells them when it is back
+	retryMost      = 6 * time.Second         // at the most, for others: the read shows when it is back
 	steadyWatch    = time.Second             // a watch that held for longer is begun anew at once
 	registerTTL    = 9 * time.Second         // each renewal of each instance is a call that is paid for
 	registerKeep   = 3 * time.Second
 	registerSpread = 3 * time.Second // the store takes some hundred writes a second
-	// WatchWait is how long the store may hold a watch that has nothing to tell.
+	// WatchWait is how long the store may hold a watch that has nothing to report.
 	WatchWait  = 20 * time.Second
 	watchSlack = 1500 * time.Millisecond
 	gather     = 300 * time.Millisecond // changes come in series; each call is paid for
 	gatherHub  = 500 * time.Millisecond // in a large fleet there are more of them
 )
 
-// called tells the state how a call of the store went, and returns its error.
+// called reports to the state how a call of the store went, and returns its error.
 // A refusal by the rules of the store is an answer.
 func (n *Instance) called(sent time.Time, err error) error {
 	answered := err == nil || errors.Is(err, store.ErrNotFound) || errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrCompacted)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -1,6 +1,6 @@
 // Package front runs a node that stands between clients and servers.
 //
-// One goroutine (state.go) owns what the node believes and publishes immutable
+// One goroutine (state.go) owns the control state and publishes immutable
 // views for traffic. Others follow the store (follow.go), exchange soft state
 // with the other nodes (share.go), do the duties of the one node that acts for
 // all (duties.go), and serve clients. All run under a supervisor.
@@ -122,7 +122,7 @@
 	knows         chan struct{}          // closed when a configuration and the servers are known
 }
 
-// incarnation tells this start of the node from earlier ones.
+// incarnation distinguishes this start of the instance from earlier ones.
 func (n *Instance) incarnation() int64 { return n.start.UnixNano() }
 
 // Parts of the bounds that the node keeps to.
--- a/internal/front/notes.go
+++ b/internal/front/notes.go
@@ -28,7 +28,7 @@
 	p.desk.Note(place.Note{Ticket: note.Ticket, Read: note.Read, Done: note.Done, Result: balance.Result(note.Result)}, p.instance.Clock.Now())
 }
 
-// noter tells a hub how a request goes on. It implements balance.Observer.
+// noter reports to a hub how a request goes on. It implements balance.Observer.
 type noter struct {
 	placer *placer
 	offer  offered
@@ -42,7 +42,7 @@
 	n.placer.note(n.offer, &peerpb.Note{Done: true, Result: int32(result)})
 }
 
-// note tells a hub of a request that it placed. It does not block.
+// note reports to a hub on a request that it placed. It does not block.
 func (p *placer) note(o offered, note *peerpb.Note) {
 	note.Ticket = o.Ticket
 	if o.hub.Name == p.instance.Settings.Name {
--- a/internal/front/orders.go
+++ b/internal/front/orders.go
@@ -23,7 +23,7 @@
 	trafficFloor = 0.02            // servers' worth of work from which there is traffic
 )
 
-// ordered is what a hall was last told.
+// ordered is the last order for a hall.
 type ordered struct {
 	count int
 	at    time.Time
@@ -62,7 +62,7 @@
 			continue
 		}
 		if token != o.holder {
-			// What was ordered before is not known: all is told again.
+			// What was ordered before is not known: all is ordered again.
 			o.holder, o.planners, o.last = token, make(map[string]*fleet.Planner), make(map[orderKey]ordered)
 		}
 		o.round(ctx)
--- a/internal/front/placing.go
+++ b/internal/front/placing.go
@@ -75,7 +75,7 @@
 	return ticket, err
 }
 
-// mostClosed bounds the servers that a hub is told not to offer, a dozen bytes each. Of
+// mostClosed bounds the servers that a hub is asked not to offer, a dozen bytes each. Of
 // those beyond, an offer is declined.
 const mostClosed = 64
 
--- a/internal/front/report.go
+++ b/internal/front/report.go
@@ -49,7 +49,7 @@
 	}
 }
 
-// to reports to a hub. One that was started anew is told once more, for its counts
+// to reports to a hub. One that was started anew gets a second report, for its counts
 // begin anew as well.
 func (r *reporter) to(ctx context.Context, hub topology.Member) error {
 	for range 2 {
@@ -91,7 +91,7 @@
 	return d, nil
 }
 
-// offerTo returns the counts that a hub is to be told.
+// offerTo returns the counts to report to a hub.
 func (n *Instance) offerTo(hub tally.Source) (unitCounts, runCounts) {
 	a := n.admission
 	a.mu.Lock()
@@ -99,7 +99,7 @@
 	return a.counters.units.Offer(hub, a.quota.Admitted()), a.counters.runs.Offer(hub, n.openRuns())
 }
 
-// reportShare is what an instance tells its hub.
+// reportShare is what an instance reports to its hub.
 func (n *Instance) reportShare(units unitCounts, runs runCounts, rollouts rollout.Counts, now time.Time) *peerpb.Share {
 	return &peerpb.Share{
 		Node: n.Settings.Name, Incarnation: n.incarnation(), ConfigVersion: n.versions.Own(), Wall: n.walltime.Own(now).UnixNano(), Instances: n.introduce(),
--- a/internal/front/role.go
+++ b/internal/front/role.go
@@ -61,7 +61,7 @@
 }
 
 // awaitOthers waits, after the start, until most of the instances that started at
-// the same moment are registered: one watch then tells them all. It reports false
+// the same moment are registered: one watch then shows them all. It reports false
 // when ctx ended before.
 func (n *Instance) awaitOthers(ctx context.Context) bool { return n.awaitStart(ctx, othersListed) }
 
--- a/internal/front/rolloutmsg.go
+++ b/internal/front/rolloutmsg.go
@@ -12,9 +12,9 @@
 	"github.com/shelfcrank/shelfcrank/internal/tally"
 )
 
-// What is told of roll-outs, written and read.
+// Messages on roll-outs, encoded and decoded.
 
-// rolloutShares writes what is told of roll-outs, nil if there are none.
+// rolloutShares encodes what is shared of roll-outs, nil if there are none.
 func (n *Instance) rolloutShares(counts rollout.Counts, states []rollctl.State) *peerpb.Rollouts {
 	out := &peerpb.Rollouts{
 		Counts: countShares(counts),
@@ -31,7 +31,7 @@
 	return out
 }
 
-// ownRollouts is what this instance tells of itself.
+// ownRollouts is what this instance shares of itself.
 func (n *Instance) ownRollouts(counts rollout.Counts) *peerpb.Rollouts {
 	return n.rolloutShares(counts, n.rollouts.States(n.openRequests()))
 }
@@ -92,7 +92,7 @@
 	}
 }
 
-// applyRollouts takes what another instance, or a hub for its group, tells of roll-outs.
+// applyRollouts takes what another instance, or a hub for its group, shares of roll-outs.
 func (n *Instance) applyRollouts(fleet rollctl.Fleet, s *peerpb.Share, now time.Time) {
 	n.applyPermits(s.Rollouts, now)
 	n.rollouts.Apply(fleet, tally.Source{Instance: s.Node, Incarnation: s.Incarnation}, rolloutCounts(s.Rollouts.GetCounts()))
@@ -111,12 +111,12 @@
 	return states
 }
 
-// groupRollouts is what this hub tells of its group.
+// groupRollouts is what this hub shares of its group.
 func (n *Instance) groupRollouts(reports map[string]reported) *peerpb.Rollouts {
 	return n.rolloutShares(n.rollouts.Group(), n.groupStates(reports, ""))
 }
 
-// digestRollouts is what this hub tells of all groups, with their counts if they are
+// digestRollouts is what this hub reports of all groups, with their counts if they are
 // asked for, but for the states of one instance.
 func (n *Instance) digestRollouts(to string, reports map[string]reported, others map[string]peerGroup, counts bool) *peerpb.Rollouts {
 	if !counts {
--- a/internal/front/rollouts.go
+++ b/internal/front/rollouts.go
@@ -119,8 +119,8 @@
 	return s.wrote(r, item.Revision)
 }
 
-// wrote notes a record as written at a revision, and reports whether it is new: a later
-// one may have been told of by the watch.
+// wrote notes a record as written at a revision, and reports whether it is new:
+// the watch may have brought a later one.
 func (s *rolloutState) wrote(r rollout.Record, at store.Revision) bool {
 	if at <= s.records[r.Service].revision {
 		return false
@@ -159,7 +159,7 @@
 // divide puts a service's endpoints into a view, divided as its roll-out asks for.
 func (s *rolloutState) divide(v *forward.View, service string, servers []registry.Endpoint, now time.Time) *rollctl.Known {
 	s.see(service, servers, now)
-	// A version may be one that an order names of which this instance has not heard yet,
+	// A version may be one that an order names of which this instance has not read yet,
 	// until what the operators wrote was read after the version came up.
 	unproved := func(version string) bool { return !v.ProvedAt.After(s.seen[service][version]) }
 	known := s.known(service)
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -65,7 +65,7 @@
 	}
 }
 
-// serveReady tells the platform's entry whether this node takes connections.
+// serveReady answers the platform's readiness check: whether this node takes connections.
 func (n *Instance) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !n.ready(n.Clock.Now()) {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/front/sharemsg.go
+++ b/internal/front/sharemsg.go
@@ -20,7 +20,7 @@
 	return out
 }
 
-// accountShares returns what is told of the client accounts.
+// accountShares encodes what is shared of the client accounts.
 func accountShares(admitted, levels map[string]float64, runs runCounts) []*peerpb.AccountShare {
 	var out []*peerpb.AccountShare
 	known := make(map[string]*peerpb.AccountShare)
@@ -46,7 +46,7 @@
 	return out
 }
 
-// serviceShares returns what is told of services: demand, and what this node
+// serviceShares encodes what is shared of services: demand, and what this node
 // learned itself.
 func (n *Instance) serviceShares(demand map[string]balance.Demand) []*peerpb.ServiceShare {
 	var out []*peerpb.ServiceShare
@@ -57,7 +57,7 @@
 	return out
 }
 
-// serviceShare writes what is told of one service.
+// serviceShare encodes what is shared of one service.
 func serviceShare(name string, d balance.Demand, l balance.Estimate) *peerpb.ServiceShare {
 	return &peerpb.ServiceShare{
 		Name: name, Busy: d.Busy, Held: d.Held,
@@ -81,7 +81,7 @@
 	return admitted, levels, runs
 }
 
-// updateOf reads what a share tells of servers and services.
+// updateOf decodes what a share says of servers and services.
 func updateOf(s *peerpb.Share) balance.Update {
 	demand, lessons := serviceUpdate(s.Services)
 	return balance.Update{Uses: usesOf(s.Servers), Demand: demand, Estimates: lessons, UsesOnly: s.Brief}
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -30,7 +30,7 @@
 	byPeer   bool // another node read it, while this one could not
 }
 
-// sharedOutage tells that the other nodes cannot read the store either.
+// sharedOutage reports that the other nodes cannot read the store either.
 type sharedOutage struct{ at time.Time }
 
 // listedServers and listedNodes bring all entries of a kind, watched the changes
@@ -47,7 +47,7 @@
 	watched struct{ events []store.Event }
 )
 
-// storeCalled tells how a call of the store went that was sent at a time.
+// storeCalled reports how a call of the store went that was sent at a time.
 type storeCalled struct {
 	ok   bool
 	sent time.Time
@@ -57,13 +57,13 @@
 // configuration among them is passed over.
 type operatorsRead struct{ items []store.Item }
 
-// wroteRecord tells that this node wrote a record of a roll-out at a revision.
+// wroteRecord reports that this node wrote a record of a roll-out at a revision.
 type wroteRecord struct {
 	record rollout.Record
 	at     store.Revision
 }
 
-// announcedLeaving tells that an answer of a server said that it leaves.
+// announcedLeaving reports that an answer of a server said that it leaves.
 type announcedLeaving struct{ endpoint string }
 
 // leave makes the node take leave.
@@ -91,7 +91,7 @@
 	leastOutage = time.Second
 )
 
-// state is what a node believes. It belongs to the goroutine that runs Serve.
+// state is the control state of an instance. It belongs to the goroutine that runs Serve.
 type state struct {
 	instance *Instance
 	changes  chan change
--- a/internal/front/suspectends.go
+++ b/internal/front/suspectends.go
@@ -100,7 +100,7 @@
 	s.broadcast(s.table.CameThrough(f, server.ID, s.instance.Clock.Now()))
 }
 
-// endpointChanged takes what the store tells of servers.
+// endpointChanged takes changes of servers' entries in the store.
 func (s *suspects) endpointChanged(c registry.Event, now time.Time) {
 	switch c.Change {
 	case registry.Gone:
--- a/internal/registry/incarnation.go
+++ b/internal/registry/incarnation.go
@@ -10,7 +10,7 @@
 // What is known of a server belongs to one of its incarnations: a later one holds nothing
 // of what an earlier one kept, and says nothing of what that one ran. News come late, twice
 // or in another order, so that two things decide which is newer: the start of the
-// incarnation that they tell of, and the revision of the store at which they were written.
+// incarnation that they describe, and the revision of the store at which they were written.
 
 // IncarnationID returns the id of one incarnation of a server.
 func IncarnationID(name string, started time.Time) string {
@@ -44,7 +44,7 @@
 // was set back.
 const earlierStands = 5 * time.Second
 
-// judgement says how an entry stands to what was heard before.
+// judgement says how an entry stands to those before.
 type judgement int
 
 const (
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -1,4 +1,4 @@
-// Package registry keeps what a node believes about the servers: which there
+// Package registry keeps what an instance knows of the servers: which there
 // are, which are leaving, and which are gone.
 //
 // A server may start again under its id: each of its incarnations is a server of its own,
@@ -20,12 +20,12 @@
 type Endpoint struct {
 	ID        string         // of this incarnation, see IncarnationID
 	Name      string         // id of the server over all its incarnations; empty where that is ID
-	StartedAt time.Time      // start of this incarnation; zero where that is not told
+	StartedAt time.Time      // start of this incarnation; zero where that is not known
 	Revision  store.Revision // of its entry in the store; 0 when not known
 	Service   string
 	Addr      netip.AddrPort
 	Hall      string
-	Version   string // of its software; "" where that is not told
+	Version   string // of its software; "" where that is not known
 	Slots     int
 	Leaving   bool
 	Spot      bool      // may be reclaimed
@@ -42,7 +42,7 @@
 	Joined
 	Left      // gets no new work any more
 	Gone      // its entry is no more
-	Absent    // its entry is no more, but the store was in trouble: believed for a while
+	Absent    // its entry is no more, but the store was in trouble: used on for a while
 	Restarted // it started again, and takes work
 	Withheld  // its entry names no server to use, for now
 )
@@ -81,7 +81,7 @@
 	parted    map[string]bool         // servers that may have no entry any more, and are remembered
 	listed    []Endpoint              // what List returns; nil when it has to be made anew
 	bound     time.Duration           // within which a server that left is out of use
-	hasStart  bool                    // some server told when it started: so do all
+	hasStart  bool                    // some server said when it started: so do all
 }
 
 // New returns an empty registry. bound is the time within which a server that
@@ -234,8 +234,8 @@
 	Endpoint Endpoint
 }
 
-// Expire drops what has been absent for too long, and believes what entries have named
-// for long. While the store is down nothing is dropped: no news is not news. It runs ten
+// Expire drops what has been absent for too long, and accepts what entries have named
+// for long. While the store is down nothing is dropped: silence says nothing then. It runs ten
 // times a second, and looks only at servers that something became of, since most of
 // thousands are quiet.
 func (r *Registry) Expire(storeDown bool, now time.Time) (changed []Event) {
--- a/internal/rollctl/lead.go
+++ b/internal/rollctl/lead.go
@@ -18,7 +18,7 @@
 // Times of leading.
 const (
 	lookEvery = 300 * time.Millisecond // as often as instances report
-	logEvery  = 3                      // looks between two lines that tell the figures
+	logEvery  = 3                      // looks between two lines with the figures
 )
 
 // Known is what an instance knows of one service's roll-out.
@@ -90,7 +90,7 @@
 	}
 	defer cancel()
 	if token != l.token {
-		// What an earlier run of this instance believed is not known to be true any more.
+		// What an earlier run of this instance found may not hold any more.
 		l.token, l.led = token, make(map[string]*led)
 	}
 	for _, k := range l.Host.Rollouts() {
@@ -132,7 +132,7 @@
 
 // again returns the record to write after a restore of the store, and whether it has to be: the
 // store lost it, or a roll-out that is over goes by an order's revision of an earlier era, from
-// which an order for the same target could not be told that is given later.
+// which a later order for the same target could not be distinguished.
 func again(k Known) (rollout.Record, bool) {
 	r := *k.Record
 	if k.Settled && k.Order != nil && r.Phase.Final() && r.Order < k.Order.Revision {
@@ -161,7 +161,7 @@
 	l.Control.Permitted(Permit{Service: r.Service, Order: r.Order, Number: s.announce}, now)
 }
 
-// standing sums what the instances tell.
+// standing sums what the instances report.
 func (l *Leader) standing(s *led, r rollout.Record, k Known, now time.Time) rollout.Standing {
 	if r.Phase == rollout.Shift {
 		s.judge.Freeze()
@@ -209,7 +209,7 @@
 		Put:    []store.Put{{Key: key, Value: value}, {Key: status, Value: told}},
 	})
 	if errors.Is(err, store.ErrConflict) {
-		return nil // another holder wrote, or an answer was lost: what is there is told by the watch
+		return nil // another holder wrote, or an answer was lost: the watch brings what is there
 	}
 	if err != nil {
 		return fmt.Errorf("write the roll-out of %s: %w", r.Service, err)
--- a/internal/rollctl/rollctl.go
+++ b/internal/rollctl/rollctl.go
@@ -37,9 +37,9 @@
 	random   *rand.Rand                        // guarded by mu
 	services map[string]*service               // guarded by mu
 	own      rollout.Counts                    // of this instance; guarded by mu
-	ledger   *tally.Ledger[rollout.Key, int64] // what hubs were told of these; guarded by mu
-	reported *tally.Pool[rollout.Key, int64]   // what instances told this one as a hub; guarded by mu
-	others   map[source]rollout.Counts         // what other instances, or hubs for their groups, told; guarded by mu
+	ledger   *tally.Ledger[rollout.Key, int64] // what hubs received of these; guarded by mu
+	reported *tally.Pool[rollout.Key, int64]   // what instances reported to this one as a hub; guarded by mu
+	others   map[source]rollout.Counts         // what other instances, or hubs for their groups, shared; guarded by mu
 	states   map[string]peerStates             // the same of what they do, by instance; guarded by mu
 }
 
--- a/internal/rollout/counts.go
+++ b/internal/rollout/counts.go
@@ -124,7 +124,7 @@
 func (t *Timing) Began(c Counts, k Key, o Outcome) {
 	slow := t.of(o, false).slow(o.First)
 	if !o.Began && !slow {
-		return // it ended before that could be told
+		return // it ended before that could be known
 	}
 	count(c, k, Begun, true)
 	count(c, k, Late, slow)
--- a/internal/rollout/next.go
+++ b/internal/rollout/next.go
@@ -16,7 +16,7 @@
 	// enoughSeen is how many answers do where the deadline leaves no time for more.
 	enoughSeen = 15
 	// settle is how long nothing must have run on the old version until the roll-out
-	// is completed: all instances have told of it by then.
+	// is completed: all instances have reported it by then.
 	settle = 900 * time.Millisecond
 	// followed is how long instances that are not seen are waited for after the
 	// shift: they are without the store by then, and refuse requests.
@@ -29,8 +29,8 @@
 	Verdict   Verdict
 	Targets   int  // endpoints of the target
 	Others    int  // endpoints that it replaces
-	OldOpen   int  // requests that run on these, as far as all instances told
-	Following bool // all instances told that they follow the shift
+	OldOpen   int  // requests that run on these, as far as all instances reported
+	Following bool // all instances reported that they follow the shift
 	EmptyFor  time.Duration
 }
 
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -29,7 +29,7 @@
 type Order struct {
 	Service  string
 	Target   string
-	Revision store.Revision // of the order in the store: it tells orders apart, newer ones are higher
+	Revision store.Revision // of the order in the store: newer orders have higher ones
 	Window   time.Duration  // that the operators give; it becomes a deadline when the order is first seen
 }
 
@@ -128,11 +128,11 @@
 }
 
 // leastTrial is the number of endpoints that a trial needs, if there are so many: a
-// single sick one is told from a bad version by the others.
+// the others distinguish a single sick one from a bad version.
 const leastTrial = 3
 
 // Divide divides a service's endpoints as a roll-out asks for. unproved says of a
-// version that it may be one that an order names of which this instance has not heard
+// version that it may be one that an order names of which this instance has not read
 // yet; such a one gets nothing as long as there are others. share is the share of the
 // requests that a trial gets: they go to no more endpoints than that share of those
 // there are, so that each has as much to do as the others, and a version that fails
