--- a/internal/walltime/walltime.go
+++ b/internal/walltime/walltime.go
@@ -57,13 +57,23 @@
 // to send to other instances: with corrected times, instances would follow one another.
 func (c *Clock) Uncorrected(now time.Time) time.Time { return c.uncorrected(now) }
 
+// record records a sample, unless an earlier one shows that it was delayed: a message that waited
+// for a broken link to heal makes its sender's clock look slow, and nothing makes it look fast.
+func (c *Clock) record(instance string, s sample) {
+	earlier, ok := c.samples[instance]
+	if ok && s.receivedAt.Sub(earlier.receivedAt) <= sampleTTL && earlier.offset-s.offset > correctionThreshold {
+		return
+	}
+	c.samples[instance] = s
+}
+
 // AddSample adds the uncorrected time of day of another instance, received at now, and returns
 // the resulting correction: the median offset of all instances, this one included, or zero if
 // the median is within 400 ms.
 func (c *Clock) AddSample(instance string, wall, now time.Time) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.samples[instance] = sample{wall.Sub(c.uncorrected(now)), now}
+	c.record(instance, sample{wall.Sub(c.uncorrected(now)), now})
 	offsets := []time.Duration{0}
 	for name, s := range c.samples {
 		if now.Sub(s.receivedAt) > sampleTTL {
