storetest: a store with rates, pages and a link

The fake store had unlimited capacity, so that starts which the users' store cannot serve passed in virtual time. It gets limits: reading and writing calls a second for all callers together (more are refused), the time of an answer, pages of listings, and a link that all answers share; an answer that its caller gave up still occupies the link.

--- a/internal/storetest/storetest.go
+++ b/internal/storetest/storetest.go
@@ -13,6 +13,8 @@
 	"sync"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/shelfcrank/shelfcrank/internal/store"
 )
 
@@ -52,6 +54,7 @@
 	changed   chan struct{}         // closed and replaced at each change; guarded by mu
 	faults    map[string]Faults     // by caller; guarded by mu
 	calls     int                   // guarded by mu
+	capacity  capacity              // guarded by mu
 }
 
 // New returns an empty store.
@@ -179,8 +182,8 @@
 	return c.era
 }
 
-// begin starts a call and applies the caller's faults to it.
-func (c *Client) begin(ctx context.Context) error {
+// begin starts a call and applies the caller's faults and the store's limits to it.
+func (c *Client) begin(ctx context.Context, kind callKind) error {
 	s := c.store
 	c.waitUnfrozen()
 	s.mu.Lock()
@@ -189,9 +192,10 @@
 		f = s.faults[""]
 	}
 	s.calls++
+	admitted := s.capacity.admit(kind, time.Now())
 	s.mu.Unlock()
 	switch {
-	case f.Refuse:
+	case f.Refuse, !admitted:
 		return store.ErrRefused
 	case f.Down:
 		<-ctx.Done()
@@ -224,9 +228,17 @@
 
 // Get implements store.Reader.
 func (c *Client) Get(ctx context.Context, key string) (store.Item, store.Revision, error) {
-	if err := c.begin(ctx); err != nil {
+	if err := c.begin(ctx, readCall); err != nil {
 		return store.Item{}, 0, err
 	}
+	item, at, err := c.get(key)
+	if late := c.store.answer(ctx, bytesOf([]store.Item{item})); late != nil {
+		return store.Item{}, 0, late
+	}
+	return item, at, err
+}
+
+func (c *Client) get(key string) (store.Item, store.Revision, error) {
 	s := c.store
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -241,9 +253,22 @@
 
 // Range implements store.Reader.
 func (c *Client) Range(ctx context.Context, prefix string) ([]store.Item, store.Revision, error) {
-	if err := c.begin(ctx); err != nil {
+	return c.rangeItems(ctx, readCall, prefix)
+}
+
+func (c *Client) rangeItems(ctx context.Context, kind callKind, prefix string) ([]store.Item, store.Revision, error) {
+	if err := c.begin(ctx, kind); err != nil {
 		return nil, 0, err
 	}
+	items, at := c.itemsUnder(prefix)
+	if err := c.store.answerPages(ctx, kind, items); err != nil {
+		return nil, 0, err
+	}
+	return items, at, nil
+}
+
+// itemsUnder returns the items with a prefix, sorted by key, and the store's revision.
+func (c *Client) itemsUnder(prefix string) ([]store.Item, store.Revision) {
 	s := c.store
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -256,7 +281,7 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b store.Item) int { return strings.Compare(a.Key, b.Key) })
-	return out, s.revision(), nil
+	return out, s.revision()
 }
 
 // peekDelay is the time for which Peek omits a new key.
@@ -264,7 +289,7 @@
 
 // Peek implements store.Reader. To simulate a stale read it omits recently created keys.
 func (c *Client) Peek(ctx context.Context, prefix string) ([]store.Item, error) {
-	items, _, err := c.Range(ctx, prefix)
+	items, _, err := c.rangeItems(ctx, staleReadCall, prefix)
 	c.store.mu.Lock()
 	defer c.store.mu.Unlock()
 	recent := func(i store.Item) bool { return time.Since(c.store.createdAt[i.Key]) < peekDelay }
@@ -273,7 +298,7 @@
 
 // Watch implements store.Reader.
 func (c *Client) Watch(ctx context.Context, prefix string, after store.Revision) ([]store.Event, store.Revision, error) {
-	if err := c.begin(ctx); err != nil {
+	if err := c.begin(ctx, readCall); err != nil {
 		return nil, 0, err
 	}
 	end := time.NewTimer(c.store.watchTimeout)
@@ -288,6 +313,9 @@
 		}
 		restored := at.Era() != after.Era()
 		if len(events) > 0 && !restored {
+			if err := c.store.answer(ctx, bytesOf(lo.Map(events, func(e store.Event, _ int) store.Item { return e.Item }))); err != nil {
+				return nil, 0, err
+			}
 			return events, at, nil
 		}
 		if len(events) > 0 {
@@ -330,9 +358,17 @@
 
 // Do implements store.Writer.
 func (c *Client) Do(ctx context.Context, t store.Txn) (store.Revision, error) {
-	if err := c.begin(ctx); err != nil {
+	if err := c.begin(ctx, writeCall); err != nil {
 		return 0, err
 	}
+	at, err := c.do(ctx, t)
+	if late := c.store.answer(ctx, answerBytes); late != nil {
+		return 0, late
+	}
+	return at, err
+}
+
+func (c *Client) do(ctx context.Context, t store.Txn) (store.Revision, error) {
 	s := c.store
 	s.mu.Lock()
 	if t.ExpectsEarlierEra(c.era) {
@@ -394,9 +430,14 @@
 
 // Grant implements store.Writer.
 func (c *Client) Grant(ctx context.Context, ttlMs int64) (int64, error) {
-	if err := c.begin(ctx); err != nil {
+	if err := c.begin(ctx, writeCall); err != nil {
 		return 0, err
 	}
+	id := c.grant(ttlMs)
+	return id, c.store.answer(ctx, answerBytes)
+}
+
+func (c *Client) grant(ttlMs int64) int64 {
 	s := c.store
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -404,14 +445,22 @@
 	s.lastID++
 	ttl := max(s.minTTL, time.Duration(ttlMs)*time.Millisecond)
 	s.leases[s.lastID] = lease{ttl, time.Now().Add(ttl)}
-	return s.lastID, nil
+	return s.lastID
 }
 
 // Keep implements store.Writer.
 func (c *Client) Keep(ctx context.Context, id int64) error {
-	if err := c.begin(ctx); err != nil {
+	if err := c.begin(ctx, renewalCall); err != nil {
 		return err
 	}
+	err := c.keep(id)
+	if late := c.store.answer(ctx, answerBytes); late != nil {
+		return late
+	}
+	return err
+}
+
+func (c *Client) keep(id int64) error {
 	s := c.store
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -428,9 +477,17 @@
 
 // End implements store.Writer.
 func (c *Client) End(ctx context.Context, id int64) error {
-	if err := c.begin(ctx); err != nil {
+	if err := c.begin(ctx, writeCall); err != nil {
 		return err
 	}
+	err := c.end(id)
+	if late := c.store.answer(ctx, answerBytes); late != nil {
+		return late
+	}
+	return err
+}
+
+func (c *Client) end(id int64) error {
 	s := c.store
 	s.mu.Lock()
 	defer s.mu.Unlock()
