front: start through a short directory of readers

Hypothesis and cause: until its role was known each instance listed all instances, twice, and then all endpoints: N x (2N + M) entries through one link. Above some 400 instances an answer took longer than its time-out; it was sent for again, the role stayed unknown, and all went on reading everything. Change: the store holds a directory of at most 16 readers, one key for each slot, taken by condition and lease. An instance that starts reads only this list and follows the store through one of them. The first claim when nobody on the list answers, at random times whose distribution lets few claim at once whatever the size of the fleet, those with much processor time first. A holder tells how many read through it; from that each instance estimates the fleet, claims missing slots, registers at a time of its own (three tenths of the store's writes at the most) or, if the fleet is small, reads the store itself as before. Readers keep a slot while they read. A holder that does not answer is replaced. No instance lists what grows with the fleet unless it is on the list. A leader gets the usage of all also when it does not read the store. Why it works: a start costs each instance a stale read, one or two short reads and two writes; bytes are slots x entries. Weighed: listing fewer pages or longer time-outs (still N x N); addresses in the settings (may all be down).

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -71,6 +71,7 @@
 	WatchMissedChange            Code = 216
 	OlderConfigIgnored           Code = 217
 	StoreRestored                Code = 218
+	DirectorySlotClaimed         Code = 219
 	FrontEndpointJoined          Code = 511
 	FrontEndpointLeaving         Code = 512
 	FrontEndpointGone            Code = 513
@@ -157,6 +158,7 @@
 	{ConfigRejected, zap.ErrorLevel, "configuration rejected", "The store holds a configuration that cannot be used. The previous version stays in force; once it may be out of date, requests with keys are refused."},
 	{ConfigStale, zap.WarnLevel, "configuration not confirmed", "For some time no read has confirmed that the configuration in force is the newest. Requests that need a key are refused."},
 	{ConfigConfirmed, zap.InfoLevel, "configuration confirmed again", "A read has confirmed which configuration is the newest."},
+	{DirectorySlotClaimed, zap.InfoLevel, "slot of the directory claimed", "This instance claimed a slot of the directory, the list of instances that read the store for those that start. held tells whether it got the slot; replaces, whether the slot was held before, by an instance that did not answer or by an earlier run of this one."},
 	{StoreSourceChanged, zap.InfoLevel, "source of store data changed", "This instance now reads the store itself (directly is true) or through the hubs of its fleet. Only a large fleet has hubs; an instance without an available hub reads the store itself for a while. standby is the instance through which it reads while the hubs cannot read the store; stands_in tells whether this instance reads the store for others in that case."},
 	{WatchMissedChange, zap.WarnLevel, "store watch missed a change", "Another instance knows of a change of an endpoint that this one has not received. The watches are restarted."},
 	{OlderConfigIgnored, zap.WarnLevel, "older configuration ignored", "The store returned the configuration at a revision below that of the one in force (in_hand), which stays in force. The answer was delayed."},
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -10,6 +11,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/samber/lo"
 
+	"github.com/shelfcrank/shelfcrank/internal/directory"
 	"github.com/shelfcrank/shelfcrank/internal/mirror"
 	"github.com/shelfcrank/shelfcrank/internal/store"
 	"github.com/shelfcrank/shelfcrank/internal/topology"
@@ -32,7 +34,6 @@
 	stableWatchTime       = time.Second             // a watch that lasted longer resets the retry delay
 	registerTTL           = 9 * time.Second         // long, since each renewal is a charged call
 	registerRenewInterval = 3 * time.Second
-	registerSpread        = 3 * time.Second // the store accepts a few hundred writes a second
 	// WatchWait is how long the store may hold a watch call that has no changes to return.
 	WatchWait          = 20 * time.Second
 	watchSlack         = 1500 * time.Millisecond
@@ -157,16 +158,13 @@
 func (n *Instance) restartWatches() { n.watchReset.Swap(newSignal()).fire() }
 
 func (n *Instance) watchConfig(ctx context.Context) error {
-	if !n.awaitRole(ctx) {
-		return ctx.Err()
-	}
 	list := func([]store.Item, store.Revision) {} // nothing to do: pollConfig applies the configuration
-	return n.watch(ctx, watchTarget{n.Decoder.OperatorPrefix(), n.hub.OperatorKeys, list, n.awaitRole})
+	return n.watch(ctx, watchTarget{n.Decoder.OperatorPrefix(), n.hub.OperatorKeys, list, alive})
 }
 
 func (n *Instance) watchEndpoints(ctx context.Context) error {
 	list := func(items []store.Item, at store.Revision) { n.state.send(listedEndpoints{items, at}) }
-	return n.watch(ctx, watchTarget{n.Decoder.EndpointPrefix(), n.hub.Endpoints, list, n.awaitRole})
+	return n.watch(ctx, watchTarget{n.Decoder.EndpointPrefix(), n.hub.Endpoints, list, alive})
 }
 
 func (n *Instance) watchInstances(ctx context.Context) error {
@@ -182,6 +180,9 @@
 	await  func(context.Context) bool                  // waits until changes have to be watched; false if ctx ended first
 }
 
+// alive reports whether ctx has not ended.
+func alive(ctx context.Context) bool { return ctx.Err() == nil }
+
 // watch lists a prefix of the store and watches its changes, and lists again whenever it may have
 // missed one.
 func (n *Instance) watch(ctx context.Context, p watchTarget) error {
@@ -248,6 +249,10 @@
 	if err != nil {
 		return fmt.Errorf("encode registration: %w", err)
 	}
+	if !n.bootstrap.awaitRegistration(ctx) {
+		return ctx.Err()
+	}
+	n.registers.Store(true)
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, listTimeout)
 		lease, err := n.Store.Grant(call, registerTTL.Milliseconds())
@@ -270,13 +275,15 @@
 	return ctx.Err()
 }
 
-// awaitRegistrationSlot delays this instance by a time derived from its name. The instances of a
-// large fleet all notice a restore of the store at once, and would all register at the same
-// moment.
-func (n *Instance) awaitRegistrationSlot(ctx context.Context) {
-	if n.grouped() {
-		n.Clock.Sleep(ctx, time.Duration(topology.PairHash(n.Settings.Name, "register")%uint64(registerSpread)))
+// awaitRegistrationSlot delays this instance by a time derived from its name, given the number of
+// instances. The instances of a large fleet may all start, or notice a restore of the store, at once,
+// and would all register at the same moment. It reports false if ctx ended first.
+func (n *Instance) awaitRegistrationSlot(ctx context.Context, instances int) bool {
+	spread := directory.RegistrationSpread(instances, cmp.Or(n.Settings.StoreWritesPerSecond, defaultWritesPerSecond))
+	if spread == 0 {
+		return ctx.Err() == nil
 	}
+	return n.Clock.Sleep(ctx, time.Duration(topology.PairHash(n.Settings.Name, "register")%uint64(spread)))
 }
 
 // renewRegistration renews the lease of the registration until the lease has expired or the store
@@ -294,7 +301,7 @@
 			return
 		}
 		if n.Store.Era() != era {
-			n.awaitRegistrationSlot(ctx)
+			n.awaitRegistrationSlot(ctx, n.state.members.count())
 			return
 		}
 		if err == nil {
--- a/internal/front/follower.go
+++ b/internal/front/follower.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,17 +33,15 @@
 	roleChangeGrace   = 900 * time.Millisecond // before an instance stops reading the store directly: the choice of hubs may be changing
 )
 
-// followStore follows the contents of the store: directly if this instance is a hub or the fleet
-// is small, else through the hubs. The platform charges for each call of the store, which is why
+// followStore follows the contents of the store: directly if this instance reads it for others or
+// the fleet is small, else through instances that do. The platform charges for each call of the store, which is why
 // not all instances of a large fleet read it.
 func (n *Instance) followStore(ctx context.Context) error {
-	n.discoverPeers(ctx)
-	if !n.state.members.topology().ReadsStore() {
-		n.readThroughHubs(ctx)
-	}
 	for ctx.Err() == nil {
-		n.readDirectly(ctx)
 		n.readThroughHubs(ctx)
+		if n.mustReadStore() {
+			n.readDirectly(ctx)
+		}
 	}
 	return ctx.Err()
 }
@@ -55,17 +55,14 @@
 	n.event(event.StoreSourceChanged, zap.Bool("directly", true), zap.Bool("stands_in", n.standIn.requested(n.Clock.Now())))
 	var wait sync.WaitGroup
 	defer wait.Wait()
-	for _, serve := range []func(context.Context) error{n.pollConfig, n.watchConfig, n.watchEndpoints, n.watchInstances} {
+	for _, serve := range []func(context.Context) error{n.pollConfig, n.watchConfig, n.watchEndpoints, n.watchInstances, n.bootstrap.holdSlot} {
 		wait.Go(func() { _ = serve(ctx) }) // ends with ctx only
 	}
 	stayUntil := n.Clock.Now().Add(minDirectReading)
-	if n.view.Load().Config == nil {
-		stayUntil = n.Clock.Now() // at the start no hub was tried yet
-	}
 	needed := n.Clock.Now()
 	for n.Clock.Sleep(ctx, roleCheckInterval) {
 		now := n.Clock.Now()
-		if n.mustReadStore() || n.view.Load().Config == nil || n.configReadStale() {
+		if n.readsByRole() || n.view.Load().Config == nil || n.configReadStale() {
 			needed = now
 		}
 		if now.After(stayUntil) && now.Sub(needed) > roleChangeGrace {
@@ -87,36 +84,48 @@
 	n.event(event.StoreSourceChanged, zap.Bool("directly", false))
 	ctx, cancel := n.standIn.untilRequested(ctx)
 	defer cancel()
-	s := &follower{instance: n, lastAnswer: n.Clock.Now(), retry: newBackoff(minRetryDelay, maxDirectReadRetry)}
+	s := &follower{instance: n, lastAnswer: n.Clock.Now(), retry: newBackoff(minRetryDelay, maxDirectReadRetry), directoryRetry: newDirectoryRetry(), random: n.newBootstrapRand()}
 	for ctx.Err() == nil {
 		hubs := n.state.members.topology()
 		if n.mustReadStore() {
 			return
 		}
-		s.followReaders(ctx, hubs)
-		if s.standby == "" && n.Clock.Since(s.lastAnswer) < hubAnswerTimeout {
-			n.Clock.Sleep(ctx, hubRetryInterval)
-			continue
-		}
-		if n.view.Load().Config == nil {
-			return // it has just started and has no configuration to serve with
-		}
-		if s.throughStandbys(ctx, hubs) {
+		if len(hubs.Hubs) == 0 {
+			s.throughDirectory(ctx)
 			continue
 		}
-		if s.storeDown() {
+		s.followReaders(ctx, hubs)
+		if s.standby == "" && n.Clock.Since(s.lastAnswer) < hubAnswerTimeout {
 			n.Clock.Sleep(ctx, hubRetryInterval)
 			continue
 		}
-		if s.readConfigDirectly(ctx) && n.Clock.Since(s.directSince) > hubRecoveryGrace {
-			return
+		if n.view.Load().Config != nil {
+			if s.throughStandbys(ctx, hubs) {
+				continue
+			}
+			if s.storeDown() {
+				n.Clock.Sleep(ctx, hubRetryInterval)
+				continue
+			}
+			if !s.readConfigDirectly(ctx) || n.Clock.Since(s.directSince) <= hubRecoveryGrace {
+				continue
+			}
 		}
+		s.throughDirectory(ctx)
 	}
 }
 
 // mustReadStore reports whether this instance has to read the store itself.
-func (n *Instance) mustReadStore() bool {
-	return n.state.members.topology().ReadsStore() || n.standIn.requested(n.Clock.Now())
+func (n *Instance) mustReadStore() bool { return n.readsByRole() || n.bootstrap.holds() }
+
+// readsByRole is mustReadStore without the slot of the directory that this instance may hold in a
+// large fleet, whose readers are known.
+func (n *Instance) readsByRole() bool {
+	hubs := n.state.members.topology()
+	if len(hubs.Hubs) == 0 && n.bootstrap.readsAlone() {
+		return true
+	}
+	return hubs.IsReader || n.standIn.requested(n.Clock.Now())
 }
 
 // follower is the state of reading the store through hubs.
@@ -132,9 +141,16 @@
 	nextDirectRead                       time.Time                   // when this instance tries the store itself despite these answers
 	retry                                *backoff.ExponentialBackOff // of direct reads of the store while no hub answers
 	directSince                          time.Time                   // since when the store answers this instance while no hub has current data
+	directoryRetry                       *backoff.ExponentialBackOff // of reads of the directory
+	random                               *rand.Rand                  // of the times of claims
+	claimAt                              time.Time                   // when to claim a slot of the directory; zero while there is no need
+	answeredAt                           time.Time                   // when a holder of a slot answered first
+	fleetSize                            int                         // estimated from the callers of a holder; 0 before that
+	directoryReadAt                      time.Time                   // when the directory was last read; zero before that
 }
 
-// followReaders reads through each reader in turn until it fails. While another instance stands
+// followReaders reads through each reader in turn until it fails, and then through the other
+// instances of the directory: the readers may be new in their role. While another instance stands
 // in for the readers, only the first reader is tried, to detect that the readers are back.
 func (s *follower) followReaders(ctx context.Context, hubs *topology.Topology) {
 	readers := hubs.Readers
@@ -144,6 +160,14 @@
 	for _, m := range readers {
 		s.follow(ctx, m, false)
 	}
+	if s.standby != "" {
+		return
+	}
+	for _, m := range s.instance.bootstrap.directory().Others(s.instance.Settings.Name) {
+		if !slices.Contains(readers, m) {
+			s.follow(ctx, m, false)
+		}
+	}
 }
 
 // follow reads through one instance until it fails or this instance has to read the store itself.
@@ -173,7 +197,9 @@
 		s.setStandby(lo.Ternary(standIn, through.Name, ""))
 		s.lastAnswer, s.directSince, s.unavailable = sent, time.Time{}, 0
 		s.retry.Reset()
+		s.directoryRetry.Reset()
 		s.applyAnswer(a, read, sent)
+		s.assessFleet(ctx, int(a.Callers))
 	}
 	return answered
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -111,11 +111,14 @@
 	rollouts      *rollctl.Control
 	knownRollouts atomic.Pointer[[]rollctl.ServiceRollout]
 	hub           *hub.Mirror
+	callers       hub.Callers // instances that read the store through this one
+	bootstrap     *bootstrap
 	groups        *groups
 	versions      *version.Tracker
 	watchProgress mirror.StallDetector
 	reading       atomic.Bool  // this instance reads the store itself
 	registered    atomic.Bool  // the store is believed to hold this instance's registration
+	registers     atomic.Bool  // this instance has begun to register
 	revision      atomic.Int64 // of the configuration's item held, a store.Revision
 	standIn       *standIn     // requests of others to read the store in place of the readers
 	leaving       atomic.Bool
@@ -143,6 +146,7 @@
 	n.refreshed.Store(newSignal())
 	n.notices = notice.New(notice.Options{OnChange: n.onNotice, TimeOfDay: n.walltime.At})
 	n.limits = newLimits(n)
+	n.bootstrap = newBootstrap(n)
 	n.placer = newPlacer(n)
 	n.suspects = newSuspects(n)
 	n.rollouts = rollctl.New(rollout.Bound{Share: o.Settings.Bounds.ExposeShare, Slack: o.Settings.Bounds.ExposeSlack}, n.source(), rand.New(rand.NewPCG(o.Seed, seedRollouts)), o.Clock)
@@ -202,6 +206,7 @@
 	keyLive      = "live/"
 	keyLeader    = keyLive + "leader"
 	keyInstances = keyLive + "nodes/"
+	keyDirectory = keyLive + "readers/"
 	keyRollouts  = keyLive + "rollouts/"
 	keyUsage     = "usage/"
 	keyOpen      = "open-usage"
@@ -213,6 +218,7 @@
 	seedElector   = 0x9e3779b9
 	seedAdmission = 0x85ebca6b
 	seedRollouts  = 0xc2b2ae35
+	seedBootstrap = 0x27d4eb2f
 )
 
 func (n *Instance) version() int64 {
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -96,6 +96,7 @@
 		}
 	}
 	m.instance.elector.ObserveKey(hasKey(items, m.instance.elector.Key))
+	m.instance.bootstrap.replace(items)
 	m.dropExpired(now)
 	m.publish()
 }
@@ -128,6 +129,9 @@
 		m.instance.elector.ObserveKey(!e.Deleted)
 		return false
 	}
+	if m.instance.bootstrap.apply(e) {
+		return false
+	}
 	name, ok := strings.CutPrefix(e.Key, m.prefix())
 	if !ok || name == m.instance.Settings.Name {
 		return false
--- a/internal/front/mirror.go
+++ b/internal/front/mirror.go
@@ -21,5 +21,6 @@
 	if err != nil {
 		return fault.New(fault.StepPeer, call.From, fault.KindNotFound, fault.NotRun, "%w", err)
 	}
+	a.Callers = int64(n.callers.Record(call.From, n.Clock.Now()))
 	return answer(&peerpb.Answer{Body: &peerpb.Answer_Mirror{Mirror: a}})
 }
--- a/internal/front/report.go
+++ b/internal/front/report.go
@@ -74,7 +74,7 @@
 	units, runs := n.offerTo(target)
 	rollouts := n.rollouts.OfferTo(target)
 	call := &peerpb.Call{Body: &peerpb.Call_Report{Report: &peerpb.Report{
-		HubIncarnation: target.Incarnation, Windows: n.reading.Load(), Share: n.reportShare(units, runs, rollouts, r.instance.Clock.Now()),
+		HubIncarnation: target.Incarnation, Windows: n.needsUsage(), Share: n.reportShare(units, runs, rollouts, r.instance.Clock.Now()),
 	}}}
 	a, err := n.peers.Call(ctx, hub.Addr, call)
 	if err != nil {
@@ -91,6 +91,13 @@
 	return d, nil
 }
 
+// needsUsage reports whether this instance has to know the usage of all instances: as the leader, which
+// reports it, or as one that may become the leader.
+func (n *Instance) needsUsage() bool {
+	_, _, leads := n.elector.Token(n.Clock.Now())
+	return leads || n.reading.Load()
+}
+
 // offerTo returns the counts to report to a hub.
 func (n *Instance) offerTo(hub tally.Source) (unitCounts, runCounts) {
 	a := n.admission
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -8,17 +8,19 @@
 
 // Front holds the settings of a front instance, which forwards requests of clients to endpoints.
 type Front struct {
-	Name     string         `toml:"name" help:"Name of the instance, unique among the front instances."`
-	Hall     string         `toml:"hall" help:"Hall that the instance runs in."`
-	Region   string         `toml:"region" help:"Region of the hall."`
-	Front    netip.AddrPort `toml:"front_address" help:"Address at which the instance accepts connections of clients."`
-	Ready    netip.AddrPort `toml:"ready_address" help:"Address of the readiness check, which reports whether the instance accepts connections."`
-	Peer     netip.AddrPort `toml:"peer_address" help:"Address at which the other instances connect to it."`
-	Metrics  netip.AddrPort `toml:"metrics_address" help:"Address that serves /metrics."`
-	Store    netip.AddrPort `toml:"store_address" help:"Address of the platform's metadata store."`
-	Cloud    netip.AddrPort `toml:"cloud_address" help:"Address of the platform's API for the instance that leads the fleet; empty if the deployment has none."`
-	MemoryMB int            `toml:"memory_mb" help:"Memory limit of the process, in MB; 0 for no limit."`
-	Cores    float64        `toml:"cores" help:"CPU limit of the process, in cores; 0 if unknown."`
+	Name    string         `toml:"name" help:"Name of the instance, unique among the front instances."`
+	Hall    string         `toml:"hall" help:"Hall that the instance runs in."`
+	Region  string         `toml:"region" help:"Region of the hall."`
+	Front   netip.AddrPort `toml:"front_address" help:"Address at which the instance accepts connections of clients."`
+	Ready   netip.AddrPort `toml:"ready_address" help:"Address of the readiness check, which reports whether the instance accepts connections."`
+	Peer    netip.AddrPort `toml:"peer_address" help:"Address at which the other instances connect to it."`
+	Metrics netip.AddrPort `toml:"metrics_address" help:"Address that serves /metrics."`
+	Store   netip.AddrPort `toml:"store_address" help:"Address of the platform's metadata store."`
+	Cloud   netip.AddrPort `toml:"cloud_address" help:"Address of the platform's API for the instance that leads the fleet; empty if the deployment has none."`
+	// StoreWritesPerSecond limits how fast the instances of a fleet that starts register.
+	StoreWritesPerSecond float64 `toml:"store_writes_per_s" help:"Writes that the metadata store accepts from all instances together, a second; 0 if unknown."`
+	MemoryMB             int     `toml:"memory_mb" help:"Memory limit of the process, in MB; 0 for no limit."`
+	Cores                float64 `toml:"cores" help:"CPU limit of the process, in cores; 0 if unknown."`
 	// QuarantineS defaults to one minute. By then a caller that sent a request that crashes
 	// endpoints by mistake has stopped retrying, and deploying a new version of an endpoint
 	// takes longer than that.
--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -50,9 +50,6 @@
 	Standbys [][]Member
 }
 
-// ReadsStore reports whether this instance has to read the store itself.
-func (t *Topology) ReadsStore() bool { return t.IsReader || len(t.Hubs) == 0 }
-
 // Hub returns a hub by its name, or the zero Member if there is none.
 func (t *Topology) Hub(name string) Member {
 	hub, _ := lo.Find(t.Hubs, func(m Member) bool { return m.Name == name })
