quota: count the first use of an account by others

What callers saw: an account whose traffic begins could use up to a burst more than its bucket holds at each instance that had no request of it yet. Cause: the bucket of an account was created by the first update of another instance, with the update's units subtracted from an empty bucket, and then filled for all the time since the start: the cap at a burst hid these units. Why it works: the bucket is filled up to the first use before it is subtracted.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -81,22 +81,36 @@
 type bucket struct {
 	level    float64
 	at       time.Time
-	adopted  bool // the level was taken over from an instance that has warmed up
-	periodic bool // it is refilled several times a second, so that a longer gap is a stall of this process
+	adopted  bool      // the level was taken over from an instance that has warmed up
+	periodic bool      // it is refilled several times a second, so that a longer gap is a stall of this process
+	filled   bool      // it was refilled since its creation
+	usedAt   time.Time // when the use of others was first subtracted; zero if the bucket was refilled before that
 }
 
 // maxRefill bounds the time for which a bucket is refilled in one call. A longer gap means that
 // this process was stalled, and the other instances may have used what was added meanwhile.
 const maxRefill = time.Second
 
+// subtract subtracts what others used.
+func (b *bucket) subtract(units float64, now time.Time) {
+	if !b.filled && b.usedAt.IsZero() && units != 0 {
+		b.usedAt = now
+	}
+	b.level -= units
+}
+
 // refill adds what the limit grants for the time since the last call.
 func (b *bucket) refill(limit Limit, now time.Time) {
 	passed := now.Sub(b.at)
 	if b.periodic {
 		passed = min(passed, maxRefill)
 	}
+	if !b.filled && !b.usedAt.IsZero() { // what others used was subtracted from a bucket that may have been full
+		b.level += min(limit.Burst, limit.Rate*b.usedAt.Sub(b.at).Seconds())
+		passed = now.Sub(b.usedAt)
+	}
 	b.level = min(limit.Burst, b.level+limit.Rate*passed.Seconds())
-	b.at, b.periodic = now, true
+	b.at, b.periodic, b.filled = now, true, true
 }
 
 type account struct {
@@ -334,7 +348,7 @@
 		if !n.lastUpdate.IsZero() && since > 0 {
 			u.rate += rateSmoothing * (delta/since - u.rate)
 		}
-		l.account(name).bucket.level -= counts*delta - u.extrapolated
+		l.account(name).bucket.subtract(counts*delta-u.extrapolated, now)
 		u.extrapolated = 0
 	}
 	if update.WarmedUp {
@@ -370,7 +384,7 @@
 		if b.adopted {
 			continue
 		}
-		b.adopted = true
+		b.adopted, b.filled = true, true
 		b.at, b.level = now, level
 	}
 }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -501,3 +501,18 @@
 	}
 	is.True(l.Admit("north", limits["north"], 1, now).OK)
 }
+
+// The first use of an account by others arrives before this instance has a bucket for it. It must be
+// subtracted from what the bucket would hold by then, which is no more than a burst.
+func TestTheFirstUseByOthersCounts(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	limit := Limit{Rate: 20, Burst: 100}
+	l := New(start)
+	l.SetInstances(2)
+	now := start.Add(14 * time.Second)
+	l.Apply(Update{Instance: "b", Admitted: map[string]float64{}}, now)
+	now = now.Add(300 * time.Millisecond)
+	l.Apply(Update{Instance: "b", Admitted: map[string]float64{"x": 30}}, now)
+	is.Equal(l.Levels(map[string]Limit{"x": limit}, now)["x"], 70.0)
+}
