front: a small fleet reads the store whatever the directory holds

Cause: an instance estimates the fleet once, as slots held x callers of one holder. After a kill of all, slots of ended instances stay until their leases end, so that 9 instances were taken for 45 and more; each then read through a holder for good. And a claim that had been due before the first answer stayed due: when all holders end later, all followers would claim at the same moment. Why it works: 8 s after the start all have registered, and the members that are known decide. An answer cancels a claim that is due; the next need draws a new delay. TestASmallFleetReadsTheStoreAfterAllWereKilled fails without the first.

--- a/internal/front/bootstrap.go
+++ b/internal/front/bootstrap.go
@@ -34,6 +34,9 @@
 	// of the fleet.
 	registerBy = 3 * time.Second
 
+	// membersKnownBy is the age at which all instances that started at the same time have registered.
+	membersKnownBy = 8 * time.Second
+
 	directoryTimeout       = 600 * time.Millisecond // for calls that read or write the directory
 	directoryReadInterval  = 500 * time.Millisecond // while nobody on the directory answers
 	minDirectoryRetry      = 150 * time.Millisecond
@@ -357,6 +360,10 @@
 	if n.Clock.Since(n.start) < fleetKnownBy || now.Sub(s.answeredAt) < callersKnownAfter {
 		return
 	}
+	if n.Clock.Since(n.start) > membersKnownBy { // the estimate may have counted holders that had ended
+		b.observeSize(n.state.members.count())
+		return
+	}
 	if s.fleetSize > 0 {
 		return
 	}
--- a/internal/front/follower.go
+++ b/internal/front/follower.go
@@ -198,6 +198,7 @@
 		s.lastAnswer, s.directSince, s.unavailable = sent, time.Time{}, 0
 		s.retry.Reset()
 		s.directoryRetry.Reset()
+		s.claimAt = time.Time{}
 		s.applyAnswer(a, read, sent)
 		s.assessFleet(ctx, int(a.Callers))
 	}
--- a/internal/front/start_test.go
+++ b/internal/front/start_test.go
@@ -7,7 +7,9 @@
 
 	"github.com/matryer/is"
 
+	"github.com/shelfcrank/shelfcrank/internal/directory"
 	"github.com/shelfcrank/shelfcrank/internal/storetest"
+	"github.com/shelfcrank/shelfcrank/internal/topology"
 	"github.com/shelfcrank/shelfcrank/internal/virtual"
 )
 
@@ -92,3 +94,27 @@
 	}
 	return []startSize{{30, 90}, {100, 300}, {300, 900}, {1000, 300}}
 }
+
+// After a kill of all, the directory holds slots of earlier incarnations, from which the size of the
+// fleet is overestimated. All instances of a small fleet must read the store themselves all the same.
+func TestASmallFleetReadsTheStoreAfterAllWereKilled(t *testing.T) {
+	const instances = 9
+	runCluster(t, instances, func(is *is.I, w *testCluster) {
+		time.Sleep(4 * time.Second)
+		for slot := range directory.Slots {
+			value, err := directory.Encode(topology.Member{Name: fmt.Sprint("gone", slot), Addr: addrOf(900+slot, 8002)})
+			is.NoErr(err)
+			w.store.Put("own/"+keyDirectory+directory.Key(slot), value)
+		}
+		w.kill(runningNames(w)...)
+		for i := range instances {
+			w.start(fmt.Sprint("n", i))
+		}
+		ready, _ := w.readyWithin(5 * time.Second)
+		is.Equal(ready, instances)
+		time.Sleep(membersKnownBy)
+		for _, r := range w.instances {
+			is.True(r.instance.reading.Load())
+		}
+	})
+}
