front: count the members from their published list

Cause: the registration asks for the number of members, which was read from the map that the state's goroutine owns. Evidence: the race detector, in 55 tests of internal/front; plain runs passed. Why it works: the list is published after each change of the map, and its length is read without a lock.

--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -46,8 +46,8 @@
 	return max(minMemberTTL, memberTTLRounds*n.shareInterval())
 }
 
-// members tracks the other instances. It is owned by the state's goroutine; list, topology, halls
-// and the times are safe for concurrent use.
+// members tracks the other instances. It is owned by the state's goroutine; list, count, topology,
+// halls and the times are safe for concurrent use.
 type members struct {
 	instance        *Instance
 	all             map[string]*member
@@ -75,7 +75,7 @@
 func (m *members) topology() *topology.Topology { return m.currentTopology.Load() }
 
 // count returns the number of instances, including this one.
-func (m *members) count() int { return 1 + len(m.all) }
+func (m *members) count() int { return 1 + len(m.list()) }
 
 // markSeen records that an instance was seen.
 func (m *members) markSeen(name string, at time.Time) { m.seenAt.record(name, at) }
