--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -252,7 +252,7 @@
 	if !n.bootstrap.awaitRegistration(ctx) {
 		return ctx.Err()
 	}
-	n.registers.Store(true)
+	n.registrationDue.Store(true)
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, listTimeout)
 		lease, err := n.Store.Grant(call, registerTTL.Milliseconds())
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -92,39 +92,39 @@
 // Instance is a running instance in the front role.
 type Instance struct {
 	Options
-	start         time.Time
-	injector      do.Injector
-	metrics       *metrics.Metrics
-	state         *state
-	view          atomic.Pointer[forward.View]
-	walltime      *walltime.Clock
-	peers         *peer.Transport
-	backends      *backend.Client
-	notices       *notice.Table // what endpoints announced in their answers
-	limits        *ratelimit.Table
-	tracker       *balance.Tracker
-	admission     *admission
-	elector       *duty.Elector
-	handler       *forward.Handler
-	placer        *placer
-	suspects      *suspects
-	rollouts      *rollctl.Control
-	knownRollouts atomic.Pointer[[]rollctl.ServiceRollout]
-	hub           *hub.Mirror
-	callers       hub.Callers // instances that read the store through this one
-	bootstrap     *bootstrap
-	groups        *groups
-	versions      *version.Tracker
-	watchProgress mirror.StallDetector
-	reading       atomic.Bool  // this instance reads the store itself
-	registered    atomic.Bool  // the store is believed to hold this instance's registration
-	registers     atomic.Bool  // this instance has begun to register
-	revision      atomic.Int64 // of the configuration's item held, a store.Revision
-	standIn       *standIn     // requests of others to read the store in place of the readers
-	leaving       atomic.Bool
-	watchReset    atomic.Pointer[signal] // fired to restart the watches
-	refreshed     atomic.Pointer[signal] // fired by the next refresh
-	synced        chan struct{}          // closed when a configuration and the endpoints are known
+	start           time.Time
+	injector        do.Injector
+	metrics         *metrics.Metrics
+	state           *state
+	view            atomic.Pointer[forward.View]
+	walltime        *walltime.Clock
+	peers           *peer.Transport
+	backends        *backend.Client
+	notices         *notice.Table // what endpoints announced in their answers
+	limits          *ratelimit.Table
+	tracker         *balance.Tracker
+	admission       *admission
+	elector         *duty.Elector
+	handler         *forward.Handler
+	placer          *placer
+	suspects        *suspects
+	rollouts        *rollctl.Control
+	knownRollouts   atomic.Pointer[[]rollctl.ServiceRollout]
+	hub             *hub.Mirror
+	callers         hub.Callers // instances that read the store through this one
+	bootstrap       *bootstrap
+	groups          *groups
+	versions        *version.Tracker
+	watchProgress   mirror.StallDetector
+	reading         atomic.Bool  // this instance reads the store itself
+	registered      atomic.Bool  // the store is believed to hold this instance's registration
+	registrationDue atomic.Bool  // this instance has begun to register
+	revision        atomic.Int64 // of the configuration's item held, a store.Revision
+	standIn         *standIn     // requests of others to read the store in place of the readers
+	leaving         atomic.Bool
+	watchReset      atomic.Pointer[signal] // fired to restart the watches
+	refreshed       atomic.Pointer[signal] // fired by the next refresh
+	synced          chan struct{}          // closed when a configuration and the endpoints are known
 }
 
 // incarnation identifies this run of the instance: its start time in Unix nanoseconds.
--- a/internal/front/lost.go
+++ b/internal/front/lost.go
@@ -59,7 +59,7 @@
 // selfIfUnregistered returns the entry of this instance to report to others while it is not
 // registered although it should be, else nil.
 func (n *Instance) selfIfUnregistered() []*peerpb.Instance {
-	if n.registered.Load() || !n.registers.Load() {
+	if n.registered.Load() || !n.registrationDue.Load() {
 		return nil
 	}
 	return []*peerpb.Instance{encodeInstance(n.self(), 0)}
