--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -15,7 +15,6 @@
 	"encoding/json"
 	"fmt"
 	"math"
-	"net/netip"
 	"slices"
 	"strconv"
 	"time"
@@ -43,16 +42,8 @@
 // Directory is a list of held slots, in no particular order.
 type Directory []Entry
 
-// value is the encoding of a holder in the store.
-type value struct {
-	Name  string
-	Addr  netip.AddrPort
-	Hall  string `json:"Zone"`
-	Cores float64
-}
-
 // Encode returns the value of a slot that m holds.
-func Encode(m topology.Member) ([]byte, error) { return json.Marshal(value(m)) }
+func Encode(m topology.Member) ([]byte, error) { return json.Marshal(m) }
 
 // Key returns the key of a slot below the directory's prefix.
 func Key(slot int) string { return strconv.Itoa(slot) }
@@ -63,14 +54,14 @@
 	if err != nil || slot < 0 || slot >= Slots {
 		return Entry{}, fmt.Errorf("slot %q of the directory does not exist", key)
 	}
-	var v value
-	if err := json.Unmarshal(b, &v); err != nil {
+	var holder topology.Member
+	if err := json.Unmarshal(b, &holder); err != nil {
 		return Entry{}, fmt.Errorf("decode slot %d of the directory: %w", slot, err)
 	}
-	if v.Name == "" || !v.Addr.IsValid() {
+	if holder.Name == "" || !holder.Addr.IsValid() {
 		return Entry{}, fmt.Errorf("slot %d of the directory has no name or address", slot)
 	}
-	return Entry{Slot: slot, Holder: topology.Member(v), Revision: at}, nil
+	return Entry{Slot: slot, Holder: holder, Revision: at}, nil
 }
 
 // Others returns the holders other than self, in an order that differs from instance to instance.
