quota: a bucket that starts again after a stall is not a new one

Found by reading; no run had shown it. Checks run: the package's tests and three limit tests of internal/front.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -426,7 +426,7 @@
 // admitted for time that this bucket was never refilled for.
 func (l *Limiter) ResetAfterStall(limits map[string]Limit, now time.Time) {
 	for _, a := range l.accounts {
-		a.bucket = bucket{level: min(0, a.bucket.level), at: now, periodic: true}
+		a.bucket = bucket{level: min(0, a.bucket.level), at: now, periodic: true, filled: true}
 		a.unpropagated, a.lastTight = 0, now
 	}
 	clear(l.instances)
