overload: settings, messages and types for decisions under load

Nothing uses the new fields yet: the messages and types come first, so that the parts can be written beside each other.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -18,6 +18,7 @@
 
 	"github.com/shelfcrank/shelfcrank/internal/clock"
 	"github.com/shelfcrank/shelfcrank/internal/fault"
+	"github.com/shelfcrank/shelfcrank/internal/loadreport"
 	"github.com/shelfcrank/shelfcrank/internal/netx"
 	"github.com/shelfcrank/shelfcrank/internal/notice"
 	"github.com/shelfcrank/shelfcrank/internal/ratelimit"
@@ -39,17 +40,10 @@
 	Close       bool   // the endpoint wants the connection closed
 	Notice      notice.Notice
 	RateLimit   ratelimit.Limit
-	Load        Load
+	Load        loadreport.Report
 	HasLoad     bool
 }
 
-// Load is the load of an endpoint when it responded.
-type Load struct {
-	Running int
-	Waiting int
-	Slots   int
-}
-
 // Call is one request to one endpoint.
 type Call struct {
 	Endpoint registry.Endpoint
@@ -90,6 +84,7 @@
 	protocol Protocol
 	notices  *notice.Table
 	limits   *ratelimit.Table
+	loads    *loadreport.Table
 	clock    *clock.Clock
 
 	mu        sync.Mutex
@@ -105,14 +100,15 @@
 type Options struct {
 	Net      netx.Network
 	Protocol Protocol
-	Notices  *notice.Table    // receives the notices in the endpoints' responses
-	Limits   *ratelimit.Table // receives the rate limits in the endpoints' responses
-	Clock    *clock.Clock     // may be nil
+	Notices  *notice.Table     // receives the notices in the endpoints' responses
+	Limits   *ratelimit.Table  // receives the rate limits in the endpoints' responses
+	Loads    *loadreport.Table // receives the load reports in the endpoints' responses; may be nil
+	Clock    *clock.Clock      // may be nil
 }
 
 // New returns a client without connections.
 func New(o Options) *Client {
-	return &Client{net: o.Net, clock: o.Clock, protocol: o.Protocol, notices: o.Notices, limits: o.Limits, endpoints: make(map[string]*connections)}
+	return &Client{net: o.Net, clock: o.Clock, protocol: o.Protocol, notices: o.Notices, limits: o.Limits, loads: o.Loads, endpoints: make(map[string]*connections)}
 }
 
 // errConnLimit reports that an endpoint already has the maximum number of connections.
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -42,6 +42,14 @@
 	Account       string   // client account, if it has a limit
 	Units         float64  // charged to the account's limit; 0 if they were charged for an earlier attempt
 	Trial         bool     // it goes to the version of the service that is on trial
+	OutputTokens  int      // upper bound
+	Priority      int      // 0 is the most urgent
+	// Payer is the client account whose fair share the request counts for, whether or not it has a limit.
+	Payer       string
+	Fingerprint uint64    // the same for a repetition of the request by its client; 0 if unknown
+	Target      time.Time // when the first event, or the answer, should come; zero if the route has no target
+	Latest      time.Time // after which a first event is of no use to the client
+	Attempted   bool      // the request was placed before, so that it is not refused for lack of capacity
 }
 
 // shared returns the number of tokens of the shared prefix, which is all parts but the last, and
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -30,6 +30,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/event"
 	"github.com/shelfcrank/shelfcrank/internal/forward"
 	"github.com/shelfcrank/shelfcrank/internal/hub"
+	"github.com/shelfcrank/shelfcrank/internal/loadreport"
 	"github.com/shelfcrank/shelfcrank/internal/metrics"
 	"github.com/shelfcrank/shelfcrank/internal/mirror"
 	"github.com/shelfcrank/shelfcrank/internal/netx"
@@ -102,6 +103,7 @@
 	backends        *backend.Client
 	notices         *notice.Table // what endpoints announced in their answers
 	limits          *ratelimit.Table
+	loads           *loadreport.Table // what endpoints reported of their load
 	tracker         *balance.Tracker
 	admission       *admission
 	elector         *duty.Elector
@@ -146,6 +148,7 @@
 	n.refreshed.Store(newSignal())
 	n.notices = notice.New(notice.Options{OnChange: n.onNotice, TimeOfDay: n.walltime.At})
 	n.limits = newLimits(n)
+	n.loads = loadreport.New()
 	n.bootstrap = newBootstrap(n)
 	n.placer = newPlacer(n)
 	n.suspects = newSuspects(n)
@@ -181,7 +184,7 @@
 	})
 	do.Provide(n.injector, func(do.Injector) (*peer.Transport, error) { return peer.New(o.Net, s.Name, nil, o.Clock), nil })
 	do.Provide(n.injector, func(do.Injector) (*backend.Client, error) {
-		return backend.New(backend.Options{Net: o.Net, Protocol: o.Protocol, Notices: n.notices, Limits: n.limits, Clock: o.Clock}), nil
+		return backend.New(backend.Options{Net: o.Net, Protocol: o.Protocol, Notices: n.notices, Limits: n.limits, Loads: n.loads, Clock: o.Clock}), nil
 	})
 	do.Provide(n.injector, func(do.Injector) (*balance.Tracker, error) { return balance.NewTracker(), nil })
 	do.Provide(n.injector, func(do.Injector) (*admission, error) { return newAdmission(n), nil })
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -26,6 +26,17 @@
 	// takes longer than that.
 	QuarantineS float64 `toml:"quarantine_s" help:"Time for which a request is not run after three endpoints ended while running it, in seconds; 0 for 60."`
 	Bounds      Bounds  `toml:"bounds" help:"Time limits and quotas that the deployment requires."`
+	// Overload applies to services whose endpoints report how long work takes at the moment.
+	Overload Overload `toml:"overload" help:"Decisions under load, for services whose endpoints report their slowdown; all off by default."`
+}
+
+// Overload turns on the decisions that are made when a service lacks the capacity for all requests.
+type Overload struct {
+	LoadReports  bool `toml:"load_reports" help:"Whether the load that endpoints report counts in the choice of an endpoint."`
+	Admission    bool `toml:"admission" help:"Whether hubs refuse requests that would not be served in time."`
+	FairShares   bool `toml:"fair_shares" help:"Whether a client account over its fair share is refused first; requires admission."`
+	Reservations bool `toml:"reservations" help:"Whether a refused client is given a time to return at which capacity is reserved for it; requires admission."`
+	PlainHubs    bool `toml:"plain_hubs" help:"Whether hubs also choose the endpoints of plain services."`
 }
 
 // defaultQuarantineS is the default of Front.QuarantineS.
@@ -118,6 +129,7 @@
 	c.requirePositive("bounds.lease_ms", s.Bounds.LeaseMs)
 	c.requirePositive("bounds.usage_window_s", s.Bounds.UsageWindowS)
 	c.requirePositive("bounds.retry_window_s", s.Bounds.RetryWindowS)
+	c.require("overload.admission", s.Overload.Admission || !s.Overload.FairShares && !s.Overload.Reservations)
 	c.requireDistinct(map[string]netip.AddrPort{
 		"front_address": s.Front, "ready_address": s.Ready, "peer_address": s.Peer, "metrics_address": s.Metrics,
 	})
--- a/internal/settings/front_test.go
+++ b/internal/settings/front_test.go
@@ -91,3 +91,13 @@
 	_, missing := lines["store_address"]
 	is.True(missing)
 }
+
+// Fair shares and reservations are parts of the admission decision: without it they would silently
+// have no effect.
+func TestOverloadPartsRequireAdmission(t *testing.T) {
+	is := is.New(t)
+	_, faults := loadFront(t, goodFront+"\n[overload]\nfair_shares = true\n")
+	is.Equal(len(faults), 1)
+	_, faults = loadFront(t, goodFront+"\n[overload]\nreservations = true\nadmission = true\n")
+	is.Equal(len(faults), 0)
+}
