--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -12,9 +12,15 @@
 
 // Score returns the weight of a name for the hash of a key. The name with the highest score owns
 // the key.
-func Score(key uint64, name string) uint64 {
+func Score(key uint64, name string) uint64 { return ScoreOf(key, Hash(name)) }
+
+// Hash returns the hash of a name for ScoreOf.
+func Hash(name string) uint64 { return xxhash.Sum64String(name) }
+
+// ScoreOf is Score for the hash of a name, for callers that score many keys with the same names.
+func ScoreOf(key, name uint64) uint64 {
 	// The finalizer of MurmurHash3: each bit of the input changes half of the output bits on average.
-	x := key ^ xxhash.Sum64String(name)
+	x := key ^ name
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
 	x ^= x >> 33
