balance: tell requests that hubs placed at plain services from those chosen locally

An instance reports its use of endpoints to the others. What a hub placed is known to that hub, while what the instance chose itself, because the hub did not answer, is not.

Two means would go wrong once hubs place plain requests. The instance's mean response time, on which the demand for endpoints rests, was learned from requests that it chose itself only and would stay at the initial 50 ms. The instance now learns from placed plain requests as well, and the scheduler of a hub adopts the mean of its instance, which measures only the endpoint (Tracker.MeanWork, AdoptWork); its own mean remains the basis of slowdowns, which compares like with like.

--- a/internal/balance/endpoint.go
+++ b/internal/balance/endpoint.go
@@ -23,6 +23,7 @@
 // endpointState is the state kept for one endpoint.
 type endpointState struct {
 	load                Load // of this instance's requests
+	placed              Load // the part of load whose endpoint a hub chose
 	slowdown            float64
 	slowdownUpdated     time.Time
 	failureRate         float64
--- a/internal/balance/ticket.go
+++ b/internal/balance/ticket.go
@@ -29,6 +29,7 @@
 	service      *serviceState
 	queued       int  // prompt tokens queued at the endpoint before this request
 	measured     bool // the times of this request count for the estimates
+	placed       bool // a hub chose the endpoint
 	interference float64
 	at           time.Time
 	readAt       time.Time
@@ -97,13 +98,20 @@
 	}
 }
 
+// release takes a part of the request's load off its endpoint. The caller holds the tracker's mu.
+func (k *Ticket) release(part Load) {
+	k.state.load = k.state.load.minus(part)
+	if k.placed {
+		k.state.placed = k.state.placed.minus(part)
+	}
+}
+
 func (k *Ticket) markRead(now time.Time, learn bool) {
 	if k.read {
 		return
 	}
 	k.read, k.readAt = true, now
-	k.state.load.Prompt -= k.Uncached
-	k.state.load.Interference = max(0, k.state.load.Interference-k.interference)
+	k.release(Load{Prompt: k.Uncached, Interference: k.interference})
 	if !learn || !k.measured {
 		return
 	}
@@ -114,7 +122,7 @@
 		k.state.slowdown, k.state.slowdownUpdated = slow+slowdownWeight*(ratio-slow), now
 	}
 	if !k.request.Engine {
-		k.service.work += serviceWeight * (took - k.service.work)
+		k.service.observeWork(took, now)
 	} else if float64(k.queued) <= maxQueuedShare*float64(k.Uncached) {
 		k.service.prefill.Observe(k.queued+k.Uncached, now.Sub(k.at))
 		k.tracker.combine(k.request.Service)
@@ -148,7 +156,7 @@
 	}
 	k.done = true
 	k.markRead(now, result == Answered && !k.request.Engine)
-	k.state.load.Open--
+	k.release(Load{Open: 1})
 	if k.request.Engine && k.request.Slots > 0 {
 		k.service.slotRate.Add(float64(now.Sub(k.readAt))/float64(k.request.Slots), demandWindow, now)
 	}
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -24,6 +24,11 @@
 	Interference float64
 }
 
+// minus returns the load without a part of it.
+func (u Load) minus(part Load) Load {
+	return Load{Open: u.Open - part.Open, Prompt: u.Prompt - part.Prompt, Interference: max(0, u.Interference-part.Interference)}
+}
+
 // Plus returns the sum of two loads.
 func (u Load) Plus(more Load) Load {
 	return Load{Open: u.Open + more.Open, Prompt: u.Prompt + more.Prompt, Interference: u.Interference + more.Interference}
@@ -31,8 +36,9 @@
 
 type serviceState struct {
 	estimator
-	engine   bool       // it has model endpoints
-	work     float64    // mean response time of a plain service, in nanoseconds
+	engine   bool    // it has model endpoints
+	work     float64 // mean response time of a plain service, in nanoseconds: measured, or adopted from another tracker
+	measured workEstimate
 	busyRate decay.Rate // nanoseconds of work requested per second
 	slotRate decay.Rate // nanoseconds per second that requests held a slot of a model endpoint, divided by its number of slots
 }
@@ -97,9 +103,9 @@
 		return nil, false
 	}
 	v := &candidates[best.Index]
-	k := t.count(v.Endpoint, r, best.Uncached, now)
+	k := t.count(v.Endpoint, r, best.Uncached, false, now)
 	k.Cost, k.queued, k.measured = best.Cost, v.Prompt, true
-	k.expected = service.work
+	k.expected = service.measured.mean
 	if r.Engine {
 		k.expected = float64(service.pace.FirstEventTime(k.Uncached)) + float64(v.Prompt)*service.pace.Token
 	}
@@ -109,25 +115,34 @@
 	return k, true
 }
 
-// CountPlaced counts a request at an endpoint that a hub has chosen for it. This instance knows
-// too little of the queue there for the request's times to count for the estimates.
+// CountPlaced counts a request at an endpoint that a hub has chosen for it. At model endpoints this
+// instance knows too little of the queue for the request's times to count for the estimates.
 func (t *Tracker) CountPlaced(s registry.Endpoint, r *Request, uncached int, now time.Time) *Ticket {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.service(r.Service).engine = r.Engine
-	return t.count(s, r, uncached, now)
+	service := t.service(r.Service)
+	service.engine = r.Engine
+	k := t.count(s, r, uncached, true, now)
+	if !r.Engine {
+		// Without these times the demand for the service and the choices that this instance makes while
+		// no hub answers would rest on initialWork.
+		k.measured, k.expected = true, service.measured.mean
+	}
+	return k
 }
 
-// count counts a request at an endpoint.
-func (t *Tracker) count(s registry.Endpoint, r *Request, uncached int, now time.Time) *Ticket {
+// count counts a request at an endpoint; placed reports whether a hub chose it.
+func (t *Tracker) count(s registry.Endpoint, r *Request, uncached int, placed bool, now time.Time) *Ticket {
 	st, service := t.endpoint(s.ID), t.service(r.Service)
-	k := &Ticket{Endpoint: s, Uncached: uncached, tracker: t, request: r, state: st, service: service, at: now}
+	k := &Ticket{Endpoint: s, Uncached: uncached, tracker: t, request: r, state: st, service: service, placed: placed, at: now}
 	if r.Engine {
 		k.interference = interference(r.Tokens)
 	}
-	st.load.Open++
-	st.load.Prompt += uncached
-	st.load.Interference += k.interference
+	load := Load{Open: 1, Prompt: uncached, Interference: k.interference}
+	st.load = st.load.Plus(load)
+	if placed {
+		st.placed = st.placed.Plus(load)
+	}
 	if k.interference >= longInterference {
 		st.longPromptAt = now.Add(service.pace.PrefillTime(uncached))
 	}
@@ -207,7 +222,7 @@
 func (t *Tracker) service(name string) *serviceState {
 	s := t.services[name]
 	if s == nil {
-		s = &serviceState{work: float64(initialWork), estimator: newEstimator()}
+		s = &serviceState{work: float64(initialWork), measured: workEstimate{mean: float64(initialWork)}, estimator: newEstimator()}
 		t.services[name] = s
 		t.combine(name)
 	}
@@ -262,6 +277,20 @@
 	return out
 }
 
+// LocalLoads returns the load of those of this instance's requests on each endpoint whose endpoint it
+// chose itself.
+func (t *Tracker) LocalLoads() map[string]Load {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make(map[string]Load)
+	for id, s := range t.endpoints {
+		if s.load.Open != s.placed.Open {
+			out[id] = s.load.minus(s.placed)
+		}
+	}
+	return out
+}
+
 // Forget drops the state of endpoints that are gone.
 func (t *Tracker) Forget(wanted func(endpoint string) bool) {
 	t.mu.Lock()
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -132,6 +132,15 @@
 // AdoptEstimates makes the scheduler use its instance's estimates of the endpoints.
 func (d *Scheduler) AdoptEstimates(estimates balance.Estimates) { d.tracker.AdoptEstimates(estimates) }
 
+// AdoptWork makes the scheduler use its instance's mean response times of plain services, by name.
+func (d *Scheduler) AdoptWork(means map[string]time.Duration) { d.tracker.AdoptWork(means) }
+
+// ApplyLoads applies the loads of requests whose endpoints other instances chose themselves, by
+// endpoint ID. They count until the next update from the same source or until a deadline.
+func (d *Scheduler) ApplyLoads(source string, loads map[string]balance.Load, until, now time.Time) {
+	d.tracker.Apply(source, balance.Update{Loads: loads}, until, now)
+}
+
 // Estimates returns the estimates from all requests that the scheduler placed.
 func (d *Scheduler) Estimates() balance.Estimates { return d.tracker.Estimates() }
 
