front: place requests to plain services through one hub

Each instance chose among the endpoints of a plain service by itself, from reports that are older than a request lasts, so that requests reached full endpoints while others had free slots. With overload.plain_hubs, and while the endpoints report a slowdown, an instance asks the hub of the request's partition for an offer. It chooses by itself after 70 ms or a quarter of the time left until the target.

Notes on plain requests are sent at once: gathered for 8 ms, they occupy the slot of a request of 15 ms for half as long again. Reports hold only the requests whose endpoints instances chose themselves, by request, and hubs add these to what they placed. A hub's scheduler adopts the mean response time of its instance, since its own includes two messages and Note has no field for the time at the endpoint.

Each of six faults planted by hand (mean not adopted, local loads not counted, all loads reported, notes gathered, backoff after any wait, late offers kept) failed one of the tests.

--- a/internal/front/digest.go
+++ b/internal/front/digest.go
@@ -231,10 +231,12 @@
 	return true
 }
 
-// locallyPlacedUses returns this instance's use of those endpoints for which it places requests
-// itself. The use of model engines is known to the hubs that place requests there.
+// locallyPlacedUses returns this instance's use of endpoints by requests that it placed itself. What
+// hubs placed is known to these hubs, which would count it twice. Model engines are left out
+// altogether. At plain services each request counts by how it was placed, so that the counts are right
+// also while hubs begin or stop placing requests there, and while a hub does not answer.
 func (n *Instance) locallyPlacedUses() map[string]balance.Load {
-	uses := n.tracker.Loads()
+	uses := n.tracker.LocalLoads()
 	v := n.view.Load()
 	if v.Config == nil {
 		return uses
@@ -247,7 +249,7 @@
 	return uses
 }
 
-// placedByHubs reports whether the hubs of a large fleet choose the endpoints for requests to a
+// placedByHubs reports whether the hubs of a large fleet choose the endpoints for all requests to a
 // service, which they do for model engines.
 func placedByHubs(s *policy.Service) bool { return s.Engine != nil }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -309,6 +309,7 @@
 		{"share", n.shareState},
 		{"tell", n.broadcastUses},
 		{"notes", n.placer.sendNotes},
+		{"plain notes", n.placer.sendPlainNotes},
 		{"suspects", n.suspects.sendUpdates},
 		{"elector", n.elector.Run},
 		{"usage", n.reportUsage},
--- a/internal/front/hubgroup.go
+++ b/internal/front/hubgroup.go
@@ -157,7 +157,9 @@
 // instance.
 func (n *Instance) applyReports(now time.Time) {
 	reports := n.groups.currentReports(now)
-	n.tracker.Apply(groupName(n.Settings.Name), sumReports(reports, ""), now.Add(minShareTTL), now)
+	sum := sumReports(reports, "")
+	n.tracker.Apply(groupName(n.Settings.Name), sum, now.Add(minShareTTL), now)
+	n.placer.applyGroupLoads(sum.Loads, now)
 	a := n.admission
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -194,6 +196,7 @@
 	n.groups.recordGroup(s, update, now)
 	n.applyRollouts(rollctl.AtHub, s, now)
 	n.applyUses(s.Node, update, now)
+	n.placer.applyLocalLoads(groupName(s.Node), update.Loads, now.Add(max(minShareTTL, shareTTLRounds*n.shareInterval())), now)
 	admitted, levels, runs := accountCounts(s.Accounts)
 	n.admission.mu.Lock()
 	defer n.admission.mu.Unlock()
--- a/internal/front/notes.go
+++ b/internal/front/notes.go
@@ -8,11 +8,12 @@
 	"github.com/shelfcrank/shelfcrank/internal/balance"
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
 	"github.com/shelfcrank/shelfcrank/internal/place"
+	"github.com/shelfcrank/shelfcrank/internal/topology"
 )
 
 // Times of notes to hubs. A note reports progress of a request that a hub placed.
 const (
-	noteBatchDelay = 8 * time.Millisecond // notes to one hub are sent in one call
+	noteBatchDelay = 8 * time.Millisecond // notes to one hub are sent in one call; those on plain requests at once, see plainNotes
 	noteTimeout    = 600 * time.Millisecond
 )
 
@@ -52,6 +53,10 @@
 		p.applyNote(note)
 		return
 	}
+	if o.plain {
+		p.plainNotes.add(o.hub.Name, note)
+		return
+	}
 	p.mu.Lock()
 	if queue := p.notes[o.hub.Name]; len(queue) < maxQueuedNotes {
 		p.notes[o.hub.Name] = append(queue, note)
@@ -82,13 +87,15 @@
 			if !hub.Addr.IsValid() {
 				continue // no longer a hub
 			}
-			wait.Go(func() {
-				call, cancel := context.WithTimeout(ctx, noteTimeout)
-				defer cancel()
-				// If the note is lost, the hub ends the request at its deadline.
-				_, _ = p.instance.peers.Call(call, hub.Addr, &peerpb.Call{Body: &peerpb.Call_Notes{Notes: &peerpb.Notes{Notes: notes}}})
-			})
+			wait.Go(func() { p.deliverNotes(ctx, hub, notes) })
 		}
 	}
 	return ctx.Err()
 }
+
+// deliverNotes sends notes to a hub. If they are lost, the hub ends the requests at their deadlines.
+func (p *placer) deliverNotes(ctx context.Context, hub topology.Member, notes []*peerpb.Note) {
+	ctx, cancel := context.WithTimeout(ctx, noteTimeout)
+	defer cancel()
+	_, _ = p.instance.peers.Call(ctx, hub.Addr, &peerpb.Call{Body: &peerpb.Call_Notes{Notes: &peerpb.Notes{Notes: notes}}})
+}
--- a/internal/front/offers.go
+++ b/internal/front/offers.go
@@ -149,11 +149,11 @@
 		if !ok {
 			return hubOffer{}, errNoEndpoint
 		}
-		return hubOffer{Offer: o, hub: hub}, nil
+		return hubOffer{Offer: o, hub: hub, plain: !r.Engine}, nil
 	}
 	q := &peerpb.Place{
 		Service: r.Service, Id: r.ID, Tokens: int64(r.Tokens), Avoid: r.Avoid, Slots: int64(r.Slots), Once: r.NonIdempotent, Away: r.HomeElsewhere,
-		Account: r.Account, Units: r.Units, Trial: r.Trial,
+		Account: r.Account, Units: r.Units, Trial: r.Trial, Plain: !r.Engine, Fingerprint: r.Fingerprint,
 		Left: int64(until.Sub(now)), Incarnation: p.instance.incarnation(),
 		Parts: lo.Map(r.Parts, func(part balance.Part, _ int) *peerpb.PromptPart {
 			return &peerpb.PromptPart{Id: part.ID, Tokens: int64(part.Tokens)}
@@ -170,7 +170,7 @@
 	if o.GetServer() == "" {
 		return hubOffer{}, errNoEndpoint
 	}
-	return hubOffer{Offer: place.Offer{Endpoint: o.Server, Cost: o.Cost, Uncached: int(o.Uncached), Ticket: o.Ticket}, hub: hub}, nil
+	return hubOffer{Offer: place.Offer{Endpoint: o.Server, Cost: o.Cost, Uncached: int(o.Uncached), Ticket: o.Ticket}, hub: hub, plain: !r.Engine}, nil
 }
 
 var errNoEndpoint = fault.New(fault.StepPeer, "", fault.KindLimit, fault.NotRun, "the hub has no endpoint to offer")
--- a/internal/front/placing.go
+++ b/internal/front/placing.go
@@ -18,8 +18,8 @@
 )
 
 // placer chooses the endpoint for a request. For the model engines of a fleet with hubs it
-// asks the hubs for offers; in small fleets and for other services it decides locally. It
-// implements forward.Placer.
+// asks the hubs for offers, and for plain services that hubs place (plain.go) one hub; in small
+// fleets and for other services it decides locally. It implements forward.Placer.
 type placer struct {
 	instance  *Instance
 	scheduler *place.Scheduler // requests that this instance placed as a hub
@@ -29,13 +29,15 @@
 	notes        map[string][]*peerpb.Note // to be sent, by name of the hub; guarded by mu
 	notesQueued  chan struct{}             // signals sendNotes; capacity 1
 
-	owned ownershipCache
+	owned      ownershipCache
+	partitions partitionCache
+	plainNotes *plainNotes
 }
 
 func newPlacer(n *Instance) *placer {
 	return &placer{
 		instance: n, scheduler: place.New(n.start), backoffUntil: make(map[string]time.Time),
-		notes: make(map[string][]*peerpb.Note), notesQueued: make(chan struct{}, 1),
+		notes: make(map[string][]*peerpb.Note), notesQueued: make(chan struct{}, 1), plainNotes: newPlainNotes(),
 	}
 }
 
@@ -43,6 +45,7 @@
 type hubOffer struct {
 	place.Offer
 	hub      topology.Member
+	plain    bool              // it is for a plain service
 	endpoint registry.Endpoint // as this instance knows it; set by bestOffer
 }
 
@@ -95,7 +98,10 @@
 		r = &q
 	}
 	hubs := p.instance.state.members.topology()
-	if !r.Engine || len(hubs.Hubs) == 0 {
+	if !r.Engine {
+		return p.placePlain(ctx, hubs, endpoints, r, until, now)
+	}
+	if len(hubs.Hubs) == 0 {
 		return p.pick(endpoints, r, now)
 	}
 	offers, refusal := p.offers(ctx, hubs, r, until)
@@ -162,6 +168,9 @@
 // candidates returns the endpoints that this hub may offer for a request. The endpoints of
 // a version on trial are few, so that every hub may offer all of them.
 func (p *placer) candidates(r *balance.Request) []registry.Endpoint {
+	if !r.Engine {
+		return p.plainCandidates(r)
+	}
 	if r.Trial {
 		return p.instance.view.Load().TrialEndpoints[r.Service]
 	}
@@ -172,7 +181,7 @@
 func (p *placer) servePlace(call *peerpb.Call, answer func(*peerpb.Answer) error) error {
 	q, now := call.GetPlace(), p.instance.Clock.Now()
 	r := &balance.Request{
-		Service: q.Service, ID: q.Id, Engine: true, Tokens: int(q.Tokens), Avoid: q.Avoid, Slots: int(q.Slots), NonIdempotent: q.Once, HomeElsewhere: q.Away, Trial: q.Trial,
+		Service: q.Service, ID: q.Id, Engine: !q.Plain, Fingerprint: q.Fingerprint, Tokens: int(q.Tokens), Avoid: q.Avoid, Slots: int(q.Slots), NonIdempotent: q.Once, HomeElsewhere: q.Away, Trial: q.Trial,
 		Parts: lo.Map(q.Parts, func(part *peerpb.PromptPart, _ int) balance.Part {
 			return balance.Part{ID: part.Id, Tokens: int(part.Tokens)}
 		}),
@@ -191,6 +200,7 @@
 func (p *placer) expire(wanted func(endpoint string) bool, now time.Time) {
 	p.instance.tracker.SetHubEstimates(p.scheduler.Estimates())
 	p.scheduler.AdoptEstimates(p.instance.tracker.CombinedEstimates())
+	p.scheduler.AdoptWork(p.instance.tracker.MeanWork(now))
 	members := map[string]bool{p.instance.Settings.Name: true}
 	for _, m := range p.instance.state.members.list() {
 		members[m.Name] = true
--- a/internal/front/world_test.go
+++ b/internal/front/world_test.go
@@ -165,6 +165,8 @@
 	rollouts   *rolloutEndpoints // set if the cluster has roll-outs
 	statements *endpointNotices  // announcements that endpoints make in their answers, and their effects
 
+	plainHubs bool                             // hubs place requests to plain services
+	queues    *endpointQueues                  // if set, endpoints have slots and queues
 	halls     int                              // number of halls that instances are spread over
 	endpoints int                              // number of endpoints
 	deaths    *endpointCrashes                 // endpoints that end while they work on a request
@@ -256,7 +258,7 @@
 
 // putEndpoint writes the entry of an endpoint, and returns its size.
 func (w *testCluster) putEndpoint(i int, leaving bool) int {
-	value, err := json.Marshal(registry.Endpoint{Service: "svc", Version: w.rollouts.version(i), Addr: addrOf(100+i, 80), Hall: "z", Leaving: leaving})
+	value, err := json.Marshal(registry.Endpoint{Service: "svc", Version: w.rollouts.version(i), Addr: addrOf(100+i, 80), Hall: "z", Slots: w.queues.slotCount(), Leaving: leaving})
 	if err != nil {
 		w.t.Fatal(err)
 	}
@@ -300,6 +302,13 @@
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if !w.queues.enter(endpoint) {
+		rw.Header().Set("Id", id)
+		rw.Header().Set("Not-Run", "1")
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer w.queues.leave(endpoint)
 	excused := w.excused(id)
 	w.mu.Lock()
 	w.runs[id]++
@@ -337,7 +346,8 @@
 func (w *testCluster) settings(name string, host int) settings.Front {
 	return settings.Front{
 		Name: name, Hall: w.hall(host), Front: addrOf(host, frontPort), Ready: addrOf(host, readyPort), Peer: addrOf(host, 8002), Metrics: addrOf(host, 8003), StoreWritesPerSecond: float64(w.storeWrites),
-		Bounds: settings.Bounds{RevokeMs: 5000, StrictRevoke: !w.lenientRevoke, ConfigMs: 2000, StoreRefusedExtraMs: 5000, DrainMs: 2000, GraceS: 8, RetryRatio: 0.2, RetrySlack: 50, RetryWindowS: 10, LeaseMs: 3000, UsageWindowS: 5, UsageLateS: 10, QuotaWindowS: 8, QuotaOver: w.quotaOver, ExposeShare: w.rollouts.share(), ExposeSlack: exposeSlack},
+		Overload: settings.Overload{PlainHubs: w.plainHubs},
+		Bounds:   settings.Bounds{RevokeMs: 5000, StrictRevoke: !w.lenientRevoke, ConfigMs: 2000, StoreRefusedExtraMs: 5000, DrainMs: 2000, GraceS: 8, RetryRatio: 0.2, RetrySlack: 50, RetryWindowS: 10, LeaseMs: 3000, UsageWindowS: 5, UsageLateS: 10, QuotaWindowS: 8, QuotaOver: w.quotaOver, ExposeShare: w.rollouts.share(), ExposeSlack: exposeSlack},
 	}
 }
 
