--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/matryer/is"
 
 	"github.com/shelfcrank/shelfcrank/internal/fault"
+	"github.com/shelfcrank/shelfcrank/internal/loadreport"
 	"github.com/shelfcrank/shelfcrank/internal/netx"
 	"github.com/shelfcrank/shelfcrank/internal/notice"
 	"github.com/shelfcrank/shelfcrank/internal/ratelimit"
@@ -27,8 +29,12 @@
 
 type testProtocol struct{}
 
-func (testProtocol) Answer(_ int, h http.Header) Answer {
-	return Answer{RequestID: h.Get("Id"), Sealed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != ""}
+func (testProtocol) Answer(status int, h http.Header) Answer {
+	a := Answer{RequestID: h.Get("Id"), Sealed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest}
+	if running, err := strconv.Atoi(h.Get("Running")); err == nil {
+		a.Load, a.HasLoad = loadreport.Report{Running: running}, true
+	}
+	return a
 }
 
 // answerTo is a complete response to a request.
@@ -38,7 +44,7 @@
 
 func newClient(mem *netx.Mem) *Client {
 	return New(Options{
-		Net: mem.Site("instance"), Protocol: testProtocol{}, Notices: notice.New(notice.Options{}), Limits: ratelimit.New(ratelimit.Options{}),
+		Net: mem.Site("instance"), Protocol: testProtocol{}, Notices: notice.New(notice.Options{}), Limits: ratelimit.New(ratelimit.Options{}), Loads: loadreport.New(),
 	})
 }
 
@@ -151,6 +157,30 @@
 	})
 }
 
+// Guards against reports that are dropped or dated wrongly, and against the load of another endpoint
+// that has the address now: its answer is a 421.
+func TestLoadReportsAreRecorded(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T, is *is.I) {
+		withLoad := func(answer, running string) string {
+			return strings.Replace(answer, "\r\nSeal", "\r\nRunning: "+running+"\r\nSeal", 1)
+		}
+		moved := strings.Replace(withLoad(answerTo("3", "three"), "9"), "200 OK", "421 Misdirected Request", 1)
+		c, _ := startEndpoint(t, []string{withLoad(answerTo("1", "one"), "4"), answerTo("2", "two"), moved, withLoad(answerTo("4", "four"), "5")})
+		var reported []loadreport.Report
+		for _, id := range []string{"1", "2", "3", "4"} {
+			at := time.Now()
+			_, err := send(t, c, id)
+			is.NoErr(err)
+			s := c.loads.State("s", time.Now())
+			is.Equal(s.Age == 0, id == "1" || id == "4")
+			is.True(time.Since(at) > 0)
+			reported = append(reported, s.Report)
+		}
+		is.Equal(reported, []loadreport.Report{{Running: 4}, {Running: 4}, {Running: 4}, {Running: 5}})
+		c.CloseIdle()
+	})
+}
+
 func TestBytesAfterAnAnswerEndTheConnection(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T, is *is.I) {
 		c, conns := startEndpoint(t, []string{answerTo("1", "one") + answerTo("1", "one")}, []string{answerTo("2", "two")})
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -133,6 +133,9 @@
 			now := x.client.clock.Now()
 			x.client.notices.Observe(x.endpoint, a.Notice, now)
 			x.client.limits.Observe(x.endpoint.ID, a.RateLimit, x.sentAt, now)
+			if a.HasLoad && x.client.loads != nil {
+				x.client.loads.Observe(&x.endpoint, a.Load, now)
+			}
 		}
 		if a.RequestID != "" && a.RequestID != call.ID {
 			x.noReuse = true // the order of responses on this connection is unknown now
