balance: count the slowdown that endpoints report, and keep their speeds

An endpoint's expected times were multiplied by an average of its recent response times that has a half-life of 6 s. Disturbances of 600 ms are over before that average shows them, and a speed of 0.6 or 1.6 that never changes is forgotten. Where an endpoint reports a slowdown, its expected times are now multiplied by the slowdown reported at the moment and by a factor of its own, learned with the slowdown divided out and kept with a half-life of two minutes.

The own factor is the ratio of two averages: of the time from the previous prompt's first event to this one's, since prompts are processed one after the other, and of that expected. A response time also counts for the pace of the service as that of an average endpoint.

The part that an endpoint has probably processed no longer counts where it reports its slowdown.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -160,7 +160,7 @@
 // cost estimates how long a request would wait at an endpoint, plus a penalty for the risk that
 // it fails there.
 func (v *Candidate) cost(r *Request, uncached int) float64 {
-	slots := float64(cmp.Or(r.Slots, v.Endpoint.Slots))
+	slots := v.slots(r)
 	var t time.Duration
 	if r.Engine {
 		t = time.Duration(float64(v.Prompt+uncached)*v.Pace.Token + v.Open*float64(openPenalty))
@@ -179,6 +179,9 @@
 	return cost + penalty
 }
 
+// slots returns how many requests the endpoint handles at once; 0 if that is unknown.
+func (v *Candidate) slots(r *Request) float64 { return float64(cmp.Or(r.Slots, v.Endpoint.Slots)) }
+
 func avoided(r *Request, id string) bool {
 	for _, a := range r.Avoid {
 		if a == id {
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -244,7 +244,7 @@
 			k.Done(result, now) // the second call has no effect
 		}
 		for id, s := range tr.endpoints {
-			if s.load.Open != 0 || s.load.Prompt != 0 || s.load.Interference > 1e-9 {
+			if s.load.Open != 0 || s.load.Prompt != 0 || s.unread != 0 || s.load.Interference > 1e-9 {
 				t.Fatalf("%s: %+v", id, s.load)
 			}
 		}
--- a/internal/balance/endpoint.go
+++ b/internal/balance/endpoint.go
@@ -25,6 +25,10 @@
 	load                Load // of this instance's requests
 	slowdown            float64
 	slowdownUpdated     time.Time
+	own                 ownFactor // used in place of slowdown where the endpoint reports its slowdown
+	unread              int       // requests of this instance whose prompts are not processed
+	startedAt           time.Time // when the endpoint began with the prompt that it processes, as far as is known
+	startSlowdown       float64   // reported then; 0 if none was
 	failureRate         float64
 	failureUpdated      time.Time
 	consecutiveFailures int
--- a/internal/balance/ticket.go
+++ b/internal/balance/ticket.go
@@ -33,6 +33,8 @@
 	at           time.Time
 	readAt       time.Time
 	expected     float64 // nanoseconds
+	slowdown     float64 // reported by the endpoint before the request was sent; 0 if none was
+	unclear      bool    // the time contains an unknown wait, so that it does not count for the endpoint's own factor
 	read         bool
 	done         bool
 	observers    []Observer
@@ -102,9 +104,16 @@
 		return
 	}
 	k.read, k.readAt = true, now
+	k.state.unread--
 	k.state.load.Prompt -= k.Uncached
 	k.state.load.Interference = max(0, k.state.load.Interference-k.interference)
-	if !learn || !k.measured {
+	if !learn {
+		return
+	}
+	from, before := k.processedFrom()
+	reported := k.tracker.reportedFor(k, now)
+	k.state.startedAt, k.state.startSlowdown = now, reported
+	if !k.measured {
 		return
 	}
 	took := float64(now.Sub(k.at))
@@ -113,10 +122,14 @@
 		slow := k.state.slowdownAt(now)
 		k.state.slowdown, k.state.slowdownUpdated = slow+slowdownWeight*(ratio-slow), now
 	}
+	usual := took
+	if reported > 0 {
+		usual *= k.learnOwn(from, before, reported, now)
+	}
 	if !k.request.Engine {
-		k.service.work += serviceWeight * (took - k.service.work)
+		k.service.work += serviceWeight * (usual - k.service.work)
 	} else if float64(k.queued) <= maxQueuedShare*float64(k.Uncached) {
-		k.service.prefill.Observe(k.queued+k.Uncached, now.Sub(k.at))
+		k.service.prefill.Observe(k.queued+k.Uncached, time.Duration(usual))
 		k.tracker.combine(k.request.Service)
 	}
 }
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/shelfcrank/shelfcrank/internal/decay"
+	"github.com/shelfcrank/shelfcrank/internal/loadreport"
 	"github.com/shelfcrank/shelfcrank/internal/registry"
 )
 
@@ -31,10 +32,11 @@
 
 type serviceState struct {
 	estimator
-	engine   bool       // it has model endpoints
-	work     float64    // mean response time of a plain service, in nanoseconds
-	busyRate decay.Rate // nanoseconds of work requested per second
-	slotRate decay.Rate // nanoseconds per second that requests held a slot of a model endpoint, divided by its number of slots
+	engine     bool       // it has model endpoints
+	meanFactor float64    // own factor times reported slowdown, mean over the requests; 1 if no slowdown is reported
+	work       float64    // mean response time of a plain service, in nanoseconds
+	busyRate   decay.Rate // nanoseconds of work requested per second
+	slotRate   decay.Rate // nanoseconds per second that requests held a slot of a model endpoint, divided by its number of slots
 }
 
 // Demand is the work that was recently requested of a service, as a number of fully used
@@ -70,14 +72,25 @@
 	hubEstimates   Estimates                 // what this instance measured as a hub; guarded by mu
 	remoteLoads    map[string]Load           // sums over the remotes, by endpoint ID; guarded by mu
 	updateInterval float64                   // mean nanoseconds between two updates of an instance; guarded by mu
+	loads          *loadreport.Table         // nil if load reports do not count
 }
 
+// Option configures a Tracker.
+type Option func(*Tracker)
+
+// WithLoadReports makes the slowdown that endpoints report count in choices. A nil table has no effect.
+func WithLoadReports(loads *loadreport.Table) Option { return func(t *Tracker) { t.loads = loads } }
+
 // NewTracker returns a tracker without any state.
-func NewTracker() *Tracker {
-	return &Tracker{
+func NewTracker(options ...Option) *Tracker {
+	t := &Tracker{
 		endpoints: make(map[string]*endpointState), services: make(map[string]*serviceState),
 		remotes: make(map[string]remote), remoteLoads: make(map[string]Load), longPrompts: make(chan struct{}, 1),
 	}
+	for _, option := range options {
+		option(t)
+	}
+	return t
 }
 
 // Pick chooses an endpoint and counts the request there. The second result is false if there is
@@ -89,8 +102,9 @@
 	service.engine = r.Engine
 	shared, hash := r.shared()
 	candidates := make([]Candidate, 0, len(endpoints))
+	reporting := t.reporting(r.Service, now)
 	for _, s := range endpoints {
-		candidates = append(candidates, t.candidate(s, service, hash, now))
+		candidates = append(candidates, t.candidate(s, service, hash, reporting, now))
 	}
 	best := Choose(candidates, r)
 	if best.Index < 0 {
@@ -99,6 +113,10 @@
 	v := &candidates[best.Index]
 	k := t.count(v.Endpoint, r, best.Uncached, now)
 	k.Cost, k.queued, k.measured = best.Cost, v.Prompt, true
+	if reporting {
+		k.slowdown = t.reportedSlowdown(v.Endpoint.ID, now)
+		k.unclear = k.waitUnknown(v, t.remoteLoads[v.Endpoint.ID].Prompt)
+	}
 	k.expected = service.work
 	if r.Engine {
 		k.expected = float64(service.pace.FirstEventTime(k.Uncached)) + float64(v.Prompt)*service.pace.Token
@@ -125,6 +143,10 @@
 	if r.Engine {
 		k.interference = interference(r.Tokens)
 	}
+	if st.unread == 0 {
+		st.startedAt, st.startSlowdown = now, 0
+	}
+	st.unread++
 	st.load.Open++
 	st.load.Prompt += uncached
 	st.load.Interference += k.interference
@@ -172,13 +194,20 @@
 	return sum
 }
 
-func (t *Tracker) candidate(s registry.Endpoint, service *serviceState, hash uint64, now time.Time) Candidate {
+func (t *Tracker) candidate(s registry.Endpoint, service *serviceState, hash uint64, reporting bool, now time.Time) Candidate {
 	st := t.endpoint(s.ID)
 	others := t.remoteLoads[s.ID]
 	seen, known := st.prefixes[hash]
+	slowdown, processed := st.slowdownAt(now), 0
+	if reporting {
+		if reported := t.reportedSlowdown(s.ID, now); reported > 0 {
+			slowdown = st.own.at(now) * reported
+			processed = st.processed(slowdown*service.pace.Token, now)
+		}
+	}
 	return Candidate{
-		Endpoint: s, Open: float64(st.load.Open) + t.remoteOpen(others.Open, service), Prompt: st.load.Prompt + others.Prompt, Interference: st.load.Interference + others.Interference,
-		Slowdown: st.slowdownAt(now), FailureRate: st.failureRateAt(now), Ejected: now.Before(st.ejectedUntil),
+		Endpoint: s, Open: float64(st.load.Open) + t.remoteOpen(others.Open, service), Prompt: st.load.Prompt + others.Prompt - processed, Interference: st.load.Interference + others.Interference,
+		Slowdown: slowdown, FailureRate: st.failureRateAt(now), Ejected: now.Before(st.ejectedUntil),
 		HasPrefix: known && now.Sub(seen) < prefixTTL,
 		Work:      time.Duration(service.work), Pace: service.pace, Risk: service.risk,
 	}
@@ -207,7 +236,7 @@
 func (t *Tracker) service(name string) *serviceState {
 	s := t.services[name]
 	if s == nil {
-		s = &serviceState{work: float64(initialWork), estimator: newEstimator()}
+		s = &serviceState{work: float64(initialWork), meanFactor: 1, estimator: newEstimator()}
 		t.services[name] = s
 		t.combine(name)
 	}
