front, place: count load reports, and pass them on to hubs with the progress notes

Both trackers of an instance use the table of reports if load_reports is on: its own and that of its scheduler, to which place.New gets it. An endpoint's answers reach the instance that sent the request, not the hub that chose for it. The notes that tell the hub of the request's progress now carry the endpoint's latest report, with its age when the note is sent, unless the hub was sent it before or it is older than 2 s. The hub subtracts the age from its own clock and ignores a report older than the one it has. It records the report before the progress, from which it learns the endpoint's speed. Notes carry reports if any key of [overload] is on.

Tests in virtual time: a hub has the follower's report, dated 0 to 3 ms later; none is sent with all keys off; an overtaken note replaces nothing.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -186,7 +186,9 @@
 	do.Provide(n.injector, func(do.Injector) (*backend.Client, error) {
 		return backend.New(backend.Options{Net: o.Net, Protocol: o.Protocol, Notices: n.notices, Limits: n.limits, Loads: n.loads, Clock: o.Clock}), nil
 	})
-	do.Provide(n.injector, func(do.Injector) (*balance.Tracker, error) { return balance.NewTracker(), nil })
+	do.Provide(n.injector, func(do.Injector) (*balance.Tracker, error) {
+		return balance.NewTracker(balance.WithLoadReports(n.balancedLoads())), nil
+	})
 	do.Provide(n.injector, func(do.Injector) (*admission, error) { return newAdmission(n), nil })
 	do.Provide(n.injector, func(do.Injector) (*duty.Elector, error) {
 		return duty.New(duty.Options{
@@ -203,6 +205,15 @@
 	})
 }
 
+// balancedLoads returns the table of the loads that count in the choice of an endpoint, nil if they do
+// not count.
+func (n *Instance) balancedLoads() *loadreport.Table {
+	if !n.Settings.Overload.LoadReports {
+		return nil
+	}
+	return n.loads
+}
+
 // Store keys below OwnPrefix. Keys below live/ are watched by all instances; the others change
 // too often to be watched.
 const (
@@ -349,6 +360,7 @@
 			n.notices.Expire(n.isListedName(), now)
 			n.limits.Expire(used, now)
 			n.tracker.Forget(used)
+			n.loads.Forget(used)
 			n.placer.expire(used, now)
 			n.suspects.expire(used, now)
 			n.peers.CloseIdle(now)
--- a/internal/front/notes.go
+++ b/internal/front/notes.go
@@ -6,16 +6,26 @@
 	"time"
 
 	"github.com/shelfcrank/shelfcrank/internal/balance"
+	"github.com/shelfcrank/shelfcrank/internal/loadreport"
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
 	"github.com/shelfcrank/shelfcrank/internal/place"
+	"github.com/shelfcrank/shelfcrank/internal/settings"
 )
 
 // Times of notes to hubs. A note reports progress of a request that a hub placed.
 const (
 	noteBatchDelay = 8 * time.Millisecond // notes to one hub are sent in one call
 	noteTimeout    = 600 * time.Millisecond
+	// An older load report is not sent: the longest half-life of a reported slowdown is as long.
+	maxSentReportAge = 2 * time.Second
 )
 
+// queuedNote is a note to be sent about a request at an endpoint.
+type queuedNote struct {
+	*peerpb.Note
+	endpoint string // ID
+}
+
 // serveNotes applies notes that an instance sends to this hub.
 func (p *placer) serveNotes(notes []*peerpb.Note, answer func(*peerpb.Answer) error) error {
 	for _, note := range notes {
@@ -24,11 +34,26 @@
 	return answer(&peerpb.Answer{Body: &peerpb.Answer_Done{Done: &peerpb.Done{}}})
 }
 
-// applyNote applies a note to a request that this hub placed.
+// applyNote applies a note to a request that this hub placed. The load report comes first, since the
+// slowdown counts in what is learned from the progress.
 func (p *placer) applyNote(note *peerpb.Note) {
+	if l := note.Load; l != nil {
+		p.applyReport(note.Ticket, l)
+	}
 	p.scheduler.Update(place.Progress{Ticket: note.Ticket, PromptRead: note.Read, Done: note.Done, Result: balance.Result(note.Result)}, p.instance.Clock.Now())
 }
 
+// applyReport records what the endpoint of a request that this hub placed reported to the instance that
+// sent the request.
+func (p *placer) applyReport(ticket uint64, l *peerpb.LoadReport) {
+	endpoint, open := p.scheduler.Endpoint(ticket)
+	if !open {
+		return // ended at its deadline, or its instance is gone
+	}
+	at := p.instance.Clock.Now().Add(-max(0, time.Duration(l.Age)))
+	p.instance.loads.Observe(&endpoint, loadreport.Report{Running: int(l.Running), Waiting: int(l.Waiting), Slots: int(l.Slots), Slowdown: l.Slowdown}, at)
+}
+
 // noteObserver reports the progress of a request to the hub that placed it. It implements
 // balance.Observer.
 type noteObserver struct {
@@ -54,7 +79,7 @@
 	}
 	p.mu.Lock()
 	if queue := p.notes[o.hub.Name]; len(queue) < maxQueuedNotes {
-		p.notes[o.hub.Name] = append(queue, note)
+		p.notes[o.hub.Name] = append(queue, queuedNote{note, o.Endpoint})
 	}
 	p.mu.Unlock()
 	select {
@@ -71,17 +96,25 @@
 func (p *placer) sendNotes(ctx context.Context) error {
 	var wait sync.WaitGroup
 	defer wait.Wait()
+	sent := make(sentReports)
 	for awaitSignal(ctx, p.notesQueued) && p.instance.Clock.Sleep(ctx, noteBatchDelay) {
 		p.mu.Lock()
 		all := p.notes
-		p.notes = make(map[string][]*peerpb.Note, len(all))
+		p.notes = make(map[string][]queuedNote, len(all))
 		p.mu.Unlock()
 		hubs := p.instance.state.members.topology()
-		for name, notes := range all {
+		now := p.instance.Clock.Now()
+		sent.expire(now)
+		for name, queue := range all {
 			hub := hubs.Hub(name)
 			if !hub.Addr.IsValid() {
 				continue // no longer a hub
 			}
+			notes := make([]*peerpb.Note, 0, len(queue))
+			for _, q := range queue {
+				q.Load = p.reportFor(name, q.endpoint, sent, now)
+				notes = append(notes, q.Note)
+			}
 			wait.Go(func() {
 				call, cancel := context.WithTimeout(ctx, noteTimeout)
 				defer cancel()
@@ -92,3 +125,32 @@
 	}
 	return ctx.Err()
 }
+
+// sentReports holds the times of the latest load reports that were sent to hubs.
+type sentReports map[sentReport]time.Time
+
+type sentReport struct{ hub, endpoint string }
+
+// expire drops the times of reports that are too old to be sent again.
+func (s sentReports) expire(now time.Time) {
+	for key, at := range s {
+		if now.Sub(at) > maxSentReportAge {
+			delete(s, key)
+		}
+	}
+}
+
+// reportFor returns the latest load report of an endpoint, nil if it is too old or the hub has been sent
+// it before.
+func (p *placer) reportFor(hub, endpoint string, sent sentReports, now time.Time) *peerpb.LoadReport {
+	if p.instance.Settings.Overload == (settings.Overload{}) {
+		return nil
+	}
+	r, at, known := p.instance.loads.Latest(endpoint)
+	key := sentReport{hub, endpoint}
+	if !known || now.Sub(at) > maxSentReportAge || !at.After(sent[key]) {
+		return nil
+	}
+	sent[key] = at
+	return &peerpb.LoadReport{Running: int64(r.Running), Waiting: int64(r.Waiting), Slots: int64(r.Slots), Slowdown: r.Slowdown, Age: int64(max(0, now.Sub(at)))}
+}
--- a/internal/front/placing.go
+++ b/internal/front/placing.go
@@ -25,17 +25,17 @@
 	scheduler *place.Scheduler // requests that this instance placed as a hub
 
 	mu           sync.Mutex
-	backoffUntil map[string]time.Time      // when hubs that did not answer are asked again; guarded by mu
-	notes        map[string][]*peerpb.Note // to be sent, by name of the hub; guarded by mu
-	notesQueued  chan struct{}             // signals sendNotes; capacity 1
+	backoffUntil map[string]time.Time    // when hubs that did not answer are asked again; guarded by mu
+	notes        map[string][]queuedNote // to be sent, by name of the hub; guarded by mu
+	notesQueued  chan struct{}           // signals sendNotes; capacity 1
 
 	owned ownershipCache
 }
 
 func newPlacer(n *Instance) *placer {
 	return &placer{
-		instance: n, scheduler: place.New(n.start), backoffUntil: make(map[string]time.Time),
-		notes: make(map[string][]*peerpb.Note), notesQueued: make(chan struct{}, 1),
+		instance: n, scheduler: place.New(n.start, n.balancedLoads()), backoffUntil: make(map[string]time.Time),
+		notes: make(map[string][]queuedNote), notesQueued: make(chan struct{}, 1),
 	}
 }
 
--- a/internal/front/world_test.go
+++ b/internal/front/world_test.go
@@ -22,6 +22,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/clocktest"
 	"github.com/shelfcrank/shelfcrank/internal/duty"
 	"github.com/shelfcrank/shelfcrank/internal/forward"
+	"github.com/shelfcrank/shelfcrank/internal/loadreport"
 	"github.com/shelfcrank/shelfcrank/internal/netx"
 	"github.com/shelfcrank/shelfcrank/internal/policy"
 	"github.com/shelfcrank/shelfcrank/internal/ratelimit"
@@ -42,6 +43,10 @@
 	if text := h.Get("Limit"); text != "" {
 		a.RateLimit = ratelimit.Parse(text)
 	}
+	if r := (loadreport.Report{}); h.Get("Load") != "" {
+		_, err := fmt.Sscanf(h.Get("Load"), "%d,%d,%d,%g", &r.Running, &r.Waiting, &r.Slots, &r.Slowdown)
+		a.Load, a.HasLoad = r, err == nil
+	}
 	if backoff, err := time.ParseDuration(h.Get("Rest")); err == nil && status == http.StatusServiceUnavailable {
 		a.Notice.Backoff = backoff
 	}
@@ -169,6 +174,8 @@
 	endpoints int                              // number of endpoints
 	deaths    *endpointCrashes                 // endpoints that end while they work on a request
 	limits    *rateLimits                      // rate limits that endpoints announce
+	overload  settings.Overload                // settings of the instances
+	report    string                           // load that endpoints report in their answers; empty for none
 	hosts     map[string]*clocktest.TimeSource // hosts of the instances if these can be suspended; else nil
 	restarts  sync.WaitGroup                   // restarts of endpoints that ended
 }
@@ -324,6 +331,9 @@
 	w.rollouts.served(endpoint)
 	rw.Header().Set("Id", id)
 	rw.Header().Set("Seal", "of "+endpoint)
+	if w.report != "" {
+		rw.Header().Set("Load", w.report)
+	}
 	w.limits.answers(endpoint, id, rw.Header(), time.Now())
 	if fails {
 		rw.WriteHeader(http.StatusInternalServerError)
@@ -336,7 +346,7 @@
 
 func (w *testCluster) settings(name string, host int) settings.Front {
 	return settings.Front{
-		Name: name, Hall: w.hall(host), Front: addrOf(host, frontPort), Ready: addrOf(host, readyPort), Peer: addrOf(host, 8002), Metrics: addrOf(host, 8003), StoreWritesPerSecond: float64(w.storeWrites),
+		Name: name, Hall: w.hall(host), Front: addrOf(host, frontPort), Ready: addrOf(host, readyPort), Peer: addrOf(host, 8002), Metrics: addrOf(host, 8003), StoreWritesPerSecond: float64(w.storeWrites), Overload: w.overload,
 		Bounds: settings.Bounds{RevokeMs: 5000, StrictRevoke: !w.lenientRevoke, ConfigMs: 2000, StoreRefusedExtraMs: 5000, DrainMs: 2000, GraceS: 8, RetryRatio: 0.2, RetrySlack: 50, RetryWindowS: 10, LeaseMs: 3000, UsageWindowS: 5, UsageLateS: 10, QuotaWindowS: 8, QuotaOver: w.quotaOver, ExposeShare: w.rollouts.share(), ExposeSlack: exposeSlack},
 	}
 }
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -15,6 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/shelfcrank/shelfcrank/internal/balance"
+	"github.com/shelfcrank/shelfcrank/internal/loadreport"
 	"github.com/shelfcrank/shelfcrank/internal/registry"
 	"github.com/shelfcrank/shelfcrank/internal/rendezvous"
 )
@@ -58,10 +59,10 @@
 }
 
 // New returns a scheduler without open requests. Its tickets differ from those of a scheduler that
-// was started earlier.
-func New(start time.Time) *Scheduler {
+// was started earlier. The loads that endpoints report count unless the table is nil.
+func New(start time.Time, loads *loadreport.Table) *Scheduler {
 	return &Scheduler{
-		tracker: balance.NewTracker(), lastTicket: uint64(start.UnixNano()),
+		tracker: balance.NewTracker(balance.WithLoadReports(loads)), lastTicket: uint64(start.UnixNano()),
 		open: make(map[uint64]openRequest), incarnations: make(map[string]int64),
 	}
 }
@@ -129,6 +130,17 @@
 	}
 }
 
+// Endpoint returns the endpoint of an open request.
+func (d *Scheduler) Endpoint(ticket uint64) (registry.Endpoint, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	h, ok := d.open[ticket]
+	if !ok {
+		return registry.Endpoint{}, false
+	}
+	return h.ticket.Endpoint, true
+}
+
 // AdoptEstimates makes the scheduler use its instance's estimates of the endpoints.
 func (d *Scheduler) AdoptEstimates(estimates balance.Estimates) { d.tracker.AdoptEstimates(estimates) }
 
