balance: damp reported factors in the choice, and start a prompt after an answer without a stream

A test in virtual time that plays uneven endpoints behind two hubs showed two faults of the choice with reports. Engines also answer without a stream; their prompts counted as unread until the answer, and the next one as processed since long ago, so that queues seemed shorter than they were. The answer now counts as the start of the next prompt. The cost now uses the factor to the power of 0.7 where a slowdown is reported; Candidate.Slowdown remains exact.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -74,6 +74,7 @@
 	Prompt       int           // prompt tokens not processed yet, from all instances
 	Interference float64       // by the prompts not processed yet with streams, from all instances; see func interference
 	Slowdown     float64       // ratio of its response times to those expected; 1 is usual
+	Reports      bool          // the endpoint reports its slowdown; Slowdown is that times the endpoint's own factor
 	FailureRate  float64       // recent share of failures, from 0 to 1
 	Ejected      bool          // after consecutive failures: gets no requests unless all others are ejected too
 	HasPrefix    bool          // this instance recently sent the shared prefix there
@@ -96,6 +97,7 @@
 	delayedPenalty      = 250 * time.Millisecond // for a stream beside a long prompt, at full risk
 	recomputeFactor     = 2.0                    // multiplies the processing time of uncached prompt tokens, on top of the waiting time: processing them costs money besides time
 	plainJitterShare    = 0.5                    // random part of the cost at plain services, as a fraction of the response time
+	reportedExponent    = 0.7                    // of a factor that includes a reported slowdown: if each request went to where it ends first, fast endpoints would have queues while slow ones are idle
 	engineJitter        = 25 * time.Millisecond  // maximum random part of the cost at model endpoints: instances that decide at the same time have the same data
 )
 
@@ -168,7 +170,11 @@
 	} else {
 		t = time.Duration(float64(v.Work) * (1 + v.Open/max(1, slots)))
 	}
-	cost := float64(t) * v.Slowdown
+	slowdown := v.Slowdown
+	if v.Reports {
+		slowdown = math.Pow(slowdown, reportedExponent)
+	}
+	cost := float64(t) * slowdown
 	if slots > 0 && v.Open >= slots {
 		cost += float64(fullPenalty) * (1 + v.Open - slots) / slots
 	}
--- a/internal/balance/reported_test.go
+++ b/internal/balance/reported_test.go
@@ -235,6 +235,38 @@
 	is.True(got(now.Add(time.Minute))["s0"] >= 10)
 }
 
+// Guards against a queue that seems shorter than it is: an answer that is no stream shows only at its end
+// that the endpoint has processed the prompt, and the next prompt has been processed since then at most.
+func TestOnlyThePromptUnderWayCountsAsProcessedInPart(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	loads := loadreport.New()
+	tr := NewTracker(WithLoadReports(loads))
+	all := endpoints(1)
+	var tickets []*Ticket
+	for i := range 3 {
+		k, _ := tr.Pick(all, prompt(fmt.Sprint(i), 1000, ""), now)
+		tickets = append(tickets, k)
+	}
+	queued := func(after time.Duration) int {
+		at := now.Add(after)
+		loads.Observe(&all[0], loadreport.Report{Slots: 4, Slowdown: 1}, at)
+		return tr.candidate(all[0], tr.service("llm"), 0, true, at).Prompt
+	}
+	is.Equal(queued(0), 3000)
+	is.Equal(queued(8*time.Millisecond), 2500) // 16 µs each
+	is.Equal(queued(time.Second), 2000)
+	tickets[0].Done(Answered, now.Add(time.Second))
+	is.Equal(queued(time.Second), 2000)
+	tickets[1].PromptRead(now.Add(time.Second))
+	is.Equal(queued(time.Second), 1000)
+	tickets[1].Done(Answered, now.Add(2*time.Second))
+	left := queued(time.Second + 8*time.Millisecond)
+	is.True(left > 0 && left < 1000) // at the speed learned from the one before
+	tickets[2].Done(Cancelled, now.Add(2*time.Second))
+	is.Equal(queued(2*time.Second), 0)
+}
+
 // Guards against costs that are zero or infinite after a faulty report.
 func TestAReportedSlowdownIsBounded(t *testing.T) {
 	is := is.New(t)
--- a/internal/balance/ticket.go
+++ b/internal/balance/ticket.go
@@ -160,6 +160,9 @@
 		return false
 	}
 	k.done = true
+	if !k.read && result == Answered {
+		k.state.startedAt, k.state.startSlowdown = now, 0
+	}
 	k.markRead(now, result == Answered && !k.request.Engine)
 	k.state.load.Open--
 	if k.request.Engine && k.request.Slots > 0 {
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -198,16 +198,16 @@
 	st := t.endpoint(s.ID)
 	others := t.remoteLoads[s.ID]
 	seen, known := st.prefixes[hash]
-	slowdown, processed := st.slowdownAt(now), 0
+	slowdown, reports, processed := st.slowdownAt(now), false, 0
 	if reporting {
 		if reported := t.reportedSlowdown(s.ID, now); reported > 0 {
-			slowdown = st.own.at(now) * reported
+			slowdown, reports = st.own.at(now)*reported, true
 			processed = st.processed(slowdown*service.pace.Token, now)
 		}
 	}
 	return Candidate{
 		Endpoint: s, Open: float64(st.load.Open) + t.remoteOpen(others.Open, service), Prompt: st.load.Prompt + others.Prompt - processed, Interference: st.load.Interference + others.Interference,
-		Slowdown: slowdown, FailureRate: st.failureRateAt(now), Ejected: now.Before(st.ejectedUntil),
+		Slowdown: slowdown, Reports: reports, FailureRate: st.failureRateAt(now), Ejected: now.Before(st.ejectedUntil),
 		HasPrefix: known && now.Sub(seen) < prefixTTL,
 		Work:      time.Duration(service.work), Pace: service.pace, Risk: service.risk,
 	}
--- a/internal/front/placing_test.go
+++ b/internal/front/placing_test.go
@@ -16,11 +16,14 @@
 )
 
 // configureEngines configures the world's service as one of model engines.
-func (w *testCluster) configureEngines(version int64) {
+func (w *testCluster) configureEngines(version int64) { w.configureEnginesFor(version, policy.Safe) }
+
+// configureEnginesFor configures the world's service as one of model engines with a route of a kind.
+func (w *testCluster) configureEnginesFor(version int64, kind policy.Kind) {
 	c := policy.Config{
 		Version: version, Accounts: []policy.Account{{Name: "north", Keys: []string{"k1"}, Rate: w.rate, Burst: w.burst}},
 		Routes: []policy.Route{{
-			Name: "safe", Host: testHost, Prefix: "/safe/", Kind: policy.Safe, Timeout: 3 * time.Second, MaxAttempts: 2,
+			Name: "safe", Host: testHost, Prefix: "/safe/", Kind: kind, Timeout: 3 * time.Second, MaxAttempts: 2,
 			Split: []policy.Share{{Service: "svc", Weight: 1}},
 		}},
 		Services: []policy.Service{{Name: "svc", Engine: &policy.Engine{Slots: 4}}},
--- a/internal/front/world_test.go
+++ b/internal/front/world_test.go
@@ -55,6 +55,9 @@
 
 func (testPlatform) Request(h http.Header) forward.Meta {
 	m := forward.Meta{ID: h.Get("Id"), Key: h.Get("Key")}
+	if n, err := strconv.Atoi(h.Get("Tokens")); err == nil {
+		m.HasTokens, m.PromptTokens = true, n
+	}
 	if ms, err := strconv.Atoi(h.Get("Deadline")); err == nil {
 		m.Timeout, m.HasTimeout = time.Duration(ms)*time.Millisecond, true
 	}
@@ -175,6 +178,7 @@
 	deaths    *endpointCrashes                 // endpoints that end while they work on a request
 	limits    *rateLimits                      // rate limits that endpoints announce
 	overload  settings.Overload                // settings of the instances
+	uneven    *unevenEndpoints                 // set if endpoints process prompts at different speeds
 	report    string                           // load that endpoints report in their answers; empty for none
 	hosts     map[string]*clocktest.TimeSource // hosts of the instances if these can be suspended; else nil
 	restarts  sync.WaitGroup                   // restarts of endpoints that ended
@@ -335,6 +339,10 @@
 		rw.Header().Set("Load", w.report)
 	}
 	w.limits.answers(endpoint, id, rw.Header(), time.Now())
+	if w.uneven != nil {
+		w.uneven.serve(endpoint, r, rw)
+		return
+	}
 	if fails {
 		rw.WriteHeader(http.StatusInternalServerError)
 	}
