--- a/internal/loadreport/loadreport_test.go
+++ b/internal/loadreport/loadreport_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -132,7 +133,7 @@
 	table.Observe(endpoint("a"), Report{Running: 1, Slots: 4}, start)
 	is.True(!table.Reporting("llm", start))
 	table.Observe(endpoint("a"), Report{Slowdown: 1}, after(100))
-	table.Observe(endpoint("b"), Report{Slowdown: 1}, start) // later to arrive, but older
+	table.Observe(endpoint("b"), Report{Slowdown: 1}, start) // arrives later, but is older
 	is.True(table.Reporting("llm", after(100).Add(reportingFor)))
 	is.True(!table.Reporting("llm", after(101).Add(reportingFor)))
 	is.True(!table.Reporting("other", after(100)))
@@ -141,6 +142,28 @@
 	is.Equal(len(table.services), 0)
 }
 
+// Guards against unguarded state, with the race detector: answers arrive while requests are placed and
+// endpoints are dropped.
+func TestATableIsSafeForConcurrentUse(t *testing.T) {
+	table := New()
+	var wait sync.WaitGroup
+	for i := range 4 {
+		wait.Go(func() {
+			for j := range 500 {
+				id := fmt.Sprint(j % 10)
+				table.Observe(endpoint(id), Report{Slowdown: 1 + float64(i)}, after(j))
+				table.State(id, after(j))
+				table.Latest(id)
+				table.Reporting("llm", after(j))
+				if j%50 == 0 {
+					table.Forget(func(id string) bool { return id != "3" })
+				}
+			}
+		})
+	}
+	wait.Wait()
+}
+
 // One read and one Reporting of a table with the reports of 2,300 endpoints.
 func BenchmarkTable(b *testing.B) {
 	table := New()
