--- a/internal/balance/endpoint.go
+++ b/internal/balance/endpoint.go
@@ -26,6 +26,10 @@
 	placed              Load // the part of load whose endpoint a hub chose
 	slowdown            float64
 	slowdownUpdated     time.Time
+	own                 ownFactor // used in place of slowdown where the endpoint reports its slowdown
+	unread              int       // requests of this instance whose prompts are not processed
+	startedAt           time.Time // when the endpoint began with the prompt that it processes, as far as is known
+	startSlowdown       float64   // reported then; 0 if none was
 	failureRate         float64
 	failureUpdated      time.Time
 	consecutiveFailures int
--- a/internal/balance/ticket.go
+++ b/internal/balance/ticket.go
@@ -34,6 +34,8 @@
 	at           time.Time
 	readAt       time.Time
 	expected     float64 // nanoseconds
+	slowdown     float64 // reported by the endpoint before the request was sent; 0 if none was
+	unclear      bool    // the time contains an unknown wait, so that it does not count for the endpoint's own factor
 	read         bool
 	done         bool
 	observers    []Observer
@@ -111,8 +113,15 @@
 		return
 	}
 	k.read, k.readAt = true, now
+	k.state.unread--
 	k.release(Load{Prompt: k.Uncached, Interference: k.interference})
-	if !learn || !k.measured {
+	if !learn {
+		return
+	}
+	from, before := k.processedFrom()
+	reported := k.tracker.reportedFor(k, now)
+	k.state.startedAt, k.state.startSlowdown = now, reported
+	if !k.measured {
 		return
 	}
 	took := float64(now.Sub(k.at))
@@ -121,10 +130,14 @@
 		slow := k.state.slowdownAt(now)
 		k.state.slowdown, k.state.slowdownUpdated = slow+slowdownWeight*(ratio-slow), now
 	}
+	usual := took
+	if reported > 0 {
+		usual *= k.learnOwn(from, before, reported, now)
+	}
 	if !k.request.Engine {
-		k.service.observeWork(took, now)
+		k.service.observeWork(usual, now)
 	} else if float64(k.queued) <= maxQueuedShare*float64(k.Uncached) {
-		k.service.prefill.Observe(k.queued+k.Uncached, now.Sub(k.at))
+		k.service.prefill.Observe(k.queued+k.Uncached, time.Duration(usual))
 		k.tracker.combine(k.request.Service)
 	}
 }
@@ -155,6 +168,9 @@
 		return false
 	}
 	k.done = true
+	if !k.read && result == Answered {
+		k.state.startedAt, k.state.startSlowdown = now, 0
+	}
 	k.markRead(now, result == Answered && !k.request.Engine)
 	k.release(Load{Open: 1})
 	if k.request.Engine && k.request.Slots > 0 {
--- a/internal/balance/work_test.go
+++ b/internal/balance/work_test.go
@@ -58,7 +58,7 @@
 	work := func() (work time.Duration, slowdown float64) {
 		hub.mu.Lock()
 		defer hub.mu.Unlock()
-		v := hub.candidate(registry.Endpoint{ID: "a"}, hub.service("plain"), 0, now)
+		v := hub.candidate(registry.Endpoint{ID: "a"}, hub.service("plain"), 0, false, now)
 		return v.Work, v.Slowdown
 	}
 	mean, slowdown := work()
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -9,7 +9,6 @@
 
 	"github.com/shelfcrank/shelfcrank/internal/balance"
 	"github.com/shelfcrank/shelfcrank/internal/forward"
-	"github.com/shelfcrank/shelfcrank/internal/peerpb"
 	"github.com/shelfcrank/shelfcrank/internal/place"
 	"github.com/shelfcrank/shelfcrank/internal/registry"
 	"github.com/shelfcrank/shelfcrank/internal/topology"
@@ -218,16 +217,16 @@
 // half as long again.
 type plainNotes struct {
 	mu     sync.Mutex
-	byHub  map[string][]*peerpb.Note // by name of the hub; guarded by mu
-	queued chan struct{}             // signals send; capacity 1
+	byHub  map[string][]queuedNote // by name of the hub; guarded by mu
+	queued chan struct{}           // signals send; capacity 1
 }
 
 func newPlainNotes() *plainNotes {
-	return &plainNotes{byHub: make(map[string][]*peerpb.Note), queued: make(chan struct{}, 1)}
+	return &plainNotes{byHub: make(map[string][]queuedNote), queued: make(chan struct{}, 1)}
 }
 
 // add queues a note without blocking.
-func (q *plainNotes) add(hub string, note *peerpb.Note) {
+func (q *plainNotes) add(hub string, note queuedNote) {
 	q.mu.Lock()
 	if len(q.byHub[hub]) < maxQueuedNotes {
 		q.byHub[hub] = append(q.byHub[hub], note)
@@ -240,11 +239,11 @@
 }
 
 // take removes and returns all queued notes.
-func (q *plainNotes) take() map[string][]*peerpb.Note {
+func (q *plainNotes) take() map[string][]queuedNote {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	all := q.byHub
-	q.byHub = make(map[string][]*peerpb.Note, len(all))
+	q.byHub = make(map[string][]queuedNote, len(all))
 	return all
 }
 
@@ -253,9 +252,12 @@
 	var wait sync.WaitGroup
 	defer wait.Wait()
 	calls := make(chan struct{}, maxPlainNoteCalls)
+	sent := make(sentReports)
 	for awaitSignal(ctx, p.plainNotes.queued) {
 		hubs := p.instance.state.members.topology()
-		for name, notes := range p.plainNotes.take() {
+		now := p.instance.Clock.Now()
+		sent.expire(now)
+		for name, queue := range p.plainNotes.take() {
 			hub := hubs.Hub(name)
 			if !hub.Addr.IsValid() {
 				continue // no longer a hub
@@ -265,6 +267,7 @@
 			case <-ctx.Done():
 				return ctx.Err()
 			}
+			notes := p.withReports(name, queue, sent, now)
 			wait.Go(func() {
 				p.deliverNotes(ctx, hub, notes)
 				<-calls
--- a/internal/front/plain_test.go
+++ b/internal/front/plain_test.go
@@ -78,7 +78,9 @@
 }
 
 // withPlainHubs lets hubs place requests to plain services.
-func withPlainHubs(on bool) func(*testCluster) { return func(w *testCluster) { w.plainHubs = on } }
+func withPlainHubs(on bool) func(*testCluster) {
+	return func(w *testCluster) { w.overload.PlainHubs = on }
+}
 
 // withQueues gives a number of endpoints slots and queues.
 func withQueues(endpoints, slots, queue int) func(*testCluster) {
--- a/internal/front/world_test.go
+++ b/internal/front/world_test.go
@@ -22,6 +22,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/clocktest"
 	"github.com/shelfcrank/shelfcrank/internal/duty"
 	"github.com/shelfcrank/shelfcrank/internal/forward"
+	"github.com/shelfcrank/shelfcrank/internal/loadreport"
 	"github.com/shelfcrank/shelfcrank/internal/netx"
 	"github.com/shelfcrank/shelfcrank/internal/policy"
 	"github.com/shelfcrank/shelfcrank/internal/ratelimit"
@@ -42,6 +43,10 @@
 	if text := h.Get("Limit"); text != "" {
 		a.RateLimit = ratelimit.Parse(text)
 	}
+	if r := (loadreport.Report{}); h.Get("Load") != "" {
+		_, err := fmt.Sscanf(h.Get("Load"), "%d,%d,%d,%g", &r.Running, &r.Waiting, &r.Slots, &r.Slowdown)
+		a.Load, a.HasLoad = r, err == nil
+	}
 	if backoff, err := time.ParseDuration(h.Get("Rest")); err == nil && status == http.StatusServiceUnavailable {
 		a.Notice.Backoff = backoff
 	}
@@ -50,6 +55,9 @@
 
 func (testPlatform) Request(h http.Header) forward.Meta {
 	m := forward.Meta{ID: h.Get("Id"), Key: h.Get("Key")}
+	if n, err := strconv.Atoi(h.Get("Tokens")); err == nil {
+		m.HasTokens, m.PromptTokens = true, n
+	}
 	if ms, err := strconv.Atoi(h.Get("Deadline")); err == nil {
 		m.Timeout, m.HasTimeout = time.Duration(ms)*time.Millisecond, true
 	}
@@ -165,12 +173,14 @@
 	rollouts   *rolloutEndpoints // set if the cluster has roll-outs
 	statements *endpointNotices  // announcements that endpoints make in their answers, and their effects
 
-	plainHubs bool                             // hubs place requests to plain services
 	queues    *endpointQueues                  // if set, endpoints have slots and queues
 	halls     int                              // number of halls that instances are spread over
 	endpoints int                              // number of endpoints
 	deaths    *endpointCrashes                 // endpoints that end while they work on a request
 	limits    *rateLimits                      // rate limits that endpoints announce
+	overload  settings.Overload                // settings of the instances
+	uneven    *unevenEndpoints                 // set if endpoints process prompts at different speeds
+	report    string                           // load that endpoints report in their answers; empty for none
 	hosts     map[string]*clocktest.TimeSource // hosts of the instances if these can be suspended; else nil
 	restarts  sync.WaitGroup                   // restarts of endpoints that ended
 }
@@ -333,7 +343,14 @@
 	w.rollouts.served(endpoint)
 	rw.Header().Set("Id", id)
 	rw.Header().Set("Seal", "of "+endpoint)
+	if w.report != "" {
+		rw.Header().Set("Load", w.report)
+	}
 	w.limits.answers(endpoint, id, rw.Header(), time.Now())
+	if w.uneven != nil {
+		w.uneven.serve(endpoint, r, rw)
+		return
+	}
 	if fails {
 		rw.WriteHeader(http.StatusInternalServerError)
 	}
@@ -345,9 +362,8 @@
 
 func (w *testCluster) settings(name string, host int) settings.Front {
 	return settings.Front{
-		Name: name, Hall: w.hall(host), Front: addrOf(host, frontPort), Ready: addrOf(host, readyPort), Peer: addrOf(host, 8002), Metrics: addrOf(host, 8003), StoreWritesPerSecond: float64(w.storeWrites),
-		Overload: settings.Overload{PlainHubs: w.plainHubs},
-		Bounds:   settings.Bounds{RevokeMs: 5000, StrictRevoke: !w.lenientRevoke, ConfigMs: 2000, StoreRefusedExtraMs: 5000, DrainMs: 2000, GraceS: 8, RetryRatio: 0.2, RetrySlack: 50, RetryWindowS: 10, LeaseMs: 3000, UsageWindowS: 5, UsageLateS: 10, QuotaWindowS: 8, QuotaOver: w.quotaOver, ExposeShare: w.rollouts.share(), ExposeSlack: exposeSlack},
+		Name: name, Hall: w.hall(host), Front: addrOf(host, frontPort), Ready: addrOf(host, readyPort), Peer: addrOf(host, 8002), Metrics: addrOf(host, 8003), StoreWritesPerSecond: float64(w.storeWrites), Overload: w.overload,
+		Bounds: settings.Bounds{RevokeMs: 5000, StrictRevoke: !w.lenientRevoke, ConfigMs: 2000, StoreRefusedExtraMs: 5000, DrainMs: 2000, GraceS: 8, RetryRatio: 0.2, RetrySlack: 50, RetryWindowS: 10, LeaseMs: 3000, UsageWindowS: 5, UsageLateS: 10, QuotaWindowS: 8, QuotaOver: w.quotaOver, ExposeShare: w.rollouts.share(), ExposeSlack: exposeSlack},
 	}
 }
 
