place: a hub refuses requests that are not admitted

Scheduler.Offer asks an Admission, which overload.Controller satisfies, with the forecast for the best endpoint. It does not ask if the request was placed before or if the endpoints of the service do not report their slowdown. A refusal counts nothing at the endpoint and carries the inputs of the decision. The version on trial counts as a service of its own.

--- a/internal/front/placing.go
+++ b/internal/front/placing.go
@@ -34,7 +34,7 @@
 
 func newPlacer(n *Instance) *placer {
 	return &placer{
-		instance: n, scheduler: place.New(n.start), backoffUntil: make(map[string]time.Time),
+		instance: n, scheduler: place.New(n.start, n.loads), backoffUntil: make(map[string]time.Time),
 		notes: make(map[string][]*peerpb.Note), notesQueued: make(chan struct{}, 1),
 	}
 }
--- /dev/null
+++ b/internal/place/admission.go
@@ -0,0 +1,100 @@
+package place
+
+import (
+	"sync"
+	"time"
+
+	"github.com/shelfcrank/shelfcrank/internal/balance"
+	"github.com/shelfcrank/shelfcrank/internal/overload"
+	"github.com/shelfcrank/shelfcrank/internal/registry"
+)
+
+// Admission decides whether a request is admitted, given how it would be served. Scheduler makes
+// one call at a time. *overload.Controller implements it.
+type Admission interface {
+	Decide(r overload.Request, f overload.Forecast, now time.Time) overload.Decision
+}
+
+// Refusal is why a request was refused for lack of capacity, and the forecast that the decision is
+// based on.
+type Refusal struct {
+	overload.Decision
+	overload.Forecast
+	ReportAge time.Duration // of the load report of the endpoint that was forecast; 0 if there is none
+}
+
+// admission is the use of an Admission by a scheduler.
+type admission struct {
+	weight func(account string) float64
+
+	mu     sync.Mutex
+	decide Admission // guarded by mu
+}
+
+// SetAdmission makes the scheduler refuse requests that are not admitted. weight returns the weight
+// of a client account's fair share. It must be called before the first offer.
+func (d *Scheduler) SetAdmission(a Admission, weight func(account string) float64) {
+	d.admission = &admission{weight: weight, decide: a}
+}
+
+// mayRefuse reports whether a request may be refused for lack of capacity: not if it was placed
+// before, nor if the endpoints of its service do not report how long work takes there.
+func (d *Scheduler) mayRefuse(r *balance.Request, now time.Time) bool {
+	return d.admission != nil && !r.Attempted && d.loads != nil && d.loads.Reporting(r.Service, now)
+}
+
+// pick chooses an endpoint and counts the request there. It returns nil if there is no endpoint for
+// the request, with a refusal if the request was refused.
+func (d *Scheduler) pick(endpoints []registry.Endpoint, r *balance.Request, now time.Time) (*balance.Ticket, *Refusal) {
+	if !d.mayRefuse(r, now) {
+		ticket, _ := d.tracker.Pick(endpoints, r, now)
+		return ticket, nil
+	}
+	var refusal *Refusal
+	ticket, _ := d.tracker.PickIf(endpoints, r, now, func(f balance.Forecast) bool {
+		forecast := forecastOf(r, f, now)
+		decision := d.admission.ask(requestOf(r, f), forecast, now)
+		if !decision.Admitted {
+			refusal = &Refusal{decision, forecast, f.ReportAge}
+		}
+		return decision.Admitted
+	})
+	return ticket, refusal
+}
+
+func (a *admission) ask(r overload.Request, f overload.Forecast, now time.Time) overload.Decision {
+	r.Weight = a.weight(r.Account)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.decide.Decide(r, f, now)
+}
+
+// requestOf returns the properties of a request that its admission depends on. The version on trial
+// has its own endpoints, so that it counts as a service of its own.
+func requestOf(r *balance.Request, f balance.Forecast) overload.Request {
+	q := overload.Request{
+		Service: r.Service, Account: r.Payer, Priority: r.Priority, Work: 1,
+		Target: r.Target, Latest: r.Latest, Fingerprint: r.Fingerprint,
+	}
+	if r.Engine {
+		q.Work = float64(max(1, f.Uncached))
+	}
+	if r.Trial {
+		q.Service += " on trial"
+	}
+	return q
+}
+
+// forecastOf converts a forecast to times. A request would be in time as soon as the queue is shorter
+// by the time that it would be late now. A request without a target is late if it is of no use.
+func forecastOf(r *balance.Request, f balance.Forecast, now time.Time) overload.Forecast {
+	out := overload.Forecast{FirstAt: now.Add(f.First), RoomAt: now, Occupancy: f.Occupancy, Waiting: f.Waiting}
+	due := r.Target
+	if due.IsZero() {
+		due = r.Latest
+	}
+	if late := out.FirstAt.Sub(due); !due.IsZero() && late > 0 {
+		out.RoomAt = now.Add(late)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/place/bench_test.go
@@ -0,0 +1,58 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shelfcrank/shelfcrank/internal/loadreport"
+	"github.com/shelfcrank/shelfcrank/internal/overload"
+)
+
+// admitAll admits every request.
+type admitAll struct{}
+
+func (admitAll) Decide(overload.Request, overload.Forecast, time.Time) overload.Decision {
+	return overload.Decision{Admitted: true}
+}
+
+// BenchmarkOffer measures an offer of a hub in a deployment with 2,300 endpoints, of which the hub
+// owns 40 to 400: without a decision on the request, with one at 1,000 offers a second, and with one
+// at 100 a second, each of which sums the load of all endpoints again.
+func BenchmarkOffer(b *testing.B) {
+	const total, open = 2300, 8
+	all := endpoints(total)
+	for _, owned := range []int{40, 383, 400} {
+		for _, between := range []time.Duration{0, time.Millisecond, 10 * time.Millisecond} {
+			b.Run(fmt.Sprintf("owned=%d/decided_every=%s", owned, between), func(b *testing.B) {
+				loads := loadreport.New()
+				for i := range all {
+					loads.Observe(&all[i], loadreport.Report{Running: 3, Slots: 16, Slowdown: 1}, start)
+				}
+				d, now, served := New(start, loads), start, 0
+				if between > 0 {
+					d.SetAdmission(admitAll{}, func(string) float64 { return 1 })
+				}
+				requester := Requester{"a", 1}
+				r := prompt("x")
+				var tickets []uint64
+				b.ReportAllocs()
+				for b.Loop() {
+					o, ok := d.Offer(requester, all[:owned], r, now.Add(time.Minute), now)
+					if !ok {
+						b.Fatal("no offer")
+					}
+					if tickets = append(tickets, o.Ticket); len(tickets) > open*owned {
+						d.Update(Progress{Ticket: tickets[0], Done: true}, now)
+						tickets = tickets[1:]
+					}
+					// Reports have to stay recent to count.
+					e := &all[served%owned]
+					served++
+					loads.Observe(e, loadreport.Report{Running: 3, Slots: 16, Slowdown: 1}, now)
+					now = now.Add(between)
+				}
+			})
+		}
+	}
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -15,6 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/shelfcrank/shelfcrank/internal/balance"
+	"github.com/shelfcrank/shelfcrank/internal/loadreport"
 	"github.com/shelfcrank/shelfcrank/internal/registry"
 	"github.com/shelfcrank/shelfcrank/internal/rendezvous"
 )
@@ -22,9 +23,10 @@
 // Offer is the best of a hub's endpoints for a request. The request counts there until it is done.
 type Offer struct {
 	Endpoint string
-	Cost     float64 // see balance.Choice
-	Uncached int     // prompt tokens that the endpoint probably has to process, as they are not in its cache
-	Ticket   uint64  // identifies the request in progress reports
+	Cost     float64  // see balance.Choice
+	Uncached int      // prompt tokens that the endpoint probably has to process, as they are not in its cache
+	Ticket   uint64   // identifies the request in progress reports
+	Refusal  *Refusal // set instead of the other fields if the request was refused for lack of capacity
 }
 
 // Progress reports the progress of a request that was placed.
@@ -49,7 +51,9 @@
 
 // Scheduler places requests on the endpoints of one hub.
 type Scheduler struct {
-	tracker *balance.Tracker
+	tracker   *balance.Tracker
+	loads     *loadreport.Table // may be nil
+	admission *admission        // nil if no request is refused for lack of capacity
 
 	mu           sync.Mutex
 	lastTicket   uint64                 // guarded by mu
@@ -58,21 +62,22 @@
 }
 
 // New returns a scheduler without open requests. Its tickets differ from those of a scheduler that
-// was started earlier.
-func New(start time.Time) *Scheduler {
+// was started earlier. loads holds what endpoints reported of their load; it may be nil.
+func New(start time.Time, loads *loadreport.Table) *Scheduler {
 	return &Scheduler{
-		tracker: balance.NewTracker(), lastTicket: uint64(start.UnixNano()),
+		tracker: balance.NewTracker(loads), loads: loads, lastTicket: uint64(start.UnixNano()),
 		open: make(map[uint64]openRequest), incarnations: make(map[string]int64),
 	}
 }
 
 // Offer places a request of an instance on the best of the endpoints. The request counts there
-// until it is done, or until a deadline.
+// until it is done, or until a deadline. The second result is false if there is no endpoint for it,
+// or if it is refused.
 func (d *Scheduler) Offer(requester Requester, endpoints []registry.Endpoint, r *balance.Request, until, now time.Time) (Offer, bool) {
 	d.observeIncarnation(requester, now)
-	ticket, ok := d.tracker.Pick(endpoints, r, now)
-	if !ok {
-		return Offer{}, false
+	ticket, refusal := d.pick(endpoints, r, now)
+	if ticket == nil {
+		return Offer{Refusal: refusal}, false
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -28,7 +28,7 @@
 // Requests of many instances that know nothing of each other are spread evenly over the endpoints.
 func TestASchedulerKnowsAllThatItPlaced(t *testing.T) {
 	is := is.New(t)
-	d := New(start)
+	d := New(start, nil)
 	got := make(map[string]int)
 	for i := range 24 {
 		o, ok := d.Offer(Requester{fmt.Sprint("n", i), 1}, endpoints(6), prompt(fmt.Sprint(i)), start.Add(time.Minute), start)
@@ -43,7 +43,7 @@
 
 func TestEndedRequestsNoLongerCount(t *testing.T) {
 	is := is.New(t)
-	d := New(start)
+	d := New(start, nil)
 	all := func(string) bool { return true }
 	offer := func(instance string, incarnation int64) Offer {
 		o, ok := d.Offer(Requester{instance, incarnation}, endpoints(1), prompt("x"), start.Add(time.Minute), start)
