forward: a refusal for lack of capacity, and what hubs decide by

A hub that refuses a request needs what the choice of an endpoint did not: priority, target, until when a first event is of use, the account that pays, and a fingerprint by which it recognizes the client's repetition.

OverloadError becomes a 503 with Retry-After, and its log line has the inputs of the decision. The error matches ErrNoEndpoint, so that a request refused at the endpoints of a version on trial is placed on the others.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -187,6 +187,10 @@
 	if errors.As(err, &limit) {
 		return overLimitDenial(q, limit.Verdict, h.Clock.Now())
 	}
+	var overloaded *OverloadError
+	if errors.As(err, &overloaded) {
+		return h.overloadDenial(q, overloaded)
+	}
 	var throttled *ThrottledError
 	if errors.As(err, &throttled) {
 		// A client that retries sooner may reach another instance, which may have an endpoint for it.
@@ -202,10 +206,11 @@
 		Service: q.service, Route: q.route.Name, ID: q.meta.ID, Tokens: q.meta.PromptTokens, Parts: q.meta.Parts,
 		Avoid: q.chosen, NonIdempotent: !q.route.Idempotent(),
 	}
+	h.setScheduling(b, q)
 	if s != nil && s.Engine != nil {
 		b.Engine, b.Slots = true, s.Engine.Slots
 	}
-	if q.account != nil && q.account.Rate > 0 && len(q.chosen) == 0 && !q.answered {
+	if q.account != nil && q.account.Rate > 0 && !b.Attempted {
 		b.Account, b.Units = q.account.Name, q.units
 	}
 	return b
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -97,7 +97,8 @@
 }
 
 // Placer chooses an endpoint for a request and counts the request there until the ticket is
-// done or until its deadline. Its errors are ErrNoEndpoint, ThrottledError and LimitError.
+// done or until its deadline. Its errors are ErrNoEndpoint, ThrottledError, LimitError and
+// OverloadError.
 type Placer interface {
 	Place(ctx context.Context, endpoints []registry.Endpoint, r *balance.Request, until, now time.Time) (*balance.Ticket, error)
 }
@@ -142,6 +143,8 @@
 	// route or an API key that it does not contain is definitely rejected. After it, such
 	// requests get a temporary error instead.
 	ConfigFreshFor time.Duration
+	// Fingerprints tells whether requests get a fingerprint, by which hubs recognize repetitions.
+	Fingerprints bool
 }
 
 // Handler is the http.Handler that forwards requests to endpoints.
--- /dev/null
+++ b/internal/forward/scheduling.go
@@ -0,0 +1,100 @@
+package forward
+
+import (
+	"encoding/binary"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"github.com/shelfcrank/shelfcrank/internal/balance"
+	"github.com/shelfcrank/shelfcrank/internal/policy"
+)
+
+// OverloadError reports that a request was refused for lack of capacity before any endpoint got a
+// part of it, with the inputs of the decision.
+type OverloadError struct {
+	Hub       string // the hub that refused it
+	Reason    string
+	RetryAt   time.Time     // when the client should return; zero if the hub told no time
+	FirstAt   time.Time     // when the first event, or the answer, would have come
+	Occupancy float64       // share of the slots of the hub's endpoints that were taken
+	Waiting   int           // requests that waited for a slot there
+	ReportAge time.Duration // of the endpoint's load report that counted; 0 if there was none
+	Returned  bool          // the client returned after a refusal
+}
+
+// Error implements error.
+func (e *OverloadError) Error() string { return "refused for lack of capacity: " + e.Reason }
+
+// Unwrap makes the error match ErrNoEndpoint.
+func (e *OverloadError) Unwrap() error { return ErrNoEndpoint }
+
+// overloadDenial is the denial for a request that was refused for lack of capacity. If the hub told
+// no time, the client gets the longest of the usual waits: without one it would return at once.
+func (h *Handler) overloadDenial(q *request, e *OverloadError) *denial {
+	wait := waitNoEndpoint
+	var retry time.Duration
+	if !e.RetryAt.IsZero() {
+		retry = max(minOverloadWait, h.Clock.Until(e.RetryAt))
+		wait = retry
+	}
+	return &denial{
+		status: h.statusUnlessRun(q, http.StatusServiceUnavailable), why: "no capacity", wait: wait,
+		fields: []zap.Field{
+			zap.String("reason", e.Reason), zap.Int("priority", q.priority),
+			zap.Duration("forecast", e.FirstAt.Sub(q.arrived)), zap.Duration("target", q.route.TargetLatency),
+			zap.Float64("occupancy", e.Occupancy), zap.Int("waiting", e.Waiting), zap.Duration("report_age", e.ReportAge),
+			zap.Duration("retry", retry), zap.Bool("returned", e.Returned), zap.String("hub", e.Hub),
+		},
+	}
+}
+
+// minOverloadWait is the shortest wait that the Retry-After header, which has three decimals, can
+// express. If the time to return has passed before the refusal is sent, the client may return now.
+const minOverloadWait = time.Millisecond
+
+// setScheduling sets the properties of a request by which hubs decide whether they have the capacity
+// for it.
+func (h *Handler) setScheduling(b *balance.Request, q *request) {
+	b.Priority, b.Payer, b.OutputTokens = q.priority, q.accountName(), q.meta.OutputTokens
+	b.Attempted = len(q.chosen) > 0 || q.answered
+	if q.route.TargetLatency > 0 {
+		b.Target = q.arrived.Add(q.route.TargetLatency)
+	}
+	b.Latest = q.deadline
+	if q.route.Kind == policy.Streaming && q.route.MaxSilence > 0 {
+		if silent := q.arrived.Add(q.route.MaxSilence); silent.Before(b.Latest) {
+			b.Latest = silent
+		}
+	}
+	if h.Fingerprints && !b.Attempted {
+		b.Fingerprint = q.repetitionHash()
+	}
+}
+
+// repetitionHash returns a hash by which a hub recognizes a client's repetition of a refused request.
+// It leaves out what a repetition changes: the request ID and the deadline. A collision only gives
+// one request the place of another. It is never 0.
+func (q *request) repetitionHash() uint64 {
+	d := xxhash.New()
+	last := ""
+	if n := len(q.meta.Parts); n > 0 {
+		last = q.meta.Parts[n-1].ID
+	}
+	for _, text := range []string{q.accountName(), q.method, q.host, q.uri, last} {
+		writeNumber(d, uint64(len(text))) // so that the boundaries count
+		_, _ = d.WriteString(text)
+	}
+	writeNumber(d, uint64(q.meta.PromptTokens))
+	writeNumber(d, uint64(q.meta.OutputTokens))
+	_, _ = d.Write(q.body)
+	return max(1, d.Sum64())
+}
+
+func writeNumber(d *xxhash.Digest, n uint64) {
+	var b [8]byte
+	binary.LittleEndian.PutUint64(b[:], n)
+	_, _ = d.Write(b[:])
+}
--- a/internal/place/admission.go
+++ b/internal/place/admission.go
@@ -70,7 +70,8 @@
 }
 
 // requestOf returns the properties of a request that its admission depends on. The version on trial
-// has its own endpoints, so that it counts as a service of its own.
+// has its own endpoints, so that it counts as a service of its own. A request that is refused there
+// is placed on other endpoints at once, so that it has no fingerprint: its client does not return.
 func requestOf(r *balance.Request, f balance.Forecast) overload.Request {
 	q := overload.Request{
 		Service: r.Service, Account: r.Payer, Priority: r.Priority, Work: 1,
@@ -81,6 +82,7 @@
 	}
 	if r.Trial {
 		q.Service += " on trial"
+		q.Fingerprint = 0
 	}
 	return q
 }
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -35,6 +35,7 @@
 	Timeout        time.Duration // a request's deadline is its arrival and this
 	TargetLatency  time.Duration // target latency of the answer, or of the first event of a stream
 	TargetEventGap time.Duration // target for the longest time between two events of a stream
+	MaxSilence     time.Duration // without an event, after which a client abandons a stream; 0 on other routes
 	Priority       int           // 0 is the most urgent
 	Split          []Share       // how requests are split among services; never empty
 	MaxAttempts    int           // number of endpoints that one request may be sent to, at least 1
@@ -106,6 +107,7 @@
 
 	byHost    map[string][]*Route // longest prefix first; hosts in lower case
 	byKey     map[string]*Account
+	byAccount map[string]*Account
 	byService map[string]*Service
 	ranks     map[priorityPair]int // position of each pair in the order of precedence, from 0
 }
@@ -123,6 +125,7 @@
 	}
 	c.byHost = make(map[string][]*Route)
 	c.byKey = make(map[string]*Account)
+	c.byAccount = make(map[string]*Account)
 	c.byService = make(map[string]*Service)
 	for i := range c.Services {
 		c.byService[c.Services[i].Name] = &c.Services[i]
@@ -140,6 +143,7 @@
 		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
 	for i := range c.Accounts {
+		c.byAccount[c.Accounts[i].Name] = &c.Accounts[i]
 		for _, key := range c.Accounts[i].Keys {
 			c.byKey[key] = &c.Accounts[i]
 		}
@@ -200,6 +204,15 @@
 // Account returns the client account that a key belongs to, or nil.
 func (c *Config) Account(key string) *Account { return c.byKey[key] }
 
+// Weight returns the weight of a client account's fair share: its limit in units a second, 1 if it
+// has none or is unknown.
+func (c *Config) Weight(account string) float64 {
+	if a := c.byAccount[account]; a != nil && a.Rate > 0 {
+		return a.Rate
+	}
+	return 1
+}
+
 // Service returns the service with this name, or nil.
 func (c *Config) Service(name string) *Service { return c.byService[name] }
 
--- a/internal/policy/policy_test.go
+++ b/internal/policy/policy_test.go
@@ -43,3 +43,14 @@
 	_, err := New(Config{Version: 1, Routes: []Route{{Name: "r"}}})
 	is.True(errors.Is(err, ErrInvalid))
 }
+
+// An account without a limit, or one that the configuration in force does not contain, must not get a
+// share of zero.
+func TestWeight(t *testing.T) {
+	is := is.New(t)
+	c, err := New(Config{Version: 1, Accounts: []Account{{Name: "limited", Rate: 300}, {Name: "free"}}})
+	is.NoErr(err)
+	is.Equal(c.Weight("limited"), 300.0)
+	is.Equal(c.Weight("free"), 1.0)
+	is.Equal(c.Weight("unknown"), 1.0)
+}
