front: hubs may refuse requests, and instances act on it

One offer is enough. If all hubs that answered refuse, the request is refused with the earliest time that one of them holds; if none answered in time, the instance chooses by itself as before.

A hub confirms the limit of the client account before it decides. A refused request would count in its sample of the account's use for 500 ms, and at a load far above what fits refused requests would get accounts within their limit a 429. quota.Withdraw takes the confirmation back (TestWithdrawnRequestsDoNotCountAtAHub).

--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -73,6 +73,16 @@
 	return a.quota.Confirm(account, a.currentLimits()[account], units, 1/float64(hubs), now)
 }
 
+// withdrawAtHub takes back a confirmation of confirmAtHub for a request that is not sent.
+func (a *admission) withdrawAtHub(account string, units float64, now time.Time) {
+	if units == 0 {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.quota.Withdraw(account, units, now)
+}
+
 // limitOf returns the limit enforced for a client account: the configured one, stretched by
 // the tolerance of the settings.
 func (a *admission) limitOf(c *policy.Account) quota.Limit {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -199,6 +199,7 @@
 		return forward.New(forward.Options{
 			Protocol: o.Protocol, View: n.view.Load, Backends: n.backends, Placer: n.placer, Admission: n.admission, Quarantine: n.suspects,
 			Clock: o.Clock, Log: o.Log, Metrics: n.metrics, ConfigFreshFor: denialProofAge,
+			Fingerprints: s.Overload.Admission,
 		}), nil
 	})
 }
--- a/internal/front/offers.go
+++ b/internal/front/offers.go
@@ -30,8 +30,9 @@
 
 // offers asks the hubs that rendezvous hashing assigns to a request, in parallel. The first
 // of them owns the shared parts of the prompt and also confirms that the limit of the
-// client account allows the request.
-func (p *placer) offers(ctx context.Context, hubs *topology.Topology, r *balance.Request, until time.Time) ([]hubOffer, *forward.LimitError) {
+// client account allows the request. It returns an error if that hub refuses the request
+// because of the limit, or if all hubs that answered lack the capacity for it.
+func (p *placer) offers(ctx context.Context, hubs *topology.Topology, r *balance.Request, until time.Time) ([]hubOffer, error) {
 	owners := rendezvous.Order(r.AffinityKey(), p.availableHubs(hubs, p.instance.Clock.Now()))
 	asked := lo.Map(owners[:min(hubsPerRequest, len(owners))], func(name string, _ int) topology.Member { return hubs.Hub(name) })
 	replies := p.requestOffers(ctx, asked, r, until)
@@ -42,17 +43,33 @@
 			p.backOffSilent(asked, got)
 		}
 	}
+	return chooseReplies(got, asked[0])
+}
+
+// chooseReplies returns the offers among the replies of hubs, or why there are none if the hubs refused
+// the request. first is the hub that confirms the limit of the client account.
+func chooseReplies(got []reply, first topology.Member) ([]hubOffer, error) {
 	var offers []hubOffer
-	var refusal *forward.LimitError // by the first hub
+	var overLimit *forward.LimitError
+	var overload *forward.OverloadError
 	for _, reply := range got {
+		var refused *forward.OverloadError
 		switch {
 		case reply.err == nil:
 			offers = append(offers, reply.offer)
-		case reply.hub.Name == asked[0].Name:
-			errors.As(reply.err, &refusal)
+		case errors.As(reply.err, &refused):
+			overload = earlierReturn(overload, refused)
+		case reply.hub.Name == first.Name:
+			errors.As(reply.err, &overLimit)
 		}
 	}
-	return offers, refusal
+	switch {
+	case overLimit != nil:
+		return offers, overLimit
+	case overload != nil && len(offers) == 0:
+		return nil, overload
+	}
+	return offers, nil
 }
 
 // reply is a hub's answer to a request for an offer.
@@ -146,6 +163,10 @@
 			return hubOffer{}, &forward.LimitError{Verdict: v}
 		}
 		o, ok := p.scheduler.Offer(p.self(), p.candidates(r), r, until, now)
+		if o.Refusal != nil {
+			p.instance.admission.withdrawAtHub(r.Account, r.Units, now)
+			return hubOffer{}, overloadError(hub, refusalMessage(o.Refusal, now), now)
+		}
 		if !ok {
 			return hubOffer{}, errNoEndpoint
 		}
@@ -159,6 +180,7 @@
 			return &peerpb.PromptPart{Id: part.ID, Tokens: int64(part.Tokens)}
 		}),
 	}
+	p.writeScheduling(q, r, now)
 	a, err := p.instance.peers.Call(ctx, hub.Addr, &peerpb.Call{Body: &peerpb.Call_Place{Place: q}})
 	if err != nil {
 		return hubOffer{}, fmt.Errorf("ask hub %s for an offer: %w", hub.Name, err)
@@ -167,6 +189,9 @@
 	if x := o.GetRefusal(); x != nil {
 		return hubOffer{}, &forward.LimitError{Verdict: quota.Verdict{Level: x.Level, RequiredLevel: x.Need, KnownShare: x.Known, RetryAt: now.Add(time.Duration(x.Wait))}}
 	}
+	if x := o.GetOverload(); x != nil {
+		return hubOffer{}, overloadError(hub, x, p.instance.Clock.Now())
+	}
 	if o.GetServer() == "" {
 		return hubOffer{}, errNoEndpoint
 	}
--- a/internal/front/placing.go
+++ b/internal/front/placing.go
@@ -33,10 +33,12 @@
 }
 
 func newPlacer(n *Instance) *placer {
-	return &placer{
+	p := &placer{
 		instance: n, scheduler: place.New(n.start, n.loads), backoffUntil: make(map[string]time.Time),
 		notes: make(map[string][]*peerpb.Note), notesQueued: make(chan struct{}, 1),
 	}
+	p.startAdmission()
+	return p
 }
 
 // hubOffer is an offer and the hub that made it.
@@ -177,12 +179,17 @@
 			return balance.Part{ID: part.Id, Tokens: int(part.Tokens)}
 		}),
 	}
+	readScheduling(r, q, now)
 	if v := p.instance.admission.confirmAtHub(q.Account, q.Units, now); !v.OK {
 		x := &peerpb.Refusal{Level: v.Level, Need: v.RequiredLevel, Known: v.KnownShare, Wait: int64(v.RetryAt.Sub(now))}
 		return answer(&peerpb.Answer{Body: &peerpb.Answer_Place{Place: &peerpb.PlaceAnswer{Refusal: x}}})
 	}
 	asker := place.Requester{Instance: call.From, Incarnation: q.Incarnation}
 	o, _ := p.scheduler.Offer(asker, p.candidates(r), r, now.Add(time.Duration(q.Left)), now)
+	if o.Refusal != nil {
+		p.instance.admission.withdrawAtHub(q.Account, q.Units, now)
+		return answer(&peerpb.Answer{Body: &peerpb.Answer_Place{Place: &peerpb.PlaceAnswer{Overload: refusalMessage(o.Refusal, now)}}})
+	}
 	return answer(&peerpb.Answer{Body: &peerpb.Answer_Place{Place: &peerpb.PlaceAnswer{Server: o.Endpoint, Cost: o.Cost, Ticket: o.Ticket, Uncached: int64(o.Uncached)}}})
 }
 
--- a/internal/quota/confirm.go
+++ b/internal/quota/confirm.go
@@ -47,3 +47,17 @@
 	a.sample.requests.Add(1, levelLag, now)
 	return Verdict{OK: true, Level: left}
 }
+
+// Withdraw takes back a confirmation for a request that is not sent. Without it, the request would
+// count against the account for as long as the levels lag behind. It takes back no more than was
+// confirmed: an account that has a limit elsewhere may have none here yet.
+func (l *Limiter) Withdraw(name string, units float64, now time.Time) {
+	if a := l.accounts[name]; a != nil {
+		withdraw(&a.sample.units, units, now)
+		withdraw(&a.sample.requests, 1, now)
+	}
+}
+
+func withdraw(r *decay.Rate, n float64, now time.Time) {
+	r.Add(-min(n, r.At(levelLag, now)*levelLag.Seconds()), levelLag, now)
+}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -516,3 +516,27 @@
 	l.Apply(Update{Instance: "b", Admitted: map[string]float64{"x": 30}}, now)
 	is.Equal(l.Levels(map[string]Limit{"x": limit}, now)["x"], 70.0)
 }
+
+// A hub that refuses requests for lack of capacity must not refuse others of the account because of the
+// limit: what was refused did not use it.
+func TestWithdrawnRequestsDoNotCountAtAHub(t *testing.T) {
+	is := is.New(t)
+	limit, now := Limit{Rate: 100, Burst: 100}, time.Unix(1000, 0)
+	l := New(now.Add(-time.Minute))
+	l.SetInstances(1)
+	l.Refill(map[string]Limit{"t": limit}, now)
+	confirmed := 0
+	for range 1000 {
+		if l.Confirm("t", limit, 10, 0.5, now).OK {
+			confirmed++
+		}
+		l.Withdraw("t", 10, now)
+		l.Withdraw("t", 10, now) // more than was confirmed
+	}
+	is.Equal(confirmed, 1000)
+	for l.Confirm("t", limit, 10, 0.5, now).OK {
+		confirmed++
+	}
+	is.True(confirmed < 1100) // nothing was gained
+	l.Withdraw("unknown", 10, now)
+}
