--- a/internal/place/bench_test.go
+++ b/internal/place/bench_test.go
@@ -17,20 +17,29 @@
 }
 
 // BenchmarkOffer measures an offer of a hub in a deployment with 2,300 endpoints, of which the hub
-// owns 40 to 400: without a decision on the request, with one at 1,000 offers a second, and with one
-// at 100 a second, each of which sums the load of all endpoints again.
+// owns 40 to 400, with a decision on the request and without, at 1,000 offers a second and at 100. At
+// 100, each decision sums the load of all endpoints again.
 func BenchmarkOffer(b *testing.B) {
 	const total, open = 2300, 8
 	all := endpoints(total)
 	for _, owned := range []int{40, 383, 400} {
-		for _, between := range []time.Duration{0, time.Millisecond, 10 * time.Millisecond} {
-			b.Run(fmt.Sprintf("owned=%d/decided_every=%s", owned, between), func(b *testing.B) {
+		for _, c := range []struct {
+			name    string
+			decided bool
+			between time.Duration // offers
+		}{
+			{"undecided", false, time.Millisecond},
+			{"undecided_slow", false, 10 * time.Millisecond},
+			{"decided", true, time.Millisecond},
+			{"decided_slow", true, 10 * time.Millisecond},
+		} {
+			b.Run(fmt.Sprintf("owned=%d/%s", owned, c.name), func(b *testing.B) {
 				loads := loadreport.New()
 				for i := range all {
 					loads.Observe(&all[i], loadreport.Report{Running: 3, Slots: 16, Slowdown: 1}, start)
 				}
 				d, now, served := New(start, loads), start, 0
-				if between > 0 {
+				if c.decided {
 					d.SetAdmission(admitAll{}, func(string) float64 { return 1 })
 				}
 				requester := Requester{"a", 1}
@@ -50,7 +59,7 @@
 					e := &all[served%owned]
 					served++
 					loads.Observe(e, loadreport.Report{Running: 3, Slots: 16, Slowdown: 1}, now)
-					now = now.Add(between)
+					now = now.Add(c.between)
 				}
 			})
 		}
