--- a/internal/balance/endpoint.go
+++ b/internal/balance/endpoint.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/shelfcrank/shelfcrank/internal/policy"
 )
 
 // Parameters of the estimates of an endpoint.
@@ -22,12 +24,13 @@
 
 // endpointState is the state kept for one endpoint.
 type endpointState struct {
-	load                Load // of this instance's requests
-	placed              Load // the part of load whose endpoint a hub chose
+	load                Load                      // of this instance's requests
+	placed              Load                      // the part of load whose endpoint a hub chose
+	unread              [policy.Priorities]unread // of this instance's requests, by priority level
 	slowdown            float64
 	slowdownUpdated     time.Time
 	own                 ownFactor // used in place of slowdown where the endpoint reports its slowdown
-	unread              int       // requests of this instance whose prompts are not processed
+	unprocessed         int       // requests of this instance whose prompts are not processed
 	startedAt           time.Time // when the endpoint began with the prompt that it processes, as far as is known
 	startSlowdown       float64   // reported then; 0 if none was
 	failureRate         float64
--- a/internal/balance/reported.go
+++ b/internal/balance/reported.go
@@ -53,10 +53,10 @@
 // processed estimates how many of the prompt tokens that count at the endpoint it has processed, given
 // the time that it takes for one. They are at most those of one prompt of average length.
 func (s *endpointState) processed(token float64, now time.Time) int {
-	if s.unread == 0 || token <= 0 {
+	if s.unprocessed == 0 || token <= 0 {
 		return 0
 	}
-	return int(min(float64(now.Sub(s.startedAt))/token, float64(s.load.Prompt)/float64(s.unread)))
+	return int(min(float64(now.Sub(s.startedAt))/token, float64(s.load.Prompt)/float64(s.unprocessed)))
 }
 
 // processedFrom returns since when the endpoint has processed the request, as far as is known, and the
@@ -65,7 +65,7 @@
 	if k.request.Engine && k.state.startedAt.After(k.at) {
 		return k.state.startedAt, k.state.startSlowdown
 	}
-	return k.at, k.slowdown
+	return k.at, k.reported
 }
 
 // waitUnknown reports whether the request may wait at an endpoint for a time that is not known here:
--- a/internal/balance/ticket.go
+++ b/internal/balance/ticket.go
@@ -33,9 +33,11 @@
 	interference float64
 	at           time.Time
 	readAt       time.Time
-	expected     float64 // nanoseconds
-	slowdown     float64 // reported by the endpoint before the request was sent; 0 if none was
-	unclear      bool    // the time contains an unknown wait, so that it does not count for the endpoint's own factor
+	expected     float64       // nanoseconds
+	reported     float64       // slowdown that the endpoint reported before the request was sent; 0 if none was
+	unclear      bool          // the time contains an unknown wait, so that it does not count for the endpoint's own factor
+	slotWait     time.Duration // forecast wait for a slot at an endpoint of the usual speed; 0 if none was forecast
+	slowdown     float64       // of the endpoint when the request was placed; set if the endpoint was chosen here
 	read         bool
 	done         bool
 	observers    []Observer
@@ -113,7 +115,10 @@
 		return
 	}
 	k.read, k.readAt = true, now
-	k.state.unread--
+	k.state.unprocessed--
+	u := &k.state.unread[k.request.level()]
+	u.requests--
+	u.tokens -= k.Uncached
 	k.release(Load{Prompt: k.Uncached, Interference: k.interference})
 	if !learn {
 		return
@@ -130,13 +135,13 @@
 		slow := k.state.slowdownAt(now)
 		k.state.slowdown, k.state.slowdownUpdated = slow+slowdownWeight*(ratio-slow), now
 	}
-	usual := took
+	usual := max(0, took-float64(k.slotWait)*k.slowdown)
 	if reported > 0 {
 		usual *= k.learnOwn(from, before, reported, now)
 	}
 	if !k.request.Engine {
 		k.service.observeWork(usual, now)
-	} else if float64(k.queued) <= maxQueuedShare*float64(k.Uncached) {
+	} else if k.slotWait == 0 && float64(k.queued) <= maxQueuedShare*float64(k.Uncached) {
 		k.service.prefill.Observe(k.queued+k.Uncached, time.Duration(usual))
 		k.tracker.combine(k.request.Service)
 	}
@@ -176,6 +181,9 @@
 	if k.request.Engine && k.request.Slots > 0 {
 		k.service.slotRate.Add(float64(now.Sub(k.readAt))/float64(k.request.Slots), demandWindow, now)
 	}
+	if k.request.Engine && k.measured && result == Answered {
+		k.observeHeld(now)
+	}
 	if result != Cancelled {
 		k.state.record(result, now)
 	}
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -43,6 +43,8 @@
 	measured   workEstimate
 	busyRate   decay.Rate // nanoseconds of work requested per second
 	slotRate   decay.Rate // nanoseconds per second that requests held a slot of a model endpoint, divided by its number of slots
+	slotHeld   slotHeld   // of model endpoints
+	capacity   capacity   // of the endpoints that PickIf chose from
 }
 
 // Demand is the work that was recently requested of a service, as a number of fully used
@@ -70,6 +72,9 @@
 
 // Tracker maintains what is known about all endpoints.
 type Tracker struct {
+	loads  *loadreport.Table // of which the slowdown counts in choices; may be nil
+	queues *loadreport.Table // of which the requests that run and wait count in forecasts; may be nil
+
 	mu             sync.Mutex
 	endpoints      map[string]*endpointState // by endpoint ID; guarded by mu
 	services       map[string]*serviceState  // by name; guarded by mu
@@ -77,8 +82,8 @@
 	longPrompts    chan struct{}             // buffered, for one signal
 	hubEstimates   Estimates                 // what this instance measured as a hub; guarded by mu
 	remoteLoads    map[string]Load           // sums over the remotes, by endpoint ID; guarded by mu
+	candidates     []Candidate               // of the current choice; kept to reuse its memory; guarded by mu
 	updateInterval float64                   // mean nanoseconds between two updates of an instance; guarded by mu
-	loads          *loadreport.Table         // nil if load reports do not count
 }
 
 // Option configures a Tracker.
@@ -87,6 +92,10 @@
 // WithLoadReports makes the slowdown that endpoints report count in choices. A nil table has no effect.
 func WithLoadReports(loads *loadreport.Table) Option { return func(t *Tracker) { t.loads = loads } }
 
+// WithQueueReports makes the requests that endpoints report as running and waiting count in forecasts. A
+// nil table has no effect.
+func WithQueueReports(loads *loadreport.Table) Option { return func(t *Tracker) { t.queues = loads } }
+
 // NewTracker returns a tracker without any state.
 func NewTracker(options ...Option) *Tracker {
 	t := &Tracker{
@@ -104,27 +113,44 @@
 func (t *Tracker) Pick(endpoints []registry.Endpoint, r *Request, now time.Time) (*Ticket, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.pick(endpoints, r, now, nil)
+}
+
+// pick is Pick, or PickIf if admit is not nil. The caller holds mu.
+func (t *Tracker) pick(endpoints []registry.Endpoint, r *Request, now time.Time, admit func(Forecast) bool) (*Ticket, bool) {
 	service := t.service(r.Service)
 	service.engine = r.Engine
 	shared, hash := r.shared()
-	candidates := make([]Candidate, 0, len(endpoints))
+	candidates := t.candidates[:0]
 	reporting := t.reporting(r.Service, now)
 	for _, s := range endpoints {
 		candidates = append(candidates, t.candidate(s, service, hash, reporting, now))
 	}
+	t.candidates = candidates
 	best := Choose(candidates, r)
 	if best.Index < 0 {
 		return nil, false
 	}
 	v := &candidates[best.Index]
+	var found backlog
+	if admit != nil {
+		var ok bool
+		if found, ok = t.admitted(endpoints, candidates, best, r, now, admit); !ok {
+			return nil, false
+		}
+	}
 	k := t.count(v.Endpoint, r, best.Uncached, false, now)
 	k.Cost, k.queued, k.measured = best.Cost, v.Prompt, true
 	if reporting {
-		k.slowdown = t.reportedSlowdown(v.Endpoint.ID, now)
+		k.reported = t.reportedSlowdown(v.Endpoint.ID, now)
 		k.unclear = k.waitUnknown(v, t.remoteLoads[v.Endpoint.ID].Prompt)
 	}
-	k.expected = service.measured.mean
-	if r.Engine {
+	k.slotWait, k.slowdown = found.slotWait(), v.Slowdown
+	// A wait for a slot that was forecast is no sign of a slow endpoint.
+	k.expected = service.measured.mean + float64(k.slotWait)
+	if r.Engine && admit != nil {
+		k.expected = found.expected
+	} else if r.Engine {
 		k.expected = float64(service.pace.FirstEventTime(k.Uncached)) + float64(v.Prompt)*service.pace.Token
 	}
 	if shared > 0 {
@@ -161,10 +187,12 @@
 	if placed {
 		st.placed = st.placed.Plus(load)
 	}
-	if st.unread == 0 {
+	if st.unprocessed == 0 {
 		st.startedAt, st.startSlowdown = now, 0
 	}
-	st.unread++
+	st.unprocessed++
+	st.unread[r.level()].requests++
+	st.unread[r.level()].tokens += uncached
 	if k.interference >= longInterference {
 		st.longPromptAt = now.Add(service.pace.PrefillTime(uncached))
 	}
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -40,7 +40,10 @@
 	if len(hubs.Hubs) == 0 || !p.usesPlainHubs(r.Service, now) {
 		return p.pick(endpoints, r, now)
 	}
-	offers := p.plainOffers(ctx, hubs, r, until, now)
+	offers, err := p.plainOffers(ctx, hubs, r, until, now)
+	if err != nil {
+		return nil, err
+	}
 	now = p.instance.Clock.Now() // the wait for the hub is no part of the response time of the endpoint
 	best, ok := p.bestOffer(offers, endpoints, now)
 	if !ok {
@@ -52,12 +55,13 @@
 }
 
 // plainOffers asks one hub for an offer: the first for the request's partition that is not in backoff.
-// It returns no offer if the hub has none or does not make it in time.
-func (p *placer) plainOffers(ctx context.Context, hubs *topology.Topology, r *balance.Request, until, now time.Time) []hubOffer {
+// It returns no offer if the hub has none or does not make it in time, and an error if the hub lacks the
+// capacity for the request.
+func (p *placer) plainOffers(ctx context.Context, hubs *topology.Topology, r *balance.Request, until, now time.Time) ([]hubOffer, error) {
 	timeout := plainTimeout(r, now)
 	hub, ok := p.availableHub(p.partitions.hubs(p.instance.view.Load(), hubs, r), now)
 	if !ok || timeout <= 0 {
-		return nil
+		return nil, nil
 	}
 	q := *r
 	q.Account, q.Units = "", 0 // the limit was checked by Admission.Admit
@@ -66,13 +70,16 @@
 	defer late.Stop()
 	select {
 	case reply := <-replies:
-		if reply.err == nil {
-			return []hubOffer{reply.offer}
-		}
-		if !errors.Is(reply.err, errNoEndpoint) {
+		var refused *forward.OverloadError
+		switch {
+		case reply.err == nil:
+			return []hubOffer{reply.offer}, nil
+		case errors.As(reply.err, &refused):
+			return nil, refused
+		case !errors.Is(reply.err, errNoEndpoint):
 			p.backOff(hub) // it cannot be reached, so that the next one is asked
 		}
-		return nil
+		return nil, nil
 	case <-late.C:
 		if timeout >= minHubSilence {
 			p.backOff(hub)
@@ -80,7 +87,7 @@
 	case <-ctx.Done(): // the client left, which says nothing about the hub
 	}
 	go p.declineLateOffers(replies, 1)
-	return nil
+	return nil, nil
 }
 
 // plainTimeout returns how long a request to a plain service waits for a hub.
