--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -133,7 +133,9 @@
 	if !returned {
 		a.ask(r.Work, now)
 	}
-	s.shares.update(now)
+	if s.shares.due(now) {
+		s.shares.update(s.accepted.upTo(numPriorities-1, now), now)
+	}
 	corrected := s.accepted.correct(f, r.Priority, now)
 	over := c.options.FairShares && now.Sub(s.since) >= observation && s.shares.over(a, now)
 	if s.shares.within(a, now) {
--- a/internal/overload/shares.go
+++ b/internal/overload/shares.go
@@ -12,10 +12,15 @@
 	// the demands that it follows are averaged over 20 times as long.
 	levelInterval = 50 * time.Millisecond
 
+	// refreshed is the number of accounts whose demands are refreshed with the level, which bounds the
+	// time of a decision. The demand of an account that sends is up to date anyway; among 333 accounts
+	// that of another is 0.3 s old at most.
+	refreshed = 64
+
 	// shareDeviations is the number of standard deviations by which an account's demand has to differ
-	// from its share for the account to count as over or within it. The requests of an account at a hub are few: at 7 per second, the demand that is
-	// measured of a steady sender varies by a quarter, and callers would be refused on the ground
-	// of chance.
+	// from its share for the account to count as over or within it. The requests of an account at a
+	// hub are few: at 7 per second, the demand that is measured of a steady sender varies by a
+	// quarter, and callers would be refused on the ground of chance.
 	shareDeviations = 1
 )
 
@@ -27,7 +32,7 @@
 	asked    decay.Rate // work asked for, admitted or not
 	squares  decay.Rate // squares of the work asked for
 	admitted accepted   // work admitted
-	demand   float64    // work per second asked for, at the latest update of the level
+	demand   float64    // work per second asked for, as of the latest request or refresh
 
 	// unreserved is the time from which the next reservation keeps the account's reserved work within
 	// half of its share.
@@ -38,6 +43,7 @@
 func (a *account) ask(work float64, now time.Time) {
 	a.asked.Add(work, averaging, now)
 	a.squares.Add(work*math.Abs(work), averaging, now)
+	a.demand = a.asked.At(averaging, now)
 }
 
 // demandDeviation returns the standard deviation of the measured demand of an account whose requests
@@ -51,6 +57,8 @@
 type shares struct {
 	accounts map[string]*account
 	list     []*account // the same accounts
+	next     int        // index of the account to refresh next
+	demands  []demand   // reused by update
 	level    float64    // work per second per unit of weight; infinite if all demands are met
 	updateAt time.Time  // when to compute the level next
 }
@@ -92,49 +100,69 @@
 	return a.admitted.upTo(priority, now) / (s.level * a.weight)
 }
 
-// update computes the level if it is due, and drops accounts that have sent nothing for a while.
-func (s *shares) update(now time.Time) {
-	if now.Before(s.updateAt) {
-		return
-	}
+// due reports whether to update the level.
+func (s *shares) due(now time.Time) bool { return !now.Before(s.updateAt) }
+
+// update computes the level for the work admitted of all accounts per second, and drops accounts that
+// have sent nothing for a while.
+func (s *shares) update(admitted float64, now time.Time) {
 	s.updateAt = now.Add(levelInterval)
-	kept := s.list[:0]
-	admitted := 0.0
+	s.refresh(now)
+	s.demands = s.demands[:0]
 	for _, a := range s.list {
-		if now.Sub(a.lastSeen) >= retention {
-			delete(s.accounts, a.name)
+		s.demands = append(s.demands, demand{a.demand, a.weight})
+	}
+	s.level = maxMinLevel(s.demands, admitted)
+}
+
+// refresh averages the demands of the next accounts in turn up to now.
+func (s *shares) refresh(now time.Time) {
+	for range min(refreshed, len(s.list)) {
+		if s.next >= len(s.list) {
+			s.next = 0
+		}
+		a := s.list[s.next]
+		if now.Sub(a.lastSeen) < retention {
+			a.demand = a.asked.At(averaging, now)
+			s.next++
 			continue
 		}
-		a.demand = a.asked.At(averaging, now)
-		admitted += a.admitted.upTo(numPriorities-1, now)
-		kept = append(kept, a)
+		delete(s.accounts, a.name)
+		last := len(s.list) - 1
+		s.list[s.next], s.list[last] = s.list[last], nil
+		s.list = s.list[:last]
 	}
-	clear(s.list[len(kept):])
-	s.list = kept
-	s.level = maxMinLevel(s.list, admitted)
 }
 
+// demand is the work per second that an account asks for.
+type demand struct{ work, weight float64 }
+
 // maxMinLevel returns the level at which the accounts together get the total. It starts with the
 // level at which no account asks for less than its share. Each pass gives what the accounts below
 // the level leave unused to the others, which raises the level, until no more accounts are below.
-func maxMinLevel(accounts []*account, total float64) float64 {
-	level, satisfied := 0.0, -1
+// It changes the order of the demands.
+func maxMinLevel(demands []demand, total float64) float64 {
+	level := 0.0
 	for {
-		rest, weight, below := total, 0.0, 0
-		for _, a := range accounts {
-			if a.demand <= level*a.weight {
-				rest -= a.demand
-				below++
+		weight := 0.0
+		for _, d := range demands {
+			weight += d.weight
+		}
+		level = max(level, total/weight)
+		above := demands[:0]
+		for _, d := range demands {
+			if d.work <= level*d.weight {
+				total -= d.work
 			} else {
-				weight += a.weight
+				above = append(above, d)
 			}
 		}
-		if below == len(accounts) {
+		switch len(above) {
+		case 0:
 			return math.Inf(1)
-		}
-		if below == satisfied {
+		case len(demands):
 			return level
 		}
-		satisfied, level = below, max(level, rest/weight)
+		demands = above
 	}
 }
