place: take back the admission of an offer that is declined

Both hubs that are asked admit a request, and one of them serves it. Without the correction the work that a hub's endpoints take counts twice, and so do reservations and the shares of accounts. The forecast also holds the time without a queue and the rate of the endpoints, by which the controller adds the more urgent requests that are still to come.

--- a/internal/front/scheduling_test.go
+++ b/internal/front/scheduling_test.go
@@ -40,6 +40,8 @@
 	return d
 }
 
+func (a *hubAdmission) Declined(overload.Request, time.Time) {}
+
 func (a *hubAdmission) asked() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/place/admission.go
+++ b/internal/place/admission.go
@@ -13,6 +13,8 @@
 // one call at a time. *overload.Controller implements it.
 type Admission interface {
 	Decide(r overload.Request, f overload.Forecast, now time.Time) overload.Decision
+	// Declined takes back the admission of a request that was not run here.
+	Declined(r overload.Request, now time.Time)
 }
 
 // Refusal is why a request was refused for lack of capacity, and the forecast that the decision is
@@ -44,37 +46,43 @@
 }
 
 // pick chooses an endpoint and counts the request there. It returns nil if there is no endpoint for
-// the request, with a refusal if the request was refused.
-func (d *Scheduler) pick(endpoints []registry.Endpoint, r *balance.Request, now time.Time) (*balance.Ticket, *Refusal) {
+// the request, with a refusal if the request was refused. admitted is nil if the admission of the
+// request was not asked for.
+func (d *Scheduler) pick(endpoints []registry.Endpoint, r *balance.Request, now time.Time) (ticket *balance.Ticket, admitted *overload.Request, refusal *Refusal) {
 	if !d.mayRefuse(r, now) {
 		ticket, _ := d.tracker.Pick(endpoints, r, now)
-		return ticket, nil
+		return ticket, nil, nil
 	}
-	var refusal *Refusal
-	ticket, _ := d.tracker.PickIf(endpoints, r, now, func(f balance.Forecast) bool {
-		forecast := forecastOf(r, f, now)
-		decision := d.admission.ask(requestOf(r, f), forecast, now)
+	ticket, _ = d.tracker.PickIf(endpoints, r, now, func(f balance.Forecast) bool {
+		forecast, request := forecastOf(r, f, now), d.admission.requestOf(r, f)
+		admitted = &request
+		decision := d.admission.ask(request, forecast, now)
 		if !decision.Admitted {
 			refusal = &Refusal{decision, forecast, f.ReportAge}
 		}
 		return decision.Admitted
 	})
-	return ticket, refusal
+	return ticket, admitted, refusal
 }
 
 func (a *admission) ask(r overload.Request, f overload.Forecast, now time.Time) overload.Decision {
-	r.Weight = a.weight(r.Account)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.decide.Decide(r, f, now)
 }
 
+func (a *admission) declined(r overload.Request, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.decide.Declined(r, now)
+}
+
 // requestOf returns the properties of a request that its admission depends on. The version on trial
 // has its own endpoints, so that it counts as a service of its own. A request that is refused there
 // is placed on other endpoints at once, so that it has no fingerprint: its client does not return.
-func requestOf(r *balance.Request, f balance.Forecast) overload.Request {
+func (a *admission) requestOf(r *balance.Request, f balance.Forecast) overload.Request {
 	q := overload.Request{
-		Service: r.Service, Account: r.Payer, Priority: r.Priority, Work: 1,
+		Service: r.Service, Account: r.Payer, Weight: a.weight(r.Payer), Priority: r.Priority, Work: 1,
 		Target: r.Target, Latest: r.Latest, Fingerprint: r.Fingerprint,
 	}
 	if r.Engine {
@@ -90,7 +98,7 @@
 // forecastOf converts a forecast to times. A request would be in time as soon as the queue is shorter
 // by the time that it would be late now. A request without a target is late if it is of no use.
 func forecastOf(r *balance.Request, f balance.Forecast, now time.Time) overload.Forecast {
-	out := overload.Forecast{FirstAt: now.Add(f.First), RoomAt: now, Occupancy: f.Occupancy, Waiting: f.Waiting}
+	out := overload.Forecast{FirstAt: now.Add(f.First), RoomAt: now, Occupancy: f.Occupancy, Waiting: f.Waiting, Alone: f.Alone, Rate: f.Rate}
 	due := r.Target
 	if due.IsZero() {
 		due = r.Latest
--- a/internal/place/admission_test.go
+++ b/internal/place/admission_test.go
@@ -18,6 +18,7 @@
 type fakeAdmission struct {
 	requests  []overload.Request
 	forecasts []overload.Forecast
+	declined  []overload.Request
 	retryAt   time.Time
 }
 
@@ -29,6 +30,8 @@
 	return overload.Decision{Admitted: true, Reason: overload.InTime}
 }
 
+func (a *fakeAdmission) Declined(r overload.Request, _ time.Time) { a.declined = append(a.declined, r) }
+
 // newOverloadScheduler returns a scheduler for endpoints that report their slowdown.
 func newOverloadScheduler(a Admission, all []registry.Endpoint) *Scheduler {
 	loads := loadreport.New()
@@ -132,7 +135,8 @@
 	is := is.New(t)
 	r := prompt("x")
 	r.Trial = true
-	is.True(requestOf(r, balance.Forecast{}).Service != r.Service)
+	a := &admission{weight: func(string) float64 { return 1 }}
+	is.True(a.requestOf(r, balance.Forecast{}).Service != r.Service)
 }
 
 // The controller is not safe for concurrent use; the race detector reports a call that is not
@@ -165,3 +169,26 @@
 		is.Equal(n, 1)
 	}
 }
+
+// Each request is offered by two hubs and served by one. What the other admitted must not count as work
+// that its endpoints took, which would double its reservations and the shares of accounts.
+func TestADeclinedOfferIsNoAdmittedWork(t *testing.T) {
+	is := is.New(t)
+	a := &fakeAdmission{}
+	d := newOverloadScheduler(a, endpoints(2))
+	offer := func(id string) uint64 {
+		r := prompt(id)
+		r.Payer, r.Target = "north", start.Add(time.Second)
+		o, ok := d.Offer(Requester{"a", 1}, endpoints(2), r, start.Add(time.Minute), start)
+		is.True(ok)
+		return o.Ticket
+	}
+	declined, answered, cancelled := offer("1"), offer("2"), offer("3")
+	d.Update(Progress{Ticket: declined, Done: true, Result: balance.Cancelled}, start)
+	is.Equal(a.declined, a.requests[:1])
+	d.Update(Progress{Ticket: answered, PromptRead: true}, start)
+	d.Update(Progress{Ticket: answered, Done: true, Result: balance.Answered}, start)
+	d.Update(Progress{Ticket: cancelled, PromptRead: true}, start)
+	d.Update(Progress{Ticket: cancelled, Done: true, Result: balance.Cancelled}, start)
+	is.Equal(len(a.declined), 1) // the others took work
+}
--- a/internal/place/bench_test.go
+++ b/internal/place/bench_test.go
@@ -16,6 +16,8 @@
 	return overload.Decision{Admitted: true}
 }
 
+func (admitAll) Declined(overload.Request, time.Time) {}
+
 // BenchmarkOffer measures an offer of a hub in a deployment with 2,300 endpoints, of which the hub
 // owns 40 to 400, with a decision on the request and without, at 1,000 offers a second and at 100. At
 // 100, each decision sums the load of all endpoints again.
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -16,6 +16,7 @@
 
 	"github.com/shelfcrank/shelfcrank/internal/balance"
 	"github.com/shelfcrank/shelfcrank/internal/loadreport"
+	"github.com/shelfcrank/shelfcrank/internal/overload"
 	"github.com/shelfcrank/shelfcrank/internal/registry"
 	"github.com/shelfcrank/shelfcrank/internal/rendezvous"
 )
@@ -46,7 +47,8 @@
 type openRequest struct {
 	ticket    *balance.Ticket
 	requester Requester
-	deadline  time.Time // when the request has ended at the latest
+	deadline  time.Time         // when the request has ended at the latest
+	admitted  *overload.Request // nil if its admission was not asked for, or the prompt has been processed
 }
 
 // Scheduler places requests on the endpoints of one hub.
@@ -75,14 +77,14 @@
 // or if it is refused.
 func (d *Scheduler) Offer(requester Requester, endpoints []registry.Endpoint, r *balance.Request, until, now time.Time) (Offer, bool) {
 	d.observeIncarnation(requester, now)
-	ticket, refusal := d.pick(endpoints, r, now)
+	ticket, admitted, refusal := d.pick(endpoints, r, now)
 	if ticket == nil {
 		return Offer{Refusal: refusal}, false
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.lastTicket++
-	d.open[d.lastTicket] = openRequest{ticket, requester, until}
+	d.open[d.lastTicket] = openRequest{ticket, requester, until, admitted}
 	return Offer{Endpoint: ticket.Endpoint.ID, Cost: ticket.Cost, Uncached: ticket.Uncached, Ticket: d.lastTicket}, true
 }
 
@@ -119,8 +121,14 @@
 func (d *Scheduler) Update(note Progress, now time.Time) {
 	d.mu.Lock()
 	h, ok := d.open[note.Ticket]
-	if ok && note.Done {
+	declined := ok && note.Done && note.Result == balance.Cancelled && h.admitted != nil
+	switch {
+	case ok && note.Done:
 		delete(d.open, note.Ticket)
+	case ok && note.PromptRead && h.admitted != nil:
+		admitted := h
+		admitted.admitted = nil
+		d.open[note.Ticket] = admitted
 	}
 	d.mu.Unlock()
 	if !ok {
@@ -132,6 +140,9 @@
 	if note.Done {
 		h.ticket.Done(note.Result, now)
 	}
+	if declined {
+		d.admission.declined(*h.admitted, now)
+	}
 }
 
 // Endpoint returns the endpoint of an open request.
