--- a/internal/balance/ticket.go
+++ b/internal/balance/ticket.go
@@ -21,8 +21,10 @@
 // the endpoint has processed the prompt.
 type Ticket struct {
 	Endpoint     registry.Endpoint
-	Cost         float64 // estimated by the choice, see Choice
-	Uncached     int     // prompt tokens that the endpoint probably has to process, as they are not in its cache
+	Cost         float64   // estimated by the choice, see Choice
+	Uncached     int       // prompt tokens that the endpoint probably has to process, as they are not in its cache
+	FirstAt      time.Time // forecast time of the first event, or of the response of a plain endpoint; zero if there was no forecast
+	Returned     bool      // the request returned after a refusal
 	tracker      *Tracker
 	request      *Request
 	state        *endpointState
--- a/internal/front/offers.go
+++ b/internal/front/offers.go
@@ -195,7 +195,9 @@
 	if o.GetServer() == "" {
 		return hubOffer{}, errNoEndpoint
 	}
-	return hubOffer{Offer: place.Offer{Endpoint: o.Server, Cost: o.Cost, Uncached: int(o.Uncached), Ticket: o.Ticket}, hub: hub, plain: !r.Engine}, nil
+	return hubOffer{Offer: place.Offer{
+		Endpoint: o.Server, Cost: o.Cost, Uncached: int(o.Uncached), Ticket: o.Ticket, FirstAt: timeAfter(o.First, now), Returned: o.Returned,
+	}, hub: hub, plain: !r.Engine}, nil
 }
 
 var errNoEndpoint = fault.New(fault.StepPeer, "", fault.KindLimit, fault.NotRun, "the hub has no endpoint to offer")
--- a/internal/front/placing.go
+++ b/internal/front/placing.go
@@ -120,9 +120,15 @@
 		}
 		return p.pick(endpoints, r, now)
 	}
-	ticket := p.instance.tracker.CountPlaced(best.endpoint, r, best.Uncached, now)
-	ticket.Observe(&noteObserver{p, best})
-	return ticket, nil
+	return p.accept(best, r, now), nil
+}
+
+// accept counts a request at the endpoint of an offer and reports its progress to the hub.
+func (p *placer) accept(o hubOffer, r *balance.Request, now time.Time) *balance.Ticket {
+	ticket := p.instance.tracker.CountPlaced(o.endpoint, r, o.Uncached, now)
+	ticket.FirstAt, ticket.Returned = o.FirstAt, o.Returned
+	ticket.Observe(&noteObserver{p, o})
+	return ticket
 }
 
 // pick chooses an endpoint locally, without asking a hub.
@@ -199,7 +205,9 @@
 		p.instance.admission.withdrawAtHub(q.Account, q.Units, now)
 		return answer(&peerpb.Answer{Body: &peerpb.Answer_Place{Place: &peerpb.PlaceAnswer{Overload: refusalMessage(o.Refusal, now)}}})
 	}
-	return answer(&peerpb.Answer{Body: &peerpb.Answer_Place{Place: &peerpb.PlaceAnswer{Server: o.Endpoint, Cost: o.Cost, Ticket: o.Ticket, Uncached: int64(o.Uncached)}}})
+	return answer(&peerpb.Answer{Body: &peerpb.Answer_Place{Place: &peerpb.PlaceAnswer{
+		Server: o.Endpoint, Cost: o.Cost, Ticket: o.Ticket, Uncached: int64(o.Uncached), First: durationUntil(o.FirstAt, now), Returned: o.Returned,
+	}}})
 }
 
 // expire syncs estimates between the tracker and the scheduler, and ends placed requests
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -49,9 +49,7 @@
 	if !ok {
 		return p.pick(endpoints, r, now)
 	}
-	ticket := p.instance.tracker.CountPlaced(best.endpoint, r, best.Uncached, now)
-	ticket.Observe(&noteObserver{p, best})
-	return ticket, nil
+	return p.accept(best, r, now), nil
 }
 
 // plainOffers asks one hub for an offer: the first for the request's partition that is not in backoff.
--- a/internal/place/admission.go
+++ b/internal/place/admission.go
@@ -33,6 +33,13 @@
 	decide Admission // guarded by mu
 }
 
+// admitted is a request that was admitted.
+type admitted struct {
+	request  overload.Request
+	firstAt  time.Time // forecast
+	returned bool
+}
+
 // SetAdmission makes the scheduler refuse requests that are not admitted. weight returns the weight
 // of a client account's fair share. It must be called before the first offer.
 func (d *Scheduler) SetAdmission(a Admission, weight func(account string) float64) {
@@ -46,23 +53,23 @@
 }
 
 // pick chooses an endpoint and counts the request there. It returns nil if there is no endpoint for
-// the request, with a refusal if the request was refused. admitted is nil if the admission of the
-// request was not asked for.
-func (d *Scheduler) pick(endpoints []registry.Endpoint, r *balance.Request, now time.Time) (ticket *balance.Ticket, admitted *overload.Request, refusal *Refusal) {
+// the request, with a refusal if the request was refused. The second result is nil if the admission of
+// the request was not asked for.
+func (d *Scheduler) pick(endpoints []registry.Endpoint, r *balance.Request, now time.Time) (ticket *balance.Ticket, a *admitted, refusal *Refusal) {
 	if !d.mayRefuse(r, now) {
 		ticket, _ := d.tracker.Pick(endpoints, r, now)
 		return ticket, nil, nil
 	}
 	ticket, _ = d.tracker.PickIf(endpoints, r, now, func(f balance.Forecast) bool {
 		forecast, request := forecastOf(r, f, now), d.admission.requestOf(r, f)
-		admitted = &request
 		decision := d.admission.ask(request, forecast, now)
+		a = &admitted{request, forecast.FirstAt, decision.Returned}
 		if !decision.Admitted {
 			refusal = &Refusal{decision, forecast, f.ReportAge}
 		}
 		return decision.Admitted
 	})
-	return ticket, admitted, refusal
+	return ticket, a, refusal
 }
 
 func (a *admission) ask(r overload.Request, f overload.Forecast, now time.Time) overload.Decision {
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -24,10 +24,12 @@
 // Offer is the best of a hub's endpoints for a request. The request counts there until it is done.
 type Offer struct {
 	Endpoint string
-	Cost     float64  // see balance.Choice
-	Uncached int      // prompt tokens that the endpoint probably has to process, as they are not in its cache
-	Ticket   uint64   // identifies the request in progress reports
-	Refusal  *Refusal // set instead of the other fields if the request was refused for lack of capacity
+	Cost     float64   // see balance.Choice
+	Uncached int       // prompt tokens that the endpoint probably has to process, as they are not in its cache
+	Ticket   uint64    // identifies the request in progress reports
+	FirstAt  time.Time // forecast time of the first event, or of the response of a plain endpoint; zero if there was no forecast
+	Returned bool      // the request returned after a refusal
+	Refusal  *Refusal  // set instead of the other fields if the request was refused for lack of capacity
 }
 
 // Progress reports the progress of a request that was placed.
@@ -77,15 +79,20 @@
 // or if it is refused.
 func (d *Scheduler) Offer(requester Requester, endpoints []registry.Endpoint, r *balance.Request, until, now time.Time) (Offer, bool) {
 	d.observeIncarnation(requester, now)
-	ticket, admitted, refusal := d.pick(endpoints, r, now)
+	ticket, a, refusal := d.pick(endpoints, r, now)
 	if ticket == nil {
 		return Offer{Refusal: refusal}, false
 	}
+	o := Offer{Endpoint: ticket.Endpoint.ID, Cost: ticket.Cost, Uncached: ticket.Uncached}
+	open := openRequest{ticket: ticket, requester: requester, deadline: until}
+	if a != nil {
+		o.FirstAt, o.Returned, open.admitted = a.firstAt, a.returned, &a.request
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.lastTicket++
-	d.open[d.lastTicket] = openRequest{ticket, requester, until, admitted}
-	return Offer{Endpoint: ticket.Endpoint.ID, Cost: ticket.Cost, Uncached: ticket.Uncached, Ticket: d.lastTicket}, true
+	d.open[d.lastTicket], o.Ticket = open, d.lastTicket
+	return o, true
 }
 
 // observeIncarnation ends the requests of an earlier incarnation of an instance.
