event, metrics: what overload control decides

A refusal for lack of capacity is logged with its request (412); what led to it was not observable. New are events 431 to 434 (a service begins or stops being scheduled with load reports; a client account exceeds its fair share at a hub, or no longer does), counters by service, route and account of requests refused, returned and served after the return, and a histogram of the error of the forecast.

The forecast error is recorded as an absolute value with its direction as a label: the sum of a Prometheus histogram must not decrease.

Checks run: the tests of both packages. Nothing calls the methods yet.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -50,6 +50,10 @@
 	Quarantined                  Code = 422
 	SuspicionCleared             Code = 423
 	QuarantineLifted             Code = 424
+	ServiceScheduled             Code = 431
+	ServiceUnscheduled           Code = 432
+	AccountOverShare             Code = 433
+	AccountWithinShare           Code = 434
 	LeaseAcquired                Code = 601
 	LeaseLost                    Code = 602
 	UsageReported                Code = 603
@@ -141,6 +145,10 @@
 	{Quarantined, zap.WarnLevel, "request quarantined", "Endpoints repeatedly ended while they ran the request with this fingerprint. It does not run until the given time, whatever its ID."},
 	{QuarantineLifted, zap.InfoLevel, "quarantine lifted", "An operator allowed the request with this fingerprint to run again."},
 	{SuspicionCleared, zap.InfoLevel, "request no longer suspect", "The request completed at this instance or another one, or an operator lifted its quarantine. server is the endpoint that answered this instance; it is empty if another instance or an operator reported it."},
+	{ServiceScheduled, zap.InfoLevel, "service scheduled with load reports", "Endpoints of the service report their slowdown. From now on this instance uses their load reports, and requests may be refused for lack of capacity, as far as the settings in [overload] enable it."},
+	{ServiceUnscheduled, zap.WarnLevel, "service no longer scheduled with load reports", "No endpoint of the service has reported a slowdown for 10 s. The service is served as without overload control: no request is refused for lack of capacity. Expected if the service has no requests; otherwise check the endpoints' responses."},
+	{AccountOverShare, zap.InfoLevel, "client account over its fair share", "This hub admits requests of the client account with less priority, because the account demands more of the service than its fair share. share and demand are in work per second as this hub sees it, and weight is the account's weight. At most one line per account and second."},
+	{AccountWithinShare, zap.InfoLevel, "client account within its fair share again", "The client account demands no more of the service than its fair share at this hub."},
 	{LeaseAcquired, zap.InfoLevel, "leader lease acquired", "This instance now leads the fleet: it reports usage and orders endpoints. until is the time at which it stops acting as leader unless it renews its lease."},
 	{LeaseLost, zap.InfoLevel, "leader lease lost", "This instance no longer leads the fleet; why is the reason. Another instance takes over once the lease has expired."},
 	{UsageReported, zap.InfoLevel, "usage reported", "The platform accepted the usage counts of a window."},
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -24,6 +25,11 @@
 	events     metric.Int64Counter
 	resumes    metric.Int64Counter
 	forwarded  metric.Float64Histogram
+
+	refused           metric.Int64Counter
+	returned          metric.Int64Counter
+	servedAfterReturn metric.Int64Counter
+	forecastError     metric.Float64Histogram
 }
 
 // Gauges are callbacks that supply current values when the metrics are exported.
@@ -67,6 +73,9 @@
 			return nil, err
 		}
 	}
+	if err := m.registerOverload(meter); err != nil {
+		return nil, err
+	}
 	if g.Traffic != nil {
 		if err := registerTrafficCounters(meter, g.Traffic); err != nil {
 			return nil, err
@@ -147,4 +156,49 @@
 	m.resumes.Add(context.Background(), 1, metric.WithAttributes(attribute.String("cause", cause)))
 }
 
+// Names of the metrics of overload control, as they are exported.
+const (
+	CapacityRefusals  = "shelfcrank_capacity_refusals"
+	CapacityReturns   = "shelfcrank_capacity_returns"
+	ServedAfterReturn = "shelfcrank_served_after_return"
+	forecastErrorName = "shelfcrank_forecast_error"
+)
+
+func (m *Metrics) registerOverload(meter metric.Meter) error {
+	var errs [4]error
+	m.refused, errs[0] = meter.Int64Counter(CapacityRefusals, metric.WithDescription("Requests refused for lack of capacity, by service, route and client account."))
+	m.returned, errs[1] = meter.Int64Counter(CapacityReturns, metric.WithDescription("Requests that were repeated at the time stated in a refusal for lack of capacity."))
+	m.servedAfterReturn, errs[2] = meter.Int64Counter(ServedAfterReturn, metric.WithDescription("Requests that were repeated at the stated time and then served."))
+	m.forecastError, errs[3] = meter.Float64Histogram(forecastErrorName, metric.WithUnit("ms"), metric.WithDescription("Absolute difference between the forecast and the actual time to the first event, by route and whether the event was later than forecast."), metric.WithExplicitBucketBoundaries(bucketsMs...))
+	return errors.Join(errs[:]...)
+}
+
+// Source identifies the requests that the metrics of overload control count together.
+type Source struct{ Service, Route, Account string }
+
+func (s Source) attributes() metric.MeasurementOption {
+	return metric.WithAttributes(attribute.String("service", s.Service), attribute.String("route", s.Route), attribute.String("account", s.Account))
+}
+
+// RefusedForCapacity counts a request that was refused for lack of capacity.
+func (m *Metrics) RefusedForCapacity(s Source) {
+	m.refused.Add(context.Background(), 1, s.attributes())
+}
+
+// ReturnedAsTold counts a request that its client repeated at the time stated in a refusal for lack
+// of capacity.
+func (m *Metrics) ReturnedAsTold(s Source) { m.returned.Add(context.Background(), 1, s.attributes()) }
+
+// ServedAfterReturn counts a request that was repeated as told and then served.
+func (m *Metrics) ServedAfterReturn(s Source) {
+	m.servedAfterReturn.Add(context.Background(), 1, s.attributes())
+}
+
+// ForecastError records by how much the first event of an admitted request was later than forecast,
+// or earlier if late is negative. Both directions are recorded as absolute values, because the sum of
+// a histogram must not decrease.
+func (m *Metrics) ForecastError(route string, late time.Duration) {
+	m.forecastError.Record(context.Background(), milliseconds(late.Abs()), metric.WithAttributes(attribute.String("route", route), attribute.Bool("late", late > 0)))
+}
+
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
