cmd: shelfcrank load

Shows the counters of overload control of one front instance by service, route and client account, from its metrics address.

--- a/internal/cmd/root.go
+++ b/internal/cmd/root.go
@@ -74,7 +74,7 @@
 		ShortHelp:  "A serving system on cheap, reclaimable instances.",
 		FlagSet:    fs,
 		Subcommands: []*ffcli.Command{
-			newDemo(e), newServe(e), newStandin(e), newCheck(e), newTable(e), newStatus(e), newAudit(e), newBench(e), newCompare(e), newSoak(e), newQuarantine(e), newKeys(e), newDocs(e),
+			newDemo(e), newServe(e), newStandin(e), newCheck(e), newTable(e), newStatus(e), newLoad(e), newAudit(e), newBench(e), newCompare(e), newSoak(e), newQuarantine(e), newKeys(e), newDocs(e),
 		},
 		Exec: func(_ context.Context, args []string) error {
 			if len(args) > 0 {
