quota: count what others admitted before the first exchange

Cause: the first update of an instance was treated as if all of it had been admitted before this one started. Instances of a fleet that starts serve requests before they know each other (0.4 to 1.4 s after the start of the process), each from a full bucket of its own; what the others admitted by then was never subtracted. Faults of the schedule played no part: the units are lost before the first of them.

Change: an update contains the age of its instance. Of the first totals of an instance that has not warmed up, the part counts that was admitted since this instance started. One that has warmed up reports levels, as before; updates of hub groups have no age and are treated as before.

--- a/internal/front/share.go
+++ b/internal/front/share.go
@@ -241,7 +241,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.quota.Apply(quota.Update{
-		Instance: s.Node, Incarnation: s.Incarnation, WarmedUp: seasoned(s), Admitted: admitted, Levels: levels,
+		Instance: s.Node, Incarnation: s.Incarnation, Age: ageOf(s), WarmedUp: seasoned(s), Admitted: admitted, Levels: levels,
 	}, now)
 	a.usage.Apply(s.Node, s.Incarnation, windowsOf(runs))
 }
--- a/internal/front/sharemsg.go
+++ b/internal/front/sharemsg.go
@@ -67,7 +67,10 @@
 
 // seasoned reports whether the sender of a share has run for so long that its quota levels are
 // reliable.
-func seasoned(s *peerpb.Share) bool { return time.Duration(s.Wall-s.Incarnation) > quota.WarmUp }
+func seasoned(s *peerpb.Share) bool { return ageOf(s) > quota.WarmUp }
+
+// ageOf returns how long the sender of a share has run.
+func ageOf(s *peerpb.Share) time.Duration { return time.Duration(s.Wall - s.Incarnation) }
 
 // accountCounts decodes accountShares.
 func accountCounts(accounts []*peerpb.AccountShare) (admitted, levels map[string]float64, runs runCounts) {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -72,6 +72,7 @@
 type Update struct {
 	Instance      string
 	Incarnation   int64              // increases with each restart of the instance
+	Age           time.Duration      // since that start; 0 if it is not known, as for a group
 	Admitted      map[string]float64 // units admitted since its start, by client account
 	Levels        map[string]float64 // of its buckets, by client account
 	WarmedUp      bool               // it has run for longer than WarmUp, so that Levels are reliable
@@ -349,7 +350,7 @@
 		if u == nil {
 			u = &remoteUsage{}
 			if !known {
-				u.admitted = total // admitted before this instance received updates
+				u.admitted = total * l.unseenShare(update, now)
 			}
 			n.accounts[name] = u
 		}
@@ -368,6 +369,17 @@
 	l.capDebts(now)
 }
 
+// unseenShare returns the share of the totals in the first update of an instance that it admitted
+// before this instance started, and that therefore never affected the buckets here. Instances that
+// start together serve requests before they know each other: what they admitted by then counts. An
+// instance that has warmed up reports levels instead.
+func (l *Limiter) unseenShare(update Update, now time.Time) float64 {
+	if update.Age <= 0 || update.WarmedUp {
+		return 1
+	}
+	return max(0, 1-now.Sub(l.start).Seconds()/update.Age.Seconds())
+}
+
 // capDebts bounds debts by one burst for WarmUp after a stall of this process. Updates may then
 // come from instances that were stalled as well: these first report totals from before the stall,
 // and later all that was admitted since, for which the time of the stall has already paid.
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -22,6 +22,7 @@
 // cluster simulates instances that admit requests of one client account.
 type cluster struct {
 	limit          Limit
+	tolerance      Tolerance
 	limiters       []*Limiter
 	started        []time.Time
 	back           []time.Time // when a killed instance starts again
@@ -34,7 +35,7 @@
 }
 
 func newCluster(n int, limit Limit, seed uint64) *cluster {
-	f := &cluster{limit: limit, now: time.Unix(1000, 0), rnd: rand.New(rand.NewPCG(seed, 1)), updateInterval: testUpdateInterval}
+	f := &cluster{limit: limit, tolerance: Tolerance{testOver, testSlack, testWindow}, now: time.Unix(1000, 0), rnd: rand.New(rand.NewPCG(seed, 1)), updateInterval: testUpdateInterval}
 	for range n {
 		f.limiters = append(f.limiters, New(f.now))
 		f.started = append(f.started, f.now)
@@ -105,7 +106,7 @@
 				continue
 			}
 			to.Apply(Update{
-				Instance: strconv.Itoa(i), Incarnation: f.started[i].UnixNano(), Admitted: from.Admitted(),
+				Instance: strconv.Itoa(i), Incarnation: f.started[i].UnixNano(), Age: f.now.Sub(f.started[i]), Admitted: from.Admitted(),
 				Levels: from.Levels(f.limits(), f.now), WarmedUp: f.now.Sub(f.started[i]) > WarmUp,
 			}, f.now)
 		}
@@ -120,7 +121,7 @@
 
 // limits returns the enforced limits by client account.
 func (f *cluster) limits() map[string]Limit {
-	return map[string]Limit{"t": Tolerance{testOver, testSlack, testWindow}.EnforcedLimit(f.limit)}
+	return map[string]Limit{"t": f.tolerance.EnforcedLimit(f.limit)}
 }
 
 // worst returns the largest number of units admitted in a window.
@@ -138,7 +139,7 @@
 }
 
 func (f *cluster) allowed() float64 {
-	return (f.limit.Rate*testWindow.Seconds()+f.limit.Burst)*(1+testOver) + testSlack
+	return (f.limit.Rate*testWindow.Seconds()+f.limit.Burst)*(1+f.tolerance.Ratio) + f.tolerance.Slack
 }
 
 // All instances are killed three times within one window, while a client account sends many times
@@ -516,3 +517,53 @@
 	l.Apply(Update{Instance: "b", Admitted: map[string]float64{"x": 30}}, now)
 	is.Equal(l.Levels(map[string]Limit{"x": limit}, now)["x"], 70.0)
 }
+
+// Guards against a limit exceeded while all instances start: they serve a client account before
+// their first exchange, and what the others admitted by then was treated as older than the buckets.
+func TestUseBeforeTheFirstExchangeCounts(t *testing.T) {
+	const instances, firstRequest, firstExchange = 6, time.Second, 1400 * time.Millisecond
+	for seed := range uint64(50) {
+		f := newCluster(instances, Limit{Rate: 10, Burst: 10}, seed)
+		f.tolerance.Slack = 0
+		f.updateInterval = time.Hour
+		for f.now.Sub(f.started[0]) < firstRequest+testWindow {
+			f.now = f.now.Add(testStep)
+			if f.now.Sub(f.started[0]) >= firstExchange {
+				f.updateInterval = testUpdateInterval
+			}
+			sum := 0.0
+			if f.now.Sub(f.started[0]) > firstRequest && f.rnd.Float64() < 27*testStep.Seconds() {
+				sum = f.request(f.rnd.IntN(instances), 1)
+			}
+			f.endStep(sum)
+		}
+		if f.worst() > f.allowed() {
+			t.Errorf("seed %d: %v units admitted in a window, %v allowed", seed, f.worst(), f.allowed())
+		}
+	}
+}
+
+// An instance that starts later than the others counts of their first totals only what they admitted
+// since its own start, and nothing of the totals of one that has warmed up, which reports levels.
+func TestTheFirstTotalsCountFromOwnStart(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	limit := map[string]Limit{"t": {Rate: 10, Burst: 100}}
+	for _, c := range []struct {
+		age      time.Duration
+		warmedUp bool
+		level    float64
+	}{
+		{500 * time.Millisecond, false, 10 - 8},
+		{2 * time.Second, false, 10 - 4},
+		{5 * time.Second, true, 10},
+		{0, false, 10},
+	} {
+		l := New(start)
+		now := start.Add(time.Second)
+		l.Refill(limit, now)
+		l.account("t").bucket.refill(limit["t"], now)
+		l.Apply(Update{Instance: "a", Incarnation: 1, Age: c.age, WarmedUp: c.warmedUp, Admitted: map[string]float64{"t": 8}}, now)
+		is.Equal(l.Levels(limit, now)["t"], c.level)
+	}
+}
