--- a/internal/cmd/load_test.go
+++ b/internal/cmd/load_test.go
@@ -29,7 +29,7 @@
 	north := metrics.Source{Service: "llm", Route: "chat", Account: "north"}
 	m.RefusedForCapacity(north)
 	m.RefusedForCapacity(north)
-	m.ReturnedAsTold(north)
+	m.Returned(north)
 	m.RefusedForCapacity(metrics.Source{Service: "llm", Route: "batch", Account: "south"})
 	m.ServedAfterReturn(metrics.Source{Service: "llm", Route: "batch", Account: "south"})
 	out.Reset()
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -185,9 +185,9 @@
 	m.refused.Add(context.Background(), 1, s.attributes())
 }
 
-// ReturnedAsTold counts a request that its client repeated at the time stated in a refusal for lack
-// of capacity.
-func (m *Metrics) ReturnedAsTold(s Source) { m.returned.Add(context.Background(), 1, s.attributes()) }
+// Returned counts a request that its client repeated at the time stated in a refusal for lack of
+// capacity.
+func (m *Metrics) Returned(s Source) { m.returned.Add(context.Background(), 1, s.attributes()) }
 
 // ServedAfterReturn counts a request that was repeated as told and then served.
 func (m *Metrics) ServedAfterReturn(s Source) {
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -32,7 +32,7 @@
 	m.RefusedForCapacity(a)
 	m.RefusedForCapacity(a)
 	m.RefusedForCapacity(b)
-	m.ReturnedAsTold(a)
+	m.Returned(a)
 	m.ServedAfterReturn(b)
 	text := exported(m)
 	for _, want := range []string{
