check: rules UNSENT and SHARE, and REFUSED for idempotent requests

UNSENT: nothing of a request that was refused for lack of capacity reached an endpoint. SHARE: in an overload by one account, an account within its limit that sends at most a third as many requests is not refused for lack of capacity more often. Its bound is the expected number of refusals, if both were refused with the same probability, plus three standard deviations and two: chance exceeds it once in 740 cases.

REFUSED exempted idempotent requests; 429 and 503 guarantee that they did not run either.

Checks run: the package's tests.

--- a/internal/check/answers.go
+++ b/internal/check/answers.go
@@ -75,12 +75,16 @@
 	return false
 }
 
-// checkRefused checks the rule REFUSED: a request that is not idempotent was not executed if the
-// response status says so.
+// checkRefused checks the rule REFUSED: a request was not executed if the response status says so. For
+// an idempotent request only 429 and 503 say so.
 func checkRefused(x *index) (out []Violation) {
 	for i := range x.Attempts {
 		a := &x.Attempts[i]
-		if !a.Idempotent && GuaranteesNotRun(a.Status) && x.runs(a.ID) > 0 {
+		guaranteed := GuaranteesNotRun(a.Status)
+		if a.Idempotent {
+			guaranteed = a.Status == http.StatusTooManyRequests || a.Status == http.StatusServiceUnavailable
+		}
+		if guaranteed && x.runs(a.ID) > 0 {
 			out = append(out, Violation{"REFUSED", a.EndedAt, fmt.Sprintf("%s received status %d from %s but was executed", a.ID, a.Status, a.Instance)})
 		}
 	}
--- a/internal/check/history.go
+++ b/internal/check/history.go
@@ -53,6 +53,8 @@
 	Complete       bool  // the response appeared complete to the caller
 	Events         []int // numbers of the stream events received, starting at 1
 	BadEvent       bool  // an event was not one that the endpoint sent for this request
+	// RefusedForCapacity tells that the instance logged that it refused the request for lack of capacity.
+	RefusedForCapacity bool
 }
 
 // Arrival is a request that reached an endpoint, as the endpoint observed it.
@@ -120,6 +122,14 @@
 	From, To time.Time
 }
 
+// Overload is a period in which the callers of a client account, or of all if Account is empty, sent
+// more requests to a service than its endpoints could serve.
+type Overload struct {
+	Service  string
+	Account  string
+	From, To time.Time
+}
+
 // DutyCall is a call of the cloud API that only the instance that holds the duty may make.
 type DutyCall struct {
 	At     time.Time
@@ -153,6 +163,7 @@
 	Leavings      []Leaving
 	Disruptions   []Disruption
 	LinkFaults    []LinkFault
+	Overloads     []Overload
 	DutyCalls     []DutyCall
 	Exits         []Exit
 	Accounts      []Account
@@ -167,7 +178,7 @@
 
 // Rules are all rules, with the names that the platform gives them.
 var Rules = []Rule{
-	{"MIXED", checkMixed}, {"ORDER", checkOrder}, {"REFUSED", checkRefused}, {"UNASKED", checkUnasked}, {"TWICE", checkTwice}, {"ROUTE", checkRoute},
+	{"MIXED", checkMixed}, {"ORDER", checkOrder}, {"REFUSED", checkRefused}, {"UNSENT", checkUnsent}, {"SHARE", checkShare}, {"UNASKED", checkUnasked}, {"TWICE", checkTwice}, {"ROUTE", checkRoute},
 	{"BUDGET attempts", checkBudgetAttempts}, {"BUDGET deadline", checkBudgetDeadline}, {"BUDGET retries", checkBudgetRetries},
 	{"BUDGET rest", checkBudgetRest}, {"BUDGET deadly", checkBudgetDeadly}, {"LIMIT", checkRateLimit}, {"GONE", checkGone},
 	{"DRAIN store", checkDrainStore}, {"DRAIN answer", checkDrainResponse}, {"CONFIG keys", checkConfigKeys}, {"CONFIG old", checkConfigOld},
--- a/internal/check/rules_test.go
+++ b/internal/check/rules_test.go
@@ -78,6 +78,20 @@
 		},
 		func(h *History) { h.add("x", 0, func(a *Attempt, _ *Arrival) { a.Status, a.Sealed = 503, false }) },
 	},
+	"UNSENT": {
+		func(h *History) {
+			h.add("sent", 0, nil)
+			h.addRefusedForCapacity("a", "x", 1, 1)
+		},
+		func(h *History) {
+			h.add("x", 0, func(a *Attempt, r *Arrival) { a.RefusedForCapacity, r.Ran = true, false })
+		},
+	},
+	"SHARE": {
+		// An account of which 49 of 98 requests were refused: of 20 requests, 10 + 3 * 2.24 + 2 refusals are allowed.
+		func(h *History) { h.addOverload(18, 20) },
+		func(h *History) { h.addOverload(19, 20) },
+	},
 	"UNASKED": {
 		func(h *History) { h.add("x", 0, nil) },
 		func(h *History) { h.add("x", 0, func(_ *Attempt, r *Arrival) { r.Account = "b" }) },
@@ -252,6 +266,27 @@
 	h.addMany("x", n, 0, nil)
 }
 
+// addRefusedForCapacity records sent requests of an account, of which the first ones were refused for
+// lack of capacity.
+func (h *History) addRefusedForCapacity(account, prefix string, refused, sent int) {
+	for i := range sent {
+		a, _ := attempt(fmt.Sprint(prefix, i), 10*i)
+		a.Account = account
+		if i < refused {
+			a.Status, a.Sealed, a.RefusedForCapacity = 503, false, true
+		}
+		h.Attempts = append(h.Attempts, a)
+	}
+}
+
+// addOverload records an overload by one account, half of whose 98 requests were refused, and the
+// requests of another account meanwhile.
+func (h *History) addOverload(refused, sent int) {
+	h.Overloads = []Overload{{"s", "heavy", at(0), at(2000)}}
+	h.addRefusedForCapacity("heavy", "h", 49, 98)
+	h.addRefusedForCapacity("light", "l", refused, sent)
+}
+
 // addAfterFault records 100 requests after a fault, of which the first ones succeed.
 func (h *History) addAfterFault(served int) {
 	h.Disruptions = []Disruption{{"n", "kill", false, at(0), at(1000)}}
@@ -321,6 +356,35 @@
 	is.Equal(len(checkSingleHolder(newIndex(h))), 1)
 }
 
+// Guards against a repeatable request that was executed although its caller was told by 429 or 503 that
+// it was not. Other statuses guarantee that only for requests that are not idempotent.
+func TestRefusalOfAnIdempotentRequest(t *testing.T) {
+	is := is.New(t)
+	for status, want := range map[int]int{429: 1, 503: 1, 408: 0, 502: 0} {
+		h := &History{Bounds: testBounds}
+		h.add("x", 0, func(a *Attempt, _ *Arrival) { a.Idempotent, a.Status, a.Sealed = true, status, false })
+		is.Equal(len(checkRefused(newIndex(h))), want)
+	}
+}
+
+// Guards against an account that is compared although it is not within its limit, or although the
+// other account is not far above its share.
+func TestShareComparesOnlyAccountsWithinTheirLimit(t *testing.T) {
+	is := is.New(t)
+	planted := func(change func(h *History)) []Violation {
+		h := &History{Bounds: testBounds}
+		h.addOverload(20, 20)
+		change(h)
+		return checkShare(newIndex(h))
+	}
+	is.Equal(len(planted(func(*History) {})), 1)
+	is.Equal(len(planted(func(h *History) { h.Accounts = []Account{{"light", 5, 10}} })), 1)      // 20 units allowed in 2 s
+	is.Equal(len(planted(func(h *History) { h.Accounts = []Account{{"light", 5, 9}} })), 0)       // 19
+	is.Equal(len(planted(func(h *History) { h.Overloads[0].Account = "" })), 0)                   // all accounts sent the burst
+	is.Equal(len(planted(func(h *History) { h.Overloads[0].Service = "t" })), 0)                  // another service
+	is.Equal(len(planted(func(h *History) { h.addRefusedForCapacity("light", "m", 13, 13) })), 0) // 98 requests are less than 3 times 33
+}
+
 // Guards against a rule that has no row in docs/proofs.md.
 func TestRulesAreListedInProofs(t *testing.T) {
 	is := is.New(t)
