soak: overloads, endpoints that queue and are disturbed at times

Endpoints report four values of their load. The slowdown is one that they have: 2.5 times the usual for 600 ms of each 4 s. They queue up to 24 requests instead of refusing all beyond their slots. The fault "overload" sends long requests to the engines, twice as many as they can serve, of one account without a limit or of all. Instances run with all of [overload] on.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -95,6 +95,7 @@
 // attempt sends the request once and records the outcome, unless no connection could be made or
 // ctx has ended. It returns the retry delay that the response asks for.
 func (c *caller) attempt(ctx context.Context, q *request, left time.Duration) (check.Attempt, time.Duration) {
+	left = left.Truncate(time.Millisecond) // as the header states it
 	a := check.Attempt{
 		ID: c.traffic.newID(), Route: q.route.Name, Service: q.route.Split[0].Service, Method: q.method, URI: q.route.Prefix + "x",
 		BodySum: xxhash.Sum64(q.body), Units: 1, Deadline: left, Idempotent: q.route.Idempotent(), Stream: q.route.Kind == policy.Streaming,
--- a/internal/soak/endpoint.go
+++ b/internal/soak/endpoint.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -40,10 +41,39 @@
 	eventInterval   = 15 * time.Millisecond
 	minEvents       = 3
 	maxEvents       = 40
-	slots           = 16
+	maxWaiting      = 24 // requests that wait for a slot; endpoints refuse more
 	crashingBody    = "a body that no endpoint bears"
+	longBody        = "a body with a long prompt"
+	longWork        = 4 // how many times longer requests with longBody take
 )
 
+// The disturbances of an endpoint, as the deployments describe them: work takes 2.5 times as long for
+// 600 ms at a time, 15% of the time.
+const (
+	usualPace         = 100 // in percent of the usual time
+	disturbedPace     = 250
+	disturbancePeriod = 4 * time.Second
+	disturbanceLength = 600 * time.Millisecond
+)
+
+// slowdownAt returns how long work takes at an endpoint, in percent of the usual time, and for how long
+// that stays so. Endpoints are disturbed at different times.
+func slowdownAt(endpoint string, now time.Time) (percent int, stays time.Duration) {
+	offset := time.Duration(xxhash.Sum64String(endpoint) % uint64(disturbancePeriod))
+	phase := (time.Duration(now.UnixNano()%int64(disturbancePeriod)) + offset) % disturbancePeriod
+	if phase < disturbanceLength {
+		return disturbedPace, disturbanceLength - phase
+	}
+	return usualPace, disturbancePeriod - phase
+}
+
+// meanEvents is the mean number of events of a stream.
+const meanEvents = (minEvents + maxEvents - 1) / 2
+
+// longRequestTime is how long an undisturbed endpoint takes on average for the stream of a request
+// with longBody.
+const longRequestTime = longWork * (firstEventDelay + meanEvents*eventInterval)
+
 // eventCount returns the number of events in the response stream of a request, from minEvents to
 // maxEvents-1. It depends on the request ID alone, so that the checker can tell a complete stream
 // from a truncated one.
@@ -60,6 +90,7 @@
 	id      string
 	service string
 	hall    string
+	slots   int
 	link    *link // proxy that instances connect to
 	record  *recorder
 	sender  func(request string) string // returns the instance that a request ID was sent to
@@ -69,8 +100,9 @@
 	stopped atomic.Bool
 
 	mu       sync.Mutex
-	behavior behavior // guarded by mu
-	running  int      // guarded by mu
+	behavior behavior        // guarded by mu
+	running  int             // guarded by mu
+	waiting  []chan struct{} // closed when the request gets a slot, in order of arrival; guarded by mu
 }
 
 // start serves on a free loopback port, behind a new link.
@@ -99,7 +131,7 @@
 func (e *endpoint) storeEntry() registry.Endpoint {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return registry.Endpoint{ID: e.id, Name: e.id, Service: e.service, Addr: e.link.addr(), Hall: e.hall, Version: "v1", Slots: slots, Leaving: e.behavior.leaving}
+	return registry.Endpoint{ID: e.id, Name: e.id, Service: e.service, Addr: e.link.addr(), Hall: e.hall, Version: "v1", Slots: e.slots, Leaving: e.behavior.leaving}
 }
 
 // updateBehavior modifies the injected faults under the lock.
@@ -109,21 +141,66 @@
 	f(&e.behavior)
 }
 
-// acquireSlot takes a slot if one is free, and returns the present behavior.
-func (e *endpoint) acquireSlot() (behavior, bool) {
+var (
+	errFull    = errors.New("all slots are occupied and the queue is full")
+	errRefused = errors.New("refused by an injected fault")
+)
+
+// admit decides whether the endpoint takes a request, and waits for a slot. It returns the behavior
+// to respond with. The caller must call releaseSlot if there is no error.
+func (e *endpoint) admit(ctx context.Context) (behavior, error) {
 	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.running >= slots {
-		return e.behavior, false
+	b := e.behavior
+	if b.backoff > 0 || rand.Float64() < b.refuse {
+		e.mu.Unlock()
+		return b, errRefused
+	}
+	if e.running < e.slots {
+		e.running++
+		e.mu.Unlock()
+		return b, nil
+	}
+	if len(e.waiting) >= maxWaiting {
+		e.mu.Unlock()
+		return b, errFull
+	}
+	turn := make(chan struct{})
+	e.waiting = append(e.waiting, turn)
+	e.mu.Unlock()
+	select {
+	case <-turn:
+		return b, nil
+	case <-ctx.Done():
+	}
+	e.mu.Lock()
+	n := slices.Index(e.waiting, turn)
+	if n >= 0 {
+		e.waiting = slices.Delete(e.waiting, n, n+1)
 	}
-	e.running++
-	return e.behavior, true
+	e.mu.Unlock()
+	if n < 0 {
+		e.releaseSlot() // it was granted at the same moment
+	}
+	return b, ctx.Err()
 }
 
+// releaseSlot passes a slot to the request that has waited longest, if there is one.
 func (e *endpoint) releaseSlot() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.running--
+	if len(e.waiting) == 0 {
+		e.running--
+		return
+	}
+	close(e.waiting[0])
+	e.waiting = e.waiting[1:]
+}
+
+// load returns the first three values of the load that the endpoint reports.
+func (e *endpoint) load() [3]int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return [3]int{e.running, len(e.waiting), e.slots}
 }
 
 // ServeHTTP implements http.Handler.
@@ -142,15 +219,19 @@
 		Request: in.ID, Endpoint: e.id, Service: e.service, At: time.Now(), Method: r.Method, URI: r.RequestURI,
 		BodySum: xxhash.Sum64(body), Account: in.Account, Deadline: in.Deadline,
 	})
-	b, free := e.acquireSlot()
-	if free {
-		defer e.releaseSlot()
-	}
-	if !free || b.backoff > 0 || rand.Float64() < b.refuse {
+	b, err := e.admit(r.Context())
+	switch {
+	case errors.Is(err, errFull), errors.Is(err, errRefused):
 		e.refuse(w, in, b)
 		return
+	case err != nil:
+		panic(http.ErrAbortHandler) // canceled while it waited: not run
+	}
+	defer e.releaseSlot()
+	c := &call{endpoint: e, arrival: n, in: in, w: w, behavior: b, ctx: r.Context(), work: 1}
+	if strings.Contains(string(body), longBody) {
+		c.work = longWork
 	}
-	c := &call{endpoint: e, arrival: n, in: in, w: w, behavior: b, ctx: r.Context()}
 	c.run(strings.Contains(string(body), crashingBody))
 }
 
@@ -164,9 +245,10 @@
 // limit, backoff), and records that announcement for the checker.
 func (e *endpoint) setHead(h http.Header, in platformtest.EndpointRequest, b behavior, head platformtest.EndpointResponse) {
 	head.Leaving, head.RateLimit = b.leaving, b.rateLimit
-	head.Load = [3]int{0, 0, slots}
-	platformtest.SetResponse(h, head)
 	now := time.Now()
+	head.Load = e.load()
+	head.Slowdown, _ = slowdownAt(e.id, now)
+	platformtest.SetResponse(h, head)
 	s := check.Announcement{Endpoint: e.id, Instance: e.sender(in.ID), At: now, Leaving: b.leaving, RateLimit: b.rateLimit != ""}
 	if head.RetryAfter > 0 {
 		s.BackoffUntil = now.Add(head.RetryAfter)
@@ -184,6 +266,7 @@
 	w        http.ResponseWriter
 	behavior behavior
 	ctx      context.Context
+	work     time.Duration // how many times longer the request takes than the usual one
 }
 
 var errTruncated = errors.New("response cut off by an injected fault")
@@ -207,6 +290,20 @@
 	}
 }
 
+// process spends the time that the endpoint takes at present for work that usually takes d. It returns
+// an error if the request is canceled before.
+func (c *call) process(d time.Duration) error {
+	for d *= c.work; d > 0; {
+		percent, stays := slowdownAt(c.endpoint.id, time.Now())
+		step := min(d*time.Duration(percent)/usualPace, stays)
+		if err := c.wait(step); err != nil {
+			return err
+		}
+		d -= step * usualPace / time.Duration(percent)
+	}
+	return nil
+}
+
 // wait sleeps for d. It returns an error if the request is canceled before.
 func (c *call) wait(d time.Duration) error {
 	select {
@@ -227,7 +324,7 @@
 	if c.endpoint.service == engineService {
 		return c.stream()
 	}
-	if err := c.wait(callDuration); err != nil {
+	if err := c.process(callDuration); err != nil {
 		return 0, 0, err
 	}
 	if rand.Float64() < c.behavior.loseAnswers {
@@ -259,7 +356,7 @@
 // stream writes server-sent events, starting after the Last-Event-Id of the request.
 func (c *call) stream() (int, uint64, error) {
 	after, _ := strconv.Atoi(c.in.LastEventID) // 0 for a new stream, where it is empty
-	if err := c.wait(firstEventDelay); err != nil {
+	if err := c.process(firstEventDelay); err != nil {
 		return 0, 0, err
 	}
 	if rand.Float64() < c.behavior.fail {
@@ -285,7 +382,7 @@
 			return http.StatusOK, 0, err
 		}
 		_ = flush.Flush()
-		if err := c.wait(eventInterval); err != nil {
+		if err := c.process(eventInterval); err != nil {
 			return http.StatusOK, 0, err
 		}
 	}
--- a/internal/soak/instances.go
+++ b/internal/soak/instances.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -64,6 +65,7 @@
 		settings: settings.Front{
 			Name: name, Hall: hallOf(n, s), Region: "soak", Front: at(frontPort), Ready: at(readyPort), Peer: at(peerPort), Metrics: at(metricsPort),
 			Store: at(storePort), Cloud: at(cloudPort), MemoryMB: 284, Bounds: bounds,
+			Overload: settings.Overload{LoadReports: true, Admission: true, FairShares: true, Reservations: true, PlainHubs: true},
 		},
 	}
 }
@@ -240,6 +242,29 @@
 	return nil
 }
 
+// refusalEvent marks the log lines of refused requests. Those refused for lack of capacity have a
+// reason, which is a value of overload.Reason.
+const refusalEvent = `"event":412`
+
+// capacityRefusals returns the requests that the instance refused for lack of capacity, according to
+// its log.
+func (i *instance) capacityRefusals() (map[string]bool, error) {
+	lines, err := logLines(i.logFile(), func(line string) bool {
+		return strings.Contains(line, refusalEvent) && strings.Contains(line, `"reason":`)
+	})
+	if err != nil {
+		return nil, err
+	}
+	refused := make(map[string]bool)
+	for _, line := range lines {
+		var entry struct{ Request, Reason string }
+		if err := json.Unmarshal([]byte(line), &entry); err == nil && entry.Reason != "" { // a line may be cut off by a kill
+			refused[entry.Request] = true
+		}
+	}
+	return refused, nil
+}
+
 const maxLogLine = 1 << 20
 
 // logLines returns the matching lines of a log file, and none if the file does not exist.
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -77,6 +77,7 @@
 type operator struct {
 	store  *writer
 	record *recorder
+	slots  int // of each endpoint
 
 	mu        sync.Mutex
 	version   int64      // guarded by mu
@@ -88,8 +89,8 @@
 
 var accountNames = []string{"north", "south", "busy"}
 
-func newOperator(store *writer, record *recorder, seed uint64) *operator {
-	o := &operator{store: store, record: record, rnd: rand.New(rand.NewPCG(seed, 101))}
+func newOperator(store *writer, record *recorder, slots int, seed uint64) *operator {
+	o := &operator{store: store, record: record, slots: slots, rnd: rand.New(rand.NewPCG(seed, 101))}
 	for _, account := range accountNames {
 		for range keysPerAccount {
 			o.addKey(account, time.Time{})
@@ -142,7 +143,7 @@
 func (o *operator) write(revoked *key) error {
 	c := policy.Config{
 		Version:  o.version,
-		Services: []policy.Service{{Name: plainService}, {Name: engineService, Engine: &policy.Engine{Slots: slots, TokensPerEvent: 1}}},
+		Services: []policy.Service{{Name: plainService}, {Name: engineService, Engine: &policy.Engine{Slots: o.slots, TokensPerEvent: 1}}},
 		Limits:   policy.Limits{IdleTimeout: 15 * time.Second},
 	}
 	for _, class := range classes {
--- a/internal/soak/recorder.go
+++ b/internal/soak/recorder.go
@@ -84,6 +84,19 @@
 	}
 }
 
+// lastDisruption returns the end of the disruption that ended last; zero if there was none.
+func (r *recorder) lastDisruption() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var last time.Time
+	for _, d := range r.history.Disruptions {
+		if d.To.After(last) {
+			last = d.To
+		}
+	}
+	return last
+}
+
 // beginLinkFault records that a fault is active on the link to an endpoint from now on. Calling end
 // records its end.
 func (r *recorder) beginLinkFault(endpoint string) (end func()) {
@@ -99,6 +112,31 @@
 	}
 }
 
+// beginOverload records that the callers of a client account, or of all if it is empty, send more
+// requests to a service than it can serve from now on. Calling end records the end.
+func (r *recorder) beginOverload(service, account string) (end func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := len(r.history.Overloads)
+	now := time.Now()
+	r.history.Overloads = append(r.history.Overloads, check.Overload{Service: service, Account: account, From: now, To: now.Add(time.Hour)})
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.history.Overloads[n].To = time.Now()
+	}
+}
+
+// refusedForCapacity records which requests an instance refused for lack of capacity.
+func (r *recorder) refusedForCapacity(requests map[string]bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := range r.history.Attempts {
+		a := &r.history.Attempts[i]
+		a.RefusedForCapacity = a.RefusedForCapacity || requests[a.ID]
+	}
+}
+
 // finish returns the recorded history, with the bounds and accounts to check it against.
 func (r *recorder) finish(bounds check.Bounds, accounts []check.Account) *check.History {
 	r.mu.Lock()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -32,6 +32,7 @@
 	Arrivals   int               `json:"arrivals"`
 	Served     int               `json:"served"`
 	Refused    int               `json:"refused"`
+	Overload   int               `json:"refused_for_capacity"` // those of Refused for which the instances logged this reason
 	Failed     int               `json:"failed"`
 	Violations []check.Violation `json:"violations"`
 	Began      time.Time         `json:"began"` // start of the traffic
@@ -82,11 +83,11 @@
 
 func newRun(o Options) (*run, error) {
 	record := &recorder{}
-	r := &run{Options: o, record: record, world: newWorld(record)}
+	r := &run{Options: o, record: record, world: newWorld(record, o.Scenario.Slots)}
 	for n := range o.Scenario.Instances {
 		r.instances = append(r.instances, newInstance(n, o.Scenario, o.Dir, record))
 	}
-	r.operator = newOperator(r.world.writer, record, o.Seed)
+	r.operator = newOperator(r.world.writer, record, o.Scenario.Slots, o.Seed)
 	r.traffic = newTraffic(r.instances, r.operator, record, o.Seed)
 	r.world.sender = r.traffic.sender
 	if err := r.operator.configure(); err != nil {
@@ -147,11 +148,26 @@
 	return errNotReady
 }
 
-// execute sends traffic and injects the scheduled faults until the run's time is over.
+// Stops may last until the grace period ends if requests are long, and the rule RECOVER is about the
+// requests after that.
+const (
+	recoveryTime = 3 * time.Second  // for which there is traffic in which the system must have recovered
+	maxExtension = 10 * time.Second // of a run, to that end
+)
+
+// execute sends traffic and injects the scheduled faults until the run's time is over, or until
+// recoveryTime after the system must have recovered from the last fault.
 func (r *run) execute(outer context.Context) {
-	ctx, cancel := context.WithTimeout(outer, time.Duration(r.Scenario.Seconds)*time.Second)
+	ctx, cancel := context.WithCancel(outer)
 	defer cancel()
 	begin := time.Now()
+	r.faults.Go(func() {
+		defer cancel()
+		end := begin.Add(time.Duration(r.Scenario.Seconds) * time.Second)
+		sleep(ctx, time.Until(end))
+		recovered := r.record.lastDisruption().Add(checkBounds().Recover + recoveryTime)
+		sleep(ctx, min(time.Until(recovered), maxExtension))
+	})
 	r.faults.Go(func() { r.progress(ctx, begin) })
 	r.faults.Go(func() { r.world.takeBackups(ctx) })
 	r.faults.Go(func() {
@@ -199,7 +215,13 @@
 		if err := i.recordInvariantViolations(); err != nil {
 			return nil, err
 		}
+		refused, err := i.capacityRefusals()
+		if err != nil {
+			return nil, err
+		}
+		r.record.refusedForCapacity(refused)
 		out.Logs[i.name] = i.logFile()
+		out.Overload += len(refused)
 	}
 	h := r.record.finish(checkBounds(), r.operator.accounts())
 	out.Served, out.Refused, out.Failed = sum(out.Seconds)
--- a/internal/soak/scenario.go
+++ b/internal/soak/scenario.go
@@ -23,6 +23,7 @@
 	Halls     int         `toml:"halls" json:"halls"`
 	Engines   int         `toml:"engines" json:"engines"`   // endpoints that respond with streams
 	Services  int         `toml:"services" json:"services"` // endpoints that respond without streams
+	Slots     int         `toml:"slots" json:"slots"`       // of each endpoint; defaultSlots if absent
 	Rate      float64     `toml:"rate" json:"rate"`         // requests per second
 	Faults    []FaultRate `toml:"faults" json:"-"`
 }
@@ -45,7 +46,7 @@
 
 // Parse decodes and validates a scenario in TOML.
 func Parse(text []byte) (Scenario, error) {
-	var s Scenario
+	s := Scenario{Slots: defaultSlots}
 	if err := toml.Unmarshal(text, &s); err != nil {
 		return s, fmt.Errorf("%w: %w", ErrScenario, err)
 	}
@@ -54,6 +55,7 @@
 
 const (
 	maxInstances  = 200
+	defaultSlots  = 16
 	faultFreeTail = 15 // seconds without faults at the end of a run, in which the system recovers
 )
 
@@ -63,8 +65,8 @@
 		return fmt.Errorf("%w: seconds must be greater than %d", ErrScenario, faultFreeTail)
 	case s.Instances < 1 || s.Instances > maxInstances:
 		return fmt.Errorf("%w: instances must be between 1 and %d", ErrScenario, maxInstances)
-	case s.Halls < 1 || s.Engines < 1 || s.Services < 1 || s.Rate <= 0:
-		return fmt.Errorf("%w: halls, engines, services and rate must be positive", ErrScenario)
+	case s.Halls < 1 || s.Engines < 1 || s.Services < 1 || s.Slots < 1 || s.Rate <= 0:
+		return fmt.Errorf("%w: halls, engines, services, slots and rate must be positive", ErrScenario)
 	}
 	for _, f := range s.Faults {
 		if !slices.Contains(Kinds, f.Kind) || f.EveryS <= 0 || f.ForS < 0 {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"os"
 	"path/filepath"
@@ -13,6 +14,8 @@
 	"github.com/matryer/is"
 
 	"github.com/shelfcrank/shelfcrank/internal/check"
+	"github.com/shelfcrank/shelfcrank/internal/topology"
+	"github.com/shelfcrank/shelfcrank/internal/virtual"
 )
 
 func TestASeedDrawsTheSameFaults(t *testing.T) {
@@ -103,3 +106,123 @@
 		is.NoErr(Plot(filepath.Join(dir, name), r))
 	}
 }
+
+// Guards against an overload scenario whose fleet is too small for hubs: without hubs no request is
+// refused for lack of capacity.
+func TestTheOverloadScenarioHasHubs(t *testing.T) {
+	is := is.New(t)
+	text, err := os.ReadFile("overload.toml")
+	is.NoErr(err)
+	s, err := Parse(text)
+	is.NoErr(err)
+	is.True(s.Instances > topology.SmallFleet)
+	is.True(slices.ContainsFunc(s.Faults, func(f FaultRate) bool { return f.Kind == Overload }))
+}
+
+// Guards against endpoints that report a slowdown that they do not have, or for another share of the
+// time than the deployments describe.
+func TestEndpointsAreDisturbedAtTimes(t *testing.T) {
+	is := is.New(t)
+	start, disturbed, now := time.Unix(1000, 0), time.Duration(0), time.Unix(1000, 0)
+	for now.Sub(start) < 10*disturbancePeriod {
+		percent, stays := slowdownAt("e-001", now)
+		is.True(stays > 0 && stays <= disturbancePeriod)
+		before, _ := slowdownAt("e-001", now.Add(stays-1))
+		after, _ := slowdownAt("e-001", now.Add(stays))
+		is.Equal(before, percent) // stays so
+		is.True(after != percent) // and changes then
+		if percent == disturbedPace {
+			disturbed += min(stays, start.Add(10*disturbancePeriod).Sub(now))
+		}
+		now = now.Add(stays)
+	}
+	is.Equal(disturbed, 10*disturbanceLength)
+}
+
+// The time that work takes at an endpoint is that of the slowdown which it reports.
+func TestDisturbedEndpointsTakeLonger(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := &call{endpoint: &endpoint{id: "e-001"}, ctx: t.Context(), work: 1}
+		for percent := 0; percent != usualPace; { // until the end of a disturbance
+			_, stays := slowdownAt("e-001", time.Now())
+			time.Sleep(stays)
+			percent, _ = slowdownAt("e-001", time.Now())
+		}
+		took := func(d time.Duration) time.Duration {
+			began := time.Now()
+			is.NoErr(c.process(d))
+			return time.Since(began)
+		}
+		usual := disturbancePeriod - disturbanceLength
+		is.Equal(took(usual-200*time.Millisecond), usual-200*time.Millisecond)
+		is.Equal(took(400*time.Millisecond), 700*time.Millisecond) // 200 ms before the disturbance, and 200 ms that take 2.5 times as long
+		is.Equal(took(40*time.Millisecond), 100*time.Millisecond)  // until its end
+		c.work = longWork
+		is.Equal(took(500*time.Millisecond), 2*time.Second)
+	})
+}
+
+// Guards against endpoints that run more requests at a time than they have slots, or that lose a slot
+// when a waiting request is canceled.
+func TestEndpointsQueueRequests(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := &endpoint{slots: 2}
+		for range 2 {
+			_, err := e.admit(t.Context())
+			is.NoErr(err)
+		}
+		canceled, cancel := context.WithCancel(t.Context())
+		results := make(chan error, maxWaiting)
+		for i := range maxWaiting {
+			ctx := t.Context()
+			if i == 0 {
+				ctx = canceled
+			}
+			go func() {
+				_, err := e.admit(ctx)
+				results <- err
+			}()
+			time.Sleep(time.Millisecond)
+		}
+		is.Equal(e.load(), [3]int{2, maxWaiting, 2})
+		_, err := e.admit(t.Context())
+		is.True(errors.Is(err, errFull))
+		cancel()
+		is.True(errors.Is(<-results, context.Canceled))
+		is.Equal(e.load(), [3]int{2, maxWaiting - 1, 2})
+		for n := range maxWaiting - 1 {
+			e.releaseSlot()
+			is.NoErr(<-results)
+			is.Equal(e.load(), [3]int{2, maxWaiting - 2 - n, 2})
+		}
+		e.releaseSlot()
+		e.releaseSlot()
+		is.Equal(e.load(), [3]int{0, 0, 2})
+	})
+}
+
+// Guards against refusals for lack of capacity that the checker does not see, and against other
+// refusals that count as such.
+func TestCapacityRefusalsAreReadFromTheLog(t *testing.T) {
+	is := is.New(t)
+	i := &instance{name: "n", dir: t.TempDir()}
+	lines := []string{
+		`{"msg":"request refused","request":"q1","status":503,"reason":"no capacity to meet the target","event":412}`,
+		`{"msg":"request refused","request":"q2","status":429,"why":"over the limit of the client account","event":412}`,
+		`{"msg":"request answered","request":"q3","reason":"in time","event":411}`,
+		`{"msg":"request refused","request":"q4","status":503,"event":412,"reason":"no cap`,
+	}
+	is.NoErr(os.WriteFile(i.logFile(), []byte(strings.Join(lines, "\n")), 0o600))
+	refused, err := i.capacityRefusals()
+	is.NoErr(err)
+	is.Equal(refused, map[string]bool{"q1": true})
+	r := &recorder{}
+	r.attempt(check.Attempt{ID: "q1"})
+	r.attempt(check.Attempt{ID: "q2"})
+	r.refusedForCapacity(refused)
+	h := r.finish(check.Bounds{}, nil)
+	is.True(h.Attempts[0].RefusedForCapacity)
+	is.True(!h.Attempts[1].RefusedForCapacity)
+}
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
 	"github.com/shelfcrank/shelfcrank/internal/check"
+	"github.com/shelfcrank/shelfcrank/internal/policy"
 )
 
 // inject injects one fault and returns when it is over.
@@ -40,6 +44,8 @@
 		r.traffic.setFactor(2.5)
 		sleep(ctx, a.For)
 		r.traffic.setFactor(1)
+	case Overload:
+		r.overload(ctx, a)
 	case Deadly:
 		r.sendCrashingRequest(ctx, a)
 	case LinkSlow, LinkReset, LinkSilent:
@@ -196,3 +202,36 @@
 		c.close()
 	}
 }
+
+// overloadFactor is the rate of an overload as a multiple of what undisturbed engines can serve. At 2,
+// requests wait for about a second per second of overload; the target latency is one second.
+const overloadFactor = 2
+
+// overload sends long requests to the engines, at overloadFactor times the rate that they can serve,
+// beside the other traffic. The requests are of one client account without a limit, or of all accounts.
+func (r *run) overload(ctx context.Context, a Action) {
+	account := []string{"", "north", "", "south"}[a.Target%4]
+	defer r.record.beginOverload(engineService, account)()
+	rate := overloadFactor * float64(len(r.world.endpointsOf(engineService))*r.Scenario.Slots) / longRequestTime.Seconds()
+	rnd := rand.New(rand.NewPCG(a.Target, 303))
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	for end := time.Now().Add(a.For); time.Now().Before(end) && ctx.Err() == nil; {
+		sleep(ctx, time.Duration(rnd.ExpFloat64()/rate*float64(time.Second)))
+		name := account
+		if name == "" {
+			name = accountNames[rnd.IntN(len(accountNames))]
+		}
+		q := &request{
+			route: overloadRoute(), method: "POST", key: r.operator.pickKey(name),
+			body: fmt.Appendf(nil, "%s %d", longBody, rnd.Uint64()),
+		}
+		r.traffic.send(ctx, &wait, q)
+	}
+}
+
+// overloadRoute returns the route of the requests of an overload.
+func overloadRoute() policy.Route {
+	i := slices.IndexFunc(classes, func(c class) bool { return c.route.Name == "chat" })
+	return classes[i].route
+}
--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -34,7 +34,7 @@
 	Failed  int `json:"failed"`
 }
 
-const maxCallers = 256
+const maxCallers = 512
 
 func newTraffic(instances []*instance, o *operator, record *recorder, seed uint64) *traffic {
 	t := &traffic{
@@ -56,15 +56,19 @@
 	defer wait.Wait()
 	for ctx.Err() == nil {
 		sleep(ctx, time.Duration(rnd.ExpFloat64()/(rate*t.rateFactor())*float64(time.Second)))
-		q := t.drawRequest(rnd)
-		select {
-		case c := <-t.idleCallers:
-			wait.Go(func() {
-				c.sendWithRetry(outer, q)
-				t.idleCallers <- c
-			})
-		default: // all callers are busy: this request is skipped
-		}
+		t.send(outer, &wait, t.drawRequest(rnd))
+	}
+}
+
+// send lets an idle caller send a request. If all callers are busy, the request is skipped.
+func (t *traffic) send(ctx context.Context, wait *sync.WaitGroup, q *request) {
+	select {
+	case c := <-t.idleCallers:
+		wait.Go(func() {
+			c.sendWithRetry(ctx, q)
+			t.idleCallers <- c
+		})
+	default:
 	}
 }
 
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -34,6 +34,8 @@
 	platformLinks []*link          // from all instances to the store and the cloud API
 	cloud         *cloud
 
+	slots int // of each endpoint
+
 	mu               sync.Mutex
 	endpoints        []*endpoint // neither leaving nor crashed; guarded by mu
 	backups          []backup    // oldest first; guarded by mu
@@ -66,9 +68,9 @@
 // Scale implements platformtest.Cloud.
 func (c *cloud) Scale(duty.Token, string, string, int, bool) error { return nil }
 
-func newWorld(record *recorder) *world {
+func newWorld(record *recorder, slots int) *world {
 	s := storetest.New()
-	return &world{store: s, writer: newWriter(s), links: make(map[string]*link), record: record, cloud: &cloud{record: record}}
+	return &world{store: s, writer: newWriter(s), links: make(map[string]*link), record: record, cloud: &cloud{record: record}, slots: slots}
 }
 
 // serveInstance serves the store and the cloud API to one instance, each behind a link of its own.
@@ -127,7 +129,7 @@
 		return nil
 	}
 	w.endpointsStarted++
-	e := &endpoint{id: fmt.Sprintf("e-%03d", w.endpointsStarted), service: service, hall: hall, record: w.record, sender: w.sender, onCrash: w.crash}
+	e := &endpoint{id: fmt.Sprintf("e-%03d", w.endpointsStarted), service: service, hall: hall, slots: w.slots, record: w.record, sender: w.sender, onCrash: w.crash}
 	if err := e.start(); err != nil {
 		return err
 	}
