front: test that units admitted before the first exchange are deducted

The tests of internal/quota do not notice if the exchange omits the age of an instance.

Tried and rejected: the rate limit over the first 8 s of six instances in virtual time.

--- a/internal/front/limit_test.go
+++ b/internal/front/limit_test.go
@@ -95,3 +95,30 @@
 		}
 	})
 }
+
+// Guards against a limit exceeded while all instances of a small fleet start. They serve requests
+// before their first exchange, and what the others admitted by then was not deducted.
+func TestUnitsAdmittedBeforeTheFirstExchangeAreDeducted(t *testing.T) {
+	const rate, burst, instances = 20, 100, 3
+	runCluster(t, instances, func(is *is.I, w *testCluster) {
+		time.Sleep(4 * time.Second)
+		w.killAndStart(runningNames(w)...)
+		w.readyWithin(5 * time.Second)
+		served := 0
+		for i := 0; i < 20 && served < 4; i++ {
+			if w.ask("n2", "/safe/a", "k1", fmt.Sprint("early", i)) == 200 {
+				served++
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.Equal(served, 4)
+		// Two seconds after the start all have exchanged counts, and none has adopted levels yet (quota.WarmUp).
+		time.Sleep(time.Until(w.instances["n2"].instance.start.Add(2 * time.Second)))
+		for name := range w.instances {
+			refilled := rate * time.Since(w.instances[name].instance.start).Seconds()
+			if left := w.quotaLeft(name); left > refilled-float64(served)+1 {
+				t.Errorf("%s has %.1f units left of %.1f, although %d were admitted", name, left, refilled, served)
+			}
+		}
+	}, withLimit(rate, burst, 0), lenientRevoke)
+}
