--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -43,6 +43,7 @@
 		return outcome{again: q.route.Idempotent(), denial: &denial{status: http.StatusBadGateway, why: "response broke off", err: err}}
 	}
 	h.runCompleted(q, ticket.Endpoint, resp)
+	h.compareForecast(q, ticket)
 	if resp.Status >= http.StatusInternalServerError {
 		ticket.Done(balance.Failed, h.Clock.Now())
 		if q.route.Idempotent() && len(body) <= maxBuffered {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -155,6 +155,9 @@
 		return outcome{denial: d}
 	}
 	q.chosen = append(q.chosen, ticket.Endpoint.ID)
+	if ticket.Returned {
+		h.placedAfterReturn(q)
+	}
 	call := h.newCall(q, view, ticket, now)
 	resp, err := h.Backends.Send(ctx, call)
 	if err != nil {
--- a/internal/forward/refuse.go
+++ b/internal/forward/refuse.go
@@ -99,6 +99,9 @@
 	if err != nil {
 		fields = append(fields, zap.Error(err))
 	}
+	if q.returned && c == event.ForwardAnswered && status >= 200 && status < 300 {
+		h.Metrics.ServedAfterReturn(q.source())
+	}
 	h.event(c, append(fields, more...)...)
 	h.Metrics.Forwarded(name, status, now.Sub(q.arrived))
 }
--- a/internal/forward/scheduling.go
+++ b/internal/forward/scheduling.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/shelfcrank/shelfcrank/internal/balance"
+	"github.com/shelfcrank/shelfcrank/internal/metrics"
 	"github.com/shelfcrank/shelfcrank/internal/policy"
 )
 
@@ -34,6 +35,7 @@
 // overloadDenial is the denial for a request that was refused for lack of capacity. If the hub told
 // no time, the client gets the longest of the usual waits: without one it would return at once.
 func (h *Handler) overloadDenial(q *request, e *OverloadError) *denial {
+	h.Metrics.RefusedForCapacity(q.source())
 	wait := waitNoEndpoint
 	var retry time.Duration
 	if !e.RetryAt.IsZero() {
@@ -51,6 +53,26 @@
 	}
 }
 
+// source identifies the request in the metrics of overload control.
+func (q *request) source() metrics.Source {
+	return metrics.Source{Service: q.service, Route: q.route.Name, Account: q.accountName()}
+}
+
+// placedAfterReturn counts a request that was placed after its client had returned at the time stated
+// in a refusal.
+func (h *Handler) placedAfterReturn(q *request) {
+	h.Metrics.Returned(q.source())
+	q.returned = true
+}
+
+// compareForecast compares the time of the first event, or of the response of a plain service, with the hub's
+// forecast, if there was one.
+func (h *Handler) compareForecast(q *request, ticket *balance.Ticket) {
+	if !ticket.FirstAt.IsZero() {
+		h.Metrics.ForecastError(q.route.Name, h.Clock.Since(ticket.FirstAt))
+	}
+}
+
 // minOverloadWait is the shortest wait that the Retry-After header, which has three decimals, can
 // express. If the time to return has passed before the refusal is sent, the client may return now.
 const minOverloadWait = time.Millisecond
