--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -93,40 +93,41 @@
 // Instance is a running instance in the front role.
 type Instance struct {
 	Options
-	start           time.Time
-	injector        do.Injector
-	metrics         *metrics.Metrics
-	state           *state
-	view            atomic.Pointer[forward.View]
-	walltime        *walltime.Clock
-	peers           *peer.Transport
-	backends        *backend.Client
-	notices         *notice.Table // what endpoints announced in their answers
-	limits          *ratelimit.Table
-	loads           *loadreport.Table // what endpoints reported of their load
-	tracker         *balance.Tracker
-	admission       *admission
-	elector         *duty.Elector
-	handler         *forward.Handler
-	placer          *placer
-	suspects        *suspects
-	rollouts        *rollctl.Control
-	knownRollouts   atomic.Pointer[[]rollctl.ServiceRollout]
-	hub             *hub.Mirror
-	callers         hub.Callers // instances that read the store through this one
-	bootstrap       *bootstrap
-	groups          *groups
-	versions        *version.Tracker
-	watchProgress   mirror.StallDetector
-	reading         atomic.Bool  // this instance reads the store itself
-	registered      atomic.Bool  // the store is believed to hold this instance's registration
-	registrationDue atomic.Bool  // this instance has begun to register
-	revision        atomic.Int64 // of the configuration's item held, a store.Revision
-	standIn         *standIn     // requests of others to read the store in place of the readers
-	leaving         atomic.Bool
-	watchReset      atomic.Pointer[signal] // fired to restart the watches
-	refreshed       atomic.Pointer[signal] // fired by the next refresh
-	synced          chan struct{}          // closed when a configuration and the endpoints are known
+	start             time.Time
+	injector          do.Injector
+	metrics           *metrics.Metrics
+	state             *state
+	view              atomic.Pointer[forward.View]
+	walltime          *walltime.Clock
+	peers             *peer.Transport
+	backends          *backend.Client
+	notices           *notice.Table // what endpoints announced in their answers
+	limits            *ratelimit.Table
+	loads             *loadreport.Table // what endpoints reported of their load
+	scheduledServices *event.ServiceLog
+	tracker           *balance.Tracker
+	admission         *admission
+	elector           *duty.Elector
+	handler           *forward.Handler
+	placer            *placer
+	suspects          *suspects
+	rollouts          *rollctl.Control
+	knownRollouts     atomic.Pointer[[]rollctl.ServiceRollout]
+	hub               *hub.Mirror
+	callers           hub.Callers // instances that read the store through this one
+	bootstrap         *bootstrap
+	groups            *groups
+	versions          *version.Tracker
+	watchProgress     mirror.StallDetector
+	reading           atomic.Bool  // this instance reads the store itself
+	registered        atomic.Bool  // the store is believed to hold this instance's registration
+	registrationDue   atomic.Bool  // this instance has begun to register
+	revision          atomic.Int64 // of the configuration's item held, a store.Revision
+	standIn           *standIn     // requests of others to read the store in place of the readers
+	leaving           atomic.Bool
+	watchReset        atomic.Pointer[signal] // fired to restart the watches
+	refreshed         atomic.Pointer[signal] // fired by the next refresh
+	synced            chan struct{}          // closed when a configuration and the endpoints are known
 }
 
 // incarnation identifies this run of the instance: its start time in Unix nanoseconds.
@@ -149,6 +150,7 @@
 	n.notices = notice.New(notice.Options{OnChange: n.onNotice, TimeOfDay: n.walltime.At})
 	n.limits = newLimits(n)
 	n.loads = loadreport.New()
+	n.scheduledServices = event.NewServiceLog(n.event)
 	n.bootstrap = newBootstrap(n)
 	n.placer = newPlacer(n)
 	n.suspects = newSuspects(n)
@@ -364,6 +366,7 @@
 			n.tracker.Forget(used)
 			n.loads.Forget(used)
 			n.placer.expire(used, now)
+			n.observeScheduled(now)
 			n.suspects.expire(used, now)
 			n.peers.CloseIdle(now)
 		}
--- a/internal/front/scheduling.go
+++ b/internal/front/scheduling.go
@@ -8,6 +8,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/overload"
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
 	"github.com/shelfcrank/shelfcrank/internal/place"
+	"github.com/shelfcrank/shelfcrank/internal/settings"
 	"github.com/shelfcrank/shelfcrank/internal/topology"
 )
 
@@ -30,6 +31,18 @@
 	return 1
 }
 
+// observeScheduled logs when services begin and stop being scheduled with load reports.
+func (n *Instance) observeScheduled(now time.Time) {
+	config := n.view.Load().Config
+	if config == nil || n.Settings.Overload == (settings.Overload{}) {
+		return
+	}
+	for i := range config.Services {
+		name := config.Services[i].Name
+		n.scheduledServices.Observe(name, n.loads.Reporting(name, now))
+	}
+}
+
 // writeScheduling adds to a request for an offer by what the hub decides on its admission. Times are
 // sent as durations, since the clocks of instances differ.
 func (p *placer) writeScheduling(q *peerpb.Place, r *balance.Request, now time.Time) {
