--- a/internal/overload/accepted.go
+++ b/internal/overload/accepted.go
@@ -13,8 +13,10 @@
 	minObserved = 200 * time.Millisecond
 
 	// maxDelay bounds the factor by which more urgent requests delay others. The rates it is derived
-	// from are estimates, and when they are nearly equal a small error makes a large factor.
-	maxDelay = 8
+	// from are estimates, and when they are nearly equal a small error makes a large factor: with 8,
+	// 13 of 96 runs in which one account sends six times its usual load lost the others 5% or more,
+	// with 6 none (at a protectedShare of 0.5).
+	maxDelay = 6
 
 	// maxWait bounds the waits that are corrected, as a multiple of longer ones might not be a
 	// duration. No client waits as long.
@@ -57,23 +59,21 @@
 }
 
 // correct returns the forecast with the requests taken into account that are still to come and will
-// be processed before a request of the given priority. The forecast contains only those that are
-// queued: where more urgent requests take two thirds of an endpoint, a wait is three times as long.
-// The request itself is not interrupted once it is being processed.
-func (a *accepted) correct(f Forecast, priority int, now time.Time) Forecast {
+// be processed before the given one. The forecast contains only those that are queued: where more
+// urgent requests take two thirds of an endpoint, a wait is three times as long. The request itself is
+// not interrupted once it is being processed. RoomAt stays as it is: corrected, it would be told to
+// callers whose requests are then refused again.
+func (a *accepted) correct(f Forecast, r Request, now time.Time) Forecast {
 	if !(f.Rate > 0) {
 		return f
 	}
-	factor := 1 / max(1/float64(maxDelay), 1-a.upTo(priority-1, now)/f.Rate)
-	delayed := func(t, from time.Time) time.Time {
-		wait := t.Sub(from)
-		if wait <= 0 || wait > maxWait {
-			return t
-		}
-		return from.Add(time.Duration(factor * float64(wait)))
+	factor := 1 / max(1/float64(maxDelay), 1-a.upTo(r.Priority-1, now)/f.Rate)
+	started := now.Add(f.Alone)
+	wait := f.FirstAt.Sub(started)
+	if wait <= 0 || wait > maxWait {
+		return f
 	}
-	f.FirstAt = delayed(f.FirstAt, now.Add(f.Alone))
-	f.RoomAt = delayed(f.RoomAt, now)
+	f.FirstAt = started.Add(time.Duration(factor * float64(wait)))
 	return f
 }
 
--- a/internal/overload/load_test.go
+++ b/internal/overload/load_test.go
@@ -84,44 +84,42 @@
 	}
 }
 
-// Guards against an account that takes the capacity of those within their limits, by its number of
-// requests or by their priority.
+// Guards against an account that takes the capacity of those within their limits.
 func TestAccountsWithinTheirLimitsAreServed(t *testing.T) {
+	t.Run("small", func(t *testing.T) { sixfold(t, 1./16, kind{}) })
+	t.Run("large", func(t *testing.T) { sixfold(t, 0.25, kind{}) })
+	t.Run("least urgent requests only", func(t *testing.T) { sixfold(t, 0.25, kinds[2]) })
+}
+
+// Guards against an account that takes the capacity of others by the priority of its requests.
+func TestAccountsAreServedBesideOneWithUrgentRequestsOnly(t *testing.T) {
+	sixfold(t, 0.25, kinds[0])
+}
+
+// sixfold plays a load that fits, of which one account has the given share, and in which this account
+// sends six times as much from 5 s on. If a kind is given, the account sends only this one.
+func sixfold(t *testing.T, share float64, only kind) {
 	const burst = 5 * time.Second
-	sixfold := func(at time.Duration) float64 {
-		if at > burst {
-			return 6
+	forSeeds(t, func(t *testing.T, seed uint64) {
+		senders := evenSenders(16, 1)
+		for i := range senders[1:] {
+			senders[1+i].share = (1 - share) / 15
 		}
-		return 1
-	}
-	tests := []struct {
-		name  string
-		share float64 // of the usual load that is the account's
-		kind  kind    // the only kind that it sends; zero for a mix of all
-	}{
-		{"small", 1. / 16, kind{}},
-		{"large", 0.25, kind{}},
-		{"urgent requests only", 0.25, kinds[0]},
-		{"least urgent requests only", 0.25, kinds[2]},
-	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			forSeeds(t, func(t *testing.T, seed uint64) {
-				senders := evenSenders(16, 1)
-				senders[0].share, senders[0].factor, senders[0].kind = test.share, sixfold, test.kind
-				for i := range senders[1:] {
-					senders[1+i].share = (1 - test.share) / 15
-				}
-				m := newModel(seed, everything, fits, 30*time.Second, senders).run()
-				m.report(t)
-				others, own := m.outcome(burst, notOfSender(0)), m.outcome(burst, ofSender(0))
-				t.Logf("lost %.3f, not in time %.3f; the account with six times its load lost %.3f", others.lost(), others.late(), own.lost())
-				if others.lost() >= 0.05 {
-					t.Errorf("lost %.3f of %d: %v", others.lost(), others.calls, others.reasons)
-				}
-			})
-		})
-	}
+		senders[0].share, senders[0].kind = share, only
+		senders[0].factor = func(at time.Duration) float64 {
+			if at > burst {
+				return 6
+			}
+			return 1
+		}
+		m := newModel(seed, everything, fits, 30*time.Second, senders).run()
+		m.report(t)
+		others, own := m.outcome(burst, notOfSender(0)), m.outcome(burst, ofSender(0))
+		t.Logf("lost %.3f, not in time %.3f; the account with six times its load lost %.3f", others.lost(), others.late(), own.lost())
+		if others.lost() >= 0.05 {
+			t.Errorf("lost %.3f of %d: %v", others.lost(), others.calls, others.reasons)
+		}
+	})
 }
 
 // Guards against shares that follow what accounts send. Of four accounts, one is within its limit, and
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -97,11 +97,11 @@
 	freeOccupancy = 0.5
 
 	// protectedShare is the part of its share that an account over it gets while less urgent requests
-	// of accounts within theirs have less than half of their time to spare. Measured with the model
-	// of model_test.go: with 0.7, accounts within their shares lost up to 5.3% of their requests to
-	// one that sends six times its usual load (4.0% with 0.6); with 0.5, the most urgent requests lost
-	// 5.9% where all accounts send one and a half times what fits (2.5% with 0.6).
-	protectedShare = 0.5
+	// of accounts within theirs have less than half of their time to spare. With 0.6, accounts within
+	// their shares lost 3.3% of their requests, 4.8% at worst, to a large one that sends six times its
+	// usual load, and the most urgent requests 2.7% where all send one and a half times what fits;
+	// with 0.5 these were 2.7%, 4.0% and 5.5% (24 seeds of load_test.go).
+	protectedShare = 0.6
 
 	// retryFraction is the part of the time left to a caller for which it waits when told to.
 	retryFraction = 3
@@ -136,7 +136,7 @@
 	if s.shares.due(now) {
 		s.shares.update(s.accepted.upTo(numPriorities-1, now), now)
 	}
-	corrected := s.accepted.correct(f, r.Priority, now)
+	corrected := s.accepted.correct(f, r, now)
 	over := c.options.FairShares && now.Sub(s.since) >= observation && s.shares.over(a, now)
 	if s.shares.within(a, now) {
 		s.pressure.note(r, corrected, now)
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -313,15 +313,15 @@
 		now = now.Add(time.Millisecond)
 		a.add(0, 50, now)
 	}
-	f := Forecast{FirstAt: now.Add(300 * time.Millisecond), RoomAt: now.Add(200 * time.Millisecond), Alone: 100 * time.Millisecond, Rate: 100_000}
-	got := a.correct(f, 1, now)
+	r := Request{Priority: 1, Target: now.Add(150 * time.Millisecond)}
+	f := Forecast{FirstAt: now.Add(300 * time.Millisecond), RoomAt: now.Add(150 * time.Millisecond), Alone: 100 * time.Millisecond, Rate: 100_000}
+	got := a.correct(f, r, now)
 	is.True(got.FirstAt.Sub(now.Add(500*time.Millisecond)).Abs() < 5*time.Millisecond)
-	is.True(got.RoomAt.Sub(now.Add(400*time.Millisecond)).Abs() < 5*time.Millisecond)
-	is.Equal(a.correct(f, 0, now), f) // nothing is more urgent
+	is.Equal(a.correct(f, Request{Target: r.Target}, now), f) // nothing is more urgent
 	f.Rate = 0
-	is.Equal(a.correct(f, 1, now), f) // the rate is not known
+	is.Equal(a.correct(f, r, now), f) // the rate is not known
 	f.Rate, f.FirstAt = 1, now.Add(1000*time.Hour)
-	is.Equal(a.correct(f, 1, now).FirstAt, f.FirstAt)
+	is.Equal(a.correct(f, r, now), f)
 }
 
 // Guards against memory that grows with callers, accounts and services.
--- a/internal/overload/reservations.go
+++ b/internal/overload/reservations.go
@@ -145,6 +145,9 @@
 	if f.RoomAt.After(earliest) {
 		earliest = f.RoomAt
 	}
+	if room := now.Add(f.FirstAt.Sub(r.Target)); !r.Target.IsZero() && room.After(earliest) {
+		earliest = room // later than RoomAt if the forecast was corrected
+	}
 	if over && a.unreserved.After(earliest) {
 		earliest = a.unreserved
 	}
