--- a/internal/front/scheduling.go
+++ b/internal/front/scheduling.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/shelfcrank/shelfcrank/internal/balance"
+	"github.com/shelfcrank/shelfcrank/internal/event"
 	"github.com/shelfcrank/shelfcrank/internal/forward"
 	"github.com/shelfcrank/shelfcrank/internal/overload"
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
@@ -20,7 +21,10 @@
 		return
 	}
 	c := overload.New(overload.Options{FairShares: s.FairShares, Reservations: s.Reservations})
-	p.scheduler.SetAdmission(c, p.accountWeight)
+	shares := event.NewShareLog(p.instance.event)
+	p.scheduler.SetAdmission(c, p.accountWeight, func(r overload.Request, s overload.Share, now time.Time) {
+		shares.Observe(event.Share{Service: r.Service, Account: r.Account, Over: s.Over, Share: s.Fair, Demand: s.Demand, Weight: r.Weight}, now)
+	})
 }
 
 // accountWeight returns the weight of a client account's fair share.
--- a/internal/front/scheduling_test.go
+++ b/internal/front/scheduling_test.go
@@ -40,6 +40,8 @@
 	return d
 }
 
+func (a *hubAdmission) Share(string, string, time.Time) overload.Share { return overload.Share{} }
+
 func (a *hubAdmission) Declined(overload.Request, time.Time) {}
 
 func (a *hubAdmission) asked() int {
@@ -84,7 +86,7 @@
 	}
 	for i, name := range hubs {
 		n := w.instances[name].instance
-		n.placer.scheduler.SetAdmission(decisions[i], n.placer.accountWeight)
+		n.placer.scheduler.SetAdmission(decisions[i], n.placer.accountWeight, func(overload.Request, overload.Share, time.Time) {})
 		if len(n.placer.ownEndpoints("svc")) == 0 {
 			w.t.Fatalf("hub %s has no endpoints", name)
 		}
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -54,6 +54,13 @@
 	Reserved bool      // RetryAt is reserved for the request
 }
 
+// Share is an account's share of a service. Rates are in work per second.
+type Share struct {
+	Over   bool    // whether the account asks for more than its fair share
+	Fair   float64 // rate of its fair share; infinite while the service admits all requests
+	Demand float64 // rate that it asks for
+}
+
 // Options turn parts of the decision on.
 type Options struct {
 	FairShares   bool
@@ -137,7 +144,7 @@
 		s.shares.update(s.accepted.upTo(numPriorities-1, now), now)
 	}
 	corrected := s.accepted.correct(f, r, now)
-	over := c.options.FairShares && now.Sub(s.since) >= observation && s.shares.over(a, now)
+	over := c.over(s, a, now)
 	if s.shares.within(a, now) {
 		s.pressure.note(r, corrected, now)
 	}
@@ -163,6 +170,25 @@
 	return d
 }
 
+// Share returns an account's share of a service as of its latest request. It is the zero Share if the
+// account sent none recently.
+func (c *Controller) Share(service, account string, now time.Time) Share {
+	s := c.services[service]
+	if s == nil {
+		return Share{}
+	}
+	a := s.shares.accounts[account]
+	if a == nil {
+		return Share{}
+	}
+	return Share{Over: c.over(s, a, now), Fair: s.shares.level * a.weight, Demand: a.demand}
+}
+
+// over reports whether an account is restricted because it is over its fair share.
+func (c *Controller) over(s *service, a *account, now time.Time) bool {
+	return c.options.FairShares && now.Sub(s.since) >= observation && s.shares.over(a, now)
+}
+
 // Declined takes back the admission of a request that another hub serves, or nobody does. Without
 // it, the work that the service accepts would be overestimated, and with it the work that may be
 // reserved; the demand is taken back too, as the difference between the two would look like refusals.
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -500,3 +500,15 @@
 		t.Errorf("%v allocations", n)
 	}
 }
+
+// Guards against a log that shows other shares than those that requests are decided by.
+func TestShare(t *testing.T) {
+	is := is.New(t)
+	c, now := observed()
+	is.Equal(c.Share("llm", "nobody", now), Share{})
+	is.True(!c.Share(typical(0, now).Service, "a", now).Over)
+	now = overShare(c, now)
+	s := c.Share(typical(0, now).Service, "z", now)
+	is.True(s.Over)
+	is.True(s.Demand > 2*s.Fair && s.Demand < 4*s.Fair)
+}
--- a/internal/place/admission.go
+++ b/internal/place/admission.go
@@ -13,6 +13,8 @@
 // one call at a time. *overload.Controller implements it.
 type Admission interface {
 	Decide(r overload.Request, f overload.Forecast, now time.Time) overload.Decision
+	// Share returns a client account's share of a service.
+	Share(service, account string, now time.Time) overload.Share
 	// Declined takes back the admission of a request that was not run here.
 	Declined(r overload.Request, now time.Time)
 }
@@ -27,7 +29,8 @@
 
 // admission is the use of an Admission by a scheduler.
 type admission struct {
-	weight func(account string) float64
+	weight  func(account string) float64
+	observe func(r overload.Request, s overload.Share, now time.Time)
 
 	mu     sync.Mutex
 	decide Admission // guarded by mu
@@ -41,9 +44,11 @@
 }
 
 // SetAdmission makes the scheduler refuse requests that are not admitted. weight returns the weight
-// of a client account's fair share. It must be called before the first offer.
-func (d *Scheduler) SetAdmission(a Admission, weight func(account string) float64) {
-	d.admission = &admission{weight: weight, decide: a}
+// of a client account's fair share; observe is called with the account's share after each
+// decision. It must be called before the
+// first offer.
+func (d *Scheduler) SetAdmission(a Admission, weight func(account string) float64, observe func(r overload.Request, s overload.Share, now time.Time)) {
+	d.admission = &admission{weight: weight, observe: observe, decide: a}
 }
 
 // mayRefuse reports whether a request may be refused for lack of capacity: not if it was placed
@@ -74,8 +79,10 @@
 
 func (a *admission) ask(r overload.Request, f overload.Forecast, now time.Time) overload.Decision {
 	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.decide.Decide(r, f, now)
+	decision, share := a.decide.Decide(r, f, now), a.decide.Share(r.Service, r.Account, now)
+	a.mu.Unlock()
+	a.observe(r, share, now)
+	return decision
 }
 
 func (a *admission) declined(r overload.Request, now time.Time) {
--- a/internal/place/admission_test.go
+++ b/internal/place/admission_test.go
@@ -30,6 +30,8 @@
 	return overload.Decision{Admitted: true, Reason: overload.InTime}
 }
 
+func (a *fakeAdmission) Share(string, string, time.Time) overload.Share { return overload.Share{} }
+
 func (a *fakeAdmission) Declined(r overload.Request, _ time.Time) { a.declined = append(a.declined, r) }
 
 // newOverloadScheduler returns a scheduler for endpoints that report their slowdown.
@@ -37,7 +39,7 @@
 	loads := loadreport.New()
 	loads.Observe(&all[0], loadreport.Report{Slots: 4, Slowdown: 1}, start)
 	d := New(start, loads)
-	d.SetAdmission(a, func(account string) float64 { return float64(len(account)) })
+	d.SetAdmission(a, func(account string) float64 { return float64(len(account)) }, ignoreShare)
 	return d
 }
 
@@ -192,3 +194,5 @@
 	d.Update(Progress{Ticket: cancelled, Done: true, Result: balance.Cancelled}, start)
 	is.Equal(len(a.declined), 1) // the others took work
 }
+
+func ignoreShare(overload.Request, overload.Share, time.Time) {}
--- a/internal/place/bench_test.go
+++ b/internal/place/bench_test.go
@@ -16,6 +16,8 @@
 	return overload.Decision{Admitted: true}
 }
 
+func (admitAll) Share(string, string, time.Time) overload.Share { return overload.Share{} }
+
 func (admitAll) Declined(overload.Request, time.Time) {}
 
 // BenchmarkOffer measures an offer of a hub in a deployment with 2,300 endpoints, of which the hub
@@ -42,7 +44,7 @@
 				}
 				d, now, served := New(start, loads), start, 0
 				if c.decided {
-					d.SetAdmission(admitAll{}, func(string) float64 { return 1 })
+					d.SetAdmission(admitAll{}, func(string) float64 { return 1 }, ignoreShare)
 				}
 				requester := Requester{"a", 1}
 				r := prompt("x")
