overload: restrict accounts over their shares only for the sake of others

Callers saw 503 on routes without client accounts while endpoints had time to spare, and in a general shortage requests that would have met their targets were refused. Two causes: requests of public routes counted as one account with the smallest weight, and an account over its share had to leave half of its time to spare although all accounts were over theirs.

An account without a limit now weighs as much as an average one, requests without an account are not restricted, and the half to spare is asked for only within two seconds of a request of an account within its share that was short of time.

--- a/internal/overload/accepted.go
+++ b/internal/overload/accepted.go
@@ -87,6 +87,16 @@
 	}
 }
 
+// recent reports whether there was such a request within the time over which shares are defined.
+func (p *pressure) recent(now time.Time) bool {
+	for _, at := range p {
+		if !at.IsZero() && now.Sub(at) < observation {
+			return true
+		}
+	}
+	return false
+}
+
 // high reports whether there was such a request, less urgent than the given priority, of late.
 func (p *pressure) high(priority int, now time.Time) bool {
 	for _, at := range p[priority+1:] {
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -12,7 +12,7 @@
 type Request struct {
 	Service     string
 	Account     string    // client account; empty on a public route
-	Weight      float64   // of the account's fair share: its limit in units a second, 1 if it has none
+	Weight      float64   // of the account's fair share: its limit in units a second, the mean of all limits if it has none
 	Priority    int       // 0 is the most urgent
 	Work        float64   // what it costs an endpoint: prompt tokens to process, or 1
 	Target      time.Time // when the first event, or the answer, should come; zero if the route has no target
@@ -184,9 +184,10 @@
 	return Share{Over: c.over(s, a, now), Fair: s.shares.level * a.weight, Demand: a.demand}
 }
 
-// over reports whether an account is restricted because it is over its fair share.
+// over reports whether an account is over its fair share. Requests of public routes have no account
+// that could be.
 func (c *Controller) over(s *service, a *account, now time.Time) bool {
-	return c.options.FairShares && now.Sub(s.since) >= observation && s.shares.over(a, now)
+	return c.options.FairShares && a.name != "" && now.Sub(s.since) >= observation && s.shares.over(a, now)
 }
 
 // Declined takes back the admission of a request that another hub serves, or nobody does. Without
@@ -217,8 +218,8 @@
 		// that waits does not get.
 		return Decision{Reason: TooEarly, RetryAt: held.at}
 	}
-	// (c) An account over its share leaves half of the time to spare, so that requests of the
-	// other accounts find a queue in which they still meet their targets. It also delays less urgent
+	// (c) While accounts within their shares are short of time, one over its share leaves half of the
+	// time to spare, so that their requests find a queue in which they still meet their targets. It also delays less urgent
 	// requests, whose queues its own forecast does not contain: while these are short of time, it
 	// gets only a part of its share.
 	used := 0.0
@@ -226,7 +227,7 @@
 		used = s.shares.used(a, r.Priority, now)
 	}
 	harmful := used >= protectedShare && s.pressure.high(r.Priority, now)
-	if meetsTarget(r, f, over, now) && !harmful {
+	if meetsTarget(r, f, over && s.pressure.recent(now), now) && !harmful {
 		return Decision{Admitted: true, Reason: InTime}
 	}
 	// (d) The caller waited as told.
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -108,6 +108,7 @@
 	byHost    map[string][]*Route // longest prefix first; hosts in lower case
 	byKey     map[string]*Account
 	byAccount map[string]*Account
+	meanRate  float64 // of the client accounts' limits; 1 if there are none
 	byService map[string]*Service
 	ranks     map[priorityPair]int // position of each pair in the order of precedence, from 0
 }
@@ -148,10 +149,26 @@
 			c.byKey[key] = &c.Accounts[i]
 		}
 	}
+	c.meanRate = meanRate(c.Accounts)
 	c.rankPriorities()
 	return &c, nil
 }
 
+// meanRate returns the mean of the limits of the accounts that have one, or 1 if none has.
+func meanRate(accounts []Account) float64 {
+	sum, limited := 0.0, 0
+	for i := range accounts {
+		if accounts[i].Rate > 0 {
+			sum += accounts[i].Rate
+			limited++
+		}
+	}
+	if limited == 0 {
+		return 1
+	}
+	return sum / float64(limited)
+}
+
 // rankPriorities sets ranks for all pairs of a client account's and a route's priority. Requests
 // without a client account have the account priority 0.
 func (c *Config) rankPriorities() {
@@ -204,13 +221,13 @@
 // Account returns the client account that a key belongs to, or nil.
 func (c *Config) Account(key string) *Account { return c.byKey[key] }
 
-// Weight returns the weight of a client account's fair share: its limit in units a second, 1 if it
-// has none or is unknown.
+// Weight returns the weight of a client account's fair share of a service: its limit in units a second,
+// or the mean of all limits for a request without an account or with one that has no limit.
 func (c *Config) Weight(account string) float64 {
 	if a := c.byAccount[account]; a != nil && a.Rate > 0 {
 		return a.Rate
 	}
-	return 1
+	return c.meanRate
 }
 
 // Service returns the service with this name, or nil.
