overload: faults found in review

- A refusal with a reservation is preferred to an earlier time that no hub holds: the client returns once and would lose the reservation.
- If the hub that confirms an account's limit lacks the capacity and the other offers, the instance checks the units itself; they counted nowhere before.
- An offer that is not taken is declined explicitly.
A request that its client abandons counts as work.
- A request that returns again and again counts as demand each time, demand is never negative, and averages stand times out of order (a suspension of 12 minutes made them infinite).
- Response times of plain requests that a hub placed are not learned while requests wait at the endpoint: the hub adopted them as work and added the wait once more (a forecast of 948 ms for a response of 237 ms at 24 outstanding requests).
A wait for a slot no longer counts as an endpoint's own slowness.
- Numbers of a load report are bounded; a hub that is slow for plain requests is still asked for model endpoints; a client without a time to return gets one of its own, within the third that it waits.
- A client that left while hubs were asked is not counted as refused; the log of shares is written without the tracker's lock.

--- a/internal/balance/pickif.go
+++ b/internal/balance/pickif.go
@@ -146,6 +146,12 @@
 	k.service.slotHeld.add(held / k.slowdown)
 }
 
+// queued reports whether requests wait at an endpoint, according to its load report. The response time of
+// a request that a hub placed contains a wait that this instance did not forecast then.
+func (t *Tracker) queued(endpoint string, now time.Time) bool {
+	return t.recentReport(endpoint, now).Waiting > 0
+}
+
 // recentReport returns an endpoint's load report, if it is recent enough to count.
 func (t *Tracker) recentReport(endpoint string, now time.Time) loadreport.State {
 	if t.queues == nil {
--- a/internal/balance/reported.go
+++ b/internal/balance/reported.go
@@ -69,10 +69,10 @@
 }
 
 // waitUnknown reports whether the request may wait at an endpoint for a time that is not known here:
-// for prompts of other instances, or for a slot of a plain endpoint.
+// for prompts of other instances, or for a slot.
 func (k *Ticket) waitUnknown(v *Candidate, othersPrompt int) bool {
-	if k.request.Engine {
-		return float64(othersPrompt) > maxQueuedShare*float64(k.Uncached)
+	if k.request.Engine && float64(othersPrompt) > maxQueuedShare*float64(k.Uncached) {
+		return true
 	}
 	slots := v.slots(k.request)
 	return slots > 0 && v.Open >= slots
--- a/internal/balance/ticket.go
+++ b/internal/balance/ticket.go
@@ -128,7 +128,7 @@
 	from, before := k.processedFrom()
 	reported := k.tracker.reportedFor(k, now)
 	k.state.startedAt, k.state.startSlowdown = now, reported
-	if !k.measured {
+	if !k.measured || k.placed && k.tracker.queued(k.Endpoint.ID, now) {
 		return
 	}
 	took := float64(now.Sub(k.at))
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -138,6 +138,9 @@
 	now := h.Clock.Now()
 	b := h.balanceRequest(q, view.Config.Service(q.service))
 	ticket, err := h.Placer.Place(ctx, view.Endpoints[q.service], b, q.deadline, now)
+	if err != nil && ctx.Err() != nil {
+		return outcome{denial: h.ended(ctx, q)} // a hub that had answered may have refused it
+	}
 	if err != nil {
 		return outcome{noEndpoint: true, denial: h.notPlaced(q, err)}
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -181,7 +181,7 @@
 	chosen         []string                // endpoints that were chosen for it, whether or not they were reached
 	mayHaveRun     bool                    // an endpoint may have run it
 	fp             *quarantine.Fingerprint // fingerprint for the quarantine; nil until it is needed
-	returned       bool                    // the client returned at the time stated in a refusal for lack of capacity
+	returned       bool                    // the client returned after a refusal for lack of capacity
 	outcomeUnknown bool                    // whether an endpoint crashed during the last run is not known
 	counted        bool                    // a run was counted for the usage reports
 	lastEventID    string                  // ID of the last event passed on
--- a/internal/forward/scheduling.go
+++ b/internal/forward/scheduling.go
@@ -24,6 +24,7 @@
 	Waiting   int           // requests that waited for a slot there
 	ReportAge time.Duration // of the endpoint's load report that counted; 0 if there was none
 	Returned  bool          // the client returned after a refusal
+	Reserved  bool          // capacity is reserved for the client at RetryAt
 }
 
 // Error implements error.
@@ -33,10 +34,15 @@
 func (e *OverloadError) Unwrap() error { return ErrNoEndpoint }
 
 // overloadDenial is the denial for a request that was refused for lack of capacity. If the hub told
-// no time, the client gets the longest of the usual waits: without one it would return at once.
+// no time, the client gets a wait of the usual length: without one it would return at once. It differs
+// from client to client, as those refused at one moment would return at one, and is no longer than a
+// client waits, which is a third of the time that it has left.
 func (h *Handler) overloadDenial(q *request, e *OverloadError) *denial {
 	h.Metrics.RefusedForCapacity(q.source())
-	wait := waitNoEndpoint
+	if e.Returned {
+		h.Metrics.Returned(q.source())
+	}
+	wait := spread(min(waitNoEndpoint, h.Clock.Until(q.deadline)/3), q.meta.ID)
 	var retry time.Duration
 	if !e.RetryAt.IsZero() {
 		retry = max(minOverloadWait, h.Clock.Until(e.RetryAt))
@@ -53,13 +59,18 @@
 	}
 }
 
+// spread returns a time between half of the given one and all of it, by the ID of a request.
+func spread(wait time.Duration, id string) time.Duration {
+	half := max(minOverloadWait, wait/2)
+	return half + time.Duration(xxhash.Sum64String(id)%uint64(half))
+}
+
 // source identifies the request in the metrics of overload control.
 func (q *request) source() metrics.Source {
 	return metrics.Source{Service: q.service, Route: q.route.Name, Account: q.accountName()}
 }
 
-// placedAfterReturn counts a request that was placed after its client had returned at the time stated
-// in a refusal.
+// placedAfterReturn counts a request that was placed after its client had returned from a refusal.
 func (h *Handler) placedAfterReturn(q *request) {
 	h.Metrics.Returned(q.source())
 	q.returned = true
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -189,7 +189,7 @@
 		return backend.New(backend.Options{Net: o.Net, Protocol: o.Protocol, Notices: n.notices, Limits: n.limits, Loads: n.loads, Clock: o.Clock}), nil
 	})
 	do.Provide(n.injector, func(do.Injector) (*balance.Tracker, error) {
-		return balance.NewTracker(balance.WithLoadReports(n.balancedLoads())), nil
+		return balance.NewTracker(balance.WithLoadReports(n.balancedLoads()), balance.WithQueueReports(n.loads)), nil
 	})
 	do.Provide(n.injector, func(do.Injector) (*admission, error) { return newAdmission(n), nil })
 	do.Provide(n.injector, func(do.Injector) (*duty.Elector, error) {
--- a/internal/front/notes.go
+++ b/internal/front/notes.go
@@ -41,7 +41,7 @@
 	if l := note.Load; l != nil {
 		p.applyReport(note.Ticket, l)
 	}
-	p.scheduler.Update(place.Progress{Ticket: note.Ticket, PromptRead: note.Read, Done: note.Done, Result: balance.Result(note.Result)}, p.instance.Clock.Now())
+	p.scheduler.Update(place.Progress{Ticket: note.Ticket, PromptRead: note.Read, Done: note.Done, Result: balance.Result(note.Result), Declined: note.Declined}, p.instance.Clock.Now())
 }
 
 // applyReport records what the endpoint of a request that this hub placed reported to the instance that
--- a/internal/front/offers.go
+++ b/internal/front/offers.go
@@ -31,12 +31,13 @@
 // offers asks the hubs that rendezvous hashing assigns to a request, in parallel. The first
 // of them owns the shared parts of the prompt and also confirms that the limit of the
 // client account allows the request. It returns an error if that hub refuses the request
-// because of the limit, or if all hubs that answered lack the capacity for it.
-func (p *placer) offers(ctx context.Context, hubs *topology.Topology, r *balance.Request, until time.Time) ([]hubOffer, error) {
+// because of the limit, or if all hubs that answered lack the capacity for it. confirmed is false if no
+// hub counts the request's units.
+func (p *placer) offers(ctx context.Context, hubs *topology.Topology, r *balance.Request, until time.Time) (offers []hubOffer, confirmed bool, err error) {
 	owners := rendezvous.Order(r.AffinityKey(), p.availableHubs(hubs, p.instance.Clock.Now()))
 	asked := lo.Map(owners[:min(hubsPerRequest, len(owners))], func(name string, _ int) topology.Member { return hubs.Hub(name) })
 	if len(asked) == 0 {
-		return nil, nil // no hub answered lately
+		return nil, false, nil // no hub answered lately
 	}
 	replies := p.requestOffers(ctx, asked, r, until)
 	got := collectReplies(ctx, replies, len(asked))
@@ -50,9 +51,10 @@
 }
 
 // chooseReplies returns the offers among the replies of hubs, or why there are none if the hubs refused
-// the request. first is the hub that confirms the limit of the client account.
-func chooseReplies(got []reply, first topology.Member) ([]hubOffer, error) {
-	var offers []hubOffer
+// the request. first is the hub that confirms the limit of the client account; confirmed is false if it
+// took its confirmation back as it lacks the capacity.
+func chooseReplies(got []reply, first topology.Member) (offers []hubOffer, confirmed bool, err error) {
+	confirmed = true
 	var overLimit *forward.LimitError
 	var overload *forward.OverloadError
 	for _, reply := range got {
@@ -61,18 +63,19 @@
 		case reply.err == nil:
 			offers = append(offers, reply.offer)
 		case errors.As(reply.err, &refused):
-			overload = earlierReturn(overload, refused)
+			overload = betterReturn(overload, refused)
+			confirmed = confirmed && reply.hub.Name != first.Name
 		case reply.hub.Name == first.Name:
 			errors.As(reply.err, &overLimit)
 		}
 	}
 	switch {
 	case overLimit != nil:
-		return offers, overLimit
+		return offers, false, overLimit
 	case overload != nil && len(offers) == 0:
-		return nil, overload
+		return nil, false, overload
 	}
-	return offers, nil
+	return offers, confirmed, nil
 }
 
 // reply is a hub's answer to a request for an offer.
@@ -199,7 +202,7 @@
 		return hubOffer{}, errNoEndpoint
 	}
 	return hubOffer{Offer: place.Offer{
-		Endpoint: o.Server, Cost: o.Cost, Uncached: int(o.Uncached), Ticket: o.Ticket, FirstAt: timeAfter(o.First, now), Returned: o.Returned,
+		Endpoint: o.Server, Cost: o.Cost, Uncached: int(o.Uncached), Ticket: o.Ticket, FirstAt: timeAfter(o.First, p.instance.Clock.Now()), Returned: o.Returned,
 	}, hub: hub, plain: !r.Engine}, nil
 }
 
--- a/internal/front/placing.go
+++ b/internal/front/placing.go
@@ -24,10 +24,11 @@
 	instance  *Instance
 	scheduler *place.Scheduler // requests that this instance placed as a hub
 
-	mu           sync.Mutex
-	backoffUntil map[string]time.Time    // when hubs that did not answer are asked again; guarded by mu
-	notes        map[string][]queuedNote // to be sent, by name of the hub; guarded by mu
-	notesQueued  chan struct{}           // signals sendNotes; capacity 1
+	mu                sync.Mutex
+	backoffUntil      map[string]time.Time    // when hubs that did not answer are asked again; guarded by mu
+	plainBackoffUntil map[string]time.Time    // the same for requests to plain services; guarded by mu
+	notes             map[string][]queuedNote // to be sent, by name of the hub; guarded by mu
+	notesQueued       chan struct{}           // signals sendNotes; capacity 1
 
 	owned      ownershipCache
 	partitions partitionCache
@@ -36,7 +37,7 @@
 
 func newPlacer(n *Instance) *placer {
 	p := &placer{
-		instance: n, scheduler: place.New(n.start, n.loads, balance.WithLoadReports(n.balancedLoads())), backoffUntil: make(map[string]time.Time),
+		instance: n, scheduler: place.New(n.start, n.loads, balance.WithLoadReports(n.balancedLoads())), backoffUntil: make(map[string]time.Time), plainBackoffUntil: make(map[string]time.Time),
 		notes: make(map[string][]queuedNote), notesQueued: make(chan struct{}, 1), plainNotes: newPlainNotes(),
 	}
 	p.startAdmission()
@@ -106,7 +107,7 @@
 	if len(hubs.Hubs) == 0 {
 		return p.pick(endpoints, r, now)
 	}
-	offers, refusal := p.offers(ctx, hubs, r, until)
+	offers, confirmed, refusal := p.offers(ctx, hubs, r, until)
 	if refusal != nil {
 		for _, o := range offers {
 			p.decline(o)
@@ -114,10 +115,15 @@
 		return nil, refusal
 	}
 	best, ok := p.bestOffer(offers, endpoints, now)
-	if !ok {
+	if !ok || !confirmed {
 		if v := p.instance.admission.admitWithoutHub(r.Account, r.Units, now); !v.OK {
+			if ok {
+				p.decline(best)
+			}
 			return nil, &forward.LimitError{Verdict: v}
 		}
+	}
+	if !ok {
 		return p.pick(endpoints, r, now)
 	}
 	return p.accept(best, r, now), nil
@@ -160,7 +166,7 @@
 
 // decline releases the slot that the hub reserved for an offer.
 func (p *placer) decline(o hubOffer) {
-	p.note(o, &peerpb.Note{Done: true, Result: int32(balance.Cancelled)})
+	p.note(o, &peerpb.Note{Done: true, Result: int32(balance.Cancelled), Declined: true})
 }
 
 // self identifies this instance and its incarnation to the scheduler of a hub.
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -75,12 +75,12 @@
 		case errors.As(reply.err, &refused):
 			return nil, refused
 		case !errors.Is(reply.err, errNoEndpoint):
-			p.backOff(hub) // it cannot be reached, so that the next one is asked
+			p.backOffPlain(hub) // it cannot be reached, so that the next one is asked
 		}
 		return nil, nil
 	case <-late.C:
 		if timeout >= minHubSilence {
-			p.backOff(hub)
+			p.backOffPlain(hub)
 		}
 	case <-ctx.Done(): // the client left, which says nothing about the hub
 	}
@@ -96,12 +96,20 @@
 	return min(offerTimeout, r.Target.Sub(now)/plainTargetShare)
 }
 
-// availableHub returns the first of the hubs that is not in backoff.
+// backOffPlain excludes a hub from requests for offers for plain services for hubBackoff. It is still
+// asked for model endpoints: their requests wait longer for a hub, and lose more without one.
+func (p *placer) backOffPlain(hub topology.Member) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.plainBackoffUntil[hub.Name] = p.instance.Clock.Now().Add(hubBackoff)
+}
+
+// availableHub returns the first of the hubs that is not in backoff for plain services.
 func (p *placer) availableHub(hubs []topology.Member, now time.Time) (topology.Member, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, hub := range hubs {
-		if !now.Before(p.backoffUntil[hub.Name]) {
+		if !now.Before(p.plainBackoffUntil[hub.Name]) {
 			return hub, true
 		}
 	}
--- a/internal/front/scheduling.go
+++ b/internal/front/scheduling.go
@@ -76,7 +76,7 @@
 	}
 	return &peerpb.Overload{
 		Reason: string(r.Reason), Retry: retry, First: durationUntil(r.FirstAt, now),
-		Occupancy: r.Occupancy, Waiting: int64(r.Waiting), ReportAge: int64(r.ReportAge), Returned: r.Returned,
+		Occupancy: r.Occupancy, Waiting: int64(r.Waiting), ReportAge: int64(r.ReportAge), Returned: r.Returned, Reserved: r.Reserved,
 	}
 }
 
@@ -86,14 +86,24 @@
 func overloadError(hub topology.Member, x *peerpb.Overload, now time.Time) *forward.OverloadError {
 	return &forward.OverloadError{
 		Hub: hub.Name, Reason: x.Reason, RetryAt: timeAfter(x.Retry, now), FirstAt: timeAfter(x.First, now),
-		Occupancy: x.Occupancy, Waiting: int(x.Waiting), ReportAge: time.Duration(x.ReportAge), Returned: x.Returned,
+		Occupancy: x.Occupancy, Waiting: int(x.Waiting), ReportAge: time.Duration(x.ReportAge), Returned: x.Returned, Reserved: x.Reserved,
 	}
 }
 
-// earlierReturn returns the refusal that lets the client return earlier. A client can only be given a
-// time that a hub holds for it, so that one without a time counts only if the other has none either.
-func earlierReturn(a, b *forward.OverloadError) *forward.OverloadError {
-	if a == nil || !b.RetryAt.IsZero() && (a.RetryAt.IsZero() || b.RetryAt.Before(a.RetryAt)) {
+// betterReturn returns the refusal whose time to return is better for the client: one that is reserved
+// for it, as it comes only once, and else the earlier one. a may be nil.
+func betterReturn(a, b *forward.OverloadError) *forward.OverloadError {
+	switch {
+	case a == nil || a.RetryAt.IsZero():
+		return b
+	case b.RetryAt.IsZero():
+		return a
+	case a.Reserved != b.Reserved:
+		if a.Reserved {
+			return a
+		}
+		return b
+	case b.RetryAt.Before(a.RetryAt):
 		return b
 	}
 	return a
--- a/internal/front/scheduling_test.go
+++ b/internal/front/scheduling_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/shelfcrank/shelfcrank/internal/forward"
 	"github.com/shelfcrank/shelfcrank/internal/loadreport"
 	"github.com/shelfcrank/shelfcrank/internal/overload"
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
@@ -253,3 +254,20 @@
 	is.Equal(x.FirstAt, here.Add(7))
 	is.Equal(x.Hub, "h")
 }
+
+// A client returns once: an earlier time at which nothing is reserved for it must not make it miss the
+// reservation of the other hub.
+func TestAReservedTimeIsPreferred(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	at := func(ms int, reserved bool) *forward.OverloadError {
+		return &forward.OverloadError{RetryAt: now.Add(time.Duration(ms) * time.Millisecond), Reserved: reserved}
+	}
+	none, early, late, reserved, laterReserved := &forward.OverloadError{}, at(500, false), at(900, false), at(800, true), at(950, true)
+	for _, c := range []struct{ a, b, want *forward.OverloadError }{
+		{nil, none, none}, {none, early, early}, {early, none, early}, {early, late, early}, {late, early, early},
+		{early, reserved, reserved}, {reserved, early, reserved}, {laterReserved, reserved, reserved},
+	} {
+		is.Equal(betterReturn(c.a, c.b), c.want)
+	}
+}
--- a/internal/loadreport/loadreport.go
+++ b/internal/loadreport/loadreport.go
@@ -56,6 +56,7 @@
 // Observe records a report that arrived at a time. A report that is older than the latest one of the
 // endpoint is ignored.
 func (t *Table) Observe(endpoint *registry.Endpoint, r Report, at time.Time) {
+	r.Running, r.Waiting, r.Slots = min(r.Running, maxRequests), min(r.Waiting, maxRequests), min(r.Slots, maxRequests)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.services[endpoint.Service]
@@ -79,6 +80,9 @@
 	}
 }
 
+// maxRequests bounds the numbers of a report, so that sums and times computed from them do not overflow.
+const maxRequests = 1 << 20
+
 // Parameters of the decay of a reported slowdown.
 const (
 	// A disturbance of 600 ms that is observed at a random moment lasts for another 300 ms on average.
--- a/internal/overload/accepted.go
+++ b/internal/overload/accepted.go
@@ -32,7 +32,13 @@
 type accepted [numPriorities]decay.Rate
 
 func (a *accepted) add(priority int, work float64, now time.Time) {
-	a[priority].Add(work, averaging, now)
+	addUpTo(&a[priority], work, now)
+}
+
+// addUpTo adds work to an average, or takes back negative work up to what the average holds: some of the
+// work may have decayed since it was added, and that of a request that returned was not added again.
+func addUpTo(r *decay.Rate, work float64, now time.Time) {
+	r.Add(max(work, -r.At(averaging, now)*averaging.Seconds()), averaging, now)
 }
 
 // upTo returns the work per second accepted of the given priority and all more urgent ones.
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -136,8 +136,9 @@
 	c.expire(now)
 	s := c.service(r.Service, now)
 	a := s.shares.account(r.Account, r.Weight, now)
-	held, returned := c.returning(r, now)
-	if !returned {
+	held, returns := c.returning(r, now)
+	returned := returns > 0
+	if returns != 1 { // clients repeat once: what comes again and again is demand of its own
 		a.ask(r.Work, now)
 	}
 	if s.shares.due(now) {
@@ -165,7 +166,7 @@
 		a.admitted.add(r.Priority, r.Work, now)
 		c.forget(r)
 	} else if d.Reason != TooEarly {
-		c.remember(r, d, now)
+		c.remember(r, d, returns, now)
 	}
 	return d
 }
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -550,3 +550,46 @@
 	}
 	is.True(!c.Share(typical(0, now).Service, "", now).Over)
 }
+
+// Guards against an account that escapes its share by sending the same request again and again.
+func TestEndlessRepetitionsCountAsDemand(t *testing.T) {
+	is := is.New(t)
+	c, now := observed()
+	for range 800 {
+		now = now.Add(2500 * time.Microsecond)
+		r := typical(0, now)
+		r.Account, r.Fingerprint = "a", 7
+		is.True(!c.Decide(r, busy(5*time.Second, now), now).Admitted)
+	}
+	is.True(c.Share(typical(0, now).Service, "a", now).Demand > 100*typical(0, now).Work)
+}
+
+// Guards against a negative demand, which would raise the shares of others, after an offer for a request
+// that returned is declined, or one is declined late.
+func TestADemandIsNotNegative(t *testing.T) {
+	is := is.New(t)
+	c, now := New(everything), start
+	r := typical(0, now)
+	r.Fingerprint = 7
+	is.True(!c.Decide(r, busy(5*time.Second, now), now).Admitted)
+	now = now.Add(500 * time.Millisecond)
+	r = typical(0, now)
+	r.Fingerprint = 7
+	is.True(c.Decide(r, busy(100*time.Millisecond, now), now).Admitted)
+	c.Declined(r, now)
+	c.Declined(r, now.Add(time.Second))
+	is.True(c.Share(r.Service, r.Account, now).Demand >= 0)
+}
+
+// Guards against averages that are infinite or no number after a request is decided whose time was read
+// before this process was suspended and one that was read after it.
+func TestTimesOutOfOrderAreDecided(t *testing.T) {
+	is := is.New(t)
+	c, now := observed()
+	resumed := now.Add(15 * time.Minute)
+	c.Decide(typical(0, resumed), busy(100*time.Millisecond, resumed), resumed)
+	c.Decide(typical(0, now), busy(100*time.Millisecond, now), now)
+	is.Equal(c.Decide(typical(0, resumed), busy(5*time.Second, resumed), resumed).Reason, TooLate)
+	s := c.Share(typical(0, now).Service, typical(0, now).Account, resumed)
+	is.True(s.Demand >= 0 && !math.IsInf(s.Demand, 0))
+}
--- a/internal/overload/reservations.go
+++ b/internal/overload/reservations.go
@@ -154,7 +154,7 @@
 	if earliest.After(latest) {
 		return time.Time{}, false
 	}
-	if f.Rate > 0 && !s.shares.within(a, now) && s.accepted.upTo(r.Priority-1, now) > maxUrgent*f.Rate {
+	if c.options.FairShares && f.Rate > 0 && !s.shares.within(a, now) && s.accepted.upTo(r.Priority-1, now) > maxUrgent*f.Rate {
 		return time.Time{}, false
 	}
 	capacity := s.accepted.from(s.since, now)
@@ -170,34 +170,42 @@
 	return at, ok
 }
 
-// returning returns the reservation of a request, or nil, and whether the request was refused
-// before.
-func (c *Controller) returning(r Request, now time.Time) (held *entry, returned bool) {
+// returning returns the reservation that a request was given, or nil, and how often it has returned
+// after a refusal, this time included.
+func (c *Controller) returning(r Request, now time.Time) (held *entry, returns int) {
 	if r.Fingerprint == 0 {
-		return nil, false
+		return nil, 0
 	}
-	if held = c.reservations.get(r); held != nil && !now.After(held.expires) {
-		return held, true
+	e := c.reservations.get(r)
+	if e != nil && !now.After(e.expires) {
+		held = e
 	}
-	return nil, held != nil || c.refused.get(r) != nil
+	if e == nil {
+		e = c.refused.get(r)
+	}
+	if e == nil {
+		return nil, 0
+	}
+	e.returns++
+	return held, e.returns
 }
 
 // remember keeps a refused request, so that it is recognized when it returns.
-func (c *Controller) remember(r Request, d Decision, now time.Time) {
+func (c *Controller) remember(r Request, d Decision, returns int, now time.Time) {
 	if r.Fingerprint == 0 {
 		return
 	}
 	c.forget(r)
 	k := key{r.Service, r.Account, r.Fingerprint}
 	if d.Reserved {
-		c.reservations.add(&entry{key: k, at: d.RetryAt, expires: d.RetryAt.Add(maxLate)})
+		c.reservations.add(&entry{key: k, at: d.RetryAt, expires: d.RetryAt.Add(maxLate), returns: returns})
 		return
 	}
 	expires := now.Add(refusedRetention)
 	if d.RetryAt.After(now) {
 		expires = d.RetryAt.Add(refusedRetention)
 	}
-	c.refused.add(&entry{key: k, expires: expires})
+	c.refused.add(&entry{key: k, expires: expires, returns: returns})
 }
 
 // forget drops what is kept of a request.
@@ -240,6 +248,7 @@
 	key     key
 	at      time.Time // when the caller should return; zero without a reservation
 	expires time.Time
+	returns int // how often the request returned
 	index   int // in table.byExpiry
 }
 
--- a/internal/overload/shares.go
+++ b/internal/overload/shares.go
@@ -41,8 +41,8 @@
 
 // ask counts a request, or takes back the count if the work is negative.
 func (a *account) ask(work float64, now time.Time) {
-	a.asked.Add(work, averaging, now)
-	a.squares.Add(work*math.Abs(work), averaging, now)
+	addUpTo(&a.asked, work, now)
+	addUpTo(&a.squares, work*math.Abs(work), now)
 	a.demand = a.asked.At(averaging, now)
 }
 
--- a/internal/place/admission.go
+++ b/internal/place/admission.go
@@ -43,10 +43,9 @@
 	returned bool
 }
 
-// SetAdmission makes the scheduler refuse requests that are not admitted. weight returns the weight
-// of a client account's fair share; observe is called with the account's share after each
-// decision. It must be called before the
-// first offer.
+// SetAdmission makes the scheduler refuse requests that are not admitted. weight returns the weight of a
+// client account's fair share; observe is called with the account's share after each decision.
+// SetAdmission must be called before the first offer.
 func (d *Scheduler) SetAdmission(a Admission, weight func(account string) float64, observe func(r overload.Request, s overload.Share, now time.Time)) {
 	d.admission = &admission{weight: weight, observe: observe, decide: a}
 }
@@ -74,15 +73,25 @@
 		}
 		return decision.Admitted
 	})
+	if a != nil {
+		d.admission.observeShare(a.request, now)
+	}
 	return ticket, a, refusal
 }
 
 func (a *admission) ask(r overload.Request, f overload.Forecast, now time.Time) overload.Decision {
 	a.mu.Lock()
-	decision, share := a.decide.Decide(r, f, now), a.decide.Share(r.Service, r.Account, now)
+	defer a.mu.Unlock()
+	return a.decide.Decide(r, f, now)
+}
+
+// observeShare reports the share of a request's account. It is called without the tracker's lock, as a log
+// may be slow.
+func (a *admission) observeShare(r overload.Request, now time.Time) {
+	a.mu.Lock()
+	share := a.decide.Share(r.Service, r.Account, now)
 	a.mu.Unlock()
 	a.observe(r, share, now)
-	return decision
 }
 
 func (a *admission) declined(r overload.Request, now time.Time) {
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -38,6 +38,7 @@
 	PromptRead bool // the endpoint has processed the prompt
 	Done       bool
 	Result     balance.Result // set if Done is
+	Declined   bool           // set if Done is and the offer was not taken
 }
 
 // Requester is the instance that a request is placed for.
@@ -50,7 +51,7 @@
 	ticket    *balance.Ticket
 	requester Requester
 	deadline  time.Time         // when the request has ended at the latest
-	admitted  *overload.Request // nil if its admission was not asked for, or the prompt has been processed
+	admitted  *overload.Request // nil if its admission was not asked for
 }
 
 // Scheduler places requests on the endpoints of one hub.
@@ -128,14 +129,8 @@
 func (d *Scheduler) Update(note Progress, now time.Time) {
 	d.mu.Lock()
 	h, ok := d.open[note.Ticket]
-	declined := ok && note.Done && note.Result == balance.Cancelled && h.admitted != nil
-	switch {
-	case ok && note.Done:
+	if ok && note.Done {
 		delete(d.open, note.Ticket)
-	case ok && note.PromptRead && h.admitted != nil:
-		admitted := h
-		admitted.admitted = nil
-		d.open[note.Ticket] = admitted
 	}
 	d.mu.Unlock()
 	if !ok {
@@ -147,7 +142,7 @@
 	if note.Done {
 		h.ticket.Done(note.Result, now)
 	}
-	if declined {
+	if note.Done && note.Declined && h.admitted != nil {
 		d.admission.declined(*h.admitted, now)
 	}
 }
