--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -49,7 +49,9 @@
 	Fingerprint uint64    // the same for a repetition of the request by its client; 0 if unknown
 	Target      time.Time // when the first event, or the answer, should come; zero if the route has no target
 	Latest      time.Time // after which a first event is of no use to the client
-	Attempted   bool      // the request was placed before, so that it is not refused for lack of capacity
+	// NoRefusal is set if the request is not refused for lack of capacity: it was placed before, or its
+	// instance does not understand such a refusal.
+	NoRefusal bool
 }
 
 // shared returns the number of tokens of the shared prefix, which is all parts but the last, and
--- a/internal/balance/endpoint.go
+++ b/internal/balance/endpoint.go
@@ -30,7 +30,7 @@
 	slowdown            float64
 	slowdownUpdated     time.Time
 	own                 ownFactor // used in place of slowdown where the endpoint reports its slowdown
-	unprocessed         int       // requests of this instance whose prompts are not processed
+	unprocessed         int       // sum of the requests in unread
 	startedAt           time.Time // when the endpoint began with the prompt that it processes, as far as is known
 	startSlowdown       float64   // reported then; 0 if none was
 	failureRate         float64
--- a/internal/balance/work_test.go
+++ b/internal/balance/work_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/shelfcrank/shelfcrank/internal/loadreport"
 	"github.com/shelfcrank/shelfcrank/internal/registry"
 )
 
@@ -87,3 +88,46 @@
 	is.Equal(len(tr.LocalLoads()), 0)
 	is.Equal(len(tr.Loads()), 0)
 }
+
+// A hub adds the wait at an endpoint to the mean work that it adopts. Response times that contain such a
+// wait must not be learned as work: the wait would count twice, and the more the longer it is.
+func TestResponseTimesBehindAQueueAreNotWork(t *testing.T) {
+	is := is.New(t)
+	loads := loadreport.New()
+	tr := NewTracker(WithQueueReports(loads))
+	now := respond(tr, true, 100, 15*time.Millisecond, t0)
+	before := tr.MeanWork(now)["plain"]
+	for range 100 {
+		loads.Observe(&registry.Endpoint{ID: "a", Service: "plain"}, loadreport.Report{Running: 6, Waiting: 12, Slots: 6, Slowdown: 1}, now)
+		now = respond(tr, true, 1, 60*time.Millisecond, now)
+	}
+	is.Equal(tr.MeanWork(now)["plain"], before)
+}
+
+// An endpoint whose slots are all taken takes longer until it starts a request; that is not its own
+// slowness, which is remembered for minutes.
+func TestAWaitForASlotIsNotSlowness(t *testing.T) {
+	is := is.New(t)
+	loads := loadreport.New()
+	tr, now := NewTracker(WithLoadReports(loads)), t0
+	s := []registry.Endpoint{{ID: "a", Service: "llm"}}
+	request := func() *Request { return &Request{Service: "llm", ID: "1", Engine: true, Slots: 1, Tokens: 2000} }
+	for range 50 {
+		loads.Observe(&s[0], loadreport.Report{Running: 1, Slots: 1, Slowdown: 1}, now)
+		first, _ := tr.Pick(s, request(), now)
+		second, _ := tr.Pick(s, request(), now)
+		took := tr.CombinedEstimates()["llm"].Pace.Model.FirstEventTime(2000)
+		now = now.Add(took)
+		first.PromptRead(now)
+		now = now.Add(800 * time.Millisecond)
+		first.Done(Answered, now)
+		now = now.Add(took)
+		second.PromptRead(now)
+		second.Done(Answered, now)
+	}
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	own := tr.endpoint("a").own.at(now)
+	t.Logf("own factor %.2f", own)
+	is.True(own < 1.1)
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -216,7 +216,7 @@
 	if s != nil && s.Engine != nil {
 		b.Engine, b.Slots = true, s.Engine.Slots
 	}
-	if q.account != nil && q.account.Rate > 0 && !b.Attempted {
+	if q.account != nil && q.account.Rate > 0 && !b.NoRefusal {
 		b.Account, b.Units = q.account.Name, q.units
 	}
 	return b
--- a/internal/forward/scheduling.go
+++ b/internal/forward/scheduling.go
@@ -92,7 +92,7 @@
 // for it.
 func (h *Handler) setScheduling(b *balance.Request, q *request) {
 	b.Priority, b.Payer, b.OutputTokens = q.priority, q.accountName(), q.meta.OutputTokens
-	b.Attempted = len(q.chosen) > 0 || q.answered
+	b.NoRefusal = len(q.chosen) > 0 || q.answered
 	if q.route.TargetLatency > 0 {
 		b.Target = q.arrived.Add(q.route.TargetLatency)
 	}
@@ -102,7 +102,7 @@
 			b.Latest = silent
 		}
 	}
-	if h.Fingerprints && !b.Attempted {
+	if h.Fingerprints && !b.NoRefusal {
 		b.Fingerprint = q.repetitionHash()
 	}
 }
--- a/internal/forward/scheduling_test.go
+++ b/internal/forward/scheduling_test.go
@@ -28,7 +28,7 @@
 
 func (a *overloadPlacer) Place(ctx context.Context, endpoints []registry.Endpoint, r *balance.Request, until, now time.Time) (*balance.Ticket, error) {
 	a.requests = append(a.requests, *r)
-	if r.Attempted {
+	if r.NoRefusal {
 		return a.localPlacer.Place(ctx, endpoints, r, until, now)
 	}
 	e := &OverloadError{Hub: "h1", Reason: "full", FirstAt: now.Add(3 * time.Second), Occupancy: 0.9, Waiting: 12, ReportAge: 40 * time.Millisecond, Returned: true}
@@ -122,8 +122,8 @@
 		is.Equal(rec.Code, 200)
 		is.True(!cut)
 		is.Equal(len(placer.requests), 2)
-		is.True(!placer.requests[0].Attempted)
-		is.True(placer.requests[1].Attempted)
+		is.True(!placer.requests[0].NoRefusal)
+		is.True(placer.requests[1].NoRefusal)
 	}
 }
 
--- a/internal/front/scheduling.go
+++ b/internal/front/scheduling.go
@@ -54,7 +54,7 @@
 	if !p.instance.Settings.Overload.Admission {
 		return
 	}
-	q.Scheduled = !r.Attempted
+	q.Scheduled = !r.NoRefusal
 	q.Payer, q.Fingerprint = r.Payer, r.Fingerprint
 	q.Target, q.Useful = durationUntil(r.Target, now), durationUntil(r.Latest, now)
 }
@@ -63,7 +63,7 @@
 // that does not schedule its requests, since the instance would not understand the refusal.
 func readScheduling(r *balance.Request, q *peerpb.Place, now time.Time) {
 	r.Priority, r.OutputTokens = int(q.Priority), int(q.Output)
-	r.Attempted = !q.Scheduled
+	r.NoRefusal = !q.Scheduled
 	r.Payer, r.Fingerprint = q.Payer, q.Fingerprint
 	r.Target, r.Latest = timeAfter(q.Target, now), timeAfter(q.Useful, now)
 }
--- a/internal/place/admission.go
+++ b/internal/place/admission.go
@@ -53,7 +53,7 @@
 // mayRefuse reports whether a request may be refused for lack of capacity: not if it was placed
 // before, nor if the endpoints of its service do not report how long work takes there.
 func (d *Scheduler) mayRefuse(r *balance.Request, now time.Time) bool {
-	return d.admission != nil && !r.Attempted && d.loads != nil && d.loads.Reporting(r.Service, now)
+	return d.admission != nil && !r.NoRefusal && d.loads != nil && d.loads.Reporting(r.Service, now)
 }
 
 // pick chooses an endpoint and counts the request there. It returns nil if there is no endpoint for
--- a/internal/place/admission_test.go
+++ b/internal/place/admission_test.go
@@ -94,7 +94,7 @@
 	}{
 		{"one that may", 1, func(*Scheduler, *balance.Request) time.Time { return start }},
 		{"placed before", 0, func(_ *Scheduler, r *balance.Request) time.Time {
-			r.Attempted = true
+			r.NoRefusal = true
 			return start
 		}},
 		{"endpoints that no longer report", 0, func(*Scheduler, *balance.Request) time.Time { return start.Add(time.Minute) }},
