--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -167,8 +167,8 @@
 func (m *Metrics) registerOverload(meter metric.Meter) error {
 	var errs [4]error
 	m.refused, errs[0] = meter.Int64Counter(CapacityRefusals, metric.WithDescription("Requests refused for lack of capacity, by service, route and client account."))
-	m.returned, errs[1] = meter.Int64Counter(CapacityReturns, metric.WithDescription("Requests that were repeated at the time stated in a refusal for lack of capacity."))
-	m.servedAfterReturn, errs[2] = meter.Int64Counter(ServedAfterReturn, metric.WithDescription("Requests that were repeated at the stated time and then served."))
+	m.returned, errs[1] = meter.Int64Counter(CapacityReturns, metric.WithDescription("Requests that were repeated after a refusal for lack of capacity."))
+	m.servedAfterReturn, errs[2] = meter.Int64Counter(ServedAfterReturn, metric.WithDescription("Requests that were repeated after a refusal for lack of capacity and then served."))
 	m.forecastError, errs[3] = meter.Float64Histogram(forecastErrorName, metric.WithUnit("ms"), metric.WithDescription("Absolute difference between the forecast and the actual time to the first event, by route and whether the event was later than forecast."), metric.WithExplicitBucketBoundaries(bucketsMs...))
 	return errors.Join(errs[:]...)
 }
@@ -185,11 +185,10 @@
 	m.refused.Add(context.Background(), 1, s.attributes())
 }
 
-// Returned counts a request that its client repeated at the time stated in a refusal for lack of
-// capacity.
+// Returned counts a request that its client repeated after a refusal for lack of capacity.
 func (m *Metrics) Returned(s Source) { m.returned.Add(context.Background(), 1, s.attributes()) }
 
-// ServedAfterReturn counts a request that was repeated as told and then served.
+// ServedAfterReturn counts a request that was repeated after such a refusal and then served.
 func (m *Metrics) ServedAfterReturn(s Source) {
 	m.servedAfterReturn.Add(context.Background(), 1, s.attributes())
 }
