overload: set the fingerprint of a request for an offer once, and plainer words

The message got the fingerprint in its literal, which the partitions of plain services need, and again with the scheduling fields. Comments and names of tests say advised or given for told.

--- a/internal/forward/scheduling.go
+++ b/internal/forward/scheduling.go
@@ -18,7 +18,7 @@
 type OverloadError struct {
 	Hub       string // the hub that refused it
 	Reason    string
-	RetryAt   time.Time     // when the client should return; zero if the hub told no time
+	RetryAt   time.Time     // when the client should return; zero if the hub gave no time
 	FirstAt   time.Time     // when the first event, or the answer, would have come
 	Occupancy float64       // share of the slots of the hub's endpoints that were taken
 	Waiting   int           // requests that waited for a slot there
@@ -33,7 +33,7 @@
 // Unwrap makes the error match ErrNoEndpoint.
 func (e *OverloadError) Unwrap() error { return ErrNoEndpoint }
 
-// overloadDenial is the denial for a request that was refused for lack of capacity. If the hub told
+// overloadDenial is the denial for a request that was refused for lack of capacity. If the hub gave
 // no time, the client gets a wait of the usual length: without one it would return at once. It differs
 // from client to client, as those refused at one moment would return at one, and is no longer than a
 // client waits, which is a third of the time that it has left.
--- a/internal/front/scheduling.go
+++ b/internal/front/scheduling.go
@@ -55,7 +55,7 @@
 		return
 	}
 	q.Scheduled = !r.NoRefusal
-	q.Payer, q.Fingerprint = r.Payer, r.Fingerprint
+	q.Payer = r.Payer
 	q.Target, q.Useful = durationUntil(r.Target, now), durationUntil(r.Latest, now)
 }
 
@@ -64,7 +64,7 @@
 func readScheduling(r *balance.Request, q *peerpb.Place, now time.Time) {
 	r.Priority, r.OutputTokens = int(q.Priority), int(q.Output)
 	r.NoRefusal = !q.Scheduled
-	r.Payer, r.Fingerprint = q.Payer, q.Fingerprint
+	r.Payer = q.Payer
 	r.Target, r.Latest = timeAfter(q.Target, now), timeAfter(q.Useful, now)
 }
 
--- a/internal/overload/accepted.go
+++ b/internal/overload/accepted.go
@@ -67,7 +67,7 @@
 // correct returns the forecast with the requests taken into account that are still to come and will
 // be processed before the given one. The forecast contains only those that are queued: where more
 // urgent requests take two thirds of an endpoint, a wait is three times as long. The request itself is
-// not interrupted once it is being processed. RoomAt stays as it is: corrected, it would be told to
+// not interrupted once it is being processed. RoomAt stays as it is: corrected, it would be given to
 // callers whose requests are then refused again.
 func (a *accepted) correct(f Forecast, r Request, now time.Time) Forecast {
 	if !(f.Rate > 0) {
--- a/internal/overload/load_test.go
+++ b/internal/overload/load_test.go
@@ -157,9 +157,9 @@
 				m := newModel(seed, everything, fits, time.Minute, evenSenders(16, factor)).run()
 				m.report(t)
 				o := m.outcome(settle)
-				t.Logf("told %d, %d reserved; served %d, %d", o.told, o.reserved, o.toldServed, o.kept)
-				if float64(o.toldServed) < 0.8*float64(o.told) {
-					t.Errorf("of %d that returned as told %d were served", o.told, o.toldServed)
+				t.Logf("told %d, %d reserved; served %d, %d", o.advised, o.reserved, o.advisedServed, o.kept)
+				if float64(o.advisedServed) < 0.8*float64(o.advised) {
+					t.Errorf("of %d that returned as told %d were served", o.advised, o.advisedServed)
 				}
 			})
 		})
--- a/internal/overload/model_test.go
+++ b/internal/overload/model_test.go
@@ -73,7 +73,7 @@
 	attempts int
 	reserved bool
 	second   Decision // on the second attempt
-	told     bool     // was given a time to return, and returned then
+	advised  bool     // was given a time to return, and returned then
 	refused  Reason
 	served   bool // the first event came before Latest
 	inTime   bool // the first event came by the target
@@ -196,11 +196,11 @@
 	}
 	// A client that is given no time, or too late a one, returns after a pause of its own.
 	wait := 50*time.Millisecond + m.N(100*time.Millisecond)
-	if told := d.RetryAt.Sub(m.now); !c.waits {
+	if advised := d.RetryAt.Sub(m.now); !c.waits {
 		wait = 5*time.Millisecond + m.N(15*time.Millisecond)
-	} else if !d.RetryAt.IsZero() && told <= r.Latest.Sub(m.now)/3 {
-		wait = max(0, told-5*time.Millisecond+m.N(20*time.Millisecond))
-		c.told, c.reserved = true, d.Reserved
+	} else if !d.RetryAt.IsZero() && advised <= r.Latest.Sub(m.now)/3 {
+		wait = max(0, advised-5*time.Millisecond+m.N(20*time.Millisecond))
+		c.advised, c.reserved = true, d.Reserved
 	}
 	m.schedule(wait, func() { m.attempt(c) })
 }
@@ -318,12 +318,12 @@
 
 // outcome counts calls.
 type outcome struct {
-	calls, served, inTime int
-	work                  float64 // of those served in time
-	told, toldServed      int     // of those that returned as told
-	toldInTime            int
-	reserved, kept        int            // of those told, with a reservation
-	reasons               map[Reason]int // of those not served
+	calls, served, inTime  int
+	work                   float64 // of those served in time
+	advised, advisedServed int     // of those that returned as told
+	advisedInTime          int
+	reserved, kept         int            // of those told, with a reservation
+	reasons                map[Reason]int // of those not served
 }
 
 func (o outcome) lost() float64 { return 1 - float64(o.served)/float64(max(1, o.calls)) }
@@ -346,8 +346,8 @@
 			o.inTime++
 			o.work += c.request.Work
 		}
-		if c.told {
-			o.told++
+		if c.advised {
+			o.advised++
 			if c.reserved {
 				o.reserved++
 				if c.served {
@@ -355,10 +355,10 @@
 				}
 			}
 			if c.served {
-				o.toldServed++
+				o.advisedServed++
 			}
 			if c.inTime {
-				o.toldInTime++
+				o.advisedInTime++
 			}
 		}
 	}
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -49,7 +49,7 @@
 type Decision struct {
 	Admitted bool
 	Reason   Reason
-	RetryAt  time.Time // when the client should return; zero if no time can be told
+	RetryAt  time.Time // when the client should return; zero if no time can be given
 	Returned bool      // the request returned after a refusal
 	Reserved bool      // RetryAt is reserved for the request
 }
@@ -110,10 +110,10 @@
 	// with 0.5 these were 2.7%, 4.0% and 5.5% (24 seeds of load_test.go).
 	protectedShare = 0.6
 
-	// retryFraction is the part of the time left to a caller for which it waits when told to.
+	// retryFraction is the part of the time left to a caller for which it waits when asked to.
 	retryFraction = 3
 
-	// numPriorities is the number of priorities told apart; less urgent ones count as the last.
+	// numPriorities is the number of priorities that are distinguished; less urgent ones count as the last.
 	numPriorities = 8
 
 	// maxWork bounds the work of a request, so that sums stay finite.
@@ -231,7 +231,7 @@
 	if meetsTarget(r, f, over && s.pressure.recent(now), now) && !harmful {
 		return Decision{Admitted: true, Reason: InTime}
 	}
-	// (d) The caller waited as told.
+	// (d) The caller returned at the reserved time.
 	if held != nil {
 		return Decision{Admitted: true, Reason: Reserved}
 	}
@@ -301,7 +301,7 @@
 	return max(0, r.Target.Sub(now)/2)
 }
 
-// retryLimit returns the latest time to which the caller waits when told to. Callers without a
+// retryLimit returns the latest time to which the caller waits when asked to. Callers without a
 // deadline wait as long as times can be reserved for.
 func retryLimit(r Request, now time.Time) time.Time {
 	if r.Latest.IsZero() {
