front: failing test of instances that are cut off from all endpoints

Callers of such instances are refused, or wait for three connection attempts of 400 ms, while the other instances of the fleet serve every request. The test takes the paths of 1, half and all but one of 9 and of 22 instances to 12 endpoints: connections hang, are reset, or live on while new ones are refused.

--- /dev/null
+++ b/internal/front/partition_test.go
@@ -0,0 +1,112 @@
+package front
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// partition is a way in which an instance loses its paths to endpoints.
+type partition string
+
+const (
+	pathsHang    partition = "hang"    // nothing arrives, on open connections and on new ones
+	pathsReset   partition = "reset"   // open connections are reset, new ones refused
+	pathsRefused partition = "refused" // open connections work on, new ones are refused
+)
+
+var partitions = []partition{pathsHang, pathsReset, pathsRefused}
+
+// partition takes the paths of instances to all endpoints, or restores them.
+func (w *testCluster) partition(p partition, cut bool, names ...string) {
+	for _, name := range names {
+		site := w.instances[name].site
+		for i := range w.endpoints {
+			switch p {
+			case pathsHang:
+				w.mem.Cut(site, endpointID(i), cut)
+			default:
+				w.mem.Refuse(site, endpointID(i), cut)
+				if cut && p == pathsReset {
+					w.mem.Reset(site, endpointID(i))
+				}
+			}
+		}
+	}
+}
+
+// firstTries are requests that clients sent once, by whether the instance was cut off.
+type firstTries struct {
+	mu     sync.Mutex
+	sent   map[bool]int
+	served map[bool]int
+}
+
+func (f *firstTries) add(cut, served bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sent[cut]++
+	if served {
+		f.served[cut]++
+	}
+}
+
+// share returns how many of the requests at the instances that were, or were not, cut off were served.
+func (f *firstTries) share(cut bool) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return float64(f.served[cut]) / float64(max(1, f.sent[cut]))
+}
+
+// askEach sends ten requests a second to each instance for a time, on routes that may be repeated and
+// that may not.
+func (w *testCluster) askEach(tag string, d time.Duration, cut []string) *firstTries {
+	f := &firstTries{sent: make(map[bool]int), served: make(map[bool]int)}
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	for i := range int(d / (100 * time.Millisecond)) {
+		time.Sleep(100 * time.Millisecond)
+		for _, name := range runningNames(w) {
+			path := []string{"/safe/a", "/once/a"}[i%2]
+			wait.Go(func() {
+				status := w.ask(name, path, "k1", fmt.Sprint(tag, name, "/", i))
+				f.add(slices.Contains(cut, name), status == http.StatusOK)
+			})
+		}
+	}
+	return f
+}
+
+const (
+	contactBound   = 3 * time.Second // after which callers at an instance that is cut off are to be served
+	minServedShare = 0.95            // of the share at the other instances
+)
+
+// Guards against refusing callers of instances that are cut off from all endpoints while others are not.
+func TestCallersOfInstancesCutOffFromAllEndpointsAreServed(t *testing.T) {
+	for _, instances := range []int{9, largeFleet} {
+		for _, p := range partitions {
+			for _, cutOff := range []int{1, instances / 2, instances - 1} {
+				t.Run(fmt.Sprint(cutOff, " of ", instances, " ", p), func(t *testing.T) {
+					runCluster(t, instances, func(is *is.I, w *testCluster) {
+						time.Sleep(4 * time.Second)
+						cut := runningNames(w)[:cutOff]
+						w.askEach("before", time.Second, nil)
+						w.partition(p, true, cut...)
+						w.askEach("early", contactBound, cut)
+						f := w.askEach("late", 5*time.Second, cut)
+						w.partition(p, false, cut...)
+						t.Logf("served %.3f of first tries there, %.3f at the others", f.share(true), f.share(false))
+						is.True(f.share(false) > minServedShare)
+						is.True(f.share(true) >= minServedShare*f.share(false))
+					}, manyEndpoints, func(w *testCluster) { w.halls = 4 })
+				})
+			}
+		}
+	}
+}
--- a/internal/netx/mem.go
+++ b/internal/netx/mem.go
@@ -23,6 +23,7 @@
 	conns     map[*memConn]struct{}           // guarded by mu
 	delay     func(from, to string) time.Duration
 	cut       map[sitePair]bool     // guarded by mu
+	refusing  map[sitePair]bool     // connections from one site to the other are refused; guarded by mu
 	sites     map[string][]*memSite // guarded by mu
 	frozen    map[string]bool       // by site; guarded by mu
 }
@@ -37,6 +38,7 @@
 		conns:     make(map[*memConn]struct{}),
 		delay:     delay,
 		cut:       make(map[sitePair]bool),
+		refusing:  make(map[sitePair]bool),
 		sites:     make(map[string][]*memSite),
 		frozen:    make(map[string]bool),
 	}
@@ -61,6 +63,29 @@
 	m.cut[sitePair{b, a}] = cut
 }
 
+// Refuse makes new connections from one site to another fail at once, or lets them succeed
+// again. Open connections are not affected.
+func (m *Mem) Refuse(from, to string, refuse bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.refusing[sitePair{from, to}] = refuse
+}
+
+// Reset closes all connections between two sites.
+func (m *Mem) Reset(a, b string) {
+	m.mu.Lock()
+	var conns []*memConn
+	for c := range m.conns {
+		if c.site == a && c.peerSite == b || c.site == b && c.peerSite == a {
+			conns = append(conns, c)
+		}
+	}
+	m.mu.Unlock()
+	for _, c := range conns {
+		_ = c.Close()
+	}
+}
+
 // Kill closes all listeners and connections of a site, and makes its Networks fail.
 func (m *Mem) Kill(site string) {
 	m.mu.Lock()
@@ -144,11 +169,12 @@
 	defer cancel()
 	s.mem.mu.Lock()
 	l, dead := s.mem.listeners[addr], s.killed
+	refused := l == nil || s.mem.refusing[sitePair{s.name, l.site}]
 	s.mem.mu.Unlock()
 	if dead {
 		return nil, errSiteKilled
 	}
-	if l == nil {
+	if refused {
 		return nil, fmt.Errorf("dial %s: %w", addr, errRefused)
 	}
 	if s.mem.isCut(s.name, l.site) {
