front: serve requests by way of other instances while endpoints are out of reach

What callers saw: at instances that were partitioned from all endpoints, nearly all requests were refused, although the other instances reached every endpoint (0 of 191 first tries against 356 of 361; 4 of 100 against 366 of 372).

Cause: an instance could run a request only over its own connections. It refused after three failed connection attempts, up to 400 ms each. Nothing told a lost path from an endpoint that is down, and peers carry offers, notes and counts only. The class: a local failure is taken for the state of the remote end, and no path but the direct one exists.

Evidence: 142 of the 144 refusals at the five instances between 8 and 12.4 s say "no endpoint reachable"; a whole hall is cut off at 47 s, so that the balancer goes on using its instances whatever their readiness says.

Change: internal/reach tracks which endpoints cannot be connected to, and whether the instance itself is cut off (three endpoints fail in a row and nothing comes from any); probes end both. A request without a path goes, at most once, to another instance (internal/peerproxy), which accepts it before anything of it is sent and then handles it like its own: limits are charged where the client connected, retries and usage count where it runs. A silent path is found by probes after 250 ms without anything from any endpoint.

Why it works: instances cut off from endpoints still reach each other. One of those that have paths serves the request after one more hop; the others refuse it in a round trip, and nothing of a request is sent before it is accepted, so that "not run" stays certain.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -8,6 +8,7 @@
 package backend
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -22,6 +23,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/netx"
 	"github.com/shelfcrank/shelfcrank/internal/notice"
 	"github.com/shelfcrank/shelfcrank/internal/ratelimit"
+	"github.com/shelfcrank/shelfcrank/internal/reach"
 	"github.com/shelfcrank/shelfcrank/internal/registry"
 )
 
@@ -85,6 +87,7 @@
 	notices  *notice.Table
 	limits   *ratelimit.Table
 	loads    *loadreport.Table
+	paths    *reach.Tracker
 	clock    *clock.Clock
 
 	mu        sync.Mutex
@@ -103,12 +106,13 @@
 	Notices  *notice.Table     // receives the notices in the endpoints' responses
 	Limits   *ratelimit.Table  // receives the rate limits in the endpoints' responses
 	Loads    *loadreport.Table // receives the load reports in the endpoints' responses; may be nil
+	Paths    *reach.Tracker    // receives which endpoints can be connected to; may be nil
 	Clock    *clock.Clock      // may be nil
 }
 
 // New returns a client without connections.
 func New(o Options) *Client {
-	return &Client{net: o.Net, clock: o.Clock, protocol: o.Protocol, notices: o.Notices, limits: o.Limits, loads: o.Loads, endpoints: make(map[string]*connections)}
+	return &Client{net: o.Net, clock: o.Clock, protocol: o.Protocol, notices: o.Notices, limits: o.Limits, loads: o.Loads, paths: cmp.Or(o.Paths, reach.New()), endpoints: make(map[string]*connections)}
 }
 
 // errConnLimit reports that an endpoint already has the maximum number of connections.
@@ -140,14 +144,27 @@
 	}
 	s.open++
 	c.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	raw, err := c.net.Dial(ctx, call.Endpoint.Addr)
+	k, err := c.dial(ctx, &call.Endpoint, dialTimeout)
 	if err != nil {
 		c.discard(call.Endpoint.ID, nil)
-		return nil, err
 	}
-	return newConn(raw), nil
+	return k, err
+}
+
+// dial connects to an endpoint, and records whether it can be connected to unless ctx ends first.
+func (c *Client) dial(ctx context.Context, endpoint *registry.Endpoint, timeout time.Duration) (*conn, error) {
+	limited, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	raw, err := c.net.Dial(limited, endpoint.Addr)
+	now := c.clock.Now()
+	if err == nil {
+		c.paths.Connected(endpoint.ID, now)
+		return c.newConn(endpoint.ID, raw), nil
+	}
+	if ctx.Err() == nil {
+		c.paths.Failed(endpoint.ID, now)
+	}
+	return nil, err
 }
 
 // release returns a connection to the pool for the next request.
@@ -239,6 +256,7 @@
 	}
 	x := &exchange{client: c, endpoint: call.Endpoint, conn: k, sentAt: now}
 	x.watch(ctx)
+	c.paths.Sent(now)
 	resp, err := x.do(call)
 	if err != nil {
 		x.end(false)
@@ -247,19 +265,30 @@
 	return resp, nil
 }
 
-// probeTimeout limits a probe of an endpoint's process. An endpoint in another hall answers in
-// 2 ms; one behind a network partition does not answer, which proves nothing.
-const probeTimeout = 100 * time.Millisecond
+const (
+	// endTimeout limits a probe of an endpoint's process. An endpoint in another hall answers in
+	// 2 ms; one behind a network partition does not answer, which proves nothing.
+	endTimeout = 100 * time.Millisecond
+	// pathTimeout limits a probe of the path to an endpoint.
+	pathTimeout = 250 * time.Millisecond
+)
 
 // ProbeEnded connects to an endpoint and reports whether its process has ended: its address
-// refuses connections then. If the connection succeeds, the process may have been restarted, and
-// the connection is kept for the next request.
+// refuses connections then. If the connection succeeds, the process may have been restarted.
 func (c *Client) ProbeEnded(ctx context.Context, endpoint registry.Endpoint) bool {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	raw, err := c.net.Dial(ctx, endpoint.Addr)
+	return errors.Is(c.probe(ctx, endpoint, endTimeout), syscall.ECONNREFUSED)
+}
+
+// ProbePath reports whether an endpoint can be connected to.
+func (c *Client) ProbePath(ctx context.Context, endpoint registry.Endpoint) bool {
+	return c.probe(ctx, endpoint, pathTimeout) == nil
+}
+
+// probe connects to an endpoint and keeps the connection for the next request.
+func (c *Client) probe(ctx context.Context, endpoint registry.Endpoint, timeout time.Duration) error {
+	k, err := c.dial(ctx, &endpoint, timeout)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return err
 	}
 	c.mu.Lock()
 	s := c.endpoints[endpoint.ID]
@@ -267,13 +296,12 @@
 		s.open++
 	}
 	c.mu.Unlock()
-	k := newConn(raw)
 	if s == nil {
 		k.close()
-		return false
+		return nil
 	}
 	c.release(endpoint.ID, k)
-	return false
+	return nil
 }
 
 // toFault converts an error of an exchange to a *fault.Error that says whether the request may
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/shelfcrank/shelfcrank/internal/registry"
@@ -19,6 +20,8 @@
 
 // conn is a connection to an endpoint.
 type conn struct {
+	client        *Client
+	endpoint      string // its ID
 	raw           net.Conn
 	reader        *bufio.Reader
 	reused        bool
@@ -28,8 +31,8 @@
 	headRemaining int           // bytes that the response head may still take; negative while a body is read
 }
 
-func newConn(raw net.Conn) *conn {
-	k := &conn{raw: raw, headRemaining: -1}
+func (c *Client) newConn(endpoint string, raw net.Conn) *conn {
+	k := &conn{client: c, endpoint: endpoint, raw: raw, headRemaining: -1}
 	k.reader = bufio.NewReader(k)
 	return k
 }
@@ -45,6 +48,11 @@
 		p = p[:k.headRemaining]
 	}
 	n, err := k.raw.Read(p)
+	if n > 0 {
+		k.client.paths.Received(k.client.clock.Now())
+	} else if errors.Is(err, syscall.ETIMEDOUT) {
+		k.client.paths.Failed(k.endpoint, k.client.clock.Now())
+	}
 	if k.headRemaining > 0 {
 		k.headRemaining -= n
 	}
@@ -160,6 +168,7 @@
 		return
 	}
 	x.ended = true
+	x.client.paths.Ended()
 	if !x.stopWatch() {
 		reuse = false // watch has set its deadline
 	}
@@ -178,6 +187,17 @@
 	x.client.release(x.endpoint.ID, x.conn)
 }
 
+// Write writes the request with its body.
+func (c *Call) Write(w io.Writer) error {
+	if _, err := w.Write(c.head()); err != nil {
+		return fmt.Errorf("write request head: %w", err)
+	}
+	if _, err := w.Write(c.Body); err != nil {
+		return fmt.Errorf("write request body: %w", err)
+	}
+	return nil
+}
+
 // head returns the request line and the headers.
 func (c *Call) head() []byte {
 	var b bytes.Buffer
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -46,6 +46,9 @@
 	ForwardRefused               Code = 412
 	StreamBroken                 Code = 413
 	ClientDisconnected           Code = 414
+	ForwardProxied               Code = 415
+	ProxyRefused                 Code = 416
+	ProxiedAccepted              Code = 417
 	EndpointEndedDuringRequest   Code = 421
 	Quarantined                  Code = 422
 	SuspicionCleared             Code = 423
@@ -87,6 +90,8 @@
 	FrontEndpointBackoff         Code = 519
 	FrontEndpointRateLimit       Code = 520
 	OlderEndpointIgnored         Code = 521
+	PathsLost                    Code = 522
+	PathsRestored                Code = 523
 	InstanceJoined               Code = 311
 	InstanceGone                 Code = 312
 	InstanceInvalid              Code = 314
@@ -141,6 +146,9 @@
 	{ForwardRefused, zap.InfoLevel, "request refused", "This instance gave the final answer; why is the reason. may_have_run tells whether an endpoint may have run the request."},
 	{StreamBroken, zap.WarnLevel, "answer broken off", "An endpoint failed in the middle of its answer and no other could continue it. The client's connection was closed, so that the client does not take the answer for complete."},
 	{ClientDisconnected, zap.InfoLevel, "client disconnected", "The client closed its connection. The request was cancelled at the endpoint."},
+	{ForwardProxied, zap.InfoLevel, "request served by another instance", "This instance has no path to an endpoint of the service, and another one (peer) gave the response. Its log has the endpoints and the reason of a refusal, under the same request."},
+	{ProxyRefused, zap.InfoLevel, "request not taken by another instance", "Another instance (peer) was asked to serve a request and refused, or did not answer in time. Nothing of the request was sent to it; the next instance is asked. The instance is not asked again for this service for a moment, longer after each refusal."},
+	{ProxiedAccepted, zap.InfoLevel, "request of another instance accepted", "Another instance (peer) has no path to an endpoint for a request, which this instance serves. open is the number of such requests at this instance."},
 	{EndpointEndedDuringRequest, zap.WarnLevel, "endpoint ended during a request", "The endpoint ended while it ran the request with this fingerprint, as observed by this instance or another one. At most one of the requests that it ran is the cause. ends is the number of endpoints that have ended under this request since it last completed."},
 	{Quarantined, zap.WarnLevel, "request quarantined", "Endpoints repeatedly ended while they ran the request with this fingerprint. It does not run until the given time, whatever its ID."},
 	{QuarantineLifted, zap.InfoLevel, "quarantine lifted", "An operator allowed the request with this fingerprint to run again."},
@@ -182,6 +190,8 @@
 	{FrontEndpointBackoff, zap.InfoLevel, "endpoint requested a backoff", "The endpoint rejected a request and asked this instance to send none until the given time. Logged once for each backoff."},
 	{FrontEndpointRateLimit, zap.InfoLevel, "rate limit of an endpoint changed", "The endpoint (server) accepts this number of requests per second (to, if limited is true) from all instances together. by_peer tells that another instance reported the limit, and not an answer to this one."},
 	{OlderEndpointIgnored, zap.InfoLevel, "older endpoint entry ignored", "The entry was read at a revision below one already known for the endpoint, and had no effect."},
+	{PathsLost, zap.WarnLevel, "paths to endpoints lost", "This instance can connect to none of the endpoints, while it still counts as part of the fleet. Other instances serve its requests. in_row tells whether it concludes this from several failures in a row, before it has tried all endpoints. If the others report the same, the endpoints are down; otherwise check the network of this instance."},
+	{PathsRestored, zap.InfoLevel, "paths to endpoints restored", "This instance can connect to endpoints again. unreachable is the number of those that it still cannot connect to, and for is the time since the paths were lost."},
 	{InstanceJoined, zap.InfoLevel, "instance joined", "Another instance registered itself, or is reported by others while the store has lost registrations."},
 	{InstanceGone, zap.InfoLevel, "instance gone", "The registration of another instance ended and it no longer reports."},
 	{InstanceInvalid, zap.WarnLevel, "instance information not readable", "What another instance (peer), or a registration in the store (revision), reports about a running instance could not be decoded and is ignored."},
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -21,6 +21,7 @@
 	minConns             = 4                     // connections to an endpoint that an instance may always have
 	maxResumes           = 4                     // further attempts to resume a stream, beyond those that its route allows
 	maxConnectFailures   = 3                     // failed connects after which a request is given up
+	proxyConnectFailures = 2                     // failed connects after which another instance is asked to serve a request
 )
 
 // run tries endpoints until one answers or the request is given up.
@@ -32,15 +33,22 @@
 		if out.done {
 			return
 		}
+		if out.notSent {
+			unreached++
+		}
+		if (out.noPath || out.notSent && unreached >= proxyConnectFailures) && h.proxy(ctx, w, q) {
+			return
+		}
+		if out.noPath && h.mayTryAnyPath(ctx, q) {
+			q.anyPath = true
+			continue
+		}
 		if out.noEndpoint && last != nil {
 			// The previous endpoint's response says more than that no other endpoint is left.
 			h.giveUp(w, q, last)
 			return
 		}
 		last = out.denial
-		if out.notSent {
-			unreached++
-		}
 		if !out.again {
 			h.giveUp(w, q, last)
 			return
@@ -67,8 +75,8 @@
 // giveUp ends a request with an error response. Its units go back to the client account if no
 // endpoint can have run it.
 func (h *Handler) giveUp(w http.ResponseWriter, q *request, d *denial) {
-	if q.account != nil && !q.mayHaveRun {
-		h.Admission.Refund(q.account, q.units)
+	if !q.mayHaveRun {
+		h.refund(q)
 	}
 	if q.answered && !d.clientGone {
 		// Part of the response was sent: only an aborted connection shows that it is incomplete.
@@ -82,6 +90,14 @@
 	h.refuse(w, q, d)
 }
 
+// refund gives the units of a request that was not run back to its client account. Of a request that
+// another instance got from the client, that instance does so.
+func (h *Handler) refund(q *request) {
+	if q.account != nil && !q.proxied {
+		h.Admission.Refund(q.account, q.units)
+	}
+}
+
 // mayTry returns nil if an endpoint may be tried, and otherwise the denial that ends the
 // request. last is the result of the previous attempt.
 func (h *Handler) mayTry(ctx context.Context, q *request, last *denial, unreached int) *denial {
@@ -89,7 +105,10 @@
 		return h.ended(ctx, q)
 	}
 	if last == nil {
-		h.Admission.FirstTry(q.service, q.arrived)
+		if !q.tryCounted {
+			q.tryCounted = true
+			h.Admission.FirstTry(q.service, q.arrived)
+		}
 		return nil
 	}
 	limit := q.route.MaxAttempts
@@ -129,6 +148,7 @@
 	again      bool    // another endpoint may be tried
 	notSent    bool    // nothing was sent
 	noEndpoint bool    // no endpoint was chosen
+	noPath     bool    // because none is reachable from here
 	denial     *denial // ends the request if no other endpoint is tried
 }
 
@@ -136,8 +156,14 @@
 func (h *Handler) attempt(ctx context.Context, w http.ResponseWriter, q *request) outcome {
 	view := h.View()
 	now := h.Clock.Now()
+	endpoints := view.Endpoints[q.service]
+	if !q.anyPath {
+		if endpoints = h.Paths.Reachable(endpoints); len(endpoints) == 0 && len(view.Endpoints[q.service]) > 0 {
+			return outcome{noEndpoint: true, noPath: true, denial: h.unreachable(q, nil)}
+		}
+	}
 	b := h.balanceRequest(q, view.Config.Service(q.service))
-	ticket, err := h.Placer.Place(ctx, view.Endpoints[q.service], b, q.deadline, now)
+	ticket, err := h.Placer.Place(ctx, endpoints, b, q.deadline, now)
 	if err != nil && ctx.Err() != nil {
 		return outcome{denial: h.ended(ctx, q)} // a hub that had answered may have refused it
 	}
@@ -250,9 +276,7 @@
 		if ctx.Err() != nil {
 			return outcome{denial: h.ended(ctx, q)}
 		}
-		return outcome{again: true, notSent: true, denial: &denial{
-			status: h.statusUnlessRun(q, http.StatusServiceUnavailable), why: "no endpoint reachable", wait: waitRetry, err: f,
-		}}
+		return outcome{again: true, notSent: true, denial: h.unreachable(q, f)}
 	}
 	q.tried = append(q.tried, ticket.Endpoint.ID)
 	q.mayHaveRun = true
--- a/internal/forward/door.go
+++ b/internal/forward/door.go
@@ -18,6 +18,11 @@
 	if q.view.Leaving {
 		w.Header().Set("Connection", "close")
 	}
+	h.serve(w, r, q)
+}
+
+// serve handles a request of a client that connected here or to another instance.
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request, q *request) {
 	if d := h.identify(q, r); d != nil {
 		h.refuse(w, q, d)
 		return
@@ -74,13 +79,16 @@
 	if q.meta.HasTimeout {
 		allowed = min(allowed, q.meta.Timeout)
 	}
-	q.deadline = q.arrived.Add(allowed)
+	if end := q.arrived.Add(allowed); q.deadline.IsZero() || end.Before(q.deadline) {
+		q.deadline = end
+	}
 	return nil
 }
 
 // readRequest reads the whole body before anything is sent to an endpoint: a client that disconnects
 // halfway then causes no work, and the body can be sent again on a retry.
 func (h *Handler) readRequest(w http.ResponseWriter, q *request, r *http.Request) *denial {
+	q.received = r.Header
 	q.header = r.Header.Clone()
 	h.Protocol.Clean(q.header)
 	if r.Body == nil || r.Body == http.NoBody {
@@ -137,6 +145,9 @@
 			q.units = float64(q.meta.PromptTokens + q.meta.OutputTokens)
 		}
 	}
+	if q.proxied {
+		return nil
+	}
 	now := h.Clock.Now()
 	service := q.view.Config.Service(q.service)
 	v := h.Admission.Admit(q.account, q.units, service != nil && service.Engine != nil, now)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -3,7 +3,8 @@
 // A request passes five steps: its headers and body are read and its route and client account
 // are looked up (door.go), admission control checks the limit of the client account, an
 // endpoint is chosen, an attempt is made (attempt.go), and the response is passed on (answer.go,
-// stream.go). An error response claims that the request was not run only when that is certain
+// stream.go). Where this instance has no path to an endpoint, another instance does the last three
+// (proxy.go). An error response claims that the request was not run only when that is certain
 // (refuse.go). No state of a request is kept after its response.
 //
 // Handler is safe for concurrent use.
@@ -22,9 +23,11 @@
 	"github.com/shelfcrank/shelfcrank/internal/clock"
 	"github.com/shelfcrank/shelfcrank/internal/event"
 	"github.com/shelfcrank/shelfcrank/internal/metrics"
+	"github.com/shelfcrank/shelfcrank/internal/peerproxy"
 	"github.com/shelfcrank/shelfcrank/internal/policy"
 	"github.com/shelfcrank/shelfcrank/internal/quarantine"
 	"github.com/shelfcrank/shelfcrank/internal/quota"
+	"github.com/shelfcrank/shelfcrank/internal/reach"
 	"github.com/shelfcrank/shelfcrank/internal/registry"
 	"github.com/shelfcrank/shelfcrank/internal/rollout"
 )
@@ -127,11 +130,28 @@
 // Unwrap makes the error match ErrNoEndpoint.
 func (e *ThrottledError) Unwrap() error { return ErrNoEndpoint }
 
+// Proxy has requests served by other instances.
+type Proxy interface {
+	// Send returns the head of the response of the instance that serves a request. The error is
+	// peerproxy.ErrNotTaken if none does; after another one the request may have run.
+	Send(ctx context.Context, r *peerproxy.Request) (*peerproxy.Response, error)
+}
+
+// Paths tells which endpoints this instance has a path to.
+type Paths interface {
+	// Reachable returns those of the endpoints that can be connected to.
+	Reachable(endpoints []registry.Endpoint) []registry.Endpoint
+	// Lost reports whether this instance counts as cut off from all endpoints.
+	Lost() bool
+}
+
 // Options configure a Handler.
 type Options struct {
 	Protocol  Protocol
 	View      func() *View
 	Backends  *backend.Client
+	Paths     Paths // may be nil
+	Proxy     Proxy // nil if there are no other instances
 	Placer    Placer
 	Admission Admission
 	// Quarantine tracks requests that are suspected of crashing endpoints.
@@ -153,7 +173,15 @@
 }
 
 // New returns a handler.
-func New(o Options) *Handler { return &Handler{o} }
+func New(o Options) *Handler {
+	if o.Paths == nil {
+		o.Paths = reach.New()
+	}
+	if o.Proxy == nil {
+		o.Proxy = noProxy{}
+	}
+	return &Handler{o}
+}
 
 func (h *Handler) event(c event.Code, fields ...zap.Field) {
 	event.Log(h.Log, c, fields...)
@@ -175,6 +203,7 @@
 	method         string
 	uri            string
 	host           string
+	received       http.Header // as the client sent it
 	header         http.Header // as endpoints get it, except for the headers set for each attempt
 	body           []byte
 	tried          []string                // endpoints that it was sent to
@@ -184,6 +213,9 @@
 	returned       bool                    // the client returned after a refusal for lack of capacity
 	outcomeUnknown bool                    // whether an endpoint crashed during the last run is not known
 	counted        bool                    // a run was counted for the usage reports
+	tryCounted     bool                    // an attempt was counted in the retry budget
+	proxied        bool                    // another instance got it from the client, and charged it to the limit of the client account
+	anyPath        bool                    // endpoints that count as unreachable may be tried
 	lastEventID    string                  // ID of the last event passed on
 	answered       bool                    // the response head was sent to the client
 	firstEventAt   time.Time               // when the first event was passed on
--- /dev/null
+++ b/internal/forward/proxy.go
@@ -0,0 +1,157 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+
+	"go.uber.org/zap"
+
+	"github.com/shelfcrank/shelfcrank/internal/backend"
+	"github.com/shelfcrank/shelfcrank/internal/event"
+	"github.com/shelfcrank/shelfcrank/internal/peerproxy"
+)
+
+// ServeProxied handles a request that another instance got from its client and has no path to an
+// endpoint for; its context holds the peerproxy.Request. It is handled as any other, except that the
+// other instance has charged it to the limit of its client account, and that it is not passed on.
+func (h *Handler) ServeProxied(w http.ResponseWriter, r *http.Request) {
+	p := peerproxy.FromContext(r.Context())
+	q := &request{
+		arrived: h.Clock.Now(), view: h.View(), meta: h.Protocol.Request(r.Header), proxied: true,
+		deadline: p.Deadline, tried: p.Tried, chosen: slices.Clone(p.Tried), mayHaveRun: p.MayHaveRun,
+		tryCounted: p.TryCounted, counted: p.RunCounted, answered: p.Answered, lastEventID: p.LastEventID,
+	}
+	h.serve(w, r, q)
+}
+
+// unreachable is the denial for a request that no endpoint could be connected to for.
+func (h *Handler) unreachable(q *request, err error) *denial {
+	return &denial{status: h.statusUnlessRun(q, http.StatusServiceUnavailable), why: "no endpoint reachable", wait: waitRetry, err: err}
+}
+
+// mayTryAnyPath reports whether endpoints that count as unreachable may be tried for a request that no
+// other instance takes. If this instance is cut off, that would only keep the client waiting.
+func (h *Handler) mayTryAnyPath(ctx context.Context, q *request) bool {
+	return !q.anyPath && ctx.Err() == nil && !h.Paths.Lost()
+}
+
+// proxy has another instance serve a request, and passes the response on. It reports false if no
+// instance takes the request: nothing of it was sent then.
+func (h *Handler) proxy(ctx context.Context, w http.ResponseWriter, q *request) bool {
+	if q.proxied || ctx.Err() != nil || h.Clock.Until(q.deadline) < minRemaining {
+		return false
+	}
+	resp, err := h.Proxy.Send(ctx, &peerproxy.Request{
+		Service: q.service, Deadline: q.deadline, Tried: q.tried, MayHaveRun: q.mayHaveRun,
+		TryCounted: q.tryCounted, RunCounted: q.counted, Answered: q.answered, LastEventID: q.lastEventID,
+		Call: &backend.Call{Method: q.method, URI: q.uri, Host: q.host, Header: h.receivedHeader(q), Body: q.body, ID: q.meta.ID},
+	})
+	if errors.Is(err, peerproxy.ErrNotTaken) {
+		return false
+	}
+	if err != nil {
+		q.mayHaveRun = true
+		d := &denial{status: http.StatusBadGateway, why: "another instance broke off", err: err}
+		if ctx.Err() != nil {
+			d = h.ended(ctx, q)
+		}
+		h.giveUp(w, q, d)
+		return true
+	}
+	defer resp.Close()
+	if claimsNotRun(resp.StatusCode) {
+		h.refund(q)
+	} else {
+		q.mayHaveRun = true
+	}
+	h.passOn(ctx, w, q, resp)
+	return true
+}
+
+// receivedHeader returns the header that the client sent, without what concerns its connection only.
+func (h *Handler) receivedHeader(q *request) http.Header {
+	out := q.received.Clone()
+	h.Protocol.CleanAnswer(out)
+	return out
+}
+
+var errNotResumed = errors.New("the other instance did not resume the stream")
+
+// passOn passes the response of another instance on as it comes. A stream of which the client has the
+// beginning goes on with the body of the response.
+func (h *Handler) passOn(ctx context.Context, w http.ResponseWriter, q *request, resp *peerproxy.Response) {
+	if q.answered {
+		if resp.StatusCode != http.StatusOK {
+			h.abort(ctx, q, resp, errNotResumed)
+		}
+	} else {
+		q.answered = true
+		h.writeProxiedHead(w, resp)
+	}
+	err := copyFlushed(w, resp.Body)
+	if err != nil {
+		h.abort(ctx, q, resp, err)
+	}
+	h.logEnd(q, event.ForwardProxied, resp.StatusCode, "", nil, zap.String("peer", resp.Instance))
+}
+
+// writeProxiedHead writes the head of another instance's response.
+func (h *Handler) writeProxiedHead(w http.ResponseWriter, resp *peerproxy.Response) {
+	h.Protocol.CleanAnswer(resp.Header)
+	out := w.Header()
+	for name, values := range resp.Header {
+		out[name] = values
+	}
+	if len(out["Content-Type"]) == 0 {
+		out["Content-Type"] = nil // stops net/http from guessing one
+	}
+	if resp.ContentLength >= 0 {
+		setLength(w, int(resp.ContentLength))
+	}
+	w.WriteHeader(resp.StatusCode)
+}
+
+// abort closes the client's connection in the middle of a response, so that the client does not take
+// it for complete.
+func (h *Handler) abort(ctx context.Context, q *request, resp *peerproxy.Response, err error) {
+	code, why := event.StreamBroken, "another instance broke off"
+	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline) {
+		code, why = event.ClientDisconnected, "client disconnected"
+	}
+	h.logEnd(q, code, resp.StatusCode, why, err, zap.String("peer", resp.Instance))
+	panic(http.ErrAbortHandler)
+}
+
+// copyFlushed copies a response body and sends each part on at once.
+func copyFlushed(w http.ResponseWriter, body io.Reader) error {
+	flusher := http.NewResponseController(w)
+	buf := make([]byte, proxyBufferSize)
+	for {
+		n, err := body.Read(buf)
+		if n > 0 {
+			if _, err := w.Write(buf[:n]); err != nil {
+				return err
+			}
+			_ = flusher.Flush()
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// noProxy is the Proxy of an instance without others.
+type noProxy struct{}
+
+// Send implements Proxy.
+func (noProxy) Send(context.Context, *peerproxy.Request) (*peerproxy.Response, error) {
+	return nil, peerproxy.ErrNotTaken
+}
+
+const proxyBufferSize = 16 << 10 // bytes
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -36,8 +36,10 @@
 	"github.com/shelfcrank/shelfcrank/internal/netx"
 	"github.com/shelfcrank/shelfcrank/internal/notice"
 	"github.com/shelfcrank/shelfcrank/internal/peer"
+	"github.com/shelfcrank/shelfcrank/internal/peerproxy"
 	"github.com/shelfcrank/shelfcrank/internal/policy"
 	"github.com/shelfcrank/shelfcrank/internal/ratelimit"
+	"github.com/shelfcrank/shelfcrank/internal/reach"
 	"github.com/shelfcrank/shelfcrank/internal/registry"
 	"github.com/shelfcrank/shelfcrank/internal/rollctl"
 	"github.com/shelfcrank/shelfcrank/internal/rollout"
@@ -100,6 +102,10 @@
 	view              atomic.Pointer[forward.View]
 	walltime          *walltime.Clock
 	peers             *peer.Transport
+	proxyPeers        *peer.Transport // sessions of their own for requests that others serve: their bodies must not hold up control messages
+	proxy             *peerproxy.Client
+	proxied           *peerproxy.Acceptor // requests of others
+	paths             *reach.Tracker
 	backends          *backend.Client
 	notices           *notice.Table // what endpoints announced in their answers
 	limits            *ratelimit.Table
@@ -152,6 +158,7 @@
 	n.loads = loadreport.New()
 	n.scheduledServices = event.NewServiceLog(n.event)
 	n.bootstrap = newBootstrap(n)
+	n.paths = reach.New()
 	n.placer = newPlacer(n)
 	n.suspects = newSuspects(n)
 	n.rollouts = rollctl.New(rollout.Bound{Share: o.Settings.Bounds.ExposeShare, Slack: o.Settings.Bounds.ExposeSlack}, n.source(), rand.New(rand.NewPCG(o.Seed, seedRollouts)), o.Clock)
@@ -162,14 +169,17 @@
 		return nil, fmt.Errorf("create instance: %w", err)
 	}
 	n.peers = do.MustInvoke[*peer.Transport](n.injector)
+	n.proxy = do.MustInvoke[*peerproxy.Client](n.injector)
 	n.backends = do.MustInvoke[*backend.Client](n.injector)
 	n.tracker = do.MustInvoke[*balance.Tracker](n.injector)
 	n.admission = do.MustInvoke[*admission](n.injector)
 	n.elector = do.MustInvoke[*duty.Elector](n.injector)
 	n.handler = do.MustInvoke[*forward.Handler](n.injector)
+	n.proxied = peerproxy.NewAcceptor(o.Settings.Proxied(), http.HandlerFunc(n.handler.ServeProxied))
 	n.state = newState(n)
 	n.peers.SetHandler(n)
 	n.peers.SetCrossHallFunc(n.inOtherHall)
+	n.proxyPeers.SetCrossHallFunc(n.inOtherHall)
 	return n, nil
 }
 
@@ -185,8 +195,12 @@
 		})
 	})
 	do.Provide(n.injector, func(do.Injector) (*peer.Transport, error) { return peer.New(o.Net, s.Name, nil, o.Clock), nil })
+	n.proxyPeers = peer.New(o.Net, s.Name, nil, o.Clock)
+	do.Provide(n.injector, func(do.Injector) (*peerproxy.Client, error) {
+		return peerproxy.NewClient(peerproxy.ClientOptions{Peers: n.proxyPeers, Others: n.others, Hall: s.Hall, Clock: o.Clock, Log: o.Log}), nil
+	})
 	do.Provide(n.injector, func(do.Injector) (*backend.Client, error) {
-		return backend.New(backend.Options{Net: o.Net, Protocol: o.Protocol, Notices: n.notices, Limits: n.limits, Loads: n.loads, Clock: o.Clock}), nil
+		return backend.New(backend.Options{Net: o.Net, Protocol: o.Protocol, Notices: n.notices, Limits: n.limits, Loads: n.loads, Paths: n.paths, Clock: o.Clock}), nil
 	})
 	do.Provide(n.injector, func(do.Injector) (*balance.Tracker, error) {
 		return balance.NewTracker(balance.WithLoadReports(n.balancedLoads()), balance.WithQueueReports(n.loads)), nil
@@ -201,7 +215,7 @@
 	})
 	do.Provide(n.injector, func(do.Injector) (*forward.Handler, error) {
 		return forward.New(forward.Options{
-			Protocol: o.Protocol, View: n.view.Load, Backends: n.backends, Placer: n.placer, Admission: n.admission, Quarantine: n.suspects,
+			Protocol: o.Protocol, View: n.view.Load, Backends: n.backends, Paths: n.paths, Proxy: n.proxy, Placer: n.placer, Admission: n.admission, Quarantine: n.suspects,
 			Clock: o.Clock, Log: o.Log, Metrics: n.metrics, ConfigFreshFor: denialProofAge,
 			Fingerprints: s.Overload.Admission,
 		}), nil
@@ -292,6 +306,7 @@
 	if err := n.Clock.Err(); err != nil {
 		n.event(event.ClockExcludesSuspensions, zap.Error(err))
 	}
+	go n.proxied.Run()
 	n.event(event.Started, zap.String("node", s.Name), zap.Stringer("front", s.Front), zap.Int64("incarnation", n.incarnation()))
 	clients := n.serveClients(ctx, listeners[0])
 	<-ctx.Done()
@@ -300,6 +315,7 @@
 	_ = metricsServer.Close()
 	stop()
 	n.peers.Close()
+	n.proxyPeers.Close()
 	<-ended
 	n.backends.CloseIdle()
 	_ = n.injector.Shutdown()
@@ -330,6 +346,7 @@
 		{"open usage", n.saveOpenUsage},
 		{"fleet", n.scaleEndpoints},
 		{"roll-outs", n.leadRollouts},
+		{"paths", n.checkPaths},
 		{"upkeep", n.maintain},
 		{"reload", n.reload},
 	} {
@@ -369,6 +386,9 @@
 			n.observeScheduled(now)
 			n.suspects.expire(used, now)
 			n.peers.CloseIdle(now)
+			n.proxyPeers.CloseIdle(now)
+			n.proxy.Expire(now)
+			n.paths.Forget(used)
 		}
 	}
 }
--- a/internal/front/partition_test.go
+++ b/internal/front/partition_test.go
@@ -56,6 +56,13 @@
 	}
 }
 
+// failed returns the number of requests at the instances that were cut off that were not served.
+func (f *firstTries) failed() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.sent[true] - f.served[true]
+}
+
 // share returns how many of the requests at the instances that were, or were not, cut off were served.
 func (f *firstTries) share(cut bool) float64 {
 	f.mu.Lock()
@@ -85,6 +92,7 @@
 const (
 	contactBound   = 3 * time.Second // after which callers at an instance that is cut off are to be served
 	minServedShare = 0.95            // of the share at the other instances
+	maxFailedEarly = 10              // first tries that may fail at an instance that is cut off before that
 )
 
 // Guards against refusing callers of instances that are cut off from all endpoints while others are not.
@@ -98,12 +106,13 @@
 						cut := runningNames(w)[:cutOff]
 						w.askEach("before", time.Second, nil)
 						w.partition(p, true, cut...)
-						w.askEach("early", contactBound, cut)
+						early := w.askEach("early", contactBound, cut)
 						f := w.askEach("late", 5*time.Second, cut)
 						w.partition(p, false, cut...)
-						t.Logf("served %.3f of first tries there, %.3f at the others", f.share(true), f.share(false))
+						t.Logf("served %.3f of first tries there, %.3f at the others; %d failed early", f.share(true), f.share(false), early.failed())
 						is.True(f.share(false) > minServedShare)
 						is.True(f.share(true) >= minServedShare*f.share(false))
+						is.True(early.failed() <= maxFailedEarly*cutOff)
 					}, manyEndpoints, func(w *testCluster) { w.halls = 4 })
 				})
 			}
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -55,13 +56,17 @@
 	end := begun.Add(fractionOf(drainShare, n.Settings.Bounds.Grace()))
 	n.leaving.Store(true)
 	n.state.send(drainStarted{})
+	n.proxied.Refuse()
 	n.event(event.Stopping, zap.Time("by", end))
 	time.Sleep(drainDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), n.Clock.Until(end))
 	defer cancel()
+	var wait sync.WaitGroup
+	wait.Go(func() { n.proxied.Shutdown(ctx) })
 	if err := clients.Shutdown(ctx); err != nil {
 		_ = clients.Close()
 	}
+	wait.Wait()
 }
 
 // serveReady answers the platform's readiness check, which decides whether this instance gets new
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -150,11 +150,10 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	answer := func(a *peerpb.Answer) error {
-		_ = stream.SetWriteDeadline(time.Now().Add(writeTimeout))
-		_, err := protodelim.MarshalTo(stream, a)
-		return err
+	if h, ok := t.handler.(StreamHandler); ok && h.HandleStream(ctx, &call, stream) {
+		return
 	}
+	answer := func(a *peerpb.Answer) error { return respond(stream, a) }
 	if err := t.handler.Handle(ctx, &call, answer); err != nil {
 		_ = answer(&peerpb.Answer{Body: &peerpb.Answer_Failure{Failure: ToFailure(fault.As(err))}})
 	}
--- /dev/null
+++ b/internal/peerproxy/client.go
@@ -0,0 +1,112 @@
+package peerproxy
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/shelfcrank/shelfcrank/internal/clock"
+	"github.com/shelfcrank/shelfcrank/internal/event"
+	"github.com/shelfcrank/shelfcrank/internal/fault"
+	"github.com/shelfcrank/shelfcrank/internal/peerpb"
+	"github.com/shelfcrank/shelfcrank/internal/topology"
+)
+
+// Opener opens streams to other instances. An error says that the call had no effect.
+type Opener interface {
+	Open(ctx context.Context, addr netip.AddrPort, call *peerpb.Call) (net.Conn, error)
+}
+
+const (
+	acceptTimeout = 200 * time.Millisecond // then the next instance is asked
+	// maxAsked is the number of instances that are asked for one request. They refuse within
+	// milliseconds, and are not asked for the next ones.
+	maxAsked = 16
+)
+
+// ClientOptions configure a Client.
+type ClientOptions struct {
+	Peers  Opener
+	Others func() []topology.Member // the other instances
+	Hall   string                   // of this instance
+	Clock  *clock.Clock             // may be nil
+	Log    *zap.Logger
+}
+
+// Client sends requests to other instances.
+type Client struct {
+	ClientOptions
+	chooser *chooser
+}
+
+// NewClient returns a client.
+func NewClient(o ClientOptions) *Client { return &Client{o, newChooser()} }
+
+// Expire drops what is no longer needed. It is called from time to time.
+func (c *Client) Expire(now time.Time) { c.chooser.expire(now) }
+
+// Response is the response to a request that another instance serves. The caller has to call Close.
+type Response struct {
+	*http.Response
+	Instance string // that serves the request
+
+	close func()
+}
+
+// Close ends the request; the other instance cancels it unless it is complete.
+func (r *Response) Close() { r.close() }
+
+// Send has another instance serve a request and returns the head of its response. The error is
+// ErrNotTaken if no instance takes the request. After another error it may have run.
+func (c *Client) Send(ctx context.Context, r *Request) (*Response, error) {
+	var asked []string
+	for range maxAsked {
+		other, ok := c.chooser.choose(c.Others(), c.Hall, r.Service, r.Call.ID, asked, c.Clock.Now())
+		if !ok {
+			break
+		}
+		asked = append(asked, other.Name)
+		stream, err := c.open(ctx, other, r)
+		if err != nil {
+			c.chooser.done(other.Name)
+			if ctx.Err() != nil {
+				break
+			}
+			c.chooser.refused(other.Name, r.Service, c.Clock.Now())
+			event.Log(c.Log, event.ProxyRefused, zap.String("request", r.Call.ID), zap.String("service", r.Service), zap.String("peer", other.Name), zap.Error(err))
+			continue
+		}
+		c.chooser.accepted(other.Name, r.Service)
+		return c.exchange(ctx, other.Name, stream, r)
+	}
+	return nil, ErrNotTaken
+}
+
+func (c *Client) open(ctx context.Context, other topology.Member, r *Request) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
+	return c.Peers.Open(ctx, other.Addr, r.message(c.Clock.Now()))
+}
+
+// exchange sends a request on a stream and reads the head of the response.
+func (c *Client) exchange(ctx context.Context, instance string, stream net.Conn, r *Request) (*Response, error) {
+	// The stream is closed when ctx ends, which the other instance takes for the client's disconnection.
+	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
+	end := func() {
+		stop()
+		_ = stream.Close()
+		c.chooser.done(instance)
+	}
+	go func() { _ = r.Call.Write(stream) }() // a response may come before all of a long body is read
+	resp, err := http.ReadResponse(bufio.NewReader(stream), &http.Request{Method: r.Call.Method})
+	if err != nil {
+		end()
+		return nil, fault.New(fault.StepPeer, instance, fault.KindBroken, fault.MayHaveRun, "proxy: %w", err)
+	}
+	return &Response{Response: resp, Instance: instance, close: end}, nil
+}
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -25,7 +25,10 @@
 	// endpoints by mistake has stopped retrying, and deploying a new version of an endpoint
 	// takes longer than that.
 	QuarantineS float64 `toml:"quarantine_s" help:"Time for which a request is not run after three endpoints ended while running it, in seconds; 0 for 60."`
-	Bounds      Bounds  `toml:"bounds" help:"Time limits and quotas that the deployment requires."`
+	// MaxProxied bounds the memory for requests of other instances: each holds its body and up to
+	// 512 KiB of its response.
+	MaxProxied int    `toml:"max_proxied" help:"Requests of other instances that the instance serves at a time, while these have no path to endpoints; 0 for 256."`
+	Bounds     Bounds `toml:"bounds" help:"Time limits and quotas that the deployment requires."`
 	// Overload applies to services whose endpoints report how long work takes at the moment.
 	Overload Overload `toml:"overload" help:"Decisions under load, for services whose endpoints report their slowdown; all off by default."`
 }
@@ -47,6 +50,12 @@
 	return inSeconds(cmp.Or(s.QuarantineS, defaultQuarantineS))
 }
 
+// defaultMaxProxied is the default of Front.MaxProxied.
+const defaultMaxProxied = 256
+
+// Proxied returns how many requests of other instances are served at a time.
+func (s *Front) Proxied() int { return cmp.Or(s.MaxProxied, defaultMaxProxied) }
+
 // Bounds are the time limits and quotas that the deployment requires. A time limit counts from
 // the event that it is about, such as the removal of a key.
 type Bounds struct {
