--- a/internal/peerproxy/client.go
+++ b/internal/peerproxy/client.go
@@ -95,8 +95,12 @@
 
 // exchange sends a request on a stream and reads the head of the response.
 func (c *Client) exchange(ctx context.Context, instance string, stream net.Conn, r *Request) (*Response, error) {
-	// The stream is closed when ctx ends, which the other instance takes for the client's disconnection.
-	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
+	// When ctx ends, the stream is closed, which the other instance takes for the client's disconnection.
+	// A closed stream can still be read from, hence the deadline.
+	stop := context.AfterFunc(ctx, func() {
+		_ = stream.SetDeadline(time.Unix(1, 0))
+		_ = stream.Close()
+	})
 	end := func() {
 		stop()
 		_ = stream.Close()
