brittle: keep rejections of brittle endpoints below what makes them fall over

Cause: instances send to the endpoint that seems least loaded even if all are full, with counts of the others' requests that are 0.2 s old or more.

Weighed: (1) room reserved by hubs, exact, but only where hubs place requests; (2) a share of the slots for each instance, without any exchange. Built: (2), with grants for a few requests beyond the shares, and (1) where hubs place. A request that finds neither waits here for up to 50 ms, a few at a time, and is refused at once otherwise.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -17,6 +17,7 @@
 	"syscall"
 	"time"
 
+	"github.com/shelfcrank/shelfcrank/internal/brittle"
 	"github.com/shelfcrank/shelfcrank/internal/clock"
 	"github.com/shelfcrank/shelfcrank/internal/fault"
 	"github.com/shelfcrank/shelfcrank/internal/loadreport"
@@ -44,6 +45,7 @@
 	RateLimit   ratelimit.Limit
 	Load        loadreport.Report
 	HasLoad     bool
+	Brittle     int // rejections a second for lack of room after which the endpoint falls over; 0 if it does not
 }
 
 // Call is one request to one endpoint.
@@ -88,6 +90,7 @@
 	limits   *ratelimit.Table
 	loads    *loadreport.Table
 	paths    *reach.Tracker
+	brittle  *brittle.Table
 	clock    *clock.Clock
 
 	mu        sync.Mutex
@@ -107,12 +110,13 @@
 	Limits   *ratelimit.Table  // receives the rate limits in the endpoints' responses
 	Loads    *loadreport.Table // receives the load reports in the endpoints' responses; may be nil
 	Paths    *reach.Tracker    // receives which endpoints can be connected to; may be nil
+	Brittle  *brittle.Table    // receives whether endpoints fall over after rejections; may be nil
 	Clock    *clock.Clock      // may be nil
 }
 
 // New returns a client without connections.
 func New(o Options) *Client {
-	return &Client{net: o.Net, clock: o.Clock, protocol: o.Protocol, notices: o.Notices, limits: o.Limits, loads: o.Loads, paths: cmp.Or(o.Paths, reach.New()), endpoints: make(map[string]*connections)}
+	return &Client{net: o.Net, clock: o.Clock, protocol: o.Protocol, notices: o.Notices, limits: o.Limits, loads: o.Loads, paths: cmp.Or(o.Paths, reach.New()), brittle: o.Brittle, endpoints: make(map[string]*connections)}
 }
 
 // errConnLimit reports that an endpoint already has the maximum number of connections.
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -141,6 +141,12 @@
 			now := x.client.clock.Now()
 			x.client.notices.Observe(x.endpoint, a.Notice, now)
 			x.client.limits.Observe(x.endpoint.ID, a.RateLimit, x.sentAt, now)
+			if x.client.brittle != nil {
+				x.client.brittle.Observe(&x.endpoint, a.Brittle, x.sentAt, now)
+				if a.NotRun && resp.StatusCode == http.StatusServiceUnavailable {
+					x.client.brittle.Rejected(&x.endpoint, now)
+				}
+			}
 			if a.HasLoad && x.client.loads != nil {
 				x.client.loads.Observe(&x.endpoint, a.Load, now)
 			}
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -334,6 +334,16 @@
 	return out
 }
 
+// Open returns the number of this instance's requests at an endpoint.
+func (t *Tracker) Open(endpoint string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.endpoints[endpoint]; s != nil {
+		return s.load.Open
+	}
+	return 0
+}
+
 // LocalLoads returns the load of those of this instance's requests on each endpoint whose endpoint it
 // chose itself.
 func (t *Tracker) LocalLoads() map[string]Load {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -92,6 +92,7 @@
 	OlderEndpointIgnored         Code = 521
 	PathsLost                    Code = 522
 	PathsRestored                Code = 523
+	ServiceBrittle               Code = 524
 	InstanceJoined               Code = 311
 	InstanceGone                 Code = 312
 	InstanceInvalid              Code = 314
@@ -192,6 +193,7 @@
 	{OlderEndpointIgnored, zap.InfoLevel, "older endpoint entry ignored", "The entry was read at a revision below one already known for the endpoint, and had no effect."},
 	{PathsLost, zap.WarnLevel, "paths to endpoints lost", "This instance can connect to none of the endpoints, while it still counts as part of the fleet. Other instances serve its requests. in_row tells whether it concludes this from several failures in a row, before it has tried all endpoints. If the others report the same, the endpoints are down; otherwise check the network of this instance."},
 	{PathsRestored, zap.InfoLevel, "paths to endpoints restored", "This instance can connect to endpoints again. unreachable is the number of those that it still cannot connect to, and for is the time since the paths were lost."},
+	{ServiceBrittle, zap.WarnLevel, "endpoints of a service are brittle", "The endpoints of the service state that they fall over after more than most rejections in a second, or, with most 0, that they no longer do. Meanwhile each instance keeps to its share of their slots, and requests beyond it are limited; others are refused at once."},
 	{InstanceJoined, zap.InfoLevel, "instance joined", "Another instance registered itself, or is reported by others while the store has lost registrations."},
 	{InstanceGone, zap.InfoLevel, "instance gone", "The registration of another instance ended and it no longer reports."},
 	{InstanceInvalid, zap.WarnLevel, "instance information not readable", "What another instance (peer), or a registration in the store (revision), reports about a running instance could not be decoded and is ignored."},
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -25,6 +25,7 @@
 
 	"github.com/shelfcrank/shelfcrank/internal/backend"
 	"github.com/shelfcrank/shelfcrank/internal/balance"
+	"github.com/shelfcrank/shelfcrank/internal/brittle"
 	"github.com/shelfcrank/shelfcrank/internal/clock"
 	"github.com/shelfcrank/shelfcrank/internal/duty"
 	"github.com/shelfcrank/shelfcrank/internal/event"
@@ -106,6 +107,7 @@
 	proxy             *peerproxy.Client
 	proxied           *peerproxy.Acceptor // requests of others
 	paths             *reach.Tracker
+	brittle           *brittle.Table
 	backends          *backend.Client
 	notices           *notice.Table // what endpoints announced in their answers
 	limits            *ratelimit.Table
@@ -159,6 +161,7 @@
 	n.scheduledServices = event.NewServiceLog(n.event)
 	n.bootstrap = newBootstrap(n)
 	n.paths = reach.New()
+	n.brittle = newBrittle(n)
 	n.placer = newPlacer(n)
 	n.suspects = newSuspects(n)
 	n.rollouts = rollctl.New(rollout.Bound{Share: o.Settings.Bounds.ExposeShare, Slack: o.Settings.Bounds.ExposeSlack}, n.source(), rand.New(rand.NewPCG(o.Seed, seedRollouts)), o.Clock)
@@ -200,7 +203,7 @@
 		return peerproxy.NewClient(peerproxy.ClientOptions{Peers: n.proxyPeers, Others: n.others, Hall: s.Hall, Clock: o.Clock, Log: o.Log}), nil
 	})
 	do.Provide(n.injector, func(do.Injector) (*backend.Client, error) {
-		return backend.New(backend.Options{Net: o.Net, Protocol: o.Protocol, Notices: n.notices, Limits: n.limits, Loads: n.loads, Paths: n.paths, Clock: o.Clock}), nil
+		return backend.New(backend.Options{Net: o.Net, Protocol: o.Protocol, Notices: n.notices, Limits: n.limits, Loads: n.loads, Paths: n.paths, Brittle: n.brittle, Clock: o.Clock}), nil
 	})
 	do.Provide(n.injector, func(do.Injector) (*balance.Tracker, error) {
 		return balance.NewTracker(balance.WithLoadReports(n.balancedLoads()), balance.WithQueueReports(n.loads)), nil
@@ -389,6 +392,7 @@
 			n.proxyPeers.CloseIdle(now)
 			n.proxy.Expire(now)
 			n.paths.Forget(used)
+			n.brittle.Expire(used, now)
 		}
 	}
 }
--- a/internal/front/hubgroup.go
+++ b/internal/front/hubgroup.go
@@ -182,6 +182,7 @@
 	sum := n.sumGroup(reports, "", now)
 	s.Rollouts = n.groupRollouts(reports)
 	s.Limits = wire.Encode(n.groupLimits(reports, now))
+	s.Brittle = encodeBrittle(n.brittle.Reports(now))
 	s.Servers = useShares(sum.Loads)
 	estimates := meanRisk(n.tracker.Estimates(), reports)
 	for name, d := range sum.Demand {
--- a/internal/front/placing.go
+++ b/internal/front/placing.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/lo"
@@ -29,6 +30,7 @@
 	plainBackoffUntil map[string]time.Time    // the same for requests to plain services; guarded by mu
 	notes             map[string][]queuedNote // to be sent, by name of the hub; guarded by mu
 	notesQueued       chan struct{}           // signals sendNotes; capacity 1
+	waiting           atomic.Int64            // requests that wait for room at brittle endpoints
 
 	owned      ownershipCache
 	partitions partitionCache
@@ -105,7 +107,7 @@
 		return p.placePlain(ctx, hubs, endpoints, r, until, now)
 	}
 	if len(hubs.Hubs) == 0 {
-		return p.pick(endpoints, r, now)
+		return p.pick(ctx, endpoints, r, now)
 	}
 	offers, confirmed, refusal := p.offers(ctx, hubs, r, until)
 	if refusal != nil {
@@ -124,7 +126,7 @@
 		}
 	}
 	if !ok {
-		return p.pick(endpoints, r, now)
+		return p.pick(ctx, endpoints, r, now)
 	}
 	return p.accept(best, r, now), nil
 }
@@ -138,7 +140,10 @@
 }
 
 // pick chooses an endpoint locally, without asking a hub.
-func (p *placer) pick(endpoints []registry.Endpoint, r *balance.Request, now time.Time) (*balance.Ticket, error) {
+func (p *placer) pick(ctx context.Context, endpoints []registry.Endpoint, r *balance.Request, now time.Time) (*balance.Ticket, error) {
+	if p.instance.brittle.Most(r.Service, now) > 0 {
+		return p.pickBrittle(ctx, endpoints, r, now)
+	}
 	ticket, ok := p.instance.tracker.Pick(p.instance.available(endpoints, now), r, now)
 	if !ok {
 		return nil, forward.ErrNoEndpoint
@@ -206,7 +211,7 @@
 		return answer(&peerpb.Answer{Body: &peerpb.Answer_Place{Place: &peerpb.PlaceAnswer{Refusal: x}}})
 	}
 	asker := place.Requester{Instance: call.From, Incarnation: q.Incarnation}
-	o, _ := p.scheduler.Offer(asker, p.candidates(r), r, now.Add(time.Duration(q.Left)), now)
+	o, _ := p.scheduler.Offer(asker, p.withRoom(p.candidates(r), now), r, now.Add(time.Duration(q.Left)), now)
 	if o.Refusal != nil {
 		p.instance.admission.withdrawAtHub(q.Account, q.Units, now)
 		return answer(&peerpb.Answer{Body: &peerpb.Answer_Place{Place: &peerpb.PlaceAnswer{Overload: refusalMessage(o.Refusal, now)}}})
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -38,7 +38,7 @@
 // place such requests, and chooses an endpoint locally if there is no usable offer.
 func (p *placer) placePlain(ctx context.Context, hubs *topology.Topology, endpoints []registry.Endpoint, r *balance.Request, until, now time.Time) (*balance.Ticket, error) {
 	if len(hubs.Hubs) == 0 || !p.usesPlainHubs(r.Service, now) {
-		return p.pick(endpoints, r, now)
+		return p.pick(ctx, endpoints, r, now)
 	}
 	offers, err := p.plainOffers(ctx, hubs, r, until, now)
 	if err != nil {
@@ -47,7 +47,7 @@
 	now = p.instance.Clock.Now() // the wait for the hub is no part of the response time of the endpoint
 	best, ok := p.bestOffer(offers, endpoints, now)
 	if !ok {
-		return p.pick(endpoints, r, now)
+		return p.pick(ctx, endpoints, r, now)
 	}
 	return p.accept(best, r, now), nil
 }
--- a/internal/front/plain_test.go
+++ b/internal/front/plain_test.go
@@ -38,6 +38,13 @@
 	return q.slots
 }
 
+// setQueue sets how many requests may wait for a slot.
+func (q *endpointQueues) setQueue(n int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.queue = n
+}
+
 // enter waits for a slot of an endpoint. It returns false if the endpoint is full.
 func (q *endpointQueues) enter(endpoint string) bool {
 	if q == nil {
--- a/internal/front/share.go
+++ b/internal/front/share.go
@@ -188,6 +188,7 @@
 	s.Services = n.serviceShares(n.tracker.Demand(n.Clock.Now()))
 	s.Rollouts = n.ownRollouts(n.rollouts.OwnCounts())
 	s.Limits = wire.Encode(n.limits.Reports(n.Clock.Now()))
+	s.Brittle = encodeBrittle(n.brittle.Reports(n.Clock.Now()))
 	return s
 }
 
@@ -200,6 +201,7 @@
 	n.applyInstances(s.Node, s.Instances, now)
 	n.suspects.syncPeer(s.Node, s.Incarnation)
 	n.limits.Apply(wire.Decode(s.Limits), now)
+	n.brittle.Apply(decodeBrittle(s.Brittle), now)
 	n.versions.RecordAdvertised(s.Node, s.ConfigVersion, now)
 	if !s.Brief {
 		n.restartWatchesIfBehind(s.Node, store.Revision(s.ServersAt), now)
--- a/internal/front/world_test.go
+++ b/internal/front/world_test.go
@@ -40,6 +40,7 @@
 func (testPlatform) Answer(status int, h http.Header) backend.Answer {
 	a := backend.Answer{RequestID: h.Get("Id"), Sealed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest}
 	a.Notice.Leaving = h.Get("Leaving") != ""
+	a.Brittle, _ = strconv.Atoi(h.Get("Brittle"))
 	if text := h.Get("Limit"); text != "" {
 		a.RateLimit = ratelimit.Parse(text)
 	}
@@ -179,6 +180,7 @@
 	deaths    *endpointCrashes                 // endpoints that end while they work on a request
 	limits    *rateLimits                      // rate limits that endpoints announce
 	overload  settings.Overload                // settings of the instances
+	brittle   *brittleEndpoints                // set if endpoints may become brittle
 	uneven    *unevenEndpoints                 // set if endpoints process prompts at different speeds
 	report    string                           // load that endpoints report in their answers; empty for none
 	hosts     map[string]*clocktest.TimeSource // hosts of the instances if these can be suspended; else nil
@@ -266,6 +268,12 @@
 
 func endpointID(i int) string { return fmt.Sprint("s", i) }
 
+// numberOf returns the number of an endpoint by its ID.
+func numberOf(endpoint string) int {
+	n, _ := strconv.Atoi(strings.TrimPrefix(endpoint, "s"))
+	return n
+}
+
 // putEndpoint writes the entry of an endpoint, and returns its size.
 func (w *testCluster) putEndpoint(i int, leaving bool) int {
 	value, err := json.Marshal(registry.Endpoint{Service: "svc", Version: w.rollouts.version(i), Addr: addrOf(100+i, 80), Hall: "z", Slots: w.queues.slotCount(), Leaving: leaving})
@@ -312,10 +320,17 @@
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	w.brittle.announce(rw.Header())
+	if w.brittle != nil {
+		w.queues.setQueue(w.brittle.queue())
+	}
 	if !w.queues.enter(endpoint) {
 		rw.Header().Set("Id", id)
 		rw.Header().Set("Not-Run", "1")
 		rw.WriteHeader(http.StatusServiceUnavailable)
+		if w.brittle.rejects(endpoint) {
+			go w.crash(numberOf(endpoint), "", fallTime)
+		}
 		return
 	}
 	defer w.queues.leave(endpoint)
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -170,6 +170,9 @@
 	d.tracker.Apply(source, balance.Update{Loads: loads}, until, now)
 }
 
+// OpenAt returns the number of requests that this hub has placed at an endpoint and that have not ended.
+func (d *Scheduler) OpenAt(endpoint string) int { return d.tracker.Open(endpoint) }
+
 // Estimates returns the estimates from all requests that the scheduler placed.
 func (d *Scheduler) Estimates() balance.Estimates { return d.tracker.Estimates() }
 
