netx: a peer that is silent for a second keeps its connections

What callers saw: nothing yet; endpoints that are sound may now fall silent for a second or so and go on.

Cause: TCP_USER_TIMEOUT (2 s) also ends keep-alive, whatever the probe count, and counts from the last time anything was received. The first probe is sent after 1 s; if the silence begins right before it, the connection is closed after 1 s of silence, with all that runs on it.

Change: 2.5 s. A connection is closed by the third probe, 3 s after the last receipt, or when sent bytes are unacknowledged for 2.5 s.

Not played: no test here drops packets of a real path.

--- a/internal/netx/netx.go
+++ b/internal/netx/netx.go
@@ -26,11 +26,13 @@
 
 const (
 	dialTimeout = 1500 * time.Millisecond
-	// unackedTimeout is how long sent bytes may remain unacknowledged before the
-	// connection is closed. It detects a peer that is unreachable or without
-	// power, which sends no reset.
-	unackedTimeout = 2 * time.Second
-	probeInterval  = time.Second
+	// unackedTimeout is how long a connection may go without an acknowledgement, of sent bytes or of
+	// probes, before it is closed. It detects a peer that is unreachable or without power, which sends
+	// no reset. Linux applies it to keep-alive probes as well, whatever their count, and counts it from
+	// the last time that anything was received: a connection is closed if the peer is silent from the
+	// first probe on. Peers that are sound may be silent for a second or so.
+	unackedTimeout = 2500 * time.Millisecond
+	probeInterval  = time.Second // Linux counts it in whole seconds
 	probeCount     = 2
 )
 
