soak, check: partitions of instances from all endpoints

A fault takes the paths of one instance, a hall, half the instances or all but one to all endpoints; new connections are closed at once, open ones reset or left alone. The checker RECOVER partition compares first tries, with a planted violation at its bound. So that the links can tell the instances apart, an instance connects from a settable address (local_address).

A link accepts connections and closes them, as it cannot refuse them to some sources only; a path that drops packets is not played.

--- a/internal/check/history.go
+++ b/internal/check/history.go
@@ -40,6 +40,7 @@
 	Units          float64 // that the request counts against the account's limit
 	Deadline       time.Duration
 	Idempotent     bool
+	Retry          bool // the caller sends it again after an earlier attempt
 	Stream         bool
 	EventCount     int // number of events of the complete stream
 	MaxAttempts    int
@@ -122,6 +123,12 @@
 	From, To time.Time
 }
 
+// Partition is a period in which instances had no path to any endpoint.
+type Partition struct {
+	Instances []string
+	From, To  time.Time
+}
+
 // Overload is a period in which the callers of a client account, or of all if Account is empty, sent
 // more requests to a service than its endpoints could serve.
 type Overload struct {
@@ -164,6 +171,7 @@
 	Disruptions   []Disruption
 	LinkFaults    []LinkFault
 	Overloads     []Overload
+	Partitions    []Partition
 	DutyCalls     []DutyCall
 	Exits         []Exit
 	Accounts      []Account
@@ -182,7 +190,7 @@
 	{"BUDGET attempts", checkBudgetAttempts}, {"BUDGET deadline", checkBudgetDeadline}, {"BUDGET retries", checkBudgetRetries},
 	{"BUDGET rest", checkBudgetRest}, {"BUDGET deadly", checkBudgetDeadly}, {"LIMIT", checkRateLimit}, {"GONE", checkGone},
 	{"DRAIN store", checkDrainStore}, {"DRAIN answer", checkDrainResponse}, {"CONFIG keys", checkConfigKeys}, {"CONFIG old", checkConfigOld},
-	{"CONFIG back", checkConfigBack}, {"DENIED", checkDenied}, {"QUOTA", checkQuota}, {"ONE", checkSingleHolder}, {"LOST", checkLost}, {"RECOVER", checkRecover}, {"FAULT", checkFault},
+	{"CONFIG back", checkConfigBack}, {"DENIED", checkDenied}, {"QUOTA", checkQuota}, {"ONE", checkSingleHolder}, {"LOST", checkLost}, {"RECOVER", checkRecover}, {"RECOVER partition", checkPartitions}, {"FAULT", checkFault},
 }
 
 // Run checks all rules and returns the violations in time order. It sorts the attempts and
--- a/internal/check/rules_test.go
+++ b/internal/check/rules_test.go
@@ -174,13 +174,28 @@
 			h.add("x", 8000, func(a *Attempt, _ *Arrival) { a.Status, a.Complete = 0, false })
 		},
 	},
-	"RECOVER": {func(h *History) { h.addAfterFault(25) }, func(h *History) { h.addAfterFault(24) }},
+	"RECOVER":           {func(h *History) { h.addAfterFault(25) }, func(h *History) { h.addAfterFault(24) }},
+	"RECOVER partition": {func(h *History) { h.addPartitioned(20) }, func(h *History) { h.addPartitioned(21) }},
 	"FAULT": {
 		func(h *History) { h.add("x", 0, nil) },
 		func(h *History) { h.Exits = []Exit{{"n", at(0), "ended with status 2"}} },
 	},
 }
 
+// addPartitioned records a partition of the instance m, during which n of 60 first tries there fail and
+// all at the instance n succeed. A retry, a request from before the bound and one after the partition
+// fail too.
+func (h *History) addPartitioned(n int) {
+	h.Partitions = []Partition{{[]string{"m"}, at(0), at(10_000)}}
+	failed := func(a *Attempt, r *Arrival) { a.Instance, a.Status, a.Sealed, r.Ran = "m", 503, false, false }
+	h.addMany("other", 100, 4000, nil)
+	h.addMany("served", 60-n, 4000, func(a *Attempt, _ *Arrival) { a.Instance = "m" })
+	h.addMany("failed", n, 4000, failed)
+	h.add("early", 2999, failed)
+	h.add("late", 10_001, failed)
+	h.add("retry", 5000, func(a *Attempt, r *Arrival) { failed(a, r); a.Retry = true })
+}
+
 // deniedRequest makes a request one that the instance itself rejected with status 401.
 func deniedRequest(a *Attempt, r *Arrival) { a.Status, a.Sealed, r.Ran = 401, false, false }
 
--- a/internal/cmd/front.go
+++ b/internal/cmd/front.go
@@ -47,7 +47,7 @@
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(reload)
 	node, err := front.New(front.Options{
-		Settings: set, Net: netx.TCP{}, Decoder: platform.Decoder{}, Protocol: platform.HeaderCodec{},
+		Settings: set, Net: netx.TCP{Local: set.Local}, Decoder: platform.Decoder{}, Protocol: platform.HeaderCodec{},
 		Store: platform.NewStore(set.Store, platformTransport(), front.WatchWait.Milliseconds()),
 		Cloud: platform.NewCloud(set.Cloud, platformTransport()),
 		Clock: clock.New(clock.System{}), Log: log, Seed: rand.Uint64(), Reload: reload,
--- a/internal/cmd/generate.go
+++ b/internal/cmd/generate.go
@@ -67,8 +67,11 @@
 	for f := range t.Fields() {
 		key := prefix + f.Tag.Get("toml")
 		kind := f.Type.String()
-		if kind == "netip.AddrPort" {
+		switch kind {
+		case "netip.AddrPort":
 			kind = "\"IP:PORT\""
+		case "netip.Addr":
+			kind = "\"IP\""
 		}
 		if f.Type.Kind() == reflect.Struct && kind == f.Type.String() {
 			kind = "table"
--- a/internal/netx/netx.go
+++ b/internal/netx/netx.go
@@ -22,7 +22,9 @@
 }
 
 // TCP is the TCP network of the operating system.
-type TCP struct{}
+type TCP struct {
+	Local netip.Addr // from which connections are made; if it is not valid, the system chooses
+}
 
 const (
 	dialTimeout = 1500 * time.Millisecond
@@ -46,8 +48,11 @@
 }
 
 // Dial implements Network.
-func (TCP) Dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+func (t TCP) Dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: limitUnacked}
+	if t.Local.IsValid() {
+		d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(t.Local, 0))
+	}
 	return d.DialContext(ctx, "tcp", addr.String())
 }
 
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -17,6 +17,7 @@
 	Metrics netip.AddrPort `toml:"metrics_address" help:"Address that serves /metrics."`
 	Store   netip.AddrPort `toml:"store_address" help:"Address of the platform's metadata store."`
 	Cloud   netip.AddrPort `toml:"cloud_address" help:"Address of the platform's API for the instance that leads the fleet; empty if the deployment has none."`
+	Local   netip.Addr     `toml:"local_address" help:"IP address from which the instance connects to endpoints and other instances; empty to let the system choose."`
 	// StoreWritesPerSecond limits how fast the instances of a fleet that starts register.
 	StoreWritesPerSecond float64 `toml:"store_writes_per_s" help:"Writes that the metadata store accepts from all instances together, a second; 0 if unknown."`
 	MemoryMB             int     `toml:"memory_mb" help:"Memory limit of the process, in MB; 0 for no limit."`
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -185,6 +185,19 @@
 			return wrong(`an address as "IP:PORT"`)
 		}
 		field.Set(reflect.ValueOf(a))
+	case netip.Addr:
+		s, ok := value.(string)
+		if !ok {
+			return wrong("an IP address")
+		}
+		if s == "" {
+			return nil // empty means not set
+		}
+		a, err := netip.ParseAddr(s)
+		if err != nil {
+			return wrong("an IP address")
+		}
+		field.Set(reflect.ValueOf(a))
 	default:
 		sub, ok := value.(map[string]any)
 		if !ok {
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -53,7 +53,7 @@
 // for the time in the Retry-After header, limited by retryWaitDivisor.
 func (c *caller) sendWithRetry(ctx context.Context, q *request) {
 	deadline := time.Now().Add(q.route.Timeout)
-	a, wait := c.attempt(ctx, q, time.Until(deadline))
+	a, wait := c.attempt(ctx, q, time.Until(deadline), false)
 	final := a.Status >= 200 && a.Status < 500 && !check.GuaranteesNotRun(a.Status)
 	if final || !a.AbandonedAt.IsZero() || !q.route.Idempotent() && !check.GuaranteesNotRun(a.Status) {
 		return
@@ -64,7 +64,7 @@
 	}
 	sleep(ctx, wait)
 	c.close()
-	c.attempt(ctx, q, time.Until(deadline))
+	c.attempt(ctx, q, time.Until(deadline), true)
 }
 
 func (c *caller) close() {
@@ -94,12 +94,12 @@
 
 // attempt sends the request once and records the outcome, unless no connection could be made or
 // ctx has ended. It returns the retry delay that the response asks for.
-func (c *caller) attempt(ctx context.Context, q *request, left time.Duration) (check.Attempt, time.Duration) {
+func (c *caller) attempt(ctx context.Context, q *request, left time.Duration, retry bool) (check.Attempt, time.Duration) {
 	left = left.Truncate(time.Millisecond) // as the header states it
 	a := check.Attempt{
 		ID: c.traffic.newID(), Route: q.route.Name, Service: q.route.Split[0].Service, Method: q.method, URI: q.route.Prefix + "x",
 		BodySum: xxhash.Sum64(q.body), Units: 1, Deadline: left, Idempotent: q.route.Idempotent(), Stream: q.route.Kind == policy.Streaming,
-		MaxAttempts: q.route.MaxAttempts,
+		MaxAttempts: q.route.MaxAttempts, Retry: retry,
 	}
 	if err := c.connect(); err != nil {
 		return a, 0 // nothing was sent
--- a/internal/soak/instances.go
+++ b/internal/soak/instances.go
@@ -64,7 +64,7 @@
 		name: name, addr: addr, dir: dir, record: record,
 		settings: settings.Front{
 			Name: name, Hall: hallOf(n, s), Region: "soak", Front: at(frontPort), Ready: at(readyPort), Peer: at(peerPort), Metrics: at(metricsPort),
-			Store: at(storePort), Cloud: at(cloudPort), MemoryMB: 284, Bounds: bounds,
+			Local: addr, Store: at(storePort), Cloud: at(cloudPort), MemoryMB: 284, Bounds: bounds,
 			Overload: settings.Overload{LoadReports: true, Admission: true, FairShares: true, Reservations: true, PlainHubs: true},
 		},
 	}
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -26,6 +26,7 @@
 
 	mu      sync.Mutex
 	state   linkState             // guarded by mu
+	cut     map[netip.Addr]bool   // sources whose new connections are reset; guarded by mu
 	changed chan struct{}         // closed and replaced at each change of state; guarded by mu
 	conns   map[*net.TCPConn]bool // both ends of each proxied connection; guarded by mu
 	closed  bool                  // guarded by mu
@@ -37,7 +38,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("link to %s: %w", target, err)
 	}
-	k := &link{listener: l, target: target, changed: make(chan struct{}), conns: make(map[*net.TCPConn]bool)}
+	k := &link{listener: l, target: target, changed: make(chan struct{}), conns: make(map[*net.TCPConn]bool), cut: make(map[netip.Addr]bool)}
 	go k.serve()
 	return k, nil
 }
@@ -60,6 +61,34 @@
 	return k.state, k.changed, k.closed
 }
 
+// cutOff resets new connections from a source, and its open ones if reset is set, or accepts them again.
+func (k *link) cutOff(source netip.Addr, cut, reset bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.cut[source] = cut
+	if !cut || !reset {
+		return
+	}
+	for c := range k.conns {
+		if sourceOf(c) == source {
+			_ = c.SetLinger(0)
+			_ = c.Close()
+		}
+	}
+}
+
+// refuses reports whether a new connection is reset.
+func (k *link) refuses(c *net.TCPConn) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.state.refuse || k.cut[sourceOf(c)]
+}
+
+// sourceOf returns the address that a connection comes from.
+func sourceOf(c *net.TCPConn) netip.Addr {
+	return c.RemoteAddr().(*net.TCPAddr).AddrPort().Addr().Unmap()
+}
+
 // close stops listening and resets all connections.
 func (k *link) close() {
 	k.mu.Lock()
@@ -98,7 +127,7 @@
 			return // closed
 		}
 		near := c.(*net.TCPConn)
-		if s, _, _ := k.current(); s.refuse {
+		if k.refuses(near) {
 			_ = near.SetLinger(0)
 			_ = near.Close()
 			continue
--- a/internal/soak/recorder.go
+++ b/internal/soak/recorder.go
@@ -112,6 +112,21 @@
 	}
 }
 
+// beginPartition records that instances have no path to any endpoint from now on. Calling end records
+// the end.
+func (r *recorder) beginPartition(instances []string) (end func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := len(r.history.Partitions)
+	now := time.Now()
+	r.history.Partitions = append(r.history.Partitions, check.Partition{Instances: instances, From: now, To: now.Add(time.Hour)})
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.history.Partitions[n].To = time.Now()
+	}
+}
+
 // beginOverload records that the callers of a client account, or of all if it is empty, send more
 // requests to a service than it can serve from now on. Calling end records the end.
 func (r *recorder) beginOverload(service, account string) (end func()) {
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -41,13 +41,14 @@
 	LinkReset         Kind = "link-reset"     // the connections of a link are reset, and new ones refused
 	LinkSilent        Kind = "link-silent"    // a link forwards nothing in one direction
 	StoreRestored     Kind = "store-restored" // the store is unavailable, then restored from a backup
+	Partition         Kind = "partition"      // some or nearly all instances lose their paths to all endpoints
 	Overload          Kind = "overload"       // one client account or all send more long requests than the engines can serve
 )
 
 // Kinds lists all kinds of faults. Schedule seeds a kind's generator with its position here.
 var Kinds = []Kind{
 	Stop, Kill, Pause, StoreDown, StoreRefuses, StoreSlow, StoreLosesAnswers, StoreCompacts, StoreSilent, CloudDown, Configure, Revoke,
-	Leave, LeaveQuietly, Backoff, Limit, Refuse, Fail, Hang, LoseAnswers, Crash, Deadly, GiveUp, Burst, LinkSlow, LinkReset, LinkSilent, StoreRestored, Overload,
+	Leave, LeaveQuietly, Backoff, Limit, Refuse, Fail, Hang, LoseAnswers, Crash, Deadly, GiveUp, Burst, LinkSlow, LinkReset, LinkSilent, StoreRestored, Overload, Partition,
 }
 
 // Action is one scheduled fault. At counts from the start of the traffic.
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/shelfcrank/shelfcrank/internal/check"
 	"github.com/shelfcrank/shelfcrank/internal/policy"
 )
@@ -50,6 +52,8 @@
 		r.sendCrashingRequest(ctx, a)
 	case LinkSlow, LinkReset, LinkSilent:
 		r.injectLinkFault(ctx, a)
+	case Partition:
+		r.partition(ctx, a)
 	default:
 		if e := r.world.pickEndpoint(a.Target); e != nil {
 			r.injectEndpointFault(ctx, a, e)
@@ -132,6 +136,36 @@
 	k.set(linkState{})
 }
 
+// partition takes the paths of some instances to all endpoints. New connections are refused; open ones
+// are reset, or live on.
+func (r *run) partition(ctx context.Context, a Action) {
+	cut := r.partitioned(a.Target)
+	defer r.record.beginPartition(lo.Map(cut, func(i *instance, _ int) string { return i.name }))()
+	for _, i := range cut {
+		r.world.partition(i.addr, true, a.Target/4%2 == 0)
+	}
+	sleep(ctx, a.For)
+	for _, i := range cut {
+		r.world.partition(i.addr, false, false)
+	}
+}
+
+// partitioned selects the instances of a partition: one, those of a hall, half of all, or all but one.
+func (r *run) partitioned(target uint64) []*instance {
+	n := len(r.instances)
+	first := int(target / 8 % uint64(n))
+	order := slices.Concat(r.instances[first:], r.instances[:first])
+	switch target % 4 {
+	case 0:
+		return order[:1]
+	case 1:
+		return lo.Filter(order, func(i *instance, _ int) bool { return i.settings.Hall == order[0].settings.Hall })
+	case 2:
+		return order[:(n+1)/2]
+	}
+	return order[:max(1, n-1)]
+}
+
 // rateLimits are the rate limits, in requests per second, that endpoints announce.
 var rateLimits = []float64{3, 1, 0.5, 6, 2}
 
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -37,10 +37,11 @@
 	slots int // of each endpoint
 
 	mu               sync.Mutex
-	endpoints        []*endpoint // neither leaving nor crashed; guarded by mu
-	backups          []backup    // oldest first; guarded by mu
-	endpointsStarted int         // number in the last endpoint ID; guarded by mu
-	closed           bool        // guarded by mu
+	endpoints        []*endpoint        // neither leaving nor crashed; guarded by mu
+	backups          []backup           // oldest first; guarded by mu
+	partitions       map[netip.Addr]int // number of partitions in force, by address of the instance; guarded by mu
+	endpointsStarted int                // number in the last endpoint ID; guarded by mu
+	closed           bool               // guarded by mu
 	wait             sync.WaitGroup
 }
 
@@ -70,7 +71,7 @@
 
 func newWorld(record *recorder, slots int) *world {
 	s := storetest.New()
-	return &world{store: s, writer: newWriter(s), links: make(map[string]*link), record: record, cloud: &cloud{record: record}, slots: slots}
+	return &world{store: s, writer: newWriter(s), links: make(map[string]*link), partitions: make(map[netip.Addr]int), record: record, cloud: &cloud{record: record}, slots: slots}
 }
 
 // serveInstance serves the store and the cloud API to one instance, each behind a link of its own.
@@ -133,10 +134,28 @@
 	if err := e.start(); err != nil {
 		return err
 	}
+	for source, n := range w.partitions {
+		e.link.cutOff(source, n > 0, false)
+	}
 	w.endpoints = append(w.endpoints, e)
 	return w.putEntry(e)
 }
 
+// partition takes the paths of an instance to all endpoints, or restores them when the last of several
+// partitions ends.
+func (w *world) partition(source netip.Addr, cut, reset bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if cut {
+		w.partitions[source]++
+	} else {
+		w.partitions[source]--
+	}
+	for _, e := range w.endpoints {
+		e.link.cutOff(source, w.partitions[source] > 0, reset)
+	}
+}
+
 // putEntry registers an endpoint in the store, or updates its registration.
 func (w *world) putEntry(e *endpoint) error {
 	key, value, err := platformtest.EndpointEntry(e.storeEntry())
