backend, reach: a connection closed at once is no path

Cause: a connection that was made counted as a working path. It cleared the failures in a row before each request, and probes succeeded, so that requests that may not be repeated were sent and lost: 16 answers 502 at one instance.

Change: only what is received shows that a path works. A probe waits 15 ms for the connection to be closed; a new connection that ends before anything is received counts as a failure.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -155,18 +155,17 @@
 	return k, err
 }
 
-// dial connects to an endpoint, and records whether it can be connected to unless ctx ends first.
+// dial connects to an endpoint, and records a failure unless ctx ends first. A connection may still be
+// reset at once, so that success is recorded only when something is received.
 func (c *Client) dial(ctx context.Context, endpoint *registry.Endpoint, timeout time.Duration) (*conn, error) {
 	limited, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	raw, err := c.net.Dial(limited, endpoint.Addr)
-	now := c.clock.Now()
 	if err == nil {
-		c.paths.Connected(endpoint.ID, now)
 		return c.newConn(endpoint.ID, raw), nil
 	}
 	if ctx.Err() == nil {
-		c.paths.Failed(endpoint.ID, now)
+		c.paths.Failed(endpoint.ID, c.clock.Now())
 	}
 	return nil, err
 }
@@ -263,6 +262,9 @@
 	c.paths.Sent(now)
 	resp, err := x.do(call)
 	if err != nil {
+		if ctx.Err() == nil && !k.reused && !k.received {
+			c.paths.Failed(call.Endpoint.ID, c.clock.Now())
+		}
 		x.end(false)
 		return nil, c.toFault(ctx, call, x, err)
 	}
@@ -275,37 +277,55 @@
 	endTimeout = 100 * time.Millisecond
 	// pathTimeout limits a probe of the path to an endpoint.
 	pathTimeout = 250 * time.Millisecond
+	// settleTime is how long a connection has to stay open for its path to count: something on the way
+	// may accept connections and reset those that it has no path for.
+	settleTime = 15 * time.Millisecond
 )
 
 // ProbeEnded connects to an endpoint and reports whether its process has ended: its address
 // refuses connections then. If the connection succeeds, the process may have been restarted.
 func (c *Client) ProbeEnded(ctx context.Context, endpoint registry.Endpoint) bool {
-	return errors.Is(c.probe(ctx, endpoint, endTimeout), syscall.ECONNREFUSED)
+	k, err := c.dial(ctx, &endpoint, endTimeout)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	c.adopt(endpoint.ID, k)
+	return false
 }
 
 // ProbePath reports whether an endpoint can be connected to.
 func (c *Client) ProbePath(ctx context.Context, endpoint registry.Endpoint) bool {
-	return c.probe(ctx, endpoint, pathTimeout) == nil
-}
-
-// probe connects to an endpoint and keeps the connection for the next request.
-func (c *Client) probe(ctx context.Context, endpoint registry.Endpoint, timeout time.Duration) error {
-	k, err := c.dial(ctx, &endpoint, timeout)
+	k, err := c.dial(ctx, &endpoint, pathTimeout)
 	if err != nil {
-		return err
+		return false
+	}
+	if !c.clock.Sleep(ctx, settleTime) {
+		k.close()
+		return false
+	}
+	if !k.silent() {
+		k.close()
+		c.paths.Failed(endpoint.ID, c.clock.Now())
+		return false
 	}
+	c.paths.Connected(endpoint.ID, c.clock.Now())
+	c.adopt(endpoint.ID, k)
+	return true
+}
+
+// adopt keeps the connection of a probe for the next request.
+func (c *Client) adopt(endpoint string, k *conn) {
 	c.mu.Lock()
-	s := c.endpoints[endpoint.ID]
+	s := c.endpoints[endpoint]
 	if s != nil {
 		s.open++
 	}
 	c.mu.Unlock()
 	if s == nil {
 		k.close()
-		return nil
+		return
 	}
-	c.release(endpoint.ID, k)
-	return nil
+	c.release(endpoint, k)
 }
 
 // toFault converts an error of an exchange to a *fault.Error that says whether the request may
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -42,9 +43,11 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 }
 
-func newClient(mem *netx.Mem) *Client {
+func newClient(mem *netx.Mem) *Client { return newClientOn(mem.Site("instance")) }
+
+func newClientOn(n netx.Network) *Client {
 	return New(Options{
-		Net: mem.Site("instance"), Protocol: testProtocol{}, Notices: notice.New(notice.Options{}), Limits: ratelimit.New(ratelimit.Options{}), Loads: loadreport.New(),
+		Net: n, Protocol: testProtocol{}, Notices: notice.New(notice.Options{}), Limits: ratelimit.New(ratelimit.Options{}), Loads: loadreport.New(),
 	})
 }
 
@@ -275,3 +278,38 @@
 		_ = l.Close()
 	})
 }
+
+// Guards against taking a path for sound on which connections are accepted and closed at once.
+func TestAConnectionThatIsClosedAtOnceIsNoPath(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	var open atomic.Bool // connections stay open
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if !open.Load() {
+				_ = conn.Close()
+			}
+		}
+	}()
+	endpoint := registry.Endpoint{ID: "s", Addr: netip.MustParseAddrPort(l.Addr().String())}
+	c := newClientOn(netx.TCP{})
+	reachable := func() int { return len(c.paths.Reachable([]registry.Endpoint{endpoint})) }
+	is.True(!c.ProbePath(context.Background(), endpoint))
+	is.Equal(reachable(), 0)
+	open.Store(true)
+	is.True(c.ProbePath(context.Background(), endpoint))
+	is.Equal(reachable(), 1)
+	open.Store(false)
+	request := call("1")
+	request.Endpoint = endpoint
+	c.CloseIdle()
+	_, err = c.Send(context.Background(), request)
+	is.True(err != nil)
+	is.Equal(reachable(), 0)
+}
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -25,6 +25,7 @@
 	raw           net.Conn
 	reader        *bufio.Reader
 	reused        bool
+	received      bool // anything was read from it
 	idleSince     time.Time
 	idleTimeout   time.Duration // idle time-out stated by the endpoint; 0 if none
 	written       atomic.Int64  // bytes
@@ -49,6 +50,7 @@
 	}
 	n, err := k.raw.Read(p)
 	if n > 0 {
+		k.received = true
 		k.client.paths.Received(k.client.clock.Now())
 	} else if errors.Is(err, syscall.ETIMEDOUT) {
 		k.client.paths.Failed(k.endpoint, k.client.clock.Now())
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -64,7 +64,7 @@
 	return &Tracker{unreachable: make(map[string]time.Time), failedInRow: make(map[string]bool), probes: minProbes}
 }
 
-// Connected records that an endpoint accepted a connection.
+// Connected records that a connection to an endpoint was made and stayed open.
 func (t *Tracker) Connected(endpoint string, now time.Time) {
 	t.Received(now)
 	if t.marked.Load() == 0 {
@@ -76,7 +76,8 @@
 	t.marked.Store(int64(len(t.unreachable)))
 }
 
-// Failed records that a connection to an endpoint could not be made, or that an open one timed out.
+// Failed records that a connection to an endpoint could not be made, that a new one was closed before
+// anything was received, or that an open one timed out.
 func (t *Tracker) Failed(endpoint string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
