check: a reset path is no cut by a planned stop

The rule is about planned work without unplanned disruption, and the checker excuses link faults at an endpoint already. Now it excuses, too, what was in progress at an instance at the moment its connections to endpoints were reset; partitions that leave open connections alone excuse nothing.

--- a/internal/check/history.go
+++ b/internal/check/history.go
@@ -126,6 +126,7 @@
 // Partition is a period in which instances had no path to any endpoint.
 type Partition struct {
 	Instances []string
+	Reset     bool // their open connections to endpoints were reset when it began
 	From, To  time.Time
 }
 
--- a/internal/check/partition.go
+++ b/internal/check/partition.go
@@ -53,3 +53,11 @@
 		return slices.Contains(p.Instances, a.Instance) && !a.SentAt.Before(p.From) && !a.SentAt.After(p.To)
 	})
 }
+
+// resetWhile reports whether the connections of an attempt's instance to endpoints were reset while the
+// attempt was in progress.
+func (x *index) resetWhile(a *Attempt) bool {
+	return slices.ContainsFunc(x.Partitions, func(p Partition) bool {
+		return p.Reset && slices.Contains(p.Instances, a.Instance) && !p.From.Before(a.SentAt) && !p.From.After(a.EndedAt)
+	})
+}
--- a/internal/check/process.go
+++ b/internal/check/process.go
@@ -31,6 +31,9 @@
 	if a.Status != 0 && a.Complete || !a.AbandonedAt.IsZero() || a.EndedAt.Sub(a.SentAt) >= a.Deadline {
 		return false
 	}
+	if x.resetWhile(a) {
+		return false
+	}
 	for _, r := range x.arrivals[a.ID] {
 		if r.Aborted || r.Crashed || x.maybeDelayed(r) {
 			return false
--- a/internal/soak/recorder.go
+++ b/internal/soak/recorder.go
@@ -112,14 +112,14 @@
 	}
 }
 
-// beginPartition records that instances have no path to any endpoint from now on. Calling end records
-// the end.
-func (r *recorder) beginPartition(instances []string) (end func()) {
+// beginPartition records that instances have no path to any endpoint from now on, and whether their
+// open connections are reset. Calling end records the end.
+func (r *recorder) beginPartition(instances []string, reset bool) (end func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	n := len(r.history.Partitions)
 	now := time.Now()
-	r.history.Partitions = append(r.history.Partitions, check.Partition{Instances: instances, From: now, To: now.Add(time.Hour)})
+	r.history.Partitions = append(r.history.Partitions, check.Partition{Instances: instances, Reset: reset, From: now, To: now.Add(time.Hour)})
 	return func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -140,9 +140,10 @@
 // are reset, or live on.
 func (r *run) partition(ctx context.Context, a Action) {
 	cut := r.partitioned(a.Target)
-	defer r.record.beginPartition(lo.Map(cut, func(i *instance, _ int) string { return i.name }))()
+	reset := a.Target/4%2 == 0
+	defer r.record.beginPartition(lo.Map(cut, func(i *instance, _ int) string { return i.name }), reset)()
 	for _, i := range cut {
-		r.world.partition(i.addr, true, a.Target/4%2 == 0)
+		r.world.partition(i.addr, true, reset)
 	}
 	sleep(ctx, a.For)
 	for _, i := range cut {
