forward: what endpoints announce binds the instance that passes it on

What callers saw: nothing.

Cause: a request that another instance serves brings back the endpoint's response, which the instance passes on to its client without reading it. Once its own paths are back, it knows nothing of the announcement.

Change: the response to another instance names the endpoint in a header that goes no further; leaving, backoff, rate limit, load and brittleness are applied as from an own connection, by the one function that does so.

Test: 1 request too late before, none now.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -119,6 +119,27 @@
 	return &Client{net: o.Net, clock: o.Clock, protocol: o.Protocol, notices: o.Notices, limits: o.Limits, loads: o.Loads, paths: cmp.Or(o.Paths, reach.New()), brittle: o.Brittle, endpoints: make(map[string]*connections)}
 }
 
+// Observe applies what an endpoint announces in a response to a request that was sent at a time.
+func (c *Client) Observe(endpoint *registry.Endpoint, status int, h http.Header, sentAt time.Time) Answer {
+	a := c.protocol.Answer(status, h)
+	if a.Misdirected { // the response is from another endpoint, which has the address now
+		return a
+	}
+	now := c.clock.Now()
+	c.notices.Observe(*endpoint, a.Notice, now)
+	c.limits.Observe(endpoint.ID, a.RateLimit, sentAt, now)
+	if c.brittle != nil {
+		c.brittle.Observe(endpoint, a.Brittle, sentAt, now)
+		if a.NotRun && status == http.StatusServiceUnavailable {
+			c.brittle.Rejected(endpoint, now)
+		}
+	}
+	if a.HasLoad && c.loads != nil {
+		c.loads.Observe(endpoint, a.Load, now)
+	}
+	return a
+}
+
 // errConnLimit reports that an endpoint already has the maximum number of connections.
 var errConnLimit = errors.New("too many connections to the endpoint")
 
@@ -351,6 +372,9 @@
 	return n, err
 }
 
+// Endpoint returns the endpoint that gave the response.
+func (r *Response) Endpoint() *registry.Endpoint { return &r.call.endpoint }
+
 // Close ends the exchange. The connection is reused if the response was read to its end and is in
 // a known state.
 func (r *Response) Close() { r.call.end(r.call.complete && !r.call.noReuse) }
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -138,21 +138,7 @@
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
 			continue
 		}
-		a := x.client.protocol.Answer(resp.StatusCode, resp.Header)
-		if !a.Misdirected { // otherwise the response is from another endpoint, which has the address now
-			now := x.client.clock.Now()
-			x.client.notices.Observe(x.endpoint, a.Notice, now)
-			x.client.limits.Observe(x.endpoint.ID, a.RateLimit, x.sentAt, now)
-			if x.client.brittle != nil {
-				x.client.brittle.Observe(&x.endpoint, a.Brittle, x.sentAt, now)
-				if a.NotRun && resp.StatusCode == http.StatusServiceUnavailable {
-					x.client.brittle.Rejected(&x.endpoint, now)
-				}
-			}
-			if a.HasLoad && x.client.loads != nil {
-				x.client.loads.Observe(&x.endpoint, a.Load, now)
-			}
-		}
+		a := x.client.Observe(&x.endpoint, resp.StatusCode, resp.Header, x.sentAt)
 		if a.RequestID != "" && a.RequestID != call.ID {
 			x.noReuse = true // the order of responses on this connection is unknown now
 			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -9,6 +9,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/backend"
 	"github.com/shelfcrank/shelfcrank/internal/balance"
 	"github.com/shelfcrank/shelfcrank/internal/event"
+	"github.com/shelfcrank/shelfcrank/internal/peerproxy"
 	"github.com/shelfcrank/shelfcrank/internal/policy"
 )
 
@@ -82,6 +83,9 @@
 	if len(out["Content-Type"]) == 0 {
 		out["Content-Type"] = nil // stops net/http from guessing one
 	}
+	if q.proxied {
+		out.Set(peerproxy.EndpointHeader, resp.Endpoint().ID)
+	}
 	q.answered = true
 }
 
--- a/internal/forward/proxy.go
+++ b/internal/forward/proxy.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -44,6 +45,7 @@
 	if q.proxied || ctx.Err() != nil || h.Clock.Until(q.deadline) < minRemaining {
 		return false
 	}
+	sentAt := h.Clock.Now()
 	resp, err := h.Proxy.Send(ctx, &peerproxy.Request{
 		Service: q.service, Deadline: q.deadline, Tried: q.tried, MayHaveRun: q.mayHaveRun,
 		TryCounted: q.tryCounted, RunCounted: q.counted, Answered: q.answered, LastEventID: q.lastEventID,
@@ -62,6 +64,7 @@
 		return true
 	}
 	defer resp.Close()
+	h.observeProxied(resp, sentAt)
 	if claimsNotRun(resp.StatusCode) {
 		h.refund(q)
 	} else {
@@ -71,6 +74,18 @@
 	return true
 }
 
+// observeProxied applies what the endpoint announces in a response that another instance got from it.
+func (h *Handler) observeProxied(resp *peerproxy.Response, sentAt time.Time) {
+	id := resp.Header.Get(peerproxy.EndpointHeader)
+	resp.Header.Del(peerproxy.EndpointHeader)
+	for _, e := range h.View().Listed {
+		if e.ID == id {
+			h.Backends.Observe(&e, resp.StatusCode, resp.Header, sentAt)
+			return
+		}
+	}
+}
+
 // receivedHeader returns the header that the client sent, without what concerns its connection only.
 func (h *Handler) receivedHeader(q *request) http.Header {
 	out := q.received.Clone()
--- a/internal/front/partition_test.go
+++ b/internal/front/partition_test.go
@@ -180,3 +180,27 @@
 	})
 	return sent.Wait
 }
+
+// Guards against new work for an endpoint that announced that it leaves, in a response that another
+// instance got from it and this one passed on.
+func TestWhatEndpointsAnnounceBindsTheInstanceThatPassesItOn(t *testing.T) {
+	runCluster(t, 4, func(is *is.I, w *testCluster) {
+		time.Sleep(4 * time.Second)
+		w.partition(pathsReset, true, "n0")
+		time.Sleep(time.Second)
+		w.statements.leaves(endpointID(1))
+		ask := func(tag string, d time.Duration) {
+			for i := range int(d / (20 * time.Millisecond)) {
+				time.Sleep(20 * time.Millisecond)
+				is.Equal(w.ask("n0", "/safe/a", "k1", fmt.Sprint("n0/", tag, i)), http.StatusOK)
+			}
+		}
+		ask("cut", time.Second)
+		is.True(!w.statements.announcedAt[pair{"n0", endpointID(1)}].IsZero()) // otherwise the test proves nothing
+		w.partition(pathsReset, false, "n0")
+		ask("healed", 5*time.Second)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		is.Equal(len(w.violations), 0)
+	}, manyEndpoints)
+}
--- a/internal/peerproxy/peerproxy.go
+++ b/internal/peerproxy/peerproxy.go
@@ -49,6 +49,10 @@
 	}
 }
 
+// EndpointHeader names, in a response to another instance, the endpoint that gave it. What endpoints
+// announce binds the instance that passes their responses on to clients as well.
+const EndpointHeader = "Shelfcrank-Endpoint"
+
 // ErrNotTaken reports that no other instance takes a request. Nothing of it was sent.
 var ErrNotTaken = errors.New("no other instance takes the request")
 
