soak, check: attribute requests to the instance that connects

With requests served by way of other instances, the instance that a caller asked and the one that an endpoint saw differ: announcements and arrivals were attributed to the former. Links now tell endpoints where a connection comes from.

--- a/internal/check/partition.go
+++ b/internal/check/partition.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 )
 
 // Bounds of the rule RECOVER for partitions.
@@ -16,6 +17,10 @@
 // endpoint, callers' first tries there are served nearly as often as at the others, from Bounds.Contact
 // after the partition began. Only instances in touch count; a partition leaves an instance in touch.
 func checkPartitions(x *index) (out []Violation) {
+	instances := make(map[string]bool)
+	for i := range x.Attempts {
+		instances[x.Attempts[i].Instance] = true
+	}
 	for _, p := range x.Partitions {
 		var sent, served [2]int
 		for i := range x.Attempts {
@@ -26,9 +31,12 @@
 			at := 0
 			if slices.Contains(p.Instances, a.Instance) {
 				at = 1
-			} else if x.partitioned(a) {
+			} else if x.partitioned(a.Instance, a.SentAt) {
 				continue // by another partition
 			}
+			if !x.anyHasPaths(instances, a.SentAt) {
+				continue // nobody could serve it
+			}
 			sent[at]++
 			if success(a.Status) && a.Sealed && a.Complete {
 				served[at]++
@@ -47,17 +55,27 @@
 
 func share(part, all int) float64 { return float64(part) / float64(all) }
 
-// partitioned reports whether the instance of an attempt had no path to endpoints when it was sent.
-func (x *index) partitioned(a *Attempt) bool {
+// partitioned reports whether an instance had no path to endpoints at a moment.
+func (x *index) partitioned(instance string, at time.Time) bool {
 	return slices.ContainsFunc(x.Partitions, func(p Partition) bool {
-		return slices.Contains(p.Instances, a.Instance) && !a.SentAt.Before(p.From) && !a.SentAt.After(p.To)
+		return slices.Contains(p.Instances, instance) && !at.Before(p.From) && !at.After(p.To)
 	})
 }
 
-// resetWhile reports whether the connections of an attempt's instance to endpoints were reset while the
-// attempt was in progress.
-func (x *index) resetWhile(a *Attempt) bool {
+// anyHasPaths reports whether some instance had paths to endpoints at a moment.
+func (x *index) anyHasPaths(instances map[string]bool, at time.Time) bool {
+	for name := range instances {
+		if !x.partitioned(name, at) {
+			return true
+		}
+	}
+	return false
+}
+
+// resetWhile reports whether the connections of an instance to endpoints were reset while an attempt was
+// in progress.
+func (x *index) resetWhile(instance string, a *Attempt) bool {
 	return slices.ContainsFunc(x.Partitions, func(p Partition) bool {
-		return p.Reset && slices.Contains(p.Instances, a.Instance) && !p.From.Before(a.SentAt) && !p.From.After(a.EndedAt)
+		return slices.Contains(p.Instances, instance) && !p.ResetBy.Before(a.SentAt) && !p.From.After(a.EndedAt)
 	})
 }
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -106,7 +106,6 @@
 	}
 	a.Instance, a.Incarnation, a.EventCount = c.instance.name, c.incarnation, eventCount(a.ID)
 	a.SentAt = time.Now()
-	c.traffic.setSender(a.ID, a.Instance)
 	end := a.SentAt.Add(left)
 	if q.cancelAfter > 0 && q.cancelAfter < left {
 		end = a.SentAt.Add(q.cancelAfter)
--- a/internal/soak/endpoint.go
+++ b/internal/soak/endpoint.go
@@ -87,14 +87,14 @@
 // endpoint simulates one incarnation of an endpoint: an HTTP handler that records each request
 // and injects the faults in behavior.
 type endpoint struct {
-	id      string
-	service string
-	hall    string
-	slots   int
-	link    *link // proxy that instances connect to
-	record  *recorder
-	sender  func(request string) string // returns the instance that a request ID was sent to
-	onCrash func(e *endpoint)           // called when a request crashes the endpoint
+	id         string
+	service    string
+	hall       string
+	slots      int
+	link       *link // proxy that instances connect to
+	record     *recorder
+	instanceAt func(addr netip.Addr) string // returns the instance that connects from an address
+	onCrash    func(e *endpoint)            // called when a request crashes the endpoint
 
 	server  *http.Server
 	stopped atomic.Bool
@@ -215,20 +215,21 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	via := e.instanceAt(e.link.sourceAt(r.RemoteAddr))
 	n := e.record.arrival(check.Arrival{
-		Request: in.ID, Endpoint: e.id, Service: e.service, At: time.Now(), Method: r.Method, URI: r.RequestURI,
+		Request: in.ID, Via: via, Endpoint: e.id, Service: e.service, At: time.Now(), Method: r.Method, URI: r.RequestURI,
 		BodySum: xxhash.Sum64(body), Account: in.Account, Deadline: in.Deadline,
 	})
 	b, err := e.admit(r.Context())
 	switch {
 	case errors.Is(err, errFull), errors.Is(err, errRefused):
-		e.refuse(w, in, b)
+		e.refuse(w, in, via, b)
 		return
 	case err != nil:
 		panic(http.ErrAbortHandler) // canceled while it waited: not run
 	}
 	defer e.releaseSlot()
-	c := &call{endpoint: e, arrival: n, in: in, w: w, behavior: b, ctx: r.Context(), work: 1}
+	c := &call{endpoint: e, arrival: n, in: in, via: via, w: w, behavior: b, ctx: r.Context(), work: 1}
 	if strings.Contains(string(body), longBody) {
 		c.work = longWork
 	}
@@ -236,20 +237,20 @@
 }
 
 // refuse answers 503 and marks the request as not run.
-func (e *endpoint) refuse(w http.ResponseWriter, in platformtest.EndpointRequest, b behavior) {
-	e.setHead(w.Header(), in, b, platformtest.EndpointResponse{RequestID: in.ID, NotExecuted: true, RetryAfter: b.backoff})
+func (e *endpoint) refuse(w http.ResponseWriter, in platformtest.EndpointRequest, via string, b behavior) {
+	e.setHead(w.Header(), via, b, platformtest.EndpointResponse{RequestID: in.ID, NotExecuted: true, RetryAfter: b.backoff})
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
 // setHead sets the response headers, including the state that the endpoint announces (leaving, rate
 // limit, backoff), and records that announcement for the checker.
-func (e *endpoint) setHead(h http.Header, in platformtest.EndpointRequest, b behavior, head platformtest.EndpointResponse) {
+func (e *endpoint) setHead(h http.Header, via string, b behavior, head platformtest.EndpointResponse) {
 	head.Leaving, head.RateLimit = b.leaving, b.rateLimit
 	now := time.Now()
 	head.Load = e.load()
 	head.Slowdown, _ = slowdownAt(e.id, now)
 	platformtest.SetResponse(h, head)
-	s := check.Announcement{Endpoint: e.id, Instance: e.sender(in.ID), At: now, Leaving: b.leaving, RateLimit: b.rateLimit != ""}
+	s := check.Announcement{Endpoint: e.id, Instance: via, At: now, Leaving: b.leaving, RateLimit: b.rateLimit != ""}
 	if head.RetryAfter > 0 {
 		s.BackoffUntil = now.Add(head.RetryAfter)
 	}
@@ -263,6 +264,7 @@
 	endpoint *endpoint
 	arrival  int // index for recorder.updateArrival
 	in       platformtest.EndpointRequest
+	via      string // instance that sent it
 	w        http.ResponseWriter
 	behavior behavior
 	ctx      context.Context
@@ -350,7 +352,7 @@
 }
 
 func (c *call) setHead() {
-	c.endpoint.setHead(c.w.Header(), c.in, c.behavior, platformtest.EndpointResponse{RequestID: c.in.ID, Seal: c.endpoint.id})
+	c.endpoint.setHead(c.w.Header(), c.via, c.behavior, platformtest.EndpointResponse{RequestID: c.in.ID, Seal: c.endpoint.id})
 }
 
 // stream writes server-sent events, starting after the Last-Event-Id of the request.
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -26,6 +26,7 @@
 
 	mu      sync.Mutex
 	state   linkState             // guarded by mu
+	sources map[string]netip.Addr // by the address that a proxied connection comes from at the target; guarded by mu
 	cut     map[netip.Addr]bool   // sources whose new connections are reset; guarded by mu
 	changed chan struct{}         // closed and replaced at each change of state; guarded by mu
 	conns   map[*net.TCPConn]bool // both ends of each proxied connection; guarded by mu
@@ -38,7 +39,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("link to %s: %w", target, err)
 	}
-	k := &link{listener: l, target: target, changed: make(chan struct{}), conns: make(map[*net.TCPConn]bool), cut: make(map[netip.Addr]bool)}
+	k := &link{listener: l, target: target, changed: make(chan struct{}), conns: make(map[*net.TCPConn]bool), cut: make(map[netip.Addr]bool), sources: make(map[string]netip.Addr)}
 	go k.serve()
 	return k, nil
 }
@@ -84,6 +85,24 @@
 	return k.state.refuse || k.cut[sourceOf(c)]
 }
 
+// setSource records where a connection at the target comes from; the invalid address removes it.
+func (k *link) setSource(at string, source netip.Addr) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !source.IsValid() {
+		delete(k.sources, at)
+		return
+	}
+	k.sources[at] = source
+}
+
+// sourceAt returns where a connection at the target comes from.
+func (k *link) sourceAt(remote string) netip.Addr {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.sources[remote]
+}
+
 // sourceOf returns the address that a connection comes from.
 func sourceOf(c *net.TCPConn) netip.Addr {
 	return c.RemoteAddr().(*net.TCPAddr).AddrPort().Addr().Unmap()
@@ -152,6 +171,8 @@
 		k.track(end, true)
 		defer k.track(end, false)
 	}
+	k.setSource(far.LocalAddr().String(), sourceOf(near))
+	defer k.setSource(far.LocalAddr().String(), netip.Addr{})
 	done := make(chan struct{}, 2)
 	go func() { k.forward(far, near, func(s linkState) bool { return s.stallToTarget }); done <- struct{}{} }()
 	go func() { k.forward(near, far, func(s linkState) bool { return s.stallFromTarget }); done <- struct{}{} }()
--- a/internal/soak/recorder.go
+++ b/internal/soak/recorder.go
@@ -112,19 +112,22 @@
 	}
 }
 
-// beginPartition records that instances have no path to any endpoint from now on, and whether their
-// open connections are reset. Calling end records the end.
-func (r *recorder) beginPartition(instances []string, reset bool) (end func()) {
+// beginPartition records that instances have no path to any endpoint from now on. Calling reset
+// records that all their open connections have been reset, and end the end.
+func (r *recorder) beginPartition(instances []string) (reset, end func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	n := len(r.history.Partitions)
 	now := time.Now()
-	r.history.Partitions = append(r.history.Partitions, check.Partition{Instances: instances, Reset: reset, From: now, To: now.Add(time.Hour)})
-	return func() {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		r.history.Partitions[n].To = time.Now()
+	r.history.Partitions = append(r.history.Partitions, check.Partition{Instances: instances, From: now, To: now.Add(time.Hour)})
+	set := func(f func(p *check.Partition)) func() {
+		return func() {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			f(&r.history.Partitions[n])
+		}
 	}
+	return set(func(p *check.Partition) { p.ResetBy = time.Now() }), set(func(p *check.Partition) { p.To = time.Now() })
 }
 
 // beginOverload records that the callers of a client account, or of all if it is empty, send more
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/netip"
 	"os"
 	"sync"
 	"time"
@@ -89,7 +90,7 @@
 	}
 	r.operator = newOperator(r.world.writer, record, o.Scenario.Slots, o.Seed)
 	r.traffic = newTraffic(r.instances, r.operator, record, o.Seed)
-	r.world.sender = r.traffic.sender
+	r.world.instanceAt = r.instanceAt
 	if err := r.operator.configure(); err != nil {
 		return r, err
 	}
@@ -118,6 +119,16 @@
 	return r, nil
 }
 
+// instanceAt returns the name of the instance with an address, "" if there is none.
+func (r *run) instanceAt(addr netip.Addr) string {
+	for _, i := range r.instances {
+		if i.addr == addr {
+			return i.name
+		}
+	}
+	return ""
+}
+
 // close kills all instances and shuts the simulated platform down.
 func (r *run) close() {
 	var wait sync.WaitGroup
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -140,10 +140,14 @@
 // are reset, or live on.
 func (r *run) partition(ctx context.Context, a Action) {
 	cut := r.partitioned(a.Target)
-	reset := a.Target/4%2 == 0
-	defer r.record.beginPartition(lo.Map(cut, func(i *instance, _ int) string { return i.name }), reset)()
+	resets := a.Target/4%2 == 0
+	reset, end := r.record.beginPartition(lo.Map(cut, func(i *instance, _ int) string { return i.name }))
+	defer end()
 	for _, i := range cut {
-		r.world.partition(i.addr, true, reset)
+		r.world.partition(i.addr, true, resets)
+	}
+	if resets {
+		reset()
 	}
 	sleep(ctx, a.For)
 	for _, i := range cut {
--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -19,12 +19,11 @@
 	startedAt   time.Time
 
 	mu             sync.Mutex
-	rnd            *rand.Rand        // guarded by mu
-	lastID         int               // number in the last request ID; guarded by mu
-	senders        map[string]string // instance name by request ID; guarded by mu
-	factor         float64           // multiplies the request rate; guarded by mu
-	cancelFraction float64           // share of requests that their callers cancel; guarded by mu
-	seconds        []Second          // guarded by mu
+	rnd            *rand.Rand // guarded by mu
+	lastID         int        // number in the last request ID; guarded by mu
+	factor         float64    // multiplies the request rate; guarded by mu
+	cancelFraction float64    // share of requests that their callers cancel; guarded by mu
+	seconds        []Second   // guarded by mu
 }
 
 // Second counts the attempts that ended in one second, by outcome.
@@ -39,7 +38,7 @@
 func newTraffic(instances []*instance, o *operator, record *recorder, seed uint64) *traffic {
 	t := &traffic{
 		instances: instances, operator: o, record: record, idleCallers: make(chan *caller, maxCallers),
-		rnd: rand.New(rand.NewPCG(seed, 202)), senders: make(map[string]string), factor: 1,
+		rnd: rand.New(rand.NewPCG(seed, 202)), factor: 1,
 	}
 	for range maxCallers {
 		t.idleCallers <- &caller{traffic: t}
@@ -96,19 +95,6 @@
 	return fmt.Sprintf("q%06d", t.lastID)
 }
 
-func (t *traffic) setSender(request, instance string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.senders[request] = instance
-}
-
-// sender returns the name of the instance that a request was sent to.
-func (t *traffic) sender(request string) string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.senders[request]
-}
-
 func (t *traffic) rateFactor() float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -28,7 +28,7 @@
 	store         *storetest.Store
 	writer        *writer
 	record        *recorder
-	sender        func(request string) string // returns the instance that a request ID was sent to
+	instanceAt    func(addr netip.Addr) string // returns the instance that connects from an address
 	servers       []*http.Server
 	links         map[string]*link // from each instance to the store, by instance name
 	platformLinks []*link          // from all instances to the store and the cloud API
@@ -130,7 +130,7 @@
 		return nil
 	}
 	w.endpointsStarted++
-	e := &endpoint{id: fmt.Sprintf("e-%03d", w.endpointsStarted), service: service, hall: hall, slots: w.slots, record: w.record, sender: w.sender, onCrash: w.crash}
+	e := &endpoint{id: fmt.Sprintf("e-%03d", w.endpointsStarted), service: service, hall: hall, slots: w.slots, record: w.record, instanceAt: w.instanceAt, onCrash: w.crash}
 	if err := e.start(); err != nil {
 		return err
 	}
