--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -75,18 +75,23 @@
 
 // writeHead copies the response headers.
 func (h *Handler) writeHead(w http.ResponseWriter, q *request, resp *backend.Response) {
-	h.Protocol.CleanAnswer(resp.Header)
+	h.copyHeader(w, resp.Header)
+	if q.proxied {
+		w.Header().Set(peerproxy.EndpointHeader, resp.Endpoint().ID)
+	}
+	q.answered = true
+}
+
+// copyHeader sets the header of the response to a client from that of a response received.
+func (h *Handler) copyHeader(w http.ResponseWriter, received http.Header) {
+	h.Protocol.CleanAnswer(received)
 	out := w.Header()
-	for name, values := range resp.Header {
+	for name, values := range received {
 		out[name] = values
 	}
 	if len(out["Content-Type"]) == 0 {
 		out["Content-Type"] = nil // stops net/http from guessing one
 	}
-	if q.proxied {
-		out.Set(peerproxy.EndpointHeader, resp.Endpoint().ID)
-	}
-	q.answered = true
 }
 
 // writeResponse writes a response; body is all of its body, or the beginning of a large one.
--- a/internal/forward/proxy.go
+++ b/internal/forward/proxy.go
@@ -115,14 +115,7 @@
 
 // writeProxiedHead writes the head of another instance's response.
 func (h *Handler) writeProxiedHead(w http.ResponseWriter, resp *peerproxy.Response) {
-	h.Protocol.CleanAnswer(resp.Header)
-	out := w.Header()
-	for name, values := range resp.Header {
-		out[name] = values
-	}
-	if len(out["Content-Type"]) == 0 {
-		out["Content-Type"] = nil // stops net/http from guessing one
-	}
+	h.copyHeader(w, resp.Header)
 	if resp.ContentLength >= 0 {
 		setLength(w, int(resp.ContentLength))
 	}
--- a/internal/front/brittle.go
+++ b/internal/front/brittle.go
@@ -20,7 +20,7 @@
 func newBrittle(n *Instance) *brittle.Table {
 	return brittle.New(brittle.Options{
 		Self: n.Settings.Name, Start: n.start,
-		Instances: func() []string { return lo.Map(n.state.members.list(), func(m member, _ int) string { return m.Name }) },
+		Instances: n.otherNames,
 		TimeOfDay: n.walltime.At,
 		Slots:     n.slotsOf,
 		OnChange: func(service string, most int) {
--- a/internal/front/limits.go
+++ b/internal/front/limits.go
@@ -17,12 +17,17 @@
 func newLimits(n *Instance) *ratelimit.Table {
 	return ratelimit.New(ratelimit.Options{
 		Self:      n.Settings.Name,
-		Instances: func() []string { return lo.Map(n.state.members.list(), func(m member, _ int) string { return m.Name }) },
+		Instances: n.otherNames,
 		TimeOfDay: n.walltime.At,
 		OnChange:  n.rateLimitChanged,
 	})
 }
 
+// otherNames returns the names of the other instances.
+func (n *Instance) otherNames() []string {
+	return lo.Map(n.state.members.list(), func(m member, _ int) string { return m.Name })
+}
+
 // rateLimitChanged logs a change of an endpoint's rate limit.
 func (n *Instance) rateLimitChanged(endpoint string, c ratelimit.Change) {
 	n.event(event.FrontEndpointRateLimit, zap.String("server", endpoint), zap.Float64("from", c.From.Rate), zap.Float64("to", c.To.Rate),
