--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -209,6 +209,9 @@
 	{InvariantBroken, zap.ErrorLevel, "invariant broken", "A guarantee was violated. Report it with the log; a test run counts as failed."},
 }
 
+// FieldKey is the key of the log field that holds the number of an event.
+const FieldKey = "event"
+
 // Log writes an event with the level and message of its catalogue entry and the given fields.
 // It writes nothing for a code that is not in the catalogue.
 func Log(l *zap.Logger, c Code, fields ...zap.Field) {
@@ -217,7 +220,7 @@
 			continue
 		}
 		if ce := l.Check(e.Level, e.Message); ce != nil {
-			ce.Write(append(fields, zap.Int("event", int(c)))...)
+			ce.Write(append(fields, zap.Int(FieldKey, int(c)))...)
 		}
 		return
 	}
--- a/internal/front/world_test.go
+++ b/internal/front/world_test.go
@@ -15,8 +15,6 @@
 	"testing"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/shelfcrank/shelfcrank/internal/backend"
 	"github.com/shelfcrank/shelfcrank/internal/clock"
 	"github.com/shelfcrank/shelfcrank/internal/clocktest"
@@ -151,6 +149,7 @@
 	cloud     *cloud
 	instances map[string]*testInstance
 	client    *http.Client
+	log       *requestLog
 	starts    int
 	// lenientRevoke turns StrictRevoke off: revoked keys are accepted during an outage of the store
 	// for all instances.
@@ -226,7 +225,7 @@
 func newTestCluster(t *testing.T, instances int, options ...func(*testCluster)) *testCluster {
 	t.Helper()
 	w := &testCluster{
-		t: t, store: storetest.New(),
+		t: t, store: storetest.New(), log: newRequestLog(t),
 		cloud: &cloud{windows: make(map[int64]map[string]int64)}, instances: make(map[string]*testInstance),
 		runs: make(map[string]int), cancelled: make(map[string]time.Time), workTime: 20 * time.Millisecond, lastRequest: make(map[string]time.Time), slowSites: make(map[string]bool), withdrawn: make(map[string]time.Time),
 		statements: newEndpointNotices(), halls: 1, excused: func(string) bool { return false }, endpoints: testEndpoints, deaths: newEndpointCrashes(), limits: newRateLimits(),
@@ -408,7 +407,7 @@
 	site := fmt.Sprint(name, "-", w.starts)
 	o := Options{
 		Settings: w.settings(name, hostOf(name)), Net: w.mem.Site(site), Store: slowListing{w.store.Client(name), w.listDelay}, Cloud: w.cloud,
-		Decoder: testPlatform{}, Protocol: testPlatform{}, Log: zap.NewNop(), Seed: uint64(w.starts),
+		Decoder: testPlatform{}, Protocol: testPlatform{}, Log: w.log.logger(name), Seed: uint64(w.starts),
 	}
 	if w.hosts != nil {
 		w.hosts[name] = clocktest.New()
