forward: a stopping instance refuses requests that its stop might cut

Cause: an instance accepts connections for 2.5 s after SIGTERM and cuts what is left at 7.2 s of the grace period of 8 s. It took all that arrived meanwhile, whatever its deadline.

Fix: a request whose deadline lies after the end of the drain is refused at once with 503, not run, to be sent again now, if there is another instance.

--- a/internal/forward/door.go
+++ b/internal/forward/door.go
@@ -15,7 +15,7 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := &request{arrived: h.Clock.Now(), view: h.View(), meta: h.Protocol.Request(r.Header)}
-	if q.view.Leaving {
+	if !q.view.ServesUntil.IsZero() {
 		w.Header().Set("Connection", "close")
 	}
 	h.serve(w, r, q)
@@ -27,6 +27,10 @@
 		h.refuse(w, q, d)
 		return
 	}
+	if d := q.mayBeCut(); d != nil {
+		h.refuse(w, q, d)
+		return
+	}
 	ctx, deadline := h.Clock.WithDeadline(r.Context(), q.deadline, errDeadline)
 	defer deadline.Stop()
 	if d := h.readRequest(w, q, r); d != nil {
@@ -40,6 +44,19 @@
 	h.run(ctx, w, q)
 }
 
+// mayBeCut returns a denial if this instance shuts down before the deadline of the request and the client
+// can go to another one: how long an endpoint takes is not known beforehand.
+func (q *request) mayBeCut() *denial {
+	until := q.view.ServesUntil
+	if until.IsZero() || !q.deadline.After(until) || q.view.Instances <= 1 || q.mayHaveRun || q.answered {
+		return nil
+	}
+	return &denial{
+		status: http.StatusServiceUnavailable, why: "shutting down before the deadline of the request", wait: waitElsewhere,
+		fields: []zap.Field{zap.Time("serves_until", until), zap.Int("instances", q.view.Instances)},
+	}
+}
+
 // errDeadline is the cancellation cause of a request whose deadline has passed.
 var errDeadline = errors.New("the deadline of the request has passed")
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -79,7 +79,7 @@
 	TrialEndpoints map[string][]registry.Endpoint // endpoints that get the trial share of a version being rolled out, by service
 	Rollouts       map[string]rollout.Record      // state of each service's roll-out
 	Instances      int                            // number of running instances, including this one
-	Leaving        bool                           // this instance is shutting down
+	ServesUntil    time.Time                      // requests in progress are cut off then, as this instance is shutting down; zero if it is not
 }
 
 // Admission checks requests against the limits of client accounts, and retries against the
--- a/internal/forward/refuse.go
+++ b/internal/forward/refuse.go
@@ -24,6 +24,7 @@
 // Values of the Retry-After header.
 const (
 	waitNotReady   = 150 * time.Millisecond
+	waitElsewhere  = time.Millisecond // other instances serve the request now
 	waitRetry      = 250 * time.Millisecond
 	waitNoEndpoint = 400 * time.Millisecond // no endpoint at all
 )
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -20,7 +20,7 @@
 	initialSyncTimeout = 1500 * time.Millisecond // how long clients wait in the listener's queue until the configuration and the endpoints are known
 	drainDelay         = 2500 * time.Millisecond // time after an instance is not ready until no new connections arrive
 	drainShare         = 0.9                     // share of the grace period in which requests may finish
-	drainPollInterval  = 50 * time.Millisecond
+	drainMargin        = 100 * time.Millisecond  // before the end of that time, so that responses sent at a deadline still arrive
 )
 
 // serveClients starts the client listener with the limits of the configuration.
@@ -49,13 +49,14 @@
 	return s
 }
 
-// drain finishes the requests of clients. From now on the instance is not ready and answers close
-// their connections; the listener is closed only when no new connections are expected.
+// drain finishes the requests of clients. From now on the instance is not ready, answers close their
+// connections, and requests that may not end in time are refused; the listener is closed only when no
+// new connections are expected.
 func (n *Instance) drain(clients *http.Server) {
 	begun := n.Clock.Now()
 	end := begun.Add(fractionOf(drainShare, n.Settings.Bounds.Grace()))
 	n.leaving.Store(true)
-	n.state.send(drainStarted{})
+	n.state.send(drainStarted{servesUntil: end.Add(-drainMargin)})
 	n.proxied.Refuse()
 	n.event(event.Stopping, zap.Time("by", end))
 	time.Sleep(drainDelay)
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -65,8 +65,8 @@
 // announcedLeaving reports that an endpoint announced in an answer that it is leaving.
 type announcedLeaving struct{ endpoint string }
 
-// drainStarted reports that this instance has begun to drain.
-type drainStarted struct{}
+// drainStarted reports that this instance has begun to drain, and until when it serves requests.
+type drainStarted struct{ servesUntil time.Time }
 
 func (configRead) change()       {}
 func (sharedOutage) change()     {}
@@ -109,7 +109,7 @@
 	answeredAt    time.Time      // of the last call that was answered
 	storeDown     bool
 	downAt        time.Time // when the store went down
-	leaving       bool
+	servesUntil   time.Time // zero unless this instance is shutting down
 	era           era
 	behind        bool       // the store has an older version than the one in force
 	deferredProof configRead // a proof to apply once the restored store has settled
@@ -208,7 +208,7 @@
 	case announcedLeaving:
 		s.logChanges(s.registry.MarkLeaving(c.endpoint, now))
 	case drainStarted:
-		s.leaving, s.publishDue = true, true
+		s.servesUntil, s.publishDue = c.servesUntil, true
 	}
 }
 
@@ -444,7 +444,7 @@
 		s.active = activeOf(list)
 	}
 	v := &forward.View{
-		Config: s.config, ConfirmedAt: s.provedAt, OwnConfirmedAt: s.readAt, KeysValidUntil: s.keysUntil(), OutageUntil: s.outageUntil(), Instances: s.members.count(), Leaving: s.leaving,
+		Config: s.config, ConfirmedAt: s.provedAt, OwnConfirmedAt: s.readAt, KeysValidUntil: s.keysUntil(), OutageUntil: s.outageUntil(), Instances: s.members.count(), ServesUntil: s.servesUntil,
 		Listed: s.active.all, Endpoints: maps.Clone(s.active.byService), TrialEndpoints: make(map[string][]registry.Endpoint), Rollouts: make(map[string]rollout.Record),
 	}
 	s.splitByRollout(v)
--- a/internal/front/world_test.go
+++ b/internal/front/world_test.go
@@ -158,8 +158,9 @@
 	listDelay     time.Duration             // delay added to a listing of the endpoints
 	rate          float64                   // limit of the client account, requests a second; 0 for none
 	burst         float64
-	quotaOver     float64 // share by which the requests in a window may exceed the limit
-	storeWrites   int     // writes a second that the store accepts, as the settings tell; 0 if they do not
+	quotaOver     float64              // share by which the requests in a window may exceed the limit
+	changeConfig  func(*policy.Config) // changes each version of the configuration; may be nil
+	storeWrites   int                  // writes a second that the store accepts, as the settings tell; 0 if they do not
 
 	mu          sync.Mutex
 	runs        map[string]int       // by request id; guarded by mu
@@ -258,6 +259,9 @@
 	if version > 1 {
 		c.Routes = append(c.Routes, route("new", policy.Safe))
 	}
+	if w.changeConfig != nil {
+		w.changeConfig(&c)
+	}
 	value, err := json.Marshal(c)
 	if err != nil {
 		w.t.Fatal(err)
@@ -485,6 +489,15 @@
 
 // askUntil is ask for a client that disconnects after stay.
 func (w *testCluster) askUntil(instance, path, key, id string, stay time.Duration) int {
+	return w.askWithDeadline(instance, path, key, id, stay, 2500*time.Millisecond)
+}
+
+// askWithin is ask with a deadline of the request, for a client that waits a second longer.
+func (w *testCluster) askWithin(deadline time.Duration, instance, path, id string) int {
+	return w.askWithDeadline(instance, path, "k1", id, deadline+time.Second, deadline)
+}
+
+func (w *testCluster) askWithDeadline(instance, path, key, id string, stay, deadline time.Duration) int {
 	ctx, cancel := context.WithTimeout(context.Background(), stay)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addrOf(hostOf(instance), frontPort).String()+path, io.MultiReader(strings.NewReader("body")))
@@ -494,7 +507,7 @@
 	r.Host = testHost
 	r.Header.Set("Id", id)
 	r.Header.Set("Key", key)
-	r.Header.Set("Deadline", "2500")
+	r.Header.Set("Deadline", strconv.FormatInt(deadline.Milliseconds(), 10))
 	resp, err := w.client.Do(r)
 	if err != nil {
 		return 0
