quota: empty the buckets at the first use after a stall

Cause: levels from before a stall were used after it. The stall was noticed by a check every 100 ms; requests that had waited were admitted before that, by each instance from the same units. Levels that others reported from before their own reset were taken over after it.

Which update came first was the order of goroutines at one instant.

Fix: the limiter notices at each use that it was not used for 2 s. For 0.6 s after a reset it takes over no levels: the updates may be from before.

--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -39,15 +39,22 @@
 	}
 }
 
+// limiter returns the limiter, whose levels are emptied first if this process has just resumed after a
+// long stall. The caller holds mu.
+func (a *admission) limiter(now time.Time) *quota.Limiter {
+	a.quota.ResetIfStalled(a.currentLimits(), now)
+	return a.quota
+}
+
 // Admit implements forward.Admission.
 func (a *admission) Admit(c *policy.Account, units float64, placed bool, now time.Time) quota.Verdict {
 	placed = placed && a.instance.grouped()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if placed {
-		return a.quota.AdmitProvisionally(c.Name, a.limitOf(c), units, now)
+		return a.limiter(now).AdmitProvisionally(c.Name, a.limitOf(c), units, now)
 	}
-	return a.quota.Admit(c.Name, a.limitOf(c), units, now)
+	return a.limiter(now).Admit(c.Name, a.limitOf(c), units, now)
 }
 
 // admitWithoutHub decides whether a request may be sent although no hub confirmed it. It
@@ -58,7 +65,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.quota.WithinLocalShare(account, a.currentLimits()[account], units, now)
+	return a.limiter(now).WithinLocalShare(account, a.currentLimits()[account], units, now)
 }
 
 // confirmAtHub checks, on a hub, whether the limit of a client account allows a request
@@ -70,7 +77,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.quota.Confirm(account, a.currentLimits()[account], units, 1/float64(hubs), now)
+	return a.limiter(now).Confirm(account, a.currentLimits()[account], units, 1/float64(hubs), now)
 }
 
 // withdrawAtHub takes back a confirmation of confirmAtHub for a request that is not sent.
@@ -80,7 +87,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.quota.Withdraw(account, units, now)
+	a.limiter(now).Withdraw(account, units, now)
 }
 
 // limitOf returns the limit enforced for a client account: the configured one, stretched by
@@ -109,7 +116,7 @@
 
 // levels returns the token bucket levels of the client accounts. The caller holds mu.
 func (a *admission) levels(now time.Time) map[string]float64 {
-	return a.quota.Levels(a.currentLimits(), now)
+	return a.limiter(now).Levels(a.currentLimits(), now)
 }
 
 // Refund implements forward.Admission.
@@ -162,7 +169,7 @@
 	grouped := a.instance.grouped()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.quota.SetInstances(instances)
+	a.limiter(now).SetInstances(instances)
 	a.quota.Refill(a.currentLimits(), now)
 	a.quota.DropInstances(func(name string, seenAt time.Time) bool {
 		return isGroup(name) != grouped || grouped && now.Sub(seenAt) > groupTimeout
@@ -181,14 +188,6 @@
 // exchange counts by hub group.
 func (n *Instance) grouped() bool { return len(n.state.members.topology().Hubs) > 0 }
 
-// resume resets the token buckets after a long stall of this instance: the other
-// instances may have used what accrued in the meantime.
-func (a *admission) resume(now time.Time) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.quota.ResetAfterStall(a.currentLimits(), now)
-}
-
 // forget drops what a peer reported, both for itself and for its group.
 func (a *admission) forget(name string) {
 	a.mu.Lock()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -397,19 +397,12 @@
 	}
 }
 
-// longStall is the shortest stall of the process after which the other instances no longer count
-// this instance's share, nor it theirs.
-const longStall = minShareTTL
-
 // onResume handles the end of a stall, in which this process or its host did not run. Most state
 // needs no handling, as its age shows that it has to be received again. Watches are restarted,
 // because their connections may be dead, and the configuration and the registration are renewed
 // at once.
 func (n *Instance) onResume(w clock.Resumption) {
 	n.event(event.ProcessResumed, zap.Duration("stood", w.Stalled), zap.Duration("suspended", w.Suspended), zap.Int("ended", w.Ended), zap.Duration("config_age", n.Clock.Since(n.view.Load().OwnConfirmedAt)))
-	if w.Stalled >= longStall {
-		n.admission.resume(n.Clock.Now())
-	}
 	n.refresh()
 }
 
--- a/internal/front/hubgroup.go
+++ b/internal/front/hubgroup.go
@@ -163,7 +163,7 @@
 	a := n.admission
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.quota.Apply(quota.Update{
+	a.limiter(now).Apply(quota.Update{
 		Instance: groupName(n.Settings.Name), Incarnation: n.incarnation(), Admitted: maps.Clone(a.counters.reportedUnits.Sum()), InstanceCount: len(reports),
 	}, now)
 }
@@ -219,5 +219,5 @@
 			update.Admitted[name] -= units
 		}
 	}
-	n.admission.quota.Apply(update, now)
+	n.admission.limiter(now).Apply(update, now)
 }
--- a/internal/front/share.go
+++ b/internal/front/share.go
@@ -242,7 +242,7 @@
 	a := n.admission
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.quota.Apply(quota.Update{
+	a.limiter(now).Apply(quota.Update{
 		Instance: s.Node, Incarnation: s.Incarnation, Age: ageOf(s), WarmedUp: seasoned(s), Admitted: admitted, Levels: levels,
 	}, now)
 	a.usage.Apply(s.Node, s.Incarnation, windowsOf(runs))
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -176,6 +176,7 @@
 	instanceCount int // running instances, as far as this one knows
 	lastTick      time.Time
 	warmSince     time.Time        // first update of an instance that has warmed up
+	activeAt      time.Time        // of the last call of ResetIfStalled; zero before the first
 	resumedAt     time.Time        // end of the last long stall of this process; zero if there was none
 	resumeLimits  map[string]Limit // limits in force at resumedAt
 }
@@ -395,6 +396,9 @@
 // adoptLevels takes over, once for each account, levels of an instance that has warmed up. It does
 // nothing later than WarmUp after the first such update: this instance then knows the levels itself.
 func (l *Limiter) adoptLevels(levels map[string]float64, now time.Time) {
+	if !l.resumedAt.IsZero() && now.Sub(l.resumedAt) < updateTimeout {
+		return // the update may be from before the stall
+	}
 	if l.warmSince.IsZero() {
 		l.warmSince = now
 	}
@@ -432,6 +436,21 @@
 	}
 }
 
+// stallTime is the shortest stall of this process after which its levels say too little of what the
+// others admitted.
+const stallTime = 2 * time.Second
+
+// ResetIfStalled calls ResetAfterStall if this process has just resumed after a long stall. It has to be
+// called several times a second, and before each use of the levels: requests that waited during the
+// stall are admitted within milliseconds of its end.
+func (l *Limiter) ResetIfStalled(limits map[string]Limit, now time.Time) {
+	stalled := !l.activeAt.IsZero() && now.Sub(l.activeAt) >= stallTime
+	l.activeAt = now
+	if stalled {
+		l.ResetAfterStall(limits, now)
+	}
+}
+
 // ResetAfterStall empties the buckets after a long stall of this process, as at its start: the
 // others may have used whatever was added meanwhile, and if all were stalled, each of them would
 // use the whole of it. Of a debt at most one burst is kept: anything beyond is what the others
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -503,6 +503,32 @@
 	is.True(l.Admit("north", limits["north"], 1, now).OK)
 }
 
+// Guards against admitting what waited during a stall from levels of before it, and against taking such
+// levels over from others that were stalled as well.
+func TestLevelsFromBeforeAStallAreNotUsed(t *testing.T) {
+	is := is.New(t)
+	limits := map[string]Limit{"north": {Rate: 40, Burst: 80}}
+	now := time.Unix(1000, 0)
+	l := New(now.Add(-time.Minute))
+	l.SetInstances(4)
+	l.ResetIfStalled(limits, now)
+	is.True(l.Admit("north", limits["north"], 1, now).OK)
+	now = now.Add(2500 * time.Millisecond)
+	l.ResetIfStalled(limits, now)
+	is.True(!l.Admit("north", limits["north"], 1, now).OK) // waited during the stall
+	update := Update{Instance: "n1", Incarnation: 1, Age: time.Minute, WarmedUp: true, Admitted: map[string]float64{"north": 100}, Levels: map[string]float64{"north": 79}}
+	l.Apply(update, now)
+	is.True(!l.Admit("north", limits["north"], 1, now).OK) // the update was sent before the stall
+	for range 7 {
+		now = now.Add(100 * time.Millisecond)
+		l.ResetIfStalled(limits, now)
+		l.Refill(limits, now)
+	}
+	update.Levels["north"] = 30
+	l.Apply(update, now)
+	is.Equal(l.Levels(limits, now)["north"], 30.0) // after it
+}
+
 // The first use of an account by others arrives before this instance has a bucket for it. It must be
 // subtracted from what the bucket would hold by then, which is no more than a burst.
 func TestTheFirstUseByOthersCounts(t *testing.T) {
