reach: crashed endpoints are no loss of an instance's own paths

Cause: three endpoints that failed in a row, with nothing heard from another in between, counted as the loss of all paths of the instance; with four instances and two crashes a second all four concluded that at times, and refused everything for as long as the crashed endpoints were down, 1.5 s. Probes of endpoints that were known to be down counted as further failures, and endpoints that worked were not probed.

Fix: six endpoints have to become unreachable in a row; one that still fails says nothing new; an instance that counts as cut off also probes endpoints that it has not seen fail. Two tests in reach fail before.

--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -22,8 +22,9 @@
 
 const (
 	// lostAfter is the number of endpoints that have to fail in a row before the instance counts as
-	// cut off: two can crash at the same moment.
-	lostAfter = 3
+	// cut off. Several can be down at the same time, and an instance with few requests may try one after
+	// the other.
+	lostAfter = 6
 	// ProbeInterval is the time between two probes of an unreachable endpoint, so that the end of a
 	// partition is noticed well within a second.
 	ProbeInterval = 200 * time.Millisecond
@@ -53,7 +54,7 @@
 
 	mu          sync.Mutex
 	unreachable map[string]time.Time // by endpoint ID, when it is probed next; guarded by mu
-	failedInRow map[string]bool      // endpoints that failed since one was last heard from; guarded by mu
+	failedInRow map[string]bool      // endpoints that became unreachable since one was last heard from; guarded by mu
 	lost        bool                 // guarded by mu
 	probes      int                  // of the next round; guarded by mu
 	silentAt    time.Time            // of the last round of probes for silence; guarded by mu
@@ -81,8 +82,12 @@
 func (t *Tracker) Failed(endpoint string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	_, known := t.unreachable[endpoint]
 	t.unreachable[endpoint] = now.Add(ProbeInterval)
 	t.marked.Store(int64(len(t.unreachable)))
+	if known {
+		return // that it still fails says nothing new about the paths of this instance
+	}
 	t.failedInRow[endpoint] = true
 	t.inRow.Store(int64(len(t.failedInRow)))
 	needed := lostAfter
@@ -178,6 +183,8 @@
 	if silent && now.Sub(t.silentAt) >= silenceInterval {
 		t.silentAt = now
 		due = append(due, t.sample(listed, "", now)...)
+	} else if t.lost { // nothing is sent to the others now, which may be the ones that work
+		due = append(due, t.sample(listed, "", now)...)
 	}
 	for _, e := range due {
 		if _, failed := t.unreachable[e.ID]; failed {
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -74,6 +74,32 @@
 	}
 }
 
+// Guards against taking crashes of three endpoints, tried one after the other, for the loss of all paths.
+func TestThreeCrashedEndpointsDoNotCutTheInstanceOff(t *testing.T) {
+	is := is.New(t)
+	p := newPaths(12)
+	for _, e := range p.listed[:3] {
+		p.cut[e.ID] = true
+		is.True(!p.connect(e.ID))
+	}
+	is.True(!p.Lost())
+	is.Equal(p.reachable(), 9)
+}
+
+// Guards against counting as cut off for as long as crashed endpoints are down, although others work.
+func TestAnInstanceThatOnlyTriedCrashedEndpointsFindsTheOthers(t *testing.T) {
+	is := is.New(t)
+	p := newPaths(24)
+	for _, e := range p.listed[:12] {
+		p.cut[e.ID] = true
+		is.True(!p.connect(e.ID))
+	}
+	is.True(p.Lost())
+	p.run(2 * ProbeInterval)
+	is.True(!p.Lost())
+	is.Equal(p.reachable(), 12)
+}
+
 // Guards against trying every endpoint of a large fleet before the instance knows that it is cut off.
 func TestAFewFailuresInARowCutTheInstanceOff(t *testing.T) {
 	is := is.New(t)
