forward: refused connections do not end a request while other endpoints work

Cause: a request was given up after three failed connections, however fast they failed.

Fix: a request is given up 1.2 s after its first failed connection, as long as three time-outs take, and else goes on to the endpoints that it has not tried.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -16,12 +16,12 @@
 
 // Limits of attempts.
 const (
-	minRemaining         = 20 * time.Millisecond // no endpoint is tried with less time left until the deadline
-	maxIdleNonIdempotent = 3 * time.Second       // a connection that was idle for longer may be closing; not used for requests that are not idempotent
-	minConns             = 4                     // connections to an endpoint that an instance may always have
-	maxResumes           = 4                     // further attempts to resume a stream, beyond those that its route allows
-	maxConnectFailures   = 3                     // failed connects after which a request is given up
-	proxyConnectFailures = 2                     // failed connects after which another instance is asked to serve a request
+	minRemaining         = 20 * time.Millisecond   // no endpoint is tried with less time left until the deadline
+	maxIdleNonIdempotent = 3 * time.Second         // a connection that was idle for longer may be closing; not used for requests that are not idempotent
+	minConns             = 4                       // connections to an endpoint that an instance may always have
+	maxResumes           = 4                       // further attempts to resume a stream, beyond those that its route allows
+	maxConnectTime       = 1200 * time.Millisecond // from the first failed connect of a request until it is given up; three that time out
+	proxyConnectFailures = 2                       // failed connects after which another instance is asked to serve a request
 )
 
 // run tries endpoints until one answers or the request is given up.
@@ -29,12 +29,13 @@
 	var last *denial
 	unreached := 0
 	for {
-		out := h.try(ctx, w, q, last, unreached)
+		out := h.try(ctx, w, q, last)
 		if out.done {
 			return
 		}
 		if out.notSent {
 			unreached++
+			q.connectFailed(h.Clock.Now())
 		}
 		if (out.noPath || out.notSent && unreached >= proxyConnectFailures) && h.proxy(ctx, w, q) {
 			return
@@ -57,7 +58,7 @@
 }
 
 // try makes one attempt, if the quarantine and the limits of attempts allow it.
-func (h *Handler) try(ctx context.Context, w http.ResponseWriter, q *request, last *denial, unreached int) outcome {
+func (h *Handler) try(ctx context.Context, w http.ResponseWriter, q *request, last *denial) outcome {
 	leave, d := h.acquirePermit(ctx, q)
 	if d != nil {
 		return outcome{denial: d}
@@ -66,7 +67,7 @@
 		defer func() { leave(!q.outcomeUnknown) }()
 	}
 	q.outcomeUnknown = false
-	if d := h.mayTry(ctx, q, last, unreached); d != nil {
+	if d := h.mayTry(ctx, q, last); d != nil {
 		return outcome{denial: d}
 	}
 	return h.attempt(ctx, w, q)
@@ -100,7 +101,7 @@
 
 // mayTry returns nil if an endpoint may be tried, and otherwise the denial that ends the
 // request. last is the result of the previous attempt.
-func (h *Handler) mayTry(ctx context.Context, q *request, last *denial, unreached int) *denial {
+func (h *Handler) mayTry(ctx context.Context, q *request, last *denial) *denial {
 	if ctx.Err() != nil {
 		return h.ended(ctx, q)
 	}
@@ -115,12 +116,13 @@
 	if q.answered {
 		limit = max(limit, 1) + maxResumes
 	}
+	now := h.Clock.Now()
 	switch {
-	case len(q.tried) >= limit, unreached >= maxConnectFailures:
+	case len(q.tried) >= limit, !q.connectUntil.IsZero() && !now.Before(q.connectUntil):
 		return last
-	case h.Clock.Until(q.deadline) < minRemaining:
+	case q.deadline.Sub(now) < minRemaining:
 		return last
-	case len(q.tried) > 0 && !h.Admission.SecondTry(q.service, h.Clock.Now()):
+	case len(q.tried) > 0 && !h.Admission.SecondTry(q.service, now):
 		return last
 	}
 	return nil
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -212,6 +212,7 @@
 	fp             *quarantine.Fingerprint // fingerprint for the quarantine; nil until it is needed
 	returned       bool                    // the client returned after a refusal for lack of capacity
 	outcomeUnknown bool                    // whether an endpoint crashed during the last run is not known
+	connectUntil   time.Time               // when the request is given up if no endpoint can be connected to; zero before the first failure
 	counted        bool                    // a run was counted for the usage reports
 	tryCounted     bool                    // an attempt was counted in the retry budget
 	proxied        bool                    // another instance got it from the client, and charged it to the limit of the client account
@@ -233,6 +234,13 @@
 	q.lastEventAt = now
 }
 
+// connectFailed records that an endpoint could not be connected to.
+func (q *request) connectFailed(now time.Time) {
+	if q.connectUntil.IsZero() {
+		q.connectUntil = now.Add(maxConnectTime)
+	}
+}
+
 func (q *request) accountName() string {
 	if q.account == nil {
 		return ""
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -357,6 +357,33 @@
 	}
 }
 
+// Guards against giving a request up after a few refused connections while other endpoints work.
+func TestRefusedConnectionsEndNoRequest(t *testing.T) {
+	for dead := range 6 {
+		for _, test := range []struct {
+			path    string
+			scripts []string
+			sent    int
+		}{
+			{"/once/a", []string{sealed(200, "hi")}, 1},
+			{"/safe/a", []string{sealed(500, "no"), sealed(200, "hi")}, 2},
+		} {
+			t.Run(fmt.Sprint(test.path, " ", dead, " dead"), func(t *testing.T) {
+				virtual.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					w := newFixture(t, dead, test.scripts...)
+					defer w.handler.Backends.CloseIdle()
+					w.admit.budget = 1 + dead
+					rec, cut := w.ask(test.path, "k")
+					is.True(!cut)
+					is.Equal(rec.Code, http.StatusOK)
+					is.Equal(len(w.got), test.sent)
+				})
+			})
+		}
+	}
+}
+
 // Runs are counted like endpoints count them: by run for plain services, by request for model
 // endpoints.
 func TestRunsAreCountedAsEndpointsCountThem(t *testing.T) {
