forward: refused connections use none of the retry budget

Callers saw: a request that an endpoint had failed got that failure although another endpoint could have run it, once refused connections had used up the retry budget of its service.

Cause: each further attempt was charged, also after one whose connection was refused. The bound is on what arrives at endpoints.

Fix: the budget is charged again only after something was sent. TestRefusedConnectionsEndNoRequest with a budget of one retry fails before with three or more dead endpoints.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -122,12 +122,25 @@
 		return last
 	case q.deadline.Sub(now) < minRemaining:
 		return last
-	case len(q.tried) > 0 && !h.Admission.SecondTry(q.service, now):
+	case !h.takeRetry(q, now):
 		return last
 	}
 	return nil
 }
 
+// takeRetry charges the retry budget of the service for a further attempt, unless nothing was sent since
+// it was last charged for this request. It reports false if the budget is used up.
+func (h *Handler) takeRetry(q *request, now time.Time) bool {
+	if q.charged == len(q.tried) {
+		return true
+	}
+	if !h.Admission.SecondTry(q.service, now) {
+		return false
+	}
+	q.charged = len(q.tried)
+	return true
+}
+
 // ended is the denial for a request whose client disconnected or whose deadline has passed.
 func (h *Handler) ended(ctx context.Context, q *request) *denial {
 	if !errors.Is(context.Cause(ctx), errDeadline) {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -357,7 +357,8 @@
 	}
 }
 
-// Guards against giving a request up after a few refused connections while other endpoints work.
+// Guards against giving a request up after a few refused connections while other endpoints work, and
+// against charging the retry budget for connections that were refused.
 func TestRefusedConnectionsEndNoRequest(t *testing.T) {
 	for dead := range 6 {
 		for _, test := range []struct {
@@ -373,7 +374,7 @@
 					is := is.New(t)
 					w := newFixture(t, dead, test.scripts...)
 					defer w.handler.Backends.CloseIdle()
-					w.admit.budget = 1 + dead
+					w.admit.budget = 1
 					rec, cut := w.ask(test.path, "k")
 					is.True(!cut)
 					is.Equal(rec.Code, http.StatusOK)
