front: updates of groups carry an age, so that what was admitted at the start counts

Cause: the totals in the first update of a group were taken for use from before this instance started, as updates of groups had no age. Hubs that start together lost what their own and the other groups had admitted by then.

--- a/internal/front/digest.go
+++ b/internal/front/digest.go
@@ -62,7 +62,7 @@
 // from its report.
 func decodeReport(s *peerpb.Share, now time.Time) instanceReport {
 	update := updateOf(s)
-	r := instanceReport{uses: update.Loads, demand: update.Demand, risk: make(map[string]float64), rollouts: decodeRolloutStates(s.Rollouts), limits: wire.Decode(s.Limits), at: now}
+	r := instanceReport{uses: update.Loads, demand: update.Demand, risk: make(map[string]float64), rollouts: decodeRolloutStates(s.Rollouts), limits: wire.Decode(s.Limits), at: now, startedAt: now.Add(-ageOf(s))}
 	for name, l := range update.Estimates {
 		r.risk[name] = l.Risk
 	}
@@ -291,7 +291,7 @@
 // admission's mu.
 func (n *Instance) applyDigestGroup(hub tally.Source, g *peerpb.Group, counts map[tally.Source]unitCounts, d *peerpb.Digest, now time.Time) {
 	from := tally.Source{Instance: g.Hub, Incarnation: g.Incarnation}
-	update := quota.Update{Admitted: counts[from], InstanceCount: int(g.Stands)}
+	update := quota.Update{Admitted: counts[from], InstanceCount: int(g.Stands), Age: time.Duration(g.Wall - g.Incarnation)}
 	if from == hub {
 		update.InstanceCount-- // this instance is counted in its hub's group
 		update.WarmedUp, update.Levels = d.Seasoned, digestLevels(d)
--- a/internal/front/group.go
+++ b/internal/front/group.go
@@ -87,12 +87,13 @@
 
 // instanceReport is the latest report of an instance to this hub, without its counts.
 type instanceReport struct {
-	uses     map[string]balance.Load
-	demand   map[string]balance.Demand
-	risk     map[string]float64 // by service
-	rollouts []rollctl.State
-	limits   []ratelimit.Report
-	at       time.Time
+	uses      map[string]balance.Load
+	demand    map[string]balance.Demand
+	risk      map[string]float64 // by service
+	rollouts  []rollctl.State
+	limits    []ratelimit.Report
+	at        time.Time
+	startedAt time.Time // of the instance
 }
 
 // reportTTL is how long a report is valid without a newer one: after that the instance is gone or
--- a/internal/front/hubgroup.go
+++ b/internal/front/hubgroup.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/shelfcrank/shelfcrank/internal/balance"
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
 	"github.com/shelfcrank/shelfcrank/internal/quota"
@@ -164,10 +166,15 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.limiter(now).Apply(quota.Update{
-		Instance: groupName(n.Settings.Name), Incarnation: n.incarnation(), Admitted: maps.Clone(a.counters.reportedUnits.Sum()), InstanceCount: len(reports),
+		Instance: groupName(n.Settings.Name), Incarnation: n.incarnation(), Age: now.Sub(oldestStart(reports, now)), Admitted: maps.Clone(a.counters.reportedUnits.Sum()), InstanceCount: len(reports),
 	}, now)
 }
 
+// oldestStart returns when the instance that has run longest started, of those that sent reports.
+func oldestStart(reports map[string]instanceReport, now time.Time) time.Time {
+	return lo.MinBy(append(lo.Values(reports), instanceReport{startedAt: now}), func(a, b instanceReport) bool { return a.startedAt.Before(b.startedAt) }).startedAt
+}
+
 // groupShare returns the share that this hub sends to the other hubs for its whole group.
 func (n *Instance) groupShare(now time.Time) *peerpb.Share {
 	reports := n.groups.currentReports(now)
@@ -202,7 +209,7 @@
 	n.admission.mu.Lock()
 	defer n.admission.mu.Unlock()
 	n.applyGroupUnits(tally.Source{Instance: s.Node, Incarnation: s.Incarnation}, quota.Update{
-		Admitted: admitted, Levels: levels, WarmedUp: seasoned(s), InstanceCount: int(s.Stands),
+		Age: ageOf(s), Admitted: admitted, Levels: levels, WarmedUp: seasoned(s), InstanceCount: int(s.Stands),
 	}, now)
 	n.admission.counters.usage.Apply(groupName(s.Node), s.Incarnation, windowsOf(runs))
 	n.admission.counters.changes.Set(tally.Source{Instance: s.Node, Incarnation: s.Incarnation}, admitted)
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -72,7 +72,7 @@
 type Update struct {
 	Instance      string
 	Incarnation   int64              // increases with each restart of the instance
-	Age           time.Duration      // since that start; 0 if it is not known, as for a group
+	Age           time.Duration      // since that start, for a group that of the hub or of the oldest instance; 0 if it is not known
 	Admitted      map[string]float64 // units admitted since its start, by client account
 	Levels        map[string]float64 // of its buckets, by client account
 	WarmedUp      bool               // it has run for longer than WarmUp, so that Levels are reliable
