overload: pressure lasts while the request that showed it waits

Cause: the restriction of an account over its share ended 0.5 s after a less urgent request of others had come short of time, although that request waits for up to 2 s and is overtaken meanwhile.

Evidence: most of what others lost was admitted, least urgent and then not served in time.

--- a/internal/overload/accepted.go
+++ b/internal/overload/accepted.go
@@ -22,9 +22,9 @@
 	// duration. No client waits as long.
 	maxWait = time.Hour
 
-	// pressureRetention is how long the forecast of a request says something about the queue: about
-	// the time in which the queue changes from empty to late (the shortest targets of model requests
-	// are 500 ms).
+	// pressureRetention is the shortest time for which the forecast of a request says something about the
+	// queue: about the time in which the queue changes from empty to late (the shortest targets of
+	// model requests are 500 ms).
 	pressureRetention = 500 * time.Millisecond
 )
 
@@ -83,30 +83,46 @@
 	return f
 }
 
-// pressure holds, for each priority, when a request of an account within its share had less than half
-// of its time to spare last.
-type pressure [numPriorities]time.Time
+// pressure holds, for each priority, until when requests of accounts within their shares wait that had
+// less than half of their time to spare when they came.
+type pressure struct {
+	until   [numPriorities]time.Time
+	notedAt time.Time // when such a request came last
+}
 
+// note records a request of an account within its share.
 func (p *pressure) note(r Request, f Forecast, now time.Time) {
-	if !meetsTarget(r, f, true, now) {
-		p[r.Priority] = now
+	if meetsTarget(r, f, true, now) {
+		return
+	}
+	p.notedAt = now
+	leaves := r.Latest // when its client does
+	if leaves.IsZero() {
+		leaves = now.Add(observation)
+	}
+	p.extend(r.Priority, now.Add(pressureRetention))
+	if f.FirstAt.After(leaves) {
+		p.extend(r.Priority, leaves)
+	} else {
+		p.extend(r.Priority, f.FirstAt)
+	}
+}
+
+func (p *pressure) extend(priority int, until time.Time) {
+	if until.After(p.until[priority]) {
+		p.until[priority] = until
 	}
 }
 
 // recent reports whether there was such a request within the time over which shares are defined.
 func (p *pressure) recent(now time.Time) bool {
-	for _, at := range p {
-		if !at.IsZero() && now.Sub(at) < observation {
-			return true
-		}
-	}
-	return false
+	return !p.notedAt.IsZero() && now.Sub(p.notedAt) < observation
 }
 
-// high reports whether there was such a request, less urgent than the given priority, of late.
+// high reports whether such a request, less urgent than the given priority, still waits.
 func (p *pressure) high(priority int, now time.Time) bool {
-	for _, at := range p[priority+1:] {
-		if !at.IsZero() && now.Sub(at) < pressureRetention {
+	for _, until := range p.until[priority+1:] {
+		if now.Before(until) {
 			return true
 		}
 	}
