--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -180,10 +180,11 @@
 	}
 	slices.SortFunc(due, func(a, b registry.Endpoint) int { return t.unreachable[a.ID].Compare(t.unreachable[b.ID]) })
 	due = due[:min(len(due), t.probes)]
-	if silent && now.Sub(t.silentAt) >= silenceInterval {
+	silent = silent && now.Sub(t.silentAt) >= silenceInterval
+	if silent {
 		t.silentAt = now
-		due = append(due, t.sample(listed, "", now)...)
-	} else if t.lost { // nothing is sent to the others now, which may be the ones that work
+	}
+	if silent || t.lost { // if lost, nothing is sent to the others, which may be the ones that work
 		due = append(due, t.sample(listed, "", now)...)
 	}
 	for _, e := range due {
