forward: log the software versions of streams, and resumptions by clients

Event 402 has the version of the endpoint that failed, 411 and 413 that of the endpoint that the last event came from, and the new event 418 says that a client resumes a stream, after which event, and which request the first event came with (header Resumes). No decision changes.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -49,6 +49,7 @@
 	ForwardProxied               Code = 415
 	ProxyRefused                 Code = 416
 	ProxiedAccepted              Code = 417
+	StreamResumedByClient        Code = 418
 	EndpointEndedDuringRequest   Code = 421
 	Quarantined                  Code = 422
 	SuspicionCleared             Code = 423
@@ -138,7 +139,7 @@
 	{ViewInstalled, zap.InfoLevel, "view installed", "The instances agreed on a new set of replicas, which record the claims of calls that must not be repeated."},
 	{ClaimsUncertain, zap.WarnLevel, "claims may have been lost", "Most replicas of some shards failed at the same time. Until the retention period has passed, repeated calls of these shards that must not run twice are answered with may_have_run."},
 	{RequestFailed, zap.InfoLevel, "request failed", "The final answer to a request was an error."},
-	{StreamResumed, zap.InfoLevel, "stream resumed", "A stream continued at another endpoint after the first one failed or left."},
+	{StreamResumed, zap.InfoLevel, "stream resumed", "A stream that broke off at an endpoint (server) is resumed at another one. version is the software version of the endpoint that failed."},
 	{RecordTakenOver, zap.WarnLevel, "record taken over", "The owner of a request record failed; this instance continues the request."},
 	{RecordHandedOver, zap.InfoLevel, "record handed over", "An owner that is leaving handed a request over to this instance."},
 	{RecordLost, zap.ErrorLevel, "record lost", "Both holders of an accepted request are gone. The caller gets an error."},
@@ -150,6 +151,7 @@
 	{ForwardProxied, zap.InfoLevel, "request served by another instance", "This instance has no path to an endpoint of the service, and another one (peer) gave the response. Its log has the endpoints and the reason of a refusal, under the same request."},
 	{ProxyRefused, zap.InfoLevel, "request not taken by another instance", "Another instance (peer) was asked to serve a request and refused, or did not answer in time. Nothing of the request was sent to it; the next instance is asked. The instance is not asked again for this service for a moment, longer after each refusal."},
 	{ProxiedAccepted, zap.InfoLevel, "request of another instance accepted", "Another instance (peer) has no path to an endpoint for a request, which this instance serves. open is the number of such requests at this instance."},
+	{StreamResumedByClient, zap.InfoLevel, "stream resumed by a client", "A client requests the rest of a stream, after the event that it names (after). stream is the ID of the request that the first event came with, as far as the client states it."},
 	{EndpointEndedDuringRequest, zap.WarnLevel, "endpoint ended during a request", "The endpoint ended while it ran the request with this fingerprint, as observed by this instance or another one. At most one of the requests that it ran is the cause. ends is the number of endpoints that have ended under this request since it last completed."},
 	{Quarantined, zap.WarnLevel, "request quarantined", "Endpoints repeatedly ended while they ran the request with this fingerprint. It does not run until the given time, whatever its ID."},
 	{QuarantineLifted, zap.InfoLevel, "quarantine lifted", "An operator allowed the request with this fingerprint to run again."},
--- a/internal/forward/door.go
+++ b/internal/forward/door.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/shelfcrank/shelfcrank/internal/event"
 	"github.com/shelfcrank/shelfcrank/internal/quota"
 )
 
@@ -27,6 +28,9 @@
 		h.refuse(w, q, d)
 		return
 	}
+	if q.resumesStream() {
+		h.event(event.StreamResumedByClient, zap.String("request", q.meta.ID), zap.String("stream", q.meta.Resumes), zap.String("after", q.meta.LastEventID), zap.String("service", q.service))
+	}
 	if d := q.checkDrain(); d != nil {
 		h.refuse(w, q, d)
 		return
@@ -44,6 +48,9 @@
 	h.run(ctx, w, q)
 }
 
+// resumesStream reports whether the client requests the rest of a stream that it has the beginning of.
+func (q *request) resumesStream() bool { return q.route.Resumable && q.meta.LastEventID != "" }
+
 // checkDrain returns a denial if this instance shuts down before the deadline of the request and the client
 // can go to another one: how long an endpoint takes is not known beforehand.
 func (q *request) checkDrain() *denial {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -45,7 +45,8 @@
 	PromptTokens int
 	OutputTokens int // upper bound
 	Parts        []Part
-	LastEventID  string
+	LastEventID  string // of the last event that the client has, if it resumes a stream
+	Resumes      string // ID of the request that the first event of that stream came with, if the client states it
 }
 
 // Outgoing holds the values that are sent to an endpoint as headers of a forwarded request.
@@ -223,6 +224,7 @@
 	firstEventAt   time.Time               // when the first event was passed on
 	lastEventAt    time.Time               // when the last event was passed on
 	longestPause   time.Duration           // the longest time between two events
+	version        string                  // software version of the endpoint that the last event came from
 }
 
 // eventPassed records that an event was passed on to the client.
--- a/internal/forward/refuse.go
+++ b/internal/forward/refuse.go
@@ -86,6 +86,9 @@
 	if !q.firstEventAt.IsZero() {
 		fields = append(fields, zap.Duration("first", q.firstEventAt.Sub(q.arrived)), zap.Duration("pause", q.longestPause))
 	}
+	if q.version != "" {
+		fields = append(fields, zap.String("version", q.version))
+	}
 	if q.meta.HasTokens {
 		fields = append(fields, zap.Int("prompt", q.meta.PromptTokens), zap.Int("output", q.meta.OutputTokens))
 	}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -109,6 +109,7 @@
 			h.compareForecast(q, ticket)
 			h.began(q)
 			h.Metrics.FirstToken(q.route.Name, h.Clock.Since(q.arrived))
+			q.version = ticket.Endpoint.Version
 		}
 		ticket.Event(h.Clock.Now())
 		id := eventID(e)
@@ -150,7 +151,7 @@
 	}
 	again := q.route.Idempotent()
 	if again {
-		h.event(event.StreamResumed, zap.String("request", q.meta.ID), zap.String("server", ticket.Endpoint.ID), zap.String("after", q.lastEventID), zap.Error(err))
+		h.event(event.StreamResumed, zap.String("request", q.meta.ID), zap.String("server", ticket.Endpoint.ID), zap.String("version", ticket.Endpoint.Version), zap.String("after", q.lastEventID), zap.Error(err))
 	}
 	return outcome{again: again, denial: &denial{status: http.StatusBadGateway, why: "stream broke off", err: err}}
 }
