--- a/internal/front/restarted_test.go
+++ b/internal/front/restarted_test.go
@@ -14,7 +14,7 @@
 
 // putIncarnation writes the entry of an endpoint's incarnation that started at a time.
 func (w *testCluster) putIncarnation(i int, started time.Time, leaving bool) {
-	w.store.Put("server/"+endpointID(i), fmt.Appendf(nil, `{"Service":"svc","Addr":%q,"Hall":"z","Slots":%d,"StartedAt":%q,"Leaving":%t}`, addrOf(100+i, 80), w.queues.slotCount(), started.Format(time.RFC3339Nano), leaving))
+	w.store.Put("server/"+endpointID(i), fmt.Appendf(nil, `{"Service":"svc","Version":%q,"Addr":%q,"Hall":"z","Slots":%d,"StartedAt":%q,"Leaving":%t}`, w.version(i), addrOf(100+i, 80), w.queues.slotCount(), started.Format(time.RFC3339Nano), leaving))
 }
 
 // askFor sends requests to all instances in turn for a time.
--- a/internal/front/world_test.go
+++ b/internal/front/world_test.go
@@ -53,7 +53,7 @@
 }
 
 func (testPlatform) Request(h http.Header) forward.Meta {
-	m := forward.Meta{ID: h.Get("Id"), Key: h.Get("Key")}
+	m := forward.Meta{ID: h.Get("Id"), Key: h.Get("Key"), LastEventID: h.Get("Last"), Resumes: h.Get("Resumes")}
 	if n, err := strconv.Atoi(h.Get("Tokens")); err == nil {
 		m.HasTokens, m.PromptTokens = true, n
 	}
@@ -72,6 +72,9 @@
 func (testPlatform) Outgoing(h http.Header, o forward.Outgoing) {
 	h.Set("Server", o.Endpoint)
 	h.Set("Account", o.Account)
+	if o.LastEventID != "" {
+		h.Set("Last", o.LastEventID)
+	}
 }
 func (testPlatform) RetryAfter(h http.Header, wait time.Duration) {
 	h.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
@@ -177,6 +180,7 @@
 	queues    *endpointQueues                  // if set, endpoints have slots and queues
 	halls     int                              // number of halls that instances are spread over
 	endpoints int                              // number of endpoints
+	versions  []string                         // of the software of the endpoints; may be empty
 	deaths    *endpointCrashes                 // endpoints that end while they work on a request
 	limits    *rateLimits                      // rate limits that endpoints announce
 	overload  settings.Overload                // settings of the instances
@@ -279,7 +283,7 @@
 
 // putEndpoint writes the entry of an endpoint, and returns its size.
 func (w *testCluster) putEndpoint(i int, leaving bool) int {
-	value, err := json.Marshal(registry.Endpoint{Service: "svc", Version: w.rollouts.version(i), Addr: addrOf(100+i, 80), Hall: "z", Slots: w.queues.slotCount(), Leaving: leaving})
+	value, err := json.Marshal(registry.Endpoint{Service: "svc", Version: w.version(i), Addr: addrOf(100+i, 80), Hall: "z", Slots: w.queues.slotCount(), Leaving: leaving})
 	if err != nil {
 		w.t.Fatal(err)
 	}
@@ -365,6 +369,10 @@
 		rw.Header().Set("Load", w.report)
 	}
 	w.limits.answers(endpoint, id, rw.Header(), time.Now())
+	if strings.HasPrefix(r.URL.Path, "/resume/") {
+		w.streamEvents(endpoint, rw, r)
+		return
+	}
 	if w.uneven != nil {
 		w.uneven.serve(endpoint, r, rw)
 		return
