forward: the rest of a stream comes from the version that began it

Cause: no decision on the way of a request knew the version that a stream began at. A stream that broke off was resumed at whichever endpoint a new request would get, and a client that resumed a stream at another instance, or at the same one, got any endpoint as well. Class: state of a request that outlives an attempt was kept in the attempt.

Now the version is part of the request. It is set by the first event, and every later attempt chooses among endpoints of that version only: at this instance, by way of another one (a call of its own, which an older instance refuses), and at hubs. Streams of several versions have records at three instances of different halls, sent when the first event is passed on; an instance at which a client resumes a stream asks them. Without a record, the stream goes on only where one version may have begun it, by what this instance and those that it asks have observed for the longest life of a stream, or by what the leader recorded in the store; else it is refused at once, as not run. The header Resumes names the stream.

After a restart of all instances streams go on while one version serves, and are refused within 0.3 s if two do.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -42,6 +42,8 @@
 	Account       string   // client account, if it has a limit
 	Units         float64  // charged to the account's limit; 0 if they were charged for an earlier attempt
 	Trial         bool     // it goes to the version of the service that is on trial
+	Resumes       bool     // it is for the rest of a stream, which began at Version
+	Version       string   // of the software of the endpoints that may serve it, with Resumes
 	OutputTokens  int      // upper bound
 	Priority      int      // 0 is the most urgent
 	// Payer is the client account whose fair share the request counts for, whether or not it has a limit.
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -50,6 +50,7 @@
 	ProxyRefused                 Code = 416
 	ProxiedAccepted              Code = 417
 	StreamResumedByClient        Code = 418
+	StreamOriginUnknown          Code = 419
 	EndpointEndedDuringRequest   Code = 421
 	Quarantined                  Code = 422
 	SuspicionCleared             Code = 423
@@ -151,7 +152,8 @@
 	{ForwardProxied, zap.InfoLevel, "request served by another instance", "This instance has no path to an endpoint of the service, and another one (peer) gave the response. Its log has the endpoints and the reason of a refusal, under the same request."},
 	{ProxyRefused, zap.InfoLevel, "request not taken by another instance", "Another instance (peer) was asked to serve a request and refused, or did not answer in time. Nothing of the request was sent to it; the next instance is asked. The instance is not asked again for this service for a moment, longer after each refusal."},
 	{ProxiedAccepted, zap.InfoLevel, "request of another instance accepted", "Another instance (peer) has no path to an endpoint for a request, which this instance serves. open is the number of such requests at this instance."},
-	{StreamResumedByClient, zap.InfoLevel, "stream resumed by a client", "A client requests the rest of a stream, after the event that it names (after). stream is the ID of the request that the first event came with, as far as the client states it."},
+	{StreamResumedByClient, zap.InfoLevel, "stream resumed by a client", "A client requests the rest of a stream, after the event that it names (after). stream is the ID of the request that the first event came with. The rest comes from endpoints of version only; source tells how it is known that the stream began there."},
+	{StreamOriginUnknown, zap.WarnLevel, "origin of a stream unknown", "A client requests the rest of a stream (stream), and it is not known at which version it began: no instance that was asked has a record, and each of versions may have begun it, or others. The request is refused, as not run. answers is the number of instances that answered."},
 	{EndpointEndedDuringRequest, zap.WarnLevel, "endpoint ended during a request", "The endpoint ended while it ran the request with this fingerprint, as observed by this instance or another one. At most one of the requests that it ran is the cause. ends is the number of endpoints that have ended under this request since it last completed."},
 	{Quarantined, zap.WarnLevel, "request quarantined", "Endpoints repeatedly ended while they ran the request with this fingerprint. It does not run until the given time, whatever its ID."},
 	{QuarantineLifted, zap.InfoLevel, "quarantine lifted", "An operator allowed the request with this fingerprint to run again."},
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -171,9 +171,13 @@
 func (h *Handler) attempt(ctx context.Context, w http.ResponseWriter, q *request) outcome {
 	view := h.View()
 	now := h.Clock.Now()
-	endpoints := view.Endpoints[q.service]
+	all := q.endpoints(view)
+	if q.began && len(all) == 0 {
+		return outcome{noEndpoint: true, denial: h.noEndpointOfVersion(q)}
+	}
+	endpoints := all
 	if !q.anyPath {
-		if endpoints = h.Paths.Reachable(endpoints); len(endpoints) == 0 && len(view.Endpoints[q.service]) > 0 {
+		if endpoints = h.Paths.Reachable(all); len(endpoints) == 0 && len(all) > 0 {
 			return outcome{noEndpoint: true, noPath: true, denial: h.unreachable(q, nil)}
 		}
 	}
@@ -252,6 +256,7 @@
 	b := &balance.Request{
 		Service: q.service, Route: q.route.Name, ID: q.meta.ID, Tokens: q.meta.PromptTokens, Parts: q.meta.Parts,
 		Avoid: q.chosen, NonIdempotent: !q.route.Idempotent(),
+		Resumes: q.began, Version: q.version,
 	}
 	h.setScheduling(b, q)
 	if s != nil && s.Engine != nil {
--- a/internal/forward/door.go
+++ b/internal/forward/door.go
@@ -9,7 +9,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/shelfcrank/shelfcrank/internal/event"
 	"github.com/shelfcrank/shelfcrank/internal/quota"
 )
 
@@ -28,9 +27,6 @@
 		h.refuse(w, q, d)
 		return
 	}
-	if q.resumesStream() {
-		h.event(event.StreamResumedByClient, zap.String("request", q.meta.ID), zap.String("stream", q.meta.Resumes), zap.String("after", q.meta.LastEventID), zap.String("service", q.service))
-	}
 	if d := q.checkDrain(); d != nil {
 		h.refuse(w, q, d)
 		return
@@ -41,6 +37,10 @@
 		h.refuse(w, q, d)
 		return
 	}
+	if d := h.findOrigin(ctx, q); d != nil {
+		h.refuse(w, q, d)
+		return
+	}
 	if d := h.admit(q); d != nil {
 		h.refuse(w, q, d)
 		return
@@ -48,9 +48,6 @@
 	h.run(ctx, w, q)
 }
 
-// resumesStream reports whether the client requests the rest of a stream that it has the beginning of.
-func (q *request) resumesStream() bool { return q.route.Resumable && q.meta.LastEventID != "" }
-
 // checkDrain returns a denial if this instance shuts down before the deadline of the request and the client
 // can go to another one: how long an endpoint takes is not known beforehand.
 func (q *request) checkDrain() *denial {
@@ -97,7 +94,9 @@
 		}
 	}
 	q.priority = c.Priority(q.account, q.route)
-	q.service = q.route.Pick(q.meta.ID)
+	if !q.began {
+		q.service = q.route.Pick(q.stream())
+	}
 	q.method, q.uri, q.host = r.Method, r.RequestURI, r.Host
 	allowed := q.route.Timeout
 	if q.meta.HasTimeout {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -23,12 +23,14 @@
 	"github.com/shelfcrank/shelfcrank/internal/clock"
 	"github.com/shelfcrank/shelfcrank/internal/event"
 	"github.com/shelfcrank/shelfcrank/internal/metrics"
+	"github.com/shelfcrank/shelfcrank/internal/origin"
 	"github.com/shelfcrank/shelfcrank/internal/peerproxy"
 	"github.com/shelfcrank/shelfcrank/internal/policy"
 	"github.com/shelfcrank/shelfcrank/internal/quarantine"
 	"github.com/shelfcrank/shelfcrank/internal/quota"
 	"github.com/shelfcrank/shelfcrank/internal/reach"
 	"github.com/shelfcrank/shelfcrank/internal/registry"
+	"github.com/shelfcrank/shelfcrank/internal/resume"
 	"github.com/shelfcrank/shelfcrank/internal/rollout"
 )
 
@@ -107,6 +109,16 @@
 	Place(ctx context.Context, endpoints []registry.Endpoint, r *balance.Request, until, now time.Time) (*balance.Ticket, error)
 }
 
+// Origins knows at which software versions of their services streams began.
+type Origins interface {
+	// Began records where a stream began, or went on, before its first event is passed on.
+	Began(r origin.Record)
+	// Completed records that a stream was passed on to its end.
+	Completed(stream string)
+	// Find returns where a stream of a service began. stream is empty if the client does not name it.
+	Find(ctx context.Context, stream, service string) resume.Found
+}
+
 // ErrNoEndpoint reports that no endpoint of a service accepts requests.
 var ErrNoEndpoint = errors.New("no endpoint accepts requests")
 
@@ -155,6 +167,7 @@
 	Proxy     Proxy // nil if there are no other instances
 	Placer    Placer
 	Admission Admission
+	Origins   Origins
 	// Quarantine tracks requests that are suspected of crashing endpoints.
 	Quarantine Quarantine
 	Clock      *clock.Clock // may be nil
@@ -224,7 +237,8 @@
 	firstEventAt   time.Time               // when the first event was passed on
 	lastEventAt    time.Time               // when the last event was passed on
 	longestPause   time.Duration           // the longest time between two events
-	version        string                  // software version of the endpoint that the last event came from
+	began          bool                    // the stream has begun, at version
+	version        string                  // software version of the endpoints that the events of the stream come from
 }
 
 // eventPassed records that an event was passed on to the client.
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -23,11 +23,13 @@
 	"github.com/shelfcrank/shelfcrank/internal/metrics"
 	"github.com/shelfcrank/shelfcrank/internal/netx"
 	"github.com/shelfcrank/shelfcrank/internal/notice"
+	"github.com/shelfcrank/shelfcrank/internal/origin"
 	"github.com/shelfcrank/shelfcrank/internal/policy"
 	"github.com/shelfcrank/shelfcrank/internal/quarantine"
 	"github.com/shelfcrank/shelfcrank/internal/quota"
 	"github.com/shelfcrank/shelfcrank/internal/ratelimit"
 	"github.com/shelfcrank/shelfcrank/internal/registry"
+	"github.com/shelfcrank/shelfcrank/internal/resume"
 	"github.com/shelfcrank/shelfcrank/internal/virtual"
 )
 
@@ -101,6 +103,18 @@
 func (noQuarantine) ConnectionRefused(registry.Endpoint)                            {}
 func (noQuarantine) RunCompleted(quarantine.Fingerprint, registry.Endpoint)         {}
 
+// fakeOrigins knows the origins of the streams in it, and of no others.
+type fakeOrigins map[string]origin.Record
+
+func (o fakeOrigins) Began(r origin.Record) { o[r.Stream] = r }
+func (o fakeOrigins) Completed(string)      {}
+func (o fakeOrigins) Find(_ context.Context, stream, _ string) resume.Found {
+	if r, ok := o[stream]; ok {
+		return resume.Found{Record: r, Source: resume.Own}
+	}
+	return resume.Found{Source: resume.Unknown}
+}
+
 // fixture is a handler with scripted endpoints.
 type fixture struct {
 	handler *Handler
@@ -178,7 +192,7 @@
 	view := &View{Config: testConfig(t), ConfirmedAt: time.Now(), KeysValidUntil: time.Now().Add(4 * time.Second), Endpoints: map[string][]registry.Endpoint{"svc": endpoints}, Instances: 1}
 	w.handler = New(Options{
 		Protocol: plainProtocol{}, View: func() *View { return view }, Backends: backend.New(backend.Options{Net: mem.Site("instance"), Protocol: plainProtocol{}, Notices: notice.New(notice.Options{}), Limits: ratelimit.New(ratelimit.Options{})}),
-		Placer: localPlacer{balance.NewTracker()}, Admission: w.admit, Quarantine: noQuarantine{}, Log: zap.NewNop(), Metrics: m,
+		Placer: localPlacer{balance.NewTracker()}, Admission: w.admit, Origins: make(fakeOrigins), Quarantine: noQuarantine{}, Log: zap.NewNop(), Metrics: m,
 		ConfigFreshFor: 2 * time.Second,
 	})
 	return w
--- a/internal/forward/proxy.go
+++ b/internal/forward/proxy.go
@@ -24,6 +24,7 @@
 		arrived: h.Clock.Now(), view: h.View(), meta: h.Protocol.Request(r.Header), proxied: true,
 		deadline: p.Deadline, tried: p.Tried, chosen: slices.Clone(p.Tried), mayHaveRun: p.MayHaveRun,
 		tryCounted: p.TryCounted, counted: p.RunCounted, answered: p.Answered, lastEventID: p.LastEventID,
+		began: p.Resumes, version: p.Version, service: p.Service,
 	}
 	h.serve(w, r, q)
 }
@@ -49,6 +50,7 @@
 	resp, err := h.Proxy.Send(ctx, &peerproxy.Request{
 		Service: q.service, Deadline: q.deadline, Tried: q.tried, MayHaveRun: q.mayHaveRun,
 		TryCounted: q.tryCounted, RunCounted: q.counted, Answered: q.answered, LastEventID: q.lastEventID,
+		Resumes: q.began, Version: q.version,
 		Call: &backend.Call{Method: q.method, URI: q.uri, Host: q.host, Header: h.receivedHeader(q), Body: q.body, ID: q.meta.ID},
 	})
 	if errors.Is(err, peerproxy.ErrNotTaken) {
@@ -64,7 +66,7 @@
 		return true
 	}
 	defer resp.Close()
-	h.observeProxied(resp, sentAt)
+	h.observeProxied(q, resp, sentAt)
 	if claimsNotRun(resp.StatusCode) {
 		h.refund(q)
 	} else {
@@ -74,13 +76,17 @@
 	return true
 }
 
-// observeProxied applies what the endpoint announces in a response that another instance got from it.
-func (h *Handler) observeProxied(resp *peerproxy.Response, sentAt time.Time) {
+// observeProxied applies what the endpoint announces in a response that another instance got from it, and
+// records at which version a stream begins.
+func (h *Handler) observeProxied(q *request, resp *peerproxy.Response, sentAt time.Time) {
 	id := resp.Header.Get(peerproxy.EndpointHeader)
 	resp.Header.Del(peerproxy.EndpointHeader)
 	for _, e := range h.View().Listed {
 		if e.ID == id {
 			h.Backends.Observe(&e, resp.StatusCode, resp.Header, sentAt)
+			if resp.StatusCode == http.StatusOK && isEvents(resp.Header) {
+				h.beginStream(q, e.Version)
+			}
 			return
 		}
 	}
@@ -110,6 +116,7 @@
 	if err != nil {
 		h.abort(ctx, q, resp, err)
 	}
+	h.completeStream(q)
 	h.logEnd(q, event.ForwardProxied, resp.StatusCode, "", nil, zap.String("peer", resp.Instance))
 }
 
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -96,6 +96,7 @@
 			ticket.Done(balance.Answered, h.Clock.Now())
 			h.runCompleted(q, ticket.Endpoint, resp)
 			h.openStream(w, q, resp)
+			h.completeStream(q)
 			h.logEnd(q, event.ForwardAnswered, resp.Status, "", nil)
 			return outcome{done: true}
 		}
@@ -109,7 +110,9 @@
 			h.compareForecast(q, ticket)
 			h.began(q)
 			h.Metrics.FirstToken(q.route.Name, h.Clock.Since(q.arrived))
-			q.version = ticket.Endpoint.Version
+			if !h.beginStream(q, ticket.Endpoint.Version) {
+				return h.brokenStream(ctx, q, ticket, errOtherVersion)
+			}
 		}
 		ticket.Event(h.Clock.Now())
 		id := eventID(e)
--- a/internal/front/calls.go
+++ b/internal/front/calls.go
@@ -25,6 +25,10 @@
 		return answer(&peerpb.Answer{Body: &peerpb.Answer_Done{Done: &peerpb.Done{}}})
 	case *peerpb.Call_Permit:
 		return n.suspects.servePermit(call, answer)
+	case *peerpb.Call_Origins:
+		return answer(n.streams.ServeOrigins(body.Origins))
+	case *peerpb.Call_FindOrigin:
+		return answer(n.streams.ServeFind(body.FindOrigin))
 	case *peerpb.Call_Notes:
 		return n.placer.serveNotes(body.Notes.GetNotes(), answer)
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -42,6 +42,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/ratelimit"
 	"github.com/shelfcrank/shelfcrank/internal/reach"
 	"github.com/shelfcrank/shelfcrank/internal/registry"
+	"github.com/shelfcrank/shelfcrank/internal/resume"
 	"github.com/shelfcrank/shelfcrank/internal/rollctl"
 	"github.com/shelfcrank/shelfcrank/internal/rollout"
 	"github.com/shelfcrank/shelfcrank/internal/settings"
@@ -119,6 +120,8 @@
 	handler           *forward.Handler
 	placer            *placer
 	suspects          *suspects
+	streams           *resume.Directory // at which versions streams began
+	versionRecorder   *resume.Recorder
 	rollouts          *rollctl.Control
 	knownRollouts     atomic.Pointer[[]rollctl.ServiceRollout]
 	hub               *hub.Mirror
@@ -148,6 +151,12 @@
 	readyProofAge    = 3000 * time.Millisecond // maximum age of the last regular read of the configuration for an instance to be ready
 )
 
+// Streams that clients may resume.
+const (
+	maxStreams    = 1 << 15          // records that are kept of own streams, and as many of others'
+	minStreamLife = 10 * time.Second // how long a stream can be resumed, unless the time-outs of the routes are longer
+)
+
 // New creates an instance; Run starts it.
 func New(o Options) (*Instance, error) {
 	n := &Instance{Options: o, start: o.Clock.Now(), injector: do.New(), synced: make(chan struct{}), standIn: newStandIn(o.Clock), hub: hub.New(o.Decoder.ConfigKey(), o.Clock), groups: newGroups(), versions: version.New()}
@@ -172,12 +181,14 @@
 		return nil, fmt.Errorf("create instance: %w", err)
 	}
 	n.peers = do.MustInvoke[*peer.Transport](n.injector)
+	n.streams = resume.New(resume.Options{Peers: n.peers, Self: n.self(), Others: n.others, Current: n.isCurrent, Most: maxStreams, Life: minStreamLife, Clock: o.Clock})
 	n.proxy = do.MustInvoke[*peerproxy.Client](n.injector)
 	n.backends = do.MustInvoke[*backend.Client](n.injector)
 	n.tracker = do.MustInvoke[*balance.Tracker](n.injector)
 	n.admission = do.MustInvoke[*admission](n.injector)
 	n.elector = do.MustInvoke[*duty.Elector](n.injector)
 	n.handler = do.MustInvoke[*forward.Handler](n.injector)
+	n.versionRecorder = &resume.Recorder{Directory: n.streams, Leader: n.elector, LeaderKey: n.elector.Key, Store: o.Store, Key: o.Decoder.OwnPrefix() + keyVersions}
 	n.proxied = peerproxy.NewAcceptor(o.Settings.Proxied(), http.HandlerFunc(n.handler.ServeProxied))
 	n.state = newState(n)
 	n.peers.SetHandler(n)
@@ -218,7 +229,7 @@
 	})
 	do.Provide(n.injector, func(do.Injector) (*forward.Handler, error) {
 		return forward.New(forward.Options{
-			Protocol: o.Protocol, View: n.view.Load, Backends: n.backends, Paths: n.paths, Proxy: n.proxy, Placer: n.placer, Admission: n.admission, Quarantine: n.suspects,
+			Protocol: o.Protocol, View: n.view.Load, Backends: n.backends, Paths: n.paths, Proxy: n.proxy, Placer: n.placer, Admission: n.admission, Origins: n.streams, Quarantine: n.suspects,
 			Clock: o.Clock, Log: o.Log, Metrics: n.metrics, ConfigFreshFor: denialProofAge,
 			Fingerprints: s.Overload.Admission,
 		}), nil
@@ -242,6 +253,7 @@
 	keyInstances = keyLive + "nodes/"
 	keyDirectory = keyLive + "readers/"
 	keyRollouts  = keyLive + "rollouts/"
+	keyVersions  = keyLive + "versions"
 	keyUsage     = "usage/"
 	keyOpen      = "open-usage"
 	keyEra       = "era"
@@ -349,6 +361,8 @@
 		{"open usage", n.saveOpenUsage},
 		{"fleet", n.scaleEndpoints},
 		{"roll-outs", n.leadRollouts},
+		{"stream origins", n.streams.Run},
+		{"versions of services", n.versionRecorder.Run},
 		{"paths", n.checkPaths},
 		{"upkeep", n.maintain},
 		{"reload", n.reload},
@@ -388,6 +402,7 @@
 			n.placer.expire(used, now)
 			n.observeScheduled(now)
 			n.suspects.expire(used, now)
+			n.streams.Maintain(now)
 			n.peers.CloseIdle(now)
 			n.proxyPeers.CloseIdle(now)
 			n.proxy.Expire(now)
--- a/internal/front/offers.go
+++ b/internal/front/offers.go
@@ -180,7 +180,7 @@
 	}
 	q := &peerpb.Place{
 		Service: r.Service, Id: r.ID, Tokens: int64(r.Tokens), Avoid: r.Avoid, Slots: int64(r.Slots), Once: r.NonIdempotent, Away: r.HomeElsewhere,
-		Account: r.Account, Units: r.Units, Trial: r.Trial, Plain: !r.Engine, Fingerprint: r.Fingerprint,
+		Account: r.Account, Units: r.Units, Trial: r.Trial, Resumes: r.Resumes, Version: r.Version, Plain: !r.Engine, Fingerprint: r.Fingerprint,
 		Left: int64(until.Sub(now)), Incarnation: p.instance.incarnation(),
 		Parts: lo.Map(r.Parts, func(part balance.Part, _ int) *peerpb.PromptPart {
 			return &peerpb.PromptPart{Id: part.ID, Tokens: int64(part.Tokens)}
--- a/internal/front/paths.go
+++ b/internal/front/paths.go
@@ -63,31 +63,34 @@
 // HandleStream implements peer.StreamHandler. It serves a request of an instance that has no path to
 // an endpoint.
 func (n *Instance) HandleStream(_ context.Context, call *peerpb.Call, stream net.Conn) bool {
-	m := call.GetProxy()
-	if m == nil {
+	request := peerproxy.FromCall(call, n.Clock.Now())
+	if request == nil {
 		return false
 	}
-	release, err := n.reserveProxied(m.Service)
+	release, err := n.reserveProxied(request)
 	if err != nil {
 		_ = peer.Refuse(stream, err)
 		return true
 	}
 	defer release()
-	request := peerproxy.FromMessage(m, n.Clock.Now())
 	if err := peer.Accept(stream); err != nil {
 		return true
 	}
-	n.event(event.ProxiedAccepted, zap.String("peer", call.From), zap.String("service", m.Service), zap.Time("deadline", request.Deadline), zap.Int("open", n.proxied.Open()))
+	n.event(event.ProxiedAccepted, zap.String("peer", call.From), zap.String("service", request.Service), zap.Time("deadline", request.Deadline), zap.Int("open", n.proxied.Open()))
 	n.proxied.Serve(stream, request)
 	return true
 }
 
 // reserveProxied reserves room for a request of another instance, if this one can serve it.
-func (n *Instance) reserveProxied(service string) (release func(), err error) {
+func (n *Instance) reserveProxied(r *peerproxy.Request) (release func(), err error) {
 	if n.leaving.Load() {
 		return nil, peerproxy.ErrLeaving
 	}
-	if len(n.paths.Reachable(n.view.Load().Endpoints[service])) == 0 {
+	endpoints := n.view.Load().Endpoints[r.Service]
+	if r.Resumes {
+		endpoints = n.view.Load().EndpointsOf(r.Service, r.Version)
+	}
+	if len(n.paths.Reachable(endpoints)) == 0 {
 		return nil, peerproxy.ErrNoPath
 	}
 	return n.proxied.Reserve()
--- a/internal/front/placing.go
+++ b/internal/front/placing.go
@@ -58,6 +58,9 @@
 // roll-out allows this request there.
 func (p *placer) Place(ctx context.Context, endpoints []registry.Endpoint, r *balance.Request, until, now time.Time) (*balance.Ticket, error) {
 	ticket, err := p.placeOnTrial(ctx, r, until, now)
+	if ticket == nil && err == nil && r.Resumes && p.isOnTrial(r) {
+		err = forward.ErrNoEndpoint
+	}
 	if ticket == nil && err == nil {
 		ticket, err = p.place(ctx, endpoints, r, until, now)
 	}
@@ -73,11 +76,18 @@
 // is available.
 func (p *placer) placeOnTrial(ctx context.Context, r *balance.Request, until, now time.Time) (*balance.Ticket, error) {
 	trial := p.instance.view.Load().TrialEndpoints[r.Service]
-	if len(trial) == 0 || !p.instance.rollouts.AdmitTrial(r, now) {
-		return nil, nil
-	}
 	q := *r
 	q.Trial = true
+	if r.Resumes {
+		if !p.isOnTrial(r) {
+			return nil, nil
+		}
+		q.Avoid = nil // a stream that began at the version on trial has nowhere else to go on
+	}
+	if len(trial) == 0 || !p.instance.rollouts.AdmitTrial(&q, now) {
+		return nil, nil
+	}
+	q.Avoid = r.Avoid
 	ticket, err := p.place(ctx, trial, &q, until, now)
 	if errors.Is(err, forward.ErrNoEndpoint) {
 		return nil, nil
@@ -85,6 +95,12 @@
 	return ticket, err
 }
 
+// isOnTrial reports whether a request is for the rest of a stream that began at the version on trial.
+func (p *placer) isOnTrial(r *balance.Request) bool {
+	trial := p.instance.view.Load().TrialEndpoints[r.Service]
+	return len(trial) > 0 && trial[0].Version == r.Version
+}
+
 // maxAvoid bounds the unavailable endpoints listed in a request for an offer, at a dozen
 // bytes each. Offers of the ones left out are declined.
 const maxAvoid = 64
@@ -187,20 +203,26 @@
 // candidates returns the endpoints that this hub may offer for a request. The endpoints of
 // a version on trial are few, so that every hub may offer all of them.
 func (p *placer) candidates(r *balance.Request) []registry.Endpoint {
-	if !r.Engine {
-		return p.plainCandidates(r)
+	var endpoints []registry.Endpoint
+	switch {
+	case !r.Engine:
+		endpoints = p.plainCandidates(r)
+	case r.Trial:
+		endpoints = p.instance.view.Load().TrialEndpoints[r.Service]
+	default:
+		endpoints = p.ownEndpoints(r.Service)
 	}
-	if r.Trial {
-		return p.instance.view.Load().TrialEndpoints[r.Service]
+	if !r.Resumes {
+		return endpoints
 	}
-	return p.ownEndpoints(r.Service)
+	return lo.Filter(endpoints, func(e registry.Endpoint, _ int) bool { return e.Version == r.Version })
 }
 
 // servePlace answers an instance that asks this hub for an offer.
 func (p *placer) servePlace(call *peerpb.Call, answer func(*peerpb.Answer) error) error {
 	q, now := call.GetPlace(), p.instance.Clock.Now()
 	r := &balance.Request{
-		Service: q.Service, ID: q.Id, Engine: !q.Plain, Fingerprint: q.Fingerprint, Tokens: int(q.Tokens), Avoid: q.Avoid, Slots: int(q.Slots), NonIdempotent: q.Once, HomeElsewhere: q.Away, Trial: q.Trial,
+		Service: q.Service, ID: q.Id, Engine: !q.Plain, Fingerprint: q.Fingerprint, Tokens: int(q.Tokens), Avoid: q.Avoid, Slots: int(q.Slots), NonIdempotent: q.Once, HomeElsewhere: q.Away, Trial: q.Trial, Resumes: q.Resumes, Version: q.Version,
 		Parts: lo.Map(q.Parts, func(part *peerpb.PromptPart, _ int) balance.Part {
 			return balance.Part{ID: part.Id, Tokens: int(part.Tokens)}
 		}),
--- a/internal/front/requestlog_test.go
+++ b/internal/front/requestlog_test.go
@@ -16,7 +16,7 @@
 
 // keptEvents are the events that a requestLog keeps: those that tell why a request failed.
 var keptEvents = []event.Code{
-	event.ForwardRefused, event.StreamBroken, event.ProxyRefused, event.EndpointEndedDuringRequest, event.Quarantined, event.SuspicionCleared,
+	event.ForwardRefused, event.StreamBroken, event.StreamOriginUnknown, event.ProxyRefused, event.EndpointEndedDuringRequest, event.Quarantined, event.SuspicionCleared,
 	event.ProcessResumed, event.Stopping,
 }
 
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -80,10 +80,13 @@
 // ready reports whether this instance can serve as well as any other: it is not stopping, and
 // either reads the store or no other instance can read it.
 func (n *Instance) ready(now time.Time) bool {
+	return !n.leaving.Load() && n.view.Load().Config != nil && n.isCurrent(now)
+}
+
+// isCurrent reports whether the view is that of the store, or of the time at which the store went down for all
+// instances.
+func (n *Instance) isCurrent(now time.Time) bool {
 	v := n.view.Load()
-	if n.leaving.Load() || v.Config == nil {
-		return false
-	}
 	return now.Sub(v.OwnConfirmedAt) < readyProofAge || now.Before(v.OutageUntil)
 }
 
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"github.com/shelfcrank/shelfcrank/internal/clock"
@@ -138,6 +139,15 @@
 	return t
 }
 
+// versions returns the software versions of the endpoints, by service.
+func (t activeEndpoints) versions() map[string][]string {
+	out := make(map[string][]string, len(t.byService))
+	for service, endpoints := range t.byService {
+		out[service] = lo.Uniq(lo.Map(endpoints, func(e registry.Endpoint, _ int) string { return e.Version }))
+	}
+	return out
+}
+
 // sameList reports whether two slices share the same backing array and length.
 func sameList(a, b []registry.Endpoint) bool {
 	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
@@ -197,6 +207,7 @@
 			s.rollouts.applyRecord(item)
 		}
 		s.rollouts.markLostRecords(c.items, c.at)
+		s.instance.versionRecorder.ApplyListing(c.items)
 		s.members.replace(c.items, now)
 		s.publishDue = true
 	case watched:
@@ -254,6 +265,7 @@
 func (s *state) putInForce(c *policy.Config, value []byte) {
 	s.config, s.publishDue = c, true
 	s.instance.versions.SetInForce(c.Version, value)
+	s.instance.streams.Versions.Extend(2 * c.LongestResumable())
 }
 
 // logOutdated logs a configuration that is older than the one held, once for each revision.
@@ -376,6 +388,7 @@
 		for _, e := range own {
 			if !e.Deleted {
 				s.rollouts.applyRecord(e.Item)
+				s.instance.versionRecorder.Apply(e.Item)
 			}
 		}
 		s.members.applyEvents(own, now)
@@ -434,6 +447,9 @@
 		s.publishDue = true
 	}
 	s.instance.admission.tick(s.members.count(), now)
+	if !s.instance.isCurrent(now) {
+		s.instance.streams.Versions.Interrupt(now)
+	}
 }
 
 // publish publishes a new view. Most views differ only in the proof of the configuration, so the
@@ -442,6 +458,7 @@
 	s.publishDue = false
 	if list := s.registry.List(); s.active.byService == nil || !sameList(list, s.active.source) {
 		s.active = activeOf(list)
+		s.instance.streams.Observe(s.active.versions(), s.instance.Clock.Now())
 	}
 	v := &forward.View{
 		Config: s.config, ConfirmedAt: s.provedAt, OwnConfirmedAt: s.readAt, KeysValidUntil: s.keysUntil(), OutageUntil: s.outageUntil(), Instances: s.members.count(), ServesUntil: s.servesUntil,
--- a/internal/front/streamversion_test.go
+++ b/internal/front/streamversion_test.go
@@ -70,6 +70,7 @@
 	numbers  []int    // of the events
 	versions []string // of the endpoints that the events came from, each once
 	requests int
+	resumed  bool // a request was for the rest of the stream
 	whole    bool
 }
 
@@ -98,6 +99,7 @@
 	if len(s.numbers) > 0 {
 		r.Header.Set("Last", strconv.Itoa(s.numbers[len(s.numbers)-1]))
 		r.Header.Set("Resumes", s.id)
+		s.resumed = true
 	}
 	s.requests++
 	resp, err := w.client.Do(r)
@@ -179,22 +181,129 @@
 			completed, of := checkStreams(is, wait(), func(s *clientStream) bool { return w.runsOf(s.id) > 1 })
 			is.True(of > 5)                                      // the crashes broke streams
 			is.True(float64(completed) >= minGoesOn*float64(of)) // and their rest came from another endpoint
-		}, withVersions("v1", "v1", "v1", "v2", "v2", "v2"))
+		}, withVersions(twoVersions...))
 	}
 }
 
 func TestAStreamThatAClientResumesHoldsOneVersion(t *testing.T) {
 	for _, instances := range fleets(9, largeFleet) {
 		runCluster(t, instances, func(is *is.I, w *testCluster) {
+			time.Sleep(2 * time.Second) // all instances know each other
 			names := runningNames(w)
 			killed, left := names[:instances/3], names[instances/3:]
 			var turn atomic.Int64
 			wait := w.streams(90, names, func(s *clientStream) string { return left[int(turn.Add(1))%len(left)] })
 			time.Sleep(500 * time.Millisecond)
 			w.kill(killed...)
-			completed, of := checkStreams(is, wait(), func(s *clientStream) bool { return s.requests > 1 })
+			completed, of := checkStreams(is, wait(), func(s *clientStream) bool { return s.resumed })
 			is.True(of > 20)
 			is.True(float64(completed) >= minGoesOn*float64(of))
-		}, withVersions("v1", "v1", "v1", "v2", "v2", "v2"), func(w *testCluster) { w.halls = 3 })
+		}, withVersions(twoVersions...), func(w *testCluster) { w.halls = 3 })
 	}
 }
+
+// modelEngines makes the service one of model engines, whose endpoints hubs choose in a large fleet.
+func modelEngines(w *testCluster) {
+	change := w.changeConfig
+	w.changeConfig = func(c *policy.Config) {
+		change(c)
+		c.Services[0].Engine = &policy.Engine{Slots: 64, CacheTokens: 1 << 20}
+	}
+}
+
+var twoVersions = []string{"v1", "v1", "v1", "v2", "v2", "v2"}
+
+func TestAStreamWhoseEndpointAHubChoosesHoldsOneVersion(t *testing.T) {
+	runCluster(t, largeFleet, func(is *is.I, w *testCluster) {
+		time.Sleep(2 * time.Second)
+		names := runningNames(w)
+		killed, left := names[:largeFleet/3], names[largeFleet/3:]
+		var turn atomic.Int64
+		wait := w.streams(90, names, func(*clientStream) string { return left[int(turn.Add(1))%len(left)] })
+		time.Sleep(400 * time.Millisecond)
+		w.crash(0, "", -1)
+		w.crash(3, "", -1)
+		time.Sleep(100 * time.Millisecond)
+		w.kill(killed...)
+		completed, of := checkStreams(is, wait(), func(s *clientStream) bool { return s.resumed || w.runsOf(s.id) > 1 })
+		is.True(of > 20)
+		is.True(float64(completed) >= minGoesOn*float64(of))
+	}, withVersions(twoVersions...), modelEngines, func(w *testCluster) { w.halls = 3 })
+}
+
+func TestAStreamThatAnotherInstanceServesHoldsOneVersion(t *testing.T) {
+	for _, instances := range fleets(9, largeFleet) {
+		for name, disturb := range map[string]func(w *testCluster, serving []string){
+			"endpoints crash":                    func(w *testCluster, _ []string) { w.crash(0, "", -1); w.crash(3, "", -1) },
+			"instances that serve it are killed": func(w *testCluster, serving []string) { w.kill(serving[:len(serving)/3]...) },
+		} {
+			runCluster(t, instances, func(is *is.I, w *testCluster) {
+				time.Sleep(2 * time.Second)
+				names := runningNames(w)
+				cut, serving := names[:instances/3], names[instances/3:]
+				w.partition(pathsReset, true, cut...)
+				time.Sleep(time.Second)
+				var turn atomic.Int64
+				wait := w.streams(60, cut, func(*clientStream) string { return cut[int(turn.Add(1))%len(cut)] })
+				time.Sleep(400 * time.Millisecond)
+				disturb(w, serving)
+				completed, of := checkStreams(is, wait(), func(s *clientStream) bool { return s.resumed || w.runsOf(s.id) > 1 })
+				t.Logf("%d instances, %s: %d of %d streams completed", instances, name, completed, of)
+				is.True(of > 5)
+				is.True(float64(completed) >= minGoesOn*float64(of))
+			}, withVersions(twoVersions...), func(w *testCluster) { w.halls = 3 })
+		}
+	}
+}
+
+// restartAll kills all instances at once and starts them again. started is closed when they serve.
+func (w *testCluster) restartAll(started chan<- struct{}) {
+	names := runningNames(w)
+	w.kill(names...)
+	for _, name := range names {
+		w.start(name)
+	}
+	for _, name := range names {
+		for !w.ready(name) {
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	close(started)
+}
+
+func TestStreamsGoOnAfterAllInstancesWereStoppedIfOneVersionServes(t *testing.T) {
+	for _, instances := range fleets(9, largeFleet) {
+		runCluster(t, instances, func(is *is.I, w *testCluster) {
+			time.Sleep(2 * time.Second)
+			names, started := runningNames(w), make(chan struct{})
+			wait := w.streams(60, names, func(s *clientStream) string {
+				<-started
+				return names[len(s.numbers)%len(names)]
+			})
+			time.Sleep(500 * time.Millisecond)
+			w.restartAll(started)
+			completed, of := checkStreams(is, wait(), func(s *clientStream) bool { return s.resumed })
+			is.True(of > 50)
+			is.True(float64(completed) >= minGoesOn*float64(of))
+		}, withVersions("v1", "v1", "v1", "v1", "v1", "v1"))
+	}
+}
+
+func TestStreamsOfUnknownVersionAreRefusedAtOnceAfterAllInstancesWereStopped(t *testing.T) {
+	runCluster(t, 9, func(is *is.I, w *testCluster) {
+		time.Sleep(2 * time.Second)
+		names, started := runningNames(w), make(chan struct{})
+		wait := w.streams(60, names, func(s *clientStream) string {
+			<-started
+			sent := time.Now()
+			if status := s.request(w, names[len(s.numbers)%len(names)]); status != http.StatusServiceUnavailable {
+				w.t.Errorf("stream %s: status %d", s.id, status)
+			}
+			is.True(time.Since(sent) < 300*time.Millisecond)
+			return ""
+		})
+		time.Sleep(500 * time.Millisecond)
+		w.restartAll(started)
+		checkStreams(is, wait(), func(s *clientStream) bool { return s.resumed })
+	}, withVersions(twoVersions...))
+}
--- a/internal/peerproxy/peerproxy.go
+++ b/internal/peerproxy/peerproxy.go
@@ -29,21 +29,37 @@
 	RunCounted  bool     // a run counts in the usage of the client account
 	Answered    bool     // the client has the head of the response
 	LastEventID string   // of the last event that the client has
+	Resumes     bool     // it is for the rest of a stream, which began at Version
+	Version     string   // of the software of the endpoints that serve the stream
 
 	Call *backend.Call // the request as the client sent it; used only by Client
 }
 
-// message returns the wire form of the request without its call.
+// message returns the wire form of the request without its call. The rest of a stream is a call of its own,
+// which an instance that does not know versions refuses.
 func (r *Request) message(now time.Time) *peerpb.Call {
-	return &peerpb.Call{Body: &peerpb.Call_Proxy{Proxy: &peerpb.Proxy{
+	m := &peerpb.Proxy{
 		Service: r.Service, Left: int64(r.Deadline.Sub(now)), Tried: r.Tried, MayHaveRun: r.MayHaveRun,
-		TryCounted: r.TryCounted, RunCounted: r.RunCounted, Answered: r.Answered, LastEventId: r.LastEventID,
-	}}}
+		TryCounted: r.TryCounted, RunCounted: r.RunCounted, Answered: r.Answered, LastEventId: r.LastEventID, Version: r.Version,
+	}
+	if r.Resumes {
+		return &peerpb.Call{Body: &peerpb.Call_Resume{Resume: m}}
+	}
+	return &peerpb.Call{Body: &peerpb.Call_Proxy{Proxy: m}}
 }
 
-// FromMessage returns the request of a wire form that is received now.
-func FromMessage(m *peerpb.Proxy, now time.Time) *Request {
+// FromCall returns the request of a call that is received now, nil if it is another call.
+func FromCall(call *peerpb.Call, now time.Time) *Request {
+	m := call.GetProxy()
+	resumes := m == nil
+	if resumes {
+		m = call.GetResume()
+	}
+	if m == nil {
+		return nil
+	}
 	return &Request{
+		Resumes: resumes, Version: m.Version,
 		Service: m.Service, Deadline: now.Add(time.Duration(m.Left)), Tried: m.Tried, MayHaveRun: m.MayHaveRun,
 		TryCounted: m.TryCounted, RunCounted: m.RunCounted, Answered: m.Answered, LastEventID: m.LastEventId,
 	}
--- a/internal/peerproxy/peerproxy_test.go
+++ b/internal/peerproxy/peerproxy_test.go
@@ -56,7 +56,7 @@
 	}
 	defer release()
 	_ = peer.Accept(stream)
-	i.acceptor.Serve(stream, FromMessage(call.GetProxy(), time.Now()))
+	i.acceptor.Serve(stream, FromCall(call, time.Now()))
 	return true
 }
 
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -154,6 +154,17 @@
 	return &c, nil
 }
 
+// LongestResumable returns the longest Timeout of a route whose streams can be resumed; 0 if there is none.
+func (c *Config) LongestResumable() time.Duration {
+	longest := time.Duration(0)
+	for i := range c.Routes {
+		if c.Routes[i].Resumable {
+			longest = max(longest, c.Routes[i].Timeout)
+		}
+	}
+	return longest
+}
+
 // meanRate returns the mean of the limits of the accounts that have one, or 1 if none has.
 func meanRate(accounts []Account) float64 {
 	sum, limited := 0.0, 0
@@ -233,6 +244,11 @@
 // Service returns the service with this name, or nil.
 func (c *Config) Service(name string) *Service { return c.byService[name] }
 
+// Uses reports whether requests of the route may go to a service.
+func (r *Route) Uses(service string) bool {
+	return slices.ContainsFunc(r.Split, func(s Share) bool { return s.Service == service && (s.Weight > 0 || len(r.Split) == 1) })
+}
+
 // Pick returns the service for a request with an id. It returns the same service for the same id
 // until the shares change.
 func (r *Route) Pick(id string) string {
