front: the active endpoints and the times of sightings in packages of their own

registry.Active selects the endpoints of a list that accept requests, and lastseen.Times is what members knew of other instances.

--- a/internal/front/lost.go
+++ b/internal/front/lost.go
@@ -44,7 +44,7 @@
 		all = lost
 	}
 	for _, m := range all {
-		if age := now.Sub(n.state.members.seenAt.get(m.Name)); age < n.memberTTL() {
+		if age := now.Sub(n.state.members.seenAt.Get(m.Name)); age < n.memberTTL() {
 			reported = append(reported, encodeInstance(m.Member, age))
 		}
 	}
@@ -53,7 +53,7 @@
 
 // lostByStore reports whether another instance may be running without a registration.
 func (n *Instance) lostByStore(m member, now time.Time) bool {
-	return !m.registered || now.Sub(n.state.members.selfReportedAt.get(m.Name)) < n.memberTTL()
+	return !m.registered || now.Sub(n.state.members.selfReportedAt.Get(m.Name)) < n.memberTTL()
 }
 
 // selfIfUnregistered returns the entry of this instance to report to others while it is not
@@ -97,7 +97,7 @@
 		case n.Settings.Name:
 			continue
 		case from:
-			n.state.members.selfReportedAt.record(from, now)
+			n.state.members.selfReportedAt.Record(from, now)
 		}
 		running = append(running, runningInstance{
 			Member: topology.Member{Name: i.Name, Addr: addr, Hall: i.Hall, Cores: i.Cores},
@@ -120,8 +120,8 @@
 		if now.Sub(t.seenAt) >= ttl {
 			continue
 		}
-		previous := m.seenAt.get(t.Name)
-		m.seenAt.record(t.Name, t.seenAt)
+		previous := m.seenAt.Get(t.Name)
+		m.seenAt.Record(t.Name, t.seenAt)
 		known := m.all[t.Name]
 		if known == nil {
 			m.upsert(t.Member)
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/shelfcrank/shelfcrank/internal/event"
+	"github.com/shelfcrank/shelfcrank/internal/lastseen"
 	"github.com/shelfcrank/shelfcrank/internal/store"
 	"github.com/shelfcrank/shelfcrank/internal/topology"
 )
@@ -54,10 +55,10 @@
 	published       atomic.Pointer[[]member]
 	currentTopology atomic.Pointer[topology.Topology]
 	halls           atomic.Pointer[map[netip.AddrPort]string] // by the address of each other instance
-	seenAt          lastSeen
+	seenAt          lastseen.Times
 	// selfReportedAt records when other instances last reported themselves as unregistered: this
 	// instance may not see that if it cannot read the store either.
-	selfReportedAt lastSeen
+	selfReportedAt lastseen.Times
 }
 
 func newMembers(n *Instance) *members {
@@ -78,7 +79,7 @@
 func (m *members) count() int { return 1 + len(m.list()) }
 
 // markSeen records that an instance was seen.
-func (m *members) markSeen(name string, at time.Time) { m.seenAt.record(name, at) }
+func (m *members) markSeen(name string, at time.Time) { m.seenAt.Record(name, at) }
 
 func (m *members) prefix() string { return m.instance.Decoder.OwnPrefix() + keyInstances }
 
@@ -172,7 +173,7 @@
 func (m *members) unregister(other *member, now time.Time) {
 	other.registered = false
 	if m.instance.grouped() {
-		m.seenAt.record(other.Name, now.Add(lostGrace-m.instance.memberTTL()))
+		m.seenAt.Record(other.Name, now.Add(lostGrace-m.instance.memberTTL()))
 	}
 }
 
@@ -190,7 +191,7 @@
 func (m *members) dropExpired(now time.Time) bool {
 	dropped, ttl := false, m.instance.memberTTL()
 	for name, other := range m.all {
-		if other.registered || now.Sub(m.seenAt.get(name)) < ttl {
+		if other.registered || now.Sub(m.seenAt.Get(name)) < ttl {
 			continue
 		}
 		delete(m.all, name)
@@ -198,8 +199,8 @@
 		m.instance.event(event.InstanceGone, zap.String("peer", name))
 		m.instance.admission.forget(name)
 	}
-	m.seenAt.dropBefore(now.Add(-ttl))
-	m.selfReportedAt.dropBefore(now.Add(-ttl))
+	m.seenAt.DropBefore(now.Add(-ttl))
+	m.selfReportedAt.DropBefore(now.Add(-ttl))
 	return dropped
 }
 
--- a/internal/front/share.go
+++ b/internal/front/share.go
@@ -72,7 +72,7 @@
 	case -1:
 		return true
 	}
-	seenAt := n.state.members.seenAt.get(other)
+	seenAt := n.state.members.seenAt.Get(other)
 	if seenAt.Before(n.start) {
 		seenAt = n.start
 	}
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -6,7 +6,6 @@
 	"strings"
 	"time"
 
-	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"github.com/shelfcrank/shelfcrank/internal/clock"
@@ -117,40 +116,7 @@
 	listed        bool       // the endpoints were listed
 	synced        bool       // Instance.synced is closed
 	publishDue    bool
-	active        activeEndpoints
-}
-
-// activeEndpoints are the endpoints that accept new requests, as published in views.
-type activeEndpoints struct {
-	source    []registry.Endpoint // registry list that they were selected from
-	all       []registry.Endpoint
-	byService map[string][]registry.Endpoint
-}
-
-// activeOf returns the endpoints of a list that are not leaving.
-func activeOf(list []registry.Endpoint) activeEndpoints {
-	t := activeEndpoints{source: list, byService: make(map[string][]registry.Endpoint)}
-	for _, endpoint := range list {
-		if !endpoint.Leaving {
-			t.all = append(t.all, endpoint)
-			t.byService[endpoint.Service] = append(t.byService[endpoint.Service], endpoint)
-		}
-	}
-	return t
-}
-
-// versions returns the software versions of the endpoints, by service.
-func (t activeEndpoints) versions() map[string][]string {
-	out := make(map[string][]string, len(t.byService))
-	for service, endpoints := range t.byService {
-		out[service] = lo.Uniq(lo.Map(endpoints, func(e registry.Endpoint, _ int) string { return e.Version }))
-	}
-	return out
-}
-
-// sameList reports whether two slices share the same backing array and length.
-func sameList(a, b []registry.Endpoint) bool {
-	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+	active        registry.Active
 }
 
 func newState(n *Instance) *state {
@@ -456,13 +422,13 @@
 // selection of active endpoints is reused unless the registry's list has changed.
 func (s *state) publish() {
 	s.publishDue = false
-	if list := s.registry.List(); s.active.byService == nil || !sameList(list, s.active.source) {
-		s.active = activeOf(list)
-		s.instance.streams.Observe(s.active.versions(), s.instance.Clock.Now())
+	if list := s.registry.List(); !s.active.IsOf(list) {
+		s.active = registry.ActiveOf(list)
+		s.instance.streams.Observe(s.active.Versions(), s.instance.Clock.Now())
 	}
 	v := &forward.View{
 		Config: s.config, ConfirmedAt: s.provedAt, OwnConfirmedAt: s.readAt, KeysValidUntil: s.keysUntil(), OutageUntil: s.outageUntil(), Instances: s.members.count(), ServesUntil: s.servesUntil,
-		Listed: s.active.all, Endpoints: maps.Clone(s.active.byService), TrialEndpoints: make(map[string][]registry.Endpoint), Rollouts: make(map[string]rollout.Record),
+		Listed: s.active.All, Endpoints: maps.Clone(s.active.ByService), TrialEndpoints: make(map[string][]registry.Endpoint), Rollouts: make(map[string]rollout.Record),
 	}
 	s.splitByRollout(v)
 	s.instance.view.Store(v)
