relay: an answer of the own interface holds one version as well

What callers would see: answers whose beginning and end come from engines of two software versions.

The version stands in the instance list, in route.Endpoint and in the record. It is bound by the first token, and route.Request.Accepts, which every policy asks, keeps the rest at it. The holder learns the version before a caller can have tokens, and a takeover binds it. Where engines state no version nothing is sent that was not sent before.

--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -249,6 +249,7 @@
 		blocks = min(maxBlocks, max(minBlocks, prefixIndexBytes/blockBytes/(len(s.endpoints)+1)))
 	}
 	e := route.NewEndpoint(i.ID, i.Incarnation, i.Addr, i.Hall, i.Serves, blocks, now)
+	e.Version = i.Version
 	s.endpoints[i.ID] = &knownEndpoint{endpoint: e, kind: i.Kind}
 	s.setPool(i.Kind, i.Serves, func(p *route.Pool) *route.Pool { return p.With(e) })
 	s.emit(EndpointJoined{e, i.Kind})
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -44,6 +44,8 @@
 type Model struct {
 	Name    string `toml:"name"`
 	Engines int    `toml:"engines"`
+	// Versions are those of the engines' software, assigned in turn; empty if they state none.
+	Versions []string `toml:"versions"`
 }
 
 // Service describes a plain service, one without a model, and the number of
@@ -217,7 +219,11 @@
 	n := 0
 	for _, m := range s.Models {
 		for i := range m.Engines {
-			set.Engine = append(set.Engine, standin.InstanceSpec{ID: fmt.Sprintf("%s-%02d", m.Name, i), Addr: loopback(base + portEngine + n), Hall: s.Halls[i%len(s.Halls)], Serves: m.Name})
+			engine := standin.InstanceSpec{ID: fmt.Sprintf("%s-%02d", m.Name, i), Addr: loopback(base + portEngine + n), Hall: s.Halls[i%len(s.Halls)], Serves: m.Name}
+			if len(m.Versions) > 0 {
+				engine.Version = m.Versions[i%len(m.Versions)]
+			}
+			set.Engine = append(set.Engine, engine)
 			n++
 		}
 	}
--- a/internal/experiment/chaos_test.go
+++ b/internal/experiment/chaos_test.go
@@ -75,7 +75,11 @@
 // newChaos starts the named deployment on an in-memory network with the delays
 // of its description. Callers and the stand-ins are on the same network.
 func newChaos(t *testing.T, name string, seed uint64, sw relay.Switches, system ...table.Cell) *chaos {
-	spec := chaosSpec(t, name)
+	return newChaosOf(t, chaosSpec(t, name), seed, sw, system...)
+}
+
+// newChaosOf is newChaos for a deployment that the caller has changed.
+func newChaosOf(t *testing.T, spec *deployment.Spec, seed uint64, sw relay.Switches, system ...table.Cell) *chaos {
 	hall := make(map[string]string)
 	for i := range spec.Entries {
 		e := spec.EntrySettings(chaosBasePort, i)
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -67,12 +67,13 @@
 // result that it has so far.
 func ToRecord(r *record.Record) *peerpb.Record {
 	p, _ := r.Progress(0)
+	version, _ := r.Version()
 	return &peerpb.Record{
 		Id: r.ID, Account: r.Account, Class: r.Class, Kind: string(r.Kind), Target: r.Target,
 		ContentType: r.ContentType, Body: r.Body, Digest: r.Digest, Session: r.Session,
 		MaxTokens: int32(r.MaxTokens), Priority: int32(r.Priority), Seed: r.Seed,
 		Deadline: ToUnixNano(r.Deadline), Arrived: ToUnixNano(r.ArrivedAt), Repeatable: r.Repeatable, Fresh: r.GeneratedID,
-		Chat: r.Chat, Owner: p.Owner, Endpoint: r.Endpoint(), Tokens: p.Tokens, Result: ToResult(p.Result),
+		Chat: r.Chat, Owner: p.Owner, Endpoint: r.Endpoint(), Version: version, Tokens: p.Tokens, Result: ToResult(p.Result),
 	}
 }
 
@@ -93,7 +94,7 @@
 		Deadline: FromUnixNano(m.Deadline), ArrivedAt: FromUnixNano(m.Arrived), Repeatable: m.Repeatable, GeneratedID: m.Fresh,
 		Chat: m.Chat,
 	}, m.Owner)
-	r.SetEndpoint(m.Endpoint)
+	r.SetEndpoint(m.Endpoint, m.Version)
 	_ = r.Append(0, m.Tokens...) // cannot fail on an empty record
 	if res := FromResult(m.Result, from); res != nil {
 		r.Finish(*res)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -45,7 +45,8 @@
 	Addr        netip.AddrPort `json:"address"`
 	Peer        netip.AddrPort `json:"peer_address,omitzero"`
 	Hall        string         `json:"hall"`
-	Serves      string         `json:"serves,omitempty"` // name of the model or service that it serves
+	Serves      string         `json:"serves,omitempty"`  // name of the model or service that it serves
+	Version     string         `json:"version,omitempty"` // of the software of an endpoint; empty if it states none
 	State       State          `json:"state,omitempty"`
 	Deadline    time.Time      `json:"deadline,omitzero"` // time of the shutdown of a leaving instance
 }
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -72,6 +72,9 @@
 	owner        string        // entry instance that runs the request; guarded by mu
 	holder       string        // instance that holds the backup copy; set on the owner only; guarded by mu
 	endpoint     string        // endpoint that the request runs on; guarded by mu
+	version      string        // software version of that endpoint, or of those that the tokens come from; guarded by mu
+	versionBound bool          // tokens that this instance does not have may come from version; guarded by mu
+	ackedVersion string        // version that the holder has acknowledged; guarded by mu
 	tokens       []string      // guarded by mu
 	result       *Result       // guarded by mu
 	fetched      bool          // a caller has received the whole answer; guarded by mu
@@ -185,6 +188,7 @@
 		return false
 	}
 	r.owner, r.holder = self, ""
+	r.versionBound = r.version != ""
 	r.ackedTokens, r.resultAcked, r.fetchedAcked = 0, false, false
 	r.signal()
 	return true
@@ -203,6 +207,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.holder, r.ackedTokens, r.resultAcked, r.fetchedAcked = id, n, false, false
+	r.ackedVersion = ""
 }
 
 // Endpoint returns the endpoint that the request runs on.
@@ -212,13 +217,28 @@
 	return r.endpoint
 }
 
-// SetEndpoint sets the endpoint that the request runs on.
-func (r *Record) SetEndpoint(id string) {
+// SetEndpoint sets the endpoint that the request runs on, and the version of its software.
+// Once there are tokens, the version stays the one that they come from.
+func (r *Record) SetEndpoint(id, version string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.endpoint = id
+	if !r.began() {
+		r.version = version
+	}
+}
+
+// Version returns the version of the software of the endpoints that the answer comes from. began
+// is false while no token has come: the answer may then come from any version.
+func (r *Record) Version() (version string, began bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.version, r.began()
 }
 
+// began reports whether a caller may have tokens. The caller must hold mu.
+func (r *Record) began() bool { return len(r.tokens) > 0 || r.versionBound }
+
 // MarkSent records that bytes of the request may have been sent to an endpoint.
 func (r *Record) MarkSent() {
 	r.mu.Lock()
@@ -266,6 +286,7 @@
 	From     int // position of the first token
 	Tokens   []string
 	Endpoint string
+	Version  string // of the endpoint's software
 	Result   *Result
 	Fetched  bool // a caller has received the whole answer; set only once the holder has the result
 }
@@ -275,14 +296,14 @@
 func (r *Record) PendingUpdate() (Update, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	u := Update{From: r.ackedTokens, Endpoint: r.endpoint, Fetched: r.fetched && r.resultAcked && !r.fetchedAcked}
+	u := Update{From: r.ackedTokens, Endpoint: r.endpoint, Version: r.version, Fetched: r.fetched && r.resultAcked && !r.fetchedAcked}
 	if r.ackedTokens < len(r.tokens) {
 		u.Tokens = slices.Clone(r.tokens[r.ackedTokens:])
 	}
 	if r.result != nil && !r.resultAcked {
 		u.Result = r.result
 	}
-	return u, len(u.Tokens) > 0 || u.Result != nil || u.Fetched
+	return u, len(u.Tokens) > 0 || u.Result != nil || u.Fetched || r.version != r.ackedVersion
 }
 
 // Acknowledge records that the holder has received an update, and reports whether
@@ -294,7 +315,8 @@
 		return false
 	}
 	r.ackedTokens = max(r.ackedTokens, u.From+len(u.Tokens))
+	r.ackedVersion = u.Version
 	r.resultAcked = r.resultAcked || u.Result != nil
 	r.fetchedAcked = r.fetchedAcked || u.Fetched
-	return r.ackedTokens < len(r.tokens) || (r.result != nil && !r.resultAcked) || (r.fetched && !r.fetchedAcked)
+	return r.ackedTokens < len(r.tokens) || r.version != r.ackedVersion || (r.result != nil && !r.resultAcked) || (r.fetched && !r.fetchedAcked)
 }
--- a/internal/relay/engines.go
+++ b/internal/relay/engines.go
@@ -104,6 +104,9 @@
 			return
 		}
 		chain := prefix.Chain(class.Model, string(rec.Body))
+		if home[0].Version != e.Endpoint.Version {
+			continue // what one version keeps is of no use to another
+		}
 		if home[0].InBackoff(r.Clock.Now()) || home[0].Blocks.Held(chain) == len(chain) {
 			continue // it requested a backoff, or another instance moved the cache of a later turn
 		}
--- a/internal/relay/handle.go
+++ b/internal/relay/handle.go
@@ -106,7 +106,7 @@
 	if u.Drop {
 		rec.MarkFetched()
 	}
-	rec.SetEndpoint(u.Endpoint)
+	rec.SetEndpoint(u.Endpoint, u.Version)
 	r.merge(rec, int(u.From), u.Tokens, peer.FromResult(u.Result, from))
 }
 
@@ -171,7 +171,7 @@
 	rec, added := r.store.Add(peer.FromRecord(h.Record, from))
 	if !added {
 		r.merge(rec, 0, h.Record.Tokens, peer.FromResult(h.Record.Result, from))
-		rec.SetEndpoint(h.Record.Endpoint)
+		rec.SetEndpoint(h.Record.Endpoint, h.Record.Version)
 		rec.TakeOver(rec.Owner(), r.Self)
 	}
 	r.event(event.RecordHandedOver, zap.String("request", rec.ID), zap.String("from", from))
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -37,11 +37,13 @@
 // routeRequest returns the routing input for a model call.
 func (r *Relay) routeRequest(rec *record.Record, class *table.Class) *route.Request {
 	prompt := string(rec.Body)
-	return &route.Request{
+	req := &route.Request{
 		Session: xxhash.Sum64String(rec.Session), Chain: prefix.Chain(class.Model, prompt),
 		Tokens: prefix.Tokens(prompt), Priority: rec.Priority, LatencyTarget: class.LatencyTarget,
 		RecomputePenalty: class.RecomputePrice, Hall: r.Hall, Random: r.random(), Prefer: rec.Endpoint(), Limits: r.limits,
 	}
+	req.Version, req.Resumes = rec.Version()
+	return req
 }
 
 // runModel runs a model call until its answer is complete, its deadline has passed or another
@@ -63,6 +65,7 @@
 		}
 		if err == nil {
 			req.Random = r.random()
+			req.Version, req.Resumes = rec.Version()
 			before := rec.Position()
 			err = r.runOnce(ctx, a, pool, req)
 			if err == nil || errors.Is(err, errHandedOver) {
@@ -133,8 +136,11 @@
 	if from > 0 && rec.Endpoint() != e.ID {
 		r.event(event.StreamResumed, zap.String("request", rec.ID), zap.String("endpoint", e.ID), zap.Int("position", from))
 	}
-	rec.SetEndpoint(e.ID)
+	rec.SetEndpoint(e.ID, e.Version)
 	rec.MarkSent()
+	if e.Version != "" {
+		r.markUpdated(rec) // the holder has to know the version before a caller has tokens of it
+	}
 	e.Begin(d.Uncached)
 	defer e.End()
 	e.Blocks.Add(req.Chain...)
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -74,7 +74,7 @@
 	if err := r.limits.Take(e.Key, now); err != nil {
 		return fault.New(fault.StepDispatch, e.ID, fault.KindLimit, r.runIfUnsent(rec), "send: %w", err)
 	}
-	rec.SetEndpoint(e.ID)
+	rec.SetEndpoint(e.ID, e.Version)
 	e.Begin(0)
 	defer e.End()
 	if rec.Repeatable {
--- a/internal/relay/upkeep.go
+++ b/internal/relay/upkeep.go
@@ -63,7 +63,7 @@
 		if !any || holder == "" || rec.Owner() != r.Self {
 			continue
 		}
-		updates[holder] = append(updates[holder], &peerpb.Update{Id: rec.ID, From: int32(n.From), Tokens: n.Tokens, Endpoint: n.Endpoint, Result: peer.ToResult(n.Result), Drop: n.Fetched})
+		updates[holder] = append(updates[holder], &peerpb.Update{Id: rec.ID, From: int32(n.From), Tokens: n.Tokens, Endpoint: n.Endpoint, Version: n.Version, Result: peer.ToResult(n.Result), Drop: n.Fetched})
 		sent[holder] = append(sent[holder], sentUpdate{rec, n})
 	}
 	for holder, list := range updates {
--- a/internal/route/pool.go
+++ b/internal/route/pool.go
@@ -35,6 +35,7 @@
 	Addr        netip.AddrPort
 	Hall        string
 	Model       string        // name of the model or service that it serves
+	Version     string        // of its software; empty if it states none
 	Blocks      *prefix.Index // prompt blocks expected in its KV cache; nil for a plain service
 	JoinedAt    time.Time     // when this instance added it; slow start begins here
 
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -31,6 +31,8 @@
 	Avoid            []string      // IDs of endpoints that already failed the request
 	Prefer           string        // ID of the endpoint that holds the request's KV cache, if any
 	Limits           Limits        // nil if no endpoint has a rate limit
+	Resumes          bool          // it is for the rest of an answer, which began at Version
+	Version          string        // of the software of the endpoints that may serve it, with Resumes
 }
 
 // Limits holds the rate limits that endpoints set for the instances that call them.
@@ -40,10 +42,11 @@
 	Allows(key string, now time.Time) bool
 }
 
-// Accepts reports whether an endpoint accepts calls from this instance now: it is
-// not in a backoff and not at its rate limit.
+// Accepts reports whether an endpoint accepts the request from this instance now: it is
+// not in a backoff and not at its rate limit, and an answer that has begun goes on at the
+// version that began it.
 func (r *Request) Accepts(e *Endpoint, now time.Time) bool {
-	return !e.InBackoff(now) && (r.Limits == nil || r.Limits.Allows(e.Key, now))
+	return (!r.Resumes || e.Version == r.Version) && !e.InBackoff(now) && (r.Limits == nil || r.Limits.Allows(e.Key, now))
 }
 
 // eligible reports whether an endpoint is a candidate for the request: it accepts
--- a/internal/standin/answer.go
+++ b/internal/standin/answer.go
@@ -17,9 +17,20 @@
 // PromptHash returns the hash of a prompt from which Token derives the answer.
 func PromptHash(prompt string) uint64 { return xxhash.Sum64String(prompt) }
 
-// Answer returns the first n tokens of the answer to a prompt.
-func Answer(prompt string, n int) string {
-	h := PromptHash(prompt)
+// answerHash returns the hash from which Token derives the answer of an engine of a version.
+func answerHash(version, prompt string) uint64 {
+	if version == "" {
+		return PromptHash(prompt)
+	}
+	return PromptHash(version + "\n" + prompt)
+}
+
+// Answer returns the first n tokens of the answer to a prompt by an engine without a version.
+func Answer(prompt string, n int) string { return AnswerOf("", prompt, n) }
+
+// AnswerOf returns the first n tokens of the answer to a prompt by an engine of a version.
+func AnswerOf(version, prompt string, n int) string {
+	h := answerHash(version, prompt)
 	var b strings.Builder
 	for i := range n {
 		b.WriteString(Token(h, i))
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -114,7 +114,7 @@
 // enqueue adds a request to the queue. Only the tokens that neither the prefix cache nor an imported
 // KV cache holds are left to compute.
 func (e *engine) enqueue(ctx context.Context, g endpoint.Generate) *sequence {
-	s := &sequence{request: g, chain: prefix.Chain(e.spec.Serves, g.Prompt), promptTokens: prefix.Tokens(g.Prompt), emitted: g.ResumeFrom, promptHash: PromptHash(g.Prompt), chunks: make(chan endpoint.Chunk, chunkBuffer), ctx: ctx}
+	s := &sequence{request: g, chain: prefix.Chain(e.spec.Serves, g.Prompt), promptTokens: prefix.Tokens(g.Prompt), emitted: g.ResumeFrom, promptHash: answerHash(e.spec.Version, g.Prompt), chunks: make(chan endpoint.Chunk, chunkBuffer), ctx: ctx}
 	e.mu.Lock()
 	held := 0
 	for held < len(s.chain) && e.touchBlock(s.chain[held]) {
--- a/internal/standin/timing.go
+++ b/internal/standin/timing.go
@@ -49,6 +49,7 @@
 	Hall     string         `toml:"hall"`
 	Serves   string         `toml:"serves"` // model or service
 	OnDemand bool           `toml:"on_demand"`
+	Version  string         `toml:"version"` // of the software; engines of different versions give different answers
 }
 
 // Settings configures a process that runs a World.
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -207,7 +207,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.instances = append(w.instances, &instance{
-		Instance: platform.Instance{ID: p.ID, Incarnation: incarnation, Kind: kind, Addr: p.Addr, Peer: p.Peer, Hall: p.Hall, Serves: p.Serves},
+		Instance: platform.Instance{ID: p.ID, Incarnation: incarnation, Kind: kind, Addr: p.Addr, Peer: p.Peer, Hall: p.Hall, Serves: p.Serves, Version: p.Version},
 		startAt:  time.Now(), price: price,
 	})
 }
