standin: the tokens that an engine has to compute are read with its lock held

Found by the race detector under TestAnAnswerOfTheOwnInterfaceHoldsOneVersion: countPrompt read a sequence's remaining tokens while the engine's goroutine counted them down. Only the stand-in's ground truth of computed tokens was affected. After: the test passes under the race detector.

--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -136,8 +136,9 @@
 	e.sequences[g.Request] = s
 	e.waiting = append(e.waiting, s)
 	slices.SortStableFunc(e.waiting, func(a, b *sequence) int { return b.request.Priority - a.request.Priority })
+	computed := s.remaining
 	e.mu.Unlock()
-	e.countPrompt(s, held, resumed)
+	e.countPrompt(s, held, resumed, computed)
 	select {
 	case e.workAdded <- struct{}{}:
 	default:
@@ -145,15 +146,16 @@
 	return s
 }
 
-// countPrompt adds a prompt to the ground truth. A block counts as recomputed if it is computed
-// again after it was computed for the same session, on any engine.
-func (e *engine) countPrompt(s *sequence, held, resumed int) {
+// countPrompt adds a prompt, of which the engine has to compute a number of tokens, to the ground truth. A
+// block counts as recomputed if it is computed again after it was computed for the same session, on any
+// engine.
+func (e *engine) countPrompt(s *sequence, held, resumed, computed int) {
 	session := xxhash.Sum64String(s.request.Session)
 	e.world.mu.Lock()
 	defer e.world.mu.Unlock()
 	t := &e.world.truth
 	t.TokensPrompt += s.promptTokens
-	t.TokensComputed += s.remaining
+	t.TokensComputed += computed
 	t.TokensRecomputed += resumed
 	for i, b := range s.chain {
 		key := session ^ b
