resume: an instance that no other answers reads the versions from the store

Order: v2 appears, instance 0 is cut off, instance 1 observes v2 and begins a stream at v2, the client resumes it at instance 0.

Now it concludes nothing without an answer of another instance or a list read after the request arrived; concurrent requests share a read.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -151,12 +151,6 @@
 	readyProofAge    = 3000 * time.Millisecond // maximum age of the last regular read of the configuration for an instance to be ready
 )
 
-// Streams that clients may resume.
-const (
-	maxStreams    = 1 << 15          // records that are kept of own streams, and as many of others'
-	minStreamLife = 10 * time.Second // how long a stream can be resumed, unless the time-outs of the routes are longer
-)
-
 // New creates an instance; Run starts it.
 func New(o Options) (*Instance, error) {
 	n := &Instance{Options: o, start: o.Clock.Now(), injector: do.New(), synced: make(chan struct{}), standIn: newStandIn(o.Clock), hub: hub.New(o.Decoder.ConfigKey(), o.Clock), groups: newGroups(), versions: version.New()}
@@ -181,7 +175,7 @@
 		return nil, fmt.Errorf("create instance: %w", err)
 	}
 	n.peers = do.MustInvoke[*peer.Transport](n.injector)
-	n.streams = resume.New(resume.Options{Peers: n.peers, Self: n.self(), Others: n.others, Current: n.isCurrent, Most: maxStreams, Life: minStreamLife, Clock: o.Clock})
+	n.streams = resume.New(resume.Options{Peers: n.peers, Self: n.self(), Others: n.others, Current: n.isCurrent, List: n.listVersions, Clock: o.Clock})
 	n.proxy = do.MustInvoke[*peerproxy.Client](n.injector)
 	n.backends = do.MustInvoke[*backend.Client](n.injector)
 	n.tracker = do.MustInvoke[*balance.Tracker](n.injector)
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"github.com/shelfcrank/shelfcrank/internal/clock"
@@ -295,6 +296,22 @@
 	return s.storeDown && now.Sub(s.downAt) > minOutage
 }
 
+// listVersions reads the endpoints from the store and returns the versions, by service, of those that accept
+// requests.
+func (n *Instance) listVersions(ctx context.Context) (map[string][]string, error) {
+	items, at, err := n.Store.Range(ctx, n.Decoder.EndpointPrefix())
+	if err != nil {
+		return nil, err
+	}
+	n.state.send(listedEndpoints{items, at})
+	active := registry.ActiveOf(lo.FilterMap(items, func(item store.Item, _ int) (registry.Endpoint, bool) {
+		id, _ := n.Decoder.EndpointID(item.Key)
+		e, err := n.Decoder.Endpoint(id, item.Value, n.Clock.Now())
+		return e, err == nil
+	}))
+	return active.Versions(), nil
+}
+
 func (s *state) applyEndpointList(items []store.Item, at store.Revision, now time.Time) {
 	var endpoints []registry.Endpoint
 	var invalid []string
--- a/internal/origin/versions.go
+++ b/internal/origin/versions.go
@@ -19,6 +19,27 @@
 	stored   bool                            // the store holds recorded; guarded by mu
 }
 
+// Knowledge is what instances know of the versions of a service that may have begun a stream without a record.
+type Knowledge struct {
+	Versions []string // sorted
+	Complete bool     // no other version may have
+}
+
+// With returns what an instance knows together with another one.
+func (k Knowledge) With(other Knowledge) Knowledge {
+	all := slices.Concat(k.Versions, other.Versions)
+	slices.Sort(all)
+	return Knowledge{Versions: slices.Compact(all), Complete: k.Complete || other.Complete}
+}
+
+// OnlyVersion returns the version that began the stream, if no other one may have.
+func (k Knowledge) OnlyVersion() (version string, ok bool) {
+	if !k.Complete || len(k.Versions) != 1 {
+		return "", false
+	}
+	return k.Versions[0], true
+}
+
 // Recorded names, by service, the versions that may have begun a stream that can still be resumed, as the
 // leader of the fleet keeps them in the store for instances that start.
 type Recorded map[string][]string
--- a/internal/resume/resume.go
+++ b/internal/resume/resume.go
@@ -9,8 +9,8 @@
 package resume
 
 import (
+	"cmp"
 	"context"
-	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -33,6 +33,8 @@
 	sendDelay      = 4 * time.Millisecond   // gathers records for a holder in one call
 	retryInterval  = 100 * time.Millisecond // until records without a known holder are sent
 	maxQueued      = 1 << 14                // records that wait to be sent
+	defaultMost    = 1 << 15
+	defaultLife    = 10 * time.Second
 	// maxLife bounds how long a record of another instance is held.
 	maxLife = 5 * time.Minute
 )
@@ -49,9 +51,11 @@
 	Others func() []topology.Member // the other instances
 	// Current reports whether the versions that Versions observes are those that serve now.
 	Current func(now time.Time) bool
-	Most    int           // records that are kept of own streams, and as many of others'
-	Life    time.Duration // from the first request of a stream until the last one that resumes it, at least
-	Clock   *clock.Clock  // may be nil
+	// List reads from the store the versions, by service, of all endpoints that accept requests.
+	List  func(ctx context.Context) (map[string][]string, error)
+	Most  int           // records that are kept of own streams, and as many of others'; 0 is 32,768
+	Life  time.Duration // from the first request of a stream until the last one that resumes it, at least; 0 is 10 s
+	Clock *clock.Clock  // may be nil
 }
 
 // Directory keeps and finds the records of streams.
@@ -61,6 +65,7 @@
 	own      *origin.Table   // of streams that this instance began
 	held     *origin.Table   // of others
 	known    map[string]bool // instances at the last call of Maintain
+	listed   listing
 
 	mu      sync.Mutex
 	queued  []origin.Record // to be sent to their holders; guarded by mu
@@ -69,9 +74,10 @@
 
 // New returns a directory.
 func New(o Options) *Directory {
+	o.Most, o.Life = cmp.Or(o.Most, defaultMost), cmp.Or(o.Life, defaultLife)
 	return &Directory{
 		Options: o, Versions: origin.NewVersions(o.Life), own: origin.NewTable(o.Most), held: origin.NewTable(o.Most),
-		sendDue: make(chan struct{}, 1),
+		sendDue: make(chan struct{}, 1), listed: listing{reading: make(chan struct{}, 1)},
 	}
 }
 
@@ -273,27 +279,33 @@
 	if r, ok := d.get(stream, now); ok && stream != "" {
 		return Found{Record: r, Source: Own}
 	}
-	versions, complete := d.candidates(service, now)
 	f := Found{Record: origin.Record{Stream: stream, Service: service}, Source: Unknown}
+	known := origin.Knowledge{}
+	known.Versions, known.Complete = d.candidates(service, now)
 	timeout := findTimeout
-	if complete && len(versions) == 1 {
+	if _, ok := known.OnlyVersion(); ok {
 		timeout = certainTimeout
 	}
-	possible := lo.SliceToMap(versions, func(v string) (string, bool) { return v, true })
 	for a := range d.ask(ctx, stream, service, timeout) {
 		f.Answers++
 		if a.Origin != nil {
 			f.Record, f.Source = decode(a.Origin, now), Peer
 			return f
 		}
-		complete = complete || a.Complete
-		for _, v := range a.Versions {
-			possible[v] = true
+		known = known.With(origin.Knowledge{Versions: a.Versions, Complete: a.Complete})
+	}
+	if f.Answers == 0 && len(d.Others()) > 0 {
+		// Others may know a version that this instance does not know yet.
+		list, err := d.listed.since(ctx, now, d)
+		if err != nil {
+			f.Versions = known.Versions
+			return f
 		}
+		known = known.With(origin.Knowledge{Versions: list[service]})
 	}
-	f.Versions = slices.Sorted(maps.Keys(possible))
-	if complete && len(f.Versions) == 1 {
-		f.Version, f.Source = f.Versions[0], OnlyVersion
+	f.Versions = known.Versions
+	if version, ok := known.OnlyVersion(); ok {
+		f.Version, f.Source = version, OnlyVersion
 	}
 	return f
 }
@@ -324,3 +336,32 @@
 	}()
 	return answers
 }
+
+// listing is what List returned last. It belongs to the one that has sent to its channel.
+type listing struct {
+	reading  chan struct{} // capacity 1
+	sentAt   time.Time
+	versions map[string][]string // by service
+}
+
+// since returns a listing that was read after a time. Concurrent callers share a read.
+func (l *listing) since(ctx context.Context, after time.Time, d *Directory) (map[string][]string, error) {
+	select {
+	case l.reading <- struct{}{}:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	defer func() { <-l.reading }()
+	if l.sentAt.After(after) {
+		return l.versions, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	sent := d.Clock.Now()
+	versions, err := d.List(ctx)
+	if err != nil {
+		return nil, err
+	}
+	l.sentAt, l.versions = sent, versions
+	return versions, nil
+}
--- a/internal/resume/resume_test.go
+++ b/internal/resume/resume_test.go
@@ -29,6 +29,8 @@
 	all   map[string]*Directory // by name of the instance; replaced with mu held
 	down  map[string]bool       // instances that do not answer; guarded by mu
 	calls int                   // guarded by mu
+	store []string              // versions of svc in the store; nil if it cannot be read; guarded by mu
+	reads int                   // of the store; guarded by mu
 }
 
 var errDown = errors.New("instance is down")
@@ -72,7 +74,7 @@
 func (f *fleet) start(i int) *Directory {
 	self := f.members[i]
 	d := New(Options{
-		Peers: f, Self: self, Current: func(time.Time) bool { return true }, Most: 100, Life: 10 * time.Second,
+		Peers: f, Self: self, List: f.list, Current: func(time.Time) bool { return true }, Most: 100, Life: 10 * time.Second,
 		Others: func() []topology.Member {
 			var out []topology.Member
 			for _, m := range f.members {
@@ -89,6 +91,24 @@
 	return d
 }
 
+// list reads the versions from the store.
+func (f *fleet) list(ctx context.Context) (map[string][]string, error) {
+	time.Sleep(5 * time.Millisecond)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reads++
+	if f.store == nil {
+		return nil, errDown
+	}
+	return map[string][]string{"svc": f.store}, ctx.Err()
+}
+
+func (f *fleet) setStore(versions ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.store = versions
+}
+
 func (f *fleet) setDown(names ...string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -169,6 +189,27 @@
 	})
 }
 
+// An instance that no other answers may have missed a version that others already begin streams at.
+func TestAnInstanceThatReachesNoOtherReadsTheStore(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(3, 3, "v1")
+		defer f.stop()
+		f.setDown("n1", "n2")
+		is.Equal(f.find("n0", "s").Source, Unknown) // the store cannot be read either
+		f.setStore("v1", "v2")
+		is.Equal(f.find("n0", "s").Source, Unknown)
+		f.setStore("v1")
+		var all sync.WaitGroup
+		f.reads = 0
+		for range 20 {
+			all.Go(func() { is.Equal(f.find("n0", "s").Version, "v1") })
+		}
+		all.Wait()
+		is.True(f.reads <= 2) // for all of them
+	})
+}
+
 func TestRecordsAreSentOnlyWhileAServiceHasSeveralVersions(t *testing.T) {
 	virtual.Test(t, func(t *testing.T) {
 		is := is.New(t)
