forward: a stream goes on when the instance that serves it for another one dies

What callers saw: an instance without paths to endpoints has another one serve its requests.

Cause: the asking instance copied bytes, and did not know where a stream was when its peer broke off.

Now it passes whole events on and remembers the last one. If the peer breaks off, the request goes on as after a failed attempt: at another instance or at an endpoint of its own, of the same version, within the limits of attempts and of the retry budget. The peer is left out for a while. The same holds before the head, for requests that may run again.

The test raises the retry budget; with the usual one, the instances' parts of it bound how many go on.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -140,7 +140,7 @@
 	{ViewInstalled, zap.InfoLevel, "view installed", "The instances agreed on a new set of replicas, which record the claims of calls that must not be repeated."},
 	{ClaimsUncertain, zap.WarnLevel, "claims may have been lost", "Most replicas of some shards failed at the same time. Until the retention period has passed, repeated calls of these shards that must not run twice are answered with may_have_run."},
 	{RequestFailed, zap.InfoLevel, "request failed", "The final answer to a request was an error."},
-	{StreamResumed, zap.InfoLevel, "stream resumed", "A stream that broke off at an endpoint (server) is resumed at another one. version is the software version of the endpoint that failed."},
+	{StreamResumed, zap.InfoLevel, "stream resumed", "A stream that broke off at an endpoint (server) is resumed at another one. version is the software version of the endpoint that failed. With peer, the endpoint was reached through another instance, which broke off."},
 	{RecordTakenOver, zap.WarnLevel, "record taken over", "The owner of a request record failed; this instance continues the request."},
 	{RecordHandedOver, zap.InfoLevel, "record handed over", "An owner that is leaving handed a request over to this instance."},
 	{RecordLost, zap.ErrorLevel, "record lost", "Both holders of an accepted request are gone. The caller gets an error."},
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -37,8 +37,19 @@
 			unreached++
 			q.connectFailed(h.Clock.Now())
 		}
-		if (out.noPath || out.notSent && unreached >= proxyConnectFailures) && h.proxy(ctx, w, q) {
-			return
+		if out.noPath || out.notSent && unreached >= proxyConnectFailures {
+			relayed, taken := h.proxy(ctx, w, q)
+			if relayed.done {
+				return
+			}
+			if taken {
+				last = relayed.denial
+				if !relayed.again {
+					h.giveUp(w, q, last)
+					return
+				}
+				continue
+			}
 		}
 		if out.noPath && h.mayTryAnyPath(ctx, q) {
 			q.anyPath = true
@@ -118,7 +129,7 @@
 	}
 	now := h.Clock.Now()
 	switch {
-	case len(q.tried) >= limit, !q.connectUntil.IsZero() && !now.Before(q.connectUntil):
+	case q.attempts() >= limit, !q.connectUntil.IsZero() && !now.Before(q.connectUntil):
 		return last
 	case q.deadline.Sub(now) < minRemaining:
 		return last
@@ -131,13 +142,13 @@
 // takeRetry charges the retry budget of the service for a further attempt, unless nothing was sent since
 // it was last charged for this request. It reports false if the budget is used up.
 func (h *Handler) takeRetry(q *request, now time.Time) bool {
-	if q.charged == len(q.tried) {
+	if q.charged == q.attempts() {
 		return true
 	}
 	if !h.Admission.SecondTry(q.service, now) {
 		return false
 	}
-	q.charged = len(q.tried)
+	q.charged = q.attempts()
 	return true
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -226,7 +226,8 @@
 	fp             *quarantine.Fingerprint // fingerprint for the quarantine; nil until it is needed
 	returned       bool                    // the client returned after a refusal for lack of capacity
 	outcomeUnknown bool                    // whether an endpoint crashed during the last run is not known
-	charged        int                     // length of tried when the retry budget was last charged
+	relaysBroken   int                     // other instances that broke off before it is known which endpoint they sent it to
+	charged        int                     // attempts when the retry budget was last charged
 	connectUntil   time.Time               // when the request is given up if no endpoint can be connected to; zero before the first failure
 	counted        bool                    // a run was counted for the usage reports
 	tryCounted     bool                    // an attempt was counted in the retry budget
@@ -258,6 +259,9 @@
 	}
 }
 
+// attempts returns the number of endpoints that the request may have been sent to.
+func (q *request) attempts() int { return len(q.tried) + q.relaysBroken }
+
 func (q *request) accountName() string {
 	if q.account == nil {
 		return ""
--- a/internal/forward/proxy.go
+++ b/internal/forward/proxy.go
@@ -1,8 +1,10 @@
 package forward
 
 import (
+	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -40,11 +42,12 @@
 	return !q.anyPath && ctx.Err() == nil && !h.Paths.Lost()
 }
 
-// proxy has another instance serve a request, and passes the response on. It reports false if no
-// instance takes the request: nothing of it was sent then.
-func (h *Handler) proxy(ctx context.Context, w http.ResponseWriter, q *request) bool {
+// proxy has another instance serve a request, and passes the response on. taken is false if no instance takes
+// the request: nothing of it was sent then. If the other instance breaks off, the request goes on elsewhere where
+// it may run again.
+func (h *Handler) proxy(ctx context.Context, w http.ResponseWriter, q *request) (out outcome, taken bool) {
 	if q.proxied || ctx.Err() != nil || h.Clock.Until(q.deadline) < minRemaining {
-		return false
+		return outcome{}, false
 	}
 	sentAt := h.Clock.Now()
 	resp, err := h.Proxy.Send(ctx, &peerproxy.Request{
@@ -54,16 +57,15 @@
 		Call: &backend.Call{Method: q.method, URI: q.uri, Host: q.host, Header: h.receivedHeader(q), Body: q.body, ID: q.meta.ID},
 	})
 	if errors.Is(err, peerproxy.ErrNotTaken) {
-		return false
+		return outcome{}, false
 	}
 	if err != nil {
 		q.mayHaveRun = true
-		d := &denial{status: http.StatusBadGateway, why: "another instance broke off", err: err}
+		q.relaysBroken++
 		if ctx.Err() != nil {
-			d = h.ended(ctx, q)
+			return outcome{denial: h.ended(ctx, q)}, true
 		}
-		h.giveUp(w, q, d)
-		return true
+		return outcome{again: q.route.Idempotent(), denial: relayBroken(err)}, true
 	}
 	defer resp.Close()
 	h.observeProxied(q, resp, sentAt)
@@ -72,8 +74,12 @@
 	} else {
 		q.mayHaveRun = true
 	}
-	h.passOn(ctx, w, q, resp)
-	return true
+	return h.passOn(ctx, w, q, resp), true
+}
+
+// relayBroken is the denial for a request whose response another instance broke off.
+func relayBroken(err error) *denial {
+	return &denial{status: http.StatusBadGateway, why: "another instance broke off", err: err}
 }
 
 // observeProxied applies what the endpoint announces in a response that another instance got from it, and
@@ -81,11 +87,16 @@
 func (h *Handler) observeProxied(q *request, resp *peerproxy.Response, sentAt time.Time) {
 	id := resp.Header.Get(peerproxy.EndpointHeader)
 	resp.Header.Del(peerproxy.EndpointHeader)
+	if id != "" {
+		q.tried = append(q.tried, id)
+		q.chosen = append(q.chosen, id)
+	}
 	for _, e := range h.View().Listed {
 		if e.ID == id {
 			h.Backends.Observe(&e, resp.StatusCode, resp.Header, sentAt)
 			if resp.StatusCode == http.StatusOK && isEvents(resp.Header) {
 				h.beginStream(q, e.Version)
+				q.counted = true // by the other instance
 			}
 			return
 		}
@@ -103,21 +114,68 @@
 
 // passOn passes the response of another instance on as it comes. A stream of which the client has the
 // beginning goes on with the body of the response.
-func (h *Handler) passOn(ctx context.Context, w http.ResponseWriter, q *request, resp *peerproxy.Response) {
+func (h *Handler) passOn(ctx context.Context, w http.ResponseWriter, q *request, resp *peerproxy.Response) outcome {
+	// The rest of a stream comes without the header of an event stream: the client has that already.
+	events := resp.StatusCode == http.StatusOK && (q.answered || isEvents(resp.Header))
 	if q.answered {
-		if resp.StatusCode != http.StatusOK {
-			h.abort(ctx, q, resp, errNotResumed)
+		if !events {
+			resp.Failed()
+			q.relaysBroken++
+			return outcome{again: true, denial: relayBroken(errNotResumed)}
 		}
 	} else {
 		q.answered = true
 		h.writeProxiedHead(w, resp)
 	}
-	err := copyFlushed(w, resp.Body)
+	var err error
+	if events && q.route.Resumable {
+		if err = h.passEventsOn(w, q, resp.Body); err != nil && !errors.Is(err, errClientWrite) && ctx.Err() == nil {
+			h.event(event.StreamResumed, zap.String("request", q.meta.ID), zap.String("peer", resp.Instance), zap.String("version", q.version), zap.String("after", q.lastEventID), zap.Error(err))
+			resp.Failed()
+			return outcome{again: true, denial: relayBroken(err)}
+		}
+	} else {
+		err = copyFlushed(w, resp.Body)
+	}
 	if err != nil {
 		h.abort(ctx, q, resp, err)
 	}
 	h.completeStream(q)
 	h.logEnd(q, event.ForwardProxied, resp.StatusCode, "", nil, zap.String("peer", resp.Instance))
+	return outcome{done: true}
+}
+
+var errClientWrite = errors.New("write to the client")
+
+// passEventsOn passes whole events on, so that another instance can resume the stream after the last one.
+func (h *Handler) passEventsOn(w http.ResponseWriter, q *request, body io.Reader) error {
+	flusher := http.NewResponseController(w)
+	r := bufio.NewReader(body)
+	var buf []byte
+	for {
+		e, err := nextEvent(r, buf)
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		buf = e
+		id := eventID(e)
+		if id != "" && q.lastEventID != "" && alreadySent(id, q.lastEventID) {
+			continue
+		}
+		if _, err := w.Write(e); err != nil {
+			return fmt.Errorf("%w: %w", errClientWrite, err)
+		}
+		if r.Buffered() == 0 {
+			_ = flusher.Flush()
+		}
+		q.eventPassed(h.Clock.Now())
+		if id != "" {
+			q.lastEventID = id
+		}
+	}
 }
 
 // writeProxiedHead writes the head of another instance's response.
--- a/internal/front/streamversion_test.go
+++ b/internal/front/streamversion_test.go
@@ -256,6 +256,36 @@
 	}
 }
 
+// The clients of instances without paths do not ask again.
+func TestAStreamGoesOnWhenTheInstanceThatServesItForAnotherIsKilled(t *testing.T) {
+	for _, instances := range fleets(9, largeFleet) {
+		for name, workTime := range map[string]time.Duration{"in the stream": 20 * time.Millisecond, "before the head": 500 * time.Millisecond} {
+			runCluster(t, instances, func(is *is.I, w *testCluster) {
+				time.Sleep(2 * time.Second)
+				w.setWorkTime(workTime)
+				names := runningNames(w)
+				cut, serving := names[:instances/3], names[instances/3:]
+				w.partition(pathsReset, true, cut...)
+				time.Sleep(time.Second)
+				wait := w.streams(60, cut, func(*clientStream) string { return "" })
+				time.Sleep(400 * time.Millisecond)
+				w.kill(serving[:len(serving)/3]...)
+				all := wait()
+				_, resumed := checkStreams(is, all, func(s *clientStream) bool { return w.runsOf(s.id) > 1 })
+				whole := 0
+				for _, s := range all {
+					if s.whole {
+						whole++
+					}
+				}
+				t.Logf("%d instances, %s: %d of %d streams whole, %d of them served by two instances", instances, name, whole, len(all), resumed)
+				is.True(resumed > 5)
+				is.True(float64(whole) >= minGoesOn*float64(len(all)))
+			}, withVersions(twoVersions...), func(w *testCluster) { w.halls, w.moreRetries = 3, 1000 })
+		}
+	}
+}
+
 // restartAll kills all instances at once and starts them again. started is closed when they serve.
 func (w *testCluster) restartAll(started chan<- struct{}) {
 	names := runningNames(w)
--- a/internal/front/world_test.go
+++ b/internal/front/world_test.go
@@ -163,6 +163,7 @@
 	burst         float64
 	quotaOver     float64              // share by which the requests in a window may exceed the limit
 	changeConfig  func(*policy.Config) // changes each version of the configuration; may be nil
+	moreRetries   float64              // beyond the usual slack of the retry budget
 	storeWrites   int                  // writes a second that the store accepts, as the settings tell; 0 if they do not
 
 	mu          sync.Mutex
@@ -389,7 +390,7 @@
 func (w *testCluster) settings(name string, host int) settings.Front {
 	return settings.Front{
 		Name: name, Hall: w.hall(host), Front: addrOf(host, frontPort), Ready: addrOf(host, readyPort), Peer: addrOf(host, 8002), Metrics: addrOf(host, 8003), StoreWritesPerSecond: float64(w.storeWrites), Overload: w.overload,
-		Bounds: settings.Bounds{RevokeMs: 5000, StrictRevoke: !w.lenientRevoke, ConfigMs: 2000, StoreRefusedExtraMs: 5000, DrainMs: 2000, GraceS: 8, RetryRatio: 0.2, RetrySlack: 50, RetryWindowS: 10, LeaseMs: 3000, UsageWindowS: 5, UsageLateS: 10, QuotaWindowS: 8, QuotaOver: w.quotaOver, ExposeShare: w.rollouts.share(), ExposeSlack: exposeSlack},
+		Bounds: settings.Bounds{RevokeMs: 5000, StrictRevoke: !w.lenientRevoke, ConfigMs: 2000, StoreRefusedExtraMs: 5000, DrainMs: 2000, GraceS: 8, RetryRatio: 0.2, RetrySlack: 50 + w.moreRetries, RetryWindowS: 10, LeaseMs: 3000, UsageWindowS: 5, UsageLateS: 10, QuotaWindowS: 8, QuotaOver: w.quotaOver, ExposeShare: w.rollouts.share(), ExposeSlack: exposeSlack},
 	}
 }
 
--- a/internal/peerproxy/client.go
+++ b/internal/peerproxy/client.go
@@ -55,9 +55,12 @@
 	*http.Response
 	Instance string // that serves the request
 
-	close func()
+	close, failed func()
 }
 
+// Failed records that the instance broke off the response: it is left out for a while.
+func (r *Response) Failed() { r.failed() }
+
 // Close ends the request; the other instance cancels it unless it is complete.
 func (r *Response) Close() { r.close() }
 
@@ -108,9 +111,11 @@
 	}
 	go func() { _ = r.Call.Write(stream) }() // a response may come before all of a long body is read
 	resp, err := http.ReadResponse(bufio.NewReader(stream), &http.Request{Method: r.Call.Method})
+	failed := func() { c.chooser.refused(instance, r.Service, c.Clock.Now()) }
 	if err != nil {
 		end()
+		failed()
 		return nil, fault.New(fault.StepPeer, instance, fault.KindBroken, fault.MayHaveRun, "proxy: %w", err)
 	}
-	return &Response{Response: resp, Instance: instance, close: end}, nil
+	return &Response{Response: resp, Instance: instance, close: end, failed: failed}, nil
 }
