peerproxy: an instance that breaks a response off is left out for that request only

Where one instance has the only paths left, an instance that left it out for 0.5 to 4 s after one response that it broke off (an endpoint's end is enough) had nobody to serve its other requests. Now only the request that was broken off asks others; an instance that is gone refuses the next one by itself.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -227,6 +227,7 @@
 	returned       bool                    // the client returned after a refusal for lack of capacity
 	outcomeUnknown bool                    // whether an endpoint crashed during the last run is not known
 	relaysBroken   int                     // other instances that broke off before it is known which endpoint they sent it to
+	brokenOffBy    []string                // other instances that broke it off
 	charged        int                     // attempts when the retry budget was last charged
 	connectUntil   time.Time               // when the request is given up if no endpoint can be connected to; zero before the first failure
 	counted        bool                    // a run was counted for the usage reports
--- a/internal/forward/proxy.go
+++ b/internal/forward/proxy.go
@@ -14,6 +14,7 @@
 
 	"github.com/shelfcrank/shelfcrank/internal/backend"
 	"github.com/shelfcrank/shelfcrank/internal/event"
+	"github.com/shelfcrank/shelfcrank/internal/fault"
 	"github.com/shelfcrank/shelfcrank/internal/peerproxy"
 )
 
@@ -53,7 +54,7 @@
 	resp, err := h.Proxy.Send(ctx, &peerproxy.Request{
 		Service: q.service, Deadline: q.deadline, Tried: q.tried, MayHaveRun: q.mayHaveRun,
 		TryCounted: q.tryCounted, RunCounted: q.counted, Answered: q.answered, LastEventID: q.lastEventID,
-		Resumes: q.began, Version: q.version,
+		Resumes: q.began, Version: q.version, BrokenOffBy: q.brokenOffBy,
 		Call: &backend.Call{Method: q.method, URI: q.uri, Host: q.host, Header: h.receivedHeader(q), Body: q.body, ID: q.meta.ID},
 	})
 	if errors.Is(err, peerproxy.ErrNotTaken) {
@@ -62,6 +63,9 @@
 	if err != nil {
 		q.mayHaveRun = true
 		q.relaysBroken++
+		if f := (*fault.Error)(nil); errors.As(err, &f) {
+			q.brokenOffBy = append(q.brokenOffBy, f.Peer)
+		}
 		if ctx.Err() != nil {
 			return outcome{denial: h.ended(ctx, q)}, true
 		}
@@ -119,8 +123,8 @@
 	events := resp.StatusCode == http.StatusOK && (q.answered || isEvents(resp.Header))
 	if q.answered {
 		if !events {
-			resp.Failed()
 			q.relaysBroken++
+			q.brokenOffBy = append(q.brokenOffBy, resp.Instance)
 			return outcome{again: true, denial: relayBroken(errNotResumed)}
 		}
 	} else {
@@ -131,7 +135,7 @@
 	if events && q.route.Resumable {
 		if err = h.passEventsOn(w, q, resp.Body); err != nil && !errors.Is(err, errClientWrite) && ctx.Err() == nil {
 			h.event(event.StreamResumed, zap.String("request", q.meta.ID), zap.String("peer", resp.Instance), zap.String("version", q.version), zap.String("after", q.lastEventID), zap.Error(err))
-			resp.Failed()
+			q.brokenOffBy = append(q.brokenOffBy, resp.Instance)
 			return outcome{again: true, denial: relayBroken(err)}
 		}
 	} else {
--- a/internal/peerproxy/client.go
+++ b/internal/peerproxy/client.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -55,19 +56,16 @@
 	*http.Response
 	Instance string // that serves the request
 
-	close, failed func()
+	close func()
 }
 
-// Failed records that the instance broke off the response: it is left out for a while.
-func (r *Response) Failed() { r.failed() }
-
 // Close ends the request; the other instance cancels it unless it is complete.
 func (r *Response) Close() { r.close() }
 
 // Send has another instance serve a request and returns the head of its response. The error is
 // ErrNotTaken if no instance takes the request. After another error it may have run.
 func (c *Client) Send(ctx context.Context, r *Request) (*Response, error) {
-	var asked []string
+	asked := slices.Clone(r.BrokenOffBy)
 	for range maxAsked {
 		other, ok := c.chooser.choose(c.Others(), c.Hall, r.Service, r.Call.ID, asked, c.Clock.Now())
 		if !ok {
@@ -111,11 +109,9 @@
 	}
 	go func() { _ = r.Call.Write(stream) }() // a response may come before all of a long body is read
 	resp, err := http.ReadResponse(bufio.NewReader(stream), &http.Request{Method: r.Call.Method})
-	failed := func() { c.chooser.refused(instance, r.Service, c.Clock.Now()) }
 	if err != nil {
 		end()
-		failed()
 		return nil, fault.New(fault.StepPeer, instance, fault.KindBroken, fault.MayHaveRun, "proxy: %w", err)
 	}
-	return &Response{Response: resp, Instance: instance, close: end, failed: failed}, nil
+	return &Response{Response: resp, Instance: instance, close: end}, nil
 }
--- a/internal/peerproxy/peerproxy.go
+++ b/internal/peerproxy/peerproxy.go
@@ -32,6 +32,8 @@
 	Resumes     bool     // it is for the rest of a stream, which began at Version
 	Version     string   // of the software of the endpoints that serve the stream
 
+	BrokenOffBy []string // instances that are not asked, as they broke it off; used only by Client
+
 	Call *backend.Call // the request as the client sent it; used only by Client
 }
 
