--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -30,27 +30,18 @@
 	unreached := 0
 	for {
 		out := h.try(ctx, w, q, last)
-		if out.done {
-			return
-		}
 		if out.notSent {
 			unreached++
 			q.connectFailed(h.Clock.Now())
 		}
 		if out.noPath || out.notSent && unreached >= proxyConnectFailures {
-			relayed, taken := h.proxy(ctx, w, q)
-			if relayed.done {
-				return
-			}
-			if taken {
-				last = relayed.denial
-				if !relayed.again {
-					h.giveUp(w, q, last)
-					return
-				}
-				continue
+			if relayed, taken := h.proxy(ctx, w, q); taken {
+				out = relayed
 			}
 		}
+		if out.done {
+			return
+		}
 		if out.noPath && h.mayTryAnyPath(ctx, q) {
 			q.anyPath = true
 			continue
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -37,14 +37,14 @@
 		return nil
 	}
 	found := h.Origins.Find(ctx, q.meta.Resumes, q.service)
+	if found.Source == resume.OnlyVersion && q.meta.Resumes == "" && len(q.route.Split) > 1 {
+		found.Source = resume.Unknown // the client does not name the request by which the service was chosen
+	}
 	fields := []zap.Field{
 		zap.String("request", q.meta.ID), zap.String("stream", q.meta.Resumes), zap.String("after", q.meta.LastEventID),
 		zap.String("service", found.Service), zap.String("version", found.Version), zap.String("source", string(found.Source)),
 		zap.Strings("versions", found.Versions), zap.Int("answers", found.Answers),
 	}
-	if found.Source == resume.OnlyVersion && q.meta.Resumes == "" && len(q.route.Split) > 1 {
-		found.Source = resume.Unknown // the client does not name the request by which the service was chosen
-	}
 	if !found.Known() {
 		h.event(event.StreamOriginUnknown, fields...)
 		return &denial{status: http.StatusServiceUnavailable, why: "the version that began the stream is not known", wait: waitElsewhere}
--- a/internal/resume/resume.go
+++ b/internal/resume/resume.go
@@ -137,9 +137,6 @@
 	return len(versions) > 1 || !complete
 }
 
-// Streams returns the number of streams whose records are kept, and of those held for others.
-func (d *Directory) Streams() (own, held int) { return d.own.Len(), d.held.Len() }
-
 // send queues a record for its holders. Beyond maxQueued, the oldest records are dropped.
 func (d *Directory) send(r origin.Record) {
 	d.mu.Lock()
