forward: an instance that refuses another one's request does not claim that it never ran

More requests come this way since relays that break off are tried again. Now the refusals before the first attempt ask what is known of the request, like all later ones.

--- a/internal/forward/door.go
+++ b/internal/forward/door.go
@@ -24,30 +24,39 @@
 // serve handles a request of a client that connected here or to another instance.
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request, q *request) {
 	if d := h.identify(q, r); d != nil {
-		h.refuse(w, q, d)
+		h.refuseEarly(w, q, d)
 		return
 	}
 	if d := q.checkDrain(); d != nil {
-		h.refuse(w, q, d)
+		h.refuseEarly(w, q, d)
 		return
 	}
 	ctx, deadline := h.Clock.WithDeadline(r.Context(), q.deadline, errDeadline)
 	defer deadline.Stop()
 	if d := h.readRequest(w, q, r); d != nil {
-		h.refuse(w, q, d)
+		h.refuseEarly(w, q, d)
 		return
 	}
 	if d := h.findOrigin(ctx, q); d != nil {
-		h.refuse(w, q, d)
+		h.refuseEarly(w, q, d)
 		return
 	}
 	if d := h.admit(q); d != nil {
-		h.refuse(w, q, d)
+		h.refuseEarly(w, q, d)
 		return
 	}
 	h.run(ctx, w, q)
 }
 
+// refuseEarly refuses a request that this instance has not sent anywhere. An endpoint that another instance sent
+// it to may have run it.
+func (h *Handler) refuseEarly(w http.ResponseWriter, q *request, d *denial) {
+	if claimsNotRun(d.status) {
+		d.status = h.statusUnlessRun(q, d.status)
+	}
+	h.refuse(w, q, d)
+}
+
 // checkDrain returns a denial if this instance shuts down before the deadline of the request and the client
 // can go to another one: how long an endpoint takes is not known beforehand.
 func (q *request) checkDrain() *denial {
