forward: requests go to another instance where the only paths lead to endpoints without room

What callers saw: at instances that reach only a few endpoints, requests were refused with 503 as soon as these were at their rate limits or had requested a backoff, though other instances reach others.

Cause: a request was handed over only where no endpoint at all was reachable, and an instance accepted one if any was reachable to it, also one that it may not send to.

Now a request for which none of the reachable endpoints is chosen is handed over if there are others, and an instance accepts one only while it may send to an endpoint.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -34,7 +34,7 @@
 			unreached++
 			q.connectFailed(h.Clock.Now())
 		}
-		if out.noPath || out.notSent && unreached >= proxyConnectFailures {
+		if out.noPath || out.elsewhere || out.notSent && unreached >= proxyConnectFailures {
 			if relayed, taken := h.proxy(ctx, w, q); taken {
 				out = relayed
 			}
@@ -166,6 +166,7 @@
 	notSent    bool    // nothing was sent
 	noEndpoint bool    // no endpoint was chosen
 	noPath     bool    // because none is reachable from here
+	elsewhere  bool    // none was chosen of those reachable from here, and there are others
 	denial     *denial // ends the request if no other endpoint is tried
 }
 
@@ -189,7 +190,8 @@
 		return outcome{denial: h.ended(ctx, q)} // a hub that had answered may have refused it
 	}
 	if err != nil {
-		return outcome{noEndpoint: true, denial: h.notPlaced(q, err)}
+		elsewhere := errors.Is(err, ErrNoEndpoint) && len(endpoints) < len(all)
+		return outcome{noEndpoint: true, elsewhere: elsewhere, denial: h.notPlaced(q, err)}
 	}
 	if ctx.Err() != nil { // the client disconnected while an endpoint was chosen
 		ticket.Done(balance.Cancelled, h.Clock.Now())
--- a/internal/front/partition_test.go
+++ b/internal/front/partition_test.go
@@ -204,3 +204,25 @@
 		is.Equal(len(w.violations), 0)
 	}, manyEndpoints)
 }
+
+// The endpoints that are left to some instances have a rate limit, which their own callers use up.
+func TestCallersAreServedWhereTheOnlyPathsLeadToLimitedEndpoints(t *testing.T) {
+	for _, instances := range fleets(6, largeFleet) {
+		runCluster(t, instances, func(is *is.I, w *testCluster) {
+			time.Sleep(2 * time.Second)
+			names := runningNames(w)
+			cut := names[:instances/2]
+			w.limits.name(endpointID(0), 1)
+			for _, name := range cut {
+				for i := 1; i < w.endpoints; i++ {
+					w.mem.Refuse(w.instances[name].site, endpointID(i), true)
+					w.mem.Reset(w.instances[name].site, endpointID(i))
+				}
+			}
+			time.Sleep(contactBound)
+			f := w.askEach("x", 5*time.Second, cut)
+			t.Logf("%d instances: %.3f of first tries served at those with one limited endpoint, %.3f at the others", instances, f.share(true), f.share(false))
+			is.True(f.share(true) >= minServedShare*f.share(false))
+		}, func(w *testCluster) { w.endpoints = 12 })
+	}
+}
--- a/internal/front/paths.go
+++ b/internal/front/paths.go
@@ -90,7 +90,7 @@
 	if r.Resumes {
 		endpoints = n.view.Load().EndpointsOf(r.Service, r.Version)
 	}
-	if len(n.paths.Reachable(endpoints)) == 0 {
+	if len(n.available(n.paths.Reachable(endpoints), n.Clock.Now())) == 0 {
 		return nil, peerproxy.ErrNoPath
 	}
 	return n.proxied.Reserve()
