forward: requests go elsewhere for lack of room only where most endpoints are unreachable

Cause: under high load a single crashed endpoint, which counts as unreachable at all instances, was enough to have each request that was refused for lack of room ask up to 16 others, which had none either.

Now they are asked only if most endpoints of the service are unreachable from here, as after a loss of this instance's own paths. TestCallersAreServedWhereTheOnlyPathsLeadToLimitedEndpoints passes as before.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -166,7 +166,7 @@
 	notSent    bool    // nothing was sent
 	noEndpoint bool    // no endpoint was chosen
 	noPath     bool    // because none is reachable from here
-	elsewhere  bool    // none was chosen of those reachable from here, and there are others
+	elsewhere  bool    // none was chosen of those reachable from here, and most are not
 	denial     *denial // ends the request if no other endpoint is tried
 }
 
@@ -190,7 +190,8 @@
 		return outcome{denial: h.ended(ctx, q)} // a hub that had answered may have refused it
 	}
 	if err != nil {
-		elsewhere := errors.Is(err, ErrNoEndpoint) && len(endpoints) < len(all)
+		// If most endpoints are unreachable, the cause is more likely on this side than theirs.
+		elsewhere := errors.Is(err, ErrNoEndpoint) && 2*len(endpoints) < len(all)
 		return outcome{noEndpoint: true, elsewhere: elsewhere, denial: h.notPlaced(q, err)}
 	}
 	if ctx.Err() != nil { // the client disconnected while an endpoint was chosen
