review: case 3, a killed endpoint's stream without a length ends as complete

Cause: nextEvent in internal/forward/stream.go takes the end of the connection between two events for the end of the stream, also where the answer has neither a length nor chunks and its endpoint's process has ended. Change: review/3, a script: model endpoints as processes of their own, a share of 0.25 killed three times. The configuration of the stand-ins is shared with case 2.

--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -36,6 +36,7 @@
 var cases = map[string]func(ctx context.Context, p *play) (held bool, err error){
 	"refusal": playRefusal,
 	"memory":  playMemory,
+	"crash":   playCrash,
 }
 
 func main() { os.Exit(run()) }
@@ -45,7 +46,12 @@
 	program := flag.String("program", "target/shelfcrank", "the built program")
 	template := flag.String("template", "deploy/front.toml", "template of the settings")
 	out := flag.String("record", "record.txt", "file for the record")
+	endpoint := flag.String("endpoint", "", "ID of the endpoint that this process is; set by the case that starts it")
 	flag.Parse()
+	if *endpoint != "" {
+		fmt.Fprintln(os.Stderr, serveUnframed(*endpoint))
+		return exitNoRun
+	}
 	c, ok := cases[*name]
 	if !ok {
 		fmt.Fprintf(os.Stderr, "unknown case %q\n", *name)
--- a/review/standins/memory.go
+++ b/review/standins/memory.go
@@ -14,7 +14,6 @@
 	"syscall"
 	"time"
 
-	"github.com/shelfcrank/shelfcrank/internal/policy"
 	"github.com/shelfcrank/shelfcrank/platform/platformtest"
 )
 
@@ -114,21 +113,11 @@
 		if err != nil {
 			return false, err
 		}
-		if err := p.register(e.id, "shelfcrank-pool", halls[n%len(halls)], addr, engineSlots); err != nil {
+		if _, err := p.register(e.id, "shelfcrank-pool", halls[n%len(halls)], addr, engineSlots); err != nil {
 			return false, err
 		}
 	}
-	err := p.configure(policy.Config{
-		Version: 1, Limits: limits,
-		Routes: []policy.Route{{
-			Name: "restock-note", Host: "till.example", Prefix: "/restock/", Kind: policy.Streaming, Timeout: 15 * time.Second, TargetLatency: time.Second,
-			TargetEventGap: 600 * time.Millisecond, Priority: 1, MaxAttempts: 1, Split: []policy.Share{{Service: "shelfcrank-pool", Weight: 1}},
-		}},
-		Services: []policy.Service{{
-			Name: "shelfcrank-pool", HealthPath: "/health", MaxConnections: 250, Engine: &policy.Engine{Slots: engineSlots, CacheTokens: 587977, TokensPerEvent: 6},
-		}},
-		Accounts: []policy.Account{{Name: "stall", Keys: []string{"key-1"}}},
-	})
+	err := p.configure(restockConfig())
 	if err != nil {
 		return false, err
 	}
--- a/review/standins/refusal.go
+++ b/review/standins/refusal.go
@@ -164,7 +164,7 @@
 		e := &plainEndpoint{id: fmt.Sprintf("i-%s", hall), record: p.record, slots: make(chan struct{}, plainSlots), ran: seen.begun, extra: &extra}
 		e.garbles = func() bool { return faulty && garbling.Load() && rand.Float64() < garbledPart }
 		go e.serve(l)
-		if err := p.register(e.id, "till-api", hall, l.Addr().String(), plainSlots); err != nil {
+		if _, err := p.register(e.id, "till-api", hall, l.Addr().String(), plainSlots); err != nil {
 			return false, err
 		}
 	}
--- a/review/standins/world.go
+++ b/review/standins/world.go
@@ -104,18 +104,18 @@
 	return nil
 }
 
-// register writes the entry of an endpoint to the store.
-func (w *world) register(id, service, hall, addr string, slots int) error {
+// register writes the entry of an endpoint to the store, and returns its key.
+func (w *world) register(id, service, hall, addr string, slots int) (key string, err error) {
 	at, err := netip.ParseAddrPort(addr)
 	if err != nil {
-		return err
+		return "", err
 	}
 	key, value, err := platformtest.EndpointEntry(registry.Endpoint{ID: id, Service: service, Hall: hall, Addr: at, Version: "v1", Slots: slots})
 	if err != nil {
-		return err
+		return "", err
 	}
 	w.store.Put(key, value)
-	return nil
+	return key, nil
 }
 
 // limits are those of the operator's configuration on the small deployments.
