forward: the bodies of requests in progress take no more than a part of the memory

What callers saw: a crowd of 64 clients whose bodies of the allowed size stop just short of their end took a process of 64 MiB to 240 to 345 MiB, whatever the framing; on a machine such a process is killed, with all that it serves.

Cause: readRequest read each body whole into memory, as much as was announced or twice what came in chunks, and nothing bounded the sum over the requests in progress.

Now a body takes its memory piece by piece, as it arrives, from a budget of 35% of memory_mb (package intake), and is kept in these pieces (package payload), so that nothing doubles. Two ways were weighed for what gives way when the budget is used up. Refusing the newcomer alone lets a crowd that holds the budget starve all others until its requests time out. Letting the reader that stalled longest give way alone makes readers that all make progress push each other out, so that none ends. So a reader gives way only once it is behind a pace of 32 KiB a second by a second, and the newcomer is refused while there is none. A quarter of the budget is reserved for bodies of up to 128 KiB, so that large ones leave room for ordinary requests; the only large body may use it too, so that in calm each body within the limits is read. Who gives way gets 503, as nothing of the request was sent, and may come again at once where there are other instances.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -23,6 +23,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/loadreport"
 	"github.com/shelfcrank/shelfcrank/internal/netx"
 	"github.com/shelfcrank/shelfcrank/internal/notice"
+	"github.com/shelfcrank/shelfcrank/internal/payload"
 	"github.com/shelfcrank/shelfcrank/internal/ratelimit"
 	"github.com/shelfcrank/shelfcrank/internal/reach"
 	"github.com/shelfcrank/shelfcrank/internal/registry"
@@ -56,7 +57,7 @@
 	URI      string // as received from the client
 	Host     string
 	Header   http.Header
-	Body     []byte
+	Body     payload.Payload
 	ID       string        // request ID
 	MaxIdle  time.Duration // a connection that has been idle for longer is not used; 0 for no limit
 }
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -21,6 +21,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/loadreport"
 	"github.com/shelfcrank/shelfcrank/internal/netx"
 	"github.com/shelfcrank/shelfcrank/internal/notice"
+	"github.com/shelfcrank/shelfcrank/internal/payload"
 	"github.com/shelfcrank/shelfcrank/internal/ratelimit"
 	"github.com/shelfcrank/shelfcrank/internal/registry"
 	"github.com/shelfcrank/shelfcrank/internal/virtual"
@@ -93,7 +94,7 @@
 }
 
 func call(id string) *Call {
-	return &Call{Endpoint: registry.Endpoint{ID: "s", Addr: endpointAddr}, Method: http.MethodPost, URI: "/a/b?c=%20d", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte("body"), ID: id}
+	return &Call{Endpoint: registry.Endpoint{ID: "s", Addr: endpointAddr}, Method: http.MethodPost, URI: "/a/b?c=%20d", Host: "h", Header: http.Header{"Id": {id}}, Body: payload.Of([]byte("body")), ID: id}
 }
 
 func send(t *testing.T, c *Client, id string) (string, error) {
@@ -216,7 +217,7 @@
 	is.True(strings.HasPrefix(head, "POST /a/b?c=%20d HTTP/1.1\r\nHost: h\r\n"))
 	is.True(strings.HasSuffix(head, "Content-Length: 4\r\n\r\n"))
 	get := call("2")
-	get.Method, get.Body = http.MethodGet, nil
+	get.Method, get.Body = http.MethodGet, payload.Payload{}
 	is.True(!strings.Contains(string(get.head()), "Content-Length"))
 }
 
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -61,10 +61,11 @@
 	return n, err
 }
 
-func (k *conn) write(p []byte) error {
+// Write implements io.Writer, and counts what was written.
+func (k *conn) Write(p []byte) (int, error) {
 	n, err := k.raw.Write(p)
 	k.written.Add(int64(n))
-	return err
+	return n, err
 }
 
 func (k *conn) sent() int64 { return k.written.Load() }
@@ -110,17 +111,20 @@
 // do writes the request and reads the head of the response.
 func (x *exchange) do(call *Call) (*Response, error) {
 	head := call.head()
-	if len(call.Body) <= maxInlineBody {
-		if err := x.conn.write(append(head, call.Body...)); err != nil {
+	if call.Body.Len() <= maxInlineBody {
+		if _, err := x.conn.Write(call.Body.AppendTo(head)); err != nil {
 			return nil, err
 		}
 	} else {
 		// An endpoint may respond before it has read a long body.
-		if err := x.conn.write(head); err != nil {
+		if _, err := x.conn.Write(head); err != nil {
 			return nil, err
 		}
 		x.bodyWritten = make(chan error, 1)
-		go func() { x.bodyWritten <- x.conn.write(call.Body) }()
+		go func() {
+			_, err := call.Body.WriteTo(x.conn)
+			x.bodyWritten <- err
+		}()
 	}
 	return x.readHead(call)
 }
@@ -186,7 +190,7 @@
 	if _, err := w.Write(c.head()); err != nil {
 		return fmt.Errorf("write request head: %w", err)
 	}
-	if _, err := w.Write(c.Body); err != nil {
+	if _, err := c.Body.WriteTo(w); err != nil {
 		return fmt.Errorf("write request body: %w", err)
 	}
 	return nil
@@ -195,7 +199,7 @@
 // head returns the request line and the headers.
 func (c *Call) head() []byte {
 	var b bytes.Buffer
-	b.Grow(1024 + min(len(c.Body), maxInlineBody))
+	b.Grow(1024 + min(c.Body.Len(), maxInlineBody))
 	b.WriteString(c.Method)
 	b.WriteByte(' ')
 	b.WriteString(c.URI)
@@ -203,9 +207,9 @@
 	b.WriteString(c.Host)
 	b.WriteString("\r\n")
 	_ = c.Header.Write(&b) // a bytes.Buffer never fails
-	if len(c.Body) > 0 || c.Method != http.MethodGet && c.Method != http.MethodHead {
+	if c.Body.Len() > 0 || c.Method != http.MethodGet && c.Method != http.MethodHead {
 		b.WriteString("Content-Length: ")
-		b.WriteString(strconv.Itoa(len(c.Body)))
+		b.WriteString(strconv.Itoa(c.Body.Len()))
 		b.WriteString("\r\n")
 	}
 	b.WriteString("\r\n")
--- /dev/null
+++ b/internal/forward/body.go
@@ -0,0 +1,130 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/shelfcrank/shelfcrank/internal/intake"
+	"github.com/shelfcrank/shelfcrank/internal/payload"
+)
+
+const (
+	defaultMaxBody = 4 << 20  // limit of a body, in bytes, if the configuration has none
+	firstPiece     = 4 << 10  // of a body of unknown length, in bytes
+	maxPiece       = 64 << 10 // bytes
+)
+
+// readRequest reads the whole body before anything is sent to an endpoint: a client that disconnects
+// halfway then causes no work, and the body can be sent again on a retry.
+func (h *Handler) readRequest(ctx context.Context, w http.ResponseWriter, q *request, r *http.Request) *denial {
+	q.received = r.Header
+	q.header = r.Header.Clone()
+	h.Protocol.Clean(q.header)
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil
+	}
+	limit := q.view.Config.Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultMaxBody
+	}
+	if r.ContentLength > limit {
+		return tooLarge()
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(h.Clock.ToMonotonic(q.deadline)) // fails for the response recorder of tests, which has no deadlines
+	q.client = w
+	h.Bodies.Open(&q.memory, q, h.Clock.Now())
+	err := h.readBody(ctx, q, r, limit)
+	if err == nil {
+		err = q.memory.Complete()
+	}
+	if err != nil {
+		return h.unreadBody(q, err)
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	return nil
+}
+
+// unreadBody is the denial for a request whose body was not read to its end. It gives the memory of the body back.
+func (h *Handler) unreadBody(q *request, err error) *denial {
+	gaveWay := q.memory.GaveWay()
+	q.memory.Release()
+	q.body = payload.Payload{}
+	wait := waitRetry
+	if q.view.Instances > 1 {
+		wait = waitElsewhere
+	}
+	var timeout net.Error
+	switch {
+	case errors.Is(err, errBodyTooLarge):
+		return tooLarge()
+	case gaveWay:
+		return &denial{status: http.StatusServiceUnavailable, why: "the body came too slowly while memory was short", wait: wait, close: true}
+	case errors.Is(err, intake.ErrFull):
+		return &denial{status: http.StatusServiceUnavailable, why: "no memory for the body", wait: wait, close: true, fields: []zap.Field{zap.Int64("held", h.Bodies.Used())}}
+	case errors.Is(err, errDeadline), errors.As(err, &timeout) && timeout.Timeout():
+		return &denial{status: http.StatusRequestTimeout, why: "timed out reading the request body", close: true}
+	}
+	return &denial{clientGone: true, why: "client disconnected before its body was read"}
+}
+
+var errBodyTooLarge = errors.New("the body is over the limit")
+
+// readBody reads the body in pieces, each of which is taken from the budget before it is filled. What is held
+// follows what has arrived, not what was announced.
+func (h *Handler) readBody(ctx context.Context, q *request, r *http.Request, limit int64) error {
+	left := limit + 1 // one more byte shows that the body is too large
+	size := int64(firstPiece)
+	if r.ContentLength > 0 {
+		left = r.ContentLength
+		size = maxPiece
+	}
+	for {
+		size = min(size, left)
+		if err := q.memory.Grow(ctx, size, h.Clock.Now()); err != nil {
+			return err
+		}
+		piece := make([]byte, size)
+		n, err := h.fill(q, r.Body, piece)
+		q.body.Append(piece[:n])
+		left -= int64(n)
+		if int64(q.body.Len()) > limit {
+			return errBodyTooLarge
+		}
+		if err == io.EOF && r.ContentLength > 0 && left > 0 {
+			return io.ErrUnexpectedEOF
+		}
+		if err == io.EOF || left == 0 {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		size = maxPiece
+	}
+}
+
+// fill reads a body until a piece is full. The error is that of the last read.
+func (h *Handler) fill(q *request, body io.Reader, piece []byte) (int, error) {
+	filled := 0
+	for filled < len(piece) {
+		n, err := body.Read(piece[filled:])
+		filled += n
+		q.memory.Received(n, h.Clock.Now())
+		if err != nil {
+			return filled, err
+		}
+	}
+	return filled, nil
+}
+
+// GiveWay implements intake.Reader: reading the body ends at once.
+func (q *request) GiveWay() {
+	_ = http.NewResponseController(q.client).SetReadDeadline(time.Unix(1, 0))
+}
--- a/internal/forward/door.go
+++ b/internal/forward/door.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"time"
@@ -33,7 +32,8 @@
 	}
 	ctx, deadline := h.Clock.WithDeadline(r.Context(), q.deadline, errDeadline)
 	defer deadline.Stop()
-	if d := h.readRequest(w, q, r); d != nil {
+	defer q.memory.Release()
+	if d := h.readRequest(ctx, w, q, r); d != nil {
 		h.refuseEarly(w, q, d)
 		return
 	}
@@ -117,54 +117,6 @@
 	return nil
 }
 
-// readRequest reads the whole body before anything is sent to an endpoint: a client that disconnects
-// halfway then causes no work, and the body can be sent again on a retry.
-func (h *Handler) readRequest(w http.ResponseWriter, q *request, r *http.Request) *denial {
-	q.received = r.Header
-	q.header = r.Header.Clone()
-	h.Protocol.Clean(q.header)
-	if r.Body == nil || r.Body == http.NoBody {
-		return nil
-	}
-	limit := q.view.Config.Limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBody
-	}
-	if r.ContentLength > limit {
-		return tooLarge()
-	}
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(h.Clock.ToMonotonic(q.deadline)) // fails for the response recorder of tests, which has no deadlines
-	body, err := readBody(r, limit)
-	if err != nil {
-		var large *http.MaxBytesError
-		var timeout net.Error
-		switch {
-		case errors.As(err, &large):
-			return tooLarge()
-		case errors.As(err, &timeout) && timeout.Timeout():
-			return &denial{status: http.StatusRequestTimeout, why: "timed out reading the request body", close: true}
-		}
-		return &denial{clientGone: true, why: "client disconnected before its body was read"}
-	}
-	_ = control.SetReadDeadline(time.Time{})
-	q.body = body
-	return nil
-}
-
-// defaultMaxBody is the limit of a body, in bytes, if the configuration has none.
-const defaultMaxBody = 4 << 20
-
-func readBody(r *http.Request, limit int64) ([]byte, error) {
-	body := http.MaxBytesReader(nil, r.Body, limit)
-	if r.ContentLength > 0 {
-		b := make([]byte, r.ContentLength)
-		_, err := io.ReadFull(body, b)
-		return b, err
-	}
-	return io.ReadAll(body)
-}
-
 // admit charges the request to the limit of its client account.
 func (h *Handler) admit(q *request) *denial {
 	q.units = 1
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -23,8 +23,10 @@
 	"github.com/shelfcrank/shelfcrank/internal/balance"
 	"github.com/shelfcrank/shelfcrank/internal/clock"
 	"github.com/shelfcrank/shelfcrank/internal/event"
+	"github.com/shelfcrank/shelfcrank/internal/intake"
 	"github.com/shelfcrank/shelfcrank/internal/metrics"
 	"github.com/shelfcrank/shelfcrank/internal/origin"
+	"github.com/shelfcrank/shelfcrank/internal/payload"
 	"github.com/shelfcrank/shelfcrank/internal/peerproxy"
 	"github.com/shelfcrank/shelfcrank/internal/policy"
 	"github.com/shelfcrank/shelfcrank/internal/quarantine"
@@ -171,9 +173,11 @@
 	Origins   Origins
 	// Quarantine tracks requests that are suspected of crashing endpoints.
 	Quarantine Quarantine
-	Clock      *clock.Clock // may be nil
-	Log        *zap.Logger
-	Metrics    *metrics.Metrics
+	// Bodies bounds the memory of the bodies of requests; nil for no bound.
+	Bodies  *intake.Budget
+	Clock   *clock.Clock // may be nil
+	Log     *zap.Logger
+	Metrics *metrics.Metrics
 	// ConfigFreshFor is the time after the confirmation of a configuration within which a
 	// route or an API key that it does not contain is definitely rejected. After it, such
 	// requests get a temporary error instead.
@@ -195,6 +199,9 @@
 	if o.Proxy == nil {
 		o.Proxy = noProxy{}
 	}
+	if o.Bodies == nil {
+		o.Bodies = intake.NewBudget(0)
+	}
 	return &Handler{o}
 }
 
@@ -220,7 +227,9 @@
 	host           string
 	received       http.Header // as the client sent it
 	header         http.Header // as endpoints get it, except for the headers set for each attempt
-	body           []byte
+	body           payload.Payload
+	memory         intake.Lease             // of the body
+	client         http.ResponseWriter      // to the client, while the body is read
 	tried          []string                 // endpoints that it was sent to
 	chosen         []string                 // endpoints that were chosen for it, whether or not they were reached
 	mayHaveRun     bool                     // an endpoint may have run it
--- a/internal/forward/scheduling.go
+++ b/internal/forward/scheduling.go
@@ -122,7 +122,7 @@
 	}
 	writeNumber(d, uint64(q.meta.PromptTokens))
 	writeNumber(d, uint64(q.meta.OutputTokens))
-	_, _ = d.Write(q.body)
+	_, _ = q.body.WriteTo(d)
 	return max(1, d.Sum64())
 }
 
--- a/internal/forward/scheduling_test.go
+++ b/internal/forward/scheduling_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/shelfcrank/shelfcrank/internal/balance"
 	"github.com/shelfcrank/shelfcrank/internal/event"
+	"github.com/shelfcrank/shelfcrank/internal/payload"
 	"github.com/shelfcrank/shelfcrank/internal/policy"
 	"github.com/shelfcrank/shelfcrank/internal/registry"
 	"github.com/shelfcrank/shelfcrank/internal/virtual"
@@ -172,7 +173,7 @@
 	is := is.New(t)
 	of := func(change func(q *request)) uint64 {
 		q := &request{
-			method: "POST", host: "shop.example", uri: "/safe/a", body: []byte("body"), account: &policy.Account{Name: "north"},
+			method: "POST", host: "shop.example", uri: "/safe/a", body: payload.Of([]byte("body")), account: &policy.Account{Name: "north"},
 			meta: Meta{ID: "1", PromptTokens: 10, OutputTokens: 20, Parts: []Part{{ID: "shared", Tokens: 4}, {ID: "own", Tokens: 6}}},
 		}
 		change(q)
@@ -194,7 +195,7 @@
 		"last part":     func(q *request) { q.meta.Parts[1].ID = "other" },
 		"prompt tokens": func(q *request) { q.meta.PromptTokens = 11 },
 		"output tokens": func(q *request) { q.meta.OutputTokens = 21 },
-		"body":          func(q *request) { q.body = []byte("else") },
+		"body":          func(q *request) { q.body = payload.Of([]byte("else")) },
 	} {
 		f := of(change)
 		if other := seen[f]; other != "" {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -31,6 +31,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/event"
 	"github.com/shelfcrank/shelfcrank/internal/forward"
 	"github.com/shelfcrank/shelfcrank/internal/hub"
+	"github.com/shelfcrank/shelfcrank/internal/intake"
 	"github.com/shelfcrank/shelfcrank/internal/loadreport"
 	"github.com/shelfcrank/shelfcrank/internal/metrics"
 	"github.com/shelfcrank/shelfcrank/internal/mirror"
@@ -224,7 +225,8 @@
 	do.Provide(n.injector, func(do.Injector) (*forward.Handler, error) {
 		return forward.New(forward.Options{
 			Protocol: o.Protocol, View: n.view.Load, Backends: n.backends, Paths: n.paths, Proxy: n.proxy, Placer: n.placer, Admission: n.admission, Origins: n.streams, Quarantine: n.suspects,
-			Clock: o.Clock, Log: o.Log, Metrics: n.metrics, ConfigFreshFor: denialProofAge,
+			Bodies: intake.NewBudget(s.BodyMemory()),
+			Clock:  o.Clock, Log: o.Log, Metrics: n.metrics, ConfigFreshFor: denialProofAge,
 			Fingerprints: s.Overload.Admission,
 		}), nil
 	})
--- a/internal/front/fuzz_test.go
+++ b/internal/front/fuzz_test.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/shelfcrank/shelfcrank/internal/payload"
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
 	"github.com/shelfcrank/shelfcrank/internal/quarantine"
 	suspectwire "github.com/shelfcrank/shelfcrank/internal/quarantine/wire"
@@ -54,7 +55,7 @@
 // No Suspects message makes a quarantine exceed the maximum length.
 func FuzzSuspects(f *testing.F) {
 	now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
-	suspect := quarantine.Suspect{Fingerprint: quarantine.Of("GET", "/", "a", []byte("body")), Ends: map[string]time.Time{"e": now}, QuarantinedUntil: now.Add(time.Minute)}
+	suspect := quarantine.Suspect{Fingerprint: quarantine.Of("GET", "/", "a", payload.Of([]byte("body"))), Ends: map[string]time.Time{"e": now}, QuarantinedUntil: now.Add(time.Minute)}
 	part := suspect
 	part.Fingerprint, part.Part = quarantine.OfPart("p"), "p"
 	whole, err := proto.Marshal(suspectwire.Encode([]quarantine.Suspect{suspect, part}, now))
--- /dev/null
+++ b/internal/intake/intake.go
@@ -0,0 +1,287 @@
+// Package intake bounds what clients can make an instance hold.
+//
+// A Budget bounds the memory of request bodies, whatever their number, length and pace. A body takes memory piece by
+// piece, as it arrives. When memory is short, the reader that has been stalled for longest gives way; if all readers
+// make progress, the newcomer does. A part of the memory is reserved for small bodies, so that a crowd of large
+// ones does not starve ordinary requests.
+//
+// The package reads no clock. Budget is safe for concurrent use; a Lease belongs to one goroutine.
+package intake
+
+import (
+	"context"
+	"errors"
+	"math"
+	"sync"
+	"time"
+)
+
+const (
+	// smallBody is the size in bytes up to which a body may use the reserve.
+	smallBody = 128 << 10
+	// reserveShare is the share of the memory that only small bodies may use.
+	reserveShare = 0.25
+	// minRate is the pace in bytes per second below which a reader counts as stalled, once it has used up
+	// stallTolerance. It is half of what the slowest lines of clients carry.
+	minRate = 32 << 10
+	// stallTolerance is how long a reader may receive nothing.
+	stallTolerance = time.Second
+)
+
+var (
+	// ErrFull reports that there is no memory for a body, and no stalled reader that could give way.
+	ErrFull = errors.New("no memory for the body of the request")
+	// ErrGaveWay reports that the memory of a stalled reader was needed for others.
+	ErrGaveWay = errors.New("the body came too slowly while memory was short")
+)
+
+// Reader is a request whose body is being read.
+type Reader interface {
+	// GiveWay makes reading the body fail at once. It must not block or call back.
+	GiveWay()
+}
+
+// Budget bounds the memory of request bodies.
+type Budget struct {
+	limit      int64 // bytes
+	largeLimit int64 // bytes of bodies that are not small
+
+	mu       sync.Mutex
+	used     usage         // guarded by mu
+	yielding usage         // part of used whose readers were told to give way; guarded by mu
+	readers  *Lease        // a list of those that are being read; guarded by mu
+	changed  chan struct{} // closed when memory was given back or a reader has to give way; nil if nobody waits; guarded by mu
+}
+
+// usage is an amount of memory in bytes.
+type usage struct{ all, large int64 }
+
+func (u *usage) add(n int64, large bool) {
+	u.all += n
+	if large {
+		u.large += n
+	}
+}
+
+// NewBudget returns a budget of a number of bytes, without a bound if that is not positive.
+func NewBudget(limit int64) *Budget {
+	if limit <= 0 {
+		limit = math.MaxInt64 / 2
+	}
+	return &Budget{limit: limit, largeLimit: limit - int64(reserveShare*float64(limit))}
+}
+
+// Used returns the bytes that bodies hold.
+func (b *Budget) Used() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.used.all
+}
+
+type state int
+
+const (
+	closed   state = iota
+	reading        // the body is being read
+	yielding       // the body was being read, and the reader has to give way
+	complete       // the body was read
+)
+
+// Lease is the memory of one body. The zero value holds nothing.
+type Lease struct {
+	budget *Budget
+	reader Reader
+
+	// Guarded by budget.mu.
+	state      state
+	held       int64
+	due        time.Time // the reader counts as stalled from then on
+	prev, next *Lease    // in the list of readers
+}
+
+// Open begins a lease for a body that is about to be read.
+func (b *Budget) Open(l *Lease, r Reader, now time.Time) {
+	*l = Lease{budget: b, reader: r, state: reading, due: now.Add(stallTolerance)}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if l.next = b.readers; l.next != nil {
+		l.next.prev = l
+	}
+	b.readers = l
+}
+
+// unlist removes a lease from the list of readers. b.mu is held.
+func (b *Budget) unlist(l *Lease) {
+	if l.prev != nil {
+		l.prev.next = l.next
+	} else {
+		b.readers = l.next
+	}
+	if l.next != nil {
+		l.next.prev = l.prev
+	}
+	l.prev, l.next = nil, nil
+}
+
+// Grow takes n more bytes. It waits for memory that other readers are about to give back, and fails with ErrFull if
+// there is none, with ErrGaveWay, or with the error of ctx.
+func (l *Lease) Grow(ctx context.Context, n int64, now time.Time) error {
+	b := l.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for {
+		if l.state == yielding {
+			return ErrGaveWay
+		}
+		if b.fits(l, n, usage{}) {
+			b.take(l, n)
+			return nil
+		}
+		if !b.makeRoom(l, n, now) {
+			return ErrFull
+		}
+		if b.changed == nil {
+			b.changed = make(chan struct{})
+		}
+		changed := b.changed
+		b.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+		b.mu.Lock()
+		if err := ctx.Err(); err != nil {
+			return context.Cause(ctx)
+		}
+	}
+}
+
+// fits reports whether a lease can take n more bytes once others have given some back. The only large body may also
+// use the reserve, so that in calm each body that fits at all is read. b.mu is held.
+func (b *Budget) fits(l *Lease, n int64, back usage) bool {
+	if b.used.all-back.all+n > b.limit {
+		return false
+	}
+	total := l.held + n
+	if total <= smallBody {
+		return true
+	}
+	others := b.used.large - back.large
+	if l.held > smallBody {
+		others -= l.held
+	}
+	return others == 0 || others+total <= b.largeLimit
+}
+
+// take adds n bytes to a lease. b.mu is held.
+func (b *Budget) take(l *Lease, n int64) {
+	b.used.add(-l.held, l.held > smallBody)
+	l.held += n
+	b.used.add(l.held, l.held > smallBody)
+}
+
+// makeRoom tells stalled readers to give way, those first that have been stalled for longest, until n more bytes
+// will fit. If they won't even without all stalled readers, nobody gives way and makeRoom reports false. b.mu is held.
+func (b *Budget) makeRoom(l *Lease, n int64, now time.Time) bool {
+	back := b.yielding
+	for r := b.readers; r != nil; r = r.next {
+		if r != l && r.stalled(now) {
+			back.add(r.held, r.held > smallBody)
+		}
+	}
+	if !b.fits(l, n, back) {
+		return false
+	}
+	for !b.fits(l, n, b.yielding) {
+		// Small bodies don't use what a large one lacks outside the reserve.
+		onlyLarge := b.used.all-b.yielding.all+n <= b.limit
+		victim := b.longestStalled(l, onlyLarge, now)
+		b.yielding.add(victim.held, victim.held > smallBody)
+		victim.state = yielding
+		victim.reader.GiveWay()
+		b.notify()
+	}
+	return true
+}
+
+// stalled reports whether memory is held for a body that comes too slowly. budget.mu is held.
+func (l *Lease) stalled(now time.Time) bool {
+	return l.state == reading && l.held > 0 && l.due.Before(now)
+}
+
+// longestStalled returns the reader other than l that has been stalled for longest. b.mu is held.
+func (b *Budget) longestStalled(l *Lease, onlyLarge bool, now time.Time) *Lease {
+	var found *Lease
+	for r := b.readers; r != nil; r = r.next {
+		if r == l || !r.stalled(now) || onlyLarge && r.held <= smallBody {
+			continue
+		}
+		if found == nil || r.due.Before(found.due) {
+			found = r
+		}
+	}
+	return found
+}
+
+// notify wakes those that wait in Grow. b.mu is held.
+func (b *Budget) notify() {
+	if b.changed != nil {
+		close(b.changed)
+		b.changed = nil
+	}
+}
+
+// Received records that n bytes of the body arrived.
+func (l *Lease) Received(n int, now time.Time) {
+	l.budget.mu.Lock()
+	defer l.budget.mu.Unlock()
+	l.due = l.due.Add(time.Duration(n) * time.Second / minRate)
+	if most := now.Add(stallTolerance); l.due.After(most) {
+		l.due = most
+	}
+}
+
+// Complete records that the body was read. It fails with ErrGaveWay if the reader had to give way before.
+func (l *Lease) Complete() error {
+	b := l.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if l.state != reading {
+		return ErrGaveWay
+	}
+	l.state = complete
+	b.unlist(l)
+	return nil
+}
+
+// GaveWay reports whether the reader had to give way.
+func (l *Lease) GaveWay() bool {
+	if l.budget == nil {
+		return false
+	}
+	l.budget.mu.Lock()
+	defer l.budget.mu.Unlock()
+	return l.state == yielding
+}
+
+// Release gives all memory back. It may be called more than once, and on a lease that was never opened.
+func (l *Lease) Release() {
+	b := l.budget
+	if b == nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if l.state == closed {
+		return
+	}
+	if l.state == yielding {
+		b.yielding.add(-l.held, l.held > smallBody)
+	}
+	b.used.add(-l.held, l.held > smallBody)
+	if l.state != complete {
+		b.unlist(l)
+	}
+	l.state, l.held = closed, 0
+	b.notify()
+}
--- a/internal/peerproxy/peerproxy_test.go
+++ b/internal/peerproxy/peerproxy_test.go
@@ -21,6 +21,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/backend"
 	"github.com/shelfcrank/shelfcrank/internal/fault"
 	"github.com/shelfcrank/shelfcrank/internal/netx"
+	"github.com/shelfcrank/shelfcrank/internal/payload"
 	"github.com/shelfcrank/shelfcrank/internal/peer"
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
 	"github.com/shelfcrank/shelfcrank/internal/topology"
@@ -114,7 +115,7 @@
 
 func request(id, body string) *Request {
 	return &Request{Service: "svc", Deadline: time.Now().Add(10 * time.Second), Call: &backend.Call{
-		Method: http.MethodPost, URI: "/a//b?c=%20d", Host: "shop.example", Header: http.Header{"Key": {"k1"}}, Body: []byte(body), ID: id,
+		Method: http.MethodPost, URI: "/a//b?c=%20d", Host: "shop.example", Header: http.Header{"Key": {"k1"}}, Body: payload.Of([]byte(body)), ID: id,
 	}}
 }
 
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -6,6 +6,8 @@
 	"encoding/hex"
 	"hash"
 	"io"
+
+	"github.com/shelfcrank/shelfcrank/internal/payload"
 )
 
 // Fingerprint identifies a request by what an endpoint receives, method, host, URI and body, or a part
@@ -28,14 +30,14 @@
 const hashSize = 16
 
 // Of returns the fingerprint of a request.
-func Of(method, host, uri string, body []byte) Fingerprint {
+func Of(method, host, uri string, body payload.Payload) Fingerprint {
 	h := sha256.New()
 	for _, part := range []string{method, host, uri} {
 		writeLength(h, len(part))
 		_, _ = io.WriteString(h, part) // never fails for a hash
 	}
-	_, _ = h.Write(body)
-	f := Fingerprint{Length: Length(method, host, uri, body)}
+	_, _ = body.WriteTo(h)
+	f := Fingerprint{Length: Length(method, host, uri, body.Len())}
 	copy(f.Sum[:], h.Sum(nil))
 	return f
 }
@@ -59,8 +61,8 @@
 }
 
 // Length returns the Fingerprint.Length of a request, without hashing it.
-func Length(method, host, uri string, body []byte) int {
-	return len(method) + len(host) + len(uri) + len(body)
+func Length(method, host, uri string, body int) int {
+	return len(method) + len(host) + len(uri) + body
 }
 
 // Hash returns a 64-bit hash, by which suspects are assigned to instances.
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/shelfcrank/shelfcrank/internal/payload"
 )
 
 var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
@@ -17,7 +19,7 @@
 
 var options = Options{Length: 30 * time.Second, MaxSuspects: 100}
 
-func fingerprint(i int) Fingerprint { return Of("POST", "h", fmt.Sprint("/", i), []byte("body")) }
+func fingerprint(i int) Fingerprint { return Of("POST", "h", fmt.Sprint("/", i), payload.Of([]byte("body"))) }
 
 func run(i int, endpoint string) Run {
 	return Run{Fingerprint: fingerprint(i), Endpoint: endpoint, Name: endpoint, Account: "a"}
@@ -38,15 +40,15 @@
 
 func TestAFingerprintIsOfWhatAnEndpointReceives(t *testing.T) {
 	is := is.New(t)
-	f := Of("POST", "h", "/a", []byte("body"))
-	is.Equal(f, Of("POST", "h", "/a", []byte("body")))
+	f := Of("POST", "h", "/a", payload.Of([]byte("body")))
+	is.Equal(f, Of("POST", "h", "/a", payload.Of([]byte("body"))))
 	for _, other := range []Fingerprint{
-		Of("PUT", "h", "/a", []byte("body")), Of("POST", "g", "/a", []byte("body")), Of("POST", "h", "/b", []byte("body")),
-		Of("POST", "h", "/a", []byte("bodz")), Of("POST", "h/", "a", []byte("body")), Of("POST", "h", "/abody", nil),
+		Of("PUT", "h", "/a", payload.Of([]byte("body"))), Of("POST", "g", "/a", payload.Of([]byte("body"))), Of("POST", "h", "/b", payload.Of([]byte("body"))),
+		Of("POST", "h", "/a", payload.Of([]byte("bodz"))), Of("POST", "h/", "a", payload.Of([]byte("body"))), Of("POST", "h", "/abody", payload.Payload{}),
 	} {
 		is.True(f != other)
 	}
-	is.Equal(f.Length, Length("POST", "h", "/a", []byte("body")))
+	is.Equal(f.Length, Length("POST", "h", "/a", len("body")))
 }
 
 func TestARequestIsQuarantinedAfterThreeEnds(t *testing.T) {
@@ -241,7 +243,7 @@
 	body := make([]byte, 12<<10)
 	b.ReportAllocs()
 	for b.Loop() {
-		Of("POST", "shop.example", "/a/b", body)
+		Of("POST", "shop.example", "/a/b", payload.Of(body))
 	}
 }
 
--- a/internal/relay/suspects.go
+++ b/internal/relay/suspects.go
@@ -12,6 +12,7 @@
 	"github.com/samber/lo"
 
 	"github.com/shelfcrank/shelfcrank/internal/fault"
+	"github.com/shelfcrank/shelfcrank/internal/payload"
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
 	"github.com/shelfcrank/shelfcrank/internal/prefix"
 	"github.com/shelfcrank/shelfcrank/internal/quarantine"
@@ -81,7 +82,7 @@
 }
 
 func fingerprint(rec *record.Record) quarantine.Fingerprint {
-	return quarantine.Of("model", rec.Class, "", rec.Body)
+	return quarantine.Of("model", rec.Class, "", payload.Of(rec.Body))
 }
 
 // maxSharedParts bounds the parts of a prompt that are considered.
@@ -114,7 +115,7 @@
 // maybeSuspect reports whether a request may be a suspect, by its length alone: computing the fingerprint
 // of a long body is expensive.
 func (s *suspects) maybeSuspect(rec *record.Record) bool {
-	return s.table.MaybeSuspect(quarantine.Length("model", rec.Class, "", rec.Body))
+	return s.table.MaybeSuspect(quarantine.Length("model", rec.Class, "", len(rec.Body)))
 }
 
 // checkQuarantine returns an error if a request is quarantined and may not run now, else nil. It waits for a
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -20,7 +20,7 @@
 	Local   netip.Addr     `toml:"local_address" help:"IP address from which the instance connects to endpoints and other instances; empty to let the system choose."`
 	// StoreWritesPerSecond limits how fast the instances of a fleet that starts register.
 	StoreWritesPerSecond float64 `toml:"store_writes_per_s" help:"Writes that the metadata store accepts from all instances together, a second; 0 if unknown."`
-	MemoryMB             int     `toml:"memory_mb" help:"Memory limit of the process, in MB; 0 for no limit."`
+	MemoryMB             int     `toml:"memory_mb" help:"Memory limit of the process, in MB; 0 for no limit. The bodies of requests in progress may take 35% of it."`
 	Cores                float64 `toml:"cores" help:"CPU limit of the process, in cores; 0 if unknown."`
 	// QuarantineS defaults to one minute. By then a caller that sent a request that crashes
 	// endpoints by mistake has stopped retrying, and deploying a new version of an endpoint
@@ -54,6 +54,13 @@
 // defaultMaxProxied is the default of Front.MaxProxied.
 const defaultMaxProxied = 256
 
+// bodyMemoryShare is the share of the memory of the process that the bodies of requests may take. The rest is for
+// connections, answers, the state of the instance and garbage.
+const bodyMemoryShare = 0.35
+
+// BodyMemory returns the bytes that the bodies of requests in progress may take together; 0 for no limit.
+func (s *Front) BodyMemory() int64 { return int64(bodyMemoryShare * float64(s.MemoryMB) * (1 << 20)) }
+
 // Proxied returns how many requests of other instances are served at a time.
 func (s *Front) Proxied() int { return cmp.Or(s.MaxProxied, defaultMaxProxied) }
 
