front: what clients send and nobody reads takes no more than 32 KiB a connection

What callers saw: with the bodies bounded, a crowd of 64 clients that go on sending after their refusal still took a process of 64 MiB to 65 to 91 MiB, since bytes that have arrived and are not read count as its memory.

Cause: the system lets the receive buffer of a socket grow to megabytes. net/http leaves a connection that it has refused open for half a second, so that the client can read the response, and does not read it meanwhile.

The listener of clients now limits the buffer of each connection.

--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/shelfcrank/shelfcrank/internal/event"
+	"github.com/shelfcrank/shelfcrank/internal/netx"
 )
 
 // Time-outs and limits of the listeners.
@@ -23,8 +24,15 @@
 	drainMargin        = 100 * time.Millisecond  // before the end of that time, so that responses sent at a deadline still arrive
 )
 
+// unreadBytes limits what the system holds of a client connection that is not read, as while a request is served or
+// after one was refused. A client can send this much each round trip.
+const unreadBytes = 32 << 10
+
 // serveClients starts the client listener with the limits of the configuration.
 func (n *Instance) serveClients(ctx context.Context, l net.Listener) *http.Server {
+	if err := netx.LimitReceiveBuffer(l, unreadBytes); err != nil {
+		n.event(event.ReceiveBufferNotLimited, zap.Error(err))
+	}
 	select {
 	case <-n.synced:
 	case <-ctx.Done():
--- a/internal/netx/netx.go
+++ b/internal/netx/netx.go
@@ -67,6 +67,25 @@
 	return errors.Join(err, failed)
 }
 
+// LimitReceiveBuffer limits the bytes that the system holds for each connection accepted from now on and that were
+// not read yet. Without it, the system may let them grow to several megabytes. Listeners without sockets are left
+// as they are.
+func LimitReceiveBuffer(l net.Listener, bytes int) error {
+	s, ok := l.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var failed error
+	err = raw.Control(func(fd uintptr) {
+		failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bytes)
+	})
+	return errors.Join(err, failed)
+}
+
 const (
 	maxIdlePerHost = 256
 	idleTimeout    = 30 * time.Second
--- a/internal/netx/netx_test.go
+++ b/internal/netx/netx_test.go
@@ -49,3 +49,30 @@
 	is.True(timeout >= soundSilence)
 	is.True(idle+silenceNoticed(timeout, idle, interval) <= 3*time.Second) // a cut is noticed in time
 }
+
+// Guards against sockets in which the system keeps megabytes that clients send and nobody reads.
+func TestTheReceiveBufferOfAcceptedConnectionsIsLimited(t *testing.T) {
+	is := is.New(t)
+	const limit = 32 << 10
+	l, err := TCP{}.Listen(netip.MustParseAddrPort("127.0.0.1:0"))
+	is.NoErr(err)
+	defer l.Close()
+	is.NoErr(LimitReceiveBuffer(l, limit))
+	c, err := TCP{}.Dial(context.Background(), netip.MustParseAddrPort(l.Addr().String()))
+	is.NoErr(err)
+	defer c.Close()
+	accepted, err := l.Accept()
+	is.NoErr(err)
+	defer accepted.Close()
+	raw, err := accepted.(syscall.Conn).SyscallConn()
+	is.NoErr(err)
+	size := 0
+	is.NoErr(raw.Control(func(fd uintptr) { size, err = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF) }))
+	is.NoErr(err)
+	is.True(size <= 2*limit) // Linux doubles it, for what it needs itself
+
+	inMemory, err := NewMem(func(string, string) time.Duration { return 0 }).Site("a").Listen(netip.MustParseAddrPort("10.0.0.1:80"))
+	is.NoErr(err)
+	defer inMemory.Close()
+	is.NoErr(LimitReceiveBuffer(inMemory, limit))
+}
