forward: a refused request keeps its connection for one more second at most

What callers saw: 512 clients with an unknown key, which send all of their body but the last byte, took all 512 descriptors for good. No ordinary request was answered in 90 s, and the instance could call neither the platform nor endpoints.

Cause: before it sends a short response, and again before it closes the body, net/http reads what is left of the request, up to 256 KiB, and nothing limited the time: the read deadline of a connection ends with the header.

A request that is refused before its body was read now sets a deadline of one second for the rest of it. The response then goes out, and the connection is closed if the rest has not come.

Evidence: TestARefusalDoesNotWaitForTheBody hangs for its minute without the change.

--- a/internal/forward/body_test.go
+++ b/internal/forward/body_test.go
@@ -1,10 +1,12 @@
 package forward
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -84,3 +86,23 @@
 	is.Equal(rec.Code, http.StatusOK)
 	is.Equal(w.handler.Bodies.Used(), int64(0))
 }
+
+// Guards against a refused request that keeps its connection for as long as its client sends nothing more of the body.
+func TestARefusalDoesNotWaitForTheBody(t *testing.T) {
+	is := is.New(t)
+	w := newFixture(t, 0, sealed(200, "hi"))
+	w.handler.Clock = clock.New(clock.System{})
+	s := httptest.NewServer(w.handler)
+	defer s.Close()
+	c, err := net.Dial("tcp", s.Listener.Addr().String())
+	is.NoErr(err)
+	defer c.Close()
+	_, err = fmt.Fprintf(c, "POST /safe/a HTTP/1.1\r\nHost: %s\r\nKey: unknown\r\nContent-Length: 4\r\n\r\nbod", testHost)
+	is.NoErr(err)
+	is.NoErr(c.SetReadDeadline(time.Now().Add(time.Minute)))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusUnauthorized)
+	_, err = c.Read(make([]byte, 1))
+	is.Equal(err, io.EOF) // closed by the handler's side
+}
--- a/internal/forward/door.go
+++ b/internal/forward/door.go
@@ -23,18 +23,18 @@
 // serve handles a request of a client that connected here or to another instance.
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request, q *request) {
 	if d := h.identify(q, r); d != nil {
-		h.refuseEarly(w, q, d)
+		h.refuseUnread(w, r, q, d)
 		return
 	}
 	if d := q.checkDrain(); d != nil {
-		h.refuseEarly(w, q, d)
+		h.refuseUnread(w, r, q, d)
 		return
 	}
 	ctx, deadline := h.Clock.WithDeadline(r.Context(), q.deadline, errDeadline)
 	defer deadline.Stop()
 	defer q.memory.Release()
 	if d := h.readRequest(ctx, w, q, r); d != nil {
-		h.refuseEarly(w, q, d)
+		h.refuseUnread(w, r, q, d)
 		return
 	}
 	if d := h.findOrigin(ctx, q); d != nil {
@@ -48,6 +48,19 @@
 	h.run(ctx, w, q)
 }
 
+// unreadTimeout is how long a client whose request was refused may take to send the rest of its body. The HTTP server
+// reads some of that before and after the response, so that the client sees the response and can use the connection
+// again, and would wait for it without an end.
+const unreadTimeout = time.Second
+
+// refuseUnread refuses a request of which not all of the body has been read.
+func (h *Handler) refuseUnread(w http.ResponseWriter, r *http.Request, q *request, d *denial) {
+	if r.Body != nil && r.Body != http.NoBody {
+		_ = http.NewResponseController(w).SetReadDeadline(h.Clock.ToMonotonic(h.Clock.Now().Add(unreadTimeout))) // fails for the response recorder of tests
+	}
+	h.refuseEarly(w, q, d)
+}
+
 // refuseEarly refuses a request that this instance has not sent anywhere. An endpoint that another instance sent
 // it to may have run it.
 func (h *Handler) refuseEarly(w http.ResponseWriter, q *request, d *denial) {
