front: the connections of clients leave descriptors and memory for all else

What callers saw: 512 connections that say nothing took all 512 descriptors, so that paths to endpoints, other instances and the platform had none left; 3,000 connections with headers that do not end took 96 MiB of 64.

Cause: nothing bounded how many connections are accepted, nor what their headers take.

Clients get 45% of the descriptors that files don't need, since each request may take one more to an endpoint. Two ways were weighed for what gives way: to refuse the newcomer lets a crowd that keeps connections open shut all others out; to close the connection that was not used for longest lets an ordinary client in, whose header comes at once. So the oldest connection without a request in progress is closed, those first that never sent one, and one with a request in progress never is. While requests are in progress on all, the newcomer is closed and the reader of a body that stalled longest gives way for the next one.

The tests now also sample the process right before they judge, as one had ended before its first sample with the crowd.

--- a/internal/cmd/front.go
+++ b/internal/cmd/front.go
@@ -1,8 +1,10 @@
 package cmd
 
 import (
+	"cmp"
 	"context"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -40,6 +42,7 @@
 	if set.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(set.MemoryMB) * megabyte))
 	}
+	set.MaxDescriptors = cmp.Or(set.MaxDescriptors, descriptorLimit())
 	sink := logsink.New(out)
 	defer sink.Close()
 	log := newLogger(sink, level)
@@ -59,6 +62,15 @@
 	return node.Run(ctx)
 }
 
+// descriptorLimit returns the limit of the system on the open descriptors of this process; 0 if it is unknown.
+func descriptorLimit() int {
+	var l syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &l); err != nil {
+		return 0
+	}
+	return int(min(l.Cur, math.MaxInt32))
+}
+
 // idleConnTimeout is how long an idle connection to the store or to the cloud
 // interface is kept open.
 const idleConnTimeout = 5 * time.Second
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -119,6 +119,8 @@
 	admission         *admission
 	elector           *duty.Elector
 	handler           *forward.Handler
+	bodies            *intake.Budget      // of the requests in progress
+	connections       *intake.Connections // of clients
 	placer            *placer
 	suspects          *suspects
 	streams           *resume.Directory // at which versions streams began
@@ -170,6 +172,10 @@
 	n.suspects = newSuspects(n)
 	n.rollouts = rollctl.New(rollout.Bound{Share: o.Settings.Bounds.ExposeShare, Slack: o.Settings.Bounds.ExposeSlack}, n.source(), rand.New(rand.NewPCG(o.Seed, seedRollouts)), o.Clock)
 	n.knownRollouts.Store(&[]rollctl.ServiceRollout{})
+	n.bodies = intake.NewBudget(o.Settings.BodyMemory())
+	n.connections = intake.NewConnections(intake.ConnectionLimits{
+		Open: o.Settings.Connections(), Bytes: o.Settings.ConnectionMemory(), Unread: unreadBytes,
+	}, func() { n.bodies.YieldStalled(n.Clock.Now()) })
 	n.provide()
 	var err error
 	if n.metrics, err = do.Invoke[*metrics.Metrics](n.injector); err != nil {
@@ -225,8 +231,7 @@
 	do.Provide(n.injector, func(do.Injector) (*forward.Handler, error) {
 		return forward.New(forward.Options{
 			Protocol: o.Protocol, View: n.view.Load, Backends: n.backends, Paths: n.paths, Proxy: n.proxy, Placer: n.placer, Admission: n.admission, Origins: n.streams, Quarantine: n.suspects,
-			Bodies: intake.NewBudget(s.BodyMemory()),
-			Clock:  o.Clock, Log: o.Log, Metrics: n.metrics, ConfigFreshFor: denialProofAge,
+			Bodies: n.bodies, Clock: o.Clock, Log: o.Log, Metrics: n.metrics, ConfigFreshFor: denialProofAge,
 			Fingerprints: s.Overload.Admission,
 		}), nil
 	})
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -39,7 +39,7 @@
 	case <-n.Clock.After(initialSyncTimeout):
 	}
 	s := &http.Server{
-		Handler: n.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+		Handler: n.handler, ConnState: n.connections.StateChanged, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
 		ErrorLog: zap.NewStdLog(zap.NewNop()),
 	}
 	if c := n.view.Load().Config; c != nil {
@@ -53,7 +53,7 @@
 			s.MaxHeaderBytes = c.Limits.HeaderBytes
 		}
 	}
-	go func() { _ = s.Serve(l) }()
+	go func() { _ = s.Serve(n.connections.Listener(l)) }()
 	return s
 }
 
--- a/internal/hostile/world_test.go
+++ b/internal/hostile/world_test.go
@@ -223,14 +223,19 @@
 // watch samples the memory and the descriptors of the process.
 func (w *world) watch(ctx context.Context) {
 	for ctx.Err() == nil {
-		memory, descriptors := w.usage()
-		w.mu.Lock()
-		w.memory, w.descriptors = max(w.memory, memory), max(w.descriptors, descriptors)
-		w.mu.Unlock()
+		w.sample()
 		time.Sleep(sampleInterval)
 	}
 }
 
+// sample records what the process uses now.
+func (w *world) sample() {
+	memory, descriptors := w.usage()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.memory, w.descriptors = max(w.memory, memory), max(w.descriptors, descriptors)
+}
+
 // usage returns what the process uses now.
 func (w *world) usage() (memory int64, descriptors int) {
 	memory = anonymousMemory(w.cmd.Process.Pid) + unreadBytes(w.addr)
@@ -316,6 +321,7 @@
 // descriptors have passed their bounds.
 func (w *world) check() {
 	w.t.Helper()
+	w.sample()
 	w.await("an answer to an ordinary request", w.call)
 	w.checkBounds()
 }
@@ -323,6 +329,7 @@
 // checkBounds checks that the process lives and has not passed its bounds.
 func (w *world) checkBounds() {
 	w.t.Helper()
+	w.sample()
 	if !w.running() {
 		w.t.Errorf("the process has ended\n%s", w.lastLines())
 	}
--- /dev/null
+++ b/internal/intake/connections.go
@@ -0,0 +1,255 @@
+package intake
+
+import (
+	"container/list"
+	"net"
+	"net/http"
+	"sync"
+)
+
+// connectionBytes is the memory of a connection on which nothing happens, in bytes: its goroutine, buffers and
+// what the system keeps of it.
+const connectionBytes = 24 << 10
+
+// headerCopies is how often the bytes of a header are in memory at a time: as they came, and as they were parsed.
+const headerCopies = 2
+
+// ConnectionLimits bound the connections of clients. Zero stands for no bound.
+type ConnectionLimits struct {
+	Open   int   // connections open at a time
+	Bytes  int64 // memory of the connections with the headers of their requests
+	Unread int64 // bytes that the system may hold of a connection whose request is in progress
+}
+
+// Connections bounds the connections of clients to a listener. When there is no room for one more, the connection on
+// which no request is in progress and that was not used for longest is closed: at first those whose last request was
+// answered and that are about to be closed, then those on which no request came yet, then those that were kept for the
+// next request. While requests are in progress on all of them, the newcomer is closed.
+//
+// It is safe for concurrent use.
+type Connections struct {
+	limits ConnectionLimits
+	// onFull is called when a newcomer is closed because requests are in progress on all connections.
+	onFull func()
+
+	mu      sync.Mutex
+	open    int                  // guarded by mu
+	bytes   int64                // guarded by mu
+	waiting [phaseBusy]list.List // of *conn, those first that are to be closed first; guarded by mu
+	counts  ConnectionCounts     // guarded by mu
+}
+
+// ConnectionCounts tells what Connections did.
+type ConnectionCounts struct {
+	Open    int   // connections open now
+	Closed  int64 // connections closed so far to make room for others
+	Refused int64 // newcomers closed so far
+}
+
+// phase is what a connection is used for. Connections are closed in this order to make room for others; those with
+// a request in progress are not closed.
+type phase int
+
+const (
+	phaseAnswered phase = iota // the last request was answered, and the connection is about to be closed
+	phaseFresh                 // no request has come yet
+	phaseKept                  // it waits for the next request
+	phaseBusy                  // a request is in progress
+)
+
+// NewConnections returns a table without connections. onFull is called, without blocking, when a newcomer is closed
+// although no request of it was seen, as requests are in progress on all other connections; it may be nil.
+func NewConnections(l ConnectionLimits, onFull func()) *Connections {
+	return &Connections{limits: l, onFull: onFull}
+}
+
+// Counts returns what happened so far.
+func (s *Connections) Counts() ConnectionCounts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.counts
+	c.Open = s.open
+	return c
+}
+
+// Listener returns a listener that accepts the connections of l within the limits. The server that uses it has to
+// call StateChanged.
+func (s *Connections) Listener(l net.Listener) net.Listener { return &listener{l, s} }
+
+type listener struct {
+	net.Listener
+	connections *Connections
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.connections.add(raw); c != nil {
+			return c, nil
+		}
+		_ = raw.Close()
+	}
+}
+
+// StateChanged is a hook for http.Server.ConnState.
+func (s *Connections) StateChanged(c net.Conn, state http.ConnState) {
+	k, ok := c.(*conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		k.enter(phaseBusy)
+	case http.StateIdle:
+		k.enter(phaseKept)
+	}
+}
+
+// conn is a connection that is counted.
+type conn struct {
+	net.Conn
+	connections *Connections
+
+	// Guarded by connections.mu.
+	phase  phase
+	place  *list.Element // in connections.waiting; nil while busy and once closed
+	bytes  int64
+	closed bool
+}
+
+// add counts a new connection. It returns nil if there is no room for it.
+func (s *Connections) add(raw net.Conn) *conn {
+	s.mu.Lock()
+	for !s.fits(1, connectionBytes) && s.closeOne(nil) {
+	}
+	if !s.fits(1, connectionBytes) {
+		s.counts.Refused++
+		s.mu.Unlock()
+		if s.onFull != nil {
+			s.onFull()
+		}
+		return nil
+	}
+	defer s.mu.Unlock()
+	c := &conn{Conn: raw, connections: s, phase: phaseFresh, bytes: connectionBytes}
+	s.open++
+	s.bytes += c.bytes
+	c.place = s.waiting[phaseFresh].PushBack(c)
+	return c
+}
+
+// fits reports whether there is room for more connections and bytes. s.mu is held.
+func (s *Connections) fits(open int, bytes int64) bool {
+	return (s.limits.Open <= 0 || s.open+open <= s.limits.Open) && (s.limits.Bytes <= 0 || s.bytes+bytes <= s.limits.Bytes)
+}
+
+// closeOne closes the connection that gives way first, other than keep, and reports whether there is one. s.mu is held.
+func (s *Connections) closeOne(keep *conn) bool {
+	for p := range s.waiting {
+		for e := s.waiting[p].Front(); e != nil; e = e.Next() {
+			if c := e.Value.(*conn); c != keep {
+				s.counts.Closed++
+				s.remove(c)
+				_ = c.Conn.Close()
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// remove stops counting a connection. s.mu is held.
+func (s *Connections) remove(c *conn) {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	s.open--
+	s.bytes -= c.bytes
+	s.unlist(c)
+}
+
+// unlist takes a connection from the list of its phase. s.mu is held.
+func (s *Connections) unlist(c *conn) {
+	if c.place != nil {
+		s.waiting[c.phase].Remove(c.place)
+		c.place = nil
+	}
+}
+
+// enter changes the phase of a connection.
+func (c *conn) enter(p phase) {
+	s := c.connections
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.closed {
+		return
+	}
+	s.unlist(c)
+	c.phase = p
+	switch p {
+	case phaseBusy:
+		c.grow(s.limits.Unread)
+	default:
+		c.grow(connectionBytes - c.bytes)
+		c.place = s.waiting[p].PushBack(c)
+	}
+}
+
+// grow changes the memory that is counted for a connection. connections.mu is held.
+func (c *conn) grow(n int64) {
+	c.bytes += n
+	c.connections.bytes += n
+}
+
+// Read implements net.Conn. While no request is in progress, what is read is a header.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && !c.received(n) {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// received counts what was read of a header. It returns false if the connection was closed for lack of room.
+func (c *conn) received(n int) bool {
+	s := c.connections
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.closed || c.phase == phaseBusy {
+		return !c.closed
+	}
+	more := int64(headerCopies * n)
+	for !s.fits(0, more) && s.closeOne(c) {
+	}
+	if !s.fits(0, more) {
+		s.counts.Closed++
+		s.remove(c)
+		_ = c.Conn.Close()
+		return false
+	}
+	c.grow(more)
+	return true
+}
+
+// CloseWrite tells the client that nothing more comes. The server does this before it closes a connection.
+func (c *conn) CloseWrite() error {
+	c.enter(phaseAnswered)
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	s := c.connections
+	s.mu.Lock()
+	s.remove(c)
+	s.mu.Unlock()
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/intake/connections_test.go
@@ -0,0 +1,99 @@
+package intake
+
+import (
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// pipes accepts connections that a test makes.
+type pipes struct{ made []net.Conn }
+
+func (p *pipes) Accept() (net.Conn, error) {
+	if len(p.made) == 0 {
+		return nil, net.ErrClosed
+	}
+	c := p.made[0]
+	p.made = p.made[1:]
+	return c, nil
+}
+func (p *pipes) Close() error   { return nil }
+func (p *pipes) Addr() net.Addr { return nil }
+
+// connect makes a connection, and returns what the server gets of it; nil if it was refused.
+func connect(s *Connections) (client, server net.Conn) {
+	client, accepted := net.Pipe()
+	server, err := s.Listener(&pipes{[]net.Conn{accepted}}).Accept()
+	if err != nil {
+		return client, nil
+	}
+	return client, server
+}
+
+// isClosed reports whether a connection was closed by the other end.
+func isClosed(client net.Conn) bool {
+	go func() { _, _ = client.Write([]byte("x")) }()
+	_, err := client.Read(make([]byte, 1))
+	return err != nil
+}
+
+// Guards against a crowd of connections that takes all descriptors, and against one that is closed although its
+// request is in progress.
+func TestConnectionsWithoutARequestGiveWayInTheirOrder(t *testing.T) {
+	is := is.New(t)
+	full := 0
+	s := NewConnections(ConnectionLimits{Open: 5}, func() { full++ })
+	clients := make([]net.Conn, 5)
+	servers := make([]net.Conn, 5)
+	for i := range clients {
+		clients[i], servers[i] = connect(s)
+	}
+	s.StateChanged(servers[0], http.StateActive) // 0 stays busy
+	s.StateChanged(servers[1], http.StateActive)
+	s.StateChanged(servers[1], http.StateIdle) // 1 is kept
+	s.StateChanged(servers[2], http.StateActive)
+	is.NoErr(servers[2].(*conn).CloseWrite()) // 2 is answered and about to be closed
+	for _, want := range []int{2, 3, 4, 1} {
+		_, server := connect(s)
+		is.True(server != nil)
+		s.StateChanged(server, http.StateActive)
+		is.True(isClosed(clients[want]))
+		is.Equal(s.Counts().Open, 5)
+	}
+	_, server := connect(s)
+	is.True(server == nil)
+	is.Equal(full, 1)
+	is.Equal(s.Counts(), ConnectionCounts{Open: 5, Closed: 4, Refused: 1})
+	is.NoErr(servers[0].Close())
+	is.NoErr(servers[0].Close())
+	is.Equal(s.Counts().Open, 4)
+}
+
+// Guards against headers that grow beyond the memory, and against counting a header after its request.
+func TestHeadersTakeTheMemoryOfConnections(t *testing.T) {
+	is := is.New(t)
+	const header = 4 << 10
+	s := NewConnections(ConnectionLimits{Bytes: 2*connectionBytes + headerCopies*header}, nil)
+	first, _ := connect(s)
+	second, server := connect(s)
+	read := func(n int) error {
+		go func() { _, _ = second.Write(make([]byte, n)) }()
+		_, err := server.Read(make([]byte, n))
+		return err
+	}
+	is.NoErr(read(header))
+	s.StateChanged(server, http.StateActive)
+	is.NoErr(read(header)) // of the body
+	s.StateChanged(server, http.StateIdle)
+	is.NoErr(read(header))
+	is.Equal(s.Counts().Closed, int64(0))
+	is.NoErr(read(header)) // the first connection gives way
+	is.True(isClosed(first))
+	for range connectionBytes / header / headerCopies {
+		_ = read(header)
+	}
+	is.Equal(s.Counts(), ConnectionCounts{Closed: 2}) // one alone that takes too much is closed too
+	is.Equal(s.bytes, int64(0))
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -5,7 +5,9 @@
 // make progress, the newcomer does. A part of the memory is reserved for small bodies, so that a crowd of large
 // ones does not starve ordinary requests.
 //
-// The package reads no clock. Budget is safe for concurrent use; a Lease belongs to one goroutine.
+// Connections bounds the connections of clients to a listener, with the headers of their requests.
+//
+// The package reads no clock. Budget and Connections are safe for concurrent use; a Lease belongs to one goroutine.
 package intake
 
 import (
@@ -196,10 +198,7 @@
 		// Small bodies don't use what a large one lacks outside the reserve.
 		onlyLarge := b.used.all-b.yielding.all+n <= b.limit
 		victim := b.longestStalled(l, onlyLarge, now)
-		b.yielding.add(victim.held, victim.held > smallBody)
-		victim.state = yielding
-		victim.reader.GiveWay()
-		b.notify()
+		b.yield(victim)
 	}
 	return true
 }
@@ -223,6 +222,24 @@
 	return found
 }
 
+// YieldStalled tells the reader that has been stalled for longest to give way, if there is one. Its connection is
+// closed then.
+func (b *Budget) YieldStalled(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if victim := b.longestStalled(nil, false, now); victim != nil {
+		b.yield(victim)
+	}
+}
+
+// yield tells a reader to give way. b.mu is held.
+func (b *Budget) yield(l *Lease) {
+	b.yielding.add(l.held, l.held > smallBody)
+	l.state = yielding
+	l.reader.GiveWay()
+	b.notify()
+}
+
 // notify wakes those that wait in Grow. b.mu is held.
 func (b *Budget) notify() {
 	if b.changed != nil {
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -20,7 +20,8 @@
 	Local   netip.Addr     `toml:"local_address" help:"IP address from which the instance connects to endpoints and other instances; empty to let the system choose."`
 	// StoreWritesPerSecond limits how fast the instances of a fleet that starts register.
 	StoreWritesPerSecond float64 `toml:"store_writes_per_s" help:"Writes that the metadata store accepts from all instances together, a second; 0 if unknown."`
-	MemoryMB             int     `toml:"memory_mb" help:"Memory limit of the process, in MB; 0 for no limit. The bodies of requests in progress may take 35% of it."`
+	MemoryMB             int     `toml:"memory_mb" help:"Memory limit of the process, in MB; 0 for no limit. The bodies of requests in progress may take 35% of it, and connections of clients 20%."`
+	MaxDescriptors       int     `toml:"max_descriptors" help:"Limit on the open descriptors of the process; 0 for that of the system. Connections of clients may take 45% of those that files don't need, as each request may need one more to an endpoint."`
 	Cores                float64 `toml:"cores" help:"CPU limit of the process, in cores; 0 if unknown."`
 	// QuarantineS defaults to one minute. By then a caller that sent a request that crashes
 	// endpoints by mistake has stopped retrying, and deploying a new version of an endpoint
@@ -61,6 +62,27 @@
 // BodyMemory returns the bytes that the bodies of requests in progress may take together; 0 for no limit.
 func (s *Front) BodyMemory() int64 { return int64(bodyMemoryShare * float64(s.MemoryMB) * (1 << 20)) }
 
+const (
+	// connectionMemoryShare is the share of the memory of the process that connections of clients may take.
+	connectionMemoryShare = 0.2
+	// maxFiles is how many descriptors are kept for files, at most a tenth of all.
+	maxFiles = 200
+	// connectionShare is the share of the other descriptors that connections of clients may take. Each request in
+	// progress may need one more to an endpoint, and the rest is for the store, other instances and probes.
+	connectionShare = 0.45
+)
+
+// ConnectionMemory returns the bytes that connections of clients may take with the headers of their requests; 0 for
+// no limit.
+func (s *Front) ConnectionMemory() int64 {
+	return int64(connectionMemoryShare * float64(s.MemoryMB) * (1 << 20))
+}
+
+// Connections returns how many connections of clients may be open at a time; 0 for no limit.
+func (s *Front) Connections() int {
+	return int(connectionShare * float64(s.MaxDescriptors-min(maxFiles, s.MaxDescriptors/10)))
+}
+
 // Proxied returns how many requests of other instances are served at a time.
 func (s *Front) Proxied() int { return cmp.Or(s.MaxProxied, defaultMaxProxied) }
 
