forward: answers that their clients don't read take no more than a part of the memory

What callers saw: 256 clients with a valid key that ask for answers of 8 MiB and read one byte took a process of 64 MiB to 186 MiB and all its 512 descriptors. With the connections bounded, they kept these to themselves instead: an ordinary request got no answer in 90 s.

Cause: up to 256 KiB of each answer were read ahead, in a buffer that doubles, and the system read up to megabytes more. Nothing ended a write to a client that does not read: the deadline of a request ends what is read from the endpoint, not what is written.

Now the pieces that are read ahead come from the same budget as the bodies of requests; without memory an answer is passed on as it comes, by a buffer of 4 KiB. The system keeps 32 KiB of an endpoint's connection. Writes end a second after the deadline of the request. When all connections are taken by requests in progress, the one whose client has read nothing for longest gives way, as seen by a write that is still the same after a second; a client on a slow line reads 16 KiB in that time and keeps its place. The alternative, to refuse the newcomer, is what the 90 s show.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -81,6 +81,8 @@
 	maxMismatched  = 3               // responses to other requests that are skipped before giving up
 	maxHeaderBytes = 64 << 10
 	maxInlineBody  = 8 << 10 // bytes; a body up to this size is written before the response is read
+	// unreadBytes limits what the system holds of a response while its client does not read.
+	unreadBytes = 32 << 10
 )
 
 // Client is a pool of connections to endpoints.
@@ -181,6 +183,9 @@
 	defer cancel()
 	raw, err := c.net.Dial(limited, endpoint.Addr)
 	if err == nil {
+		if s, ok := raw.(interface{ SetReadBuffer(bytes int) error }); ok {
+			_ = s.SetReadBuffer(unreadBytes) // without it, more is held
+		}
 		return c.newConn(endpoint.ID, raw), nil
 	}
 	if ctx.Err() == nil {
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -9,6 +9,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/backend"
 	"github.com/shelfcrank/shelfcrank/internal/balance"
 	"github.com/shelfcrank/shelfcrank/internal/event"
+	"github.com/shelfcrank/shelfcrank/internal/payload"
 	"github.com/shelfcrank/shelfcrank/internal/peerproxy"
 	"github.com/shelfcrank/shelfcrank/internal/policy"
 )
@@ -34,7 +35,7 @@
 		ticket.Done(balance.Failed, h.Clock.Now())
 		return outcome{again: q.route.Idempotent(), denial: &denial{status: http.StatusBadGateway, why: "response without a seal"}}
 	}
-	body, err := io.ReadAll(io.LimitReader(resp, maxBuffered+1))
+	body, whole, err := h.bufferAnswer(q, resp)
 	if err != nil {
 		ticket.Done(h.resultOf(ctx, streamError(err)), h.Clock.Now())
 		h.runAborted(ctx, q, ticket.Endpoint)
@@ -47,20 +48,51 @@
 	h.compareForecast(q, ticket)
 	if resp.Status >= http.StatusInternalServerError {
 		ticket.Done(balance.Failed, h.Clock.Now())
-		if q.route.Idempotent() && len(body) <= maxBuffered {
+		if q.route.Idempotent() && whole {
 			return outcome{again: true, denial: &denial{why: "endpoint failed", answer: &answer{resp, body}}}
 		}
 	} else {
 		ticket.Done(balance.Answered, h.Clock.Now())
 	}
-	h.writeResponse(w, q, resp, body)
+	h.writeResponse(w, q, resp, body, whole)
 	return outcome{done: true}
 }
 
+// bufferAnswer reads the body of a response, or the beginning of one that is large or that there is no memory for.
+// whole reports whether it is all of it.
+func (h *Handler) bufferAnswer(q *request, resp *backend.Response) (body payload.Payload, whole bool, err error) {
+	size := int64(firstPiece)
+	if resp.Length >= 0 {
+		size = min(resp.Length+1, maxPiece) // one more byte shows that there is no more
+	}
+	for body.Len() <= maxBuffered {
+		if !h.Bodies.Hold(&q.answerMemory, size) {
+			return body, false, nil
+		}
+		piece := make([]byte, size)
+		n, err := fill(resp, piece)
+		body.Append(piece[:n])
+		if err == io.EOF {
+			return body, true, nil
+		}
+		if err != nil {
+			return body, false, err
+		}
+		size = maxPiece
+	}
+	return body, false, nil
+}
+
+// copyBufferSize is the size in bytes of the buffer by which the rest of a large body is passed on.
+const copyBufferSize = 4 << 10
+
+// writerOnly hides io.ReaderFrom, which would use a larger buffer.
+type writerOnly struct{ io.Writer }
+
 // answer is an endpoint's error response, passed on if no other endpoint gives a better one.
 type answer struct {
 	head *backend.Response
-	body []byte
+	body payload.Payload
 }
 
 // valid reports whether a successful response is an endpoint's own: it bears a seal and a request
@@ -94,22 +126,21 @@
 	}
 }
 
-// writeResponse writes a response; body is all of its body, or the beginning of a large one.
-func (h *Handler) writeResponse(w http.ResponseWriter, q *request, resp *backend.Response, body []byte) {
+// writeResponse writes a response; body is the whole of its body, or the beginning.
+func (h *Handler) writeResponse(w http.ResponseWriter, q *request, resp *backend.Response, body payload.Payload, whole bool) {
 	if claimsNotRun(resp.Status) && !resp.Answer.NotRun {
 		// The endpoint ran it or may have, which the status would deny.
 		h.refuse(w, q, &denial{status: http.StatusBadGateway, why: "the status claims that the request was not run, the endpoint does not"})
 		return
 	}
 	h.writeHead(w, q, resp)
-	large := len(body) > maxBuffered
-	if !large {
-		setLength(w, len(body))
+	if whole {
+		setLength(w, body.Len())
 	}
 	w.WriteHeader(resp.Status)
-	_, err := w.Write(body)
-	if err == nil && large {
-		_, err = io.Copy(w, resp)
+	_, err := body.WriteTo(w)
+	if err == nil && !whole {
+		_, err = io.CopyBuffer(writerOnly{w}, resp, make([]byte, copyBufferSize))
 	}
 	if err != nil {
 		h.logEnd(q, event.StreamBroken, resp.Status, "response broke off", err)
--- /dev/null
+++ b/internal/forward/answer_test.go
@@ -0,0 +1,34 @@
+package forward
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/shelfcrank/shelfcrank/internal/intake"
+)
+
+// Guards against answers that are cut off, changed or refused because there is no memory to buffer them.
+func TestAnAnswerWithoutMemoryIsPassedOnWhole(t *testing.T) {
+	for _, memory := range []int64{4, 100, 5000, 70_000, 1 << 20} { // 4 bytes are the request
+		for _, size := range []int{0, 1, 95, 96, 97, firstPiece, maxPiece, maxBuffered, maxBuffered + maxPiece + 1} {
+			for name, script := range map[string]func(status int, body string) string{"length": sealed, "to the end": func(_ int, body string) string {
+				return "HTTP/1.1 200 X\r\nId: 7\r\nSeal: s200\r\n\r\n" + body + thenClose
+			}} {
+				t.Run(name, func(t *testing.T) {
+					is := is.New(t)
+					body := strings.Repeat("0123456", size/7+1)[:size]
+					w := newFixture(t, 0, script(200, body))
+					w.handler.Bodies = intake.NewBudget(memory)
+					rec, cut := w.ask("/once/a", "k")
+					is.True(!cut)
+					is.Equal(rec.Code, http.StatusOK)
+					is.Equal(rec.Body.String(), body)
+					is.Equal(w.handler.Bodies.Used(), int64(0))
+				})
+			}
+		}
+	}
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -87,7 +87,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if d.answer != nil {
-		h.writeResponse(w, q, d.answer.head, d.answer.body)
+		h.writeResponse(w, q, d.answer.head, d.answer.body, true)
 		return
 	}
 	h.refuse(w, q, d)
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/shelfcrank/shelfcrank/internal/clock"
 	"github.com/shelfcrank/shelfcrank/internal/intake"
 	"github.com/shelfcrank/shelfcrank/internal/payload"
 )
@@ -22,7 +23,7 @@
 
 // readRequest reads the whole body before anything is sent to an endpoint: a client that disconnects
 // halfway then causes no work, and the body can be sent again on a retry.
-func (h *Handler) readRequest(ctx context.Context, w http.ResponseWriter, q *request, r *http.Request) *denial {
+func (h *Handler) readRequest(ctx context.Context, q *request, r *http.Request) *denial {
 	q.received = r.Header
 	q.header = r.Header.Clone()
 	h.Protocol.Clean(q.header)
@@ -36,9 +37,7 @@
 	if r.ContentLength > limit {
 		return tooLarge()
 	}
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(h.Clock.ToMonotonic(q.deadline)) // fails for the response recorder of tests, which has no deadlines
-	q.client = w
+	_ = q.client.SetReadDeadline(h.Clock.ToMonotonic(q.deadline))
 	h.Bodies.Open(&q.memory, q, h.Clock.Now())
 	err := h.readBody(ctx, q, r, limit)
 	if err == nil {
@@ -47,7 +46,7 @@
 	if err != nil {
 		return h.unreadBody(q, err)
 	}
-	_ = control.SetReadDeadline(time.Time{})
+	_ = q.client.SetReadDeadline(time.Time{})
 	return nil
 }
 
@@ -85,13 +84,14 @@
 		left = r.ContentLength
 		size = maxPiece
 	}
+	q.incoming = incoming{r.Body, &q.memory, h.Clock}
 	for {
 		size = min(size, left)
 		if err := q.memory.Grow(ctx, size, h.Clock.Now()); err != nil {
 			return err
 		}
 		piece := make([]byte, size)
-		n, err := h.fill(q, r.Body, piece)
+		n, err := fill(&q.incoming, piece)
 		q.body.Append(piece[:n])
 		left -= int64(n)
 		if int64(q.body.Len()) > limit {
@@ -110,13 +110,26 @@
 	}
 }
 
-// fill reads a body until a piece is full. The error is that of the last read.
-func (h *Handler) fill(q *request, body io.Reader, piece []byte) (int, error) {
+// incoming is the body of a client's request. It records what arrives in the lease of the request.
+type incoming struct {
+	body   io.Reader
+	memory *intake.Lease
+	clock  *clock.Clock
+}
+
+// Read implements io.Reader.
+func (b *incoming) Read(p []byte) (int, error) {
+	n, err := b.body.Read(p)
+	b.memory.Received(n, b.clock.Now())
+	return n, err
+}
+
+// fill reads until a piece is full. The error is that of the last read.
+func fill(r io.Reader, piece []byte) (int, error) {
 	filled := 0
 	for filled < len(piece) {
-		n, err := body.Read(piece[filled:])
+		n, err := r.Read(piece[filled:])
 		filled += n
-		q.memory.Received(n, h.Clock.Now())
 		if err != nil {
 			return filled, err
 		}
@@ -126,5 +139,5 @@
 
 // GiveWay implements intake.Reader: reading the body ends at once.
 func (q *request) GiveWay() {
-	_ = http.NewResponseController(q.client).SetReadDeadline(time.Unix(1, 0))
+	_ = q.client.SetReadDeadline(time.Unix(1, 0))
 }
--- a/internal/forward/body_test.go
+++ b/internal/forward/body_test.go
@@ -22,10 +22,10 @@
 
 // read reads a body as a handler does, with a limit.
 func read(h *Handler, body io.Reader, announced int64, limit int64) (*request, *denial) {
-	q := &request{view: &View{Config: &policy.Config{Limits: policy.Limits{BodyBytes: limit}}, Instances: 1}, deadline: time.Now().Add(time.Second)}
+	q := &request{view: &View{Config: &policy.Config{Limits: policy.Limits{BodyBytes: limit}}, Instances: 1}, deadline: time.Now().Add(time.Second), client: http.NewResponseController(httptest.NewRecorder())}
 	r := httptest.NewRequest(http.MethodPost, "http://"+testHost+"/", io.NopCloser(body))
 	r.ContentLength = announced
-	return q, h.readRequest(context.Background(), httptest.NewRecorder(), q, r)
+	return q, h.readRequest(context.Background(), q, r)
 }
 
 func newReader(memory int64) *Handler {
--- a/internal/forward/door.go
+++ b/internal/forward/door.go
@@ -22,6 +22,7 @@
 
 // serve handles a request of a client that connected here or to another instance.
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request, q *request) {
+	q.client = http.NewResponseController(w) // its calls fail for the response recorder of tests
 	if d := h.identify(q, r); d != nil {
 		h.refuseUnread(w, r, q, d)
 		return
@@ -32,8 +33,11 @@
 	}
 	ctx, deadline := h.Clock.WithDeadline(r.Context(), q.deadline, errDeadline)
 	defer deadline.Stop()
+	// Nothing is read from an endpoint after the deadline, but a client that does not read would hold what was.
+	_ = q.client.SetWriteDeadline(h.Clock.ToMonotonic(q.deadline.Add(unreadTimeout)))
 	defer q.memory.Release()
-	if d := h.readRequest(ctx, w, q, r); d != nil {
+	defer q.answerMemory.Release()
+	if d := h.readRequest(ctx, q, r); d != nil {
 		h.refuseUnread(w, r, q, d)
 		return
 	}
@@ -48,15 +52,16 @@
 	h.run(ctx, w, q)
 }
 
-// unreadTimeout is how long a client whose request was refused may take to send the rest of its body. The HTTP server
-// reads some of that before and after the response, so that the client sees the response and can use the connection
-// again, and would wait for it without an end.
+// unreadTimeout is how long a client whose request was refused may take to send the rest of its body, and one whose
+// deadline has passed to read what is left of the response. The HTTP server reads some of a body before and after the
+// response, so that the client sees the response and can use the connection again, and would wait for it without an
+// end.
 const unreadTimeout = time.Second
 
 // refuseUnread refuses a request of which not all of the body has been read.
 func (h *Handler) refuseUnread(w http.ResponseWriter, r *http.Request, q *request, d *denial) {
 	if r.Body != nil && r.Body != http.NoBody {
-		_ = http.NewResponseController(w).SetReadDeadline(h.Clock.ToMonotonic(h.Clock.Now().Add(unreadTimeout))) // fails for the response recorder of tests
+		_ = q.client.SetReadDeadline(h.Clock.ToMonotonic(h.Clock.Now().Add(unreadTimeout)))
 	}
 	h.refuseEarly(w, q, d)
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -229,7 +229,9 @@
 	header         http.Header // as endpoints get it, except for the headers set for each attempt
 	body           payload.Payload
 	memory         intake.Lease             // of the body
-	client         http.ResponseWriter      // to the client, while the body is read
+	client         *http.ResponseController // sets deadlines of the client's connection
+	incoming       incoming                 // the body while it is read
+	answerMemory   intake.Lease             // of a response that is buffered
 	tried          []string                 // endpoints that it was sent to
 	chosen         []string                 // endpoints that were chosen for it, whether or not they were reached
 	mayHaveRun     bool                     // an endpoint may have run it
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -409,6 +409,7 @@
 			n.proxy.Expire(now)
 			n.paths.Forget(used)
 			n.brittle.Expire(used, now)
+			n.connections.Sweep()
 		}
 	}
 }
--- a/internal/intake/connections.go
+++ b/internal/intake/connections.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 )
 
 // connectionBytes is the memory of a connection on which nothing happens, in bytes: its goroutine, buffers and
@@ -24,7 +25,8 @@
 // Connections bounds the connections of clients to a listener. When there is no room for one more, the connection on
 // which no request is in progress and that was not used for longest is closed: at first those whose last request was
 // answered and that are about to be closed, then those on which no request came yet, then those that were kept for the
-// next request. While requests are in progress on all of them, the newcomer is closed.
+// next request, then those whose client does not read its answer. While requests are in progress on all of them, the
+// newcomer is closed.
 //
 // It is safe for concurrent use.
 type Connections struct {
@@ -33,10 +35,10 @@
 	onFull func()
 
 	mu      sync.Mutex
-	open    int                  // guarded by mu
-	bytes   int64                // guarded by mu
-	waiting [phaseBusy]list.List // of *conn, those first that are to be closed first; guarded by mu
-	counts  ConnectionCounts     // guarded by mu
+	open    int               // guarded by mu
+	bytes   int64             // guarded by mu
+	byPhase [phases]list.List // of *conn, those first that have been in the phase for longest; guarded by mu
+	counts  ConnectionCounts  // guarded by mu
 }
 
 // ConnectionCounts tells what Connections did.
@@ -47,7 +49,7 @@
 }
 
 // phase is what a connection is used for. Connections are closed in this order to make room for others; those with
-// a request in progress are not closed.
+// a request in progress only if their client does not read the answer.
 type phase int
 
 const (
@@ -55,6 +57,7 @@
 	phaseFresh                 // no request has come yet
 	phaseKept                  // it waits for the next request
 	phaseBusy                  // a request is in progress
+	phases
 )
 
 // NewConnections returns a table without connections. onFull is called, without blocking, when a newcomer is closed
@@ -116,9 +119,14 @@
 
 	// Guarded by connections.mu.
 	phase  phase
-	place  *list.Element // in connections.waiting; nil while busy and once closed
+	place  *list.Element // in connections.byPhase; nil once closed
 	bytes  int64
 	closed bool
+	// seenWrites is writes at the last Sweep, and stalledSweeps how many in a row found the same write in progress.
+	seenWrites    uint64
+	stalledSweeps int
+
+	writes atomic.Uint64 // counts the beginnings and ends of writes: odd during one
 }
 
 // add counts a new connection. It returns nil if there is no room for it.
@@ -138,7 +146,7 @@
 	c := &conn{Conn: raw, connections: s, phase: phaseFresh, bytes: connectionBytes}
 	s.open++
 	s.bytes += c.bytes
-	c.place = s.waiting[phaseFresh].PushBack(c)
+	c.place = s.byPhase[phaseFresh].PushBack(c)
 	return c
 }
 
@@ -149,17 +157,47 @@
 
 // closeOne closes the connection that gives way first, other than keep, and reports whether there is one. s.mu is held.
 func (s *Connections) closeOne(keep *conn) bool {
-	for p := range s.waiting {
-		for e := s.waiting[p].Front(); e != nil; e = e.Next() {
+	for p := range phaseBusy {
+		for e := s.byPhase[p].Front(); e != nil; e = e.Next() {
 			if c := e.Value.(*conn); c != keep {
-				s.counts.Closed++
-				s.remove(c)
-				_ = c.Conn.Close()
+				s.giveWay(c)
 				return true
 			}
 		}
 	}
-	return false
+	var longest *conn
+	for e := s.byPhase[phaseBusy].Front(); e != nil; e = e.Next() {
+		if c := e.Value.(*conn); c.stalledSweeps > 0 && (longest == nil || c.stalledSweeps > longest.stalledSweeps) {
+			longest = c
+		}
+	}
+	if longest == nil {
+		return false
+	}
+	s.giveWay(longest)
+	return true
+}
+
+// giveWay closes a connection to make room for others. s.mu is held.
+func (s *Connections) giveWay(c *conn) {
+	s.counts.Closed++
+	s.remove(c)
+	_ = c.Conn.Close()
+}
+
+// Sweep finds the connections whose client does not read: where the same write is in progress as at the last call. It
+// is called in intervals of a second or so.
+func (s *Connections) Sweep() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for e := s.byPhase[phaseBusy].Front(); e != nil; e = e.Next() {
+		c := e.Value.(*conn)
+		if now := c.writes.Load(); now == c.seenWrites && now%2 == 1 {
+			c.stalledSweeps++
+		} else {
+			c.seenWrites, c.stalledSweeps = now, 0
+		}
+	}
 }
 
 // remove stops counting a connection. s.mu is held.
@@ -176,7 +214,7 @@
 // unlist takes a connection from the list of its phase. s.mu is held.
 func (s *Connections) unlist(c *conn) {
 	if c.place != nil {
-		s.waiting[c.phase].Remove(c.place)
+		s.byPhase[c.phase].Remove(c.place)
 		c.place = nil
 	}
 }
@@ -191,12 +229,11 @@
 	}
 	s.unlist(c)
 	c.phase = p
-	switch p {
-	case phaseBusy:
+	c.place = s.byPhase[p].PushBack(c)
+	if p == phaseBusy {
 		c.grow(s.limits.Unread)
-	default:
+	} else {
 		c.grow(connectionBytes - c.bytes)
-		c.place = s.waiting[p].PushBack(c)
 	}
 }
 
@@ -227,15 +264,30 @@
 	for !s.fits(0, more) && s.closeOne(c) {
 	}
 	if !s.fits(0, more) {
-		s.counts.Closed++
-		s.remove(c)
-		_ = c.Conn.Close()
+		s.giveWay(c)
 		return false
 	}
 	c.grow(more)
 	return true
 }
 
+// writePiece is how much is written at once, in bytes. A client on a slow line reads that much between two calls of
+// Sweep.
+const writePiece = 16 << 10
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	written := 0
+	for {
+		c.writes.Add(1)
+		n, err := c.Conn.Write(p[written:min(len(p), written+writePiece)])
+		c.writes.Add(1)
+		if written += n; err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
 // CloseWrite tells the client that nothing more comes. The server does this before it closes a connection.
 func (c *conn) CloseWrite() error {
 	c.enter(phaseAnswered)
--- a/internal/intake/connections_test.go
+++ b/internal/intake/connections_test.go
@@ -1,8 +1,10 @@
 package intake
 
 import (
+	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 
 	"github.com/matryer/is"
@@ -97,3 +99,42 @@
 	is.Equal(s.Counts(), ConnectionCounts{Closed: 2}) // one alone that takes too much is closed too
 	is.Equal(s.bytes, int64(0))
 }
+
+// Guards against clients that do not read their answers and keep all connections, and against closing that of a client
+// that reads slowly.
+func TestConnectionsWhoseAnswersAreNotReadGiveWay(t *testing.T) {
+	is := is.New(t)
+	s := NewConnections(ConnectionLimits{Open: 3}, nil)
+	var wait sync.WaitGroup
+	clients := make([]net.Conn, 3)
+	for i := range clients {
+		var server net.Conn
+		clients[i], server = connect(s)
+		s.StateChanged(server, http.StateActive)
+		if i > 0 { // 0 has not begun its answer
+			wait.Go(func() { _, _ = server.Write(make([]byte, 10*writePiece)) })
+		}
+	}
+	read := func(i int) {
+		_, err := io.ReadFull(clients[i], make([]byte, writePiece))
+		is.NoErr(err)
+	}
+	read(1)
+	read(2)
+	for range 3 {
+		s.Sweep()
+		read(1) // 2 reads nothing more
+	}
+	_, server := connect(s)
+	is.True(server != nil)
+	s.StateChanged(server, http.StateActive)
+	_, err := clients[2].Read(make([]byte, 1))
+	is.True(err != nil)
+	read(1)
+	_, server = connect(s)
+	is.True(server == nil)
+	for _, c := range clients {
+		_ = c.Close()
+	}
+	wait.Wait()
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -158,6 +158,21 @@
 	}
 }
 
+// Hold takes n more bytes for a lease whose owner can do without, and reports whether there were any. Nobody gives way
+// for them. The first call begins the lease.
+func (b *Budget) Hold(l *Lease, n int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if l.state == closed {
+		*l = Lease{budget: b, state: complete}
+	}
+	if !b.fits(l, n, usage{}) {
+		return false
+	}
+	b.take(l, n)
+	return true
+}
+
 // fits reports whether a lease can take n more bytes once others have given some back. The only large body may also
 // use the reserve, so that in calm each body that fits at all is read. b.mu is held.
 func (b *Budget) fits(l *Lease, n int64, back usage) bool {
