forward: long bodies that only a resumption would need give way first

Cause: the body of a stream was held until its last event, which takes 4.9 s, though it is sent after 0.3 s. Once the stream has begun, the body is only needed if the endpoint fails and the stream can be resumed.

Now a body of 256 KiB or more is spare once its stream has begun: it is dropped, the oldest first, before a reader has to give way or a newcomer is refused. A stream whose body was dropped breaks off if its endpoint fails, rather than being sent again without it. Where a route can't resume its streams, the body is given up at once. Its fingerprint is taken before, as the quarantine needs it when an endpoint ends. Small bodies are kept.

TestAStreamWhoseBodyWasDroppedIsNotSentAgain, TestSpareBodiesAreDroppedBeforeAnybodyGivesWay.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -124,6 +124,8 @@
 		return last
 	case q.deadline.Sub(now) < minRemaining:
 		return last
+	case !q.memory.Reclaim(): // the body is gone
+		return last
 	case !h.takeRetry(q, now):
 		return last
 	}
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -16,9 +16,10 @@
 )
 
 const (
-	defaultMaxBody = 4 << 20  // limit of a body, in bytes, if the configuration has none
-	firstPiece     = 4 << 10  // of a body of unknown length, in bytes
-	maxPiece       = 64 << 10 // bytes
+	defaultMaxBody = 4 << 20   // limit of a body, in bytes, if the configuration has none
+	firstPiece     = 4 << 10   // of a body of unknown length, in bytes
+	maxPiece       = 64 << 10  // bytes
+	minSpare       = 256 << 10 // size in bytes from which bodies are given up before others are refused
 )
 
 // readRequest reads the whole body before anything is sent to an endpoint: a client that disconnects
@@ -137,6 +138,21 @@
 	return filled, nil
 }
 
+// spareBody makes the memory of a long body available to others once its stream has begun: it is only needed if the
+// stream breaks off, and not even then where it can't be resumed.
+func (q *request) spareBody() {
+	if q.body.Len() < minSpare {
+		return
+	}
+	q.fingerprint() // for the quarantine, if the endpoint ends
+	if q.route.Idempotent() {
+		q.memory.Spare(&q.body)
+		return
+	}
+	q.body = payload.Payload{}
+	q.memory.Release()
+}
+
 // GiveWay implements intake.Reader: reading the body ends at once.
 func (q *request) GiveWay() {
 	_ = q.client.SetReadDeadline(time.Unix(1, 0))
--- a/internal/forward/body_test.go
+++ b/internal/forward/body_test.go
@@ -106,3 +106,54 @@
 	_, err = c.Read(make([]byte, 1))
 	is.Equal(err, io.EOF) // closed by the handler's side
 }
+
+// afterFirstWrite calls a function after the first write of a response.
+type afterFirstWrite struct {
+	*httptest.ResponseRecorder
+	call func()
+}
+
+func (w *afterFirstWrite) Write(b []byte) (int, error) {
+	n, err := w.ResponseRecorder.Write(b)
+	if w.call != nil {
+		w.call()
+		w.call = nil
+	}
+	return n, err
+}
+
+// Guards against a request that is sent again without its body, or with another one, after the body was dropped: the
+// stream has to break off then. With the body it is resumed.
+func TestAStreamWhoseBodyWasDroppedIsNotSentAgain(t *testing.T) {
+	for _, dropped := range []bool{true, false} {
+		t.Run(fmt.Sprint("dropped ", dropped), func(t *testing.T) {
+			is := is.New(t)
+			w := newFixture(t, 0, events(1, 2, false), events(3, 4, true))
+			w.handler.View().Config.Limits.BodyBytes = 1 << 20
+			w.handler.Bodies = intake.NewBudget(1 << 20)
+			var other intake.Lease
+			rec := &afterFirstWrite{httptest.NewRecorder(), func() {
+				now := time.Now()
+				w.handler.Bodies.Open(&other, nil, now)
+				if dropped {
+					is.NoErr(other.Grow(context.Background(), 700<<10, now))
+				}
+			}}
+			r := httptest.NewRequest(http.MethodPost, "http://"+testHost+"/resume/a", bytes.NewReader(make([]byte, 2*minSpare)))
+			r.Header = http.Header{"Id": {"7"}, "Key": {"k"}, "Deadline": {"1500"}}
+			cut := false
+			func() {
+				defer func() { cut = recover() != nil }()
+				w.handler.ServeHTTP(rec, r)
+			}()
+			other.Release()
+			is.Equal(cut, dropped)
+			sent := 2
+			if dropped {
+				sent = 1
+			}
+			is.Equal(len(w.got), sent)
+			is.Equal(w.handler.Bodies.Used(), int64(0))
+		})
+	}
+}
--- a/internal/forward/proxy.go
+++ b/internal/forward/proxy.go
@@ -131,6 +131,9 @@
 		q.answered = true
 		h.writeProxiedHead(w, resp)
 	}
+	if events {
+		q.spareBody()
+	}
 	var err error
 	if events && q.route.Resumable {
 		if err = h.passEventsOn(w, q, resp.Body); err != nil && q.began && !errors.Is(err, errClientWrite) && ctx.Err() == nil {
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -43,7 +43,12 @@
 }
 
 // length returns the length of the request as it is counted for its fingerprint.
-func (q *request) length() int { return quarantine.Length(q.method, q.host, q.uri, q.body.Len()) }
+func (q *request) length() int {
+	if q.fp != nil {
+		return q.fp.Length
+	}
+	return quarantine.Length(q.method, q.host, q.uri, q.body.Len())
+}
 
 // fingerprint returns a hash of what an endpoint receives of the request, computed once.
 func (q *request) fingerprint() quarantine.Fingerprint {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -114,6 +114,7 @@
 			if !h.beginStream(q, ticket.Endpoint.Version) {
 				return h.brokenStream(ctx, q, ticket, errOtherVersion)
 			}
+			q.spareBody()
 		}
 		ticket.Event(h.Clock.Now())
 		id := eventID(e)
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -1,8 +1,8 @@
 // Package intake bounds what clients can make an instance hold.
 //
 // A Budget bounds the memory of request bodies, whatever their number, length and pace. A body takes memory piece by
-// piece, as it arrives. When memory is short, the reader that has been stalled for longest gives way; if all readers
-// make progress, the newcomer does. A part of the memory is reserved for small bodies, so that a crowd of large
+// piece, as it arrives. When memory is short, bodies are dropped that only a further attempt would need; then the reader
+// that has been stalled for longest gives way; if all readers make progress, the newcomer does. A part of the memory is reserved for small bodies, so that a crowd of large
 // ones does not starve ordinary requests.
 //
 // Connections bounds the connections of clients to a listener, with the headers of their requests.
@@ -11,11 +11,14 @@
 package intake
 
 import (
+	"container/list"
 	"context"
 	"errors"
 	"math"
 	"sync"
 	"time"
+
+	"github.com/shelfcrank/shelfcrank/internal/payload"
 )
 
 const (
@@ -52,6 +55,7 @@
 	used     usage         // guarded by mu
 	yielding usage         // part of used whose readers were told to give way; guarded by mu
 	readers  *Lease        // a list of those that are being read; guarded by mu
+	spares   list.List     // of *Lease, those that are spare, the oldest first; guarded by mu
 	changed  chan struct{} // closed when memory was given back or a reader has to give way; nil if nobody waits; guarded by mu
 }
 
@@ -87,6 +91,8 @@
 	reading        // the body is being read
 	yielding       // the body was being read, and the reader has to give way
 	complete       // the body was read
+	spare          // the body was read, and is only needed if the request fails
+	dropped        // the body was spare, and its memory was needed for others
 )
 
 // Lease is the memory of one body. The zero value holds nothing.
@@ -97,8 +103,10 @@
 	// Guarded by budget.mu.
 	state      state
 	held       int64
-	due        time.Time // the reader counts as stalled from then on
-	prev, next *Lease    // in the list of readers
+	due        time.Time        // the reader counts as stalled from then on
+	prev, next *Lease           // in the list of readers
+	body       *payload.Payload // while it is spare
+	place      *list.Element    // in budget.spares while it is spare
 }
 
 // Open begins a lease for a body that is about to be read.
@@ -142,6 +150,9 @@
 		if !b.makeRoom(l, n, now) {
 			return ErrFull
 		}
+		if b.fits(l, n, usage{}) {
+			continue
+		}
 		if b.changed == nil {
 			b.changed = make(chan struct{})
 		}
@@ -197,9 +208,12 @@
 	b.used.add(l.held, l.held > smallBody)
 }
 
-// makeRoom tells stalled readers to give way, those first that have been stalled for longest, until n more bytes
+// makeRoom drops spare bodies, and tells stalled readers to give way, those first that have been stalled for longest, until n more bytes
 // will fit. If they won't even without all stalled readers, nobody gives way and makeRoom reports false. b.mu is held.
 func (b *Budget) makeRoom(l *Lease, n int64, now time.Time) bool {
+	for !b.fits(l, n, b.yielding) && b.spares.Len() > 0 {
+		b.drop(b.spares.Front().Value.(*Lease))
+	}
 	back := b.yielding
 	for r := b.readers; r != nil; r = r.next {
 		if r != l && r.stalled(now) {
@@ -286,6 +300,52 @@
 	return nil
 }
 
+// Spare records that the body, which has been read, is only needed if the request has to be sent again. Until Reclaim,
+// it may be dropped, and nobody else may use it. Small bodies are kept.
+func (l *Lease) Spare(body *payload.Payload) {
+	b := l.budget
+	if b == nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if l.state != complete || l.held <= smallBody {
+		return
+	}
+	l.state, l.body = spare, body
+	l.place = b.spares.PushBack(l)
+}
+
+// Reclaim ends Spare, and reports whether the body is still there.
+func (l *Lease) Reclaim() bool {
+	b := l.budget
+	if b == nil {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if l.state == spare {
+		b.unspare(l)
+		l.state = complete
+	}
+	return l.state == complete
+}
+
+// drop drops a spare body. b.mu is held.
+func (b *Budget) drop(l *Lease) {
+	*l.body = payload.Payload{}
+	b.used.add(-l.held, l.held > smallBody)
+	b.unspare(l)
+	l.state, l.held = dropped, 0
+	b.notify()
+}
+
+// unspare takes a lease from the list of those that are spare. b.mu is held.
+func (b *Budget) unspare(l *Lease) {
+	b.spares.Remove(l.place)
+	l.place, l.body = nil, nil
+}
+
 // GaveWay reports whether the reader had to give way.
 func (l *Lease) GaveWay() bool {
 	if l.budget == nil {
@@ -307,13 +367,16 @@
 	if l.state == closed {
 		return
 	}
-	if l.state == yielding {
+	switch l.state {
+	case yielding:
 		b.yielding.add(-l.held, l.held > smallBody)
-	}
-	b.used.add(-l.held, l.held > smallBody)
-	if l.state != complete {
 		b.unlist(l)
+	case reading:
+		b.unlist(l)
+	case spare:
+		b.unspare(l)
 	}
+	b.used.add(-l.held, l.held > smallBody)
 	l.state, l.held = closed, 0
 	b.notify()
 }
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/shelfcrank/shelfcrank/internal/payload"
 )
 
 const mib = 1 << 20
@@ -219,3 +221,41 @@
 		t.Fatalf("seed %d: %+v and %+v held, %+v and %+v counted, limit %d", seed, used, giving, b.used, b.yielding, b.limit)
 	}
 }
+
+// Guards against newcomers that are refused while bodies are held that only a further attempt would need, and against
+// using a body that was dropped.
+func TestSpareBodiesAreDroppedBeforeAnybodyGivesWay(t *testing.T) {
+	is := is.New(t)
+	b := NewBudget(4 * mib)
+	var bodies [3]payload.Payload
+	var spares [3]*body
+	for i := range spares {
+		spares[i] = open(b, start)
+		is.NoErr(grow(spares[i], mib, start))
+		bodies[i] = payload.Of(make([]byte, mib))
+		is.NoErr(spares[i].Complete())
+		spares[i].Spare(&bodies[i])
+	}
+	is.True(spares[0].Reclaim())
+	late := start.Add(time.Minute)
+	stalled, newcomer := open(b, late.Add(-5*time.Second)), open(b, late)
+	is.NoErr(grow(stalled, smallBody, start))
+	is.NoErr(grow(newcomer, mib, late))
+	is.True(!spares[1].Reclaim())
+	is.Equal(bodies[1].Len(), 0)
+	is.True(spares[0].Reclaim() && spares[2].Reclaim())
+	is.Equal(bodies[2].Len(), mib)
+	is.True(!stalled.toldToYield)
+	small := open(b, late)
+	is.NoErr(grow(small, smallBody, late))
+	is.NoErr(small.Complete())
+	one := payload.Of([]byte("small"))
+	small.Spare(&one)
+	for grow(newcomer, 64<<10, late) == nil {
+	}
+	is.True(small.Reclaim()) // small bodies are kept
+	for _, r := range append(spares[:], stalled, newcomer, small) {
+		r.Release()
+	}
+	is.Equal(b.Used(), int64(0))
+}
