backend: a response counts only if it names the request

Cause: bytes after a whole answer, sent in the place of the next one, looked like a refusal and named no request. readHead passed over responses that name another request only, so that this one passed for the answer; a refusal was believed by its header or its status alone, and so were the load, the rate limit and the notices in it.

Now the response to a call is one that names its request. That is checked in one place, before anything of it is used, so that a backend.Response can't be had without it. Two ways were weighed for one that names none. To give up the exchange at once: the request may have run, and an unsafe one gets 502 although its answer is about to come. To pass over it and wait for the answer: its client may wait until its deadline if none comes. On a kept connection the bytes belong to what went before, and the answer still comes: it is waited for. On a new one nothing went before, and the exchange is given up. Announcements of a response to another request still count, as its endpoint sent it; those of one that names none do not.

The random test found one more way: a head that is cut off and runs into that of the answer gives it its status. Such a head ends the exchange.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -62,7 +62,7 @@
 	MaxIdle  time.Duration // a connection that has been idle for longer is not used; 0 for no limit
 }
 
-// Response is an endpoint's response. The caller has to call Close.
+// Response is an endpoint's response to the request of a Call: it names the request. The caller has to call Close.
 type Response struct {
 	Status int
 	Header http.Header
@@ -122,11 +122,16 @@
 	return &Client{net: o.Net, clock: o.Clock, protocol: o.Protocol, notices: o.Notices, limits: o.Limits, loads: o.Loads, paths: cmp.Or(o.Paths, reach.New()), brittle: o.Brittle, endpoints: make(map[string]*connections)}
 }
 
-// Observe applies what an endpoint announces in a response to a request that was sent at a time.
-func (c *Client) Observe(endpoint *registry.Endpoint, status int, h http.Header, sentAt time.Time) Answer {
-	a := c.protocol.Answer(status, h)
+// Observe applies what an endpoint announces in a response that another instance got, to a request that was sent at a
+// time.
+func (c *Client) Observe(endpoint *registry.Endpoint, status int, h http.Header, sentAt time.Time) {
+	c.apply(endpoint, c.protocol.Answer(status, h), sentAt)
+}
+
+// apply applies what an endpoint announces in a response to a request that was sent at a time.
+func (c *Client) apply(endpoint *registry.Endpoint, a Answer, sentAt time.Time) {
 	if a.Misdirected { // the response is from another endpoint, which has the address now
-		return a
+		return
 	}
 	now := c.clock.Now()
 	c.notices.Observe(*endpoint, a.Notice, now)
@@ -137,7 +142,6 @@
 	if a.HasLoad && c.loads != nil {
 		c.loads.Observe(endpoint, a.Load, now)
 	}
-	return a
 }
 
 // errConnLimit reports that an endpoint already has the maximum number of connections.
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -129,7 +130,36 @@
 	return x.readHead(call)
 }
 
-// readHead returns the response to the call, skipping responses to other requests.
+// errGarbled reports a response head that runs into the next one.
+var errGarbled = errors.New("the response head runs into another one")
+
+// garbled reports whether a response head was cut off and went on with the next one on the connection: it would give
+// the status of the one to the request of the other.
+func garbled(resp *http.Response) bool {
+	if holdsStatusLine(resp.Status) {
+		return true
+	}
+	for _, values := range resp.Header {
+		if slices.ContainsFunc(values, holdsStatusLine) {
+			return true
+		}
+	}
+	return false
+}
+
+// holdsStatusLine reports whether the value of a header contains the beginning of a response.
+func holdsStatusLine(value string) bool {
+	_, rest, found := strings.Cut(value, "HTTP/1.")
+	return found && len(rest) > 2 && rest[1] == ' ' && rest[2] >= '1' && rest[2] <= '5'
+}
+
+// errUnnamed reports a response that names no request, on a connection that carried none before.
+var errUnnamed = errors.New("the response names no request")
+
+// readHead returns the response to the call, which is one that names the call's request: nothing else proves what
+// became of the request, or what the endpoint announces. Responses to other requests and bytes that belong to no
+// request are skipped. What comes first on a new connection can't be left over from an earlier exchange; nothing else is
+// waited for then.
 func (x *exchange) readHead(call *Call) (*Response, error) {
 	req := &http.Request{Method: call.Method}
 	for range maxMismatched {
@@ -139,12 +169,21 @@
 		if err != nil {
 			return nil, err
 		}
+		if garbled(resp) {
+			return nil, errGarbled
+		}
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
 			continue
 		}
-		a := x.client.Observe(&x.endpoint, resp.StatusCode, resp.Header, x.sentAt)
-		if a.RequestID != "" && a.RequestID != call.ID {
+		a := x.client.protocol.Answer(resp.StatusCode, resp.Header)
+		if a.RequestID != "" || call.ID == "" {
+			x.client.apply(&x.endpoint, a, x.sentAt)
+		}
+		if a.RequestID != call.ID {
 			x.noReuse = true // the order of responses on this connection is unknown now
+			if a.RequestID == "" && !x.conn.reused {
+				return nil, errUnnamed
+			}
 			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 				return nil, fmt.Errorf("skip response to another request: %w", err)
 			}
--- a/internal/forward/answer_test.go
+++ b/internal/forward/answer_test.go
@@ -32,3 +32,16 @@
 		}
 	}
 }
+
+// Guards against a promise that a request has not run on the word of bytes that name no request.
+func TestARefusalThatNamesNoRequestIsNoPromise(t *testing.T) {
+	for path, sent := range map[string]int{"/once/a": 1, "/safe/a": 2} {
+		is := is.New(t)
+		unnamed := strings.Replace(refused, "Id: 7\r\n", "", 1)
+		w := newFixture(t, 0, unnamed, unnamed)
+		rec, _ := w.ask(path, "k")
+		is.Equal(rec.Code, http.StatusBadGateway)
+		is.Equal(len(w.got), sent)
+		is.Equal(w.admit.returned, 0.0) // units of a request that may have run
+	}
+}
