backend: the end of a connection is no proof that a body is whole

Cause: a stream with neither a length nor chunks ends with its connection, and the connections of a killed process end like any others. Read took the end of the connection for the end of the body; so it did for plain answers.

Now Response.Read says that such a body has ended only if the endpoint accepts another connection and keeps it open for 15 ms. Otherwise the answer counts as broken off, as after a reset: the stream is resumed or the request sent again where its route allows that, and the client's connection is broken off where not. What it costs: the last event goes out at once, the end of the response 15 ms and a round trip later; the connection takes the place of the one that the answer has used up. A whole answer of an endpoint that ends at once afterwards, or can't be reached, is broken off too. An endpoint that is killed and accepts connections at the same address again within these milliseconds is taken for the same one.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -70,8 +70,9 @@
 	Answer Answer
 	Reused bool // the connection has carried an earlier request
 
-	body io.Reader
-	call *exchange
+	body     io.Reader
+	unframed bool // the body has neither a length nor chunks, and ends with the connection
+	call     *exchange
 }
 
 const (
@@ -285,7 +286,7 @@
 		c.release(call.Endpoint.ID, k)
 		return nil, fault.New(fault.StepDispatch, call.Endpoint.ID, fault.KindLimit, fault.NotRun, "send: %w", err)
 	}
-	x := &exchange{client: c, endpoint: call.Endpoint, conn: k, sentAt: now}
+	x := &exchange{client: c, ctx: ctx, endpoint: call.Endpoint, conn: k, sentAt: now}
 	x.watch(ctx)
 	c.paths.Sent(now)
 	resp, err := x.do(call)
@@ -321,19 +322,38 @@
 	return false
 }
 
-// ProbePath reports whether an endpoint can be connected to.
-func (c *Client) ProbePath(ctx context.Context, endpoint registry.Endpoint) bool {
-	k, err := c.dial(ctx, &endpoint, pathTimeout)
+// accepts reports whether an endpoint accepts a connection and keeps it open, so that its process has not ended. The
+// connections of a process that is killed end one by one: for a moment, its address may still accept another one. The
+// connection takes the place of the one that ended.
+func (c *Client) accepts(ctx context.Context, endpoint registry.Endpoint) bool {
+	k, err := c.dial(ctx, &endpoint, endTimeout)
 	if err != nil {
 		return false
 	}
-	if !c.clock.Sleep(ctx, settleTime) {
+	if !c.settles(ctx, k) {
 		k.close()
 		return false
 	}
-	if !k.silent() {
+	c.adopt(endpoint.ID, k)
+	return true
+}
+
+// settles waits for a moment, and reports whether a new connection is still open then.
+func (c *Client) settles(ctx context.Context, k *conn) bool {
+	return c.clock.Sleep(ctx, settleTime) && k.silent()
+}
+
+// ProbePath reports whether an endpoint can be connected to.
+func (c *Client) ProbePath(ctx context.Context, endpoint registry.Endpoint) bool {
+	k, err := c.dial(ctx, &endpoint, pathTimeout)
+	if err != nil {
+		return false
+	}
+	if !c.settles(ctx, k) {
 		k.close()
-		c.paths.Failed(endpoint.ID, c.clock.Now())
+		if ctx.Err() == nil {
+			c.paths.Failed(endpoint.ID, c.clock.Now())
+		}
 		return false
 	}
 	c.paths.Connected(endpoint.ID, c.clock.Now())
@@ -370,13 +390,21 @@
 	return fault.New(fault.StepDispatch, call.Endpoint.ID, kind, run, "exchange: %w", err)
 }
 
+// errEndUnproven reports that a body without framing ended with its connection, and that the endpoint's process does
+// not accept connections either.
+var errEndUnproven = errors.New("the connection ended, and whether the body is whole is not known")
+
 // Read implements io.Reader. It returns io.EOF only at the end of the complete body.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
-	if err == io.EOF {
-		r.call.complete = true
+	if err != io.EOF {
+		return n, err
+	}
+	if r.unframed && !r.call.complete && !r.call.client.accepts(r.call.ctx, r.call.endpoint) {
+		return n, errEndUnproven
 	}
-	return n, err
+	r.call.complete = true
+	return n, io.EOF
 }
 
 // Endpoint returns the endpoint that gave the response.
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -314,3 +314,53 @@
 	is.True(err != nil)
 	is.Equal(reachable(), 0)
 }
+
+// Guards against a body that ends with its connection and is taken for whole although its endpoint was killed or can't be
+// reached, and against a new connection that is made for the proof and not used.
+func TestTheEndOfABodyWithoutFramingNeedsProof(t *testing.T) {
+	unframed := "HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s\r\n\r\nwhole"
+	for _, state := range []string{"lives", "killed", "cut off"} {
+		inVirtualTime(t, func(t *testing.T, is *is.I) {
+			mem := netx.NewMem(func(string, string) time.Duration { return time.Millisecond })
+			l, err := mem.Site("endpoint").Listen(endpointAddr)
+			is.NoErr(err)
+			conns := 0
+			go func() {
+				for {
+					c, err := l.Accept()
+					if err != nil {
+						return
+					}
+					conns++
+					script := []string{unframed}
+					if conns > 1 {
+						script = []string{answerTo("1", "second")}
+					}
+					go serve(c, script)
+				}
+			}()
+			c := newClient(mem)
+			resp, err := c.Send(context.Background(), call("1"))
+			is.NoErr(err)
+			time.Sleep(10 * time.Millisecond) // the rest has arrived
+			switch state {
+			case "killed":
+				_ = l.Close()
+			case "cut off":
+				mem.Cut("instance", "endpoint", true)
+			}
+			b, err := io.ReadAll(resp)
+			resp.Close()
+			is.Equal(string(b), "whole")
+			is.Equal(err == nil, state == "lives")
+			if state == "lives" {
+				b, err := send(t, c, "1")
+				is.NoErr(err)
+				is.Equal(b, "second")
+				is.Equal(conns, 2)
+			}
+			c.CloseIdle()
+			_ = l.Close()
+		})
+	}
+}
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -92,6 +92,7 @@
 // exchange is a request and its response on a connection.
 type exchange struct {
 	client      *Client
+	ctx         context.Context // of the request
 	endpoint    registry.Endpoint
 	conn        *conn
 	sentBefore  int64
@@ -194,6 +195,7 @@
 		return &Response{
 			Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Answer: a,
 			Reused: x.conn.reused, body: resp.Body, call: x,
+			unframed: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody,
 		}, nil
 	}
 	return nil, errors.New("received only responses to other requests")
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -178,7 +178,7 @@
 				if err != nil {
 					return
 				}
-				go w.serve(c, func() string {
+				go w.serve(c, func() { _ = l.Close() }, func() string {
 					w.mu.Lock()
 					defer w.mu.Unlock()
 					turn++
@@ -202,7 +202,7 @@
 
 func zero() int64 { return 0 }
 
-func (w *fixture) serve(c net.Conn, next func() string) {
+func (w *fixture) serve(c net.Conn, end func(), next func() string) {
 	defer c.Close()
 	r := bufio.NewReader(c)
 	req, err := http.ReadRequest(r)
@@ -218,9 +218,13 @@
 	case "hang":
 		w.keepOpen(r)
 	default:
-		text, closes := strings.CutSuffix(answer, thenClose)
+		text, ends := strings.CutSuffix(answer, thenEnd)
+		text, closes := strings.CutSuffix(text, thenClose)
+		if ends {
+			end()
+		}
 		_, _ = io.WriteString(c, text)
-		if !closes {
+		if !closes && !ends {
 			w.keepOpen(r)
 		}
 	}
@@ -279,8 +283,11 @@
 	return b.String()
 }
 
-// thenClose at the end of a script makes the endpoint close the connection.
-const thenClose = "<close>"
+// At the end of a script, thenClose makes the endpoint close the connection, and thenEnd makes its process end.
+const (
+	thenClose = "<close>"
+	thenEnd   = "<end>"
+)
 
 const (
 	refused  = "HTTP/1.1 503 X\r\nId: 7\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
--- a/internal/forward/framing_test.go
+++ b/internal/forward/framing_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -45,3 +46,43 @@
 		})
 	}
 }
+
+// untilEnd is an answer with neither a length nor chunks whose endpoint ends with it.
+func untilEnd(contentType, body string) string {
+	return strings.TrimSuffix(untilClose(contentType, body), thenClose) + thenEnd
+}
+
+// Guards against answers with pieces missing that end as complete: their endpoint was killed between two pieces, which
+// looks like the end of an answer that ends with its connection.
+func TestAnswersWhoseEndpointEndsAreNotComplete(t *testing.T) {
+	long := strings.Repeat("x", 2*maxBuffered)
+	for _, test := range []struct {
+		name    string
+		path    string
+		scripts []string
+		status  int
+		body    string
+		cut     bool
+		sent    int
+	}{
+		{"stream between events", "/stream/a", []string{untilEnd("text/event-stream", threeEvents[:15])}, 200, threeEvents[:15], true, 1},
+		{"stream before its first event", "/stream/a", []string{untilEnd("text/event-stream", "")}, 502, "", false, 1},
+		{"resumed", "/resume/a", []string{untilEnd("text/event-stream", threeEvents[:15]), events(2, 3, true)}, 200, threeEvents, false, 2},
+		{"plain", "/once/a", []string{untilEnd("text/plain", "hi")}, 502, "", false, 1},
+		{"plain, empty", "/once/a", []string{untilEnd("text/plain", "")}, 502, "", false, 1},
+		{"plain, long", "/once/a", []string{untilEnd("text/plain", long)}, 200, long, true, 1},
+		{"plain, again", "/safe/a", []string{untilEnd("text/plain", "h"), sealed(200, "hi")}, 200, "hi", false, 2},
+		{"a length is proof enough", "/once/a", []string{strings.TrimSuffix(sealed(200, "hi"), thenClose) + thenEnd}, 200, "hi", false, 1},
+		{"so are chunks", "/stream/a", []string{events(1, 2, true) + thenEnd}, 200, threeEvents[:30], false, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newFixture(t, 0, test.scripts...)
+			rec, cut := w.ask(test.path, "k")
+			is.Equal(rec.Code, test.status)
+			is.Equal(rec.Body.String(), test.body)
+			is.Equal(cut, test.cut)
+			is.Equal(len(w.got), test.sent)
+		})
+	}
+}
