intake: a new connection has half a second for its first request

Cause: such a crowd keeps the processor busy, so that the instance had not yet read the header of an ordinary request when the next newcomer came. The connection that was new for longest gave way then: the ordinary one.

A new connection now has half a second before it gives way; until then it is the newcomer that is closed. A connection that is closed at once is tried again at little cost, one that is closed behind its request costs a whole attempt. The answer to a refused request also has to be read within two seconds, as the rest of its body has to be sent within one.

TestANewConnectionHasTimeForItsRequest fails before.

--- a/internal/forward/door.go
+++ b/internal/forward/door.go
@@ -52,17 +52,19 @@
 	h.run(ctx, w, q)
 }
 
-// unreadTimeout is how long a client whose request was refused may take to send the rest of its body, and one whose
-// deadline has passed to read what is left of the response. The HTTP server reads some of a body before and after the
+// unreadTimeout is how long a client whose request was refused may take to send the rest of its body and to read the
+// response, and one whose deadline has passed to read what is left of the response. The HTTP server reads some of a body before and after the
 // response, so that the client sees the response and can use the connection again, and would wait for it without an
 // end.
 const unreadTimeout = time.Second
 
 // refuseUnread refuses a request of which not all of the body has been read.
 func (h *Handler) refuseUnread(w http.ResponseWriter, r *http.Request, q *request, d *denial) {
+	unread := h.Clock.ToMonotonic(h.Clock.Now().Add(unreadTimeout))
 	if r.Body != nil && r.Body != http.NoBody {
-		_ = q.client.SetReadDeadline(h.Clock.ToMonotonic(h.Clock.Now().Add(unreadTimeout)))
+		_ = q.client.SetReadDeadline(unread)
 	}
+	_ = q.client.SetWriteDeadline(unread.Add(unreadTimeout)) // the response may come after the rest of the body
 	h.refuseEarly(w, q, d)
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -175,7 +175,7 @@
 	n.bodies = intake.NewBudget(o.Settings.BodyMemory())
 	n.connections = intake.NewConnections(intake.ConnectionLimits{
 		Open: o.Settings.Connections(), Bytes: o.Settings.ConnectionMemory(), Unread: unreadBytes,
-	}, func() { n.bodies.YieldStalled(n.Clock.Now()) })
+	}, n.Clock.Now, func() { n.bodies.YieldStalled(n.Clock.Now()) })
 	n.provide()
 	var err error
 	if n.metrics, err = do.Invoke[*metrics.Metrics](n.injector); err != nil {
--- a/internal/hostile/crowd_test.go
+++ b/internal/hostile/crowd_test.go
@@ -1,11 +1,13 @@
 package hostile
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"strings"
 	"testing"
+	"time"
 )
 
 // machine is what the instances of these tests have: less than a machine of the deployments, so that a small crowd
@@ -100,3 +102,48 @@
 	}, notReading)
 	w.check()
 }
+
+// Guards against bodies of a few bytes at a time that keep all connections to themselves.
+func TestBodiesThatTrickleTakeAllConnections(t *testing.T) {
+	w := newWorld(t, machine)
+	w.send(machine.descriptors, func(c net.Conn) error {
+		_, err := io.WriteString(c, requestHead(safePath, crowdKey, "Transfer-Encoding: chunked\r\n"))
+		return err
+	}, func(ctx context.Context, c net.Conn) {
+		for ctx.Err() == nil {
+			if _, err := io.WriteString(c, "1\r\nx\r\n"); err != nil {
+				return
+			}
+			sleep(ctx, 50*time.Millisecond)
+		}
+	})
+	w.check()
+}
+
+// Guards against requests that are sent one after the other without reading any answer, until the sockets are full.
+func TestPipelinedRequestsWithUnreadAnswersTakeAllConnections(t *testing.T) {
+	for _, key := range []string{crowdKey, unknownKey} {
+		t.Run(key, func(t *testing.T) { testPipelined(t, key) })
+	}
+}
+
+func testPipelined(t *testing.T, key string) {
+	w := newWorld(t, machine)
+	requests := strings.Repeat(requestHead(safePath, key, "Content-Length: 0\r\n"), 100)
+	w.send(machine.descriptors, func(c net.Conn) error {
+		_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
+		_, err := io.WriteString(c, requests)
+		return err
+	}, func(ctx context.Context, c net.Conn) {
+		go func() {
+			<-ctx.Done()
+			_ = c.Close()
+		}()
+		for {
+			if _, err := io.WriteString(c, requests); err != nil {
+				return
+			}
+		}
+	})
+	w.check()
+}
--- a/internal/intake/connections.go
+++ b/internal/intake/connections.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // connectionBytes is the memory of a connection on which nothing happens, in bytes: its goroutine, buffers and
@@ -22,15 +23,20 @@
 	Unread int64 // bytes that the system may hold of a connection whose request is in progress
 }
 
+// minFresh is how long a new connection may take until its first request has come, before it gives way to another one.
+// A busy instance may take some time itself until it has read a request.
+const minFresh = 500 * time.Millisecond
+
 // Connections bounds the connections of clients to a listener. When there is no room for one more, the connection on
 // which no request is in progress and that was not used for longest is closed: at first those whose last request was
-// answered and that are about to be closed, then those on which no request came yet, then those that were kept for the
+// answered and that are about to be closed, then those on which no request came in half a second, then those kept for the
 // next request, then those whose client does not read its answer. While requests are in progress on all of them, the
 // newcomer is closed.
 //
 // It is safe for concurrent use.
 type Connections struct {
 	limits ConnectionLimits
+	now    func() time.Time
 	// onFull is called when a newcomer is closed because requests are in progress on all connections.
 	onFull func()
 
@@ -60,10 +66,10 @@
 	phases
 )
 
-// NewConnections returns a table without connections. onFull is called, without blocking, when a newcomer is closed
-// although no request of it was seen, as requests are in progress on all other connections; it may be nil.
-func NewConnections(l ConnectionLimits, onFull func()) *Connections {
-	return &Connections{limits: l, onFull: onFull}
+// NewConnections returns a table without connections. now tells the time. onFull is called when a newcomer is closed, as
+// no other connection gives way; it must not block, and may be nil.
+func NewConnections(l ConnectionLimits, now func() time.Time, onFull func()) *Connections {
+	return &Connections{limits: l, now: now, onFull: onFull}
 }
 
 // Counts returns what happened so far.
@@ -119,6 +125,7 @@
 
 	// Guarded by connections.mu.
 	phase  phase
+	due    time.Time     // the first request of a fresh connection
 	place  *list.Element // in connections.byPhase; nil once closed
 	bytes  int64
 	closed bool
@@ -143,7 +150,7 @@
 		return nil
 	}
 	defer s.mu.Unlock()
-	c := &conn{Conn: raw, connections: s, phase: phaseFresh, bytes: connectionBytes}
+	c := &conn{Conn: raw, connections: s, phase: phaseFresh, due: s.now().Add(minFresh), bytes: connectionBytes}
 	s.open++
 	s.bytes += c.bytes
 	c.place = s.byPhase[phaseFresh].PushBack(c)
@@ -159,7 +166,11 @@
 func (s *Connections) closeOne(keep *conn) bool {
 	for p := range phaseBusy {
 		for e := s.byPhase[p].Front(); e != nil; e = e.Next() {
-			if c := e.Value.(*conn); c != keep {
+			c := e.Value.(*conn)
+			if p == phaseFresh && s.now().Before(c.due) {
+				break // so are the others, which are newer
+			}
+			if c != keep {
 				s.giveWay(c)
 				return true
 			}
--- a/internal/intake/connections_test.go
+++ b/internal/intake/connections_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -34,6 +35,31 @@
 	return client, server
 }
 
+// late returns a clock by which each new connection has had its time.
+func late() func() time.Time {
+	now := start
+	return func() time.Time {
+		now = now.Add(minFresh)
+		return now
+	}
+}
+
+// Guards against ordinary clients that are shut out by newcomers while a busy instance has not read their request yet.
+func TestANewConnectionHasTimeForItsRequest(t *testing.T) {
+	is := is.New(t)
+	now := start
+	s := NewConnections(ConnectionLimits{Open: 1}, func() time.Time { return now }, nil)
+	client, server := connect(s)
+	is.True(server != nil)
+	now = now.Add(minFresh - 1)
+	_, newcomer := connect(s)
+	is.True(newcomer == nil)
+	now = now.Add(1)
+	_, newcomer = connect(s)
+	is.True(newcomer != nil)
+	is.True(isClosed(client))
+}
+
 // isClosed reports whether a connection was closed by the other end.
 func isClosed(client net.Conn) bool {
 	go func() { _, _ = client.Write([]byte("x")) }()
@@ -46,7 +72,7 @@
 func TestConnectionsWithoutARequestGiveWayInTheirOrder(t *testing.T) {
 	is := is.New(t)
 	full := 0
-	s := NewConnections(ConnectionLimits{Open: 5}, func() { full++ })
+	s := NewConnections(ConnectionLimits{Open: 5}, late(), func() { full++ })
 	clients := make([]net.Conn, 5)
 	servers := make([]net.Conn, 5)
 	for i := range clients {
@@ -77,7 +103,7 @@
 func TestHeadersTakeTheMemoryOfConnections(t *testing.T) {
 	is := is.New(t)
 	const header = 4 << 10
-	s := NewConnections(ConnectionLimits{Bytes: 2*connectionBytes + headerCopies*header}, nil)
+	s := NewConnections(ConnectionLimits{Bytes: 2*connectionBytes + headerCopies*header}, late(), nil)
 	first, _ := connect(s)
 	second, server := connect(s)
 	read := func(n int) error {
@@ -104,7 +130,7 @@
 // that reads slowly.
 func TestConnectionsWhoseAnswersAreNotReadGiveWay(t *testing.T) {
 	is := is.New(t)
-	s := NewConnections(ConnectionLimits{Open: 3}, nil)
+	s := NewConnections(ConnectionLimits{Open: 3}, late(), nil)
 	var wait sync.WaitGroup
 	clients := make([]net.Conn, 3)
 	for i := range clients {
