front: limits on what clients send change with the configuration

Cause: an http.Server takes its limits when it begins to serve; it was made once, with those of the first configuration.

Package listen starts another one for the connections that come after a change. The one before finishes its requests, with Connection: close, and closes its idle connections. Weighed: writing the fields of a running server (a data race); deadlines and sizes of our own below it (twice the same work on each request). The accept loop is ours now: it backs off when descriptors are short.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -32,6 +32,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/forward"
 	"github.com/shelfcrank/shelfcrank/internal/hub"
 	"github.com/shelfcrank/shelfcrank/internal/intake"
+	"github.com/shelfcrank/shelfcrank/internal/listen"
 	"github.com/shelfcrank/shelfcrank/internal/loadreport"
 	"github.com/shelfcrank/shelfcrank/internal/metrics"
 	"github.com/shelfcrank/shelfcrank/internal/mirror"
@@ -119,8 +120,8 @@
 	admission         *admission
 	elector           *duty.Elector
 	handler           *forward.Handler
-	bodies            *intake.Budget      // of the requests in progress
-	connections       *intake.Connections // of clients
+	intake            intake.Intake                 // of clients
+	clients           atomic.Pointer[listen.Server] // nil until it serves
 	placer            *placer
 	suspects          *suspects
 	streams           *resume.Directory // at which versions streams began
@@ -172,10 +173,7 @@
 	n.suspects = newSuspects(n)
 	n.rollouts = rollctl.New(rollout.Bound{Share: o.Settings.Bounds.ExposeShare, Slack: o.Settings.Bounds.ExposeSlack}, n.source(), rand.New(rand.NewPCG(o.Seed, seedRollouts)), o.Clock)
 	n.knownRollouts.Store(&[]rollctl.ServiceRollout{})
-	n.bodies = intake.NewBudget(o.Settings.BodyMemory())
-	n.connections = intake.NewConnections(intake.ConnectionLimits{
-		Open: o.Settings.Connections(), Bytes: o.Settings.ConnectionMemory(), Unread: unreadBytes,
-	}, n.Clock.Now, func() { n.bodies.YieldStalled(n.Clock.Now()) })
+	n.intake = intake.New(o.Settings.Intake(), o.Clock.Now)
 	n.provide()
 	var err error
 	if n.metrics, err = do.Invoke[*metrics.Metrics](n.injector); err != nil {
@@ -231,7 +229,7 @@
 	do.Provide(n.injector, func(do.Injector) (*forward.Handler, error) {
 		return forward.New(forward.Options{
 			Protocol: o.Protocol, View: n.view.Load, Backends: n.backends, Paths: n.paths, Proxy: n.proxy, Placer: n.placer, Admission: n.admission, Origins: n.streams, Quarantine: n.suspects,
-			Bodies: n.bodies, Clock: o.Clock, Log: o.Log, Metrics: n.metrics, ConfigFreshFor: denialProofAge,
+			Bodies: n.intake.Bodies, Clock: o.Clock, Log: o.Log, Metrics: n.metrics, ConfigFreshFor: denialProofAge,
 			Fingerprints: s.Overload.Admission,
 		}), nil
 	})
@@ -409,7 +407,8 @@
 			n.proxy.Expire(now)
 			n.paths.Forget(used)
 			n.brittle.Expire(used, now)
-			n.connections.Sweep()
+			n.intake.Connections.Sweep()
+			n.clients.Load().Apply(listen.LimitsOf(n.view.Load().Config))
 		}
 	}
 }
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -10,27 +10,23 @@
 	"go.uber.org/zap"
 
 	"github.com/shelfcrank/shelfcrank/internal/event"
+	"github.com/shelfcrank/shelfcrank/internal/intake"
+	"github.com/shelfcrank/shelfcrank/internal/listen"
 	"github.com/shelfcrank/shelfcrank/internal/netx"
 )
 
 // Time-outs and limits of the listeners.
 const (
-	headerTimeout      = 3 * time.Second
-	idleTimeout        = 15 * time.Second
-	headerBytes        = 16 << 10
+	headerTimeout      = 3 * time.Second         // of the readiness check and the metrics
 	initialSyncTimeout = 1500 * time.Millisecond // how long clients wait in the listener's queue until the configuration and the endpoints are known
 	drainDelay         = 2500 * time.Millisecond // time after an instance is not ready until no new connections arrive
 	drainShare         = 0.9                     // share of the grace period in which requests may finish
 	drainMargin        = 100 * time.Millisecond  // before the end of that time, so that responses sent at a deadline still arrive
 )
 
-// unreadBytes limits what the system holds of a client connection that is not read, as while a request is served or
-// after one was refused. A client can send this much each round trip.
-const unreadBytes = 32 << 10
-
 // serveClients starts the client listener with the limits of the configuration.
-func (n *Instance) serveClients(ctx context.Context, l net.Listener) *http.Server {
-	if err := netx.LimitReceiveBuffer(l, unreadBytes); err != nil {
+func (n *Instance) serveClients(ctx context.Context, l net.Listener) *listen.Server {
+	if err := netx.LimitReceiveBuffer(l, intake.UnreadBytes); err != nil {
 		n.event(event.ReceiveBufferNotLimited, zap.Error(err))
 	}
 	select {
@@ -38,28 +34,15 @@
 	case <-ctx.Done():
 	case <-n.Clock.After(initialSyncTimeout):
 	}
-	s := &http.Server{
-		Handler: n.handler, ConnState: n.connections.StateChanged, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
-		ErrorLog: zap.NewStdLog(zap.NewNop()),
-	}
-	if c := n.view.Load().Config; c != nil {
-		if c.Limits.HeaderTimeout > 0 {
-			s.ReadHeaderTimeout = c.Limits.HeaderTimeout
-		}
-		if c.Limits.IdleTimeout > 0 {
-			s.IdleTimeout = c.Limits.IdleTimeout
-		}
-		if c.Limits.HeaderBytes > 0 {
-			s.MaxHeaderBytes = c.Limits.HeaderBytes
-		}
-	}
-	go func() { _ = s.Serve(n.connections.Listener(l)) }()
+	s := listen.New(n.intake.Connections.Listener(l), n.handler, n.intake.Connections.StateChanged)
+	s.Apply(listen.LimitsOf(n.view.Load().Config))
+	n.clients.Store(s)
 	return s
 }
 
 // drain finishes the requests of clients. From now on the instance is not ready, answers close their connections, and
 // requests that may not end in time are refused; the listener is closed when no new connections are expected.
-func (n *Instance) drain(clients *http.Server) {
+func (n *Instance) drain(clients *listen.Server) {
 	begun := n.Clock.Now()
 	end := begun.Add(fractionOf(drainShare, n.Settings.Bounds.Grace()))
 	n.leaving.Store(true)
@@ -72,7 +55,7 @@
 	var wait sync.WaitGroup
 	wait.Go(func() { n.proxied.Shutdown(ctx) })
 	if err := clients.Shutdown(ctx); err != nil {
-		_ = clients.Close()
+		clients.Close()
 	}
 	wait.Wait()
 }
--- a/internal/hostile/world_test.go
+++ b/internal/hostile/world_test.go
@@ -10,6 +10,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -113,6 +114,7 @@
 	exited chan struct{}
 	stop   context.CancelFunc
 	crowd  sync.WaitGroup
+	store  *storetest.Store
 
 	mu          sync.Mutex
 	memory      int64 // most memory seen, with the bytes in sockets that were not read; guarded by mu
@@ -122,15 +124,13 @@
 // newWorld starts an instance and waits until it is ready.
 func newWorld(t *testing.T, l limits) *world {
 	t.Helper()
-	w := &world{t: t, limits: l, addr: loopback(), exited: make(chan struct{})}
 	store := storetest.New()
+	w := &world{t: t, limits: l, addr: loopback(), exited: make(chan struct{}), store: store}
 	storeAt := w.serve(platformtest.StoreHandler(store.Client("instances")))
 	cloudAt := w.serve(platformtest.CloudHandler(cloud{}))
 	endpointAt := w.serve(endpoint{"i-1"})
-	key, value, err := platformtest.ConfigEntry(operatorConfig())
-	w.must(err)
-	store.Put(key, value)
-	key, value, err = platformtest.EndpointEntry(registry.Endpoint{ID: "i-1", Service: "api", Hall: "a", Addr: endpointAt, Version: "v1", Slots: 1000})
+	w.configure(operatorConfig())
+	key, value, err := platformtest.EndpointEntry(registry.Endpoint{ID: "i-1", Service: "api", Hall: "a", Addr: endpointAt, Version: "v1", Slots: 1000})
 	w.must(err)
 	store.Put(key, value)
 
@@ -160,6 +160,14 @@
 	}
 }
 
+// configure writes a configuration to the store.
+func (w *world) configure(c policy.Config) {
+	w.t.Helper()
+	key, value, err := platformtest.ConfigEntry(c)
+	w.must(err)
+	w.store.Put(key, value)
+}
+
 // serve serves a handler at a free port until the end of the test.
 func (w *world) serve(h http.Handler) netip.AddrPort {
 	w.t.Helper()
@@ -347,7 +355,10 @@
 var calls atomic.Int64
 
 // call makes one ordinary request and reports whether it got the whole answer.
-func (w *world) call() bool {
+func (w *world) call() bool { return w.callWith(http.Header{}) }
+
+// callWith is call with more header lines.
+func (w *world) callWith(more http.Header) bool {
 	id := fmt.Sprintf("call-%d", calls.Add(1))
 	r, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d%s", w.addr, frontPort, safePath), strings.NewReader(strings.Repeat("b", 2000)))
 	if err != nil {
@@ -355,6 +366,7 @@
 	}
 	r.Host = host
 	platformtest.SetRequest(r.Header, platformtest.ClientRequest{ID: id, Key: callerKey, Deadline: 10 * time.Second})
+	maps.Copy(r.Header, more)
 	client := &http.Client{Timeout: 12 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Do(r)
 	if err != nil {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -46,6 +46,30 @@
 	GiveWay()
 }
 
+// UnreadBytes limits what the system holds of a client's connection that is not read, as while a request is served or after
+// one was refused. A client can send this much each round trip.
+const UnreadBytes = 32 << 10
+
+// Limits are what clients may take of an instance. Zero stands for no bound.
+type Limits struct {
+	BodyBytes       int64 // of requests in progress
+	Connections     int   // open at a time
+	ConnectionBytes int64 // of connections, with the headers of their requests
+}
+
+// Intake is what bounds the clients of an instance.
+type Intake struct {
+	Bodies      *Budget
+	Connections *Connections
+}
+
+// New returns an Intake of which nothing is used. now tells the time.
+func New(l Limits, now func() time.Time) Intake {
+	bodies := NewBudget(l.BodyBytes)
+	limits := ConnectionLimits{Open: l.Connections, Bytes: l.ConnectionBytes, Unread: UnreadBytes}
+	return Intake{bodies, NewConnections(limits, now, func() { bodies.YieldStalled(now()) })}
+}
+
 // Budget bounds the memory of request bodies.
 type Budget struct {
 	limit      int64 // bytes
--- /dev/null
+++ b/internal/listen/listen.go
@@ -0,0 +1,196 @@
+// Package listen serves HTTP on a listener, with limits that can be changed while it serves.
+//
+// An http.Server reads its limits when it starts to serve a connection. So each change of the limits starts another one for
+// the connections that come from then on; the one before finishes the requests that it has, and closes its connections.
+package listen
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/shelfcrank/shelfcrank/internal/policy"
+)
+
+// Limits bound what a client may send, and how long it may take or stay idle.
+type Limits struct {
+	HeaderBytes   int
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Limits that apply unless the configuration has others.
+const (
+	defaultHeaderBytes   = 16 << 10
+	defaultHeaderTimeout = 3 * time.Second
+	defaultIdleTimeout   = 15 * time.Second
+)
+
+// LimitsOf returns the limits of a configuration, which may be nil.
+func LimitsOf(c *policy.Config) Limits {
+	l := Limits{defaultHeaderBytes, defaultHeaderTimeout, defaultIdleTimeout}
+	if c == nil {
+		return l
+	}
+	if c.Limits.HeaderBytes > 0 {
+		l.HeaderBytes = c.Limits.HeaderBytes
+	}
+	if c.Limits.HeaderTimeout > 0 {
+		l.HeaderTimeout = c.Limits.HeaderTimeout
+	}
+	if c.Limits.IdleTimeout > 0 {
+		l.IdleTimeout = c.Limits.IdleTimeout
+	}
+	return l
+}
+
+// Server serves the connections of a listener. It is safe for concurrent use.
+type Server struct {
+	listener net.Listener
+	handler  http.Handler
+	state    func(net.Conn, http.ConnState)
+	accepted chan net.Conn
+	closed   chan struct{}
+
+	mu      sync.Mutex
+	limits  Limits        // of the newest generation; guarded by mu
+	serving []*generation // the newest last; those that have not finished; guarded by mu
+	closing bool          // guarded by mu
+}
+
+// generation serves the connections that came while limits were in force.
+type generation struct {
+	http   *http.Server
+	server *Server
+	once   sync.Once
+	done   chan struct{} // closed when it gets no more connections
+}
+
+// New returns a server that accepts nothing before the first call of Apply. state is called as http.Server.ConnState is.
+func New(l net.Listener, h http.Handler, state func(net.Conn, http.ConnState)) *Server {
+	return &Server{listener: l, handler: h, state: state, accepted: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+// Apply puts limits in force for the connections that are accepted from now on. If they differ from those before, the
+// others are closed once their request in progress has been answered. A nil Server does nothing.
+func (s *Server) Apply(l Limits) {
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closing || len(s.serving) > 0 && s.limits == l {
+		return
+	}
+	first := len(s.serving) == 0
+	if !first {
+		go s.retire(s.serving[len(s.serving)-1])
+	}
+	s.limits = l
+	g := &generation{server: s, done: make(chan struct{}), http: &http.Server{
+		Handler: s.handler, ConnState: s.state, ErrorLog: zap.NewStdLog(zap.NewNop()),
+		ReadHeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout, MaxHeaderBytes: l.HeaderBytes,
+	}}
+	s.serving = append(s.serving, g)
+	go func() { _ = g.http.Serve(g) }()
+	if first {
+		go s.accept()
+	}
+}
+
+// retire finishes a generation.
+func (s *Server) retire(g *generation) {
+	_ = g.http.Shutdown(context.Background())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, other := range s.serving {
+		if other == g {
+			s.serving = append(s.serving[:i:i], s.serving[i+1:]...)
+			return
+		}
+	}
+}
+
+const (
+	minAcceptPause = 5 * time.Millisecond
+	maxAcceptPause = time.Second
+)
+
+// accept passes connections to the newest generation until the listener is closed. It survives failures, such as a lack of
+// descriptors.
+func (s *Server) accept() {
+	pause := minAcceptPause
+	for {
+		c, err := s.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			select {
+			case <-time.After(pause):
+				pause = min(2*pause, maxAcceptPause)
+				continue
+			case <-s.closed:
+				return
+			}
+		}
+		pause = minAcceptPause
+		select {
+		case s.accepted <- c:
+		case <-s.closed:
+			_ = c.Close()
+		}
+	}
+}
+
+// Shutdown closes the listener and waits until all requests have been answered. If ctx ends before, it returns its error.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.mu.Lock()
+	serving := s.serving
+	if !s.closing {
+		s.closing = true
+		close(s.closed)
+		_ = s.listener.Close()
+	}
+	s.mu.Unlock()
+	errs := make([]error, len(serving))
+	var wait sync.WaitGroup
+	for i, g := range serving {
+		wait.Go(func() { errs[i] = g.http.Shutdown(ctx) })
+	}
+	wait.Wait()
+	return errors.Join(errs...)
+}
+
+// Close closes all connections, with the requests in progress.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, g := range s.serving {
+		_ = g.http.Close()
+	}
+}
+
+// Accept implements net.Listener for a generation.
+func (g *generation) Accept() (net.Conn, error) {
+	select {
+	case c := <-g.server.accepted:
+		return c, nil
+	case <-g.done:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (g *generation) Close() error {
+	g.once.Do(func() { close(g.done) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (g *generation) Addr() net.Addr { return g.server.listener.Addr() }
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -19,7 +19,9 @@
 
 var options = Options{Length: 30 * time.Second, MaxSuspects: 100}
 
-func fingerprint(i int) Fingerprint { return Of("POST", "h", fmt.Sprint("/", i), payload.Of([]byte("body"))) }
+func fingerprint(i int) Fingerprint {
+	return Of("POST", "h", fmt.Sprint("/", i), payload.Of([]byte("body")))
+}
 
 func run(i int, endpoint string) Run {
 	return Run{Fingerprint: fingerprint(i), Endpoint: endpoint, Name: endpoint, Account: "a"}
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"net/netip"
 	"time"
+
+	"github.com/shelfcrank/shelfcrank/internal/intake"
 )
 
 // Front holds the settings of a front instance, which forwards requests of clients to endpoints.
@@ -59,9 +61,6 @@
 // connections, answers, the state of the instance and garbage.
 const bodyMemoryShare = 0.35
 
-// BodyMemory returns the bytes that the bodies of requests in progress may take together; 0 for no limit.
-func (s *Front) BodyMemory() int64 { return int64(bodyMemoryShare * float64(s.MemoryMB) * (1 << 20)) }
-
 const (
 	// connectionMemoryShare is the share of the memory of the process that connections of clients may take.
 	connectionMemoryShare = 0.2
@@ -72,15 +71,15 @@
 	connectionShare = 0.45
 )
 
-// ConnectionMemory returns the bytes that connections of clients may take with the headers of their requests; 0 for
-// no limit.
-func (s *Front) ConnectionMemory() int64 {
-	return int64(connectionMemoryShare * float64(s.MemoryMB) * (1 << 20))
-}
-
-// Connections returns how many connections of clients may be open at a time; 0 for no limit.
-func (s *Front) Connections() int {
-	return int(connectionShare * float64(s.MaxDescriptors-min(maxFiles, s.MaxDescriptors/10)))
+// Intake returns what clients may take of the instance.
+func (s *Front) Intake() intake.Limits {
+	memory := float64(s.MemoryMB) * (1 << 20)
+	descriptors := s.MaxDescriptors - min(maxFiles, s.MaxDescriptors/10)
+	return intake.Limits{
+		BodyBytes:       int64(bodyMemoryShare * memory),
+		ConnectionBytes: int64(connectionMemoryShare * memory),
+		Connections:     int(connectionShare * float64(descriptors)),
+	}
 }
 
 // Proxied returns how many requests of other instances are served at a time.
--- a/internal/settings/front_test.go
+++ b/internal/settings/front_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/shelfcrank/shelfcrank/internal/intake"
 )
 
 const goodFront = `name = "n1"
@@ -101,3 +103,19 @@
 	_, faults = loadFront(t, goodFront+"\n[overload]\nreservations = true\nadmission = true\n")
 	is.Equal(len(faults), 0)
 }
+
+// Guards against bounds that clients inside the limits of the deployments meet in calm, on the smallest and the largest of
+// their machines, and against bounds where none were set.
+func TestClientsGetEnoughOfEachMachine(t *testing.T) {
+	is := is.New(t)
+	const maxBody = 4 << 20
+	for _, s := range []Front{{MemoryMB: 144, MaxDescriptors: 3075}, {MemoryMB: 284, MaxDescriptors: 4100}, {MemoryMB: 536, MaxDescriptors: 10250}} {
+		l := s.Intake()
+		is.True(l.BodyBytes >= 4*maxBody)
+		is.True(l.Connections >= 1000 && 2*l.Connections < s.MaxDescriptors)
+		is.True(l.ConnectionBytes >= 500*(intake.UnreadBytes+(24<<10)))
+		is.True(l.BodyBytes+l.ConnectionBytes <= int64(s.MemoryMB)<<20*6/10)
+	}
+	var none Front
+	is.Equal(none.Intake(), intake.Limits{})
+}
