duty: a leader acts for the time that the store granted, not for the one it asked for

What users would see: two leaders at a time. If the store grants less than was asked for, another instance gets the duty while the first one, cut off from the store, still acts by the time it had asked for (review, seen by the way).

Cause: the answer of a grant names the time to live that holds, and Store.Grant did not return it.

Grant returns it now, and the elector takes the shorter of the two for its deadline, its renewals and the time that a lost write may still be applied in. Registrations and slots of the directory renew by the time they asked for: one that lapses early is made again, and nothing acts on it.

Evidence: TestNeverTwoLeadersWhereTheStoreGrantsLess (30 seeds of random faults) fails with the elector as it was.

--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -74,6 +74,7 @@
 	// Run only.
 	era                 int64
 	earlierErasExpireAt time.Time
+	granted             time.Duration // time to live of the last lease, at most TTL; used by Run only
 
 	mu       sync.Mutex
 	token    Token
@@ -129,7 +130,7 @@
 // deadline returns when a leader must stop acting whose lease was granted or renewed by a call sent
 // at a time.
 func (e *Elector) deadline(sent time.Time) time.Time {
-	return sent.Add(e.TTL - time.Duration(guardFraction*float64(e.TTL)))
+	return sent.Add(e.granted - time.Duration(guardFraction*float64(e.granted)))
 }
 
 // Run campaigns for the leader lease, and renews it while this instance is the leader, until ctx ends.
@@ -200,10 +201,11 @@
 	call, cancel := context.WithTimeout(ctx, e.TTL/3)
 	defer cancel()
 	sent = e.Clock.Now()
-	lease, err := e.Store.Grant(call, e.TTL.Milliseconds())
+	lease, granted, err := e.Store.Grant(call, e.TTL)
 	if err != nil || !e.earlierErasExpired() {
 		return 0, 0, sent, false // a lease without a key is left to expire
 	}
+	e.granted = min(e.TTL, granted)
 	fence, err = e.Store.Do(call, store.Txn{
 		Expect: []store.Expect{{Key: e.Key}}, Put: []store.Put{{Key: e.Key, Value: e.Value, Lease: lease}},
 	})
@@ -258,7 +260,7 @@
 	if _, until, _ := e.Token(sent); !sent.Before(until) {
 		return 0, false, nil
 	}
-	call, cancel := context.WithTimeout(ctx, e.TTL/4)
+	call, cancel := context.WithTimeout(ctx, e.granted/4)
 	defer cancel()
 	item, _, err := e.Store.Get(call, e.Key)
 	if errors.Is(err, store.ErrNotFound) {
@@ -269,7 +271,7 @@
 
 // renew renews the lease until it is lost or ctx ends.
 func (e *Elector) renew(ctx context.Context, lease int64, fence store.Revision) {
-	pause := time.Duration(renewFraction * float64(e.TTL))
+	pause := time.Duration(renewFraction * float64(e.granted))
 	for {
 		select {
 		case <-ctx.Done():
@@ -277,9 +279,9 @@
 			return
 		case <-e.Clock.After(pause):
 		}
-		pause = e.TTL / 6
+		pause = e.granted / 6
 		sent := e.Clock.Now()
-		call, cancel := context.WithTimeout(ctx, e.TTL/4)
+		call, cancel := context.WithTimeout(ctx, e.granted/4)
 		err := e.Store.Keep(call, lease)
 		cancel()
 		switch {
@@ -294,7 +296,7 @@
 			}
 			fence = next
 			e.acquired(fence, e.deadline(sent))
-			pause = time.Duration(renewFraction * float64(e.TTL))
+			pause = time.Duration(renewFraction * float64(e.granted))
 		case errors.Is(err, store.ErrNotFound):
 			e.lost("the lease has expired")
 			e.ObserveKey(false)
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -115,6 +115,15 @@
 	}
 }
 
+// Guards against a leader that acts on after its lease, because the store granted less time than was asked for.
+func TestNeverTwoLeadersWhereTheStoreGrantsLess(t *testing.T) {
+	for seed := range uint64(30) {
+		virtual.Test(t, func(t *testing.T) {
+			runRandomFaults(t, seed, func(_ *rand.Rand, s *storetest.Store) { s.LimitTTL(testTTL / 2) })
+		})
+	}
+}
+
 // runRandomFaults runs four electors under the random faults of a seed, calls perStep at each step,
 // and fails the test if two are leaders at a time or a fence falls.
 func runRandomFaults(t *testing.T, seed uint64, perStep func(*rand.Rand, *storetest.Store)) {
--- a/internal/front/bootstrap.go
+++ b/internal/front/bootstrap.go
@@ -189,7 +189,7 @@
 	call, cancel := context.WithTimeout(ctx, directoryTimeout)
 	defer cancel()
 	sent := n.Clock.Now()
-	lease, err := n.Store.Grant(call, registerTTL.Milliseconds())
+	lease, _, err := n.Store.Grant(call, registerTTL)
 	if n.recordStoreCall(sent, err) != nil {
 		return nil, err
 	}
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -255,7 +255,7 @@
 	n.registrationDue.Store(true)
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, listTimeout)
-		lease, err := n.Store.Grant(call, registerTTL.Milliseconds())
+		lease, _, err := n.Store.Grant(call, registerTTL)
 		var at store.Revision
 		if err == nil {
 			at, err = n.Store.Do(call, store.Txn{Put: []store.Put{{
--- a/internal/front/restored_test.go
+++ b/internal/front/restored_test.go
@@ -302,7 +302,7 @@
 		w.setFaults(storetest.Faults{Refuse: true}, "n1")
 		w.store.Restore(backup)
 		for lease := int64(0); lease < before.Lease; {
-			lease, err = other.Grant(t.Context(), time.Minute.Milliseconds())
+			lease, _, err = other.Grant(t.Context(), time.Minute)
 			is.NoErr(err)
 		}
 		w.setFaults(storetest.Faults{}, "n1")
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 )
 
 // Item is a key with its value.
@@ -100,8 +101,9 @@
 	// Do applies a transaction and returns its revision. A condition with a revision of an
 	// era before the latest known one does not hold.
 	Do(ctx context.Context, t Txn) (Revision, error)
-	// Grant creates a lease. Keys bound to it are deleted when it expires or ends.
-	Grant(ctx context.Context, ttlMs int64) (lease int64, err error)
+	// Grant creates a lease. Keys bound to it are deleted when it expires or ends. The time to live that was
+	// granted may be another one than was asked for; it counts from the call's arrival.
+	Grant(ctx context.Context, ttl time.Duration) (lease int64, granted time.Duration, err error)
 	// Keep renews a lease for its full time to live.
 	Keep(ctx context.Context, lease int64) error
 	// End revokes a lease.
--- a/internal/storetest/storetest.go
+++ b/internal/storetest/storetest.go
@@ -40,6 +40,7 @@
 // Store is the fake store.
 type Store struct {
 	minTTL       time.Duration // shortest time to live of a lease
+	maxTTL       time.Duration // longest time to live of a lease; 0 for no limit; guarded by mu
 	watchTimeout time.Duration // after which a watch without changes returns
 
 	mu        sync.Mutex
@@ -429,23 +430,33 @@
 }
 
 // Grant implements store.Writer.
-func (c *Client) Grant(ctx context.Context, ttlMs int64) (int64, error) {
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (int64, time.Duration, error) {
 	if err := c.begin(ctx, writeCall); err != nil {
-		return 0, err
+		return 0, 0, err
 	}
-	id := c.grant(ttlMs)
-	return id, c.store.answer(ctx, answerBytes)
+	id, granted := c.grant(ttl)
+	return id, granted, c.store.answer(ctx, answerBytes)
 }
 
-func (c *Client) grant(ttlMs int64) int64 {
+func (c *Client) grant(ttl time.Duration) (int64, time.Duration) {
 	s := c.store
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c.era = s.era
 	s.lastID++
-	ttl := max(s.minTTL, time.Duration(ttlMs)*time.Millisecond)
+	ttl = max(s.minTTL, ttl)
+	if s.maxTTL > 0 {
+		ttl = min(s.maxTTL, ttl)
+	}
 	s.leases[s.lastID] = lease{ttl, time.Now().Add(ttl)}
-	return s.lastID
+	return s.lastID, ttl
+}
+
+// LimitTTL makes the store grant leases of at most this time to live from now on, whatever is asked for.
+func (s *Store) LimitTTL(most time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.maxTTL = most
 }
 
 // Keep implements store.Writer.
