cmd: SIGHUP while the settings are read ends no process

What operators saw: SIGHUP in the first 4 ms of a process ended it (review, seen by the way).

Cause: the signal was handled only after the settings had been read. It is handled now before anything else of serve is done. The few milliseconds in which the program itself is loaded stay: until its first instruction, the default of the system applies.

--- a/internal/cmd/front.go
+++ b/internal/cmd/front.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -31,9 +30,9 @@
 )
 
 // serveFront runs a front instance, which forwards requests from clients to
-// endpoints on the users' platform, until ctx is done. SIGHUP makes it read its
-// settings file again.
-func serveFront(ctx context.Context, out io.Writer, file string, level zapcore.Level) error {
+// endpoints on the users' platform, until ctx is done. A signal of reload makes it
+// read its settings file again.
+func serveFront(ctx context.Context, out io.Writer, file string, level zapcore.Level, reload <-chan os.Signal) error {
 	set, err := settings.LoadFront(file)
 	if err != nil {
 		return usageError{err}
@@ -46,9 +45,6 @@
 	sink := logsink.New(out)
 	defer sink.Close()
 	log := newLogger(sink, level)
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	defer signal.Stop(reload)
 	node, err := front.New(front.Options{
 		Settings: set, Net: netx.TCP{Local: set.Local}, Decoder: platform.Decoder{}, Protocol: platform.HeaderCodec{},
 		Store: platform.NewStore(set.Store, platformTransport(), front.WatchWait.Milliseconds()),
--- a/internal/cmd/serve.go
+++ b/internal/cmd/serve.go
@@ -4,6 +4,9 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"go.uber.org/zap"
@@ -27,12 +30,16 @@
 		FlagSet:    fs,
 		Options:    fromEnv(),
 		Exec: func(ctx context.Context, _ []string) error {
+			// Before anything that takes time: until then, SIGHUP ends the process.
+			reload := make(chan os.Signal, 1)
+			signal.Notify(reload, syscall.SIGHUP)
+			defer signal.Stop(reload)
 			lvl, err := zapcore.ParseLevel(*level)
 			if err != nil {
 				return usageError{err}
 			}
 			if settings.IsFront(*file) {
-				return serveFront(ctx, e.out, *file, lvl)
+				return serveFront(ctx, e.out, *file, lvl, reload)
 			}
 			set, err := loadSettings(*file)
 			if err != nil {
