gateway: calls without a valid key are refused before their body is read

What was seen: 200 connections without a key, each with a body of 4 MiB less one byte, took an entry instance to 2,234 MiB (chat completions; 498 and 595 MiB at the other two paths that take bodies), as one that was ended would.

Cause: huma reads and decodes a body, up to 4 MiB, before the handler looks at the key.

Now a middleware looks at the key first, and the rest of a refused body has a second to come. The listener of callers limits what the system holds of a connection that is not read, as that of clients on the platform does.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -27,6 +27,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/endpoint"
 	"github.com/shelfcrank/shelfcrank/internal/event"
 	"github.com/shelfcrank/shelfcrank/internal/gateway"
+	"github.com/shelfcrank/shelfcrank/internal/intake"
 	"github.com/shelfcrank/shelfcrank/internal/kv"
 	"github.com/shelfcrank/shelfcrank/internal/member"
 	"github.com/shelfcrank/shelfcrank/internal/metrics"
@@ -228,6 +229,9 @@
 }
 
 func (i *Instance) serveCallers(l net.Listener) *http.Server {
+	if err := netx.LimitReceiveBuffer(l, intake.UnreadBytes); err != nil {
+		i.event(event.ReceiveBufferNotLimited, zap.Error(err))
+	}
 	s := &http.Server{
 		Handler: i.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: zap.NewStdLog(i.opts.Log),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -82,6 +82,7 @@
 	c.DocsPath = ""
 	c.CreateHooks = nil // no schema links in responses
 	api := humago.New(g.mux, c)
+	api.UseMiddleware(g.requireKey)
 	g.registerModels(api)
 	g.registerServices(api)
 	g.registerRequests(api)
@@ -143,6 +144,24 @@
 	return v, acc, nil
 }
 
+// unreadTimeout is how long a client that was refused may take to send the rest of its body, some of which the server
+// reads so that the client sees the response, and to read the response.
+const unreadTimeout = time.Second
+
+// requireKey refuses calls without a valid key before any of their body is read and decoded.
+func (g *Gateway) requireKey(hc huma.Context, next func(huma.Context)) {
+	if _, _, err := g.authenticate(Auth{hc.Header("Authorization")}); err != nil {
+		_, w := humago.Unwrap(hc)
+		unread := g.Clock.ToMonotonic(g.Clock.Now().Add(unreadTimeout))
+		control := http.NewResponseController(w) // its calls fail for the response recorder of tests
+		_ = control.SetReadDeadline(unread)
+		_ = control.SetWriteDeadline(unread.Add(unreadTimeout))
+		writeProblem(hc, g.newProblem(err))
+		return
+	}
+	next(hc)
+}
+
 // CallHeaders are the headers of model and service calls.
 type CallHeaders struct {
 	Auth
--- a/internal/hostile/world_test.go
+++ b/internal/hostile/world_test.go
@@ -457,10 +457,13 @@
 var piece = bytes.Repeat([]byte("x"), 64<<10)
 
 // announced sends a request with a body of a stated length, of which it sends less.
-func announced(key string, length, sent int) client {
+func announced(key string, length, sent int) client { return announcedTo(safePath, key, length, sent) }
+
+// announcedTo is announced for a path.
+func announcedTo(path, key string, length, sent int) client {
 	return func(c net.Conn) error {
 		w := bufio.NewWriter(c)
-		_, _ = w.WriteString(requestHead(safePath, key, fmt.Sprintf("Content-Length: %d\r\n", length)))
+		_, _ = w.WriteString(requestHead(path, key, fmt.Sprintf("Content-Length: %d\r\n", length)))
 		for left := sent; left > 0; left -= len(piece) {
 			if _, err := w.Write(piece[:min(left, len(piece))]); err != nil {
 				return err
