--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -25,6 +25,7 @@
 	ProcessResumed               Code = 106
 	ClockExcludesSuspensions     Code = 107
 	ReceiveBufferNotLimited      Code = 108
+	ConnectionsClosed            Code = 109
 	TableInForce                 Code = 201
 	TableStale                   Code = 202
 	StoreDown                    Code = 203
@@ -131,6 +132,7 @@
 	{ProcessResumed, zap.WarnLevel, "instance resumed after a stall", "The process was stopped or its instance suspended, and runs again. stood is the length of the stall, and suspended the part of it during which the monotonic clock was stopped. ended is the number of requests and calls that were ended because their deadline passed during the stall. config_age is the age of the configuration held; a configuration older than allowed is not used until it is confirmed again."},
 	{ClockExcludesSuspensions, zap.WarnLevel, "clock excludes suspensions", "The boot-time clock of this system cannot be read. While the instance is suspended, deadlines and leases appear not to advance."},
 	{ReceiveBufferNotLimited, zap.WarnLevel, "receive buffer not limited", "The system does not limit the bytes that it holds of client connections that are not read. A crowd of clients that send more than is read can use up the memory."},
+	{ConnectionsClosed, zap.WarnLevel, "connections of clients closed for lack of room", "In the last second, closed connections without a request in progress, or whose client did not read its answer, made room for others, and refused new ones were closed as there was none. open of limit connections are open, and they count for bytes of bytes_limit; the bodies of requests and buffered answers hold bodies of bodies_limit. At most one line a second."},
 	{TableInForce, zap.InfoLevel, "table revision in force", "This instance now applies this revision of the table."},
 	{TableStale, zap.WarnLevel, "older table revision ignored", "The store or a peer offered a revision below the one in force. If the store keeps doing so, it was restored from a backup."},
 	{StoreDown, zap.WarnLevel, "store unavailable", "Edits are refused. Everything else continues with the revision in force."},
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -120,7 +120,7 @@
 	admission         *admission
 	elector           *duty.Elector
 	handler           *forward.Handler
-	intake            intake.Intake                 // of clients
+	intake            *intake.Intake                // of clients
 	clients           atomic.Pointer[listen.Server] // nil until it serves
 	placer            *placer
 	suspects          *suspects
@@ -407,7 +407,7 @@
 			n.proxy.Expire(now)
 			n.paths.Forget(used)
 			n.brittle.Expire(used, now)
-			n.intake.Connections.Sweep()
+			n.intake.Maintain(n.event)
 			n.clients.Load().Apply(listen.LimitsOf(n.view.Load().Config))
 		}
 	}
--- a/internal/intake/connections.go
+++ b/internal/intake/connections.go
@@ -50,6 +50,7 @@
 // ConnectionCounts tells what Connections did.
 type ConnectionCounts struct {
 	Open    int   // connections open now
+	Bytes   int64 // counted for them now
 	Closed  int64 // connections closed so far to make room for others
 	Refused int64 // newcomers closed so far
 }
@@ -77,7 +78,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.counts
-	c.Open = s.open
+	c.Open, c.Bytes = s.open, s.bytes
 	return c
 }
 
--- a/internal/intake/connections_test.go
+++ b/internal/intake/connections_test.go
@@ -9,6 +9,9 @@
 	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/shelfcrank/shelfcrank/internal/event"
 )
 
 // pipes accepts connections that a test makes.
@@ -93,7 +96,7 @@
 	_, server := connect(s)
 	is.True(server == nil)
 	is.Equal(full, 1)
-	is.Equal(s.Counts(), ConnectionCounts{Open: 5, Closed: 4, Refused: 1})
+	is.Equal(s.Counts(), ConnectionCounts{Open: 5, Bytes: 5 * connectionBytes, Closed: 4, Refused: 1})
 	is.NoErr(servers[0].Close())
 	is.NoErr(servers[0].Close())
 	is.Equal(s.Counts().Open, 4)
@@ -164,3 +167,22 @@
 	}
 	wait.Wait()
 }
+
+// Guards against a line in the log for each connection of a crowd, and against a crowd that leaves none.
+func TestClosedConnectionsAreLoggedTogether(t *testing.T) {
+	is := is.New(t)
+	i := New(Limits{Connections: 1}, late())
+	lines := 0
+	log := func(c event.Code, _ ...zap.Field) {
+		is.Equal(c, event.ConnectionsClosed)
+		lines++
+	}
+	i.Maintain(log)
+	is.Equal(lines, 0)
+	for range 10 {
+		connect(i.Connections)
+	}
+	i.Maintain(log)
+	i.Maintain(log)
+	is.Equal(lines, 1)
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -61,13 +61,15 @@
 type Intake struct {
 	Bodies      *Budget
 	Connections *Connections
+
+	reported ConnectionCounts // at the last call of Maintain
 }
 
 // New returns an Intake of which nothing is used. now tells the time.
-func New(l Limits, now func() time.Time) Intake {
+func New(l Limits, now func() time.Time) *Intake {
 	bodies := NewBudget(l.BodyBytes)
 	limits := ConnectionLimits{Open: l.Connections, Bytes: l.ConnectionBytes, Unread: UnreadBytes}
-	return Intake{bodies, NewConnections(limits, now, func() { bodies.YieldStalled(now()) })}
+	return &Intake{Bodies: bodies, Connections: NewConnections(limits, now, func() { bodies.YieldStalled(now()) })}
 }
 
 // Budget bounds the memory of request bodies.
