--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -120,8 +120,8 @@
 	admission         *admission
 	elector           *duty.Elector
 	handler           *forward.Handler
-	intake            *intake.Intake                // of clients
-	clients           atomic.Pointer[listen.Server] // nil until it serves
+	intake            *intake.Intake                  // of clients
+	clients           atomic.Pointer[listen.Acceptor] // nil until it serves
 	placer            *placer
 	suspects          *suspects
 	streams           *resume.Directory // at which versions streams began
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -25,7 +25,7 @@
 )
 
 // serveClients starts the client listener with the limits of the configuration.
-func (n *Instance) serveClients(ctx context.Context, l net.Listener) *listen.Server {
+func (n *Instance) serveClients(ctx context.Context, l net.Listener) *listen.Acceptor {
 	if err := netx.LimitReceiveBuffer(l, intake.UnreadBytes); err != nil {
 		n.event(event.ReceiveBufferNotLimited, zap.Error(err))
 	}
@@ -42,7 +42,7 @@
 
 // drain finishes the requests of clients. From now on the instance is not ready, answers close their connections, and
 // requests that may not end in time are refused; the listener is closed when no new connections are expected.
-func (n *Instance) drain(clients *listen.Server) {
+func (n *Instance) drain(clients *listen.Acceptor) {
 	begun := n.Clock.Now()
 	end := begun.Add(fractionOf(drainShare, n.Settings.Bounds.Grace()))
 	n.leaving.Store(true)
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -49,8 +49,8 @@
 	return l
 }
 
-// Server serves the connections of a listener. It is safe for concurrent use.
-type Server struct {
+// Acceptor serves the connections of a listener. It is safe for concurrent use.
+type Acceptor struct {
 	listener net.Listener
 	handler  http.Handler
 	state    func(net.Conn, http.ConnState)
@@ -65,20 +65,20 @@
 
 // generation serves the connections that came while limits were in force.
 type generation struct {
-	http   *http.Server
-	server *Server
-	once   sync.Once
-	done   chan struct{} // closed when it gets no more connections
+	http     *http.Server
+	acceptor *Acceptor
+	once     sync.Once
+	done     chan struct{} // closed when it gets no more connections
 }
 
-// New returns a server that accepts nothing before the first call of Apply. state is called as http.Server.ConnState is.
-func New(l net.Listener, h http.Handler, state func(net.Conn, http.ConnState)) *Server {
-	return &Server{listener: l, handler: h, state: state, accepted: make(chan net.Conn), closed: make(chan struct{})}
+// New returns an acceptor that accepts nothing before the first call of Apply. state is called as http.Server.ConnState is.
+func New(l net.Listener, h http.Handler, state func(net.Conn, http.ConnState)) *Acceptor {
+	return &Acceptor{listener: l, handler: h, state: state, accepted: make(chan net.Conn), closed: make(chan struct{})}
 }
 
 // Apply puts limits in force for the connections that are accepted from now on. If they differ from those before, the
-// others are closed once their request in progress has been answered. A nil Server does nothing.
-func (s *Server) Apply(l Limits) {
+// others are closed once their request in progress has been answered. A nil Acceptor does nothing.
+func (s *Acceptor) Apply(l Limits) {
 	if s == nil {
 		return
 	}
@@ -92,7 +92,7 @@
 		go s.retire(s.serving[len(s.serving)-1])
 	}
 	s.limits = l
-	g := &generation{server: s, done: make(chan struct{}), http: &http.Server{
+	g := &generation{acceptor: s, done: make(chan struct{}), http: &http.Server{
 		Handler: s.handler, ConnState: s.state, ErrorLog: zap.NewStdLog(zap.NewNop()),
 		ReadHeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout, MaxHeaderBytes: l.HeaderBytes,
 	}}
@@ -104,7 +104,7 @@
 }
 
 // retire finishes a generation.
-func (s *Server) retire(g *generation) {
+func (s *Acceptor) retire(g *generation) {
 	_ = g.http.Shutdown(context.Background())
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -123,7 +123,7 @@
 
 // accept passes connections to the newest generation until the listener is closed. It survives failures, such as a lack of
 // descriptors.
-func (s *Server) accept() {
+func (s *Acceptor) accept() {
 	pause := minAcceptPause
 	for {
 		c, err := s.listener.Accept()
@@ -149,7 +149,7 @@
 }
 
 // Shutdown closes the listener and waits until all requests have been answered. If ctx ends before, it returns its error.
-func (s *Server) Shutdown(ctx context.Context) error {
+func (s *Acceptor) Shutdown(ctx context.Context) error {
 	s.mu.Lock()
 	serving := s.serving
 	if !s.closing {
@@ -168,7 +168,7 @@
 }
 
 // Close closes all connections, with the requests in progress.
-func (s *Server) Close() {
+func (s *Acceptor) Close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, g := range s.serving {
@@ -179,7 +179,7 @@
 // Accept implements net.Listener for a generation.
 func (g *generation) Accept() (net.Conn, error) {
 	select {
-	case c := <-g.server.accepted:
+	case c := <-g.acceptor.accepted:
 		return c, nil
 	case <-g.done:
 		return nil, net.ErrClosed
@@ -193,4 +193,4 @@
 }
 
 // Addr implements net.Listener.
-func (g *generation) Addr() net.Addr { return g.server.listener.Addr() }
+func (g *generation) Addr() net.Addr { return g.acceptor.listener.Addr() }
--- a/internal/listen/listen_test.go
+++ b/internal/listen/listen_test.go
@@ -15,7 +15,7 @@
 )
 
 // start serves a handler on a loopback address until the test ends.
-func start(t *testing.T, h http.HandlerFunc, l Limits) (*Server, string) {
+func start(t *testing.T, h http.HandlerFunc, l Limits) (*Acceptor, string) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
