forward: one client account leaves connections to the others

What callers saw: 512 clients of one account, each with a sound request that its endpoint does not answer, kept all connections until their deadlines: an ordinary request of another account was answered after 120 of them had ended, 15 s later.

Cause: connections with a request in progress don't give way, whose ever they are.

The requests of one client account may now keep three quarters of the connections busy. What comes beyond is refused at once with 503, as nothing was sent, and its connection is closed. Weighed: shares by the accounts' weights (what is idle would be refused too), shares by address (behind the balancer an address says little).

--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -56,10 +56,7 @@
 	gaveWay := q.memory.GaveWay()
 	q.memory.Release()
 	q.body = payload.Payload{}
-	wait := waitRetry
-	if q.view.Instances > 1 {
-		wait = waitElsewhere
-	}
+	wait := q.waitForRoom()
 	var timeout net.Error
 	switch {
 	case errors.Is(err, errBodyTooLarge):
@@ -74,6 +71,15 @@
 	return &denial{clientGone: true, why: "client disconnected before its body was read"}
 }
 
+// waitForRoom returns when a client may come again that was refused for lack of room: at once where another instance may
+// have some.
+func (q *request) waitForRoom() time.Duration {
+	if q.view.Instances > 1 {
+		return waitElsewhere
+	}
+	return waitRetry
+}
+
 var errBodyTooLarge = errors.New("the body is over the limit")
 
 // readBody reads the body in pieces, each of which is taken from the budget before it is filled. What is held
--- a/internal/forward/door.go
+++ b/internal/forward/door.go
@@ -31,6 +31,13 @@
 		h.refuseUnread(w, r, q, d)
 		return
 	}
+	if !q.proxied { // the other instance has counted it
+		if !h.Shares.Begin(q.accountName()) {
+			h.refuseUnread(w, r, q, &denial{status: http.StatusServiceUnavailable, why: "too many requests of the client account in progress", wait: q.waitForRoom(), close: true})
+			return
+		}
+		defer h.Shares.End(q.accountName())
+	}
 	ctx, deadline := h.Clock.WithDeadline(r.Context(), q.deadline, errDeadline)
 	defer deadline.Stop()
 	// Nothing is read from an endpoint after the deadline, but a client that does not read would hold what was.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -174,7 +174,9 @@
 	// Quarantine tracks requests that are suspected of crashing endpoints.
 	Quarantine Quarantine
 	// Bodies bounds the memory of the bodies of requests; nil for no bound.
-	Bodies  *intake.Budget
+	Bodies *intake.Budget
+	// Shares bounds the requests of a client account in progress; nil for no bound.
+	Shares  *intake.Shares
 	Clock   *clock.Clock // may be nil
 	Log     *zap.Logger
 	Metrics *metrics.Metrics
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -229,7 +229,7 @@
 	do.Provide(n.injector, func(do.Injector) (*forward.Handler, error) {
 		return forward.New(forward.Options{
 			Protocol: o.Protocol, View: n.view.Load, Backends: n.backends, Paths: n.paths, Proxy: n.proxy, Placer: n.placer, Admission: n.admission, Origins: n.streams, Quarantine: n.suspects,
-			Bodies: n.intake.Bodies, Clock: o.Clock, Log: o.Log, Metrics: n.metrics, ConfigFreshFor: denialProofAge,
+			Bodies: n.intake.Bodies, Shares: n.intake.Shares, Clock: o.Clock, Log: o.Log, Metrics: n.metrics, ConfigFreshFor: denialProofAge,
 			Fingerprints: s.Overload.Admission,
 		}), nil
 	})
--- a/internal/hostile/crowd_test.go
+++ b/internal/hostile/crowd_test.go
@@ -147,3 +147,17 @@
 	})
 	w.check()
 }
+
+// Guards against one account whose requests, each within the limits, keep all connections until their deadlines.
+func TestSlowRequestsOfOneAccountTakeAllConnections(t *testing.T) {
+	w := newWorld(t, machine)
+	w.send(machine.descriptors, func(c net.Conn) error {
+		_, err := io.WriteString(c, requestHead(slowPath, crowdKey, "Content-Length: 0\r\n"))
+		return err
+	}, reading)
+	before := w.answered.Load()
+	w.check()
+	if slow := w.answered.Load() - before; slow > 0 {
+		t.Errorf("%d slow requests had ended before an ordinary one was answered", slow)
+	}
+}
--- a/internal/hostile/world_test.go
+++ b/internal/hostile/world_test.go
@@ -70,6 +70,7 @@
 	host       = "api.example"
 	safePath   = "/api/call"
 	largePath  = "/large/call" // answered with largeAnswer bytes
+	slowPath   = "/slow/call"  // not answered before its deadline
 	callerKey  = "key-caller"
 	crowdKey   = "key-crowd"
 	unknownKey = "key-of-nobody"
@@ -89,7 +90,7 @@
 	return policy.Config{
 		Version:  1,
 		Limits:   policy.Limits{HeaderBytes: maxHeaderBytes, BodyBytes: maxBodyBytes, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
-		Routes:   []policy.Route{route("api", "/api/"), route("large", "/large/")},
+		Routes:   []policy.Route{route("api", "/api/"), route("large", "/large/"), route("slow", "/slow/")},
 		Services: []policy.Service{{Name: "api", HealthPath: "/health", MaxConnections: 1000}},
 		Accounts: []policy.Account{{Name: "caller", Keys: []string{callerKey}}, {Name: "crowd", Keys: []string{crowdKey}}},
 	}
@@ -116,6 +117,8 @@
 	crowd  sync.WaitGroup
 	store  *storetest.Store
 
+	answered atomic.Int64 // slow requests that have ended at the endpoint
+
 	mu          sync.Mutex
 	memory      int64 // most memory seen, with the bytes in sockets that were not read; guarded by mu
 	descriptors int   // most open descriptors seen; guarded by mu
@@ -128,7 +131,7 @@
 	w := &world{t: t, limits: l, addr: loopback(), exited: make(chan struct{}), store: store}
 	storeAt := w.serve(platformtest.StoreHandler(store.Client("instances")))
 	cloudAt := w.serve(platformtest.CloudHandler(cloud{}))
-	endpointAt := w.serve(endpoint{"i-1"})
+	endpointAt := w.serve(endpoint{"i-1", &w.answered})
 	w.configure(operatorConfig())
 	key, value, err := platformtest.EndpointEntry(registry.Endpoint{ID: "i-1", Service: "api", Hall: "a", Addr: endpointAt, Version: "v1", Slots: 1000})
 	w.must(err)
@@ -490,12 +493,20 @@
 }
 
 // endpoint answers each request, after it has read all of it.
-type endpoint struct{ id string }
+type endpoint struct {
+	id   string
+	slow *atomic.Int64 // slow requests that have ended
+}
 
 // ServeHTTP implements http.Handler.
 func (e endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	in := platformtest.ReadRequest(r.Header)
 	_, _ = io.Copy(io.Discard, r.Body)
+	if r.URL.Path == slowPath {
+		<-r.Context().Done()
+		e.slow.Add(1)
+		return
+	}
 	platformtest.SetResponse(w.Header(), platformtest.EndpointResponse{RequestID: in.ID, Seal: "seal." + in.ID})
 	if strings.HasPrefix(r.URL.Path, "/large/") {
 		w.Header().Set("Content-Length", strconv.Itoa(largeAnswer))
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -5,9 +5,10 @@
 // that has been stalled for longest gives way; if all readers make progress, the newcomer does. A part of the memory is reserved for small bodies, so that a crowd of large
 // ones does not starve ordinary requests.
 //
-// Connections bounds the connections of clients to a listener, with the headers of their requests.
+// Connections bounds the connections of clients to a listener, with the headers of their requests; Shares, how many of them
+// the requests of one client account keep busy.
 //
-// The package reads no clock. Budget and Connections are safe for concurrent use; a Lease belongs to one goroutine.
+// The package reads no clock. Budget, Connections and Shares are safe for concurrent use; a Lease belongs to one goroutine.
 package intake
 
 import (
@@ -61,6 +62,7 @@
 type Intake struct {
 	Bodies      *Budget
 	Connections *Connections
+	Shares      *Shares // of client accounts
 
 	reported ConnectionCounts // at the last call of Maintain
 }
@@ -69,7 +71,10 @@
 func New(l Limits, now func() time.Time) *Intake {
 	bodies := NewBudget(l.BodyBytes)
 	limits := ConnectionLimits{Open: l.Connections, Bytes: l.ConnectionBytes, Unread: UnreadBytes}
-	return &Intake{Bodies: bodies, Connections: NewConnections(limits, now, func() { bodies.YieldStalled(now()) })}
+	return &Intake{
+		Bodies: bodies, Shares: NewShares(l.Connections),
+		Connections: NewConnections(limits, now, func() { bodies.YieldStalled(now()) }),
+	}
 }
 
 // Budget bounds the memory of request bodies.
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -259,3 +259,24 @@
 	}
 	is.Equal(b.Used(), int64(0))
 }
+
+// Guards against an account that keeps all connections to itself, and against counts that are never given back.
+func TestAnAccountHasAShareOfTheConnections(t *testing.T) {
+	is := is.New(t)
+	s := NewShares(8)
+	for range 6 {
+		is.True(s.Begin("crowd"))
+	}
+	is.True(!s.Begin("crowd"))
+	is.True(s.Begin("caller"))
+	s.End("crowd")
+	is.True(s.Begin("crowd"))
+	for range 6 {
+		s.End("crowd")
+	}
+	s.End("caller")
+	is.Equal(len(s.inProgress), 0)
+	for range 100 {
+		is.True(NewShares(0).Begin("any") && (*Shares)(nil).Begin("any"))
+	}
+}
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -23,7 +23,7 @@
 	// StoreWritesPerSecond limits how fast the instances of a fleet that starts register.
 	StoreWritesPerSecond float64 `toml:"store_writes_per_s" help:"Writes that the metadata store accepts from all instances together, a second; 0 if unknown."`
 	MemoryMB             int     `toml:"memory_mb" help:"Memory limit of the process, in MB; 0 for no limit. The bodies of requests in progress may take 35% of it, and connections of clients 20%."`
-	MaxDescriptors       int     `toml:"max_descriptors" help:"Limit on the open descriptors of the process; 0 for that of the system. Connections of clients may take 45% of those that files don't need, as each request may need one more to an endpoint."`
+	MaxDescriptors       int     `toml:"max_descriptors" help:"Limit on the open descriptors of the process; 0 for that of the system. Connections of clients may take 45% of those that files don't need, as each request may need one more to an endpoint; the requests of one client account may keep three quarters of these busy."`
 	Cores                float64 `toml:"cores" help:"CPU limit of the process, in cores; 0 if unknown."`
 	// QuarantineS defaults to one minute. By then a caller that sent a request that crashes
 	// endpoints by mistake has stopped retrying, and deploying a new version of an endpoint
