listen: a change of limits answers what arrives on connections from before

Cause: the server from before was shut down. net/http closes a connection without an answer if a request arrives on it after that, and the server might still have accepted a connection or two meanwhile.

Now that server gets no more connections before Apply returns, and answers each further request with Connection: close.

Evidence: TestARequestOnAConnectionFromBeforeAChangeIsAnswered fails before (checked by reading only: it was written with the change); the package passed 20 times with the race detector.

--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -1,7 +1,7 @@
 // Package listen serves HTTP on a listener, with limits that can be changed while it serves.
 //
 // An http.Server reads its limits when it starts to serve a connection. So each change of the limits starts another one for
-// the connections that come from then on; the one before finishes the requests that it has, and closes its connections.
+// the connections that come from then on; the one before answers what comes on its connections, and closes them.
 package listen
 
 import (
@@ -9,7 +9,9 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -59,7 +61,7 @@
 
 	mu      sync.Mutex
 	limits  Limits        // of the newest generation; guarded by mu
-	serving []*generation // the newest last; those that have not finished; guarded by mu
+	serving []*generation // the newest last, and those before that have connections; guarded by mu
 	closing bool          // guarded by mu
 }
 
@@ -67,6 +69,7 @@
 type generation struct {
 	http     *http.Server
 	acceptor *Acceptor
+	open     atomic.Int64 // connections
 	once     sync.Once
 	done     chan struct{} // closed when it gets no more connections
 }
@@ -77,7 +80,7 @@
 }
 
 // Apply puts limits in force for the connections that are accepted from now on. If they differ from those before, the
-// others are closed once their request in progress has been answered. A nil Acceptor does nothing.
+// others are closed at once if they are idle, and after their next response if not. A nil Acceptor does nothing.
 func (s *Acceptor) Apply(l Limits) {
 	if s == nil {
 		return
@@ -88,14 +91,16 @@
 		return
 	}
 	first := len(s.serving) == 0
-	if !first {
-		go s.retire(s.serving[len(s.serving)-1])
+	for _, g := range s.serving {
+		g.retire()
 	}
+	s.serving = slices.DeleteFunc(s.serving, func(g *generation) bool { return g.open.Load() == 0 })
 	s.limits = l
 	g := &generation{acceptor: s, done: make(chan struct{}), http: &http.Server{
-		Handler: s.handler, ConnState: s.state, ErrorLog: zap.NewStdLog(zap.NewNop()),
+		Handler: s.handler, ErrorLog: zap.NewStdLog(zap.NewNop()),
 		ReadHeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout, MaxHeaderBytes: l.HeaderBytes,
 	}}
+	g.http.ConnState = g.stateChanged
 	s.serving = append(s.serving, g)
 	go func() { _ = g.http.Serve(g) }()
 	if first {
@@ -103,16 +108,19 @@
 	}
 }
 
-// retire finishes a generation.
-func (s *Acceptor) retire(g *generation) {
-	_ = g.http.Shutdown(context.Background())
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for i, other := range s.serving {
-		if other == g {
-			s.serving = append(s.serving[:i:i], s.serving[i+1:]...)
-			return
-		}
+// retire makes a generation close its idle connections, and the others after their next response. It is not shut down:
+// a server that shuts down closes a connection without a response if a request arrives on it.
+func (g *generation) retire() {
+	_ = g.Close()
+	g.http.SetKeepAlivesEnabled(false)
+}
+
+func (g *generation) stateChanged(c net.Conn, state http.ConnState) {
+	if state == http.StateClosed || state == http.StateHijacked {
+		g.open.Add(-1)
+	}
+	if f := g.acceptor.state; f != nil {
+		f(c, state)
 	}
 }
 
@@ -178,8 +186,14 @@
 
 // Accept implements net.Listener for a generation.
 func (g *generation) Accept() (net.Conn, error) {
+	select {
+	case <-g.done: // also if a connection is waiting
+		return nil, net.ErrClosed
+	default:
+	}
 	select {
 	case c := <-g.acceptor.accepted:
+		g.open.Add(1)
 		return c, nil
 	case <-g.done:
 		return nil, net.ErrClosed
--- a/internal/listen/listen_test.go
+++ b/internal/listen/listen_test.go
@@ -140,3 +140,36 @@
 	s.Apply(Limits{})
 	s.Close()
 }
+
+// Guards against a change of limits that closes a connection without an answer to the request that arrives on it.
+func TestARequestOnAConnectionFromBeforeAChangeIsAnswered(t *testing.T) {
+	is := is.New(t)
+	s, addr := start(t, ok, Limits{1 << 10, time.Minute, time.Minute})
+	for n := range 20 {
+		c := dial(t, addr)
+		for s.connections() == 0 { // until it is accepted
+			time.Sleep(time.Millisecond)
+		}
+		s.Apply(Limits{(n + 2) << 10, time.Minute, time.Minute})
+		status, closes, err := c.get(10)
+		is.NoErr(err)
+		is.Equal(status, http.StatusOK)
+		is.True(closes)
+		for s.connections() > 0 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	is.True(len(s.serving) <= 2) // earlier generations are not kept
+}
+
+// connections returns how many connections are open.
+func (s *Acceptor) connections() (n int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, g := range s.serving {
+		n += g.open.Load()
+	}
+	return n
+}
