policy: ranks of priorities take no memory for each pair of a route and an account

What operators would see: a configuration of some thousands of routes and of client accounts, which 1 MB can hold, passes the memory of an instance when it is read (review, seen by the way).

Cause: the pairs of all routes and accounts were listed, sorted and then made distinct. The set of pairs is the product of the distinct priorities of both, so that the rank of a pair follows from two small tables.

Evidence: TestAConfigurationOfManyRoutesAndAccountsTakesLittleMemory (3,000 of each) fails before and takes 2.2 s there; TestPrioritiesFollowTheOrderOfAllPairs compares the levels with the list of all pairs over 200 random configurations.

--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
 )
 
 // Kind says how a route's requests are answered and whether they may be repeated.
@@ -110,11 +111,10 @@
 	byAccount map[string]*Account
 	meanRate  float64 // of the client accounts' limits; 1 if there are none
 	byService map[string]*Service
-	ranks     map[priorityPair]int // position of each pair in the order of precedence, from 0
-}
 
-// priorityPair is the priority of a client account and that of a route.
-type priorityPair struct{ account, route int }
+	// By priority: its position among the priorities of all accounts, and of all routes, from 0.
+	accountRanks, routeRanks map[int]int
+}
 
 // ErrInvalid is the error of a configuration that cannot be used.
 var ErrInvalid = errors.New("invalid configuration")
@@ -180,24 +180,22 @@
 	return sum / float64(limited)
 }
 
-// rankPriorities sets ranks for all pairs of a client account's and a route's priority. Requests
-// without a client account have the account priority 0.
+// rankPriorities ranks the priorities of client accounts and of routes. A request's rank is that of its pair among all
+// pairs, first by account. Requests without a client account have the account priority 0.
 func (c *Config) rankPriorities() {
-	var all []priorityPair
-	for _, r := range c.Routes {
-		for _, a := range c.Accounts {
-			all = append(all, priorityPair{a.Priority, r.Priority})
-		}
-		all = append(all, priorityPair{0, r.Priority})
-	}
-	slices.SortFunc(all, func(a, b priorityPair) int {
-		return cmp.Or(cmp.Compare(a.account, b.account), cmp.Compare(a.route, b.route))
-	})
-	all = slices.Compact(all)
-	c.ranks = make(map[priorityPair]int, len(all))
-	for i, r := range all {
-		c.ranks[r] = i
+	accounts := append(lo.Map(c.Accounts, func(a Account, _ int) int { return a.Priority }), 0)
+	c.accountRanks = ranksOf(accounts)
+	c.routeRanks = ranksOf(lo.Map(c.Routes, func(r Route, _ int) int { return r.Priority }))
+}
+
+// ranksOf returns the rank of each of the values, 0 for the smallest.
+func ranksOf(values []int) map[int]int {
+	slices.Sort(values)
+	ranks := make(map[int]int)
+	for i, v := range slices.Compact(values) {
+		ranks[v] = i
 	}
+	return ranks
 }
 
 // Priorities is the number of priority levels that endpoints distinguish. Level 0 is served first.
@@ -206,14 +204,15 @@
 // Priority returns the priority level, below Priorities, of a request of a route by a client
 // account, which may be nil. If there are more ranks than levels, neighbouring ranks share a level.
 func (c *Config) Priority(a *Account, r *Route) int {
-	pair := priorityPair{0, r.Priority}
+	account := 0
 	if a != nil {
-		pair.account = a.Priority
+		account = a.Priority
 	}
-	if len(c.ranks) <= Priorities {
-		return c.ranks[pair]
+	rank := c.accountRanks[account]*len(c.routeRanks) + c.routeRanks[r.Priority]
+	if ranks := len(c.accountRanks) * len(c.routeRanks); ranks > Priorities {
+		return rank * Priorities / ranks
 	}
-	return c.ranks[pair] * Priorities / len(c.ranks)
+	return rank
 }
 
 // Match returns the route of a host with the longest prefix that matches the path, or nil.
