--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -71,6 +71,13 @@
 	return &denial{clientGone: true, why: "client disconnected before its body was read"}
 }
 
+// overShare is the denial for a request of a client account that keeps its share of the connections busy.
+func (q *request) overShare() *denial {
+	return &denial{
+		status: http.StatusServiceUnavailable, why: "too many requests of the client account in progress", wait: q.waitForRoom(), close: true,
+	}
+}
+
 // waitForRoom returns when a client may come again that was refused for lack of room: at once where another instance may
 // have some.
 func (q *request) waitForRoom() time.Duration {
--- a/internal/forward/door.go
+++ b/internal/forward/door.go
@@ -33,7 +33,7 @@
 	}
 	if !q.proxied { // the other instance has counted it
 		if !h.Shares.Begin(q.accountName()) {
-			h.refuseUnread(w, r, q, &denial{status: http.StatusServiceUnavailable, why: "too many requests of the client account in progress", wait: q.waitForRoom(), close: true})
+			h.refuseUnread(w, r, q, q.overShare())
 			return
 		}
 		defer h.Shares.End(q.accountName())
@@ -60,9 +60,9 @@
 }
 
 // unreadTimeout is how long a client whose request was refused may take to send the rest of its body and to read the
-// response, and one whose deadline has passed to read what is left of the response. The HTTP server reads some of a body before and after the
-// response, so that the client sees the response and can use the connection again, and would wait for it without an
-// end.
+// response, and one whose deadline has passed to read what is left of the response. The HTTP server reads some of a
+// body before and after the response, so that the client sees the response and can use the connection again, and would
+// wait for it without an end.
 const unreadTimeout = time.Second
 
 // refuseUnread refuses a request of which not all of the body has been read.
--- a/internal/front/suspectsync.go
+++ b/internal/front/suspectsync.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/samber/lo"
-
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
 	"github.com/shelfcrank/shelfcrank/internal/quarantine"
 	"github.com/shelfcrank/shelfcrank/internal/quarantine/eventlog"
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -2,8 +2,8 @@
 //
 // A Budget bounds the memory of request bodies, whatever their number, length and pace. A body takes memory piece by
 // piece, as it arrives. When memory is short, bodies are dropped that only a further attempt would need; then the reader
-// that has been stalled for longest gives way; if all readers make progress, the newcomer does. A part of the memory is reserved for small bodies, so that a crowd of large
-// ones does not starve ordinary requests.
+// that has been stalled for longest gives way; if all readers make progress, the newcomer does. A part of the memory is
+// reserved for small bodies, so that a crowd of large ones does not starve ordinary requests.
 //
 // Connections bounds the connections of clients to a listener, with the headers of their requests; Shares, how many of them
 // the requests of one client account keep busy.
@@ -239,8 +239,9 @@
 	b.used.add(l.held, l.held > smallBody)
 }
 
-// makeRoom drops spare bodies, and tells stalled readers to give way, those first that have been stalled for longest, until n more bytes
-// will fit. If they won't even without all stalled readers, nobody gives way and makeRoom reports false. b.mu is held.
+// makeRoom drops spare bodies, the oldest first, and tells stalled readers to give way, those first that have been
+// stalled for longest, until n more bytes will fit. If they won't even without all stalled readers, none of these gives
+// way and makeRoom reports false. b.mu is held.
 func (b *Budget) makeRoom(l *Lease, n int64, now time.Time) bool {
 	for !b.fits(l, n, b.yielding) && b.spares.Len() > 0 {
 		b.drop(b.spares.Front().Value.(*Lease))
@@ -257,8 +258,7 @@
 	for !b.fits(l, n, b.yielding) {
 		// Small bodies don't use what a large one lacks outside the reserve.
 		onlyLarge := b.used.all-b.yielding.all+n <= b.limit
-		victim := b.longestStalled(l, onlyLarge, now)
-		b.yield(victim)
+		b.yield(b.longestStalled(l, onlyLarge, now))
 	}
 	return true
 }
@@ -268,7 +268,8 @@
 	return l.state == reading && l.held > 0 && l.due.Before(now)
 }
 
-// longestStalled returns the reader other than l that has been stalled for longest. b.mu is held.
+// longestStalled returns the reader other than l, of a large body if onlyLarge is set, that has been stalled for longest;
+// nil if there is none. b.mu is held.
 func (b *Budget) longestStalled(l *Lease, onlyLarge bool, now time.Time) *Lease {
 	var found *Lease
 	for r := b.readers; r != nil; r = r.next {
@@ -308,7 +309,7 @@
 	}
 }
 
-// Received records that n bytes of the body arrived.
+// Received records that n bytes of the body arrived, which put off the time from which the reader counts as stalled.
 func (l *Lease) Received(n int, now time.Time) {
 	l.budget.mu.Lock()
 	defer l.budget.mu.Unlock()
