check: a partition is compared with the other instances at the same time

Trace (first tries by second, on a scratch copy): all tries at the partitioned instance fell into an overload, in which nobody was served: 4 of its 48 chat requests in seconds 3 and 4 of the partition, 6 of 59 at the others. After it, from second 6 on, the others served 15 of 19, and the partitioned instance got none: it was paused then, and is not in touch. The requests that went through another instance were served as often as that one's own (92 of 217 and 133 of 313 chat requests). So the two shares came from different times, and the instances did what the rule asks.

The check now compares within each second: what the partitioned instances served with what they would have served had they served as often as the others in that second; where the others got nothing, as often as these in all. Bounds, allowed failures and who counts are as before. A partition that serves nothing in calm is found beside an overload (TestAPartitionIsComparedAtTheSameTime, which fails before), also where the others get no tries at that time.

--- a/internal/check/partition.go
+++ b/internal/check/partition.go
@@ -13,46 +13,74 @@
 	failuresPerTry      = 1.0 / 50
 )
 
+// partitionSlice is the time within which first tries are compared. What the endpoints can serve may change from one to
+// the next, as an overload begins and ends, and instances do not get the same share of their tries in each.
+const partitionSlice = time.Second
+
+// tries counts first tries, at the partitioned instances and at the others.
+type tries struct{ sent, served [2]int }
+
 // checkPartitions checks the rule RECOVER for partitions: while some instances have no path to any
-// endpoint, callers' first tries there are served nearly as often as at the others, from Bounds.Contact
-// after the partition began. Only instances in touch count; a partition leaves an instance in touch.
+// endpoint, callers' first tries there are served nearly as often as at the others at the same time, from
+// Bounds.Contact after the partition began. Only instances in touch count; a partition leaves an instance in touch.
 func checkPartitions(x *index) (out []Violation) {
 	instances := make(map[string]bool)
 	for i := range x.Attempts {
 		instances[x.Attempts[i].Instance] = true
 	}
 	for _, p := range x.Partitions {
-		var sent, served [2]int
+		var all tries
+		bySlice := make(map[time.Duration]*tries)
 		for i := range x.Attempts {
 			a := &x.Attempts[i]
-			if a.Retry || !a.AbandonedAt.IsZero() || a.SentAt.Before(p.From.Add(x.Bounds.Contact)) || a.SentAt.After(p.To) || !x.inTouch(a.Instance, a.SentAt, a.EndedAt) {
+			at, ok := x.comparable(a, &p, instances)
+			if !ok {
 				continue
 			}
-			at := 0
-			if slices.Contains(p.Instances, a.Instance) {
-				at = 1
-			} else if x.partitioned(a.Instance, a.SentAt) {
-				continue // by another partition
-			}
-			if !x.anyHasPaths(instances, a.SentAt) {
-				continue // nobody could serve it
+			n := a.SentAt.Sub(p.From) / partitionSlice
+			if bySlice[n] == nil {
+				bySlice[n] = &tries{}
 			}
-			sent[at]++
-			if success(a.Status) && a.Sealed && a.Complete {
-				served[at]++
+			for _, t := range []*tries{&all, bySlice[n]} {
+				t.sent[at]++
+				if success(a.Status) && a.Sealed && a.Complete {
+					t.served[at]++
+				}
 			}
 		}
-		failed := sent[1] - served[1]
-		if sent[0] == 0 || float64(failed) <= failuresAllowed+failuresPerTry*float64(sent[1]) {
+		failed := all.sent[1] - all.served[1]
+		if all.sent[0] == 0 || float64(failed) <= failuresAllowed+failuresPerTry*float64(all.sent[1]) {
 			continue
 		}
-		if share(served[1], sent[1]) < minPartitionedShare*share(served[0], sent[0]) {
-			out = append(out, Violation{"RECOVER partition", p.To, fmt.Sprintf("%v had no path to endpoints and served %d of %d first tries, the others %d of %d", p.Instances, served[1], sent[1], served[0], sent[0])})
+		expected := 0.0 // served, had the partitioned instances served as often as the others
+		for _, t := range bySlice {
+			at := t
+			if t.sent[0] == 0 { // nothing to compare with at that time
+				at = &all
+			}
+			expected += float64(t.sent[1]) * share(at.served[0], at.sent[0])
+		}
+		if float64(all.served[1]) < minPartitionedShare*expected {
+			out = append(out, Violation{"RECOVER partition", p.To, fmt.Sprintf("%v had no path to endpoints and served %d of %d first tries, %.1f expected by what the others served at the same time (%d of %d in all)", p.Instances, all.served[1], all.sent[1], expected, all.served[0], all.sent[0])})
 		}
 	}
 	return out
 }
 
+// comparable reports whether an attempt counts for a partition, and whether it was at one of the partitioned instances (1)
+// or at another one (0).
+func (x *index) comparable(a *Attempt, p *Partition, instances map[string]bool) (at int, ok bool) {
+	if a.Retry || !a.AbandonedAt.IsZero() || a.SentAt.Before(p.From.Add(x.Bounds.Contact)) || a.SentAt.After(p.To) || !x.inTouch(a.Instance, a.SentAt, a.EndedAt) {
+		return 0, false
+	}
+	if slices.Contains(p.Instances, a.Instance) {
+		at = 1
+	} else if x.partitioned(a.Instance, a.SentAt) {
+		return 0, false // by another partition
+	}
+	return at, x.anyHasPaths(instances, a.SentAt) // otherwise nobody could serve it
+}
+
 func share(part, all int) float64 { return float64(part) / float64(all) }
 
 // partitioned reports whether an instance had no path to endpoints at a moment.
--- a/internal/check/rules_test.go
+++ b/internal/check/rules_test.go
@@ -463,3 +463,27 @@
 		}
 	}
 }
+
+// Guards against first tries in an overload, which nobody serves, that count against a partition because the other
+// instances got more of their tries after it; and against a partition that hides in one.
+func TestAPartitionIsComparedAtTheSameTime(t *testing.T) {
+	is := is.New(t)
+	unserved := func(instance string) func(a *Attempt, r *Arrival) {
+		return func(a *Attempt, r *Arrival) { a.Instance, a.Status, a.Sealed, r.Ran = instance, 503, false, false }
+	}
+	overload := func() *History {
+		h := &History{Bounds: testBounds, EndedAt: at(60_000)}
+		h.Partitions = []Partition{{Instances: []string{"m"}, From: at(0), To: at(10_000)}}
+		h.addMany("overload others", 40, 4000, unserved("n"))
+		h.addMany("overload", 40, 4000, unserved("m"))
+		h.addMany("later others", 60, 6000, nil)
+		return h
+	}
+	is.Equal(len(checkPartitions(newIndex(overload()))), 0)
+	h := overload()
+	h.addMany("later", 12, 6000, unserved("m"))
+	is.Equal(len(checkPartitions(newIndex(h))), 1)
+	h = overload()
+	h.addMany("alone", 30, 8000, unserved("m")) // at a time when the others got nothing
+	is.Equal(len(checkPartitions(newIndex(h))), 1)
+}
