--- a/internal/hostile/crowd_test.go
+++ b/internal/hostile/crowd_test.go
@@ -10,25 +10,25 @@
 	"time"
 )
 
-// machine is what the instances of these tests have: less than a machine of the deployments, so that a small crowd
+// smallInstance is what the instances of these tests have: less than those of the deployments, so that a small crowd
 // is enough to pass it.
-var machine = limits{memoryMB: 64, descriptors: 512}
+var smallInstance = limits{memoryMB: 64, descriptors: 512}
 
 // bodies is the number of clients of a crowd that sends bodies. Their bodies of the allowed size take four times
-// the memory of the machine.
+// the memory of the instance.
 const bodies = 64
 
 // Guards against a crowd whose announced bodies, all but their last byte, are held until the process is over its
 // memory.
 func TestAnnouncedBodiesThatStayOpenEndAProcess(t *testing.T) {
-	w := newWorld(t, machine)
+	w := newWorld(t, smallInstance)
 	w.send(bodies, announced(crowdKey, maxBodyBytes, maxBodyBytes-1), reading)
 	w.check()
 }
 
 // Guards against the same with bodies that come in large chunks.
 func TestBodiesInLargeChunksThatStayOpenEndAProcess(t *testing.T) {
-	w := newWorld(t, machine)
+	w := newWorld(t, smallInstance)
 	w.send(bodies, chunked(crowdKey, len(piece), maxBodyBytes-len(piece)), reading)
 	w.check()
 }
@@ -36,7 +36,7 @@
 // Guards against the same with bodies that come in very small chunks.
 func TestBodiesInSmallChunksThatStayOpenEndAProcess(t *testing.T) {
 	const chunk = 16
-	w := newWorld(t, machine)
+	w := newWorld(t, smallInstance)
 	w.send(bodies, chunked(crowdKey, chunk, maxBodyBytes-chunk), reading)
 	w.check()
 }
@@ -44,37 +44,37 @@
 // Guards against announced bodies far over the limit that are sent all the same: bytes that wait in sockets count
 // as memory.
 func TestAnnouncedBodiesOverTheLimitEndAProcess(t *testing.T) {
-	w := newWorld(t, machine)
+	w := newWorld(t, smallInstance)
 	w.send(bodies, announced(crowdKey, 64*maxBodyBytes, 4*maxBodyBytes), reading)
 	w.check()
 }
 
 // Guards against bodies far over the limit that come in chunks, without an announced length.
 func TestChunkedBodiesOverTheLimitEndAProcess(t *testing.T) {
-	w := newWorld(t, machine)
+	w := newWorld(t, smallInstance)
 	w.send(bodies, chunked(crowdKey, len(piece), 4*maxBodyBytes), reading)
 	w.check()
 }
 
 // Guards against bodies of clients without a valid key that take memory.
 func TestBodiesWithoutAKeyEndAProcess(t *testing.T) {
-	w := newWorld(t, machine)
+	w := newWorld(t, smallInstance)
 	w.send(bodies, chunked(unknownKey, len(piece), 4*maxBodyBytes), reading)
 	w.check()
 }
 
 // Guards against clients that use all descriptors with connections on which they say nothing.
 func TestSilentConnectionsTakeAllDescriptors(t *testing.T) {
-	w := newWorld(t, machine)
-	w.send(machine.descriptors, func(net.Conn) error { return nil }, reading)
+	w := newWorld(t, smallInstance)
+	w.send(smallInstance.descriptors, func(net.Conn) error { return nil }, reading)
 	w.check()
 }
 
 // Guards against requests that are refused before their body has come, and whose connection then stays open for
 // the rest of the body, however long the client takes.
 func TestRefusedRequestsWithoutTheirBodyTakeAllDescriptors(t *testing.T) {
-	w := newWorld(t, machine)
-	w.send(machine.descriptors, announced(unknownKey, 1000, 999), reading)
+	w := newWorld(t, smallInstance)
+	w.send(smallInstance.descriptors, announced(unknownKey, 1000, 999), reading)
 	w.check()
 }
 
@@ -91,7 +91,7 @@
 
 // Guards against clients that do not read their answers, which the instance and its sockets then hold.
 func TestUnreadAnswersEndAProcess(t *testing.T) {
-	w := newWorld(t, machine)
+	w := newWorld(t, smallInstance)
 	w.send(4*bodies, func(c net.Conn) error {
 		_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
 		if _, err := fmt.Fprint(c, requestHead(largePath, crowdKey, "Content-Length: 0\r\n")); err != nil {
@@ -105,8 +105,8 @@
 
 // Guards against bodies of a few bytes at a time that keep all connections to themselves.
 func TestBodiesThatTrickleTakeAllConnections(t *testing.T) {
-	w := newWorld(t, machine)
-	w.send(machine.descriptors, func(c net.Conn) error {
+	w := newWorld(t, smallInstance)
+	w.send(smallInstance.descriptors, func(c net.Conn) error {
 		_, err := io.WriteString(c, requestHead(safePath, crowdKey, "Transfer-Encoding: chunked\r\n"))
 		return err
 	}, func(ctx context.Context, c net.Conn) {
@@ -128,9 +128,9 @@
 }
 
 func testPipelined(t *testing.T, key string) {
-	w := newWorld(t, machine)
+	w := newWorld(t, smallInstance)
 	requests := strings.Repeat(requestHead(safePath, key, "Content-Length: 0\r\n"), 100)
-	w.send(machine.descriptors, func(c net.Conn) error {
+	w.send(smallInstance.descriptors, func(c net.Conn) error {
 		_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
 		_, err := io.WriteString(c, requests)
 		return err
@@ -150,8 +150,8 @@
 
 // Guards against one account whose requests, each within the limits, keep all connections until their deadlines.
 func TestSlowRequestsOfOneAccountTakeAllConnections(t *testing.T) {
-	w := newWorld(t, machine)
-	w.send(machine.descriptors, func(c net.Conn) error {
+	w := newWorld(t, smallInstance)
+	w.send(smallInstance.descriptors, func(c net.Conn) error {
 		_, err := io.WriteString(c, requestHead(slowPath, crowdKey, "Content-Length: 0\r\n"))
 		return err
 	}, reading)
--- a/internal/hostile/limits_test.go
+++ b/internal/hostile/limits_test.go
@@ -8,7 +8,7 @@
 
 // Guards against limits of the first configuration that stay in force until the next start of the process.
 func TestLimitsOfALaterConfigurationAreNotInForce(t *testing.T) {
-	w := newWorld(t, machine)
+	w := newWorld(t, smallInstance)
 	large := http.Header{"X-Filler": {strings.Repeat("x", 2*maxHeaderBytes)}}
 	w.await("an answer to an ordinary request", w.call)
 	if w.callWith(large) {
--- a/internal/hostile/world_test.go
+++ b/internal/hostile/world_test.go
@@ -1,6 +1,6 @@
 // Package hostile tests what instances withstand from clients that don't behave. Each test starts the program
 // itself on loopback addresses and sends a crowd of such clients to it. It checks what does not depend on the
-// speed of the machine: that the process lives, that its memory and its open descriptors stay under a bound, and
+// speed at which the tests run: that the process lives, that its memory and its open descriptors stay under a bound, and
 // that an ordinary request is answered while the crowd is still there.
 package hostile
 
@@ -96,7 +96,7 @@
 	}
 }
 
-// limits are what the machine of the instance gives it.
+// limits are what the platform gives an instance.
 type limits struct {
 	memoryMB    int
 	descriptors int
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -20,10 +20,10 @@
 // body is a request whose body is read in a test.
 type body struct {
 	Lease
-	toldToYield bool
+	mustYield bool
 }
 
-func (b *body) GiveWay() { b.toldToYield = true }
+func (b *body) GiveWay() { b.mustYield = true }
 
 func open(b *Budget, now time.Time) *body {
 	r := &body{}
@@ -52,8 +52,8 @@
 	now := start.Add(2 * time.Second)
 	newcomer := open(b, now)
 	is.Equal(grow(newcomer, mib, now), context.Canceled) // waits for the memory of second
-	is.True(second.toldToYield && second.GaveWay())
-	is.True(!first.toldToYield && !third.toldToYield)
+	is.True(second.mustYield && second.GaveWay())
+	is.True(!first.mustYield && !third.mustYield)
 	is.Equal(second.Complete(), ErrGaveWay)
 	second.Release()
 	is.NoErr(grow(newcomer, mib, now))
@@ -72,7 +72,7 @@
 		steady.Received(32<<10, now) // 64 KiB a second
 		is.Equal(grow(open(b, now), mib, now), ErrFull)
 	}
-	is.True(!steady.toldToYield)
+	is.True(!steady.mustYield)
 	is.NoErr(steady.Complete())
 }
 
@@ -88,7 +88,7 @@
 		slow.Received(100, now)
 	}
 	is.Equal(grow(open(b, now), mib, now), context.Canceled)
-	is.True(slow.toldToYield)
+	is.True(slow.mustYield)
 }
 
 // Guards against a crowd of large bodies that leaves no room for the bodies of ordinary requests.
@@ -126,7 +126,7 @@
 	is.NoErr(grow(small, 1000, start))
 	late := start.Add(time.Minute)
 	is.Equal(grow(open(b, late), mib, late), ErrFull)
-	is.True(!small.toldToYield)
+	is.True(!small.mustYield)
 }
 
 // Guards against requests that wait for memory after the reader that had to give way has given it back.
@@ -183,13 +183,13 @@
 			case 3:
 				r.Received(rnd.IntN(64<<10), now)
 			case 4:
-				if err := r.Complete(); err != nil && r.toldToYield != (r.state == yielding || r.state == closed) {
+				if err := r.Complete(); err != nil && r.mustYield != (r.state == yielding || r.state == closed) {
 					t.Fatalf("seed %d: %v", seed, err)
 				}
 			default:
 				r.Release()
 			}
-			if r.toldToYield && rnd.IntN(2) == 0 {
+			if r.mustYield && rnd.IntN(2) == 0 {
 				r.Release()
 			}
 			check(t, seed, b, all)
@@ -245,7 +245,7 @@
 	is.Equal(bodies[1].Len(), 0)
 	is.True(spares[0].Reclaim() && spares[2].Reclaim())
 	is.Equal(bodies[2].Len(), mib)
-	is.True(!stalled.toldToYield)
+	is.True(!stalled.mustYield)
 	small := open(b, late)
 	is.NoErr(grow(small, smallBody, late))
 	is.NoErr(small.Complete())
--- a/internal/settings/front_test.go
+++ b/internal/settings/front_test.go
@@ -104,9 +104,9 @@
 	is.Equal(len(faults), 0)
 }
 
-// Guards against bounds that clients inside the limits of the deployments meet in calm, on the smallest and the largest of
-// their machines, and against bounds where none were set.
-func TestClientsGetEnoughOfEachMachine(t *testing.T) {
+// Guards against bounds that clients inside the limits of the deployments meet in calm, at the smallest and the largest of
+// their instances, and against bounds where none were set.
+func TestClientsGetEnoughOfEachInstance(t *testing.T) {
 	is := is.New(t)
 	const maxBody = 4 << 20
 	for _, s := range []Front{{MemoryMB: 144, MaxDescriptors: 3075}, {MemoryMB: 284, MaxDescriptors: 4100}, {MemoryMB: 536, MaxDescriptors: 10250}} {
