--- a/internal/intake/connections_test.go
+++ b/internal/intake/connections_test.go
@@ -154,18 +154,22 @@
 	is := is.New(t)
 	s := NewConnections(ConnectionLimits{Open: 3}, late(), nil)
 	var wait sync.WaitGroup
-	clients := make([]net.Conn, 3)
+	clients, servers := make([]net.Conn, 3), make([]net.Conn, 3)
 	for i := range clients {
-		var server net.Conn
-		clients[i], server = connect(s)
-		s.StateChanged(server, http.StateActive)
+		clients[i], servers[i] = connect(s)
+		s.StateChanged(servers[i], http.StateActive)
 		if i > 0 { // 0 has not begun its answer
-			wait.Go(func() { _, _ = server.Write(make([]byte, 10*writePiece)) })
+			wait.Go(func() { _, _ = servers[i].Write(make([]byte, 10*writePiece)) })
 		}
 	}
-	read := func(i int) {
+	reads := make([]uint64, 3)
+	read := func(i int) { // and waits until the next piece is being written
 		_, err := io.ReadFull(clients[i], make([]byte, writePiece))
 		is.NoErr(err)
+		reads[i]++
+		for servers[i].(*conn).writes.Load() != 2*reads[i]+1 {
+			time.Sleep(time.Millisecond)
+		}
 	}
 	read(1)
 	read(2)
