forward: logs tell how a stream was framed and what was passed on of it

It names now what marked the end of the endpoint's response, how many events were passed on, the IDs of the first and the last, how many were kept back as the client had them, and how many numbers no event had.

What was passed on is one type, which stream.go and proxy.go share.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -70,9 +70,9 @@
 	Answer Answer
 	Reused bool // the connection has carried an earlier request
 
-	body     io.Reader
-	unframed bool // the body has neither a length nor chunks, and ends with the connection
-	call     *exchange
+	body    io.Reader
+	framing string
+	call    *exchange
 }
 
 const (
@@ -400,13 +400,35 @@
 	if err != io.EOF {
 		return n, err
 	}
-	if r.unframed && !r.call.complete && !r.call.client.accepts(r.call.ctx, r.call.endpoint) {
+	if r.framing == ByConnection && !r.call.complete && !r.call.client.accepts(r.call.ctx, r.call.endpoint) {
 		return n, errEndUnproven
 	}
 	r.call.complete = true
 	return n, io.EOF
 }
 
+// What marks the end of the body of a response.
+const (
+	ByLength     = "length"
+	ByChunks     = "chunks"
+	ByConnection = "connection" // the body has neither a length nor chunks, and ends with the connection
+)
+
+// FramingOf returns what marks the end of the body of an HTTP/1.1 response with a length, which is negative if not
+// stated, and transfer codings.
+func FramingOf(length int64, codings []string) string {
+	switch {
+	case len(codings) > 0:
+		return ByChunks
+	case length >= 0:
+		return ByLength
+	}
+	return ByConnection
+}
+
+// Framing returns what marks the end of the body: ByLength, ByChunks or ByConnection.
+func (r *Response) Framing() string { return r.framing }
+
 // Endpoint returns the endpoint that gave the response.
 func (r *Response) Endpoint() *registry.Endpoint { return &r.call.endpoint }
 
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -192,10 +192,14 @@
 		}
 		x.noReuse = x.noReuse || resp.Close || a.Close
 		x.conn.idleTimeout = keepAlive(resp.Header.Get("Keep-Alive"))
+		framing := FramingOf(resp.ContentLength, resp.TransferEncoding)
+		if resp.Body == http.NoBody {
+			framing = ByLength
+		}
 		return &Response{
 			Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Answer: a,
 			Reused: x.conn.reused, body: resp.Body, call: x,
-			unframed: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody,
+			framing: framing,
 		}, nil
 	}
 	return nil, errors.New("received only responses to other requests")
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -252,23 +252,11 @@
 	anyPath        bool                     // endpoints that count as unreachable may be tried
 	lastEventID    string                   // ID of the last event passed on
 	answered       bool                     // the response head was sent to the client
-	firstEventAt   time.Time                // when the first event was passed on
-	lastEventAt    time.Time                // when the last event was passed on
-	longestPause   time.Duration            // the longest time between two events
+	passage        passage                  // what was passed on of a stream
 	began          bool                     // the stream has begun, at version
 	version        string                   // software version of the endpoints that the events of the stream come from
 }
 
-// eventPassed records that an event was passed on to the client.
-func (q *request) eventPassed(now time.Time) {
-	if q.firstEventAt.IsZero() {
-		q.firstEventAt = now
-	} else {
-		q.longestPause = max(q.longestPause, now.Sub(q.lastEventAt))
-	}
-	q.lastEventAt = now
-}
-
 // connectFailed records that an endpoint could not be connected to.
 func (q *request) connectFailed(now time.Time) {
 	if q.connectUntil.IsZero() {
--- a/internal/forward/framing_test.go
+++ b/internal/forward/framing_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 )
 
 // untilClose is an answer with neither a length nor chunks, which ends with its connection.
@@ -86,3 +88,33 @@
 		})
 	}
 }
+
+// Guards against logs that can't tell a stream that ended too early, or with pieces missing or doubled, from a whole one.
+func TestLogsTellWhatWasPassedOnOfAStream(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		path    string
+		scripts []string
+		want    map[string]any
+	}{
+		{"chunks", "/stream/a", []string{events(1, 3, true)}, map[string]any{"framing": "chunks", "events": int64(3), "first_event": "1", "last_event": "3", "repeated": int64(0), "left_out": int64(0)}},
+		{"connection", "/stream/a", []string{untilClose("text/event-stream", threeEvents)}, map[string]any{"framing": "connection", "events": int64(3)}},
+		{"no event", "/stream/a", []string{untilClose("text/event-stream", "")}, map[string]any{"framing": "connection", "events": int64(0)}},
+		{"repeated", "/resume/a", []string{events(1, 2, false), events(1, 3, true)}, map[string]any{"events": int64(3), "repeated": int64(2)}},
+		{"left out", "/resume/a", []string{events(1, 1, false), events(3, 3, true)}, map[string]any{"events": int64(2), "left_out": int64(1)}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newFixture(t, 0, test.scripts...)
+			core, logs := observer.New(zap.InfoLevel)
+			w.handler.Log = zap.New(core)
+			w.ask(test.path, "k")
+			ended := logs.FilterMessage("request answered").All()
+			is.Equal(len(ended), 1)
+			got := ended[0].ContextMap()
+			for name, want := range test.want {
+				is.Equal(got[name], want)
+			}
+		})
+	}
+}
--- a/internal/forward/proxy.go
+++ b/internal/forward/proxy.go
@@ -136,6 +136,7 @@
 	}
 	var err error
 	if events && q.route.Resumable {
+		q.passage.framing = backend.FramingOf(resp.ContentLength, resp.TransferEncoding)
 		if err = h.passEventsOn(w, q, resp.Body); err != nil && q.began && !errors.Is(err, errClientWrite) && ctx.Err() == nil {
 			h.event(event.StreamResumed, zap.String("request", q.meta.ID), zap.String("peer", resp.Instance), zap.String("version", q.version), zap.String("after", q.lastEventID), zap.Error(err))
 			q.brokenOffBy = append(q.brokenOffBy, resp.Instance)
@@ -169,7 +170,7 @@
 		}
 		buf = e
 		id := eventID(e)
-		if id != "" && q.lastEventID != "" && alreadySent(id, q.lastEventID) {
+		if q.repeats(id) {
 			continue
 		}
 		if _, err := w.Write(e); err != nil {
@@ -178,10 +179,7 @@
 		if r.Buffered() == 0 {
 			_ = flusher.Flush()
 		}
-		q.eventPassed(h.Clock.Now())
-		if id != "" {
-			q.lastEventID = id
-		}
+		q.passed(id, h.Clock.Now())
 	}
 }
 
--- a/internal/forward/refuse.go
+++ b/internal/forward/refuse.go
@@ -83,9 +83,7 @@
 	if q.view.Config != nil {
 		fields = append(fields, zap.Int64("config", q.view.Config.Version), zap.Duration("config_age", q.arrived.Sub(q.view.ConfirmedAt)))
 	}
-	if !q.firstEventAt.IsZero() {
-		fields = append(fields, zap.Duration("first", q.firstEventAt.Sub(q.arrived)), zap.Duration("pause", q.longestPause))
-	}
+	fields = append(fields, q.passageFields()...)
 	if q.version != "" {
 		fields = append(fields, zap.String("version", q.version))
 	}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -71,27 +71,21 @@
 	return ""
 }
 
-// alreadySent reports whether the event ID is at or before the last one passed on.
-func alreadySent(id, last string) bool {
-	a, err1 := strconv.ParseInt(id, 10, 64)
-	b, err2 := strconv.ParseInt(last, 10, 64)
-	return err1 == nil && err2 == nil && a <= b
-}
-
 // stream passes the events of a response on as they arrive.
 func (h *Handler) stream(ctx context.Context, w http.ResponseWriter, q *request, ticket *balance.Ticket, resp *backend.Response) outcome {
 	if !valid(resp) {
 		ticket.Done(balance.Failed, h.Clock.Now())
 		return outcome{again: q.route.Idempotent(), denial: &denial{status: http.StatusBadGateway, why: "stream without a seal"}}
 	}
+	q.passage.framing = resp.Framing()
 	r := bufio.NewReader(resp)
 	var buf []byte
 	first := true
 	for {
 		e, err := nextEvent(r, buf)
 		if err == io.EOF {
-			if q.longestPause > 0 && q.route.TargetEventGap > 0 {
-				ticket.Streamed(q.longestPause > time.Duration(stallFraction*float64(q.route.TargetEventGap)))
+			if q.passage.longest > 0 && q.route.TargetEventGap > 0 {
+				ticket.Streamed(q.passage.longest > time.Duration(stallFraction*float64(q.route.TargetEventGap)))
 			}
 			ticket.Done(balance.Answered, h.Clock.Now())
 			h.runCompleted(q, ticket.Endpoint, resp)
@@ -118,7 +112,7 @@
 		}
 		ticket.Event(h.Clock.Now())
 		id := eventID(e)
-		if id != "" && q.lastEventID != "" && alreadySent(id, q.lastEventID) {
+		if q.repeats(id) {
 			continue // sent again by the endpoint that resumes the stream
 		}
 		h.openStream(w, q, resp)
@@ -131,10 +125,7 @@
 		if r.Buffered() == 0 {
 			_ = http.NewResponseController(w).Flush()
 		}
-		q.eventPassed(h.Clock.Now())
-		if id != "" {
-			q.lastEventID = id
-		}
+		q.passed(id, h.Clock.Now())
 	}
 }
 
