forward: a line as long as the read buffer does not join two events

Where a line of an event was 4,096 bytes long, or a multiple of it (4,095 with CR LF), the reader returned the line without its end, and then the end alone, which nextEvent took for the blank line that ends an event: the event was passed on without its blank line, and the real one was skipped as one between events.

Cause: a line was compared by the piece that the buffer returned, not by the whole line. nextEvent now looks at all of the line that it has gathered, whatever pieces it came in. Streams from endpoints and from other instances are read by the same function.

It also found that an event of blanks only counted as one, which the fuzz target already forbade; such are skipped.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -540,10 +541,16 @@
 	f.Add("id: 1\ndata: a\n\nid: 2\n\n")
 	f.Add("\r\n\r\ndata: x\r\n\r\n")
 	f.Add("data: no end")
+	f.Add("data: sixteen by\n\ndata: b\n\n")
 	f.Fuzz(func(t *testing.T, text string) {
 		r := bufio.NewReaderSize(strings.NewReader(text), 16)
+		whole := bufio.NewReaderSize(strings.NewReader(text), len(text)+16)
 		for range len(text) + 1 {
 			e, err := nextEvent(r, nil)
+			want, wantErr := nextEvent(whole, nil)
+			if !bytes.Equal(e, want) || err != wantErr {
+				t.Fatalf("event %q, %v in pieces, %q, %v in one", e, err, want, wantErr)
+			}
 			if err != nil {
 				return
 			}
@@ -554,3 +561,23 @@
 		t.Fatal("more events than bytes")
 	})
 }
+
+// Guards against two events that are passed on as one, which clients see as a piece that is missing.
+func TestEventsWithLinesOfTheSizeOfTheBufferAreNotJoined(t *testing.T) {
+	const bufferSize = 4096
+	for _, path := range []string{"/stream/a", "/resume/a"} {
+		for _, end := range []string{"\n", "\r\n"} {
+			for length := bufferSize - 2; length <= bufferSize+2; length++ {
+				for _, times := range []int{1, 2} {
+					line := "data:" + strings.Repeat("x", times*length-len("data:"))
+					body := "id:1" + end + line + end + end + "id:2" + end + "data:y" + end + end
+					w := newFixture(t, 0, fmt.Sprintf("HTTP/1.1 200 OK\r\nId: 7\r\nSeal: s\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+					rec, cut := w.ask(path, "k")
+					if cut || rec.Body.String() != body {
+						t.Errorf("line of %d bytes that ends with %q on %s: %d bytes of %d passed on", times*length, end, path, rec.Body.Len(), len(body))
+					}
+				}
+			}
+		}
+	}
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -39,21 +39,24 @@
 // breaks off.
 func nextEvent(r *bufio.Reader, into []byte) ([]byte, error) {
 	into = into[:0]
+	lineStart := 0 // in into
 	for {
-		line, err := r.ReadSlice('\n')
-		into = append(into, line...)
+		piece, err := r.ReadSlice('\n')
+		into = append(into, piece...)
 		switch {
-		case err == bufio.ErrBufferFull:
+		case err == bufio.ErrBufferFull: // the line goes on
 		case err == io.EOF && len(bytes.TrimSpace(into)) == 0:
 			return nil, io.EOF
 		case err == io.EOF:
 			return nil, errTruncatedEvent
 		case err != nil:
 			return nil, err
-		case len(bytes.TrimRight(line, "\r\n")) == 0 && len(into) > len(line):
+		case len(bytes.TrimRight(into[lineStart:], "\r\n")) > 0:
+			lineStart = len(into)
+		case len(bytes.TrimSpace(into)) > 0:
 			return into, nil
-		case len(bytes.TrimRight(line, "\r\n")) == 0:
-			into = into[:0] // blank lines between events
+		default:
+			into, lineStart = into[:0], 0 // blank lines between events
 		}
 		if len(into) > maxEventBytes {
 			return nil, errEventTooLong
