endpoint: an answer over 8 MiB is an error, not cut and taken for whole

Callers of the own interface got the first 8 MiB of a plain service's longer answer as a complete answer with status 200. The reader was limited, and its limit looked like the end. One byte more is read now, and its presence is an error that says that the call may have run.

TestAnAnswerOverTheLimitIsNotCutAndTakenForWhole fails before: no error for 8 MiB + 1 byte.

--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -152,6 +152,8 @@
 	Body        []byte
 }
 
+var errAnswerTooLong = errors.New("answer exceeds 8 MiB")
+
 // Call sends one call to a plain service and returns the complete answer. A key other than "" is sent
 // as Idempotency-Key. The call is sent at most once: send also keeps the transport from repeating
 // it.
@@ -162,10 +164,13 @@
 		return a, err
 	}
 	defer resp.Body.Close()
-	a.Body, err = io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	a.Body, err = io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
 	if err != nil {
 		return a, fault.New(fault.StepDispatch, addr.String(), fault.KindBroken, fault.MayHaveRun, "read answer: %w", err)
 	}
+	if len(a.Body) > maxAnswerBytes {
+		return a, fault.New(fault.StepDispatch, addr.String(), fault.KindBroken, fault.MayHaveRun, "read answer: %w", errAnswerTooLong)
+	}
 	a.Status, a.ContentType = resp.StatusCode, resp.Header.Get("Content-Type")
 	return a, nil
 }
--- a/internal/endpoint/client_test.go
+++ b/internal/endpoint/client_test.go
@@ -87,6 +87,24 @@
 	}
 }
 
+// Guards against the beginning of a long answer that is taken for the whole.
+func TestAnAnswerOverTheLimitIsNotCutAndTakenForWhole(t *testing.T) {
+	for _, size := range []int{maxAnswerBytes, maxAnswerBytes + 1} {
+		is := is.New(t)
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, size)) }))
+		addr := netip.MustParseAddrPort(strings.TrimPrefix(srv.URL, "http://"))
+		a, err := New(netx.Transport(netx.TCP{})).Call(context.Background(), addr, "pay", "text/plain", "k", nil, ignoreSignals)
+		if size > maxAnswerBytes {
+			is.True(err != nil)
+			is.Equal(fault.As(err).Run, fault.MayHaveRun)
+		} else {
+			is.NoErr(err)
+			is.Equal(len(a.Body), size)
+		}
+		srv.Close()
+	}
+}
+
 func TestARefusedConnectionMeansNotRun(t *testing.T) {
 	is := is.New(t)
 	srv := httptest.NewServer(http.NotFoundHandler())
