endpoint: an answer without framing needs an endpoint that still answers

Callers of the own interface got the beginning of a plain service's answer as the whole one, if the answer had neither a length nor chunks and the endpoint's process was killed in its middle. The endpoint is asked with a HEAD request now; without an answer the call fails, and may have run. Streams of model endpoints name their last token and were not affected.

TestAnAnswerWithoutFramingWhoseEndpointEndsIsNotWhole fails before: no error.

--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -171,6 +171,14 @@
 	if len(a.Body) > maxAnswerBytes {
 		return a, fault.New(fault.StepDispatch, addr.String(), fault.KindBroken, fault.MayHaveRun, "read answer: %w", errAnswerTooLong)
 	}
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		// Only the end of the connection marks the end of the body, and a process that is killed ends its connections, too.
+		ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+		defer cancel()
+		if err := c.Probe(ctx, addr); err != nil {
+			return a, fault.New(fault.StepDispatch, addr.String(), fault.KindBroken, fault.MayHaveRun, "the connection ended, and whether the answer is whole is not known: %w", err)
+		}
+	}
 	a.Status, a.ContentType = resp.StatusCode, resp.Header.Get("Content-Type")
 	return a, nil
 }
--- a/internal/endpoint/client_test.go
+++ b/internal/endpoint/client_test.go
@@ -1,8 +1,10 @@
 package endpoint
 
 import (
+	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -105,6 +107,44 @@
 	}
 }
 
+// Guards against the beginning of an answer that is taken for the whole, as its endpoint was killed and the answer has neither
+// a length nor chunks.
+func TestAnAnswerWithoutFramingWhoseEndpointEndsIsNotWhole(t *testing.T) {
+	for _, ends := range []bool{false, true} {
+		is := is.New(t)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		go func() {
+			for first := true; ; first = false {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				r, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					_ = c.Close()
+					continue
+				}
+				_, _ = io.Copy(io.Discard, r.Body)
+				if first && ends {
+					_ = l.Close()
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nhalf")
+				_ = c.Close()
+			}
+		}()
+		a, err := New(netx.Transport(netx.TCP{})).Call(context.Background(), netip.MustParseAddrPort(l.Addr().String()), "pay", "text/plain", "k", nil, ignoreSignals)
+		if ends {
+			is.True(err != nil)
+			is.Equal(fault.As(err).Run, fault.MayHaveRun)
+		} else {
+			is.NoErr(err)
+			is.Equal(string(a.Body), "half")
+		}
+		_ = l.Close()
+	}
+}
+
 func TestARefusedConnectionMeansNotRun(t *testing.T) {
 	is := is.New(t)
 	srv := httptest.NewServer(http.NotFoundHandler())
