backend: an endpoint that is back at its address proves no end of a body

The proof that the endpoint lives was a new connection, which the new process accepts.

An idle connection from before belongs to the process that gave the answer. If there is one, it is looked at in place of a new connection, and is used for the next request as before. Without one, a new connection is still all there is.

TestAnEndpointThatIsBackAtItsAddressProvesNoEndOfABody fails before: the body counts as whole.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -13,6 +13,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -322,9 +323,56 @@
 	return false
 }
 
-// accepts reports whether an endpoint accepts a connection and keeps it open, so that its process has not ended. The
-// connections of a process that is killed end one by one: for a moment, its address may still accept another one. The
-// connection takes the place of the one that ended.
+// lives reports whether the process of an endpoint whose connection has ended lives on. The connections of a process
+// that is killed end one by one, so that one has to stay open for a moment to count. An idle connection from before is the
+// better proof: a process that has taken the endpoint's address since accepts new ones.
+func (c *Client) lives(ctx context.Context, endpoint registry.Endpoint) bool {
+	k := c.takeIdle(endpoint.ID)
+	if k == nil {
+		return c.accepts(ctx, endpoint)
+	}
+	for ; k != nil; k = c.takeIdle(endpoint.ID) {
+		if k.silent() && c.settles(ctx, k) {
+			c.putIdle(endpoint.ID, k)
+			return true
+		}
+		c.discard(endpoint.ID, k)
+	}
+	return false
+}
+
+// takeIdle takes an idle connection to an endpoint that the endpoint has no reason to have closed, or nil. A connection
+// that cannot be checked is not taken.
+func (c *Client) takeIdle(endpoint string) *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.endpoints[endpoint]
+	if s == nil {
+		return nil
+	}
+	now := c.clock.Now()
+	for i, k := range slices.Backward(s.idle) {
+		if k.isSocket() && k.fresh(now, 0) {
+			s.idle = slices.Delete(s.idle, i, i+1)
+			return k
+		}
+	}
+	return nil
+}
+
+// putIdle returns a connection that was taken from the pool and not used.
+func (c *Client) putIdle(endpoint string, k *conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s := c.endpoints[endpoint]; s != nil {
+		s.idle = append(s.idle, k)
+		return
+	}
+	k.close()
+}
+
+// accepts reports whether an endpoint accepts a connection and keeps it open. The connection takes the place of the one
+// that ended.
 func (c *Client) accepts(ctx context.Context, endpoint registry.Endpoint) bool {
 	k, err := c.dial(ctx, &endpoint, endTimeout)
 	if err != nil {
@@ -400,7 +448,7 @@
 	if err != io.EOF {
 		return n, err
 	}
-	if r.framing == ByConnection && !r.call.complete && !r.call.client.accepts(r.call.ctx, r.call.endpoint) {
+	if r.framing == ByConnection && !r.call.complete && !r.call.client.lives(r.call.ctx, r.call.endpoint) {
 		return n, errEndUnproven
 	}
 	r.call.complete = true
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -368,3 +368,55 @@
 		})
 	}
 }
+
+// Guards against a body that ends with its connection and is taken for whole although its endpoint was killed: another
+// process accepted connections at its address at once.
+func TestAnEndpointThatIsBackAtItsAddressProvesNoEndOfABody(t *testing.T) {
+	for _, restarts := range []bool{false, true} {
+		is := is.New(t)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		address := l.Addr().String()
+		at := registry.Endpoint{ID: "i-1", Service: "svc", Addr: netip.MustParseAddrPort(address)}
+		var open []net.Conn
+		answer := func(l net.Listener, text string) {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			open = append(open, c)
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = io.WriteString(c, text)
+			}
+		}
+		c := newClientOn(netx.TCP{})
+		request := func(id string) *Response {
+			resp, err := c.Send(context.Background(), &Call{Endpoint: at, Method: http.MethodPost, URI: "/", Host: "x", Header: http.Header{"Id": {id}}, ID: id})
+			is.NoErr(err)
+			return resp
+		}
+		go answer(l, "HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s\r\n\r\nbegin")
+		first := request("1")
+		go answer(l, answerTo("2", "whole"))
+		second := request("2")
+		_, err = io.ReadAll(second)
+		is.NoErr(err)
+		second.Close() // its connection is idle now
+		if restarts {
+			_ = l.Close()
+			for _, c := range open {
+				_ = c.Close()
+			}
+			l, err = net.Listen("tcp", address)
+			is.NoErr(err)
+		} else {
+			_ = open[0].Close()
+		}
+		b, err := io.ReadAll(first)
+		first.Close()
+		is.Equal(string(b), "begin")
+		is.Equal(err == nil, !restarts)
+		c.CloseIdle()
+		_ = l.Close()
+	}
+}
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -79,6 +79,12 @@
 
 // usable reports whether an idle connection may carry another request.
 func (k *conn) usable(now time.Time, most time.Duration) bool {
+	return k.fresh(now, most) && k.silent()
+}
+
+// fresh reports whether an idle connection has not been idle for so long that the endpoint may close it, nor for longer
+// than most, unless that is 0.
+func (k *conn) fresh(now time.Time, most time.Duration) bool {
 	limit := maxIdle
 	if k.idleTimeout > 0 {
 		limit = min(limit, time.Duration(idleFraction*float64(k.idleTimeout)))
@@ -86,7 +92,7 @@
 	if most > 0 {
 		limit = min(limit, most)
 	}
-	return now.Sub(k.idleSince) < limit && k.silent()
+	return now.Sub(k.idleSince) < limit
 }
 
 // exchange is a request and its response on a connection.
--- a/internal/backend/quiet.go
+++ b/internal/backend/quiet.go
@@ -2,6 +2,12 @@
 
 import "syscall"
 
+// isSocket reports whether the connection is a socket.
+func (k *conn) isSocket() bool {
+	_, ok := k.raw.(syscall.Conn)
+	return ok
+}
+
 // silent reports whether an idle connection is still open and has received nothing. A connection
 // that is not a socket counts as silent.
 func (k *conn) silent() bool {
