listen: answer requests whose header is being read when the connections are closed

Callers saw their connection closed without an answer if the header of their request arrived while the instance closed its listener in a planned stop, or while a configuration changed the limits of connections. The instance had read some of the request, or all of it, so callers may not send it again if it is not repeatable.

An http.Server counts a connection as idle, or as new, until it has read a whole header: Shutdown and SetKeepAlivesEnabled close idle ones at once, and a server that shuts down closes one whose header it then completes. The acceptor now decides itself, and uses neither. It knows which connections wait with nothing read, and ends those by a read deadline in the past: a read then either returns bytes, and their request is answered, or leaves them unread in the system's buffer. The others are closed after their response, which says so.

A connection that a generation of limits accepted while it was retired could be forgotten by Shutdown (open was counted after the accept). It goes to the newest generation now.

--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -59,6 +59,8 @@
 	accepted chan net.Conn
 	closed   chan struct{}
 
+	open sync.WaitGroup // connections of all generations
+
 	mu      sync.Mutex
 	limits  Limits        // of the newest generation; guarded by mu
 	serving []*generation // the newest last, and those before that have connections; guarded by mu
@@ -69,9 +71,14 @@
 type generation struct {
 	http     *http.Server
 	acceptor *Acceptor
+	limits   Limits
 	open     atomic.Int64 // connections
 	once     sync.Once
 	done     chan struct{} // closed when it gets no more connections
+
+	mu      sync.Mutex
+	conns   map[*conn]struct{} // guarded by mu
+	retired atomic.Bool        // set with mu held
 }
 
 // New returns an acceptor that accepts nothing before the first call of Apply. state is called as http.Server.ConnState is.
@@ -96,11 +103,11 @@
 	}
 	s.serving = slices.DeleteFunc(s.serving, func(g *generation) bool { return g.open.Load() == 0 })
 	s.limits = l
-	g := &generation{acceptor: s, done: make(chan struct{}), http: &http.Server{
-		Handler: s.handler, ErrorLog: zap.NewStdLog(zap.NewNop()),
+	g := &generation{acceptor: s, limits: l, done: make(chan struct{}), conns: make(map[*conn]struct{})}
+	g.http = &http.Server{
+		Handler: g, ErrorLog: zap.NewStdLog(zap.NewNop()), ConnState: g.stateChanged,
 		ReadHeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout, MaxHeaderBytes: l.HeaderBytes,
-	}}
-	g.http.ConnState = g.stateChanged
+	}
 	s.serving = append(s.serving, g)
 	go func() { _ = g.http.Serve(g) }()
 	if first {
@@ -108,20 +115,68 @@
 	}
 }
 
-// retire makes a generation close its idle connections, and the others after their next response. It is not shut down:
-// a server that shuts down closes a connection without a response if a request arrives on it.
+// retire makes a generation close its connections: at once those that wait for their next request, and the others after
+// their next response. The http.Server is not shut down, and its keep-alives stay enabled: it counts a connection as idle,
+// and closes it without a response, until it has read the whole header of a request.
 func (g *generation) retire() {
 	_ = g.Close()
-	g.http.SetKeepAlivesEnabled(false)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.retired.Store(true)
+	for c := range g.conns {
+		c.expire(false)
+	}
 }
 
-func (g *generation) stateChanged(c net.Conn, state http.ConnState) {
-	if state == http.StateClosed || state == http.StateHijacked {
-		g.open.Add(-1)
+// expireAll closes the connections of a retired generation on which no request has come yet as well.
+func (g *generation) expireAll() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for c := range g.conns {
+		c.expire(true)
 	}
+}
+
+// ServeHTTP implements http.Handler.
+func (g *generation) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	out := &response{ResponseWriter: w, generation: g}
+	g.acceptor.handler.ServeHTTP(out, r)
+	out.begin()
+}
+
+func (g *generation) stateChanged(nc net.Conn, state http.ConnState) {
+	c := nc.(*conn)
 	if f := g.acceptor.state; f != nil {
-		f(c, state)
+		f(c.Conn, state)
+	}
+	switch state {
+	case http.StateIdle:
+		c.answered()
+	case http.StateClosed, http.StateHijacked:
+		g.remove(c)
+	}
+}
+
+// add starts serving a connection. It returns nil if the generation is retired.
+func (g *generation) add(nc net.Conn) *conn {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.retired.Load() {
+		return nil
 	}
+	c := &conn{Conn: nc, generation: g, waits: true, fresh: true}
+	g.conns[c] = struct{}{}
+	g.open.Add(1)
+	g.acceptor.open.Add(1)
+	return c
+}
+
+func (g *generation) remove(c *conn) {
+	g.mu.Lock()
+	delete(g.conns, c)
+	g.mu.Unlock()
+	g.open.Add(-1)
+	g.acceptor.open.Done()
 }
 
 const (
@@ -156,7 +211,8 @@
 	}
 }
 
-// Shutdown closes the listener and waits until all requests have been answered. If ctx ends before, it returns its error.
+// Shutdown closes the listener and the connections on which nothing of a request has been read, and waits until all
+// requests have been answered. If ctx ends before, it returns its error.
 func (s *Acceptor) Shutdown(ctx context.Context) error {
 	s.mu.Lock()
 	serving := s.serving
@@ -166,13 +222,21 @@
 		_ = s.listener.Close()
 	}
 	s.mu.Unlock()
-	errs := make([]error, len(serving))
-	var wait sync.WaitGroup
-	for i, g := range serving {
-		wait.Go(func() { errs[i] = g.http.Shutdown(ctx) })
+	for _, g := range serving {
+		g.retire()
+		g.expireAll()
+	}
+	answered := make(chan struct{})
+	go func() {
+		s.open.Wait()
+		close(answered)
+	}()
+	select {
+	case <-answered:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
 	}
-	wait.Wait()
-	return errors.Join(errs...)
 }
 
 // Close closes all connections, with the requests in progress.
@@ -192,9 +256,16 @@
 	default:
 	}
 	select {
-	case c := <-g.acceptor.accepted:
-		g.open.Add(1)
-		return c, nil
+	case nc := <-g.acceptor.accepted:
+		if c := g.add(nc); c != nil {
+			return c, nil
+		}
+		select {
+		case g.acceptor.accepted <- nc: // to the newest generation
+		case <-g.acceptor.closed:
+			_ = nc.Close()
+		}
+		return nil, net.ErrClosed
 	case <-g.done:
 		return nil, net.ErrClosed
 	}
--- /dev/null
+++ b/internal/listen/partial_test.go
@@ -0,0 +1,83 @@
+package listen
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// halfSent opens a connection of which the server has read half the header of a request, kept from another request or new.
+func halfSent(t *testing.T, addr string, kept bool) *client {
+	t.Helper()
+	is := is.New(t)
+	c := dial(t, addr)
+	if kept {
+		status, _, err := c.get(10)
+		is.NoErr(err)
+		is.Equal(status, http.StatusOK)
+	}
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n")
+	is.NoErr(err)
+	time.Sleep(50 * time.Millisecond) // until it is read
+	return c
+}
+
+// finish sends the rest of the header, and checks the response.
+func (c *client) finish(t *testing.T) {
+	t.Helper()
+	is := is.New(t)
+	_, err := fmt.Fprint(c, "X: y\r\n\r\n")
+	is.NoErr(err)
+	resp, err := http.ReadResponse(c.in, nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusOK)
+	is.True(resp.Close)
+}
+
+// Guards against a stop that drops requests whose header it has begun to read.
+func TestShutdownAnswersRequestsThatAreBeingRead(t *testing.T) {
+	for _, kept := range []bool{false, true} {
+		s, addr := start(t, ok, Limits{1 << 10, time.Minute, time.Minute})
+		c := halfSent(t, addr, kept)
+		ended := make(chan error)
+		go func() { ended <- s.Shutdown(context.Background()) }()
+		time.Sleep(50 * time.Millisecond)
+		c.finish(t)
+		is.New(t).NoErr(<-ended)
+	}
+}
+
+// Guards against a change of limits that drops requests whose header is being read on a kept connection.
+func TestAChangeOfLimitsAnswersRequestsThatAreBeingRead(t *testing.T) {
+	for _, kept := range []bool{false, true} {
+		s, addr := start(t, ok, Limits{1 << 10, time.Minute, time.Minute})
+		c := halfSent(t, addr, kept)
+		s.Apply(Limits{2 << 10, time.Minute, time.Minute})
+		time.Sleep(50 * time.Millisecond)
+		c.finish(t)
+	}
+}
+
+// Guards against a stop that waits for clients that send nothing, and against one that reads what it does not answer.
+func TestShutdownClosesConnectionsWithoutARequestUnread(t *testing.T) {
+	s, addr := start(t, ok, Limits{1 << 10, time.Minute, time.Minute})
+	is := is.New(t)
+	fresh, kept := dial(t, addr), dial(t, addr)
+	_, _, err := kept.get(10)
+	is.NoErr(err)
+	for s.connections() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	begun := time.Now()
+	is.NoErr(s.Shutdown(context.Background()))
+	is.True(time.Since(begun) < 2*time.Second)
+	for _, c := range []*client{fresh, kept} {
+		_, err := c.in.ReadByte()
+		is.True(err != nil)
+	}
+}
