forward: a request that arrives in the stop of the only instance ends with the drain

Callers of an instance that stops while it knows no other one got no answer to requests that arrived after the signal, were passed on, and lasted until the end of the drain: their connection was closed there, also if the request may not be repeated. An instance with others refuses such requests, so that another one serves them; the only one has to take them.

Endpoints get the time that is left, and the caller gets 504 before the connections are closed, or 503 if no endpoint was reached.

--- a/internal/forward/door.go
+++ b/internal/forward/door.go
@@ -84,11 +84,15 @@
 	h.refuse(w, q, d)
 }
 
-// checkDrain returns a denial if this instance shuts down before the deadline of the request and the client
-// can go to another one: how long an endpoint takes is not known beforehand.
+// checkDrain returns a denial if this instance shuts down before the deadline of the request and the client can go
+// to another one: how long an endpoint takes is not known beforehand. If there is none, the request ends with the drain.
 func (q *request) checkDrain() *denial {
 	until := q.view.ServesUntil
-	if until.IsZero() || !q.deadline.After(until) || q.view.Instances <= 1 || q.mayHaveRun || q.answered {
+	if until.IsZero() || !q.deadline.After(until) || q.mayHaveRun || q.answered {
+		return nil
+	}
+	if q.view.Instances <= 1 {
+		q.deadline = until
 		return nil
 	}
 	return &denial{
