front: requests that outlast a planned stop are answered at its end

Callers whose request was sent before the signal and lasts longer than the drain (0.9 of the grace period) got no answer: all connections were closed at that moment. Nothing can be done about requests that a route allows more time than an instance has, but a caller that may repeat the request learned nothing, and one that may not could not tell this from an instance that ended by itself.

At the end of the drain the requests in progress are now cancelled with a cause of their own. Those whose response has not begun get 504 if an endpoint may have run them, 503 to come at once where there are other instances if none has, and 408 if their body was not read to its end. For that they have 0.1 s, which is within the grace period. Streams that have begun are broken off as before. Requests of other instances are broken off as before, too: those send them elsewhere.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -145,12 +145,23 @@
 	return true
 }
 
-// ended is the denial for a request whose client disconnected or whose deadline has passed.
+// ended is the denial for a request whose client disconnected, whose deadline has passed, or that outlasts the shutdown of
+// this instance.
 func (h *Handler) ended(ctx context.Context, q *request) *denial {
-	if !errors.Is(context.Cause(ctx), errDeadline) {
+	switch {
+	case clientLeft(ctx):
 		return &denial{clientGone: true, why: "client disconnected", err: context.Cause(ctx)}
+	case errors.Is(context.Cause(ctx), errDeadline):
+		return h.deadlinePassed(q)
+	case q.mayHaveRun:
+		return &denial{status: http.StatusGatewayTimeout, why: "no response before the shutdown"}
 	}
-	return h.deadlinePassed(q)
+	return &denial{status: http.StatusServiceUnavailable, why: "no endpoint available before the shutdown", wait: q.waitForRoom()}
+}
+
+// clientLeft reports whether the context of a request has ended because its client disconnected.
+func clientLeft(ctx context.Context) bool {
+	return ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline) && !errors.Is(context.Cause(ctx), ErrShutdown)
 }
 
 // deadlinePassed is the denial for a request whose deadline has passed.
--- a/internal/forward/door.go
+++ b/internal/forward/door.go
@@ -104,6 +104,10 @@
 // errDeadline is the cancellation cause of a request whose deadline has passed.
 var errDeadline = errors.New("the deadline of the request has passed")
 
+// ErrShutdown is the cancellation cause of requests that outlast the shutdown of this instance. They get an answer if none
+// has begun.
+var ErrShutdown = errors.New("the instance shuts down")
+
 // identify finds the route and the client account of a request, and sets its deadline.
 func (h *Handler) identify(q *request, r *http.Request) *denial {
 	c := q.view.Config
--- a/internal/forward/proxy.go
+++ b/internal/forward/proxy.go
@@ -198,7 +198,7 @@
 // it for complete.
 func (h *Handler) abort(ctx context.Context, q *request, resp *peerproxy.Response, err error) {
 	code, why := event.StreamBroken, "another instance broke off"
-	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline) {
+	if clientLeft(ctx) {
 		code, why = event.ClientDisconnected, "client disconnected"
 	}
 	h.logEnd(q, code, resp.StatusCode, why, err, zap.String("peer", resp.Instance))
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/shelfcrank/shelfcrank/internal/event"
+	"github.com/shelfcrank/shelfcrank/internal/forward"
 	"github.com/shelfcrank/shelfcrank/internal/intake"
 	"github.com/shelfcrank/shelfcrank/internal/listen"
 	"github.com/shelfcrank/shelfcrank/internal/netx"
@@ -21,7 +22,7 @@
 	initialSyncTimeout = 1500 * time.Millisecond // how long clients wait in the listener's queue until the configuration and the endpoints are known
 	drainDelay         = 2500 * time.Millisecond // time after an instance is not ready until no new connections arrive
 	drainShare         = 0.9                     // share of the grace period in which requests may finish
-	drainMargin        = 100 * time.Millisecond  // before the end of that time, so that responses sent at a deadline still arrive
+	drainMargin        = 100 * time.Millisecond  // before the end of that time, and after it, so that responses sent then still arrive
 )
 
 // serveClients starts the client listener with the limits of the configuration.
@@ -55,13 +56,12 @@
 	var wait sync.WaitGroup
 	wait.Go(func() { n.proxied.Shutdown(ctx) })
 	if err := clients.Shutdown(ctx); err != nil {
-		clients.Close()
+		clients.Abort(forward.ErrShutdown, drainMargin)
 	}
 	wait.Wait()
 }
 
-// serveReady answers the platform's readiness check, which decides whether this instance gets new
-// connections.
+// serveReady answers the readiness check by which the platform decides whether this instance gets new connections.
 func (n *Instance) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !n.ready(n.Clock.Now()) {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -59,7 +59,9 @@
 	accepted chan net.Conn
 	closed   chan struct{}
 
-	open sync.WaitGroup // connections of all generations
+	open     sync.WaitGroup          // connections of all generations
+	requests context.Context         // of all requests
+	abort    context.CancelCauseFunc // ends requests
 
 	mu      sync.Mutex
 	limits  Limits        // of the newest generation; guarded by mu
@@ -83,7 +85,9 @@
 
 // New returns an acceptor that accepts nothing before the first call of Apply. state is called as http.Server.ConnState is.
 func New(l net.Listener, h http.Handler, state func(net.Conn, http.ConnState)) *Acceptor {
-	return &Acceptor{listener: l, handler: h, state: state, accepted: make(chan net.Conn), closed: make(chan struct{})}
+	s := &Acceptor{listener: l, handler: h, state: state, accepted: make(chan net.Conn), closed: make(chan struct{})}
+	s.requests, s.abort = context.WithCancelCause(context.Background())
+	return s
 }
 
 // Apply puts limits in force for the connections that are accepted from now on. If they differ from those before, the
@@ -106,6 +110,7 @@
 	g := &generation{acceptor: s, limits: l, done: make(chan struct{}), conns: make(map[*conn]struct{})}
 	g.http = &http.Server{
 		Handler: g, ErrorLog: zap.NewStdLog(zap.NewNop()), ConnState: g.stateChanged,
+		BaseContext:       func(net.Listener) context.Context { return s.requests },
 		ReadHeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout, MaxHeaderBytes: l.HeaderBytes,
 	}
 	s.serving = append(s.serving, g)
@@ -137,6 +142,15 @@
 	}
 }
 
+// expireReads ends what is being read on all connections.
+func (g *generation) expireReads() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for c := range g.conns {
+		_ = c.Conn.SetReadDeadline(past)
+	}
+}
+
 // ServeHTTP implements http.Handler.
 func (g *generation) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	out := &response{ResponseWriter: w, generation: g}
@@ -226,19 +240,40 @@
 		g.retire()
 		g.expireAll()
 	}
-	answered := make(chan struct{})
+	return s.wait(ctx)
+}
+
+// wait waits until all connections are closed, or returns the error of ctx if that ends before.
+func (s *Acceptor) wait(ctx context.Context) error {
+	closed := make(chan struct{})
 	go func() {
 		s.open.Wait()
-		close(answered)
+		close(closed)
 	}()
 	select {
-	case <-answered:
+	case <-closed:
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
 	}
 }
 
+// Abort ends the requests in progress after Shutdown: their contexts are cancelled with a cause, and reads of their
+// bodies time out. It closes their connections once they have been answered, or after a time.
+func (s *Acceptor) Abort(cause error, after time.Duration) {
+	s.abort(cause)
+	s.mu.Lock()
+	serving := s.serving
+	s.mu.Unlock()
+	for _, g := range serving {
+		g.expireReads()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), after)
+	defer cancel()
+	_ = s.wait(ctx)
+	s.Close()
+}
+
 // Close closes all connections, with the requests in progress.
 func (s *Acceptor) Close() {
 	s.mu.Lock()
--- a/internal/listen/partial_test.go
+++ b/internal/listen/partial_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -81,3 +82,41 @@
 		is.True(err != nil)
 	}
 }
+
+// Guards against a stop that cuts requests off at its end without an answer, also those whose body is still being read.
+func TestAbortAnswersRequestsInProgress(t *testing.T) {
+	is := is.New(t)
+	cause := errors.New("the end")
+	reading := make(chan struct{}, 1)
+	s, addr := start(t, func(w http.ResponseWriter, r *http.Request) {
+		reading <- struct{}{}
+		if _, err := io.ReadAll(r.Body); err != nil {
+			w.WriteHeader(http.StatusRequestTimeout)
+			return
+		}
+		<-r.Context().Done()
+		if context.Cause(r.Context()) == cause {
+			w.WriteHeader(http.StatusGatewayTimeout)
+		}
+	}, Limits{1 << 10, time.Minute, time.Minute})
+	statuses := make(chan int)
+	for _, body := range []string{"whole", "half"} {
+		c := dial(t, addr)
+		_, err := fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\n%s", body)
+		is.NoErr(err)
+		<-reading
+		go func() {
+			resp, err := http.ReadResponse(c.in, nil)
+			if err != nil {
+				statuses <- 0
+				return
+			}
+			statuses <- resp.StatusCode
+		}()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	is.Equal(s.Shutdown(ctx), context.DeadlineExceeded)
+	s.Abort(cause, 5*time.Second)
+	is.Equal(<-statuses+<-statuses, http.StatusRequestTimeout+http.StatusGatewayTimeout)
+}
