peer: an instance that refuses requests is not taken for an unresponsive one

An instance without paths to endpoints has others serve its requests. When one of those stops, in calm, the requests that it serves for others were broken off 4.1 s after the signal, long before the end of its drain: their callers got 502, among them those of requests that may not be repeated. The same holds for one that is full, or that has no path itself.

All streams to an instance share a session, which a failed call closes if calls have had no response for a second. Transport.Open counted the response of an instance that refuses as none: only an accepted call reset the time. A stopping instance accepts none, and is asked again 0.5, 1 and 2 s after its refusals; the first that comes later than a second after the first of them closed the session, with all that was served on it. Any response counts now.

--- a/internal/front/late_test.go
+++ b/internal/front/late_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -43,9 +44,9 @@
 	var in *bufio.Reader
 	if q.kept {
 		c, in = connect()
-		_, _ = fmt.Fprintf(c, "GET /safe/first HTTP/1.1\r\nHost: %s\r\nId: %s/first\r\nKey: k1\r\n\r\n", testHost, id)
+		_, _ = fmt.Fprintf(c, "GET /none HTTP/1.1\r\nHost: %s\r\nId: %s/first\r\nKey: k1\r\n\r\n", testHost, id)
 		resp, err := http.ReadResponse(in, nil)
-		if err != nil || resp.StatusCode != http.StatusOK {
+		if err != nil || resp.Close {
 			return 0
 		}
 		_, _ = io.Copy(io.Discard, resp.Body)
@@ -97,13 +98,29 @@
 	}
 }
 
-// stopAmong stops n0 while clients send requests from a time before the signal to one after it, and reports those without an
-// answer, and those whose answer does not say what happened to them.
-func stopAmong(t *testing.T, instances int, work, from, to time.Duration, options ...func(*testCluster)) {
+// plannedStop is a planned stop of an instance while clients send requests to n0.
+type plannedStop struct {
+	instances int
+	work      time.Duration // of endpoints on a request
+	from, to  time.Duration // of the requests, relative to the signal
+	step      time.Duration // between requests of a kind; 0 for the usual one
+	grace     time.Duration // 0 for the usual one
+	relays    bool          // n0 has no paths to endpoints
+	stops     string        // the instance that stops; n0 if empty
+}
+
+// play plays the stop, and reports requests without an answer, and those whose answer does not say what happened to them.
+func (p plannedStop) play(t *testing.T) {
 	t.Helper()
-	runCluster(t, instances, func(_ *is.I, w *testCluster) {
+	runCluster(t, p.instances, func(_ *is.I, w *testCluster) {
 		time.Sleep(4 * time.Second)
-		signal := time.Now().Add(time.Second)
+		if p.relays {
+			for i := range w.endpoints {
+				w.mem.Cut(w.instances["n0"].site, endpointID(i), true)
+			}
+			time.Sleep(6 * time.Second)
+		}
+		signal := time.Now().Add(3 * time.Second)
 		var wait sync.WaitGroup
 		var mu sync.Mutex
 		outcomes := make(map[int]int)
@@ -118,11 +135,14 @@
 			if status == 0 {
 				unanswered[q] = append(unanswered[q], after)
 			}
+			if end := w.grace * 9 / 10; status == http.StatusBadGateway && time.Since(signal) < end {
+				t.Errorf("request %s was broken off %s after the signal, before the end of the drain after %s", id, time.Since(signal), end)
+			}
 			if runs > 0 && (status < 0 || status == http.StatusServiceUnavailable) || runs > 1 && q.path == "/once/a" {
 				t.Errorf("request %s ended with status %d after %d runs", id, status, runs)
 			}
 		}
-		for after := from; after < to; after += 150 * time.Millisecond {
+		for after := p.from; after < p.to; after += cmp.Or(p.step, 150*time.Millisecond) {
 			for _, path := range []string{"/safe/a", "/once/a"} {
 				for _, part := range []string{"", "header", "body"} {
 					for _, kept := range []bool{false, true} {
@@ -133,55 +153,72 @@
 				}
 			}
 		}
-		time.Sleep(500 * time.Millisecond)
-		w.setWorkTime(work)
+		time.Sleep(500 * time.Millisecond) // until the kept connections are open
+		w.setWorkTime(p.work)
 		time.Sleep(time.Until(signal))
-		stopping := w.instances["n0"]
+		stopping := w.instances[cmp.Or(p.stops, "n0")]
 		stopping.stop()
 		<-stopping.done
 		took := time.Since(signal)
 		wait.Wait()
-		time.Sleep(work) // the endpoints end
-		t.Logf("%d instances, endpoints that work for %s, stopped after %s: %v", instances, work, took, outcomes)
+		time.Sleep(p.work) // the endpoints end
+		t.Logf("%+v stopped after %s: %v", p, took, outcomes)
 		if took > w.grace {
 			t.Errorf("the stop took %s", took)
 		}
 		for q, after := range unanswered {
-			t.Errorf("%d instances, endpoints that work for %s: %s sent %v after the signal got no answer", instances, work, q, after)
+			t.Errorf("%+v: %s sent %v after the signal got no answer", p, q, after)
 		}
-	}, append(options, func(w *testCluster) {
+	}, func(w *testCluster) {
+		w.grace = cmp.Or(p.grace, w.grace)
 		w.changeConfig = func(c *policy.Config) {
 			for i := range c.Routes {
 				c.Routes[i].Timeout = 12 * time.Second
 			}
 		}
-	})...)
+	})
 }
 
+const (
+	shortWork = 900 * time.Millisecond
+	longWork  = 20 * time.Second // longer than any request may last
+
+	stopBegins = 40 * time.Millisecond   // of requests that come during a stop: the first
+	stopEnds   = 7500 * time.Millisecond // and the last
+)
+
 // Guards against a planned stop that reads some of a request and closes the connection without an answer.
 func TestAPlannedStopAnswersEachRequestThatItReads(t *testing.T) {
 	for _, instances := range []int{1, 2, 4} {
-		stopAmong(t, instances, 900*time.Millisecond, 40*time.Millisecond, 7500*time.Millisecond)
+		plannedStop{instances: instances, work: shortWork, from: stopBegins, to: stopEnds}.play(t)
 		if instances > 1 {
-			stopAmong(t, instances, 20*time.Second, 40*time.Millisecond, 7500*time.Millisecond)
+			plannedStop{instances: instances, work: longWork, from: stopBegins, to: stopEnds}.play(t)
 		}
 	}
 }
 
 // Guards against a planned stop without other instances that passes requests on and cuts them with no answer.
 func TestAPlannedStopOfTheOnlyInstanceAnswersWhatItPassesOn(t *testing.T) {
-	stopAmong(t, 1, 20*time.Second, 40*time.Millisecond, 7500*time.Millisecond)
+	plannedStop{instances: 1, work: longWork, from: stopBegins, to: stopEnds}.play(t)
 }
 
 // Guards against requests from before the signal that outlast the grace period and get no answer at its end.
 func TestAPlannedStopAnswersRequestsThatOutlastIt(t *testing.T) {
-	stopAmong(t, 1, 20*time.Second, -300*time.Millisecond, -100*time.Millisecond)
-	stopAmong(t, 2, 20*time.Second, -300*time.Millisecond, -100*time.Millisecond)
+	for _, instances := range []int{1, 2} {
+		plannedStop{instances: instances, work: longWork, from: -300 * time.Millisecond, to: -100 * time.Millisecond}.play(t)
+	}
 }
 
 // Guards against a planned stop that waits for new connections beyond a short grace period.
 func TestAPlannedStopEndsWithinAShortGracePeriod(t *testing.T) {
 	for _, instances := range []int{1, 2} {
-		stopAmong(t, instances, 20*time.Second, -300*time.Millisecond, 2500*time.Millisecond, func(w *testCluster) { w.grace = 2 * time.Second })
+		plannedStop{instances: instances, work: longWork, from: -300 * time.Millisecond, to: 2500 * time.Millisecond, grace: 2 * time.Second}.play(t)
+	}
+}
+
+// Guards against requests that get no answer because an instance stops that relays them, or the one that serves them.
+func TestAPlannedStopAnswersRelayedRequests(t *testing.T) {
+	for _, stops := range []string{"n0", "n1"} {
+		plannedStop{instances: 3, work: longWork, from: -2 * time.Second, to: 4500 * time.Millisecond, step: 450 * time.Millisecond, relays: true, stops: stops}.play(t)
 	}
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"runtime"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -43,6 +44,15 @@
 	return c.Conn.Write(b)
 }
 
+// bubble runs f in a bubble of virtual time. yamux keeps timers in a sync.Pool, which must not reach the next bubble; two
+// garbage collections empty it.
+func bubble(t *testing.T, f func(t *testing.T)) {
+	t.Helper()
+	runtime.GC()
+	runtime.GC()
+	virtual.Test(t, f)
+}
+
 // doneHandler is a Handler that responds to each call at once.
 type doneHandler struct{}
 
@@ -54,7 +64,7 @@
 // its session time out. After a second without a response the session is closed,
 // and a new one works.
 func TestAnUnresponsiveSessionIsReplaced(t *testing.T) {
-	virtual.Test(t, func(t *testing.T) {
+	bubble(t, func(t *testing.T) {
 		is := is.New(t)
 		mem := netx.NewMem(func(string, string) time.Duration { return time.Millisecond })
 		addr := netip.MustParseAddrPort("10.0.0.2:8002")
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -49,19 +49,18 @@
 		return nil, err
 	}
 	s.unansweredSince.CompareAndSwap(0, t.clock.Now().UnixNano())
-	if err := t.handshake(ctx, stream, call); err != nil {
+	if err := t.handshake(ctx, s, stream, call); err != nil {
 		_ = stream.Close()
 		t.dropIfUnresponsive(addr, s)
 		return nil, fault.New(fault.StepPeer, addr.String(), fault.KindRefused, fault.NotRun, "open: %w", err)
 	}
-	s.unansweredSince.Store(0)
 	return stream, nil
 }
 
 var errDataBeforeRequest = errors.New("data received before anything was sent")
 
 // handshake sends the call and waits for its response.
-func (t *Transport) handshake(ctx context.Context, stream net.Conn, call *peerpb.Call) error {
+func (t *Transport) handshake(ctx context.Context, s *session, stream net.Conn, call *peerpb.Call) error {
 	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	call.From = t.self
@@ -73,6 +72,7 @@
 	if err := readMessage(r, &a); err != nil {
 		return errors.Join(err, ctx.Err())
 	}
+	s.unansweredSince.Store(0) // a refusal is a response, too
 	if f := a.GetFailure(); f != nil {
 		return FromFailure(f, "")
 	}
