--- a/internal/forward/door.go
+++ b/internal/forward/door.go
@@ -84,11 +84,15 @@
 	h.refuse(w, q, d)
 }
 
-// checkDrain returns a denial if this instance shuts down before the deadline of the request and the client
-// can go to another one: how long an endpoint takes is not known beforehand.
+// checkDrain returns a denial if this instance shuts down before the deadline of the request and the client can go
+// to another one: how long an endpoint takes is not known beforehand. If there is none, the request ends with the drain.
 func (q *request) checkDrain() *denial {
 	until := q.view.ServesUntil
-	if until.IsZero() || !q.deadline.After(until) || q.view.Instances <= 1 || q.mayHaveRun || q.answered {
+	if until.IsZero() || !q.deadline.After(until) || q.mayHaveRun || q.answered {
+		return nil
+	}
+	if q.view.Instances <= 1 {
+		q.deadline = until
 		return nil
 	}
 	return &denial{
@@ -100,6 +104,10 @@
 // errDeadline is the cancellation cause of a request whose deadline has passed.
 var errDeadline = errors.New("the deadline of the request has passed")
 
+// ErrShutdown is the cancellation cause of requests that outlast the shutdown of this instance. They get an answer if none
+// has begun.
+var ErrShutdown = errors.New("the instance shuts down")
+
 // identify finds the route and the client account of a request, and sets its deadline.
 func (h *Handler) identify(q *request, r *http.Request) *denial {
 	c := q.view.Config
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -59,6 +59,10 @@
 	accepted chan net.Conn
 	closed   chan struct{}
 
+	open     sync.WaitGroup          // connections of all generations
+	requests context.Context         // of all requests
+	abort    context.CancelCauseFunc // ends requests
+
 	mu      sync.Mutex
 	limits  Limits        // of the newest generation; guarded by mu
 	serving []*generation // the newest last, and those before that have connections; guarded by mu
@@ -69,14 +73,21 @@
 type generation struct {
 	http     *http.Server
 	acceptor *Acceptor
+	limits   Limits
 	open     atomic.Int64 // connections
 	once     sync.Once
 	done     chan struct{} // closed when it gets no more connections
+
+	mu      sync.Mutex
+	conns   map[*conn]struct{} // guarded by mu
+	retired atomic.Bool        // set with mu held
 }
 
 // New returns an acceptor that accepts nothing before the first call of Apply. state is called as http.Server.ConnState is.
 func New(l net.Listener, h http.Handler, state func(net.Conn, http.ConnState)) *Acceptor {
-	return &Acceptor{listener: l, handler: h, state: state, accepted: make(chan net.Conn), closed: make(chan struct{})}
+	s := &Acceptor{listener: l, handler: h, state: state, accepted: make(chan net.Conn), closed: make(chan struct{})}
+	s.requests, s.abort = context.WithCancelCause(context.Background())
+	return s
 }
 
 // Apply puts limits in force for the connections that are accepted from now on. If they differ from those before, the
@@ -96,11 +107,12 @@
 	}
 	s.serving = slices.DeleteFunc(s.serving, func(g *generation) bool { return g.open.Load() == 0 })
 	s.limits = l
-	g := &generation{acceptor: s, done: make(chan struct{}), http: &http.Server{
-		Handler: s.handler, ErrorLog: zap.NewStdLog(zap.NewNop()),
+	g := &generation{acceptor: s, limits: l, done: make(chan struct{}), conns: make(map[*conn]struct{})}
+	g.http = &http.Server{
+		Handler: g, ErrorLog: zap.NewStdLog(zap.NewNop()), ConnState: g.stateChanged,
+		BaseContext:       func(net.Listener) context.Context { return s.requests },
 		ReadHeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout, MaxHeaderBytes: l.HeaderBytes,
-	}}
-	g.http.ConnState = g.stateChanged
+	}
 	s.serving = append(s.serving, g)
 	go func() { _ = g.http.Serve(g) }()
 	if first {
@@ -108,22 +120,79 @@
 	}
 }
 
-// retire makes a generation close its idle connections, and the others after their next response. It is not shut down:
-// a server that shuts down closes a connection without a response if a request arrives on it.
+// retire makes a generation close its connections: at once those that wait for their next request, and the others after
+// their next response. The http.Server is not shut down, and its keep-alives stay enabled: it counts a connection as idle,
+// and closes it without a response, until it has read the whole header of a request.
 func (g *generation) retire() {
 	_ = g.Close()
-	g.http.SetKeepAlivesEnabled(false)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.retired.Store(true)
+	for c := range g.conns {
+		c.expire(false)
+	}
 }
 
-func (g *generation) stateChanged(c net.Conn, state http.ConnState) {
-	if state == http.StateClosed || state == http.StateHijacked {
-		g.open.Add(-1)
+// expireAll closes the connections of a retired generation on which no request has come yet as well.
+func (g *generation) expireAll() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for c := range g.conns {
+		c.expire(true)
 	}
+}
+
+// expireReads ends what is being read on all connections.
+func (g *generation) expireReads() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for c := range g.conns {
+		_ = c.Conn.SetReadDeadline(past)
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (g *generation) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	out := &response{ResponseWriter: w, generation: g}
+	g.acceptor.handler.ServeHTTP(out, r)
+	out.begin()
+}
+
+func (g *generation) stateChanged(nc net.Conn, state http.ConnState) {
+	c := nc.(*conn)
 	if f := g.acceptor.state; f != nil {
-		f(c, state)
+		f(c.Conn, state)
+	}
+	switch state {
+	case http.StateIdle:
+		c.answered()
+	case http.StateClosed, http.StateHijacked:
+		g.remove(c)
 	}
 }
 
+// add starts serving a connection. It returns nil if the generation is retired.
+func (g *generation) add(nc net.Conn) *conn {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.retired.Load() {
+		return nil
+	}
+	c := &conn{Conn: nc, generation: g, waits: true, fresh: true}
+	g.conns[c] = struct{}{}
+	g.open.Add(1)
+	g.acceptor.open.Add(1)
+	return c
+}
+
+func (g *generation) remove(c *conn) {
+	g.mu.Lock()
+	delete(g.conns, c)
+	g.mu.Unlock()
+	g.open.Add(-1)
+	g.acceptor.open.Done()
+}
+
 const (
 	minAcceptPause = 5 * time.Millisecond
 	maxAcceptPause = time.Second
@@ -156,7 +225,8 @@
 	}
 }
 
-// Shutdown closes the listener and waits until all requests have been answered. If ctx ends before, it returns its error.
+// Shutdown closes the listener and the connections on which nothing of a request has been read, and waits until all
+// requests have been answered. If ctx ends before, it returns its error.
 func (s *Acceptor) Shutdown(ctx context.Context) error {
 	s.mu.Lock()
 	serving := s.serving
@@ -166,13 +236,42 @@
 		_ = s.listener.Close()
 	}
 	s.mu.Unlock()
-	errs := make([]error, len(serving))
-	var wait sync.WaitGroup
-	for i, g := range serving {
-		wait.Go(func() { errs[i] = g.http.Shutdown(ctx) })
+	for _, g := range serving {
+		g.retire()
+		g.expireAll()
+	}
+	return s.wait(ctx)
+}
+
+// wait waits until all connections are closed, or returns the error of ctx if that ends before.
+func (s *Acceptor) wait(ctx context.Context) error {
+	closed := make(chan struct{})
+	go func() {
+		s.open.Wait()
+		close(closed)
+	}()
+	select {
+	case <-closed:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Abort ends the requests in progress after Shutdown: their contexts are cancelled with a cause, and reads of their
+// bodies time out. It closes their connections once they have been answered, or after a time.
+func (s *Acceptor) Abort(cause error, after time.Duration) {
+	s.abort(cause)
+	s.mu.Lock()
+	serving := s.serving
+	s.mu.Unlock()
+	for _, g := range serving {
+		g.expireReads()
 	}
-	wait.Wait()
-	return errors.Join(errs...)
+	ctx, cancel := context.WithTimeout(context.Background(), after)
+	defer cancel()
+	_ = s.wait(ctx)
+	s.Close()
 }
 
 // Close closes all connections, with the requests in progress.
@@ -192,9 +291,16 @@
 	default:
 	}
 	select {
-	case c := <-g.acceptor.accepted:
-		g.open.Add(1)
-		return c, nil
+	case nc := <-g.acceptor.accepted:
+		if c := g.add(nc); c != nil {
+			return c, nil
+		}
+		select {
+		case g.acceptor.accepted <- nc: // to the newest generation
+		case <-g.acceptor.closed:
+			_ = nc.Close()
+		}
+		return nil, net.ErrClosed
 	case <-g.done:
 		return nil, net.ErrClosed
 	}
