backend: bytes that are no answer are given up by their number, or when the answer is overdue

What callers saw: an endpoint that sends a head by single bytes 20 ms apart, or an answer to another request that does not end, kept its caller waiting until the deadline, 4 s in the test, for an answer due after 300 ms: 504, also on routes where another endpoint would have served it. Up to 1,265 MB were read meanwhile from one connection.

Cause: only a head had a bound, of 64 KiB. Nothing bounded what is skipped before an answer, and no bound considered time.

Package progress holds a budget of what may arrive without progress of the answer: 2 MiB, and 32 small pieces after the time at which the route's own targets make the answer late. The connection spends it where it reads, so that it covers heads, skipped answers, chunk sizes and trailers alike; a complete head, and every byte of the body of a plain answer, renew it. Silence spends nothing: an endpoint that is only slow is waited for as before, until the deadline.

The endpoint counts as failed, a safe or resumable request is served by the other one, an unsafe one gets 502. Forms that held stay as guards: stray bytes on idle connections and those of probes are not read, and end the connection.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -24,6 +24,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/netx"
 	"github.com/shelfcrank/shelfcrank/internal/notice"
 	"github.com/shelfcrank/shelfcrank/internal/payload"
+	"github.com/shelfcrank/shelfcrank/internal/progress"
 	"github.com/shelfcrank/shelfcrank/internal/ratelimit"
 	"github.com/shelfcrank/shelfcrank/internal/reach"
 	"github.com/shelfcrank/shelfcrank/internal/registry"
@@ -60,6 +61,7 @@
 	Body     payload.Payload
 	ID       string        // request ID
 	MaxIdle  time.Duration // a connection that has been idle for longer is not used; 0 for no limit
+	Due      time.Time     // then bytes that are no progress of the response prove the endpoint faulty; zero for never
 }
 
 // Response is an endpoint's response to the request of a Call: it names the request. The caller has to call Close.
@@ -72,6 +74,7 @@
 
 	body     io.Reader
 	unframed bool // the body has neither a length nor chunks, and ends with the connection
+	reported bool // the caller reports the progress of the body
 	call     *exchange
 }
 
@@ -286,6 +289,7 @@
 		c.release(call.Endpoint.ID, k)
 		return nil, fault.New(fault.StepDispatch, call.Endpoint.ID, fault.KindLimit, fault.NotRun, "send: %w", err)
 	}
+	k.budget = progress.New(call.Due)
 	x := &exchange{client: c, ctx: ctx, endpoint: call.Endpoint, conn: k, sentAt: now}
 	x.watch(ctx)
 	c.paths.Sent(now)
@@ -397,6 +401,9 @@
 // Read implements io.Reader. It returns io.EOF only at the end of the complete body.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
+	if n > 0 && !r.reported {
+		r.call.conn.budget.Continue()
+	}
 	if err != io.EOF {
 		return n, err
 	}
@@ -407,6 +414,12 @@
 	return n, io.EOF
 }
 
+// ReportProgress makes the bytes of the body count as progress no longer, but the calls of Progress only.
+func (r *Response) ReportProgress() { r.reported = true }
+
+// Progress records that the body went on. The next progress is due at a time, as for Call.Due.
+func (r *Response) Progress(due time.Time) { r.call.conn.budget.Progress(due) }
+
 // Endpoint returns the endpoint that gave the response.
 func (r *Response) Endpoint() *registry.Endpoint { return &r.call.endpoint }
 
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"github.com/shelfcrank/shelfcrank/internal/progress"
 	"github.com/shelfcrank/shelfcrank/internal/registry"
 )
 
@@ -31,6 +32,7 @@
 	idleTimeout   time.Duration // idle time-out stated by the endpoint; 0 if none
 	written       atomic.Int64  // bytes
 	headRemaining int           // bytes that the response head may still take; negative while a body is read
+	budget        progress.Budget
 }
 
 func (c *Client) newConn(endpoint string, raw net.Conn) *conn {
@@ -41,18 +43,24 @@
 
 var errHeadTooLong = errors.New("response head exceeds 64 KiB")
 
-// Read implements io.Reader below the buffer, with a size limit for response heads.
+// Read implements io.Reader below the buffer, with a size limit for response heads and a bound on what comes without
+// progress of the response.
 func (k *conn) Read(p []byte) (int, error) {
 	if k.headRemaining == 0 {
 		return 0, errHeadTooLong
 	}
+	if err := k.budget.Err(); err != nil {
+		return 0, err
+	}
 	if k.headRemaining > 0 && len(p) > k.headRemaining {
 		p = p[:k.headRemaining]
 	}
 	n, err := k.raw.Read(p)
 	if n > 0 {
 		k.received = true
-		k.client.paths.Received(k.client.clock.Now())
+		now := k.client.clock.Now()
+		k.client.paths.Received(now)
+		k.budget.Receive(n, now)
 	} else if errors.Is(err, syscall.ETIMEDOUT) {
 		k.client.paths.Failed(k.endpoint, k.client.clock.Now())
 	}
@@ -192,6 +200,7 @@
 		}
 		x.noReuse = x.noReuse || resp.Close || a.Close
 		x.conn.idleTimeout = keepAlive(resp.Header.Get("Keep-Alive"))
+		x.conn.budget.Continue()
 		return &Response{
 			Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Answer: a,
 			Reused: x.conn.reused, body: resp.Body, call: x,
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -279,7 +279,7 @@
 func (h *Handler) newCall(q *request, view *View, ticket *balance.Ticket, now time.Time) *backend.Call {
 	c := &backend.Call{
 		Endpoint: ticket.Endpoint, Method: q.method, URI: q.uri, Host: q.host,
-		Header: q.header.Clone(), Body: q.body, ID: q.meta.ID,
+		Header: q.header.Clone(), Body: q.body, ID: q.meta.ID, Due: q.progressDue(now),
 	}
 	if !q.route.Idempotent() {
 		c.MaxIdle = maxIdleNonIdempotent
@@ -293,6 +293,16 @@
 	return c
 }
 
+// progressDue returns when the endpoint has to have gone on with its response, so that bytes that are none prove it
+// faulty: the response or the next event is late by the route's own targets then. It is zero if the route has none.
+func (q *request) progressDue(now time.Time) time.Time {
+	target := max(q.route.TargetLatency, q.route.TargetEventGap)
+	if target <= 0 {
+		return time.Time{}
+	}
+	return now.Add(target)
+}
+
 // failed handles an attempt that got no response, and decides whether to try another endpoint.
 func (h *Handler) failed(ctx context.Context, q *request, ticket *balance.Ticket, f *fault.Error) outcome {
 	now := h.Clock.Now()
