forward: a stream that goes on without events is given up

What callers saw: an endpoint that sends blank lines, comments, whole comment events or the same event again without end kept its caller until the deadline of 4 s; 356 and 428 MB of comments were passed on to it with status 200, and counted as the first event. By single bytes 20 ms apart the same took 4 s with an event due after 300 ms. A resumable stream was resumed elsewhere only where nothing came.

Cause: every block of lines counted as an event, whatever was in it, and blank lines counted as nothing at all.

A block is an event if it has an ID above those before or, without an ID, data. Comments before the first event are held until it comes, so that 502 or another endpoint's answer is still possible; later ones pass on as they come.

TestSoundStreamsAreNotCut guards what has to be allowed: silence, comments, events of 1 MiB, events in pieces.

--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -23,6 +23,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/notice"
 	"github.com/shelfcrank/shelfcrank/internal/ratelimit"
 	"github.com/shelfcrank/shelfcrank/internal/registry"
+	"github.com/shelfcrank/shelfcrank/internal/virtual"
 )
 
 // endless is what an endpoint sends: a beginning, and then the same bytes again until its connection is closed.
@@ -342,6 +343,46 @@
 	return b.String()
 }
 
+// Guards against sound streams that are cut for comments, silence, the size of an event or the pieces in which it comes.
+func TestSoundStreamsAreNotCut(t *testing.T) {
+	large := "id: 1\ndata: " + strings.Repeat("x", maxEventBytes-64) + "\n\n"
+	rest := "id: 2\ndata: x\n\nid: 3\ndata: x\n\n"
+	inPieces := strings.Join(strings.SplitAfter("id: 1\ndata: abcdefgh\n\n", ""), thenWait)
+	for name, stream := range map[string]string{
+		"silence before the first event":   strings.Repeat(thenWait, 10) + threeEvents,
+		"silence between events":           threeEvents[:15] + strings.Repeat(thenWait, 10) + threeEvents[15:],
+		"comments before the first event":  strings.Repeat(": x\n\n"+thenWait, 10) + threeEvents,
+		"comments between events":          threeEvents[:15] + strings.Repeat(thenWait+": x\n\n", 10) + threeEvents[15:],
+		"comments inside an event":         "id: 1\n" + strings.Repeat(": x\n"+thenWait, 10) + "data: x\n\n" + rest,
+		"many comments at once":            strings.Repeat(": x\n\n", 1000) + threeEvents,
+		"comments only":                    ": x\n\n" + thenWait + ": y\n\n",
+		"a few fields that are no event":   "retry: 3\n\n" + thenWait + "event: ping\n\n" + threeEvents,
+		"an event without an ID":           "data: x\n\ndata: x\n\n" + rest,
+		"an event in pieces":               inPieces[:len(inPieces)/2] + strings.ReplaceAll(inPieces[len(inPieces)/2:], thenWait, ""),
+		"the largest event":                large + rest,
+		"the largest event, after silence": thenWait + thenWait + large[:1000] + strings.Repeat(thenWait, 5) + large[1000:] + rest,
+	} {
+		for _, path := range []string{"/stream/a", "/resume/a"} {
+			t.Run(name+path, func(t *testing.T) {
+				virtual.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					w := newFixture(t, 0, untilClose("text/event-stream", stream), sealed(200, ""))
+					config := w.handler.View().Config
+					for i := range config.Routes {
+						config.Routes[i].TargetLatency, config.Routes[i].TargetEventGap = 100*time.Millisecond, 50*time.Millisecond
+					}
+					rec, cut := w.ask(path, "k")
+					is.True(!cut)
+					is.Equal(rec.Code, 200)
+					is.True(rec.Body.String() == strings.ReplaceAll(stream, thenWait, "")) // all of it, byte by byte
+					is.Equal(len(w.got), 1)
+					w.handler.Backends.CloseIdle()
+				})
+			})
+		}
+	}
+}
+
 // Guards against endpoints that count as sound although their answer never ends. Its bytes are those of the answer as far
 // as is known, so that it goes on until the deadline.
 func TestBodiesWithoutEndCountAsFailures(t *testing.T) {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -223,7 +223,12 @@
 		if ends {
 			end()
 		}
-		_, _ = io.WriteString(c, text)
+		for i, piece := range strings.Split(text, thenWait) {
+			if i > 0 {
+				time.Sleep(scriptPause)
+			}
+			_, _ = io.WriteString(c, piece)
+		}
 		if !closes && !ends {
 			w.keepOpen(r)
 		}
@@ -283,10 +288,13 @@
 	return b.String()
 }
 
-// At the end of a script, thenClose makes the endpoint close the connection, and thenEnd makes its process end.
+// At the end of a script, thenClose makes the endpoint close the connection, and thenEnd makes its process end. Anywhere in
+// it, thenWait makes it pause.
 const (
-	thenClose = "<close>"
-	thenEnd   = "<end>"
+	thenClose   = "<close>"
+	thenEnd     = "<end>"
+	thenWait    = "<wait>"
+	scriptPause = 100 * time.Millisecond
 )
 
 const (
@@ -534,20 +542,30 @@
 	})
 }
 
-// Whatever the content of events and wherever a stream is cut, nextEvent returns only complete
-// events.
+// Whatever the content of events and wherever a stream is cut, only complete blocks are returned, and an event has an ID
+// or data.
 func FuzzNextEvent(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\nid: 2\n\n")
 	f.Add("\r\n\r\ndata: x\r\n\r\n")
 	f.Add("data: no end")
+	f.Add("      \n\n")
+	f.Add(strings.Repeat(": x\n", 5000))
+	f.Add(strings.Repeat(": x\n\n", 5000))
+	f.Add(strings.Repeat("\r\n", 10000))
+	f.Add(": " + strings.Repeat("x", 20<<10))
+	f.Add(strings.Repeat("id: 1\ndata: x\n\n", 2000))
+	f.Add("data\n\n: x\n\nid\n\nevent: ping\n\nid: 2\r\n\r\n")
 	f.Fuzz(func(t *testing.T, text string) {
-		r := bufio.NewReaderSize(strings.NewReader(text), 16)
+		events := &eventReader{r: bufio.NewReaderSize(strings.NewReader(text), 16)}
 		for range len(text) + 1 {
-			e, err := nextEvent(r, nil)
+			e, _, isEvent, err := events.next()
 			if err != nil {
 				return
 			}
-			if !strings.HasSuffix(string(e), "\n") || len(strings.TrimSpace(string(e))) == 0 {
+			if isEvent && !strings.Contains(string(e), "id") && !strings.Contains(string(e), "data") {
+				t.Fatalf("%q is no event", e)
+			}
+			if !strings.HasSuffix(string(e), "\n") || isEvent && len(strings.TrimSpace(string(e))) == 0 {
 				t.Fatalf("event %q is not whole", e)
 			}
 		}
--- a/internal/forward/proxy.go
+++ b/internal/forward/proxy.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -157,28 +156,27 @@
 // passEventsOn passes whole events on, so that another instance can resume the stream after the last one.
 func (h *Handler) passEventsOn(w http.ResponseWriter, q *request, body io.Reader) error {
 	flusher := http.NewResponseController(w)
-	r := bufio.NewReader(body)
-	var buf []byte
+	events := newEventReader(body)
 	for {
-		e, err := nextEvent(r, buf)
+		block, id, isEvent, err := events.next()
 		if err == io.EOF {
 			return nil
 		}
 		if err != nil {
 			return err
 		}
-		buf = e
-		id := eventID(e)
-		if id != "" && q.lastEventID != "" && alreadySent(id, q.lastEventID) {
+		if id != "" && !isEvent || id != "" && q.lastEventID != "" && alreadySent(id, q.lastEventID) {
 			continue
 		}
-		if _, err := w.Write(e); err != nil {
+		if _, err := w.Write(block); err != nil {
 			return fmt.Errorf("%w: %w", errClientWrite, err)
 		}
-		if r.Buffered() == 0 {
+		if events.r.Buffered() == 0 {
 			_ = flusher.Flush()
 		}
-		q.eventPassed(h.Clock.Now())
+		if isEvent {
+			q.eventPassed(h.Clock.Now())
+		}
 		if id != "" {
 			q.lastEventID = id
 		}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -19,12 +19,15 @@
 )
 
 const (
-	maxEventBytes = 1 << 20 // size limit of one event, in bytes
-	stallFraction = 0.8     // a stream counts as stalled from this fraction of the longest pause that its route allows
+	maxEventBytes   = 1 << 20  // size limit of one event, in bytes
+	maxIdleBytes    = 16 << 10 // bytes of comments, blank lines and repetitions without an event
+	usualEventBytes = 256      // size of a buffer for most events
+	stallFraction   = 0.8      // a stream counts as stalled from this fraction of the longest pause that its route allows
 )
 
 var (
 	errEventTooLong   = errors.New("event exceeds 1 MiB")
+	errNoEvent        = errors.New("16 KiB without an event")
 	errTruncatedEvent = errors.New("stream ended inside an event")
 )
 
@@ -34,41 +37,92 @@
 	return fault.New(fault.StepStream, "", fault.KindBroken, fault.MayHaveRun, "read: %w", err)
 }
 
-// nextEvent reads one complete event, including the blank line that ends it, into a buffer that
-// it may reuse. It returns io.EOF at the end of the stream and another error if the stream
-// breaks off.
-func nextEvent(r *bufio.Reader, into []byte) ([]byte, error) {
-	into = into[:0]
+// eventReader reads the blocks of lines of a stream.
+type eventReader struct {
+	r    *bufio.Reader
+	buf  []byte
+	idle int    // bytes since the last event that are part of none
+	last string // highest ID of an event
+}
+
+func newEventReader(r io.Reader) eventReader {
+	return eventReader{r: bufio.NewReader(r), buf: make([]byte, 0, usualEventBytes)}
+}
+
+// next returns the next block, complete with the blank line that ends it, which is valid until the following call. It is
+// an event if it has an ID above those before or, without an ID, data; other blocks are comments or repetitions. The error is
+// io.EOF at the end of the stream, and another one if the stream breaks off or goes on without events.
+func (s *eventReader) next() (block []byte, id string, isEvent bool, err error) {
+	blank, err := s.read()
+	if err != nil {
+		return nil, "", false, err
+	}
+	id, isEvent = identify(s.buf)
+	if id != "" && s.last != "" && alreadySent(id, s.last) {
+		isEvent = false
+	}
+	if !isEvent {
+		if s.idle += blank + len(s.buf); s.idle > maxIdleBytes {
+			return nil, "", false, errNoEvent
+		}
+		return s.buf, id, false, nil
+	}
+	s.idle = 0
+	if id != "" {
+		s.last = id
+	}
+	return s.buf, id, true, nil
+}
+
+// read reads one complete block into the buffer, and returns the number of bytes of blank lines before it.
+func (s *eventReader) read() (blank int, err error) {
+	s.buf = s.buf[:0]
+	idle := s.idle
+	partial, comment := false, false // of the line before
 	for {
-		line, err := r.ReadSlice('\n')
-		into = append(into, line...)
+		line, err := s.r.ReadSlice('\n')
+		s.buf = append(s.buf, line...)
+		if !partial {
+			comment = len(line) > 0 && line[0] == ':'
+		}
+		partial = err == bufio.ErrBufferFull
+		if comment {
+			idle += len(line)
+		}
 		switch {
 		case err == bufio.ErrBufferFull:
-		case err == io.EOF && len(bytes.TrimSpace(into)) == 0:
-			return nil, io.EOF
+		case err == io.EOF && len(bytes.TrimSpace(s.buf)) == 0:
+			return 0, io.EOF
 		case err == io.EOF:
-			return nil, errTruncatedEvent
+			return 0, errTruncatedEvent
 		case err != nil:
-			return nil, err
-		case len(bytes.TrimRight(line, "\r\n")) == 0 && len(into) > len(line):
-			return into, nil
-		case len(bytes.TrimRight(line, "\r\n")) == 0:
-			into = into[:0] // blank lines between events
+			return 0, err
+		case len(bytes.TrimRight(line, "\r\n")) == 0 && len(s.buf) > len(line):
+			return blank, nil
+		case len(bytes.TrimRight(line, "\r\n")) == 0: // between blocks
+			idle += len(line)
+			blank += len(line)
+			s.buf = s.buf[:0]
+		}
+		if len(s.buf) > maxEventBytes {
+			return 0, errEventTooLong
 		}
-		if len(into) > maxEventBytes {
-			return nil, errEventTooLong
+		if idle > maxIdleBytes {
+			return 0, errNoEvent
 		}
 	}
 }
 
-// eventID returns the ID of an event, or "".
-func eventID(e []byte) string {
-	for line := range bytes.SplitSeq(e, []byte("\n")) {
+// identify returns the ID of a block of lines, or "", and whether it is an event.
+func identify(block []byte) (id string, isEvent bool) {
+	for line := range bytes.SplitSeq(block, []byte("\n")) {
 		if rest, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(rest))
+			return string(bytes.TrimSpace(rest)), true
 		}
+		name, _, _ := bytes.Cut(bytes.TrimRight(line, "\r"), []byte(":"))
+		isEvent = isEvent || string(name) == "data" || string(name) == "id"
 	}
-	return ""
+	return "", isEvent
 }
 
 // alreadySent reports whether the event ID is at or before the last one passed on.
@@ -84,18 +138,21 @@
 		ticket.Done(balance.Failed, h.Clock.Now())
 		return outcome{again: q.route.Idempotent(), denial: &denial{status: http.StatusBadGateway, why: "stream without a seal"}}
 	}
-	r := bufio.NewReader(resp)
-	var buf []byte
+	resp.ReportProgress()
+	events := newEventReader(resp)
+	var comments []byte // held until the first event, so that another status can still be sent
 	first := true
 	for {
-		e, err := nextEvent(r, buf)
+		block, id, isEvent, err := events.next()
 		if err == io.EOF {
 			if q.longestPause > 0 && q.route.TargetEventGap > 0 {
 				ticket.Streamed(q.longestPause > time.Duration(stallFraction*float64(q.route.TargetEventGap)))
 			}
 			ticket.Done(balance.Answered, h.Clock.Now())
 			h.runCompleted(q, ticket.Endpoint, resp)
-			h.openStream(w, q, resp)
+			if !q.answered {
+				h.passBlock(w, q, ticket, resp, events.r, comments)
+			}
 			h.completeStream(q)
 			h.logEnd(q, event.ForwardAnswered, resp.Status, "", nil)
 			return outcome{done: true}
@@ -103,7 +160,17 @@
 		if err != nil {
 			return h.brokenStream(ctx, q, ticket, err)
 		}
-		buf = e
+		if !isEvent {
+			switch {
+			case id != "": // sent again by the endpoint
+			case q.answered:
+				h.passBlock(w, q, ticket, resp, events.r, block)
+			default:
+				comments = append(comments, block...)
+			}
+			continue
+		}
+		resp.Progress(q.progressDue(h.Clock.Now()))
 		if first {
 			first = false
 			ticket.PromptRead(h.Clock.Now())
@@ -117,20 +184,14 @@
 			q.spareBody()
 		}
 		ticket.Event(h.Clock.Now())
-		id := eventID(e)
 		if id != "" && q.lastEventID != "" && alreadySent(id, q.lastEventID) {
 			continue // sent again by the endpoint that resumes the stream
 		}
-		h.openStream(w, q, resp)
-		if _, err := w.Write(e); err != nil {
-			ticket.Done(balance.Cancelled, h.Clock.Now())
-			h.runCancelled(q, ticket.Endpoint)
-			h.logEnd(q, event.ClientDisconnected, resp.Status, "client disconnected", err)
-			panic(http.ErrAbortHandler)
-		}
-		if r.Buffered() == 0 {
-			_ = http.NewResponseController(w).Flush()
+		if !q.answered && len(comments) > 0 {
+			h.passBlock(w, q, ticket, resp, events.r, comments)
+			comments = nil
 		}
+		h.passBlock(w, q, ticket, resp, events.r, block)
 		q.eventPassed(h.Clock.Now())
 		if id != "" {
 			q.lastEventID = id
@@ -138,6 +199,20 @@
 	}
 }
 
+// passBlock passes a part of a stream on to the client, and sends it at once unless more has arrived.
+func (h *Handler) passBlock(w http.ResponseWriter, q *request, ticket *balance.Ticket, resp *backend.Response, r *bufio.Reader, block []byte) {
+	h.openStream(w, q, resp)
+	if _, err := w.Write(block); err != nil {
+		ticket.Done(balance.Cancelled, h.Clock.Now())
+		h.runCancelled(q, ticket.Endpoint)
+		h.logEnd(q, event.ClientDisconnected, resp.Status, "client disconnected", err)
+		panic(http.ErrAbortHandler)
+	}
+	if r.Buffered() == 0 {
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
 // openStream sends the response head, taken from the first endpoint that answered, once.
 func (h *Handler) openStream(w http.ResponseWriter, q *request, resp *backend.Response) {
 	if q.answered {
