forward: an endpoint whose long answer does not end counts as failed

What callers saw: an endpoint that sends a body without end, or breaks off in a chunk or after 256 KiB, kept drawing requests as a sound one: each caller got 200 and a connection that was closed at its deadline. A safe request that got 503 or 500 with a body without end was not sent elsewhere.

Cause: a body of more than 256 KiB was counted as answered before its rest was read. A failure was replaced by another attempt only if its body was read whole.

The result is recorded when the rest has been passed on: answered at its end, failed where the endpoint broke it off or did not end it by the deadline, cancelled where the client left or took more than half of the time to accept it. The prompt counts as read as before, so that the estimates of work do not hold the time of clients. A safe request is sent elsewhere after a failure of any length.

The body itself still goes on until the deadline: nothing proves that bytes of a body are not the answer.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -75,6 +75,7 @@
 	body     io.Reader
 	unframed bool // the body has neither a length nor chunks, and ends with the connection
 	reported bool // the caller reports the progress of the body
+	err      error
 	call     *exchange
 }
 
@@ -400,6 +401,15 @@
 
 // Read implements io.Reader. It returns io.EOF only at the end of the complete body.
 func (r *Response) Read(p []byte) (int, error) {
+	n, err := r.read(p)
+	r.err = err
+	return n, err
+}
+
+// Err returns the error of the last Read: io.EOF after the end of the body, nil if it may go on.
+func (r *Response) Err() error { return r.err }
+
+func (r *Response) read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
 	if n > 0 && !r.reported {
 		r.call.conn.budget.Continue()
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -8,6 +8,7 @@
 
 	"github.com/shelfcrank/shelfcrank/internal/backend"
 	"github.com/shelfcrank/shelfcrank/internal/balance"
+	"github.com/shelfcrank/shelfcrank/internal/clock"
 	"github.com/shelfcrank/shelfcrank/internal/event"
 	"github.com/shelfcrank/shelfcrank/internal/payload"
 	"github.com/shelfcrank/shelfcrank/internal/peerproxy"
@@ -44,20 +45,46 @@
 		}
 		return outcome{again: q.route.Idempotent(), denial: &denial{status: http.StatusBadGateway, why: "response broke off", err: err}}
 	}
-	h.runCompleted(q, ticket.Endpoint, resp)
 	h.compareForecast(q, ticket)
+	if whole {
+		h.runCompleted(q, ticket.Endpoint, resp)
+	} else {
+		defer func() { h.endLong(ctx, q, ticket, resp) }()
+	}
 	if resp.Status >= http.StatusInternalServerError {
 		ticket.Done(balance.Failed, h.Clock.Now())
-		if q.route.Idempotent() && whole {
+		switch {
+		case q.route.Idempotent() && whole:
 			return outcome{again: true, denial: &denial{why: "endpoint failed", answer: &answer{resp, body}}}
+		case q.route.Idempotent(): // the rest may have no end
+			return outcome{again: true, denial: &denial{status: http.StatusBadGateway, why: "endpoint failed with a long response"}}
 		}
-	} else {
+	} else if whole {
 		ticket.Done(balance.Answered, h.Clock.Now())
+	} else {
+		ticket.PromptRead(h.Clock.Now())
 	}
 	h.writeResponse(w, q, resp, body, whole)
 	return outcome{done: true}
 }
 
+// endLong records how a response ended that was passed on before it was read to its end, or given up.
+func (h *Handler) endLong(ctx context.Context, q *request, ticket *balance.Ticket, resp *backend.Response) {
+	now := h.Clock.Now()
+	switch err := resp.Err(); {
+	case err == io.EOF:
+		ticket.Done(balance.Answered, now)
+		h.runCompleted(q, ticket.Endpoint, resp)
+	case err == nil, 2*q.clientWait > now.Sub(q.passingSince):
+		// The client disconnected, or it took longer to accept the response than the endpoint to send it.
+		ticket.Done(balance.Cancelled, now)
+		h.runCancelled(q, ticket.Endpoint)
+	default:
+		ticket.Done(h.resultOf(ctx, streamError(err)), now)
+		h.runAborted(ctx, q, ticket.Endpoint)
+	}
+}
+
 // bufferAnswer reads the body of a response, or the beginning of one that is large or that there is no memory for.
 // whole reports whether it is all of it.
 func (h *Handler) bufferAnswer(q *request, resp *backend.Response) (body payload.Payload, whole bool, err error) {
@@ -86,8 +113,20 @@
 // copyBufferSize is the size in bytes of the buffer by which the rest of a large body is passed on.
 const copyBufferSize = 4 << 10
 
-// writerOnly hides io.ReaderFrom, which would use a larger buffer.
-type writerOnly struct{ io.Writer }
+// timedWriter writes to the client of a request, and records the time that takes.
+type timedWriter struct {
+	w     io.Writer
+	q     *request
+	clock *clock.Clock
+}
+
+// Write implements io.Writer.
+func (t timedWriter) Write(p []byte) (int, error) {
+	begin := t.clock.Now()
+	n, err := t.w.Write(p)
+	t.q.clientWait += t.clock.Since(begin)
+	return n, err
+}
 
 // answer is an endpoint's error response, passed on if no other endpoint gives a better one.
 type answer struct {
@@ -138,9 +177,10 @@
 		setLength(w, body.Len())
 	}
 	w.WriteHeader(resp.Status)
+	q.passingSince = h.Clock.Now()
 	_, err := body.WriteTo(w)
 	if err == nil && !whole {
-		_, err = io.CopyBuffer(writerOnly{w}, resp, make([]byte, copyBufferSize))
+		_, err = io.CopyBuffer(timedWriter{w, q, h.Clock}, resp, make([]byte, copyBufferSize))
 	}
 	if err != nil {
 		h.logEnd(q, event.StreamBroken, resp.Status, "response broke off", err)
--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -429,3 +429,52 @@
 		}
 	}
 }
+
+// slowResponse takes a time for each write.
+type slowResponse struct {
+	*httptest.ResponseRecorder
+	takes time.Duration
+}
+
+// Write implements http.ResponseWriter.
+func (w slowResponse) Write(p []byte) (int, error) {
+	time.Sleep(w.takes)
+	return w.ResponseRecorder.Write(p)
+}
+
+// Guards against endpoints that count as failing because a client accepts a long answer slowly or leaves.
+func TestSlowClientsAreNotTheFaultOfEndpoints(t *testing.T) {
+	t.Parallel()
+	long := endless{sealed(200, strings.Repeat("x", 1<<20)), "", 10 * time.Second}
+	for name, test := range map[string]struct {
+		takes  time.Duration
+		leaves bool
+		answer endless
+		want   balance.Result
+	}{
+		"fast":        {0, false, long, balance.Answered},
+		"slow":        {50 * time.Millisecond, false, long, balance.Cancelled},
+		"leaves":      {50 * time.Millisecond, true, long, balance.Cancelled},
+		"stays short": {0, false, endless{long.begin[:1<<19], "", 10 * time.Second}, balance.Failed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			w := newRawFixture(t, test.answer, "")
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			if test.leaves {
+				time.AfterFunc(500*time.Millisecond, cancel)
+			}
+			r := httptest.NewRequestWithContext(ctx, http.MethodPost, "http://"+testHost+"/safe/a", strings.NewReader("body"))
+			r.Header.Set("Id", "7")
+			r.Header.Set("Key", "k")
+			r.Header.Set("Deadline", "1500")
+			func() {
+				defer func() { _ = recover() }()
+				w.handler.ServeHTTP(slowResponse{httptest.NewRecorder(), test.takes}, r)
+			}()
+			is.Equal(w.results.done, []balance.Result{test.want})
+		})
+	}
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -255,6 +255,8 @@
 	firstEventAt   time.Time                // when the first event was passed on
 	lastEventAt    time.Time                // when the last event was passed on
 	longestPause   time.Duration            // the longest time between two events
+	passingSince   time.Time                // when a response that is not a stream was begun to be passed on
+	clientWait     time.Duration            // time that the client took to accept the rest of a long one
 	began          bool                     // the stream has begun, at version
 	version        string                   // software version of the endpoints that the events of the stream come from
 }
