endpoint: a stream of an engine that goes on without tokens is given up

What callers saw, on the own interface: an engine that sends comments, blank lines, chunks without a token or the same token again without end kept its caller until its deadline, and was read all the while.

Cause: lines that hold no token were skipped without a bound, as on the platform's front.

16 KiB since the last token end the stream as broken off, so that the engine counts as failing and the request goes on elsewhere. A token is one whose index is above those before, or the last.

By time alone such a stream is not given up: a request of the own interface has a deadline, but no target for its tokens.

--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -36,6 +36,7 @@
 	reportTimeout  = 2 * time.Second
 	maxAnswerBytes = 8 << 20
 	maxReportBytes = 8 << 20
+	maxIdleBytes   = 16 << 10 // of a stream between two tokens
 	streamBufferKB = 4
 )
 
@@ -69,13 +70,18 @@
 	addr string
 	body io.ReadCloser
 	scan *bufio.Scanner
+	last int // index of the last token; -1 before the first
+	idle int // bytes since then
 }
 
+var errNoToken = errors.New("16 KiB without a token")
+
 // Next returns the next token. The error is a *fault.Error; it is returned also at the end of the
-// body, since the last token has Done set and no reader goes on after it.
+// body, since the last token has Done set and no reader goes on after it, and if the stream goes on without tokens.
 func (s *Stream) Next() (Chunk, error) {
 	var c Chunk
-	for s.scan.Scan() {
+	for s.idle <= maxIdleBytes && s.scan.Scan() {
+		s.idle += len(s.scan.Bytes()) + 1
 		data, ok := bytes.CutPrefix(s.scan.Bytes(), []byte("data: "))
 		if !ok {
 			continue
@@ -83,10 +89,15 @@
 		if err := json.Unmarshal(data, &c); err != nil {
 			return c, fault.New(fault.StepStream, s.addr, fault.KindBroken, fault.MayHaveRun, "decode token: %w", err)
 		}
+		if c.Index > s.last || c.Done {
+			s.last, s.idle = c.Index, 0
+		}
 		return c, nil
 	}
 	err := s.scan.Err()
-	if err == nil {
+	if s.idle > maxIdleBytes {
+		err = errNoToken
+	} else if err == nil {
 		err = io.ErrUnexpectedEOF
 	}
 	return c, fault.New(fault.StepStream, s.addr, fault.KindBroken, fault.MayHaveRun, "read stream: %w", err)
@@ -117,7 +128,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Stream{addr: addr.String(), body: resp.Body, scan: bufio.NewScanner(resp.Body)}
+	s := &Stream{addr: addr.String(), body: resp.Body, scan: bufio.NewScanner(resp.Body), last: -1}
 	s.scan.Buffer(make([]byte, 0, streamBufferKB<<10), maxAnswerBytes)
 	return s, nil
 }
