endpoint: an answer over the limit is broken off, not cut to the limit

What callers saw, on the own interface: a plain service whose answer has no end, or more than 8 MiB, was answered with status 200 and the first 8 MiB, as if that were all of it. An answer that ends early must not look complete.

Cause: the body was read through a limit that ends like a body.

One byte more is read: where there is one, the call ends as broken off and may have run.

TestAnswersOverTheLimitAreNotCutToIt: both cases got an answer before.

--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -74,7 +74,10 @@
 	idle int // bytes since then
 }
 
-var errNoToken = errors.New("16 KiB without a token")
+var (
+	errNoToken       = errors.New("16 KiB without a token")
+	errAnswerTooLong = errors.New("answer exceeds 8 MiB")
+)
 
 // Next returns the next token. The error is a *fault.Error; it is returned also at the end of the
 // body, since the last token has Done set and no reader goes on after it, and if the stream goes on without tokens.
@@ -173,7 +176,10 @@
 		return a, err
 	}
 	defer resp.Body.Close()
-	a.Body, err = io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	a.Body, err = io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	if err == nil && len(a.Body) > maxAnswerBytes {
+		err = errAnswerTooLong
+	}
 	if err != nil {
 		return a, fault.New(fault.StepDispatch, addr.String(), fault.KindBroken, fault.MayHaveRun, "read answer: %w", err)
 	}
--- a/internal/endpoint/endless_test.go
+++ b/internal/endpoint/endless_test.go
@@ -88,3 +88,23 @@
 		})
 	}
 }
+
+// Guards against the beginning of an answer without end that passes for the whole answer.
+func TestAnswersOverTheLimitAreNotCutToIt(t *testing.T) {
+	for name, head := range map[string]string{
+		"until it ends": "HTTP/1.1 200 OK\r\n\r\n",
+		"length":        "HTTP/1.1 200 OK\r\nContent-Length: 9000000000000\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			addr, written := startEndless(t, head, "x")
+			transport := netx.Transport(netx.TCP{})
+			defer transport.CloseIdleConnections()
+			_, err := New(transport).Call(context.Background(), addr, "pay", "text/plain", "k", nil, func(Signals) {})
+			is.True(err != nil)
+			is.Equal(fault.As(err).Kind, fault.KindBroken)
+			is.Equal(fault.As(err).Run, fault.MayHaveRun)
+			is.True(<-written < 16<<20)
+		})
+	}
+}
