netx: heads of answers are bounded to 64 KiB

An endpoint of the own interface, the store or the cloud could send a head without end, of which net/http holds 10 MiB for each call. The front's own client of endpoints has a bound of 64 KiB; the transport has the same now.

TestHeadsOfAnswersAreBounded: 3 of 3 cases took more than 1 MiB before (status line, header line, informational answer).

--- a/internal/endpoint/endless_test.go
+++ b/internal/endpoint/endless_test.go
@@ -108,3 +108,23 @@
 		})
 	}
 }
+
+// Guards against heads without end that are held in memory, by as many connections as there are calls.
+func TestHeadsOfAnswersAreBounded(t *testing.T) {
+	for name, begin := range map[string]string{
+		"status line":   "HTTP/1.1 200 ",
+		"header line":   "HTTP/1.1 200 OK\r\nA: ",
+		"informational": "HTTP/1.1 102 Processing\r\nA: ",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			addr, written := startEndless(t, begin, "x")
+			transport := netx.Transport(netx.TCP{})
+			defer transport.CloseIdleConnections()
+			_, err := New(transport).Call(context.Background(), addr, "pay", "text/plain", "k", nil, func(Signals) {})
+			is.True(err != nil)
+			is.Equal(fault.As(err).Run, fault.MayHaveRun)
+			is.True(<-written < 1<<20)
+		})
+	}
+}
--- a/internal/netx/netx.go
+++ b/internal/netx/netx.go
@@ -89,6 +89,7 @@
 const (
 	maxIdlePerHost = 256
 	idleTimeout    = 30 * time.Second
+	maxHeaderBytes = 64 << 10 // of a response; 10 MiB without it
 )
 
 // Transport returns an HTTP transport that dials through n. Hosts must be IP addresses with a
@@ -102,8 +103,9 @@
 			}
 			return n.Dial(ctx, ap)
 		},
-		MaxIdleConnsPerHost: maxIdlePerHost,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
+		MaxIdleConnsPerHost:    maxIdlePerHost,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		DisableCompression:     true,
 	}
 }
