kv: a value over the limit is an error, not cut to the limit

A store that answers with a value of more than 1 MiB, or one without end, gave its first 1 MiB and a byte as the value: what is decoded from it may be something else than what was written. Found while looking for the cause of endless answers elsewhere. The read fails as unavailable, as for any other broken answer.

TestAValueOverTheLimitIsNotCutToIt fails without the check.

--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -158,6 +158,9 @@
 	if err != nil {
 		return Entry{}, fmt.Errorf("get %s: %w: %v", key, ErrUnavailable, err)
 	}
+	if len(value) > maxValueBytes {
+		return Entry{}, fmt.Errorf("get %s: %w: value exceeds %d bytes", key, ErrUnavailable, maxValueBytes)
+	}
 	rev, err := strconv.ParseUint(resp.Header.Get("Revision"), 10, 64)
 	if err != nil {
 		return Entry{}, fmt.Errorf("get %s: %w: revision %q", key, ErrUnavailable, resp.Header.Get("Revision"))
