peerproxy: the head of a response is bounded to 128 KiB

A response over the hop between instances was read with no bound on its head, so that an instance in trouble could have another one hold whatever it sends until the request's deadline. The head of an endpoint's response has a bound of 64 KiB at the instance that gets it; with the headers that this one adds it fits into 128 KiB.

--- a/internal/peerproxy/client.go
+++ b/internal/peerproxy/client.go
@@ -3,6 +3,9 @@
 import (
 	"bufio"
 	"context"
+	"errors"
+	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -28,8 +31,13 @@
 	// maxAsked is the number of instances that are asked for one request. They refuse within
 	// milliseconds, and are not asked for the next ones.
 	maxAsked = 16
+	// maxHeaderBytes limits the head of a response: that of an endpoint, which is limited to 64 KiB, with the headers
+	// that the other instance adds.
+	maxHeaderBytes = 128 << 10
 )
 
+var errHeadTooLong = errors.New("response head exceeds 128 KiB")
+
 // ClientOptions configure a Client.
 type ClientOptions struct {
 	Peers  Opener
@@ -113,7 +121,12 @@
 		c.chooser.done(instance)
 	}
 	go func() { _ = r.Call.Write(stream) }() // a response may come before all of a long body is read
-	resp, err := http.ReadResponse(bufio.NewReader(stream), &http.Request{Method: r.Call.Method})
+	head := &io.LimitedReader{R: stream, N: maxHeaderBytes}
+	resp, err := http.ReadResponse(bufio.NewReader(head), &http.Request{Method: r.Call.Method})
+	if err != nil && head.N <= 0 {
+		err = errHeadTooLong
+	}
+	head.N = math.MaxInt64
 	if err != nil {
 		end()
 		return nil, fault.New(fault.StepPeer, instance, fault.KindBroken, fault.MayHaveRun, "proxy: %w", err)
--- a/internal/peerproxy/peerproxy_test.go
+++ b/internal/peerproxy/peerproxy_test.go
@@ -332,3 +332,44 @@
 	c.expire(start.Add(time.Hour))
 	is.Equal(len(c.avoided), 0)
 }
+
+// endlessPeer is an Opener of streams that send a beginning, and then the same bytes again until they are closed.
+type endlessPeer struct {
+	begin, again string
+	written      chan int
+}
+
+// Open implements Opener.
+func (p endlessPeer) Open(context.Context, netip.AddrPort, *peerpb.Call) (net.Conn, error) {
+	near, far := net.Pipe()
+	go func() { _, _ = io.Copy(io.Discard, far) }()
+	go func() {
+		sum, err := io.WriteString(far, p.begin)
+		for err == nil {
+			var n int
+			n, err = io.WriteString(far, strings.Repeat(p.again, 1000))
+			sum += n
+		}
+		p.written <- sum
+	}()
+	return near, nil
+}
+
+// Guards against the head of an answer without end that another instance sends, or passes on.
+func TestHeadsWithoutEndAreGivenUp(t *testing.T) {
+	for _, begin := range []string{"HTTP/1.1 200 ", "HTTP/1.1 200 OK\r\nA: ", "HTTP/1.1 200 OK\r\nA: b\r\n"} {
+		is := is.New(t)
+		again := "x"
+		if strings.HasSuffix(begin, "\n") {
+			again = "A: b\r\n"
+		}
+		p := endlessPeer{begin, again, make(chan int, 1)}
+		c := NewClient(ClientOptions{Peers: p, Others: func() []topology.Member { return []topology.Member{{Name: "i0", Hall: "h0"}} }, Hall: "h0", Log: zap.NewNop()})
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		_, err := c.Send(ctx, request("1", "body"))
+		is.NoErr(ctx.Err())
+		cancel()
+		is.Equal(fault.As(err).Run, fault.MayHaveRun)
+		is.True(<-p.written < 1<<20)
+	}
+}
