forward: guards over the hop between instances, and for the endpoints chosen after answers without end

Ten forms of bytes without end are played to an instance that serves for another: the caller gets what it would get there.

--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -21,8 +21,11 @@
 	"github.com/shelfcrank/shelfcrank/internal/balance"
 	"github.com/shelfcrank/shelfcrank/internal/netx"
 	"github.com/shelfcrank/shelfcrank/internal/notice"
+	"github.com/shelfcrank/shelfcrank/internal/peerpb"
+	"github.com/shelfcrank/shelfcrank/internal/peerproxy"
 	"github.com/shelfcrank/shelfcrank/internal/ratelimit"
 	"github.com/shelfcrank/shelfcrank/internal/registry"
+	"github.com/shelfcrank/shelfcrank/internal/topology"
 	"github.com/shelfcrank/shelfcrank/internal/virtual"
 )
 
@@ -59,6 +62,8 @@
 	written atomic.Int64  // bytes of the endless answer
 	closed  chan struct{} // closed when its connection is
 	results *resultPlacer
+	bad     bool         // the endpoint that gets the first request sends the same to all
+	toBad   atomic.Int64 // requests that it got
 }
 
 // resultPlacer records how the requests of tickets ended.
@@ -105,7 +110,9 @@
 	t.Helper()
 	w := &rawFixture{fixture: newFixture(t, 0), closed: make(chan struct{})}
 	var first atomic.Bool
-	serve := func(c net.Conn) {
+	var bad atomic.Int64
+	bad.Store(-1)
+	serve := func(c net.Conn, endpoint int64) {
 		defer c.Close()
 		_ = c.(*net.TCPConn).SetWriteBuffer(32 << 10)
 		r := bufio.NewReader(c)
@@ -116,7 +123,15 @@
 			}
 			_, _ = io.Copy(io.Discard, req.Body)
 			w.sent.Add(1)
-			if first.CompareAndSwap(false, true) {
+			isFirst := first.CompareAndSwap(false, true)
+			if w.bad && (isFirst || bad.Load() == endpoint) {
+				bad.Store(endpoint)
+				w.toBad.Add(1)
+				_, _ = io.WriteString(c, e.begin)
+				_, _ = io.Copy(io.Discard, r) // until the handler closes the connection
+				return
+			}
+			if isFirst {
 				w.written.Store(e.send(c))
 				close(w.closed)
 				return
@@ -138,7 +153,7 @@
 				if err != nil {
 					return
 				}
-				go serve(c)
+				go serve(c, int64(i))
 			}
 		}()
 	}
@@ -478,3 +493,117 @@
 		})
 	}
 }
+
+// acceptorOpener opens streams to one other instance.
+type acceptorOpener struct{ acceptor *peerproxy.Acceptor }
+
+// Open implements peerproxy.Opener.
+func (o acceptorOpener) Open(_ context.Context, _ netip.AddrPort, call *peerpb.Call) (net.Conn, error) {
+	near, far := net.Pipe()
+	go o.acceptor.Serve(far, peerproxy.FromCall(call, time.Now()))
+	return near, nil
+}
+
+// relay makes another instance, without paths to endpoints, the one that clients ask.
+func (w *rawFixture) relay(t *testing.T) {
+	t.Helper()
+	acceptor := peerproxy.NewAcceptor(1, http.HandlerFunc(w.handler.ServeProxied))
+	go acceptor.Run()
+	t.Cleanup(func() { acceptor.Shutdown(context.Background()) })
+	near := w.handler.Options
+	near.Paths = noPaths{}
+	near.Admission = &fakeAdmission{budget: 5}
+	near.Proxy = peerproxy.NewClient(peerproxy.ClientOptions{
+		Peers: acceptorOpener{acceptor}, Others: func() []topology.Member { return []topology.Member{{Name: "i1", Hall: "h"}} }, Hall: "h", Log: near.Log,
+	})
+	w.handler = New(near)
+}
+
+// Guards against the same over the hop between two instances: the caller gets what it would get at the other one.
+func TestBytesWithoutEndBehindAnotherInstance(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]struct {
+		path   string
+		answer endless
+		others string
+		status int
+		cut    bool
+		sent   int64
+	}{
+		"head, unsafe":                  {"/once/a", endlessHeads["header lines"], "", 502, false, 1},
+		"slow head, unsafe":             {"/once/a", endlessHeads["header lines, slow"], "", 502, false, 1},
+		"slow head, safe":               {"/safe/a", endlessHeads["status line, slow"], sealed(200, "hi"), 200, false, 2},
+		"answer to another, safe":       {"/safe/a", endlessHeads["answer to another"], sealed(200, "hi"), 200, false, 2},
+		"comments":                      {"/stream/a", endlessEvents["comment events"], "", 502, false, 1},
+		"comments, slow":                {"/stream/a", endlessEvents["comment events, slow"], "", 502, false, 1},
+		"comments, resumable":           {"/resume/a", endlessEvents["comment events"], events(1, 3, true), 200, false, 2},
+		"blank lines, slow, resumable":  {"/resume/a", endlessEvents["blank lines, slow"], events(1, 3, true), 200, false, 2},
+		"comments after events":         {"/stream/a", endlessEvents["comments after events"], "", 200, true, 1},
+		"after events, slow, resumable": {"/resume/a", endlessEvents["comments after events, slow"], events(3, 3, true), 200, false, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			if strings.HasPrefix(test.path, "/stream") || strings.HasPrefix(test.path, "/resume") {
+				test.answer.begin = plainHead + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" + test.answer.begin
+			}
+			w := newRawFixture(t, test.answer, test.others)
+			w.relay(t)
+			begin := time.Now()
+			rec, cut := w.askCounted(test.path)
+			is.True(time.Since(begin) < endlessDeadline)
+			<-w.closed
+			is.Equal(rec.Code, test.status)
+			is.Equal(cut, test.cut)
+			is.Equal(w.sent.Load(), test.sent)
+			is.Equal(w.results.done[0], balance.Failed)
+			is.True(w.written.Load() < maxEndlessBytes)
+			if test.path == "/resume/a" {
+				is.Equal(eventsOnly(rec.Body.String()), threeEvents)
+			}
+		})
+	}
+}
+
+// Guards against an endpoint that goes on drawing requests although its answers never end.
+func TestAnEndpointWithoutEndDrawsFewRequests(t *testing.T) {
+	t.Parallel()
+	for name, answer := range map[string]string{
+		"comments":    plainHead + "Content-Type: text/event-stream\r\n\r\n" + strings.Repeat(": x\n\n", 10<<10),
+		"blank lines": plainHead + "Content-Type: text/event-stream\r\n\r\n" + strings.Repeat("\n", 64<<10),
+		"header":      plainHead + "A: " + strings.Repeat("x", 100<<10),
+		"another":     "HTTP/1.1 200 OK\r\nId: 8\r\nSeal: s\r\n\r\n" + strings.Repeat("x", 3<<20),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			w := newRawFixture(t, endless{answer, "x", time.Hour}, events(1, 3, true))
+			w.bad = true
+			w.admit.budget = 100
+			for range 60 {
+				rec, cut := w.askCounted("/resume/a")
+				is.True(!cut)
+				is.Equal(rec.Body.String(), threeEvents)
+			}
+			t.Log(w.toBad.Load())
+			is.True(w.toBad.Load() <= 10)
+		})
+	}
+}
+
+// Guards against further attempts beyond the retry budget after answers without end.
+func TestAnswersWithoutEndKeepTheRetryBudget(t *testing.T) {
+	t.Parallel()
+	for path, answer := range map[string]endless{
+		"/safe/a":   endlessHeads["answer to another"],
+		"/resume/a": {plainHead + "Content-Type: text/event-stream\r\n\r\n", ": x\n\n", 0},
+	} {
+		is := is.New(t)
+		w := newRawFixture(t, answer, sealed(200, "hi"))
+		w.admit.budget = 0
+		rec, cut := w.askCounted(path)
+		is.True(!cut)
+		is.Equal(rec.Code, 502)
+		is.Equal(w.sent.Load(), int64(1))
+	}
+}
