--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -25,6 +25,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/netx"
 	"github.com/shelfcrank/shelfcrank/internal/notice"
 	"github.com/shelfcrank/shelfcrank/internal/payload"
+	"github.com/shelfcrank/shelfcrank/internal/progress"
 	"github.com/shelfcrank/shelfcrank/internal/ratelimit"
 	"github.com/shelfcrank/shelfcrank/internal/reach"
 	"github.com/shelfcrank/shelfcrank/internal/registry"
@@ -61,6 +62,7 @@
 	Body     payload.Payload
 	ID       string        // request ID
 	MaxIdle  time.Duration // a connection that has been idle for longer is not used; 0 for no limit
+	Due      time.Time     // then bytes that are no progress of the response prove the endpoint faulty; zero for never
 }
 
 // Response is an endpoint's response to the request of a Call: it names the request. The caller has to call Close.
@@ -71,9 +73,11 @@
 	Answer Answer
 	Reused bool // the connection has carried an earlier request
 
-	body    io.Reader
-	framing string
-	call    *exchange
+	body     io.Reader
+	framing  string
+	reported bool // the caller reports the progress of the body
+	err      error
+	call     *exchange
 }
 
 const (
@@ -287,6 +291,7 @@
 		c.release(call.Endpoint.ID, k)
 		return nil, fault.New(fault.StepDispatch, call.Endpoint.ID, fault.KindLimit, fault.NotRun, "send: %w", err)
 	}
+	k.budget = progress.New(call.Due)
 	x := &exchange{client: c, ctx: ctx, endpoint: call.Endpoint, conn: k, sentAt: now}
 	x.watch(ctx)
 	c.paths.Sent(now)
@@ -444,7 +449,19 @@
 
 // Read implements io.Reader. It returns io.EOF only at the end of the complete body.
 func (r *Response) Read(p []byte) (int, error) {
+	n, err := r.read(p)
+	r.err = err
+	return n, err
+}
+
+// Err returns the error of the last Read: io.EOF after the end of the body, nil if it may go on.
+func (r *Response) Err() error { return r.err }
+
+func (r *Response) read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
+	if n > 0 && !r.reported {
+		r.call.conn.budget.Continue()
+	}
 	if err != io.EOF {
 		return n, err
 	}
@@ -477,6 +494,12 @@
 // Framing returns what marks the end of the body: ByLength, ByChunks or ByConnection.
 func (r *Response) Framing() string { return r.framing }
 
+// ReportProgress makes the bytes of the body count as progress no longer, but the calls of Progress only.
+func (r *Response) ReportProgress() { r.reported = true }
+
+// Progress records that the body went on. The next progress is due at a time, as for Call.Due.
+func (r *Response) Progress(due time.Time) { r.call.conn.budget.Progress(due) }
+
 // Endpoint returns the endpoint that gave the response.
 func (r *Response) Endpoint() *registry.Endpoint { return &r.call.endpoint }
 
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -36,6 +36,7 @@
 	reportTimeout  = 2 * time.Second
 	maxAnswerBytes = 8 << 20
 	maxReportBytes = 8 << 20
+	maxIdleBytes   = 16 << 10 // of a stream between two tokens
 	streamBufferKB = 4
 )
 
@@ -69,13 +70,21 @@
 	addr string
 	body io.ReadCloser
 	scan *bufio.Scanner
+	last int // index of the last token; -1 before the first
+	idle int // bytes since then
 }
 
+var (
+	errNoToken       = errors.New("16 KiB without a token")
+	errAnswerTooLong = errors.New("answer exceeds 8 MiB")
+)
+
 // Next returns the next token. The error is a *fault.Error; it is returned also at the end of the
-// body, since the last token has Done set and no reader goes on after it.
+// body, since the last token has Done set and no reader goes on after it, and if the stream goes on without tokens.
 func (s *Stream) Next() (Chunk, error) {
 	var c Chunk
-	for s.scan.Scan() {
+	for s.idle <= maxIdleBytes && s.scan.Scan() {
+		s.idle += len(s.scan.Bytes()) + 1
 		data, ok := bytes.CutPrefix(s.scan.Bytes(), []byte("data: "))
 		if !ok {
 			continue
@@ -83,10 +92,15 @@
 		if err := json.Unmarshal(data, &c); err != nil {
 			return c, fault.New(fault.StepStream, s.addr, fault.KindBroken, fault.MayHaveRun, "decode token: %w", err)
 		}
+		if c.Index > s.last || c.Done {
+			s.last, s.idle = c.Index, 0
+		}
 		return c, nil
 	}
 	err := s.scan.Err()
-	if err == nil {
+	if s.idle > maxIdleBytes {
+		err = errNoToken
+	} else if err == nil {
 		err = io.ErrUnexpectedEOF
 	}
 	return c, fault.New(fault.StepStream, s.addr, fault.KindBroken, fault.MayHaveRun, "read stream: %w", err)
@@ -117,7 +131,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Stream{addr: addr.String(), body: resp.Body, scan: bufio.NewScanner(resp.Body)}
+	s := &Stream{addr: addr.String(), body: resp.Body, scan: bufio.NewScanner(resp.Body), last: -1}
 	s.scan.Buffer(make([]byte, 0, streamBufferKB<<10), maxAnswerBytes)
 	return s, nil
 }
@@ -152,8 +166,6 @@
 	Body        []byte
 }
 
-var errAnswerTooLong = errors.New("answer exceeds 8 MiB")
-
 // Call sends one call to a plain service and returns the complete answer. A key other than "" is sent
 // as Idempotency-Key. The call is sent at most once: send also keeps the transport from repeating
 // it.
@@ -165,12 +177,12 @@
 	}
 	defer resp.Body.Close()
 	a.Body, err = io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	if err == nil && len(a.Body) > maxAnswerBytes {
+		err = errAnswerTooLong
+	}
 	if err != nil {
 		return a, fault.New(fault.StepDispatch, addr.String(), fault.KindBroken, fault.MayHaveRun, "read answer: %w", err)
 	}
-	if len(a.Body) > maxAnswerBytes {
-		return a, fault.New(fault.StepDispatch, addr.String(), fault.KindBroken, fault.MayHaveRun, "read answer: %w", errAnswerTooLong)
-	}
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		// Only the end of the connection marks the end of the body, and a process that is killed ends its connections, too.
 		ctx, cancel := context.WithTimeout(ctx, reportTimeout)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -253,6 +253,8 @@
 	lastEventID    string                   // ID of the last event passed on
 	answered       bool                     // the response head was sent to the client
 	passage        passage                  // what was passed on of a stream
+	passingSince   time.Time                // when a response that is not a stream was begun to be passed on
+	clientWait     time.Duration            // time that the client took to accept the rest of a long one
 	began          bool                     // the stream has begun, at version
 	version        string                   // software version of the endpoints that the events of the stream come from
 }
