endpoint: bytes that belong to no request are not the answer of the next call

A caller of the own interface was told that a call had not run, and could send it again, though it had: an endpoint sent a 503 that belonged to no request in the place of the answer. The client of endpoints uses net/http, which closes a kept connection when something comes between two exchanges, but takes whatever comes after a request for its response.

Each request carries an id of its own in Request-Id. Connections are kept only to endpoints whose last response repeated it. On a connection that was used before, a response that does not name the request ends the exchange: the call may have run, and nothing that the response announces counts. Endpoints that do not repeat the id get a new connection for each request, where no bytes of an earlier exchange can come. The stand-ins repeat it.

--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -9,6 +9,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"errors"
 	"io"
@@ -17,6 +18,7 @@
 	"net/http/httptrace"
 	"net/netip"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -44,6 +46,10 @@
 // limit is in force.
 const RateLimitHeader = "Rate-Limit"
 
+// RequestHeader is the header of each request with an id of its own, which an endpoint repeats in its response. Connections
+// are kept only to endpoints that do.
+const RequestHeader = "Request-Id"
+
 // Signals are what the headers of a response say about the endpoint itself: whether it is leaving,
 // requests a backoff, or limits the request rate.
 type Signals struct {
@@ -56,12 +62,71 @@
 
 // Client calls endpoints over HTTP.
 type Client struct {
-	http *http.Client
+	kept  *http.Client // keeps connections
+	fresh *http.Client // has a connection for each request
+
+	mu    sync.Mutex
+	names map[netip.AddrPort]struct{} // endpoints whose last response named its request; guarded by mu
 }
 
 // New returns a client that sends its requests through transport.
-func New(transport http.RoundTripper) *Client {
-	return &Client{http: &http.Client{Transport: transport}}
+func New(transport *http.Transport) *Client {
+	fresh := transport.Clone()
+	fresh.DisableKeepAlives = true
+	return &Client{
+		kept: &http.Client{Transport: transport}, fresh: &http.Client{Transport: fresh},
+		names: make(map[netip.AddrPort]struct{}),
+	}
+}
+
+// maxNames bounds the addresses that are remembered, of which some may be out of use.
+const maxNames = 4096
+
+// do sends a request. On a connection that was used before, only a response that names the request is taken for its
+// response: bytes that belong to no request may have been left over or come late. What comes on a new connection can't.
+func (c *Client) do(addr netip.AddrPort, req *http.Request) (*http.Response, error) {
+	id := rand.Text()
+	req.Header.Set(RequestHeader, id)
+	var reused atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { reused.Store(i.Reused) }}
+	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
+	client := c.fresh
+	if c.namesRequests(addr) {
+		client = c.kept
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	named := resp.Header.Get(RequestHeader) == id
+	c.setNamesRequests(addr, named)
+	if !named && reused.Load() {
+		_ = resp.Body.Close()
+		return nil, errForeignResponse
+	}
+	return resp, nil
+}
+
+var errForeignResponse = errors.New("the response does not name the request")
+
+func (c *Client) namesRequests(addr netip.AddrPort) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, ok := c.names[addr]
+	return ok
+}
+
+func (c *Client) setNamesRequests(addr netip.AddrPort, named bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !named {
+		delete(c.names, addr)
+		return
+	}
+	if len(c.names) >= maxNames {
+		clear(c.names)
+	}
+	c.names[addr] = struct{}{}
 }
 
 // Stream reads an engine's answer, token by token. It is not safe for concurrent use.
@@ -102,7 +167,10 @@
 	if err != nil {
 		return fault.New(fault.StepDispatch, addr.String(), fault.KindInternal, fault.NotRun, "probe: create request: %w", err)
 	}
-	resp, err := c.http.Do(req)
+	resp, err := c.do(addr, req)
+	if errors.Is(err, errForeignResponse) {
+		return nil
+	}
 	if err != nil {
 		return fault.New(fault.StepDispatch, addr.String(), fault.KindRefused, fault.NotRun, "probe: %w", err)
 	}
@@ -186,7 +254,7 @@
 	if key != "" {
 		req.Header.Set("Idempotency-Key", key)
 	}
-	resp, err := c.http.Do(req)
+	resp, err := c.do(addr, req)
 	if err != nil {
 		return nil, dispatchError(addr, err, connected.Load())
 	}
@@ -248,7 +316,7 @@
 	if err != nil {
 		return r, fault.New(fault.StepRoute, addr.String(), fault.KindInternal, fault.NotRun, "%w", err)
 	}
-	resp, err := c.http.Do(req)
+	resp, err := c.do(addr, req)
 	if err != nil {
 		return r, dispatchError(addr, err, true)
 	}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -162,7 +162,7 @@
 	if err != nil {
 		return fmt.Errorf("simulated service %s: listen: %w", id, err)
 	}
-	s := &http.Server{Handler: h, BaseContext: func(net.Listener) context.Context { return w.ctx }}
+	s := &http.Server{Handler: namingRequests(h), BaseContext: func(net.Listener) context.Context { return w.ctx }}
 	w.mu.Lock()
 	w.running[id] = &runningService{server: s, engine: e}
 	w.mu.Unlock()
@@ -173,6 +173,16 @@
 	return nil
 }
 
+// namingRequests returns a handler whose responses name the request.
+func namingRequests(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if id := r.Header.Get(endpoint.RequestHeader); id != "" {
+			rw.Header().Set(endpoint.RequestHeader, id)
+		}
+		h.ServeHTTP(rw, r)
+	})
+}
+
 // AddEngine starts and lists a model engine.
 func (w *World) AddEngine(p InstanceSpec, incarnation uint64) error {
 	e := newEngine(w, p, incarnation)
