peerproxy: an instance whose paths are back is asked again at once

Cause: an instance that refuses a request is left out for 0.5 s, doubling to 4 s. All six instances were cut off from 18.3 to 21.6 s and refused each other until each had left out all others. front-3 had paths again at 21.65 s; nobody asked it before 24.4 s. In a larger fleet a second effect follows: the instances that may be asked again come before the one that serves, since nothing is open there, and each request asks 16 of them and gives up.

Now an instance that refused is asked all the same if nobody else takes the request, the one asked longest ago first, at most 100 times a second for each instance. One that did not answer in time is not: that would cost 200 ms each. After the first refusal, those whose last answer was a refusal come last.

Weighed: a message from the instance whose paths are back. It needs a new call, is lost with the instance that sends it, and has to name each instance that it refused. A shorter longest avoidance asks in proportion to the square of the fleet.

The cost while all are cut off: at most 100 more questions a second at each instance. TestInstancesThatRefuseAreAskedLessAndLess holds unchanged for the first choice; TestRepeatedQuestionsAreBoundedAndGoToInstancesThatAnswer bounds the second.

The test instances of peerproxy leaked their room with each refusal.

--- a/internal/front/partition_test.go
+++ b/internal/front/partition_test.go
@@ -226,3 +226,25 @@
 		}, func(w *testCluster) { w.endpoints = 12 })
 	}
 }
+
+// Guards against callers who are refused for seconds after one of the instances, all cut off before, has paths again.
+func TestCallersAreServedAsSoonAsOneInstanceHasPathsAgain(t *testing.T) {
+	for _, instances := range fleets(6, largeFleet) {
+		for _, p := range partitions {
+			t.Run(fmt.Sprint(instances, " ", p), func(t *testing.T) {
+				runCluster(t, instances, func(is *is.I, w *testCluster) {
+					time.Sleep(4 * time.Second)
+					names := runningNames(w)
+					w.partition(p, true, names...)
+					w.askEach("all", 2*contactBound, names)
+					w.partition(p, false, names[0])
+					w.askEach("healing", time.Second, names[1:])
+					f := w.askEach("one", contactBound, names[1:])
+					t.Logf("served %.3f of first tries there, %.3f at the other", f.share(true), f.share(false))
+					is.True(f.share(false) > minServedShare)
+					is.True(f.share(true) >= minServedShare*f.share(false))
+				}, manyEndpoints)
+			})
+		}
+	}
+}
--- a/internal/peerproxy/client.go
+++ b/internal/peerproxy/client.go
@@ -72,18 +72,18 @@
 func (c *Client) Send(ctx context.Context, r *Request) (*Response, error) {
 	asked := slices.Clone(r.BrokenOffBy)
 	for range maxAsked {
-		other, ok := c.chooser.choose(c.Others(), c.Hall, r.Service, r.Call.ID, asked, c.Clock.Now())
+		other, ok := c.choose(r, asked)
 		if !ok {
 			break
 		}
 		asked = append(asked, other.Name)
-		stream, err := c.open(ctx, other, r)
+		stream, answered, err := c.open(ctx, other, r)
 		if err != nil {
 			c.chooser.done(other.Name)
 			if ctx.Err() != nil {
 				break
 			}
-			c.chooser.refused(other.Name, r.Service, c.Clock.Now())
+			c.chooser.refused(other.Name, r.Service, answered, c.Clock.Now())
 			event.Log(c.Log, event.ProxyRefused, zap.String("request", r.Call.ID), zap.String("service", r.Service), zap.String("peer", other.Name), zap.Error(err))
 			continue
 		}
@@ -93,10 +93,21 @@
 	return nil, ErrNotTaken
 }
 
-func (c *Client) open(ctx context.Context, other topology.Member, r *Request) (net.Conn, error) {
+// choose returns the instance to ask next for a request, other than those already asked.
+func (c *Client) choose(r *Request, asked []string) (topology.Member, bool) {
+	now, others := c.Clock.Now(), c.Others()
+	if other, ok := c.chooser.choose(others, c.Hall, r.Service, r.Call.ID, asked, now); ok {
+		return other, true
+	}
+	return c.chooser.chooseAvoided(others, r.Service, asked, now)
+}
+
+// open returns the stream that another instance accepts a request on. If it does not, answered reports whether it said so.
+func (c *Client) open(ctx context.Context, other topology.Member, r *Request) (stream net.Conn, answered bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
-	return c.Peers.Open(ctx, other.Addr, r.message(c.Clock.Now()))
+	stream, err = c.Peers.Open(ctx, other.Addr, r.message(c.Clock.Now()))
+	return stream, ctx.Err() == nil, err
 }
 
 // exchange sends a request on a stream and reads the head of the response.
--- a/internal/peerproxy/peerproxy_test.go
+++ b/internal/peerproxy/peerproxy_test.go
@@ -43,14 +43,15 @@
 
 func (i *testInstance) HandleStream(ctx context.Context, call *peerpb.Call, stream net.Conn) bool {
 	i.asked.Add(1)
-	release, err := i.acceptor.Reserve()
-	if i.refusal != nil {
-		err = i.refusal
-	}
 	if i.silent {
 		<-ctx.Done()
 		return true
 	}
+	if i.refusal != nil {
+		_ = peer.Refuse(stream, i.refusal)
+		return true
+	}
+	release, err := i.acceptor.Reserve()
 	if err != nil {
 		_ = peer.Refuse(stream, err)
 		return true
@@ -323,7 +324,7 @@
 		if m, ok := c.choose(others, "h0", "svc", "r", nil, now); ok {
 			asked++
 			c.done(m.Name)
-			c.refused(m.Name, "svc", now)
+			c.refused(m.Name, "svc", true, now)
 		}
 	}
 	is.True(asked <= 8) // at 0, 0.5, 1.5, 3.5, 7.5 s and so on
@@ -332,3 +333,71 @@
 	c.expire(start.Add(time.Hour))
 	is.Equal(len(c.avoided), 0)
 }
+
+// Guards against callers who are refused for seconds although an instance that refused before takes requests again.
+func TestAnInstanceThatTakesRequestsAgainIsFoundAtOnce(t *testing.T) {
+	withFleet(t, 5, func(w http.ResponseWriter, _ *http.Request) {}, func(is *is.I, fleet *fleet) {
+		for _, i := range fleet.instances {
+			i.refusal = ErrNoPath
+		}
+		for i := range 100 { // long enough for the longest avoidance
+			_, err := fleet.Send(context.Background(), request(fmt.Sprint(i), ""))
+			is.Equal(err, ErrNotTaken)
+			time.Sleep(100 * time.Millisecond)
+		}
+		fleet.instances[3].refusal = nil
+		resp, err := fleet.Send(context.Background(), request("served", ""))
+		is.NoErr(err)
+		is.Equal(resp.Instance, "i3")
+		resp.Close()
+	})
+}
+
+// Guards against refusals that cost more with each request while the whole fleet is cut off, and against waiting
+// for instances that do not answer.
+func TestRepeatedQuestionsAreBoundedAndGoToInstancesThatAnswer(t *testing.T) {
+	is := is.New(t)
+	c, start := newChooser(), time.Unix(1000, 0)
+	others := members(300, 4)
+	for i, m := range others {
+		c.refused(m.Name, "svc", i > 0, start)
+	}
+	const seconds = 10
+	count := make(map[string]int)
+	for ms := range seconds * 1000 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		if m, ok := c.chooseAvoided(others, "svc", nil, now); ok {
+			count[m.Name]++
+			c.done(m.Name)
+			c.refused(m.Name, "svc", true, now)
+		}
+	}
+	total := 0
+	for _, n := range count {
+		total += n
+	}
+	is.Equal(count[others[0].Name], 0)
+	is.True(total <= maxRepeats*seconds+maxAsked)
+	for _, m := range others[1:] {
+		is.True(count[m.Name] >= total/len(others)) // in turn
+	}
+}
+
+// Guards against requests that ask only instances that refused before, once these may be asked again, and do not get to
+// the one that takes them.
+func TestARequestAsksOneInstanceThatRefusedBeforeOnesThatTakeRequests(t *testing.T) {
+	is := is.New(t)
+	c, now := newChooser(), time.Unix(1000, 0)
+	others := members(100, 4)
+	for _, m := range others[1:] {
+		c.refused(m.Name, "svc", true, now)
+	}
+	c.open[others[0].Name] = 50
+	now = now.Add(minAvoid)
+	first, ok := c.choose(others, "h0", "svc", "r", nil, now)
+	is.True(ok)
+	is.True(first.Name != others[0].Name) // it may have paths again
+	second, ok := c.choose(others, "h0", "svc", "r", []string{first.Name}, now)
+	is.True(ok)
+	is.Equal(second.Name, others[0].Name)
+}
