peerproxy, forward: a request that an instance accepts and declines at once goes to the next one

Now such a response is marked (Shelfcrank-Declined): nothing was sent to an endpoint, and the reason concerns that instance only. Definite answers (401, 404, 429) are passed on as before; they hold at any instance.

Weighed: refuse in the handshake where the configuration is too old. That would copy the checks of the request's path, and misses the reasons that depend on the request (its route, its key, its deadline when the instance stops).

--- a/internal/forward/door.go
+++ b/internal/forward/door.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/shelfcrank/shelfcrank/internal/peerproxy"
 	"github.com/shelfcrank/shelfcrank/internal/quota"
 )
 
@@ -23,11 +24,14 @@
 // serve handles a request of a client that connected here or to another instance.
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request, q *request) {
 	q.client = http.NewResponseController(w) // its calls fail for the response recorder of tests
-	if d := h.identify(q, r); d != nil {
-		h.refuseUnread(w, r, q, d)
-		return
+	d := h.identify(q, r)
+	if d == nil {
+		d = q.checkDrain()
 	}
-	if d := q.checkDrain(); d != nil {
+	if d != nil {
+		if q.proxied && d.status == http.StatusServiceUnavailable {
+			w.Header().Set(peerproxy.DeclinedHeader, "1")
+		}
 		h.refuseUnread(w, r, q, d)
 		return
 	}
--- a/internal/forward/proxy_test.go
+++ b/internal/forward/proxy_test.go
@@ -36,6 +36,7 @@
 		q := &request{arrived: time.Now(), view: &outdated, meta: w.handler.Protocol.Request(r.Header), proxied: true, mayHaveRun: mayHaveRun, deadline: time.Now().Add(time.Second)}
 		w.handler.serve(rec, r, q)
 		is.Equal(rec.Code, want)
+		is.True(rec.Header().Get(peerproxy.DeclinedHeader) != "") // another instance may serve it
 	}
 	is.Equal(logs.FilterField(zap.Int(event.FieldKey, int(event.InvariantBroken))).Len(), 0)
 	is.Equal(len(w.got), 0)
--- a/internal/front/partition_test.go
+++ b/internal/front/partition_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/matryer/is"
 
+	"github.com/shelfcrank/shelfcrank/internal/storetest"
+	"github.com/shelfcrank/shelfcrank/internal/topology"
 	"github.com/shelfcrank/shelfcrank/internal/virtual"
 )
 
@@ -248,3 +250,28 @@
 		}
 	}
 }
+
+// Guards against callers who are refused because an instance that does not know the configuration, and refuses at once,
+// gets the requests of those that are cut off.
+func TestCallersAreServedBesideAnInstanceWithoutTheConfiguration(t *testing.T) {
+	for _, instances := range fleets(6, topology.SmallFleet) {
+		runCluster(t, instances, func(is *is.I, w *testCluster) {
+			time.Sleep(4 * time.Second)
+			names := runningNames(w)
+			outdated, cut := names[0], names[1:instances/2]
+			w.store.SetFaults(outdated, storetest.Faults{Refuse: true})
+			time.Sleep(6 * time.Second)
+			is.Equal(w.ask(outdated, "/safe/a", "k1", "outdated"), http.StatusServiceUnavailable) // otherwise the test proves nothing
+			w.partition(pathsReset, true, cut...)
+			time.Sleep(contactBound)
+			sent := &firstTries{sent: make(map[bool]int), served: make(map[bool]int)}
+			for i := range 300 {
+				time.Sleep(10 * time.Millisecond)
+				name := names[1+i%(instances-1)]
+				sent.add(slices.Contains(cut, name), w.ask(name, "/safe/a", "k1", fmt.Sprint(name, "/", i)) == http.StatusOK)
+			}
+			t.Logf("%d instances: served %.3f of first tries there, %.3f at the others", instances, sent.share(true), sent.share(false))
+			is.True(sent.share(true) >= minServedShare*sent.share(false))
+		}, manyEndpoints)
+	}
+}
--- a/internal/peerproxy/client.go
+++ b/internal/peerproxy/client.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/netip"
@@ -77,18 +78,16 @@
 			break
 		}
 		asked = append(asked, other.Name)
-		stream, answered, err := c.open(ctx, other, r)
-		if err != nil {
-			c.chooser.done(other.Name)
-			if ctx.Err() != nil {
-				break
-			}
-			c.chooser.refused(other.Name, r.Service, answered, c.Clock.Now())
-			event.Log(c.Log, event.ProxyRefused, zap.String("request", r.Call.ID), zap.String("service", r.Service), zap.String("peer", other.Name), zap.Error(err))
-			continue
+		resp, err := c.ask(ctx, other, r)
+		refused := (*refusalError)(nil)
+		if !errors.As(err, &refused) {
+			return resp, err
 		}
-		c.chooser.accepted(other.Name, r.Service)
-		return c.exchange(ctx, other.Name, stream, r)
+		if ctx.Err() != nil {
+			break
+		}
+		c.chooser.refused(other.Name, r.Service, refused.answered, c.Clock.Now())
+		event.Log(c.Log, event.ProxyRefused, zap.String("request", r.Call.ID), zap.String("service", r.Service), zap.String("peer", other.Name), zap.Error(err))
 	}
 	return nil, ErrNotTaken
 }
@@ -102,6 +101,28 @@
 	return c.chooser.chooseAvoided(others, r.Service, asked, now)
 }
 
+// refusalError reports that an instance does not serve a request. Nothing of it was sent to an endpoint.
+type refusalError struct {
+	error
+	answered bool // it said so, rather than not answer in time
+}
+
+// ask has one other instance serve a request and returns the head of its response. The error is a *refusalError if it does not.
+func (c *Client) ask(ctx context.Context, other topology.Member, r *Request) (*Response, error) {
+	stream, answered, err := c.open(ctx, other, r)
+	if err != nil {
+		c.chooser.done(other.Name)
+		return nil, &refusalError{err, answered}
+	}
+	c.chooser.accepted(other.Name, r.Service)
+	resp, err := c.exchange(ctx, other.Name, stream, r)
+	if err == nil && resp.Header.Get(DeclinedHeader) != "" {
+		resp.Close()
+		return nil, &refusalError{errDeclined, true}
+	}
+	return resp, err
+}
+
 // open returns the stream that another instance accepts a request on. If it does not, answered reports whether it said so.
 func (c *Client) open(ctx context.Context, other topology.Member, r *Request) (stream net.Conn, answered bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
--- a/internal/peerproxy/peerproxy.go
+++ b/internal/peerproxy/peerproxy.go
@@ -71,6 +71,10 @@
 // announce binds the instance that passes their responses on to clients as well.
 const EndpointHeader = "Shelfcrank-Endpoint"
 
+// DeclinedHeader marks a refusal by the instance that accepted a request, before anything was sent to an endpoint, for a
+// reason that concerns only that instance.
+const DeclinedHeader = "Shelfcrank-Declined"
+
 // ErrNotTaken reports that no other instance takes a request. Nothing of it was sent.
 var ErrNotTaken = errors.New("no other instance takes the request")
 
@@ -79,6 +83,8 @@
 	ErrNoPath  = errors.New("no path to an endpoint")
 	ErrFull    = errors.New("too many requests of other instances")
 	ErrLeaving = errors.New("shutting down")
+
+	errDeclined = errors.New("declined after it was accepted")
 )
 
 type requestKey struct{}
--- a/internal/peerproxy/peerproxy_test.go
+++ b/internal/peerproxy/peerproxy_test.go
@@ -401,3 +401,30 @@
 	is.True(ok)
 	is.Equal(second.Name, others[0].Name)
 }
+
+// Guards against callers who are refused because an instance that accepts requests and declines them at once has the
+// fewest open, so that all go there.
+func TestARequestThatIsDeclinedAfterItWasAcceptedGoesToAnotherInstance(t *testing.T) {
+	var declines atomic.Int64
+	withFleet(t, 2, func(w http.ResponseWriter, r *http.Request) {
+		if declines.Add(1) == 1 {
+			w.Header().Set(DeclinedHeader, "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		body, _ := io.ReadAll(r.Body)
+		_, _ = w.Write(body)
+	}, func(is *is.I, fleet *fleet) {
+		for i := range 10 {
+			resp, err := fleet.Send(context.Background(), request(fmt.Sprint(i), "body"))
+			is.NoErr(err)
+			body, err := io.ReadAll(resp.Body)
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, http.StatusOK)
+			is.Equal(string(body), "body")
+			resp.Close()
+		}
+		is.Equal(fleet.instances[0].served.Load()+fleet.instances[1].served.Load(), int64(11))
+		is.Equal(min(fleet.instances[0].served.Load(), fleet.instances[1].served.Load()), int64(1)) // the one that declined is not asked again soon
+	})
+}
