soak: callers drop the connections of a process that has ended

Cause: callers do not read their idle connections, so that each uses the connection once more after its end, and the attempt counts for the next process at that address, which is in touch again by then and never saw it. docs/design/soak.md says that callers keep their connections until these end.

Now a caller drops such a connection before it uses it. A connection that the running process closes is still used, and counts, as before.

TestCallersDropTheConnectionsOfAProcessThatHasEnded fails before.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -75,10 +75,14 @@
 	}
 }
 
-// connect opens a connection to an instance that the balancer picks, unless one is open.
+// connect opens a connection to an instance that the balancer picks, unless one is open. One to a process that has ended
+// since is not open, whether or not the caller has read its end.
 func (c *caller) connect() error {
 	if c.conn != nil {
-		return nil
+		if running, _ := c.instance.status(); running == c.incarnation {
+			return nil
+		}
+		c.close()
 	}
 	i := c.traffic.pickInstance()
 	if i == nil {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"net"
 	"os"
 	"path/filepath"
 	"slices"
@@ -226,3 +227,24 @@
 	is.True(h.Attempts[0].RefusedForCapacity)
 	is.True(!h.Attempts[1].RefusedForCapacity)
 }
+
+// Guards against requests on connections of a process that has ended, which no instance sees and which count against the
+// instance's next process.
+func TestCallersDropTheConnectionsOfAProcessThatHasEnded(t *testing.T) {
+	is := is.New(t)
+	record := &recorder{}
+	i := newInstance(200, Scenario{Halls: 1}, t.TempDir(), record)
+	l, err := net.Listen("tcp", i.at(frontPort).String())
+	is.NoErr(err)
+	defer l.Close()
+	c := &caller{traffic: newTraffic([]*instance{i}, nil, record, 1)}
+	defer c.close()
+	is.NoErr(c.connect())
+	first := c.conn
+	is.NoErr(c.connect())
+	is.Equal(c.conn, first) // kept
+	i.incarnation++
+	is.NoErr(c.connect())
+	is.True(c.conn != first)
+	is.Equal(c.incarnation, i.incarnation)
+}
