check: RECOVER partition compares an account that has a limit with itself

Cause: the check expects the share of the others for all tries, whatever account sent them. What an account asks beyond its limit is refused at all instances and is not owed (RULES.md, QUOTA); where the two sides have other parts of such an account, the shares differ without a fault.

Now tries of an account with a limit are compared with those of the same account, at the same time or, if there are none, at any time of the partition; if the others have none at all, they say nothing.

TestAnAccountWithALimitIsComparedWithItselfInAPartition: the first case fails before; a service that refuses where the partition is, or refuses that account only there, is still found.

--- a/internal/check/partition.go
+++ b/internal/check/partition.go
@@ -20,6 +20,13 @@
 // tries counts first tries, at the partitioned instances and at the others.
 type tries struct{ sent, served [2]int }
 
+// comparedTries are the first tries that are compared with each other. What a client account asks beyond its limit is
+// refused at all instances, and not as often at each: such an account is compared with itself.
+type comparedTries struct {
+	slice   time.Duration // in partitionSlice since the partition began
+	account string        // empty for all accounts without a limit
+}
+
 // checkPartitions checks the rule RECOVER for partitions: while some instances have no path to any
 // endpoint, callers' first tries there are served nearly as often as at the others at the same time, from
 // Bounds.Contact after the partition began. Only instances in touch count; a partition leaves an instance in touch.
@@ -28,37 +35,61 @@
 	for i := range x.Attempts {
 		instances[x.Attempts[i].Instance] = true
 	}
+	limited := make(map[string]bool)
+	for _, a := range x.Accounts {
+		limited[a.Name] = true
+	}
 	for _, p := range x.Partitions {
-		var all tries
-		bySlice := make(map[time.Duration]*tries)
+		byAccount, bySlice := make(map[string]*tries), make(map[comparedTries]*tries)
 		for i := range x.Attempts {
 			a := &x.Attempts[i]
 			at, ok := x.comparable(a, &p, instances)
 			if !ok {
 				continue
 			}
-			n := a.SentAt.Sub(p.From) / partitionSlice
-			if bySlice[n] == nil {
-				bySlice[n] = &tries{}
+			key := comparedTries{slice: a.SentAt.Sub(p.From) / partitionSlice}
+			if limited[a.Account] {
+				key.account = a.Account
 			}
-			for _, t := range []*tries{&all, bySlice[n]} {
+			if byAccount[key.account] == nil {
+				byAccount[key.account] = &tries{}
+			}
+			if bySlice[key] == nil {
+				bySlice[key] = &tries{}
+			}
+			for _, t := range []*tries{byAccount[key.account], bySlice[key]} {
 				t.sent[at]++
 				if success(a.Status) && a.Sealed && a.Complete {
 					t.served[at]++
 				}
 			}
 		}
+		var all tries
+		for account, t := range byAccount {
+			if account != "" && t.sent[0] == 0 { // nobody knows how many were over the limit
+				continue
+			}
+			for at := range t.sent {
+				all.sent[at] += t.sent[at]
+				all.served[at] += t.served[at]
+			}
+		}
 		failed := all.sent[1] - all.served[1]
 		if all.sent[0] == 0 || float64(failed) <= failuresAllowed+failuresPerTry*float64(all.sent[1]) {
 			continue
 		}
 		expected := 0.0 // served, had the partitioned instances served as often as the others
-		for _, t := range bySlice {
+		for key, t := range bySlice {
 			at := t
-			if t.sent[0] == 0 { // nothing to compare with at that time
+			if at.sent[0] == 0 { // nothing to compare with at that time
+				at = byAccount[key.account]
+			}
+			if at.sent[0] == 0 && key.account == "" {
 				at = &all
 			}
-			expected += float64(t.sent[1]) * share(at.served[0], at.sent[0])
+			if at.sent[0] > 0 {
+				expected += float64(t.sent[1]) * share(at.served[0], at.sent[0])
+			}
 		}
 		if float64(all.served[1]) < minPartitionedShare*expected {
 			out = append(out, Violation{"RECOVER partition", p.To, fmt.Sprintf("%v had no path to endpoints and served %d of %d first tries, %.1f expected by what the others served at the same time (%d of %d in all)", p.Instances, all.served[1], all.sent[1], expected, all.served[0], all.sent[0])})
--- a/internal/check/rules_test.go
+++ b/internal/check/rules_test.go
@@ -487,3 +487,30 @@
 	h.addMany("alone", 30, 8000, unserved("m")) // at a time when the others got nothing
 	is.Equal(len(checkPartitions(newIndex(h))), 1)
 }
+
+// Guards against a partition that looks worse than it is because the others got no tries of the account that asks beyond
+// its limit, and against one that hides in the refusals of that account.
+func TestAnAccountWithALimitIsComparedWithItselfInAPartition(t *testing.T) {
+	is := is.New(t)
+	of := func(instance, account string, status int) func(a *Attempt, r *Arrival) {
+		return func(a *Attempt, r *Arrival) {
+			a.Instance, a.Account, a.Status = instance, account, status
+			a.Sealed, r.Ran = status == 200, status == 200
+		}
+	}
+	overLimit := func() *History {
+		h := &History{Bounds: testBounds, EndedAt: at(60_000), Accounts: []Account{{"busy", 10, 10}}}
+		h.Partitions = []Partition{{Instances: []string{"m"}, From: at(0), To: at(10_000)}}
+		h.addMany("others", 2, 4000, of("n", "a", 200))
+		h.addMany("served", 60, 4000, of("m", "a", 200))
+		h.addMany("busy", 60, 4000, of("m", "busy", 429))
+		return h
+	}
+	is.Equal(len(checkPartitions(newIndex(overLimit()))), 0)
+	h := overLimit()
+	h.addMany("unserved", 31, 5000, of("m", "a", 503)) // 60 of 91
+	is.Equal(len(checkPartitions(newIndex(h))), 1)
+	h = overLimit()
+	h.addMany("busy others", 30, 5000, of("n", "busy", 200)) // served there, and never where the partition is
+	is.Equal(len(checkPartitions(newIndex(h))), 1)
+}
