reach: an instance whose endpoints all stay unreachable counts as cut off

Cause: an instance counts as cut off if six endpoints become unreachable in a row with nothing received from any. Where open connections live on while new ones are refused, each response in between begins the row anew, until all endpoints are unreachable. When the open connections fail as well, no endpoint can become unreachable any more: "what still fails says nothing new".

While any endpoint is reachable, and while open connections work, nothing changes: crashed endpoints cannot pass for a partition by failing again.

TestAnInstanceWhoseOpenConnectionsFailLastCountsAsCutOff fails before.

--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -85,7 +85,7 @@
 	_, known := t.unreachable[endpoint]
 	t.unreachable[endpoint] = now.Add(ProbeInterval)
 	t.marked.Store(int64(len(t.unreachable)))
-	if known {
+	if known && !t.allFail(now) {
 		return // that it still fails says nothing new about the paths of this instance
 	}
 	t.failedInRow[endpoint] = true
@@ -97,6 +97,12 @@
 	t.lost = t.lost || len(t.failedInRow) >= needed
 }
 
+// allFail reports whether all listed endpoints are unreachable and nothing has come from any for some time: connections that
+// were open may have lived on after each of them failed. mu is held.
+func (t *Tracker) allFail(now time.Time) bool {
+	return int64(len(t.unreachable)) >= t.listed.Load() && now.UnixNano()-t.receivedAt.Load() >= int64(silence)
+}
+
 // Received records that something came from an endpoint, which shows that the instance is not cut off.
 func (t *Tracker) Received(now time.Time) {
 	t.receivedAt.Store(now.UnixNano())
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -218,3 +218,26 @@
 		}
 	}
 }
+
+// Guards against unsafe requests that are sent to endpoints known to be unreachable, by an instance that lost its paths to
+// one after the other while open connections still worked, and these last.
+func TestAnInstanceWhoseOpenConnectionsFailLastCountsAsCutOff(t *testing.T) {
+	is := is.New(t)
+	p := newPaths(10)
+	for _, e := range p.listed {
+		p.cut[e.ID] = true
+		p.connect(e.ID)
+		p.Received(p.now) // on a connection that is open
+	}
+	for range 20 {
+		p.run(100 * time.Millisecond)
+		p.Received(p.now)
+		is.True(!p.Lost()) // what is open may serve requests
+	}
+	p.run(time.Second)
+	is.True(p.Lost())
+	p.cut[p.listed[3].ID] = false
+	p.run(time.Second)
+	is.True(!p.Lost())
+	is.Equal(p.reachable(), 1)
+}
