quarantine: a sound request waits for the run that clears a part of its prompt

If none of these has an answer within 150 ms, requests with the part run one at a time, and all that come until the first event of that run clears the part are refused, at twelve a second and instance.

Now a request that is suspect only for a part of its prompt asks for the permit again each 50 ms, for 0.3 s at most. The first event clears the part at all instances, and what waits runs at once. If the run ends its endpoint, the next one gets the permit, after the table has decided whether that end names the part. Repetitions of a suspect request are refused at once as before.

--- a/internal/front/suspects.go
+++ b/internal/front/suspects.go
@@ -67,21 +67,9 @@
 // Enter implements forward.Quarantine. A suspect that may run in one place at a time first
 // needs a permit from the instance that owns its fingerprint.
 func (s *suspects) Enter(ctx context.Context, subjects []quarantine.Fingerprint, until time.Time) (leave func(decided bool), err error) {
-	a, ok := s.gate.Wait(ctx, subjects)
-	if !ok || a.Refused != nil || len(a.Serialized) == 0 {
-		return nil, a.Refused
-	}
-	leave, err = s.gate.AcquireAll(a.Serialized, func(f quarantine.Fingerprint) func(bool) {
+	return s.gate.Enter(ctx, subjects, func(f quarantine.Fingerprint) func(bool) {
 		return s.acquireFromOwners(ctx, f, until.Add(quarantine.EndDetectionTimeout))
 	})
-	if err != nil {
-		return nil, err
-	}
-	if err := s.Check(subjects); err != nil { // quarantined while permits were requested
-		leave(true)
-		return nil, err
-	}
-	return leave, nil
 }
 
 // acquireFromOwners acquires the permit for a suspect. It returns nil if that is not granted.
--- a/internal/quarantine/gate/gate.go
+++ b/internal/quarantine/gate/gate.go
@@ -13,6 +13,8 @@
 const (
 	poll         = 10 * time.Millisecond // between two looks at the table
 	maxUndecided = 2 * quarantine.SettleTime
+	// acquireInterval is the time between two tries to acquire the permit for a part of prompts while another run holds it.
+	acquireInterval = 50 * time.Millisecond
 )
 
 // Gate is safe for concurrent use.
@@ -42,13 +44,37 @@
 	return a, true
 }
 
+// Enter decides whether a request with these subjects may run, and acquires the permits that it needs. It waits for a
+// moment in which runs elsewhere may clear them: those that began before subjects were kept back, and the one that holds
+// the permit for a part of the prompt. leave, which may be nil, is to be called when the run is over.
+func (g *Gate) Enter(ctx context.Context, subjects []quarantine.Fingerprint, acquire Acquire) (leave func(decided bool), err error) {
+	for until := g.Clock.Now().Add(maxUndecided); ; {
+		a, ok := g.Wait(ctx, subjects)
+		if !ok || a.Refused != nil || len(a.Serialized) == 0 {
+			return nil, a.Refused
+		}
+		leave, err = g.acquireAll(a.Serialized, acquire)
+		if err == nil {
+			break
+		}
+		if r, _ := quarantine.AsRefused(err); !r.Fingerprint.IsPart() || !g.Clock.Now().Before(until) || !g.Clock.Sleep(ctx, acquireInterval) {
+			return nil, err
+		}
+	}
+	if err := g.Admit(subjects).Refused; err != nil { // quarantined while permits were requested
+		leave(true)
+		return nil, err
+	}
+	return leave, nil
+}
+
 // Acquire acquires a permit for the run of a suspect. It returns nil if another run is in progress. decided tells
 // whether the outcome of the run is known.
 type Acquire func(f quarantine.Fingerprint) (release func(decided bool))
 
-// AcquireAll acquires the permits for all suspects that a request has, or none. It returns an error if another run
+// acquireAll acquires the permits for all suspects that a request has, or none. It returns an error if another run
 // of one of them is in progress.
-func (g *Gate) AcquireAll(suspects []quarantine.Fingerprint, acquire Acquire) (release func(decided bool), err error) {
+func (g *Gate) acquireAll(suspects []quarantine.Fingerprint, acquire Acquire) (release func(decided bool), err error) {
 	var releases []func(decided bool)
 	release = func(decided bool) {
 		for _, r := range releases {
