quarantine: a permit is held until the end that its run caused is known elsewhere

One cause: an instance whose run ended an endpoint gives the permit back at once. The next run of the part begins at an instance that does not know of that end yet, as the news and the free permit travel at the same time (end of s5 at 9.252 s, next run at 9.256, which ended s2 as the sixth).

Now the permit is held for SettleTime after a run whose outcome is known, as it was for longer after one that is undecided. A permit that was not used is free at once. A run that answers clears the part, after which none is needed.

TestAPermitIsHeldUntilTheOutcomeOfItsRunIsKnown fails before.

--- a/internal/front/suspects.go
+++ b/internal/front/suspects.go
@@ -67,13 +67,13 @@
 // Enter implements forward.Quarantine. A suspect that may run in one place at a time first
 // needs a permit from the instance that owns its fingerprint.
 func (s *suspects) Enter(ctx context.Context, subjects []quarantine.Fingerprint, until time.Time) (leave func(decided bool), err error) {
-	return s.gate.Enter(ctx, subjects, func(f quarantine.Fingerprint) func(bool) {
+	return s.gate.Enter(ctx, subjects, func(f quarantine.Fingerprint) func(time.Duration) {
 		return s.acquireFromOwners(ctx, f, until.Add(quarantine.EndDetectionTimeout))
 	})
 }
 
 // acquireFromOwners acquires the permit for a suspect. It returns nil if that is not granted.
-func (s *suspects) acquireFromOwners(ctx context.Context, f quarantine.Fingerprint, until time.Time) (release func(decided bool)) {
+func (s *suspects) acquireFromOwners(ctx context.Context, f quarantine.Fingerprint, until time.Time) (release func(keep time.Duration)) {
 	for _, owner := range s.owners(f) {
 		granted, err := s.acquire(ctx, owner, f, until)
 		if err != nil {
@@ -82,7 +82,7 @@
 		if !granted {
 			return nil
 		}
-		return func(decided bool) { s.release(owner, f, decided) }
+		return func(keep time.Duration) { s.release(owner, f, keep) }
 	}
 	return nil
 }
@@ -139,14 +139,8 @@
 	}}}
 }
 
-// release gives a permit back. If it is not yet decided whether the run ended its endpoint,
-// the permit is held for quarantine.Undecided: otherwise further runs would start before the
-// ends that they cause are known. If the release is lost, the permit expires.
-func (s *suspects) release(owner topology.Member, f quarantine.Fingerprint, decided bool) {
-	var keep time.Duration
-	if !decided {
-		keep = quarantine.EndDetectionTimeout
-	}
+// release gives a permit back, which is held for keep from now. If the release is lost, the permit expires.
+func (s *suspects) release(owner topology.Member, f quarantine.Fingerprint, keep time.Duration) {
 	if owner.Name == s.instance.Settings.Name {
 		s.permits.Release(f, owner.Name, s.instance.Clock.Now().Add(keep))
 		return
--- a/internal/quarantine/gate/gate.go
+++ b/internal/quarantine/gate/gate.go
@@ -48,13 +48,13 @@
 // moment in which runs elsewhere may clear them: those that began before subjects were kept back, and the one that holds
 // the permit for a part of the prompt. leave, which may be nil, is to be called when the run is over.
 func (g *Gate) Enter(ctx context.Context, subjects []quarantine.Fingerprint, acquire Acquire) (leave func(decided bool), err error) {
+	var release func(keep time.Duration)
 	for until := g.Clock.Now().Add(maxUndecided); ; {
 		a, ok := g.Wait(ctx, subjects)
 		if !ok || a.Refused != nil || len(a.Serialized) == 0 {
 			return nil, a.Refused
 		}
-		leave, err = g.acquireAll(a.Serialized, acquire)
-		if err == nil {
+		if release, err = g.acquireAll(a.Serialized, acquire); err == nil {
 			break
 		}
 		if r, _ := quarantine.AsRefused(err); !r.Fingerprint.IsPart() || !g.Clock.Now().Before(until) || !g.Clock.Sleep(ctx, acquireInterval) {
@@ -62,29 +62,38 @@
 		}
 	}
 	if err := g.Admit(subjects).Refused; err != nil { // quarantined while permits were requested
-		leave(true)
+		release(0)
 		return nil, err
 	}
-	return leave, nil
+	return func(decided bool) { release(keepAfter(decided)) }, nil
 }
 
-// Acquire acquires a permit for the run of a suspect. It returns nil if another run is in progress. decided tells
-// whether the outcome of the run is known.
-type Acquire func(f quarantine.Fingerprint) (release func(decided bool))
+// Acquire acquires a permit for the run of a suspect. It returns nil if another run is in progress. keep is how long the
+// permit is still held after its release.
+type Acquire func(f quarantine.Fingerprint) (release func(keep time.Duration))
+
+// keepAfter returns how long the permit of a run that is over is still held. Otherwise further runs would start before
+// the end that it caused is known: where the outcome is known here, the other instances learn of it within SettleTime.
+func keepAfter(decided bool) time.Duration {
+	if decided {
+		return quarantine.SettleTime
+	}
+	return quarantine.EndDetectionTimeout
+}
 
 // acquireAll acquires the permits for all suspects that a request has, or none. It returns an error if another run
 // of one of them is in progress.
-func (g *Gate) acquireAll(suspects []quarantine.Fingerprint, acquire Acquire) (release func(decided bool), err error) {
-	var releases []func(decided bool)
-	release = func(decided bool) {
+func (g *Gate) acquireAll(suspects []quarantine.Fingerprint, acquire Acquire) (release func(keep time.Duration), err error) {
+	var releases []func(keep time.Duration)
+	release = func(keep time.Duration) {
 		for _, r := range releases {
-			r(decided)
+			r(keep)
 		}
 	}
 	for _, f := range suspects {
 		r := acquire(f)
 		if r == nil {
-			release(true)
+			release(0)
 			return nil, g.Table.AnotherRuns(f)
 		}
 		releases = append(releases, r)
--- a/internal/quarantine/gate/gate_test.go
+++ b/internal/quarantine/gate/gate_test.go
@@ -31,7 +31,7 @@
 		time.Sleep(quarantine.SettleTime)
 		time.AfterFunc(100*time.Millisecond, func() { g.Table.ClearSuspect(part, "e3", time.Now()) })
 		began, asked := time.Now(), 0
-		leave, err := g.Enter(context.Background(), []quarantine.Fingerprint{part}, func(quarantine.Fingerprint) func(bool) {
+		leave, err := g.Enter(context.Background(), []quarantine.Fingerprint{part}, func(quarantine.Fingerprint) func(time.Duration) {
 			asked++
 			return nil // the other run holds the permit
 		})
@@ -50,7 +50,7 @@
 		time.Sleep(quarantine.SettleTime)
 		enter := func(subject quarantine.Fingerprint) time.Duration {
 			began := time.Now()
-			_, err := g.Enter(context.Background(), []quarantine.Fingerprint{subject}, func(quarantine.Fingerprint) func(bool) { return nil })
+			_, err := g.Enter(context.Background(), []quarantine.Fingerprint{subject}, func(quarantine.Fingerprint) func(time.Duration) { return nil })
 			_, refused := quarantine.AsRefused(err)
 			is.True(refused)
 			return time.Since(began)
@@ -67,11 +67,11 @@
 		g, _, part := suspectGate(time.Now())
 		time.Sleep(quarantine.SettleTime)
 		free, released := time.Now().Add(120*time.Millisecond), 0
-		leave, err := g.Enter(context.Background(), []quarantine.Fingerprint{part}, func(quarantine.Fingerprint) func(bool) {
+		leave, err := g.Enter(context.Background(), []quarantine.Fingerprint{part}, func(quarantine.Fingerprint) func(time.Duration) {
 			if time.Now().Before(free) {
 				return nil
 			}
-			return func(bool) { released++ }
+			return func(time.Duration) { released++ }
 		})
 		is.NoErr(err)
 		is.True(!time.Now().Before(free))
@@ -92,13 +92,40 @@
 			g.Table.RunInterrupted(quarantine.Run{Endpoint: "e3", Name: "e3", Parts: []string{"p"}}, time.Now())
 			g.Table.EndpointEnded("e3", time.Now())
 		})
-		leave, err := g.Enter(context.Background(), []quarantine.Fingerprint{part}, func(quarantine.Fingerprint) func(bool) {
+		leave, err := g.Enter(context.Background(), []quarantine.Fingerprint{part}, func(quarantine.Fingerprint) func(time.Duration) {
 			if time.Now().Before(ends) {
 				return nil
 			}
-			return func(bool) {}
+			return func(time.Duration) {}
 		})
 		is.True(!time.Now().Before(ends.Add(quarantine.SettleTime)))
 		is.True(err != nil || leave != nil)
 	})
 }
+
+// Guards against a run of a suspect that begins before the end which the run before it caused is known at all instances.
+func TestAPermitIsHeldUntilTheOutcomeOfItsRunIsKnown(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g, f, _ := suspectGate(time.Now())
+		var kept []time.Duration
+		acquire := func(quarantine.Fingerprint) func(time.Duration) {
+			return func(keep time.Duration) { kept = append(kept, keep) }
+		}
+		for _, decided := range []bool{true, false} {
+			leave, err := g.Enter(context.Background(), []quarantine.Fingerprint{f}, acquire)
+			is.NoErr(err)
+			leave(decided)
+		}
+		first := true
+		_, err := g.Enter(context.Background(), []quarantine.Fingerprint{f, f}, func(f quarantine.Fingerprint) func(time.Duration) {
+			if first {
+				first = false
+				return acquire(f)
+			}
+			return nil
+		})
+		is.True(err != nil)
+		is.Equal(kept, []time.Duration{quarantine.SettleTime, quarantine.EndDetectionTimeout, 0}) // the last did not run
+	})
+}
