resume: what an older copy of the store records is no proof of the versions that began streams

What callers saw: after all instances were killed and the store came back from a copy of before a release, streams that clients took up again were answered 200 and ran to their end at another version than the one that began them.

Cause: the record of the versions that may have begun a stream is one key of the store. In a copy from before the release it names the old version only, as do the entries of the endpoints until they are written again, so that an instance that has just started took this for proof that a single version may have begun each stream. Where the copy lacks the record, the first leader wrote the versions that it saw since its own start, and from then on all took these for complete.

Why it works: the key is another one in each era of the store, so that a copy of an earlier era lacks it. A key that is absent says that no stream began before only if the store was never restored; else an instance needs to observe the versions for the life of a stream before it records them. TestRecordChangesWithTheVersions expected a record from an instance that knows nothing of the time before it; it now expects none until that is known.

--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -174,7 +174,7 @@
 			s.rollouts.applyRecord(item)
 		}
 		s.rollouts.markLostRecords(c.items, c.at)
-		s.instance.versionRecorder.ApplyListing(c.items)
+		s.instance.versionRecorder.ApplyListing(c.items, c.at)
 		s.members.replace(c.items, now)
 		s.publishDue = true
 	case watched:
--- a/internal/front/streamversion_test.go
+++ b/internal/front/streamversion_test.go
@@ -70,6 +70,7 @@
 	numbers  []int    // of the events
 	versions []string // of the endpoints that the events came from, each once
 	requests int
+	unnamed  bool // requests for the rest do not name the stream
 	resumed  bool // a request was for the rest of the stream
 	whole    bool
 }
@@ -98,7 +99,9 @@
 	r.Header.Set("Key", "k1")
 	if len(s.numbers) > 0 {
 		r.Header.Set("Last", strconv.Itoa(s.numbers[len(s.numbers)-1]))
-		r.Header.Set("Resumes", s.id)
+		if !s.unnamed {
+			r.Header.Set("Resumes", s.id)
+		}
 		s.resumed = true
 	}
 	s.requests++
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -154,6 +154,9 @@
 	_, changed := v.Record(at(0))
 	is.True(!changed) // nothing observed
 	v.Observe(map[string][]string{"svc": {"v1"}}, at(0))
+	_, changed = v.Record(at(0))
+	is.True(!changed) // other versions may have begun streams before
+	v.NoRecord()
 	r, changed := v.Record(at(0))
 	is.True(changed)
 	is.Equal(r, Recorded{"svc": {"v1"}})
--- a/internal/origin/versions.go
+++ b/internal/origin/versions.go
@@ -113,6 +113,16 @@
 	v.stored = false
 }
 
+// NoRecord notes that the store never held a record, so that no stream began before this fleet started.
+func (v *Versions) NoRecord() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.recorded == nil {
+		v.recorded = make(Recorded)
+	}
+	v.stored = false
+}
+
 // Candidates returns, sorted, the versions of a service that may have begun a stream that can still be
 // resumed. complete is false if others may have, before this instance knew the service.
 func (v *Versions) Candidates(service string, now time.Time) (versions []string, complete bool) {
@@ -141,11 +151,11 @@
 }
 
 // Record returns the versions of all services that the store should hold, and whether that differs from what
-// it holds.
+// it holds. There is nothing to record while it is not known what streams began at before the observation.
 func (v *Versions) Record(now time.Time) (r Recorded, changed bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.since.IsZero() {
+	if v.since.IsZero() || v.recorded == nil && v.recent(now) {
 		return nil, false
 	}
 	v.expire(now)
--- a/internal/resume/record.go
+++ b/internal/resume/record.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/shelfcrank/shelfcrank/internal/duty"
@@ -35,7 +36,22 @@
 	Leader    Leader
 	LeaderKey string // of the leader's lease
 	Store     Writer
-	Key       string // that the versions are written to
+	Key       string // that the versions are written to; one for each era of the store is derived from it
+
+	mu       sync.Mutex
+	era      int64          // of the store; guarded by mu
+	revision store.Revision // of the key; 0 if it is absent; guarded by mu
+}
+
+// key returns the key of the current era and its revision. In a copy of the store from an earlier era, the key is
+// absent: what was recorded there may lack versions that appeared since.
+func (r *Recorder) key() (string, store.Revision) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.era == 0 {
+		return r.Key, r.revision
+	}
+	return fmt.Sprint(r.Key, "-", r.era), r.revision
 }
 
 // Run writes the versions whenever they have changed while this instance leads the fleet, until ctx ends.
@@ -48,51 +64,72 @@
 		if !leads || !r.Directory.Current(now) {
 			continue
 		}
-		if recorded, changed := r.Directory.Versions.Record(now); changed && r.write(ctx, token, recorded) != nil {
+		leader := store.Expect{Key: r.LeaderKey, Revision: token.Fence}
+		if recorded, changed := r.Directory.Versions.Record(now); changed && r.write(ctx, recorded, leader) != nil {
 			pause = recordRetry
 		}
 	}
 	return ctx.Err()
 }
 
-// write writes the versions, unless another instance leads the fleet by now.
-func (r *Recorder) write(ctx context.Context, token duty.Token, recorded origin.Recorded) error {
+// write writes the versions, unless a condition does not hold or another instance has written.
+func (r *Recorder) write(ctx context.Context, recorded origin.Recorded, conditions ...store.Expect) error {
 	value, err := json.Marshal(recorded)
 	if err != nil {
 		return fmt.Errorf("encode versions: %w", err)
 	}
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
-	_, err = r.Store.Do(ctx, store.Txn{
-		Expect: []store.Expect{{Key: r.LeaderKey, Revision: token.Fence}},
-		Put:    []store.Put{{Key: r.Key, Value: value}},
+	key, revision := r.key()
+	at, err := r.Store.Do(ctx, store.Txn{
+		Expect: append(conditions, store.Expect{Key: key, Revision: revision}),
+		Put:    []store.Put{{Key: key, Value: value}},
 	})
 	if err != nil {
 		return fmt.Errorf("record versions: %w", err)
 	}
-	r.Directory.Versions.Restore(recorded)
+	r.restore(recorded, at)
 	return nil
 }
 
-// Apply applies a change of an item, if it is the one with the versions.
-func (r *Recorder) Apply(item store.Item) {
-	if item.Key != r.Key {
+// restore applies what the key holds at a revision, unless a later one is known.
+func (r *Recorder) restore(recorded origin.Recorded, at store.Revision) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if at < r.revision {
 		return
 	}
-	recorded := make(origin.Recorded)
-	if json.Unmarshal(item.Value, &recorded) != nil {
+	r.revision = at
+	if recorded == nil {
 		r.Directory.Versions.RecordLost()
 		return
 	}
 	r.Directory.Versions.Restore(recorded)
 }
 
-// ApplyListing applies a complete listing, which may lack the item.
-func (r *Recorder) ApplyListing(items []store.Item) {
-	i := slices.IndexFunc(items, func(item store.Item) bool { return item.Key == r.Key })
-	if i < 0 {
-		r.Directory.Versions.RecordLost()
+// Apply applies a change of an item, if it is the one with the versions.
+func (r *Recorder) Apply(item store.Item) {
+	if key, _ := r.key(); item.Key != key {
 		return
 	}
-	r.Apply(items[i])
+	var recorded origin.Recorded
+	if json.Unmarshal(item.Value, &recorded) != nil {
+		recorded = nil
+	}
+	r.restore(recorded, item.Revision)
+}
+
+// ApplyListing applies a complete listing at a revision of the store, which may lack the item.
+func (r *Recorder) ApplyListing(items []store.Item, at store.Revision) {
+	r.mu.Lock()
+	r.era, r.revision = at.Era(), 0
+	r.mu.Unlock()
+	key, _ := r.key()
+	if i := slices.IndexFunc(items, func(item store.Item) bool { return item.Key == key }); i >= 0 {
+		r.Apply(items[i])
+	} else if at.Era() == 0 {
+		r.Directory.Versions.NoRecord()
+	} else {
+		r.Directory.Versions.RecordLost()
+	}
 }
--- a/internal/resume/resume_test.go
+++ b/internal/resume/resume_test.go
@@ -313,10 +313,10 @@
 		is.Equal(l.writes(1), []string{`{"svc":["v1","v2"]}`})
 		time.Sleep(10 * time.Second)
 		is.Equal(l.writes(2), []string{`{"svc":["v2"]}`}) // no stream of v1 can be resumed any more
-		r.ApplyListing(nil)                               // the store was restored from a backup without the record
+		r.ApplyListing(nil, 0)                            // the store was restored from a backup without the record
 		time.Sleep(time.Second)
 		is.Equal(len(l.writes(0)), 4)
-		r.ApplyListing([]store.Item{{Key: "versions", Value: []byte(`{"svc":["v2"]}`)}})
+		r.ApplyListing([]store.Item{{Key: "versions", Value: []byte(`{"svc":["v2"]}`)}}, 0)
 		time.Sleep(time.Second)
 		is.Equal(len(l.writes(0)), 4)
 	})
