resume: the holders of the record add versions that appear while no instance leads

What callers saw: a version appeared and left again while the fleet had no leader, then all instances were killed; streams that it had begun were taken up again with 200 at the other version.

Cause: only the leader records versions, and after its loss nobody leads until its lease has ended, 3 s and more. A version that came and went meanwhile stands neither in the record nor in the list of endpoints.

Why it works: an instance that sees a version that is not recorded, and is one of the three holders of the record's key, adds it after 0.5, 1 or 1.5 s, on the condition that nobody wrote since. The leader writes as soon as it observes the version instead of at its next check, and keeps what others recorded for the life of a stream although it did not observe it itself. A version that serves for less than that, and is lost with all instances before, is still open.

--- a/internal/front/rejoin_test.go
+++ b/internal/front/rejoin_test.go
@@ -155,6 +155,15 @@
 		r.gone(0)
 		r.killAll(0)
 	},
+	"a version came and went while no instance led": func(r *release) {
+		r.lose(r.leader())
+		r.appear(1)
+		time.Sleep(1400 * time.Millisecond)
+		r.leave(1)
+		time.Sleep(100 * time.Millisecond)
+		r.gone(1)
+		r.killAll(0)
+	},
 	"the store is away at the start": func(r *release) {
 		r.appear(1)
 		time.Sleep(time.Second)
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -178,3 +178,41 @@
 	_, changed = v.Record(at(17))
 	is.True(changed) // it is written again after a restore of the store
 }
+
+// A version that another instance recorded must not be dropped by a leader that never observed it.
+func TestAVersionThatOnlyOthersObservedStaysRecordedForTheLifeOfAStream(t *testing.T) {
+	is := is.New(t)
+	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
+	v := NewVersions(10 * time.Second)
+	v.Observe(map[string][]string{"svc": {"v1"}}, at(0))
+	v.Restore(Recorded{"svc": {"v1"}})
+	r, since := v.Unrecorded(at(20))
+	is.Equal(r, Recorded{"svc": {"v1"}})
+	is.True(since.IsZero())
+	v.Restore(Recorded{"svc": {"v1", "v2"}})
+	_, changed := v.Record(at(20))
+	is.True(!changed)
+	_, changed = v.Record(at(29))
+	is.True(!changed)
+	r, changed = v.Record(at(30))
+	is.True(changed)
+	is.Equal(r, Recorded{"svc": {"v1"}})
+}
+
+func TestUnrecordedVersionsAreKnownSinceTheyWereFirstMissed(t *testing.T) {
+	is := is.New(t)
+	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
+	v := NewVersions(10 * time.Second)
+	v.Observe(map[string][]string{"svc": {"v1"}}, at(0))
+	_, since := v.Unrecorded(at(1))
+	is.True(since.IsZero()) // what is recorded is not known
+	v.Restore(Recorded{"svc": {"v1"}, "gone": {"v7"}})
+	v.Observe(map[string][]string{"svc": {"v1", "v2"}}, at(20))
+	v.Unrecorded(at(20))
+	r, since := v.Unrecorded(at(22))
+	is.Equal(r, Recorded{"svc": {"v1", "v2"}, "gone": {"v7"}})
+	is.Equal(since, at(20))
+	v.Restore(r)
+	_, since = v.Unrecorded(at(23))
+	is.True(since.IsZero())
+}
--- a/internal/origin/versions.go
+++ b/internal/origin/versions.go
@@ -17,6 +17,7 @@
 	ended    map[string]map[string]time.Time // when versions were last known to serve, by service and version; guarded by mu
 	recorded Recorded                        // what earlier instances saw; nil if not known; guarded by mu
 	stored   bool                            // the store holds recorded; guarded by mu
+	missing  time.Time                       // since when recorded lacks a version that serves; zero if it does not; guarded by mu
 }
 
 // Knowledge is what instances know of the versions of a service that may have begun a stream without a record.
@@ -123,6 +124,32 @@
 	v.stored = false
 }
 
+// Unrecorded returns what is recorded together with the versions that serve, and since when it has been known
+// that these are not all recorded: zero if they are, or if it is not known what is recorded.
+func (v *Versions) Unrecorded(now time.Time) (r Recorded, since time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.recorded == nil {
+		return nil, time.Time{}
+	}
+	r = maps.Clone(v.recorded)
+	lacks := false
+	for service, versions := range v.serving {
+		all := slices.Concat(r[service], versions)
+		slices.Sort(all)
+		all = slices.Compact(all)
+		lacks = lacks || len(all) > len(r[service])
+		r[service] = all
+	}
+	switch {
+	case !lacks:
+		v.missing = time.Time{}
+	case v.missing.IsZero():
+		v.missing = now
+	}
+	return r, v.missing
+}
+
 // Candidates returns, sorted, the versions of a service that may have begun a stream that can still be
 // resumed. complete is false if others may have, before this instance knew the service.
 func (v *Versions) Candidates(service string, now time.Time) (versions []string, complete bool) {
@@ -158,6 +185,7 @@
 	if v.since.IsZero() || v.recorded == nil && v.recent(now) {
 		return nil, false
 	}
+	v.adopt(now)
 	v.expire(now)
 	r = make(Recorded)
 	for _, names := range []map[string]bool{keysOf(v.serving), keysOf(v.ended), keysOf(v.recorded)} {
@@ -170,6 +198,17 @@
 	return r, !v.stored || !maps.EqualFunc(r, v.recorded, slices.Equal)
 }
 
+// adopt counts versions that only others observed and recorded as ended now. The caller holds v.mu.
+func (v *Versions) adopt(now time.Time) {
+	for service, versions := range v.recorded {
+		for _, version := range versions {
+			if _, ended := v.ended[service][version]; !ended && !slices.Contains(v.serving[service], version) {
+				v.end(service, version, now)
+			}
+		}
+	}
+}
+
 // expire forgets versions that ended so long ago that no stream of theirs can be resumed. The caller holds
 // v.mu.
 func (v *Versions) expire(now time.Time) {
--- a/internal/resume/record.go
+++ b/internal/resume/record.go
@@ -11,6 +11,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/duty"
 	"github.com/shelfcrank/shelfcrank/internal/origin"
 	"github.com/shelfcrank/shelfcrank/internal/store"
+	"github.com/shelfcrank/shelfcrank/internal/topology"
 )
 
 const (
@@ -30,7 +31,8 @@
 }
 
 // Recorder keeps the versions that may have begun a stream in the store, for instances that start after all
-// others have been stopped at once.
+// others have been stopped at once. The leader writes them; while there is none, the holders of the key add
+// versions that appear.
 type Recorder struct {
 	Directory *Directory
 	Leader    Leader
@@ -54,22 +56,42 @@
 	return fmt.Sprint(r.Key, "-", r.era), r.revision
 }
 
-// Run writes the versions whenever they have changed while this instance leads the fleet, until ctx ends.
+// Run writes the versions whenever they have changed, until ctx ends.
 func (r *Recorder) Run(ctx context.Context) error {
 	pause := recordInterval
-	for r.Directory.Clock.Sleep(ctx, pause) {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-r.Directory.Clock.After(pause):
+		case <-r.Directory.appeared:
+		}
 		pause = recordInterval
 		now := r.Directory.Clock.Now()
-		token, _, leads := r.Leader.Token(now)
-		if !leads || !r.Directory.Current(now) {
+		if !r.Directory.Current(now) {
 			continue
 		}
-		leader := store.Expect{Key: r.LeaderKey, Revision: token.Fence}
-		if recorded, changed := r.Directory.Versions.Record(now); changed && r.write(ctx, recorded, leader) != nil {
+		if token, _, leads := r.Leader.Token(now); leads {
+			leader := store.Expect{Key: r.LeaderKey, Revision: token.Fence}
+			if recorded, changed := r.Directory.Versions.Record(now); changed && r.write(ctx, recorded, leader) != nil {
+				pause = recordRetry
+			}
+		} else if recorded, due := r.addition(now); due && r.write(ctx, recorded) != nil {
 			pause = recordRetry
 		}
 	}
-	return ctx.Err()
+}
+
+// addition returns what to record for a leader that has not done so in time: each holder of the key waits for
+// the ones before it.
+func (r *Recorder) addition(now time.Time) (recorded origin.Recorded, due bool) {
+	recorded, since := r.Directory.Versions.Unrecorded(now)
+	if since.IsZero() {
+		return nil, false
+	}
+	holders := origin.Holders(r.Key, r.Directory.instances())
+	turn := slices.IndexFunc(holders, func(m topology.Member) bool { return m.Name == r.Directory.Self.Name })
+	return recorded, turn >= 0 && now.Sub(since) >= time.Duration(turn+1)*recordInterval
 }
 
 // write writes the versions, unless a condition does not hold or another instance has written.
--- a/internal/resume/resume.go
+++ b/internal/resume/resume.go
@@ -66,6 +66,7 @@
 	held     *origin.Table   // of others
 	known    map[string]bool // instances at the last call of Maintain
 	listed   listing
+	appeared chan struct{} // signals that a version serves that may not be recorded; capacity 1
 
 	mu      sync.Mutex
 	queued  []origin.Record // to be sent to their holders; guarded by mu
@@ -77,7 +78,7 @@
 	o.Most, o.Life = cmp.Or(o.Most, defaultMost), cmp.Or(o.Life, defaultLife)
 	return &Directory{
 		Options: o, Versions: origin.NewVersions(o.Life), own: origin.NewTable(o.Most), held: origin.NewTable(o.Most),
-		sendDue: make(chan struct{}, 1), listed: listing{reading: make(chan struct{}, 1)},
+		sendDue: make(chan struct{}, 1), appeared: make(chan struct{}, 1), listed: listing{reading: make(chan struct{}, 1)},
 	}
 }
 
@@ -97,6 +98,9 @@
 // that began while their service had one version are sent to the holders once it has several.
 func (d *Directory) Observe(serving map[string][]string, now time.Time) {
 	split := d.Versions.Observe(serving, now)
+	if _, since := d.Versions.Unrecorded(now); !since.IsZero() {
+		signal(d.appeared)
+	}
 	if len(split) == 0 {
 		return
 	}
@@ -142,8 +146,13 @@
 	d.mu.Lock()
 	d.queued = append(d.queued[max(0, len(d.queued)+1-maxQueued):], r)
 	d.mu.Unlock()
+	signal(d.sendDue)
+}
+
+// signal sends to a channel of capacity 1 that may have a value already.
+func signal(to chan<- struct{}) {
 	select {
-	case d.sendDue <- struct{}{}:
+	case to <- struct{}{}:
 	default:
 	}
 }
