resume: records of streams outlive all instances in the store

Cause: the records of where streams began are in the memory of instances only.

Change: while several versions may have begun a stream, its record is also sent to an archiver, one instance of a fleet of up to 63 and one for each further 64, which writes what it got to the store every 50 ms or more seldom: the digests of the ids by service and version, under a lease that lasts for the life of a stream. The archivers together make at most a tenth of the writes that the store accepts. An instance that is asked for a stream that nobody has a record of, and of which several versions may have begun it, has the archivers look it up; each reads the batches once for all that wait, and reads itself only if nobody answers. Nothing is read at the start, so that the time to ready is unchanged. A batch only ever tells that a stream began at a version; what is not there is refused as before, so that a batch that is lost, late, or missing in a restored copy cannot join two versions. A digest with two places counts as unknown.

Evidence: TestStreamsGoOnAtTheirVersionAfterAllInstancesWereStopped, two versions, 9 and 22 instances: 0 streams went on before; 275 of 284, 291 of 293 and 291 of 305 go on at 9 instances, 274, 291 and 291 at 22. Those lost began less than 60 ms before the kill. TestNothingIsWrittenOfStreamsWhileOneVersionServes guards the cost with one version. TestStreamsOfUnknownVersionAreRefusedAtOnceAfterAllInstancesWereStopped now plays clients that do not name the stream, as those that do are known.

--- a/internal/front/streamversion_test.go
+++ b/internal/front/streamversion_test.go
@@ -24,6 +24,8 @@
 	eventInterval = 25 * time.Millisecond
 	streamTimeout = 6 * time.Second
 	minGoesOn     = 0.95 // share of resumed streams that complete, relative to the share of new streams that begin
+	// minGoesOnAfterRestart is the same after all instances were stopped at once.
+	minGoesOnAfterRestart = 0.9
 )
 
 // withVersions gives the cluster one endpoint for each software version listed, and a route of streams
@@ -322,12 +324,53 @@
 	}
 }
 
+// goOnAfterRestart has clients begin streams for a time, restarts all instances, and returns how many of the streams
+// that broke off went on, as their clients named them.
+func goOnAfterRestart(is *is.I, w *testCluster, during time.Duration) (completed, of int) {
+	names, started := runningNames(w), make(chan struct{})
+	wait := w.streams(int(during/(3*time.Millisecond)), names, func(s *clientStream) string {
+		<-started
+		if len(s.numbers) == 0 {
+			return ""
+		}
+		return names[len(s.id)*len(s.numbers)%len(names)]
+	})
+	time.Sleep(during)
+	w.restartAll(started)
+	return checkStreams(is, wait(), func(s *clientStream) bool { return s.resumed })
+}
+
+func TestStreamsGoOnAtTheirVersionAfterAllInstancesWereStopped(t *testing.T) {
+	for _, instances := range fleets(9, largeFleet) {
+		for _, during := range []time.Duration{875 * time.Millisecond, 900 * time.Millisecond, 938 * time.Millisecond} {
+			runCluster(t, instances, func(is *is.I, w *testCluster) {
+				time.Sleep(2 * time.Second)
+				completed, of := goOnAfterRestart(is, w, during)
+				t.Logf("%d instances, %v: %d of %d streams that broke off went on", instances, during, completed, of)
+				is.True(of > 100)
+				is.True(float64(completed) >= minGoesOnAfterRestart*float64(of))
+			}, withVersions(twoVersions...), func(w *testCluster) { w.halls, w.moreRetries = 3, 1000 })
+		}
+	}
+}
+
+func TestNothingIsWrittenOfStreamsWhileOneVersionServes(t *testing.T) {
+	runCluster(t, 9, func(is *is.I, w *testCluster) {
+		time.Sleep(2 * time.Second)
+		goOnAfterRestart(is, w, 300*time.Millisecond)
+		items, _, err := w.store.Client("test").Range(context.Background(), testPlatform{}.OwnPrefix()+"streams/")
+		is.NoErr(err)
+		is.Equal(len(items), 0)
+	}, withVersions("v1", "v1", "v1", "v1", "v1", "v1"))
+}
+
 func TestStreamsOfUnknownVersionAreRefusedAtOnceAfterAllInstancesWereStopped(t *testing.T) {
 	runCluster(t, 9, func(is *is.I, w *testCluster) {
 		time.Sleep(2 * time.Second)
 		names, started := runningNames(w), make(chan struct{})
 		wait := w.streams(60, names, func(s *clientStream) string {
 			<-started
+			s.unnamed = true
 			sent := time.Now()
 			if status := s.request(w, names[len(s.numbers)%len(names)]); status != http.StatusServiceUnavailable {
 				w.t.Errorf("stream %s: status %d", s.id, status)
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -10,6 +10,7 @@
 package origin
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -109,24 +110,21 @@
 // maxHolders is the number of instances that hold the record of a stream beside the one that begins it.
 const maxHolders = 3
 
+// rank returns the instances in an order of preference for a key, the same one whatever the order of the input.
+func rank(of string, instances []topology.Member) []topology.Member {
+	key := rendezvous.Hash(of)
+	order := slices.Clone(instances)
+	score := func(m topology.Member) uint64 { return rendezvous.Score(key, m.Name) }
+	slices.SortFunc(order, func(a, b topology.Member) int { return cmp.Compare(score(b), score(a)) })
+	return order
+}
+
 // Holders returns the instances that hold the record of a stream, of different halls if there are
 // enough. All that know the same instances choose the same ones.
 func Holders(stream string, instances []topology.Member) []topology.Member {
-	key := rendezvous.Hash(stream)
-	order := slices.Clone(instances)
-	score := func(m topology.Member) uint64 { return rendezvous.Score(key, m.Name) }
-	slices.SortFunc(order, func(a, b topology.Member) int {
-		if x, y := score(a), score(b); x != y {
-			if x > y {
-				return -1
-			}
-			return 1
-		}
-		return 0
-	})
 	halls := make(map[string]bool)
 	var first, more []topology.Member
-	for _, m := range order {
+	for _, m := range rank(stream, instances) {
 		if len(first) == maxHolders {
 			break
 		}
--- a/internal/origin/versions.go
+++ b/internal/origin/versions.go
@@ -57,6 +57,13 @@
 	v.life = max(v.life, life)
 }
 
+// Life returns for how long streams can be resumed after their first request.
+func (v *Versions) Life() time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.life
+}
+
 // Observe applies the versions, by service, of all endpoints that accept requests. It returns the services
 // that now have several versions and had one.
 func (v *Versions) Observe(serving map[string][]string, now time.Time) (split []string) {
--- /dev/null
+++ b/internal/resume/archive_test.go
@@ -0,0 +1,173 @@
+package resume
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shelfcrank/shelfcrank/internal/origin"
+	"github.com/shelfcrank/shelfcrank/internal/storetest"
+	"github.com/shelfcrank/shelfcrank/internal/topology"
+	"github.com/shelfcrank/shelfcrank/internal/virtual"
+)
+
+// withStore gives the directories of a fleet a store, and restarts them all.
+func (f *fleet) withStore(s *storetest.Store) (restartAll func(versions ...string)) {
+	var stop context.CancelFunc
+	restartAll = func(versions ...string) {
+		if stop != nil {
+			stop()
+		}
+		var ctx context.Context
+		ctx, stop = context.WithCancel(context.Background())
+		for i := range f.members {
+			d := f.start(i)
+			d.Store, d.Prefix, d.WritesPerSecond = s.Client(d.Self.Name), "own/", 400
+			d.archive = newArchive(d.Options)
+			d.Versions.Restore(origin.Recorded{"svc": versions})
+			d.Observe(map[string][]string{"svc": versions}, time.Now())
+			go func() { _ = d.Run(ctx) }()
+		}
+	}
+	f.stop()
+	f.stop = func() { stop() }
+	return restartAll
+}
+
+func TestStreamsAreFoundInTheStoreAfterAllInstancesWereLost(t *testing.T) {
+	for _, size := range []int{1, 9, 24} {
+		virtual.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			s := storetest.New()
+			f := newFleet(size, 3, "v1", "v2")
+			restartAll := f.withStore(s)
+			defer func() { f.stop() }()
+			restartAll("v1", "v2")
+			for i := range 40 {
+				f.begin(fmt.Sprint("n", i%size), fmt.Sprint("s", i), []string{"v1", "v2"}[i%2])
+			}
+			time.Sleep(200 * time.Millisecond)
+			restartAll("v1", "v2")
+			before := s.Calls()
+			for i := range 40 {
+				found := f.find(fmt.Sprint("n", (i+1)%size), fmt.Sprint("s", i))
+				is.True(found.Known())
+				is.Equal(found.Version, []string{"v1", "v2"}[i%2])
+			}
+			is.Equal(f.find("n0", "unheard").Source, Unknown)
+			is.Equal(f.find("n0", "").Source, Unknown)
+			is.True(s.Calls()-before <= 4) // the archivers read once, and again for the one that is not found
+			time.Sleep(time.Minute)
+			items, _, err := s.Client("test").Range(context.Background(), "own/streams/")
+			is.NoErr(err)
+			is.Equal(len(items), 0) // they end with their leases
+		})
+	}
+}
+
+// What the store did not take, or holds late, is refused until it is there.
+func TestBatchesAreWrittenAgainAfterTheStoreWasAway(t *testing.T) {
+	for name, faults := range map[string]storetest.Faults{
+		"refused": {Refuse: true}, "away": {Down: true}, "answer lost": {LoseNext: 1}, "done late": {LoseNext: 1, LateBy: 2 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			virtual.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := storetest.New()
+				f := newFleet(9, 3, "v1", "v2")
+				restartAll := f.withStore(s)
+				defer func() { f.stop() }()
+				restartAll("v1", "v2")
+				for i := range f.members {
+					s.SetFaults(f.members[i].Name, faults)
+				}
+				f.begin("n0", "s0", "v2")
+				time.Sleep(2 * time.Second)
+				for i := range f.members {
+					s.SetFaults(f.members[i].Name, storetest.Faults{})
+				}
+				time.Sleep(5 * time.Second)
+				restartAll("v1", "v2")
+				found := f.find("n3", "s0")
+				is.True(found.Known())
+				is.Equal(found.Version, "v2")
+			})
+		})
+	}
+}
+
+func TestAnArchiverThatIsLostIsReplacedByTheInstanceThatBeganTheStream(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := storetest.New()
+		f := newFleet(9, 3, "v1", "v2")
+		restartAll := f.withStore(s)
+		defer func() { f.stop() }()
+		restartAll("v1", "v2")
+		archiver := origin.NewArchivers(f.members).Of("s0")[0].Name
+		f.setDown(archiver)
+		began := "n0"
+		if began == archiver {
+			began = "n1"
+		}
+		f.begin(began, "s0", "v2")
+		time.Sleep(time.Second)
+		restartAll("v1", "v2")
+		found := f.find(began, "s0")
+		is.True(found.Known())
+		is.Equal(found.Version, "v2")
+	})
+}
+
+func TestWaitersShareAReadOfTheStore(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := storetest.New()
+		f := newFleet(9, 3, "v1", "v2")
+		restartAll := f.withStore(s)
+		defer func() { f.stop() }()
+		restartAll("v1", "v2")
+		before := s.Calls()
+		var all sync.WaitGroup
+		for i := range 200 {
+			all.Go(func() { is.Equal(f.find(fmt.Sprint("n", i%9), fmt.Sprint("s", i)).Source, Unknown) })
+		}
+		all.Wait()
+		is.True(s.Calls()-before <= 2) // one of each archiver
+	})
+}
+
+func TestNothingIsWrittenWhileOneVersionServes(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := storetest.New()
+		f := newFleet(9, 3, "v1")
+		restartAll := f.withStore(s)
+		defer func() { f.stop() }()
+		restartAll("v1")
+		for i := range 50 {
+			f.begin(fmt.Sprint("n", i%9), fmt.Sprint("s", i), "v1")
+		}
+		time.Sleep(30 * time.Second)
+		is.Equal(s.Calls(), 0)
+	})
+}
+
+func TestWritesStayWithinTheirShareOfWhatTheStoreAccepts(t *testing.T) {
+	is := is.New(t)
+	a := newArchive(Options{WritesPerSecond: 400})
+	for _, size := range []int{1, 9, 330, 986} {
+		members := make([]topology.Member, size)
+		for i := range members {
+			members[i].Name = fmt.Sprint("n", i)
+		}
+		writers := origin.NewArchivers(members).Writers()
+		rate := float64(writers) / a.interval(writers).Seconds()
+		t.Logf("%d instances: %d write, every %v, %.0f a second together", size, writers, a.interval(writers), rate)
+		is.True(rate <= archiveWriteShare*400)
+	}
+}
--- a/internal/resume/resume.go
+++ b/internal/resume/resume.go
@@ -56,6 +56,10 @@
 	Most  int           // records that are kept of own streams, and as many of others'; 0 is 32,768
 	Life  time.Duration // from the first request of a stream until the last one that resumes it, at least; 0 is 10 s
 	Clock *clock.Clock  // may be nil
+
+	Store           Store   // holds what has to outlive all instances; nil for nothing
+	Prefix          string  // of the keys that are written
+	WritesPerSecond float64 // that the store accepts from all instances together; 0 if unknown
 }
 
 // Directory keeps and finds the records of streams.
@@ -66,10 +70,13 @@
 	held     *origin.Table   // of others
 	known    map[string]bool // instances at the last call of Maintain
 	listed   listing
+	archive  *archive
+	ranked   archiversOf
 	appeared chan struct{} // signals that a version serves that may not be recorded; capacity 1
 
 	mu      sync.Mutex
 	queued  []origin.Record // to be sent to their holders; guarded by mu
+	toStore []origin.Record // to be sent to their archivers; guarded by mu
 	sendDue chan struct{}   // signals Run; capacity 1
 }
 
@@ -78,7 +85,7 @@
 	o.Most, o.Life = cmp.Or(o.Most, defaultMost), cmp.Or(o.Life, defaultLife)
 	return &Directory{
 		Options: o, Versions: origin.NewVersions(o.Life), own: origin.NewTable(o.Most), held: origin.NewTable(o.Most),
-		sendDue: make(chan struct{}, 1), appeared: make(chan struct{}, 1), listed: listing{reading: make(chan struct{}, 1)},
+		sendDue: make(chan struct{}, 1), appeared: make(chan struct{}, 1), listed: listing{reading: make(chan struct{}, 1)}, archive: newArchive(o),
 	}
 }
 
@@ -141,10 +148,11 @@
 	return len(versions) > 1 || !complete
 }
 
-// send queues a record for its holders. Beyond maxQueued, the oldest records are dropped.
+// send queues a record for its holders and its archiver. Beyond maxQueued, the oldest records are dropped.
 func (d *Directory) send(r origin.Record) {
 	d.mu.Lock()
 	d.queued = append(d.queued[max(0, len(d.queued)+1-maxQueued):], r)
+	d.toStore = append(d.toStore[max(0, len(d.toStore)+1-maxQueued):], r)
 	d.mu.Unlock()
 	signal(d.sendDue)
 }
@@ -161,6 +169,9 @@
 func (d *Directory) Run(ctx context.Context) error {
 	var calls sync.WaitGroup
 	defer calls.Wait()
+	if d.Store != nil {
+		calls.Go(func() { d.archive.run(ctx, d) })
+	}
 	var retry <-chan time.Time // for records that no holder was known for
 	for {
 		select {
@@ -173,7 +184,7 @@
 			}
 		}
 		now := d.Clock.Now()
-		batches, waiting := d.batches(now)
+		batches, unreached, waiting := d.batches(now)
 		retry = nil
 		if waiting {
 			retry = d.Clock.After(retryInterval)
@@ -182,28 +193,44 @@
 			m := &peerpb.Origins{Origins: lo.Map(records, func(r origin.Record, _ int) *peerpb.Origin { return encode(r, now) })}
 			calls.Go(func() {
 				// A record that is lost has further holders.
-				_, _ = d.call(ctx, holder, &peerpb.Call{Body: &peerpb.Call_Origins{Origins: m}}, sendTimeout)
+				if _, err := d.call(ctx, holder, &peerpb.Call{Body: &peerpb.Call_Origins{Origins: m}}, sendTimeout); err != nil {
+					for _, r := range unreached[holder] {
+						d.archive.add(r)
+					}
+				}
 			})
 		}
 	}
 }
 
-// batches returns the queued records by the addresses of their holders. Those without a holder, as this instance
-// does not know the others yet, stay queued; waiting reports whether there are any.
-func (d *Directory) batches(now time.Time) (out map[netip.AddrPort][]origin.Record, waiting bool) {
+// batches returns the queued records by the addresses of their holders and archivers, and by the address of the
+// archiver those that this instance writes to the store if that one is not reached. Records without a holder, as
+// this instance does not know the others yet, stay queued; waiting reports whether there are any.
+func (d *Directory) batches(now time.Time) (out, unreached map[netip.AddrPort][]origin.Record, waiting bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	all := d.instances()
-	out = make(map[netip.AddrPort][]origin.Record)
+	out, unreached = make(map[netip.AddrPort][]origin.Record), make(map[netip.AddrPort][]origin.Record)
+	for _, r := range d.toStore {
+		archiver, self := d.writesFor(r.Stream, now)
+		if self {
+			d.archive.add(r)
+			continue
+		}
+		out[archiver.Addr] = append(out[archiver.Addr], r)
+		unreached[archiver.Addr] = append(unreached[archiver.Addr], r)
+	}
+	d.toStore = nil
 	d.queued = slices.DeleteFunc(d.queued, func(r origin.Record) bool {
+		archiver, _ := d.writesFor(r.Stream, now)
 		for _, m := range origin.Holders(r.Stream, all) {
-			if m.Name != d.Self.Name {
+			if m.Name != d.Self.Name && m.Name != archiver.Name {
 				out[m.Addr] = append(out[m.Addr], r)
 			}
 		}
 		return len(all) > 1 || !now.Before(r.Until)
 	})
-	return out, len(d.queued) > 0
+	return out, unreached, len(d.queued) > 0
 }
 
 func (d *Directory) call(ctx context.Context, addr netip.AddrPort, call *peerpb.Call, timeout time.Duration) (*peerpb.Answer, error) {
@@ -216,19 +243,29 @@
 func (d *Directory) ServeOrigins(m *peerpb.Origins) *peerpb.Answer {
 	now := d.Clock.Now()
 	for _, o := range m.Origins {
-		d.held.Put(decode(o, now))
+		r := decode(o, now)
+		d.held.Put(r)
+		if _, self := d.writesFor(r.Stream, now); self {
+			d.archive.add(r)
+		}
 	}
 	return &peerpb.Answer{Body: &peerpb.Answer_Done{Done: &peerpb.Done{}}}
 }
 
 // ServeFind answers another instance at which a client resumes a stream.
-func (d *Directory) ServeFind(m *peerpb.FindOrigin) *peerpb.Answer {
+func (d *Directory) ServeFind(ctx context.Context, m *peerpb.FindOrigin) *peerpb.Answer {
 	now := d.Clock.Now()
 	a := &peerpb.OriginAnswer{}
-	if r, ok := d.get(m.Stream, now); ok {
-		a.Origin = encode(r, now)
-	} else {
+	r, ok := d.get(m.Stream, now)
+	if !ok {
 		a.Versions, a.Complete = d.candidates(m.Service, now)
+		k := origin.Knowledge{Versions: a.Versions, Complete: a.Complete}
+		if _, single := k.OnlyVersion(); !single && d.archives(m.Stream, now) {
+			r, ok = d.archived(ctx, m.Stream, now)
+		}
+	}
+	if ok {
+		a = &peerpb.OriginAnswer{Origin: encode(r, now)}
 	}
 	return &peerpb.Answer{Body: &peerpb.Answer_Origin{Origin: a}}
 }
@@ -263,6 +300,7 @@
 const (
 	Own         Source = "own record"
 	Peer        Source = "record of another instance"
+	Archived    Source = "record in the store"
 	OnlyVersion Source = "only version of the service"
 	Unknown     Source = "unknown"
 )
@@ -300,28 +338,32 @@
 		}
 		known = known.With(origin.Knowledge{Versions: a.Versions, Complete: a.Complete})
 	}
-	if f.Answers == 0 && len(d.Others()) > 0 {
+	alone := f.Answers == 0 && len(d.Others()) > 0
+	if alone {
 		// Others may know a version that this instance does not know yet.
 		list, err := d.listed.since(ctx, now, d)
-		if err != nil {
-			f.Versions = known.Versions
-			return f
-		}
 		known = known.With(origin.Knowledge{Versions: list[service]})
+		known.Complete = known.Complete && err == nil
 	}
 	f.Versions = known.Versions
 	if version, ok := known.OnlyVersion(); ok {
 		f.Version, f.Source = version, OnlyVersion
+		return f
+	}
+	if alone || d.archives(stream, now) {
+		if r, ok := d.archived(ctx, stream, now); ok {
+			f.Record, f.Source = r, Archived
+		}
 	}
 	return f
 }
 
-// ask asks other instances where a stream began: all of a small fleet, else the holders. It sends the answers
+// ask asks other instances where a stream began: all of a small fleet, else the holders and the archivers. It sends the answers
 // that come in time and closes the channel after the last one, or once a record is found.
 func (d *Directory) ask(ctx context.Context, stream, service string, timeout time.Duration) <-chan *peerpb.OriginAnswer {
 	others := d.Others()
 	if len(others) >= topology.SmallFleet {
-		others = origin.Holders(stream, d.instances())
+		others = lo.Uniq(append(origin.Holders(stream, d.instances()), d.archivers(d.Clock.Now()).Of(stream)...))
 	}
 	answers := make(chan *peerpb.OriginAnswer, len(others))
 	var calls sync.WaitGroup
--- a/internal/resume/resume_test.go
+++ b/internal/resume/resume_test.go
@@ -49,7 +49,7 @@
 	if o := call.GetOrigins(); o != nil {
 		return d.ServeOrigins(o), ctx.Err()
 	}
-	return d.ServeFind(call.GetFindOrigin()), ctx.Err()
+	return d.ServeFind(ctx, call.GetFindOrigin()), ctx.Err()
 }
 
 // newFleet returns directories that have observed a service for longer than a stream lives.
