origin: the model explores kills of all instances, restores and outages of the store, and lost batches

The exploration could lose all instances only one by one, which takes three of its eight steps, so that it reached neither the record that the first leader after a start writes from its own observation alone, nor a copy of the store from before the release. Both joined streams of two versions.

Planted faults that are found besides the three of before: the record of an earlier era taken for complete (7 steps), an instance that has just started records what it observes (7 steps), a batch with the version of an endpoint that the request left before the first event (5 steps).

--- a/internal/origin/model_test.go
+++ b/internal/origin/model_test.go
@@ -16,7 +16,9 @@
 //
 // Two things are taken for granted, as the delays that they need are stated in docs/design/stream-versions.md:
 // an instance is not lost before it has sent the record of a stream that began at a version which another
-// instance does not know yet, and a version serves until the leader has recorded it.
+// instance does not know yet, unless all are lost, and a version serves until the leader has recorded it.
+//
+// The store may be restored once, from a copy from before the release, and may be away.
 
 const (
 	modelInstances = 3
@@ -39,31 +41,51 @@
 type model struct {
 	life     time.Duration
 	resume   func(k Knowledge) (version string, ok bool)
+	plant    string
 	now      time.Time
 	serving  []string
+	listed   []string // versions in the store's list of endpoints
+	away     bool     // the store
+	restored bool
 	recorded Recorded
 	all      [modelInstances]*modelInstance
 	begun    Record // zero before
+	inFlight bool   // the batch with the stream
+	archive  *Archive
 }
 
+// The faults of the product that a model may have.
+const (
+	plantEarlierEra = "what an earlier era recorded is taken for complete"
+	plantIncomplete = "an instance that has just started records what it observes"
+	plantDispatch   = "a batch names the endpoint that the request left before the first event"
+)
+
 const modelStream, modelService = "s", "svc"
 
 func (m *model) observed() map[string][]string {
-	return map[string][]string{modelService: slices.Clone(m.serving)}
+	return map[string][]string{modelService: slices.Clone(m.listed)}
 }
 
 func (m *model) start(i int) {
 	x := &modelInstance{alive: true, current: true, own: NewTable(8), held: NewTable(8), versions: NewVersions(m.life)}
+	m.all[i] = x
+	if !m.away {
+		m.read(x)
+	}
+}
+
+// read has an instance read the store.
+func (m *model) read(x *modelInstance) {
 	if m.recorded != nil {
 		x.versions.Restore(m.recorded)
 	}
-	x.versions.Observe(m.observed(), m.now)
-	m.all[i] = x
+	m.observe(x)
 }
 
 // newModel returns a fleet that has run for long with one version.
-func newModel(life time.Duration, resume func(Knowledge) (string, bool)) *model {
-	m := &model{life: life, resume: resume, now: start, serving: []string{"v1"}}
+func newModel(life time.Duration, resume func(Knowledge) (string, bool), plant string) *model {
+	m := &model{life: life, resume: resume, plant: plant, now: start, serving: []string{"v1"}, listed: []string{"v1"}, archive: NewArchive(8)}
 	for i := range m.all {
 		m.start(i)
 	}
@@ -74,14 +96,21 @@
 
 // record has the leader, which is the first instance that reaches the store, record the versions.
 func (m *model) record() {
+	if m.away {
+		return
+	}
 	for _, x := range m.all {
 		if x.alive && !x.cut {
-			m.recorded, _ = x.versions.Record(m.now)
+			if r, changed := x.versions.Record(m.now); changed {
+				m.recorded = r
+			} else if m.recorded == nil && m.plant == plantIncomplete {
+				m.recorded = m.observed()
+			}
 			break
 		}
 	}
 	for _, x := range m.all {
-		if x.alive && !x.cut {
+		if x.alive && !x.cut && m.recorded != nil {
 			x.versions.Restore(m.recorded)
 		}
 	}
@@ -108,17 +137,18 @@
 // steps returns what may happen next.
 func (m *model) steps() []string {
 	out := []string{"tick"}
-	if m.recorded != nil {
-		out = append(out, "lose record")
+	alive := slices.ContainsFunc(m.all[:], func(x *modelInstance) bool { return x.alive })
+	if alive {
+		out = append(out, "kill all")
 	}
-	if len(m.serving) == 1 && m.serving[0] == "v1" {
-		out = append(out, "appear")
+	if m.inFlight {
+		out = append(out, "lose batch")
 	}
-	if len(m.serving) == 2 {
-		out = append(out, "end v1")
-		if slices.Contains(m.recorded[modelService], "v2") {
-			out = append(out, "end v2")
-		}
+	if m.away {
+		out = append(out, "store back")
+	} else {
+		out = append(out, "store away")
+		out = append(out, m.storeSteps()...)
 	}
 	for i, x := range m.all {
 		add := func(step string) { out = append(out, fmt.Sprint(step, i)) }
@@ -136,7 +166,7 @@
 		if m.losable(i) {
 			add("cut ")
 		}
-		if !slices.Equal(x.versions.serving[modelService], m.serving) {
+		if !m.away && !slices.Equal(x.versions.serving[modelService], m.listed) {
 			add("observe ")
 		}
 		if x.queued {
@@ -153,44 +183,114 @@
 	return out
 }
 
+// storeSteps returns what may happen next in the store.
+func (m *model) storeSteps() (out []string) {
+	if m.recorded != nil {
+		out = append(out, "lose record")
+	}
+	if !m.restored {
+		out = append(out, "restore store")
+	}
+	if m.inFlight {
+		out = append(out, "write batch")
+	}
+	if !slices.Equal(m.listed, m.serving) {
+		return append(out, "list again")
+	}
+	if len(m.serving) == 1 && m.serving[0] == "v1" {
+		out = append(out, "appear")
+	}
+	if len(m.serving) == 2 {
+		out = append(out, "end v1")
+		if slices.Contains(m.recorded[modelService], "v2") {
+			out = append(out, "end v2")
+		}
+	}
+	return out
+}
+
 func (m *model) apply(step string) {
 	words := strings.Fields(step)
 	i := int(step[len(step)-1] - '0') // of the instance, if the step names one
 	switch words[0] {
 	case "tick":
 		m.now = m.now.Add(modelTick)
+		if !m.away {
+			m.listed = m.serving // endpoints write their entries again within a tick
+		}
 		for _, x := range m.all {
 			switch {
 			case x.alive && x.cut:
 				x.current = false
 				x.versions.Interrupt(m.now)
-			case x.alive:
+			case x.alive && !m.away:
 				m.observe(x)
 			}
 		}
 		m.record()
-	case "lose": // the store is restored from a backup without it
+	case "lose":
+		if words[1] == "batch" {
+			m.inFlight = false
+			break
+		}
+		m.recorded = nil // the store is restored from a backup without it
+		for _, x := range m.all {
+			if x.alive && !x.cut {
+				x.versions.RecordLost()
+			}
+		}
+	case "restore":
+		m.restored, m.listed, m.archive = true, []string{"v1"}, NewArchive(8)
 		m.recorded = nil
+		if m.plant == plantEarlierEra {
+			m.recorded = Recorded{modelService: {"v1"}}
+		}
 		for _, x := range m.all {
 			if x.alive && !x.cut {
 				x.versions.RecordLost()
 			}
 		}
+	case "store":
+		m.away = words[1] == "away"
+		for _, x := range m.all {
+			if x.alive && !x.cut && !m.away {
+				m.read(x)
+			}
+		}
+	case "write":
+		m.inFlight = false
+		r := m.begun
+		if m.plant == plantDispatch {
+			r.Version = "v1"
+		}
+		value, err := NewBatch([]Record{r}).Encode()
+		if err != nil {
+			panic(err)
+		}
+		m.archive.Add(value)
+	case "list":
+		m.listed = m.serving
 	case "appear":
 		m.serving = []string{"v1", "v2"}
+		m.listed = m.serving
 	case "end":
 		m.serving = slices.DeleteFunc(slices.Clone(m.serving), func(v string) bool { return v == words[1] })
+		m.listed = m.serving
 	case "observe":
 		m.observe(m.all[i])
 	case "start":
 		m.start(i)
 	case "kill":
-		m.all[i] = &modelInstance{}
+		for j := range m.all {
+			if words[1] == "all" || j == i {
+				m.all[j] = &modelInstance{}
+			}
+		}
 	case "cut":
 		m.all[i].cut = true
 	case "heal":
 		m.all[i].cut = false
-		if !m.all[i].current {
+		if !m.all[i].current && !m.away {
 			m.observe(m.all[i])
 			m.all[i].current = true
 			if m.recorded != nil {
@@ -202,6 +302,7 @@
 		m.all[i].own.Put(m.begun)
 		versions, complete := m.all[i].versions.Candidates(modelService, m.now)
 		m.all[i].queued = len(versions) > 1 || !complete
+		m.inFlight = len(versions) > 1
 	case "send":
 		m.all[i].queued = false
 		for _, x := range m.all {
@@ -216,7 +317,7 @@
 // are two versions.
 func (m *model) observe(x *modelInstance) {
 	if split := x.versions.Observe(m.observed(), m.now); len(split) > 0 && len(x.own.All(m.now)) > 0 {
-		x.queued = true
+		x.queued, m.inFlight = true, true
 	}
 }
 
@@ -250,13 +351,18 @@
 		answers++
 		known = known.With(k)
 	}
-	if answers == 0 && m.all[i].cut {
+	away := m.away || m.all[i].cut
+	if answers == 0 && away {
 		return "", false
 	}
 	if answers == 0 {
-		known = known.With(Knowledge{Versions: m.serving}) // read from the store
+		known = known.With(Knowledge{Versions: m.listed}) // read from the store
+	}
+	if version, ok = m.resume(known); ok || away {
+		return version, ok
 	}
-	return m.resume(known)
+	_, version, ok = m.archive.Find(modelStream)
+	return version, ok
 }
 
 // key identifies the state, whatever the names of the instances.
@@ -274,21 +380,22 @@
 				ended[version] = age
 			}
 		}
-		all = append(all, fmt.Sprint(x.cut, x.current, x.queued, x.own.Len(), x.held.Len(), min(m.life, m.now.Sub(v.since)), v.serving[modelService], ended, v.recorded[modelService]))
+		all = append(all, fmt.Sprint(x.cut, x.current, x.queued, x.own.Len(), x.held.Len(), min(m.life, m.now.Sub(v.since)), v.serving[modelService], ended, v.recorded[modelService], v.recorded == nil))
 	}
 	sort.Strings(all)
 	left := time.Duration(0)
 	if m.begun.Stream != "" {
 		left = max(0, m.begun.Until.Sub(m.now))
 	}
-	return fmt.Sprint(all, m.serving, m.recorded[modelService], m.begun.Stream, m.begun.Version, left)
+	_, batch, _ := m.archive.Find(modelStream)
+	return fmt.Sprint(all, m.serving, m.listed, m.recorded[modelService], m.recorded == nil, m.begun.Stream, m.begun.Version, left, m.away, m.restored, m.inFlight, batch)
 }
 
 // explore explores all orders of steps and returns the first in which a stream would go on at another version,
 // with the number of states.
-func explore(life time.Duration, resume func(Knowledge) (string, bool)) (violation []string, states, resumed, refused int) {
+func explore(life time.Duration, resume func(Knowledge) (string, bool), plant string) (violation []string, states, resumed, refused int) {
 	replay := func(path []string) *model {
-		m := newModel(life, resume)
+		m := newModel(life, resume, plant)
 		for _, step := range path {
 			m.apply(step)
 		}
@@ -335,7 +442,7 @@
 func TestNoOrderOfEventsJoinsTwoVersions(t *testing.T) {
 	is := is.New(t)
 	begun := time.Now()
-	violation, states, resumed, refused := explore(modelLife, Knowledge.OnlyVersion)
+	violation, states, resumed, refused := explore(modelLife, Knowledge.OnlyVersion, "")
 	t.Logf("%d states, %d resumptions, %d refused, %v", states, resumed, refused, time.Since(begun))
 	is.Equal(violation, nil)
 	is.True(resumed > refused)
@@ -345,17 +452,21 @@
 	for name, plant := range map[string]struct {
 		life   time.Duration
 		resume func(Knowledge) (string, bool)
+		fault  string
 	}{
-		"versions are forgotten before a stream of theirs": {modelResumable - time.Second, Knowledge.OnlyVersion},
+		plantEarlierEra: {modelLife, Knowledge.OnlyVersion, plantEarlierEra},
+		plantIncomplete: {modelLife, Knowledge.OnlyVersion, plantIncomplete},
+		plantDispatch:   {modelLife, Knowledge.OnlyVersion, plantDispatch},
+		"versions are forgotten before a stream of theirs": {modelResumable - time.Second, Knowledge.OnlyVersion, ""},
 		"a version is guessed": {modelLife, func(k Knowledge) (string, bool) {
-			return k.Versions[len(k.Versions)-1], true
-		}},
+			return k.Versions[max(0, len(k.Versions)-1)], true
+		}, ""},
 		"what is not known counts as absent": {modelLife, func(k Knowledge) (string, bool) {
-			return k.Versions[0], len(k.Versions) == 1
-		}},
+			return slices.Concat(k.Versions, []string{""})[0], len(k.Versions) == 1
+		}, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
-			violation, states, _, _ := explore(plant.life, plant.resume)
+			violation, states, _, _ := explore(plant.life, plant.resume, plant.fault)
 			t.Logf("%d states, %v", states, violation)
 			if violation == nil {
 				t.Error("not found")
