forward: a resumed stream repeats no event that the client has

Events that an endpoint sends again after Last-Event-Id were dropped when the instance itself resumed a stream, but passed on when the client did: the last event passed on was known only from this answer. Callers saw an event twice, or the numbers go back.

The Last-Event-Id of a client that resumes a stream is now the last event passed on.

The test failed in its three cases before: events 1 to 4 came after event 2.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -554,3 +554,29 @@
 		t.Fatal("more events than bytes")
 	})
 }
+
+// Guards against events that come twice, or go back, where an endpoint begins the rest of a stream with events that the client has.
+func TestAStreamThatAClientResumesRepeatsNoEvent(t *testing.T) {
+	for name, scripts := range map[string][]string{
+		"one endpoint":          {events(1, 4, true)},
+		"another one goes on":   {events(2, 3, false), events(1, 4, true)},
+		"nothing new, then all": {events(1, 2, false), events(2, 4, true)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			virtual.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newFixture(t, 0, scripts...)
+				defer w.handler.Backends.CloseIdle()
+				w.handler.Origins.Began(origin.Record{Service: "svc"})
+				r := httptest.NewRequest(http.MethodPost, "http://"+testHost+"/resume/a", strings.NewReader("body"))
+				for name, value := range map[string]string{"Id": "7", "Key": "k", "Deadline": "1500", "Last": "2"} {
+					r.Header.Set(name, value)
+				}
+				rec := httptest.NewRecorder()
+				w.handler.ServeHTTP(rec, r)
+				is.Equal(rec.Body.String(), "id: 3\ndata: x\n\nid: 4\ndata: x\n\n")
+				is.Equal(w.got[0].Get("Last"), "2")
+			})
+		})
+	}
+}
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -54,6 +54,7 @@
 		return &denial{status: http.StatusServiceUnavailable, why: "the service that began the stream no longer serves the route", wait: waitElsewhere}
 	}
 	q.service, q.began, q.version = found.Service, true, found.Version
+	q.lastEventID = q.meta.LastEventID // the client has the events up to it
 	return nil
 }
 
