check: order, runs and versions of streams, and streams taken up

ORDER told missing, doubled and earlier events alike, knew nothing of what sent an event, and compared with event 1 although a stream that is taken up begins later. It now names the kind, and reports events of two runs that are joined where the stream may not be resumed.

New rules: ORDER versions (more than two streams with events of two software versions, over all attempts of their callers) and LOST streams (of 12 or more streams taken up at instances in touch while two endpoints of their version serve, under half of the share of new streams that begin).

--- a/internal/check/answers.go
+++ b/internal/check/answers.go
@@ -44,27 +44,6 @@
 	return fmt.Sprintf("no endpoint sent this response with status %d", a.Status)
 }
 
-// checkOrder checks the rule ORDER: each event of a stream arrives once and in order, and a stream
-// that ends as complete has all events.
-func checkOrder(x *index) (out []Violation) {
-	for i := range x.Attempts {
-		a := &x.Attempts[i]
-		if !a.Stream || !success(a.Status) {
-			continue
-		}
-		for n, event := range a.Events {
-			if event != n+1 {
-				out = append(out, Violation{"ORDER", a.EndedAt, fmt.Sprintf("%s received event %d instead of %d", a.ID, event, n+1)})
-				break
-			}
-		}
-		if a.Complete && len(a.Events) < a.EventCount {
-			out = append(out, Violation{"ORDER", a.EndedAt, fmt.Sprintf("%s ended as complete after %d of %d events", a.ID, len(a.Events), a.EventCount)})
-		}
-	}
-	return out
-}
-
 // GuaranteesNotRun reports whether an instance that responds with this status guarantees that the
 // request was not executed and never will be.
 func GuaranteesNotRun(status int) bool {
--- a/internal/check/history.go
+++ b/internal/check/history.go
@@ -43,6 +43,9 @@
 	Retry          bool // the caller sends it again after an earlier attempt
 	Stream         bool
 	EventCount     int // number of events of the complete stream
+	Resumable      bool
+	After          int    // last event of the earlier attempts at a stream that this one takes up; 0 if it takes up none
+	Resumes        string // ID of the attempt that brought the first event of that stream
 	MaxAttempts    int
 	SentAt         time.Time
 	EndedAt        time.Time
@@ -51,13 +54,21 @@
 	Sealed         bool      // the response has an endpoint's seal
 	ResponseID     string    // request id in the response
 	ResponseSum    uint64
-	Complete       bool  // the response appeared complete to the caller
-	Events         []int // numbers of the stream events received, starting at 1
-	BadEvent       bool  // an event was not one that the endpoint sent for this request
+	Complete       bool        // the response appeared complete to the caller
+	Events         []int       // numbers of the stream events received, starting at After + 1
+	Runs           []StreamRun // that sent these events, in order
+	BadEvent       bool        // an event was not one that the endpoint sent for this request
 	// RefusedForCapacity tells that the instance logged that it refused the request for lack of capacity.
 	RefusedForCapacity bool
 }
 
+// StreamRun is a sequence of stream events that one run of a request sent.
+type StreamRun struct {
+	ID      string // of the run
+	Version string // of the software of its endpoint
+	Events  int
+}
+
 // Arrival is a request that reached an endpoint, as the endpoint observed it.
 type Arrival struct {
 	Request     string
@@ -141,6 +152,12 @@
 	From, To time.Time
 }
 
+// EndpointLife is the time in which an endpoint serves new requests.
+type EndpointLife struct {
+	Endpoint, Service, Version string
+	From, To                   time.Time // To is when it announced that it leaves, or ended; zero if it did neither
+}
+
 // DutyCall is a call of the cloud API that only the instance that holds the duty may make.
 type DutyCall struct {
 	At     time.Time
@@ -176,6 +193,7 @@
 	LinkFaults    []LinkFault
 	Overloads     []Overload
 	Partitions    []Partition
+	Endpoints     []EndpointLife
 	DutyCalls     []DutyCall
 	Exits         []Exit
 	Accounts      []Account
@@ -190,11 +208,11 @@
 
 // Rules are all rules, with the names that the platform gives them.
 var Rules = []Rule{
-	{"MIXED", checkMixed}, {"ORDER", checkOrder}, {"REFUSED", checkRefused}, {"UNSENT", checkUnsent}, {"SHARE", checkShare}, {"UNASKED", checkUnasked}, {"TWICE", checkTwice}, {"ROUTE", checkRoute},
+	{"MIXED", checkMixed}, {"ORDER", checkOrder}, {"ORDER versions", checkVersions}, {"REFUSED", checkRefused}, {"UNSENT", checkUnsent}, {"SHARE", checkShare}, {"UNASKED", checkUnasked}, {"TWICE", checkTwice}, {"ROUTE", checkRoute},
 	{"BUDGET attempts", checkBudgetAttempts}, {"BUDGET deadline", checkBudgetDeadline}, {"BUDGET retries", checkBudgetRetries},
 	{"BUDGET rest", checkBudgetRest}, {"BUDGET deadly", checkBudgetDeadly}, {"BUDGET part", checkBudgetPart}, {"LIMIT", checkRateLimit}, {"GONE", checkGone},
 	{"DRAIN store", checkDrainStore}, {"DRAIN answer", checkDrainResponse}, {"CONFIG keys", checkConfigKeys}, {"CONFIG old", checkConfigOld},
-	{"CONFIG back", checkConfigBack}, {"DENIED", checkDenied}, {"QUOTA", checkQuota}, {"ONE", checkSingleHolder}, {"LOST", checkLost}, {"RECOVER", checkRecover}, {"RECOVER partition", checkPartitions}, {"FAULT", checkFault},
+	{"CONFIG back", checkConfigBack}, {"DENIED", checkDenied}, {"QUOTA", checkQuota}, {"ONE", checkSingleHolder}, {"LOST", checkLost}, {"LOST streams", checkResumedStreams}, {"RECOVER", checkRecover}, {"RECOVER partition", checkPartitions}, {"FAULT", checkFault},
 }
 
 // Run checks all rules and returns the violations in time order. It sorts the attempts and
--- a/internal/check/rules_test.go
+++ b/internal/check/rules_test.go
@@ -72,6 +72,10 @@
 			h.add("s", 0, func(a *Attempt, _ *Arrival) { a.Stream, a.EventCount, a.Events = true, 3, []int{1, 2} })
 		},
 	},
+	"ORDER versions": {
+		func(h *History) { h.addMixedStreams(2) },
+		func(h *History) { h.addMixedStreams(3) },
+	},
 	"REFUSED": {
 		func(h *History) {
 			h.add("x", 0, func(a *Attempt, r *Arrival) { a.Status, a.Sealed, r.Ran = 503, false, false })
@@ -192,6 +196,10 @@
 			h.add("x", 8000, func(a *Attempt, _ *Arrival) { a.Status, a.Complete = 0, false })
 		},
 	},
+	"LOST streams": {
+		func(h *History) { h.addTakenUp(12, 6) },
+		func(h *History) { h.addTakenUp(12, 5) },
+	},
 	"RECOVER":           {func(h *History) { h.addAfterFault(25) }, func(h *History) { h.addAfterFault(24) }},
 	"RECOVER partition": {func(h *History) { h.addPartitioned(20) }, func(h *History) { h.addPartitioned(21) }},
 	"FAULT": {
