soak: the instances can run the program of an earlier version

-program FILE names the program of the instances, so that an earlier version is played against today's stand-ins and checkers with the same seeds.

--- a/internal/cmd/soak.go
+++ b/internal/cmd/soak.go
@@ -26,6 +26,7 @@
 	endpoints := fs.Int("endpoints", 0, "number of endpoints of each service; 0 for the scenario's")
 	only := fs.String("only", "", "comma-separated kinds of faults to inject; empty for all")
 	without := fs.String("without", "", "comma-separated kinds of faults to leave out")
+	program := fs.String("program", "", "program of the instances, such as that of an earlier version; empty for this one")
 	logs := fs.String("logs", "", "directory for settings and logs; empty for a temporary one")
 	asJSON := fs.Bool("json", false, "print the report as JSON")
 	plot := fs.String("plot", "", "plot served, refused and failed attempts and the faults over time into this PNG or SVG file")
@@ -54,7 +55,7 @@
 				return err
 			}
 			defer remove()
-			o := soak.Options{Scenario: s, Seed: *seed, Dir: dir, Progress: e.err}
+			o := soak.Options{Scenario: s, Seed: *seed, Dir: dir, Program: *program, Progress: e.err}
 			fmt.Fprintf(e.err, "seed %d, %d s, %d instances\n", *seed, s.Seconds, s.Instances)
 			r, err := soak.Run(ctx, o)
 			if err != nil {
--- a/internal/soak/instances.go
+++ b/internal/soak/instances.go
@@ -6,11 +6,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"sync"
 	"syscall"
@@ -37,6 +39,7 @@
 	addr     netip.Addr
 	settings settings.Front
 	dir      string
+	program  string // executable; empty for the running one
 	record   *recorder
 
 	mu           sync.Mutex
@@ -56,12 +59,12 @@
 	return netip.AddrFrom4([4]byte{127, byte(1 + pid%250), byte(pid / 250 % 250), byte(1 + n)})
 }
 
-func newInstance(n int, s Scenario, dir string, record *recorder) *instance {
+func newInstance(n int, s Scenario, dir, program string, record *recorder) *instance {
 	addr := loopback(n)
 	at := func(port uint16) netip.AddrPort { return netip.AddrPortFrom(addr, port) }
 	name := fmt.Sprintf("front-%d", n)
 	return &instance{
-		name: name, addr: addr, dir: dir, record: record,
+		name: name, addr: addr, dir: dir, program: program, record: record,
 		settings: settings.Front{
 			Name: name, Hall: hallOf(n, s), Region: "soak", Front: at(frontPort), Ready: at(readyPort), Peer: at(peerPort), Metrics: at(metricsPort),
 			Local: addr, Store: at(storePort), Cloud: at(cloudPort), MemoryMB: 284, Bounds: bounds,
@@ -86,26 +89,53 @@
 	return nil
 }
 
+// encodeSettings encodes settings without those that have their zero value: an earlier version of the program
+// may not know them, and rejects unknown ones.
+func encodeSettings(s settings.Front) ([]byte, error) {
+	text, err := toml.Marshal(s)
+	if err != nil {
+		return nil, err
+	}
+	var values map[string]any
+	if err := toml.Unmarshal(text, &values); err != nil {
+		return nil, err
+	}
+	dropZeros(values)
+	return toml.Marshal(values)
+}
+
+func dropZeros(values map[string]any) {
+	maps.DeleteFunc(values, func(_ string, v any) bool {
+		if table, ok := v.(map[string]any); ok {
+			dropZeros(table)
+			return len(table) == 0
+		}
+		return reflect.ValueOf(v).IsZero()
+	})
+}
+
 // start writes the settings file and starts a new process of the instance.
 func (i *instance) start() error {
 	file := filepath.Join(i.dir, i.name+".toml")
-	text, err := toml.Marshal(i.settings)
+	text, err := encodeSettings(i.settings)
 	if err != nil {
 		return fmt.Errorf("encode settings of %s: %w", i.name, err)
 	}
 	if err := os.WriteFile(file, text, 0o600); err != nil {
 		return fmt.Errorf("write settings of %s: %w", i.name, err)
 	}
-	self, err := os.Executable()
-	if err != nil {
-		return fmt.Errorf("start %s: %w", i.name, err)
+	program := i.program
+	if program == "" {
+		if program, err = os.Executable(); err != nil {
+			return fmt.Errorf("start %s: %w", i.name, err)
+		}
 	}
 	log, err := os.OpenFile(i.logFile(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return fmt.Errorf("start %s: %w", i.name, err)
 	}
 	defer log.Close()
-	cmd := exec.Command(self, "serve", "-settings", file)
+	cmd := exec.Command(program, "serve", "-settings", file)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", i.name, err)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -20,6 +20,7 @@
 	Seed     uint64
 	Actions  []Action  // faults to inject; nil means the schedule drawn from Seed
 	Dir      string    // for settings and log files
+	Program  string    // of the instances; empty for the running one
 	Progress io.Writer // receives a progress line every few seconds; may be nil
 }
 
@@ -86,7 +87,7 @@
 	record := &recorder{}
 	r := &run{Options: o, record: record, world: newWorld(record, o.Scenario.Slots)}
 	for n := range o.Scenario.Instances {
-		r.instances = append(r.instances, newInstance(n, o.Scenario, o.Dir, record))
+		r.instances = append(r.instances, newInstance(n, o.Scenario, o.Dir, o.Program, record))
 	}
 	r.operator = newOperator(r.world.writer, record, o.Scenario.Slots, o.Seed)
 	r.traffic = newTraffic(r.instances, r.operator, record, o.Seed)
