soak: streams of several versions, ends of endpoints, kills of all, callers that take streams up

The soak could not see most of ORDER: endpoints had one software version and sent every event whole, chunked and in a write of its own; the text of an event did not tell what sent it; callers never took a stream up again; no endpoint ended by FIN, and none started at a used address.

New faults: release, end, kill-all. New settings of a scenario: versions, mean_events, timeout_s, varied. Callers take streams up with Resumes and Last-Event-Id.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -51,21 +51,57 @@
 
 // sendWithRetry sends a request. If that fails it retries once, provided that the request is
 // idempotent or was refused before it ran, and that the caller has not canceled it. The retry waits
-// for the time in the Retry-After header, limited by retryWaitDivisor.
+// for the time in the Retry-After header, limited by retryWaitDivisor. A stream that breaks off is taken up
+// where it may be resumed.
 func (c *caller) sendWithRetry(ctx context.Context, q *request) {
 	deadline := time.Now().Add(q.route.Timeout)
-	a, wait := c.attempt(ctx, q, time.Until(deadline), false)
+	a, wait := c.attempt(ctx, q, time.Until(deadline), position{}, false)
 	final := a.Status >= 200 && a.Status < 500 && !check.GuaranteesNotRun(a.Status)
-	if final || !a.AbandonedAt.IsZero() || !q.route.Idempotent() && !check.GuaranteesNotRun(a.Status) {
-		return
+	if !final && a.AbandonedAt.IsZero() && (q.route.Idempotent() || check.GuaranteesNotRun(a.Status)) {
+		left := time.Until(deadline)
+		if wait = min(wait, left/retryWaitDivisor); left < minRetryTime {
+			return
+		}
+		sleep(ctx, wait)
+		c.close()
+		a, _ = c.attempt(ctx, q, time.Until(deadline), position{}, true)
 	}
-	left := time.Until(deadline)
-	if wait = min(wait, left/retryWaitDivisor); left < minRetryTime {
-		return
+	if q.route.Resumable && !a.Complete && len(a.Events) > 0 && a.AbandonedAt.IsZero() {
+		c.takeUp(ctx, q, position{stream: a.ID, after: a.Events[len(a.Events)-1]}, deadline)
+	}
+}
+
+// position is how far the caller has got a stream that broke off.
+type position struct {
+	stream string // ID of the attempt that brought the first event; empty for a new stream
+	after  int    // last event received
+}
+
+// Limits of callers that take up a stream.
+const (
+	maxTakeUps = 6 // answered attempts
+	takeUpWait = 100 * time.Millisecond
+)
+
+// takeUp requests the rest of a stream, each time at an instance that the balancer picks, until it has
+// come or the deadline is near.
+func (c *caller) takeUp(ctx context.Context, q *request, p position, deadline time.Time) {
+	for answered := 0; answered < maxTakeUps && time.Until(deadline) >= minRetryTime && ctx.Err() == nil; {
+		c.close()
+		a, wait := c.attempt(ctx, q, time.Until(deadline), p, true)
+		final := a.Status >= 200 && a.Status < 500 && !check.GuaranteesNotRun(a.Status)
+		if final && (a.Complete || len(a.Events) == 0) || !a.AbandonedAt.IsZero() {
+			return
+		}
+		if a.Status > 0 {
+			answered++
+		}
+		if n := len(a.Events); n > 0 {
+			p.after = a.Events[n-1]
+			continue
+		}
+		sleep(ctx, min(max(wait, takeUpWait), time.Until(deadline)/retryWaitDivisor))
 	}
-	sleep(ctx, wait)
-	c.close()
-	c.attempt(ctx, q, time.Until(deadline), true)
 }
 
 func (c *caller) close() {
@@ -95,17 +131,17 @@
 
 // attempt sends the request once and records the outcome, unless no connection could be made or
 // ctx has ended. It returns the retry delay that the response asks for.
-func (c *caller) attempt(ctx context.Context, q *request, left time.Duration, retry bool) (check.Attempt, time.Duration) {
+func (c *caller) attempt(ctx context.Context, q *request, left time.Duration, p position, retry bool) (check.Attempt, time.Duration) {
 	left = left.Truncate(time.Millisecond) // as the header states it
 	a := check.Attempt{
 		ID: c.traffic.newID(), Route: q.route.Name, Service: q.route.Split[0].Service, Method: q.method, URI: q.route.Prefix + "x",
 		BodySum: xxhash.Sum64(q.body), Units: 1, Deadline: left, Idempotent: q.route.Idempotent(), Stream: q.route.Kind == policy.Streaming,
-		MaxAttempts: q.route.MaxAttempts, Retry: retry,
+		MaxAttempts: q.route.MaxAttempts, Retry: retry, Resumable: q.route.Resumable, Resumes: p.stream, After: p.after,
 	}
 	if err := c.connect(); err != nil {
 		return a, 0 // nothing was sent
 	}
-	a.Instance, a.Incarnation, a.EventCount = c.instance.name, c.incarnation, eventCount(a.ID)
+	a.Instance, a.Incarnation, a.EventCount = c.instance.name, c.incarnation, eventCount(q.body)
 	a.SentAt = time.Now()
 	end := a.SentAt.Add(left)
 	if q.cancelAfter > 0 && q.cancelAfter < left {
@@ -146,7 +182,11 @@
 	if err != nil {
 		return 0, err
 	}
-	platformtest.SetRequest(req.Header, platformtest.ClientRequest{ID: a.ID, Key: q.key.name, Deadline: a.Deadline, Parts: q.parts})
+	head := platformtest.ClientRequest{ID: a.ID, Key: q.key.name, Deadline: a.Deadline, Parts: q.parts}
+	if a.Resumes != "" {
+		head.Resumes, head.LastEventID = a.Resumes, strconv.Itoa(a.After)
+	}
+	platformtest.SetRequest(req.Header, head)
 	if err := req.Write(c.conn); err != nil {
 		return 0, err
 	}
@@ -155,8 +195,8 @@
 		return 0, err
 	}
 	defer resp.Body.Close()
-	head := platformtest.ReadResponse(resp.Header)
-	a.Status, a.Sealed, a.ResponseID = resp.StatusCode, head.Sealed, head.RequestID
+	got := platformtest.ReadResponse(resp.Header)
+	a.Status, a.Sealed, a.ResponseID = resp.StatusCode, got.Sealed, got.RequestID
 	if resp.Close {
 		defer c.close()
 	}
@@ -168,26 +208,7 @@
 		a.ResponseSum = xxhash.Sum64(body)
 	}
 	a.Complete = err == nil
-	return head.RetryAfter, err
-}
-
-// readStream reads server-sent events until the stream ends. It records the event numbers, and
-// whether any event had unexpected data.
-func readStream(r io.Reader, a *check.Attempt) error {
-	scan := bufio.NewScanner(r)
-	event := 0
-	for scan.Scan() {
-		line := scan.Text()
-		if id, ok := strings.CutPrefix(line, "id: "); ok {
-			event, _ = strconv.Atoi(id)
-			continue
-		}
-		if data, ok := strings.CutPrefix(line, "data: "); ok {
-			a.Events = append(a.Events, event)
-			a.BadEvent = a.BadEvent || data != eventData(a.ID, event)
-		}
-	}
-	return scan.Err()
+	return got.RetryAfter, err
 }
 
 // drawRequest draws a random request: a probe route in 15 % of the cases once there is one,
@@ -199,18 +220,18 @@
 		return q
 	}
 	total := 0.0
-	for _, c := range classes {
+	for _, c := range t.operator.classes {
 		total += c.weight
 	}
 	x := rnd.Float64() * total
-	for _, c := range classes {
+	for _, c := range t.operator.classes {
 		if x -= c.weight; x < 0 {
 			q.route, q.method = c.route, c.method
 			break
 		}
 	}
 	if q.method == "POST" {
-		q.body = fmt.Appendf(nil, "body %d %s", rnd.Uint64(), strings.Repeat("x", rnd.IntN(2000)))
+		q.body = fmt.Appendf(nil, "body %d %s%s", rnd.Uint64(), t.drawEventCount(q.route, rnd), strings.Repeat("x", rnd.IntN(2000)))
 	}
 	if q.route.Kind == policy.Streaming {
 		q.parts = append(sharedParts(q.route.Name, rnd), ownPart(rnd))
@@ -221,6 +242,19 @@
 	return q
 }
 
+// maxEventFactor limits the number of events of a stream to a multiple of the mean.
+const maxEventFactor = 3
+
+// drawEventCount draws the number of events of a stream if the scenario sets their mean, and returns it as
+// a part of the request's body.
+func (t *traffic) drawEventCount(r policy.Route, rnd *rand.Rand) string {
+	if t.streams.MeanEvents == 0 || r.Kind != policy.Streaming {
+		return ""
+	}
+	n := int(rnd.ExpFloat64() * float64(t.streams.MeanEvents))
+	return fmt.Sprintf("%s%d ", eventCountKey, min(max(n, 1), maxEventFactor*t.streams.MeanEvents))
+}
+
 // deadlyPart begins the ID of a part of prompts that crashes endpoints.
 const deadlyPart = "dead"
 
--- a/internal/soak/endpoint.go
+++ b/internal/soak/endpoint.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"net/netip"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -36,15 +35,16 @@
 
 // Service times, stream lengths and concurrency of endpoints.
 const (
-	callDuration    = 15 * time.Millisecond // service time of a call without a stream
-	firstEventDelay = 30 * time.Millisecond
-	eventInterval   = 15 * time.Millisecond
-	minEvents       = 3
-	maxEvents       = 40
-	maxWaiting      = 24 // requests that wait for a slot; endpoints refuse more
-	crashingBody    = "a body that no endpoint bears"
-	longBody        = "a body with a long prompt"
-	longWork        = 4 // how many times longer requests with longBody take
+	callDuration     = 15 * time.Millisecond // service time of a call without a stream
+	firstEventDelay  = 30 * time.Millisecond
+	eventInterval    = 15 * time.Millisecond
+	minEvents        = 3
+	maxEvents        = 40
+	maxWaiting       = 24 // requests that wait for a slot; endpoints refuse more
+	crashingBody     = "a body that no endpoint bears"
+	longBody         = "a body with a long prompt"
+	listenerOutlives = 2 * time.Millisecond // the connections of a process, at times
+	longWork         = 4                    // how many times longer requests with longBody take
 )
 
 // The disturbances of an endpoint, as the deployments describe them: work takes 2.5 times as long for
@@ -74,24 +74,16 @@
 // with longBody.
 const longRequestTime = longWork * (firstEventDelay + meanEvents*eventInterval)
 
-// eventCount returns the number of events in the response stream of a request, from minEvents to
-// maxEvents-1. It depends on the request ID alone, so that the checker can tell a complete stream
-// from a truncated one.
-func eventCount(id string) int {
-	return minEvents + int(xxhash.Sum64String(id)%(maxEvents-minEvents))
-}
-
-// eventData returns the expected data of event n in the response stream of a request.
-func eventData(id string, n int) string { return fmt.Sprintf("%s piece %d", id, n) }
-
 // endpoint simulates one incarnation of an endpoint: an HTTP handler that records each request
 // and injects the faults in behavior.
 type endpoint struct {
 	id         string
 	service    string
 	hall       string
+	version    string // of its software
 	slots      int
-	link       *link // proxy that instances connect to
+	varied     bool  // framing, writes and format of its streams vary
+	link       *link // proxy that instances connect to; nil before start if it gets an address of its own
 	record     *recorder
 	instanceAt func(addr netip.Addr) string // returns the instance that connects from an address
 	onCrash    func(e *endpoint)            // called when a request crashes the endpoint
@@ -111,10 +103,17 @@
 	if err != nil {
 		return fmt.Errorf("start endpoint %s: %w", e.id, err)
 	}
-	if e.link, err = newLink("127.0.0.1:0", netip.MustParseAddrPort(l.Addr().String())); err != nil {
+	target := netip.MustParseAddrPort(l.Addr().String())
+	if e.link != nil {
+		err = e.link.reopen(target)
+	} else {
+		e.link, err = newLink("127.0.0.1:0", target)
+	}
+	if err != nil {
 		_ = l.Close()
 		return err
 	}
+	e.record.endpointStarted(e.id, e.service, e.version)
 	e.server = &http.Server{Handler: e, ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = e.server.Serve(l) }()
 	return nil
@@ -123,15 +122,33 @@
 // stop closes the listener, the link and all connections.
 func (e *endpoint) stop() {
 	e.stopped.Store(true)
+	e.record.endpointEnds(e.id)
 	_ = e.server.Close()
 	e.link.close()
 }
 
+// end ends the endpoint as the end of its process does: it closes all connections, or resets them, and the
+// listener before or after. The address can be used again.
+func (e *endpoint) end(reset, listenerFirst bool) {
+	e.stopped.Store(true)
+	e.record.endpointEnds(e.id)
+	if listenerFirst {
+		e.link.refuse()
+	}
+	e.link.sever(reset)
+	if !listenerFirst {
+		time.Sleep(listenerOutlives)
+		e.link.refuse()
+		e.link.sever(reset)
+	}
+	_ = e.server.Close()
+}
+
 // storeEntry returns the endpoint's registration for the store.
 func (e *endpoint) storeEntry() registry.Endpoint {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return registry.Endpoint{ID: e.id, Name: e.id, Service: e.service, Addr: e.link.addr(), Hall: e.hall, Version: "v1", Slots: e.slots, Leaving: e.behavior.leaving}
+	return registry.Endpoint{ID: e.id, Name: e.id, Service: e.service, Addr: e.link.addr(), Hall: e.hall, Version: e.version, Slots: e.slots, Leaving: e.behavior.leaving}
 }
 
 // updateBehavior modifies the injected faults under the lock.
@@ -230,7 +247,7 @@
 		panic(http.ErrAbortHandler) // canceled while it waited: not run
 	}
 	defer e.releaseSlot()
-	c := &call{endpoint: e, arrival: n, in: in, via: via, w: w, behavior: b, ctx: r.Context(), work: 1}
+	c := &call{endpoint: e, arrival: n, in: in, via: via, w: w, behavior: b, ctx: r.Context(), work: 1, events: eventCount(body), name: streamName(xxhash.Sum64(body))}
 	if strings.Contains(string(body), longBody) {
 		c.work = longWork
 	}
@@ -282,6 +299,8 @@
 	behavior behavior
 	ctx      context.Context
 	work     time.Duration // how many times longer the request takes than the usual one
+	events   int           // of its complete stream
+	name     string        // of its stream
 }
 
 var errTruncated = errors.New("response cut off by an injected fault")
@@ -368,39 +387,3 @@
 func (c *call) setHead() {
 	c.endpoint.setHead(c.w.Header(), c.via, c.behavior, platformtest.EndpointResponse{RequestID: c.in.ID, Seal: c.endpoint.id})
 }
-
-// stream writes server-sent events, starting after the Last-Event-Id of the request.
-func (c *call) stream() (int, uint64, error) {
-	after, _ := strconv.Atoi(c.in.LastEventID) // 0 for a new stream, where it is empty
-	if err := c.process(firstEventDelay); err != nil {
-		return 0, 0, err
-	}
-	if rand.Float64() < c.behavior.fail {
-		c.recordAnswer(http.StatusInternalServerError, 0)
-		c.setHead()
-		c.w.WriteHeader(http.StatusInternalServerError)
-		return http.StatusInternalServerError, 0, nil
-	}
-	all := eventCount(c.in.ID)
-	breaksAt := all + 1
-	if rand.Float64() < c.behavior.loseAnswers {
-		breaksAt = after + 1 + rand.IntN(all)
-	}
-	c.recordAnswer(http.StatusOK, 0)
-	c.w.Header().Set("Content-Type", "text/event-stream")
-	c.setHead()
-	flush := http.NewResponseController(c.w)
-	for n := after + 1; n <= all; n++ {
-		if n == breaksAt {
-			return http.StatusOK, 0, errTruncated
-		}
-		if _, err := fmt.Fprintf(c.w, "id: %d\ndata: %s\n\n", n, eventData(c.in.ID, n)); err != nil {
-			return http.StatusOK, 0, err
-		}
-		_ = flush.Flush()
-		if err := c.process(eventInterval); err != nil {
-			return http.StatusOK, 0, err
-		}
-	}
-	return http.StatusOK, 0, nil
-}
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -21,16 +22,17 @@
 // link is a TCP proxy on loopback in front of one target address. It delays, throttles, stalls or
 // resets the traffic to that address.
 type link struct {
-	listener net.Listener
-	target   netip.AddrPort
+	address netip.AddrPort // that the link listens on
 
-	mu      sync.Mutex
-	state   linkState             // guarded by mu
-	sources map[string]netip.Addr // by the address that a proxied connection comes from at the target; guarded by mu
-	cut     map[netip.Addr]bool   // sources whose new connections are reset; guarded by mu
-	changed chan struct{}         // closed and replaced at each change of state; guarded by mu
-	conns   map[*net.TCPConn]bool // both ends of each proxied connection; guarded by mu
-	closed  bool                  // guarded by mu
+	mu       sync.Mutex
+	listener net.Listener          // guarded by mu
+	target   netip.AddrPort        // guarded by mu
+	state    linkState             // guarded by mu
+	sources  map[string]netip.Addr // by the address that a proxied connection comes from at the target; guarded by mu
+	cut      map[netip.Addr]bool   // sources whose new connections are reset; guarded by mu
+	changed  chan struct{}         // closed and replaced at each change of state; guarded by mu
+	conns    map[*net.TCPConn]bool // both ends of each proxied connection; guarded by mu
+	closed   bool                  // guarded by mu
 }
 
 // newLink starts a proxy from listen to target. Port 0 in listen picks a free port.
@@ -39,13 +41,56 @@
 	if err != nil {
 		return nil, fmt.Errorf("link to %s: %w", target, err)
 	}
-	k := &link{listener: l, target: target, changed: make(chan struct{}), conns: make(map[*net.TCPConn]bool), cut: make(map[netip.Addr]bool), sources: make(map[string]netip.Addr)}
-	go k.serve()
+	k := &link{address: netip.MustParseAddrPort(l.Addr().String()), listener: l, target: target, changed: make(chan struct{}), conns: make(map[*net.TCPConn]bool), cut: make(map[netip.Addr]bool), sources: make(map[string]netip.Addr)}
+	go k.serve(l)
 	return k, nil
 }
 
 // addr returns the address that the link listens on.
-func (k *link) addr() netip.AddrPort { return netip.MustParseAddrPort(k.listener.Addr().String()) }
+func (k *link) addr() netip.AddrPort { return k.address }
+
+// refuse closes the listener, so that connections are refused as if no process had the address.
+func (k *link) refuse() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	_ = k.listener.Close()
+}
+
+// sever closes all open connections, as the end of a process does, or resets them.
+func (k *link) sever(reset bool) {
+	if reset {
+		k.reset()
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for c := range k.conns {
+		_ = c.Close()
+	}
+}
+
+// reopen listens at the same address again after refuse, for another target.
+func (k *link) reopen(target netip.AddrPort) error {
+	l, err := net.Listen("tcp", k.address.String())
+	if err != nil {
+		return fmt.Errorf("link to %s: %w", target, err)
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.closed {
+		return l.Close()
+	}
+	k.listener, k.target = l, target
+	go k.serve(l)
+	return nil
+}
+
+// targetAddr returns where connections are forwarded to.
+func (k *link) targetAddr() netip.AddrPort {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.target
+}
 
 // set replaces the injected faults, also for open connections.
 func (k *link) set(s linkState) {
@@ -114,8 +159,8 @@
 	k.closed = true
 	close(k.changed)
 	k.changed = make(chan struct{})
-	k.mu.Unlock()
 	_ = k.listener.Close()
+	k.mu.Unlock()
 	k.reset()
 }
 
@@ -139,9 +184,9 @@
 	}
 }
 
-func (k *link) serve() {
+func (k *link) serve(l net.Listener) {
 	for {
-		c, err := k.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return // closed
 		}
@@ -160,7 +205,7 @@
 // proxy forwards one connection in both directions until either side closes it.
 func (k *link) proxy(near *net.TCPConn) {
 	defer near.Close()
-	c, err := net.DialTimeout("tcp", k.target.String(), linkDialTimeout)
+	c, err := net.DialTimeout("tcp", k.targetAddr().String(), linkDialTimeout)
 	if err != nil {
 		_ = near.SetLinger(0) // pass the failed connection on as a reset
 		return
@@ -195,7 +240,7 @@
 			}
 		}
 		if err != nil {
-			if err != io.EOF {
+			if err != io.EOF && !errors.Is(err, net.ErrClosed) {
 				_ = to.SetLinger(0) // pass a reset on as a reset
 			}
 			return
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -52,11 +53,17 @@
 	}
 }
 
-var classes = []class{
-	{route("pay", policy.Unsafe, plainService, 1500*time.Millisecond, 1, false), "POST", 3},
-	{route("price", policy.Safe, plainService, 1500*time.Millisecond, 2, false), "GET", 3},
-	{route("chat", policy.Streaming, engineService, 6*time.Second, 2, true), "POST", 3},
-	{route("note", policy.Streaming, engineService, 6*time.Second, 1, false), "POST", 1},
+const defaultStreamTimeout = 6 * time.Second
+
+// newClasses returns the kinds of requests, with a timeout of streams of which 0 is the default.
+func newClasses(streamTimeout time.Duration) []class {
+	streamTimeout = cmp.Or(streamTimeout, defaultStreamTimeout)
+	return []class{
+		{route("pay", policy.Unsafe, plainService, 1500*time.Millisecond, 1, false), "POST", 3},
+		{route("price", policy.Safe, plainService, 1500*time.Millisecond, 2, false), "GET", 3},
+		{route("chat", policy.Streaming, engineService, streamTimeout, 2, true), "POST", 3},
+		{route("note", policy.Streaming, engineService, streamTimeout, 1, false), "POST", 1},
+	}
 }
 
 // probe is a route that one version of the configuration adds and a later one may remove.
@@ -75,9 +82,10 @@
 
 // operator simulates the platform's operator: it writes versions of the configuration to the store.
 type operator struct {
-	store  *writer
-	record *recorder
-	slots  int // of each endpoint
+	store   *writer
+	record  *recorder
+	slots   int // of each endpoint
+	classes []class
 
 	mu        sync.Mutex
 	version   int64      // guarded by mu
@@ -89,8 +97,9 @@
 
 var accountNames = []string{"north", "south", "busy"}
 
-func newOperator(store *writer, record *recorder, slots int, seed uint64) *operator {
-	o := &operator{store: store, record: record, slots: slots, rnd: rand.New(rand.NewPCG(seed, 101))}
+func newOperator(store *writer, record *recorder, s Scenario, seed uint64) *operator {
+	timeout := time.Duration(s.Streams.TimeoutS * float64(time.Second))
+	o := &operator{store: store, record: record, slots: s.Slots, classes: newClasses(timeout), rnd: rand.New(rand.NewPCG(seed, 101))}
 	for _, account := range accountNames {
 		for range keysPerAccount {
 			o.addKey(account, time.Time{})
@@ -146,7 +155,7 @@
 		Services: []policy.Service{{Name: plainService}, {Name: engineService, Engine: &policy.Engine{Slots: o.slots, TokensPerEvent: 1}}},
 		Limits:   policy.Limits{IdleTimeout: 15 * time.Second},
 	}
-	for _, class := range classes {
+	for _, class := range o.classes {
 		c.Routes = append(c.Routes, class.route)
 	}
 	for _, p := range o.probes {
--- a/internal/soak/recorder.go
+++ b/internal/soak/recorder.go
@@ -130,6 +130,24 @@
 	return set(func(p *check.Partition) { p.ResetBy = time.Now() }), set(func(p *check.Partition) { p.To = time.Now() })
 }
 
+// endpointStarted records that an endpoint serves from now on.
+func (r *recorder) endpointStarted(endpoint, service, version string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.history.Endpoints = append(r.history.Endpoints, check.EndpointLife{Endpoint: endpoint, Service: service, Version: version, From: time.Now()})
+}
+
+// endpointEnds records that an endpoint leaves or has ended.
+func (r *recorder) endpointEnds(endpoint string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := range r.history.Endpoints {
+		if e := &r.history.Endpoints[i]; e.Endpoint == endpoint && e.To.IsZero() {
+			e.To = time.Now()
+		}
+	}
+}
+
 // beginOverload records that the callers of a client account, or of all if it is empty, send more
 // requests to a service than it can serve from now on. Calling end records the end.
 func (r *recorder) beginOverload(service, account string) (end func()) {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -85,22 +85,22 @@
 
 func newRun(o Options) (*run, error) {
 	record := &recorder{}
-	r := &run{Options: o, record: record, world: newWorld(record, o.Scenario.Slots)}
+	r := &run{Options: o, record: record, world: newWorld(record, o.Scenario)}
 	for n := range o.Scenario.Instances {
 		r.instances = append(r.instances, newInstance(n, o.Scenario, o.Dir, o.Program, record))
 	}
-	r.operator = newOperator(r.world.writer, record, o.Scenario.Slots, o.Seed)
-	r.traffic = newTraffic(r.instances, r.operator, record, o.Seed)
+	r.operator = newOperator(r.world.writer, record, o.Scenario, o.Seed)
+	r.traffic = newTraffic(r.instances, r.operator, record, o.Scenario.Streams, o.Seed)
 	r.world.instanceAt = r.instanceAt
 	if err := r.operator.configure(); err != nil {
 		return r, err
 	}
 	for n := range o.Scenario.Engines + o.Scenario.Services {
-		service := engineService
+		service, version := engineService, versionName(1+n%max(1, o.Scenario.Streams.Versions))
 		if n >= o.Scenario.Engines {
-			service = plainService
+			service, version = plainService, versionName(1)
 		}
-		if err := r.world.addEndpoint(service, hallOf(n, o.Scenario)); err != nil {
+		if err := r.world.addEndpoint(service, hallOf(n, o.Scenario), version); err != nil {
 			return r, err
 		}
 	}
--- a/internal/soak/scenario.go
+++ b/internal/soak/scenario.go
@@ -25,9 +25,19 @@
 	Services  int         `toml:"services" json:"services"` // endpoints that respond without streams
 	Slots     int         `toml:"slots" json:"slots"`       // of each endpoint; defaultSlots if absent
 	Rate      float64     `toml:"rate" json:"rate"`         // requests per second
+	Streams   Streams     `toml:"streams" json:"streams"`
 	Faults    []FaultRate `toml:"faults" json:"-"`
 }
 
+// Streams configures the streams of a run. The zero value is that of a service with one software version,
+// whose endpoints send short streams, one event a write.
+type Streams struct {
+	Versions   int     `toml:"versions" json:"versions"`       // of the engines' software at the start; 1 if absent
+	MeanEvents int     `toml:"mean_events" json:"mean_events"` // of a stream; minEvents to maxEvents-1 if absent
+	TimeoutS   float64 `toml:"timeout_s" json:"timeout_s"`     // of the routes; defaultStreamTimeout if absent
+	Varied     bool    `toml:"varied" json:"varied"`           // framing, writes and format of streams vary
+}
+
 // FaultRate is how often a kind of fault is injected and how long it lasts.
 type FaultRate struct {
 	Kind   Kind    `toml:"kind"`
@@ -68,6 +78,9 @@
 	case s.Halls < 1 || s.Engines < 1 || s.Services < 1 || s.Slots < 1 || s.Rate <= 0:
 		return fmt.Errorf("%w: halls, engines, services, slots and rate must be positive", ErrScenario)
 	}
+	if s.Streams.Versions < 0 || s.Streams.MeanEvents < 0 || s.Streams.TimeoutS < 0 {
+		return fmt.Errorf("%w: versions, mean_events and timeout_s must not be negative", ErrScenario)
+	}
 	for _, f := range s.Faults {
 		if !slices.Contains(Kinds, f.Kind) || f.EveryS <= 0 || f.ForS < 0 {
 			return fmt.Errorf("%w: fault %q with every_s = %v, for_s = %v: need a known kind, every_s > 0 and for_s >= 0", ErrScenario, f.Kind, f.EveryS, f.ForS)
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -43,13 +43,16 @@
 	LinkSilent        Kind = "link-silent"    // a link forwards nothing in one direction
 	StoreRestored     Kind = "store-restored" // the store is unavailable, then restored from a backup
 	Partition         Kind = "partition"      // some or nearly all instances lose their paths to all endpoints
+	Release           Kind = "release"        // engines are replaced by others of a later or an earlier software version
+	End               Kind = "end"            // an endpoint's process ends, and another one starts, at times at the same address
+	KillAll           Kind = "kill-all"       // all instances are killed at once and restarted, at times twice
 	Overload          Kind = "overload"       // one client account or all send more long requests than the engines can serve
 )
 
 // Kinds lists all kinds of faults. Schedule seeds a kind's generator with its position here.
 var Kinds = []Kind{
 	Stop, Kill, Pause, StoreDown, StoreRefuses, StoreSlow, StoreLosesAnswers, StoreCompacts, StoreSilent, CloudDown, Configure, Revoke,
-	Leave, LeaveQuietly, Backoff, Limit, Refuse, Fail, Hang, LoseAnswers, Crash, Deadly, GiveUp, Burst, LinkSlow, LinkReset, LinkSilent, StoreRestored, Overload, Partition, DeadlyPart,
+	Leave, LeaveQuietly, Backoff, Limit, Refuse, Fail, Hang, LoseAnswers, Crash, Deadly, GiveUp, Burst, LinkSlow, LinkReset, LinkSilent, StoreRestored, Overload, Partition, DeadlyPart, Release, End, KillAll,
 }
 
 // Action is one scheduled fault. At counts from the start of the traffic.
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -56,6 +56,10 @@
 		r.injectLinkFault(ctx, a)
 	case Partition:
 		r.partition(ctx, a)
+	case Release:
+		r.release(ctx, a)
+	case KillAll:
+		r.killAll(ctx, a)
 	default:
 		if e := r.world.pickEndpoint(a.Target); e != nil {
 			r.injectEndpointFault(ctx, a, e)
@@ -99,6 +103,58 @@
 	}
 }
 
+// settleTime is how long instances run between two kills of all.
+const settleTime = 1500 * time.Millisecond
+
+// killAll kills all instances at once and restarts them, at times twice. Those that are being stopped are
+// killed too, and restarted by the fault that stops them.
+func (r *run) killAll(ctx context.Context, a Action) {
+	var struck []*instance
+	for _, i := range r.instances {
+		if i.acquireForFault() {
+			defer i.releaseFromFault()
+			defer r.record.beginDisruption(i.name, a.Kind, false)()
+			struck = append(struck, i)
+		} else {
+			defer r.record.beginDisruption(i.name, a.Kind, false)()
+		}
+	}
+	for n := range 1 + a.Target/3%2 {
+		if n > 0 {
+			sleep(ctx, settleTime)
+		}
+		var wait sync.WaitGroup
+		for _, i := range r.instances {
+			wait.Go(i.kill)
+		}
+		wait.Wait()
+		sleep(ctx, a.For)
+		if ctx.Err() != nil {
+			return
+		}
+		for _, i := range struck {
+			r.recordError(i.start())
+		}
+	}
+	sleep(ctx, startupTime)
+}
+
+// release replaces half of the engines or all, one after the other, by endpoints of a later software
+// version or an earlier one.
+func (r *run) release(ctx context.Context, a Action) {
+	old := r.world.endpointsOf(engineService)
+	if a.Target%2 == 0 {
+		old = old[:(len(old)+1)/2]
+	}
+	version := r.world.nextVersion(a.Target/2%3 == 0)
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	for _, e := range old {
+		wait.Go(func() { r.recordError(r.world.replace(ctx, e, a.Target/6%3 == 0, version)) })
+		sleep(ctx, a.For/time.Duration(len(old)))
+	}
+}
+
 func (r *run) injectStoreFault(ctx context.Context, a Action, instance string) {
 	defer r.record.beginDisruption(instance, a.Kind, false)()
 	r.world.store.SetFaults(instance, storeFaults[a.Kind])
@@ -197,6 +253,8 @@
 		during(func(b *behavior) { b.loseAnswers = 0.2 }, func(b *behavior) { b.loseAnswers = 0 })
 	case Crash:
 		r.world.crash(e)
+	case End:
+		r.world.end(ctx, e, a.Target)
 	case Limit:
 		r.cycleRateLimits(ctx, a, e)
 	}
@@ -235,7 +293,7 @@
 // sendCrashingRequest sends the same crashing request repeatedly, each time from a new caller to any
 // ready instance.
 func (r *run) sendCrashingRequest(ctx context.Context, a Action) {
-	class := classes[a.Target%uint64(len(classes))]
+	class := r.operator.classes[a.Target%uint64(len(r.operator.classes))]
 	q := &request{route: class.route, method: "POST", key: r.operator.pickKey("north"), body: []byte(strings.Join([]string{crashingBody, fmt.Sprint(a.Target)}, " "))}
 	for end := time.Now().Add(a.For); time.Now().Before(end) && ctx.Err() == nil; sleep(ctx, crashingInterval) {
 		c := &caller{traffic: r.traffic}
@@ -252,7 +310,7 @@
 	var wait sync.WaitGroup
 	defer wait.Wait()
 	for end := time.Now().Add(a.For); time.Now().Before(end) && ctx.Err() == nil; sleep(ctx, crashingInterval) {
-		q := &request{route: overloadRoute(), method: "POST", key: r.operator.pickKey("north"), body: fmt.Appendf(nil, "body %d", rnd.Uint64())}
+		q := &request{route: r.operator.overloadRoute(), method: "POST", key: r.operator.pickKey("north"), body: fmt.Appendf(nil, "body %d", rnd.Uint64())}
 		q.parts = append(sharedParts(q.route.Name, rnd), part, ownPart(rnd))
 		wait.Go(func() {
 			c := &caller{traffic: r.traffic}
@@ -282,7 +340,7 @@
 			name = accountNames[rnd.IntN(len(accountNames))]
 		}
 		q := &request{
-			route: overloadRoute(), method: "POST", key: r.operator.pickKey(name),
+			route: r.operator.overloadRoute(), method: "POST", key: r.operator.pickKey(name),
 			body: fmt.Appendf(nil, "%s %d", longBody, rnd.Uint64()),
 		}
 		r.traffic.send(ctx, &wait, q)
@@ -290,7 +348,7 @@
 }
 
 // overloadRoute returns the route of the requests of an overload.
-func overloadRoute() policy.Route {
-	i := slices.IndexFunc(classes, func(c class) bool { return c.route.Name == "chat" })
-	return classes[i].route
+func (o *operator) overloadRoute() policy.Route {
+	i := slices.IndexFunc(o.classes, func(c class) bool { return c.route.Name == "chat" })
+	return o.classes[i].route
 }
--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -17,6 +17,7 @@
 	record      *recorder
 	idleCallers chan *caller
 	startedAt   time.Time
+	streams     Streams
 
 	mu             sync.Mutex
 	rnd            *rand.Rand // guarded by mu
@@ -35,10 +36,10 @@
 
 const maxCallers = 512
 
-func newTraffic(instances []*instance, o *operator, record *recorder, seed uint64) *traffic {
+func newTraffic(instances []*instance, o *operator, record *recorder, streams Streams, seed uint64) *traffic {
 	t := &traffic{
 		instances: instances, operator: o, record: record, idleCallers: make(chan *caller, maxCallers),
-		rnd: rand.New(rand.NewPCG(seed, 202)), factor: 1,
+		rnd: rand.New(rand.NewPCG(seed, 202)), factor: 1, streams: streams,
 	}
 	for range maxCallers {
 		t.idleCallers <- &caller{traffic: t}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -34,13 +34,15 @@
 	platformLinks []*link          // from all instances to the store and the cloud API
 	cloud         *cloud
 
-	slots int // of each endpoint
+	slots   int // of each endpoint
+	streams Streams
 
 	mu               sync.Mutex
 	endpoints        []*endpoint        // neither leaving nor crashed; guarded by mu
 	backups          []backup           // oldest first; guarded by mu
 	partitions       map[netip.Addr]int // number of partitions in force, by address of the instance; guarded by mu
 	endpointsStarted int                // number in the last endpoint ID; guarded by mu
+	latestVersion    int                // of the engines' software; guarded by mu
 	closed           bool               // guarded by mu
 	wait             sync.WaitGroup
 }
@@ -69,9 +71,9 @@
 // Scale implements platformtest.Cloud.
 func (c *cloud) Scale(duty.Token, string, string, int, bool) error { return nil }
 
-func newWorld(record *recorder, slots int) *world {
+func newWorld(record *recorder, c Scenario) *world {
 	s := storetest.New()
-	return &world{store: s, writer: newWriter(s), links: make(map[string]*link), partitions: make(map[netip.Addr]int), record: record, cloud: &cloud{record: record}, slots: slots}
+	return &world{store: s, writer: newWriter(s), links: make(map[string]*link), partitions: make(map[netip.Addr]int), record: record, cloud: &cloud{record: record}, slots: c.Slots, streams: c.Streams, latestVersion: max(1, c.Streams.Versions)}
 }
 
 // serveInstance serves the store and the cloud API to one instance, each behind a link of its own.
@@ -121,16 +123,38 @@
 	w.wait.Wait()
 }
 
+// versionName returns the name of a software version.
+func versionName(n int) string { return fmt.Sprintf("v%d", n) }
+
+// nextVersion returns the version of a release: a later one than any before, or the first.
+func (w *world) nextVersion(back bool) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if back {
+		return versionName(1)
+	}
+	w.latestVersion++
+	return versionName(w.latestVersion)
+}
+
 // addEndpoint starts an endpoint of a service in a hall and registers it in the store. After close it
 // does nothing.
-func (w *world) addEndpoint(service, hall string) error {
+func (w *world) addEndpoint(service, hall, version string) error {
+	return w.addEndpointAt(nil, service, hall, version)
+}
+
+// addEndpointAt does the same behind the link of an endpoint that has ended.
+func (w *world) addEndpointAt(k *link, service, hall, version string) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.closed {
 		return nil
 	}
 	w.endpointsStarted++
-	e := &endpoint{id: fmt.Sprintf("e-%03d", w.endpointsStarted), service: service, hall: hall, slots: w.slots, record: w.record, instanceAt: w.instanceAt, onCrash: w.crash}
+	e := &endpoint{
+		id: fmt.Sprintf("e-%03d", w.endpointsStarted), service: service, hall: hall, version: version, slots: w.slots, varied: w.streams.Varied, link: k,
+		record: w.record, instanceAt: w.instanceAt, onCrash: w.crash,
+	}
 	if err := e.start(); err != nil {
 		return err
 	}
@@ -225,12 +249,18 @@
 // retire starts a replacement for an endpoint and makes the endpoint leave. With quiet set the
 // endpoint announces that only in its responses, not in the store.
 func (w *world) retire(ctx context.Context, e *endpoint, quiet bool) error {
+	return w.replace(ctx, e, quiet, e.version)
+}
+
+// replace does the same with a replacement of another version.
+func (w *world) replace(ctx context.Context, e *endpoint, quiet bool, version string) error {
 	if !w.removeEndpoint(e) {
 		return nil
 	}
-	if err := w.addEndpoint(e.service, e.hall); err != nil {
+	if err := w.addEndpoint(e.service, e.hall, version); err != nil {
 		return err
 	}
+	w.record.endpointEnds(e.id)
 	e.updateBehavior(func(b *behavior) { b.leaving = true })
 	if !quiet {
 		if err := w.putEntry(e); err != nil {
@@ -254,8 +284,31 @@
 	e.stop()
 	w.wait.Go(func() {
 		time.Sleep(restartDelay)
-		_ = w.addEndpoint(e.service, e.hall) // on an error the run continues with one endpoint fewer
+		_ = w.addEndpoint(e.service, e.hall, e.version) // on an error the run continues with one endpoint fewer
 		time.Sleep(3*heartbeatInterval - restartDelay)
 		w.dropEntry(e)
 	})
 }
+
+// restartDelays are the times from the end of an endpoint's process to the start of another one at the same
+// address, of which the target of the fault selects one. The last one is long enough for a new address.
+var restartDelays = []time.Duration{0, 5 * time.Millisecond, 40 * time.Millisecond, restartDelay}
+
+// end ends the process of an endpoint without notice and starts another endpoint.
+func (w *world) end(ctx context.Context, e *endpoint, target uint64) {
+	if !w.removeEndpoint(e) {
+		return
+	}
+	target /= 1024 // the lower bits select the endpoint
+	e.end(target%2 == 0, target/2%2 == 0)
+	delay := restartDelays[target/4%uint64(len(restartDelays))]
+	sleep(ctx, delay)
+	k := e.link
+	if delay == restartDelay {
+		k.close()
+		k = nil
+	}
+	_ = w.addEndpointAt(k, e.service, e.hall, e.version) // on an error the run continues with one endpoint fewer
+	sleep(ctx, 3*heartbeatInterval-delay)
+	w.dropEntry(e)
+}
