check: a stream that is taken up several times counts once

LOST streams counted each attempt at a stream, although the rule names streams, and attempts refused with 429 because of their client account's limit, beyond which nothing is owed.

--- a/internal/check/streams_test.go
+++ b/internal/check/streams_test.go
@@ -60,8 +60,18 @@
 	for i := range n {
 		id := fmt.Sprint("x", i)
 		begin(id, "v1")
+		if i%3 == 0 { // a stream counts once
+			takeUp(id, 7900, "n", false)
+		}
 		takeUp(id, 8000+10*i, "n", i < on)
 	}
+	overLimit := func(a *Attempt, r *Arrival) { refused(a, r); a.Status = 429 }
+	for i := range 20 {
+		id := fmt.Sprint("limit", i)
+		begin(id, "v1")
+		h.add(id+"again", 8000, func(a *Attempt, r *Arrival) { stream(a, 2, 1); a.Resumes = id; overLimit(a, r) })
+		h.add(fmt.Sprint("new over limit", i), 8000, func(a *Attempt, r *Arrival) { stream(a, 1, 0); overLimit(a, r) })
+	}
 	for i := range 20 {
 		begin(fmt.Sprint("alone", i), "v2")
 		takeUp(fmt.Sprint("alone", i), 8000, "n", false)
