backend: a connection from before proves the end of a body without framing

Streams without their end ended as complete (ORDER): an endpoint's process was killed between two events of an answer that ends with its connection, and another process accepted connections at the same address when the instance looked whether the endpoint lives. The proof was a new connection, which says nothing of the process that sent the body.

The proof is now another connection that the instance had before: an idle one, shared by such answers of an endpoint, or one made at the second read of a body. It ends with the process. One that the endpoint closes while more of the body comes proves nothing. Answers that end before there is one are proved as before.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -103,6 +103,7 @@
 
 type connections struct {
 	idle []*conn
+	held *heldConn // nil if no response without framing is read
 	open int
 }
 
@@ -201,6 +202,12 @@
 
 // release returns a connection to the pool for the next request.
 func (c *Client) release(endpoint string, k *conn) {
+	k.idleSince = c.clock.Now()
+	c.putBack(endpoint, k)
+}
+
+// putBack returns a connection to the pool that has not been used since it was taken out.
+func (c *Client) putBack(endpoint string, k *conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.endpoints[endpoint]
@@ -209,7 +216,6 @@
 		c.decrementOpen(endpoint)
 		return
 	}
-	k.idleSince = c.clock.Now()
 	s.idle = append(s.idle, k)
 }
 
@@ -286,7 +292,7 @@
 		c.release(call.Endpoint.ID, k)
 		return nil, fault.New(fault.StepDispatch, call.Endpoint.ID, fault.KindLimit, fault.NotRun, "send: %w", err)
 	}
-	x := &exchange{client: c, ctx: ctx, endpoint: call.Endpoint, conn: k, sentAt: now}
+	x := &exchange{client: c, ctx: ctx, endpoint: call.Endpoint, maxConns: call.MaxConns, conn: k, sentAt: now}
 	x.watch(ctx)
 	c.paths.Sent(now)
 	resp, err := x.do(call)
@@ -397,10 +403,13 @@
 // Read implements io.Reader. It returns io.EOF only at the end of the complete body.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
+	if r.unframed && n > 0 {
+		r.call.bodyRead()
+	}
 	if err != io.EOF {
 		return n, err
 	}
-	if r.unframed && !r.call.complete && !r.call.client.accepts(r.call.ctx, r.call.endpoint) {
+	if r.unframed && !r.call.complete && !r.call.endpointLives() {
 		return n, errEndUnproven
 	}
 	r.call.complete = true
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -94,6 +94,7 @@
 	client      *Client
 	ctx         context.Context // of the request
 	endpoint    registry.Endpoint
+	maxConns    int // to the endpoint; 0 for no limit
 	conn        *conn
 	sentBefore  int64
 	sentAt      time.Time
@@ -101,6 +102,7 @@
 	bodyWritten chan error // result of writing the body concurrently with reading the response; nil if there is no such write
 	complete    bool       // the response was read to its end
 	noReuse     bool       // the connection must not be reused
+	witness     witness    // of a response without framing
 	ended       bool
 }
 
@@ -192,10 +194,14 @@
 		}
 		x.noReuse = x.noReuse || resp.Close || a.Close
 		x.conn.idleTimeout = keepAlive(resp.Header.Get("Keep-Alive"))
+		unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+		if unframed {
+			x.witness.sure = x.hold()
+		}
 		return &Response{
 			Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Answer: a,
 			Reused: x.conn.reused, body: resp.Body, call: x,
-			unframed: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody,
+			unframed: unframed,
 		}, nil
 	}
 	return nil, errors.New("received only responses to other requests")
@@ -207,6 +213,7 @@
 		return
 	}
 	x.ended = true
+	x.witness.release(x.client, x.endpoint.ID)
 	x.client.paths.Ended()
 	if !x.stopWatch() {
 		reuse = false // watch has set its deadline
