--- a/internal/soak/endpoint.go
+++ b/internal/soak/endpoint.go
@@ -30,6 +30,7 @@
 	refuse      float64       // share of requests refused before they run
 	fail        float64       // share of requests answered with status 500
 	loseAnswers float64       // share of responses cut off
+	garble      float64       // share of responses with extra bytes after them
 	hang        bool          // requests block until they are canceled
 }
 
@@ -88,8 +89,9 @@
 	instanceAt func(addr netip.Addr) string // returns the instance that connects from an address
 	onCrash    func(e *endpoint)            // called when a request crashes the endpoint
 
-	server  *http.Server
-	stopped atomic.Bool
+	server   *http.Server
+	returned *returnedConns // connections that garbled responses were sent on
+	stopped  atomic.Bool
 
 	mu       sync.Mutex
 	behavior behavior        // guarded by mu
@@ -115,7 +117,10 @@
 	}
 	e.record.endpointStarted(e.id, e.service, e.version)
 	e.server = &http.Server{Handler: e, ReadHeaderTimeout: 5 * time.Second}
-	go func() { _ = e.server.Serve(l) }()
+	e.returned = newReturnedConns(l.Addr())
+	for _, source := range []net.Listener{l, e.returned} {
+		go func() { _ = e.server.Serve(source) }()
+	}
 	return nil
 }
 
@@ -254,7 +259,12 @@
 	if part != "" && c.process(firstEventDelay) != nil {
 		panic(http.ErrAbortHandler) // canceled before the answer began
 	}
-	c.run(part != "" || strings.Contains(string(body), crashingBody))
+	deadly := part != "" || strings.Contains(string(body), crashingBody)
+	if !deadly && rand.Float64() < b.garble {
+		c.runGarbled()
+		return
+	}
+	c.run(deadly)
 }
 
 // findDeadlyPart returns the part that crashes endpoints, or "".
@@ -301,6 +311,7 @@
 	work     time.Duration // how many times longer the request takes than the usual one
 	events   int           // of its complete stream
 	name     string        // of its stream
+	whole    bool          // the response has chunks and is not cut off
 }
 
 var errTruncated = errors.New("response cut off by an injected fault")
@@ -325,6 +336,27 @@
 	}
 }
 
+// runGarbled executes the request, and sends bytes that belong to no request after the response.
+func (c *call) runGarbled() {
+	g, err := newGarbledWriter(c.w)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	whole := false
+	defer func() {
+		if !whole {
+			_ = g.conn.Close()
+		}
+	}()
+	c.w, c.whole = g, true
+	c.run(false)
+	if err := g.finish(extraBytes(c.in.ID)); err != nil {
+		return
+	}
+	whole = true
+	c.endpoint.returned.put(returned{g.conn, g.unread})
+}
+
 // process spends the time that the endpoint takes at present for work that usually takes d. It returns
 // an error if the request is canceled before.
 func (c *call) process(d time.Duration) error {
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -46,13 +46,14 @@
 	Release           Kind = "release"        // engines are replaced by others of a later or an earlier software version
 	End               Kind = "end"            // an endpoint's process ends, and another one starts, at times at the same address
 	KillAll           Kind = "kill-all"       // all instances are killed at once and restarted, at times twice
+	Garble            Kind = "garble"         // an endpoint sends bytes that belong to no request after some whole responses
 	Overload          Kind = "overload"       // one client account or all send more long requests than the engines can serve
 )
 
 // Kinds lists all kinds of faults. Schedule seeds a kind's generator with its position here.
 var Kinds = []Kind{
 	Stop, Kill, Pause, StoreDown, StoreRefuses, StoreSlow, StoreLosesAnswers, StoreCompacts, StoreSilent, CloudDown, Configure, Revoke,
-	Leave, LeaveQuietly, Backoff, Limit, Refuse, Fail, Hang, LoseAnswers, Crash, Deadly, GiveUp, Burst, LinkSlow, LinkReset, LinkSilent, StoreRestored, Overload, Partition, DeadlyPart, Release, End, KillAll,
+	Leave, LeaveQuietly, Backoff, Limit, Refuse, Fail, Hang, LoseAnswers, Crash, Deadly, GiveUp, Burst, LinkSlow, LinkReset, LinkSilent, StoreRestored, Overload, Partition, DeadlyPart, Release, End, KillAll, Garble,
 }
 
 // Action is one scheduled fault. At counts from the start of the traffic.
--- a/internal/soak/stream.go
+++ b/internal/soak/stream.go
@@ -85,7 +85,9 @@
 	s := &streamWriter{call: c, eol: "\n", flush: http.NewResponseController(c.w)}
 	first := after + 1
 	if c.endpoint.varied {
-		s.framing = rand.IntN(framings)
+		if !c.whole {
+			s.framing = rand.IntN(framings)
+		}
 		if rand.Float64() < lineEndShare {
 			s.eol = "\r\n"
 		}
@@ -179,7 +181,7 @@
 	}
 	s := newStreamWriter(c, after)
 	breaksAt := -1
-	if rand.Float64() < c.behavior.loseAnswers {
+	if !c.whole && rand.Float64() < c.behavior.loseAnswers {
 		breaksAt = rand.IntN(c.events)
 	}
 	c.recordAnswer(http.StatusOK, 0)
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -249,6 +249,8 @@
 		r.failService(ctx, a, e.service)
 	case Hang:
 		during(func(b *behavior) { b.hang = true }, func(b *behavior) { b.hang = false })
+	case Garble:
+		during(func(b *behavior) { b.garble = 0.3 }, func(b *behavior) { b.garble = 0 })
 	case LoseAnswers:
 		during(func(b *behavior) { b.loseAnswers = 0.2 }, func(b *behavior) { b.loseAnswers = 0 })
 	case Crash:
