--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -13,7 +13,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -108,6 +107,7 @@
 
 type connections struct {
 	idle []*conn
+	held *heldConn // nil if no response without framing is read
 	open int
 }
 
@@ -206,6 +206,12 @@
 
 // release returns a connection to the pool for the next request.
 func (c *Client) release(endpoint string, k *conn) {
+	k.idleSince = c.clock.Now()
+	c.putBack(endpoint, k)
+}
+
+// putBack returns a connection to the pool that has not been used since it was taken out.
+func (c *Client) putBack(endpoint string, k *conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.endpoints[endpoint]
@@ -214,7 +220,6 @@
 		c.decrementOpen(endpoint)
 		return
 	}
-	k.idleSince = c.clock.Now()
 	s.idle = append(s.idle, k)
 }
 
@@ -292,7 +297,7 @@
 		return nil, fault.New(fault.StepDispatch, call.Endpoint.ID, fault.KindLimit, fault.NotRun, "send: %w", err)
 	}
 	k.budget = progress.New(call.Due)
-	x := &exchange{client: c, ctx: ctx, endpoint: call.Endpoint, conn: k, sentAt: now}
+	x := &exchange{client: c, ctx: ctx, endpoint: call.Endpoint, maxConns: call.MaxConns, conn: k, sentAt: now}
 	x.watch(ctx)
 	c.paths.Sent(now)
 	resp, err := x.do(call)
@@ -328,54 +333,6 @@
 	return false
 }
 
-// lives reports whether the process of an endpoint whose connection has ended lives on. The connections of a process
-// that is killed end one by one, so that one has to stay open for a moment to count. An idle connection from before is the
-// better proof: a process that has taken the endpoint's address since accepts new ones.
-func (c *Client) lives(ctx context.Context, endpoint registry.Endpoint) bool {
-	k := c.takeIdle(endpoint.ID)
-	if k == nil {
-		return c.accepts(ctx, endpoint)
-	}
-	for ; k != nil; k = c.takeIdle(endpoint.ID) {
-		if k.silent() && c.settles(ctx, k) {
-			c.putIdle(endpoint.ID, k)
-			return true
-		}
-		c.discard(endpoint.ID, k)
-	}
-	return false
-}
-
-// takeIdle takes an idle connection to an endpoint that the endpoint has no reason to have closed, or nil. A connection
-// that cannot be checked is not taken.
-func (c *Client) takeIdle(endpoint string) *conn {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	s := c.endpoints[endpoint]
-	if s == nil {
-		return nil
-	}
-	now := c.clock.Now()
-	for i, k := range slices.Backward(s.idle) {
-		if k.isSocket() && k.fresh(now, 0) {
-			s.idle = slices.Delete(s.idle, i, i+1)
-			return k
-		}
-	}
-	return nil
-}
-
-// putIdle returns a connection that was taken from the pool and not used.
-func (c *Client) putIdle(endpoint string, k *conn) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if s := c.endpoints[endpoint]; s != nil {
-		s.idle = append(s.idle, k)
-		return
-	}
-	k.close()
-}
-
 // accepts reports whether an endpoint accepts a connection and keeps it open. The connection takes the place of the one
 // that ended.
 func (c *Client) accepts(ctx context.Context, endpoint registry.Endpoint) bool {
@@ -462,10 +419,13 @@
 	if n > 0 && !r.reported {
 		r.call.conn.budget.Continue()
 	}
+	if r.framing == ByConnection && n > 0 {
+		r.call.bodyRead()
+	}
 	if err != io.EOF {
 		return n, err
 	}
-	if r.framing == ByConnection && !r.call.complete && !r.call.client.lives(r.call.ctx, r.call.endpoint) {
+	if r.framing == ByConnection && !r.call.complete && !r.call.endpointLives() {
 		return n, errEndUnproven
 	}
 	r.call.complete = true
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -108,6 +108,7 @@
 	client      *Client
 	ctx         context.Context // of the request
 	endpoint    registry.Endpoint
+	maxConns    int // to the endpoint; 0 for no limit
 	conn        *conn
 	sentBefore  int64
 	sentAt      time.Time
@@ -115,6 +116,7 @@
 	bodyWritten chan error // result of writing the body concurrently with reading the response; nil if there is no such write
 	complete    bool       // the response was read to its end
 	noReuse     bool       // the connection must not be reused
+	witness     witness    // of a response without framing
 	ended       bool
 }
 
@@ -211,6 +213,10 @@
 			framing = ByLength
 		}
 		x.conn.budget.Continue()
+		if framing == ByConnection {
+			x.hold()
+			x.witness.ended = false // the answer has begun since
+		}
 		return &Response{
 			Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Answer: a,
 			Reused: x.conn.reused, body: resp.Body, call: x,
@@ -226,6 +232,7 @@
 		return
 	}
 	x.ended = true
+	x.witness.release(x.client, x.endpoint.ID)
 	x.client.paths.Ended()
 	if !x.stopWatch() {
 		reuse = false // watch has set its deadline
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -233,11 +233,11 @@
 func TestCallersDropTheConnectionsOfAProcessThatHasEnded(t *testing.T) {
 	is := is.New(t)
 	record := &recorder{}
-	i := newInstance(200, Scenario{Halls: 1}, t.TempDir(), record)
+	i := newInstance(200, Scenario{Halls: 1}, t.TempDir(), "", record)
 	l, err := net.Listen("tcp", i.at(frontPort).String())
 	is.NoErr(err)
 	defer l.Close()
-	c := &caller{traffic: newTraffic([]*instance{i}, nil, record, 1)}
+	c := &caller{traffic: newTraffic([]*instance{i}, nil, record, Streams{}, 1)}
 	defer c.close()
 	is.NoErr(c.connect())
 	first := c.conn
