forward: failing test of streams resumed after an event without an ID

Callers see pieces twice, with nothing that shows it: where the events passed on have no IDs, a stream that breaks off is begun anew at the next endpoint, within the same answer. Seen: "data: a", "data: b", then "data: a" again, answered 200 and whole; the same after an event with ID 1 and one without.

--- a/internal/forward/framing_test.go
+++ b/internal/forward/framing_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -118,3 +119,36 @@
 		})
 	}
 }
+
+// plainEvents is a stream of events without IDs that breaks off after them, or ends.
+func plainEvents(whole bool, data ...string) string {
+	var b strings.Builder
+	b.WriteString("HTTP/1.1 200 OK\r\nId: 7\r\nSeal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+	for _, d := range data {
+		e := "data: " + d + "\n\n"
+		fmt.Fprintf(&b, "%x\r\n%s\r\n", len(e), e)
+	}
+	if whole {
+		b.WriteString("0\r\n\r\n")
+	} else {
+		b.WriteString(thenClose)
+	}
+	return b.String()
+}
+
+// Guards against events that come twice: a stream that broke off after an event without an ID was begun anew in the same answer.
+func TestAStreamIsNotResumedAfterAnEventWithoutAnID(t *testing.T) {
+	for name, scripts := range map[string][]string{
+		"no event has one":  {plainEvents(false, "a", "b"), plainEvents(true, "a", "b", "c")},
+		"the last has none": {strings.TrimSuffix(events(1, 1, false), "8\r\nid: 99\nd\r\n"+thenClose) + "9\r\ndata: b\n\n\r\n" + thenClose, plainEvents(true, "b", "c")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newFixture(t, 0, scripts...)
+			rec, cut := w.ask("/resume/a", "k")
+			is.True(cut)
+			is.Equal(strings.Count(rec.Body.String(), "data: b\n"), 1)
+			is.Equal(len(w.got), 1)
+		})
+	}
+}
