forward: a stream is not resumed after an event without an ID

Callers saw pieces of a stream twice, in an answer that ended as whole, where events have no IDs and the endpoint or the other instance that served the stream broke off: ID of the last event was empty, or that of an earlier event, and the next endpoint began after that.

The instance now ends such an answer by closing the connection. The client sees that the stream is not whole.

--- a/internal/forward/passage.go
+++ b/internal/forward/passage.go
@@ -12,6 +12,7 @@
 	framing  string    // what marks the end of the last response that events came from; see backend.Response.Framing
 	events   int       // that were passed on
 	first    string    // ID of the first of them that has one
+	noID     bool      // the last of them has no ID
 	repeated int       // events that were not passed on, as they or later ones had been
 	leftOut  int64     // numbers between the IDs of events that no event had
 	firstAt  time.Time // when the first event was passed on
@@ -29,7 +30,8 @@
 		p.longest = max(p.longest, now.Sub(p.lastAt))
 	}
 	p.lastAt = now
-	if id == "" {
+	p.noID = id == ""
+	if p.noID {
 		return
 	}
 	if p.first == "" {
@@ -41,6 +43,10 @@
 	q.lastEventID = id
 }
 
+// mayGoOn reports whether another response may go on with the stream. After an event without an ID, no endpoint can be told
+// where to begin.
+func (q *request) mayGoOn() bool { return !q.passage.noID }
+
 // repeats reports whether an event, or a later one, was passed on before.
 func (q *request) repeats(id string) bool {
 	n, last, ok := numbers(id, q.lastEventID)
--- a/internal/forward/proxy.go
+++ b/internal/forward/proxy.go
@@ -136,7 +136,7 @@
 	var err error
 	if events && q.route.Resumable {
 		q.passage.framing = backend.FramingOf(resp.ContentLength, resp.TransferEncoding)
-		if err = h.passEventsOn(w, q, resp.Body); err != nil && q.began && !errors.Is(err, errClientWrite) && ctx.Err() == nil {
+		if err = h.passEventsOn(w, q, resp.Body); err != nil && q.began && q.mayGoOn() && !errors.Is(err, errClientWrite) && ctx.Err() == nil {
 			h.event(event.StreamResumed, zap.String("request", q.meta.ID), zap.String("peer", resp.Instance), zap.String("version", q.version), zap.String("after", q.lastEventID), zap.Error(err))
 			q.brokenOffBy = append(q.brokenOffBy, resp.Instance)
 			return outcome{again: true, denial: relayBroken(err)}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -220,7 +220,7 @@
 	if ctx.Err() != nil {
 		return outcome{denial: h.ended(ctx, q)}
 	}
-	again := q.route.Idempotent()
+	again := q.route.Idempotent() && q.mayGoOn()
 	if again {
 		h.event(event.StreamResumed, zap.String("request", q.meta.ID), zap.String("server", ticket.Endpoint.ID), zap.String("version", ticket.Endpoint.Version), zap.String("after", q.lastEventID), zap.Strings("parts", q.sharedParts()), zap.Error(err))
 	}
