listen: failing test of a request that was read with the one before it

A client sends two requests at once on a connection. The first is being answered when a planned stop begins, and its header has been sent without Connection: close. The second is read from the buffer of the server and given to the handler, but its context is cancelled at once, as if the client had disconnected: it is passed on, cancelled, and gets no answer (LOST).

--- a/internal/listen/partial_test.go
+++ b/internal/listen/partial_test.go
@@ -120,3 +120,42 @@
 	s.Abort(cause, 5*time.Second)
 	is.Equal(<-statuses+<-statuses, http.StatusRequestTimeout+http.StatusGatewayTimeout)
 }
+
+// Guards against a stop that cuts off a request that was read together with the one before it on its connection.
+func TestShutdownAnswersARequestThatWasReadWithTheOneBefore(t *testing.T) {
+	is := is.New(t)
+	begun, stopped := make(chan struct{}), make(chan struct{})
+	cancelled := make(chan bool, 1)
+	s, addr := start(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/first" {
+			w.Header().Set("Content-Length", "2")
+			_, _ = io.WriteString(w, "h")
+			_ = http.NewResponseController(w).Flush()
+			close(begun)
+			<-stopped
+			_, _ = io.WriteString(w, "i")
+			return
+		}
+		select {
+		case <-r.Context().Done():
+			cancelled <- true
+		case <-time.After(100 * time.Millisecond):
+			cancelled <- false
+		}
+	}, Limits{1 << 10, time.Minute, time.Minute})
+	c := dial(t, addr)
+	_, err := io.WriteString(c, "GET /first HTTP/1.1\r\nHost: h\r\n\r\nGET /second HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	<-begun
+	ended := make(chan error)
+	go func() { ended <- s.Shutdown(context.Background()) }()
+	time.Sleep(50 * time.Millisecond)
+	close(stopped)
+	for range 2 {
+		resp, err := http.ReadResponse(c.in, nil)
+		is.NoErr(err)
+		_, _ = io.Copy(io.Discard, resp.Body)
+	}
+	is.True(!<-cancelled)
+	is.NoErr(<-ended)
+}
