backend: failing tests of ends of bodies that are read late

A body without framing is being passed on to a client that reads slowly. Its endpoint is killed, and another process takes the address. In the one case nothing was sent to the address since; in the other, a request to the endpoint got 421 there.

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -420,3 +420,60 @@
 		_ = l.Close()
 	}
 }
+
+// readLate reads the end of a body without framing, whose endpoint was killed, after another process has taken its address
+// and answered a request with since unless that is empty.
+func readLate(t *testing.T, since string) error {
+	t.Helper()
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := l.Addr().String()
+	c := newClientOn(netx.TCP{})
+	defer c.CloseIdle()
+	request := func(id, text string) (*Response, net.Conn) {
+		accepted := make(chan net.Conn, 1)
+		go func() {
+			k, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(k))
+			_, _ = io.WriteString(k, text)
+			accepted <- k
+		}()
+		toSend := call(id)
+		toSend.Endpoint.Addr = netip.MustParseAddrPort(address)
+		resp, err := c.Send(context.Background(), toSend)
+		is.NoErr(err)
+		return resp, <-accepted
+	}
+	first, killed := request("1", "HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s\r\n\r\nbegin")
+	defer first.Close()
+	_ = l.Close()
+	_ = killed.Close()
+	l, err = net.Listen("tcp", address)
+	is.NoErr(err)
+	defer l.Close()
+	if since != "" {
+		second, _ := request("2", since)
+		_, _ = io.ReadAll(second)
+		second.Close()
+	}
+	time.Sleep(2 * endTimeout) // the client of the first answer does not read
+	b, err := io.ReadAll(first)
+	is.Equal(string(b), "begin")
+	return err
+}
+
+// Guards against a body that ends with its connection and is taken for whole although its endpoint was killed: another
+// endpoint, which answered 421 at its address, accepted connections.
+func TestAnotherEndpointAtTheAddressProvesNoEndOfABody(t *testing.T) {
+	is.New(t).True(readLate(t, "HTTP/1.1 421 X\r\nId: 2\r\nContent-Length: 0\r\n\r\n") != nil)
+}
+
+// Guards against a body that ends with its connection and is taken for whole although its endpoint was killed: its end was
+// read late, when another process accepted connections at its address.
+func TestAnEndThatIsReadLateNeedsProofFromBefore(t *testing.T) {
+	is.New(t).True(readLate(t, "") != nil)
+}
