backend: an endpoint whose address another one has proves no end of a body

Callers saw a stream or an answer without length or chunks end as complete with pieces missing, where its endpoint was killed while the client did not read, and another endpoint had the address when the end was read: the proof that the process lives was a connection to the new one, idle after its 421 or new.

A 421 says that the endpoint has its address no longer. The client now remembers it for the ID of the endpoint, which no later start has, and takes no connection to the address for proof.

TestAnotherEndpointAtTheAddressProvesNoEndOfABody failed before. TestAnEndThatIsReadLateNeedsProofFromBefore still fails: without any request since, a new connection is all the proof there is.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -107,8 +107,9 @@
 }
 
 type connections struct {
-	idle []*conn
-	open int
+	idle  []*conn
+	open  int
+	taken bool // another endpoint has answered at the address
 }
 
 // Options configure a Client.
@@ -332,6 +333,9 @@
 // that is killed end one by one, so that one has to stay open for a moment to count. An idle connection from before is the
 // better proof: a process that has taken the endpoint's address since accepts new ones.
 func (c *Client) lives(ctx context.Context, endpoint registry.Endpoint) bool {
+	if c.addressTaken(endpoint.ID) {
+		return false
+	}
 	k := c.takeIdle(endpoint.ID)
 	if k == nil {
 		return c.accepts(ctx, endpoint)
@@ -346,6 +350,22 @@
 	return false
 }
 
+// setAddressTaken records that another endpoint has the address of an endpoint now, whose process has ended.
+func (c *Client) setAddressTaken(endpoint string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s := c.endpoints[endpoint]; s != nil {
+		s.taken = true
+	}
+}
+
+func (c *Client) addressTaken(endpoint string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.endpoints[endpoint]
+	return s != nil && s.taken
+}
+
 // takeIdle takes an idle connection to an endpoint that the endpoint has no reason to have closed, or nil. A connection
 // that cannot be checked is not taken.
 func (c *Client) takeIdle(endpoint string) *conn {
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -204,6 +204,9 @@
 			}
 			continue
 		}
+		if a.Misdirected {
+			x.client.setAddressTaken(x.endpoint.ID)
+		}
 		x.noReuse = x.noReuse || resp.Close || a.Close
 		x.conn.idleTimeout = keepAlive(resp.Header.Get("Keep-Alive"))
 		framing := FramingOf(resp.ContentLength, resp.TransferEncoding)
