listen: a request that was read with the one before it is answered

Callers that send requests without waiting for the response to the one before lost the next one in a planned stop or a change of limits: it was read whole, passed on, and cancelled without an answer.

The connection counted as waiting for a request, as nothing more was read from it, and got a read deadline in the past. The server took the request from its buffer, and its watch for the end of the connection failed at that deadline, which cancels the context of the request. The server removes the read deadline when it has read a header; the connection now takes this for the beginning of the request, and no longer keeps the deadline.

TestShutdownAnswersARequestThatWasReadWithTheOneBefore failed before: the context was cancelled at once.

--- a/internal/listen/conn.go
+++ b/internal/listen/conn.go
@@ -66,10 +66,14 @@
 	}
 }
 
-// SetReadDeadline implements net.Conn. An expired connection keeps its deadline in the past.
+// SetReadDeadline implements net.Conn. An expired connection keeps its deadline in the past until the server removes it,
+// which it does when it has read some of the next request.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if t.IsZero() {
+		c.waits, c.expired = false, false
+	}
 	if c.expired {
 		return nil
 	}
