backend: a call that is not sent leaves its connection idle

Requests may be sent on a connection that the endpoint is closing, and those that may not be repeated then end with 502 (LOST). The pool counts how long a connection has been idle, to stop using it before the endpoint's own time-out. A call that took a connection and was not sent, as its context had ended, the endpoint had requested a backoff or was at its rate limit, set that count back, while the endpoint had received nothing.

Such calls now put the connection back as it was, as the check for a living endpoint does.

TestACallThatIsNotSentLeavesAConnectionIdle failed before: the connection carried a request after 2 s, where the endpoint states a time-out of 2 s. Not seen in a run of processes.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -205,8 +205,14 @@
 	return nil, err
 }
 
-// release returns a connection to the pool for the next request.
+// release returns a connection that was used to the pool for the next request.
 func (c *Client) release(endpoint string, k *conn) {
+	k.idleSince = c.clock.Now()
+	c.putIdle(endpoint, k)
+}
+
+// putIdle returns a connection that was not used to the pool.
+func (c *Client) putIdle(endpoint string, k *conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.endpoints[endpoint]
@@ -215,7 +221,6 @@
 		c.decrementOpen(endpoint)
 		return
 	}
-	k.idleSince = c.clock.Now()
 	s.idle = append(s.idle, k)
 }
 
@@ -277,7 +282,7 @@
 		return nil, fault.New(fault.StepDispatch, call.Endpoint.ID, kind, fault.NotRun, "connect: %w", err)
 	}
 	if ctx.Err() != nil { // ctx ended while the connection was made
-		c.release(call.Endpoint.ID, k)
+		c.putIdle(call.Endpoint.ID, k)
 		return nil, fault.New(fault.StepDispatch, call.Endpoint.ID, fault.KindTimeout, fault.NotRun, "connect: %w", context.Cause(ctx))
 	}
 	// The endpoint may have requested a backoff while the connection was made, which takes up to
@@ -285,11 +290,11 @@
 	// throughout the backoff.
 	now := c.clock.Now()
 	if err := c.notices.Allows(&call.Endpoint, now); err != nil {
-		c.release(call.Endpoint.ID, k)
+		c.putIdle(call.Endpoint.ID, k)
 		return nil, fault.New(fault.StepDispatch, call.Endpoint.ID, fault.KindLimit, fault.NotRun, "send: %w", err)
 	}
 	if err := c.limits.Take(call.Endpoint.ID, now); err != nil {
-		c.release(call.Endpoint.ID, k)
+		c.putIdle(call.Endpoint.ID, k)
 		return nil, fault.New(fault.StepDispatch, call.Endpoint.ID, fault.KindLimit, fault.NotRun, "send: %w", err)
 	}
 	k.budget = progress.New(call.Due)
@@ -385,17 +390,6 @@
 	return nil
 }
 
-// putIdle returns a connection that was taken from the pool and not used.
-func (c *Client) putIdle(endpoint string, k *conn) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if s := c.endpoints[endpoint]; s != nil {
-		s.idle = append(s.idle, k)
-		return
-	}
-	k.close()
-}
-
 // accepts reports whether an endpoint accepts a connection and keeps it open. The connection takes the place of the one
 // that ended.
 func (c *Client) accepts(ctx context.Context, endpoint registry.Endpoint) bool {
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -477,3 +477,24 @@
 func TestAnEndThatIsReadLateNeedsProofFromBefore(t *testing.T) {
 	is.New(t).True(readLate(t, "") != nil)
 }
+
+// Guards against requests on a connection that the endpoint is about to close: calls that were not sent made it count as
+// used.
+func TestACallThatIsNotSentLeavesAConnectionIdle(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T, is *is.I) {
+		withKeepAlive := strings.Replace(answerTo("1", "one"), "\r\n\r\n", "\r\nKeep-Alive: timeout=2\r\n\r\n", 1)
+		c, conns := startEndpoint(t, []string{withKeepAlive, answerTo("2", "two")}, []string{answerTo("2", "two")})
+		_, err := send(t, c, "1")
+		is.NoErr(err)
+		time.Sleep(time.Second)
+		ended, end := context.WithCancel(context.Background())
+		end()
+		_, err = c.Send(ended, call("0"))
+		is.Equal(fault.As(err).Run, fault.NotRun)
+		time.Sleep(time.Second)
+		_, err = send(t, c, "2")
+		is.NoErr(err)
+		is.Equal(*conns, 2) // the endpoint closes the first one now
+		c.CloseIdle()
+	})
+}
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -36,7 +36,7 @@
 }
 
 func (c *Client) newConn(endpoint string, raw net.Conn) *conn {
-	k := &conn{client: c, endpoint: endpoint, raw: raw, headRemaining: -1}
+	k := &conn{client: c, endpoint: endpoint, raw: raw, idleSince: c.clock.Now(), headRemaining: -1}
 	k.reader = bufio.NewReader(k)
 	return k
 }
