forward: failing tests of events held back until the next one is whole

An endpoint sends an event and the first bytes of the next one together, then pauses, or breaks off and the stream is resumed elsewhere. The client gets the first event only with the next one. In one case the response is flushed only when nothing more is buffered; in the other the chunked reader of net/http returns nothing before the end of a chunk that has begun.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -599,3 +599,49 @@
 		}
 	}
 }
+
+// pauseBetweenEvents returns how long after the first event of a stream its second one reaches the client.
+func pauseBetweenEvents(t *testing.T, script string) time.Duration {
+	t.Helper()
+	is := is.New(t)
+	w := newFixture(t, 0, script)
+	s := httptest.NewServer(w.handler)
+	defer s.Close()
+	r, err := http.NewRequest(http.MethodPost, s.URL+"/stream/a", strings.NewReader("body"))
+	is.NoErr(err)
+	r.Host = testHost
+	for name, value := range map[string]string{"Id": "7", "Key": "k", "Deadline": "1500"} {
+		r.Header.Set(name, value)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	in := bufio.NewReader(resp.Body)
+	var read []time.Time
+	for range 6 {
+		_, err := in.ReadString('\n')
+		is.NoErr(err)
+		read = append(read, time.Now())
+	}
+	return read[5].Sub(read[2])
+}
+
+// Guards against an event that is held back while its endpoint takes its time for the next one, of which some has come.
+func TestAnEventIsSentBeforeTheNextOneIsWhole(t *testing.T) {
+	head, _, _ := strings.Cut(events(1, 1, true), "f\r\n")
+	for name, script := range map[string]string{
+		"chunks":     head + "13\r\nid: 1\ndata: x\n\nid: \r\n" + thenWait + "b\r\n2\ndata: x\n\n\r\n0\r\n\r\n",
+		"connection": untilClose("text/event-stream", threeEvents[:20]+thenWait+threeEvents[20:]),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).True(pauseBetweenEvents(t, script) > scriptPause/2)
+		})
+	}
+}
+
+// Guards against an event that is held back while its endpoint pauses inside the chunk of the next one.
+func TestAnEventIsSentBeforeTheNextChunkIsWhole(t *testing.T) {
+	two := events(1, 2, true)
+	at := strings.Index(two, "id: 2") + len("id: 2")
+	is.New(t).True(pauseBetweenEvents(t, two[:at]+thenWait+two[at:]) > scriptPause/2)
+}
