forward: what was written of a stream is sent before more is read

Callers got an event only with the next one, where some of the next one had come with it: the response was flushed only when nothing more was buffered. If the endpoint broke off then, the event waited for the next endpoint.

The reader of events now flushes what was written before each read that may have to wait.

TestAnEventIsSentBeforeTheNextOneIsWhole failed before. TestAnEventIsSentBeforeTheNextChunkIsWhole still fails: the chunked reader of net/http fills its buffer to the end of a chunk that has begun.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -252,6 +252,7 @@
 	anyPath        bool                     // endpoints that count as unreachable may be tried
 	lastEventID    string                   // ID of the last event passed on
 	answered       bool                     // the response head was sent to the client
+	unflushed      bool                     // some of a stream was written to the client since the last flush
 	passage        passage                  // what was passed on of a stream
 	passingSince   time.Time                // when a response that is not a stream was begun to be passed on
 	clientWait     time.Duration            // time that the client took to accept the rest of a long one
--- a/internal/forward/proxy.go
+++ b/internal/forward/proxy.go
@@ -156,8 +156,7 @@
 
 // passEventsOn passes whole events on, so that another instance can resume the stream after the last one.
 func (h *Handler) passEventsOn(w http.ResponseWriter, q *request, body io.Reader) error {
-	flusher := http.NewResponseController(w)
-	events := newEventReader(body)
+	events := newEventReader(body, q.flusher(w))
 	for {
 		block, id, isEvent, err := events.next()
 		if err == io.EOF {
@@ -172,9 +171,7 @@
 		if _, err := w.Write(block); err != nil {
 			return fmt.Errorf("%w: %w", errClientWrite, err)
 		}
-		if events.r.Buffered() == 0 {
-			_ = flusher.Flush()
-		}
+		q.unflushed = true
 		if isEvent {
 			q.passed(id, h.Clock.Now())
 		}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -45,8 +45,31 @@
 	last string // highest ID of an event
 }
 
-func newEventReader(r io.Reader) eventReader {
-	return eventReader{r: bufio.NewReader(r), buf: make([]byte, 0, usualEventBytes)}
+// newEventReader returns a reader of the events of r that calls flush before each read from r, which may have to wait.
+func newEventReader(r io.Reader, flush func()) eventReader {
+	return eventReader{r: bufio.NewReader(flushingReader{r, flush}), buf: make([]byte, 0, usualEventBytes)}
+}
+
+type flushingReader struct {
+	io.Reader
+	flush func()
+}
+
+// Read implements io.Reader.
+func (r flushingReader) Read(p []byte) (int, error) {
+	r.flush()
+	return r.Reader.Read(p)
+}
+
+// flusher returns a function that sends what was written of a stream since its last call.
+func (q *request) flusher(w http.ResponseWriter) func() {
+	control := http.NewResponseController(w)
+	return func() {
+		if q.unflushed {
+			q.unflushed = false
+			_ = control.Flush()
+		}
+	}
 }
 
 // next returns the next block, complete with the blank line that ends it, which is valid until the following call. It is
@@ -132,7 +155,7 @@
 	}
 	q.passage.framing = resp.Framing()
 	resp.ReportProgress()
-	events := newEventReader(resp)
+	events := newEventReader(resp, q.flusher(w))
 	var comments []byte // held until the first event, so that another status can still be sent
 	first := true
 	for {
@@ -144,7 +167,7 @@
 			ticket.Done(balance.Answered, h.Clock.Now())
 			h.runCompleted(q, ticket.Endpoint, resp)
 			if !q.answered {
-				h.passBlock(w, q, ticket, resp, events.r, comments)
+				h.passBlock(w, q, ticket, resp, comments)
 			}
 			h.completeStream(q)
 			h.logEnd(q, event.ForwardAnswered, resp.Status, "", nil)
@@ -158,7 +181,7 @@
 			case id != "": // sent again by the endpoint
 				q.passage.repeated++
 			case q.answered:
-				h.passBlock(w, q, ticket, resp, events.r, block)
+				h.passBlock(w, q, ticket, resp, block)
 			default:
 				comments = append(comments, block...)
 			}
@@ -182,16 +205,16 @@
 			continue // sent again by the endpoint that resumes the stream
 		}
 		if !q.answered && len(comments) > 0 {
-			h.passBlock(w, q, ticket, resp, events.r, comments)
+			h.passBlock(w, q, ticket, resp, comments)
 			comments = nil
 		}
-		h.passBlock(w, q, ticket, resp, events.r, block)
+		h.passBlock(w, q, ticket, resp, block)
 		q.passed(id, h.Clock.Now())
 	}
 }
 
-// passBlock passes a part of a stream on to the client, and sends it at once unless more has arrived.
-func (h *Handler) passBlock(w http.ResponseWriter, q *request, ticket *balance.Ticket, resp *backend.Response, r *bufio.Reader, block []byte) {
+// passBlock passes a part of a stream on to the client. It is sent before more is read from the endpoint.
+func (h *Handler) passBlock(w http.ResponseWriter, q *request, ticket *balance.Ticket, resp *backend.Response, block []byte) {
 	h.openStream(w, q, resp)
 	if _, err := w.Write(block); err != nil {
 		ticket.Done(balance.Cancelled, h.Clock.Now())
@@ -199,9 +222,7 @@
 		h.logEnd(q, event.ClientDisconnected, resp.Status, "client disconnected", err)
 		panic(http.ErrAbortHandler)
 	}
-	if r.Buffered() == 0 {
-		_ = http.NewResponseController(w).Flush()
-	}
+	q.unflushed = true
 }
 
 // openStream sends the response head, taken from the first endpoint that answered, once.
