--- a/internal/listen/partial_test.go
+++ b/internal/listen/partial_test.go
@@ -5,11 +5,14 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/shelfcrank/shelfcrank/internal/intake"
 )
 
 // halfSent opens a connection of which the server has read half the header of a request, kept from another request or new.
@@ -159,3 +162,28 @@
 	is.True(!<-cancelled)
 	is.NoErr(<-ended)
 }
+
+// Guards against an answer that was broken off and looks complete to an HTTP/1.0 client, for which only the end of the
+// connection marks its end.
+func TestAnAbortedAnswerIsNotCompleteForAnHTTP10Client(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	connections := intake.NewConnections(intake.ConnectionLimits{Open: 10}, time.Now, nil)
+	s := New(connections.Listener(listener), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "begin")
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(50 * time.Millisecond) // until the client has read it
+		panic(http.ErrAbortHandler)
+	}), connections.StateChanged)
+	s.Apply(Limits{1 << 10, time.Minute, time.Minute})
+	t.Cleanup(func() { _ = s.Shutdown(context.Background()) })
+	c := dial(t, listener.Addr().String())
+	_, err = io.WriteString(c, "GET / HTTP/1.0\r\n\r\n")
+	is.NoErr(err)
+	resp, err := http.ReadResponse(c.in, nil)
+	is.NoErr(err)
+	b, err := io.ReadAll(resp.Body)
+	is.Equal(string(b), "begin")
+	is.True(err != nil) // rather than the end of the connection
+}
