listen: an aborted answer to an HTTP/1.0 client ends with a reset

HTTP/1.0 clients took an answer that was broken off for a whole one, as the end of the connection marks its end and an abort closes it like any other. The connection is now reset in that case. If the process of the instance is killed, the end of an answer to such a client still looks like any other.

TestAnAbortedAnswerIsNotCompleteForAnHTTP10Client failed before.

--- a/internal/intake/connections.go
+++ b/internal/intake/connections.go
@@ -311,6 +311,14 @@
 	return nil
 }
 
+// SetLinger sets how the connection is closed, as for a net.TCPConn.
+func (c *conn) SetLinger(sec int) error {
+	if l, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		return l.SetLinger(sec)
+	}
+	return nil
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	s := c.connections
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -111,6 +111,7 @@
 	g.http = &http.Server{
 		Handler: g, ErrorLog: zap.NewStdLog(zap.NewNop()), ConnState: g.stateChanged,
 		BaseContext:       func(net.Listener) context.Context { return s.requests },
+		ConnContext:       func(ctx context.Context, nc net.Conn) context.Context { return context.WithValue(ctx, connKey{}, nc) },
 		ReadHeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout, MaxHeaderBytes: l.HeaderBytes,
 	}
 	s.serving = append(s.serving, g)
@@ -153,11 +154,28 @@
 
 // ServeHTTP implements http.Handler.
 func (g *generation) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		defer resetIfAborted(r)
+	}
 	out := &response{ResponseWriter: w, generation: g}
 	g.acceptor.handler.ServeHTTP(out, r)
 	out.begin()
 }
 
+type connKey struct{}
+
+// resetIfAborted makes the close of the connection a reset if the handler panics. An HTTP/1.0 client takes any other end for
+// that of the response.
+func resetIfAborted(r *http.Request) {
+	if e := recover(); e != nil {
+		c := r.Context().Value(connKey{}).(*conn)
+		if s, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+			_ = s.SetLinger(0)
+		}
+		panic(e)
+	}
+}
+
 func (g *generation) stateChanged(nc net.Conn, state http.ConnState) {
 	c := nc.(*conn)
 	if f := g.acceptor.state; f != nil {
