--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -106,9 +106,10 @@
 }
 
 type connections struct {
-	idle []*conn
-	held *heldConn // nil if no response without framing is read
-	open int
+	idle  []*conn
+	held  *heldConn // nil if no response without framing is read
+	open  int
+	taken bool // another endpoint has answered at the address
 }
 
 // Options configure a Client.
@@ -204,7 +205,7 @@
 	return nil, err
 }
 
-// release returns a connection to the pool for the next request.
+// release returns a connection that was used to the pool for the next request.
 func (c *Client) release(endpoint string, k *conn) {
 	k.idleSince = c.clock.Now()
 	c.putBack(endpoint, k)
@@ -281,7 +282,7 @@
 		return nil, fault.New(fault.StepDispatch, call.Endpoint.ID, kind, fault.NotRun, "connect: %w", err)
 	}
 	if ctx.Err() != nil { // ctx ended while the connection was made
-		c.release(call.Endpoint.ID, k)
+		c.putBack(call.Endpoint.ID, k)
 		return nil, fault.New(fault.StepDispatch, call.Endpoint.ID, fault.KindTimeout, fault.NotRun, "connect: %w", context.Cause(ctx))
 	}
 	// The endpoint may have requested a backoff while the connection was made, which takes up to
@@ -289,11 +290,11 @@
 	// throughout the backoff.
 	now := c.clock.Now()
 	if err := c.notices.Allows(&call.Endpoint, now); err != nil {
-		c.release(call.Endpoint.ID, k)
+		c.putBack(call.Endpoint.ID, k)
 		return nil, fault.New(fault.StepDispatch, call.Endpoint.ID, fault.KindLimit, fault.NotRun, "send: %w", err)
 	}
 	if err := c.limits.Take(call.Endpoint.ID, now); err != nil {
-		c.release(call.Endpoint.ID, k)
+		c.putBack(call.Endpoint.ID, k)
 		return nil, fault.New(fault.StepDispatch, call.Endpoint.ID, fault.KindLimit, fault.NotRun, "send: %w", err)
 	}
 	k.budget = progress.New(call.Due)
@@ -333,6 +334,22 @@
 	return false
 }
 
+// setAddressTaken records that another endpoint has the address of an endpoint now, whose process has ended.
+func (c *Client) setAddressTaken(endpoint string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s := c.endpoints[endpoint]; s != nil {
+		s.taken = true
+	}
+}
+
+func (c *Client) addressTaken(endpoint string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.endpoints[endpoint]
+	return s != nil && s.taken
+}
+
 // accepts reports whether an endpoint accepts a connection and keeps it open. The connection takes the place of the one
 // that ended.
 func (c *Client) accepts(ctx context.Context, endpoint registry.Endpoint) bool {
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -36,7 +36,7 @@
 }
 
 func (c *Client) newConn(endpoint string, raw net.Conn) *conn {
-	k := &conn{client: c, endpoint: endpoint, raw: raw, headRemaining: -1}
+	k := &conn{client: c, endpoint: endpoint, raw: raw, idleSince: c.clock.Now(), headRemaining: -1}
 	k.reader = bufio.NewReader(k)
 	return k
 }
@@ -206,6 +206,9 @@
 			}
 			continue
 		}
+		if a.Misdirected {
+			x.client.setAddressTaken(x.endpoint.ID)
+		}
 		x.noReuse = x.noReuse || resp.Close || a.Close
 		x.conn.idleTimeout = keepAlive(resp.Header.Get("Keep-Alive"))
 		framing := FramingOf(resp.ContentLength, resp.TransferEncoding)
--- a/internal/backend/witness.go
+++ b/internal/backend/witness.go
@@ -117,7 +117,7 @@
 func (x *exchange) endpointLives() bool {
 	w := &x.witness
 	switch {
-	case w.ended:
+	case w.ended, x.client.addressTaken(x.endpoint.ID):
 		return false
 	case w.held != nil, x.hold():
 		return x.client.settles(x.ctx, w.held.conn)
--- a/internal/forward/proxy.go
+++ b/internal/forward/proxy.go
@@ -136,7 +136,7 @@
 	var err error
 	if events && q.route.Resumable {
 		q.passage.framing = backend.FramingOf(resp.ContentLength, resp.TransferEncoding)
-		if err = h.passEventsOn(w, q, resp.Body); err != nil && q.began && !errors.Is(err, errClientWrite) && ctx.Err() == nil {
+		if err = h.passEventsOn(w, q, resp.Body); err != nil && q.began && q.mayGoOn() && !errors.Is(err, errClientWrite) && ctx.Err() == nil {
 			h.event(event.StreamResumed, zap.String("request", q.meta.ID), zap.String("peer", resp.Instance), zap.String("version", q.version), zap.String("after", q.lastEventID), zap.Error(err))
 			q.brokenOffBy = append(q.brokenOffBy, resp.Instance)
 			return outcome{again: true, denial: relayBroken(err)}
@@ -156,8 +156,7 @@
 
 // passEventsOn passes whole events on, so that another instance can resume the stream after the last one.
 func (h *Handler) passEventsOn(w http.ResponseWriter, q *request, body io.Reader) error {
-	flusher := http.NewResponseController(w)
-	events := newEventReader(body)
+	events := newEventReader(body, q.flusher(w))
 	for {
 		block, id, isEvent, err := events.next()
 		if err == io.EOF {
@@ -172,9 +171,7 @@
 		if _, err := w.Write(block); err != nil {
 			return fmt.Errorf("%w: %w", errClientWrite, err)
 		}
-		if events.r.Buffered() == 0 {
-			_ = flusher.Flush()
-		}
+		q.unflushed = true
 		if isEvent {
 			q.passed(id, h.Clock.Now())
 		}
