--- a/internal/quarantine/gate/gate_test.go
+++ b/internal/quarantine/gate/gate_test.go
@@ -87,7 +87,7 @@
 		g, _, part := suspectGate(time.Now())
 		time.Sleep(quarantine.SettleTime)
 		began := time.Now()
-		ends := began.Add(maxUndecided - acquireInterval)
+		ends := began.Add(maxUndecided - acquireInterval - time.Millisecond) // not at the instant of a poll
 		time.AfterFunc(ends.Sub(began), func() {
 			g.Table.RunInterrupted(quarantine.Run{Endpoint: "e3", Name: "e3", Parts: []string{"p"}}, time.Now())
 			g.Table.EndpointEnded("e3", time.Now())
