origin: each instance's name is hashed once where the holders of a stream are ranked

At 330 instances the instance that begins a stream took 209 µs for the choice of its holders (582 µs at 986, 8 µs at 9), as each comparison of the sort hashed two names: 1.3% of a core at 61 streams a second, where 1% is allowed. The order is unchanged (TestTheLossOfAnInstanceLeavesTheOtherHolders and the test before it).

--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -113,9 +113,19 @@
 // rank returns the instances in an order of preference for a key, the same one whatever the order of the input.
 func rank(of string, instances []topology.Member) []topology.Member {
 	key := rendezvous.Hash(of)
-	order := slices.Clone(instances)
-	score := func(m topology.Member) uint64 { return rendezvous.Score(key, m.Name) }
-	slices.SortFunc(order, func(a, b topology.Member) int { return cmp.Compare(score(b), score(a)) })
+	type scored struct {
+		score uint64
+		i     int
+	}
+	scores := make([]scored, len(instances))
+	for i := range instances {
+		scores[i] = scored{rendezvous.Score(key, instances[i].Name), i}
+	}
+	slices.SortFunc(scores, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
+	order := make([]topology.Member, len(instances))
+	for i, s := range scores {
+		order[i] = instances[s.i]
+	}
 	return order
 }
 
