resume: an instance that is not registered yet neither adds to the record nor writes batches

Cause: while all instances start, each knows few others or none and so took itself for a holder of the record's key.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -180,7 +180,7 @@
 		return nil, fmt.Errorf("create instance: %w", err)
 	}
 	n.peers = do.MustInvoke[*peer.Transport](n.injector)
-	n.streams = resume.New(resume.Options{Peers: n.peers, Self: n.self(), Others: n.others, Current: n.isCurrent, List: n.listVersions, Clock: o.Clock, Store: o.Store, Prefix: o.Decoder.OwnPrefix(), WritesPerSecond: o.Settings.StoreWritesPerSecond})
+	n.streams = resume.New(resume.Options{Peers: n.peers, Self: n.self(), Others: n.others, Registered: n.registered.Load, Current: n.isCurrent, List: n.listVersions, Clock: o.Clock, Store: o.Store, Prefix: o.Decoder.OwnPrefix(), WritesPerSecond: o.Settings.StoreWritesPerSecond})
 	n.proxy = do.MustInvoke[*peerproxy.Client](n.injector)
 	n.backends = do.MustInvoke[*backend.Client](n.injector)
 	n.tracker = do.MustInvoke[*balance.Tracker](n.injector)
--- a/internal/resume/archive.go
+++ b/internal/resume/archive.go
@@ -189,20 +189,24 @@
 	c := &d.ranked
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !now.Before(c.until) {
-		c.list, c.until = origin.NewArchivers(d.instances()), now.Add(archiversAge)
+	if len(c.list) == 0 || !now.Before(c.until) {
+		c.list, c.until = origin.NewArchivers(d.registered()), now.Add(archiversAge)
 	}
 	return c.list
 }
 
-// archives reports whether this instance is to look up a stream in the store for others.
-func (d *Directory) archives(stream string, now time.Time) bool {
-	return slices.ContainsFunc(d.archivers(now).Of(stream), func(m topology.Member) bool { return m.Name == d.Self.Name })
+// archives reports whether this instance is to look up a stream in the store for others, also before it is
+// registered again after a start of all.
+func (d *Directory) archives(stream string) bool {
+	return slices.ContainsFunc(origin.NewArchivers(d.instances()).Of(stream), func(m topology.Member) bool { return m.Name == d.Self.Name })
 }
 
-// writesFor reports whether this instance writes the record of a stream to the store, and otherwise which one does.
+// writesFor returns the instance that writes the record of a stream to the store, and whether it is this one. It
+// returns none if no instance is registered.
 func (d *Directory) writesFor(stream string, now time.Time) (archiver topology.Member, self bool) {
-	archiver = d.archivers(now).Of(stream)[0]
+	if of := d.archivers(now).Of(stream); len(of) > 0 {
+		archiver = of[0]
+	}
 	return archiver, archiver.Name == d.Self.Name
 }
 
--- a/internal/resume/record.go
+++ b/internal/resume/record.go
@@ -89,7 +89,7 @@
 	if since.IsZero() {
 		return nil, false
 	}
-	holders := origin.Holders(r.Key, r.Directory.instances())
+	holders := origin.Holders(r.Key, r.Directory.registered())
 	turn := slices.IndexFunc(holders, func(m topology.Member) bool { return m.Name == r.Directory.Self.Name })
 	return recorded, turn >= 0 && now.Sub(since) >= time.Duration(turn+1)*recordInterval
 }
--- a/internal/resume/resume.go
+++ b/internal/resume/resume.go
@@ -49,6 +49,8 @@
 	Peers  Caller
 	Self   topology.Member
 	Others func() []topology.Member // the other instances
+	// Registered reports whether the others know this instance; nil if they always do.
+	Registered func() bool
 	// Current reports whether the versions that Versions observes are those that serve now.
 	Current func(now time.Time) bool
 	// List reads from the store the versions, by service, of all endpoints that accept requests.
@@ -142,6 +144,15 @@
 // instances returns all instances.
 func (d *Directory) instances() []topology.Member { return append(slices.Clone(d.Others()), d.Self) }
 
+// registered returns the instances that all know. One that has just started and knows few others must not take
+// duties that belong to one of many: all of a fleet may start at once.
+func (d *Directory) registered() []topology.Member {
+	if d.Registered != nil && !d.Registered() {
+		return d.Others()
+	}
+	return d.instances()
+}
+
 // inDoubt reports whether more than one version of a service may have begun a stream.
 func (d *Directory) inDoubt(service string, now time.Time) bool {
 	versions, complete := d.Versions.Candidates(service, now)
@@ -211,16 +222,18 @@
 	defer d.mu.Unlock()
 	all := d.instances()
 	out, unreached = make(map[netip.AddrPort][]origin.Record), make(map[netip.AddrPort][]origin.Record)
-	for _, r := range d.toStore {
-		archiver, self := d.writesFor(r.Stream, now)
-		if self {
+	d.toStore = slices.DeleteFunc(d.toStore, func(r origin.Record) bool {
+		switch archiver, self := d.writesFor(r.Stream, now); {
+		case self:
 			d.archive.add(r)
-			continue
+		case archiver.Name == "":
+			return !now.Before(r.Until)
+		default:
+			out[archiver.Addr] = append(out[archiver.Addr], r)
+			unreached[archiver.Addr] = append(unreached[archiver.Addr], r)
 		}
-		out[archiver.Addr] = append(out[archiver.Addr], r)
-		unreached[archiver.Addr] = append(unreached[archiver.Addr], r)
-	}
-	d.toStore = nil
+		return true
+	})
 	d.queued = slices.DeleteFunc(d.queued, func(r origin.Record) bool {
 		archiver, _ := d.writesFor(r.Stream, now)
 		for _, m := range origin.Holders(r.Stream, all) {
@@ -230,7 +243,7 @@
 		}
 		return len(all) > 1 || !now.Before(r.Until)
 	})
-	return out, unreached, len(d.queued) > 0
+	return out, unreached, len(d.queued)+len(d.toStore) > 0
 }
 
 func (d *Directory) call(ctx context.Context, addr netip.AddrPort, call *peerpb.Call, timeout time.Duration) (*peerpb.Answer, error) {
@@ -260,7 +273,7 @@
 	if !ok {
 		a.Versions, a.Complete = d.candidates(m.Service, now)
 		k := origin.Knowledge{Versions: a.Versions, Complete: a.Complete}
-		if _, single := k.OnlyVersion(); !single && d.archives(m.Stream, now) {
+		if _, single := k.OnlyVersion(); !single && d.archives(m.Stream) {
 			r, ok = d.archived(ctx, m.Stream, now)
 		}
 	}
@@ -350,7 +363,7 @@
 		f.Version, f.Source = version, OnlyVersion
 		return f
 	}
-	if alone || d.archives(stream, now) {
+	if alone || d.archives(stream) {
 		if r, ok := d.archived(ctx, stream, now); ok {
 			f.Record, f.Source = r, Archived
 		}
