resume: clients that wait for the store share a read that fails, and what was read is dropped

Found by reading: while the store is away, each of the clients whose streams are unknown waited for a read of its own, one after the other. The wait for the reader is bounded by the time for a look-up, and a read that began after a client asked counts for it, whether or not it failed. What was read, up to 262,144 streams, is dropped ten seconds after it was last read.

--- a/internal/resume/archive.go
+++ b/internal/resume/archive.go
@@ -22,8 +22,9 @@
 	archiveWriteShare    = 0.1 // of the writes that the store accepts, for all archivers together
 	defaultWrites        = 1000
 	archiveReadInterval  = time.Second // between two reads for streams that the first one did not find
-	maxArchived          = 1 << 18     // streams that are read
-	maxArchivedPerBatch  = 1 << 13     // so that a value stays well below a megabyte
+	archiveForgetAfter   = 10 * time.Second
+	maxArchived          = 1 << 18 // streams that are read
+	maxArchivedPerBatch  = 1 << 13 // so that a value stays well below a megabyte
 	archiversAge         = 500 * time.Millisecond
 	archiveLeaseRotation = 2 // leases within the life of a stream
 )
@@ -150,21 +151,26 @@
 	return nil
 }
 
-// find returns where a stream began, as the store tells. Concurrent callers share a read.
+// find returns where a stream began, as the store tells. Concurrent callers share a read, also one that fails.
 func (a *archive) find(ctx context.Context, stream string, now time.Time) (service, version string, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
 	select {
 	case a.read.busy <- struct{}{}:
 	case <-ctx.Done():
 		return "", "", false
 	}
 	defer func() { <-a.read.busy }()
+	fresh := a.read.sentAt.After(now)
 	if a.read.found != nil {
-		if service, version, ok = a.read.found.Find(stream); ok || now.Sub(a.read.sentAt) < archiveReadInterval {
-			return service, version, ok
+		fresh = fresh || now.Sub(a.read.sentAt) < archiveReadInterval
+		if service, version, ok = a.read.found.Find(stream); ok {
+			return service, version, true
 		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, findTimeout)
-	defer cancel()
+	if fresh {
+		return "", "", false
+	}
 	a.read.sentAt = a.clock.Now()
 	items, _, err := a.store.Range(ctx, a.prefix)
 	if err != nil {
@@ -177,6 +183,18 @@
 	return a.read.found.Find(stream)
 }
 
+// forget drops what was read if it is no longer asked for.
+func (a *archive) forget(now time.Time) {
+	select {
+	case a.read.busy <- struct{}{}:
+		if now.Sub(a.read.sentAt) >= archiveForgetAfter {
+			a.read.found = nil
+		}
+		<-a.read.busy
+	default:
+	}
+}
+
 // archiversOf caches the archivers of the fleet, which are ranked among all instances.
 type archiversOf struct {
 	mu    sync.Mutex
--- a/internal/resume/archive_test.go
+++ b/internal/resume/archive_test.go
@@ -171,3 +171,42 @@
 		is.True(rate <= archiveWriteShare*400)
 	}
 }
+
+// While the store is away, clients must be told at once that their streams are not known.
+func TestWaitersShareAReadThatFails(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := storetest.New()
+		f := newFleet(9, 3, "v1", "v2")
+		restartAll := f.withStore(s)
+		defer func() { f.stop() }()
+		restartAll("v1", "v2")
+		s.SetFaults("", storetest.Faults{Down: true})
+		before := time.Now()
+		var all sync.WaitGroup
+		for i := range 200 {
+			all.Go(func() { is.Equal(f.find(fmt.Sprint("n", i%9), fmt.Sprint("s", i)).Source, Unknown) })
+		}
+		all.Wait()
+		t.Logf("%d calls, %v", s.Calls(), time.Since(before))
+		is.True(time.Since(before) <= 2*findTimeout)
+	})
+}
+
+func TestWhatWasReadIsDroppedWhenItIsNoLongerAskedFor(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := storetest.New()
+		f := newFleet(1, 1, "v1", "v2")
+		restartAll := f.withStore(s)
+		defer func() { f.stop() }()
+		restartAll("v1", "v2")
+		is.Equal(f.find("n0", "s").Source, Unknown)
+		d := f.all["n0"]
+		d.Maintain(time.Now())
+		is.True(d.archive.read.found != nil)
+		time.Sleep(archiveForgetAfter)
+		d.Maintain(time.Now())
+		is.True(d.archive.read.found == nil)
+	})
+}
--- a/internal/resume/resume.go
+++ b/internal/resume/resume.go
@@ -125,6 +125,7 @@
 func (d *Directory) Maintain(now time.Time) {
 	d.own.Expire(now)
 	d.held.Expire(now)
+	d.archive.forget(now)
 	all := d.instances()
 	joined := make(map[string]bool)
 	for _, m := range all {
