--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -1,14 +1,19 @@
 package quarantine
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/shelfcrank/shelfcrank/internal/virtual"
 )
 
@@ -216,7 +221,8 @@
 		return
 	}
 	id := fmt.Sprint("e", endpoint, "@", e.incarnation)
-	for r := range e.runs {
+	runs := slices.SortedFunc(maps.Keys(e.runs), func(a, b *modelRun) int { return cmp.Compare(a.number, b.number) })
+	for _, r := range runs {
 		r.lost = true
 		m.after(m.between(time.Millisecond, 8*time.Millisecond), func() {
 			t := m.tables[r.instance]
@@ -330,3 +336,22 @@
 		}
 	}
 }
+
+// Guards against a failure that its seed does not play again.
+func TestASeedPlaysTheSameHistory(t *testing.T) {
+	is := is.New(t)
+	var first *fleetModel
+	var drawn uint64 // differs if another number of values was drawn before
+	for range 4 {
+		m := newFleetModel(1, 9, 12, 32)
+		m.play([]string{"deadly", "deadly2"}, 5, 2)
+		next := m.rnd.Uint64()
+		if first == nil {
+			first, drawn = m, next
+		}
+		is.Equal(m.ends, first.ends)
+		is.Equal(m.named, first.named)
+		is.Equal(m.kept, first.kept)
+		is.Equal(next, drawn)
+	}
+}
