--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -156,9 +156,14 @@
 		return
 	}
 	var held []Fingerprint
-	release := func() {
+	tries := r.tries
+	release := func() { // held until the other instances know how the run ended
+		keep := time.Duration(0)
+		if r.tries > tries {
+			keep = SettleTime
+		}
 		for _, f := range held {
-			m.permits.Release(f, "i", m.time())
+			m.permits.Release(f, "i", m.time().Add(keep))
 		}
 	}
 	for _, f := range a.Serialized {
