--- a/internal/quarantine/gate/gate_test.go
+++ b/internal/quarantine/gate/gate_test.go
@@ -93,7 +93,7 @@
 			g.Table.EndpointEnded("e3", time.Now())
 		})
 		leave, err := g.Enter(context.Background(), []quarantine.Fingerprint{part}, func(quarantine.Fingerprint) func(time.Duration) {
-			if time.Now().Before(ends) {
+			if !time.Now().After(ends) {
 				return nil
 			}
 			return func(time.Duration) {}
