--- a/internal/forward/passage.go
+++ b/internal/forward/passage.go
@@ -9,15 +9,15 @@
 
 // passage is what was passed on of a stream.
 type passage struct {
-	framing  string    // what marks the end of the last response that events came from; see backend.Response.Framing
-	events   int       // that were passed on
-	first    string    // ID of the first of them that has one
-	noID     bool      // the last of them has no ID
-	repeated int       // events that were not passed on, as they or later ones had been
-	leftOut  int64     // numbers between the IDs of events that no event had
-	firstAt  time.Time // when the first event was passed on
-	lastAt   time.Time // when the last event was passed on
-	longest  time.Duration
+	framing  string        // what marks the end of the last response that events came from; see backend.Response.Framing
+	events   int           // that were passed on
+	first    string        // ID of the first of them that has one
+	noID     bool          // the last of them has no ID
+	repeated int           // events that were not passed on, as they or later ones had been
+	leftOut  int64         // numbers between the IDs of events that no event had
+	firstAt  time.Time     // when the first event was passed on
+	lastAt   time.Time     // when the last event was passed on
+	longest  time.Duration // between two events
 }
 
 // passed records that an event was passed on to the client.
