backend: a stream without framing is whole only if another connection is open 300 ms later

The connections of one process end at different times where the machine is busy, and on a network where the packet that ends one is lost: it is sent again after 200 ms at the earliest.

For event streams the connection is looked at after 300 ms now. Their events have been passed on by then; only the end comes later. Plain answers keep 15 ms, as their callers wait for it.

TestAStreamIsNotWholeWhereOtherConnectionsEndLater (connections that end 100 ms later, one idle before or a new one) fails before.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -321,6 +321,9 @@
 	// settleTime is how long a connection has to stay open for its path to count: something on the way
 	// may accept connections and reset those that it has no path for.
 	settleTime = 15 * time.Millisecond
+	// streamSettleTime is the same at the end of a stream without framing, whose events have been passed on already. Where
+	// the packet that ends a connection is lost, it is sent again after 200 ms.
+	streamSettleTime = 300 * time.Millisecond
 )
 
 // ProbeEnded connects to an endpoint and reports whether its process has ended: its address
@@ -352,12 +355,12 @@
 
 // accepts reports whether an endpoint accepts a connection and keeps it open. The connection takes the place of the one
 // that ended.
-func (c *Client) accepts(ctx context.Context, endpoint registry.Endpoint) bool {
+func (c *Client) accepts(ctx context.Context, endpoint registry.Endpoint, settle time.Duration) bool {
 	k, err := c.dial(ctx, &endpoint, endTimeout)
 	if err != nil {
 		return false
 	}
-	if !c.settles(ctx, k) {
+	if !c.settles(ctx, k, settle) {
 		k.close()
 		return false
 	}
@@ -365,9 +368,9 @@
 	return true
 }
 
-// settles waits for a moment, and reports whether a new connection is still open then.
-func (c *Client) settles(ctx context.Context, k *conn) bool {
-	return c.clock.Sleep(ctx, settleTime) && k.silent()
+// settles waits for a time, and reports whether a connection is still open then.
+func (c *Client) settles(ctx context.Context, k *conn, settle time.Duration) bool {
+	return c.clock.Sleep(ctx, settle) && k.silent()
 }
 
 // ProbePath reports whether an endpoint can be connected to.
@@ -376,7 +379,7 @@
 	if err != nil {
 		return false
 	}
-	if !c.settles(ctx, k) {
+	if !c.settles(ctx, k, settleTime) {
 		k.close()
 		if ctx.Err() == nil {
 			c.paths.Failed(endpoint.ID, c.clock.Now())
@@ -442,7 +445,7 @@
 	if err != io.EOF {
 		return n, err
 	}
-	if r.framing == ByConnection && !r.call.complete && !r.call.endpointLives() {
+	if r.framing == ByConnection && !r.call.complete && !r.call.endpointLives(r.settleTime()) {
 		return n, errEndUnproven
 	}
 	r.call.complete = true
@@ -471,6 +474,13 @@
 // Framing returns what marks the end of the body: ByLength, ByChunks or ByConnection.
 func (r *Response) Framing() string { return r.framing }
 
+func (r *Response) settleTime() time.Duration {
+	if r.reported {
+		return streamSettleTime
+	}
+	return settleTime
+}
+
 // ReportProgress makes the bytes of the body count as progress no longer, but the calls of Progress only.
 func (r *Response) ReportProgress() { r.reported = true }
 
--- a/internal/backend/witness.go
+++ b/internal/backend/witness.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/shelfcrank/shelfcrank/internal/registry"
 )
@@ -114,17 +115,17 @@
 
 // endpointLives reports, at the end of the body, whether the endpoint's process has not ended. Without a witness, that it
 // accepts connections counts.
-func (x *exchange) endpointLives() bool {
+func (x *exchange) endpointLives(settle time.Duration) bool {
 	w := &x.witness
 	switch {
 	case w.ended, x.client.addressTaken(x.endpoint.ID):
 		return false
 	case w.held != nil, x.hold():
-		return x.client.settles(x.ctx, w.held.conn)
+		return x.client.settles(x.ctx, w.held.conn, settle)
 	case w.ended:
 		return false
 	}
-	return x.client.accepts(x.ctx, x.endpoint)
+	return x.client.accepts(x.ctx, x.endpoint, settle)
 }
 
 func (w *witness) release(c *Client, endpoint string) {
--- a/internal/backend/witness_test.go
+++ b/internal/backend/witness_test.go
@@ -160,6 +160,42 @@
 	}
 }
 
+// Guards against a stream that looks whole because the other connections of its endpoint's process end later than its own, as
+// where a packet is lost or the machine is busy.
+func TestAStreamIsNotWholeWhereOtherConnectionsEndLater(t *testing.T) {
+	for _, idle := range []bool{true, false} {
+		is := is.New(t)
+		e := startRestartable(t)
+		c := newClientOn(netx.TCP{})
+		to := func(id string) *Call {
+			k := call(id)
+			k.Endpoint.Addr = netip.MustParseAddrPort(e.listener.Addr().String())
+			return k
+		}
+		first, err := c.Send(context.Background(), to("1"))
+		is.NoErr(err)
+		stream, err := c.Send(context.Background(), to("3"))
+		is.NoErr(err)
+		if idle {
+			_, err = io.ReadAll(first)
+			is.NoErr(err)
+			first.Close()
+		}
+		stream.ReportProgress()
+		e.pieces <- "a"
+		close(e.pieces)
+		time.AfterFunc(100*time.Millisecond, func() {
+			_ = e.listener.Close()
+			e.end()
+		})
+		_, err = io.ReadAll(stream)
+		stream.Close()
+		is.True(errors.Is(err, errEndUnproven))
+		first.Close()
+		c.CloseIdle()
+	}
+}
+
 // Guards against responses without framing that take more than one connection out of the pool, or renew its idle time.
 func TestWitnessesShareAConnection(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T, is *is.I) {
