--- a/internal/backend/endless_test.go
+++ b/internal/backend/endless_test.go
@@ -89,11 +89,11 @@
 	return out
 }
 
-// patientNetwork connects without a time-out, which a busy machine may exceed.
-type patientNetwork struct{ netx.TCP }
+// untimedNetwork connects without a time-out, which a connection may exceed on a loaded host.
+type untimedNetwork struct{ netx.TCP }
 
 // Dial implements netx.Network.
-func (n patientNetwork) Dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+func (n untimedNetwork) Dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
 	return n.TCP.Dial(context.WithoutCancel(ctx), addr)
 }
 
@@ -107,7 +107,7 @@
 			t.Run(name+" "+closedBy, func(t *testing.T) {
 				is := is.New(t)
 				w := startStray(t, false, strayRefusal, every)
-				c := newClientOn(patientNetwork{})
+				c := newClientOn(untimedNetwork{})
 				defer c.CloseIdle()
 				resp, err := c.Send(context.Background(), w.call("1"))
 				is.NoErr(err)
@@ -144,7 +144,7 @@
 	for _, stray := range []string{strayRefusal, "x", ": x\n"} {
 		is := is.New(t)
 		w := startStray(t, true, stray, 0)
-		c := newClientOn(patientNetwork{})
+		c := newClientOn(untimedNetwork{})
 		is.True(!c.ProbePath(context.Background(), w.Endpoint))
 		<-w.closed
 		is.True(w.written.Load() < maxUnread)
@@ -168,7 +168,7 @@
 	for _, stray := range []string{"x", "HTTP/1.1 102 Processing\r\n\r\n", "HTTP/1.1 200 OK\r\nId: 1\r\nA: x\r\n", "A: x\r\n"} {
 		is := is.New(t)
 		w := startStray(t, true, stray, 0)
-		c := newClientOn(patientNetwork{})
+		c := newClientOn(untimedNetwork{})
 		long := w.call("1")
 		long.Body = payload.Of([]byte(strings.Repeat("x", 4<<20)))
 		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
--- a/internal/backend/witness_test.go
+++ b/internal/backend/witness_test.go
@@ -161,7 +161,7 @@
 }
 
 // Guards against a stream that looks whole because the other connections of its endpoint's process end later than its own, as
-// where a packet is lost or the machine is busy.
+// where a packet is lost or the host is loaded.
 func TestAStreamIsNotWholeWhereOtherConnectionsEndLater(t *testing.T) {
 	for _, idle := range []bool{true, false} {
 		is := is.New(t)
--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -98,11 +98,11 @@
 	maxEndlessBytes = 3 << 20
 )
 
-// patientNetwork connects without a time-out, which a busy machine may exceed.
-type patientNetwork struct{ netx.TCP }
+// untimedNetwork connects without a time-out, which a connection may exceed on a loaded host.
+type untimedNetwork struct{ netx.TCP }
 
 // Dial implements netx.Network.
-func (n patientNetwork) Dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+func (n untimedNetwork) Dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
 	return n.TCP.Dial(context.WithoutCancel(ctx), addr)
 }
 
@@ -163,7 +163,7 @@
 	}
 	view := &View{Config: config, ConfirmedAt: time.Now(), KeysValidUntil: time.Now().Add(time.Hour), Endpoints: map[string][]registry.Endpoint{"svc": endpoints}, Instances: 1}
 	w.handler.View = func() *View { return view }
-	w.handler.Backends = backend.New(backend.Options{Net: patientNetwork{}, Protocol: plainProtocol{}, Notices: notice.New(notice.Options{}), Limits: ratelimit.New(ratelimit.Options{})})
+	w.handler.Backends = backend.New(backend.Options{Net: untimedNetwork{}, Protocol: plainProtocol{}, Notices: notice.New(notice.Options{}), Limits: ratelimit.New(ratelimit.Options{})})
 	w.handler.ConfigFreshFor = time.Hour
 	w.results = &resultPlacer{Placer: w.handler.Placer}
 	w.handler.Placer = w.results
--- a/internal/forward/framing_test.go
+++ b/internal/forward/framing_test.go
@@ -91,7 +91,7 @@
 }
 
 // Guards against logs that can't tell a stream that ended too early, or with pieces missing or doubled, from a whole one.
-func TestLogsTellWhatWasPassedOnOfAStream(t *testing.T) {
+func TestLogsNameWhatWasPassedOnOfAStream(t *testing.T) {
 	for _, test := range []struct {
 		name    string
 		path    string
--- a/internal/origin/batch_test.go
+++ b/internal/origin/batch_test.go
@@ -7,7 +7,7 @@
 	"github.com/matryer/is"
 )
 
-func TestABatchTellsWhereStreamsBegan(t *testing.T) {
+func TestABatchHoldsWhereStreamsBegan(t *testing.T) {
 	is := is.New(t)
 	value, err := NewBatch([]Record{{"a", "svc", "v1", start}, {"b", "svc", "v2", start}, {"c", "other", "", start}}).Encode()
 	is.NoErr(err)
