backend: a reset that the upload meets is not the end of the body

Cause: a socket reports that it failed once, to the read or the write that comes first. The write of the request took ECONNRESET, and the read that followed returned io.EOF, which ends a body without framing. The result of the write was looked at only when the connection was to be used again.

At the end of such a body the write is ended now and its result waited for. If it took a failure of the connection, the body broke off. EPIPE is none: the system returns it for a reset after the end of the stream, which is an orderly end, or if the read had the failure. The deadline that ends the write wakes it without a system call, so that it cannot take the failure unseen.

In-memory connections return EPIPE too for writes to a closed one, and wake a waiting write when its deadline changes, as sockets do.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -113,7 +114,8 @@
 	sentBefore  int64
 	sentAt      time.Time
 	stopWatch   func() bool
-	bodyWritten chan error // result of writing the body concurrently with reading the response; nil if there is no such write
+	bodyWritten chan error // result of writing the body concurrently with reading the response; nil if there is no such write, or no longer
+	writeErr    error      // that bodyWritten gave
 	complete    bool       // the response was read to its end
 	noReuse     bool       // the connection must not be reused
 	witness     witness    // of a response without framing
@@ -226,6 +228,23 @@
 	return nil, errors.New("received only responses to other requests")
 }
 
+// BrokeOff reports whether a write that failed shows that the connection broke off. The system reports the failure of a
+// connection once, to the read or the write that comes first, so that a read after such a write returns io.EOF although the
+// peer has not ended its stream. It has if the error is EPIPE, or if this side ended the write.
+func BrokeOff(writeErr error) bool {
+	return writeErr != nil && !errors.Is(writeErr, syscall.EPIPE) && !errors.Is(writeErr, os.ErrDeadlineExceeded)
+}
+
+// stopWriting ends the write of the body, unless it has ended, and returns its error. The connection can't be reused then.
+func (x *exchange) stopWriting() error {
+	if x.bodyWritten != nil {
+		_ = x.conn.raw.SetWriteDeadline(time.Unix(1, 0))
+		x.writeErr = <-x.bodyWritten
+		x.bodyWritten = nil
+	}
+	return x.writeErr
+}
+
 // end returns the connection to the pool, or closes it.
 func (x *exchange) end(reuse bool) {
 	if x.ended {
@@ -239,13 +258,12 @@
 	}
 	if x.bodyWritten != nil {
 		select {
-		case err := <-x.bodyWritten:
-			reuse = reuse && err == nil
+		case x.writeErr = <-x.bodyWritten:
 		default:
 			reuse = false // the endpoint responded before it had read the body
 		}
 	}
-	if !reuse || x.conn.reader.Buffered() > 0 {
+	if !reuse || x.writeErr != nil || x.conn.reader.Buffered() > 0 {
 		x.client.discard(x.endpoint.ID, x.conn)
 		return
 	}
--- a/internal/netx/mem.go
+++ b/internal/netx/mem.go
@@ -356,7 +356,7 @@
 		p.mu.Lock()
 		if p.closed {
 			p.mu.Unlock()
-			return 0, io.ErrClosedPipe
+			return 0, syscall.EPIPE
 		}
 		if p.size < pipeCapacity {
 			data := append([]byte(nil), b...)
@@ -410,7 +410,10 @@
 
 func (c *memConn) SetWriteDeadline(t time.Time) error {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.writeDeadline = t
+	c.mu.Unlock()
+	c.out.mu.Lock()
+	defer c.out.mu.Unlock()
+	c.out.signal()
 	return nil
 }
