netx: a read returns the failure of the connection that a write took

The mechanism moves from backend.Response to the connection, so that it holds for all clients: those of endpoints on both interfaces, of the store and of the platform. ClientConn keeps the failure that a write returned and returns it to the read that would return io.EOF. A write that waits is ended first, so that its result is known; nothing that it sends after the end of the stream could be answered. As a read also returns ETIMEDOUT now where the write took it, the path to the endpoint counts as failed then.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -11,7 +11,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -455,13 +454,8 @@
 	if r.framing == ByConnection && r.call.witness.reads == 0 && !r.resumes {
 		return n, errNoBody
 	}
-	if r.framing == ByConnection && !r.call.complete {
-		if err := r.call.stopWriting(); BrokeOff(err) {
-			return n, fmt.Errorf("the connection broke off: %w", err)
-		}
-		if !r.call.endpointLives(r.settleTime()) {
-			return n, errEndUnproven
-		}
+	if r.framing == ByConnection && !r.call.complete && !r.call.endpointLives(r.settleTime()) {
+		return n, errEndUnproven
 	}
 	r.call.complete = true
 	return n, io.EOF
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -9,7 +9,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -17,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"github.com/shelfcrank/shelfcrank/internal/netx"
 	"github.com/shelfcrank/shelfcrank/internal/progress"
 	"github.com/shelfcrank/shelfcrank/internal/registry"
 )
@@ -26,6 +26,7 @@
 	client        *Client
 	endpoint      string // its ID
 	raw           net.Conn
+	stream        *netx.ClientConn // on raw
 	reader        *bufio.Reader
 	reused        bool
 	received      bool // anything was read from it
@@ -37,7 +38,7 @@
 }
 
 func (c *Client) newConn(endpoint string, raw net.Conn) *conn {
-	k := &conn{client: c, endpoint: endpoint, raw: raw, idleSince: c.clock.Now(), headRemaining: -1}
+	k := &conn{client: c, endpoint: endpoint, raw: raw, stream: netx.NewClientConn(raw), idleSince: c.clock.Now(), headRemaining: -1}
 	k.reader = bufio.NewReader(k)
 	return k
 }
@@ -56,7 +57,7 @@
 	if k.headRemaining > 0 && len(p) > k.headRemaining {
 		p = p[:k.headRemaining]
 	}
-	n, err := k.raw.Read(p)
+	n, err := k.stream.Read(p)
 	if n > 0 {
 		k.received = true
 		now := k.client.clock.Now()
@@ -73,7 +74,7 @@
 
 // Write implements io.Writer, and counts what was written.
 func (k *conn) Write(p []byte) (int, error) {
-	n, err := k.raw.Write(p)
+	n, err := k.stream.Write(p)
 	k.written.Add(int64(n))
 	return n, err
 }
@@ -114,8 +115,7 @@
 	sentBefore  int64
 	sentAt      time.Time
 	stopWatch   func() bool
-	bodyWritten chan error // result of writing the body concurrently with reading the response; nil if there is no such write, or no longer
-	writeErr    error      // that bodyWritten gave
+	bodyWritten chan error // result of writing the body concurrently with reading the response; nil if there is no such write
 	complete    bool       // the response was read to its end
 	noReuse     bool       // the connection must not be reused
 	witness     witness    // of a response without framing
@@ -228,23 +228,6 @@
 	return nil, errors.New("received only responses to other requests")
 }
 
-// BrokeOff reports whether a write that failed shows that the connection broke off. The system reports the failure of a
-// connection once, to the read or the write that comes first, so that a read after such a write returns io.EOF although the
-// peer has not ended its stream. It has if the error is EPIPE, or if this side ended the write.
-func BrokeOff(writeErr error) bool {
-	return writeErr != nil && !errors.Is(writeErr, syscall.EPIPE) && !errors.Is(writeErr, os.ErrDeadlineExceeded)
-}
-
-// stopWriting ends the write of the body, unless it has ended, and returns its error. The connection can't be reused then.
-func (x *exchange) stopWriting() error {
-	if x.bodyWritten != nil {
-		_ = x.conn.raw.SetWriteDeadline(time.Unix(1, 0))
-		x.writeErr = <-x.bodyWritten
-		x.bodyWritten = nil
-	}
-	return x.writeErr
-}
-
 // end returns the connection to the pool, or closes it.
 func (x *exchange) end(reuse bool) {
 	if x.ended {
@@ -258,12 +241,13 @@
 	}
 	if x.bodyWritten != nil {
 		select {
-		case x.writeErr = <-x.bodyWritten:
+		case err := <-x.bodyWritten:
+			reuse = reuse && err == nil
 		default:
 			reuse = false // the endpoint responded before it had read the body
 		}
 	}
-	if !reuse || x.writeErr != nil || x.conn.reader.Buffered() > 0 {
+	if !reuse || x.conn.reader.Buffered() > 0 {
 		x.client.discard(x.endpoint.ID, x.conn)
 		return
 	}
--- a/internal/backend/reset_test.go
+++ b/internal/backend/reset_test.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"net/netip"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -17,6 +16,7 @@
 	"github.com/matryer/is"
 
 	"github.com/shelfcrank/shelfcrank/internal/netx"
+	"github.com/shelfcrank/shelfcrank/internal/netxtest"
 	"github.com/shelfcrank/shelfcrank/internal/payload"
 )
 
@@ -157,59 +157,10 @@
 	}
 }
 
-// failingNetwork connects to an endpoint that answers without framing while it reads the body of the request, and whose
-// connection then fails. As on a socket, the write that waits returns the error, and a read the end of the stream.
-type failingNetwork struct {
-	netx.Network
-	err   error
-	delay time.Duration // after which the write returns, from the read of the end
-}
-
-// Dial implements netx.Network.
-func (n failingNetwork) Dial(context.Context, netip.AddrPort) (net.Conn, error) {
-	here, _ := net.Pipe()
-	answer := strings.NewReader("HTTP/1.1 200 OK\r\nId: early\r\nSeal: s\r\n\r\n" + earlyBody)
-	return &failingConn{Conn: here, network: n, answer: answer, failed: make(chan struct{})}, nil
-}
-
-type failingConn struct {
-	net.Conn
-	network failingNetwork
-	answer  *strings.Reader
-	once    sync.Once
-	failed  chan struct{}
-	writes  int
-}
-
-func (c *failingConn) fail() { c.once.Do(func() { close(c.failed) }) }
-
-// Close implements net.Conn.
-func (c *failingConn) Close() error {
-	c.fail()
-	return c.Conn.Close()
-}
-
-// Read implements net.Conn.
-func (c *failingConn) Read(p []byte) (int, error) {
-	n, err := c.answer.Read(p)
-	if err == io.EOF {
-		time.AfterFunc(c.network.delay, c.fail)
-	}
-	return n, err
-}
-
-// Write implements net.Conn. It accepts the head of a request only.
-func (c *failingConn) Write(p []byte) (int, error) {
-	if c.writes++; c.writes == 1 {
-		return len(p), nil
-	}
-	<-c.failed
-	return 0, &net.OpError{Op: "write", Net: "tcp", Err: c.network.err}
-}
-
 // Guards against the same where the write returns after the read of the end of the stream, and for other failures of the
 // connection.
 func TestTheEndOfABodyWaitsForTheErrorOfTheUpload(t *testing.T) {
+	answer := "HTTP/1.1 200 OK\r\nId: early\r\nSeal: s\r\n\r\n" + earlyBody
 	for _, test := range []struct {
 		err   error
 		whole bool
@@ -222,7 +173,7 @@
 		for _, delay := range []time.Duration{0, time.Millisecond, 20 * time.Millisecond} {
 			t.Run(fmt.Sprintf("%v/%v", test.err, delay), func(t *testing.T) {
 				inVirtualTime(t, func(t *testing.T, is *is.I) {
-					c := newClientOn(failingNetwork{err: test.err, delay: delay})
+					c := newClientOn(netxtest.Breaking{Answer: answer, Err: test.err, Delay: delay})
 					defer c.CloseIdle()
 					x := call("early")
 					x.Body = payload.Of(make([]byte, 2*maxInlineBody))
--- a/internal/netx/netx.go
+++ b/internal/netx/netx.go
@@ -101,7 +101,11 @@
 			if err != nil {
 				return nil, err
 			}
-			return n.Dial(ctx, ap)
+			c, err := n.Dial(ctx, ap)
+			if err != nil {
+				return nil, err
+			}
+			return NewClientConn(c), nil
 		},
 		MaxIdleConnsPerHost:    maxIdlePerHost,
 		IdleConnTimeout:        idleTimeout,
--- /dev/null
+++ b/internal/netxtest/netxtest.go
@@ -0,0 +1,82 @@
+// Package netxtest provides a network whose connections break off, for tests.
+package netxtest
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/shelfcrank/shelfcrank/internal/netx"
+)
+
+// Breaking is a network whose connections give an answer without framing to a request that is still being written, and then
+// fail. As on a socket, the write that waits returns the error, and a read the end of the stream.
+//
+// Breaking is safe for concurrent use.
+type Breaking struct {
+	netx.Network
+	Answer string
+	Err    error         // that the write returns
+	Delay  time.Duration // of the write's return, from the read of the end
+}
+
+// Dial implements netx.Network.
+func (n Breaking) Dial(context.Context, netip.AddrPort) (net.Conn, error) {
+	pipe, _ := net.Pipe()
+	return &conn{Conn: pipe, network: n, answer: strings.NewReader(n.Answer), asked: make(chan struct{}), waiting: make(chan struct{}), failed: make(chan struct{})}, nil
+}
+
+// conn is a connection that accepts the first write only, which holds the head of a request.
+type conn struct {
+	net.Conn
+	network Breaking
+	answer  *strings.Reader
+	once    sync.Once
+	asked   chan struct{} // closed by the first write
+	waiting chan struct{} // closed by the second
+	failed  chan struct{} // closed when the connection fails or is closed
+	writes  int
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	select {
+	case <-c.asked:
+	case <-c.failed:
+		return 0, net.ErrClosed
+	}
+	n, err := c.answer.Read(p)
+	if err == io.EOF {
+		select {
+		case <-c.waiting:
+		case <-c.failed:
+		}
+		time.AfterFunc(c.network.Delay, c.fail)
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	switch c.writes++; c.writes {
+	case 1:
+		close(c.asked)
+		return len(p), nil
+	case 2:
+		close(c.waiting)
+	}
+	<-c.failed
+	return 0, &net.OpError{Op: "write", Net: "tcp", Err: c.network.Err}
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.fail()
+	return c.Conn.Close()
+}
+
+func (c *conn) fail() { c.once.Do(func() { close(c.failed) }) }
