netx: a response whose status is in no class is none

A server in trouble answered with status 000.

Cause: net/http reads any three digits as a status, also "+20", and its server ends a handler that writes a status below 100.

CheckHead refuses statuses outside 100 to 599, which RFC 9110 calls invalid. It is called wherever heads are read: in backend, in the hop between instances, and in the transport that netx returns, for the own interface, the store and the platform's calls. The answer is a broken one then: the request may have run, which is all that is known, and is repeated only where that is allowed; what the head states of the endpoint counts for nothing.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -188,6 +188,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := netx.CheckHead(resp); err != nil {
+			return nil, err
+		}
 		if garbled(resp) {
 			return nil, errGarbled
 		}
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -24,6 +24,7 @@
 
 	"github.com/shelfcrank/shelfcrank/internal/backend"
 	"github.com/shelfcrank/shelfcrank/internal/fault"
+	"github.com/shelfcrank/shelfcrank/internal/netx"
 	"github.com/shelfcrank/shelfcrank/internal/notice"
 	"github.com/shelfcrank/shelfcrank/internal/ratelimit"
 )
@@ -72,7 +73,7 @@
 }
 
 // New returns a client that sends its requests through transport.
-func New(transport *http.Transport) *Client {
+func New(transport *netx.HTTPTransport) *Client {
 	fresh := transport.Clone()
 	fresh.DisableKeepAlives = true
 	return &Client{
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -64,7 +64,7 @@
 	editor       *table.Editor
 	platform     *platform.Client
 	endpoints    *endpoint.Client
-	transport    *http.Transport
+	transport    *netx.HTTPTransport
 	metrics      *metrics.Metrics
 	heartbeatSeq atomic.Uint64
 	storeOK      atomic.Bool
@@ -88,7 +88,7 @@
 	if i.metrics, err = do.Invoke[*metrics.Metrics](i.injector); err != nil {
 		return nil, fmt.Errorf("wire entry instance: %w", err)
 	}
-	i.transport = do.MustInvoke[*http.Transport](i.injector)
+	i.transport = do.MustInvoke[*netx.HTTPTransport](i.injector)
 	i.loop = do.MustInvoke[*control.Loop](i.injector)
 	i.peers = do.MustInvoke[*peer.Transport](i.injector)
 	i.store = do.MustInvoke[*kv.Client](i.injector)
@@ -104,19 +104,19 @@
 
 func (i *Instance) provide() {
 	o, s := i.opts, i.opts.Settings
-	do.Provide(i.injector, func(do.Injector) (*http.Transport, error) { return netx.Transport(o.Net), nil })
+	do.Provide(i.injector, func(do.Injector) (*netx.HTTPTransport, error) { return netx.Transport(o.Net), nil })
 	do.Provide(i.injector, func(do.Injector) (*control.Loop, error) {
 		return control.New(member.Member{ID: i.id, Name: s.Name, Hall: s.Hall, Addr: s.Peer}, o.Clock), nil
 	})
 	do.Provide(i.injector, func(do.Injector) (*peer.Transport, error) { return peer.New(o.Net, i.id, o.PeerTLS, o.Clock), nil })
 	do.Provide(i.injector, func(in do.Injector) (*kv.Client, error) {
-		return kv.New(s.Store, do.MustInvoke[*http.Transport](in), kv.TotalRateLimits), nil
+		return kv.New(s.Store, do.MustInvoke[*netx.HTTPTransport](in), kv.TotalRateLimits), nil
 	})
 	do.Provide(i.injector, func(in do.Injector) (*platform.Client, error) {
-		return platform.New(s.List, do.MustInvoke[*http.Transport](in)), nil
+		return platform.New(s.List, do.MustInvoke[*netx.HTTPTransport](in)), nil
 	})
 	do.Provide(i.injector, func(in do.Injector) (*endpoint.Client, error) {
-		return endpoint.New(do.MustInvoke[*http.Transport](in)), nil
+		return endpoint.New(do.MustInvoke[*netx.HTTPTransport](in)), nil
 	})
 	do.Provide(i.injector, func(in do.Injector) (*table.Editor, error) {
 		return table.NewEditor(do.MustInvoke[*kv.Client](in), platform.KeyTable), nil
--- a/internal/netx/netx.go
+++ b/internal/netx/netx.go
@@ -94,8 +94,8 @@
 
 // Transport returns an HTTP transport that dials through n. Hosts must be IP addresses with a
 // port, since names are not resolved.
-func Transport(n Network) *http.Transport {
-	return &http.Transport{
+func Transport(n Network) *HTTPTransport {
+	return &HTTPTransport{&http.Transport{
 		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
 			ap, err := netip.ParseAddrPort(addr)
 			if err != nil {
@@ -111,5 +111,5 @@
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		DisableCompression:     true,
-	}
+	}}
 }
--- a/internal/netxtest/netxtest.go
+++ b/internal/netxtest/netxtest.go
@@ -1,18 +1,31 @@
-// Package netxtest provides a network whose connections break off, for tests.
+// Package netxtest provides peers that fail, for tests: connections that break off, and servers that send a given text.
 package netxtest
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"net/netip"
 	"strings"
 	"sync"
+	"testing"
 	"time"
 
 	"github.com/shelfcrank/shelfcrank/internal/netx"
 )
 
+// MalformedHeads are beginnings of an answer, up to its other fields, that net/http reads without an error although they are
+// none of the protocol; by what is wrong.
+var MalformedHeads = map[string]string{
+	"status 000": "HTTP/1.1 000 X\r\n",
+	"status 099": "HTTP/1.1 099 X\r\n",
+	"status +20": "HTTP/1.1 +20 X\r\n",
+	"status 600": "HTTP/1.1 600 X\r\n",
+	"status 999": "HTTP/1.1 999 X\r\n",
+}
+
 // Breaking is a network whose connections give an answer without framing to a request that is still being written, and then
 // fail. As on a socket, the write that waits returns the error, and a read the end of the stream.
 //
@@ -80,3 +93,30 @@
 }
 
 func (c *conn) fail() { c.once.Do(func() { close(c.failed) }) }
+
+// Serve starts a server that answers each request with a text and closes the connection. It returns its address.
+func Serve(t testing.TB, answer string) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	serve := func(c net.Conn) {
+		defer c.Close()
+		if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(c, answer)
+		}
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
--- a/internal/peerproxy/client.go
+++ b/internal/peerproxy/client.go
@@ -18,6 +18,7 @@
 	"github.com/shelfcrank/shelfcrank/internal/clock"
 	"github.com/shelfcrank/shelfcrank/internal/event"
 	"github.com/shelfcrank/shelfcrank/internal/fault"
+	"github.com/shelfcrank/shelfcrank/internal/netx"
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
 	"github.com/shelfcrank/shelfcrank/internal/topology"
 )
@@ -163,6 +164,9 @@
 		err = errHeadTooLong
 	}
 	head.N = math.MaxInt64
+	if err == nil {
+		err = netx.CheckHead(resp)
+	}
 	if err == nil && backend.FramingOf(resp) == backend.ByConnection {
 		err = errUnframed
 	}
