netx: a response with a field name that is no token is none

Cause: net/http lets a blank stand in a name, and does not take it for the name that was meant, so that the body is framed in another way.

--- a/internal/netxtest/netxtest.go
+++ b/internal/netxtest/netxtest.go
@@ -16,14 +16,26 @@
 	"github.com/shelfcrank/shelfcrank/internal/netx"
 )
 
-// MalformedHeads are beginnings of an answer, up to its other fields, that net/http reads without an error although they are
-// none of the protocol; by what is wrong.
+// MalformedHeads are beginnings of an answer, up to its other fields, that are none of the protocol, by what is wrong. net/http
+// reads some of them without an error.
 var MalformedHeads = map[string]string{
 	"status 000": "HTTP/1.1 000 X\r\n",
 	"status 099": "HTTP/1.1 099 X\r\n",
 	"status +20": "HTTP/1.1 +20 X\r\n",
 	"status 600": "HTTP/1.1 600 X\r\n",
 	"status 999": "HTTP/1.1 999 X\r\n",
+
+	"blank in a name":         "HTTP/1.1 200 OK\r\nX Odd: 1\r\n",
+	"blanks in a name":        "HTTP/1.1 200 OK\r\nX  Odd  : 1\r\n",
+	"blank before the colon":  "HTTP/1.1 200 OK\r\nContent-Length : 20\r\n",
+	"chunks, by such a name":  "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n",
+	"refusal":                 "HTTP/1.1 503 X\r\nX Odd: 1\r\n",
+	"control byte in a name":  "HTTP/1.1 200 OK\r\nX\x01Odd: 1\r\n",
+	"tab in a name":           "HTTP/1.1 200 OK\r\nX\tOdd: 1\r\n",
+	"empty name":              "HTTP/1.1 200 OK\r\n: 1\r\n",
+	"no colon":                "HTTP/1.1 200 OK\r\nX-Odd\r\n",
+	"control byte in a value": "HTTP/1.1 200 OK\r\nX-Odd: a\x01b\r\n",
+	"bare CR in a value":      "HTTP/1.1 200 OK\r\nX-Odd: a\rb\r\n",
 }
 
 // Breaking is a network whose connections give an answer without framing to a request that is still being written, and then
