backend: a field whose name begins with a blank is malformed

An answer whose head holds " Content-Length: 2" or " X-Odd: 1" was passed on: with the line as a part of the value of the field before, or with a body that the endpoint framed in another way. Found while the tests of blanks in names were written; nobody reported it.

Cause: net/http joins a line that begins with a blank or a tab to the line before. That is an old form of long values, which a gateway may refuse with a 502 (RFC 9112, section 5.2); endpoints of the platform don't use it.

The joined line can't be told from the values, so backend looks for it in the bytes of the head as they come from the connection, those that were buffered with the response before included.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -34,6 +34,7 @@
 	idleTimeout   time.Duration // idle time-out stated by the endpoint; 0 if none
 	written       atomic.Int64  // bytes
 	headRemaining int           // bytes that the response head may still take; negative while a body is read
+	folds         foldFinder
 	budget        progress.Budget
 }
 
@@ -67,11 +68,34 @@
 		k.client.paths.Failed(k.endpoint, k.client.clock.Now())
 	}
 	if k.headRemaining > 0 {
+		k.folds.scan(p[:n])
 		k.headRemaining -= n
 	}
 	return n, err
 }
 
+var errFolded = &netx.MalformedHeadError{Reason: "a line begins with a blank"}
+
+// readResponse reads the head of a response, which is of the protocol.
+func (k *conn) readResponse(req *http.Request) (*http.Response, error) {
+	k.folds = foldFinder{}
+	buffered, _ := k.reader.Peek(k.reader.Buffered())
+	k.folds.scan(buffered)
+	k.headRemaining = maxHeaderBytes
+	resp, err := http.ReadResponse(k.reader, req)
+	k.headRemaining = -1
+	if err != nil {
+		return nil, err
+	}
+	if k.folds.found {
+		return nil, errFolded
+	}
+	if err := netx.CheckHead(resp); err != nil {
+		return nil, err
+	}
+	return resp, nil
+}
+
 // Write implements io.Writer, and counts what was written.
 func (k *conn) Write(p []byte) (int, error) {
 	n, err := k.stream.Write(p)
@@ -182,15 +206,10 @@
 func (x *exchange) readHead(call *Call) (*Response, error) {
 	req := &http.Request{Method: call.Method}
 	for range maxMismatched {
-		x.conn.headRemaining = maxHeaderBytes
-		resp, err := http.ReadResponse(x.conn.reader, req)
-		x.conn.headRemaining = -1
+		resp, err := x.conn.readResponse(req)
 		if err != nil {
 			return nil, err
 		}
-		if err := netx.CheckHead(resp); err != nil {
-			return nil, err
-		}
 		if garbled(resp) {
 			return nil, errGarbled
 		}
