--- a/internal/hostile/world_test.go
+++ b/internal/hostile/world_test.go
@@ -1,5 +1,5 @@
-// Package hostile tests what instances withstand from clients that don't behave. Each test starts the program
-// itself on loopback addresses and sends a crowd of such clients to it. It checks what does not depend on the
+// Package hostile tests what instances withstand from clients and endpoints that don't behave. Each test starts the program
+// itself on loopback addresses and sends a crowd of such clients to it, or broken answers. It checks what does not depend on the
 // speed at which the tests run: that the process lives, that its memory and its open descriptors stay under a bound, and
 // that an ordinary request is answered while the crowd is still there.
 package hostile
