netxtest: what the tests of resets share, without bounds of time

hostile.TestBrokenAnswersReachAClient closed a connection 5 ms after its answer, which on a loaded host may come before any of the upload: the end is an orderly one then, and the answer rightly whole. It waits for bytes that are unread now, as the test of backend does, by the same function. That test connects without a time-out now (400 ms for requests, 100 ms for the proof of an end), which a loaded host may exceed, by the network that the tests of forward already had. No check has changed.

Seen by reading, no run has failed for it.

--- a/internal/backend/reset_test.go
+++ b/internal/backend/reset_test.go
@@ -15,7 +15,6 @@
 
 	"github.com/matryer/is"
 
-	"github.com/shelfcrank/shelfcrank/internal/netx"
 	"github.com/shelfcrank/shelfcrank/internal/netxtest"
 	"github.com/shelfcrank/shelfcrank/internal/payload"
 )
@@ -65,7 +64,7 @@
 // upload sends a request with a body of a size, after another one on the same connection if it is kept.
 func upload(t *testing.T, addr netip.AddrPort, size int, kept bool) (string, error) {
 	t.Helper()
-	c := newClientOn(netx.TCP{})
+	c := newClientOn(netxtest.Untimed{})
 	defer c.CloseIdle()
 	request := func(id string, body []byte) (string, error) {
 		x := call(id)
@@ -86,19 +85,6 @@
 	return request("early", make([]byte, size))
 }
 
-// awaitUnread waits until bytes of the request have arrived that were not read.
-func awaitUnread(c *net.TCPConn) {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return
-	}
-	_ = raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK)
-		return n > 0 || err != syscall.EAGAIN
-	})
-}
-
 // Guards against a part of a body without framing that passes for the whole one, as the write of the request meets the
 // reset of the connection first, and the read that follows returns the end of the stream.
 func TestAResetThatTheUploadMeetsIsNotTheEndOfTheBody(t *testing.T) {
@@ -108,7 +94,7 @@
 			time.Sleep(delay)
 			_ = c.SetLinger(0)
 		},
-		"closed": func(c *net.TCPConn, _ time.Duration) { awaitUnread(c) }, // which makes the system reset the connection
+		"closed": func(c *net.TCPConn, _ time.Duration) { netxtest.AwaitUnread(c) },
 	} {
 		for _, size := range []int{200 << 10, 3 << 20} {
 			for _, kept := range []bool{false, true} {
--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -19,7 +19,7 @@
 
 	"github.com/shelfcrank/shelfcrank/internal/backend"
 	"github.com/shelfcrank/shelfcrank/internal/balance"
-	"github.com/shelfcrank/shelfcrank/internal/netx"
+	"github.com/shelfcrank/shelfcrank/internal/netxtest"
 	"github.com/shelfcrank/shelfcrank/internal/notice"
 	"github.com/shelfcrank/shelfcrank/internal/peerpb"
 	"github.com/shelfcrank/shelfcrank/internal/peerproxy"
@@ -98,14 +98,6 @@
 	maxEndlessBytes = 3 << 20
 )
 
-// untimedNetwork connects without a time-out, which a connection may exceed on a loaded host.
-type untimedNetwork struct{ netx.TCP }
-
-// Dial implements netx.Network.
-func (n untimedNetwork) Dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
-	return n.TCP.Dial(context.WithoutCancel(ctx), addr)
-}
-
 func newRawFixture(t *testing.T, e endless, others string) *rawFixture {
 	t.Helper()
 	w := &rawFixture{fixture: newFixture(t, 0), closed: make(chan struct{})}
@@ -163,7 +155,7 @@
 	}
 	view := &View{Config: config, ConfirmedAt: time.Now(), KeysValidUntil: time.Now().Add(time.Hour), Endpoints: map[string][]registry.Endpoint{"svc": endpoints}, Instances: 1}
 	w.handler.View = func() *View { return view }
-	w.handler.Backends = backend.New(backend.Options{Net: untimedNetwork{}, Protocol: plainProtocol{}, Notices: notice.New(notice.Options{}), Limits: ratelimit.New(ratelimit.Options{})})
+	w.handler.Backends = backend.New(backend.Options{Net: netxtest.Untimed{}, Protocol: plainProtocol{}, Notices: notice.New(notice.Options{}), Limits: ratelimit.New(ratelimit.Options{})})
 	w.handler.ConfigFreshFor = time.Hour
 	w.results = &resultPlacer{Placer: w.handler.Placer}
 	w.handler.Placer = w.results
--- a/internal/hostile/broken_test.go
+++ b/internal/hostile/broken_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/shelfcrank/shelfcrank/internal/netxtest"
 	"github.com/shelfcrank/shelfcrank/internal/policy"
 	"github.com/shelfcrank/shelfcrank/internal/registry"
 	"github.com/shelfcrank/shelfcrank/platform"
@@ -149,7 +150,7 @@
 		{"reset during the upload", uploadBytes, func(n int) brokenAnswer {
 			return brokenAnswer{status: "200 OK", early: true, end: resetAfter(time.Duration(n%10) * time.Millisecond)}
 		}},
-		{"closed during the upload", uploadBytes, always(brokenAnswer{status: "200 OK", early: true, end: func(*net.TCPConn) { time.Sleep(5 * time.Millisecond) }})},
+		{"closed during the upload", uploadBytes, always(brokenAnswer{status: "200 OK", early: true, end: netxtest.AwaitUnread})},
 		{"reset after the upload", uploadBytes, always(brokenAnswer{status: "200 OK", end: resetAfter(time.Millisecond)})},
 		{"status 000", 1000, always(brokenAnswer{status: "000 X", line: "Content-Length: 6\r\n"})},
 		{"blank in a name", 1000, always(brokenAnswer{status: "200 OK", line: "X Odd: 1\r\n"})},
--- a/internal/netxtest/netxtest.go
+++ b/internal/netxtest/netxtest.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -106,6 +107,28 @@
 
 func (c *conn) fail() { c.once.Do(func() { close(c.failed) }) }
 
+// AwaitUnread waits until bytes have arrived at a connection that were not read: the system resets the connection if it is
+// closed then.
+func AwaitUnread(c *net.TCPConn) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK)
+		return n > 0 || err != syscall.EAGAIN
+	})
+}
+
+// Untimed connects over TCP without a time-out, which a connection may exceed on a loaded host.
+type Untimed struct{ netx.TCP }
+
+// Dial implements netx.Network.
+func (n Untimed) Dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+	return n.TCP.Dial(context.WithoutCancel(ctx), addr)
+}
+
 // Serve starts a server that answers each request with a text and closes the connection. It returns its address.
 func Serve(t testing.TB, answer string) netip.AddrPort {
 	t.Helper()
