--- a/review/standins-2/world/world.go
+++ b/review/standins-2/world/world.go
@@ -100,7 +100,10 @@
 	Store  *storetest.Store
 	Record *Record
 	Dir    string // temporary
-	net    byte
+	// OnClose, if set, ends what the world does not know of.
+	OnClose func()
+
+	net byte
 
 	mu      sync.Mutex
 	servers []*Server
@@ -132,6 +135,9 @@
 
 // Close ends all processes and stand-ins.
 func (w *World) Close() {
+	if w.OnClose != nil {
+		w.OnClose()
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, n := range w.nodes {
