--- a/review/standins-2/cutstream/main.go
+++ b/review/standins-2/cutstream/main.go
@@ -260,7 +260,7 @@
 		id := fmt.Sprintf("%s-%04d", n.Name, i)
 		wait.Go(func() {
 			sent := time.Now()
-			a := c.Do(http.MethodPost, "h.example", "/tag/x", id, "key-1", deadline)
+			a := c.Do(http.MethodPost, "h.example", "/tag/"+id, id, "key-1", deadline)
 			got := strings.Count(a.Body, "\n\n")
 			d.mu.Lock()
 			defer d.mu.Unlock()
